http: client and server on libcurl and libmicrohttpd, headers of the modules to come

libcurl sends a request again by itself when a kept connection turns out dead; http_call::send_once takes a fresh connection for non-idempotent requests so that this cannot run one twice.

--- a/include/skylarkhub/skylarkhub.h
+++ b/include/skylarkhub/skylarkhub.h
@@ -191,6 +191,7 @@
     std::string key;
     std::optional<std::string> value; // empty when the row is absent
     row_version version;
+    operation_id operation; // of the transaction that wrote it; the table client keeps it in front of the value
 };
 struct table_check {
     std::string key;
--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -48,7 +48,6 @@
   6: bool cancelling = false
   7: i64 accepted_ms = 0
   8: i64 ended_ms = 0       // when the last task ended, 0 while any is open
-  9: string operation       // operation id of the last write, to settle a lost answer
 }
 
 struct cell_row {
@@ -57,7 +56,6 @@
   3: string owner           // incarnation: entry id and start stamp
   4: list<string> deputies  // incarnations
   5: i64 renewal = 0        // raised by each write of the owner
-  6: string operation       // operation id of the last write
   7: bool handed_over = false // the owner stopped by plan: takers need not wait
 }
 
@@ -76,7 +74,6 @@
   3: string fingerprint     // hash of the spec: the same key with another spec is a conflict
   4: list<string> cells
   5: i64 accepted_ms = 0
-  6: string operation
 }
 
 struct standing_row {
@@ -90,7 +87,6 @@
   8: i64 run_count = 0
   9: i64 missed_count = 0
   10: bool stopped = false
-  11: string operation
 }
 
 // One settings subtree. The version row lists the version of every subtree, so one read tells what moved.
@@ -100,13 +96,11 @@
   3: string document        // JSON, checked before it was written
   4: string author
   5: i64 changed_ms = 0
-  6: string operation
   7: bool removed = false
 }
 struct settings_versions_row {
   1: i64 version = 0
   2: map<string, i64> subtrees
-  3: string operation
 }
 
 // The claim of a non-idempotent request, written before its bytes leave the entry.
@@ -121,7 +115,6 @@
   7: string body            // the whole answer, for the caller's own retries
   8: string fingerprint
   9: i64 claimed_ms = 0
-  10: string operation
 }
 
 // --- between entries ---
--- /dev/null
+++ b/src/http_client.cpp
@@ -0,0 +1,267 @@
+#include "http_client_p.h"
+
+#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
+#include <curl/curl.h>
+#include <pthread.h>
+
+#include <algorithm>
+#include <cctype>
+#include <deque>
+#include <thread>
+#include <unordered_map>
+
+namespace skylarkhub {
+
+namespace {
+
+long to_ms(duration d)
+{
+    return std::max<long>(1, static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(d).count()));
+}
+
+struct transfer {
+    http_call call;
+    std::function<void(http_result)> done;
+    http_result result;
+    curl_slist* headers = nullptr;
+    CURL* handle = nullptr;
+
+    ~transfer()
+    {
+        curl_slist_free_all(headers);
+        if (handle != nullptr) {
+            curl_easy_cleanup(handle);
+        }
+    }
+    transfer() = default;
+    transfer(const transfer&) = delete;
+    transfer& operator=(const transfer&) = delete;
+};
+
+std::size_t take_body(const char* data, std::size_t size, std::size_t count, void* context)
+{
+    auto& t = *static_cast<transfer*>(context);
+    const std::size_t bytes = size * count;
+    if (static_cast<std::int64_t>(t.result.body.size() + bytes) > t.call.answer_bytes_most) {
+        t.result.reason = "answer is larger than the limit";
+        return 0;
+    }
+    t.result.body.append(data, bytes);
+    return bytes;
+}
+
+std::size_t take_header(const char* data, std::size_t size, std::size_t count, void* context)
+{
+    auto& t = *static_cast<transfer*>(context);
+    const std::string_view line(data, size * count);
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos) {
+        return size * count;
+    }
+    std::string name(line.substr(0, colon));
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    std::string_view value = line.substr(colon + 1);
+    while (!value.empty() && std::isspace(static_cast<unsigned char>(value.front())) != 0) {
+        value.remove_prefix(1);
+    }
+    while (!value.empty() && std::isspace(static_cast<unsigned char>(value.back())) != 0) {
+        value.remove_suffix(1);
+    }
+    t.result.headers.emplace_back(std::move(name), std::string(value));
+    return size * count;
+}
+
+void add_header(transfer& t, const std::string& line)
+{
+    t.headers = curl_slist_append(t.headers, line.c_str());
+}
+
+void prepare(transfer& t)
+{
+    t.handle = curl_easy_init();
+    CURL* const h = t.handle;
+    const std::string url = "http://" + t.call.address.str() + t.call.target;
+    curl_easy_setopt(h, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, t.call.method.c_str());
+    curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(h, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(h, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(h, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, to_ms(t.call.timeout));
+    curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS, to_ms(std::min(t.call.connect_timeout, t.call.timeout)));
+    curl_easy_setopt(h, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, &take_body);
+    curl_easy_setopt(h, CURLOPT_WRITEDATA, &t);
+    curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, &take_header);
+    curl_easy_setopt(h, CURLOPT_HEADERDATA, &t);
+    curl_easy_setopt(h, CURLOPT_PRIVATE, &t);
+    if (t.call.send_once) {
+        curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(h, CURLOPT_FORBID_REUSE, 1L);
+    }
+    if (!t.call.body.empty() || t.call.method == "POST" || t.call.method == "PUT") {
+        curl_easy_setopt(h, CURLOPT_POSTFIELDS, t.call.body.data());
+        curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(t.call.body.size()));
+    }
+    for (const auto& [name, value] : t.call.headers) {
+        add_header(t, name + ": " + value);
+    }
+    add_header(t, "Expect:");
+    curl_easy_setopt(h, CURLOPT_HTTPHEADER, t.headers);
+}
+
+void conclude(transfer& t, CURLcode code)
+{
+    long status = 0;
+    long request_bytes = 0;
+    curl_easy_getinfo(t.handle, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(t.handle, CURLINFO_REQUEST_SIZE, &request_bytes);
+    t.result.status = static_cast<int>(status);
+    t.result.answered = code == CURLE_OK;
+    t.result.may_have_arrived = request_bytes > 0;
+    if (code != CURLE_OK && t.result.reason.empty()) {
+        t.result.reason = curl_easy_strerror(code);
+    }
+}
+
+} // namespace
+
+struct http_client::engine {
+    explicit engine(limits l) : multi(curl_multi_init())
+    {
+        curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS, l.connections_per_host);
+        curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, l.connections_kept);
+        thread = std::thread([this] { run(); });
+    }
+
+    ~engine()
+    {
+        {
+            absl::MutexLock lock(&mutex);
+            stopping = true;
+        }
+        curl_multi_wakeup(multi);
+        thread.join();
+        curl_multi_cleanup(multi);
+    }
+    engine(const engine&) = delete;
+    engine& operator=(const engine&) = delete;
+
+    void run()
+    {
+        while (true) {
+            if (!take_waiting()) {
+                break;
+            }
+            int running = 0;
+            curl_multi_perform(multi, &running);
+            finish_done();
+            curl_multi_poll(multi, nullptr, 0, 1000, nullptr);
+        }
+        abandon_all();
+    }
+
+    // False when the client is stopping.
+    bool take_waiting()
+    {
+        std::deque<std::unique_ptr<transfer>> taken;
+        {
+            absl::MutexLock lock(&mutex);
+            if (stopping) {
+                return false;
+            }
+            taken.swap(waiting);
+        }
+        for (auto& t : taken) {
+            prepare(*t);
+            CURL* const handle = t->handle;
+            curl_multi_add_handle(multi, handle);
+            active.emplace(handle, std::move(t));
+        }
+        return true;
+    }
+
+    void finish_done()
+    {
+        int left = 0;
+        while (CURLMsg* const message = curl_multi_info_read(multi, &left)) {
+            if (message->msg != CURLMSG_DONE) {
+                continue;
+            }
+            CURL* const handle = message->easy_handle;
+            const CURLcode code = message->data.result;
+            auto found = active.find(handle);
+            std::unique_ptr<transfer> t = std::move(found->second);
+            active.erase(found);
+            curl_multi_remove_handle(multi, handle);
+            conclude(*t, code);
+            t->done(std::move(t->result));
+        }
+    }
+
+    void abandon_all()
+    {
+        for (auto& [handle, t] : active) {
+            curl_multi_remove_handle(multi, handle);
+            t->result.reason = "client is stopping";
+            t->done(std::move(t->result));
+        }
+        active.clear();
+        std::deque<std::unique_ptr<transfer>> taken;
+        {
+            absl::MutexLock lock(&mutex);
+            taken.swap(waiting);
+        }
+        for (auto& t : taken) {
+            t->result.may_have_arrived = false;
+            t->result.reason = "client is stopping";
+            t->done(std::move(t->result));
+        }
+    }
+
+    CURLM* multi;
+    std::unordered_map<CURL*, std::unique_ptr<transfer>> active; // of the client's thread only
+    absl::Mutex mutex;
+    std::deque<std::unique_ptr<transfer>> waiting ABSL_GUARDED_BY(mutex);
+    bool stopping ABSL_GUARDED_BY(mutex) = false;
+    std::thread thread;
+};
+
+http_client::http_client() : http_client(limits{}) {}
+
+http_client::http_client(limits l)
+{
+    static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
+    static_cast<void>(initialised);
+    engine_ = std::make_unique<engine>(l);
+}
+
+http_client::~http_client() = default;
+
+void http_client::send(http_call call, std::function<void(http_result)> done)
+{
+    auto t = std::make_unique<transfer>();
+    t->call = std::move(call);
+    t->done = std::move(done);
+    {
+        absl::MutexLock lock(&engine_->mutex);
+        engine_->waiting.push_back(std::move(t));
+    }
+    curl_multi_wakeup(engine_->multi);
+}
+
+http_result http_client::call(http_call call)
+{
+    http_result result;
+    absl::Notification finished;
+    send(std::move(call), [&](http_result r) {
+        result = std::move(r);
+        finished.Notify();
+    });
+    finished.WaitForNotification();
+    return result;
+}
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/http_client_p.h
@@ -0,0 +1,61 @@
+// HTTP client over libcurl: one thread drives many transfers, callers never wait for each other.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "http_message_p.h"
+#include "skylarkhub/skylarkhub.h"
+
+namespace skylarkhub {
+
+struct http_call {
+    std::string method = "GET";
+    net_address address;
+    std::string target = "/"; // path and query, already encoded
+    http_fields headers;
+    std::string body;
+    duration timeout{std::chrono::seconds(5)};
+    duration connect_timeout{std::chrono::seconds(1)};
+    std::int64_t answer_bytes_most = 16 << 20;
+    // A fresh connection for this call alone. libcurl sends a request again by itself when a kept connection turns out
+    // dead, which would run a non-idempotent request twice.
+    bool send_once = false;
+};
+
+struct http_result {
+    bool answered = false;        // the whole answer arrived
+    bool may_have_arrived = true; // false only when no byte of the request can have left
+    int status = 0;
+    http_fields headers;
+    std::string body;
+    std::string reason; // why there is no whole answer
+};
+
+class http_client {
+public:
+    struct limits {
+        long connections_per_host = 0; // 0: no limit
+        long connections_kept = 64;
+    };
+
+    http_client();
+    explicit http_client(limits l);
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    // Sends without waiting. `done` runs once, on the client's thread, and must not block.
+    void send(http_call call, std::function<void(http_result)> done);
+
+    // Sends and waits. Not from within `done`.
+    http_result call(http_call call);
+
+private:
+    struct engine;
+    std::unique_ptr<engine> engine_;
+};
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/http_server.cpp
@@ -0,0 +1,269 @@
+#include "http_server_p.h"
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/synchronization/mutex.h>
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <charconv>
+#include <cstring>
+#include <optional>
+
+#include "config.h"
+
+namespace skylarkhub {
+
+namespace {
+
+std::optional<sockaddr_in> parse_address(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) != 1) {
+        return std::nullopt;
+    }
+    std::uint16_t port = 0;
+    const char* const end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
+    if (error != std::errc() || stop != end) {
+        return std::nullopt;
+    }
+    address.sin_port = htons(port);
+    return address;
+}
+
+MHD_Result take_value(void* context, MHD_ValueKind kind, const char* key, const char* value)
+{
+    auto& fields = *static_cast<http_fields*>(context);
+    std::string name(key);
+    if (kind == MHD_HEADER_KIND) {
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    }
+    fields.emplace_back(std::move(name), value == nullptr ? "" : value);
+    return MHD_YES;
+}
+
+MHD_Result queue_response(MHD_Connection* connection, const http_response& answer)
+{
+    MHD_Response* const response = MHD_create_response_from_buffer(
+        answer.body.size(), const_cast<char*>(answer.body.data()), MHD_RESPMEM_MUST_COPY);
+    for (const auto& [name, value] : answer.headers) {
+        MHD_add_response_header(response, name.c_str(), value.c_str());
+    }
+    const MHD_Result result = MHD_queue_response(connection, static_cast<unsigned>(answer.status), response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+// One request from its first line to its answer. The reply may come on another thread while the connection's own thread
+// is still in the handler: only a connection that was really suspended is resumed.
+struct exchange {
+    http_request request;
+    bool too_large = false;
+    bool handed_over = false; // of the connection's thread
+    MHD_Connection* connection = nullptr;
+    std::atomic<std::int64_t>* in_flight = nullptr;
+
+    absl::Mutex mutex;
+    std::optional<http_response> answer ABSL_GUARDED_BY(mutex);
+    bool answered ABSL_GUARDED_BY(mutex) = false;
+    bool suspended ABSL_GUARDED_BY(mutex) = false;
+    bool closed ABSL_GUARDED_BY(mutex) = false;
+
+    void reply(http_response response)
+    {
+        absl::MutexLock lock(&mutex);
+        if (answered || closed) {
+            return;
+        }
+        answered = true;
+        answer = std::move(response);
+        if (suspended) {
+            suspended = false;
+            MHD_resume_connection(connection);
+        }
+    }
+};
+
+} // namespace
+
+struct http_server::engine {
+    options o;
+    http_handler handler;
+    MHD_Daemon* daemon = nullptr;
+    net_address bound;
+    std::atomic<std::int64_t> in_flight{0};
+    std::atomic<bool> accepting{true};
+    absl::Mutex mutex;
+    absl::flat_hash_set<std::shared_ptr<exchange>> open ABSL_GUARDED_BY(mutex);
+
+    static MHD_Result on_access(void* context, MHD_Connection* connection, const char* url, const char* method,
+                                const char* version, const char* data, std::size_t* size, void** slot)
+    {
+        static_cast<void>(version);
+        auto& self = *static_cast<engine*>(context);
+        if (*slot == nullptr) {
+            *slot = self.open_exchange(connection, url, method);
+            return MHD_YES;
+        }
+        auto& e = *static_cast<std::shared_ptr<exchange>*>(*slot);
+        if (*size > 0) {
+            self.take_upload(*e, data, *size);
+            *size = 0;
+            return MHD_YES;
+        }
+        return self.serve(e);
+    }
+
+    static void on_completed(void* context, MHD_Connection* connection, void** slot, MHD_RequestTerminationCode code)
+    {
+        static_cast<void>(connection);
+        static_cast<void>(code);
+        auto& self = *static_cast<engine*>(context);
+        auto* const e = static_cast<std::shared_ptr<exchange>*>(*slot);
+        if (e == nullptr) {
+            return;
+        }
+        {
+            absl::MutexLock lock(&(*e)->mutex);
+            (*e)->closed = true;
+        }
+        {
+            absl::MutexLock lock(&self.mutex);
+            self.open.erase(*e);
+        }
+        self.in_flight.fetch_sub(1);
+        delete e;
+        *slot = nullptr;
+    }
+
+    std::shared_ptr<exchange>* open_exchange(MHD_Connection* connection, const char* url, const char* method)
+    {
+        auto e = std::make_shared<exchange>();
+        e->connection = connection;
+        e->request.method = method;
+        e->request.path = url;
+        in_flight.fetch_add(1);
+        {
+            absl::MutexLock lock(&mutex);
+            open.insert(e);
+        }
+        return new std::shared_ptr<exchange>(std::move(e));
+    }
+
+    void take_upload(exchange& e, const char* data, std::size_t size) const
+    {
+        if (static_cast<std::int64_t>(e.request.body.size() + size) > o.body_bytes_most) {
+            e.too_large = true;
+            e.request.body.clear();
+            return;
+        }
+        if (!e.too_large) {
+            e.request.body.append(data, size);
+        }
+    }
+
+    MHD_Result serve(const std::shared_ptr<exchange>& e)
+    {
+        if (e->too_large) {
+            return queue_response(e->connection,
+                                  {413, {}, "{\"error\":\"too_large\",\"reason\":\"body is too large\"}"});
+        }
+        if (!e->handed_over) {
+            e->handed_over = true;
+            MHD_get_connection_values(e->connection, MHD_HEADER_KIND, &take_value, &e->request.headers);
+            MHD_get_connection_values(e->connection, MHD_GET_ARGUMENT_KIND, &take_value, &e->request.query);
+            handler(std::move(e->request), [e](http_response response) { e->reply(std::move(response)); });
+        }
+        absl::MutexLock lock(&e->mutex);
+        if (e->answer) {
+            return queue_response(e->connection, *e->answer);
+        }
+        e->suspended = true;
+        MHD_suspend_connection(e->connection);
+        return MHD_YES;
+    }
+
+    // Answers whatever is still waiting, so that no suspended connection keeps the server from stopping.
+    void answer_waiting()
+    {
+        std::vector<std::shared_ptr<exchange>> waiting;
+        {
+            absl::MutexLock lock(&mutex);
+            waiting.assign(open.begin(), open.end());
+        }
+        for (const auto& e : waiting) {
+            e->reply({503, {}, "{\"error\":\"stopping\"}"});
+        }
+    }
+};
+
+http_server::http_server(std::unique_ptr<engine> e) : engine_(std::move(e)) {}
+
+std::unique_ptr<http_server> http_server::start(const options& o, http_handler handler, std::string* last_reason)
+{
+    auto address = parse_address(o.address.str());
+    if (!address) {
+        *last_reason = "not an address of the form IP:port: " + o.address.str();
+        return nullptr;
+    }
+    auto e = std::make_unique<engine>();
+    e->o = o;
+    e->handler = std::move(handler);
+    const unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+    e->daemon =
+        MHD_start_daemon(flags, 0, nullptr, nullptr, &engine::on_access, e.get(), MHD_OPTION_SOCK_ADDR, &*address,
+                         MHD_OPTION_THREAD_POOL_SIZE, o.threads, MHD_OPTION_CONNECTION_LIMIT,
+                         std::max(o.connections_most, o.threads), MHD_OPTION_CONNECTION_TIMEOUT, o.idle_seconds,
+                         MHD_OPTION_THREAD_STACK_SIZE, config::thread_stack_bytes, MHD_OPTION_LISTENING_ADDRESS_REUSE,
+                         1U, MHD_OPTION_NOTIFY_COMPLETED, &engine::on_completed, e.get(), MHD_OPTION_END);
+    if (e->daemon == nullptr) {
+        *last_reason = "cannot listen on " + o.address.str() + ": " + std::strerror(errno);
+        return nullptr;
+    }
+    const MHD_DaemonInfo* const info = MHD_get_daemon_info(e->daemon, MHD_DAEMON_INFO_BIND_PORT);
+    const std::string ip = o.address.str().substr(0, o.address.str().rfind(':'));
+    e->bound = net_address(ip + ":" + std::to_string(info->port));
+    return std::unique_ptr<http_server>(new http_server(std::move(e)));
+}
+
+http_server::~http_server()
+{
+    stop_accepting();
+    engine_->answer_waiting();
+    MHD_stop_daemon(engine_->daemon);
+}
+
+net_address http_server::address() const
+{
+    return engine_->bound;
+}
+
+std::int64_t http_server::in_flight() const
+{
+    return engine_->in_flight.load();
+}
+
+void http_server::stop_accepting()
+{
+    if (!engine_->accepting.exchange(false)) {
+        return;
+    }
+    const MHD_socket listener = MHD_quiesce_daemon(engine_->daemon);
+    if (listener != MHD_INVALID_SOCKET) {
+        close(listener);
+    }
+}
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/http_server_p.h
@@ -0,0 +1,50 @@
+// HTTP server over libmicrohttpd. A handler may answer later and from any thread; a waiting request holds no thread.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "http_message_p.h"
+#include "skylarkhub/skylarkhub.h"
+
+namespace skylarkhub {
+
+// Answers one request; calls after the first do nothing.
+using http_reply = std::function<void(http_response)>;
+using http_handler = std::function<void(http_request, http_reply)>;
+
+class http_server {
+public:
+    struct options {
+        net_address address; // "IP:port"; port 0 takes a free one
+        unsigned threads = 2;
+        std::int64_t body_bytes_most = 1 << 20; // a larger body is answered 413
+        unsigned connections_most = 4096;       // more are closed at accept
+        unsigned idle_seconds = 60;
+    };
+
+    // Empty when the address cannot be bound, with the reason in `last_reason`.
+    static std::unique_ptr<http_server> start(const options& o, http_handler handler, std::string* last_reason);
+
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    // The address it listens on, with the port really taken.
+    net_address address() const;
+
+    // Requests taken and not answered yet.
+    std::int64_t in_flight() const;
+
+    // Takes no new connections from now on; those open are served on.
+    void stop_accepting();
+
+private:
+    struct engine;
+    explicit http_server(std::unique_ptr<engine> e);
+    std::unique_ptr<engine> engine_;
+};
+
+} // namespace skylarkhub
--- /dev/null
+++ b/tests/test_http.cpp
@@ -0,0 +1,104 @@
+#include <boost/test/unit_test.hpp>
+
+#include <absl/synchronization/blocking_counter.h>
+#include <fmt/format.h>
+
+#include <atomic>
+#include <thread>
+
+#include "http_client_p.h"
+#include "http_server_p.h"
+
+using namespace skylarkhub;
+
+namespace {
+
+std::unique_ptr<http_server> start_server(http_handler handler, std::int64_t body_bytes_most = 1 << 20)
+{
+    std::string reason;
+    auto server = http_server::start({.address = net_address("127.0.0.1:0"), .body_bytes_most = body_bytes_most},
+                                     std::move(handler), &reason);
+    BOOST_REQUIRE_MESSAGE(server, reason);
+    return server;
+}
+
+http_call post(const http_server& server, std::string body)
+{
+    return {.method = "POST", .address = server.address(), .target = "/echo", .body = std::move(body)};
+}
+
+} // namespace
+
+// Answers that come later and on another thread, many at once: every caller gets the answer to its own request.
+BOOST_AUTO_TEST_CASE(each_caller_gets_its_own_late_answer)
+{
+    std::vector<std::thread> threads;
+    absl::Mutex mutex;
+    auto server = start_server([&](http_request request, const http_reply& reply) {
+        absl::MutexLock lock(&mutex);
+        threads.emplace_back([body = std::move(request.body), reply] { reply({200, {}, "echo " + body}); });
+    });
+    http_client client;
+    constexpr int calls = 200;
+    absl::BlockingCounter left(calls);
+    std::atomic<int> right{0};
+    for (int i = 0; i < calls; ++i) {
+        client.send(post(*server, std::to_string(i)), [&, i](const http_result& result) {
+            right += result.answered && result.body == "echo " + std::to_string(i) ? 1 : 0;
+            left.DecrementCount();
+        });
+    }
+    left.Wait();
+    BOOST_TEST(right.load() == calls);
+    for (auto& t : threads) {
+        t.join();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_body_over_the_limit_is_refused)
+{
+    auto server = start_server([](const http_request&, const http_reply& reply) { reply({}); }, 1000);
+    http_client client;
+    BOOST_TEST(client.call(post(*server, std::string(1001, 'x'))).status == 413);
+    BOOST_TEST(client.call(post(*server, std::string(1000, 'x'))).status == 200);
+}
+
+// Nothing listens: no byte can have left, so the caller may say that the request did not run.
+BOOST_AUTO_TEST_CASE(a_refused_connection_is_known_not_to_have_arrived)
+{
+    net_address free_address;
+    {
+        auto server = start_server([](const http_request&, const http_reply& reply) { reply({}); });
+        free_address = server->address();
+    }
+    http_client client;
+    const http_result result = client.call({.method = "POST", .address = free_address, .body = "x"});
+    BOOST_TEST(!result.answered);
+    BOOST_TEST(!result.may_have_arrived);
+}
+
+// The answer never comes: the request may have run, and the result must not claim otherwise.
+BOOST_AUTO_TEST_CASE(a_timed_out_request_may_have_arrived)
+{
+    http_reply kept;
+    auto server = start_server([&](const http_request&, http_reply reply) { kept = std::move(reply); });
+    http_client client;
+    auto call = post(*server, "x");
+    call.timeout = std::chrono::milliseconds(100);
+    const http_result result = client.call(call);
+    BOOST_TEST(!result.answered);
+    BOOST_TEST(result.may_have_arrived);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_over_the_limit_does_not_look_whole)
+{
+    auto server = start_server([](const http_request&, const http_reply& reply) {
+        reply({200, {}, std::string(5000, 'y')});
+    });
+    http_client client;
+    auto call = post(*server, "x");
+    call.answer_bytes_most = 4096;
+    const http_result result = client.call(call);
+    BOOST_TEST(!result.answered);
+    BOOST_TEST(!result.reason.empty());
+}
