request, route: a gate that admits, queues, claims, picks, retries, hedges and answers

Cause: the daemon needs real decisions to be written around. Chosen: exactly one end per send settles the target's slot, so a caller answered at its deadline leaves no timer behind; shares of slots and connections follow the number of entries; a target that takes no connection or says it leaves is dropped at once and comes back through a probe and a slow start. Not measured yet.

--- a/src/config.h
+++ b/src/config.h
@@ -37,6 +37,37 @@
 inline constexpr double retry_share_default = 0.1;
 inline constexpr double hedge_share_default = 0.05;
 
+// --- routing ---
+inline constexpr duration service_time_default = 20ms; // believed of a service before its first answers
+inline constexpr double service_time_gain = 0.1;       // least weight of the newest answer in a target's mean
+inline constexpr int service_time_prior = 3;           // answers that the service's mean counts for at first
+inline constexpr duration service_time_memory = 10s;   // a target's mean falls back to the service's in this time
+inline constexpr int quantile_window = 400;            // answers from which hedging takes its quantile
+inline constexpr double hedge_quantile = 0.95;
+inline constexpr double budget_burst = 10;             // retries or hedges saved up at most
+inline constexpr double spill_connection_share = 0.25; // of a target's connections, for entries of other centres
+inline constexpr int share_total_least = 8;            // slots an entry is to see in sum before shares may be 0
+inline constexpr double slow_factor = 3;               // times the service's mean that make a target slow
+inline constexpr double stall_factor = 8;              // times the service's mean without an answer: stalled
+inline constexpr int failures_in_row_most = 3;         // before a target is ejected
+inline constexpr double failure_rate_most = 0.5;       // smoothed, before a target is ejected
+inline constexpr double ejected_share_most = 0.3;      // of the known targets
+inline constexpr duration ejection_first = 1s;         // doubles with each ejection in a row
+inline constexpr duration ejection_most = 60s;
+inline constexpr duration target_probe_first = 500ms; // doubles while the target stays away
+inline constexpr duration target_probe_most = 10s;
+inline constexpr duration slow_start = 5s;          // in which a returned target's limit grows to its share
+inline constexpr duration refusal_hold_first = 5ms; // doubles with each refusal in a row
+inline constexpr duration refusal_hold_most = 1s;
+inline constexpr int centre_failures_in_row = 3;   // targets in a row, before a data centre counts as cut off
+inline constexpr duration unlisted_grace = 3s;     // an unlisted target that answers keeps its work so long
+inline constexpr duration unlisted_keep = 5min;    // an unlisted target is remembered after its last answer
+inline constexpr duration route_tick = 100ms;      // looks at targets that are out of use, slow or ramping
+inline constexpr duration queue_tick = 10ms;       // while any request is queued
+inline constexpr duration claim_answer_grace = 1s; // past the deadline, to keep a claimed request's late answer
+inline constexpr duration retry_after_least = 50ms;
+inline constexpr duration retry_after_most = 10s;
+
 // --- daemon ---
 inline constexpr int http_threads_default = 4;
 inline constexpr std::size_t thread_stack_bytes = 256 * 1024;
--- a/src/request_gate_p.h
+++ b/src/request_gate_p.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "config.h"
+#include "route_types_p.h"
 #include "skylarkhub/skylarkhub.h"
 
 namespace skylarkhub {
@@ -30,10 +31,6 @@
     std::int64_t body_bytes = 0;
 };
 
-// What one send came to. done: the whole answer to this very send arrived. did_not_run: the target said so explicitly.
-// not_sent: no byte can have left (connection refused, connect timeout). unknown: anything else.
-enum class send_outcome : std::uint8_t { done, did_not_run, not_sent, unknown };
-
 // Exactly one for each send_request, however it ends, also when the caller has its answer already: it settles the
 // slot. A daemon that never reports an end leaks one slot of the target.
 struct target_answered {
@@ -56,38 +53,6 @@
     std::string reason;
 };
 
-struct seen_target {
-    target_id target;
-    data_centre_id data_centre;
-    net_address address;
-    std::int32_t slots = 0;
-    std::int32_t connections = 0;
-    bool leaving = false;
-};
-enum class target_source : std::uint8_t { platform_list, cell_owners };
-
-// All targets of this service as one source shows them now; replaces what that source said before.
-struct targets_seen {
-    target_source source = target_source::platform_list;
-    std::vector<seen_target> targets;
-};
-
-// Live entries as this entry believes, itself included. `rank` is its place among the sorted ids, from 0; shares of a
-// target's slots and connections follow from it.
-struct entries_seen {
-    std::int32_t in_data_centre = 1;
-    std::int32_t rank_in_data_centre = 0;
-    std::int32_t everywhere = 1;
-    std::int32_t rank_everywhere = 0;
-};
-
-// Answer to probe_target: healthy when /healthz said 200, leaving when it said 503, unreachable otherwise.
-enum class probe_outcome : std::uint8_t { healthy, leaving, unreachable };
-struct target_probed {
-    target_id target;
-    probe_outcome outcome = probe_outcome::unreachable;
-};
-
 struct gate_tick {};
 // A planned stop of this entry: new requests are refused, accepted ones are served to their end.
 struct gate_stop_planned {};
@@ -102,8 +67,9 @@
     send_number send;
     target_id target;
     net_address address;
-    duration time_left{0};  // passed on as Deadline-Ms, and the most to wait for the answer
-    bool send_once = false; // a fresh connection: a library's own resend must not run it twice
+    duration time_left{0};   // passed on as Deadline-Ms
+    duration answer_wait{0}; // most to wait for the answer; above time_left when a late one is worth keeping
+    bool send_once = false;  // a fresh connection: a library's own resend must not run it twice
 };
 
 // Write the claim durably, or learn who has it. Only for keyed requests that must not run twice.
@@ -163,18 +129,8 @@
     std::string detail;
 };
 
-// GET /healthz of a target that refused, failed or left, before it gets work again.
-struct probe_target {
-    target_id target;
-    net_address address;
-};
 // After gate_stop_planned: every caller has its answer and every send its end.
 struct gate_drained {};
-struct gate_notice {
-    std::string event; // one word with underscores, e.g. "target_ejected"
-    std::string detail;
-};
-
 using gate_action = std::variant<send_request, claim_request, record_claim_answer, release_claim, answer_request,
                                  probe_target, gate_drained, gate_notice>;
 
@@ -222,8 +178,8 @@
     gate_stats stats() const;
 
 private:
-    struct state;
-    std::unique_ptr<state> state_;
+    struct engine;
+    std::unique_ptr<engine> engine_;
 };
 
 // --- judging a target's HTTP answer ---
