--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -97,6 +97,8 @@
   4: string author
   5: i64 changed_ms = 0
   7: bool removed = false
+  8: list<i64> past         // versions this one replaced whose history rows are kept, oldest first
+  9: string operation       // of the change that wrote it, so that a repeated try finds its own
 }
 struct settings_versions_row {
   1: i64 version = 0
@@ -173,7 +175,8 @@
   2: list<target_wire> targets
 }
 
-struct settings_push { 1: i64 version, 2: list<settings_row> subtrees }
+// Every subtree above `newer_than`; together with what was in force then, complete up to `version`.
+struct settings_push { 1: i64 version, 2: list<settings_row> subtrees, 3: i64 newer_than = 0 }
 
 service entry_peer {
   probe_reply probe(1: probe_request request)
--- a/src/row_keys.cpp
+++ b/src/row_keys.cpp
@@ -81,6 +81,17 @@
     return "settings_versions";
 }
 
+std::string settings_history_prefix(std::string_view path)
+{
+    return "settings_history/" + escape_key_part(path) + "/";
+}
+
+// Digits are padded so that the table lists history in its order.
+std::string settings_history_key(std::string_view path, settings_version replaced)
+{
+    return fmt::format("{}{:012}", settings_history_prefix(path), replaced.value());
+}
+
 std::string request_claim_key(const team_id& team, std::string_view caller_key)
 {
     return "request/" + escape_key_part(team.str()) + "/" + escape_key_part(caller_key);
--- a/src/row_keys_p.h
+++ b/src/row_keys_p.h
@@ -23,6 +23,9 @@
 std::string settings_prefix();
 std::string settings_key(std::string_view path);
 std::string settings_versions_key();
+// Of the row that replaced version `replaced` of a subtree.
+std::string settings_history_prefix(std::string_view path);
+std::string settings_history_key(std::string_view path, settings_version replaced);
 std::string request_claim_key(const team_id& team, std::string_view caller_key);
 
 // "JOB/INDEX" as workers see it, and back; empty when it is not of that form.
