--- a/src/http_message_p.h
+++ b/src/http_message_p.h
@@ -24,6 +24,9 @@
     std::string body;
 };
 
+// The status of a response that closes the connection unanswered; the stand-ins' way to lose an answer.
+inline constexpr int http_status_close = 0;
+
 struct http_response {
     int status = 200;
     http_fields headers;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -187,6 +187,9 @@
             handler(std::move(e->request), [e](http_response response) { e->reply(std::move(response)); });
         }
         absl::MutexLock lock(&e->mutex);
+        if (e->answer && e->answer->status == http_status_close) {
+            return MHD_NO;
+        }
         if (e->answer) {
             return queue_response(e->connection, *e->answer);
         }
