cell: fields a takeover needs in rows and worker messages

Cause: starts are not written, so a new owner must know which workers can hold tasks (cell_row.workers) and what each task's ledger entry was (task_report.declared). A restarted worker has another clock: a start computed from its old readings would make a lease of any length there, so requests name the boot they are for. Tasks' leases outlast a takeover (12 s against hold 5 s + margin + read + commit + fence); with 6 s and 6 s they would end before it. Ruled out: a row per start; scaling declared sizes down at adoption (can overcommit after the first end).

--- a/include/skylarkhub/skylarkhub.h
+++ b/include/skylarkhub/skylarkhub.h
@@ -263,6 +263,8 @@
     skylarkhub::epoch epoch;
     sequence_number sequence;
     incarnation_id owner;
+    std::string
+        boot; // life of the worker whose clock the leases are in, empty before its first report; another refuses
     std::vector<worker_command> commands;
 };
 
@@ -279,6 +281,7 @@
     std::string reason;
     net_address address; // of a service task's listener
     resources used;      // measured at worker_report::usage_taken
+    resources declared;  // what its start command declared: what the worker's ledger holds for it
     std::int32_t throttle = 100;
     worker_time started{};
 };
--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -36,6 +36,8 @@
   3: i32 attempts_failed = 0
   4: i64 attempt = 0        // highest attempt whose outcome is recorded here
   5: string last_reason
+  6: string checkpoint      // newest durable checkpoint that the row's writer knew of, may be older than the newest
+  7: double checkpoint_progress = 0
 }
 
 // One cell's part of a job: tasks first_task .. first_task + task_total - 1.
@@ -57,6 +59,7 @@
   4: list<string> deputies  // incarnations
   5: i64 renewal = 0        // raised by each write of the owner
   7: bool handed_over = false // the owner stopped by plan: takers need not wait
+  8: list<string> workers   // written before the first start on each: only these can hold tasks of this epoch or before
 }
 
 // An instruction any entry may leave for the owner of a cell; removed by the write that carries it out.
--- a/src/config.h
+++ b/src/config.h
@@ -8,13 +8,14 @@
 using namespace std::chrono_literals;
 
 // --- ownership and leases ---
-inline constexpr duration lease_length = 6s;         // of a task, in the worker's clock
+inline constexpr duration lease_length = 12s;        // of a task, in the worker's clock; longer than a takeover lasts
+                                                     // (hold, margin, one read, commit, fence), so tasks are adopted
 inline constexpr duration lease_renew_interval = 2s; // one exchange with each worker; a lease survives two lost ones
 inline constexpr duration cell_renew_interval = 1s;  // an owner's write of its row when nothing else is to be written
-inline constexpr duration cell_hold = 6s;            // T_hold: an owner without promises stops this long after its
+inline constexpr duration cell_hold = 5s;            // T_hold: an owner without promises stops this long after its
                                                      // last successful renewal was sent
 inline constexpr duration cell_orphan = 10min;       // T_orphan: past it anyone in the data centre may take the cell
-inline constexpr duration hold_promise = 6s;         // what a deputy promises at a time
+inline constexpr duration hold_promise = 5s;         // what a deputy promises at a time
 inline constexpr double clock_drift = 0.01;          // most by which two clocks' rates differ
 inline constexpr duration drift_margin = 500ms;      // added where two clocks are compared across a drift
 
