--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -78,9 +78,8 @@
                 .timeout = o.timeout};
     }
 
-    void commit(const table_transaction& transaction, std::function<void(table_result)> done)
+    void commit(table_transaction stored, std::function<void(table_result)> done)
     {
-        table_transaction stored = transaction;
         for (table_write& write : stored.writes) {
             if (write.value) {
                 write.value = stored_value(stored.operation, *write.value);
@@ -168,7 +167,7 @@
                              std::function<void(table_result)> done)
 {
     static_cast<void>(traffic);
-    engine_->commit(transaction, std::move(done));
+    engine_->commit(std::move(transaction), std::move(done));
 }
 
 void platform_client::commit_settled(table_traffic traffic, table_transaction transaction, duration deadline,
