place: a plan can resize what the ledger holds for a running task

Cause: declared sizes are far from the truth, so the amount committed at the start has to follow what is measured. Conclusion: raises take room in the same plan, reductions give it away only when the ledger shows them, so that a cell which applies a plan late or in part is never led beyond capacity.

--- a/src/config.h
+++ b/src/config.h
@@ -31,6 +31,9 @@
 inline constexpr int probe_relays = 2;
 inline constexpr duration suspect_timeout = 2s;
 
+// --- placement ---
+inline constexpr double slowdown_limit = 1.5; // of a service whose kind names no other
+
 // --- request path ---
 inline constexpr std::int64_t body_bytes_most = 1 << 20;
 inline constexpr duration deadline_default = 5s;
--- a/src/place_p.h
+++ b/src/place_p.h
@@ -41,6 +41,14 @@
     worker_id worker;
     resources committed; // what the ledger is to hold: the declared or learned size, within the room left
 };
+// The ledger is to hold another amount for a task that runs: more, because it uses more than was believed, or less,
+// because it was measured for long enough. Apply before the starts of the same plan; room that a smaller amount frees
+// is given away by the next plan only, when the ledger shows it.
+struct place_resize {
+    task_id task;
+    resources committed;
+};
+// Of the task's processors; the plan counts on it from the next plan on, when place_task::throttle shows it.
 struct place_throttle {
     task_id task;
     std::int32_t percent = 100;
@@ -55,6 +63,7 @@
     std::string reason;
 };
 struct place_plan {
+    std::vector<place_resize> resizes;
     std::vector<place_start> starts;
     std::vector<place_throttle> throttles;
     std::vector<place_evict> evictions;
@@ -70,8 +79,14 @@
         double share = 1;
         resources quota; // of this cell; 0 in a dimension: no limit there
     };
+    // Slowdown at which services of a kind miss their latency target; kinds not named have config::slowdown_limit.
+    struct slowdown_limit {
+        kind_id kind;
+        double slowdown = 0;
+    };
     std::vector<team_share> teams;
     std::vector<work_kind> kinds;
+    std::vector<slowdown_limit> limits;
 };
 
 class placement {
