--- a/src/history_work.cpp
+++ b/src/history_work.cpp
@@ -103,9 +103,10 @@
                                          name_attempt(task, record.attempt), finished->attempt.value())});
         }
         finished = &record;
-        const bool ran = std::ranges::any_of(life.attempts, [&, when = at](const attempt_life& a) {
-            return a.attempt == record.attempt && a.ended && a.how == task_state::finished && a.end <= when;
-        });
+        const bool ran =
+            std::ranges::any_of(life.attempts, [number = record.attempt, when = at](const attempt_life& a) {
+                return a.attempt == number && a.ended && a.how == task_state::finished && a.end <= when;
+            });
         if (!ran) {
             found.push_back({{},
                              at,
