--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -36,6 +36,8 @@
   3: i32 attempts_failed = 0
   4: i64 attempt = 0        // highest attempt whose outcome is recorded here
   5: string last_reason
+  6: string checkpoint      // newest durable checkpoint that the row's writer knew of, may be older than the newest
+  7: double checkpoint_progress = 0
 }
 
 // One cell's part of a job: tasks first_task .. first_task + task_total - 1.
@@ -57,6 +59,7 @@
   4: list<string> deputies  // incarnations
   5: i64 renewal = 0        // raised by each write of the owner
   7: bool handed_over = false // the owner stopped by plan: takers need not wait
+  8: list<string> workers   // written before the first start on each: only these can hold tasks of this epoch or before
 }
 
 // An instruction any entry may leave for the owner of a cell; removed by the write that carries it out.
@@ -97,6 +100,8 @@
   4: string author
   5: i64 changed_ms = 0
   7: bool removed = false
+  8: list<i64> past         // versions this one replaced whose history rows are kept, oldest first
+  9: string operation       // of the change that wrote it, so that a repeated try finds its own
 }
 struct settings_versions_row {
   1: i64 version = 0
@@ -173,7 +178,8 @@
   2: list<target_wire> targets
 }
 
-struct settings_push { 1: i64 version, 2: list<settings_row> subtrees }
+// Every subtree above `newer_than`; together with what was in force then, complete up to `version`.
+struct settings_push { 1: i64 version, 2: list<settings_row> subtrees, 3: i64 newer_than = 0 }
 
 service entry_peer {
   probe_reply probe(1: probe_request request)
