--- a/src/worker_message.cpp
+++ b/src/worker_message.cpp
@@ -290,6 +290,7 @@
             {"address", t.address.str()},
             {"cpu_millis", t.used.cpu_millis},
             {"memory_mib", t.used.memory_mib},
+            {"declared", write_resources(t.declared)},
             {"throttle", t.throttle},
             {"started", write_time(t.started)}};
 }
@@ -308,6 +309,7 @@
     t.address = net_address(read_text(object, "address"));
     t.used.cpu_millis = read_count(object, "cpu_millis");
     t.used.memory_mib = read_count(object, "memory_mib");
+    t.declared = read_resources(member_of(object, "declared"));
     t.throttle = read_percent(object, "throttle");
     t.started = read_time(object, "started");
     return t;
@@ -319,6 +321,7 @@
     request.epoch = epoch(read_count(object, "epoch"));
     request.sequence = sequence_number(read_count(object, "sequence"));
     request.owner = incarnation_id(read_text(object, "owner"));
+    request.boot = read_text(object, "boot");
     for (const json& command : read_list(object, "commands")) {
         request.commands.push_back(read_command(command));
     }
@@ -373,6 +376,7 @@
     return dump({{"epoch", request.epoch.value()},
                  {"sequence", request.sequence.value()},
                  {"owner", request.owner.str()},
+                 {"boot", request.boot},
                  {"commands", std::move(commands)}});
 }
 
--- /dev/null
+++ b/standin/worker_state.cpp
@@ -0,0 +1,527 @@
+#include "worker_state.h"
+
+#include <absl/random/distributions.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "row_keys_p.h"
+
+namespace skylarkhub::standin {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration tick_busy = 100ms; // while any task runs
+constexpr duration tick_idle = 1s;
+constexpr duration sample_interval = 200ms;
+constexpr duration doomed_run_time = 100ms;
+constexpr double measuring_error = 0.03; // standard deviation of a measured slowdown
+constexpr std::size_t history_most = 50000;
+
+bool is_running(const task_report& report)
+{
+    return report.state == task_state::running;
+}
+
+// Kept short, because every report carries it.
+double round_share(double share)
+{
+    return std::floor(share * 1e4) / 1e4;
+}
+
+history_kind kind_of(task_state state)
+{
+    switch (state) {
+    case task_state::finished:
+        return history_kind::finish;
+    case task_state::failed:
+        return history_kind::fail;
+    case task_state::lapsed:
+        return history_kind::lapse;
+    default:
+        return history_kind::stop;
+    }
+}
+
+} // namespace
+
+worker_state::worker_state(worker_settings settings) : settings_(std::move(settings)), random_(settings_.seed) {}
+
+worker_report worker_state::control(worker_now now, const worker_request& request)
+{
+    advance(now);
+    worker_report report;
+    report.accepted = admit(request);
+    if (report.accepted) {
+        for (const worker_command& command : request.commands) {
+            apply(now, command, report);
+        }
+    }
+    fill(now, report);
+    return report;
+}
+
+// A boot that is not ours belongs to leases in the clock of another life, which could end at any time of this one. The
+// sequence guards against the same owner's own delayed or doubled message, as when a stop overtook an older start.
+bool worker_state::admit(const worker_request& request)
+{
+    const bool other_life = !request.boot.empty() && request.boot != settings_.boot;
+    const bool stale = request.epoch == epoch_ && request.sequence <= sequence_;
+    if (other_life || stale || request.epoch < epoch_) {
+        return false;
+    }
+    epoch_ = request.epoch;
+    sequence_ = request.sequence;
+    return true;
+}
+
+void worker_state::apply(worker_now now, const worker_command& command, worker_report& report)
+{
+    if (const auto* c = std::get_if<task_start>(&command)) {
+        start(now, *c, report);
+        return;
+    }
+    std::visit(
+        [&](const auto& c) {
+            running_task* const task = find(c.task, c.attempt);
+            if (task == nullptr) {
+                return;
+            }
+            const bool running = is_running(task->report);
+            using command_type = std::decay_t<decltype(c)>;
+            if constexpr (std::is_same_v<command_type, task_forget>) {
+                if (!running) {
+                    tasks_.erase(c.task);
+                }
+            }
+            else if (!running) {
+                return;
+            }
+            else if constexpr (std::is_same_v<command_type, task_renew>) {
+                task->report.lease_until = c.lease_until;
+            }
+            else if constexpr (std::is_same_v<command_type, task_checkpoint>) {
+                checkpoint(*task);
+            }
+            else if constexpr (std::is_same_v<command_type, task_throttle>) {
+                task->report.throttle = std::clamp(c.percent, 0, 100);
+            }
+            else if constexpr (std::is_same_v<command_type, task_stop>) {
+                stop(now, *task);
+            }
+        },
+        command);
+}
+
+std::string worker_state::why_not(worker_now now, const task_start& command) const
+{
+    if (leaving_) {
+        return "instance is leaving";
+    }
+    if (tasks_.contains(command.task)) {
+        return "task is in the inventory";
+    }
+    if (command.lease_until <= now.clock) {
+        return "lease is over";
+    }
+    if (!fits(command.spec.declared, settings_.capacity - committed())) {
+        return "instance is full";
+    }
+    return {};
+}
+
+void worker_state::start(worker_now now, const task_start& command, worker_report& report)
+{
+    std::string why = why_not(now, command);
+    if (!why.empty()) {
+        report.refused.emplace_back(command.task, std::move(why));
+        return;
+    }
+    running_task task;
+    task.report.task = command.task;
+    task.report.attempt = command.attempt;
+    task.report.lease_until = command.lease_until;
+    task.report.started = now.clock;
+    task.report.declared = command.spec.declared;
+    task.spec = command.spec;
+    task.load = read_load(command.task, command.spec, settings_.size_error, settings_.seed);
+    task.persistent = command.persistent;
+    task.doomed = faults_.fail_all;
+    task.loading = !command.resume_from.empty();
+    if (task.loading) {
+        actions_.emplace_back(get_checkpoint{command.task, command.attempt, command.resume_from});
+    }
+    if (command.spec.is_service) {
+        actions_.emplace_back(open_target{command.task, command.attempt, command.spec, task.load.service_ms});
+    }
+    record(now.wall, history_kind::start, task);
+    tasks_.emplace(command.task, std::move(task));
+}
+
+// One at a time: two writes of the same object could take effect in the wrong order.
+void worker_state::checkpoint(running_task& task)
+{
+    if (task.storing || task.loading || task.spec.is_service) {
+        return;
+    }
+    task.storing = true;
+    const std::string key =
+        fmt::format("checkpoint/{}/{}", format_task(task.report.task), task.report.attempt.value());
+    actions_.emplace_back(put_checkpoint{task.report.task, task.report.attempt, key, task.report.progress});
+}
+
+// A service task counts as running until its last request has ended: until then it may not be started elsewhere.
+void worker_state::stop(worker_now now, running_task& task)
+{
+    if (!task.spec.is_service) {
+        end(now, task, task_state::stopped, "stopped by its owner");
+        return;
+    }
+    if (!task.closing) {
+        task.closing = true;
+        actions_.emplace_back(close_target{task.report.task, task.report.attempt, false});
+    }
+}
+
+void worker_state::end(worker_now now, running_task& task, task_state state, std::string reason)
+{
+    if (task.spec.is_service && state != task_state::stopped) {
+        actions_.emplace_back(close_target{task.report.task, task.report.attempt, true});
+    }
+    task.report.state = state;
+    task.report.reason = std::move(reason);
+    task.report.address = {};
+    task.closing = false;
+    record(now.wall, kind_of(state), task);
+}
+
+void worker_state::advance(worker_now now)
+{
+    // Leases first: a process that was frozen past the end of a lease must find the task stopped, not finished.
+    lapse(now);
+    const duration step = now.clock - advanced_;
+    advanced_ = now.clock;
+    progress(now, step);
+    kill_largest(now);
+    if (samples_.empty() || now.clock - samples_.back().taken >= sample_interval) {
+        sample(now.clock);
+    }
+}
+
+void worker_state::lapse(worker_now now)
+{
+    for (auto& [id, task] : tasks_) {
+        if (!is_running(task.report) || task.persistent || task.report.lease_until > now.clock) {
+            continue;
+        }
+        const duration late = now.clock - task.report.lease_until;
+        end({task.report.lease_until, now.wall - late}, task, task_state::lapsed, "lease is over");
+    }
+}
+
+void worker_state::progress(worker_now now, duration step)
+{
+    const double share = processor_share();
+    for (auto& [id, task] : tasks_) {
+        if (!is_running(task.report)) {
+            continue;
+        }
+        if (task.doomed && now.clock - task.report.started >= doomed_run_time) {
+            end(now, task, task_state::failed, "instance is faulty");
+            continue;
+        }
+        if (task.spec.is_service || task.loading) {
+            continue;
+        }
+        const duration ran = std::min(step, now.clock - task.report.started);
+        const double speed = share * settings_.time_scale * task.report.throttle / 100.0;
+        const double run_time = std::max<double>(1, static_cast<double>(task.load.run_time.count()));
+        const double reached = task.report.progress + static_cast<double>(ran.count()) * speed / run_time;
+        task.report.progress = std::min({1.0, reached, task.load.fail_at});
+        if (reached >= task.load.fail_at) {
+            end(now, task, task_state::failed, "task failed by itself");
+        }
+        else if (reached >= 1) {
+            end(now, task, task_state::finished, "");
+        }
+    }
+}
+
+// The operating system's answer to tasks that need more memory than was declared: the batch task furthest above its
+// declared size goes.
+void worker_state::kill_largest(worker_now now)
+{
+    while (true) {
+        std::int64_t used = 0;
+        running_task* worst = nullptr;
+        const auto excess = [](const running_task& t) { return t.load.used.memory_mib - t.spec.declared.memory_mib; };
+        for (auto& [id, task] : tasks_) {
+            if (!is_running(task.report)) {
+                continue;
+            }
+            used += task.load.used.memory_mib;
+            if (!task.spec.is_service && (worst == nullptr || excess(task) > excess(*worst))) {
+                worst = &task;
+            }
+        }
+        if (used <= settings_.capacity.memory_mib || worst == nullptr) {
+            return;
+        }
+        end(now, *worst, task_state::failed, "out of memory");
+    }
+}
+
+void worker_state::sample(worker_time now)
+{
+    usage_sample taken{.taken = now};
+    const double share = processor_share();
+    for (const auto& [id, task] : tasks_) {
+        if (!is_running(task.report)) {
+            continue;
+        }
+        taken.used.emplace(std::pair(id, task.report.attempt), used_by(task, share));
+        if (task.spec.is_service) {
+            const double error = absl::Gaussian<double>(random_, 1, measuring_error);
+            const double measured = slowdown_of_task(task, share) * std::max(0.5, error);
+            taken.interference.push_back({id, round_share(std::max(1.0, measured))});
+        }
+    }
+    samples_.push_back(std::move(taken));
+    while (samples_.size() > 1 && samples_[1].taken <= now - settings_.usage_lag) {
+        samples_.pop_front();
+    }
+}
+
+const worker_state::usage_sample* worker_state::visible_sample(worker_time now) const
+{
+    const usage_sample* newest = nullptr;
+    for (const usage_sample& s : samples_) {
+        if (s.taken <= now - settings_.usage_lag) {
+            newest = &s;
+        }
+    }
+    return newest;
+}
+
+void worker_state::fill(worker_now now, worker_report& report) const
+{
+    report.epoch = epoch_;
+    report.boot = settings_.boot;
+    report.now = now.clock;
+    report.capacity = settings_.capacity;
+    report.leaving = leaving_;
+    const usage_sample* const seen = visible_sample(now.clock);
+    if (seen != nullptr) {
+        report.usage_taken = seen->taken;
+    }
+    for (const auto& [id, task] : tasks_) {
+        task_report& out = report.tasks.emplace_back(task.report);
+        out.progress = round_share(out.progress);
+        if (seen == nullptr) {
+            continue;
+        }
+        const auto used = seen->used.find({id, task.report.attempt});
+        if (used != seen->used.end()) {
+            out.used = used->second;
+        }
+    }
+    if (seen == nullptr) {
+        return;
+    }
+    for (const interference_report& i : seen->interference) {
+        if (tasks_.contains(i.service_task)) {
+            report.interference.push_back(i);
+        }
+    }
+}
+
+void worker_state::target_opened(const task_id& task, attempt_number attempt, const net_address& address)
+{
+    running_task* const found = find(task, attempt);
+    if (found != nullptr && is_running(found->report)) {
+        found->report.address = address;
+    }
+}
+
+void worker_state::target_refused(worker_now now, const task_id& task, attempt_number attempt,
+                                  const std::string& reason)
+{
+    running_task* const found = find(task, attempt);
+    if (found != nullptr && is_running(found->report)) {
+        end(now, *found, task_state::failed, reason);
+    }
+}
+
+void worker_state::target_closed(worker_now now, const task_id& task, attempt_number attempt)
+{
+    running_task* const found = find(task, attempt);
+    if (found != nullptr && is_running(found->report)) {
+        end(now, *found, task_state::stopped, leaving_ ? "instance is leaving" : "stopped by its owner");
+    }
+}
+
+void worker_state::checkpoint_stored(const task_id& task, attempt_number attempt, double progress)
+{
+    running_task* const found = find(task, attempt);
+    if (found == nullptr) {
+        return;
+    }
+    found->storing = false;
+    found->report.checkpoint = fmt::format("checkpoint/{}/{}", format_task(task), attempt.value());
+    found->report.checkpoint_progress = round_share(progress);
+}
+
+void worker_state::checkpoint_not_stored(const task_id& task, attempt_number attempt)
+{
+    running_task* const found = find(task, attempt);
+    if (found != nullptr) {
+        found->storing = false;
+    }
+}
+
+void worker_state::checkpoint_loaded(worker_now now, const task_id& task, attempt_number attempt, double progress)
+{
+    advance(now);
+    running_task* const found = find(task, attempt);
+    if (found != nullptr && found->loading) {
+        found->loading = false;
+        found->report.progress = std::clamp(progress, 0.0, 1.0);
+    }
+}
+
+void worker_state::checkpoint_missing(worker_now now, const task_id& task, attempt_number attempt)
+{
+    running_task* const found = find(task, attempt);
+    if (found != nullptr && found->loading && is_running(found->report)) {
+        end(now, *found, task_state::failed, "checkpoint is missing");
+    }
+}
+
+void worker_state::set_load(const task_id& task, attempt_number attempt, double load)
+{
+    running_task* const found = find(task, attempt);
+    if (found != nullptr) {
+        found->target_share = load;
+    }
+}
+
+void worker_state::set_faults(const worker_faults& faults)
+{
+    faults_ = faults;
+}
+
+void worker_state::leave()
+{
+    if (leaving_) {
+        return;
+    }
+    leaving_ = true;
+    for (auto& [id, task] : tasks_) {
+        if (is_running(task.report) && task.spec.is_service && !task.closing) {
+            task.closing = true;
+            actions_.emplace_back(close_target{id, task.report.attempt, false});
+        }
+    }
+}
+
+std::vector<worker_action> worker_state::take_actions()
+{
+    return std::exchange(actions_, {});
+}
+
+double worker_state::slowdown(const task_id& task) const
+{
+    const auto found = tasks_.find(task);
+    if (found == tasks_.end()) {
+        return 1;
+    }
+    const double throttled = 100.0 / std::max(1, found->second.report.throttle);
+    const double share = processor_share();
+    return slowdown_of_task(found->second, share) * throttled / std::max(0.01, share);
+}
+
+bool worker_state::idle() const
+{
+    return std::none_of(tasks_.begin(), tasks_.end(), [](const auto& t) { return is_running(t.second.report); });
+}
+
+worker_time worker_state::next_wake(worker_time now) const
+{
+    worker_time wake = now + (idle() ? tick_idle : tick_busy);
+    for (const auto& [id, task] : tasks_) {
+        if (is_running(task.report) && !task.persistent) {
+            wake = std::min(wake, task.report.lease_until);
+        }
+    }
+    return wake;
+}
+
+worker_state::running_task* worker_state::find(const task_id& task, attempt_number attempt)
+{
+    const auto found = tasks_.find(task);
+    return found != tasks_.end() && found->second.report.attempt == attempt ? &found->second : nullptr;
+}
+
+resources worker_state::committed() const
+{
+    resources sum;
+    for (const auto& [id, task] : tasks_) {
+        if (is_running(task.report)) {
+            sum = sum + task.spec.declared;
+        }
+    }
+    return sum;
+}
+
+double worker_state::wanted_share(const running_task& task)
+{
+    return (task.spec.is_service ? task.target_share : 1.0) * task.report.throttle / 100.0;
+}
+
+resources worker_state::used_by(const running_task& task, double share)
+{
+    const double factor = share * wanted_share(task);
+    resources used = task.load.used;
+    used.cpu_millis = std::llround(static_cast<double>(used.cpu_millis) * factor);
+    return used;
+}
+
+double worker_state::processor_share() const
+{
+    double wanted = 0;
+    for (const auto& [id, task] : tasks_) {
+        if (is_running(task.report)) {
+            wanted += static_cast<double>(task.load.used.cpu_millis) * wanted_share(task);
+        }
+    }
+    const auto there = static_cast<double>(settings_.capacity.cpu_millis);
+    return wanted <= there ? 1 : there / wanted;
+}
+
+double worker_state::slowdown_of_task(const running_task& task, double share) const
+{
+    std::vector<neighbour> others;
+    for (const auto& [id, other] : tasks_) {
+        if (is_running(other.report) && &other != &task) {
+            const auto used = static_cast<double>(used_by(other, share).cpu_millis);
+            const double part = used / std::max(1.0, static_cast<double>(settings_.capacity.cpu_millis));
+            others.push_back({other.spec.kind, part, other.load.pressure});
+        }
+    }
+    const service_id service(task.spec.team.str() + "/" + task.spec.name);
+    return slowdown_of(service, task.target_share, others, faults_.noise);
+}
+
+void worker_state::record(wall_time at, history_kind kind, const running_task& task)
+{
+    history_.push_back({at, kind, task.report.task, task.report.attempt});
+    if (history_.size() > history_most) {
+        history_.pop_front();
+        ++history_dropped_;
+    }
+}
+
+} // namespace skylarkhub::standin
--- a/tests/test_worker.cpp
+++ b/tests/test_worker.cpp
@@ -42,6 +42,7 @@
                             .reason = "lease is over",
                             .address = net_address("127.0.0.1:9"),
                             .used = {1500, 300, 0},
+                            .declared = {2000, 512, 1},
                             .throttle = 50,
                             .started = worker_time(1s)});
     report.interference.push_back({task, 1.5});
@@ -61,7 +62,7 @@
 BOOST_AUTO_TEST_CASE(a_request_survives_its_json)
 {
     const attempt_number attempt(4);
-    worker_request request{.epoch = epoch(7), .sequence = sequence_number(11), .owner = incarnation_id("e1@5")};
+    worker_request request{.epoch = epoch(7), .sequence = sequence_number(11), .owner = incarnation_id("e1@5"), .boot = "b1"};
     request.commands = {service_start(),
                         task_renew{task, attempt, worker_time(12s)},
                         task_checkpoint{task, attempt},
@@ -74,6 +75,7 @@
     BOOST_TEST(read->epoch == request.epoch);
     BOOST_TEST(read->sequence == request.sequence);
     BOOST_TEST(read->owner == request.owner);
+    BOOST_TEST(read->boot == request.boot);
     BOOST_REQUIRE(read->commands.size() == 6U);
     const auto& start = std::get<task_start>(read->commands[0]);
     BOOST_TEST((start.task == task && start.attempt == attempt && start.lease_until == worker_time(9s)));
@@ -96,6 +98,7 @@
     BOOST_TEST((read->capacity == report.capacity));
     BOOST_REQUIRE(read->tasks.size() == 1U);
     BOOST_TEST((read->tasks[0].state == task_state::lapsed && read->tasks[0].used == report.tasks[0].used));
+    BOOST_TEST((read->tasks[0].declared == report.tasks[0].declared));
     BOOST_TEST(format_worker_report(*read) == format_worker_report(report));
 }
 
