worker: stand-in worker with leases, capacity, checkpoints and real targets

The state machine is pure and takes its time as an argument; the process around it adds HTTP, the platform's list and a listener for each service task. Ruled out: finishing a task before its lease is looked at, because a process that was frozen past the lease would then report work done while another attempt ran.

--- a/standin/worker_delay.cpp
+++ b/standin/worker_delay.cpp
@@ -1,4 +1,4 @@
-#include "worker_delay.h"
+#include "worker_delay_p.h"
 
 #include <absl/time/clock.h>
 
--- a/standin/worker_host.h
+++ b/standin/worker_host_p.h
@@ -1,5 +1,5 @@
-// The worker's process around its state: control calls, registration with the platform, checkpoints, targets. One thread
-// carries out the state's actions in their order; handlers only change the state and wake it.
+// The worker's process around its state: control calls, registration with the platform, checkpoints, targets. One
+// thread carries out the state's actions in their order; handlers only change the state and wake it.
 #pragma once
 
 #include <absl/synchronization/mutex.h>
@@ -8,15 +8,17 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "http_client_p.h"
 #include "http_server_p.h"
-#include "worker_delay.h"
-#include "worker_state.h"
-#include "worker_target.h"
+#include "platform_client_p.h"
+#include "worker_delay_p.h"
+#include "worker_state_p.h"
+#include "worker_target_p.h"
 
 namespace skylarkhub::standin {
 
@@ -51,48 +53,37 @@
     using target_key = std::pair<task_id, attempt_number>;
     struct open_runner {
         std::shared_ptr<target> runner;
-        service_id service;
-        std::int32_t slots = 0;
-        std::int32_t connections = 0;
-        bool leaving = false;
-        worker_time left{};
+        listed_instance listed;
+        std::optional<worker_time> left; // since when it is leaving
     };
     struct held_call {
         http_request request;
         http_reply reply;
     };
 
-    static worker_now read_clocks();
     void handle(http_request request, const http_reply& reply);
-    http_response control(const http_request& request);
     void handle_control(http_request request, const http_reply& reply);
+    http_response control(const http_request& request) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     http_response change_switches(const http_request& request);
-    std::string history();
-    std::string all_runs();
-    void wake();
+    std::string format_history();
+    std::string format_all_runs();
+    void wake() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
-    void step();
-    bool done_leaving(worker_now now);
+    void step(worker_now now);
+    bool has_left(worker_now now);
     void carry_out(const open_target& action);
     void carry_out(const close_target& action);
     void carry_out(const put_checkpoint& action);
     void carry_out(const get_checkpoint& action);
-    void close_drained(worker_time now);
-    void close_runner(const target_key& key, open_runner& open);
-    void measure_targets();
-    void register_all(worker_time now);
-    void register_one(const std::string& id, const std::string& body);
+    void tell_targets() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void close_drained(worker_now now);
+    void close_runner(const target_key& key);
+    void register_all();
+    void register_one(const listed_instance& instance);
     void unregister(const std::string& id);
-    http_call platform_call(std::string method, std::string target) const;
+    http_call platform_call(std::string method, std::string path) const;
 
     options options_;
-    http_client http_;
-    delay_queue delays_;
-    std::unique_ptr<http_server> server_;
-
-    // Of the thread in run().
-    worker_time registered_{};
-    worker_time leave_asked_{};
 
     absl::Mutex mutex_;
     absl::CondVar changed_;
@@ -103,9 +94,18 @@
     worker_faults faults_ ABSL_GUARDED_BY(mutex_);
     std::deque<held_call> held_ ABSL_GUARDED_BY(mutex_);
     worker_state state_ ABSL_GUARDED_BY(mutex_);
-    std::map<target_key, open_runner> runners_ ABSL_GUARDED_BY(mutex_);
+    std::map<target_key, open_runner> runners_ ABSL_GUARDED_BY(mutex_); // changed by the thread in run() only
     std::deque<target_run> closed_runs_ ABSL_GUARDED_BY(mutex_);
     std::int64_t closed_runs_dropped_ ABSL_GUARDED_BY(mutex_) = 0;
+
+    // Of the thread in run().
+    std::optional<worker_time> registered_;
+    std::optional<worker_time> left_;
+
+    // Last, so that they go first: their threads call back into what stands above.
+    delay_queue delays_;
+    std::unique_ptr<http_server> server_;
+    http_client http_;
 };
 
 } // namespace skylarkhub::standin
--- a/standin/worker_state.cpp
+++ b/standin/worker_state.cpp
@@ -1,4 +1,4 @@
-#include "worker_state.h"
+#include "worker_state_p.h"
 
 #include <absl/random/distributions.h>
 #include <fmt/format.h>
@@ -18,6 +18,7 @@
 constexpr duration tick_idle = 1s;
 constexpr duration sample_interval = 200ms;
 constexpr duration doomed_run_time = 100ms;
+constexpr duration read_again_after = 500ms;
 constexpr double measuring_error = 0.03; // standard deviation of a measured slowdown
 constexpr std::size_t history_most = 50000;
 
@@ -150,8 +151,8 @@
     task.load = read_load(command.task, command.spec, settings_.size_error, settings_.seed);
     task.persistent = command.persistent;
     task.doomed = faults_.fail_all;
-    task.loading = !command.resume_from.empty();
-    if (task.loading) {
+    task.resume_from = command.resume_from;
+    if (!task.resume_from.empty()) {
         actions_.emplace_back(get_checkpoint{command.task, command.attempt, command.resume_from});
     }
     if (command.spec.is_service) {
@@ -164,12 +165,11 @@
 // One at a time: two writes of the same object could take effect in the wrong order.
 void worker_state::checkpoint(running_task& task)
 {
-    if (task.storing || task.loading || task.spec.is_service) {
+    if (task.storing || !task.resume_from.empty() || task.spec.is_service) {
         return;
     }
     task.storing = true;
-    const std::string key =
-        fmt::format("checkpoint/{}/{}", format_task(task.report.task), task.report.attempt.value());
+    const std::string key = fmt::format("checkpoint/{}/{}", format_task(task.report.task), task.report.attempt.value());
     actions_.emplace_back(put_checkpoint{task.report.task, task.report.attempt, key, task.report.progress});
 }
 
@@ -206,6 +206,7 @@
     advanced_ = now.clock;
     progress(now, step);
     kill_largest(now);
+    read_checkpoints_again(now.clock);
     if (samples_.empty() || now.clock - samples_.back().taken >= sample_interval) {
         sample(now.clock);
     }
@@ -233,7 +234,7 @@
             end(now, task, task_state::failed, "instance is faulty");
             continue;
         }
-        if (task.spec.is_service || task.loading) {
+        if (task.spec.is_service || !task.resume_from.empty()) {
             continue;
         }
         const duration ran = std::min(step, now.clock - task.report.started);
@@ -386,8 +387,8 @@
 {
     advance(now);
     running_task* const found = find(task, attempt);
-    if (found != nullptr && found->loading) {
-        found->loading = false;
+    if (found != nullptr && !found->resume_from.empty()) {
+        found->resume_from.clear();
         found->report.progress = std::clamp(progress, 0.0, 1.0);
     }
 }
@@ -395,11 +396,29 @@
 void worker_state::checkpoint_missing(worker_now now, const task_id& task, attempt_number attempt)
 {
     running_task* const found = find(task, attempt);
-    if (found != nullptr && found->loading && is_running(found->report)) {
+    if (found != nullptr && is_running(found->report)) {
         end(now, *found, task_state::failed, "checkpoint is missing");
     }
 }
 
+void worker_state::checkpoint_unreadable(worker_now now, const task_id& task, attempt_number attempt)
+{
+    running_task* const found = find(task, attempt);
+    if (found != nullptr) {
+        found->read_again = now.clock + read_again_after;
+    }
+}
+
+void worker_state::read_checkpoints_again(worker_time now)
+{
+    for (auto& [id, task] : tasks_) {
+        if (is_running(task.report) && task.read_again && *task.read_again <= now) {
+            task.read_again.reset();
+            actions_.emplace_back(get_checkpoint{id, task.report.attempt, task.resume_from});
+        }
+    }
+}
+
 void worker_state::set_load(const task_id& task, attempt_number attempt, double load)
 {
     running_task* const found = find(task, attempt);
--- a/standin/worker_state_load.cpp
+++ b/standin/worker_state_load.cpp
@@ -1,4 +1,4 @@
-#include "worker_state_load.h"
+#include "worker_state_load_p.h"
 
 #include <boost/crc.hpp>
 #include <fmt/format.h>
--- a/standin/worker_state_load.h
+++ b/standin/worker_state_load_p.h
@@ -20,8 +20,8 @@
 };
 
 // Takes the truth from the payload where that is a JSON object with the members `cpu_millis`, `memory_mib`,
-// `run_time_ms`, `fail_at`, `service_ms` or `pressure`. Sizes and run time not named there are the declared ones, off by a
-// factor between 1 / (1 + size_error) and 1 + size_error that is drawn from `seed` once per job.
+// `run_time_ms`, `fail_at`, `service_ms` or `pressure`. Sizes and run time not named there are the declared ones, off
+// by a factor between 1 / (1 + size_error) and 1 + size_error that is drawn from `seed` once per job.
 task_load read_load(const task_id& task, const job_spec& spec, double size_error, std::uint64_t seed);
 
 // One running task as the others on its instance feel it.
@@ -31,8 +31,8 @@
     double pressure = 1;
 };
 
-// Service time over undisturbed service time. `load` is the share of the service task's slots in use, `noise` what comes
-// from outside of the system. Which pair shares the instance decides most: each pair (service, kind) has its own
+// Service time over undisturbed service time. `load` is the share of the service task's slots in use, `noise` what
+// comes from outside of the system. Which pair shares the instance decides most: each pair (service, kind) has its own
 // coefficient, most of them small and a few large, the same on every instance.
 double slowdown_of(const service_id& service, double load, const std::vector<neighbour>& neighbours, double noise);
 
--- a/standin/worker_state.h
+++ b/standin/worker_state_p.h
@@ -1,5 +1,5 @@
-// What a worker knows and does, without its HTTP: fence, leases in its own monotonic clock, tasks, capacity. Pure: time is
-// passed in, and what must be done outside comes out as actions.
+// What a worker knows and does, without its HTTP: fence, leases in its own monotonic clock, tasks, capacity. Pure: time
+// is passed in, and what must be done outside comes out as actions.
 #pragma once
 
 #include <cstdint>
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "skylarkhub/skylarkhub.h"
-#include "worker_state_load.h"
+#include "worker_state_load_p.h"
 
 namespace skylarkhub::standin {
 
@@ -89,6 +89,7 @@
     void checkpoint_not_stored(const task_id& task, attempt_number attempt);
     void checkpoint_loaded(worker_now now, const task_id& task, attempt_number attempt, double progress);
     void checkpoint_missing(worker_now now, const task_id& task, attempt_number attempt);
+    void checkpoint_unreadable(worker_now now, const task_id& task, attempt_number attempt); // asked for again
 
     // Share of a service task's slots in use, 0 to 1.
     void set_load(const task_id& task, attempt_number attempt, double load);
@@ -103,7 +104,8 @@
     double slowdown(const task_id& task) const;
 
     bool leaving() const { return leaving_; }
-    bool idle() const; // nothing runs
+    bool idle() const;                            // nothing runs
+    bool empty() const { return tasks_.empty(); } // nothing runs and every end is known to the owner
     // When advance() is due at the latest.
     worker_time next_wake(worker_time now) const;
     const std::deque<history_event>& history() const { return history_; }
@@ -115,7 +117,8 @@
         job_spec spec;
         task_load load;
         bool persistent = false;
-        bool loading = false;    // its checkpoint is not read yet; it makes no progress
+        std::string resume_from; // not empty while that checkpoint is not read yet; it makes no progress
+        std::optional<worker_time> read_again;
         bool closing = false;    // its target lets requests in flight end
         bool storing = false;    // a checkpoint is on its way
         bool doomed = false;     // started on an instance that fails everything
@@ -136,6 +139,7 @@
     void end(worker_now now, running_task& task, task_state state, std::string reason);
     void lapse(worker_now now);
     void progress(worker_now now, duration step);
+    void read_checkpoints_again(worker_time now);
     void kill_largest(worker_now now);
     void sample(worker_time now);
     const usage_sample* visible_sample(worker_time now) const;
--- a/standin/worker_target.cpp
+++ b/standin/worker_target.cpp
@@ -1,4 +1,4 @@
-#include "worker_target.h"
+#include "worker_target_p.h"
 
 #include <absl/random/distributions.h>
 #include <absl/time/clock.h>
--- a/standin/worker_target.h
+++ b/standin/worker_target_p.h
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "http_server_p.h"
-#include "worker_delay.h"
+#include "worker_delay_p.h"
 
 namespace skylarkhub::standin {
 
