http: a call is never sent again once a byte of it has left

Cause: libcurl repeats a request by itself when a kept connection closes without an answer. The first copy may have run; the second would run the work twice, and its refusal or conflict would pass for that of both. send_once kept only non-idempotent requests from it. Ruled out: a fresh connection for each call, which costs a connection out of a runner's limit each time. Now the pre-request callback ends the call when it has sent bytes before. Without it, test_target's target reads three requests where two were sent, and the second is reported as 'did not run'. Also: headers of an interim answer are not taken for the answer's, headers are limited to 64 KiB in all, and a result tells whether its connection was a kept one.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -20,12 +20,15 @@
     return std::max<long>(1, static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(d).count()));
 }
 
+constexpr std::int64_t header_bytes_most = 64 << 10; // libcurl limits each line, not their number
+
 struct transfer {
     http_call call;
     std::function<void(http_result)> done;
     http_result result;
     curl_slist* headers = nullptr;
     CURL* handle = nullptr;
+    std::int64_t header_bytes = 0;
 
     ~transfer()
     {
@@ -55,6 +58,15 @@
 {
     auto& t = *static_cast<transfer*>(context);
     const std::string_view line(data, size * count);
+    t.header_bytes += static_cast<std::int64_t>(line.size());
+    if (t.header_bytes > header_bytes_most) {
+        t.result.reason = "headers are larger than the limit";
+        return 0;
+    }
+    if (line.substr(0, 5) == "HTTP/") {
+        t.result.headers.clear(); // those of an interim answer are not the answer's
+        return size * count;
+    }
     const auto colon = line.find(':');
     if (colon == std::string_view::npos) {
         return size * count;
@@ -73,6 +85,24 @@
     return size * count;
 }
 
+// libcurl sends a request again by itself when a kept connection closes without an answer. The first copy may have run:
+// the second one would run the work twice, and a refusal of the second would pass for a refusal of both.
+int before_request(void* context, char* remote_ip, char* local_ip, int remote_port, int local_port)
+{
+    static_cast<void>(remote_ip);
+    static_cast<void>(local_ip);
+    static_cast<void>(remote_port);
+    static_cast<void>(local_port);
+    auto& t = *static_cast<transfer*>(context);
+    long sent_bytes = 0;
+    curl_easy_getinfo(t.handle, CURLINFO_REQUEST_SIZE, &sent_bytes);
+    if (sent_bytes == 0) {
+        return CURL_PREREQFUNC_OK;
+    }
+    t.result.reason = "connection closed after the request was sent";
+    return CURL_PREREQFUNC_ABORT;
+}
+
 void add_header(transfer& t, const std::string& line)
 {
     t.headers = curl_slist_append(t.headers, line.c_str());
@@ -96,7 +126,8 @@
     curl_easy_setopt(h, CURLOPT_WRITEDATA, &t);
     curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, &take_header);
     curl_easy_setopt(h, CURLOPT_HEADERDATA, &t);
-    curl_easy_setopt(h, CURLOPT_PRIVATE, &t);
+    curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, &before_request);
+    curl_easy_setopt(h, CURLOPT_PREREQDATA, &t);
     if (t.call.send_once) {
         curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(h, CURLOPT_FORBID_REUSE, 1L);
@@ -116,8 +147,11 @@
 {
     long status = 0;
     long request_bytes = 0;
+    long connections_opened = 0;
     curl_easy_getinfo(t.handle, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(t.handle, CURLINFO_REQUEST_SIZE, &request_bytes);
+    curl_easy_getinfo(t.handle, CURLINFO_NUM_CONNECTS, &connections_opened);
+    t.result.kept_connection = connections_opened == 0;
     t.result.status = static_cast<int>(status);
     t.result.answered = code == CURLE_OK;
     t.result.may_have_arrived = request_bytes > 0;
--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -20,14 +20,14 @@
     duration timeout{std::chrono::seconds(5)};
     duration connect_timeout{std::chrono::seconds(1)};
     std::int64_t answer_bytes_most = 16 << 20;
-    // A fresh connection for this call alone. libcurl sends a request again by itself when a kept connection turns out
-    // dead, which would run a non-idempotent request twice.
+    // A fresh connection for this call alone, so that no leftover of another call's answer can be read as its own.
     bool send_once = false;
 };
 
 struct http_result {
     bool answered = false;        // the whole answer arrived
     bool may_have_arrived = true; // false only when no byte of the request can have left
+    bool kept_connection = false; // it went over a connection that had carried other calls
     int status = 0;
     http_fields headers;
     std::string body;
@@ -47,7 +47,8 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    // Sends without waiting. `done` runs once, on the client's thread, and must not block.
+    // Sends without waiting, and never sends a call again once a byte of it has left. `done` runs once, on the client's
+    // thread, and must not block.
     void send(http_call call, std::function<void(http_result)> done);
 
     // Sends and waits. Not from within `done`.
--- a/src/worker_client.cpp
+++ b/src/worker_client.cpp
@@ -33,8 +33,6 @@
 void send_to_worker(http_client& http, const net_address& address, const worker_request& request, duration timeout,
                     std::function<void(worker_answer)> done)
 {
-    // A kept connection may be used, and libcurl may send again after it broke: the sequence makes the worker refuse
-    // the second copy.
     http_call call{.method = "POST", .address = address, .target = "/v1/control"};
     call.headers = {{"Content-Type", "application/json"}};
     call.body = format_worker_request(request);
