--- a/src/config.h
+++ b/src/config.h
@@ -30,6 +30,16 @@
 inline constexpr int probe_relays = 2;
 inline constexpr duration suspect_timeout = 2s;
 
+// --- between entries ---
+inline constexpr std::int64_t peer_message_bytes_most = 1 << 20; // both ways; a larger one is refused unread
+inline constexpr std::int32_t peer_list_most = 65'536;           // elements of one list within a message
+inline constexpr std::size_t peer_server_threads = 4;            // handlers that may wait at the same time
+inline constexpr std::size_t peer_server_connections = 256;      // more are closed at accept
+inline constexpr std::size_t peer_connections_each = 2;          // to one peer
+inline constexpr std::size_t peer_connections_most = 128;        // to all peers
+inline constexpr std::size_t peer_calls_most = 512;              // begun and not ended
+inline constexpr duration peer_idle = 15s;                       // an unused connection is closed after this
+
 // --- request path ---
 inline constexpr std::int64_t body_bytes_most = 1 << 20;
 inline constexpr duration deadline_default = 5s;
