--- a/include/skylarkhub/skylarkhub.h
+++ b/include/skylarkhub/skylarkhub.h
@@ -29,7 +29,8 @@
     const std::string& str() const { return text_; }
     bool valid() const { return !text_.empty(); }
 
-    friend auto operator<=>(const name&, const name&) = default;
+    friend auto operator<=>(const name&,
+                            const name&) = default; // NOLINT(modernize-use-nullptr): wrong in clang-tidy 14
     friend std::ostream& operator<<(std::ostream& out, const name& n) { return out << n.text_; }
     template <typename H> friend H AbslHashValue(H state, const name& n)
     {
@@ -49,7 +50,8 @@
     constexpr std::int64_t value() const { return value_; }
     constexpr counter next() const { return counter(value_ + 1); }
 
-    friend constexpr auto operator<=>(const counter&, const counter&) = default;
+    friend constexpr auto
+    operator<=>(const counter&, const counter&) = default; // NOLINT(modernize-use-nullptr): wrong in clang-tidy 14
     friend std::ostream& operator<<(std::ostream& out, const counter& c) { return out << c.value_; }
     template <typename H> friend H AbslHashValue(H state, const counter& c)
     {
@@ -97,7 +99,8 @@
     job_id job;
     std::int32_t index = 0;
 
-    friend auto operator<=>(const task_id&, const task_id&) = default;
+    friend auto operator<=>(const task_id&,
+                            const task_id&) = default; // NOLINT(modernize-use-nullptr): wrong in clang-tidy 14
     template <typename H> friend H AbslHashValue(H state, const task_id& t)
     {
         return H::combine(std::move(state), t.job, t.index);
@@ -260,6 +263,8 @@
     skylarkhub::epoch epoch;
     sequence_number sequence;
     incarnation_id owner;
+    std::string
+        boot; // life of the worker whose clock the leases are in, empty before its first report; another refuses
     std::vector<worker_command> commands;
 };
 
@@ -276,6 +281,7 @@
     std::string reason;
     net_address address; // of a service task's listener
     resources used;      // measured at worker_report::usage_taken
+    resources declared;  // what its start command declared: what the worker's ledger holds for it
     std::int32_t throttle = 100;
     worker_time started{};
 };
