--- /dev/null
+++ b/src/cell_ledger_p.h
@@ -0,0 +1,51 @@
+// What one worker may be running, as its cell's owner must assume. An entry takes room from the moment its start may
+// leave until the worker's accepted report, or the certain lapse of its lease, says that it runs no more.
+#pragma once
+
+#include <vector>
+
+#include "skylarkhub/skylarkhub.h"
+
+namespace skylarkhub::detail {
+
+// starting: ordered, not yet seen. draining: runs on under its lease until stop_at. stopping: stop is ordered.
+// ended: runs no more, kept until the worker's inventory has dropped it.
+enum class entry_stage : std::uint8_t { starting, running, draining, stopping, ended };
+
+struct ledger_entry {
+    task_id task;
+    attempt_number attempt;
+    resources committed;
+    entry_stage stage = entry_stage::starting;
+    sequence_number first_sent; // of the request that first carried its start; 0 while none has
+    bool persistent = false;
+    bool forget = false;            // ended and its outcome durable
+    bool checkpoint_wanted = false; // until one was ordered
+    std::int32_t throttle_wanted = 100;
+    std::int32_t throttle_reported = 100;
+    instant stop_at{}; // of a draining one
+    net_address address;
+};
+
+class worker_ledger {
+public:
+    resources committed() const; // of every entry that may run
+    ledger_entry* find(const task_id& task, attempt_number attempt);
+    ledger_entry* find_task(const task_id& task); // any attempt
+    ledger_entry& add(ledger_entry entry);
+    void remove(const task_id& task, attempt_number attempt);
+
+    std::vector<ledger_entry>& entries() { return entries_; }
+    const std::vector<ledger_entry>& entries() const { return entries_; }
+    bool empty() const { return entries_.empty(); }
+
+private:
+    std::vector<ledger_entry> entries_; // some tens at most: a search through them is short
+};
+
+inline bool may_run(const ledger_entry& entry)
+{
+    return entry.stage != entry_stage::ended;
+}
+
+} // namespace skylarkhub::detail
--- a/src/cell_p.h
+++ b/src/cell_p.h
@@ -8,6 +8,7 @@
 
 #include "config.h"
 #include "peer_types.h"
+#include "place_p.h"
 #include "skylarkhub/skylarkhub.h"
 
 namespace skylarkhub {
@@ -21,7 +22,9 @@
     duration promise = config::hold_promise;
     duration drift_margin = config::drift_margin;
     int deputies = 2;
+    double writes_per_second = config::table_writes_per_second; // this cell's share of the table's budget
     std::vector<work_kind> kinds;
+    std::vector<place_settings::team_share> teams;
 };
 
 enum class cell_role : std::uint8_t { watching, taking, fencing, owning, handing_over };
@@ -45,6 +48,7 @@
     std::int64_t lapses = 0;
     std::int64_t commits = 0;
     std::int64_t takeovers = 0;
+    std::int64_t adopted = 0;     // running tasks taken over from an earlier owner
     double work_lost_seconds = 0; // progress redone after evictions, lapses and failures
 };
 
--- /dev/null
+++ b/src/cell_report.cpp
@@ -0,0 +1,319 @@
+// A worker's accepted report against its ledger and the jobs: the inventory is the truth about what runs there.
+#include <algorithm>
+
+#include "cell_state_p.h"
+
+namespace skylarkhub::detail {
+
+namespace {
+
+bool bound_to(const job_record& job, const task_id& task, const worker_id& worker, attempt_number attempt)
+{
+    const auto run = job.runs().find(task.index);
+    return run != job.runs().end() && run->second.attempt == attempt && run->second.worker == worker;
+}
+
+bool is_bound(const job_record* job, const task_id& task, const worker_id& worker, attempt_number attempt)
+{
+    return job != nullptr && bound_to(*job, task, worker, attempt);
+}
+
+// Measurements are worker time; this maps them to the entry's clock by the reading that came with them.
+instant to_entry_time(const cell_state& s, const worker_report& report, worker_time t)
+{
+    return s.now - std::max(report.now - t, duration(0));
+}
+
+// Whatever else still runs as this task is of no use once one attempt has finished.
+void stop_other_run(cell_state& s, const job_record& job, const task_id& task, attempt_number finished)
+{
+    const auto run = job.runs().find(task.index);
+    if (run == job.runs().end() || run->second.attempt == finished) {
+        return;
+    }
+    const auto worker = s.workers.find(run->second.worker);
+    if (worker == s.workers.end()) {
+        return;
+    }
+    ledger_entry* const entry = worker->second.ledger.find(task, run->second.attempt);
+    if (entry != nullptr && may_run(*entry)) {
+        entry->stage = entry_stage::stopping;
+        wake_worker(s, run->second.worker);
+    }
+}
+
+void learn_end(cell_state& s, const job_record& job, const task_id& task, const worker_id& worker, attempt_end end,
+               const std::string& reason)
+{
+    s.placer->learn_end(s.now, task, job.spec(), worker, end, reason);
+    s.place_wanted = true;
+}
+
+void add_lost_work(cell_state& s, job_record& job, const task_id& task)
+{
+    const task_run* const run = job.run(task.index);
+    const task_past* const past = job.past(task.index);
+    if (run == nullptr || run->progress <= 0) {
+        return;
+    }
+    const double kept = past == nullptr ? 0 : past->checkpoint_progress;
+    const double done = run->progress - run->resumed_from;
+    if (done <= 0) {
+        return;
+    }
+    const double seconds = std::chrono::duration<double>(s.now - run->running_since).count();
+    s.stats.work_lost_seconds += seconds * std::clamp((run->progress - kept) / done, 0.0, 1.0);
+}
+
+void on_finished(cell_state& s, const worker_id& worker, job_record& job, const task_report& task)
+{
+    if (job.phase(task.task.index) == task_phase::finished || job.phase(task.task.index) == task_phase::cancelled) {
+        return;
+    }
+    stop_other_run(s, job, task.task, task.attempt);
+    job.finish(task.task.index, task.attempt);
+    ++s.stats.finishes;
+    learn_end(s, job, task.task, worker, attempt_end::finished, "");
+}
+
+void on_failed(cell_state& s, const worker_id& worker, job_record& job, const task_report& task)
+{
+    add_lost_work(s, job, task.task);
+    const std::int32_t failed = job.fail(task.task.index, task.reason, s.now);
+    learn_end(s, job, task.task, worker, attempt_end::failed, task.reason);
+    if (failed >= std::max(job.spec().attempt_limit, 1)) {
+        park_job(s, job, task.reason.empty() ? "failed without a reason" : task.reason);
+    }
+}
+
+void on_stopped(cell_state& s, const worker_id& worker, job_record& job, const task_report& task)
+{
+    const bool lapsed = task.state == task_state::lapsed;
+    add_lost_work(s, job, task.task);
+    job.requeue(task.task.index, lapsed ? "its lease lapsed" : task.reason, s.now);
+    learn_end(s, job, task.task, worker, lapsed ? attempt_end::lapsed : attempt_end::evicted, task.reason);
+    s.stats.lapses += lapsed ? 1 : 0;
+}
+
+// An attempt that is over. Its outcome counts when it is the bound one, or when it finished: a task that finished on
+// a worker nobody could reach has finished, even if it was started again since.
+void take_end(cell_state& s, const worker_id& worker, ledger_entry& entry, const task_report& task)
+{
+    const bool first = entry.stage != entry_stage::ended;
+    entry.stage = entry_stage::ended;
+    if (!first || entry.forget) {
+        return;
+    }
+    job_record* const job = find_job(s, task.task.job);
+    if (job == nullptr || !job->has(task.task.index)) {
+        entry.forget = true;
+        return;
+    }
+    job->note_checkpoint(task.task.index, task.checkpoint, task.checkpoint_progress);
+    if (task.state == task_state::finished) {
+        on_finished(s, worker, *job, task);
+    }
+    else if (!bound_to(*job, task.task, worker, task.attempt)) {
+        entry.forget = true;
+        return;
+    }
+    else if (task.state == task_state::failed) {
+        on_failed(s, worker, *job, task);
+    }
+    else {
+        on_stopped(s, worker, *job, task);
+    }
+    touch(s, *job);
+    end_if_done(s, *job);
+    note_end(s, worker, task.task, task.attempt);
+}
+
+void take_running(cell_state& s, const worker_report& report, ledger_entry& entry, const task_report& task)
+{
+    if (entry.stage == entry_stage::starting) {
+        entry.stage = entry_stage::running;
+    }
+    entry.throttle_reported = task.throttle;
+    entry.address = task.address;
+    job_record* const job = find_job(s, task.task.job);
+    if (job == nullptr || !job->has(task.task.index)) {
+        return;
+    }
+    job->note_checkpoint(task.task.index, task.checkpoint, task.checkpoint_progress);
+    task_run* const run = job->run(task.task.index);
+    if (run == nullptr || run->attempt != task.attempt) {
+        return;
+    }
+    run->reported = true;
+    run->progress = task.progress;
+    run->used = task.used;
+    run->running_since = to_entry_time(s, report, task.started);
+    const bool measured = report.usage_taken >= task.started && task.used != resources{};
+    if (measured) {
+        s.placer->learn_usage(to_entry_time(s, report, report.usage_taken), task.task, job->spec(), task.used);
+    }
+}
+
+resources held_for(const job_record* job, const task_report& task)
+{
+    if (task.declared != resources{} || job == nullptr) {
+        return task.declared;
+    }
+    return job->spec().declared;
+}
+
+// A task in the inventory that the ledger does not know: started by an earlier owner, or thought lapsed.
+ledger_entry& adopt(cell_state& s, cell_worker& worker, const task_report& task)
+{
+    job_record* const job = find_job(s, task.task.job);
+    ledger_entry entry;
+    entry.task = task.task;
+    entry.attempt = task.attempt;
+    entry.committed = held_for(job, task);
+    entry.stage = entry_stage::stopping;
+    entry.first_sent = worker.sequence;
+    entry.throttle_wanted = task.throttle;
+    entry.throttle_reported = task.throttle;
+    const bool known = job != nullptr && job->has(task.task.index);
+    if (!known) {
+        return worker.ledger.add(std::move(entry));
+    }
+    entry.persistent = job->spec().is_service;
+    const task_past* const past = job->past(task.task.index);
+    const attempt_number newest = past == nullptr ? attempt_number() : past->attempt;
+    const attempt_number recorded = past == nullptr ? attempt_number() : past->recorded;
+    const bool current =
+        job->phase(task.task.index) == task_phase::queued && task.attempt >= newest && task.attempt > recorded;
+    if (current) {
+        entry.stage = entry_stage::running;
+        task_run run;
+        run.attempt = task.attempt;
+        run.worker = worker.listing.worker;
+        run.bound_at = s.now;
+        run.progress = task.progress;
+        run.reported = true;
+        job->bind(task.task.index, std::move(run));
+        ++s.stats.adopted;
+        if (job->cancelling()) {
+            entry.stage = entry_stage::stopping;
+        }
+    }
+    return worker.ledger.add(std::move(entry));
+}
+
+// Ordered by a request the worker has taken in, yet not in its inventory: it does not run, and never will by that
+// request, because the worker refuses lower sequences.
+void drop_absent(cell_state& s, cell_worker& worker, const worker_report& report, sequence_number sequence)
+{
+    const worker_id& id = worker.listing.worker;
+    std::vector<ledger_entry> absent;
+    for (const ledger_entry& entry : worker.ledger.entries()) {
+        const bool told = entry.first_sent.value() > 0 && entry.first_sent <= sequence;
+        const bool listed = std::any_of(report.tasks.begin(), report.tasks.end(), [&](const task_report& task) {
+            return task.attempt == entry.attempt && task.task == entry.task;
+        });
+        if (told && !listed) {
+            absent.push_back(entry);
+        }
+    }
+    for (const ledger_entry& entry : absent) {
+        worker.ledger.remove(entry.task, entry.attempt);
+        job_record* const job = find_job(s, entry.task.job);
+        if (!may_run(entry) || !is_bound(job, entry.task, id, entry.attempt)) {
+            continue;
+        }
+        if (entry.stage == entry_stage::starting) {
+            worker.no_starts_until = s.now + config::refused_pause;
+            job->unbind(entry.task.index, s.now);
+        }
+        else {
+            add_lost_work(s, *job, entry.task);
+            job->requeue(entry.task.index, "its worker no longer has it", s.now);
+            learn_end(s, *job, entry.task, id, attempt_end::lapsed, "its worker no longer has it");
+        }
+        touch(s, *job);
+        end_if_done(s, *job);
+        s.place_wanted = true;
+    }
+}
+
+void learn_interference(cell_state& s, const cell_worker& worker, const worker_report& report)
+{
+    std::vector<const job_spec*> neighbours;
+    for (const task_report& task : report.tasks) {
+        const job_record* const job = find_job(s, task.task.job);
+        if (job != nullptr && !job->spec().is_service && task.started <= report.usage_taken) {
+            neighbours.push_back(&job->spec());
+        }
+    }
+    for (const interference_report& seen : report.interference) {
+        const job_record* const job = find_job(s, seen.service_task.job);
+        if (job != nullptr && worker.fenced) {
+            s.placer->learn_interference(to_entry_time(s, report, report.usage_taken), seen.service_task, job->spec(),
+                                         seen.slowdown, neighbours);
+        }
+    }
+}
+
+} // namespace
+
+void release_lapsed(cell_state& s, const worker_id& worker, const ledger_entry& entry)
+{
+    job_record* const job = find_job(s, entry.task.job);
+    if (!is_bound(job, entry.task, worker, entry.attempt)) {
+        return;
+    }
+    add_lost_work(s, *job, entry.task);
+    job->requeue(entry.task.index, "its worker cannot be reached", s.now);
+    learn_end(s, *job, entry.task, worker, attempt_end::lapsed, "its worker cannot be reached");
+    touch(s, *job);
+    end_if_done(s, *job);
+    s.place_wanted = true;
+}
+
+void take_report(cell_state& s, cell_worker& worker, const worker_report& report, sequence_number sequence)
+{
+    if (report.leaving != worker.leaving) {
+        worker.leaving = report.leaving;
+        s.place_wanted = true;
+    }
+    if (!s.jobs_read) {
+        worker.unread = report;
+        worker.unread_sequence = sequence;
+        return;
+    }
+    for (const task_report& task : report.tasks) {
+        ledger_entry* entry = worker.ledger.find(task.task, task.attempt);
+        if (entry == nullptr) {
+            entry = &adopt(s, worker, task);
+        }
+        if (task.state == task_state::running) {
+            take_running(s, report, *entry, task);
+        }
+        else {
+            take_end(s, worker.listing.worker, *entry, task);
+        }
+    }
+    drop_absent(s, worker, report, sequence);
+    learn_interference(s, worker, report);
+    const bool to_tell =
+        std::any_of(worker.ledger.entries().begin(), worker.ledger.entries().end(),
+                    [](const ledger_entry& entry) { return entry.stage == entry_stage::stopping || entry.forget; });
+    if (to_tell) {
+        worker.next_exchange = std::min(worker.next_exchange, s.now + s.settings.lease_renew_interval / 4);
+    }
+}
+
+void take_unread_reports(cell_state& s)
+{
+    for (auto& [id, worker] : s.workers) {
+        if (worker.unread) {
+            const worker_report report = std::move(*worker.unread);
+            worker.unread.reset();
+            take_report(s, worker, report, worker.unread_sequence);
+            worker.next_exchange = s.now;
+        }
+    }
+}
+
+} // namespace skylarkhub::detail
--- a/src/config.h
+++ b/src/config.h
@@ -19,6 +19,22 @@
 inline constexpr double clock_drift = 0.01;          // most by which two clocks' rates differ
 inline constexpr duration drift_margin = 500ms;      // added where two clocks are compared across a drift
 
+// --- cell ---
+inline constexpr duration read_patience = 3s;   // a read not answered for this long is sent again
+inline constexpr duration commit_retry = 250ms; // after a commit that was refused or is unsettled
+inline constexpr int watch_reads_far = 8;       // renewal intervals between row reads of entries that are no deputies
+inline constexpr std::size_t commit_rows_most = 96;  // rows of one transaction
+inline constexpr duration inbox_scan_interval = 2s;  // a lost hint costs this much; below the 3.8 s of urgent work
+inline constexpr duration place_interval = 50ms;     // between two passes of placement
+inline constexpr std::size_t place_queued_most = 32; // queued tasks of one job in a pass
+inline constexpr duration evict_grace = 2s;          // for a last checkpoint before the stop
+inline constexpr duration service_grace = 4s;        // for entries to drop a leaving target before it is stopped
+inline constexpr duration refused_pause = 1s;        // of starts on a worker that has refused one
+inline constexpr duration handover_wait = 500ms;     // for answers to the last renewals
+inline constexpr duration checkpoint_record_interval = 30s; // a row is written for newer checkpoints alone this often
+inline constexpr duration job_kept = 24h;                   // an ended job's row
+inline constexpr duration unreadable_kept = 10min;          // an inbox row that cannot be read, before it is removed
+
 // --- table ---
 inline constexpr duration commit_interval_least = 20ms;
 inline constexpr duration commit_interval_most = 2s;
