--- a/src/cell_commit.cpp
+++ b/src/cell_commit.cpp
@@ -43,7 +43,7 @@
     return {names.begin(), names.end()};
 }
 
-void begin(cell_state& s, commit_purpose purpose, wire::cell_row row)
+void begin(cell_state& s, commit_purpose purpose, const wire::cell_row& row)
 {
     commit_state& c = s.commit;
     c.phase = commit_phase::sent;
@@ -51,7 +51,7 @@
     c.maybe_applied = false;
     c.transaction = table_transaction{next_operation(s), {{cell_key(s.id), s.seen.version}}, {}};
     c.transaction.writes.push_back({cell_key(s.id), encode_row(row)});
-    c.row = std::move(row);
+    c.row = row;
     c.jobs.clear();
     c.pruned.clear();
     c.ends.clear();
@@ -155,7 +155,7 @@
     row.__set_deputies(names_of(choose_deputies(s)));
     row.__set_workers(workers_to_name(s));
     row.__set_handed_over(purpose == commit_purpose::hand_over);
-    begin(s, purpose, std::move(row));
+    begin(s, purpose, row);
     add_jobs(s);
     add_ends(s);
     add_inbox(s);
@@ -174,7 +174,7 @@
     row.__set_deputies(names_of(choose_deputies(s)));
     row.__set_renewal(0);
     row.__set_workers(workers_to_name(s));
-    begin(s, commit_purpose::take, std::move(row));
+    begin(s, commit_purpose::take, row);
     s.role = cell_role::taking;
     send(s);
 }
--- a/src/cell_placing.cpp
+++ b/src/cell_placing.cpp
@@ -123,7 +123,10 @@
 {
     job_record* const job = find_job(s, throttle.task.job);
     const task_run* const run = job == nullptr ? nullptr : job->run(throttle.task.index);
-    const auto worker = run == nullptr ? s.workers.end() : s.workers.find(run->worker);
+    if (run == nullptr) {
+        return;
+    }
+    const auto worker = s.workers.find(run->worker);
     if (worker == s.workers.end()) {
         return;
     }
--- a/src/cell_rank.cpp
+++ b/src/cell_rank.cpp
@@ -1,7 +1,6 @@
 // Which entry of a data centre should own a cell: rendezvous hashing, so that one entry's coming or going moves only
 // its own cells. Every entry must reach the same order, also across versions of the program, so the hash is xxHash with
 // its published definition; absl::Hash differs from process to process.
-#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <algorithm>
--- a/tests/support_cell_hand.h
+++ b/tests/support_cell_hand.h
@@ -156,6 +156,7 @@
     {
         give(cell_members_seen{{self}});
         std::vector<listed_worker> workers;
+        workers.reserve(names.size());
         for (const std::string& name : names) {
             workers.push_back(list_worker(name));
         }
