cell: safeguards of ownership, leases and lost answers, each with its failure test

Late answers of an earlier epoch, a cancel shown before its submit, tombstones in the inbox, a service replaced while its worker was silent, commits never answered, prunes and lazily recorded checkpoints.

--- a/src/cell_commit.cpp
+++ b/src/cell_commit.cpp
@@ -82,6 +82,7 @@
         if (job == nullptr || !job->dirty()) {
             continue;
         }
+        job->write_checkpoints();
         s.commit.jobs.emplace_back(id, job->revision());
         s.commit.transaction.writes.push_back({job_key(s.id, id), encode_row(job->to_row())});
     }
@@ -123,6 +124,43 @@
     }
 }
 
+// Ended jobs leave the table after a while, a few with each renewal that has room.
+void add_prunes(cell_state& s)
+{
+    if (s.now < s.next_prune) {
+        return;
+    }
+    s.next_prune = s.now + config::prune_interval;
+    const auto wall_ms = std::chrono::duration_cast<std::chrono::milliseconds>(s.wall.time_since_epoch()).count();
+    const auto kept_ms = std::chrono::duration_cast<std::chrono::milliseconds>(s.settings.job_kept).count();
+    for (const auto& [id, job] : s.jobs) {
+        if (full(s) || s.commit.pruned.size() >= config::prunes_most) {
+            return;
+        }
+        if (job.ended_ms() > 0 && !job.dirty() && job.ended_ms() + kept_ms < wall_ms) {
+            s.commit.pruned.push_back(id);
+            s.commit.transaction.writes.push_back({job_key(s.id, id), std::nullopt});
+        }
+    }
+}
+
+// Checkpoints become known with every report. Written each time they would cost a row per task and report, so they ride
+// on rows that are written anyway, and are written for their own sake only now and then: an owner that dies loses the
+// progress since then of tasks whose workers die with it.
+void record_checkpoints(cell_state& s)
+{
+    if (s.now < s.next_checkpoint_record) {
+        return;
+    }
+    s.next_checkpoint_record = s.now + config::checkpoint_record_interval;
+    for (auto& [id, job] : s.jobs) {
+        if (job.checkpoint_unwritten()) {
+            job.write_checkpoints();
+            touch(s, job);
+        }
+    }
+}
+
 bool must_name_worker(const cell_state& s)
 {
     return std::any_of(s.workers.begin(), s.workers.end(), [&](const auto& worker) {
@@ -159,6 +197,7 @@
     add_jobs(s);
     add_ends(s);
     add_inbox(s);
+    add_prunes(s);
     s.urgent_commit = false;
     send(s);
 }
@@ -179,8 +218,20 @@
     send(s);
 }
 
+// An answer that never came is an unknown outcome, whoever lost it.
+void settle_overdue(cell_state& s)
+{
+    const bool sent_overdue = s.commit.phase == commit_phase::sent && s.now - s.commit.sent > config::commit_patience;
+    const bool read_overdue =
+        s.commit.phase == commit_phase::reading_back && s.now - s.row_read_sent > config::read_patience;
+    if (sent_overdue || read_overdue) {
+        read_back(s);
+    }
+}
+
 void commit_due(cell_state& s)
 {
+    settle_overdue(s);
     if (s.commit.phase == commit_phase::waiting && s.now >= s.commit.retry_at) {
         retry_commit(s);
         return;
@@ -196,6 +247,7 @@
         }
         return;
     }
+    record_checkpoints(s);
     if (must_name_worker(s)) {
         s.urgent_commit = true;
     }
--- a/src/cell_jobs.cpp
+++ b/src/cell_jobs.cpp
@@ -29,6 +29,17 @@
     return s.jobs_read && wanted && (!s.reading_inbox || overdue(s, s.inbox_read_sent));
 }
 
+// A start that has not left yet: nothing has to be stopped.
+void drop_unsent(cell_state& s, cell_worker& worker, const task_id& task, attempt_number attempt)
+{
+    worker.ledger.remove(task, attempt);
+    job_record* const job = find_job(s, task.job);
+    if (job != nullptr) {
+        job->unbind(task.index, s.now);
+        touch(s, *job);
+    }
+}
+
 } // namespace
 
 job_record* find_job(cell_state& s, const job_id& job)
@@ -106,7 +117,8 @@
     job.cancel();
     touch(s, job);
     const duration grace = job.spec().is_service ? config::service_grace : duration(0);
-    for (const auto& [index, run] : job.runs()) {
+    const std::vector<std::pair<std::int32_t, task_run>> runs(job.runs().begin(), job.runs().end());
+    for (const auto& [index, run] : runs) {
         stop_run(s, task_id{job.id(), index}, run, grace);
     }
     end_if_done(s, job);
@@ -120,6 +132,10 @@
         return;
     }
     ledger_entry* const entry = worker->second.ledger.find(task, run.attempt);
+    if (entry != nullptr && entry->first_sent.value() == 0) {
+        drop_unsent(s, worker->second, task, run.attempt);
+        return;
+    }
     if (entry == nullptr || entry->stage == entry_stage::ended || entry->stage == entry_stage::stopping) {
         return;
     }
@@ -131,6 +147,7 @@
         entry->stage = entry_stage::draining;
         entry->checkpoint_wanted = !entry->persistent;
         entry->stop_at = s.now + grace;
+        entry->checkpoint_sent = sequence_number();
     }
     wake_worker(s, run.worker);
 }
--- a/src/cell_ledger_p.h
+++ b/src/cell_ledger_p.h
@@ -20,7 +20,10 @@
     sequence_number first_sent; // of the request that first carried its start; 0 while none has
     bool persistent = false;
     bool forget = false;            // ended and its outcome durable
-    bool checkpoint_wanted = false; // until one was ordered
+    bool seen = false;              // an inventory has shown it
+    bool checkpoint_wanted = false; // until a request that orders one was taken in
+    sequence_number checkpoint_sent;
+    double checkpoint_seen = 0; // progress of its newest durable checkpoint
     std::int32_t throttle_wanted = 100;
     std::int32_t throttle_reported = 100;
     instant stop_at{}; // of a draining one
--- a/src/cell_p.h
+++ b/src/cell_p.h
@@ -22,6 +22,7 @@
     duration promise = config::hold_promise;
     duration drift_margin = config::drift_margin;
     int deputies = 2;
+    duration job_kept = config::job_kept;                       // an ended job's row, for operators
     double writes_per_second = config::table_writes_per_second; // this cell's share of the table's budget
     std::vector<work_kind> kinds;
     std::vector<place_settings::team_share> teams;
--- a/src/cell_placing.cpp
+++ b/src/cell_placing.cpp
@@ -137,6 +137,26 @@
     }
 }
 
+// Only upwards: the worker goes on counting what the start declared, and would refuse what is placed into room that a
+// smaller amount seems to free.
+void resize_task(cell_state& s, const place_resize& resize)
+{
+    job_record* const job = find_job(s, resize.task.job);
+    const task_run* const run = job == nullptr ? nullptr : job->run(resize.task.index);
+    if (run == nullptr) {
+        return;
+    }
+    const auto worker = s.workers.find(run->worker);
+    if (worker == s.workers.end()) {
+        return;
+    }
+    ledger_entry* const entry = worker->second.ledger.find(resize.task, run->attempt);
+    const bool grows = entry != nullptr && may_run(*entry) && fits(entry->committed, resize.committed);
+    if (grows && has_room(worker->second, resize.committed - entry->committed)) {
+        entry->committed = resize.committed;
+    }
+}
+
 void evict_task(cell_state& s, const task_id& task, const std::string& reason)
 {
     job_record* const job = find_job(s, task.job);
@@ -171,11 +191,13 @@
 void place_due(cell_state& s)
 {
     const bool may = owns(s) && s.role != cell_role::handing_over && s.held && s.jobs_read && s.inbox_read;
-    if (!may || !s.place_wanted || s.now < s.next_place) {
+    const bool wanted = s.place_wanted || s.now >= s.next_idle_place;
+    if (!may || !wanted || s.now < s.next_place) {
         return;
     }
     s.place_wanted = false;
     s.next_place = s.now + config::place_interval;
+    s.next_idle_place = s.now + config::place_idle_interval;
     drain_leaving(s);
     std::vector<place_task> tasks;
     std::vector<place_worker> workers;
@@ -187,6 +209,9 @@
         offer_worker(s, id, worker, workers);
     }
     const place_plan plan = s.placer->plan(s.now, tasks, workers);
+    for (const place_resize& resize : plan.resizes) {
+        resize_task(s, resize);
+    }
     for (const place_park& park : plan.parks) {
         job_record* const job = find_job(s, park.job);
         if (job != nullptr) {
--- a/src/cell_report.cpp
+++ b/src/cell_report.cpp
@@ -128,18 +128,59 @@
     note_end(s, worker, task.task, task.attempt);
 }
 
-void take_running(cell_state& s, const worker_report& report, ledger_entry& entry, const task_report& task)
+void bind_adopted(cell_state& s, cell_worker& worker, job_record& job, const task_report& task)
 {
-    if (entry.stage == entry_stage::starting) {
-        entry.stage = entry_stage::running;
+    task_run run;
+    run.attempt = task.attempt;
+    run.worker = worker.listing.worker;
+    run.bound_at = s.now;
+    job.bind(task.task.index, std::move(run));
+}
+
+// Runs, and is not the attempt its task is bound to: a service that was replaced while its worker was silent. Kept when
+// no other has been started meanwhile, else taken out of service and stopped.
+void settle_unbound(cell_state& s, cell_worker& worker, job_record& job, ledger_entry& entry, const task_report& task)
+{
+    const task_past* const past = job.past(task.task.index);
+    const bool newest = past == nullptr || task.attempt >= past->attempt;
+    if (newest && job.phase(task.task.index) == task_phase::queued && !job.cancelling()) {
+        bind_adopted(s, worker, job, task);
+        return;
+    }
+    if (entry.stage == entry_stage::running) {
+        entry.stage = entry_stage::draining;
+        entry.stop_at = s.now + (entry.persistent ? config::service_grace : duration(0));
+    }
+}
+
+// A drained task is stopped as soon as the checkpoint asked for is durable.
+void note_progress(cell_state& s, ledger_entry& entry, const task_report& task)
+{
+    const bool newer = task.checkpoint_progress > entry.checkpoint_seen;
+    entry.checkpoint_seen = task.checkpoint_progress;
+    if (entry.stage == entry_stage::draining && !entry.persistent && newer && entry.checkpoint_sent.value() > 0) {
+        entry.stop_at = s.now;
     }
     entry.throttle_reported = task.throttle;
     entry.address = task.address;
+}
+
+void take_running(cell_state& s, cell_worker& worker, const worker_report& report, ledger_entry& entry,
+                  const task_report& task)
+{
+    if (entry.stage == entry_stage::starting) {
+        entry.stage = entry_stage::running;
+    }
+    note_progress(s, entry, task);
     job_record* const job = find_job(s, task.task.job);
     if (job == nullptr || !job->has(task.task.index)) {
+        entry.stage = entry_stage::stopping;
         return;
     }
     job->note_checkpoint(task.task.index, task.checkpoint, task.checkpoint_progress);
+    if (!bound_to(*job, task.task, worker.listing.worker, task.attempt)) {
+        settle_unbound(s, worker, *job, entry, task);
+    }
     task_run* const run = job->run(task.task.index);
     if (run == nullptr || run->attempt != task.attempt) {
         return;
@@ -162,6 +203,21 @@
     return job->spec().declared;
 }
 
+// True when the inventory's attempt is the one the task should be bound to. One that runs beats what is recorded about
+// it; one that has ended counts only if its end is not recorded yet.
+bool is_current(const job_record& job, const task_report& task)
+{
+    if (job.phase(task.task.index) != task_phase::queued) {
+        return false;
+    }
+    const task_past* const past = job.past(task.task.index);
+    if (past == nullptr) {
+        return true;
+    }
+    const bool unrecorded = task.attempt > past->recorded;
+    return task.attempt >= past->attempt && (task.state == task_state::running || unrecorded);
+}
+
 // A task in the inventory that the ledger does not know: started by an earlier owner, or thought lapsed.
 ledger_entry& adopt(cell_state& s, cell_worker& worker, const task_report& task)
 {
@@ -172,31 +228,15 @@
     entry.committed = held_for(job, task);
     entry.stage = entry_stage::stopping;
     entry.first_sent = worker.sequence;
+    entry.seen = true;
     entry.throttle_wanted = task.throttle;
-    entry.throttle_reported = task.throttle;
+    entry.checkpoint_seen = task.checkpoint_progress;
     const bool known = job != nullptr && job->has(task.task.index);
-    if (!known) {
-        return worker.ledger.add(std::move(entry));
-    }
-    entry.persistent = job->spec().is_service;
-    const task_past* const past = job->past(task.task.index);
-    const attempt_number newest = past == nullptr ? attempt_number() : past->attempt;
-    const attempt_number recorded = past == nullptr ? attempt_number() : past->recorded;
-    const bool current =
-        job->phase(task.task.index) == task_phase::queued && task.attempt >= newest && task.attempt > recorded;
-    if (current) {
-        entry.stage = entry_stage::running;
-        task_run run;
-        run.attempt = task.attempt;
-        run.worker = worker.listing.worker;
-        run.bound_at = s.now;
-        run.progress = task.progress;
-        run.reported = true;
-        job->bind(task.task.index, std::move(run));
-        ++s.stats.adopted;
-        if (job->cancelling()) {
-            entry.stage = entry_stage::stopping;
-        }
+    entry.persistent = known && job->spec().is_service;
+    if (known && is_current(*job, task)) {
+        bind_adopted(s, worker, *job, task);
+        s.stats.adopted += task.state == task_state::running ? 1 : 0;
+        entry.stage = job->cancelling() ? entry_stage::stopping : entry_stage::running;
     }
     return worker.ledger.add(std::move(entry));
 }
@@ -222,7 +262,7 @@
         if (!may_run(entry) || !is_bound(job, entry.task, id, entry.attempt)) {
             continue;
         }
-        if (entry.stage == entry_stage::starting) {
+        if (!entry.seen) {
             worker.no_starts_until = s.now + config::refused_pause;
             job->unbind(entry.task.index, s.now);
         }
@@ -255,6 +295,19 @@
     }
 }
 
+// Stops, forgets and drained tasks do not wait for the next renewal.
+void tell_soon(const cell_state& s, cell_worker& worker)
+{
+    for (const ledger_entry& entry : worker.ledger.entries()) {
+        if (entry.stage == entry_stage::stopping || entry.forget) {
+            worker.next_exchange = std::min(worker.next_exchange, s.now + s.settings.lease_renew_interval / 4);
+        }
+        if (entry.stage == entry_stage::draining) {
+            worker.next_exchange = std::min(worker.next_exchange, std::max(entry.stop_at, s.now));
+        }
+    }
+}
+
 } // namespace
 
 void release_lapsed(cell_state& s, const worker_id& worker, const ledger_entry& entry)
@@ -287,8 +340,12 @@
         if (entry == nullptr) {
             entry = &adopt(s, worker, task);
         }
+        entry->seen = true;
+        if (entry->checkpoint_sent == sequence) {
+            entry->checkpoint_wanted = false;
+        }
         if (task.state == task_state::running) {
-            take_running(s, report, *entry, task);
+            take_running(s, worker, report, *entry, task);
         }
         else {
             take_end(s, worker.listing.worker, *entry, task);
@@ -296,12 +353,7 @@
     }
     drop_absent(s, worker, report, sequence);
     learn_interference(s, worker, report);
-    const bool to_tell =
-        std::any_of(worker.ledger.entries().begin(), worker.ledger.entries().end(),
-                    [](const ledger_entry& entry) { return entry.stage == entry_stage::stopping || entry.forget; });
-    if (to_tell) {
-        worker.next_exchange = std::min(worker.next_exchange, s.now + s.settings.lease_renew_interval / 4);
-    }
+    tell_soon(s, worker);
 }
 
 void take_unread_reports(cell_state& s)
--- a/src/cell_settle.cpp
+++ b/src/cell_settle.cpp
@@ -47,15 +47,6 @@
     s.commit.retry_at = s.now + config::commit_retry;
 }
 
-void read_back(cell_state& s)
-{
-    s.commit.phase = commit_phase::reading_back;
-    s.commit.maybe_applied = true;
-    s.reading_row = true;
-    s.row_read_sent = s.now;
-    s.out->emplace_back(read_cell_row{});
-}
-
 void on_refused(cell_state& s)
 {
     if (s.commit.maybe_applied) {
@@ -87,6 +78,9 @@
             job->mark_written(revision);
         }
     }
+    for (const job_id& id : s.commit.pruned) {
+        s.jobs.erase(id);
+    }
     std::erase_if(s.unwritten, [&](const job_id& id) {
         const job_record* const job = find_job(s, id);
         return job == nullptr || !job->dirty();
@@ -127,6 +121,15 @@
 
 } // namespace
 
+void read_back(cell_state& s)
+{
+    s.commit.phase = commit_phase::reading_back;
+    s.commit.maybe_applied = true;
+    s.reading_row = true;
+    s.row_read_sent = s.now;
+    s.out->emplace_back(read_cell_row{});
+}
+
 void on_committed(cell_state& s, const cell_committed& event)
 {
     if (s.commit.phase != commit_phase::sent || event.result.operation != s.commit.transaction.operation) {
--- a/src/cell_state_p.h
+++ b/src/cell_state_p.h
@@ -133,15 +133,17 @@
     instant next_jobs_read{};
     instant next_inbox_read{};
     bool inbox_hinted = false;
-    std::set<std::string> inbox_folded;         // to be removed by a transaction to come
-    std::set<std::string> inbox_removed;        // removed, but a scan on its way may still show them
-    std::set<std::string> inbox_removed_before; // since before the scan on its way was asked for
-    std::map<std::string, instant> inbox_unreadable;
-    std::vector<recorded_end> ends; // their jobs' rows are still to be written
+    std::set<std::string> inbox_folded;           // to be removed by a transaction to come
+    std::set<std::string> inbox_removed;          // removed, but a scan on its way may still show them
+    std::set<std::string> inbox_removed_before;   // since before the scan on its way was asked for
+    std::map<std::string, instant> inbox_waiting; // rows not acted on yet, since when
+    std::vector<recorded_end> ends;               // their jobs' rows are still to be written
     bool place_wanted = false;
     bool urgent_commit = false;
     instant next_place{};
+    instant next_idle_place{};
     instant next_checkpoint_record{};
+    instant next_prune{};
     std::unique_ptr<placement> placer;
     cell_stats stats;
 };
@@ -182,6 +184,7 @@
 void on_committed(cell_state& s, const cell_committed& event);
 void settle_by_row(cell_state& s, const table_row& row);
 void retry_commit(cell_state& s);
+void read_back(cell_state& s);
 void settle_applied(cell_state& s, row_version version);
 void settle_lost(cell_state& s);
 void note_end(cell_state& s, const worker_id& worker, const task_id& task, attempt_number attempt);
--- a/src/cell_takeover.cpp
+++ b/src/cell_takeover.cpp
@@ -75,6 +75,8 @@
     s.awaited.clear();
     s.inbox_folded.clear();
     s.inbox_removed.clear();
+    s.inbox_removed_before.clear();
+    s.inbox_waiting.clear();
     s.ends.clear();
     s.hold.promised_to_us.clear();
     s.hold.ever_renewed = false;
@@ -147,19 +149,9 @@
         }
         return;
     }
-    if (!event.reached || s.commit.phase != commit_phase::idle) {
-        return;
+    if (event.reached && !owns(s) && s.commit.phase == commit_phase::idle) {
+        note_row(s, event.row);
     }
-    if (owns(s)) {
-        // Asked for after a worker had refused this epoch.
-        const auto row = event.row.value ? decode_row<wire::cell_row>(*event.row.value) : std::nullopt;
-        if (!row || row->epoch != s.epoch.value() || row->owner != s.self.str()) {
-            note_row(s, event.row);
-            become_watcher(s, "the row names another owner");
-        }
-        return;
-    }
-    note_row(s, event.row);
 }
 
 void become_owner(cell_state& s)
@@ -176,6 +168,9 @@
     s.next_inbox_read = s.now;
     s.next_checkpoint_record = s.now + config::checkpoint_record_interval;
     ++s.stats.takeovers;
+    if (s.stop_planned) {
+        s.role = cell_role::handing_over;
+    }
     notice(s, "cell_taken", s.id.str() + " epoch " + std::to_string(s.epoch.value()));
 }
 
--- a/src/cell_workers.cpp
+++ b/src/cell_workers.cpp
@@ -50,7 +50,7 @@
     request.commands.emplace_back(task_renew{entry.task, entry.attempt, lease_end(s, worker)});
     if (entry.checkpoint_wanted) {
         request.commands.emplace_back(task_checkpoint{entry.task, entry.attempt});
-        entry.checkpoint_wanted = false;
+        entry.checkpoint_sent = request.sequence;
     }
     if (entry.throttle_wanted != entry.throttle_reported) {
         request.commands.emplace_back(task_throttle{entry.task, entry.attempt, entry.throttle_wanted});
@@ -93,17 +93,29 @@
     }
 }
 
+// When it must be spoken to at the latest: a renewal, or a stop whose grace is over.
+instant next_exchange(const cell_state& s, const cell_worker& worker)
+{
+    instant next = s.now + s.settings.lease_renew_interval;
+    for (const ledger_entry& entry : worker.ledger.entries()) {
+        if (entry.stage == entry_stage::draining) {
+            next = std::min(next, std::max(entry.stop_at, s.now));
+        }
+    }
+    return next;
+}
+
 void exchange(cell_state& s, const worker_id& id, cell_worker& worker)
 {
     worker.sequence = worker.sequence.next();
     worker.waiting = true;
     worker.sent = s.now;
-    worker.next_exchange = s.now + s.settings.lease_renew_interval;
     worker_request request{id, s.epoch, worker.sequence, s.self, worker.boot, {}};
     // Before the fence is confirmed nothing is commanded: there is no reading to give a lease by.
     if (worker.fenced) {
         add_commands(s, worker, request);
     }
+    worker.next_exchange = next_exchange(s, worker);
     s.out->emplace_back(send_worker{std::move(request)});
 }
 
@@ -198,8 +210,10 @@
         become_watcher(s, "a worker has seen a higher epoch");
         return;
     }
-    // Answers to earlier requests may arrive late and tell of a time before the newest commands.
-    if (!worker.waiting || event.sequence != worker.sequence) {
+    // Answers to earlier requests, of this epoch or one before, may arrive late: they tell of a time before the newest
+    // commands, and would release room that a task has taken since.
+    const bool of_this_epoch = !event.report.accepted || event.report.epoch == s.epoch;
+    if (!worker.waiting || event.sequence != worker.sequence || !of_this_epoch) {
         return;
     }
     worker.waiting = false;
@@ -239,9 +253,16 @@
     }
     const duration lapse = certainly(s, s.settings.lease_length);
     for (auto& [id, worker] : s.workers) {
-        if (worker.heard && !worker.ledger.empty() && s.now - worker.read_at >= lapse) {
+        const duration silence = s.now - worker.read_at;
+        if (!worker.heard || worker.ledger.empty() || silence < config::service_replace) {
+            continue;
+        }
+        replace_services(s, id, worker);
+        if (silence >= lapse) {
             lapse_entries(s, id, worker);
-            replace_services(s, id, worker);
+        }
+        if (!worker.listed && silence >= s.settings.orphan) {
+            worker.ledger = worker_ledger(); // gone for good; if not, its inventory will tell
         }
     }
 }
--- a/src/config.h
+++ b/src/config.h
@@ -20,9 +20,10 @@
 inline constexpr duration drift_margin = 500ms;      // added where two clocks are compared across a drift
 
 // --- cell ---
-inline constexpr duration read_patience = 3s;   // a read not answered for this long is sent again
-inline constexpr duration commit_retry = 250ms; // after a commit that was refused or is unsettled
-inline constexpr int watch_reads_far = 8;       // renewal intervals between row reads of entries that are no deputies
+inline constexpr duration read_patience = 3s;    // a read not answered for this long is sent again
+inline constexpr duration commit_patience = 10s; // a commit not answered for this long has an unknown outcome
+inline constexpr duration commit_retry = 250ms;  // after a commit that was refused or is unsettled
+inline constexpr int watch_reads_far = 8;        // renewal intervals between row reads of entries that are no deputies
 inline constexpr std::size_t commit_rows_most = 96;  // rows of one transaction
 inline constexpr duration inbox_scan_interval = 2s;  // a lost hint costs this much; below the 3.8 s of urgent work
 inline constexpr duration place_interval = 50ms;     // between two passes of placement
@@ -33,7 +34,12 @@
 inline constexpr duration handover_wait = 500ms;     // for answers to the last renewals
 inline constexpr duration checkpoint_record_interval = 30s; // a row is written for newer checkpoints alone this often
 inline constexpr duration job_kept = 24h;                   // an ended job's row
-inline constexpr duration unreadable_kept = 10min;          // an inbox row that cannot be read, before it is removed
+inline constexpr duration prune_interval = 10s;
+inline constexpr std::size_t prunes_most = 4;       // of one interval
+inline constexpr duration unknown_job_kept = 15s;   // an instruction about a job that no scan has shown yet
+inline constexpr duration place_idle_interval = 1s; // between two passes when nothing has ended or come
+inline constexpr duration service_replace = 5s;     // a service task on a silent worker is started elsewhere
+inline constexpr duration unreadable_kept = 10min;  // an inbox row that cannot be read, before it is removed
 
 // --- table ---
 inline constexpr duration commit_interval_least = 20ms;
--- a/tests/support_cell_hand.h
+++ b/tests/support_cell_hand.h
@@ -1,7 +1,9 @@
 // Drives one cell by hand in virtual time: each event is given, each action is looked at. No fake world behind it.
 #pragma once
 
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -68,6 +70,26 @@
     return {cell_key(the_cell), encode_row(row), row_version(version), operation_id(operation)};
 }
 
+inline table_row resume(const std::string& job)
+{
+    wire::inbox_row row;
+    row.__set_operation("resume-" + job);
+    row.__set_resume_job(job);
+    return inbox("resume-" + job, row);
+}
+
+inline wire::cell_row make_row(std::int64_t epoch, const incarnation_id& owner,
+                               const std::vector<std::string>& deputies, const std::vector<std::string>& workers = {})
+{
+    wire::cell_row row;
+    row.__set_cell(the_cell.str());
+    row.__set_epoch(epoch);
+    row.__set_owner(owner.str());
+    row.__set_deputies(deputies);
+    row.__set_workers(workers);
+    return row;
+}
+
 inline task_report report_task(const task_start& start, task_state state = task_state::running)
 {
     task_report report;
@@ -79,104 +101,231 @@
     return report;
 }
 
-struct driver {
-    cell c{the_cell, self, cell_settings{}};
-    instant now{};
-    std::vector<cell_action> actions; // of the newest event
-    std::int64_t version = 0;
-    std::map<std::string, worker_request> sent; // the newest to each worker
-    std::vector<table_transaction> commits;
-
-    driver() : now(1000s) {}
+// A worker that does as it is told: what it is started runs until a test says otherwise.
+struct worker_hand {
+    std::vector<task_report> tasks;
+    bool silent = false;     // requests do not reach it
+    bool deaf_owner = false; // requests reach it, its answers are lost
+    bool leaving = false;
+    std::string boot = "b";
+    resources capacity{4000, 8000, 0};
+    std::vector<worker_request> requests; // that reached it
 
-    void give(const cell_event& event)
+    task_report* find(const task_id& task)
     {
-        actions.clear();
-        c.decide(now, event, actions);
-        for (const send_worker& action : all<send_worker>()) {
-            sent[action.request.worker.str()] = action.request;
+        const auto found =
+            std::find_if(tasks.begin(), tasks.end(), [&](const task_report& report) { return report.task == task; });
+        return found == tasks.end() ? nullptr : &*found;
+    }
+    void obey(const worker_command& command)
+    {
+        if (const auto* const start = std::get_if<task_start>(&command)) {
+            if (find(start->task) == nullptr) {
+                tasks.push_back(report_task(*start));
+            }
         }
-        for (const commit_cell& action : all<commit_cell>()) {
-            commits.push_back(action.transaction);
+        if (const auto* const stop = std::get_if<task_stop>(&command)) {
+            task_report* const task = find(stop->task);
+            if (task != nullptr && task->state == task_state::running) {
+                task->state = task_state::stopped;
+            }
+        }
+        if (const auto* const forget = std::get_if<task_forget>(&command)) {
+            std::erase_if(tasks, [&](const task_report& task) { return task.task == forget->task; });
         }
     }
-    void tick(duration step = duration(0))
+    void take(const worker_request& request)
     {
-        now += step;
-        give(cell_tick{wall_time(now.time_since_epoch())});
+        requests.push_back(request);
+        for (const worker_command& command : request.commands) {
+            obey(command);
+        }
+    }
+    // Commands of one type among all that reached it.
+    template <class Command> std::vector<Command> told() const
+    {
+        std::vector<Command> found;
+        for (const worker_request& request : requests) {
+            for (const worker_command& command : request.commands) {
+                if (const auto* const wanted = std::get_if<Command>(&command)) {
+                    found.push_back(*wanted);
+                }
+            }
+        }
+        return found;
+    }
+};
+
+enum class table_mood : std::uint8_t { up, down, applies_unanswered, loses, silent };
+
+struct driver {
+    cell c{the_cell, self, cell_settings{}};
+    instant now{1000s};
+    std::vector<cell_action> pending;
+    std::vector<cell_action> log; // every action since the test last cleared it
+    table_mood mood = table_mood::up;
+    std::optional<table_row> row; // the cell's row
+    std::vector<table_row> job_rows;
+    std::vector<table_row> inbox_rows;
+    std::map<std::string, worker_hand> workers;
+
+    void give(const cell_event& event)
+    {
+        std::vector<cell_action> actions;
+        c.decide(now, event, actions);
+        log.insert(log.end(), actions.begin(), actions.end());
+        pending.insert(pending.end(), actions.begin(), actions.end());
     }
     template <class Action> std::vector<Action> all() const
     {
         std::vector<Action> found;
-        for (const cell_action& action : actions) {
+        for (const cell_action& action : log) {
             if (const auto* const a = std::get_if<Action>(&action)) {
                 found.push_back(*a);
             }
         }
         return found;
     }
-    template <class Action> bool has() const { return !all<Action>().empty(); }
+    bool noticed(const std::string& event) const
+    {
+        const auto notices = all<cell_notice>();
+        return std::any_of(notices.begin(), notices.end(), [&](const cell_notice& n) { return n.event == event; });
+    }
 
-    void row_absent() { give(cell_row_seen{true, {cell_key(the_cell), std::nullopt, row_version(0), operation_id()}}); }
+    void tick(duration step = duration(0))
+    {
+        now += step;
+        give(cell_tick{wall_time(now.time_since_epoch())});
+        answer_pending();
+    }
+    void run(duration length, duration step = 50ms)
+    {
+        for (const instant end = now + length; now < end;) {
+            tick(step);
+        }
+    }
+    void answer_pending()
+    {
+        while (!pending.empty()) {
+            const std::vector<cell_action> actions = std::exchange(pending, {});
+            for (const cell_action& action : actions) {
+                std::visit(detail::overloaded{[&](const commit_cell& a) { commit(a.transaction); },
+                                              [&](const send_worker& a) { exchange(a.request); },
+                                              [&](const read_cell_row&) {
+                                                  give(cell_row_seen{mood == table_mood::up, read()});
+                                              },
+                                              [&](const read_cell_jobs&) { give(cell_jobs_read{scan(job_rows)}); },
+                                              [&](const read_cell_inbox&) { give(cell_inbox_read{scan(inbox_rows)}); },
+                                              [](const auto&) {}},
+                           action);
+            }
+        }
+    }
 
-    // Answers the newest commit.
-    void applied()
+    table_row read() const { return row.value_or(table_row{cell_key(the_cell), std::nullopt, row_version(), {}}); }
+    table_scan_result scan(const std::vector<table_row>& rows) const { return {"", mood == table_mood::up, rows, ""}; }
+    wire::cell_row row_now() const { return *decode_row<wire::cell_row>(*row->value); }
+    void write_row(const wire::cell_row& r, const std::string& operation)
+    {
+        row = cell_row_of(r, row ? row->version.value() + 1 : 1, operation);
+    }
+    bool apply(const table_transaction& transaction)
+    {
+        if (read().version != transaction.checks.at(0).version) {
+            return false;
+        }
+        for (const table_write& write : transaction.writes) {
+            if (write.key == cell_key(the_cell)) {
+                row = table_row{write.key, write.value, read().version.next(), transaction.operation};
+                continue;
+            }
+            store(write, transaction.operation);
+        }
+        return true;
+    }
+    void store(const table_write& write, const operation_id& operation)
+    {
+        std::vector<table_row>& rows = write.key.starts_with("job/") ? job_rows : inbox_rows;
+        std::erase_if(rows, [&](const table_row& r) { return r.key == write.key; });
+        if (write.value) {
+            rows.push_back({write.key, write.value, row_version(1), operation});
+        }
+    }
+    void commit(const table_transaction& transaction)
     {
-        const table_transaction transaction = commits.back();
-        ++version;
-        table_result result{transaction.operation, table_outcome::applied, {}, ""};
-        result.rows.push_back({cell_key(the_cell), std::nullopt, row_version(version), transaction.operation});
+        if (mood == table_mood::silent) {
+            return;
+        }
+        table_result result{transaction.operation, table_outcome::unknown, {}, ""};
+        if (mood == table_mood::down) {
+            result.outcome = table_outcome::refused;
+        }
+        else if (mood != table_mood::loses) {
+            const bool done = apply(transaction);
+            result.rows = {read()};
+            result.outcome = done ? table_outcome::applied : table_outcome::conflict;
+        }
+        if (mood == table_mood::applies_unanswered) {
+            result.outcome = table_outcome::unknown;
+        }
         give(cell_committed{std::move(result)});
     }
-    // Answers the newest request to a worker.
-    void answered(const std::string& worker, worker_report report)
+    void exchange(const worker_request& request)
     {
-        const worker_request request = sent.at(worker);
+        worker_hand& worker = workers[request.worker.str()];
+        if (!worker.silent) {
+            worker.take(request);
+        }
+        if (worker.silent || worker.deaf_owner) {
+            give(cell_worker_failed{request.worker, request.sequence, true, "lost"});
+            return;
+        }
+        give(cell_worker_answered{request.worker, request.sequence, now, report_of(worker, request)});
+    }
+    worker_report report_of(const worker_hand& worker, const worker_request& request) const
+    {
+        worker_report report;
         report.accepted = true;
         report.epoch = request.epoch;
+        report.boot = worker.boot;
         report.now = worker_time(now.time_since_epoch());
-        report.capacity = {4000, 8000, 0};
-        report.boot = "b";
-        give(cell_worker_answered{request.worker, request.sequence, now, std::move(report)});
+        report.capacity = worker.capacity;
+        report.leaving = worker.leaving;
+        report.tasks = worker.tasks;
+        return report;
     }
-    // Commands of one type in the newest request to a worker.
-    template <class Command> std::vector<Command> told(const std::string& worker) const
+
+    void list(const std::vector<std::string>& names)
     {
-        std::vector<Command> found;
-        for (const worker_command& command : sent.at(worker).commands) {
-            if (const auto* const wanted = std::get_if<Command>(&command)) {
-                found.push_back(*wanted);
-            }
+        std::vector<listed_worker> listed;
+        listed.reserve(names.size());
+        for (const std::string& name : names) {
+            listed.push_back(list_worker(name));
         }
-        return found;
+        give(cell_workers_listed{std::move(listed)});
     }
-
-    // Owner of a new cell with the workers fenced and `inbox_rows` waiting; ends with the first exchange that follows.
-    void own(const std::vector<std::string>& names, const std::vector<table_row>& inbox_rows = {})
+    // Owner of a new cell with these workers, and what is in the inbox started.
+    void own(const std::vector<std::string>& names, std::vector<table_row> rows = {})
     {
+        inbox_rows = std::move(rows);
         give(cell_members_seen{{self}});
-        std::vector<listed_worker> workers;
-        workers.reserve(names.size());
-        for (const std::string& name : names) {
-            workers.push_back(list_worker(name));
-        }
-        give(cell_workers_listed{workers});
-        tick();
-        row_absent();
-        take_over({}, inbox_rows);
+        list(names);
+        run(1s);
+        log.clear();
     }
-    // From a takeover commit among the newest actions to the placement of what is in the inbox.
-    void take_over(const std::vector<table_row>& job_rows, const std::vector<table_row>& inbox_rows)
+    // Submits to an owner and lets it act.
+    void hand_in(const std::vector<table_row>& rows)
     {
-        applied();
-        const std::map<std::string, worker_request> fences = sent;
-        give(cell_jobs_read{{job_prefix(the_cell), true, job_rows, ""}});
-        for (const auto& [worker, request] : fences) {
-            answered(worker, {});
-            answered(worker, {});
-        }
-        give(cell_inbox_read{{inbox_prefix(the_cell), true, inbox_rows, ""}});
-        tick(config::place_interval);
+        inbox_rows.insert(inbox_rows.end(), rows.begin(), rows.end());
+        give(cell_inbox_hinted{});
+        run(200ms);
+    }
+    wire::job_row job_written(const std::string& job) const
+    {
+        const std::string key = job_key(the_cell, job_id(job));
+        const auto found =
+            std::find_if(job_rows.begin(), job_rows.end(), [&](const table_row& r) { return r.key == key; });
+        return found == job_rows.end() ? wire::job_row() : *decode_row<wire::job_row>(*found->value);
     }
 };
 
