platform: settle lost answers; budget, breaker and backoff for the table

Cause: one try leaves a commit unknown whenever its answer is lost, and no caller may be told "did not run" then. A settled commit reads the first row that it both checks and writes: our operation there proves the effect; a row still at the checked version is sent again or, late in the deadline, moved by a write that changes only its version, after which no delayed copy passes. Over an absent row that write leaves a row that holds the place, for version 0 would come back. Stored values also carry the version they replaced, so that a rival that won the row proves that ours did not. Ruled out: a receipt row for each transaction (one more row written and one removed for each commit); removing the place-holding row again (a delayed write would then pass its check for an absent row). Reads and writes of an entry share a budget with a guaranteed part for ownership, work and settings; a breaker holds calls back from a table that fails and lets one probe a second through for ownership and one for the rest.

--- a/src/config.h
+++ b/src/config.h
@@ -24,6 +24,14 @@
 inline constexpr duration commit_interval_most = 2s;
 inline constexpr double table_writes_per_second = 40; // one entry's share of the platform's budget
 inline constexpr double table_reads_per_second = 150;
+inline constexpr duration table_burst = 1s;      // of each budget, as time at its rate
+inline constexpr int table_breaker_failures = 5; // in a row, until calls are held back
+inline constexpr duration table_backoff_first = 50ms;
+inline constexpr duration table_backoff_most = 1s; // also the longest between two probes of a table that is down
+inline constexpr int table_calls_in_flight_most = 64;
+inline constexpr int table_settling_most = 256;  // settled commits under way; more are refused at once
+inline constexpr int table_page_rows = 500;      // of one page of a scan
+inline constexpr duration table_scan_most = 10s; // a scan that its budget holds back longer is incomplete
 
 // --- membership ---
 inline constexpr duration probe_interval = 500ms;
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -1,17 +1,19 @@
 #include "platform_client_p.h"
 
+#include <absl/container/flat_hash_map.h>
+#include <absl/random/random.h>
 #include <absl/synchronization/mutex.h>
 #include <fmt/format.h>
 
 #include "config.h"
+#include "platform_table_p.h"
+#include "platform_timer_p.h"
 #include "platform_wire_p.h"
 
 namespace skylarkhub {
 
 namespace {
 
-constexpr int scan_page_rows = 500;
-
 // What one answer to a commit means. Only an answer that says so, or a request of which no byte can have left, is known
 // to have had no effect; everything else is unknown.
 table_result read_commit_answer(const operation_id& operation, const http_result& answer)
@@ -41,8 +43,8 @@
     if (answer.status != 200 && result.reason.empty()) {
         result.reason = fmt::format("the table answered {}", answer.status);
     }
-    for (table_row& row : rows.value_or(std::vector<table_row>())) {
-        result.rows.push_back(unwrap_row(std::move(row)));
+    if (rows) {
+        result.rows = std::move(*rows);
     }
     return result;
 }
@@ -55,8 +57,7 @@
     if (!answer.answered || answer.status != 200) {
         return std::nullopt;
     }
-    auto row = parse_row(answer.body, nullptr);
-    return row ? std::optional<table_row>(unwrap_row(std::move(*row))) : std::nullopt;
+    return parse_row(answer.body, nullptr);
 }
 
 std::string failure_of(const http_result& answer)
@@ -66,8 +67,13 @@
 
 } // namespace
 
+// Carries asks into the decisions and their calls out. Callbacks never run under the lock, nor on the asking thread.
 struct platform_client::engine : std::enable_shared_from_this<engine> {
-    engine(http_client& client, options opts) : http(client), o(std::move(opts)) {}
+    using callback = std::variant<std::function<void(table_result)>, std::function<void(std::optional<table_row>)>,
+                                  std::function<void(table_scan_result)>>;
+    using finished = std::function<void()>;
+
+    engine(http_client& client, options opts) : http(client), o(std::move(opts)), table(o, absl::BitGen()()) {}
 
     http_call call(const char* method, std::string target, std::string body = {}) const
     {
@@ -78,119 +84,204 @@
                 .timeout = o.timeout};
     }
 
-    void commit(table_transaction stored, std::function<void(table_result)> done)
+    // Takes an ask. An answer given at once is handed to the timer's thread, for the asker may hold a lock that its
+    // callback takes; from a callback of a closing client it is given here.
+    template <class Event> void ask(Event event, callback done)
     {
-        for (table_write& write : stored.writes) {
-            if (write.value) {
-                write.value = stored_value(stored.operation, *write.value);
-            }
-        }
+        std::vector<finished> ended;
         {
             absl::MutexLock lock(&mutex);
-            ++counts.commits;
+            last_ask = last_ask.next();
+            event.ask = last_ask;
+            callbacks.emplace(last_ask, std::move(done));
+            decide(event, ended);
+            if (!closed && !ended.empty()) {
+                std::move(ended.begin(), ended.end(), std::back_inserter(handed_over));
+                ended.clear();
+                timer->run_at(instant{}, [this] { run_handed_over(); });
+            }
         }
-        http_call c = call("POST", "/v1/table/commit", format_commit(stored));
-        // A second sending would meet the effect of the first one and be told of a conflict.
-        c.send_once = true;
-        auto self = shared_from_this();
-        http.send(std::move(c), [self, stored = std::move(stored), done = std::move(done)](const http_result& answer) {
-            table_result result = read_commit_answer(stored.operation, answer);
-            self->count_commit(result, stored.writes.size());
-            done(std::move(result));
-        });
+        run(ended);
     }
 
-    void count_commit(const table_result& result, std::size_t rows)
+    static void run(const std::vector<finished>& ended)
     {
-        absl::MutexLock lock(&mutex);
-        if (result.outcome == table_outcome::applied) {
-            counts.rows_written += static_cast<std::int64_t>(rows);
-        }
-        if (result.outcome == table_outcome::unknown) {
-            ++counts.unknown;
+        for (const finished& f : ended) {
+            f();
         }
     }
 
-    void count_read()
+    void run_handed_over()
     {
-        absl::MutexLock lock(&mutex);
-        ++counts.reads;
+        std::vector<finished> ended;
+        {
+            absl::MutexLock lock(&mutex);
+            ended.swap(handed_over);
+        }
+        run(ended);
     }
 
-    // Reads on after `after`, page by page, and answers with the whole.
-    void scan_on(table_scan_result so_far, const std::string& after, std::function<void(table_scan_result)> done)
+    // Takes an answer or a tick, on a thread of the client's own.
+    void tell(const table_event& event)
     {
-        count_read();
-        http_call c = call("GET", fmt::format("/v1/table/scan?prefix={}&limit={}&after={}",
-                                              encode_url_part(so_far.prefix), scan_page_rows, encode_url_part(after)));
-        auto self = shared_from_this();
-        http.send(std::move(c), [self, so_far = std::move(so_far), done = std::move(done)](const http_result& answer) {
-            self->take_page(so_far, answer, done);
-        });
+        std::vector<finished> ended;
+        {
+            absl::MutexLock lock(&mutex);
+            if (closed) {
+                return;
+            }
+            decide(event, ended);
+        }
+        run(ended);
     }
 
-    void take_page(table_scan_result so_far, const http_result& answer, std::function<void(table_scan_result)> done)
+    void decide(const table_event& event, std::vector<finished>& ended) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     {
-        std::optional<table_page> page;
-        if (answer.answered && answer.status == 200) {
-            page = parse_page(answer.body, &so_far.reason);
+        std::vector<table_action> actions;
+        table.decide(read_clock(), event, actions);
+        for (table_action& action : actions) {
+            std::visit([&](auto& a) { carry_out(a, ended); }, action);
         }
-        if (!page || (page->more && page->rows.empty())) {
-            so_far.reason = so_far.reason.empty() ? failure_of(answer) : so_far.reason;
-            done(std::move(so_far));
+        set_wake();
+    }
+
+    void set_wake() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    {
+        const auto wake = table.next_wake();
+        if (closed || !wake || (wake_set && *wake_set <= *wake)) {
             return;
         }
-        for (table_row& row : page->rows) {
-            so_far.rows.push_back(unwrap_row(std::move(row)));
+        wake_set = *wake;
+        // Not an owner: the last one must not let go on the timer's own thread.
+        timer->run_at(*wake, [this, at = *wake] { tick(at); });
+    }
+
+    void tick(instant at)
+    {
+        {
+            absl::MutexLock lock(&mutex);
+            if (wake_set == at) {
+                wake_set.reset();
+            }
         }
-        if (page->more) {
-            const std::string after = so_far.rows.back().key;
-            scan_on(std::move(so_far), after, std::move(done));
-            return;
+        tell(table_tick{});
+    }
+
+    void carry_out(send_table_commit& a, std::vector<finished>& ended)
+    {
+        static_cast<void>(ended);
+        http_call c = call("POST", "/v1/table/commit", format_commit(a.transaction));
+        c.timeout = a.timeout;
+        // A second sending would meet the effect of the first one and be told of a conflict.
+        c.send_once = true;
+        http.send(std::move(c), [self = shared_from_this(), id = a.call,
+                                 operation = a.transaction.operation](const http_result& answer) {
+            self->tell(table_commit_answered{id, read_commit_answer(operation, answer)});
+        });
+    }
+
+    void carry_out(send_table_read& a, std::vector<finished>& ended)
+    {
+        static_cast<void>(ended);
+        http_call c = call("GET", "/v1/table/row?key=" + encode_url_part(a.key));
+        c.timeout = a.timeout;
+        http.send(std::move(c), [self = shared_from_this(), id = a.call, key = a.key](const http_result& answer) {
+            self->tell(table_read_answered{id, read_row_answer(key, answer)});
+        });
+    }
+
+    void carry_out(send_table_page& a, std::vector<finished>& ended)
+    {
+        static_cast<void>(ended);
+        http_call c = call("GET", fmt::format("/v1/table/scan?prefix={}&limit={}&after={}", encode_url_part(a.prefix),
+                                              config::table_page_rows, encode_url_part(a.after)));
+        c.timeout = a.timeout;
+        http.send(std::move(c), [self = shared_from_this(), id = a.call](const http_result& answer) {
+            table_page_answered event{.call = id};
+            const bool good = answer.answered && answer.status == 200;
+            event.page = good ? parse_page(answer.body, &event.reason) : std::nullopt;
+            event.reason = good ? event.reason : failure_of(answer);
+            self->tell(event);
+        });
+    }
+
+    template <class Answer>
+    void finish(table_ask ask, Answer answer, std::vector<finished>& ended) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    {
+        auto done = callbacks.extract(ask);
+        ended.push_back([done = std::get<std::function<void(Answer)>>(std::move(done.mapped())),
+                         answer = std::move(answer)] { done(answer); });
+    }
+    void carry_out(finish_table_commit& a, std::vector<finished>& ended) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    {
+        finish(a.ask, std::move(a.result), ended);
+    }
+    void carry_out(finish_table_read& a, std::vector<finished>& ended) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    {
+        finish(a.ask, std::move(a.row), ended);
+    }
+    void carry_out(finish_table_scan& a, std::vector<finished>& ended) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    {
+        finish(a.ask, std::move(a.result), ended);
+    }
+
+    void close()
+    {
+        std::vector<finished> ended;
+        {
+            absl::MutexLock lock(&mutex);
+            closed = true;
+            std::vector<table_action> actions;
+            table.abandon(actions);
+            for (table_action& action : actions) {
+                std::visit([&](auto& a) { carry_out(a, ended); }, action);
+            }
         }
-        so_far.complete = true;
-        done(std::move(so_far));
+        timer.reset();
+        run_handed_over();
+        run(ended);
     }
 
     http_client& http;
     const options o;
-    mutable absl::Mutex mutex;
-    stats counts ABSL_GUARDED_BY(mutex);
+    absl::Mutex mutex;
+    platform_table table ABSL_GUARDED_BY(mutex);
+    table_ask last_ask ABSL_GUARDED_BY(mutex);
+    absl::flat_hash_map<table_ask, callback> callbacks ABSL_GUARDED_BY(mutex);
+    std::vector<finished> handed_over ABSL_GUARDED_BY(mutex);
+    std::optional<instant> wake_set ABSL_GUARDED_BY(mutex);
+    bool closed ABSL_GUARDED_BY(mutex) = false;
+    std::unique_ptr<platform_timer> timer = std::make_unique<platform_timer>();
 };
 
 platform_client::platform_client(http_client& http, options o) : engine_(std::make_shared<engine>(http, std::move(o)))
 {}
 
-platform_client::~platform_client() = default;
+platform_client::~platform_client()
+{
+    engine_->close();
+}
 
 void platform_client::commit(table_traffic traffic, table_transaction transaction,
                              std::function<void(table_result)> done)
 {
-    static_cast<void>(traffic);
-    engine_->commit(std::move(transaction), std::move(done));
+    engine_->ask(table_commit_asked{{}, traffic, std::move(transaction)}, std::move(done));
 }
 
 void platform_client::commit_settled(table_traffic traffic, table_transaction transaction, duration deadline,
                                      std::function<void(table_result)> done)
 {
-    static_cast<void>(deadline);
-    commit(traffic, std::move(transaction), std::move(done));
+    engine_->ask(table_settle_asked{{}, traffic, std::move(transaction), deadline}, std::move(done));
 }
 
 void platform_client::read(table_traffic traffic, std::string key, std::function<void(std::optional<table_row>)> done)
 {
-    static_cast<void>(traffic);
-    engine_->count_read();
-    http_call c = engine_->call("GET", "/v1/table/row?key=" + encode_url_part(key));
-    engine_->http.send(std::move(c), [key = std::move(key), done = std::move(done)](const http_result& answer) {
-        done(read_row_answer(key, answer));
-    });
+    engine_->ask(table_read_asked{{}, traffic, std::move(key)}, std::move(done));
 }
 
 void platform_client::scan(table_traffic traffic, std::string prefix, std::function<void(table_scan_result)> done)
 {
-    static_cast<void>(traffic);
-    engine_->scan_on({.prefix = std::move(prefix)}, {}, std::move(done));
+    engine_->ask(table_scan_asked{{}, traffic, std::move(prefix)}, std::move(done));
 }
 
 void platform_client::list_instances(std::function<void(std::optional<std::vector<listed_instance>>)> done)
@@ -220,7 +311,7 @@
 platform_client::stats platform_client::read_stats() const
 {
     absl::MutexLock lock(&engine_->mutex);
-    return engine_->counts;
+    return engine_->table.stats(read_clock());
 }
 
 } // namespace skylarkhub
--- a/src/platform_wire.cpp
+++ b/src/platform_wire.cpp
@@ -1,5 +1,7 @@
 #include "platform_wire_p.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_replace.h>
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -12,9 +14,22 @@
 using json = nlohmann::json;
 
 constexpr char operation_end = ':';
+constexpr char replaced_begin = '@';
+constexpr char bar_begin = '!';
 constexpr std::array<std::pair<instance_role, const char*>, 3> role_names{
     {{instance_role::worker, "worker"}, {instance_role::entry, "entry"}, {instance_role::target, "target"}}};
 
+// Operation ids may come from callers; what has a meaning in front of a stored value is escaped.
+std::string escape_operation(const operation_id& operation)
+{
+    return absl::StrReplaceAll(operation.str(), {{"%", "%25"}, {":", "%3A"}, {"@", "%40"}, {"!", "%21"}});
+}
+
+operation_id unescape_operation(const std::string& text)
+{
+    return operation_id(absl::StrReplaceAll(text, {{"%25", "%"}, {"%3A", ":"}, {"%40", "@"}, {"%21", "!"}}));
+}
+
 std::string dump(const json& j)
 {
     return j.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -189,20 +204,60 @@
 
 } // namespace
 
-std::string stored_value(const operation_id& operation, const std::string& value)
+std::string stored_value(const operation_id& operation, std::optional<row_version> replaced, const std::string& value)
 {
-    return operation.str() + operation_end + value;
+    std::string front = escape_operation(operation);
+    if (replaced) {
+        front += replaced_begin + std::to_string(replaced->value());
+    }
+    return front + operation_end + value;
 }
 
-table_row unwrap_row(table_row stored)
+std::string stored_bar(const operation_id& operation)
+{
+    return bar_begin + escape_operation(operation);
+}
+
+stored_parts split_stored(const std::optional<std::string>& stored)
 {
-    if (!stored.value) {
-        return stored;
+    if (!stored || (!stored->empty() && stored->front() == bar_begin)) {
+        return {};
+    }
+    const auto end = stored->find(operation_end);
+    if (end == std::string::npos) {
+        return {.value = stored};
     }
-    const auto end = stored.value->find(operation_end);
-    if (end != std::string::npos) {
-        stored.operation = operation_id(std::string_view(*stored.value).substr(0, end));
-        stored.value->erase(0, end + 1);
+    const std::string front = stored->substr(0, end);
+    const auto replaced = front.find(replaced_begin);
+    stored_parts parts{unescape_operation(front.substr(0, replaced)), std::nullopt, stored->substr(end + 1)};
+    std::int64_t version = 0;
+    if (replaced != std::string::npos && absl::SimpleAtoi(front.substr(replaced + 1), &version)) {
+        parts.replaced = row_version(version);
+    }
+    return parts;
+}
+
+table_row unwrap_row(table_row stored)
+{
+    stored_parts parts = split_stored(stored.value);
+    stored.operation = std::move(parts.operation);
+    stored.value = std::move(parts.value);
+    return stored;
+}
+
+table_transaction wrap_transaction(const table_transaction& transaction)
+{
+    table_transaction stored = transaction;
+    for (table_write& write : stored.writes) {
+        std::optional<row_version> replaced;
+        for (const table_check& check : stored.checks) {
+            if (check.key == write.key) {
+                replaced = check.version;
+            }
+        }
+        if (write.value) {
+            write.value = stored_value(stored.operation, replaced, *write.value);
+        }
     }
     return stored;
 }
--- a/src/platform_wire_p.h
+++ b/src/platform_wire_p.h
@@ -11,13 +11,26 @@
 
 namespace skylarkhub {
 
-// A row as the table keeps it is a table_row whose value still carries what stands in front of it and whose operation
-// is empty. This is the value to store for `value` written by `operation`.
-std::string stored_value(const operation_id& operation, const std::string& value);
+// A row as the table keeps it is a table_row with the whole stored value and no operation. In front of what was written
+// stands who wrote it and, when the write was checked, which version it replaced: `OPERATION@REPLACED:` or
+// `OPERATION:`.
+// `!OPERATION` alone holds the place of an absent row against a delayed write of that operation (see platform_settle).
+std::string stored_value(const operation_id& operation, std::optional<row_version> replaced, const std::string& value);
+std::string stored_bar(const operation_id& operation);
+
+struct stored_parts {
+    operation_id operation;
+    std::optional<row_version> replaced;
+    std::optional<std::string> value; // empty: absent, or a place held
+};
+stored_parts split_stored(const std::optional<std::string>& stored);
 
-// Takes what stands in front of a stored value apart: fills `operation` and leaves the written value.
+// Fills `operation` and leaves the written value. A place held reads as absent, at a version other than 0.
 table_row unwrap_row(table_row stored);
 
+// The transaction as it is to be stored.
+table_transaction wrap_transaction(const table_transaction& transaction);
+
 std::string format_commit(const table_transaction& transaction); // values as stored
 std::optional<table_transaction> parse_commit(const std::string& json, std::string* last_reason);
 
