--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -86,7 +86,7 @@
 
     // Takes an ask. An answer given at once is handed to the timer's thread, for the asker may hold a lock that its
     // callback takes; from a callback of a closing client it is given here.
-    template <class Event> void ask(Event event, callback done)
+    template <class Event> void ask(Event event, callback&& done)
     {
         std::vector<finished> ended;
         {
--- a/src/platform_settle.cpp
+++ b/src/platform_settle.cpp
@@ -36,15 +36,6 @@
     return found == rows.end() ? nullptr : &*found;
 }
 
-std::vector<table_row> unwrap_rows(const std::vector<table_row>& stored)
-{
-    std::vector<table_row> rows;
-    for (const table_row& row : stored) {
-        rows.push_back(unwrap_row(row));
-    }
-    return rows;
-}
-
 } // namespace
 
 std::string check_settleable(const table_transaction& transaction)
--- a/src/platform_table.cpp
+++ b/src/platform_table.cpp
@@ -24,14 +24,6 @@
     return result.outcome == table_outcome::applied || result.outcome == table_outcome::conflict;
 }
 
-std::vector<table_row> unwrap_rows(std::vector<table_row> stored)
-{
-    for (table_row& row : stored) {
-        row = unwrap_row(std::move(row));
-    }
-    return stored;
-}
-
 } // namespace
 
 platform_table::platform_table(const platform_client::options& o, std::uint64_t seed)
@@ -125,7 +117,7 @@
         writes_.drain(now);
         reads_.drain(now);
     }
-    return std::move(found.mapped());
+    return found.mapped();
 }
 
 void platform_table::take(instant now, const table_commit_asked& e, std::vector<table_action>& actions)
--- a/src/platform_wire.cpp
+++ b/src/platform_wire.cpp
@@ -245,6 +245,14 @@
     return stored;
 }
 
+std::vector<table_row> unwrap_rows(std::vector<table_row> stored)
+{
+    for (table_row& row : stored) {
+        row = unwrap_row(std::move(row));
+    }
+    return stored;
+}
+
 table_transaction wrap_transaction(const table_transaction& transaction)
 {
     table_transaction stored = transaction;
--- a/src/platform_wire_p.h
+++ b/src/platform_wire_p.h
@@ -27,6 +27,7 @@
 
 // Fills `operation` and leaves the written value. A place held reads as absent, at a version other than 0.
 table_row unwrap_row(table_row stored);
+std::vector<table_row> unwrap_rows(std::vector<table_row> stored);
 
 // The transaction as it is to be stored.
 table_transaction wrap_transaction(const table_transaction& transaction);
