place: learn sizes, interference and blame; throttle, evict and quarantine by them

Cause: first fit by declared size overfills workers when sizes are wrong, puts noisy work beside tender services, and feeds workers that fail everything. Ruled out: one scan of all workers per task (its cost grows with both); learned means in place of high quantiles (the ledger would not cover what tasks use).

--- a/src/config.h
+++ b/src/config.h
@@ -32,7 +32,23 @@
 inline constexpr duration suspect_timeout = 2s;
 
 // --- placement ---
-inline constexpr double slowdown_limit = 1.5; // of a service whose kind names no other
+inline constexpr double slowdown_limit = 1.5;   // of a service whose kind names no other
+inline constexpr double size_prior_ratio = 1.0; // of use to declared size while nothing was measured
+inline constexpr double size_quantile = 0.95;   // of the tasks' peaks that a commitment covers
+inline constexpr double size_margin = 1.1;      // over a task's own measured peak
+inline constexpr duration size_settled = 60s;   // measured for so long, a task's own peak stands for it
+inline constexpr std::size_t size_families_most = 4096;
+inline constexpr duration blame_window = 10min; // evidence older than this counts no more
+inline constexpr double quarantine_share = 0.5; // most of a cell's workers that may be kept out
+inline constexpr duration quarantine_least = 30s;
+inline constexpr duration quarantine_most = 15min;
+inline constexpr duration probe_good_after = 2min;   // a probe that runs so long counts as good
+inline constexpr duration patient_ageing = 10min;    // patient work that waited so long counts as normal
+inline constexpr duration throttle_hold = 60s;       // after lowering a task, nothing on its worker is raised
+inline constexpr duration eviction_wait = 15s;       // for a stop to be confirmed before it is asked for again
+inline constexpr duration eviction_interval = 10min; // in which one eviction per worker may be spent on interference
+inline constexpr duration load_history = 3min;       // how far back a measurement may lie
+inline constexpr duration load_interval = 5s;        // between kept views of a worker's load
 
 // --- request path ---
 inline constexpr std::int64_t body_bytes_most = 1 << 20;
--- a/src/place_plan.cpp
+++ b/src/place_plan.cpp
@@ -1,15 +1,23 @@
-// First fit in queue order: urgent work first, then the longest waiting.
+// The public face of placement: what is learned goes to the books, a plan is one pass over a snapshot.
 #include <algorithm>
-#include <tuple>
 
-#include <absl/container/flat_hash_set.h>
-
-#include "place_p.h"
+#include "place_pass_p.h"
 
 namespace skylarkhub {
 
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration sweep_interval = 1min;
+constexpr duration task_memory = 10min;  // of tasks that are no longer seen
+constexpr duration effect_memory = 6h;   // of sites and families that are no longer measured
+constexpr duration throttle_trace = 10s; // a measurement so long after a throttle may still show it
+
+} // namespace
+
 struct placement::state {
-    place_settings settings;
+    detail::placement_memory memory;
 };
 
 placement::placement(place_settings settings) : state_(std::make_unique<state>())
@@ -22,73 +30,93 @@
 
 void placement::change_settings(place_settings settings)
 {
-    state_->settings = std::move(settings);
+    state_->memory.settings = std::move(settings);
 }
 
-void placement::learn_usage(instant, const task_id&, const job_spec&, const resources&) {}
-void placement::learn_interference(instant, const task_id&, const job_spec&, double,
-                                   const std::vector<const job_spec*>&)
-{}
-void placement::learn_end(instant, const task_id&, const job_spec&, const worker_id&, attempt_end, const std::string&)
-{}
+void placement::learn_usage(instant taken, const task_id& task, const job_spec& spec, const resources& used)
+{
+    detail::placement_memory& memory = state_->memory;
+    const auto seen = memory.throttled.find(task);
+    const bool throttled = seen != memory.throttled.end() && taken <= seen->second + throttle_trace;
+    memory.sizes.learn(taken, task, detail::size_key_of(spec), spec.declared, used, throttled);
+}
 
-bool placement::quarantined(const worker_id&, instant) const
+void placement::learn_interference(instant taken, const task_id& service_task, const job_spec& service, double slowdown,
+                                   const std::vector<const job_spec*>& neighbours)
 {
-    return false;
+    detail::placement_memory& memory = state_->memory;
+    memory.harm.learn(taken, detail::site_of(service_task), detail::size_key_of(service).family,
+                      detail::loads_at(memory, taken, service_task, neighbours), slowdown);
 }
 
-namespace {
+void placement::learn_end(instant now, const task_id& task, const job_spec&, const worker_id& worker, attempt_end end,
+                          const std::string& reason)
+{
+    state_->memory.blame.learn(now, task, worker, end, reason);
+}
 
-std::vector<const place_task*> queue_order(const std::vector<place_task>& tasks)
+bool placement::quarantined(const worker_id& worker, instant now) const
 {
-    std::vector<const place_task*> queue;
-    for (const place_task& task : tasks) {
-        if (!task.running && task.spec != nullptr) {
-            queue.push_back(&task);
-        }
-    }
-    std::sort(queue.begin(), queue.end(), [](const place_task* a, const place_task* b) {
-        const int urgency_a = -static_cast<int>(a->spec->urgency);
-        const int urgency_b = -static_cast<int>(b->spec->urgency);
-        return std::tie(urgency_a, a->queued_since, a->task) < std::tie(urgency_b, b->queued_since, b->task);
-    });
-    return queue;
+    const detail::worker_standing standing = state_->memory.blame.standing(worker, now);
+    return standing == detail::worker_standing::quarantined || standing == detail::worker_standing::probing;
 }
 
-bool fits_nowhere(const resources& need, const std::vector<place_worker>& workers)
+place_plan placement::plan(instant now, const std::vector<place_task>& tasks, const std::vector<place_worker>& workers)
 {
-    return !workers.empty() && std::none_of(workers.begin(), workers.end(),
-                                            [&](const place_worker& worker) { return fits(need, worker.capacity); });
+    detail::placement_memory& memory = state_->memory;
+    place_plan out = detail::placement_pass(memory, now, tasks, workers).run();
+    if (now >= memory.last_sweep + sweep_interval) {
+        detail::sweep(memory, now);
+    }
+    return out;
 }
 
-} // namespace
+namespace detail {
+
+void sweep(placement_memory& memory, instant now)
+{
+    memory.last_sweep = now;
+    memory.sizes.sweep(now, task_memory);
+    memory.harm.sweep(now, effect_memory);
+    memory.blame.sweep(now);
+    absl::erase_if(memory.past, [&](const auto& e) { return e.second.seen + task_memory < now; });
+    absl::erase_if(memory.sites, [&](const auto& e) { return e.second.seen + task_memory < now; });
+    absl::erase_if(memory.throttled, [&](const auto& e) { return e.second + task_memory < now; });
+    absl::erase_if(memory.evicting, [&](const auto& e) { return e.second.until < now; });
+    absl::erase_if(memory.evicted, [&](const auto& e) { return e.second + task_memory < now; });
+}
 
-place_plan placement::plan(instant, const std::vector<place_task>& tasks, const std::vector<place_worker>& workers)
+place_plan placement_pass::run()
 {
-    place_plan out;
-    std::vector<resources> room;
-    room.reserve(workers.size());
-    for (const place_worker& worker : workers) {
-        room.push_back(worker.capacity - worker.committed);
+    searches_left_ = std::max(64, static_cast<int>(workers_.size() / 8));
+    resize_running();
+    for (std::uint32_t worker = 0; worker < workers_.size(); ++worker) {
+        relieve_memory(worker);
+        relieve_processors(worker);
     }
-    absl::flat_hash_set<job_id> parked;
-    for (const place_task* task : queue_order(tasks)) {
-        const resources need = task->spec->declared;
-        if (fits_nowhere(need, workers)) {
-            if (parked.insert(task->task.job).second) {
-                out.parks.push_back({task->task.job, "declared size exceeds every worker"});
-            }
-            continue;
-        }
-        for (std::size_t i = 0; i < workers.size(); ++i) {
-            if (workers[i].usable && fits(need, room[i])) {
-                room[i] = room[i] - need;
-                out.starts.push_back({task->task, workers[i].worker, need});
-                break;
-            }
-        }
+    queue_groups();
+    hold_reservations();
+    start_probes();
+    for (const queue_rank rank : {queue_rank::first, queue_rank::normal, queue_rank::patient}) {
+        start_rank(rank);
     }
-    return out;
+    tell_throttles();
+    forget_parked();
+    return std::move(plan_);
 }
 
+// A parked job that left the queue and comes back was put back by an operator: it starts with a clean record.
+void placement_pass::forget_parked()
+{
+    absl::erase_if(memory_.parked, [&](const auto& entry) {
+        if (entry.second == now_) {
+            return false;
+        }
+        memory_.blame.forget_job(entry.first);
+        return true;
+    });
+}
+
+} // namespace detail
+
 } // namespace skylarkhub
--- /dev/null
+++ b/src/place_queue.cpp
@@ -0,0 +1,320 @@
+// What waits: parking, fair order over teams, starts.
+#include <algorithm>
+#include <limits>
+#include <queue>
+
+#include <fmt/format.h>
+
+#include "place_pass_p.h"
+
+namespace skylarkhub::detail {
+
+namespace {
+
+// Expected harm, in missed limits, that a whole worker's worth of such work may do to the services beside it.
+constexpr double harm_for_normal = 0.10;
+constexpr double harm_for_patient = 0.05;
+constexpr double no_bound = std::numeric_limits<double>::infinity();
+
+resources least_of(const resources& a, const resources& b)
+{
+    return {std::min(a.cpu_millis, b.cpu_millis), std::min(a.memory_mib, b.memory_mib),
+            std::min(a.accelerators, b.accelerators)};
+}
+
+// A quota of 0 is no limit in that dimension.
+bool within(std::int64_t amount, std::int64_t quota)
+{
+    return quota <= 0 || amount <= quota;
+}
+
+double harm_bound(queue_rank rank)
+{
+    switch (rank) {
+    case queue_rank::first:
+        return no_bound;
+    case queue_rank::normal:
+        return harm_for_normal;
+    case queue_rank::patient:
+        return harm_for_patient;
+    }
+    return no_bound;
+}
+
+} // namespace
+
+queue_rank placement_pass::rank_of(const spec_view& spec) const
+{
+    const place_task& oldest = *tasks_[spec.queued.front()].task;
+    if (spec.spec->urgency == urgency::urgent || spec.spec->is_service || oldest.latency_critical) {
+        return queue_rank::first;
+    }
+    const bool aged = oldest.queued_since + config::patient_ageing <= now_;
+    return spec.spec->urgency == urgency::patient && !aged ? queue_rank::patient : queue_rank::normal;
+}
+
+bool placement_pass::within_quota(const team_view& team, const resources& need) const
+{
+    const resources sum = team.committed + need;
+    return within(sum.cpu_millis, team.quota.cpu_millis) && within(sum.memory_mib, team.quota.memory_mib) &&
+           within(sum.accelerators, team.quota.accelerators);
+}
+
+// The team's largest share of any one resource over the share it is owed: the team that is furthest behind goes next.
+double placement_pass::share_used(const team_view& team) const
+{
+    const auto part = [](std::int64_t used, std::int64_t total) {
+        return total > 0 ? static_cast<double>(used) / static_cast<double>(total) : 0.0;
+    };
+    const double most = std::max({part(team.batch.cpu_millis, total_capacity_.cpu_millis),
+                                  part(team.batch.memory_mib, total_capacity_.memory_mib),
+                                  part(team.batch.accelerators, total_capacity_.accelerators)});
+    return most / team.share;
+}
+
+// Limits the need to the largest worker that holds the declared size; empty when the work may run.
+std::optional<std::string> placement_pass::limit_need(spec_view& spec) const
+{
+    const resources smallest = least_of(spec.need, spec.spec->declared);
+    const resources* largest = nullptr;
+    for (const seen_capacity& c : memory_.capacities) {
+        if (fits(smallest, c.capacity) && (largest == nullptr || largest->memory_mib < c.capacity.memory_mib)) {
+            largest = &c.capacity;
+        }
+    }
+    if (largest == nullptr) {
+        if (memory_.capacities.empty()) {
+            return std::nullopt;
+        }
+        return fmt::format("declared size of {} cpu millis, {} MiB, {} accelerators exceeds every worker",
+                           spec.spec->declared.cpu_millis, spec.spec->declared.memory_mib,
+                           spec.spec->declared.accelerators);
+    }
+    spec.need = least_of(spec.need, *largest);
+    team_view none;
+    none.quota = teams_[spec.team].quota;
+    if (!within_quota(none, smallest)) {
+        return fmt::format("declared size exceeds the quota of team {}", spec.spec->team.str());
+    }
+    return std::nullopt;
+}
+
+void placement_pass::park(const job_id& job, const std::string& reason)
+{
+    memory_.parked[job] = now_;
+    plan_.parks.push_back({job, reason});
+}
+
+// Takes out of the group what must not start now; parks the jobs of which nothing is left that could ever run.
+void placement_pass::drop_unfit(spec_view& spec)
+{
+    const std::optional<std::string> never = limit_need(spec);
+    std::vector<std::uint32_t> fit;
+    fit.reserve(spec.queued.size());
+    const job_id* job = nullptr;
+    std::optional<std::string> reason;
+    bool on_record = false;
+    std::optional<std::string> exhausted;
+    for (const std::uint32_t index : spec.queued) {
+        const place_task& task = *tasks_[index].task;
+        if (job == nullptr || *job != task.task.job) {
+            job = &task.task.job;
+            on_record = memory_.blame.on_record(*job);
+            reason = never ? never : on_record ? memory_.blame.job_reason(*job, now_) : std::nullopt;
+            if (reason) {
+                park(*job, *reason);
+            }
+        }
+        if (reason || (on_record && memory_.blame.not_before(task.task) > now_)) {
+            continue;
+        }
+        if (on_record) {
+            if (auto why = memory_.blame.task_reason(task.task, spec.spec->attempt_limit)) {
+                exhausted = std::move(why);
+                continue;
+            }
+        }
+        fit.push_back(index);
+    }
+    if (exhausted && fit.empty() && spec.running == 0) {
+        park(*job, *exhausted);
+    }
+    spec.queued = std::move(fit);
+}
+
+void placement_pass::queue_groups()
+{
+    const auto longer_waiting = [&](std::uint32_t a, std::uint32_t b) {
+        const place_task& x = *tasks_[a].task;
+        const place_task& y = *tasks_[b].task;
+        return x.queued_since != y.queued_since ? x.queued_since < y.queued_since : a < b;
+    };
+    for (std::uint32_t index = 0; index < specs_.size(); ++index) {
+        spec_view& spec = specs_[index];
+        if (spec.queued.empty()) {
+            continue;
+        }
+        drop_unfit(spec);
+        if (spec.queued.empty()) {
+            continue;
+        }
+        std::sort(spec.queued.begin(), spec.queued.end(), longer_waiting);
+        const queue_rank rank = rank_of(spec);
+        teams_[spec.team].groups[static_cast<std::size_t>(rank)].push_back(index);
+        // Taken from the back from now on.
+        std::reverse(spec.queued.begin(), spec.queued.end());
+    }
+    for (team_view& team : teams_) {
+        for (auto& groups : team.groups) {
+            std::sort(groups.begin(), groups.end(), [&](std::uint32_t a, std::uint32_t b) {
+                return longer_waiting(specs_[b].queued.back(), specs_[a].queued.back());
+            });
+        }
+    }
+}
+
+// Room that is being made for a task is nobody else's meanwhile.
+void placement_pass::hold_reservations()
+{
+    absl::erase_if(memory_.reserved, [&](const auto& entry) { return entry.second.until <= now_; });
+    for (const auto& [task, held] : memory_.reserved) {
+        const auto where = worker_index_.find(held.worker);
+        if (where != worker_index_.end()) {
+            rooms_.set_room(where->second, rooms_.room(where->second) - held.need);
+        }
+    }
+}
+
+// A worker comes back from quarantine only after one task, of work that may fail without harm, has shown that it can.
+void placement_pass::start_probes()
+{
+    for (std::uint32_t index = 0; index < workers_.size(); ++index) {
+        const worker_view& worker = workers_[index];
+        if (worker.standing != worker_standing::probing || !worker.worker->usable) {
+            continue;
+        }
+        for (const std::uint32_t running : worker.batch) {
+            const duration age = tasks_[running].task->run_so_far;
+            if (age >= config::probe_good_after) {
+                memory_.blame.probe_survived(now_ - age, worker.worker->worker);
+            }
+        }
+        if (worker.batch.empty()) {
+            start_probe(index);
+        }
+    }
+}
+
+void placement_pass::start_probe(std::uint32_t worker)
+{
+    const resources room = workers_[worker].room;
+    for (team_view& team : teams_) {
+        for (const queue_rank rank : {queue_rank::patient, queue_rank::normal}) {
+            for (const std::uint32_t group : team.groups[static_cast<std::size_t>(rank)]) {
+                spec_view& spec = specs_[group];
+                if (spec.queued.empty() || !risks_nothing(*spec.spec) || !fits(spec.need, room) ||
+                    !within_quota(team, spec.need)) {
+                    continue;
+                }
+                start_on(spec.queued.back(), worker);
+                spec.queued.pop_back();
+                return;
+            }
+        }
+    }
+}
+
+bool placement_pass::risks_nothing(const job_spec& spec) const
+{
+    const auto& kinds = memory_.settings.kinds;
+    const auto kind = std::find_if(kinds.begin(), kinds.end(), [&](const work_kind& k) { return k.id == spec.kind; });
+    return kind == kinds.end() || (kind->idempotent && !kind->billed);
+}
+
+void placement_pass::start_rank(queue_rank rank)
+{
+    using turn = std::pair<double, std::uint32_t>;
+    std::priority_queue<turn, std::vector<turn>, std::greater<>> turns;
+    for (std::uint32_t team = 0; team < teams_.size(); ++team) {
+        if (!teams_[team].groups[static_cast<std::size_t>(rank)].empty()) {
+            turns.emplace(share_used(teams_[team]), team);
+        }
+    }
+    while (!turns.empty()) {
+        const std::uint32_t team = turns.top().second;
+        turns.pop();
+        auto& groups = teams_[team].groups[static_cast<std::size_t>(rank)];
+        if (!start_next(groups.back(), rank)) {
+            groups.pop_back();
+        }
+        if (!groups.empty()) {
+            turns.emplace(share_used(teams_[team]), team);
+        }
+    }
+}
+
+// False when nothing more of the group can start in this plan.
+bool placement_pass::start_next(std::uint32_t group, queue_rank rank)
+{
+    spec_view& spec = specs_[group];
+    if (spec.queued.empty() || !within_quota(teams_[spec.team], spec.need)) {
+        return false;
+    }
+    const std::uint32_t task = spec.queued.back();
+    if (start_reserved(task)) {
+        spec.queued.pop_back();
+        return true;
+    }
+    const std::optional<std::uint32_t> worker = choose(task, harm_bound(rank));
+    if (worker) {
+        start_on(task, *worker);
+    }
+    else if (rank != queue_rank::first || !make_room(task)) {
+        return false;
+    }
+    spec.queued.pop_back();
+    return true;
+}
+
+// True when room is held for the task: it starts there as soon as it fits, and waits until then.
+bool placement_pass::start_reserved(std::uint32_t task)
+{
+    const auto held = memory_.reserved.find(tasks_[task].task->task);
+    if (held == memory_.reserved.end()) {
+        return false;
+    }
+    const auto where = worker_index_.find(held->second.worker);
+    if (where == worker_index_.end() || !workers_[where->second].worker->usable) {
+        memory_.reserved.erase(held);
+        return false;
+    }
+    const resources with_held = rooms_.room(where->second) + held->second.need;
+    if (fits(specs_[tasks_[task].spec].need, with_held)) {
+        rooms_.set_room(where->second, with_held);
+        memory_.reserved.erase(held);
+        start_on(task, where->second);
+    }
+    return true;
+}
+
+void placement_pass::start_on(std::uint32_t index, std::uint32_t worker)
+{
+    const task_view& task = tasks_[index];
+    const spec_view& spec = specs_[task.spec];
+    worker_view& view = workers_[worker];
+    plan_.starts.push_back({task.task->task, view.worker->worker, spec.need});
+    take_room(worker, spec.need);
+    team_view& team = teams_[spec.team];
+    team.committed = team.committed + spec.need;
+    view.untried = true;
+    if (spec.spec->is_service) {
+        service_counts_[service_count_key(spec.size.family, worker, false)] += 1;
+        service_counts_[service_count_key(spec.size.family, view.rack, true)] += 1;
+        view.cpu_load += spec.cpu;
+        return;
+    }
+    team.batch = team.batch + spec.need;
+    add_load(worker, spec, spec.cpu);
+}
+
+} // namespace skylarkhub::detail
