http: a server closes the connections above its limit

Cause: libmicrohttpd takes its listener out of epoll at its limit and splits that limit over its threads. Ruled out: a smaller backlog, since the kernel rounds it up and still accepts for the process. Now the accept policy counts connections over all threads and refuses at the limit; the library's own is never reached.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -21,6 +21,8 @@
 
 namespace {
 
+constexpr unsigned connections_spare = 16; // of the library's own limit, which is never to be reached
+
 std::optional<sockaddr_in> parse_address(const std::string& text)
 {
     const auto colon = text.rfind(':');
@@ -104,10 +106,29 @@
     MHD_Daemon* daemon = nullptr;
     net_address bound;
     std::atomic<std::int64_t> in_flight{0};
+    std::atomic<std::int64_t> connections{0};
     std::atomic<bool> accepting{true};
     absl::Mutex mutex;
     absl::flat_hash_set<std::shared_ptr<exchange>> open ABSL_GUARDED_BY(mutex);
 
+    // libmicrohttpd's own limit leaves what is above it waiting unanswered in the backlog, and splits it over the
+    // threads; a caller is better off with a closed connection, which it sees at once.
+    static MHD_Result on_accept(void* context, const sockaddr* address, socklen_t size)
+    {
+        static_cast<void>(address);
+        static_cast<void>(size);
+        const auto& self = *static_cast<engine*>(context);
+        return self.connections.load() < static_cast<std::int64_t>(self.o.connections_most) ? MHD_YES : MHD_NO;
+    }
+
+    static void on_connection(void* context, MHD_Connection* connection, void** slot,
+                              MHD_ConnectionNotificationCode code)
+    {
+        static_cast<void>(connection);
+        static_cast<void>(slot);
+        static_cast<engine*>(context)->connections.fetch_add(code == MHD_CONNECTION_NOTIFY_STARTED ? 1 : -1);
+    }
+
     static MHD_Result on_access(void* context, MHD_Connection* connection, const char* url, const char* method,
                                 const char* version, const char* data, std::size_t* size, void** slot)
     {
@@ -224,13 +245,14 @@
     auto e = std::make_unique<engine>();
     e->o = o;
     e->handler = std::move(handler);
+    const unsigned library_limit = (o.connections_most + connections_spare) * o.threads;
     const unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
-    e->daemon =
-        MHD_start_daemon(flags, 0, nullptr, nullptr, &engine::on_access, e.get(), MHD_OPTION_SOCK_ADDR, &*address,
-                         MHD_OPTION_THREAD_POOL_SIZE, o.threads, MHD_OPTION_CONNECTION_LIMIT,
-                         std::max(o.connections_most, o.threads), MHD_OPTION_CONNECTION_TIMEOUT, o.idle_seconds,
-                         MHD_OPTION_THREAD_STACK_SIZE, config::thread_stack_bytes, MHD_OPTION_LISTENING_ADDRESS_REUSE,
-                         1U, MHD_OPTION_NOTIFY_COMPLETED, &engine::on_completed, e.get(), MHD_OPTION_END);
+    e->daemon = MHD_start_daemon(
+        flags, 0, &engine::on_accept, e.get(), &engine::on_access, e.get(), MHD_OPTION_SOCK_ADDR, &*address,
+        MHD_OPTION_THREAD_POOL_SIZE, o.threads, MHD_OPTION_CONNECTION_LIMIT, library_limit,
+        MHD_OPTION_NOTIFY_CONNECTION, &engine::on_connection, e.get(), MHD_OPTION_CONNECTION_TIMEOUT, o.idle_seconds,
+        MHD_OPTION_THREAD_STACK_SIZE, config::thread_stack_bytes, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+        MHD_OPTION_NOTIFY_COMPLETED, &engine::on_completed, e.get(), MHD_OPTION_END);
     if (e->daemon == nullptr) {
         *last_reason = "cannot listen on " + o.address.str() + ": " + std::strerror(errno);
         return nullptr;
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -102,3 +102,36 @@
     BOOST_TEST(!result.answered);
     BOOST_TEST(!result.reason.empty());
 }
+
+// A server that is full closes what comes beyond its limit. Left waiting in the backlog, the caller would learn nothing
+// until its time is over, while another server has room.
+BOOST_AUTO_TEST_CASE(a_connection_above_the_limit_is_closed_at_once)
+{
+    std::string reason;
+    absl::Mutex mutex;
+    std::vector<http_reply> held;
+    const auto hold = [&](const http_request&, const http_reply& reply) {
+        absl::MutexLock lock(&mutex);
+        held.push_back(reply);
+    };
+    const auto server =
+        http_server::start({.address = net_address("127.0.0.1:0"), .connections_most = 2}, hold, &reason);
+    BOOST_REQUIRE_MESSAGE(server, reason);
+    http_client client;
+    absl::BlockingCounter left(2);
+    for (int i = 0; i < 2; ++i) {
+        client.send(post(*server, "x"), [&](const http_result&) { left.DecrementCount(); });
+    }
+    const auto both_held = [&] { return held.size() == 2; };
+    mutex.LockWhen(absl::Condition(&both_held));
+    mutex.Unlock();
+    auto third = post(*server, "x");
+    third.timeout = std::chrono::hours(1);
+    BOOST_TEST(!client.call(third).answered);
+    absl::MutexLock lock(&mutex);
+    BOOST_TEST(held.size() == 2U);
+    for (const http_reply& reply : held) {
+        reply({});
+    }
+    left.Wait();
+}
