cell: five faults that the fault matrix found

A job started straight from its inbox row by an owner that died before its next commit was unknown to the next owner, which stopped its tasks while it started them elsewhere, and forgot and ran again what had finished: inventories are now judged only once the inbox is read too. A cancellation read before the job it names was dropped: submissions are folded first. A failed task was never tried again when placement ran before its worker had forgotten the old attempt. A service start to an unreachable worker was ordered for ever next to its replacement, and a replaced service ran on. A task evicted before its start had left stayed in the ledger for ever.

--- a/src/cell_inbox.cpp
+++ b/src/cell_inbox.cpp
@@ -1,5 +1,7 @@
 // Instructions that entries leave for the owner. Each is durable and bound to this cell from the moment it is written,
 // so it may be acted on as soon as it is read; the next commit folds it into the job rows and removes it.
+#include <algorithm>
+
 #include "cell_state_p.h"
 #include "row_codec_p.h"
 #include "row_keys_p.h"
@@ -71,21 +73,31 @@
         return;
     }
     const bool first_scan = !s.inbox_read;
+    std::vector<wire::inbox_row> fresh;
     for (const table_row& row : event.scan.rows) {
         const bool done = s.inbox_folded.contains(row.key) || s.inbox_removed.contains(row.key) ||
                           s.inbox_removed_before.contains(row.key);
         if (done || !row.value) {
             continue;
         }
-        const auto decoded = decode_row<wire::inbox_row>(*row.value);
+        auto decoded = decode_row<wire::inbox_row>(*row.value);
         if (!decoded) {
             keep_unreadable(s, row.key);
             continue;
         }
-        fold(s, *decoded, first_scan);
+        fresh.push_back(std::move(*decoded));
         s.inbox_folded.insert(row.key);
     }
+    // The rows come in the order of their keys. A cancellation that is met before the job it names would be dropped,
+    // and the job would run on although its caller was told that it is cancelled.
+    std::stable_partition(fresh.begin(), fresh.end(), [](const wire::inbox_row& row) { return row.__isset.submit; });
+    for (const wire::inbox_row& row : fresh) {
+        fold(s, row, first_scan);
+    }
     s.inbox_read = true;
+    if (first_scan) {
+        take_unread_reports(s);
+    }
     check_accounted(s);
 }
 
--- a/src/cell_jobs.cpp
+++ b/src/cell_jobs.cpp
@@ -96,7 +96,6 @@
     }
     s.jobs_read = true;
     s.next_inbox_read = s.now;
-    take_unread_reports(s);
     s.place_wanted = true;
 }
 
--- a/src/cell_report.cpp
+++ b/src/cell_report.cpp
@@ -128,6 +128,17 @@
     note_end(s, worker, task.task, task.attempt);
 }
 
+// A service whose worker could not be reached was started again elsewhere. Left alone, the first would be renewed for
+// ever: room nobody counts on, and one service too many.
+void stop_unbound(cell_state& s, ledger_entry& entry)
+{
+    if (entry.stage != entry_stage::running) {
+        return;
+    }
+    entry.stage = entry.persistent ? entry_stage::draining : entry_stage::stopping;
+    entry.stop_at = s.now + config::service_grace;
+}
+
 void take_running(cell_state& s, const worker_report& report, ledger_entry& entry, const task_report& task)
 {
     if (entry.stage == entry_stage::starting) {
@@ -142,6 +153,7 @@
     job->note_checkpoint(task.task.index, task.checkpoint, task.checkpoint_progress);
     task_run* const run = job->run(task.task.index);
     if (run == nullptr || run->attempt != task.attempt) {
+        stop_unbound(s, entry);
         return;
     }
     run->reported = true;
@@ -216,6 +228,9 @@
             absent.push_back(entry);
         }
     }
+    // Also an ended entry stood in the way: its worker takes no new attempt of the task before it has forgotten this
+    // one.
+    s.place_wanted = s.place_wanted || !absent.empty();
     for (const ledger_entry& entry : absent) {
         worker.ledger.remove(entry.task, entry.attempt);
         job_record* const job = find_job(s, entry.task.job);
@@ -233,7 +248,6 @@
         }
         touch(s, *job);
         end_if_done(s, *job);
-        s.place_wanted = true;
     }
 }
 
@@ -277,7 +291,9 @@
         worker.leaving = report.leaving;
         s.place_wanted = true;
     }
-    if (!s.jobs_read) {
+    // A job may have been started straight from its inbox row by an owner that died before its next commit: judged by
+    // the job rows alone, its running tasks would be stopped as unknown and its finished ones forgotten and run again.
+    if (!s.jobs_read || !s.inbox_read) {
         worker.unread = report;
         worker.unread_sequence = sequence;
         return;
--- a/src/cell_workers.cpp
+++ b/src/cell_workers.cpp
@@ -85,6 +85,11 @@
             add_running(s, worker, entry, request);
             break;
         case entry_stage::stopping:
+            // Its start may never have left. The answer to this request then shows that it is not there, which is proof
+            // as good as for a start that was sent; without a number here the entry would stay for ever.
+            if (entry.first_sent.value() == 0) {
+                entry.first_sent = request.sequence;
+            }
             request.commands.emplace_back(task_stop{entry.task, entry.attempt});
             break;
         case entry_stage::ended:
@@ -135,9 +140,15 @@
 // A service keeps its place on an unreachable worker, and another is started in its stead: it need not be alone.
 void replace_services(cell_state& s, const worker_id& id, cell_worker& worker)
 {
-    for (const ledger_entry& entry : worker.ledger.entries()) {
-        if (entry.stage != entry_stage::ended && entry.persistent) {
-            release_lapsed(s, id, entry);
+    for (ledger_entry& entry : worker.ledger.entries()) {
+        if (entry.stage == entry_stage::ended || !entry.persistent) {
+            continue;
+        }
+        release_lapsed(s, id, entry);
+        // It may have begun unseen, so it keeps its room; but its start must not be ordered again next to the other
+        // one.
+        if (entry.stage == entry_stage::starting) {
+            entry.stage = entry_stage::stopping;
         }
     }
 }
