member: membership by probes, suspicion and news carried on them

Pure decisions: round robin over a shuffled order, relays in different data centres, a suspect is asked again by whoever suspects it, news newest first with limited sends, dead ones remembered for 2 h and asked now and then. Weighed: the platform's list as the source of death (it lags and stops with the platform: rejected, it only adds); a death declared at once after the relays (a frozen entry could not clear itself: rejected).

--- a/src/config.h
+++ b/src/config.h
@@ -30,6 +30,14 @@
 inline constexpr duration probe_timeout = 300ms;
 inline constexpr int probe_relays = 2;
 inline constexpr duration suspect_timeout = 2s;
+inline constexpr int news_per_message = 8;        // changes carried by one probe or answer
+inline constexpr int news_sends_factor = 3;       // a change is sent this often for each doubling of the members
+inline constexpr int probe_suspects_most = 2;     // suspects asked again in each interval
+inline constexpr int probe_dead_every = 4;        // intervals between two questions to members held for dead
+inline constexpr int leave_probes = 3;            // members told at once of a planned stop
+inline constexpr duration contact_lately = 10s;   // a data centre without an answer for so long is not reachable
+inline constexpr duration dead_memory = 2h;       // regions lose each other for an hour now and then
+inline constexpr std::size_t members_most = 2048; // live and remembered together
 
 // --- between entries ---
 inline constexpr std::int64_t peer_message_bytes_most = 1 << 20; // both ways; a larger one is refused unread
--- a/src/member_p.h
+++ b/src/member_p.h
@@ -2,8 +2,6 @@
 // grow, suspicion before death, news carried on the probes. No agreement is needed: ownership is settled by the table.
 #pragma once
 
-#include <absl/random/random.h>
-
 #include <memory>
 #include <string>
 #include <vector>
@@ -31,7 +29,9 @@
     duration probe_timeout = config::probe_timeout;
     duration suspect_timeout = config::suspect_timeout;
     int relays = config::probe_relays;
-    int news_per_message = 8;
+    int news_per_message = config::news_per_message;
+    duration contact_lately = config::contact_lately;
+    duration dead_memory = config::dead_memory;
 };
 
 struct member_tick {};
@@ -62,6 +62,8 @@
 };
 using member_action = std::variant<send_probe, member_changed>;
 
+// Decides, and never speaks: the caller sends the probes, ends each with member_probe_ended after probe_timeout (twice
+// that for a relayed one), and calls with member_tick several times within each probe_interval.
 class membership {
 public:
     membership(member self, member_settings settings, std::uint64_t seed);
@@ -69,14 +71,16 @@
 
     void decide(instant now, const member_event& event, std::vector<member_action>& actions);
 
-    // News to answer a probe with.
+    // News to answer a probe with; this entry itself comes first, so that every answer shows its newest version.
     std::vector<member> news();
 
     const member& self() const;
+    // Told with the next probes; no change of state.
     void set_settings_version(settings_version version);
-    std::vector<member> members() const; // sorted by incarnation, this entry included
+    std::vector<member> members() const; // sorted by incarnation, this entry and remembered dead ones included
     std::vector<incarnation_id> live_in(const data_centre_id& data_centre) const; // live and suspect, sorted
-    bool reachable(const data_centre_id& data_centre, instant now) const;         // some member there answered lately
+    bool reachable(const data_centre_id& data_centre,
+                   instant now) const; // a member there answered this entry's own probe lately
 
 private:
     struct state;
