--- a/src/cell_inbox.cpp
+++ b/src/cell_inbox.cpp
@@ -1,5 +1,7 @@
 // Instructions that entries leave for the owner. Each is durable and bound to this cell from the moment it is written,
 // so it may be acted on as soon as it is read; the next commit folds it into the job rows and removes it.
+#include <algorithm>
+
 #include "cell_state_p.h"
 #include "row_codec_p.h"
 #include "row_keys_p.h"
@@ -99,10 +101,13 @@
         s.next_inbox_read = s.now + config::commit_retry;
         return;
     }
+    const bool first_scan = !s.inbox_read;
     const std::vector<inbox_item> items = read_items(s, event.scan.rows);
+    // Submits first: the rows come in the order of their keys, and a cancel met before the job it names would be
+    // dropped.
     for (const inbox_item& item : items) {
         if (item.row && item.row->__isset.submit) {
-            submit_job(s, item.row->submit, !s.inbox_read);
+            submit_job(s, item.row->submit, first_scan);
         }
     }
     for (const inbox_item& item : items) {
@@ -115,6 +120,9 @@
         }
     }
     s.inbox_read = true;
+    if (first_scan) {
+        take_unread_reports(s);
+    }
     check_accounted(s);
 }
 
--- a/src/cell_ledger_p.h
+++ b/src/cell_ledger_p.h
@@ -19,7 +19,8 @@
     entry_stage stage = entry_stage::starting;
     sequence_number first_sent; // of the request that first carried its start; 0 while none has
     bool persistent = false;
-    bool forget = false;            // ended and its outcome durable
+    bool forget = false; // ended and its outcome durable
+    bool stop_sent = false;
     bool seen = false;              // an inventory has shown it
     bool checkpoint_wanted = false; // until a request that orders one was taken in
     sequence_number checkpoint_sent;
--- a/src/cell_report.cpp
+++ b/src/cell_report.cpp
@@ -143,7 +143,8 @@
 {
     const task_past* const past = job.past(task.task.index);
     const bool newest = past == nullptr || task.attempt >= past->attempt;
-    if (newest && job.phase(task.task.index) == task_phase::queued && !job.cancelling()) {
+    if (newest && !entry.stop_sent && job.phase(task.task.index) == task_phase::queued && !job.cancelling()) {
+        entry.stage = entry_stage::running;
         bind_adopted(s, worker, job, task);
         return;
     }
@@ -204,9 +205,14 @@
 }
 
 // True when the inventory's attempt is the one the task should be bound to. One that runs beats what is recorded about
-// it; one that has ended counts only if its end is not recorded yet.
+// it; one that has ended counts only if its end is not recorded yet. Of two that run, as a service may after its worker
+// was silent, the newer is kept.
 bool is_current(const job_record& job, const task_report& task)
 {
+    const auto run = job.runs().find(task.task.index);
+    if (run != job.runs().end() && task.state == task_state::running) {
+        return task.attempt > run->second.attempt;
+    }
     if (job.phase(task.task.index) != task_phase::queued) {
         return false;
     }
@@ -226,7 +232,7 @@
     entry.task = task.task;
     entry.attempt = task.attempt;
     entry.committed = held_for(job, task);
-    entry.stage = entry_stage::stopping;
+    entry.stage = entry_stage::running; // until take_running() finds it unbound
     entry.first_sent = worker.sequence;
     entry.seen = true;
     entry.throttle_wanted = task.throttle;
@@ -238,6 +244,9 @@
         s.stats.adopted += task.state == task_state::running ? 1 : 0;
         entry.stage = job->cancelling() ? entry_stage::stopping : entry_stage::running;
     }
+    else if (!known) {
+        entry.stage = entry_stage::stopping;
+    }
     return worker.ledger.add(std::move(entry));
 }
 
@@ -256,6 +265,9 @@
             absent.push_back(entry);
         }
     }
+    // Also an ended entry stood in the way: its worker takes no new attempt of the task before it has forgotten this
+    // one.
+    s.place_wanted = s.place_wanted || !absent.empty();
     for (const ledger_entry& entry : absent) {
         worker.ledger.remove(entry.task, entry.attempt);
         job_record* const job = find_job(s, entry.task.job);
@@ -273,7 +285,6 @@
         }
         touch(s, *job);
         end_if_done(s, *job);
-        s.place_wanted = true;
     }
 }
 
@@ -330,7 +341,9 @@
         worker.leaving = report.leaving;
         s.place_wanted = true;
     }
-    if (!s.jobs_read) {
+    // A job may have been started straight from its inbox row by an owner that died before its next commit: judged by
+    // the job rows alone, its running tasks would be stopped as unknown and its finished ones forgotten and run again.
+    if (!s.jobs_read || !s.inbox_read) {
         worker.unread = report;
         worker.unread_sequence = sequence;
         return;
