--- a/src/platform_budget.cpp
+++ b/src/platform_budget.cpp
@@ -55,9 +55,8 @@
 {
     fill(now);
     const auto kind = static_cast<std::size_t>(traffic);
-    if (common_ <= common_most_ * shares[kind].left_to_rest) {
-        own_[kind] -= cost;
-    }
+    const double covered = std::clamp(common_ - common_most_ * shares[kind].left_to_rest, 0.0, cost);
+    own_[kind] -= cost - covered;
     common_ -= cost;
 }
 
--- a/src/platform_budget_p.h
+++ b/src/platform_budget_p.h
@@ -19,7 +19,8 @@
     table_budget(double per_second, duration burst);
 
     bool admits(instant now, table_traffic traffic);
-    // Cost in rows; a call dearer than the whole burst is let in and paid off afterwards.
+    // Cost in rows. A call dearer than what is left is let in and paid off afterwards: what the common store does not
+    // cover comes out of the kind's own share, so that its next call waits.
     void spend(instant now, table_traffic traffic, double cost);
     // Until `traffic` is let in when nothing else is spent meanwhile.
     duration wait(instant now, table_traffic traffic);
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -181,6 +181,38 @@
     BOOST_TEST(p.client->read_stats().unknown == 1);
 }
 
+// Over the wire: the first copy's answer is lost at once and its effect comes a second later; the client reads the old
+// row, sends again and is answered. The late copy then meets a moved row.
+BOOST_AUTO_TEST_CASE(a_settled_commit_outlives_a_delayed_write)
+{
+    platform_pair p;
+    p.service->change_switches({.delay_commits_ms = 1000});
+    const auto result = p.wait_for<table_result>(
+        [&](auto done) { p.client->commit_settled(table_traffic::work, transaction("op-1", "k", 0, "v"), 5s, done); });
+    BOOST_TEST((result.outcome == table_outcome::applied));
+    BOOST_TEST(result.rows.at(0).version == p.read("k")->version);
+    BOOST_TEST(p.service->read_counters().transactions == 1);
+}
+
+// The client goes away while a caller waits for a slow table, and the caller asks again from within its callback: both
+// answers come, and the first one is not "refused".
+BOOST_AUTO_TEST_CASE(a_stopping_client_answers_whoever_waits)
+{
+    platform_pair p;
+    p.service->change_switches({.table_delay_ms = 300});
+    std::optional<table_result> first;
+    std::optional<std::optional<table_row>> second;
+    platform_client* const client = p.client.get();
+    client->commit(table_traffic::work, transaction("op-1", "k", 0, "v"), [&](const table_result& r) {
+        first = r;
+        client->read(table_traffic::work, "k", [&](const auto& row) { second = row; });
+    });
+    p.client.reset();
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST((first->outcome == table_outcome::unknown));
+    BOOST_TEST(second.has_value());
+}
+
 // The table says it is down, or nothing listens at all: the write had no effect and never will.
 BOOST_AUTO_TEST_CASE(a_table_that_is_down_refuses)
 {
