platform: settled commits wait for the budget in the order they were asked for

Cause: with a hundred callers an entry, twice what the budget writes, commits that waited drew lots for each token: some callers got nothing for the 13 s after an outage (test an_outage_ends_without_a_retry_storm). Now they stand in line, one that would wait over half its deadline is refused at once, and retry_after counts the line in. Commits use kept connections again, as the HTTP client no longer sends a call twice by itself.

--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -172,8 +172,6 @@
         static_cast<void>(ended);
         http_call c = call("POST", "/v1/table/commit", format_commit(a.transaction));
         c.timeout = a.timeout;
-        // A second sending would meet the effect of the first one and be told of a conflict.
-        c.send_once = true;
         http.send(std::move(c), [self = shared_from_this(), id = a.call,
                                  operation = a.transaction.operation](const http_result& answer) {
             self->tell(table_commit_answered{id, read_commit_answer(operation, answer)});
--- a/src/platform_table.cpp
+++ b/src/platform_table.cpp
@@ -12,6 +12,11 @@
 constexpr int try_part = 2;
 constexpr duration timeout_least = std::chrono::milliseconds(50);
 
+// Of its deadline, what a commit may expect to wait in line for the budget; beyond that it is refused at once.
+constexpr int line_part = 2;
+// The least wait in line, where the budget gives no longer one.
+constexpr duration line_step = std::chrono::milliseconds(25);
+
 constexpr const char* stopping_reason = "the client is stopping";
 
 double rate_or(double rate, double otherwise)
@@ -28,8 +33,9 @@
 
 platform_table::platform_table(const platform_client::options& o, std::uint64_t seed)
     : timeout_(o.timeout),
+      writes_per_second_(rate_or(o.writes_per_second, config::table_writes_per_second)),
       random_(seed),
-      writes_(rate_or(o.writes_per_second, config::table_writes_per_second), config::table_burst),
+      writes_(writes_per_second_, config::table_burst),
       reads_(rate_or(o.reads_per_second, config::table_reads_per_second), config::table_burst)
 {}
 
@@ -56,23 +62,40 @@
 platform_table::admission platform_table::admit(instant now, table_traffic traffic, table_budget& budget)
 {
     if (stopping_) {
-        return {false, true, duration::zero(), stopping_reason};
+        return {verdict::stopping};
     }
     if (!breaker_.admits(now, traffic)) {
-        return {false, true, breaker_.wait(now, traffic), "the table is down"};
+        return {verdict::table_down, breaker_.wait(now, traffic)};
     }
     if (traffic != table_traffic::ownership && in_flight_ >= config::table_calls_in_flight_most) {
-        return {false, false, duration::zero(), "too many calls to the table are under way"};
+        return {verdict::too_many_calls};
     }
     if (!budget.admits(now, traffic)) {
-        return {false, false, budget.wait(now, traffic), "the budget of the table is spent"};
+        return {verdict::budget_spent, budget.wait(now, traffic)};
     }
-    return {.admitted = true};
+    return {};
+}
+
+std::string platform_table::describe(verdict v)
+{
+    switch (v) {
+    case verdict::admitted:
+        break;
+    case verdict::table_down:
+        return "the table is down";
+    case verdict::too_many_calls:
+        return "too many calls to the table are under way";
+    case verdict::budget_spent:
+        return "the budget of the table is spent";
+    case verdict::stopping:
+        return stopping_reason;
+    }
+    return {};
 }
 
 void platform_table::count_refusal(const admission& a)
 {
-    ++(a.breaker_open ? stats_.refused_by_breaker : stats_.refused_by_budget);
+    ++(a.what == verdict::table_down ? stats_.refused_by_breaker : stats_.refused_by_budget);
 }
 
 table_call platform_table::start_call(instant now, const calling& c)
@@ -123,10 +146,10 @@
 void platform_table::take(instant now, const table_commit_asked& e, std::vector<table_action>& actions)
 {
     const admission a = admit(now, e.traffic, writes_);
-    if (!a.admitted) {
+    if (a.what != verdict::admitted) {
         count_refusal(a);
         actions.emplace_back(
-            finish_table_commit{e.ask, {e.transaction.operation, table_outcome::refused, {}, a.reason}});
+            finish_table_commit{e.ask, {e.transaction.operation, table_outcome::refused, {}, describe(a.what)}});
         return;
     }
     commits_.emplace(e.ask, committing{.transaction = e.transaction});
@@ -152,7 +175,7 @@
 void platform_table::take(instant now, const table_read_asked& e, std::vector<table_action>& actions)
 {
     const admission a = admit(now, e.traffic, reads_);
-    if (!a.admitted) {
+    if (a.what != verdict::admitted) {
         count_refusal(a);
         actions.emplace_back(finish_table_read{e.ask, std::nullopt});
         return;
@@ -163,9 +186,9 @@
 void platform_table::take(instant now, const table_scan_asked& e, std::vector<table_action>& actions)
 {
     const admission a = admit(now, e.traffic, reads_);
-    if (!a.admitted) {
+    if (a.what != verdict::admitted) {
         count_refusal(a);
-        actions.emplace_back(finish_table_scan{e.ask, {.prefix = e.prefix, .reason = a.reason}});
+        actions.emplace_back(finish_table_scan{e.ask, {.prefix = e.prefix, .reason = describe(a.what)}});
         return;
     }
     scanning s{.traffic = e.traffic, .so_far = {.prefix = e.prefix}, .give_up = now + config::table_scan_most};
@@ -313,12 +336,16 @@
         s.wake = wait->until;
         return false;
     }
-    const bool write = std::holds_alternative<settle_commit>(step);
-    const admission a = admit(now, s.traffic, write ? writes_ : reads_);
-    if (!a.admitted) {
-        hold_settling(now, s, a);
+    const auto* commit = std::get_if<settle_commit>(&step);
+    admission a = admit(now, s.traffic, commit != nullptr ? writes_ : reads_);
+    if (a.what == verdict::admitted && commit != nullptr && must_line_up(ask, s)) {
+        a = {verdict::budget_spent};
+    }
+    if (a.what != verdict::admitted) {
+        hold_settling(now, s, a, commit != nullptr ? static_cast<double>(commit->transaction.writes.size()) : 0);
         return true;
     }
+    s.in_line = 0;
     send_step(now, ask, s, step, actions);
     return false;
 }
@@ -340,32 +367,57 @@
     }
 }
 
+// Commits that wait for the budget go in the order they were asked for, or the newest would go first and the oldest
+// only when their deadline is near.
+bool platform_table::must_line_up(table_ask ask, const settling& s) const
+{
+    return std::any_of(settles_.begin(), settles_.lower_bound(ask), [&](const auto& earlier) {
+        return earlier.second.in_line > 0 && earlier.second.traffic == s.traffic;
+    });
+}
+
+// How long the budget takes to write all that waits in line.
+duration platform_table::line_wait() const
+{
+    double rows = 0;
+    for (const auto& [ask, s] : settles_) {
+        rows += s.in_line;
+    }
+    return duration(static_cast<std::int64_t>(rows / writes_per_second_ * 1e6));
+}
+
 // What cannot go in time is answered at once, so that the caller can come back later instead of waiting for nothing;
 // a commit whose copy may be pending has to wait, for its outcome is not known.
-void platform_table::hold_settling(instant now, settling& s, const admission& a)
+void platform_table::hold_settling(instant now, settling& s, const admission& a, double rows)
 {
-    if (!s.machine.copy_pending() && (a.breaker_open || now + a.wait >= s.machine.deadline())) {
+    const bool in_line = a.what == verdict::budget_spent && rows > 0;
+    const bool joins = in_line && s.in_line == 0;
+    const duration wait = joins ? a.wait + line_wait() : a.wait;
+    const duration left = s.machine.deadline() - now;
+    const bool hopeless = a.what == verdict::table_down || a.what == verdict::stopping;
+    if (!s.machine.copy_pending() && (hopeless || wait >= (joins ? left / line_part : left))) {
         count_refusal(a);
-        s.machine.give_up(a.reason);
+        s.machine.give_up(describe(a.what));
         return;
     }
+    s.in_line = in_line ? rows : 0;
     table_backoff spread;
-    s.machine.held(now + a.wait + spread.next(random_));
+    s.machine.held(now + (in_line ? std::max(a.wait, line_step) : a.wait + spread.next(random_)));
 }
 
 void platform_table::drive_scan(instant now, table_ask ask, std::vector<table_action>& actions)
 {
     scanning& s = scans_.at(ask);
     const admission a = admit(now, s.traffic, reads_);
-    if (a.admitted) {
+    if (a.what == verdict::admitted) {
         s.calling = true;
         const table_call call = start_read(now, ask, s.traffic, call_use::page);
         actions.emplace_back(send_table_page{call, s.so_far.prefix, s.after, timeout_});
         return;
     }
-    if (a.breaker_open || now + a.wait >= s.give_up) {
+    if (a.what == verdict::table_down || now + a.wait >= s.give_up) {
         count_refusal(a);
-        end_scan(ask, a.reason, actions);
+        end_scan(ask, describe(a.what), actions);
         return;
     }
     table_backoff spread;
@@ -409,7 +461,8 @@
 {
     platform_client::stats s = stats_;
     s.breaker_open = breaker_.open();
-    s.retry_after = std::max(breaker_.wait(now, table_traffic::work), writes_.wait(now, table_traffic::work));
+    s.retry_after =
+        std::max(breaker_.wait(now, table_traffic::work), writes_.wait(now, table_traffic::work) + line_wait());
     return s;
 }
 
--- a/src/platform_table_p.h
+++ b/src/platform_table_p.h
@@ -113,6 +113,7 @@
         settlement machine;
         bool calling = false;
         instant wake{};
+        double in_line = 0; // rows it waits to write until the budget admits them, 0 when it does not wait for that
     };
     struct scanning {
         table_traffic traffic;
@@ -134,12 +135,12 @@
         call_use use;
         std::int64_t rows = 0; // of a commit
     };
+    enum class verdict : std::uint8_t { admitted, table_down, too_many_calls, budget_spent, stopping };
     struct admission {
-        bool admitted = false;
-        bool breaker_open = false;
-        duration wait{0};
-        std::string reason;
+        verdict what = verdict::admitted;
+        duration wait{0}; // until it may be admitted
     };
+    static std::string describe(verdict v);
 
     admission admit(instant now, table_traffic traffic, table_budget& budget);
     table_call start_call(instant now, const calling& c);
@@ -163,11 +164,14 @@
     bool step_settling(instant now, table_ask ask, settling& s, std::vector<table_action>& actions);
     void send_step(instant now, table_ask ask, settling& s, const settle_step& step,
                    std::vector<table_action>& actions);
-    void hold_settling(instant now, settling& s, const admission& a);
+    void hold_settling(instant now, settling& s, const admission& a, double rows);
+    bool must_line_up(table_ask ask, const settling& s) const;
+    duration line_wait() const;
     void drive_scan(instant now, table_ask ask, std::vector<table_action>& actions);
     void end_scan(table_ask ask, std::string reason, std::vector<table_action>& actions);
 
     duration timeout_;
+    double writes_per_second_;
     table_random random_;
     table_budget writes_;
     table_budget reads_;
