--- a/standin/worker_state.cpp
+++ b/standin/worker_state.cpp
@@ -1,10 +1,8 @@
 #include "worker_state_p.h"
 
-#include <absl/random/distributions.h>
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cmath>
 
 #include "row_keys_p.h"
 
@@ -19,20 +17,8 @@
 constexpr duration sample_interval = 200ms;
 constexpr duration doomed_run_time = 100ms;
 constexpr duration read_again_after = 500ms;
-constexpr double measuring_error = 0.03; // standard deviation of a measured slowdown
 constexpr std::size_t history_most = 50000;
 
-bool is_running(const task_report& report)
-{
-    return report.state == task_state::running;
-}
-
-// Kept short, because every report carries it.
-double round_share(double share)
-{
-    return std::floor(share * 1e4) / 1e4;
-}
-
 history_kind kind_of(task_state state)
 {
     switch (state) {
@@ -251,62 +237,6 @@
     }
 }
 
-// The operating system's answer to tasks that need more memory than was declared: the batch task furthest above its
-// declared size goes.
-void worker_state::kill_largest(worker_now now)
-{
-    while (true) {
-        std::int64_t used = 0;
-        running_task* worst = nullptr;
-        const auto excess = [](const running_task& t) { return t.load.used.memory_mib - t.spec.declared.memory_mib; };
-        for (auto& [id, task] : tasks_) {
-            if (!is_running(task.report)) {
-                continue;
-            }
-            used += task.load.used.memory_mib;
-            if (!task.spec.is_service && (worst == nullptr || excess(task) > excess(*worst))) {
-                worst = &task;
-            }
-        }
-        if (used <= settings_.capacity.memory_mib || worst == nullptr) {
-            return;
-        }
-        end(now, *worst, task_state::failed, "out of memory");
-    }
-}
-
-void worker_state::sample(worker_time now)
-{
-    usage_sample taken{.taken = now};
-    const double share = processor_share();
-    for (const auto& [id, task] : tasks_) {
-        if (!is_running(task.report)) {
-            continue;
-        }
-        taken.used.emplace(std::pair(id, task.report.attempt), used_by(task, share));
-        if (task.spec.is_service) {
-            const double error = absl::Gaussian<double>(random_, 1, measuring_error);
-            const double measured = slowdown_of_task(task, share) * std::max(0.5, error);
-            taken.interference.push_back({id, round_share(std::max(1.0, measured))});
-        }
-    }
-    samples_.push_back(std::move(taken));
-    while (samples_.size() > 1 && samples_[1].taken <= now - settings_.usage_lag) {
-        samples_.pop_front();
-    }
-}
-
-const worker_state::usage_sample* worker_state::visible_sample(worker_time now) const
-{
-    const usage_sample* newest = nullptr;
-    for (const usage_sample& s : samples_) {
-        if (s.taken <= now - settings_.usage_lag) {
-            newest = &s;
-        }
-    }
-    return newest;
-}
-
 void worker_state::fill(worker_now now, worker_report& report) const
 {
     report.epoch = epoch_;
@@ -451,17 +381,6 @@
     return std::exchange(actions_, {});
 }
 
-double worker_state::slowdown(const task_id& task) const
-{
-    const auto found = tasks_.find(task);
-    if (found == tasks_.end()) {
-        return 1;
-    }
-    const double throttled = 100.0 / std::max(1, found->second.report.throttle);
-    const double share = processor_share();
-    return slowdown_of_task(found->second, share) * throttled / std::max(0.01, share);
-}
-
 bool worker_state::idle() const
 {
     return std::none_of(tasks_.begin(), tasks_.end(), [](const auto& t) { return is_running(t.second.report); });
@@ -495,45 +414,6 @@
     return sum;
 }
 
-double worker_state::wanted_share(const running_task& task)
-{
-    return (task.spec.is_service ? task.target_share : 1.0) * task.report.throttle / 100.0;
-}
-
-resources worker_state::used_by(const running_task& task, double share)
-{
-    const double factor = share * wanted_share(task);
-    resources used = task.load.used;
-    used.cpu_millis = std::llround(static_cast<double>(used.cpu_millis) * factor);
-    return used;
-}
-
-double worker_state::processor_share() const
-{
-    double wanted = 0;
-    for (const auto& [id, task] : tasks_) {
-        if (is_running(task.report)) {
-            wanted += static_cast<double>(task.load.used.cpu_millis) * wanted_share(task);
-        }
-    }
-    const auto there = static_cast<double>(settings_.capacity.cpu_millis);
-    return wanted <= there ? 1 : there / wanted;
-}
-
-double worker_state::slowdown_of_task(const running_task& task, double share) const
-{
-    std::vector<neighbour> others;
-    for (const auto& [id, other] : tasks_) {
-        if (is_running(other.report) && &other != &task) {
-            const auto used = static_cast<double>(used_by(other, share).cpu_millis);
-            const double part = used / std::max(1.0, static_cast<double>(settings_.capacity.cpu_millis));
-            others.push_back({other.spec.kind, part, other.load.pressure});
-        }
-    }
-    const service_id service(task.spec.team.str() + "/" + task.spec.name);
-    return slowdown_of(service, task.target_share, others, faults_.noise);
-}
-
 void worker_state::record(wall_time at, history_kind kind, const running_task& task)
 {
     history_.push_back({at, kind, task.report.task, task.report.attempt});
--- a/standin/worker_state_load.cpp
+++ b/standin/worker_state_load.cpp
@@ -86,4 +86,9 @@
     return 1 + sensitivity * pressed + noise;
 }
 
+double round_share(double share)
+{
+    return std::floor(share * 1e4) / 1e4;
+}
+
 } // namespace skylarkhub::standin
--- a/standin/worker_state_load_p.h
+++ b/standin/worker_state_load_p.h
@@ -36,4 +36,7 @@
 // coefficient, most of them small and a few large, the same on every instance.
 double slowdown_of(const service_id& service, double load, const std::vector<neighbour>& neighbours, double noise);
 
+// Four digits, rounded down: every report carries such numbers.
+double round_share(double share);
+
 } // namespace skylarkhub::standin
--- a/standin/worker_state_p.h
+++ b/standin/worker_state_p.h
@@ -38,6 +38,11 @@
     double noise = 0;      // added to the slowdown of each service task
 };
 
+inline bool is_running(const task_report& report)
+{
+    return report.state == task_state::running;
+}
+
 struct open_target {
     task_id task;
     attempt_number attempt;
