--- a/src/burn_histogram_p.h
+++ b/src/burn_histogram_p.h
@@ -2,8 +2,9 @@
 // percentile of the sum is exact to the width of a bucket.
 #pragma once
 
+#include <absl/container/btree_map.h>
+
 #include <cstdint>
-#include <map>
 #include <optional>
 
 #include "skylarkhub/skylarkhub.h"
@@ -17,7 +18,7 @@
     void merge(const latency_histogram& other);
 
     std::int64_t count() const { return count_; }
-    const std::map<std::int32_t, std::int64_t>& buckets() const { return buckets_; }
+    const absl::btree_map<std::int32_t, std::int64_t>& buckets() const { return buckets_; }
 
     // The latency below which the share `p` (0 to 1) of requests ended. Empty without requests.
     std::optional<duration> percentile(double p) const;
@@ -28,7 +29,7 @@
     static duration middle_of(std::int32_t bucket);
 
 private:
-    std::map<std::int32_t, std::int64_t> buckets_;
+    absl::btree_map<std::int32_t, std::int64_t> buckets_;
     std::int64_t count_ = 0;
 };
 
--- a/src/burn_page.cpp
+++ b/src/burn_page.cpp
@@ -19,7 +19,7 @@
 constexpr double burn_least = 0.1;
 constexpr double burn_most = 100;
 constexpr double plot_left = 14; // per cent of the width
-constexpr double plot_right = 88;
+constexpr double plot_right = 84;
 constexpr int bar_height = 9;
 constexpr int bar_step = 13;
 constexpr int service_gap = 34;
@@ -30,9 +30,9 @@
 --w0:#b3261e;--w1:#c77700;--w2:#2b6cb0;--w3:#5b7f95}
 @media(prefers-color-scheme:dark){:root{--ink:#e6eaee;--soft:#9aa7b3;--line:#39434d;--paper:#14181c;--band:#1c2227;
 --bad:#ff8a80;--warn:#ffc266;--w0:#ff8a80;--w1:#ffc266;--w2:#7fb5ee;--w3:#9db8c7}}
-*{box-sizing:border-box}body{margin:0 auto;max-width:72rem;padding:1rem;background:var(--paper);color:var(--ink);
+*{box-sizing:border-box}body{margin:0 auto;max-width:76rem;padding:1rem;background:var(--paper);color:var(--ink);
 font:15px/1.45 system-ui,sans-serif}h1{font-size:1.4rem;margin:.2rem 0}h2{font-size:1.05rem;margin:1.6rem 0 .4rem}
-p{margin:.3rem 0;color:var(--soft)}.scroll{overflow-x:auto}table{border-collapse:collapse;width:100%;font-size:.87rem}
+p{margin:.3rem 0;color:var(--soft)}.scroll{overflow-x:auto}table{border-collapse:separate;border-spacing:0;width:100%;font-size:.87rem}
 th,td{padding:.3rem .55rem;border-bottom:1px solid var(--line);text-align:right;white-space:nowrap}
 th{color:var(--soft);font-weight:600}th:first-child,td:first-child{text-align:left;position:sticky;left:0;
 background:var(--paper)}td.text,th.text{text-align:left}.bad{color:var(--bad);font-weight:600}
@@ -76,6 +76,12 @@
     return value.is_null() ? "–" : fmt::format("{:.{}f}", value.get<double>(), digits);
 }
 
+// Large burns need no digits after the point, and would not fit beside their bars.
+std::string format_burn(const json& value)
+{
+    return format_number(value, value.is_number() && value.get<double>() >= 100 ? 0 : 2);
+}
+
 std::string name_of(const json& service)
 {
     const auto name = service.at("service").get<std::string>();
@@ -137,7 +143,7 @@
         svg += fmt::format(R"(<rect class="w{}" x="{:.2f}%" y="{}" width="{:.2f}%" height="{}" rx="1"/>)", index,
                            plot_left, y, end - plot_left, bar_height);
         svg += fmt::format(R"(<text x="{:.2f}%" dx="4" y="{}">{}</text>)", end, y + bar_height,
-                           format_number(window.at("burn"), 2));
+                           format_burn(window.at("burn")));
         y += bar_step;
         ++index;
     }
@@ -181,8 +187,14 @@
     row += fmt::format("<td{}>{}</td>", overdrawn ? " class=\"bad\"" : "",
                        left.is_null() ? "–" : fmt::format("{:.0f}%", left.get<double>() * 100));
     for (const json& window : service.at("windows")) {
-        row += fmt::format("<td>{}</td>", format_number(window.at("burn"), 2));
+        row += fmt::format("<td>{}</td>", format_burn(window.at("burn")));
     }
+    return row + "</tr>";
+}
+
+std::string format_request_row(const json& service)
+{
+    std::string row = fmt::format("<tr><td>{}</td>", escape(name_of(service)));
     const json& longest = service.at("windows").back();
     for (const char* count : {"done", "late", "refused", "unknown"}) {
         row += fmt::format("<td>{}</td>", longest.at(count).get<std::int64_t>());
@@ -198,14 +210,24 @@
 {
     std::string table = "<div class=\"scroll\"><table><thead><tr><th>Service</th><th class=\"text\">Alerts</th>"
                         "<th>Objective</th><th>Budget left, 6h</th><th>5m</th><th>30m</th><th>1h</th><th>6h</th>"
-                        "<th>Done</th><th>Late</th><th>Refused</th><th>Unknown</th><th>Target ms</th><th>p50</th>"
-                        "<th>p90</th><th>p99</th><th>p99.9</th></tr></thead><tbody>";
+                        "</tr></thead><tbody>";
     for (const json& service : services) {
         table += format_service_row(service);
     }
     return table + "</tbody></table></div>";
 }
 
+std::string format_request_table(const std::vector<json>& services)
+{
+    std::string table = "<div class=\"scroll\"><table><thead><tr><th>Service</th><th>Done</th><th>Late</th>"
+                        "<th>Refused</th><th>Unknown</th><th>Target</th><th>p50</th><th>p90</th><th>p99</th>"
+                        "<th>p99.9</th></tr></thead><tbody>";
+    for (const json& service : services) {
+        table += format_request_row(service);
+    }
+    return table + "</tbody></table></div>";
+}
+
 // A table of counts by team; columns are JSON names and their headings.
 std::string format_team_table(const json& rows, const std::vector<std::pair<std::string, std::string>>& columns)
 {
@@ -268,8 +290,10 @@
         "share that the objective allows. At 1 the budget is just used up; a fast burn alerts at 14.4 over 5m and "
         "1h, a slow one at 6 over 30m and 6h. Logarithmic scale.</p>";
     page += services.empty() ? "<p>No service had a request in the last six hours.</p>" : format_plot(services);
-    page += "<h2>Services</h2><p>Requests over 6h; latencies in milliseconds over the last 30 to 60 minutes.</p>";
-    page += format_service_table(services);
+    page += "<h2>Services</h2>" + format_service_table(services);
+    page += "<h2>Requests and latency</h2><p>Requests over 6h; latencies in milliseconds over the last 30 to 60 "
+            "minutes.</p>";
+    page += format_request_table(services);
     page += "<h2>Batch work</h2><p>Since each entry's start.</p>";
     page += format_team_table(report.at("batch"), {{"accepted", "Accepted"},
                                                    {"finished", "Finished"},
--- a/src/burn_record.cpp
+++ b/src/burn_record.cpp
@@ -133,6 +133,16 @@
     into.missed += more.missed;
 }
 
+void merge_service(service_burn& into, const service_burn& more)
+{
+    into.objective = std::max(into.objective, more.objective);
+    into.latency_target = std::max(into.latency_target, more.latency_target);
+    into.latency.merge(more.latency);
+    for (std::size_t i = 0; i < burn_window_count; ++i) {
+        add_counts(into.windows.at(i), more.windows.at(i));
+    }
+}
+
 } // namespace
 
 std::optional<double> burn_rate(const burn_counts& counts, double objective)
@@ -160,20 +170,17 @@
 void merge_report(burn_report& into, const burn_report& other)
 {
     into.sources.insert(into.sources.end(), other.sources.begin(), other.sources.end());
+    absl::flat_hash_map<std::pair<service_id, team_id>, std::size_t> known;
+    for (std::size_t i = 0; i < into.services.size(); ++i) {
+        known.emplace(std::pair(into.services[i].service, into.services[i].team), i);
+    }
     for (const service_burn& more : other.services) {
-        const auto found = std::find_if(into.services.begin(), into.services.end(), [&](const service_burn& s) {
-            return s.service == more.service && s.team == more.team;
-        });
-        if (found == into.services.end()) {
+        const auto [at, fresh] = known.try_emplace(std::pair(more.service, more.team), into.services.size());
+        if (fresh) {
             into.services.push_back(more);
             continue;
         }
-        found->objective = std::max(found->objective, more.objective);
-        found->latency_target = std::max(found->latency_target, more.latency_target);
-        found->latency.merge(more.latency);
-        for (std::size_t i = 0; i < burn_window_count; ++i) {
-            add_counts(found->windows.at(i), more.windows.at(i));
-        }
+        merge_service(into.services[at->second], more);
     }
     for (const auto& [team, counts] : other.batch) {
         add_counts(into.batch[team], counts);
--- a/tests/test_ctl.cpp
+++ b/tests/test_ctl.cpp
@@ -70,6 +70,7 @@
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, out.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
     posix_spawn_file_actions_addopen(&files, STDERR_FILENO, err.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
     words.insert(words.begin(), program);
+    words.insert(words.end(), {"--wait-ms", "0"});
     std::vector<char*> arguments;
     arguments.reserve(words.size() + 1);
     for (std::string& word : words) {
@@ -334,6 +335,8 @@
     };
     BOOST_TEST(with({busy->address().str()}) == 1);
     BOOST_TEST(with({lossy->address().str(), busy->address().str()}) == 3);
+    BOOST_TEST(with({busy->address().str(), lossy->address().str()}) == 3);
+    BOOST_TEST(with({lossy->address().str(), "127.0.0.1:1"}) == 3);
     BOOST_TEST(with({"127.0.0.1:1"}) == 3);
 }
 
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -257,6 +257,35 @@
     BOOST_TEST(one.tree.versions().size() == 3U);
 }
 
+// Every entry of a site makes a change of its own subtree at the same moment, all based on the same version row. Each
+// round one of them wins; the others must go on by themselves, and all must be in force in the end.
+BOOST_AUTO_TEST_CASE(many_operators_on_many_subtrees_all_succeed)
+{
+    constexpr int operators = 9;
+    fake_table table;
+    std::vector<entry_side> entries(operators, entry_side{table});
+    int done = 0;
+    for (int round = 0; round < operators; ++round) {
+        std::vector<std::pair<settings_change, change_step>> planned;
+        for (int i = 0; i < operators; ++i) {
+            entries[i].poll();
+            const settings_change change =
+                make_change("op" + std::to_string(i), "team/t" + std::to_string(i), 0, R"({"quota": {"share": 2}})");
+            planned.emplace_back(change, entries[i].plan(change));
+        }
+        done = 0;
+        for (const auto& [change, step] : planned) {
+            if (const auto* commit = std::get_if<change_commit>(&step)) {
+                table.commit(commit->transaction);
+            }
+            done += std::holds_alternative<change_done>(step) ? 1 : 0;
+        }
+        BOOST_TEST(done == round); // of earlier rounds, each settled by its own rows
+    }
+    entries[0].poll();
+    BOOST_TEST(entries[0].tree.versions().size() == static_cast<std::size_t>(operators));
+}
+
 // Two operators change one subtree from the same version. One wins; the other is told the version and whose it is.
 BOOST_AUTO_TEST_CASE(two_operators_on_one_subtree_get_one_winner)
 {
--- a/tools/ctl_client.cpp
+++ b/tools/ctl_client.cpp
@@ -1,6 +1,11 @@
 #include <absl/random/random.h>
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <thread>
+
 #include "ctl_p.h"
 #include "settings_parse_p.h"
 
@@ -11,6 +16,10 @@
 constexpr int status_unknown = 504;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
+constexpr int status_over_limit = 429;
+
+constexpr duration least_pause = std::chrono::milliseconds(200);
+constexpr duration most_pause = std::chrono::seconds(5);
 
 std::string make_operation_key()
 {
@@ -70,6 +79,44 @@
     return token;
 }
 
+call_answer read_answer(const http_result& result, const net_address& entry)
+{
+    call_answer answer;
+    answer.outcome = judge(result);
+    answer.status = result.status;
+    answer.body = nlohmann::json::parse(result.body, nullptr, false);
+    if (answer.body.is_discarded()) {
+        answer.body = nullptr;
+    }
+    answer.reason = fmt::format("{}: {}", entry.str(), reason_of(result, answer.body));
+    int retry_after_ms = 0;
+    const std::string_view asked = find_field(result.headers, "retry-after-ms");
+    std::from_chars(asked.data(), asked.data() + asked.size(), retry_after_ms);
+    answer.retry_after = std::chrono::milliseconds(retry_after_ms);
+    return answer;
+}
+
+bool is_settled(const call_answer& answer)
+{
+    const bool later = answer.status == status_unavailable || answer.status == status_over_limit;
+    return answer.outcome == call_outcome::ok || (answer.outcome == call_outcome::refused && !later);
+}
+
+// An answer that leaves open what was done tells more than a refusal, and that more than silence.
+int rank_of(const call_answer& answer)
+{
+    switch (answer.outcome) {
+    case call_outcome::unreachable:
+        return 0;
+    case call_outcome::refused:
+    case call_outcome::ok:
+        return 1;
+    case call_outcome::unknown:
+        break;
+    }
+    return 2;
+}
+
 } // namespace
 
 entry_caller::entry_caller(options o) : options_(std::move(o))
@@ -83,7 +130,7 @@
 {
     http_call request;
     request.target = target;
-    return call(std::move(request));
+    return call(request);
 }
 
 call_answer entry_caller::change(const std::string& method, const std::string& target, const std::string& body,
@@ -96,44 +143,51 @@
     request.headers = {{"Operation-Key", options_.operation_key + (part.empty() ? "" : "/" + part)},
                        {"Author", options_.author},
                        {"Content-Type", "application/json"}};
-    return call(std::move(request));
+    return call(request);
 }
 
-// Tries one entry after the other until one gives an answer that settles the matter. A try whose answer was lost may
-// have been done, or may be yet: after one, only a later definite answer to the same key can say otherwise, and "not
-// available" is none.
-call_answer entry_caller::call(http_call request)
+// Goes round the entries again while they say "later" or do not know, until `wait` is over. A try whose answer was lost
+// may have been done, or may be yet: after one, only a later definite answer to the same key can say otherwise, and
+// "not available" is none.
+call_answer entry_caller::call(const http_call& request)
 {
+    http_call tried = request;
     if (!options_.token.empty()) {
-        request.headers.emplace_back("Authorization", "Bearer " + options_.token);
+        tried.headers.emplace_back("Authorization", "Bearer " + options_.token);
     }
-    request.timeout = options_.timeout;
+    tried.timeout = options_.timeout;
+    const auto give_up = std::chrono::steady_clock::now() + options_.wait;
     bool lost = false;
-    call_answer last;
-    for (const net_address& entry : options_.entries) {
-        request.address = entry;
-        const http_result result = http_.call(request);
-        call_answer answer;
-        answer.outcome = judge(result);
-        answer.status = result.status;
-        answer.body = nlohmann::json::parse(result.body, nullptr, false);
-        if (answer.body.is_discarded()) {
-            answer.body = nullptr;
-        }
-        answer.reason = fmt::format("{}: {}", entry.str(), reason_of(result, answer.body));
-        if (answer.outcome == call_outcome::ok ||
-            (answer.outcome == call_outcome::refused && answer.status != status_unavailable)) {
+    while (true) {
+        call_answer answer = ask_all(tried);
+        if (is_settled(answer)) {
             return answer;
         }
         lost = lost || answer.outcome == call_outcome::unknown;
-        if (last.outcome == call_outcome::unreachable || answer.outcome != call_outcome::unreachable) {
-            last = answer;
+        const duration pause = std::clamp(answer.retry_after, least_pause, most_pause);
+        if (answer.outcome == call_outcome::unreachable || std::chrono::steady_clock::now() + pause > give_up) {
+            answer.outcome = lost && request.method != "GET" ? call_outcome::unknown : answer.outcome;
+            return answer;
         }
+        std::this_thread::sleep_for(pause);
     }
-    if (lost && request.method != "GET") {
-        last.outcome = call_outcome::unknown;
+}
+
+// Asks one entry after the other until one settles the matter; else the most telling answer.
+call_answer entry_caller::ask_all(http_call& request)
+{
+    call_answer kept;
+    for (const net_address& entry : options_.entries) {
+        request.address = entry;
+        call_answer answer = read_answer(http_.call(request), entry);
+        if (is_settled(answer)) {
+            return answer;
+        }
+        if (rank_of(answer) >= rank_of(kept)) {
+            kept = std::move(answer);
+        }
     }
-    return last;
+    return kept;
 }
 
 entry_caller& context::entries()
@@ -144,6 +198,7 @@
         o.token = read_token(flags);
         o.author = flags["author"].as<std::string>();
         o.timeout = std::chrono::milliseconds(flags["timeout-ms"].as<std::int64_t>());
+        o.wait = std::chrono::milliseconds(flags["wait-ms"].as<std::int64_t>());
         if (flags.count("operation-key") > 0) {
             o.operation_key = flags["operation-key"].as<std::string>();
         }
--- a/tools/ctl_main.cpp
+++ b/tools/ctl_main.cpp
@@ -28,8 +28,8 @@
 const std::set<std::string> job_options{"file",    "cpu-millis",  "memory-mib",    "accelerators", "tasks",
                                         "urgency", "run-time-ms", "attempt-limit", "payload",      "payload-file",
                                         "kind",    "dry-run",     "slots",         "connections"};
-const std::set<std::string> common_options{"entry",         "token-file", "json", "author",
-                                           "operation-key", "timeout-ms", "help"};
+const std::set<std::string> common_options{"entry",         "token-file", "json",    "author",
+                                           "operation-key", "timeout-ms", "wait-ms", "help"};
 
 std::set<std::string> job_options_and(std::set<std::string> more)
 {
@@ -85,9 +85,11 @@
     options.add_options()("entry", "entry to ask; several are tried in turn",
                           cxxopts::value<std::vector<std::string>>(), "IP:PORT")(
         "token-file", "file with the team's or the site's token", text(), "FILE")("json", "print answers as JSON")(
-        "author", "kept in the history; your login name when absent", text()->default_value(default_author()))(
-        "operation-key", "of an earlier try whose outcome was unknown", text(),
-        "KEY")("timeout-ms", "for each try", number()->default_value("10000"))("help", "print this");
+        "author", "kept in the history; your login name when absent",
+        text()->default_value(default_author()))("operation-key", "of an earlier try whose outcome was unknown", text(),
+                                                 "KEY")("timeout-ms", "for each try", number()->default_value("10000"))(
+        "wait-ms", "go on asking entries that are not available or do not know",
+        number()->default_value("10000"))("help", "print this");
     options.add_options("jobs")("team", "", text())("name", "", text())("kind", "kind of work in the settings", text())(
         "file", "JSON file with the job (or, for a report, an answer kept earlier); - for standard input", text())(
         "cpu-millis", "of each task, in thousandths of a processor", number())("memory-mib", "of each task", number())(
--- a/tools/ctl_p.h
+++ b/tools/ctl_p.h
@@ -26,6 +26,7 @@
     int status = 0;
     nlohmann::json body; // the JSON of the answer; null when there is none
     std::string reason;
+    duration retry_after{0}; // as the entry asked
 };
 
 // Where the tool's commands go. Every try of one command carries the same operation key, so that trying the next entry
@@ -37,7 +38,8 @@
         std::string token;
         std::string author;
         std::string operation_key;
-        duration timeout{std::chrono::seconds(10)};
+        duration timeout{std::chrono::seconds(10)}; // of one try
+        duration wait{std::chrono::seconds(10)};    // for entries that say "come back later" or do not know
     };
 
     explicit entry_caller(options o);
@@ -51,7 +53,8 @@
     const std::string& operation_key() const { return options_.operation_key; }
 
 private:
-    call_answer call(http_call request);
+    call_answer call(const http_call& request);
+    call_answer ask_all(http_call& request);
 
     options options_;
     http_client http_;
--- a/tools/ctl_text.cpp
+++ b/tools/ctl_text.cpp
@@ -15,7 +15,19 @@
 
 bool is_number(const std::string& text)
 {
-    return !text.empty() && text.find_first_not_of("0123456789.,-%") == std::string::npos;
+    return text.find_first_not_of("0123456789.,-%") == std::string::npos;
+}
+
+// Numbers go to the right, with their heading; a column of nothing but "-" and empty cells counts as numbers.
+std::vector<bool> find_number_columns(const std::vector<std::vector<std::string>>& rows)
+{
+    std::vector<bool> columns(rows.front().size(), rows.size() > 1);
+    for (std::size_t row = 1; row < rows.size(); ++row) {
+        for (std::size_t i = 0; i < columns.size() && i < rows[row].size(); ++i) {
+            columns[i] = columns[i] && is_number(rows[row][i]);
+        }
+    }
+    return columns;
 }
 
 } // namespace
@@ -108,11 +120,12 @@
             widths[i] = std::max(widths[i], row[i].size());
         }
     }
+    const std::vector<bool> numbers = find_number_columns(rows_);
     for (const auto& row : rows_) {
         std::string line;
         for (std::size_t i = 0; i < row.size(); ++i) {
-            line += is_number(row[i]) ? fmt::format("{:>{}}  ", row[i], widths[i])
-                                      : fmt::format("{:<{}}  ", row[i], widths[i]);
+            line +=
+                numbers.at(i) ? fmt::format("{:>{}}  ", row[i], widths[i]) : fmt::format("{:<{}}  ", row[i], widths[i]);
         }
         line.erase(line.find_last_not_of(' ') + 1);
         std::cout << line << '\n';
