--- a/tests/support_platform.cpp
+++ b/tests/support_platform.cpp
@@ -136,11 +136,16 @@
 
 void virtual_table::carry_out(int entry, const send_table_read& a)
 {
-    if (fault(false).what != fault_kind::none) {
-        at(now_ + 2 * one_way, [=, this] { decide(entry, table_read_answered{a.call, std::nullopt}); });
+    const table_fault f = fault(false);
+    const bool heard = f.what == fault_kind::none && f.late + 2 * one_way <= a.timeout;
+    if (!heard) {
+        const bool hangs = f.what == fault_kind::none || f.what == fault_kind::late_effect;
+        at(now_ + (hangs ? a.timeout : 2 * one_way), [=, this] {
+            decide(entry, table_read_answered{a.call, std::nullopt});
+        });
         return;
     }
-    at(now_ + one_way, [=, this] {
+    at(now_ + one_way + f.late, [=, this] {
         const auto row = state.read(now_, a.key);
         at(now_ + one_way, [=, this] { decide(entry, table_read_answered{a.call, row}); });
     });
--- a/tests/test_platform_settle.cpp
+++ b/tests/test_platform_settle.cpp
@@ -223,8 +223,8 @@
         virtual_table world(rivals, {}, seed);
         world.fault = [&](bool is_commit) {
             table_fault f = draw_fault(random);
-            if (!is_commit && f.what != kind::none) {
-                f.what = kind::lost_before_effect;
+            if (!is_commit) {
+                f = {f.what == kind::none ? kind::none : kind::lost_before_effect};
             }
             return f;
         };
