--- a/tests/test_platform_settle.cpp
+++ b/tests/test_platform_settle.cpp
@@ -88,7 +88,7 @@
 // The row reads as before, and the next writer is not hindered, whether the row was absent or not.
 BOOST_AUTO_TEST_CASE(a_tombstone_keeps_out_the_delayed_write)
 {
-    for (const bool existed : {false, true}) {
+    for (const auto [existed, single_try] : {std::pair(false, false), {false, true}, {true, false}}) {
         one_entry e;
         const row_version before = existed ? e.put("first", "k", absent) : absent;
         e.faults = {{kind::late_effect, 20s}};
@@ -101,7 +101,13 @@
         e.world.run_for(30s);
         BOOST_TEST(e.world.effects("t") == 0);
         BOOST_TEST(e.row("k").value.has_value() == existed);
-        e.settle(one_entry::one_row("next", "k", existed ? e.row("k").version : absent));
+        const table_transaction next = one_entry::one_row("next", "k", existed ? e.row("k").version : absent);
+        if (single_try) {
+            e.world.commit(0, table_traffic::work, next, [&](const table_result& r) { e.result = r; });
+        }
+        else {
+            e.settle(next);
+        }
         e.world.run_for(1s);
         BOOST_TEST((e.result->outcome == table_outcome::applied));
     }
