--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -33,11 +33,18 @@
 struct task_row {
   1: i32 index
   2: task_phase_row phase = task_phase_row.queued
-  3: i32 attempts_failed = 0
+  3: optional i32 attempts_failed = 0
   4: i64 attempt = 0        // highest attempt whose outcome is recorded here
-  5: string last_reason
-  6: string checkpoint      // newest durable checkpoint that the row's writer knew of, may be older than the newest
-  7: double checkpoint_progress = 0
+  5: optional string last_reason
+  6: optional string checkpoint // newest durable one that the row's writer knew of, may be older than the newest
+  7: optional double checkpoint_progress = 0
+}
+
+// Neighbouring tasks of one phase of which nothing else has to be told.
+struct task_span_row {
+  1: i32 first
+  2: i32 count
+  3: task_phase_row phase = task_phase_row.queued
 }
 
 // One cell's part of a job: tasks first_task .. first_task + task_total - 1.
@@ -46,10 +53,11 @@
   2: job_spec_row spec
   3: i32 first_task = 0
   4: i32 task_total = 1
-  5: list<task_row> tasks   // only those that differ from a fresh queued task
+  5: list<task_row> tasks   // those of which more than a phase has to be told, and those that just finished
   6: bool cancelling = false
   7: i64 accepted_ms = 0
   8: i64 ended_ms = 0       // when the last task ended, 0 while any is open
+  9: list<task_span_row> spans // tasks that are not in `tasks` and not queued
 }
 
 struct cell_row {
--- a/src/cell_commit.cpp
+++ b/src/cell_commit.cpp
@@ -161,11 +161,15 @@
     }
 }
 
-bool must_name_worker(const cell_state& s)
+bool must_name_worker(cell_state& s)
 {
-    return std::any_of(s.workers.begin(), s.workers.end(), [&](const auto& worker) {
+    if (!s.names_changed) {
+        return false;
+    }
+    s.names_changed = std::any_of(s.workers.begin(), s.workers.end(), [&](const auto& worker) {
         return worker.second.listed && !s.workers_named.contains(worker.first);
     });
+    return s.names_changed;
 }
 
 bool has_news(const cell_state& s)
--- a/src/cell_decide.cpp
+++ b/src/cell_decide.cpp
@@ -79,6 +79,7 @@
     }
     s.now = std::max(s.now, now);
     s.out = &actions;
+    s.ticking = std::holds_alternative<cell_tick>(event);
     detail::check_hold(s);
     detail::take_event(s, event);
     detail::do_due(s);
--- a/src/cell_inbox.cpp
+++ b/src/cell_inbox.cpp
@@ -43,6 +43,7 @@
     }
     const auto& [where, added] = s.jobs.emplace(id, std::move(job));
     end_if_done(s, where->second);
+    s.place_urgent = s.place_urgent || where->second.spec().urgency == urgency::urgent;
     touch(s, where->second);
     s.place_wanted = true;
 }
--- a/src/cell_placing.cpp
+++ b/src/cell_placing.cpp
@@ -186,17 +186,30 @@
     }
 }
 
+// A pass costs in proportion to the tasks that run, so large cells make fewer: at most about one in a hundred parts of
+// a core goes into them. Urgent work does not wait for that.
+instant next_pass(const cell_state& s)
+{
+    std::int64_t running = 0;
+    for (const auto& [id, job] : s.jobs) {
+        running += job.count(task_phase::bound);
+    }
+    const duration paced = std::max(config::place_interval, running * config::place_interval_per_task);
+    return s.placed_at + (s.place_urgent ? config::place_interval : paced);
+}
+
 } // namespace
 
 void place_due(cell_state& s)
 {
     const bool may = owns(s) && s.role != cell_role::handing_over && s.held && s.jobs_read && s.inbox_read;
     const bool wanted = s.place_wanted || s.now >= s.next_idle_place;
-    if (!may || !wanted || s.now < s.next_place) {
+    if (!may || !wanted || s.now < next_pass(s)) {
         return;
     }
     s.place_wanted = false;
-    s.next_place = s.now + config::place_interval;
+    s.place_urgent = false;
+    s.placed_at = s.now;
     s.next_idle_place = s.now + config::place_idle_interval;
     drain_leaving(s);
     std::vector<place_task> tasks;
@@ -227,6 +240,8 @@
     for (const place_start& start : plan.starts) {
         start_task(s, start);
     }
+    // Each pass is offered a part of the queue only.
+    s.place_wanted = s.place_wanted || !plan.starts.empty();
 }
 
 } // namespace skylarkhub::detail
--- a/src/cell_report.cpp
+++ b/src/cell_report.cpp
@@ -376,7 +376,7 @@
             const worker_report report = std::move(*worker.unread);
             worker.unread.reset();
             take_report(s, worker, report, worker.unread_sequence);
-            worker.next_exchange = s.now;
+            wake_worker(s, id);
         }
     }
 }
--- a/src/cell_settle.cpp
+++ b/src/cell_settle.cpp
@@ -115,7 +115,7 @@
     for (const std::string& name : s.commit.row.workers) {
         named.insert(worker_id(name));
     }
-    s.place_wanted = s.place_wanted || named != s.workers_named;
+    s.place_wanted = true;
     s.workers_named = std::move(named);
 }
 
@@ -175,6 +175,7 @@
 void settle_applied(cell_state& s, row_version version)
 {
     commit_state& c = s.commit;
+    const bool renamed = s.seen.row.workers != c.row.workers;
     s.seen.known = true;
     s.seen.present = true;
     s.seen.row = c.row;
@@ -199,7 +200,9 @@
     mark_jobs(s);
     mark_ends(s);
     mark_inbox(s);
-    mark_names(s);
+    if (renamed) {
+        mark_names(s);
+    }
     if (c.purpose == commit_purpose::hand_over) {
         become_watcher(s, "handed over");
     }
--- a/src/cell_state_p.h
+++ b/src/cell_state_p.h
@@ -100,6 +100,7 @@
     bool up = false;
     instant up_since{};
     std::vector<cell_action>* out = nullptr; // of the event being decided
+    bool ticking = false;                    // that event is a tick
 
     cell_role role = cell_role::watching;
     bool stop_planned = false;
@@ -120,6 +121,8 @@
     bool held = false;      // at the last look
     bool checkpoints_asked = false;
     std::map<worker_id, cell_worker> workers;
+    std::vector<worker_id> awake;      // have something to be told now
+    bool names_changed = false;        // the workers listed may not all be in the row
     std::set<worker_id> workers_named; // in the row as it stands in the table
     std::map<job_id, job_record> jobs;
     std::set<job_id> unwritten; // their rows are behind
@@ -140,7 +143,8 @@
     std::vector<recorded_end> ends;               // their jobs' rows are still to be written
     bool place_wanted = false;
     bool urgent_commit = false;
-    instant next_place{};
+    bool place_urgent = false;
+    instant placed_at{};
     instant next_idle_place{};
     instant next_checkpoint_record{};
     instant next_prune{};
--- a/src/cell_takeover.cpp
+++ b/src/cell_takeover.cpp
@@ -167,6 +167,10 @@
     s.next_jobs_read = s.now;
     s.next_inbox_read = s.now;
     s.next_checkpoint_record = s.now + config::checkpoint_record_interval;
+    s.names_changed = true;
+    for (const auto& [id, worker] : s.workers) {
+        wake_worker(s, id);
+    }
     ++s.stats.takeovers;
     if (s.stop_planned) {
         s.role = cell_role::handing_over;
--- a/src/cell_workers.cpp
+++ b/src/cell_workers.cpp
@@ -1,6 +1,7 @@
 // Exchanges with workers: one call each lease_renew_interval carries the fence, renewals and commands. What is to be
 // said is worked out anew from the ledger each time, so a lost exchange needs no bookkeeping of its own.
 #include <algorithm>
+#include <utility>
 
 #include "cell_state_p.h"
 
@@ -126,6 +127,14 @@
     s.out->emplace_back(send_worker{std::move(request)});
 }
 
+void exchange_if_due(cell_state& s, const worker_id& id, cell_worker& worker)
+{
+    const bool free = !worker.waiting || overdue(s, worker);
+    if (free && s.now >= worker.next_exchange && worker.listing.address.valid()) {
+        exchange(s, id, worker);
+    }
+}
+
 void unlist(cell_state& s)
 {
     for (auto& [id, worker] : s.workers) {
@@ -172,6 +181,7 @@
 void on_workers_listed(cell_state& s, const cell_workers_listed& event)
 {
     unlist(s);
+    s.names_changed = true;
     for (const listed_worker& listing : event.workers) {
         cell_worker& worker = s.workers[listing.worker];
         worker.listing = listing;
@@ -196,18 +206,27 @@
     const auto found = s.workers.find(worker);
     if (found != s.workers.end()) {
         found->second.next_exchange = s.now;
+        s.awake.push_back(worker);
     }
 }
 
+// All workers are looked through on ticks only; between them, those that an event has given something to be told.
 void exchange_due(cell_state& s)
 {
+    const std::vector<worker_id> awake = std::exchange(s.awake, {});
     if (!may_exchange(s)) {
         return;
     }
-    for (auto& [id, worker] : s.workers) {
-        const bool free = !worker.waiting || overdue(s, worker);
-        if (free && s.now >= worker.next_exchange && worker.listing.address.valid()) {
-            exchange(s, id, worker);
+    if (s.ticking) {
+        for (auto& [id, worker] : s.workers) {
+            exchange_if_due(s, id, worker);
+        }
+        return;
+    }
+    for (const worker_id& id : awake) {
+        const auto found = s.workers.find(id);
+        if (found != s.workers.end()) {
+            exchange_if_due(s, id, found->second);
         }
     }
 }
@@ -230,6 +249,7 @@
         return;
     }
     worker.waiting = false;
+    s.awake.push_back(event.worker);
     worker.boot = event.report.boot;
     worker.reading = event.report.now;
     worker.read_at = s.now;
@@ -261,7 +281,7 @@
 
 void drop_lapsed(cell_state& s)
 {
-    if (!owns(s)) {
+    if (!owns(s) || !s.ticking) {
         return;
     }
     const duration lapse = certainly(s, s.settings.lease_length);
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -41,6 +41,21 @@
     return wire::task_phase_row::queued;
 }
 
+void extend_spans(std::vector<wire::task_span_row>& spans, std::int32_t index, wire::task_phase_row::type phase)
+{
+    const bool joins =
+        !spans.empty() && spans.back().phase == phase && spans.back().first + spans.back().count == index;
+    if (joins) {
+        ++spans.back().count;
+        return;
+    }
+    wire::task_span_row span;
+    span.__set_first(index);
+    span.__set_count(1);
+    span.__set_phase(phase);
+    spans.push_back(std::move(span));
+}
+
 } // namespace
 
 job_record::job_record(const wire::job_row& row, instant now)
@@ -54,12 +69,11 @@
       queued_since_(now)
 {
     counts_[static_cast<std::size_t>(task_phase::queued)] = static_cast<std::int32_t>(phases_.size());
-    for (const wire::task_row& task : row.tasks) {
+    for (const wire::task_row& task : expand_tasks(row)) {
         if (has(task.index)) {
             load_task(task, now);
         }
     }
-    revision_ = 0;
 }
 
 void job_record::load_task(const wire::task_row& row, instant now)
@@ -69,7 +83,6 @@
         last_reason_ = row.last_reason;
     }
     if (row.phase == wire::task_phase_row::finished) {
-        finished_by_.insert_or_assign(row.index, attempt_number(row.attempt));
         return;
     }
     const bool fresh = row.attempts_failed == 0 && row.attempt == 0 && row.checkpoint.empty();
@@ -96,36 +109,46 @@
     row.__set_cancelling(cancelling_);
     row.__set_accepted_ms(accepted_ms_);
     row.__set_ended_ms(ended_ms_);
-    auto past = past_.begin();
     for (std::size_t at = 0; at < phases_.size(); ++at) {
         const auto index = first_task_ + static_cast<std::int32_t>(at);
-        const bool has_past = past != past_.end() && past->first == index;
-        const auto phase = format_phase(phases_[at]);
-        if (!has_past && phase == wire::task_phase_row::queued) {
-            continue;
-        }
-        wire::task_row task;
-        task.__set_index(index);
-        task.__set_phase(phase);
-        if (has_past) {
-            task.__set_attempts_failed(past->second.attempts_failed);
-            task.__set_attempt(past->second.recorded.value());
-            task.__set_last_reason(past->second.last_reason);
-            if (phase == wire::task_phase_row::queued || phase == wire::task_phase_row::parked) {
-                task.__set_checkpoint(past->second.checkpoint);
-                task.__set_checkpoint_progress(past->second.checkpoint_progress);
-            }
-            ++past;
-        }
         const auto finished = finished_by_.find(index);
+        const auto past = past_.find(index);
         if (finished != finished_by_.end()) {
-            task.__set_attempt(finished->second.value());
+            wire::task_row task;
+            task.__set_index(index);
+            task.__set_phase(wire::task_phase_row::finished);
+            task.__set_attempt(finished->second.attempt.value());
+            row.tasks.push_back(std::move(task));
+        }
+        else if (past != past_.end()) {
+            row.tasks.push_back(describe_past(index, phases_[at], past->second));
+        }
+        else if (format_phase(phases_[at]) != wire::task_phase_row::queued) {
+            extend_spans(row.spans, index, format_phase(phases_[at]));
         }
-        row.tasks.push_back(std::move(task));
     }
     return row;
 }
 
+wire::task_row job_record::describe_past(std::int32_t index, task_phase phase, const task_past& past) const
+{
+    wire::task_row task;
+    task.__set_index(index);
+    task.__set_phase(format_phase(phase));
+    task.__set_attempt(past.recorded.value());
+    if (past.attempts_failed > 0) {
+        task.__set_attempts_failed(past.attempts_failed);
+    }
+    if (!past.last_reason.empty()) {
+        task.__set_last_reason(past.last_reason);
+    }
+    if (!past.checkpoint.empty() && phase != task_phase::cancelled) {
+        task.__set_checkpoint(past.checkpoint);
+        task.__set_checkpoint_progress(past.checkpoint_progress);
+    }
+    return task;
+}
+
 bool job_record::has(std::int32_t index) const
 {
     return index >= first_task_ && slot(index) < phases_.size();
@@ -213,6 +236,13 @@
     checkpoint_unwritten_ = true;
 }
 
+// Once written, a finish needs no more than its phase: rows stay small while a job of many tasks runs.
+void job_record::mark_written(std::uint64_t revision)
+{
+    written_ = revision;
+    absl::erase_if(finished_by_, [&](const auto& finished) { return finished.second.revision <= revision; });
+}
+
 void job_record::write_checkpoints()
 {
     if (checkpoint_unwritten_) {
@@ -225,9 +255,9 @@
 {
     past_.erase(index);
     runs_.erase(index);
-    finished_by_.insert_or_assign(index, attempt);
     move(index, task_phase::finished);
     changed();
+    finished_by_.insert_or_assign(index, finish_record{attempt, revision_});
 }
 
 std::int32_t job_record::fail(std::int32_t index, const std::string& reason, instant now)
--- a/src/job_record_p.h
+++ b/src/job_record_p.h
@@ -17,6 +17,9 @@
 wire::job_spec_row format_job_spec(const job_spec& spec);
 job_spec parse_job_spec(const wire::job_spec_row& row);
 
+// Every task that the row tells of, those in its spans included, in the order of their indexes.
+std::vector<wire::task_row> expand_tasks(const wire::job_row& row);
+
 namespace detail {
 
 // bound: one attempt may be running, and only that one.
@@ -47,6 +50,11 @@
     bool reported = false;   // the worker's inventory has shown it
 };
 
+struct finish_record {
+    attempt_number attempt;
+    std::uint64_t revision = 0; // of the job when it finished
+};
+
 class job_record {
 public:
     // A job as its row tells it; every task that has not ended is queued, at `now`.
@@ -104,7 +112,7 @@
     // Raised by every change that the row must tell; the row is behind while written() is lower.
     std::uint64_t revision() const { return revision_; }
     std::uint64_t written() const { return written_; }
-    void mark_written(std::uint64_t revision) { written_ = revision; }
+    void mark_written(std::uint64_t revision);
     bool dirty() const { return written_ < revision_; }
     // A newer checkpoint than the row's is known; worth a write only now and then.
     bool checkpoint_unwritten() const { return checkpoint_unwritten_; }
@@ -116,6 +124,7 @@
     void release(std::int32_t index, task_phase to, instant now);
     void changed() { ++revision_; }
     void load_task(const wire::task_row& row, instant now);
+    wire::task_row describe_past(std::int32_t index, task_phase phase, const task_past& past) const;
 
     job_id id_;
     job_spec spec_;
@@ -129,7 +138,7 @@
     std::size_t queued_from_ = 0; // no queued task stands before it
     absl::btree_map<std::int32_t, task_run> runs_;
     absl::btree_map<std::int32_t, task_past> past_;
-    absl::btree_map<std::int32_t, attempt_number> finished_by_;
+    absl::btree_map<std::int32_t, finish_record> finished_by_; // until a write of the row has told them
     instant queued_since_{};
     std::string last_reason_;
     std::uint64_t revision_ = 0;
--- a/src/job_row.cpp
+++ b/src/job_row.cpp
@@ -1,5 +1,8 @@
 #include "job_record_p.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace skylarkhub {
 
 wire::job_spec_row format_job_spec(const job_spec& spec)
@@ -47,4 +50,19 @@
     return spec;
 }
 
+std::vector<wire::task_row> expand_tasks(const wire::job_row& row)
+{
+    std::vector<wire::task_row> tasks = row.tasks;
+    for (const wire::task_span_row& span : row.spans) {
+        for (std::int32_t i = 0; i < span.count && i < row.task_total; ++i) {
+            wire::task_row task;
+            task.__set_index(span.first + i);
+            task.__set_phase(span.phase);
+            tasks.push_back(std::move(task));
+        }
+    }
+    std::sort(tasks.begin(), tasks.end(), [](const auto& a, const auto& b) { return a.index < b.index; });
+    return tasks;
+}
+
 } // namespace skylarkhub
--- a/tests/support_world_carry.cpp
+++ b/tests/support_world_carry.cpp
@@ -35,7 +35,7 @@
     std::map<std::int32_t, wire::task_row> tasks;
     const auto row = value ? decode_row<wire::job_row>(*value) : std::nullopt;
     if (row) {
-        for (const wire::task_row& task : row->tasks) {
+        for (const wire::task_row& task : expand_tasks(*row)) {
             tasks[task.index] = task;
         }
     }
@@ -402,7 +402,7 @@
     }
     const auto was = read_tasks(before == nullptr ? std::nullopt : before->value);
     const auto row = decode_row<wire::job_row>(*written);
-    for (const wire::task_row& task : row->tasks) {
+    for (const wire::task_row& task : expand_tasks(*row)) {
         const auto old = was.find(task.index);
         const auto phase = old == was.end() ? wire::task_phase_row::queued : old->second.phase;
         if (task.phase == phase) {
--- a/tests/test_cell.cpp
+++ b/tests/test_cell.cpp
@@ -62,6 +62,7 @@
     const wire::job_row written = d.job_written("j");
     BOOST_REQUIRE_EQUAL(written.tasks.size(), 1U);
     BOOST_TEST(written.tasks[0].phase == wire::task_phase_row::finished);
+    BOOST_TEST(written.tasks[0].attempt == w.told<task_start>()[0].attempt.value());
     BOOST_TEST(written.ended_ms > 0);
 }
 
