--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -90,6 +90,10 @@
   8: i64 run_count = 0
   9: i64 missed_count = 0
   10: bool stopped = false
+  12: string open_job       // job of the last due time that was run; the next waits until it has ended
+  13: list<string> open_cells
+  14: string open_operation // of the accept that made it
+  15: i64 last_run_ms = 0   // due time of that job
 }
 
 // One settings subtree. The version row lists the version of every subtree, so one read tells what moved.
@@ -115,7 +119,7 @@
   4: string owner           // incarnation of the entry that dispatches it
   5: claim_state_row state = claim_state_row.claimed
   6: i32 status = 0
-  7: string body            // the whole answer, for the caller's own retries
+  7: optional string body   // the whole answer, for the caller's own retries; absent when too large to keep
   8: string fingerprint
   9: i64 claimed_ms = 0
 }
--- /dev/null
+++ b/src/daemon_app.cpp
@@ -0,0 +1,201 @@
+#include "daemon_app_p.h"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <map>
+
+#include "daemon_clock_p.h"
+#include "log_line_p.h"
+
+namespace skylarkhub {
+
+namespace {
+
+constexpr int pool_threads = 4;
+constexpr duration balancer_notice = std::chrono::seconds(1); // between turning unready and refusing requests
+constexpr duration drain_most = std::chrono::seconds(30);
+constexpr duration hand_over_most = std::chrono::seconds(10);
+constexpr duration stop_poll = std::chrono::milliseconds(20);
+
+incarnation_id make_incarnation(const entry_settings& settings)
+{
+    return incarnation_id(fmt::format("{}@{}-{}", settings.name.str(), wall_ms(read_wall_clock()), getpid()));
+}
+
+// Waits for `done` at most `most`; false when it did not come.
+template <class Done>
+bool wait_until(duration most, Done done)
+{
+    const instant end = read_clock() + most;
+    while (!done()) {
+        if (read_clock() > end) {
+            return false;
+        }
+        std::this_thread::sleep_for(stop_poll);
+    }
+    return true;
+}
+
+} // namespace
+
+daemon_app::daemon_app(const entry_settings& settings)
+    : settings_(settings), self_(make_incarnation(settings)), pool_(pool_threads),
+      platform_(control_http_,
+                {.address = settings.platform_address,
+                 .writes_per_second = settings.table_writes_per_second,
+                 .reads_per_second = settings.table_reads_per_second}),
+      started_(read_wall_clock())
+{
+    settings_keeper_ = std::make_shared<settings_keeper>(
+        platform_, [this](const wire::settings_push& push) { settings_changed(push); });
+}
+
+std::unique_ptr<daemon_app> daemon_app::start(const entry_settings& settings, std::string* last_reason)
+{
+    auto app = std::unique_ptr<daemon_app>(new daemon_app(settings));
+    if (!app->listen(last_reason)) {
+        return nullptr;
+    }
+    app->begin();
+    return app;
+}
+
+bool daemon_app::listen(std::string* last_reason)
+{
+    cells_ = std::make_unique<cell_registry>(settings_.data_centre, self_, cell_settings_now(), make_cell_edges());
+    claims_ = std::make_unique<claim_store>(platform_, self_, [this](const incarnation_id& incarnation) {
+        const auto found = members_->find(incarnation);
+        return found && found->state != member_state::dead;
+    });
+    router_ = std::make_unique<request_router>(settings_.data_centre, self_, make_request_edges());
+    standing_ = std::make_shared<standing_runner>(self_, make_standing_edges());
+    jobs_ = std::make_unique<job_api>(make_job_edges());
+    api_ = std::make_unique<api_router>(make_routes());
+
+    // Handlers reach members_ only after begin(): until then both servers answer that the entry is starting.
+    peer_server_ = peer_server::start({.address = settings_.peer_address}, make_peer_handlers(), last_reason);
+    if (!peer_server_) {
+        return false;
+    }
+    http_server::options options;
+    options.address = settings_.http_address;
+    options.threads = static_cast<unsigned>(settings_.http_threads);
+    options.body_bytes_most = config::body_bytes_most;
+    http_server_ = http_server::start(
+        options,
+        [this](http_request request, http_reply reply) {
+            if (!listed_.load() && request.path.starts_with("/v1/")) {
+                reply(make_error(503, "starting", "", "this entry has not read the platform's list yet"));
+                return;
+            }
+            api_->serve(std::move(request), std::move(reply));
+        },
+        last_reason);
+    return http_server_ != nullptr;
+}
+
+void daemon_app::begin()
+{
+    member self;
+    self.incarnation = self_;
+    self.entry = settings_.name;
+    self.data_centre = settings_.data_centre;
+    self.peer_address = peer_server_->address();
+    self.http_address = http_server_->address();
+    const auto seed = static_cast<std::uint64_t>(started_.time_since_epoch().count());
+    members_ = std::make_unique<member_host>(self, peers_, seed, [this](const member& changed) {
+        write_log(log_level::info, "member", "changed",
+                  {{"incarnation", changed.incarnation.str()},
+                   {"state", std::to_string(static_cast<int>(changed.state))}});
+    });
+    ticker_ = std::thread([this] { run_ticker(); });
+}
+
+daemon_app::~daemon_app()
+{
+    stopping_.store(true);
+    if (ticker_.joinable()) {
+        ticker_.join();
+    }
+    if (peer_server_) {
+        peer_server_->stop();
+    }
+    http_server_.reset();
+    pool_.stop();
+}
+
+net_address daemon_app::http_address() const { return http_server_->address(); }
+net_address daemon_app::peer_address() const { return peer_server_->address(); }
+
+void daemon_app::stop()
+{
+    write_log(log_level::info, "entry", "stop_planned");
+    leaving_.store(true);
+    ready_.store(false);
+    register_self(true);
+    members_->plan_stop();
+    std::this_thread::sleep_for(balancer_notice);
+
+    router_->plan_stop();
+    cells_->plan_stop();
+    const bool drained = wait_until(drain_most, [this] { return router_->drained() && http_server_->in_flight() == 0; });
+    const bool handed = wait_until(hand_over_most, [this] { return cells_->handed_over(); });
+    write_log(drained && handed ? log_level::info : log_level::warning, "entry", "stopped",
+              {{"drained", drained ? "yes" : "no"}, {"handed_over", handed ? "yes" : "no"}});
+    platform_.unregister_instance(self_.str(), [](bool) {});
+    std::this_thread::sleep_for(stop_poll);
+}
+
+service_rules daemon_app::rules_of(const service_id& service) const
+{
+    const auto slash = service.str().find('/');
+    const team_id team(service.str().substr(0, slash));
+    const settings_tree tree = settings_keeper_->tree();
+    service_rules rules;
+    // A service that the settings do not know is treated as the strictest kind: sent once, in one place.
+    rules.kind.idempotent = false;
+    rules.kind.exclusive = true;
+    const auto found = tree.find_service(team, settings_.data_centre, service.str().substr(slash + 1));
+    if (found) {
+        rules.kind = tree.find_kind(team, settings_.data_centre, found->kind).value_or(rules.kind);
+    }
+    const request_settings limits = tree.limits(team, settings_.data_centre);
+    rules.gate = {limits.queue_length, limits.body_bytes, limits.retry_share, limits.hedge_share};
+    return rules;
+}
+
+cell_settings daemon_app::cell_settings_now() const
+{
+    cell_settings out;
+    out.kinds = settings_keeper_->tree().kinds(settings_.data_centre);
+    return out;
+}
+
+void daemon_app::settings_changed(const wire::settings_push& push)
+{
+    if (!members_) {
+        return;
+    }
+    members_->set_settings_version(settings_keeper_->version());
+    cells_->change_settings(cell_settings_now());
+    router_->refresh_settings();
+    if (push.subtrees.empty()) {
+        return;
+    }
+    for (const member& peer : members_->peers()) {
+        peers_.push_settings(peer.peer_address, push, config::probe_timeout * 3, [](const auto&) {});
+    }
+}
+
+void daemon_app::record(const request_record& r)
+{
+    static constexpr std::array<service_outcome, 3> outcomes{service_outcome::done, service_outcome::refused,
+                                                             service_outcome::unknown};
+    absl::MutexLock lock(&burn_mutex_);
+    burn_.record(read_clock(), r.service, r.team, outcomes.at(static_cast<std::size_t>(r.outcome)), r.latency,
+                 r.latency_target);
+}
+
+} // namespace skylarkhub
