--- a/src/burn_p.h
+++ b/src/burn_p.h
@@ -18,7 +18,7 @@
 namespace skylarkhub {
 
 // done: the whole answer. refused: did not run. unknown: it may have run.
-enum class request_outcome : std::uint8_t { done, refused, unknown };
+enum class service_outcome : std::uint8_t { done, refused, unknown };
 
 // Requests of one window. `late` ones are among the done ones.
 struct burn_counts {
@@ -115,7 +115,7 @@
     burn_recorder& operator=(burn_recorder&&) noexcept;
 
     // One request that ended at `now`. `latency` is from arrival to the whole answer; `target` 0: no latency target.
-    void record(instant now, const service_id& service, const team_id& team, request_outcome outcome, duration latency,
+    void record(instant now, const service_id& service, const team_id& team, service_outcome outcome, duration latency,
                 duration target);
 
     void add_batch(const team_id& team, const batch_counts& more);
--- a/src/burn_record.cpp
+++ b/src/burn_record.cpp
@@ -92,17 +92,17 @@
     }
 };
 
-void count_into(slot& s, request_outcome outcome, bool late)
+void count_into(slot& s, service_outcome outcome, bool late)
 {
     switch (outcome) {
-    case request_outcome::done:
+    case service_outcome::done:
         ++s.done;
         s.late += late ? 1 : 0;
         return;
-    case request_outcome::refused:
+    case service_outcome::refused:
         ++s.refused;
         return;
-    case request_outcome::unknown:
+    case service_outcome::unknown:
         ++s.unknown;
         return;
     }
@@ -194,7 +194,7 @@
 burn_recorder::burn_recorder(burn_recorder&&) noexcept = default;
 burn_recorder& burn_recorder::operator=(burn_recorder&&) noexcept = default;
 
-void burn_recorder::record(instant now, const service_id& service, const team_id& team, request_outcome outcome,
+void burn_recorder::record(instant now, const service_id& service, const team_id& team, service_outcome outcome,
                            duration latency, duration target)
 {
     std::unique_ptr<service_counts>& counts = state_->services[{service, team}];
@@ -207,7 +207,7 @@
     }
     counts->latency_target = target;
     counts->turn_latency(now);
-    if (outcome == request_outcome::done) {
+    if (outcome == service_outcome::done) {
         counts->latency_now.add(latency);
     }
 }
--- a/src/daemon_app.cpp
+++ b/src/daemon_app.cpp
@@ -25,8 +25,7 @@
 }
 
 // Waits for `done` at most `most`; false when it did not come.
-template <class Done>
-bool wait_until(duration most, Done done)
+template <class Done> bool wait_until(duration most, Done done)
 {
     const instant end = read_clock() + most;
     while (!done()) {
@@ -41,11 +40,12 @@
 } // namespace
 
 daemon_app::daemon_app(const entry_settings& settings)
-    : settings_(settings), self_(make_incarnation(settings)), pool_(pool_threads),
-      platform_(control_http_,
-                {.address = settings.platform_address,
-                 .writes_per_second = settings.table_writes_per_second,
-                 .reads_per_second = settings.table_reads_per_second}),
+    : settings_(settings),
+      self_(make_incarnation(settings)),
+      pool_(pool_threads),
+      platform_(control_http_, {.address = settings.platform_address,
+                                .writes_per_second = settings.table_writes_per_second,
+                                .reads_per_second = settings.table_reads_per_second}),
       started_(read_wall_clock())
 {
     settings_keeper_ = std::make_shared<settings_keeper>(
@@ -106,9 +106,9 @@
     self.http_address = http_server_->address();
     const auto seed = static_cast<std::uint64_t>(started_.time_since_epoch().count());
     members_ = std::make_unique<member_host>(self, peers_, seed, [this](const member& changed) {
-        write_log(log_level::info, "member", "changed",
-                  {{"incarnation", changed.incarnation.str()},
-                   {"state", std::to_string(static_cast<int>(changed.state))}});
+        write_log(
+            log_level::info, "member", "changed",
+            {{"incarnation", changed.incarnation.str()}, {"state", std::to_string(static_cast<int>(changed.state))}});
     });
     ticker_ = std::thread([this] { run_ticker(); });
 }
@@ -126,8 +126,14 @@
     pool_.stop();
 }
 
-net_address daemon_app::http_address() const { return http_server_->address(); }
-net_address daemon_app::peer_address() const { return peer_server_->address(); }
+net_address daemon_app::http_address() const
+{
+    return http_server_->address();
+}
+net_address daemon_app::peer_address() const
+{
+    return peer_server_->address();
+}
 
 void daemon_app::stop()
 {
@@ -140,7 +146,8 @@
 
     router_->plan_stop();
     cells_->plan_stop();
-    const bool drained = wait_until(drain_most, [this] { return router_->drained() && http_server_->in_flight() == 0; });
+    const bool drained =
+        wait_until(drain_most, [this] { return router_->drained() && http_server_->in_flight() == 0; });
     const bool handed = wait_until(hand_over_most, [this] { return cells_->handed_over(); });
     write_log(drained && handed ? log_level::info : log_level::warning, "entry", "stopped",
               {{"drained", drained ? "yes" : "no"}, {"handed_over", handed ? "yes" : "no"}});
--- a/src/daemon_app_p.h
+++ b/src/daemon_app_p.h
@@ -40,7 +40,8 @@
     net_address http_address() const;
     net_address peer_address() const;
 
-    // A planned stop: leaves the balancer, takes nothing new, ends what is in flight, hands its cells over. Returns when done.
+    // A planned stop: leaves the balancer, takes nothing new, ends what is in flight, hands its cells over. Returns
+    // when done.
     void stop();
 
 private:
--- a/src/daemon_jobs.cpp
+++ b/src/daemon_jobs.cpp
@@ -274,25 +274,24 @@
         reply(make_error(400, "missing_field", "team", "is missing"));
         return;
     }
-    edges_.platform.scan(table_traffic::background, job_index_prefix(team),
-                         [reply = std::move(reply)](const table_scan_result& result) {
-                             if (!result.complete) {
-                                 reply(make_error(503, "unavailable", "", "the table cannot be read"));
-                                 return;
-                             }
-                             json jobs = json::array();
-                             for (const table_row& row : result.rows) {
-                                 const auto index =
-                                     row.value ? decode_row<wire::job_index_row>(*row.value) : std::nullopt;
-                                 if (index) {
-                                     jobs.push_back({{"job", index->job},
-                                                     {"team", index->team},
-                                                     {"accepted_ms", index->accepted_ms},
-                                                     {"cells", index->cells}});
-                                 }
-                             }
-                             reply(make_json(200, {{"jobs", jobs}}));
-                         });
+    edges_.platform.scan(
+        table_traffic::background, job_index_prefix(team), [reply = std::move(reply)](const table_scan_result& result) {
+            if (!result.complete) {
+                reply(make_error(503, "unavailable", "", "the table cannot be read"));
+                return;
+            }
+            json jobs = json::array();
+            for (const table_row& row : result.rows) {
+                const auto index = row.value ? decode_row<wire::job_index_row>(*row.value) : std::nullopt;
+                if (index) {
+                    jobs.push_back({{"job", index->job},
+                                    {"team", index->team},
+                                    {"accepted_ms", index->accepted_ms},
+                                    {"cells", index->cells}});
+                }
+            }
+            reply(make_json(200, {{"jobs", jobs}}));
+        });
 }
 
 void job_api::show(const job_id& job, http_reply reply)
@@ -371,18 +370,17 @@
                 reply(did_not_run(404, "unknown_job", "job", "no job " + job.str()));
                 return;
             }
-            edges_.platform.commit_settled(
-                table_traffic::work, instruct_cells(*index, operation_id(key), cancel), settle_time,
-                [this, job, index = *index, reply](const table_result& result) {
-                    if (result.outcome != table_outcome::applied) {
-                        reply(answer_failure(result));
-                        return;
-                    }
-                    for (const std::string& cell : index.cells) {
-                        edges_.hint(cell_id(cell));
-                    }
-                    reply(make_json(202, {{"job", job.str()}}));
-                });
+            edges_.platform.commit_settled(table_traffic::work, instruct_cells(*index, operation_id(key), cancel),
+                                           settle_time, [this, job, index = *index, reply](const table_result& result) {
+                                               if (result.outcome != table_outcome::applied) {
+                                                   reply(answer_failure(result));
+                                                   return;
+                                               }
+                                               for (const std::string& cell : index.cells) {
+                                                   edges_.hint(cell_id(cell));
+                                               }
+                                               reply(make_json(202, {{"job", job.str()}}));
+                                           });
         });
 }
 
@@ -485,20 +483,19 @@
             transaction.operation = operation_id("standing/" + key);
             transaction.checks.push_back({row_key, row->version});
             transaction.writes.push_back({row_key, encode_row(make_standing(wanted, before))});
-            edges_.platform.commit_settled(table_traffic::work, std::move(transaction), settle_time,
-                                           [this, reply](const table_result& result) {
-                                               if (result.outcome == table_outcome::applied) {
-                                                   edges_.standing.refresh();
-                                                   reply(make_json(200, {{"standing", "in force"}}));
-                                               }
-                                               else if (result.outcome == table_outcome::conflict) {
-                                                   reply(did_not_run(409, "conflict", "",
-                                                                     "somebody changed it at the same time"));
-                                               }
-                                               else {
-                                                   reply(answer_failure(result));
-                                               }
-                                           });
+            edges_.platform.commit_settled(
+                table_traffic::work, std::move(transaction), settle_time, [this, reply](const table_result& result) {
+                    if (result.outcome == table_outcome::applied) {
+                        edges_.standing.refresh();
+                        reply(make_json(200, {{"standing", "in force"}}));
+                    }
+                    else if (result.outcome == table_outcome::conflict) {
+                        reply(did_not_run(409, "conflict", "", "somebody changed it at the same time"));
+                    }
+                    else {
+                        reply(answer_failure(result));
+                    }
+                });
         });
 }
 
@@ -527,20 +524,19 @@
             transaction.operation = operation_id("standing_stop/" + key);
             transaction.checks.push_back({row_key, row->version});
             transaction.writes.push_back({row_key, encode_row(next)});
-            edges_.platform.commit_settled(table_traffic::work, std::move(transaction), settle_time,
-                                           [this, reply](const table_result& result) {
-                                               if (result.outcome == table_outcome::applied) {
-                                                   edges_.standing.refresh();
-                                                   reply(make_json(200, {{"standing", "stopped"}}));
-                                               }
-                                               else if (result.outcome == table_outcome::conflict) {
-                                                   reply(did_not_run(409, "conflict", "",
-                                                                     "it ran or was changed at the same time"));
-                                               }
-                                               else {
-                                                   reply(answer_failure(result));
-                                               }
-                                           });
+            edges_.platform.commit_settled(
+                table_traffic::work, std::move(transaction), settle_time, [this, reply](const table_result& result) {
+                    if (result.outcome == table_outcome::applied) {
+                        edges_.standing.refresh();
+                        reply(make_json(200, {{"standing", "stopped"}}));
+                    }
+                    else if (result.outcome == table_outcome::conflict) {
+                        reply(did_not_run(409, "conflict", "", "it ran or was changed at the same time"));
+                    }
+                    else {
+                        reply(answer_failure(result));
+                    }
+                });
         });
 }
 
--- a/src/daemon_jobs_p.h
+++ b/src/daemon_jobs_p.h
@@ -1,5 +1,5 @@
-// Operators' calls about work: accept, list, show, cancel and resume jobs, and standing work. Every change is durable in the
-// table before it is answered, and repeating it under the same key changes nothing more.
+// Operators' calls about work: accept, list, show, cancel and resume jobs, and standing work. Every change is durable
+// in the table before it is answered, and repeating it under the same key changes nothing more.
 #pragma once
 
 #include <functional>
--- /dev/null
+++ b/src/daemon_main.cpp
@@ -0,0 +1,126 @@
+// skylarkhubd: one entry. Exit codes: 0 stopped as asked, 1 cannot start, 2 wrong use or settings.
+#include <fmt/format.h>
+#include <pthread.h>
+#include <signal.h>
+
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <sstream>
+
+#include "daemon_app_p.h"
+#include "log_line_p.h"
+
+namespace {
+
+using namespace skylarkhub;
+
+constexpr int exit_cannot_start = 1;
+constexpr int exit_usage = 2;
+
+std::optional<std::string> read_file(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+// Signals are taken by one waiting thread, so that no handler runs in the middle of anything.
+sigset_t block_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+log_level parse_level(const std::string& name)
+{
+    if (name == "debug") {
+        return log_level::debug;
+    }
+    if (name == "warning") {
+        return log_level::warning;
+    }
+    return name == "error" ? log_level::error : log_level::info;
+}
+
+int run(const entry_settings& settings)
+{
+    const sigset_t signals = block_signals();
+    set_log_level(parse_level(settings.log_level));
+    std::string reason;
+    auto app = daemon_app::start(settings, &reason);
+    if (!app) {
+        write_log(log_level::error, "entry", "cannot_start", {{"reason", reason}});
+        return exit_cannot_start;
+    }
+    write_log(log_level::info, "entry", "listening",
+              {{"entry", settings.name.str()},
+               {"data_centre", settings.data_centre.str()},
+               {"http", app->http_address().str()},
+               {"peer", app->peer_address().str()}});
+    fmt::print("listening {} {}\n", app->http_address().str(), app->peer_address().str());
+    std::fflush(stdout);
+    int taken = 0;
+    sigwait(&signals, &taken);
+    app->stop();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("skylarkhubd", "One entry of skylarkhub: request path, control path and settings.");
+    options.add_options()("settings", "settings file (JSON), see docs/SETTINGS.md", cxxopts::value<std::string>())(
+        "check", "check the settings file and exit")("version", "print the version and exit")("help",
+                                                                                              "print this help");
+    options.custom_help("--settings FILE [--check]");
+    try {
+        const auto given = options.parse(argc, argv);
+        if (given.count("help") > 0) {
+            fmt::print("{}\nExit codes: 0 stopped as asked, 1 cannot start, 2 wrong use or settings.\n",
+                       options.help());
+            return 0;
+        }
+        if (given.count("version") > 0) {
+            fmt::print("skylarkhubd {}\n", SKYLARKHUB_VERSION);
+            return 0;
+        }
+        if (given.count("settings") == 0) {
+            fmt::print(stderr, "skylarkhubd: --settings FILE is missing; see --help\n");
+            return exit_usage;
+        }
+        const std::string path = given["settings"].as<std::string>();
+        const auto text = read_file(path);
+        if (!text) {
+            fmt::print(stderr, "skylarkhubd: {} cannot be read\n", path);
+            return exit_usage;
+        }
+        std::vector<settings_problem> problems;
+        const auto settings = parse_entry_settings(*text, problems);
+        if (!settings) {
+            for (const settings_problem& p : problems) {
+                fmt::print(stderr, "skylarkhubd: {}: {}: {}\n", path, p.path, p.reason);
+            }
+            return exit_usage;
+        }
+        if (given.count("check") > 0) {
+            fmt::print("{}: no mistakes\n", path);
+            return 0;
+        }
+        return run(*settings);
+    }
+    catch (const cxxopts::OptionException& error) {
+        fmt::print(stderr, "skylarkhubd: {}; see --help\n", error.what());
+        return exit_usage;
+    }
+}
--- a/src/daemon_members.cpp
+++ b/src/daemon_members.cpp
@@ -133,8 +133,8 @@
                              reached->second = result.answer && result.answer->incarnation == wanted;
                          });
             absl::MutexLock lock(&reached->first);
-            reached->first.Await(absl::Condition(+[](std::optional<bool>* r) { return r->has_value(); },
-                                                 &reached->second));
+            reached->first.Await(absl::Condition(
+                +[](std::optional<bool>* r) { return r->has_value(); }, &reached->second));
             reply.__set_reached(*reached->second);
         }
     }
@@ -145,7 +145,10 @@
     return reply;
 }
 
-void member_host::tick() { decide(member_tick{}); }
+void member_host::tick()
+{
+    decide(member_tick{});
+}
 
 void member_host::see_instances(const std::vector<listed_instance>& instances)
 {
@@ -166,7 +169,10 @@
     decide(event);
 }
 
-void member_host::plan_stop() { decide(member_leaving{}); }
+void member_host::plan_stop()
+{
+    decide(member_leaving{});
+}
 
 void member_host::set_settings_version(settings_version version)
 {
@@ -206,9 +212,7 @@
 {
     std::vector<member> out = members();
     const incarnation_id own = self().incarnation;
-    std::erase_if(out, [&](const member& m) {
-        return m.incarnation == own || m.state == member_state::dead;
-    });
+    std::erase_if(out, [&](const member& m) { return m.incarnation == own || m.state == member_state::dead; });
     return out;
 }
 
--- a/src/daemon_settings.cpp
+++ b/src/daemon_settings.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-// Tries of one change: operators of other subtrees may win the version row again and again, a store that is down may not
-// come back soon; the operator's tool goes on under the same key.
+// Tries of one change: operators of other subtrees may win the version row again and again, a store that is down may
+// not come back soon; the operator's tool goes on under the same key.
 constexpr int change_tries_most = 12;
 
 constexpr std::size_t reads_per_try = 3;
--- a/src/daemon_settings_p.h
+++ b/src/daemon_settings_p.h
@@ -1,4 +1,5 @@
-// Keeps the settings tree of this entry in force: polls one version row, takes pushes from peers, makes operators' changes.
+// Keeps the settings tree of this entry in force: polls one version row, takes pushes from peers, makes operators'
+// changes.
 #pragma once
 
 #include <absl/base/thread_annotations.h>
--- a/src/daemon_standing.cpp
+++ b/src/daemon_standing.cpp
@@ -36,31 +36,29 @@
     if (refreshing_.exchange(true)) {
         return;
     }
-    edges_.platform.scan(table_traffic::background, standing_prefix(),
-                         [self = shared_from_this()](const table_scan_result& result) {
-                             self->refreshing_.store(false);
-                             if (!result.complete) {
-                                 return;
-                             }
-                             std::vector<known_row> rows;
-                             for (const table_row& row : result.rows) {
-                                 const auto standing =
-                                     row.value ? decode_row<wire::standing_row>(*row.value) : std::nullopt;
-                                 if (standing) {
-                                     rows.push_back({*standing, row.version, false});
-                                 }
-                             }
-                             absl::MutexLock lock(&self->mutex_);
-                             self->rows_ = std::move(rows);
-                         });
+    edges_.platform.scan(
+        table_traffic::background, standing_prefix(), [self = shared_from_this()](const table_scan_result& result) {
+            self->refreshing_.store(false);
+            if (!result.complete) {
+                return;
+            }
+            std::vector<known_row> rows;
+            for (const table_row& row : result.rows) {
+                const auto standing = row.value ? decode_row<wire::standing_row>(*row.value) : std::nullopt;
+                if (standing) {
+                    rows.push_back({*standing, row.version, false});
+                }
+            }
+            absl::MutexLock lock(&self->mutex_);
+            self->rows_ = std::move(rows);
+        });
 }
 
 bool standing_runner::ranks_first(const wire::standing_row& row) const
 {
     const auto live = edges_.live();
-    const auto best = std::max_element(live.begin(), live.end(), [&](const auto& a, const auto& b) {
-        return score(a, row) < score(b, row);
-    });
+    const auto best = std::max_element(live.begin(), live.end(),
+                                       [&](const auto& a, const auto& b) { return score(a, row) < score(b, row); });
     return best != live.end() && *best == self_;
 }
 
@@ -108,27 +106,26 @@
         return;
     }
     const cell_id id(row.open_cells[cell]);
-    edges_.platform.read(
-        table_traffic::work, inbox_key(id, operation_id(row.open_operation)),
-        [self = shared_from_this(), row, version, cell, id](const std::optional<table_row>& inbox) {
-            if (!inbox || inbox->value) {
-                self->settle(row);
-                return;
-            }
-            self->edges_.platform.read(table_traffic::work, job_key(id, job_id(row.open_job)),
-                                       [self, row, version, cell](const std::optional<table_row>& job) {
-                                           const auto found = job && job->value
-                                                                  ? decode_row<wire::job_row>(*job->value)
-                                                                  : std::nullopt;
-                                           const bool ended = job && (!job->value || (found && found->ended_ms > 0));
-                                           if (ended) {
-                                               self->check_open(row, version, cell + 1);
-                                           }
-                                           else {
-                                               self->settle(row);
-                                           }
-                                       });
-        });
+    edges_.platform.read(table_traffic::work, inbox_key(id, operation_id(row.open_operation)),
+                         [self = shared_from_this(), row, version, cell, id](const std::optional<table_row>& inbox) {
+                             if (!inbox || inbox->value) {
+                                 self->settle(row);
+                                 return;
+                             }
+                             self->edges_.platform.read(
+                                 table_traffic::work, job_key(id, job_id(row.open_job)),
+                                 [self, row, version, cell](const std::optional<table_row>& job) {
+                                     const auto found =
+                                         job && job->value ? decode_row<wire::job_row>(*job->value) : std::nullopt;
+                                     const bool ended = job && (!job->value || (found && found->ended_ms > 0));
+                                     if (ended) {
+                                         self->check_open(row, version, cell + 1);
+                                     }
+                                     else {
+                                         self->settle(row);
+                                     }
+                                 });
+                         });
 }
 
 void standing_runner::run(const wire::standing_row& row, row_version version)
@@ -136,7 +133,8 @@
     const wall_time now = read_wall_clock();
     const auto step = plan_standing(row, now);
     std::vector<field_error> errors;
-    const std::uint64_t pick = XXH3_64bits(row.name.data(), row.name.size()) + static_cast<std::uint64_t>(row.run_count);
+    const std::uint64_t pick =
+        XXH3_64bits(row.name.data(), row.name.size()) + static_cast<std::uint64_t>(row.run_count);
     std::vector<cell_part> parts;
     if (step) {
         parts = split_job(spec_of_due(row, step->due.front()), edges_.rooms(), pick, &errors);
--- a/src/daemon_standing_p.h
+++ b/src/daemon_standing_p.h
@@ -1,5 +1,5 @@
-// Runs standing work that is due. Any entry may; the one that ranks first for a row acts at once and the others only when it
-// is late, and the transaction on the row lets one of them win.
+// Runs standing work that is due. Any entry may; the one that ranks first for a row acts at once and the others only
+// when it is late, and the transaction on the row lets one of them win.
 #pragma once
 
 #include <absl/base/thread_annotations.h>
--- a/src/daemon_ticker.cpp
+++ b/src/daemon_ticker.cpp
@@ -26,8 +26,8 @@
 
 seen_target from_wire(const wire::target_wire& t)
 {
-    return {target_id(t.target),  data_centre_id(t.data_centre), net_address(t.address), t.slots,
-            t.connections, t.leaving};
+    return {
+        target_id(t.target), data_centre_id(t.data_centre), net_address(t.address), t.slots, t.connections, t.leaving};
 }
 
 } // namespace
--- a/src/daemon_wiring.cpp
+++ b/src/daemon_wiring.cpp
@@ -72,8 +72,13 @@
         absl::MutexLock lock(&burn_mutex_);
         burn_.add_batch(team, more);
     };
-    return {platform_, *cells_,    *settings_keeper_, *standing_, settings_.data_centre,
-            [this](const cell_id& cell) { hint_owner(cell); }, accepted};
+    return {platform_,
+            *cells_,
+            *settings_keeper_,
+            *standing_,
+            settings_.data_centre,
+            [this](const cell_id& cell) { hint_owner(cell); },
+            accepted};
 }
 
 // The owner looks into its inbox now rather than at its next round; nothing depends on the hint arriving.
--- a/src/job_standing.cpp
+++ b/src/job_standing.cpp
@@ -16,7 +16,10 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(t.time_since_epoch()).count();
 }
 
-wall_time from_ms(std::int64_t ms) { return wall_time(std::chrono::milliseconds(ms)); }
+wall_time from_ms(std::int64_t ms)
+{
+    return wall_time(std::chrono::milliseconds(ms));
+}
 
 } // namespace
 
--- a/src/job_standing_p.h
+++ b/src/job_standing_p.h
@@ -1,5 +1,5 @@
-// Standing work: each due time gets at most one run, a run never starts while the one before it is open, and due times that
-// passed unserved are counted. Pure.
+// Standing work: each due time gets at most one run, a run never starts while the one before it is open, and due times
+// that passed unserved are counted. Pure.
 #pragma once
 
 #include <optional>
@@ -21,8 +21,8 @@
 // Due times up to `now`: the newest `catch_up` are run, older ones are missed. Empty when none is due.
 std::optional<standing_step> plan_standing(const wire::standing_row& row, wall_time now);
 
-// The transaction that runs the newest due time of the step: it moves the standing row on and accepts the job at once, so
-// a due time is either run by this one job or not at all. With catch_up above 1 the rest follow at the next looks.
+// The transaction that runs the newest due time of the step: it moves the standing row on and accepts the job at once,
+// so a due time is either run by this one job or not at all. With catch_up above 1 the rest follow at the next looks.
 // `version` is the row's version as read.
 table_transaction run_due(const wire::standing_row& row, row_version version, const standing_step& step,
                           const std::vector<cell_part>& parts, wall_time now);
--- a/tests/test_burn.cpp
+++ b/tests/test_burn.cpp
@@ -18,7 +18,7 @@
     return 0.99;
 }
 
-void record_many(burn_recorder& recorder, instant at, int count, request_outcome outcome, duration latency)
+void record_many(burn_recorder& recorder, instant at, int count, service_outcome outcome, duration latency)
 {
     for (int i = 0; i < count; ++i) {
         recorder.record(at, pages, news, outcome, latency, 100ms);
@@ -31,10 +31,10 @@
 {
     burn_recorder recorder;
     const instant now(10h);
-    record_many(recorder, now, 96, request_outcome::done, 50ms);
-    record_many(recorder, now, 1, request_outcome::done, 150ms);
-    record_many(recorder, now, 1, request_outcome::refused, 1ms);
-    record_many(recorder, now, 2, request_outcome::unknown, 1s);
+    record_many(recorder, now, 96, service_outcome::done, 50ms);
+    record_many(recorder, now, 1, service_outcome::done, 150ms);
+    record_many(recorder, now, 1, service_outcome::refused, 1ms);
+    record_many(recorder, now, 2, service_outcome::unknown, 1s);
     const burn_report report = recorder.report(now, objective);
     BOOST_REQUIRE(report.services.size() == 1U);
     const burn_counts& counts = report.services[0].windows[0];
@@ -51,13 +51,13 @@
 {
     burn_recorder recorder;
     const instant start(10h);
-    record_many(recorder, start, 10000, request_outcome::done, 10ms);
-    record_many(recorder, start + 50min, 100, request_outcome::refused, 1ms);
+    record_many(recorder, start, 10000, service_outcome::done, 10ms);
+    record_many(recorder, start + 50min, 100, service_outcome::refused, 1ms);
     BOOST_TEST(standing_alerts(recorder.report(start + 50min, objective).services[0]).empty());
-    record_many(recorder, start + 51min, 4000, request_outcome::refused, 1ms);
+    record_many(recorder, start + 51min, 4000, service_outcome::refused, 1ms);
     const auto alerts = standing_alerts(recorder.report(start + 51min, objective).services[0]);
     BOOST_TEST((std::find(alerts.begin(), alerts.end(), "fast_burn") != alerts.end()));
-    record_many(recorder, start + 58min, 1000, request_outcome::done, 10ms);
+    record_many(recorder, start + 58min, 1000, service_outcome::done, 10ms);
     const auto later = standing_alerts(recorder.report(start + 58min, objective).services[0]);
     BOOST_TEST((std::find(later.begin(), later.end(), "fast_burn") == later.end()));
 }
@@ -66,7 +66,7 @@
 {
     burn_recorder recorder;
     const instant start(10h);
-    record_many(recorder, start, 10, request_outcome::done, 10ms);
+    record_many(recorder, start, 10, service_outcome::done, 10ms);
     const auto after = recorder.report(start + 7min, objective).services[0];
     BOOST_TEST(after.windows[0].total() == 0);
     BOOST_TEST(after.windows[1].total() == 10);
@@ -88,7 +88,7 @@
         const bool is_fast = i % 10 != 0;
         const double micros = is_fast ? fast(random) : slow(random);
         all.push_back(micros);
-        (is_fast ? one : two).record(now, pages, news, request_outcome::done, duration(std::llround(micros)), 0us);
+        (is_fast ? one : two).record(now, pages, news, service_outcome::done, duration(std::llround(micros)), 0us);
     }
     burn_report merged = one.report(now, objective);
     merge_report(merged, two.report(now, objective));
@@ -108,7 +108,7 @@
     burn_recorder recorder;
     recorder.add_batch(news, {5, 3, 1, 0, 2, 12.5});
     recorder.add_watches(news, {4, 3, 1});
-    record_many(recorder, instant(1h), 3, request_outcome::done, 10ms);
+    record_many(recorder, instant(1h), 3, service_outcome::done, 10ms);
     burn_report report = recorder.report(instant(1h), objective);
     report.sources.push_back({"e1", "a", wall_time(1s), wall_time(2s), false, ""});
     burn_report absent;
