--- a/src/daemon_jobs_p.h
+++ b/src/daemon_jobs_p.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "daemon_api_p.h"
 #include "daemon_cells_p.h"
+#include "daemon_gather_p.h"
 #include "daemon_settings_p.h"
 #include "daemon_standing_p.h"
 #include "platform_client_p.h"
@@ -24,6 +26,7 @@
     data_centre_id own;
     std::function<void(const cell_id&)> hint; // tell the cell's owner that its inbox has something new
     std::function<void(const team_id&)> accepted;
+    std::function<void(const std::string& what, std::function<void(std::vector<gathered_part>)>)> gather;
 };
 
 class job_api {
@@ -32,14 +35,18 @@
 
     std::vector<api_route> routes();
 
+    // Parts of jobs in the cells that this entry owns, for another entry that gathers: "jobs/TEAM" or "job/ID".
+    std::string own_parts(const std::string& what) const;
+
 private:
     void submit(http_request request, http_reply reply);
     void list(const http_request& request, http_reply reply);
     void show(const job_id& job, http_reply reply);
+    void read_parts(const job_id& job, const std::map<std::string, std::int32_t>& running, const http_reply& reply);
     void instruct(const job_id& job, const http_request& request, bool cancel, http_reply reply);
     void put_standing(const team_id& team, const std::string& name, const http_request& request, http_reply reply);
     void stop_standing(const team_id& team, const std::string& name, const http_request& request, http_reply reply);
-    void list_standing(const http_reply& reply) const;
+    void list_standing(const http_request& request, const http_reply& reply) const;
     bool authorise(const team_id& team, const http_request& request, const http_reply& reply) const;
     bool check_kind(const job_spec& spec, const std::string& path, const http_reply& reply) const;
 
--- a/src/daemon_operators.cpp
+++ b/src/daemon_operators.cpp
@@ -1,9 +1,9 @@
 // Operators' calls that are not about work: settings, members, cells, reports, health and metrics.
-#include <absl/synchronization/blocking_counter.h>
 #include <fmt/format.h>
 
 #include <fstream>
 
+#include "daemon_answers_p.h"
 #include "daemon_app_p.h"
 #include "daemon_clock_p.h"
 
@@ -13,17 +13,9 @@
 
 using json = nlohmann::json;
 
-constexpr duration report_timeout = std::chrono::seconds(1);
-constexpr std::string_view bearer = "Bearer ";
 constexpr std::array<std::string_view, 4> member_state_names{"live", "suspect", "leaving", "dead"};
 constexpr std::array<std::string_view, 5> cell_role_names{"watching", "taking", "fencing", "owning", "handing_over"};
 
-std::string read_token(const http_request& request)
-{
-    const std::string_view header = find_field(request.headers, "authorization");
-    return std::string(header.starts_with(bearer) ? header.substr(bearer.size()) : std::string_view());
-}
-
 http_response answer_change(const change_answer& answer)
 {
     return std::visit(
@@ -41,14 +33,14 @@
             [](const change_refused& a) {
                 json list = json::array();
                 for (const settings_problem& p : a.problems) {
-                    list.push_back({{"document", p.document}, {"field", p.path}, {"reason", p.reason}});
+                    list.push_back({{"document", p.document}, {"path", p.path}, {"reason", p.reason}});
                 }
                 const bool any = !a.problems.empty();
-                json body{{"error", "bad_input"},
+                json body{{"error", "bad_settings"},
                           {"field", any ? a.problems.front().path : ""},
                           {"reason", any ? a.problems.front().reason : "refused"}};
-                body["errors"] = list;
-                return make_json(422, body);
+                body["problems"] = list;
+                return make_json(400, body);
             },
             [](const change_unknown& a) {
                 http_response response = make_error(504, "unknown", "", a.reason);
@@ -151,7 +143,7 @@
          [this](const path_parts& p, const http_request&, const http_reply& reply) {
              const auto row = settings_keeper_->tree().row(p[0]);
              reply(row ? make_json(200, format_row(*row))
-                       : make_error(404, "unknown_path", "path", "no settings subtree " + p[0]));
+                       : make_error(404, "not_found", "path", "no settings subtree " + p[0]));
          }},
         {"PUT", "/v1/settings/**", change},
         {"DELETE", "/v1/settings/**", change},
@@ -181,21 +173,21 @@
     const std::string key(find_field(request.headers, "operation-key"));
     const std::string version(find_field(request.query, "version"));
     if (!parsed) {
-        reply(make_error(404, "unknown_path", "path", "must be defaults, data_centre/NAME or team/NAME"));
+        reply(make_error(404, "bad_request", "path", "must be defaults, data_centre/NAME or team/NAME"));
         return;
     }
     if (key.empty()) {
-        reply(make_error(400, "missing_key", "Operation-Key", "is missing"));
+        reply(make_error(400, "bad_request", "Operation-Key", "is missing"));
         return;
     }
     const bool digits = !version.empty() && version.find_first_not_of("0123456789") == std::string::npos;
     if (!digits || version.size() > 18) {
-        reply(make_error(400, "missing_field", "version",
-                         "must be the version the change is based on, 0 for a new path"));
+        reply(
+            make_error(400, "bad_request", "version", "must be the version the change is based on, 0 for a new path"));
         return;
     }
     if (!settings_keeper_->tree().may_change(*parsed, read_token(request))) {
-        reply(make_error(403, "forbidden", "Authorization", "the token may not change " + path));
+        reply(make_error(403, "not_allowed", "Authorization", "the token may not change " + path));
         return;
     }
     settings_change change;
@@ -279,45 +271,31 @@
     return report;
 }
 
-// Asks every peer for its own figures and adds up what comes back in time; whoever does not answer is named as missing.
+// Whoever does not answer in time is named as missing from the report.
 void daemon_app::serve_report(const http_request& request, const http_reply& reply)
 {
-    static_cast<void>(request);
-    struct gathering {
-        absl::Mutex mutex;
-        burn_report report;
-        std::size_t left = 0;
-    };
-    auto all = std::make_shared<gathering>();
-    all->report = own_report();
-    const std::vector<member> peers = members_->peers();
-    all->left = peers.size();
-    if (peers.empty()) {
-        reply(make_json(200, format_report(all->report)));
+    if (find_field(request.query, "scope") == "entry") {
+        reply(make_json(200, format_report(own_report())));
         return;
     }
-    for (const member& peer : peers) {
-        peers_.report(peer.peer_address, "burn", report_timeout,
-                      [all, peer, reply](const peer_result<std::string>& result) {
-                          std::string reason = result.reason;
-                          const auto part = result.answer ? parse_report(*result.answer, &reason) : std::nullopt;
-                          absl::MutexLock lock(&all->mutex);
-                          if (part) {
-                              merge_report(all->report, *part);
-                          }
-                          else {
-                              burn_report::source lost;
-                              lost.entry = peer.entry.str();
-                              lost.data_centre = peer.data_centre.str();
-                              lost.missing = true;
-                              lost.reason = reason;
-                              all->report.sources.push_back(lost);
-                          }
-                          if (--all->left == 0) {
-                              reply(make_json(200, format_report(all->report)));
-                          }
-                      });
-    }
+    gather_parts(peers_, members_->peers(), "burn", [this, reply](const std::vector<gathered_part>& parts) {
+        burn_report report = own_report();
+        for (const gathered_part& part : parts) {
+            std::string reason = part.reason;
+            const auto found = part.text ? parse_report(*part.text, &reason) : std::nullopt;
+            if (found) {
+                merge_report(report, *found);
+                continue;
+            }
+            burn_report::source lost;
+            lost.entry = part.from.entry.str();
+            lost.data_centre = part.from.data_centre.str();
+            lost.missing = true;
+            lost.reason = reason;
+            report.sources.push_back(lost);
+        }
+        reply(make_json(200, format_report(report)));
+    });
 }
 
 std::string daemon_app::format_metrics() const
--- a/src/daemon_wiring.cpp
+++ b/src/daemon_wiring.cpp
@@ -136,10 +136,7 @@
         if (what == "burn") {
             return format_report(own_report()).dump();
         }
-        if (what == "cells") {
-            return list_cells().dump();
-        }
-        return "{}";
+        return jobs_->own_parts(what);
     };
     return handlers;
 }
--- a/src/job_json.cpp
+++ b/src/job_json.cpp
@@ -132,6 +132,7 @@
 {
     const std::size_t before = errors->size();
     job_spec spec;
+    spec.declared = {1000, 1024, 0};
     take_object(object, path, spec_fields, spec, *errors);
     if (object.is_object() && object.contains("declared")) {
         take_object(object["declared"], path.empty() ? "declared" : path + ".declared", resource_fields, spec.declared,
