--- a/src/daemon_app_p.h
+++ b/src/daemon_app_p.h
@@ -4,6 +4,7 @@
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 
+#include <array>
 #include <atomic>
 #include <memory>
 #include <string>
@@ -53,6 +54,7 @@
     peer_handlers make_peer_handlers();
     std::vector<api_route> make_routes();
     std::vector<api_route> make_operator_routes();
+    std::vector<api_route> make_settings_routes();
     cell_edges make_cell_edges();
     request_edges make_request_edges();
     standing_edges make_standing_edges();
@@ -75,6 +77,8 @@
 
     // Operators.
     void serve_settings_change(const std::string& path, const http_request& request, const http_reply& reply);
+    void serve_settings_read(const std::string& path, const http_request& request, const http_reply& reply);
+    nlohmann::json list_settings_status() const;
     void serve_report(const http_request& request, const http_reply& reply);
     nlohmann::json list_entries() const;
     nlohmann::json list_cells() const;
--- a/src/daemon_main.cpp
+++ b/src/daemon_main.cpp
@@ -119,7 +119,7 @@
         }
         return run(*settings);
     }
-    catch (const cxxopts::OptionException& error) {
+    catch (const cxxopts::exceptions::exception& error) {
         fmt::print(stderr, "skylarkhubd: {}; see --help\n", error.what());
         return exit_usage;
     }
--- a/src/daemon_operators.cpp
+++ b/src/daemon_operators.cpp
@@ -14,83 +14,6 @@
 using json = nlohmann::json;
 
 constexpr std::array<std::string_view, 4> member_state_names{"live", "suspect", "leaving", "dead"};
-constexpr std::array<std::string_view, 5> cell_role_names{"watching", "taking", "fencing", "owning", "handing_over"};
-
-http_response answer_change(const change_answer& answer)
-{
-    return std::visit(
-        detail::overloaded{
-            [](const change_done& a) {
-                return make_json(200, {{"version", a.version.value()}});
-            },
-            [](const change_conflict& a) {
-                json body{{"error", "conflict"}, {"field", "version"}, {"reason", "somebody else changed it"}};
-                body["current"] = a.current.value();
-                body["author"] = a.author;
-                body["changed_ms"] = wall_ms(a.changed);
-                return make_json(409, body);
-            },
-            [](const change_refused& a) {
-                json list = json::array();
-                for (const settings_problem& p : a.problems) {
-                    list.push_back({{"document", p.document}, {"path", p.path}, {"reason", p.reason}});
-                }
-                const bool any = !a.problems.empty();
-                json body{{"error", "bad_settings"},
-                          {"field", any ? a.problems.front().path : ""},
-                          {"reason", any ? a.problems.front().reason : "refused"}};
-                body["problems"] = list;
-                return make_json(400, body);
-            },
-            [](const change_unknown& a) {
-                http_response response = make_error(504, "unknown", "", a.reason);
-                response.headers.emplace_back("Outcome", "unknown");
-                return response;
-            },
-            [](const change_unavailable& a) {
-                http_response response = make_error(503, "unavailable", "", a.reason);
-                response.headers.emplace_back("Outcome", "did-not-run");
-                response.headers.emplace_back("Retry-After-Ms", "1000");
-                return response;
-            },
-        },
-        answer);
-}
-
-json format_row(const wire::settings_row& row)
-{
-    json document = json::parse(row.document, nullptr, false);
-    return {{"path", row.path},
-            {"version", row.version},
-            {"author", row.author},
-            {"changed_ms", row.changed_ms},
-            {"removed", row.removed},
-            {"past", row.past},
-            {"document", document.is_discarded() ? json() : document}};
-}
-
-json format_settings(const settings_tree& tree)
-{
-    json list = json::array();
-    for (const auto& [path, version] : tree.versions()) {
-        const auto row = tree.row(path);
-        if (row) {
-            list.push_back(format_row(*row));
-        }
-    }
-    return {{"version", tree.version().value()}, {"subtrees", list}};
-}
-
-json format_effective(const settings_tree& tree, const http_request& request)
-{
-    const team_id team(find_field(request.query, "team"));
-    const data_centre_id centre(find_field(request.query, "data_centre"));
-    json list = json::array();
-    for (const effective_value& v : tree.effective(team, centre)) {
-        list.push_back({{"path", v.path}, {"value", v.value}, {"origin", v.origin}, {"version", v.version.value()}});
-    }
-    return {{"version", tree.version().value()}, {"values", list}};
-}
 
 std::int64_t resident_kib()
 {
@@ -111,9 +34,6 @@
             reply(make(r));
         };
     };
-    const auto change = [this](const path_parts& p, const http_request& r, const http_reply& reply) {
-        serve_settings_change(p[0], r, reply);
-    };
     return {
         {"GET", "/healthz", plain([](const http_request&) {
              return make_json(200, {{"status", "live"}});
@@ -128,25 +48,9 @@
         {"GET", "/v1/entries", plain([this](const http_request&) {
              return make_json(200, {{"entries", list_entries()}});
          })},
-        {"GET", "/v1/settings-status", plain([this](const http_request&) {
-             return make_json(200, {{"entries", list_entries()}});
-         })},
         {"GET", "/v1/cells", plain([this](const http_request&) {
              return make_json(200, {{"cells", list_cells()}});
          })},
-        {"GET", "/v1/settings", plain([this](const http_request& r) {
-             const settings_tree tree = settings_keeper_->tree();
-             const bool effective = find_field(r.query, "effective") == "true";
-             return make_json(200, effective ? format_effective(tree, r) : format_settings(tree));
-         })},
-        {"GET", "/v1/settings/**",
-         [this](const path_parts& p, const http_request&, const http_reply& reply) {
-             const auto row = settings_keeper_->tree().row(p[0]);
-             reply(row ? make_json(200, format_row(*row))
-                       : make_error(404, "not_found", "path", "no settings subtree " + p[0]));
-         }},
-        {"PUT", "/v1/settings/**", change},
-        {"DELETE", "/v1/settings/**", change},
         {"GET", "/v1/report",
          [this](const path_parts&, const http_request& r, const http_reply& reply) { serve_report(r, reply); }},
     };
@@ -161,46 +65,15 @@
     for (api_route& route : jobs_->routes()) {
         routes.push_back(std::move(route));
     }
+    for (api_route& route : make_settings_routes()) {
+        routes.push_back(std::move(route));
+    }
     for (api_route& route : make_operator_routes()) {
         routes.push_back(std::move(route));
     }
     return routes;
 }
 
-void daemon_app::serve_settings_change(const std::string& path, const http_request& request, const http_reply& reply)
-{
-    const auto parsed = parse_settings_path(path);
-    const std::string key(find_field(request.headers, "operation-key"));
-    const std::string version(find_field(request.query, "version"));
-    if (!parsed) {
-        reply(make_error(404, "bad_request", "path", "must be defaults, data_centre/NAME or team/NAME"));
-        return;
-    }
-    if (key.empty()) {
-        reply(make_error(400, "bad_request", "Operation-Key", "is missing"));
-        return;
-    }
-    const bool digits = !version.empty() && version.find_first_not_of("0123456789") == std::string::npos;
-    if (!digits || version.size() > 18) {
-        reply(
-            make_error(400, "bad_request", "version", "must be the version the change is based on, 0 for a new path"));
-        return;
-    }
-    if (!settings_keeper_->tree().may_change(*parsed, read_token(request))) {
-        reply(make_error(403, "not_allowed", "Authorization", "the token may not change " + path));
-        return;
-    }
-    settings_change change;
-    change.operation = operation_id("settings/" + path + "/" + key);
-    change.path = path;
-    change.expected = settings_version(std::stoll(version));
-    change.document = request.body;
-    change.removed = request.method == "DELETE";
-    change.author = std::string(find_field(request.headers, "author"));
-    change.now = read_wall_clock();
-    settings_keeper_->change(change, [reply](const change_answer& answer) { reply(answer_change(answer)); });
-}
-
 json daemon_app::list_entries() const
 {
     json list = json::array();
@@ -221,27 +94,16 @@
 json daemon_app::list_cells() const
 {
     json list = json::array();
-    for (const auto& host : cells_->hosts()) {
-        const cell_stats stats = host->stats();
-        json cell{{"cell", host->id().str()},
-                  {"owner", host->owner().str()},
-                  {"epoch", host->epoch().value()},
-                  {"role", cell_role_names.at(static_cast<std::size_t>(host->role()))}};
-        cell["starts"] = stats.starts;
-        cell["finishes"] = stats.finishes;
-        cell["evictions"] = stats.evictions;
-        cell["resumes"] = stats.resumes;
-        cell["lapses"] = stats.lapses;
-        cell["commits"] = stats.commits;
-        cell["takeovers"] = stats.takeovers;
-        if (host->role() == cell_role::owning) {
-            const wire::cell_summary summary = host->news().summary;
-            cell["queued"] = summary.queued;
-            cell["running"] = summary.running;
-            cell["free"] = {{"cpu_millis", summary.free.cpu_millis},
-                            {"memory_mib", summary.free.memory_mib},
-                            {"accelerators", summary.free.accelerators}};
-        }
+    for (const wire::cell_news& news : cells_->all_news()) {
+        const wire::cell_summary& summary = news.summary;
+        json cell{{"cell", summary.cell}, {"owner", summary.owner}, {"epoch", summary.epoch}};
+        cell["data_centre"] = summary.cell.substr(0, summary.cell.find('.'));
+        cell["queued"] = summary.queued;
+        cell["running"] = summary.running;
+        cell["stamp"] = summary.stamp;
+        cell["free"] = {{"cpu_millis", summary.free.cpu_millis},
+                        {"memory_mib", summary.free.memory_mib},
+                        {"accelerators", summary.free.accelerators}};
         list.push_back(cell);
     }
     return list;
--- a/src/daemon_standing_api.cpp
+++ b/src/daemon_standing_api.cpp
@@ -113,7 +113,8 @@
             transaction.checks.push_back({row_key, row->version});
             transaction.writes.push_back({row_key, encode_row(make_standing(wanted, before))});
             edges_.platform.commit_settled(
-                table_traffic::work, std::move(transaction), settle_time, [this, reply](const table_result& result) {
+                table_traffic::work, std::move(transaction), settle_time,
+                [this, wanted, reply](const table_result& result) {
                     if (result.outcome == table_outcome::applied) {
                         edges_.standing.refresh();
                         reply(make_json(200, {{"team", wanted.spec.team.str()}, {"name", wanted.spec.name}}));
@@ -154,7 +155,8 @@
             transaction.checks.push_back({row_key, row->version});
             transaction.writes.push_back({row_key, encode_row(next)});
             edges_.platform.commit_settled(
-                table_traffic::work, std::move(transaction), settle_time, [this, reply](const table_result& result) {
+                table_traffic::work, std::move(transaction), settle_time,
+                [this, next, reply](const table_result& result) {
                     if (result.outcome == table_outcome::applied) {
                         edges_.standing.refresh();
                         reply(make_json(200, {{"team", next.team}, {"name", next.name}}));
