--- a/src/daemon_settings_api.cpp
+++ b/src/daemon_settings_api.cpp
@@ -18,8 +18,8 @@
 {
     return std::visit(
         detail::overloaded{
-            [](const change_done& a) {
-                return make_json(200, {{"version", a.version.value()}});
+            [&](const change_done& a) {
+                return make_json(200, {{"path", path}, {"version", a.version.value()}});
             },
             [](const change_conflict& a) {
                 json body{{"error", "conflict"}, {"field", "version"}, {"reason", "somebody else changed it"}};
