--- a/src/daemon_jobs_p.h
+++ b/src/daemon_jobs_p.h
@@ -44,8 +44,10 @@
     void show(const job_id& job, http_reply reply);
     void read_parts(const job_id& job, const std::map<std::string, std::int32_t>& running, const http_reply& reply);
     void instruct(const job_id& job, const http_request& request, bool cancel, http_reply reply);
-    void put_standing(const team_id& team, const std::string& name, const http_request& request, http_reply reply);
-    void stop_standing(const team_id& team, const std::string& name, const http_request& request, http_reply reply);
+    void put_standing(const team_id& team, const std::string& name, const http_request& request,
+                      const http_reply& reply);
+    void stop_standing(const team_id& team, const std::string& name, const http_request& request,
+                       const http_reply& reply);
     void list_standing(const http_request& request, const http_reply& reply) const;
     bool authorise(const team_id& team, const http_request& request, const http_reply& reply) const;
     bool check_kind(const job_spec& spec, const std::string& path, const http_reply& reply) const;
--- a/src/daemon_standing_api.cpp
+++ b/src/daemon_standing_api.cpp
@@ -83,7 +83,8 @@
 
 } // namespace
 
-void job_api::put_standing(const team_id& team, const std::string& name, const http_request& request, http_reply reply)
+void job_api::put_standing(const team_id& team, const std::string& name, const http_request& request,
+                           const http_reply& reply)
 {
     std::vector<field_error> errors;
     const auto wanted = parse_standing(team, name, request.body, &errors);
@@ -129,7 +130,8 @@
         });
 }
 
-void job_api::stop_standing(const team_id& team, const std::string& name, const http_request& request, http_reply reply)
+void job_api::stop_standing(const team_id& team, const std::string& name, const http_request& request,
+                            const http_reply& reply)
 {
     const std::string key = read_operation_key(request);
     if (key.empty()) {
--- a/src/job_json.cpp
+++ b/src/job_json.cpp
@@ -92,14 +92,15 @@
         errors.push_back({path.empty() ? "body" : path, "must be an object"});
         return;
     }
-    for (const auto& [name, value] : object.items()) {
+    for (const auto& item : object.items()) {
+        const std::string& name = item.key();
         const std::string at = path.empty() ? name : path + "." + name;
         const auto* const found =
             std::find_if(fields.begin(), fields.end(), [&](const auto& f) { return f.name == name; });
         if (found == fields.end()) {
             errors.push_back({at, "is not a known field"});
         }
-        else if (!found->take(value, into)) {
+        else if (!found->take(item.value(), into)) {
             errors.push_back({at, std::string("must be ") + found->wanted});
         }
     }
--- a/src/job_view.cpp
+++ b/src/job_view.cpp
@@ -82,9 +82,9 @@
         const bool whole = item.is_object() && item.contains("row") && item["row"].is_string() &&
                            item.contains("cell") && item["cell"].is_string() && item.contains("running") &&
                            item["running"].is_number_integer();
-        auto row = whole ? decode_row<wire::job_row>(item["row"].get<std::string>()) : std::nullopt;
+        const auto row = whole ? decode_row<wire::job_row>(item["row"].get<std::string>()) : std::nullopt;
         if (row) {
-            parts.push_back({item["cell"].get<std::string>(), std::move(*row), item["running"].get<std::int32_t>()});
+            parts.push_back({item["cell"].get<std::string>(), *row, item["running"].get<std::int32_t>()});
         }
     }
     return parts;
