--- a/src/daemon_jobs.cpp
+++ b/src/daemon_jobs.cpp
@@ -18,7 +18,7 @@
 {
     return {
         {"POST", "/v1/jobs",
-         [this](const path_parts&, http_request r, http_reply reply) { submit(std::move(r), std::move(reply)); }},
+         [this](const path_parts&, const http_request& r, const http_reply& reply) { submit(r, reply); }},
         {"GET", "/v1/jobs",
          [this](const path_parts&, const http_request& r, http_reply reply) { list(r, std::move(reply)); }},
         {"GET", "/v1/jobs/*",
@@ -62,7 +62,7 @@
     return false;
 }
 
-void job_api::submit(http_request request, http_reply reply)
+void job_api::submit(const http_request& request, const http_reply& reply)
 {
     const std::string key = read_operation_key(request);
     if (key.empty()) {
@@ -116,7 +116,7 @@
         });
 }
 
-void job_api::instruct(const job_id& job, const http_request& request, bool cancel, http_reply reply)
+void job_api::instruct(const job_id& job, const http_request& request, bool cancel, const http_reply& reply)
 {
     const std::string key = read_operation_key(request);
     const team_id team = team_of_job(job);
--- a/src/daemon_jobs_p.h
+++ b/src/daemon_jobs_p.h
@@ -39,11 +39,11 @@
     std::string own_parts(const std::string& what) const;
 
 private:
-    void submit(http_request request, http_reply reply);
+    void submit(const http_request& request, const http_reply& reply);
     void list(const http_request& request, http_reply reply);
     void show(const job_id& job, http_reply reply);
     void read_parts(const job_id& job, const std::map<std::string, std::int32_t>& running, const http_reply& reply);
-    void instruct(const job_id& job, const http_request& request, bool cancel, http_reply reply);
+    void instruct(const job_id& job, const http_request& request, bool cancel, const http_reply& reply);
     void put_standing(const team_id& team, const std::string& name, const http_request& request,
                       const http_reply& reply);
     void stop_standing(const team_id& team, const std::string& name, const http_request& request,
--- a/tests/test_ctl.cpp
+++ b/tests/test_ctl.cpp
@@ -355,7 +355,7 @@
 BOOST_AUTO_TEST_CASE(the_page_needs_nothing_else_and_shows_names_as_text)
 {
     burn_recorder recorder;
-    recorder.record(instant(1h), service_id("a/<script>"), team_id("a"), request_outcome::unknown, 1s, 100ms);
+    recorder.record(instant(1h), service_id("a/<script>"), team_id("a"), service_outcome::unknown, 1s, 100ms);
     recorder.add_batch(team_id("a"), {1, 1, 0, 0, 0, 0});
     burn_report report = recorder.report(instant(1h), [](const service_id&) { return 0.99; });
     report.sources.push_back({"e9", "north", {}, {}, true, "no answer"});
