--- a/src/daemon_jobs.cpp
+++ b/src/daemon_jobs.cpp
@@ -24,22 +24,22 @@
         {"GET", "/v1/jobs/*",
          [this](const path_parts& p, const http_request&, http_reply reply) { show(job_id(p[0]), std::move(reply)); }},
         {"DELETE", "/v1/jobs/*",
-         [this](const path_parts& p, const http_request& r, http_reply reply) {
-             instruct(job_id(p[0]), r, true, std::move(reply));
+         [this](const path_parts& p, const http_request& r, const http_reply& reply) {
+             instruct(job_id(p[0]), r, true, reply);
          }},
         {"POST", "/v1/jobs/*/resume",
-         [this](const path_parts& p, const http_request& r, http_reply reply) {
-             instruct(job_id(p[0]), r, false, std::move(reply));
+         [this](const path_parts& p, const http_request& r, const http_reply& reply) {
+             instruct(job_id(p[0]), r, false, reply);
          }},
         {"GET", "/v1/standing",
          [this](const path_parts&, const http_request& r, const http_reply& reply) { list_standing(r, reply); }},
         {"PUT", "/v1/standing/*/*",
-         [this](const path_parts& p, const http_request& r, http_reply reply) {
-             put_standing(team_id(p[0]), p[1], r, std::move(reply));
+         [this](const path_parts& p, const http_request& r, const http_reply& reply) {
+             put_standing(team_id(p[0]), p[1], r, reply);
          }},
         {"DELETE", "/v1/standing/*/*",
-         [this](const path_parts& p, const http_request& r, http_reply reply) {
-             stop_standing(team_id(p[0]), p[1], r, std::move(reply));
+         [this](const path_parts& p, const http_request& r, const http_reply& reply) {
+             stop_standing(team_id(p[0]), p[1], r, reply);
          }},
     };
 }
