--- a/bench/bench_burn.cpp
+++ b/bench/bench_burn.cpp
@@ -31,7 +31,7 @@
     std::lognormal_distribution<double> latency(11, 0.6); // median about 60 ms
     for (const service_id& service : services) {
         for (int i = 0; i < requests_per_service; ++i) {
-            recorder.record(instant(1h) + std::chrono::seconds(i), service, team_id("a"), request_outcome::done,
+            recorder.record(instant(1h) + std::chrono::seconds(i), service, team_id("a"), service_outcome::done,
                             duration(std::llround(latency(random))), 100ms);
         }
     }
@@ -52,7 +52,7 @@
     std::size_t next = 0;
     instant now(1h);
     for (auto _ : state) {
-        recorder.record(now, services[next], team, request_outcome::done, 50ms, 100ms);
+        recorder.record(now, services[next], team, service_outcome::done, 50ms, 100ms);
         next = (next + 1) % services.size();
         now += 10us;
     }
