--- /dev/null
+++ b/src/daemon_jobs.cpp
@@ -0,0 +1,156 @@
+#include "daemon_jobs_p.h"
+
+#define XXH_INLINE_ALL
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "daemon_answers_p.h"
+#include "daemon_clock_p.h"
+#include "job_json_p.h"
+#include "row_codec_p.h"
+#include "row_keys_p.h"
+
+namespace skylarkhub {
+
+std::vector<api_route> job_api::routes()
+{
+    return {
+        {"POST", "/v1/jobs",
+         [this](const path_parts&, const http_request& r, const http_reply& reply) { submit(r, reply); }},
+        {"GET", "/v1/jobs",
+         [this](const path_parts&, const http_request& r, http_reply reply) { list(r, std::move(reply)); }},
+        {"GET", "/v1/jobs/*",
+         [this](const path_parts& p, const http_request&, http_reply reply) { show(job_id(p[0]), std::move(reply)); }},
+        {"DELETE", "/v1/jobs/*",
+         [this](const path_parts& p, const http_request& r, const http_reply& reply) {
+             instruct(job_id(p[0]), r, true, reply);
+         }},
+        {"POST", "/v1/jobs/*/resume",
+         [this](const path_parts& p, const http_request& r, const http_reply& reply) {
+             instruct(job_id(p[0]), r, false, reply);
+         }},
+        {"GET", "/v1/standing",
+         [this](const path_parts&, const http_request& r, const http_reply& reply) { list_standing(r, reply); }},
+        {"PUT", "/v1/standing/*/*",
+         [this](const path_parts& p, const http_request& r, const http_reply& reply) {
+             put_standing(team_id(p[0]), p[1], r, reply);
+         }},
+        {"DELETE", "/v1/standing/*/*",
+         [this](const path_parts& p, const http_request& r, const http_reply& reply) {
+             stop_standing(team_id(p[0]), p[1], r, reply);
+         }},
+    };
+}
+
+bool job_api::authorise(const team_id& team, const http_request& request, const http_reply& reply) const
+{
+    if (edges_.settings.tree().may_change({settings::team, team.str()}, read_token(request))) {
+        return true;
+    }
+    reply(answer_not_done(403, "not_allowed", "Authorization", "the token is not one of team " + team.str()));
+    return false;
+}
+
+bool job_api::check_kind(const job_spec& spec, const std::string& path, const http_reply& reply) const
+{
+    if (edges_.settings.tree().find_kind(spec.team, edges_.own, spec.kind)) {
+        return true;
+    }
+    reply(answer_not_done(422, "bad_request", path, "the settings have no kind " + spec.kind.str()));
+    return false;
+}
+
+void job_api::submit(const http_request& request, const http_reply& reply)
+{
+    const std::string key = read_operation_key(request);
+    if (key.empty()) {
+        reply(answer_not_done(400, "bad_request", "Operation-Key", "is missing: without it a repeat would run twice"));
+        return;
+    }
+    std::vector<field_error> errors;
+    const auto spec = parse_job(request.body, &errors);
+    if (!spec) {
+        reply(answer_problems(400, errors));
+        return;
+    }
+    if (!authorise(spec->team, request, reply) || !check_kind(*spec, "kind", reply)) {
+        return;
+    }
+    const auto rooms = edges_.cells.rooms();
+    if (rooms.empty()) {
+        reply(answer_not_done(503, "unavailable", "", "no worker is known yet"));
+        return;
+    }
+    const auto parts = split_job(*spec, rooms, XXH3_64bits(key.data(), key.size()), &errors);
+    if (parts.empty()) {
+        reply(answer_problems(422, errors));
+        return;
+    }
+    const job_id job = derive_job_id(spec->team, operation_id(key));
+    const std::string fingerprint = fingerprint_spec(to_row(*spec));
+    edges_.platform.commit_settled(
+        table_traffic::work, accept_job(job, *spec, parts, read_wall_clock()), settle_time,
+        [this, job, fingerprint, parts, team = spec->team, reply](const table_result& result) {
+            if (result.outcome == table_outcome::applied) {
+                edges_.accepted(team);
+                for (const cell_part& part : parts) {
+                    edges_.hint(part.cell);
+                }
+                reply(make_json(202, {{"job", job.str()}}));
+                return;
+            }
+            if (result.outcome != table_outcome::conflict) {
+                reply(answer_table_failure(result));
+                return;
+            }
+            const auto index = result.rows.empty() || !result.rows.front().value
+                                   ? std::nullopt
+                                   : decode_row<wire::job_index_row>(*result.rows.front().value);
+            if (index && index->fingerprint == fingerprint) {
+                reply(make_json(202, {{"job", job.str()}}));
+                return;
+            }
+            reply(answer_not_done(409, "conflict", "Operation-Key", "was used with another job"));
+        });
+}
+
+void job_api::instruct(const job_id& job, const http_request& request, bool cancel, const http_reply& reply)
+{
+    const std::string key = read_operation_key(request);
+    const team_id team = team_of_job(job);
+    if (key.empty()) {
+        reply(answer_not_done(400, "bad_request", "Operation-Key", "is missing"));
+        return;
+    }
+    if (!authorise(team, request, reply)) {
+        return;
+    }
+    edges_.platform.read(
+        table_traffic::work, job_index_key(team, operation_id(job.str())),
+        [this, job, key, cancel, reply](const std::optional<table_row>& row) {
+            if (!row) {
+                reply(answer_not_done(503, "unavailable", "", "the table cannot be read"));
+                return;
+            }
+            const auto index = row->value ? decode_row<wire::job_index_row>(*row->value) : std::nullopt;
+            if (!index) {
+                reply(answer_not_done(404, "not_found", "job", "no job " + job.str()));
+                return;
+            }
+            edges_.platform.commit_settled(table_traffic::work, instruct_cells(*index, operation_id(key), cancel),
+                                           settle_time, [this, job, index = *index, reply](const table_result& result) {
+                                               if (result.outcome != table_outcome::applied) {
+                                                   reply(answer_table_failure(result));
+                                                   return;
+                                               }
+                                               for (const std::string& cell : index.cells) {
+                                                   edges_.hint(cell_id(cell));
+                                               }
+                                               reply(make_json(202, {{"job", job.str()}}));
+                                           });
+        });
+}
+
+} // namespace skylarkhub
