cell: running batch work is asked for checkpoints, in turn

Cause: checkpoints were ordered only by a drain and by a hold about to end, and a worker writes one only when told to. A task whose worker died began afresh, however far it had come (test_processes, killed worker: no checkpoint within 60 s). Ruled out: one order per task and interval, whose writes grow with the tasks: 100,000 tasks each half minute are 3,300 writes a second, and the platform takes several hundred. Chosen: one order per cell each 5 s, to the task whose last order is the oldest. Worked out, not measured: at some 700 cells 140 writes a second, and a task's turn every 12 minutes at 150 tasks in a cell. A task has to have run for one turn first, so short ones cost nothing. Conclusion: both tests fail without the order and pass with it.

--- a/src/cell_decide.cpp
+++ b/src/cell_decide.cpp
@@ -43,6 +43,7 @@
     read_due(s);
     place_due(s);
     ask_deputies(s);
+    checkpoint_due(s);
     exchange_due(s);
     commit_due(s);
     finish_stop(s);
--- a/src/cell_ledger_p.h
+++ b/src/cell_ledger_p.h
@@ -24,7 +24,8 @@
     bool seen = false;              // an inventory has shown it
     bool checkpoint_wanted = false; // until a request that orders one was taken in
     sequence_number checkpoint_sent;
-    double checkpoint_seen = 0; // progress of its newest durable checkpoint
+    instant checkpoint_ordered{}; // for its turn; of a task that had none yet, when its turns began
+    double checkpoint_seen = 0;   // progress of its newest durable checkpoint
     std::int32_t throttle_wanted = 100;
     std::int32_t throttle_reported = 100;
     instant stop_at{}; // of a draining one
--- a/src/cell_state_p.h
+++ b/src/cell_state_p.h
@@ -143,6 +143,7 @@
     instant next_place{};
     instant next_idle_place{};
     instant next_checkpoint_record{};
+    instant next_checkpoint_turn{};
     instant next_prune{};
     std::unique_ptr<placement> placer;
     cell_stats stats;
@@ -197,6 +198,7 @@
 void exchange_due(cell_state& s);
 void wake_worker(cell_state& s, const worker_id& worker); // it has something to be told now
 void drop_lapsed(cell_state& s);
+void checkpoint_due(cell_state& s);
 void take_report(cell_state& s, cell_worker& worker, const worker_report& report, sequence_number sequence);
 void take_unread_reports(cell_state& s);
 void release_lapsed(cell_state& s, const worker_id& worker, const ledger_entry& entry);
--- a/src/cell_takeover.cpp
+++ b/src/cell_takeover.cpp
@@ -167,6 +167,7 @@
     s.next_jobs_read = s.now;
     s.next_inbox_read = s.now;
     s.next_checkpoint_record = s.now + config::checkpoint_record_interval;
+    s.next_checkpoint_turn = s.now;
     ++s.stats.takeovers;
     if (s.stop_planned) {
         s.role = cell_role::handing_over;
--- a/tests/test_cell.cpp
+++ b/tests/test_cell.cpp
@@ -1,5 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 #include "support_cell_hand.h"
 
 using namespace skylarkhub;
@@ -131,6 +133,35 @@
     BOOST_TEST(d.inbox_rows.empty());
 }
 
+// A worker dies without a warning. Nobody can ask for a checkpoint then, so each running task must have been asked for
+// one before, in turn, or its work would begin afresh. All at once and all the time would be more writes than the
+// platform takes.
+BOOST_AUTO_TEST_CASE(running_work_is_checkpointed_in_turn)
+{
+    driver d;
+    d.own({"w1"}, {submit(make_job("j", 3))});
+    d.run(40s);
+    const auto orders = d.workers["w1"].told<task_checkpoint>();
+    std::set<std::int32_t> asked;
+    for (const task_checkpoint& order : orders) {
+        asked.insert(order.task.index);
+    }
+    BOOST_TEST(asked.size() == 3U);
+    BOOST_TEST(orders.size() <= 8U);
+    task_report* const task = d.workers["w1"].find({job_id("j"), 0});
+    BOOST_REQUIRE(task != nullptr);
+    task->checkpoint = "checkpoint/j/0/1";
+    task->checkpoint_progress = 0.5;
+    d.run(3s);
+    d.list({"w1", "w2"});
+    d.workers["w1"].silent = true;
+    d.run(30s);
+    const auto starts = d.workers["w2"].told<task_start>();
+    const auto resumed = std::find_if(starts.begin(), starts.end(), [](const auto& s) { return s.task.index == 0; });
+    BOOST_REQUIRE(resumed != starts.end());
+    BOOST_TEST(resumed->resume_from == "checkpoint/j/0/1");
+}
+
 // An eviction asks for a last checkpoint and stops once it is durable; the next attempt resumes there, once, under a
 // higher number, and the eviction counts as no failure.
 BOOST_AUTO_TEST_CASE(work_on_a_leaving_worker_resumes_elsewhere_from_its_checkpoint)
