capacity: page for the size to design for, from measured slopes

Ruled out: ticks of /proc/PID/stat (10 ms steps are too coarse for an idle entry; the scheduler's counts are used), and bytes from the platform's counters alone (they do not see peers and workers; a network namespace's loopback device does). Conclusion: the whole list each second and the cells' news to every peer do not fit at any number of entries.

--- a/scripts/capacity.jq
+++ b/scripts/capacity.jq
@@ -1,13 +1,19 @@
 # Tables of docs/CAPACITY.md. Input: bench/capacity.json. Output: lines "@NAME", each followed by a table in Markdown.
 
-def figure($name): .figures[$name].value // error("no figure \($name)");
-def size($name): .size[$name].value // error("no size \($name)");
-def limit($name): .limits[$name].value // error("no limit \($name)");
+. as $root |
+def figure($name): $root.figures[$name].value // error("no figure \($name)");
+def size($name): $root.size[$name].value // error("no size \($name)");
+def limit($name): $root.limits[$name].value // error("no limit \($name)");
 
-# The run of scripts/measure-entry with these arguments.
+# The mean of the runs of scripts/measure-entry with these arguments.
+def mean($runs; f): [$runs[] | f] | add / length;
 def run($entries; $workers; $rate; $services; $listed):
-  [.runs[] | select(.entries == $entries and .workers == $workers and .rate == $rate and .service_tasks == $services
-                    and .batch_tasks == 0 and .listed == $listed)] | first // error("no run \([$entries, $workers, $rate, $services, $listed])");
+  [$root.runs[] | select(.entries == $entries and .workers == $workers and .rate == $rate and .service_tasks == $services
+                         and .batch_tasks == 0 and .listed == $listed)] as $found
+  | if ($found | length) == 0 then error("no run \([$entries, $workers, $rate, $services, $listed])") else . end
+  | {entries: $entries, cpu_percent_each: mean($found; .cpu_percent_each // 0), rss_kib_each: mean($found; .rss_kib_each),
+     wire_bytes_per_second: mean($found; .wire_bytes_per_second), list_bytes: mean($found; .list_bytes),
+     list_rows: mean($found; .list_rows), table: {reads: mean($found; .table.reads), writes: mean($found; .table.writes)}};
 
 def digits($n): (if . < 0 then "-" else "" end) as $sign | (if . < 0 then -. else . end)
   | (. * pow(10; $n) | round) as $scaled
@@ -27,7 +33,7 @@
   | run(6; 24; 300; 66; 0) as $some_load | run(6; 24; 600; 66; 0) as $load
   | run(6; 6; 0; 0; 0) as $one_cell | run(6; 48; 0; 0; 0) as $eight_cells
   | run(9; 6; 0; 0; 0) as $nine | run(2; 6; 0; 0; 0) as $two
-  | run(0; 6; 0; 0; 0) as $bare | run(0; 48; 0; 0; 0) as $bare_many
+  | (run(0; 48; 0; 0; 0).wire_bytes_per_second / 48) as $registration
   | ($many.list_rows - $few.list_rows) as $rows
   | (($many.list_bytes - $few.list_bytes) / $rows) as $row_bytes
   | (($many.cpu_percent_each - $few.cpu_percent_each) / $rows) as $row_cpu
@@ -39,9 +45,9 @@
   | (($ask + $answer) / 2) as $task_wire
   | {
       base_cpu: $nine.cpu_percent_each, base_rss: $two.rss_kib_each,
-      base_bytes: (($nine.wire_bytes_per_second - $bare.wire_bytes_per_second) / 9 - 6 * $worker_row - 9 * $entry_row),
-      small_site: (($nine.wire_bytes_per_second - $bare.wire_bytes_per_second) / 9),
-      smallest_site: (($two.wire_bytes_per_second - $bare.wire_bytes_per_second) / 2),
+      base_bytes: (($nine.wire_bytes_per_second - 6 * $registration) / 9 - 6 * $worker_row - 9 * $entry_row),
+      small_site: (($nine.wire_bytes_per_second - 6 * $registration) / 9),
+      smallest_site: (($two.wire_bytes_per_second - 6 * $registration) / 2),
       row_bytes: $row_bytes, row_cpu: $row_cpu, entry_row: $entry_row,
       row_rss: (($many.rss_kib_each - $few.rss_kib_each) / $rows),
       owned_cpu: ((($eight_cells.cpu_percent_each - $one_cell.cpu_percent_each) - 42 * $row_cpu) / 7),
@@ -55,7 +61,7 @@
       reads: (($eight_cells.table.reads - $one_cell.table.reads) / 7),
       request_us: (($load.cpu_percent_each - $some_load.cpu_percent_each) / 100 * 6 / 300 * 1e6),
       request_bytes: (($load.wire_bytes_per_second - $some_load.wire_bytes_per_second) / 300),
-      registration: (($bare_many.wire_bytes_per_second - $bare.wire_bytes_per_second) / 42)
+      registration: $registration
     };
 
 # --- what they come to at the size to design for ---
@@ -102,7 +108,7 @@
   (["list polling", "\($z.rows | grouped) rows", "1 read a second", "\($z.list.cpu | digits(1))%", "\($z.list.bytes | kilobytes) KB/s", "\($z.list.rss / 1024 | digits(0)) MiB", "none yet: the whole list each time"] | row),
   (["cells' news", "\(size("targets") | grouped) targets", "\(2 * (size("entries") - 1)) a second", "\($z.news.cpu | digits(1))%", "\($z.news.bytes | kilobytes) KB/s", "in the rows of the list", "cells, one message a peer; all targets in each: none yet"] | row),
   (["cell owner and control exchange", "\($z.owned | digits(0)) workers, \($z.owned * $z.tasks_each | grouped) tasks", "\($z.owned / 2 | digits(0)) exchanges a second", "\($z.exchange.cpu | digits(2))%", "\($z.exchange.bytes | kilobytes) KB/s", "not measured", "cells; no table write for a start; group commit"] | row),
-  (["membership, registration, own share of the table", "\(size("entries")) members", "2 probes a second", "\($z.base.cpu | digits(2))%", "\($z.base.bytes | kilobytes) KB/s", "\($z.base.rss / 1024 | digits(1)) MiB with the process itself", "flat probing: as many probes at 9 entries as at 2"] | row),
+  (["membership, registration, own share of the table", "\(size("entries")) members", "2 probes a second", "\($z.base.cpu | digits(2))%", "\($z.base.bytes | kilobytes) KB/s", "\($z.base.rss / 1024 | digits(1)) MiB with the process itself", "flat probing: as many probes a second whatever the number of members"] | row),
   (["settings", "\(size("teams")) teams", "1 poll a second, \(size("changes_a_day") / 86400 | digits(2)) changes a second", "\(size("changes_a_day") / 86400 * figure("take_change_us_120_teams") / 1e4 | digits(4))%", "\($z.settings.bytes | kilobytes) KB/s", "\($z.settings.rss / 1024 | digits(2)) MiB", "one version row; pushes carry only what moved"] | row),
   (["burn report", "1,000 services", "only when asked", "\(figure("burn_record_ns_1000_services") / 1e4 | digits(3))% at 1,000 requests a second", "none", "\($z.burn.rss / 1024 | digits(1)) MiB", "counts that add up, no central node"] | row),
   (["request path", "the targets above", "the callers' own", "\($s.request_us | digits(0)) µs a request", "\($s.request_bytes | grouped) B a request", "\((run(6; 24; 600; 66; 0).rss_kib_each - run(6; 24; 0; 66; 0).rss_kib_each) / 1024 | digits(1)) MiB at 100 a second", "shares of targets' slots"] | row),
