--- a/src/cell_takeover.cpp
+++ b/src/cell_takeover.cpp
@@ -171,6 +171,7 @@
     for (const auto& [id, worker] : s.workers) {
         wake_worker(s, id);
     }
+    s.next_checkpoint_turn = s.now;
     ++s.stats.takeovers;
     if (s.stop_planned) {
         s.role = cell_role::handing_over;
