--- a/tests/test_platform_settle.cpp
+++ b/tests/test_platform_settle.cpp
@@ -88,7 +88,7 @@
 // The row reads as before, and the next writer is not hindered, whether the row was absent or not.
 BOOST_AUTO_TEST_CASE(a_tombstone_keeps_out_the_delayed_write)
 {
-    for (const auto [existed, single_try] : {std::pair(false, false), {false, true}, {true, false}}) {
+    for (const auto& [existed, single_try] : {std::pair(false, false), {false, true}, {true, false}}) {
         one_entry e;
         const row_version before = existed ? e.put("first", "k", absent) : absent;
         e.faults = {{kind::late_effect, 20s}};
