--- a/src/history_p.h
+++ b/src/history_p.h
@@ -60,9 +60,12 @@
 // --- requests ---
 
 enum class call_outcome : std::uint8_t { done, did_not_run, unknown };
+// "Did not run" speaks of one call. Of calls with the same key it covers those that the same entry had at the same
+// time; of an earlier call elsewhere an entry that cannot read the claims knows nothing, and its caller keeps the key.
 struct call_made {
     std::string request; // unique to this call
-    std::string key;     // the caller's idempotency key, may be empty
+    entry_id entry;
+    std::string key; // the caller's idempotency key, may be empty
     bool idempotent = true;
     bool exclusive = false;
 };
@@ -73,6 +76,7 @@
 };
 struct request_sent { // bytes left for the target
     std::string request;
+    entry_id entry;
     target_id target;
 };
 struct run_began {
--- a/src/member_decide.cpp
+++ b/src/member_decide.cpp
@@ -89,9 +89,7 @@
 }
 
 membership::state::state(member own, member_settings given, std::uint64_t seed)
-    : self(std::move(own)),
-      settings(given),
-      random(std::seed_seq{static_cast<std::uint32_t>(seed), static_cast<std::uint32_t>(seed >> 32U)})
+    : self(std::move(own)), settings(given), random(make_random(seed))
 {}
 
 void membership::state::tick(instant now, std::vector<member_action>& actions)
--- a/src/member_state_p.h
+++ b/src/member_state_p.h
@@ -3,11 +3,11 @@
 
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
-#include <absl/random/random.h>
 
 #include <optional>
 #include <vector>
 
+#include "base_random_p.h"
 #include "member_p.h"
 
 namespace skylarkhub {
@@ -37,7 +37,7 @@
 
     member self;
     member_settings settings;
-    absl::InsecureBitGen random;
+    random_source random;
 
     absl::btree_map<incarnation_id, record> records; // others, dead ones included while remembered
     std::vector<incarnation_id> order;               // those not dead, in the order of probing
--- a/src/request_state_p.h
+++ b/src/request_state_p.h
@@ -4,12 +4,12 @@
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/inlined_vector.h>
-#include <absl/random/random.h>
 
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "base_random_p.h"
 #include "request_gate_p.h"
 #include "request_queue_p.h"
 #include "request_rules_p.h"
@@ -100,7 +100,7 @@
     service_id service;
     gate_settings settings;
     target_table targets;
-    absl::InsecureBitGen random;
+    random_source random;
     send_budget retries;
     send_budget hedges;
     request_queue queue;
--- a/src/route_targets.cpp
+++ b/src/route_targets.cpp
@@ -7,19 +7,9 @@
 
 namespace skylarkhub {
 
-namespace {
-
-absl::InsecureBitGen seeded(std::uint64_t seed)
-{
-    std::seed_seq sequence{static_cast<std::uint32_t>(seed), static_cast<std::uint32_t>(seed >> 32U)};
-    return absl::InsecureBitGen(sequence);
-}
-
-} // namespace
-
 target_table::target_table(data_centre_id own, std::uint64_t seed)
     : own_(std::move(own)),
-      random_(seeded(seed)),
+      random_(make_random(seed)),
       mean_(static_cast<double>(config::service_time_default.count())),
       slow_(config::hedge_quantile)
 {}
--- a/src/route_targets_p.h
+++ b/src/route_targets_p.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
-#include <absl/random/random.h>
 
 #include <array>
 #include <compare>
@@ -12,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "base_random_p.h"
 #include "route_estimate_p.h"
 #include "route_share_p.h"
 #include "route_types_p.h"
@@ -156,7 +156,7 @@
 
     data_centre_id own_;
     entries_seen entries_;
-    absl::InsecureBitGen random_;
+    random_source random_;
     std::vector<target_state> targets_;
     std::vector<std::uint32_t> free_;
     absl::flat_hash_map<target_id, std::uint32_t> by_id_;
--- a/tests/support_world.h
+++ b/tests/support_world.h
@@ -47,7 +47,8 @@
     // --- script ---
     void at(duration since_start, std::function<void()> what);
     void run_for(duration d);
-    // Runs until every accepted job has ended and all is quiet, at most for `limit`. False when the limit came first.
+    // Runs until every accepted job has ended and all is quiet, at most for `limit` after the last fault is
+    // over. False when the limit came first.
     bool run_until_quiet(duration limit);
     void submit(const std::string& key, job_spec spec);
     void cancel(const std::string& key); // once its submission was accepted
