--- a/src/cell_ledger.cpp
+++ b/src/cell_ledger.cpp
@@ -5,6 +5,16 @@
 
 namespace skylarkhub::detail {
 
+namespace {
+
+// The index first: it differs far more often than the job, and costs no comparison of text.
+bool same(const ledger_entry& entry, const task_id& task)
+{
+    return entry.task.index == task.index && entry.task.job == task.job;
+}
+
+} // namespace
+
 resources worker_ledger::committed() const
 {
     resources sum;
@@ -19,7 +29,7 @@
 ledger_entry* worker_ledger::find(const task_id& task, attempt_number attempt)
 {
     const auto found = std::find_if(entries_.begin(), entries_.end(), [&](const ledger_entry& entry) {
-        return entry.attempt == attempt && entry.task == task;
+        return same(entry, task) && entry.attempt == attempt;
     });
     return found == entries_.end() ? nullptr : &*found;
 }
@@ -27,7 +37,7 @@
 ledger_entry* worker_ledger::find_task(const task_id& task)
 {
     const auto found =
-        std::find_if(entries_.begin(), entries_.end(), [&](const ledger_entry& entry) { return entry.task == task; });
+        std::find_if(entries_.begin(), entries_.end(), [&](const ledger_entry& entry) { return same(entry, task); });
     return found == entries_.end() ? nullptr : &*found;
 }
 
--- a/src/cell_ledger_p.h
+++ b/src/cell_ledger_p.h
@@ -21,7 +21,7 @@
     bool persistent = false;
     bool forget = false; // ended and its outcome durable
     bool stop_sent = false;
-    bool seen = false;              // an inventory has shown it
+    sequence_number seen;           // of the newest request whose answer has shown it; 0 while none has
     bool checkpoint_wanted = false; // until a request that orders one was taken in
     sequence_number checkpoint_sent;
     instant checkpoint_ordered{}; // for its turn; of a task that had none yet, when its turns began
--- a/src/cell_placing.cpp
+++ b/src/cell_placing.cpp
@@ -195,7 +195,7 @@
         running += job.count(task_phase::bound);
     }
     const duration paced = std::max(config::place_interval, running * config::place_interval_per_task);
-    return s.placed_at + (s.place_urgent ? config::place_interval : paced);
+    return s.placed_at + (s.place_urgent ? config::place_interval_urgent : paced);
 }
 
 } // namespace
--- a/src/cell_report.cpp
+++ b/src/cell_report.cpp
@@ -190,8 +190,8 @@
     run->progress = task.progress;
     run->used = task.used;
     run->running_since = to_entry_time(s, report, task.started);
-    const bool measured = report.usage_taken >= task.started && task.used != resources{};
-    if (measured) {
+    const bool newly_taken = report.usage_taken > worker.usage_learned && report.usage_taken >= task.started;
+    if (newly_taken && task.used != resources{}) {
         s.placer->learn_usage(to_entry_time(s, report, report.usage_taken), task.task, job->spec(), task.used);
     }
 }
@@ -234,7 +234,6 @@
     entry.committed = held_for(job, task);
     entry.stage = entry_stage::running; // until take_running() finds it unbound
     entry.first_sent = worker.sequence;
-    entry.seen = true;
     entry.throttle_wanted = task.throttle;
     entry.checkpoint_seen = task.checkpoint_progress;
     const bool known = job != nullptr && job->has(task.task.index);
@@ -252,16 +251,13 @@
 
 // Ordered by a request the worker has taken in, yet not in its inventory: it does not run, and never will by that
 // request, because the worker refuses lower sequences.
-void drop_absent(cell_state& s, cell_worker& worker, const worker_report& report, sequence_number sequence)
+void drop_absent(cell_state& s, cell_worker& worker, sequence_number sequence)
 {
     const worker_id& id = worker.listing.worker;
     std::vector<ledger_entry> absent;
     for (const ledger_entry& entry : worker.ledger.entries()) {
         const bool told = entry.first_sent.value() > 0 && entry.first_sent <= sequence;
-        const bool listed = std::any_of(report.tasks.begin(), report.tasks.end(), [&](const task_report& task) {
-            return task.attempt == entry.attempt && task.task == entry.task;
-        });
-        if (told && !listed) {
+        if (told && entry.seen != sequence) {
             absent.push_back(entry);
         }
     }
@@ -274,7 +270,7 @@
         if (!may_run(entry) || !is_bound(job, entry.task, id, entry.attempt)) {
             continue;
         }
-        if (!entry.seen) {
+        if (entry.seen.value() == 0) {
             worker.no_starts_until = s.now + config::refused_pause;
             job->unbind(entry.task.index, s.now);
         }
@@ -353,7 +349,7 @@
         if (entry == nullptr) {
             entry = &adopt(s, worker, task);
         }
-        entry->seen = true;
+        entry->seen = sequence;
         if (entry->checkpoint_sent == sequence) {
             entry->checkpoint_wanted = false;
         }
@@ -364,8 +360,11 @@
             take_end(s, worker.listing.worker, *entry, task);
         }
     }
-    drop_absent(s, worker, report, sequence);
-    learn_interference(s, worker, report);
+    drop_absent(s, worker, sequence);
+    if (report.usage_taken > worker.usage_learned) {
+        learn_interference(s, worker, report);
+    }
+    worker.usage_learned = report.usage_taken;
     tell_soon(s, worker);
 }
 
--- a/src/cell_state_p.h
+++ b/src/cell_state_p.h
@@ -88,6 +88,7 @@
     worker_ledger ledger;
     std::optional<worker_report> unread; // came before the jobs were read
     sequence_number unread_sequence;
+    worker_time usage_learned{}; // measurements up to here have been learned from
 };
 
 struct cell_state {
--- a/src/cell_workers.cpp
+++ b/src/cell_workers.cpp
@@ -250,7 +250,10 @@
     }
     worker.waiting = false;
     s.awake.push_back(event.worker);
-    worker.boot = event.report.boot;
+    if (worker.boot != event.report.boot) {
+        worker.boot = event.report.boot;
+        worker.usage_learned = worker_time{}; // its clock began anew
+    }
     worker.reading = event.report.now;
     worker.read_at = s.now;
     if (!event.report.accepted) {
--- a/src/config.h
+++ b/src/config.h
@@ -24,9 +24,10 @@
 inline constexpr duration commit_patience = 10s; // a commit not answered for this long has an unknown outcome
 inline constexpr duration commit_retry = 250ms;  // after a commit that was refused or is unsettled
 inline constexpr int watch_reads_far = 8;        // renewal intervals between row reads of entries that are no deputies
-inline constexpr std::size_t commit_rows_most = 96; // rows of one transaction
-inline constexpr duration inbox_scan_interval = 2s; // a lost hint costs this much; below the 3.8 s of urgent work
-inline constexpr duration place_interval = 50ms;    // least between two passes of placement
+inline constexpr std::size_t commit_rows_most = 96;     // rows of one transaction
+inline constexpr duration inbox_scan_interval = 2s;     // a lost hint costs this much; below the 3.8 s of urgent work
+inline constexpr duration place_interval_urgent = 50ms; // least between two passes of placement
+inline constexpr duration place_interval = 250ms;       // without urgent work; ends are heard of 1 s late on average
 inline constexpr duration place_interval_per_task =
     50us;                                            // and as much for each task that runs: a pass looks at them all
 inline constexpr std::size_t place_queued_most = 32; // queued tasks of one job in a pass
--- a/tests/support_cell_hand.h
+++ b/tests/support_cell_hand.h
@@ -318,7 +318,7 @@
     {
         inbox_rows.insert(inbox_rows.end(), rows.begin(), rows.end());
         give(cell_inbox_hinted{});
-        run(200ms);
+        run(2 * config::place_interval);
     }
     wire::job_row job_written(const std::string& job) const
     {
