cell, worker: a task's committed size is told apart from its declared one, and can change while it runs

Cause: the learned size was sent as the declared one, so the stand-in took true sizes from what had been learned; and a running task that declared too much kept its room for life, because the worker went on counting it. A start and a renewal carry what the worker's ledger is to hold, the inventory repeats it. The cell counts a greater amount at once and a smaller one when the worker has said that it holds no more. history: task_resized, counted by the capacity check. Ruled out: counting the smaller amount at once (the worker refuses what is placed into the room).

--- a/include/skylarkhub/skylarkhub.h
+++ b/include/skylarkhub/skylarkhub.h
@@ -229,6 +229,7 @@
     attempt_number attempt;
     worker_time lease_until;
     job_spec spec;
+    resources committed;     // what the worker's ledger is to hold for it; all 0: what the spec declares
     std::string resume_from; // object key of a checkpoint, empty to start afresh
     bool persistent = false; // a service keeps its place when its lease is not renewed
 };
@@ -237,6 +238,7 @@
     task_id task;
     attempt_number attempt;
     worker_time lease_until;
+    resources committed; // what its ledger is to hold from now on; all 0: as before. Ignored if there is no room for it
 };
 struct task_checkpoint {
     task_id task;
@@ -281,7 +283,7 @@
     std::string reason;
     net_address address; // of a service task's listener
     resources used;      // measured at worker_report::usage_taken
-    resources declared;  // what its start command declared: what the worker's ledger holds for it
+    resources committed; // what the worker's own ledger holds for it, as its start or a later renewal said
     std::int32_t throttle = 100;
     worker_time started{};
 };
--- a/src/cell_ledger_p.h
+++ b/src/cell_ledger_p.h
@@ -15,7 +15,8 @@
 struct ledger_entry {
     task_id task;
     attempt_number attempt;
-    resources committed;
+    resources committed; // what counts: never less than what its worker holds
+    resources wanted;    // what it is to be, once the worker has said that it holds so
     entry_stage stage = entry_stage::starting;
     sequence_number first_sent; // of the request that first carried its start; 0 while none has
     bool persistent = false;
@@ -26,6 +27,7 @@
     sequence_number checkpoint_sent;
     instant checkpoint_ordered{}; // for its turn; of a task that had none yet, when its turns began
     double checkpoint_seen = 0;   // progress of its newest durable checkpoint
+    resources reported;           // what its worker holds for it, by its newest report
     std::int32_t throttle_wanted = 100;
     std::int32_t throttle_reported = 100;
     instant stop_at{}; // of a draining one
--- a/src/cell_placing.cpp
+++ b/src/cell_placing.cpp
@@ -105,6 +105,7 @@
     entry.task = start.task;
     entry.attempt = job->next_attempt(start.task.index, s.epoch);
     entry.committed = start.committed;
+    entry.wanted = start.committed;
     entry.persistent = job->spec().is_service;
     task_run run;
     run.attempt = entry.attempt;
@@ -137,8 +138,14 @@
     }
 }
 
-// Only upwards: the worker goes on counting what the start declared, and would refuse what is placed into room that a
-// smaller amount seems to free.
+constexpr resources greater(const resources& a, const resources& b)
+{
+    return {std::max(a.cpu_millis, b.cpu_millis), std::max(a.memory_mib, b.memory_mib),
+            std::max(a.accelerators, b.accelerators)};
+}
+
+// A greater amount counts at once. A smaller one counts only when the worker says that it holds no more than that:
+// counted before, a start placed into the room would be refused by the worker, or by its account overcommit it.
 void resize_task(cell_state& s, const place_resize& resize)
 {
     job_record* const job = find_job(s, resize.task.job);
@@ -151,9 +158,13 @@
         return;
     }
     ledger_entry* const entry = worker->second.ledger.find(resize.task, run->attempt);
-    const bool grows = entry != nullptr && may_run(*entry) && fits(entry->committed, resize.committed);
-    if (grows && has_room(worker->second, resize.committed - entry->committed)) {
-        entry->committed = resize.committed;
+    if (entry == nullptr || entry->stage != entry_stage::running || resize.committed == resources{}) {
+        return;
+    }
+    const resources held = greater(entry->committed, resize.committed);
+    if (has_room(worker->second, held - entry->committed)) {
+        entry->committed = held;
+        entry->wanted = resize.committed;
     }
 }
 
--- a/src/cell_report.cpp
+++ b/src/cell_report.cpp
@@ -164,6 +164,10 @@
     }
     entry.throttle_reported = task.throttle;
     entry.address = task.address;
+    entry.reported = task.committed;
+    if (entry.reported == entry.wanted) {
+        entry.committed = entry.wanted;
+    }
 }
 
 void take_running(cell_state& s, cell_worker& worker, const worker_report& report, ledger_entry& entry,
@@ -198,8 +202,8 @@
 
 resources held_for(const job_record* job, const task_report& task)
 {
-    if (task.declared != resources{} || job == nullptr) {
-        return task.declared;
+    if (task.committed != resources{} || job == nullptr) {
+        return task.committed;
     }
     return job->spec().declared;
 }
@@ -232,6 +236,7 @@
     entry.task = task.task;
     entry.attempt = task.attempt;
     entry.committed = held_for(job, task);
+    entry.wanted = entry.committed;
     entry.stage = entry_stage::running; // until take_running() finds it unbound
     entry.first_sent = worker.sequence;
     entry.throttle_wanted = task.throttle;
--- a/src/cell_workers.cpp
+++ b/src/cell_workers.cpp
@@ -34,8 +34,8 @@
     if (job == nullptr) {
         return;
     }
-    task_start start{entry.task, entry.attempt, lease_end(s, worker), job->spec(), "", entry.persistent};
-    start.spec.declared = entry.committed;
+    task_start start{entry.task, entry.attempt,   lease_end(s, worker), job->spec(), entry.committed,
+                     "",         entry.persistent};
     const task_past* const past = job->past(entry.task.index);
     if (past != nullptr) {
         start.resume_from = past->checkpoint;
@@ -48,7 +48,8 @@
 
 void add_running(const cell_state& s, const cell_worker& worker, ledger_entry& entry, worker_request& request)
 {
-    request.commands.emplace_back(task_renew{entry.task, entry.attempt, lease_end(s, worker)});
+    const resources resized = entry.wanted == entry.reported ? resources{} : entry.wanted;
+    request.commands.emplace_back(task_renew{entry.task, entry.attempt, lease_end(s, worker), resized});
     if (entry.checkpoint_wanted) {
         request.commands.emplace_back(task_checkpoint{entry.task, entry.attempt});
         entry.checkpoint_sent = request.sequence;
--- a/src/history_p.h
+++ b/src/history_p.h
@@ -29,6 +29,13 @@
     bool exclusive = false;
     double progress = 0;
 };
+// The worker sets aside another amount for an attempt that runs.
+struct task_resized {
+    worker_id worker;
+    task_id task;
+    attempt_number attempt;
+    resources committed;
+};
 // The attempt no longer runs there, at the true time of its end, whoever knew of it by then. A task that died with its
 // worker counts as lapsed.
 struct task_ended {
@@ -142,9 +149,9 @@
 };
 
 using history_event =
-    std::variant<worker_capacity_told, task_began, task_ended, job_accepted, job_refused, task_recorded, call_made,
-                 call_answered, request_sent, run_began, run_ended, target_leaving, stop_planned, process_died,
-                 request_cut, settings_accepted, settings_in_force, entry_away, entry_back, standing_set,
+    std::variant<worker_capacity_told, task_began, task_resized, task_ended, job_accepted, job_refused, task_recorded,
+                 call_made, call_answered, request_sent, run_began, run_ended, target_leaving, stop_planned,
+                 process_died, request_cut, settings_accepted, settings_in_force, entry_away, entry_back, standing_set,
                  standing_removed, standing_ran, standing_missed>;
 
 struct history_record {
--- a/src/history_work.cpp
+++ b/src/history_work.cpp
@@ -146,22 +146,25 @@
     absl::flat_hash_map<worker_id, resources> capacity;
     absl::flat_hash_map<worker_id, resources> committed;
     std::map<std::pair<worker_id, std::pair<task_id, attempt_number>>, resources> held;
+    const auto hold = [&](wall_time at, const auto& e) {
+        resources& sum = committed[e.worker];
+        resources& own = held[{e.worker, {e.task, e.attempt}}];
+        sum = sum - own + e.committed;
+        own = e.committed;
+        if (!fits(sum, capacity[e.worker])) {
+            const resources& room = capacity[e.worker];
+            found.push_back(
+                {{},
+                 at,
+                 fmt::format("{} on {}: {} of {} processor millis, {} of {} MiB, {} of {} accelerators committed",
+                             name_attempt(e.task, e.attempt), e.worker.str(), sum.cpu_millis, room.cpu_millis,
+                             sum.memory_mib, room.memory_mib, sum.accelerators, room.accelerators)});
+        }
+    };
     each_event(
         h, [&](wall_time, const worker_capacity_told& e) { capacity[e.worker] = e.capacity; },
-        [&](wall_time at, const task_began& e) {
-            resources& sum = committed[e.worker];
-            sum = sum + e.committed;
-            held[{e.worker, {e.task, e.attempt}}] = e.committed;
-            if (!fits(sum, capacity[e.worker])) {
-                const resources& room = capacity[e.worker];
-                found.push_back(
-                    {{},
-                     at,
-                     fmt::format("{} on {}: {} of {} processor millis, {} of {} MiB, {} of {} accelerators committed",
-                                 name_attempt(e.task, e.attempt), e.worker.str(), sum.cpu_millis, room.cpu_millis,
-                                 sum.memory_mib, room.memory_mib, sum.accelerators, room.accelerators)});
-            }
-        },
+        [&](wall_time at, const task_began& e) { hold(at, e); },
+        [&](wall_time at, const task_resized& e) { hold(at, e); },
         [&](wall_time, const task_ended& e) {
             const auto entry = held.find({e.worker, {e.task, e.attempt}});
             if (entry != held.end()) {
--- a/src/worker_message.cpp
+++ b/src/worker_message.cpp
@@ -197,12 +197,16 @@
                               json out = write_head("start", c);
                               out["lease_until"] = write_time(c.lease_until);
                               out["spec"] = write_spec(c);
+                              out["committed"] = write_resources(c.committed);
                               out["resume_from"] = c.resume_from;
                               return out;
                           },
                           [](const task_renew& c) {
                               json out = write_head("renew", c);
                               out["lease_until"] = write_time(c.lease_until);
+                              if (c.committed != resources{}) {
+                                  out["committed"] = write_resources(c.committed);
+                              }
                               return out;
                           },
                           [](const task_checkpoint& c) { return write_head("checkpoint", c); },
@@ -229,6 +233,7 @@
     const json& spec = member_of(object, "spec");
     start.spec = read_spec(spec);
     start.persistent = read_bool(spec, "persistent");
+    start.committed = read_resources(member_of(object, "committed"));
     start.resume_from = read_text(object, "resume_from");
     return start;
 }
@@ -242,7 +247,9 @@
         return read_start(object, task, attempt);
     }
     if (what == "renew") {
-        return task_renew{task, attempt, read_time(object, "lease_until")};
+        const bool resized = object.contains("committed");
+        return task_renew{task, attempt, read_time(object, "lease_until"),
+                          resized ? read_resources(object["committed"]) : resources{}};
     }
     if (what == "checkpoint") {
         return task_checkpoint{task, attempt};
@@ -290,7 +297,7 @@
             {"address", t.address.str()},
             {"cpu_millis", t.used.cpu_millis},
             {"memory_mib", t.used.memory_mib},
-            {"declared", write_resources(t.declared)},
+            {"committed", write_resources(t.committed)},
             {"throttle", t.throttle},
             {"started", write_time(t.started)}};
 }
@@ -309,7 +316,7 @@
     t.address = net_address(read_text(object, "address"));
     t.used.cpu_millis = read_count(object, "cpu_millis");
     t.used.memory_mib = read_count(object, "memory_mib");
-    t.declared = read_resources(member_of(object, "declared"));
+    t.committed = read_resources(member_of(object, "committed"));
     t.throttle = read_percent(object, "throttle");
     t.started = read_time(object, "started");
     return t;
--- a/standin/worker_state.cpp
+++ b/standin/worker_state.cpp
@@ -89,6 +89,7 @@
             }
             else if constexpr (std::is_same_v<command_type, task_renew>) {
                 task->report.lease_until = c.lease_until;
+                resize(*task, c.committed);
             }
             else if constexpr (std::is_same_v<command_type, task_checkpoint>) {
                 checkpoint(*task);
@@ -114,7 +115,7 @@
     if (command.lease_until <= now.clock) {
         return "lease is over";
     }
-    if (!fits(command.spec.declared, settings_.capacity - committed())) {
+    if (!fits(committed_of(command), settings_.capacity - committed())) {
         return "instance is full";
     }
     return {};
@@ -132,7 +133,7 @@
     task.report.attempt = command.attempt;
     task.report.lease_until = command.lease_until;
     task.report.started = now.clock;
-    task.report.declared = command.spec.declared;
+    task.report.committed = committed_of(command);
     task.spec = command.spec;
     task.load = read_load(command.task, command.spec, settings_.size_error, settings_.seed);
     task.persistent = command.persistent;
@@ -403,12 +404,25 @@
     return found != tasks_.end() && found->second.report.attempt == attempt ? &found->second : nullptr;
 }
 
+resources worker_state::committed_of(const task_start& command)
+{
+    return command.committed == resources{} ? command.spec.declared : command.committed;
+}
+
+void worker_state::resize(running_task& task, const resources& wanted)
+{
+    const resources room = settings_.capacity - committed() + task.report.committed;
+    if (wanted != resources{} && fits(wanted, room)) {
+        task.report.committed = wanted;
+    }
+}
+
 resources worker_state::committed() const
 {
     resources sum;
     for (const auto& [id, task] : tasks_) {
         if (is_running(task.report)) {
-            sum = sum + task.spec.declared;
+            sum = sum + task.report.committed;
         }
     }
     return sum;
--- a/standin/worker_state_p.h
+++ b/standin/worker_state_p.h
@@ -152,6 +152,8 @@
 
     running_task* find(const task_id& task, attempt_number attempt);
     resources committed() const;
+    static resources committed_of(const task_start& command);
+    void resize(running_task& task, const resources& wanted);
     double processor_share() const; // what each task gets of what it wants
     double slowdown_of_task(const running_task& task, double share) const;
     static double wanted_share(const running_task& task); // of the processors of its true size
--- a/tests/support_cell_hand.h
+++ b/tests/support_cell_hand.h
@@ -97,7 +97,7 @@
     report.attempt = start.attempt;
     report.state = state;
     report.lease_until = start.lease_until;
-    report.declared = start.spec.declared;
+    report.committed = start.committed;
     return report;
 }
 
@@ -110,6 +110,16 @@
     std::string boot = "b";
     resources capacity{4000, 8000, 0};
     std::vector<worker_request> requests; // that reached it
+    int starts_refused = 0;               // for want of room by its own account
+
+    resources committed() const
+    {
+        resources sum;
+        for (const task_report& task : tasks) {
+            sum = sum + (task.state == task_state::running ? task.committed : resources{});
+        }
+        return sum;
+    }
 
     task_report* find(const task_id& task)
     {
@@ -120,10 +130,18 @@
     void obey(const worker_command& command)
     {
         if (const auto* const start = std::get_if<task_start>(&command)) {
-            if (find(start->task) == nullptr) {
+            const bool fits_in = fits(committed() + start->committed, capacity);
+            starts_refused += fits_in ? 0 : 1;
+            if (fits_in && find(start->task) == nullptr) {
                 tasks.push_back(report_task(*start));
             }
         }
+        if (const auto* const renew = std::get_if<task_renew>(&command)) {
+            task_report* const task = find(renew->task);
+            if (task != nullptr && renew->committed != resources{}) {
+                task->committed = renew->committed;
+            }
+        }
         if (const auto* const stop = std::get_if<task_stop>(&command)) {
             task_report* const task = find(stop->task);
             if (task != nullptr && task->state == task_state::running) {
@@ -291,6 +309,7 @@
         report.now = worker_time(now.time_since_epoch());
         report.capacity = worker.capacity;
         report.leaving = worker.leaving;
+        report.usage_taken = report.now;
         report.tasks = worker.tasks;
         return report;
     }
--- a/tests/support_worker.cpp
+++ b/tests/support_worker.cpp
@@ -102,7 +102,7 @@
     resources sum;
     for (const auto& [key, task] : tasks_) {
         if (task.report.state == task_state::running) {
-            sum = sum + task.spec.declared;
+            sum = sum + task.report.committed;
         }
     }
     return sum;
@@ -121,7 +121,8 @@
         report.refused.emplace_back(command.task, "already there");
         return;
     }
-    if (!fits(committed() + command.spec.declared, options_.capacity)) {
+    const resources held = command.committed == resources{} ? command.spec.declared : command.committed;
+    if (!fits(committed() + held, options_.capacity)) {
         ++overcommits_refused_;
         if (options_.refuses_overcommit) {
             report.refused.emplace_back(command.task, "no room");
@@ -133,7 +134,7 @@
     task.report.attempt = command.attempt;
     task.report.lease_until = command.lease_until;
     task.report.started = clock(at);
-    task.report.declared = command.spec.declared;
+    task.report.committed = held;
     task.spec = command.spec;
     task.persistent = command.persistent;
     task.began = at;
@@ -146,11 +147,20 @@
         const double left = 1 - task.from;
         task.ends = at + std::chrono::duration_cast<duration>(task.spec.run_time * left);
     }
-    record_->add(at,
-                 task_began{id_, command.task, command.attempt, command.spec.declared, !command.persistent, task.from});
+    record_->add(at, task_began{id_, command.task, command.attempt, held, !command.persistent, task.from});
     tasks_.emplace(task_key(command.task, command.attempt), std::move(task));
 }
 
+void fake_worker::resize(wall_time at, running_task& task, const resources& wanted)
+{
+    const resources others = committed() - task.report.committed;
+    if (wanted == resources{} || wanted == task.report.committed || !fits(others + wanted, options_.capacity)) {
+        return;
+    }
+    task.report.committed = wanted;
+    record_->add(at, task_resized{id_, task.report.task, task.report.attempt, wanted});
+}
+
 void fake_worker::obey(wall_time at, const worker_command& command, worker_report& report)
 {
     const auto find = [&](const task_id& id, attempt_number attempt) {
@@ -166,6 +176,7 @@
                    [&](const task_renew& c) {
                        if (running_task* const task = find_running(c.task, c.attempt)) {
                            task->report.lease_until = std::max(task->report.lease_until, c.lease_until);
+                           resize(at, *task, c.committed);
                        }
                    },
                    [&](const task_checkpoint& c) {
--- a/tests/support_worker.h
+++ b/tests/support_worker.h
@@ -53,6 +53,7 @@
     void start(wall_time at, const task_start& command, worker_report& report);
     void obey(wall_time at, const worker_command& command, worker_report& report);
     resources committed() const;
+    void resize(wall_time at, running_task& task, const resources& wanted);
 
     worker_id id_;
     fake_worker_options options_;
--- a/tests/test_cell.cpp
+++ b/tests/test_cell.cpp
@@ -29,8 +29,8 @@
 
 task_report running(const std::string& job, std::int64_t attempt, std::int64_t cpu = 1000)
 {
-    task_start start{{job_id(job), 0}, attempt_number(attempt), worker_time(), {}, "", false};
-    start.spec.declared = {cpu, 100, 0};
+    task_start start{{job_id(job), 0}, attempt_number(attempt), worker_time(), {}, {}, "", false};
+    start.committed = {cpu, 100, 0};
     return report_task(start);
 }
 
@@ -544,6 +544,32 @@
     BOOST_TEST(first.tasks.empty());
 }
 
+// A job declares far more than it uses. Its ledger entry shrinks, but only once the worker says that it holds no more
+// than that: a start placed into the room before would be refused, or overcommit the worker by its own account.
+BOOST_AUTO_TEST_CASE(room_of_an_overdeclared_task_is_used_when_the_worker_has_let_go_of_it)
+{
+    driver d;
+    d.own({"w1"}, {submit(make_job("a", 1, 3000))});
+    worker_hand& w = d.workers["w1"];
+    w.tasks.at(0).used = {300, 50, 0};
+    d.hand_in({submit(make_job("b", 1, 2000))});
+    BOOST_TEST(w.tasks.size() == 1U);
+    const auto shrunk = [&] {
+        const auto renewals = w.told<task_renew>();
+        return std::any_of(renewals.begin(), renewals.end(),
+                           [](const task_renew& r) { return r.committed.cpu_millis > 0; });
+    };
+    while (!shrunk()) {
+        d.tick(50ms);
+        BOOST_REQUIRE(d.now < instant(1000s) + 2 * config::size_settled + 60s);
+        BOOST_TEST(w.tasks.size() == 1U);
+    }
+    d.run(5s);
+    BOOST_TEST(w.tasks.size() == 2U);
+    BOOST_TEST(w.starts_refused == 0);
+    BOOST_TEST((w.committed().cpu_millis == 4000 - d.c.summary().free.cpu_millis));
+}
+
 // A worker restarts: its tasks are gone and its clock is another one. The tasks go back to the queue without counting
 // as failures, and new leases are computed from the new clock, named by the new boot.
 BOOST_AUTO_TEST_CASE(a_restarted_worker_has_lost_its_tasks)
--- a/tests/test_worker.cpp
+++ b/tests/test_worker.cpp
@@ -43,7 +43,7 @@
                             .reason = "lease is over",
                             .address = net_address("127.0.0.1:9"),
                             .used = {1500, 300, 0},
-                            .declared = {2000, 512, 1},
+                            .committed = {2000, 512, 1},
                             .throttle = 50,
                             .started = worker_time(1s)});
     report.interference.push_back({task, 1.5});
@@ -100,7 +100,7 @@
     BOOST_TEST((read->capacity == report.capacity));
     BOOST_REQUIRE(read->tasks.size() == 1U);
     BOOST_TEST((read->tasks[0].state == task_state::lapsed && read->tasks[0].used == report.tasks[0].used));
-    BOOST_TEST((read->tasks[0].declared == report.tasks[0].declared));
+    BOOST_TEST((read->tasks[0].committed == report.tasks[0].committed));
     BOOST_TEST(format_worker_report(*read) == format_worker_report(report));
 }
 
