place: a failure counts against a job only when later work does well on that worker

Ruled out: a shorter window (old tasks finish for 15 minutes); counting finishes only (they come minutes late, and a hopeless job keeps failing meanwhile): work that lives twice as long as the failed attempt did tells as much. Conclusion: evidence must begin after the failure it answers.

--- a/src/place_blame.cpp
+++ b/src/place_blame.cpp
@@ -10,16 +10,20 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t failures_kept = 16; // per worker
-constexpr std::size_t workers_kept = 16;  // per job
-constexpr double innocent_weight = 1.0;   // a failure of a job that finishes elsewhere
-constexpr double unknown_weight = 0.5;    // of a job of which nothing else is known
-constexpr double suspect_from = 1.0;
+constexpr std::size_t worker_failures_kept = 16;
+constexpr std::size_t job_failures_kept = 64;
+constexpr std::size_t finished_on_kept = 8;
+constexpr double innocent_weight = 1.0; // a failure of a job that finishes elsewhere
+constexpr double unknown_weight = 0.7;  // of a job of which nothing else is known
+constexpr double suspect_from = 0.7;
 constexpr double quarantine_from = 2.0;
-constexpr std::size_t park_workers = 3; // distinct good workers at which a job that never finished has failed
+constexpr std::size_t park_workers = 3; // workers at which a job that never finished has failed without their fault
+constexpr duration survivor_least = 10s;
+constexpr int survivor_factor = 2; // times the age at which the failed attempt ended
 constexpr duration backoff_first = 1s;
 constexpr duration backoff_most = 1min;
 constexpr int backoff_doublings = 6;
+constexpr duration start_memory = 1h;
 
 } // namespace
 
@@ -34,128 +38,171 @@
     else if (end == attempt_end::failed) {
         learn_failure(now, task, worker, reason);
     }
+    started_.erase(task);
 }
 
 void blame_book::learn_success(instant now, const task_id& task, const worker_id& worker)
 {
-    worker_record& w = workers_[worker];
-    w.touched = now;
-    w.succeeded = true;
-    w.last_success = now;
-    w.failures.clear();
-    if (w.until && now >= *w.until) {
-        w.until.reset();
-        w.term = duration{0};
-    }
-
     job_record& job = jobs_[task.job];
     job.touched = now;
-    job.tasks.erase(task.index);
-    std::vector<worker_id> failed_on;
-    bool known = false;
-    for (tried& t : job.workers) {
-        if (t.worker == worker) {
-            t.finishes += 1;
-            known = true;
-        }
-        else if (t.failures > 0) {
-            failed_on.push_back(t.worker);
-        }
+    job.retries.erase(task.index);
+    if (job.finished_on.size() < finished_on_kept &&
+        std::find(job.finished_on.begin(), job.finished_on.end(), worker) == job.finished_on.end()) {
+        job.finished_on.push_back(worker);
     }
-    if (!known && job.workers.size() < workers_kept) {
-        job.workers.push_back({worker, 0, 1});
+    const auto start = started_.find(task);
+    if (start != started_.end()) {
+        answer(now, worker, start->second, true);
     }
-    for (const worker_id& other : failed_on) {
+    std::vector<worker_id> accused;
+    for (const job_failure& f : jobs_[task.job].failures) {
+        if (!f.answered && std::find(accused.begin(), accused.end(), f.worker) == accused.end()) {
+            accused.push_back(f.worker);
+        }
+    }
+    for (const worker_id& other : accused) {
         judge(now, other);
     }
 }
 
 void blame_book::learn_failure(instant now, const task_id& task, const worker_id& worker, const std::string& reason)
 {
-    const bool good = finishes_others(worker, now);
+    // Of an attempt whose start nobody saw only what is started from now on can tell anything.
+    const auto seen = started_.find(task);
+    const instant start = seen != started_.end() ? seen->second : now;
     worker_record& w = workers_[worker];
     w.touched = now;
-    w.failures.push_back({task.job, now});
-    if (w.failures.size() > failures_kept) {
-        w.failures.pop_front();
+    w.open.push_back({task.job, start, now});
+    if (w.open.size() > worker_failures_kept) {
+        w.open.pop_front();
     }
 
     job_record& job = jobs_[task.job];
     job.touched = now;
     job.reason = reason;
-    const auto it =
-        std::find_if(job.workers.begin(), job.workers.end(), [&](const tried& t) { return t.worker == worker; });
-    if (it != job.workers.end()) {
-        it->failures += 1;
+    job.failures.push_back({task.index, worker, start, false});
+    if (job.failures.size() > job_failures_kept) {
+        job.failures.pop_front();
     }
-    else if (job.workers.size() < workers_kept) {
-        job.workers.push_back({worker, 1, 0});
+    retry& r = job.retries[task.index];
+    r.failures += 1;
+    if (r.failures > 1) {
+        const int doublings = std::min(r.failures - 2, backoff_doublings);
+        r.not_before = now + std::min(backoff_most, backoff_first * (1 << doublings));
     }
+    judge(now, worker);
+}
 
-    task_record& t = job.tasks[task.index];
-    t.failures += 1;
-    t.failures_on_good += good ? 1 : 0;
-    if (t.failures > 1) {
-        const int doublings = std::min(t.failures - 2, backoff_doublings);
-        t.not_before = now + std::min(backoff_most, backoff_first * (1 << doublings));
+// Answers the failures on the worker whose attempts were started before `start`, when the later attempt finished or has
+// outlived them by far. A probe that does so ends the quarantine.
+void blame_book::answer(instant now, const worker_id& worker, instant start, bool finished)
+{
+    const auto it = workers_.find(worker);
+    if (it == workers_.end()) {
+        return;
     }
-    judge(now, worker);
+    worker_record& w = it->second;
+    if (w.until && start >= *w.until && (finished || start + config::probe_good_after <= now)) {
+        w.until.reset();
+        w.term = duration{0};
+    }
+    std::erase_if(w.open, [&](const worker_failure& f) {
+        const duration needed = std::max(survivor_least, survivor_factor * (f.when - f.start));
+        if (f.start >= start || (!finished && now - start < needed)) {
+            return false;
+        }
+        const auto job = jobs_.find(f.job);
+        if (job != jobs_.end()) {
+            for (job_failure& j : job->second.failures) {
+                j.answered = j.answered || (j.worker == worker && j.start <= f.start);
+            }
+        }
+        return true;
+    });
 }
 
-// Sum over the distinct jobs that failed there lately of how surely the job is not the cause.
+void blame_book::survived(instant now, const worker_id& worker, instant start)
+{
+    answer(now, worker, start, false);
+}
+
+bool blame_book::questioned(const worker_id& worker) const
+{
+    const auto it = workers_.find(worker);
+    return it != workers_.end() && (!it->second.open.empty() || it->second.until.has_value());
+}
+
+// Sum over the distinct jobs whose failures there are open of how surely the job is not the cause.
 double blame_book::suspicion(instant now, const worker_id& id, const worker_record& record) const
 {
     double sum = 0;
     std::vector<const job_id*> counted;
-    for (const failure& f : record.failures) {
+    for (const worker_failure& f : record.open) {
         const bool seen = std::any_of(counted.begin(), counted.end(), [&](const job_id* j) { return *j == f.job; });
         const auto job = jobs_.find(f.job);
         if (seen || f.when + config::blame_window < now || job == jobs_.end()) {
             continue;
         }
         counted.push_back(&f.job);
-        bool finished = false;
-        bool failed = false;
-        for (const tried& t : job->second.workers) {
-            if (t.worker == id) {
-                continue;
-            }
-            finished = finished || t.finishes > 0;
-            const auto other = workers_.find(t.worker);
-            const bool shut_out = other != workers_.end() && other->second.until.has_value();
-            failed = failed || (t.failures > 0 && !shut_out);
-        }
-        if (finished) {
+        const auto& finished = job->second.finished_on;
+        const auto& failures = job->second.failures;
+        if (std::any_of(finished.begin(), finished.end(), [&](const worker_id& w) { return w != id; })) {
             sum += innocent_weight;
         }
-        else if (!failed) {
+        else if (std::none_of(failures.begin(), failures.end(), [](const job_failure& j) { return j.answered; })) {
             sum += unknown_weight;
         }
     }
     return sum;
 }
 
-bool blame_book::quarantine_allowed() const
+// Not when half of the workers are out already, or look alike: what fails everywhere has a cause that all share.
+bool blame_book::quarantine_allowed(const worker_id& worker) const
 {
-    const auto shut_out = std::count_if(workers_.begin(), workers_.end(),
-                                        [](const auto& entry) { return entry.second.until.has_value(); });
-    return static_cast<double>(shut_out + 1) <= config::quarantine_share * static_cast<double>(worker_count_);
+    std::size_t out = 0;
+    std::size_t failing = 0;
+    for (const auto& [id, w] : workers_) {
+        out += w.until ? 1 : 0;
+        failing += id != worker && (w.until || w.open.size() > 1) ? 1 : 0;
+    }
+    const double most = config::quarantine_share * static_cast<double>(worker_count_);
+    return static_cast<double>(out + 1) <= most && static_cast<double>(failing) < most;
 }
 
 void blame_book::judge(instant now, const worker_id& worker)
 {
-    worker_record& w = workers_[worker];
-    const bool probing = w.until && now >= *w.until;
-    if (w.until && !probing) {
+    const auto it = workers_.find(worker);
+    if (it == workers_.end()) {
         return;
     }
-    if (probing ? suspicion(now, worker, w) < unknown_weight
-                : suspicion(now, worker, w) < quarantine_from || !quarantine_allowed()) {
+    worker_record& w = it->second;
+    const double sum = suspicion(now, worker, w);
+    if (w.until) {
+        // What was still running when the worker was shut out may go on failing; only a probe decides.
+        if (now >= *w.until && sum >= unknown_weight && w.open.back().start >= *w.until) {
+            shut_out(now, worker, w);
+        }
         return;
     }
-    w.term = std::clamp(w.term * 2, duration(config::quarantine_least), duration(config::quarantine_most));
-    w.until = now + w.term;
-    w.failures.clear();
+    if (sum >= quarantine_from && quarantine_allowed(worker)) {
+        shut_out(now, worker, w);
+    }
+}
+
+// What failed there is held against no job any more.
+void blame_book::shut_out(instant now, const worker_id& worker, worker_record& record)
+{
+    record.term = std::clamp(record.term * 2, duration(config::quarantine_least), duration(config::quarantine_most));
+    record.until = now + record.term;
+    for (const worker_failure& f : record.open) {
+        const auto job = jobs_.find(f.job);
+        if (job == jobs_.end()) {
+            continue;
+        }
+        std::erase_if(job->second.failures, [&](const job_failure& j) { return j.worker == worker; });
+        job->second.retries.clear();
+    }
+    record.open.clear();
 }
 
 worker_standing blame_book::standing(const worker_id& worker, instant now) const
@@ -167,46 +214,26 @@
     if (it->second.until) {
         return now < *it->second.until ? worker_standing::quarantined : worker_standing::probing;
     }
-    const bool suspected = !it->second.failures.empty() && suspicion(now, worker, it->second) >= suspect_from;
+    const bool suspected = !it->second.open.empty() && suspicion(now, worker, it->second) >= suspect_from;
     return suspected ? worker_standing::suspect : worker_standing::good;
 }
 
-void blame_book::probe_survived(instant started, const worker_id& worker)
-{
-    const auto it = workers_.find(worker);
-    if (it != workers_.end() && it->second.until && started >= *it->second.until) {
-        it->second.until.reset();
-        it->second.failures.clear();
-    }
-}
-
-// A worker that finished something lately and is under no suspicion: a failure there speaks against the job.
-bool blame_book::finishes_others(const worker_id& worker, instant now) const
-{
-    const auto it = workers_.find(worker);
-    return it != workers_.end() && it->second.succeeded && it->second.last_success + config::blame_window >= now &&
-           standing(worker, now) == worker_standing::good;
-}
-
-std::optional<std::string> blame_book::job_reason(const job_id& job, instant now) const
+std::optional<std::string> blame_book::job_reason(const job_id& job) const
 {
     const auto it = jobs_.find(job);
-    if (it == jobs_.end()) {
+    if (it == jobs_.end() || !it->second.finished_on.empty()) {
         return std::nullopt;
     }
     std::vector<std::string> places;
-    for (const tried& t : it->second.workers) {
-        if (t.finishes > 0) {
-            return std::nullopt;
-        }
-        if (t.failures > 0 && finishes_others(t.worker, now)) {
-            places.push_back(t.worker.str());
+    for (const job_failure& f : it->second.failures) {
+        if (f.answered && std::find(places.begin(), places.end(), f.worker.str()) == places.end()) {
+            places.push_back(f.worker.str());
         }
     }
     if (places.size() < park_workers) {
         return std::nullopt;
     }
-    return fmt::format("failed on {}, where other jobs finish: {}", fmt::join(places, ", "), it->second.reason);
+    return fmt::format("failed on {}, where other work does well: {}", fmt::join(places, ", "), it->second.reason);
 }
 
 std::optional<std::string> blame_book::task_reason(const task_id& task, std::int32_t attempt_limit) const
@@ -215,12 +242,14 @@
     if (job == jobs_.end()) {
         return std::nullopt;
     }
-    const auto it = job->second.tasks.find(task.index);
-    if (it == job->second.tasks.end() || it->second.failures_on_good < attempt_limit) {
+    const auto& failures = job->second.failures;
+    const auto count = std::count_if(failures.begin(), failures.end(),
+                                     [&](const job_failure& f) { return f.index == task.index && f.answered; });
+    if (count < attempt_limit) {
         return std::nullopt;
     }
-    return fmt::format("task {} failed {} times on workers where other jobs finish: {}", task.index,
-                       it->second.failures_on_good, job->second.reason);
+    return fmt::format("task {} failed {} times on workers where other work does well: {}", task.index, count,
+                       job->second.reason);
 }
 
 instant blame_book::not_before(const task_id& task) const
@@ -229,12 +258,13 @@
     if (job == jobs_.end()) {
         return instant{};
     }
-    const auto it = job->second.tasks.find(task.index);
-    return it == job->second.tasks.end() ? instant{} : it->second.not_before;
+    const auto it = job->second.retries.find(task.index);
+    return it == job->second.retries.end() ? instant{} : it->second.not_before;
 }
 
 void blame_book::sweep(instant now)
 {
+    absl::erase_if(started_, [&](const auto& entry) { return entry.second + start_memory < now; });
     absl::erase_if(jobs_, [&](const auto& entry) { return entry.second.touched + config::blame_window < now; });
     absl::erase_if(workers_, [&](const auto& entry) {
         const worker_record& w = entry.second;
--- a/src/place_pass_p.h
+++ b/src/place_pass_p.h
@@ -126,6 +126,7 @@
     bool start_next(std::uint32_t group, queue_rank rank);
     bool start_reserved(std::uint32_t task);
     void start_on(std::uint32_t index, std::uint32_t worker);
+    void report_survivors();
     void forget_parked();
 
     // place_score.cpp: which worker
--- a/src/place_plan.cpp
+++ b/src/place_plan.cpp
@@ -94,6 +94,7 @@
         relieve_memory(worker);
         relieve_processors(worker);
     }
+    report_survivors();
     queue_groups();
     hold_reservations();
     start_probes();
@@ -105,6 +106,18 @@
     return std::move(plan_);
 }
 
+void placement_pass::report_survivors()
+{
+    for (const worker_view& worker : workers_) {
+        if (!memory_.blame.questioned(worker.worker->worker)) {
+            continue;
+        }
+        for (const std::uint32_t task : worker.batch) {
+            memory_.blame.survived(now_, worker.worker->worker, now_ - tasks_[task].task->run_so_far);
+        }
+    }
+}
+
 // A parked job that left the queue and comes back was put back by an operator: it starts with a clean record.
 void placement_pass::forget_parked()
 {
--- a/src/place_queue.cpp
+++ b/src/place_queue.cpp
@@ -120,7 +120,7 @@
         if (job == nullptr || *job != task.task.job) {
             job = &task.task.job;
             on_record = memory_.blame.on_record(*job);
-            reason = never ? never : on_record ? memory_.blame.job_reason(*job, now_) : std::nullopt;
+            reason = never ? never : on_record ? memory_.blame.job_reason(*job) : std::nullopt;
             if (reason) {
                 park(*job, *reason);
             }
@@ -193,12 +193,6 @@
         if (worker.standing != worker_standing::probing || !worker.worker->usable) {
             continue;
         }
-        for (const std::uint32_t running : worker.batch) {
-            const duration age = tasks_[running].task->run_so_far;
-            if (age >= config::probe_good_after) {
-                memory_.blame.probe_survived(now_ - age, worker.worker->worker);
-            }
-        }
         if (worker.batch.empty()) {
             start_probe(index);
         }
@@ -302,6 +296,7 @@
     const task_view& task = tasks_[index];
     const spec_view& spec = specs_[task.spec];
     worker_view& view = workers_[worker];
+    memory_.blame.started(now_, task.task->task);
     plan_.starts.push_back({task.task->task, view.worker->worker, spec.need});
     take_room(worker, spec.need);
     team_view& team = teams_[spec.team];
--- a/tests/test_place.cpp
+++ b/tests/test_place.cpp
@@ -427,25 +427,57 @@
     BOOST_TEST(place.plan(later + 2 * config::quarantine_least, tasks, bad_only).starts.size() == 1);
 }
 
-// A job that fails on three workers where other jobs finish can never run. It is parked with its reason; none of the
-// workers is blamed. When an operator puts it back, it starts with a clean record.
-BOOST_AUTO_TEST_CASE(a_job_that_fails_where_others_finish_is_parked)
+// A job fails on three workers, and on each of them work that was started later lives on. The job can never run: it is
+// parked with its reason and none of the workers is blamed. When an operator puts it back, its record is clean.
+BOOST_AUTO_TEST_CASE(a_job_that_fails_where_others_do_well_is_parked)
 {
-    const job_spec spec = batch_spec("broken", {1000, 1000, 0});
+    const job_spec broken = batch_spec("broken", {1000, 1000, 0});
+    const job_spec sound = batch_spec("sound", {1000, 1000, 0});
     placement place({});
-    const auto workers = workers_for({"w1", "w2", "w3"});
-    place.plan(start, {}, workers);
+    instant now = start;
     for (const char* worker : {"w1", "w2", "w3"}) {
-        place.learn_end(start, {job_id("ok"), 0}, spec, worker_id(worker), attempt_end::finished, "");
-        place.learn_end(start, {job_id("x"), 0}, spec, worker_id(worker), attempt_end::failed, "input is damaged");
-        BOOST_TEST(!place.quarantined(worker_id(worker), start));
+        auto workers = workers_for({"w1", "w2", "w3"});
+        for (place_worker& w : workers) {
+            w.usable = w.worker == worker_id(worker);
+        }
+        BOOST_REQUIRE(starts_on(place.plan(now, {queued("x", broken)}, workers), worker));
+        place.learn_end(now + 1s, {job_id("x"), 0}, broken, worker_id(worker), attempt_end::failed, "input is damaged");
+        now += 100s;
+        place_task later = running("y", sound, worker, sound.declared);
+        later.run_so_far = 50s;
+        place.plan(now, {later}, workers_for({"w1", "w2", "w3"}));
+        BOOST_TEST(!place.quarantined(worker_id(worker), now));
     }
-    const place_plan plan = place.plan(start + 10s, {queued("x", spec)}, workers);
+    const auto workers = workers_for({"w1", "w2", "w3"});
+    const place_plan plan = place.plan(now, {queued("x", broken)}, workers);
     BOOST_TEST(plan.starts.empty());
     BOOST_REQUIRE(plan.parks.size() == 1);
     BOOST_TEST(plan.parks[0].reason.find("input is damaged") != std::string::npos);
-    place.plan(start + 11s, {}, workers);
-    BOOST_TEST(place.plan(start + 12s, {queued("x", spec)}, workers).starts.size() == 1);
+    place.plan(now + 1s, {}, workers);
+    BOOST_TEST(place.plan(now + 2s, {queued("x", broken)}, workers).starts.size() == 1);
+}
+
+// A worker goes bad while tasks started before still finish there. Those say nothing about what it does to new ones:
+// the jobs that fail there are not parked for it, and it is kept out.
+BOOST_AUTO_TEST_CASE(tasks_started_before_a_worker_went_bad_do_not_clear_it)
+{
+    const job_spec spec = batch_spec("a", {1000, 1000, 0});
+    placement place({});
+    const auto workers = workers_for({"bad", "w2", "w3"});
+    std::vector<place_task> old;
+    for (int i = 0; i < 3; ++i) {
+        old.push_back(running("old", spec, "bad", spec.declared, i));
+    }
+    place.plan(start, old, workers);
+    for (int i = 0; i < 3; ++i) {
+        const std::string job = "j" + std::to_string(i);
+        place.learn_end(start + i * 1s, {job_id(job), 0}, spec, worker_id("bad"), attempt_end::failed, "no scratch");
+        place.learn_end(start + i * 1s, {job_id("old"), i}, spec, worker_id("bad"), attempt_end::finished, "");
+    }
+    BOOST_TEST(place.quarantined(worker_id("bad"), start + 3s));
+    const place_plan plan = place.plan(start + 60s, {queued("j0", spec)}, workers);
+    BOOST_TEST(plan.parks.empty());
+    BOOST_TEST(plan.starts.size() == 1);
 }
 
 // Something all tasks need is down, so everything fails everywhere. No worker is shut out and no job is parked for it:
