place: commit processors by a lower quantile than memory, from finer histograms

Cause: 84 % of processors were committed and 61 % in use; a started task keeps its commitment, because a worker goes on counting what its start declared, so what is committed at the start is what throughput is paid with. Conclusion: processors at 0.6: many tasks share a worker, so their sum is covered, and what exceeds it is throttled at once. Memory cannot be taken back, so it stays at 0.99 with a margin.

--- a/bench/bench_place_policy.cpp
+++ b/bench/bench_place_policy.cpp
@@ -57,6 +57,7 @@
          [](const world_result& r) { return 100 * r.ledger_short / r.task_time; }},
         {"processors in use, %", false, [](const world_result& r) { return 100 * r.cpu_used; }},
         {"processors committed, %", false, [](const world_result& r) { return 100 * r.cpu_committed; }},
+        {"processors withheld by throttles, %", true, [](const world_result& r) { return 100 * r.cpu_withheld; }},
         {"memory committed, %", false, [](const world_result& r) { return 100 * r.memory_committed; }},
         {"good jobs parked", true, [](const world_result& r) { return static_cast<double>(r.good_jobs_parked); }},
         {"hopeless jobs parked, %", false,
@@ -175,12 +176,14 @@
         "seeds", "how many seeds to average", cxxopts::value<int>()->default_value("3"))(
         "seconds", "virtual time of a run", cxxopts::value<int>()->default_value("7200"))(
         "offered", "batch work on offer, share of all processors", cxxopts::value<double>()->default_value("0.7"))(
+        "shrink", "let the cell make commitments smaller while tasks run")(
         "classes", "measure two classes of error against three, under losses of ownership");
     const auto given = described.parse(argc, argv);
     world_options options;
     options.seed = given["seed"].as<std::uint64_t>();
     options.seconds = given["seconds"].as<int>();
     options.offered = given["offered"].as<double>();
+    options.shrink = given.count("shrink") > 0;
     const int seeds = given["seeds"].as<int>();
     std::vector<contender> contenders = {{"first fit", first_fit}, {"best fit", best_fit}, {"ours", ours}};
     if (given.count("classes") > 0) {
--- a/bench/place_world.h
+++ b/bench/place_world.h
@@ -37,6 +37,7 @@
     int cancel_every = 1700; // seconds between waves of cancellations
     int takeover_every = 0;  // seconds between losses of the ownership of a fifth of the workers; 0 for none
     int checkpoint_every = 120;
+    bool shrink = false; // whether the cell applies a resize that makes a commitment smaller
 };
 
 struct world_result {
@@ -56,6 +57,7 @@
     double ledger_over = 0; // worker seconds in which more was committed than there is
     double cpu_used = 0;    // mean over workers and time, as shares of capacity
     double cpu_committed = 0;
+    double cpu_withheld = 0; // by throttles
     double memory_committed = 0;
     double task_time = 0;    // batch task seconds
     double ledger_short = 0; // of these, with more memory or processors in use than committed
@@ -569,7 +571,8 @@
 inline void place_world::apply(const place_plan& plan)
 {
     for (const place_resize& r : plan.resizes) {
-        tasks_[task_index_.at(r.task)].committed = r.committed;
+        resources& committed = tasks_[task_index_.at(r.task)].committed;
+        committed = options_.shrink || fits(committed, r.committed) ? r.committed : committed;
     }
     for (const place_throttle& t : plan.throttles) {
         tasks_[task_index_.at(t.task)].throttle = t.percent;
@@ -616,10 +619,13 @@
         }
         const double weight = 1.0 / (options_.workers * options_.seconds);
         double used = 0;
+        double withheld = 0;
         for (const std::size_t index : worker.tasks) {
             used += use_of(tasks_[index]);
+            withheld += tasks_[index].cpu * (100 - tasks_[index].throttle) / 100;
         }
         const double capacity = static_cast<double>(worker.capacity.cpu_millis);
+        result_.cpu_withheld += weight * withheld / capacity;
         result_.cpu_used += weight * std::min(1.0, used / capacity);
         result_.cpu_committed += weight * static_cast<double>(sum.cpu_millis) / capacity;
         result_.memory_committed +=
--- a/src/config.h
+++ b/src/config.h
@@ -66,11 +66,12 @@
 inline constexpr duration peer_idle = 15s;                       // an unused connection is closed after this
 
 // --- placement ---
-inline constexpr double slowdown_limit = 1.5;   // of a service whose kind names no other
-inline constexpr double size_prior_ratio = 1.0; // of use to declared size while nothing was measured
-inline constexpr double size_quantile = 0.95;   // of the tasks' peaks that a commitment covers
-inline constexpr double size_margin = 1.1;      // over a task's own measured peak
-inline constexpr duration size_settled = 60s;   // measured for so long, a task's own peak stands for it
+inline constexpr double slowdown_limit = 1.5;    // of a service whose kind names no other
+inline constexpr double size_prior_ratio = 1.0;  // of use to declared size while nothing was measured
+inline constexpr double size_quantile_cpu = 0.6; // of the tasks' peaks that a commitment covers
+inline constexpr double size_quantile_memory = 0.99;
+inline constexpr double size_margin = 1.1;    // over a task's own measured peak
+inline constexpr duration size_settled = 60s; // measured for so long, a task's own peak stands for it
 inline constexpr std::size_t size_families_most = 4096;
 inline constexpr duration blame_window = 10min; // evidence older than this counts no more
 inline constexpr double quarantine_share = 0.5; // most of a cell's workers that may be kept out
--- a/src/place_size.cpp
+++ b/src/place_size.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-constexpr int buckets_per_octave = 4;
-constexpr int bucket_of_one = 20;
+constexpr int buckets_per_octave = 8;
+constexpr int bucket_of_one = 32;
 constexpr float histogram_most = 64; // tasks remembered; older ones fade by halves
 
 // A declared size of nothing would make every ratio infinite.
@@ -148,9 +148,10 @@
     if (const auto family = families_.find(key.family); family != families_.end()) {
         shares = family->second.peaks[d].mixed(shares, parent_weight);
     }
+    const double quantile = d == cpu ? config::size_quantile_cpu : config::size_quantile_memory;
     double above = 0;
     int bucket = ratio_histogram::bucket_count - 1;
-    while (bucket > 0 && above + shares[static_cast<std::size_t>(bucket)] <= 1 - config::size_quantile) {
+    while (bucket > 0 && above + shares[static_cast<std::size_t>(bucket)] <= 1 - quantile) {
         above += shares[static_cast<std::size_t>(bucket)];
         --bucket;
     }
@@ -159,8 +160,8 @@
 
 resources size_book::for_start(const size_key& key, const resources& declared) const
 {
-    return {scaled(cpu_base(declared), high_ratio(key, cpu)), scaled(memory_base(declared), high_ratio(key, memory)),
-            declared.accelerators};
+    return {scaled(cpu_base(declared), high_ratio(key, cpu)),
+            scaled(memory_base(declared) * config::size_margin, high_ratio(key, memory)), declared.accelerators};
 }
 
 resources size_book::for_running(const task_id& task, const size_key& key, const resources& declared,
@@ -171,7 +172,7 @@
         return committed;
     }
     const task_record& record = it->second;
-    resources own{scaled(static_cast<double>(record.known.peak.cpu_millis), config::size_margin),
+    resources own{record.known.peak.cpu_millis,
                   scaled(static_cast<double>(record.known.peak.memory_mib), config::size_margin),
                   std::max(committed.accelerators, record.known.peak.accelerators)};
     if (record.last - record.first < config::size_settled) {
--- a/src/place_size_p.h
+++ b/src/place_size_p.h
@@ -12,10 +12,10 @@
 
 namespace skylarkhub::detail {
 
-// How many tasks peaked at which ratio of use to declared size, in quarter octaves from 1/32 to 32.
+// How many tasks peaked at which ratio of use to declared size, in eighths of an octave from 1/16 to 16.
 class ratio_histogram {
 public:
-    static constexpr int bucket_count = 40;
+    static constexpr int bucket_count = 64;
     using shares = std::array<double, bucket_count>;
 
     static int bucket_of(double ratio);
