--- a/src/place_harm.cpp
+++ b/src/place_harm.cpp
@@ -19,9 +19,9 @@
 
 // In the order of harm_model::level.
 constexpr std::array<level_prior, 6> priors = {{
-    {0.5, 0.5, 24h},  // everything
+    {1.0, 0.7, 24h},  // everything
     {0.0, 0.5, 6h},   // service
-    {0.0, 0.7, 6h},   // class
+    {0.0, 1.0, 6h},   // class
     {0.0, 0.5, 3h},   // pair
     {0.0, 0.25, 3h},  // family
     {0.0, 0.15, 3min} // site: what is left over, which shifts with load
