place: throttle by expected slowdown plus half its deviation; fewer victims for urgent work

Cause: a service at 95 % of its limit by an uncertain estimate was left alone; an urgent task that needed half a worker evicted up to seven small tasks, each the cheapest by itself; a resize that grew in one dimension and shrank in the other was ignored by a cell that grants growth only.

--- a/src/place_react.cpp
+++ b/src/place_react.cpp
@@ -1,6 +1,7 @@
 // What runs already: resizing, throttling, eviction.
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 
 #include "place_pass_p.h"
@@ -16,6 +17,7 @@
 constexpr double cpu_calm = 0.95; // of a worker's processors
 constexpr double slope_least = 0.02;
 constexpr double restart_seconds = 10; // what a restart costs besides the work lost
+constexpr double eviction_least = 60;  // processor seconds that any eviction counts for, however little it loses
 constexpr double evicted_lately_factor = 4;
 constexpr duration evicted_lately = std::chrono::minutes(10);
 constexpr int room_candidates = 48;
@@ -42,7 +44,7 @@
 
 double above_limit(const service_view& service)
 {
-    return (service.slowdown - 1) / std::max(0.01, service.limit - 1);
+    return (service.slowdown - 1 + 0.5 * std::sqrt(service.variance)) / std::max(0.01, service.limit - 1);
 }
 
 std::int64_t grown(std::int64_t committed, std::int64_t target, std::int64_t room)
@@ -83,8 +85,12 @@
         const resources more{grown(committed.cpu_millis, target.cpu_millis, room.cpu_millis),
                              grown(committed.memory_mib, target.memory_mib, room.memory_mib), committed.accelerators};
         take_room(task.worker, more - committed);
-        const resources after{shrunk(more.cpu_millis, target.cpu_millis), shrunk(more.memory_mib, target.memory_mib),
-                              more.accelerators};
+        // One that grows in one dimension is not made smaller in another by the same plan: a cell may only grant
+        // growth.
+        const resources after = more == committed
+                                    ? resources{shrunk(committed.cpu_millis, target.cpu_millis),
+                                                shrunk(committed.memory_mib, target.memory_mib), committed.accelerators}
+                                    : more;
         if (!(after == committed)) {
             plan_.resizes.push_back({task.task->task, after});
         }
@@ -105,7 +111,7 @@
     const double ran = std::chrono::duration<double>(t.run_so_far).count();
     const double kept = t.progress > 0 ? std::clamp(t.checkpoint_progress / t.progress, 0.0, 1.0) : 0;
     const double cores = std::max(task.demand, 100.0) / 1000;
-    double cost = (ran * (1 - kept) + restart_seconds) * cores * factor_of(*t.spec);
+    double cost = (eviction_least + (ran * (1 - kept) + restart_seconds) * cores) * factor_of(*t.spec);
     const auto before = memory_.evicted.find(t.task);
     if (before != memory_.evicted.end() && before->second + evicted_lately > now_) {
         cost *= evicted_lately_factor;
@@ -305,7 +311,8 @@
     return true;
 }
 
-// The cheapest first until the need fits; empty when the worker cannot make that room.
+// The cheapest single task that makes enough room, else the cheapest first until the need fits, without those that turn
+// out not to be needed. Empty when the worker cannot make that room.
 std::vector<std::uint32_t> placement_pass::victims_for(std::uint32_t index, const resources& need, double& cost) const
 {
     const worker_view& worker = workers_[index];
@@ -320,16 +327,35 @@
     }
     std::sort(by_cost.begin(), by_cost.end());
     resources room = rooms_.room(index);
-    std::vector<std::uint32_t> victims;
-    for (const auto& [price, t] : by_cost) {
+    const auto one = std::find_if(by_cost.begin(), by_cost.end(), [&](const auto& candidate) {
+        return fits(need, room + tasks_[candidate.second].task->committed);
+    });
+    if (one != by_cost.end()) {
+        cost = one->first;
+        return {one->second};
+    }
+    std::vector<std::pair<double, std::uint32_t>> victims;
+    for (const auto& candidate : by_cost) {
         if (fits(need, room)) {
             break;
         }
-        room = room + tasks_[t].task->committed;
+        room = room + tasks_[candidate.second].task->committed;
+        victims.push_back(candidate);
+    }
+    if (!fits(need, room)) {
+        return {};
+    }
+    std::vector<std::uint32_t> needed;
+    for (const auto& [price, t] : victims) {
+        const resources without = room - tasks_[t].task->committed;
+        if (fits(need, without)) {
+            room = without;
+            continue;
+        }
         cost += price;
-        victims.push_back(t);
+        needed.push_back(t);
     }
-    return fits(need, room) ? victims : std::vector<std::uint32_t>{};
+    return needed;
 }
 
 } // namespace skylarkhub::detail
