--- a/src/place_pass_p.h
+++ b/src/place_pass_p.h
@@ -35,9 +35,10 @@
     const place_task* task = nullptr;
     std::uint32_t spec = 0;
     std::uint32_t worker = no_index;
-    std::int32_t percent = 100; // of its processors, as planned
-    double demand = 0;          // processors it would take without a throttle, in thousandths
-    bool movable = false;       // may be throttled or evicted
+    std::int32_t percent = 100;                 // of its processors, as planned
+    const size_book::measured* known = nullptr; // null when never measured
+    double demand = 0;                          // processors it would take without a throttle, in thousandths
+    bool movable = false;                       // may be throttled or evicted
 };
 
 // A service task under the interference of its worker.
@@ -90,13 +91,13 @@
     std::uint32_t view_team(const team_id& team);
     void view_services();
     void keep_loads();
-    double demand_of(const place_task& task, const spec_view& spec) const;
+    static double demand_of(const task_view& task, const spec_view& spec);
     std::vector<class_load> loads_of(const worker_view& worker) const;
 
     // place_react.cpp: what runs already
     void resize_running();
     void take_room(std::uint32_t worker, const resources& taken);
-    std::int64_t memory_of(const place_task& task) const;
+    static std::int64_t memory_of(const task_view& task);
     void relieve_memory(std::uint32_t index);
     void relieve_processors(std::uint32_t index);
     bool lower_one(std::uint32_t index, bool for_processors);
--- a/src/place_react.cpp
+++ b/src/place_react.cpp
@@ -70,13 +70,13 @@
 // keeps at least its declared size, whatever it used in quiet hours.
 void placement_pass::resize_running()
 {
-    for (task_view& task : tasks_) {
-        if (task.worker == no_index) {
+    for (const task_view& task : tasks_) {
+        if (task.worker == no_index || task.known == nullptr) {
             continue;
         }
         const spec_view& spec = specs_[task.spec];
         const resources committed = task.task->committed;
-        resources target = memory_.sizes.for_running(task.task->task, spec.size, spec.spec->declared, committed);
+        resources target = size_book::for_running(*task.known, spec.need, committed);
         if (spec.spec->is_service) {
             target.cpu_millis = std::max(target.cpu_millis, spec.spec->declared.cpu_millis);
             target.memory_mib = std::max(target.memory_mib, spec.spec->declared.memory_mib);
@@ -84,7 +84,9 @@
         const resources room = workers_[task.worker].room;
         const resources more{grown(committed.cpu_millis, target.cpu_millis, room.cpu_millis),
                              grown(committed.memory_mib, target.memory_mib, room.memory_mib), committed.accelerators};
-        take_room(task.worker, more - committed);
+        if (!(more == committed)) {
+            take_room(task.worker, more - committed);
+        }
         // One that grows in one dimension is not made smaller in another by the same plan: a cell may only grant
         // growth.
         const resources after = more == committed
@@ -99,6 +101,9 @@
 
 bool placement_pass::evicting(const place_task& task) const
 {
+    if (memory_.evicting.empty()) {
+        return false;
+    }
     const auto it = memory_.evicting.find(task.task);
     return it != memory_.evicting.end() && it->second.attempt == task.attempt && it->second.until > now_;
 }
@@ -140,7 +145,7 @@
         std::uint32_t best = no_index;
         double best_price = std::numeric_limits<double>::infinity();
         for (const std::uint32_t task : worker.batch) {
-            const std::int64_t freed = std::min(excess, memory_of(*tasks_[task].task));
+            const std::int64_t freed = std::min(excess, memory_of(tasks_[task]));
             if (!tasks_[task].movable || freed <= 0) {
                 continue;
             }
@@ -153,7 +158,7 @@
         if (best == no_index) {
             return;
         }
-        excess -= memory_of(*tasks_[best].task);
+        excess -= memory_of(tasks_[best]);
         evict(best, "measured memory exceeds the worker");
     }
 }
--- a/src/place_size.cpp
+++ b/src/place_size.cpp
@@ -118,7 +118,7 @@
         record.first = taken;
     }
     record.last = taken;
-    record.samples += 1;
+    record.known.span = taken - record.first;
     resources& peak = record.known.peak;
     peak.cpu_millis = std::max(peak.cpu_millis, used.cpu_millis);
     peak.memory_mib = std::max(peak.memory_mib, used.memory_mib);
@@ -164,21 +164,13 @@
             scaled(memory_base(declared) * config::size_margin, high_ratio(key, memory)), declared.accelerators};
 }
 
-resources size_book::for_running(const task_id& task, const size_key& key, const resources& declared,
-                                 const resources& committed) const
+resources size_book::for_running(const measured& task, const resources& start, const resources& committed)
 {
-    const auto it = tasks_.find(task);
-    if (it == tasks_.end()) {
-        return committed;
-    }
-    const task_record& record = it->second;
-    resources own{record.known.peak.cpu_millis,
-                  scaled(static_cast<double>(record.known.peak.memory_mib), config::size_margin),
-                  std::max(committed.accelerators, record.known.peak.accelerators)};
-    if (record.last - record.first < config::size_settled) {
-        const resources learned = for_start(key, declared);
-        own.cpu_millis = std::max(own.cpu_millis, std::min(learned.cpu_millis, committed.cpu_millis));
-        own.memory_mib = std::max(own.memory_mib, std::min(learned.memory_mib, committed.memory_mib));
+    resources own{task.peak.cpu_millis, scaled(static_cast<double>(task.peak.memory_mib), config::size_margin),
+                  std::max(committed.accelerators, task.peak.accelerators)};
+    if (task.span < config::size_settled) {
+        own.cpu_millis = std::max(own.cpu_millis, std::min(start.cpu_millis, committed.cpu_millis));
+        own.memory_mib = std::max(own.memory_mib, std::min(start.memory_mib, committed.memory_mib));
     }
     return own;
 }
@@ -197,13 +189,10 @@
     return base;
 }
 
-std::optional<size_book::measured> size_book::find(const task_id& task) const
+const size_book::measured* size_book::find(const task_id& task) const
 {
     const auto it = tasks_.find(task);
-    if (it == tasks_.end()) {
-        return std::nullopt;
-    }
-    return it->second.known;
+    return it == tasks_.end() ? nullptr : &it->second.known;
 }
 
 void size_book::sweep(instant now, duration age)
--- a/src/place_size_p.h
+++ b/src/place_size_p.h
@@ -47,20 +47,21 @@
     // What the ledger is to hold for a task that starts: a high quantile of what its like has used.
     resources for_start(const size_key& key, const resources& declared) const;
 
-    // What the ledger is to hold for a task that runs; `committed` when nothing was measured.
-    resources for_running(const task_id& task, const size_key& key, const resources& declared,
-                          const resources& committed) const;
-
-    // Processors that a task of this key takes on average; the declared amount while nothing is known.
-    double typical_cpu(const size_key& key, const resources& declared) const;
-
-    // What is known of one task: the highest use measured so far, and the processors it took when last measured without
-    // a throttle (0 when it never was).
+    // What is known of one task: the highest use measured so far, the processors it took when last measured without a
+    // throttle (0 when it never was), and for how long it has been measured.
     struct measured {
         resources peak;
         std::int64_t free_cpu = 0;
+        duration span{0};
     };
-    std::optional<measured> find(const task_id& task) const;
+    // Null when it was never measured; valid until the next call that is not const.
+    const measured* find(const task_id& task) const;
+
+    // What the ledger is to hold for a task that runs. `start` is what for_start gives for it now.
+    static resources for_running(const measured& task, const resources& start, const resources& committed);
+
+    // Processors that a task of this key takes on average; the declared amount while nothing is known.
+    double typical_cpu(const size_key& key, const resources& declared) const;
 
     // Forgets tasks that were not measured for `age`, and families when there are too many of them.
     void sweep(instant now, duration age);
@@ -77,7 +78,6 @@
         measured known;
         std::array<std::int8_t, dimension_count> bucket{};
         size_key key;
-        std::int32_t samples = 0;
         instant first{};
         instant last{};
     };
--- a/src/place_view.cpp
+++ b/src/place_view.cpp
@@ -124,10 +124,12 @@
         return;
     }
     view.worker = where->second;
-    view.demand = demand_of(task, spec);
+    view.known = memory_.sizes.find(task.task);
+    view.demand = demand_of(view, spec);
     worker_view& worker = workers_[view.worker];
     worker.cpu_load += view.demand * view.percent / 100;
-    worker.memory_peak += evicting(task) ? 0 : memory_of(task);
+    const bool leaves = evicting(task);
+    worker.memory_peak += leaves ? 0 : memory_of(view);
     if (spec.spec->is_service) {
         worker.services.push_back({index, spec.limit, 1, 0});
         service_counts_[service_count_key(spec.size.family, view.worker, false)] += 1;
@@ -137,29 +139,28 @@
     }
     worker.batch.push_back(index);
     worker.untried = worker.untried || task.run_so_far < untried_for;
-    view.movable = !task.latency_critical && spec.spec->urgency != urgency::urgent && !evicting(task);
+    view.movable = !task.latency_critical && spec.spec->urgency != urgency::urgent && !leaves;
     if (task.throttle < 100) {
         memory_.throttled[task.task] = now_;
         memory_.past[task.worker].throttled = true;
     }
 }
 
-std::int64_t placement_pass::memory_of(const place_task& task) const
+std::int64_t placement_pass::memory_of(const task_view& task)
 {
-    const auto known = memory_.sizes.find(task.task);
-    return known ? known->peak.memory_mib : task.used.memory_mib;
+    return task.known != nullptr ? task.known->peak.memory_mib : task.task->used.memory_mib;
 }
 
-double placement_pass::demand_of(const place_task& task, const spec_view& spec) const
+double placement_pass::demand_of(const task_view& task, const spec_view& spec)
 {
-    if (const auto known = memory_.sizes.find(task.task)) {
-        if (known->free_cpu > 0) {
-            return static_cast<double>(known->free_cpu);
-        }
-        // Only ever measured under a throttle: it takes at least what it took.
-        return std::max(static_cast<double>(known->peak.cpu_millis), spec.cpu);
+    if (task.known == nullptr) {
+        return task.task->used.cpu_millis > 0 ? static_cast<double>(task.task->used.cpu_millis) : spec.cpu;
+    }
+    if (task.known->free_cpu > 0) {
+        return static_cast<double>(task.known->free_cpu);
     }
-    return task.used.cpu_millis > 0 ? static_cast<double>(task.used.cpu_millis) : spec.cpu;
+    // Only ever measured under a throttle: it takes at least what it took.
+    return std::max(static_cast<double>(task.known->peak.cpu_millis), spec.cpu);
 }
 
 std::uint32_t placement_pass::view_spec(const job_spec* spec)
