--- a/src/burn_record.cpp
+++ b/src/burn_record.cpp
@@ -92,17 +92,17 @@
     }
 };
 
-void count_into(slot& s, request_outcome outcome, bool late)
+void count_into(slot& s, service_outcome outcome, bool late)
 {
     switch (outcome) {
-    case request_outcome::done:
+    case service_outcome::done:
         ++s.done;
         s.late += late ? 1 : 0;
         return;
-    case request_outcome::refused:
+    case service_outcome::refused:
         ++s.refused;
         return;
-    case request_outcome::unknown:
+    case service_outcome::unknown:
         ++s.unknown;
         return;
     }
@@ -133,6 +133,16 @@
     into.missed += more.missed;
 }
 
+void merge_service(service_burn& into, const service_burn& more)
+{
+    into.objective = std::max(into.objective, more.objective);
+    into.latency_target = std::max(into.latency_target, more.latency_target);
+    into.latency.merge(more.latency);
+    for (std::size_t i = 0; i < burn_window_count; ++i) {
+        add_counts(into.windows.at(i), more.windows.at(i));
+    }
+}
+
 } // namespace
 
 std::optional<double> burn_rate(const burn_counts& counts, double objective)
@@ -160,20 +170,17 @@
 void merge_report(burn_report& into, const burn_report& other)
 {
     into.sources.insert(into.sources.end(), other.sources.begin(), other.sources.end());
+    absl::flat_hash_map<std::pair<service_id, team_id>, std::size_t> known;
+    for (std::size_t i = 0; i < into.services.size(); ++i) {
+        known.emplace(std::pair(into.services[i].service, into.services[i].team), i);
+    }
     for (const service_burn& more : other.services) {
-        const auto found = std::find_if(into.services.begin(), into.services.end(), [&](const service_burn& s) {
-            return s.service == more.service && s.team == more.team;
-        });
-        if (found == into.services.end()) {
+        const auto [at, fresh] = known.try_emplace(std::pair(more.service, more.team), into.services.size());
+        if (fresh) {
             into.services.push_back(more);
             continue;
         }
-        found->objective = std::max(found->objective, more.objective);
-        found->latency_target = std::max(found->latency_target, more.latency_target);
-        found->latency.merge(more.latency);
-        for (std::size_t i = 0; i < burn_window_count; ++i) {
-            add_counts(found->windows.at(i), more.windows.at(i));
-        }
+        merge_service(into.services[at->second], more);
     }
     for (const auto& [team, counts] : other.batch) {
         add_counts(into.batch[team], counts);
@@ -194,7 +201,7 @@
 burn_recorder::burn_recorder(burn_recorder&&) noexcept = default;
 burn_recorder& burn_recorder::operator=(burn_recorder&&) noexcept = default;
 
-void burn_recorder::record(instant now, const service_id& service, const team_id& team, request_outcome outcome,
+void burn_recorder::record(instant now, const service_id& service, const team_id& team, service_outcome outcome,
                            duration latency, duration target)
 {
     std::unique_ptr<service_counts>& counts = state_->services[{service, team}];
@@ -207,7 +214,7 @@
     }
     counts->latency_target = target;
     counts->turn_latency(now);
-    if (outcome == request_outcome::done) {
+    if (outcome == service_outcome::done) {
         counts->latency_now.add(latency);
     }
 }
