place: throttle only for services whose slowdown was measured

Cause: an owner that has just taken a cell believes what it believes of unknown work, and throttled batch work beside services before any measurement came; where nobody measures slowdowns, it would have held the queue back for ever. Conclusion: starts are careful for two minutes, throttles need a measurement, and a service that is never measured is left to the ledger.

--- a/src/place_memory_p.h
+++ b/src/place_memory_p.h
@@ -31,7 +31,9 @@
 struct service_site {
     worker_id worker;
     double cpu_capacity = 0;
+    instant first_seen{};
     instant seen{};
+    bool measured = false; // its slowdown was measured at least once
 };
 
 // A stop that was asked for; until it is confirmed or the time is over, it is not asked for again.
--- a/src/place_pass_p.h
+++ b/src/place_pass_p.h
@@ -47,6 +47,7 @@
     double limit = 0;
     double slowdown = 1;
     double variance = 0;
+    bool measured = false; // at least once; before that nothing is throttled for it
 };
 
 struct worker_view {
@@ -86,6 +87,7 @@
     void view_capacities(const std::vector<place_worker>& workers);
     void view_tasks(const std::vector<place_task>& tasks);
     void view_task(const place_task& task);
+    void view_service(const place_task& task, std::uint32_t index, worker_view& worker);
     void view_running(task_view& view, std::uint32_t index);
     std::uint32_t view_spec(const job_spec* spec);
     std::uint32_t view_team(const team_id& team);
--- a/src/place_plan.cpp
+++ b/src/place_plan.cpp
@@ -45,6 +45,9 @@
                                    const std::vector<const job_spec*>& neighbours)
 {
     detail::placement_memory& memory = state_->memory;
+    if (const auto site = memory.sites.find(service_task); site != memory.sites.end()) {
+        site->second.measured = true;
+    }
     memory.harm.learn(taken, detail::site_of(service_task), detail::size_key_of(service).family,
                       detail::loads_at(memory, taken, service_task, neighbours), slowdown);
 }
--- a/src/place_react.cpp
+++ b/src/place_react.cpp
@@ -175,7 +175,7 @@
     }
     const auto pressed = [&] {
         return std::any_of(worker.services.begin(), worker.services.end(),
-                           [](const service_view& s) { return above_limit(s) > pressed_above; });
+                           [](const service_view& s) { return s.measured && above_limit(s) > pressed_above; });
     };
     while (pressed() && lower_one(index, false)) {
         lowered = true;
@@ -210,7 +210,7 @@
         else {
             for (const service_view& s : worker.services) {
                 const slope by = slope_of(specs_[tasks_[s.task].spec].size.family, spec.batch_class, spec.size.family);
-                gain += above_limit(s) > pressed_above && by.mean > slope_least ? by.mean : 0;
+                gain += s.measured && above_limit(s) > pressed_above && by.mean > slope_least ? by.mean : 0;
             }
         }
         gain /= factor_of(*spec.spec);
--- a/src/place_view.cpp
+++ b/src/place_view.cpp
@@ -131,10 +131,9 @@
     const bool leaves = evicting(task);
     worker.memory_peak += leaves ? 0 : memory_of(view);
     if (spec.spec->is_service) {
-        worker.services.push_back({index, spec.limit, 1, 0});
+        view_service(task, index, worker);
         service_counts_[service_count_key(spec.size.family, view.worker, false)] += 1;
         service_counts_[service_count_key(spec.size.family, worker.rack, true)] += 1;
-        memory_.sites[task.task] = {task.worker, worker.cpu_capacity, now_};
         return;
     }
     worker.batch.push_back(index);
@@ -146,6 +145,18 @@
     }
 }
 
+// A service whose slowdown nobody measures cannot be protected by it: after a while only the ledger does.
+void placement_pass::view_service(const place_task& task, std::uint32_t index, worker_view& worker)
+{
+    service_site& site = memory_.sites.try_emplace(task.task, service_site{{}, 0, now_, now_, false}).first->second;
+    site.worker = task.worker;
+    site.cpu_capacity = worker.cpu_capacity;
+    site.seen = now_;
+    if (site.measured || site.first_seen + config::measured_within > now_) {
+        worker.services.push_back({index, specs_[view_spec(task.spec)].limit, 1, 0, site.measured});
+    }
+}
+
 std::int64_t placement_pass::memory_of(const task_view& task)
 {
     return task.known != nullptr ? task.known->peak.memory_mib : task.task->used.memory_mib;
--- a/tests/test_place.cpp
+++ b/tests/test_place.cpp
@@ -266,6 +266,8 @@
     std::vector<place_task> tasks = {running("tender", tender, "w1", tender.declared),
                                      running("n", noisy, "w1", noisy.declared)};
     const auto workers = workers_for({"w1"}, tasks);
+    place.plan(start - 1s, {tasks[0]}, workers);
+    place.learn_interference(start - 1s, tasks[0].task, tender, 1, {});
     const place_plan plan = place.plan(start, tasks, workers);
     BOOST_TEST(plan.evictions.empty());
     BOOST_REQUIRE(plan.throttles.size() == 1);
@@ -276,6 +278,26 @@
     }
 }
 
+// Nobody measures the service's slowdown, or the owner is new and has no measurement yet. What is only believed about
+// unknown work must not throttle what runs, and must not hold the queue back for ever.
+BOOST_AUTO_TEST_CASE(an_unmeasured_service_holds_batch_work_back_for_a_while_only)
+{
+    const job_spec batch = batch_spec("a", {6000, 1000, 0});
+    const job_spec service = service_spec("pages");
+    placement place({});
+    std::vector<place_task> tasks = several("q", batch, 4);
+    tasks.push_back(running("s", service, "w1", service.declared));
+    const auto workers = workers_for({"w1"}, tasks);
+    BOOST_TEST(place.plan(start, tasks, workers).starts.size() < 4);
+    BOOST_TEST(place.plan(start + 2min, tasks, workers).starts.size() == 4);
+
+    std::vector<place_task> all = {tasks.back()};
+    for (int i = 0; i < 4; ++i) {
+        all.push_back(running("q", batch, "w1", batch.declared, i));
+    }
+    BOOST_TEST(placement({}).plan(start, all, workers_for({"w1"}, all)).throttles.empty());
+}
+
 // A measurement arrives 30 s late, when the noisy task has already left. It speaks of the placement it was taken under:
 // the quiet work that runs there now must not be learned as harmful.
 BOOST_AUTO_TEST_CASE(a_late_measurement_is_held_against_the_placement_it_was_taken_under)
@@ -464,10 +486,9 @@
     const job_spec spec = batch_spec("a", {1000, 1000, 0});
     placement place({});
     const auto workers = workers_for({"bad", "w2", "w3"});
-    std::vector<place_task> old;
-    for (int i = 0; i < 3; ++i) {
-        old.push_back(running("old", spec, "bad", spec.declared, i));
-    }
+    const std::vector<place_task> old = {running("old", spec, "bad", spec.declared, 0),
+                                         running("old", spec, "bad", spec.declared, 1),
+                                         running("old", spec, "bad", spec.declared, 2)};
     place.plan(start, old, workers);
     for (int i = 0; i < 3; ++i) {
         const std::string job = "j" + std::to_string(i);
