daemon: targets through the target client, kinds kept by each gate, batch figures from the cells' rows

Copying the settings tree for each request was a map of 132 pointers; each gate now keeps its kind until settings change. The version row is polled every 5 s rather than every second (0.4 against 2 KB/s, design-settings.md); pushes stay at once.

--- a/src/daemon_app_p.h
+++ b/src/daemon_app_p.h
@@ -84,6 +84,7 @@
     nlohmann::json list_cells() const;
     std::string format_metrics() const;
     burn_report own_report();
+    void add_batch(burn_report& report) const;
 
     const entry_settings settings_;
     const incarnation_id self_;
--- a/src/daemon_jobs.cpp
+++ b/src/daemon_jobs.cpp
@@ -92,9 +92,8 @@
     const std::string fingerprint = fingerprint_spec(to_row(*spec));
     edges_.platform.commit_settled(
         table_traffic::work, accept_job(job, *spec, parts, read_wall_clock()), settle_time,
-        [this, job, fingerprint, parts, team = spec->team, reply](const table_result& result) {
+        [this, job, fingerprint, parts, reply](const table_result& result) {
             if (result.outcome == table_outcome::applied) {
-                edges_.accepted(team);
                 for (const cell_part& part : parts) {
                     edges_.hint(part.cell);
                 }
--- a/src/daemon_jobs_p.h
+++ b/src/daemon_jobs_p.h
@@ -25,7 +25,6 @@
     standing_runner& standing;
     data_centre_id own;
     std::function<void(const cell_id&)> hint; // tell the cell's owner that its inbox has something new
-    std::function<void(const team_id&)> accepted;
     std::function<void(const std::string& what, std::function<void(std::vector<gathered_part>)>)> gather;
 };
 
--- a/src/daemon_operators.cpp
+++ b/src/daemon_operators.cpp
@@ -13,6 +13,7 @@
 
 using json = nlohmann::json;
 
+constexpr std::string_view all_teams = "(all)";
 constexpr std::array<std::string_view, 4> member_state_names{"live", "suspect", "leaving", "dead"};
 
 std::int64_t resident_kib()
@@ -109,6 +110,31 @@
     return list;
 }
 
+// Batch work is told from the rows of the cells that this entry owns, so it survives entries and is counted once: tasks
+// of each team, and for all teams together what evictions cost since this entry took its cells.
+void daemon_app::add_batch(burn_report& report) const
+{
+    for (const auto& host : cells_->hosts()) {
+        if (host->role() != cell_role::owning) {
+            continue;
+        }
+        for (const job_view& view : host->jobs()) {
+            if (view.row.spec.is_service) {
+                continue;
+            }
+            batch_counts& counts = report.batch[view.row.spec.team];
+            counts.accepted += view.row.task_total;
+            counts.finished += view.finished;
+            counts.parked += view.parked;
+            counts.cancelled += view.cancelled;
+        }
+        const cell_stats stats = host->stats();
+        batch_counts& all = report.batch[std::string(all_teams)];
+        all.evictions += stats.evictions;
+        all.work_lost_seconds += stats.work_lost_seconds;
+    }
+}
+
 burn_report daemon_app::own_report()
 {
     const settings_tree tree = settings_keeper_->tree();
@@ -124,6 +150,7 @@
         absl::MutexLock lock(&burn_mutex_);
         report = burn_.report(read_clock(), objective);
     }
+    add_batch(report);
     burn_report::source own;
     own.entry = settings_.name.str();
     own.data_centre = settings_.data_centre.str();
--- a/src/daemon_requests_p.h
+++ b/src/daemon_requests_p.h
@@ -18,6 +18,7 @@
 #include "http_server_p.h"
 #include "request_gate_p.h"
 #include "skylarkhub/skylarkhub.h"
+#include "target_client_p.h"
 
 namespace skylarkhub {
 
@@ -77,7 +78,7 @@
     void release(const release_claim& a) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void answer(const answer_request& a) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void probe(const probe_target& a);
-    void end_send(request_number request, send_number send, const std::string& request_id, http_result result);
+    void end_send(request_number request, send_number send, target_answer answer);
     void end_claim(request_number request, claim_reply reply);
     std::string find_body(const answer_request& a) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void drop_finished() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -86,6 +87,7 @@
     const incarnation_id self_;
     const request_edges edges_;
     mutable absl::Mutex mutex_;
+    work_kind kind_ ABSL_GUARDED_BY(mutex_); // as the settings in force have it
     request_gate gate_ ABSL_GUARDED_BY(mutex_);
     open_map open_ ABSL_GUARDED_BY(mutex_);
     std::map<std::pair<request_number, send_number>, std::string> answers_ ABSL_GUARDED_BY(mutex_);
--- a/src/daemon_service_gate.cpp
+++ b/src/daemon_service_gate.cpp
@@ -47,17 +47,6 @@
     return value;
 }
 
-target_reply to_target_reply(const http_result& result)
-{
-    target_reply reply;
-    reply.answered = result.answered;
-    reply.may_have_arrived = result.may_have_arrived;
-    reply.status = result.status;
-    reply.request_id = std::string(find_field(result.headers, "request-id"));
-    reply.did_not_run = find_field(result.headers, "did-not-run") == "true";
-    return reply;
-}
-
 } // namespace
 
 service_gate::service_gate(service_id service, data_centre_id own, incarnation_id self, request_edges edges,
@@ -65,6 +54,7 @@
     : service_(std::move(service)),
       self_(std::move(self)),
       edges_(std::move(edges)),
+      kind_(edges_.rules(service_).kind),
       gate_(service_, std::move(own), edges_.rules(service_).gate, seed)
 {}
 
@@ -75,12 +65,14 @@
         reply(make_error(400, "bad_header", "Deadline-Ms", "must be a whole number of milliseconds"));
         return;
     }
+    const std::string fingerprint = fingerprint_body(request.body);
+    absl::MutexLock lock(&mutex_);
     request_arrived event;
     event.request = number;
     event.team = team_id(service_.str().substr(0, service_.str().find('/')));
-    event.kind = edges_.rules(service_).kind;
+    event.kind = kind_;
     event.idempotency_key = std::string(find_field(request.headers, "idempotency-key"));
-    event.fingerprint = fingerprint_body(request.body);
+    event.fingerprint = fingerprint;
     event.time_left = std::chrono::milliseconds(deadline_ms);
     event.body_bytes = static_cast<std::int64_t>(request.body.size());
 
@@ -90,7 +82,6 @@
     open.reply = std::move(reply);
     open.received = read_clock();
     open.kind = event.kind;
-    absl::MutexLock lock(&mutex_);
     open_.emplace(number, std::move(open));
     decide(event);
 }
@@ -135,35 +126,25 @@
 {
     open_request& open = open_.at(a.request);
     ++open.sends_open;
-    const std::string request_id = fmt::format("{}-{}-{}", self_.str(), a.request.value(), a.send.value());
-    http_call call;
-    call.method = "POST";
-    call.address = a.address;
-    call.target = "/run";
-    call.headers = {{"Request-Id", request_id}, {"Deadline-Ms", std::to_string(whole_ms(a.time_left))}};
-    if (!open.key.key.empty()) {
-        call.headers.emplace_back("Idempotency-Key", open.key.key);
-    }
-    call.body = open.body;
-    call.timeout = a.time_left;
-    call.send_once = a.send_once;
-    edges_.targets.send(std::move(call),
-                        [self = shared_from_this(), request = a.request, send = a.send, request_id](
-                            http_result result) { self->end_send(request, send, request_id, std::move(result)); });
+    target_request request;
+    request.address = a.address;
+    request.request_id = fmt::format("{}-{}-{}", self_.str(), a.request.value(), a.send.value());
+    request.idempotency_key = open.key.key;
+    request.body = open.body;
+    request.time_left = a.time_left;
+    request.send_once = a.send_once;
+    send_to_target(edges_.targets, std::move(request),
+                   [self = shared_from_this(), number = a.request, send = a.send](target_answer answer) {
+                       self->end_send(number, send, std::move(answer));
+                   });
 }
 
-void service_gate::end_send(request_number request, send_number send, const std::string& request_id, http_result result)
+void service_gate::end_send(request_number request, send_number send, target_answer answer)
 {
-    target_answered event;
-    event.request = request;
-    event.send = send;
-    event.outcome = judge_reply(to_target_reply(result), request_id);
-    event.retry_after =
-        std::chrono::milliseconds(std::max<std::int64_t>(0, read_ms(find_field(result.headers, "retry-after-ms"))));
-    event.reason = result.reason;
+    target_answered event{request, send, answer.outcome, answer.retry_after, std::move(answer.reason)};
     absl::MutexLock lock(&mutex_);
     if (event.outcome == send_outcome::done) {
-        answers_[{request, send}] = std::move(result.body);
+        answers_[{request, send}] = std::move(answer.body);
     }
     const auto found = open_.find(request);
     if (found != open_.end()) {
@@ -255,20 +236,10 @@
 
 void service_gate::probe(const probe_target& a)
 {
-    http_call call;
-    call.address = a.address;
-    call.target = "/healthz";
-    call.timeout = probe_timeout;
-    edges_.targets.send(std::move(call), [self = shared_from_this(), target = a.target](const http_result& result) {
-        target_probed event{target, probe_outcome::unreachable};
-        if (result.answered && result.status == 200) {
-            event.outcome = probe_outcome::healthy;
-        }
-        else if (result.answered && result.status == 503) {
-            event.outcome = probe_outcome::leaving;
-        }
-        self->post(event);
-    });
+    check_target(edges_.targets, a.address, probe_timeout,
+                 [self = shared_from_this(), target = a.target](probe_outcome outcome) {
+                     self->post(target_probed{target, outcome});
+                 });
 }
 
 // A request's bodies go once its caller has the answer and its last send has ended.
@@ -309,6 +280,7 @@
 {
     const service_rules rules = edges_.rules(service_);
     absl::MutexLock lock(&mutex_);
+    kind_ = rules.kind;
     gate_.change_settings(rules.gate);
 }
 
--- a/src/daemon_settings_api.cpp
+++ b/src/daemon_settings_api.cpp
@@ -12,6 +12,7 @@
 
 using json = nlohmann::json;
 
+constexpr std::size_t author_bytes_most = 64;
 constexpr std::array<std::string_view, 4> member_state_names{"live", "suspect", "leaving", "dead"};
 
 http_response answer_change(const std::string& path, const change_answer& answer)
@@ -209,7 +210,7 @@
     change.expected = settings_version(std::stoll(version));
     change.document = request.body;
     change.removed = request.method == "DELETE";
-    change.author = std::string(find_field(request.headers, "author"));
+    change.author = std::string(find_field(request.headers, "author").substr(0, author_bytes_most));
     change.now = read_wall_clock();
     settings_keeper_->change(change,
                              [path, reply](const change_answer& answer) { reply(answer_change(path, answer)); });
--- a/src/daemon_ticker.cpp
+++ b/src/daemon_ticker.cpp
@@ -43,7 +43,7 @@
         {250ms, [this] { see_targets_of_cells(); }},
         {1s, [this] { tick_lists(); }},
         {1s, [this] { tick_news(); }},
-        {1s, [this] { settings_keeper_->poll(); }},
+        {5s, [this] { settings_keeper_->poll(); }},
         {5s, [this] { standing_->refresh(); }},
         {500ms, [this] { standing_->tick(); }},
     };
--- a/src/daemon_wiring.cpp
+++ b/src/daemon_wiring.cpp
@@ -66,17 +66,11 @@
 
 job_edges daemon_app::make_job_edges()
 {
-    const auto accepted = [this](const team_id& team) {
-        batch_counts more;
-        more.accepted = 1;
-        absl::MutexLock lock(&burn_mutex_);
-        burn_.add_batch(team, more);
-    };
     const auto gather = [this](const std::string& what, std::function<void(std::vector<gathered_part>)> done) {
         gather_parts(peers_, members_->peers(), what, std::move(done));
     };
     const auto hint = [this](const cell_id& cell) { hint_owner(cell); };
-    return {platform_, *cells_, *settings_keeper_, *standing_, settings_.data_centre, hint, accepted, gather};
+    return {platform_, *cells_, *settings_keeper_, *standing_, settings_.data_centre, hint, gather};
 }
 
 // The owner looks into its inbox now rather than at its next round; nothing depends on the hint arriving.
