--- a/src/daemon_cell_host.cpp
+++ b/src/daemon_cell_host.cpp
@@ -62,8 +62,8 @@
     const incarnation_id owner(request.owner);
     {
         absl::MutexLock lock(&edge_mutex_);
-        hold_waiting_.emplace_back(owner, [answer](wire::hold_reply reply) {
-            answer->reply = std::move(reply);
+        hold_waiting_.emplace_back(owner, [answer](const wire::hold_reply& reply) {
+            answer->reply = reply;
             answer->ready.Notify();
         });
     }
@@ -155,7 +155,7 @@
 
 void cell_host::pass_hold_answer(const answer_hold& answer)
 {
-    std::function<void(wire::hold_reply)> pass;
+    std::function<void(const wire::hold_reply&)> pass;
     {
         absl::MutexLock lock(&edge_mutex_);
         const auto found = std::find_if(hold_waiting_.begin(), hold_waiting_.end(),
@@ -169,7 +169,7 @@
     wire::hold_reply reply;
     reply.__set_promised(answer.promised);
     reply.__set_reason(answer.reason);
-    pass(std::move(reply));
+    pass(reply);
 }
 
 void cell_host::send(const worker_request& request)
--- a/src/daemon_cell_registry.cpp
+++ b/src/daemon_cell_registry.cpp
@@ -154,7 +154,8 @@
 {
     std::vector<wire::cell_news> out = own_news();
     absl::MutexLock lock(&mutex_);
-    for (const auto& [cell, news] : news_) {
+    for (const auto& item : news_) {
+        const wire::cell_news& news = item.second;
         const bool own =
             std::any_of(out.begin(), out.end(), [&](const auto& o) { return o.summary.cell == news.summary.cell; });
         if (!own) {
--- a/src/daemon_cells_p.h
+++ b/src/daemon_cells_p.h
@@ -72,7 +72,7 @@
 
     absl::Mutex edge_mutex_;
     absl::flat_hash_map<worker_id, net_address> addresses_ ABSL_GUARDED_BY(edge_mutex_);
-    std::vector<std::pair<incarnation_id, std::function<void(wire::hold_reply)>>>
+    std::vector<std::pair<incarnation_id, std::function<void(const wire::hold_reply&)>>>
         hold_waiting_ ABSL_GUARDED_BY(edge_mutex_);
 };
 
--- a/src/daemon_job_views.cpp
+++ b/src/daemon_job_views.cpp
@@ -54,9 +54,9 @@
     absl::MutexLock lock(&reader.mutex);
     reader.failed = reader.failed || !row;
     if (row && row->value) {
-        auto found = decode_row<wire::job_row>(*row->value);
+        const auto found = decode_row<wire::job_row>(*row->value);
         if (found) {
-            reader.parts.push_back({cell, std::move(*found), running});
+            reader.parts.push_back({cell, *found, running});
         }
     }
     if (--reader.left > 0) {
