jobs: a cancel rests on the index row

Cause: the table client settles a lost answer by a row that is both checked and written and that nobody removes; the transaction of a cancel wrote inbox rows only, so every cancel was refused at once. Ruled out: checking the inbox rows, since owners remove them. Now the index row is checked and rewritten with them. Before: cancel answered 503. After: 202, and the tasks stop (test_processes: a_cancelled_job_ends_and_stays_ended).

--- a/src/daemon_jobs.cpp
+++ b/src/daemon_jobs.cpp
@@ -14,6 +14,12 @@
 
 namespace skylarkhub {
 
+namespace {
+
+constexpr int instruction_tries_most = 5;
+
+} // namespace
+
 std::vector<api_route> job_api::routes()
 {
     return {
@@ -126,30 +132,51 @@
     if (!authorise(team, request, reply)) {
         return;
     }
+    leave_instruction({job, operation_id(key), cancel}, 1, reply);
+}
+
+void job_api::leave_instruction(const instruction& wanted, int tries, const http_reply& reply)
+{
+    const std::string index_key = job_index_key(team_of_job(wanted.job), operation_id(wanted.job.str()));
     edges_.platform.read(
-        table_traffic::work, job_index_key(team, operation_id(job.str())),
-        [this, job, key, cancel, reply](const std::optional<table_row>& row) {
+        table_traffic::work, index_key, [this, wanted, tries, reply](const std::optional<table_row>& row) {
             if (!row) {
                 reply(answer_not_done(503, "unavailable", "", "the table cannot be read"));
                 return;
             }
             const auto index = row->value ? decode_row<wire::job_index_row>(*row->value) : std::nullopt;
             if (!index) {
-                reply(answer_not_done(404, "not_found", "job", "no job " + job.str()));
+                reply(answer_not_done(404, "not_found", "job", "no job " + wanted.job.str()));
                 return;
             }
-            edges_.platform.commit_settled(table_traffic::work, instruct_cells(*index, operation_id(key), cancel),
-                                           settle_time, [this, job, index = *index, reply](const table_result& result) {
-                                               if (result.outcome != table_outcome::applied) {
-                                                   reply(answer_table_failure(result));
-                                                   return;
-                                               }
-                                               for (const std::string& cell : index.cells) {
-                                                   edges_.hint(cell_id(cell));
-                                               }
-                                               reply(make_json(202, {{"job", job.str()}}));
-                                           });
+            edges_.platform.commit_settled(
+                table_traffic::work, instruct_cells(*index, row->version, wanted.key, wanted.cancel), settle_time,
+                [this, wanted, tries, cells = index->cells, reply](const table_result& result) {
+                    // Another instruction for the same job came first: both are to be carried out.
+                    if (result.outcome == table_outcome::conflict && tries < instruction_tries_most) {
+                        leave_instruction(wanted, tries + 1, reply);
+                        return;
+                    }
+                    end_instruction(wanted, cells, result, reply);
+                });
         });
 }
 
+void job_api::end_instruction(const instruction& wanted, const std::vector<std::string>& cells,
+                              const table_result& result, const http_reply& reply)
+{
+    if (result.outcome == table_outcome::conflict) {
+        reply(answer_not_done(503, "unavailable", "", "others keep changing this job"));
+        return;
+    }
+    if (result.outcome != table_outcome::applied) {
+        reply(answer_table_failure(result));
+        return;
+    }
+    for (const std::string& cell : cells) {
+        edges_.hint(cell_id(cell));
+    }
+    reply(make_json(202, {{"job", wanted.job.str()}}));
+}
+
 } // namespace skylarkhub
--- a/src/daemon_jobs_p.h
+++ b/src/daemon_jobs_p.h
@@ -42,6 +42,14 @@
     void list(const http_request& request, http_reply reply);
     void show(const job_id& job, http_reply reply);
     void read_parts(const job_id& job, const std::map<std::string, std::int32_t>& running, const http_reply& reply);
+    struct instruction {
+        job_id job;
+        operation_id key;
+        bool cancel = false;
+    };
+    void leave_instruction(const instruction& wanted, int tries, const http_reply& reply);
+    void end_instruction(const instruction& wanted, const std::vector<std::string>& cells, const table_result& result,
+                         const http_reply& reply);
     void instruct(const job_id& job, const http_request& request, bool cancel, const http_reply& reply);
     void put_standing(const team_id& team, const std::string& name, const http_request& request,
                       const http_reply& reply);
--- a/src/job_accept.cpp
+++ b/src/job_accept.cpp
@@ -266,11 +266,16 @@
     return transaction;
 }
 
-table_transaction instruct_cells(const wire::job_index_row& index, const operation_id& key, bool cancel)
+table_transaction instruct_cells(const wire::job_index_row& index, row_version version, const operation_id& key,
+                                 bool cancel)
 {
     const operation_id operation((cancel ? "cancel/" : "resume/") + index.job + "/" + key.str());
+    const std::string index_key = job_index_key(team_id(index.team), operation_id(index.job));
     table_transaction transaction;
     transaction.operation = operation;
+    // Owners remove inbox rows once they are carried out; the index row stays and tells later whose write took effect.
+    transaction.checks.push_back({index_key, version});
+    transaction.writes.push_back({index_key, encode_row(index)});
     for (const std::string& cell : index.cells) {
         wire::inbox_row inbox;
         inbox.__set_operation(operation.str());
--- a/src/job_accept_p.h
+++ b/src/job_accept_p.h
@@ -56,7 +56,9 @@
 table_transaction accept_job(const job_id& job, const job_spec& spec, const std::vector<cell_part>& parts,
                              wall_time now);
 
-// The transaction that leaves a cancel or a resume for every owner; harmless when repeated.
-table_transaction instruct_cells(const wire::job_index_row& index, const operation_id& key, bool cancel);
+// The transaction that leaves a cancel or a resume for every owner; `version` is that of the index row as read.
+// Harmless when repeated.
+table_transaction instruct_cells(const wire::job_index_row& index, row_version version, const operation_id& key,
+                                 bool cancel);
 
 } // namespace skylarkhub
--- a/tests/test_processes.cpp
+++ b/tests/test_processes.cpp
@@ -136,3 +136,23 @@
     BOOST_REQUIRE(s.wait_tasks("a1", job, "finished", 1));
     BOOST_TEST(find_faults(s.runs(), job, 1) == "");
 }
+
+BOOST_AUTO_TEST_CASE(a_cancelled_job_ends_and_stays_ended)
+{
+    // The caller cancels a running job through an entry that does not own its cell, twice under one key. Instructions
+    // go through the table: one that cannot be told apart from others by a lasting row was refused at once, so no
+    // cancel was ever accepted. Accepted, it stops the tasks, and nothing of the job starts again.
+    site s({.entries = three_entries, .workers = 2});
+    s.prepare();
+    const std::string job = s.submit("a1", "k1", batch_job("rebuild-1", 3, long_run_ms));
+    BOOST_REQUIRE(wait_for([&] { return count_starts(s.runs(), job) == 3; }));
+    const std::string other = other_than(three_entries, s.owner("a1"));
+
+    for (int i = 0; i < 2; ++i) {
+        const site_answer answer = s.ask(other, "DELETE", "/v1/jobs/" + job, {}, {{"Operation-Key", "c1"}});
+        BOOST_TEST(answer.status == 202);
+    }
+
+    BOOST_REQUIRE(s.wait_tasks(other, job, "cancelled", 3));
+    BOOST_TEST(count_starts(s.runs(), job) == 3);
+}
