--- a/src/job_accept.cpp
+++ b/src/job_accept.cpp
@@ -169,50 +169,6 @@
     return fmt::format("{:016x}", hash_text(encode_row(spec)));
 }
 
-wire::job_spec_row to_row(const job_spec& spec)
-{
-    wire::resources_row declared;
-    declared.__set_cpu_millis(spec.declared.cpu_millis);
-    declared.__set_memory_mib(spec.declared.memory_mib);
-    declared.__set_accelerators(spec.declared.accelerators);
-    wire::job_spec_row row;
-    row.__set_team(spec.team.str());
-    row.__set_name(spec.name);
-    row.__set_kind(spec.kind.str());
-    row.__set_declared(declared);
-    row.__set_task_count(spec.task_count);
-    row.__set_urgency(static_cast<std::int32_t>(spec.urgency));
-    row.__set_run_time_ms(to_ms(spec.run_time));
-    row.__set_attempt_limit(spec.attempt_limit);
-    row.__set_is_service(spec.is_service);
-    row.__set_slots(spec.slots);
-    row.__set_connections(spec.connections);
-    row.__set_payload(spec.payload);
-    row.__set_standing(spec.standing);
-    row.__set_due_ms(std::chrono::duration_cast<std::chrono::milliseconds>(spec.due.time_since_epoch()).count());
-    return row;
-}
-
-job_spec from_row(const wire::job_spec_row& row)
-{
-    job_spec spec;
-    spec.team = team_id(row.team);
-    spec.name = row.name;
-    spec.kind = kind_id(row.kind);
-    spec.declared = {row.declared.cpu_millis, row.declared.memory_mib, row.declared.accelerators};
-    spec.task_count = row.task_count;
-    spec.urgency = static_cast<skylarkhub::urgency>(std::clamp(row.urgency, 0, 2));
-    spec.run_time = std::chrono::milliseconds(row.run_time_ms);
-    spec.attempt_limit = row.attempt_limit;
-    spec.is_service = row.is_service;
-    spec.slots = row.slots;
-    spec.connections = row.connections;
-    spec.payload = row.payload;
-    spec.standing = row.standing;
-    spec.due = wall_time(std::chrono::milliseconds(row.due_ms));
-    return spec;
-}
-
 std::vector<cell_part> split_job(const job_spec& spec, std::vector<cell_room> rooms, std::uint64_t pick,
                                  std::vector<field_error>* errors)
 {
--- a/src/job_accept_p.h
+++ b/src/job_accept_p.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "job_row_p.h"
 #include "peer_types.h"
 #include "skylarkhub/skylarkhub.h"
 
@@ -37,8 +38,6 @@
 team_id team_of_job(const job_id& job);
 
 std::string fingerprint_spec(const wire::job_spec_row& spec);
-wire::job_spec_row to_row(const job_spec& spec);
-job_spec from_row(const wire::job_spec_row& row);
 
 struct cell_part {
     cell_id cell;
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -60,7 +60,7 @@
 
 job_record::job_record(const wire::job_row& row, instant now)
     : id_(row.job),
-      spec_(parse_job_spec(row.spec)),
+      spec_(from_row(row.spec)),
       first_task_(row.first_task),
       accepted_ms_(row.accepted_ms),
       ended_ms_(row.ended_ms),
@@ -103,7 +103,7 @@
 {
     wire::job_row row;
     row.__set_job(id_.str());
-    row.__set_spec(format_job_spec(spec_));
+    row.__set_spec(skylarkhub::to_row(spec_));
     row.__set_first_task(first_task_);
     row.__set_task_total(static_cast<std::int32_t>(phases_.size()));
     row.__set_cancelling(cancelling_);
--- a/src/job_record_p.h
+++ b/src/job_record_p.h
@@ -8,18 +8,12 @@
 #include <string>
 #include <vector>
 
+#include "job_row_p.h"
 #include "peer_types.h"
 #include "skylarkhub/skylarkhub.h"
 
 namespace skylarkhub {
 
-// The table's form of what one job asks for, and back.
-wire::job_spec_row format_job_spec(const job_spec& spec);
-job_spec parse_job_spec(const wire::job_spec_row& row);
-
-// Every task that the row tells of, those in its spans included, in the order of their indexes.
-std::vector<wire::task_row> expand_tasks(const wire::job_row& row);
-
 namespace detail {
 
 // bound: one attempt may be running, and only that one.
--- a/src/job_row.cpp
+++ b/src/job_row.cpp
@@ -1,11 +1,11 @@
-#include "job_record_p.h"
+#include "job_row_p.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace skylarkhub {
 
-wire::job_spec_row format_job_spec(const job_spec& spec)
+wire::job_spec_row to_row(const job_spec& spec)
 {
     wire::resources_row declared;
     declared.__set_cpu_millis(spec.declared.cpu_millis);
@@ -29,7 +29,7 @@
     return row;
 }
 
-job_spec parse_job_spec(const wire::job_spec_row& row)
+job_spec from_row(const wire::job_spec_row& row)
 {
     job_spec spec;
     spec.team = team_id(row.team);
@@ -37,8 +37,7 @@
     spec.kind = kind_id(row.kind);
     spec.declared = {row.declared.cpu_millis, row.declared.memory_mib, row.declared.accelerators};
     spec.task_count = row.task_count;
-    const bool known_urgency = row.urgency >= 0 && row.urgency <= static_cast<std::int32_t>(urgency::urgent);
-    spec.urgency = known_urgency ? static_cast<urgency>(row.urgency) : urgency::normal;
+    spec.urgency = static_cast<urgency>(std::clamp(row.urgency, 0, static_cast<std::int32_t>(urgency::urgent)));
     spec.run_time = std::chrono::milliseconds(row.run_time_ms);
     spec.attempt_limit = row.attempt_limit;
     spec.is_service = row.is_service;
--- a/tests/support_world_carry.cpp
+++ b/tests/support_world_carry.cpp
@@ -2,7 +2,7 @@
 #include <boost/core/demangle.hpp>
 #include <fmt/format.h>
 
-#include "job_record_p.h"
+#include "job_row_p.h"
 #include "row_codec_p.h"
 #include "row_keys_p.h"
 #include "support_world.h"
@@ -319,7 +319,7 @@
         wire::job_row row;
         row.job = job.str();
         row.task_total = spec.task_count;
-        row.spec = format_job_spec(spec);
+        row.spec = to_row(spec);
         inbox.__set_submit(row);
     }
     const std::string index_key = job_index_key(team_id("team"), operation);
