--- a/src/request_gate.cpp
+++ b/src/request_gate.cpp
@@ -1,7 +1,8 @@
 #include "request_gate_p.h"
 
+#include <absl/random/distributions.h>
+
 #include <algorithm>
-#include <random>
 
 #include "request_state_p.h"
 
@@ -13,12 +14,6 @@
 // Refused callers come back spread over as much time again, not all at once.
 constexpr double return_spread = 1.0;
 
-absl::InsecureBitGen seeded(std::uint64_t seed)
-{
-    std::seed_seq sequence{static_cast<std::uint32_t>(seed), static_cast<std::uint32_t>(seed >> 32U), 1U};
-    return absl::InsecureBitGen(sequence);
-}
-
 duration deadline_of(const request_arrived& event)
 {
     if (event.time_left > duration{0}) {
@@ -33,7 +28,7 @@
     : service(std::move(of)),
       settings(limits),
       targets(std::move(own), seed),
-      random(seeded(seed)),
+      random(make_route_random(seed + 1)),
       retries(limits.retry_share),
       hedges(limits.hedge_share)
 {}
--- a/src/request_state_p.h
+++ b/src/request_state_p.h
@@ -4,7 +4,6 @@
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/inlined_vector.h>
-#include <absl/random/random.h>
 
 #include <string>
 #include <utility>
@@ -14,6 +13,7 @@
 #include "request_queue_p.h"
 #include "request_rules_p.h"
 #include "route_budget_p.h"
+#include "route_random_p.h"
 #include "route_targets_p.h"
 
 namespace skylarkhub {
@@ -100,7 +100,7 @@
     service_id service;
     gate_settings settings;
     target_table targets;
-    absl::InsecureBitGen random;
+    route_random random;
     send_budget retries;
     send_budget hedges;
     request_queue queue;
--- a/src/route_health.cpp
+++ b/src/route_health.cpp
@@ -1,3 +1,4 @@
+#include <absl/random/distributions.h>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -250,7 +251,9 @@
     }
     if (target.health != target_health::usable) {
         const bool says_leaving = std::ranges::find(target.listed, target_listing::leaving) != target.listed.end();
-        return target.probe_pending || says_leaving ? instant::max() : std::max(target.probe_at, now);
+        const instant soonest = target.probed == instant{} ? now : target.probed + config::target_probe_first;
+        const bool waits = target.probe_pending || says_leaving;
+        return waits ? instant::max() : std::max({target.probe_at, soonest, now});
     }
     if (now < target.hold_until) {
         return target.hold_until;
@@ -282,14 +285,24 @@
     refresh(now, index);
 }
 
+// The one asked about, else any other of the centre; there is one, as a centre without targets is forgotten.
+std::uint32_t target_table::some_target_of(const data_centre_id& centre, std::uint32_t asked) const
+{
+    const auto belongs = [&](const target_state& each) { return each.known && each.seen.data_centre == centre; };
+    if (asked < targets_.size() && belongs(targets_[asked])) {
+        return asked;
+    }
+    return static_cast<std::uint32_t>(std::ranges::find_if(targets_, belongs) - targets_.begin());
+}
+
 void target_table::tick_centres(instant now, table_news& news)
 {
     for (auto& [name, centre] : centres_) {
         if (!centre.cut) {
             continue;
         }
-        if (now >= centre.probe_at && centre.last_failed < targets_.size() && targets_[centre.last_failed].known) {
-            ask_probe(now, centre.last_failed, news);
+        if (now >= centre.probe_at) {
+            ask_probe(now, some_target_of(name, centre.last_failed), news);
             centre.probe_at = now + back_off(config::target_probe_first, config::target_probe_most, centre.times_out);
             centre.times_out += 1;
         }
--- a/src/route_pick.cpp
+++ b/src/route_pick.cpp
@@ -1,4 +1,4 @@
-#include <absl/random/uniform_int_distribution.h>
+#include <absl/random/distributions.h>
 
 #include "route_targets_p.h"
 
--- a/src/route_targets.cpp
+++ b/src/route_targets.cpp
@@ -3,23 +3,12 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
-#include <random>
 
 namespace skylarkhub {
 
-namespace {
-
-absl::InsecureBitGen seeded(std::uint64_t seed)
-{
-    std::seed_seq sequence{static_cast<std::uint32_t>(seed), static_cast<std::uint32_t>(seed >> 32U)};
-    return absl::InsecureBitGen(sequence);
-}
-
-} // namespace
-
 target_table::target_table(data_centre_id own, std::uint64_t seed)
     : own_(std::move(own)),
-      random_(seeded(seed)),
+      random_(make_route_random(seed)),
       mean_(static_cast<double>(config::service_time_default.count())),
       slow_(config::hedge_quantile)
 {}
@@ -116,6 +105,12 @@
     place_in(index, target_tier::closed);
     target_state& target = targets_[index];
     by_id_.erase(target.seen.target);
+    const auto same_centre = [&](const target_state& each) {
+        return &each != &target && each.known && each.seen.data_centre == target.seen.data_centre;
+    };
+    if (std::ranges::none_of(targets_, same_centre)) {
+        centres_.erase(target.seen.data_centre);
+    }
     usable_ -= target.counted_usable ? 1 : 0;
     rate_ -= target.rate;
     const bool watched = target.watched;
--- a/src/route_targets_p.h
+++ b/src/route_targets_p.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
-#include <absl/random/random.h>
 
 #include <array>
 #include <compare>
@@ -13,6 +12,7 @@
 #include <vector>
 
 #include "route_estimate_p.h"
+#include "route_random_p.h"
 #include "route_share_p.h"
 #include "route_types_p.h"
 
@@ -149,6 +149,7 @@
     void start_ramp(instant now, target_state& target);
     void ask_probe(instant now, std::uint32_t index, table_news& news);
     void tick_target(instant now, std::uint32_t index, table_news& news);
+    std::uint32_t some_target_of(const data_centre_id& centre, std::uint32_t asked) const;
     void tick_centres(instant now, table_news& news);
     void watch(instant due, std::uint32_t index);
     instant due_of(instant now, const target_state& target) const;
@@ -156,7 +157,7 @@
 
     data_centre_id own_;
     entries_seen entries_;
-    absl::InsecureBitGen random_;
+    route_random random_;
     std::vector<target_state> targets_;
     std::vector<std::uint32_t> free_;
     absl::flat_hash_map<target_id, std::uint32_t> by_id_;
