--- a/src/config.h
+++ b/src/config.h
@@ -19,11 +19,35 @@
 inline constexpr double clock_drift = 0.01;          // most by which two clocks' rates differ
 inline constexpr duration drift_margin = 500ms;      // added where two clocks are compared across a drift
 
+// --- cell ---
+inline constexpr duration read_patience = 3s;   // a read not answered for this long is sent again
+inline constexpr duration commit_retry = 250ms; // after a commit that was refused or is unsettled
+inline constexpr int watch_reads_far = 8;       // renewal intervals between row reads of entries that are no deputies
+inline constexpr std::size_t commit_rows_most = 96;  // rows of one transaction
+inline constexpr duration inbox_scan_interval = 2s;  // a lost hint costs this much; below the 3.8 s of urgent work
+inline constexpr duration place_interval = 50ms;     // between two passes of placement
+inline constexpr std::size_t place_queued_most = 32; // queued tasks of one job in a pass
+inline constexpr duration evict_grace = 2s;          // for a last checkpoint before the stop
+inline constexpr duration service_grace = 4s;        // for entries to drop a leaving target before it is stopped
+inline constexpr duration refused_pause = 1s;        // of starts on a worker that has refused one
+inline constexpr duration handover_wait = 500ms;     // for answers to the last renewals
+inline constexpr duration checkpoint_record_interval = 30s; // a row is written for newer checkpoints alone this often
+inline constexpr duration job_kept = 24h;                   // an ended job's row
+inline constexpr duration unreadable_kept = 10min;          // an inbox row that cannot be read, before it is removed
+
 // --- table ---
 inline constexpr duration commit_interval_least = 20ms;
 inline constexpr duration commit_interval_most = 2s;
 inline constexpr double table_writes_per_second = 40; // one entry's share of the platform's budget
 inline constexpr double table_reads_per_second = 150;
+inline constexpr duration table_burst = 1s;      // of each budget, as time at its rate
+inline constexpr int table_breaker_failures = 5; // in a row, until calls are held back
+inline constexpr duration table_backoff_first = 50ms;
+inline constexpr duration table_backoff_most = 1s; // also the longest between two probes of a table that is down
+inline constexpr int table_calls_in_flight_most = 64;
+inline constexpr int table_settling_most = 256;  // settled commits under way; more are refused at once
+inline constexpr int table_page_rows = 500;      // of one page of a scan
+inline constexpr duration table_scan_most = 10s; // a scan that its budget holds back longer is incomplete
 
 // --- membership ---
 inline constexpr duration probe_interval = 500ms;
@@ -31,8 +55,34 @@
 inline constexpr int probe_relays = 2;
 inline constexpr duration suspect_timeout = 2s;
 
+// --- between entries ---
+inline constexpr std::int64_t peer_message_bytes_most = 1 << 20; // both ways; a larger one is refused unread
+inline constexpr std::int32_t peer_list_most = 65'536;           // elements of one list within a message
+inline constexpr std::size_t peer_server_threads = 4;            // handlers that may wait at the same time
+inline constexpr std::size_t peer_server_connections = 256;      // more are closed at accept
+inline constexpr std::size_t peer_connections_each = 2;          // to one peer
+inline constexpr std::size_t peer_connections_most = 128;        // to all peers
+inline constexpr std::size_t peer_calls_most = 512;              // begun and not ended
+inline constexpr duration peer_idle = 15s;                       // an unused connection is closed after this
+
 // --- placement ---
-inline constexpr double slowdown_limit = 1.5; // of a service whose kind names no other
+inline constexpr double slowdown_limit = 1.5;   // of a service whose kind names no other
+inline constexpr double size_prior_ratio = 1.0; // of use to declared size while nothing was measured
+inline constexpr double size_quantile = 0.95;   // of the tasks' peaks that a commitment covers
+inline constexpr double size_margin = 1.1;      // over a task's own measured peak
+inline constexpr duration size_settled = 60s;   // measured for so long, a task's own peak stands for it
+inline constexpr std::size_t size_families_most = 4096;
+inline constexpr duration blame_window = 10min; // evidence older than this counts no more
+inline constexpr double quarantine_share = 0.5; // most of a cell's workers that may be kept out
+inline constexpr duration quarantine_least = 30s;
+inline constexpr duration quarantine_most = 15min;
+inline constexpr duration probe_good_after = 2min;   // a probe that runs so long counts as good
+inline constexpr duration patient_ageing = 10min;    // patient work that waited so long counts as normal
+inline constexpr duration throttle_hold = 60s;       // after lowering a task, nothing on its worker is raised
+inline constexpr duration eviction_wait = 15s;       // for a stop to be confirmed before it is asked for again
+inline constexpr duration eviction_interval = 10min; // in which one eviction per worker may be spent on interference
+inline constexpr duration load_history = 3min;       // how far back a measurement may lie
+inline constexpr duration load_interval = 5s;        // between kept views of a worker's load
 
 // --- request path ---
 inline constexpr std::int64_t body_bytes_most = 1 << 20;
