--- a/bench/bench_route_policy.cpp
+++ b/bench/bench_route_policy.cpp
@@ -80,7 +80,7 @@
         for (const auto& [label, probability] :
              {std::pair{"p50", 0.5}, std::pair{"p99", 0.99}, std::pair{"p99.9", 0.999}}) {
             row(fmt::format("{}, {} ms", name, label),
-                [&](const result& r) { return fmt::format("{:.1f}", quantile(r.phases[p], probability)); });
+                [&, at = probability](const result& r) { return fmt::format("{:.1f}", quantile(r.phases[p], at)); });
         }
         row(name + ", asked", [&](const result& r) { return fmt::format("{}", r.phases[p].asked); });
         row(name + ", refused", [&](const result& r) { return fmt::format("{}", r.phases[p].refused); });
