--- a/bench/bench_route_policy.cpp
+++ b/bench/bench_route_policy.cpp
@@ -108,6 +108,7 @@
                inputs.size(), entry_count, runner_count, slots_each, run.seed, run.ask_again,
                run.runners_queue ? "queue" : "refuse");
     std::vector<result> results;
+    results.reserve(policies.size());
     for (const policy& each : policies) {
         results.push_back(run_policy(each, run, inputs));
     }
