--- a/bench/route_entries.h
+++ b/bench/route_entries.h
@@ -11,8 +11,8 @@
 #include <variant>
 #include <vector>
 
+#include "base_random_p.h"
 #include "request_gate_p.h"
-#include "route_random_p.h"
 #include "route_world.h"
 
 namespace skylarkhub {
@@ -23,7 +23,7 @@
 class plain_entry {
 public:
     plain_entry(entry_ports ports, int self, plain_pick pick, std::uint64_t seed)
-        : ports_(std::move(ports)), pick_(pick), random_(make_route_random(seed)), next_(self)
+        : ports_(std::move(ports)), pick_(pick), random_(make_random(seed)), next_(self)
     {}
     void arrive(int request, bool idempotent, duration left);
     void end(int request, std::int64_t number, send_outcome outcome);
@@ -46,7 +46,7 @@
 
     entry_ports ports_;
     plain_pick pick_;
-    route_random random_;
+    random_source random_;
     std::size_t next_;
     std::vector<int> targets_;
     std::array<int, runner_count> in_flight_{};
--- a/src/member_decide.cpp
+++ b/src/member_decide.cpp
@@ -27,10 +27,7 @@
     std::visit(detail::overloaded{
                    [&](const member_tick&) { s.tick(now, actions); },
                    [&](const member_listed& e) { s.add_listed(now, e.entries, actions); },
-                   [&](const member_probed& e) {
-                       s.merge_all(now, e.news, actions);
-                       s.hear_sender(e.sender);
-                   },
+                   [&](const member_probed& e) { s.merge_all(now, e.news, actions); },
                    [&](const member_probe_ended& e) { s.end_probe(now, e, actions); },
                    [&](const member_leaving&) { s.leave(now, actions); },
                },
@@ -39,9 +36,7 @@
 
 std::vector<member> membership::news()
 {
-    std::vector<incarnation_id> first;
-    first.swap(state_->owed);
-    return state_->compose(first);
+    return state_->compose({});
 }
 
 const member& membership::self() const
@@ -94,9 +89,7 @@
 }
 
 membership::state::state(member own, member_settings given, std::uint64_t seed)
-    : self(std::move(own)),
-      settings(given),
-      random(std::seed_seq{static_cast<std::uint32_t>(seed), static_cast<std::uint32_t>(seed >> 32U)})
+    : self(std::move(own)), settings(given), random(make_random(seed))
 {}
 
 void membership::state::tick(instant now, std::vector<member_action>& actions)
--- a/src/request_gate.cpp
+++ b/src/request_gate.cpp
@@ -28,7 +28,7 @@
     : service(std::move(of)),
       settings(limits),
       targets(std::move(own), seed),
-      random(make_route_random(seed + 1)),
+      random(make_random(seed + 1)),
       retries(limits.retry_share),
       hedges(limits.hedge_share)
 {}
--- a/src/request_state_p.h
+++ b/src/request_state_p.h
@@ -9,12 +9,12 @@
 #include <utility>
 #include <vector>
 
+#include "base_random_p.h"
 #include "request_gate_p.h"
 #include "request_overload_p.h"
 #include "request_queue_p.h"
 #include "request_rules_p.h"
 #include "route_budget_p.h"
-#include "route_random_p.h"
 #include "route_targets_p.h"
 
 namespace skylarkhub {
@@ -103,7 +103,7 @@
     service_id service;
     gate_settings settings;
     target_table targets;
-    route_random random;
+    random_source random;
     send_budget retries;
     send_budget hedges;
     request_queue queue;
--- a/src/route_targets.cpp
+++ b/src/route_targets.cpp
@@ -8,7 +8,7 @@
 
 target_table::target_table(data_centre_id own, std::uint64_t seed)
     : own_(std::move(own)),
-      random_(make_route_random(seed)),
+      random_(make_random(seed)),
       mean_(static_cast<double>(config::service_time_default.count())),
       slow_(config::hedge_quantile)
 {}
--- a/src/route_targets_p.h
+++ b/src/route_targets_p.h
@@ -11,8 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "base_random_p.h"
 #include "route_estimate_p.h"
-#include "route_random_p.h"
 #include "route_share_p.h"
 #include "route_types_p.h"
 
@@ -166,7 +166,7 @@
 
     data_centre_id own_;
     entries_seen entries_;
-    route_random random_;
+    random_source random_;
     std::vector<target_state> targets_;
     std::vector<std::uint32_t> free_;
     absl::flat_hash_map<target_id, std::uint32_t> by_id_;
