--- a/scripts/capacity.jq
+++ b/scripts/capacity.jq
@@ -59,7 +59,7 @@
       task_cpu: (($busy.cpu_percent_each - $idle.cpu_percent_each) / 336),
       task_rss: (($busy.rss_kib_each - $idle.rss_kib_each) / 336),
       news_bytes: ((($serving.wire_bytes_per_second - $plain.wire_bytes_per_second) / 66 - 6 * $target_row - $task_wire) / 5),
-      news_rss: (($serving.rss_kib_each - $plain.rss_kib_each) / 66 - $row_rss - ($busy.rss_kib_each - $idle.rss_kib_each) / 336 / 6),
+      news_rss: (($serving.rss_kib_each - $plain.rss_kib_each) / 66 - ($many.rss_kib_each - $few.rss_kib_each) / $rows - ($busy.rss_kib_each - $idle.rss_kib_each) / 336 / 6),
       news_cpu: (($serving.cpu_percent_each - $plain.cpu_percent_each) / 66 - $row_cpu),
       writes: (($eight_cells.table.writes - $one_cell.table.writes) / 7),
       reads: (($eight_cells.table.reads - $one_cell.table.reads) / 7),
