--- a/scripts/capacity.jq
+++ b/scripts/capacity.jq
@@ -98,7 +98,7 @@
   (["one row of the list, memory", "\($s.row_rss | digits(1)) KiB", "the same"] | row),
   (["one worker of an own cell, processor time", "\($s.owned_cpu | digits(4))% of a core", "6 against 48 workers, rows of the list taken off"] | row),
   (["one exchange with a worker without tasks, each 2 s", "\($s.owned_bytes | digits(0)) B/s", "`bench_worker`, headers of HTTP included"] | row),
-  (["one task in it, bytes", "\($s.task_bytes | digits(0)) B/s; \($s.task_wire_live | digits(0)) with headers of TCP", "`bench_worker`; 0 against 672 tasks on 24 workers"] | row),
+  (["one task in it, bytes", "\($s.task_bytes | digits(0)) B/s; \($s.task_wire_live | digits(0)) in a running site", "`bench_worker`; 0 against 672 tasks on 24 workers"] | row),
   (["one task in it, processor time of the owner", "\($s.task_cpu * 1000 | digits(2))% of a core for 1,000 tasks", "0 against 672 tasks on 24 workers, 2 entries"] | row),
   (["one task, memory of the owner", "\($s.task_rss | digits(1)) KiB", "the same"] | row),
   (["one target in the cells' news, bytes from an owner to one peer", "\($s.news_bytes | digits(0)) B/s", "0 against 66 service tasks, list and exchange taken off"] | row),
