daemon: callers that wait for one claim all get the kept answer

Cause: the body of an answer that came with a claim was looked up under the waiting caller's own request, which has no claim; it was told 'done' with an empty body. Also a request whose caller had its answer was forgotten with its claim still on its way, so that the claim could not be released and held its key.

--- a/src/daemon_requests_p.h
+++ b/src/daemon_requests_p.h
@@ -66,6 +66,7 @@
         work_kind kind;
         bool answered = false;
         int sends_open = 0;
+        bool claim_open = false;
     };
     using open_map = absl::flat_hash_map<request_number, open_request>;
 
@@ -79,7 +80,7 @@
     void probe(const probe_target& a);
     void end_send(request_number request, send_number send, const std::string& request_id, http_result result);
     void end_claim(request_number request, claim_reply reply);
-    std::string find_body(const answer_request& a) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    recorded_answer find_answer(const answer_request& a) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void drop_finished() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
     const service_id service_;
--- a/src/daemon_service_gate.cpp
+++ b/src/daemon_service_gate.cpp
@@ -175,7 +175,8 @@
 
 void service_gate::claim(const claim_request& a)
 {
-    const open_request& open = open_.at(a.request);
+    open_request& open = open_.at(a.request);
+    open.claim_open = true;
     edges_.claims.claim(open.key, std::to_string(a.request.value()), a.time_left,
                         [self = shared_from_this(), request = a.request](claim_reply reply) {
                             self->end_claim(request, std::move(reply));
@@ -187,6 +188,8 @@
     absl::MutexLock lock(&mutex_);
     const auto found = open_.find(request);
     if (found != open_.end()) {
+        found->second.claim_open = false;
+        finished_.push_back(request);
         if (reply.outcome == claim_outcome::claimed) {
             found->second.claimed = reply.version;
         }
@@ -215,14 +218,18 @@
     }
 }
 
-std::string service_gate::find_body(const answer_request& a) const
+// A caller that waited for another one with its key gets what that one got, from wherever it came: its own request has
+// neither a send nor a claim.
+recorded_answer service_gate::find_answer(const answer_request& a) const
 {
-    if (a.source == body_source::send) {
-        const request_number of = a.body_of.value() == 0 ? a.request : a.body_of;
-        const auto found = answers_.find({of, a.send});
-        return found == answers_.end() ? std::string() : found->second;
+    const recorded_answer not_kept{a.status, "", false};
+    const request_number of = a.body_of.value() == 0 ? a.request : a.body_of;
+    if (a.source == body_source::claim) {
+        const auto found = open_.find(of);
+        return found == open_.end() ? not_kept : found->second.recorded;
     }
-    return open_.at(a.request).recorded.body;
+    const auto found = answers_.find({of, a.send});
+    return found == answers_.end() ? not_kept : recorded_answer{a.status, found->second, true};
 }
 
 void service_gate::answer(const answer_request& a)
@@ -231,12 +238,13 @@
     const duration latency = read_clock() - open.received;
     http_response response;
     response.status = a.status;
-    const bool body_lost = a.source == body_source::claim && !open.recorded.kept;
-    if (a.outcome == request_outcome::done && body_lost) {
-        response = make_error(502, "answer_not_kept", "", "it ran, but its answer was too large to keep");
+    recorded_answer found = a.outcome == request_outcome::done ? find_answer(a) : recorded_answer{};
+    const bool body_lost = a.outcome == request_outcome::done && !found.kept;
+    if (body_lost) {
+        response = make_error(502, "answer_not_kept", "", "it ran, but its answer was not kept");
     }
     else if (a.outcome == request_outcome::done) {
-        response.body = find_body(a);
+        response.body = std::move(found.body);
     }
     else {
         response = make_error(a.status, std::string(reason_names.at(static_cast<std::size_t>(a.reason))), "", a.detail);
@@ -271,12 +279,17 @@
     });
 }
 
-// A request's bodies go once its caller has the answer and its last send has ended.
+// A request's bodies go once its caller has the answer, its last send has ended and its claim is settled: forgotten
+// with a claim on its way, that claim could not be released and would hold the key although nothing ran.
 void service_gate::drop_finished()
 {
     for (const request_number number : finished_) {
         const auto found = open_.find(number);
-        if (found == open_.end() || !found->second.answered || found->second.sends_open > 0) {
+        if (found == open_.end()) {
+            continue;
+        }
+        const open_request& open = found->second;
+        if (!open.answered || open.sends_open > 0 || open.claim_open) {
             continue;
         }
         open_.erase(found);
--- a/tests/support_site.cpp
+++ b/tests/support_site.cpp
@@ -92,6 +92,7 @@
     }
     answer.status = result.status;
     answer.outcome = std::string(find_field(result.headers, "outcome"));
+    answer.text = result.body;
     answer.body = json::parse(result.body, nullptr, false);
     return answer;
 }
--- a/tests/support_site.h
+++ b/tests/support_site.h
@@ -30,6 +30,7 @@
 struct site_answer {
     int status = 0; // 0: no whole answer
     std::string outcome;
+    std::string text;    // the body as it came
     nlohmann::json body; // null when it is not JSON
 };
 
