http: a stopping entry ends kept connections with an answer

Cause: an entry served kept connections until its end and closed them under whatever came next, so a request sent at that time was of unknown outcome. Ruled out: a longer notice for the balancer; callers that keep a connection send over it whatever the balancer does. Chosen: after the notice the entry takes no new connections and says "Connection: close" with every answer, then waits up to a second for connections to go. Left: a connection that the kernel has taken and the entry has not when the listener closes is still reset.

--- a/src/daemon_app.cpp
+++ b/src/daemon_app.cpp
@@ -16,6 +16,7 @@
 constexpr int pool_threads = 4;
 constexpr duration balancer_notice = std::chrono::seconds(1); // between turning unready and refusing requests
 constexpr duration drain_most = std::chrono::seconds(30);
+constexpr duration linger_most = std::chrono::seconds(1); // for callers to leave the connections they keep
 constexpr duration hand_over_most = std::chrono::seconds(10);
 constexpr duration stop_poll = std::chrono::milliseconds(20);
 
@@ -146,9 +147,12 @@
 
     router_->plan_stop();
     cells_->plan_stop();
+    http_server_->stop_accepting();
     const bool drained =
         wait_until(drain_most, [this] { return router_->drained() && http_server_->in_flight() == 0; });
     const bool handed = wait_until(hand_over_most, [this] { return cells_->handed_over(); });
+    // Those in use end with their next answer; what is idle for so long is not in use.
+    wait_until(linger_most, [this] { return http_server_->connections() == 0; });
     write_log(drained && handed ? log_level::info : log_level::warning, "entry", "stopped",
               {{"drained", drained ? "yes" : "no"}, {"handed_over", handed ? "yes" : "no"}});
     platform_.unregister_instance(self_.str(), [](bool) {});
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -56,13 +56,17 @@
     return MHD_YES;
 }
 
-MHD_Result queue_response(MHD_Connection* connection, const http_response& answer)
+// `last`: the connection ends with this answer, and its caller is told so.
+MHD_Result queue_response(MHD_Connection* connection, const http_response& answer, bool last)
 {
     MHD_Response* const response = MHD_create_response_from_buffer(
         answer.body.size(), const_cast<char*>(answer.body.data()), MHD_RESPMEM_MUST_COPY);
     for (const auto& [name, value] : answer.headers) {
         MHD_add_response_header(response, name.c_str(), value.c_str());
     }
+    if (last) {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
     const MHD_Result result = MHD_queue_response(connection, static_cast<unsigned>(answer.status), response);
     MHD_destroy_response(response);
     return result;
@@ -199,7 +203,8 @@
     {
         if (e->too_large) {
             return queue_response(e->connection,
-                                  {413, {}, "{\"error\":\"too_large\",\"reason\":\"body is too large\"}"});
+                                  {413, {}, "{\"error\":\"too_large\",\"reason\":\"body is too large\"}"},
+                                  !accepting.load());
         }
         if (!e->handed_over) {
             e->handed_over = true;
@@ -212,7 +217,7 @@
             return MHD_NO;
         }
         if (e->answer) {
-            return queue_response(e->connection, *e->answer);
+            return queue_response(e->connection, *e->answer, !accepting.load());
         }
         e->suspended = true;
         MHD_suspend_connection(e->connection);
@@ -280,6 +285,11 @@
     return engine_->in_flight.load();
 }
 
+std::int64_t http_server::connections() const
+{
+    return engine_->connections.load();
+}
+
 void http_server::stop_accepting()
 {
     if (!engine_->accepting.exchange(false)) {
--- a/src/http_server_p.h
+++ b/src/http_server_p.h
@@ -38,7 +38,11 @@
     // Requests taken and not answered yet.
     std::int64_t in_flight() const;
 
-    // Takes no new connections from now on; those open are served on.
+    // Connections open now, idle ones included.
+    std::int64_t connections() const;
+
+    // Takes no new connections from now on; those open are served on, each until its next answer, which says that it is
+    // the last. A request sent over a connection that is kept and then closed would be of unknown outcome.
     void stop_accepting();
 
 private:
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -77,6 +77,31 @@
     BOOST_TEST(!result.may_have_arrived);
 }
 
+// A server is about to stop while a caller keeps a connection. Closed under the caller's next request, that request
+// would be of unknown outcome. So the next answer says that it is the last, and what comes after it cannot have
+// arrived.
+BOOST_AUTO_TEST_CASE(a_kept_connection_ends_with_an_answer)
+{
+    std::string reason;
+    const auto server = http_server::start(
+        {.address = net_address("127.0.0.1:0")},
+        [](const http_request&, const http_reply& reply) {
+            reply({200, {}, "ok"});
+        },
+        &reason);
+    BOOST_REQUIRE(server);
+    http_client client;
+    BOOST_REQUIRE(client.call({.address = server->address()}).answered);
+    server->stop_accepting();
+    const http_result last = client.call({.address = server->address()});
+    BOOST_TEST(last.answered);
+    BOOST_TEST(last.kept_connection);
+    BOOST_TEST(find_field(last.headers, "connection") == "close");
+    const http_result refused = client.call({.address = server->address()});
+    BOOST_TEST(!refused.answered);
+    BOOST_TEST(!refused.may_have_arrived);
+}
+
 // The answer never comes: the request may have run, and the result must not claim otherwise.
 BOOST_AUTO_TEST_CASE(a_timed_out_request_may_have_arrived)
 {
