cell: two faults in taking over that the model found

A promise was counted for a row that may name no deputies. Cause: the deputies of the last row and of an unsettled write were put together, so that a write naming nobody vanished behind the old names; by that write anybody may take the cell after T_hold, whatever the old deputy has promised. Now each row that may be in force must be promised for. A row older than the one checked was taken for proof that a takeover had lost. Cause: an answer to a read from before. The entry then promised the owner what its own write, still on its way, could break. Now it proves nothing.

--- a/src/cell_hold.cpp
+++ b/src/cell_hold.cpp
@@ -7,11 +7,17 @@
 
 namespace {
 
-// Deputies whose promise counts: those of the row in the table, which may be either of two while a write is unsettled.
+// Whether the row in the table may be the one of the unsettled write.
+bool may_have_written(const cell_state& s)
+{
+    return s.commit.maybe_applied || s.commit.phase == commit_phase::sent;
+}
+
+// Deputies to ask: those of the row in the table, which may be either of two while a write is unsettled.
 std::vector<incarnation_id> named_deputies(const cell_state& s)
 {
     std::vector<std::string> names = s.seen.row.deputies;
-    if (s.commit.maybe_applied || s.commit.phase == commit_phase::sent) {
+    if (may_have_written(s)) {
         names.insert(names.end(), s.commit.row.deputies.begin(), s.commit.row.deputies.end());
     }
     std::sort(names.begin(), names.end());
@@ -20,15 +26,21 @@
 }
 
 // Without any deputy anybody may take the cell after T_hold, so nobody's promise can stretch it.
-bool all_promised(const cell_state& s)
+bool promised_by(const cell_state& s, const std::vector<std::string>& deputies)
 {
-    const std::vector<incarnation_id> deputies = named_deputies(s);
-    return !deputies.empty() && std::all_of(deputies.begin(), deputies.end(), [&](const incarnation_id& deputy) {
-        const auto found = s.hold.promised_to_us.find(deputy);
+    return !deputies.empty() && std::all_of(deputies.begin(), deputies.end(), [&](const std::string& deputy) {
+        const auto found = s.hold.promised_to_us.find(incarnation_id(deputy));
         return found != s.hold.promised_to_us.end() && s.now < found->second;
     });
 }
 
+// Each of the rows that may be in force must be promised for, not the deputies of both together: one that names nobody
+// would vanish behind one that names somebody, and whoever takes by it has promised nothing.
+bool all_promised(const cell_state& s)
+{
+    return promised_by(s, s.seen.row.deputies) && (!may_have_written(s) || promised_by(s, s.commit.row.deputies));
+}
+
 // An owner past half of its hold asks its deputies; sooner would cost messages at every slow commit.
 bool needs_promises(const cell_state& s)
 {
--- a/src/cell_settle.cpp
+++ b/src/cell_settle.cpp
@@ -162,10 +162,11 @@
 }
 
 // The row still at the checked version: a try may yet take effect, so the same content is sent again; whichever lands
-// first wins, and the other meets a conflict with its own operation.
+// first wins, and the other meets a conflict with its own operation. A row older than that answers a read from before,
+// and proves nothing either: believed, this entry would promise an owner not to take what its write may yet take.
 void settle_by_row(cell_state& s, const table_row& row)
 {
-    if (row.version == s.commit.transaction.checks.front().version) {
+    if (row.version <= s.commit.transaction.checks.front().version) {
         wait_for_retry(s);
         return;
     }
--- a/tests/support_cell_hand.h
+++ b/tests/support_cell_hand.h
@@ -106,6 +106,7 @@
     std::vector<task_report> tasks;
     bool silent = false;     // requests do not reach it
     bool deaf_owner = false; // requests reach it, its answers are lost
+    bool slow = false;       // requests and answers are still on their way
     bool leaving = false;
     std::string boot = "b";
     resources capacity{4000, 8000, 0};
@@ -273,6 +274,9 @@
     void exchange(const worker_request& request)
     {
         worker_hand& worker = workers[request.worker.str()];
+        if (worker.slow) {
+            return;
+        }
         if (!worker.silent) {
             worker.take(request);
         }
