--- a/src/request_gate.cpp
+++ b/src/request_gate.cpp
@@ -340,8 +340,9 @@
 
 gate_stats request_gate::stats() const
 {
-    if (!engine_)
+    if (!engine_) {
         return {};
+    }
     gate_stats out = engine_->counts;
     out.ejections = engine_->targets.ejections();
     out.queued = static_cast<std::int32_t>(engine_->queue.size());
