--- a/src/place_plan.cpp
+++ b/src/place_plan.cpp
@@ -45,6 +45,9 @@
                                    const std::vector<const job_spec*>& neighbours)
 {
     detail::placement_memory& memory = state_->memory;
+    if (const auto site = memory.sites.find(service_task); site != memory.sites.end()) {
+        site->second.measured = true;
+    }
     memory.harm.learn(taken, detail::site_of(service_task), detail::size_key_of(service).family,
                       detail::loads_at(memory, taken, service_task, neighbours), slowdown);
 }
@@ -94,6 +97,7 @@
         relieve_memory(worker);
         relieve_processors(worker);
     }
+    report_survivors();
     queue_groups();
     hold_reservations();
     start_probes();
@@ -105,6 +109,18 @@
     return std::move(plan_);
 }
 
+void placement_pass::report_survivors()
+{
+    for (const worker_view& worker : workers_) {
+        if (!memory_.blame.questioned(worker.worker->worker)) {
+            continue;
+        }
+        for (const std::uint32_t task : worker.batch) {
+            memory_.blame.survived(now_, worker.worker->worker, now_ - tasks_[task].task->run_so_far);
+        }
+    }
+}
+
 // A parked job that left the queue and comes back was put back by an operator: it starts with a clean record.
 void placement_pass::forget_parked()
 {
--- a/src/place_view.cpp
+++ b/src/place_view.cpp
@@ -124,42 +124,54 @@
         return;
     }
     view.worker = where->second;
-    view.demand = demand_of(task, spec);
+    view.known = memory_.sizes.find(task.task);
+    view.demand = demand_of(view, spec);
     worker_view& worker = workers_[view.worker];
     worker.cpu_load += view.demand * view.percent / 100;
-    worker.memory_peak += evicting(task) ? 0 : memory_of(task);
+    const bool leaves = evicting(task);
+    worker.memory_peak += leaves ? 0 : memory_of(view);
     if (spec.spec->is_service) {
-        worker.services.push_back({index, spec.limit, 1, 0});
+        view_service(task, index, worker);
         service_counts_[service_count_key(spec.size.family, view.worker, false)] += 1;
         service_counts_[service_count_key(spec.size.family, worker.rack, true)] += 1;
-        memory_.sites[task.task] = {task.worker, worker.cpu_capacity, now_};
         return;
     }
     worker.batch.push_back(index);
     worker.untried = worker.untried || task.run_so_far < untried_for;
-    view.movable = !task.latency_critical && spec.spec->urgency != urgency::urgent && !evicting(task);
+    view.movable = !task.latency_critical && spec.spec->urgency != urgency::urgent && !leaves;
     if (task.throttle < 100) {
         memory_.throttled[task.task] = now_;
         memory_.past[task.worker].throttled = true;
     }
 }
 
-std::int64_t placement_pass::memory_of(const place_task& task) const
+// A service whose slowdown nobody measures cannot be protected by it: after a while only the ledger does.
+void placement_pass::view_service(const place_task& task, std::uint32_t index, worker_view& worker)
 {
-    const auto known = memory_.sizes.find(task.task);
-    return known ? known->peak.memory_mib : task.used.memory_mib;
+    service_site& site = memory_.sites.try_emplace(task.task, service_site{{}, 0, now_, now_, false}).first->second;
+    site.worker = task.worker;
+    site.cpu_capacity = worker.cpu_capacity;
+    site.seen = now_;
+    if (site.measured || site.first_seen + config::measured_within > now_) {
+        worker.services.push_back({index, specs_[view_spec(task.spec)].limit, 1, 0, site.measured});
+    }
 }
 
-double placement_pass::demand_of(const place_task& task, const spec_view& spec) const
+std::int64_t placement_pass::memory_of(const task_view& task)
 {
-    if (const auto known = memory_.sizes.find(task.task)) {
-        if (known->free_cpu > 0) {
-            return static_cast<double>(known->free_cpu);
-        }
-        // Only ever measured under a throttle: it takes at least what it took.
-        return std::max(static_cast<double>(known->peak.cpu_millis), spec.cpu);
+    return task.known != nullptr ? task.known->peak.memory_mib : task.task->used.memory_mib;
+}
+
+double placement_pass::demand_of(const task_view& task, const spec_view& spec)
+{
+    if (task.known == nullptr) {
+        return task.task->used.cpu_millis > 0 ? static_cast<double>(task.task->used.cpu_millis) : spec.cpu;
+    }
+    if (task.known->free_cpu > 0) {
+        return static_cast<double>(task.known->free_cpu);
     }
-    return task.used.cpu_millis > 0 ? static_cast<double>(task.used.cpu_millis) : spec.cpu;
+    // Only ever measured under a throttle: it takes at least what it took.
+    return std::max(static_cast<double>(task.known->peak.cpu_millis), spec.cpu);
 }
 
 std::uint32_t placement_pass::view_spec(const job_spec* spec)
--- a/tests/test_place.cpp
+++ b/tests/test_place.cpp
@@ -266,6 +266,8 @@
     std::vector<place_task> tasks = {running("tender", tender, "w1", tender.declared),
                                      running("n", noisy, "w1", noisy.declared)};
     const auto workers = workers_for({"w1"}, tasks);
+    place.plan(start - 1s, {tasks[0]}, workers);
+    place.learn_interference(start - 1s, tasks[0].task, tender, 1, {});
     const place_plan plan = place.plan(start, tasks, workers);
     BOOST_TEST(plan.evictions.empty());
     BOOST_REQUIRE(plan.throttles.size() == 1);
@@ -276,6 +278,26 @@
     }
 }
 
+// Nobody measures the service's slowdown, or the owner is new and has no measurement yet. What is only believed about
+// unknown work must not throttle what runs, and must not hold the queue back for ever.
+BOOST_AUTO_TEST_CASE(an_unmeasured_service_holds_batch_work_back_for_a_while_only)
+{
+    const job_spec batch = batch_spec("a", {6000, 1000, 0});
+    const job_spec service = service_spec("pages");
+    placement place({});
+    std::vector<place_task> tasks = several("q", batch, 4);
+    tasks.push_back(running("s", service, "w1", service.declared));
+    const auto workers = workers_for({"w1"}, tasks);
+    BOOST_TEST(place.plan(start, tasks, workers).starts.size() < 4);
+    BOOST_TEST(place.plan(start + 2min, tasks, workers).starts.size() == 4);
+
+    std::vector<place_task> all = {tasks.back()};
+    for (int i = 0; i < 4; ++i) {
+        all.push_back(running("q", batch, "w1", batch.declared, i));
+    }
+    BOOST_TEST(placement({}).plan(start, all, workers_for({"w1"}, all)).throttles.empty());
+}
+
 // A measurement arrives 30 s late, when the noisy task has already left. It speaks of the placement it was taken under:
 // the quiet work that runs there now must not be learned as harmful.
 BOOST_AUTO_TEST_CASE(a_late_measurement_is_held_against_the_placement_it_was_taken_under)
@@ -427,25 +449,56 @@
     BOOST_TEST(place.plan(later + 2 * config::quarantine_least, tasks, bad_only).starts.size() == 1);
 }
 
-// A job that fails on three workers where other jobs finish can never run. It is parked with its reason; none of the
-// workers is blamed. When an operator puts it back, it starts with a clean record.
-BOOST_AUTO_TEST_CASE(a_job_that_fails_where_others_finish_is_parked)
+// A job fails on three workers, and on each of them work that was started later lives on. The job can never run: it is
+// parked with its reason and none of the workers is blamed. When an operator puts it back, its record is clean.
+BOOST_AUTO_TEST_CASE(a_job_that_fails_where_others_do_well_is_parked)
 {
-    const job_spec spec = batch_spec("broken", {1000, 1000, 0});
+    const job_spec broken = batch_spec("broken", {1000, 1000, 0});
+    const job_spec sound = batch_spec("sound", {1000, 1000, 0});
     placement place({});
-    const auto workers = workers_for({"w1", "w2", "w3"});
-    place.plan(start, {}, workers);
+    instant now = start;
     for (const char* worker : {"w1", "w2", "w3"}) {
-        place.learn_end(start, {job_id("ok"), 0}, spec, worker_id(worker), attempt_end::finished, "");
-        place.learn_end(start, {job_id("x"), 0}, spec, worker_id(worker), attempt_end::failed, "input is damaged");
-        BOOST_TEST(!place.quarantined(worker_id(worker), start));
+        auto workers = workers_for({"w1", "w2", "w3"});
+        for (place_worker& w : workers) {
+            w.usable = w.worker == worker_id(worker);
+        }
+        BOOST_REQUIRE(starts_on(place.plan(now, {queued("x", broken)}, workers), worker));
+        place.learn_end(now + 1s, {job_id("x"), 0}, broken, worker_id(worker), attempt_end::failed, "input is damaged");
+        now += 100s;
+        place_task later = running("y", sound, worker, sound.declared);
+        later.run_so_far = 50s;
+        place.plan(now, {later}, workers_for({"w1", "w2", "w3"}));
+        BOOST_TEST(!place.quarantined(worker_id(worker), now));
     }
-    const place_plan plan = place.plan(start + 10s, {queued("x", spec)}, workers);
+    const auto workers = workers_for({"w1", "w2", "w3"});
+    const place_plan plan = place.plan(now, {queued("x", broken)}, workers);
     BOOST_TEST(plan.starts.empty());
     BOOST_REQUIRE(plan.parks.size() == 1);
     BOOST_TEST(plan.parks[0].reason.find("input is damaged") != std::string::npos);
-    place.plan(start + 11s, {}, workers);
-    BOOST_TEST(place.plan(start + 12s, {queued("x", spec)}, workers).starts.size() == 1);
+    place.plan(now + 1s, {}, workers);
+    BOOST_TEST(place.plan(now + 2s, {queued("x", broken)}, workers).starts.size() == 1);
+}
+
+// A worker goes bad while tasks started before still finish there. Those say nothing about what it does to new ones:
+// the jobs that fail there are not parked for it, and it is kept out.
+BOOST_AUTO_TEST_CASE(tasks_started_before_a_worker_went_bad_do_not_clear_it)
+{
+    const job_spec spec = batch_spec("a", {1000, 1000, 0});
+    placement place({});
+    const auto workers = workers_for({"bad", "w2", "w3"});
+    const std::vector<place_task> old = {running("old", spec, "bad", spec.declared, 0),
+                                         running("old", spec, "bad", spec.declared, 1),
+                                         running("old", spec, "bad", spec.declared, 2)};
+    place.plan(start, old, workers);
+    for (int i = 0; i < 3; ++i) {
+        const std::string job = "j" + std::to_string(i);
+        place.learn_end(start + i * 1s, {job_id(job), 0}, spec, worker_id("bad"), attempt_end::failed, "no scratch");
+        place.learn_end(start + i * 1s, {job_id("old"), i}, spec, worker_id("bad"), attempt_end::finished, "");
+    }
+    BOOST_TEST(place.quarantined(worker_id("bad"), start + 3s));
+    const place_plan plan = place.plan(start + 60s, {queued("j0", spec)}, workers);
+    BOOST_TEST(plan.parks.empty());
+    BOOST_TEST(plan.starts.size() == 1);
 }
 
 // Something all tasks need is down, so everything fails everywhere. No worker is shut out and no job is parked for it:
