place: urgent work does not wait for held room that is lost

Ruled out: holding for less time, which would evict again while a slow stop is under way. Conclusion: it waits only while tasks that are leaving can still make the room.

--- a/src/place_pass_p.h
+++ b/src/place_pass_p.h
@@ -54,7 +54,8 @@
     const place_worker* worker = nullptr;
     worker_standing standing = worker_standing::good;
     std::uint32_t rack = 0;
-    resources room; // what the ledger leaves, whether or not anything may start there
+    resources room;    // what the ledger leaves, whether or not anything may start there
+    resources leaving; // committed for tasks that are on their way out
     std::vector<std::uint32_t> batch;
     std::vector<service_view> services;
     bool untried = false;    // holds a batch task too young to tell whether it fails there
--- a/src/place_queue.cpp
+++ b/src/place_queue.cpp
@@ -270,7 +270,8 @@
     return true;
 }
 
-// True when room is held for the task: it starts there as soon as it fits, and waits until then.
+// True when room is held for the task: it starts there as soon as it fits, and waits while tasks that leave can still
+// make it fit. What else grew into the room meanwhile would let it wait in vain.
 bool placement_pass::start_reserved(std::uint32_t task)
 {
     const auto held = memory_.reserved.find(tasks_[task].task->task);
@@ -287,8 +288,14 @@
         rooms_.set_room(where->second, with_held);
         memory_.reserved.erase(held);
         start_on(task, where->second);
+        return true;
     }
-    return true;
+    if (fits(specs_[tasks_[task].spec].need, with_held + workers_[where->second].leaving)) {
+        return true;
+    }
+    rooms_.set_room(where->second, with_held);
+    memory_.reserved.erase(held);
+    return false;
 }
 
 void placement_pass::start_on(std::uint32_t index, std::uint32_t worker)
--- a/src/place_view.cpp
+++ b/src/place_view.cpp
@@ -75,6 +75,7 @@
         worker_index_.emplace(worker.worker, static_cast<std::uint32_t>(workers_.size()));
         const bool open = view.standing == worker_standing::good || view.standing == worker_standing::suspect;
         view.room = worker.capacity - worker.committed;
+        view.leaving = worker.committed; // less what is seen to stay, below
         rooms.push_back(worker.usable && open ? view.room : shut);
         total_capacity_ = total_capacity_ + worker.capacity;
         workers_.push_back(std::move(view));
@@ -129,6 +130,7 @@
     worker_view& worker = workers_[view.worker];
     worker.cpu_load += view.demand * view.percent / 100;
     const bool leaves = evicting(task);
+    worker.leaving = leaves ? worker.leaving : worker.leaving - task.committed;
     worker.memory_peak += leaves ? 0 : memory_of(view);
     if (spec.spec->is_service) {
         view_service(task, index, worker);
--- a/tests/test_place.cpp
+++ b/tests/test_place.cpp
@@ -348,6 +348,23 @@
     BOOST_TEST(second.starts[0].task.job == job_id("u"));
 }
 
+// Room is made for urgent work, but a neighbour turns out larger and grows into it. Waiting for the rest of the time
+// that the room was held for would be in vain: the next plan makes room elsewhere.
+BOOST_AUTO_TEST_CASE(urgent_work_does_not_wait_for_room_that_is_lost)
+{
+    const job_spec patient = batch_spec("patient", {16000, 1000, 0}, urgency::patient);
+    const job_spec urgent = batch_spec("urgent", {16000, 1000, 0}, urgency::urgent);
+    placement place({});
+    std::vector<place_task> tasks = {running("p", patient, "w1", patient.declared, 0),
+                                     running("p", patient, "w1", patient.declared, 1), queued("u", urgent)};
+    BOOST_REQUIRE(place.plan(start, tasks, workers_for({"w1"}, tasks)).evictions.size() == 1);
+    tasks.erase(tasks.begin());
+    tasks[0].committed.cpu_millis = 20000;
+    const place_plan plan = place.plan(start + 1s, tasks, workers_for({"w1"}, tasks));
+    BOOST_TEST(plan.starts.empty());
+    BOOST_TEST(plan.evictions.size() == 1);
+}
+
 // One team's wave of jobs must not shut the others out: each of 120 teams gets its share of the starts.
 BOOST_AUTO_TEST_CASE(every_team_gets_its_share)
 {
