place: evict for a service only after throttling, one at a time within a budget

Cause: a service beside work that harms it even at the lowest throttle stayed above its limit for ever. Ruled out: moving tasks that were throttled for long (2 % of processors are withheld by throttles, and each move is an eviction). Conclusion: it hardly ever acts where throttles suffice; the budget bounds it where beliefs are wrong.

--- a/src/config.h
+++ b/src/config.h
@@ -99,6 +99,7 @@
 inline constexpr duration throttle_hold = 60s;       // after lowering a task, nothing on its worker is raised
 inline constexpr duration eviction_wait = 15s;       // for a stop to be confirmed before it is asked for again
 inline constexpr duration eviction_interval = 10min; // in which one eviction per worker may be spent on interference
+inline constexpr double eviction_burst = 0.125;      // of these evictions that may come together, per worker
 inline constexpr duration load_history = 3min;       // how far back a measurement may lie
 inline constexpr duration load_interval = 5s;        // between kept views of a worker's load
 
--- a/src/place_memory_p.h
+++ b/src/place_memory_p.h
@@ -24,6 +24,7 @@
     std::deque<load_view> views;
     instant lowered{};      // last time a task there was throttled further
     bool throttled = false; // some task there may be throttled
+    instant eased{};        // last time no service there was pressed beyond what throttles can do
     instant seen{};
 };
 
@@ -67,7 +68,7 @@
     absl::flat_hash_map<task_id, reservation> reserved;
     absl::flat_hash_map<job_id, instant> parked; // when last seen in the queue after it was parked
     std::vector<seen_capacity> capacities;       // distinct ones
-    double eviction_budget = 0;
+    double eviction_budget = 1;                  // evictions that may be spent on interference now
     instant last_plan{};
     instant last_sweep{};
     std::size_t cursor = 0; // where the next search for room starts
--- a/src/place_pass_p.h
+++ b/src/place_pass_p.h
@@ -41,6 +41,12 @@
     bool movable = false;                       // may be throttled or evicted
 };
 
+// Processors that the task takes as planned, in thousandths.
+inline double use_of(const task_view& task)
+{
+    return task.demand * task.percent / 100;
+}
+
 // A service task under the interference of its worker.
 struct service_view {
     std::uint32_t task = 0;
@@ -103,6 +109,10 @@
     static std::int64_t memory_of(const task_view& task);
     void relieve_memory(std::uint32_t index);
     void relieve_processors(std::uint32_t index);
+    static bool pressed(const worker_view& worker);
+    void relieve_services(std::uint32_t index);
+    double harm_rate(const worker_view& worker, std::uint32_t index) const;
+    void refill_budget();
     bool lower_one(std::uint32_t index, bool for_processors);
     bool raise_one(std::uint32_t index);
     bool calm_with(const worker_view& worker, const spec_view& batch, double cpu) const;
--- a/src/place_plan.cpp
+++ b/src/place_plan.cpp
@@ -92,6 +92,7 @@
 place_plan placement_pass::run()
 {
     searches_left_ = std::max(64, static_cast<int>(workers_.size() / 8));
+    refill_budget();
     resize_running();
     for (std::uint32_t worker = 0; worker < workers_.size(); ++worker) {
         relieve_memory(worker);
--- a/src/place_react.cpp
+++ b/src/place_react.cpp
@@ -132,7 +132,7 @@
     memory_.evicted[task.task->task] = now_;
     task.movable = false;
     if (task.worker != no_index) {
-        add_load(task.worker, specs_[task.spec], -task.demand * task.percent / 100);
+        add_load(task.worker, specs_[task.spec], -use_of(task));
     }
 }
 
@@ -173,21 +173,73 @@
     while (worker.cpu_load > worker.cpu_capacity && lower_one(index, true)) {
         lowered = true;
     }
-    const auto pressed = [&] {
-        return std::any_of(worker.services.begin(), worker.services.end(),
-                           [](const service_view& s) { return s.measured && above_limit(s) > pressed_above; });
-    };
-    while (pressed() && lower_one(index, false)) {
+    while (pressed(worker) && lower_one(index, false)) {
         lowered = true;
     }
     worker_past& past = memory_.past[worker.worker->worker];
+    if (!pressed(worker) || past.eased == instant{}) {
+        past.eased = now_;
+    }
     if (lowered) {
         past.lowered = now_;
         past.throttled = true;
+        return;
     }
-    else if (past.throttled && past.lowered + config::throttle_hold <= now_) {
+    if (past.throttled && past.lowered + config::throttle_hold <= now_) {
         past.throttled = raise_one(index);
     }
+    if (past.eased + config::throttle_hold <= now_) {
+        relieve_services(index);
+    }
+}
+
+bool placement_pass::pressed(const worker_view& worker)
+{
+    return std::any_of(worker.services.begin(), worker.services.end(),
+                       [](const service_view& s) { return s.measured && above_limit(s) > pressed_above; });
+}
+
+// Throttles have done what they can, for longer than the measurements lag, and a service is still too slow: one task
+// goes, the one that loses least for the relief it gives. The budget keeps a wrong belief, or a wave of noise that has
+// not been measured yet, from emptying the cell.
+void placement_pass::relieve_services(std::uint32_t index)
+{
+    const worker_view& worker = workers_[index];
+    std::uint32_t best = no_index;
+    double best_price = std::numeric_limits<double>::infinity();
+    for (const std::uint32_t t : worker.batch) {
+        const double relief = tasks_[t].movable ? harm_rate(worker, t) * use_of(tasks_[t]) : 0;
+        if (relief > 0 && eviction_cost(t) / relief < best_price) {
+            best_price = eviction_cost(t) / relief;
+            best = t;
+        }
+    }
+    if (best != no_index && memory_.eviction_budget >= 1) {
+        memory_.eviction_budget -= 1;
+        memory_.past[worker.worker->worker].eased = now_;
+        evict(best, "slows a service although throttled");
+    }
+}
+
+// Slowdown that each unit of this task's load adds to the services of the worker that are too slow.
+double placement_pass::harm_rate(const worker_view& worker, std::uint32_t index) const
+{
+    const spec_view& spec = specs_[tasks_[index].spec];
+    double rate = 0;
+    for (const service_view& s : worker.services) {
+        const slope by = slope_of(specs_[tasks_[s.task].spec].size.family, spec.batch_class, spec.size.family);
+        rate += s.measured && above_limit(s) > pressed_above && by.mean > slope_least ? by.mean : 0;
+    }
+    return rate;
+}
+
+void placement_pass::refill_budget()
+{
+    const double workers = static_cast<double>(workers_.size());
+    const double passed = std::chrono::duration<double>(now_ - memory_.last_plan) / config::eviction_interval;
+    memory_.eviction_budget =
+        std::min(std::max(1.0, workers * config::eviction_burst), memory_.eviction_budget + passed * workers);
+    memory_.last_plan = now_;
 }
 
 // Lowers the task that gives most relief for the progress it loses. False when none is left that would help.
@@ -201,19 +253,15 @@
         if (!task.movable || task.percent <= steps.back()) {
             continue;
         }
-        const spec_view& spec = specs_[task.spec];
         double gain = 0;
         if (for_processors) {
             const double committed = std::max<double>(1, static_cast<double>(task.task->committed.cpu_millis));
-            gain = task.demand * task.percent / 100 / committed;
+            gain = use_of(task) / committed;
         }
         else {
-            for (const service_view& s : worker.services) {
-                const slope by = slope_of(specs_[tasks_[s.task].spec].size.family, spec.batch_class, spec.size.family);
-                gain += s.measured && above_limit(s) > pressed_above && by.mean > slope_least ? by.mean : 0;
-            }
+            gain = harm_rate(worker, t);
         }
-        gain /= factor_of(*spec.spec);
+        gain /= factor_of(*task.task->spec);
         if (gain > best_gain) {
             best_gain = gain;
             best = t;
--- a/src/place_score.cpp
+++ b/src/place_score.cpp
@@ -13,6 +13,7 @@
 constexpr double fit_weight = 0.004;    // of the share of a worker left free, against one missed limit
 constexpr double rack_weight = 0.5;     // of each task of the same service in the rack
 constexpr double worker_weight = 1.0;   // and on the worker
+constexpr double waste_weight = 0.05;   // of work without accelerators where there are some
 constexpr double failed_here_cost = 10; // the task failed there before
 constexpr double impossible = 1e9;
 
@@ -81,6 +82,9 @@
         return impossible;
     }
     double cost = fit_weight * share_left(rooms_.room(worker) - spec.need, capacity);
+    if (capacity.accelerators > 0 && spec.need.accelerators == 0) {
+        cost += waste_weight;
+    }
     const auto& failed_on = task.task->failed_on;
     if (std::find(failed_on.begin(), failed_on.end(), view.worker->worker) != failed_on.end()) {
         cost += failed_here_cost;
--- a/src/place_view.cpp
+++ b/src/place_view.cpp
@@ -128,7 +128,7 @@
     view.known = memory_.sizes.find(task.task);
     view.demand = demand_of(view, spec);
     worker_view& worker = workers_[view.worker];
-    worker.cpu_load += view.demand * view.percent / 100;
+    worker.cpu_load += use_of(view);
     const bool leaves = evicting(task);
     worker.leaving = leaves ? worker.leaving : worker.leaving - task.committed;
     worker.memory_peak += leaves ? 0 : memory_of(view);
@@ -226,7 +226,7 @@
     for (const std::uint32_t index : worker.batch) {
         const task_view& task = tasks_[index];
         const spec_view& spec = specs_[task.spec];
-        const double load = task.demand * task.percent / 100 / worker.cpu_capacity;
+        const double load = use_of(task) / worker.cpu_capacity;
         const auto same = std::find_if(loads.begin(), loads.end(), [&](const class_load& l) {
             return l.batch_class == spec.batch_class && l.family == spec.size.family;
         });
--- a/tests/test_place.cpp
+++ b/tests/test_place.cpp
@@ -278,6 +278,45 @@
     }
 }
 
+// Noisy work is throttled as far as it goes and the service is still too slow. Only then is it evicted, after longer
+// than the measurements lag; and one task at a time, whatever the number of workers in the same state.
+BOOST_AUTO_TEST_CASE(eviction_for_a_service_comes_last_and_within_a_budget)
+{
+    const job_spec noisy = batch_spec("noisy", {8000, 1000, 0}, urgency::normal, "noisy");
+    const job_spec tender = service_spec("tender");
+    placement place({});
+    constexpr double per_load = 30;
+    teach_slowdown(place, tender, noisy, per_load, start);
+    std::vector<place_task> services;
+    std::vector<place_task> tasks;
+    const std::vector<const char*> names = {"w1", "w2", "w3", "w4"};
+    for (const char* name : names) {
+        const int index = static_cast<int>(services.size());
+        services.push_back(running("s", tender, name, tender.declared, index));
+        tasks.push_back(running("n", noisy, name, noisy.declared, index));
+    }
+    std::size_t evictions = 0;
+    std::size_t throttles = 0;
+    for (int second = 0; second < 100; ++second) {
+        std::vector<place_task> all = services;
+        all.insert(all.end(), tasks.begin(), tasks.end());
+        const place_plan plan = place.plan(start + second * 1s, all, workers_for(names, all));
+        for (const place_throttle& t : plan.throttles) {
+            std::find_if(tasks.begin(), tasks.end(), [&](const place_task& x) { return x.task == t.task; })->throttle =
+                t.percent;
+            ++throttles;
+        }
+        evictions += plan.evictions.size();
+        BOOST_TEST((evictions == 0 || second >= 60));
+        for (const place_task& task : tasks) {
+            const double slowdown = 1 + per_load * 0.25 * task.throttle / 100;
+            place.learn_interference(start + second * 1s, {job_id("s"), task.task.index}, tender, slowdown, {&noisy});
+        }
+    }
+    BOOST_TEST(throttles >= 4);
+    BOOST_TEST(evictions == 1);
+}
+
 // Nobody measures the service's slowdown, or the owner is new and has no measurement yet. What is only believed about
 // unknown work must not throttle what runs, and must not hold the queue back for ever.
 BOOST_AUTO_TEST_CASE(an_unmeasured_service_holds_batch_work_back_for_a_while_only)
