place: keep freed room for a job that no gap is large enough for

Cause: small tasks take every gap as it opens; a job whose tasks need most of a worker never started on a busy cell.

--- a/src/config.h
+++ b/src/config.h
@@ -100,8 +100,11 @@
 inline constexpr duration eviction_wait = 15s;       // for a stop to be confirmed before it is asked for again
 inline constexpr duration eviction_interval = 10min; // in which one eviction per worker may be spent on interference
 inline constexpr double eviction_burst = 0.125;      // of these evictions that may come together, per worker
-inline constexpr duration load_history = 3min;       // how far back a measurement may lie
-inline constexpr duration load_interval = 5s;        // between kept views of a worker's load
+inline constexpr duration starving_after = 10min; // a task that no gap was large enough for gets a worker's room kept
+inline constexpr duration draining_for = 10min;   // and for so long
+inline constexpr double draining_share = 0.04;    // most of a cell's workers that keep room so
+inline constexpr duration load_history = 3min;    // how far back a measurement may lie
+inline constexpr duration load_interval = 5s;     // between kept views of a worker's load
 
 // --- request path ---
 inline constexpr std::int64_t body_bytes_most = 1 << 20;
--- a/src/place_memory_p.h
+++ b/src/place_memory_p.h
@@ -48,6 +48,7 @@
     worker_id worker;
     resources need;
     instant until{};
+    bool drains = false; // nobody is evicted for it: it waits for tasks to end
 };
 
 struct seen_capacity {
--- a/src/place_pass_p.h
+++ b/src/place_pass_p.h
@@ -138,6 +138,7 @@
     bool risks_nothing(const job_spec& spec) const;
     void start_rank(queue_rank rank);
     bool start_next(std::uint32_t group, queue_rank rank);
+    bool wait_for_room(std::uint32_t index);
     bool start_reserved(std::uint32_t task);
     void start_on(std::uint32_t index, std::uint32_t worker);
     void report_survivors();
--- a/src/place_queue.cpp
+++ b/src/place_queue.cpp
@@ -263,13 +263,44 @@
     if (worker) {
         start_on(task, *worker);
     }
-    else if (rank != queue_rank::first || !make_room(task)) {
+    else if (rank == queue_rank::first ? !make_room(task) : !wait_for_room(task)) {
         return false;
     }
     spec.queued.pop_back();
     return true;
 }
 
+// Small tasks take every gap as it opens, so a large one would never start. When it has waited long, what becomes free
+// on one worker is kept for it; few workers at a time, because kept room lies idle. True when room is being kept.
+bool placement_pass::wait_for_room(std::uint32_t index)
+{
+    const resources need = specs_[tasks_[index].spec].need;
+    const place_task& task = *tasks_[index].task;
+    const auto draining = std::count_if(memory_.reserved.begin(), memory_.reserved.end(),
+                                        [](const auto& entry) { return entry.second.drains; });
+    const double most = std::max(1.0, config::draining_share * static_cast<double>(workers_.size()));
+    // A job of which something runs gets on. Room that is there was refused for the harm that the task would do;
+    // waiting for more would not help.
+    if (specs_[tasks_[index].spec].running > 0 || task.queued_since + config::starving_after > now_ ||
+        static_cast<double>(draining) >= most || rooms_.find(need, 0)) {
+        return false;
+    }
+    std::uint32_t best = no_index;
+    for (std::uint32_t w = 0; w < workers_.size(); ++w) {
+        const worker_view& view = workers_[w];
+        if (view.worker->usable && view.standing == worker_standing::good && fits(need, view.worker->capacity) &&
+            (best == no_index || rooms_.room(best).cpu_millis < rooms_.room(w).cpu_millis)) {
+            best = w;
+        }
+    }
+    if (best == no_index) {
+        return false;
+    }
+    rooms_.set_room(best, rooms_.room(best) - need);
+    memory_.reserved[task.task] = {workers_[best].worker->worker, need, now_ + config::draining_for, true};
+    return true;
+}
+
 // True when room is held for the task: it starts there as soon as it fits, and waits while tasks that leave can still
 // make it fit. What else grew into the room meanwhile would let it wait in vain.
 bool placement_pass::start_reserved(std::uint32_t task)
@@ -290,7 +321,7 @@
         start_on(task, where->second);
         return true;
     }
-    if (fits(specs_[tasks_[task].spec].need, with_held + workers_[where->second].leaving)) {
+    if (held->second.drains || fits(specs_[tasks_[task].spec].need, with_held + workers_[where->second].leaving)) {
         return true;
     }
     rooms_.set_room(where->second, with_held);
--- a/tests/test_place.cpp
+++ b/tests/test_place.cpp
@@ -404,6 +404,35 @@
     BOOST_TEST(plan.evictions.size() == 1);
 }
 
+// Small tasks end one by one and others take their places at once, so the gap that a large task needs never opens.
+// After some minutes what becomes free on one worker is kept for it, and it starts when that is enough.
+BOOST_AUTO_TEST_CASE(a_large_task_is_not_starved_by_small_ones)
+{
+    const job_spec small = batch_spec("small", {8000, 1000, 0});
+    const job_spec large = batch_spec("large", {30000, 1000, 0});
+    placement place({});
+    std::vector<place_task> tasks = {running("s", small, "w1", small.declared, 0),
+                                     running("s", small, "w1", small.declared, 1),
+                                     running("s", small, "w1", small.declared, 2),
+                                     running("s", small, "w1", small.declared, 3), queued("large", large)};
+    bool started = false;
+    for (int minute = 0; minute < 30 && !started; ++minute) {
+        const instant now = start + minute * 60s;
+        tasks.erase(std::find_if(tasks.begin(), tasks.end(), [](const place_task& t) { return t.running; }));
+        tasks.push_back(queued("s", small, 100 + minute));
+        tasks.back().queued_since = now;
+        for (const place_start& s : place.plan(now, tasks, workers_for({"w1"}, tasks)).starts) {
+            started = started || s.task.job == job_id("large");
+            for (place_task& t : tasks) {
+                if (t.task == s.task) {
+                    t = running("s", small, "w1", s.committed, t.task.index);
+                }
+            }
+        }
+    }
+    BOOST_TEST(started);
+}
+
 // One team's wave of jobs must not shut the others out: each of 120 teams gets its share of the starts.
 BOOST_AUTO_TEST_CASE(every_team_gets_its_share)
 {
