--- a/src/place_pass_p.h
+++ b/src/place_pass_p.h
@@ -41,6 +41,12 @@
     bool movable = false;                       // may be throttled or evicted
 };
 
+// Processors that the task takes as planned, in thousandths.
+inline double use_of(const task_view& task)
+{
+    return task.demand * task.percent / 100;
+}
+
 // A service task under the interference of its worker.
 struct service_view {
     std::uint32_t task = 0;
@@ -54,7 +60,8 @@
     const place_worker* worker = nullptr;
     worker_standing standing = worker_standing::good;
     std::uint32_t rack = 0;
-    resources room; // what the ledger leaves, whether or not anything may start there
+    resources room;    // what the ledger leaves, whether or not anything may start there
+    resources leaving; // committed for tasks that are on their way out
     std::vector<std::uint32_t> batch;
     std::vector<service_view> services;
     bool untried = false;    // holds a batch task too young to tell whether it fails there
@@ -102,6 +109,10 @@
     static std::int64_t memory_of(const task_view& task);
     void relieve_memory(std::uint32_t index);
     void relieve_processors(std::uint32_t index);
+    static bool pressed(const worker_view& worker);
+    void relieve_services(std::uint32_t index);
+    double harm_rate(const worker_view& worker, std::uint32_t index) const;
+    void refill_budget();
     bool lower_one(std::uint32_t index, bool for_processors);
     bool raise_one(std::uint32_t index);
     bool calm_with(const worker_view& worker, const spec_view& batch, double cpu) const;
@@ -127,6 +138,7 @@
     bool risks_nothing(const job_spec& spec) const;
     void start_rank(queue_rank rank);
     bool start_next(std::uint32_t group, queue_rank rank);
+    bool wait_for_room(std::uint32_t index);
     bool start_reserved(std::uint32_t task);
     void start_on(std::uint32_t index, std::uint32_t worker);
     void report_survivors();
--- a/tests/test_place.cpp
+++ b/tests/test_place.cpp
@@ -278,6 +278,45 @@
     }
 }
 
+// Noisy work is throttled as far as it goes and the service is still too slow. Only then is it evicted, after longer
+// than the measurements lag; and one task at a time, whatever the number of workers in the same state.
+BOOST_AUTO_TEST_CASE(eviction_for_a_service_comes_last_and_within_a_budget)
+{
+    const job_spec noisy = batch_spec("noisy", {8000, 1000, 0}, urgency::normal, "noisy");
+    const job_spec tender = service_spec("tender");
+    placement place({});
+    constexpr double per_load = 30;
+    teach_slowdown(place, tender, noisy, per_load, start);
+    std::vector<place_task> services;
+    std::vector<place_task> tasks;
+    const std::vector<const char*> names = {"w1", "w2", "w3", "w4"};
+    for (const char* name : names) {
+        const int index = static_cast<int>(services.size());
+        services.push_back(running("s", tender, name, tender.declared, index));
+        tasks.push_back(running("n", noisy, name, noisy.declared, index));
+    }
+    std::size_t evictions = 0;
+    std::size_t throttles = 0;
+    for (int second = 0; second < 100; ++second) {
+        std::vector<place_task> all = services;
+        all.insert(all.end(), tasks.begin(), tasks.end());
+        const place_plan plan = place.plan(start + second * 1s, all, workers_for(names, all));
+        for (const place_throttle& t : plan.throttles) {
+            std::find_if(tasks.begin(), tasks.end(), [&](const place_task& x) { return x.task == t.task; })->throttle =
+                t.percent;
+            ++throttles;
+        }
+        evictions += plan.evictions.size();
+        BOOST_TEST((evictions == 0 || second >= 60));
+        for (const place_task& task : tasks) {
+            const double slowdown = 1 + per_load * 0.25 * task.throttle / 100;
+            place.learn_interference(start + second * 1s, {job_id("s"), task.task.index}, tender, slowdown, {&noisy});
+        }
+    }
+    BOOST_TEST(throttles >= 4);
+    BOOST_TEST(evictions == 1);
+}
+
 // Nobody measures the service's slowdown, or the owner is new and has no measurement yet. What is only believed about
 // unknown work must not throttle what runs, and must not hold the queue back for ever.
 BOOST_AUTO_TEST_CASE(an_unmeasured_service_holds_batch_work_back_for_a_while_only)
@@ -348,6 +387,52 @@
     BOOST_TEST(second.starts[0].task.job == job_id("u"));
 }
 
+// Room is made for urgent work, but a neighbour turns out larger and grows into it. Waiting for the rest of the time
+// that the room was held for would be in vain: the next plan makes room elsewhere.
+BOOST_AUTO_TEST_CASE(urgent_work_does_not_wait_for_room_that_is_lost)
+{
+    const job_spec patient = batch_spec("patient", {16000, 1000, 0}, urgency::patient);
+    const job_spec urgent = batch_spec("urgent", {16000, 1000, 0}, urgency::urgent);
+    placement place({});
+    std::vector<place_task> tasks = {running("p", patient, "w1", patient.declared, 0),
+                                     running("p", patient, "w1", patient.declared, 1), queued("u", urgent)};
+    BOOST_REQUIRE(place.plan(start, tasks, workers_for({"w1"}, tasks)).evictions.size() == 1);
+    tasks.erase(tasks.begin());
+    tasks[0].committed.cpu_millis = 20000;
+    const place_plan plan = place.plan(start + 1s, tasks, workers_for({"w1"}, tasks));
+    BOOST_TEST(plan.starts.empty());
+    BOOST_TEST(plan.evictions.size() == 1);
+}
+
+// Small tasks end one by one and others take their places at once, so the gap that a large task needs never opens.
+// After some minutes what becomes free on one worker is kept for it, and it starts when that is enough.
+BOOST_AUTO_TEST_CASE(a_large_task_is_not_starved_by_small_ones)
+{
+    const job_spec small = batch_spec("small", {8000, 1000, 0});
+    const job_spec large = batch_spec("large", {30000, 1000, 0});
+    placement place({});
+    std::vector<place_task> tasks = {running("s", small, "w1", small.declared, 0),
+                                     running("s", small, "w1", small.declared, 1),
+                                     running("s", small, "w1", small.declared, 2),
+                                     running("s", small, "w1", small.declared, 3), queued("large", large)};
+    bool started = false;
+    for (int minute = 0; minute < 30 && !started; ++minute) {
+        const instant now = start + minute * 60s;
+        tasks.erase(std::find_if(tasks.begin(), tasks.end(), [](const place_task& t) { return t.running; }));
+        tasks.push_back(queued("s", small, 100 + minute));
+        tasks.back().queued_since = now;
+        for (const place_start& s : place.plan(now, tasks, workers_for({"w1"}, tasks)).starts) {
+            started = started || s.task.job == job_id("large");
+            for (place_task& t : tasks) {
+                if (t.task == s.task) {
+                    t = running("s", small, "w1", s.committed, t.task.index);
+                }
+            }
+        }
+    }
+    BOOST_TEST(started);
+}
+
 // One team's wave of jobs must not shut the others out: each of 120 teams gets its share of the starts.
 BOOST_AUTO_TEST_CASE(every_team_gets_its_share)
 {
