--- /dev/null
+++ b/schema/flow.thrift
@@ -0,0 +1,112 @@
+// Rows and messages of jobs made of dependent steps (compact protocol). Times are wall-clock milliseconds, durations
+// milliseconds. Fields are only ever added, with a new number and a default.
+namespace cpp skylarkhub.wire
+
+struct flow_step_row {
+  1: i32 count = 1
+  2: i64 cpu_millis = 0
+  3: i64 memory_mib = 0
+  4: i32 accelerators = 0
+  5: i64 estimate_ms = 0
+  6: list<i32> after
+  7: i32 traits = 0           // bit set, see flow_row.cpp
+  8: string label             // the worker must have it
+  9: string data_rack         // slower on any other rack
+  10: i32 per_worker_most = 0 // 0: no limit
+  11: string image
+  12: i64 tail_target_ms = 0
+  13: i32 unavailable_most = 0
+}
+
+// What is certain about the tasks of one step in one occurrence. Facts are only ever added.
+struct flow_stage_row {
+  1: i32 occurrence = 0
+  2: i32 step = 0
+  3: binary done              // bit per task
+  4: map<i32, i32> failures   // task -> runs that failed
+  5: map<i32, string> checkpoints
+}
+
+struct flow_job_row {
+  1: string queue
+  2: string service_name
+  3: string payload
+  4: list<flow_step_row> steps
+  5: i32 occurrences = 0      // 0: once, at once
+  6: i64 first_due_ms = 0
+  7: i64 interval_ms = 0
+  8: string cell
+  9: i64 cell_epoch = 0       // of the cell when the job was bound to it; numbers of runs start from it
+  10: string accepted_by      // peer address of the entry that answers the caller
+  11: string accept_token     // of the write that accepted it, so that a lost answer can be settled
+  12: bool cancelled = false
+  13: i32 outcome = 0             // 0 none, 1 done, 2 failed, 3 cancelled
+  14: list<flow_stage_row> stages
+  15: i64 accepted_ms = 0
+  16: bool started = false
+  17: i32 failures_most = 1
+  18: i32 priority = 0
+  19: i64 run_base = 0        // numbers of runs start above it; raised when the job moves to another cell
+}
+
+struct flow_cell_row {
+  1: i64 epoch = 0
+  2: string owner             // entry
+  3: string incarnation
+  4: string address
+  5: i64 renewals = 0
+  6: bool released = false    // its owner has stopped and sends nothing any more
+}
+
+struct flow_entry_row {
+  1: string entry
+  2: string incarnation
+  3: string address
+  4: string data_centre
+}
+
+// The room of one service's workers in a cell.
+struct flow_pool_row {
+  1: string service_name
+  2: i64 free_cpu_millis = 0  // less what is queued; below 0 when more is queued than fits
+  3: i64 total_cpu_millis = 0
+  4: list<string> labels
+  5: i64 unused_cpu_millis = 0 // less filling work too
+}
+
+struct flow_cell_news {
+  1: string cell
+  2: i64 epoch = 0
+  3: list<flow_pool_row> pools
+  4: map<string, i32> pending // queue -> jobs no task of which has started
+}
+
+struct flow_hello {
+  1: flow_entry_row sender
+  2: bool leaving = false
+  3: i64 config_version = 0
+  4: list<flow_cell_news> cells // that it owns
+  5: list<flow_entry_row> members
+  6: bool reaches_table = false
+}
+
+// A row that an entry has written and the job's owner must know.
+struct flow_row_news {
+  1: string job
+  2: i64 version = 0
+  3: binary row
+}
+
+struct flow_state_news {
+  1: string job
+  2: i32 state = 0
+}
+
+struct flow_message {
+  1: optional flow_hello hello
+  2: list<flow_row_news> rows
+  3: list<flow_state_news> states
+  4: i64 config_version = 0
+  5: string config            // as the operator wrote it, when the receiver's is older
+  6: list<string> unknown_jobs // rows refused: the receiver does not own their cell
+}
--- /dev/null
+++ b/src/daemon_flow_app.cpp
@@ -0,0 +1,268 @@
+#include "daemon_flow_app_p.h"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include "../platform/caller_wire.h"
+#include "../platform/edges.h"
+#include "daemon_clock_p.h"
+#include "log_line_p.h"
+#include "row_codec_p.h"
+
+namespace skylarkhub {
+
+namespace {
+
+constexpr unsigned idle_seconds = 60;
+constexpr duration peer_timeout = std::chrono::milliseconds(900);
+constexpr duration peer_connect_timeout = std::chrono::milliseconds(400);
+constexpr duration stop_most = std::chrono::milliseconds(4000); // less than the platform waits before it kills
+constexpr duration stop_poll = std::chrono::milliseconds(50);
+constexpr long connections_kept = 400; // two for each of up to 150 workers, one for each peer, some for the table
+constexpr const char* peer_path = "/flow";
+
+} // namespace
+
+// --- flow_timer ---
+
+flow_timer::flow_timer(std::function<void(std::function<void(instant)>)> run) : run_(std::move(run))
+{
+    thread_ = std::thread([this] { work(); });
+}
+
+flow_timer::~flow_timer()
+{
+    stop();
+}
+
+void flow_timer::stop()
+{
+    {
+        absl::MutexLock lock(&mutex_);
+        stopping_ = true;
+    }
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+}
+
+void flow_timer::after(duration wait, std::function<void(instant)> step)
+{
+    absl::MutexLock lock(&mutex_);
+    steps_.emplace(read_clock() + wait, std::move(step));
+}
+
+void flow_timer::work()
+{
+    while (true) {
+        std::vector<std::function<void(instant)>> due;
+        {
+            absl::MutexLock lock(&mutex_);
+            const instant now = read_clock();
+            while (!steps_.empty() && steps_.begin()->first <= now) {
+                due.push_back(std::move(steps_.begin()->second));
+                steps_.erase(steps_.begin());
+            }
+            if (due.empty()) {
+                const instant wake = steps_.empty() ? now + std::chrono::seconds(1) : steps_.begin()->first;
+                const instant first = steps_.empty() ? instant::max() : steps_.begin()->first;
+                const auto changed = [this, first]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
+                    return stopping_ || (!steps_.empty() && steps_.begin()->first < first);
+                };
+                mutex_.AwaitWithTimeout(absl::Condition(&changed),
+                                        absl::Microseconds((wake - now).count()));
+            }
+            if (stopping_) {
+                return;
+            }
+        }
+        for (auto& step : due) {
+            run_(step);
+        }
+    }
+}
+
+// --- flow_app ---
+
+flow_app::flow_app(const flow_entry_settings& settings)
+    : settings_(settings),
+      table_address_(settings.table_address),
+      http_({.connections_per_host = 0, .connections_kept = connections_kept})
+{
+    self_.entry = settings.entry;
+    self_.incarnation =
+        incarnation_id(fmt::format("{}@{}-{}", settings.entry.str(), wall_ms(read_wall_clock()), getpid()));
+    self_.address = settings.peers_address;
+    self_.data_centre = settings.data_centre;
+}
+
+std::unique_ptr<flow_app> flow_app::start(const flow_entry_settings& settings, std::string* last_reason)
+{
+    auto app = std::unique_ptr<flow_app>(new flow_app(settings));
+    app->timer_ = std::make_unique<flow_timer>([a = app.get()](const std::function<void(instant)>& step) { a->run(step); });
+    app->entry_ = std::make_unique<flow_entry>(app->self_, app->make_edges());
+    if (!app->listen(last_reason)) {
+        return nullptr;
+    }
+    app->run([a = app.get()](instant now) { a->entry_->begin(now); });
+    return app;
+}
+
+flow_app::~flow_app()
+{
+    timer_->stop();
+    callers_.reset();
+    readiness_.reset();
+    peers_.reset();
+    metrics_.reset();
+}
+
+void flow_app::run(const std::function<void(instant)>& step)
+{
+    absl::MutexLock lock(&mutex_);
+    const instant now = read_clock();
+    step(now);
+    entry_->settle(now);
+}
+
+flow_edges flow_app::make_edges()
+{
+    flow_edges edges;
+    platform::edge_context context;
+    context.http = &http_;
+    context.send_table = [this](http_call call, std::function<void(http_result)> done) {
+        send_table(std::move(call), std::move(done));
+    };
+    context.table_address = [this] {
+        absl::MutexLock lock(&settings_mutex_);
+        return table_address_;
+    };
+    context.run = [this](const std::function<void(instant)>& step) { run(step); };
+    platform::fill_edges(context, edges);
+    edges.tell = [this](const net_address& peer, const wire::flow_message& message,
+                        std::function<void(instant, std::optional<wire::flow_message>)> done) {
+        http_call call;
+        call.method = "POST";
+        call.address = peer;
+        call.target = peer_path;
+        call.body = encode_compact(message);
+        call.timeout = peer_timeout;
+        call.connect_timeout = peer_connect_timeout;
+        http_.send(std::move(call), [this, done = std::move(done)](const http_result& answer) {
+            std::optional<wire::flow_message> decoded;
+            if (answer.answered && answer.status == 200) {
+                decoded = decode_compact<wire::flow_message>(answer.body);
+            }
+            run([&](instant now) { done(now, decoded); });
+        });
+    };
+    edges.after = [this](duration wait, std::function<void(instant)> step) { timer_->after(wait, std::move(step)); };
+    edges.wall = &read_wall_clock;
+    return edges;
+}
+
+void flow_app::send_table(http_call call, std::function<void(http_result)> done)
+{
+    http_.send(std::move(call), [this, done = std::move(done)](http_result answer) {
+        const bool reached = answer.answered && answer.status != 503 && answer.status != 429;
+        if (reached) {
+            absl::MutexLock lock(&mutex_);
+            entry_->note_table(read_clock(), true);
+        }
+        done(std::move(answer));
+    });
+}
+
+bool flow_app::listen(std::string* last_reason)
+{
+    const auto serve = [&](const net_address& address, http_handler handler) {
+        http_server::options options;
+        options.address = address;
+        options.threads = 1;
+        options.idle_seconds = idle_seconds;
+        return http_server::start(options, std::move(handler), last_reason);
+    };
+    callers_ = serve(settings_.callers_address, [this](http_request request, http_reply reply) {
+        serve_caller(std::move(request), std::move(reply));
+    });
+    readiness_ = serve(settings_.readiness_address, [this](const http_request&, const http_reply& reply) {
+        absl::MutexLock lock(&mutex_);
+        reply({entry_->ready(read_clock()) ? 200 : 503, {}, ""});
+    });
+    peers_ = serve(settings_.peers_address, [this](http_request request, http_reply reply) {
+        serve_peer(std::move(request), std::move(reply));
+    });
+    metrics_ = serve(settings_.metrics_address, [this](const http_request&, const http_reply& reply) {
+        reply({200, {{"Content-Type", "text/plain; version=0.0.4"}}, format_metrics()});
+    });
+    return callers_ && readiness_ && peers_ && metrics_;
+}
+
+void flow_app::serve_caller(http_request request, http_reply reply)
+{
+    auto decoded = platform::read_request(request);
+    if (!decoded) {
+        reply({405, {{"Allow", "GET, POST, DELETE"}}, ""});
+        return;
+    }
+    run([&](instant now) {
+        entry_->on_request(now, std::move(*decoded),
+                           [reply = std::move(reply)](const caller_answer& answer) { reply(platform::make_response(answer)); });
+    });
+}
+
+void flow_app::serve_peer(http_request request, http_reply reply)
+{
+    const auto message = decode_compact<wire::flow_message>(request.body);
+    if (request.path != peer_path || !message) {
+        reply({400, {}, ""});
+        return;
+    }
+    wire::flow_message answer;
+    run([&](instant now) { answer = entry_->on_message(now, *message); });
+    reply({200, {}, encode_compact(answer)});
+}
+
+std::string flow_app::format_metrics()
+{
+    absl::MutexLock lock(&mutex_);
+    const flow_entry_stats& s = entry_->stats();
+    std::string out;
+    const auto add = [&](const char* name, std::int64_t value) { out += fmt::format("skylarkhub_{} {}\n", name, value); };
+    add("jobs_accepted_total", s.accepted);
+    add("jobs_repeated_total", s.repeated);
+    add("jobs_refused_total", s.refused);
+    add("jobs_unsettled_total", s.unsettled);
+    add("cancels_total", s.cancels);
+    add("state_requests_total", s.states);
+    add("state_reads_total", s.state_reads);
+    add("config_version", entry_->config_version().value());
+    return out;
+}
+
+void flow_app::change_settings(const flow_entry_settings& settings)
+{
+    absl::MutexLock lock(&settings_mutex_);
+    table_address_ = settings.table_address;
+}
+
+void flow_app::stop()
+{
+    run([this](instant now) { entry_->plan_stop(now); });
+    const instant end = read_clock() + stop_most;
+    while (read_clock() < end) {
+        bool done = false;
+        {
+            absl::MutexLock lock(&mutex_);
+            done = entry_->stopped();
+        }
+        if (done && callers_->in_flight() == 0) {
+            break;
+        }
+        std::this_thread::sleep_for(stop_poll);
+    }
+    callers_->stop_accepting();
+    write_log(log_level::info, "entry", "stopped");
+}
+
+} // namespace skylarkhub
--- a/src/daemon_main.cpp
+++ b/src/daemon_main.cpp
@@ -9,6 +9,7 @@
 #include <sstream>
 
 #include "daemon_app_p.h"
+#include "daemon_flow_app_p.h"
 #include "log_line_p.h"
 
 namespace {
@@ -36,6 +37,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     signal(SIGPIPE, SIG_IGN);
     return signals;
@@ -70,17 +72,78 @@
     fmt::print("listening {} {}\n", app->http_address().str(), app->peer_address().str());
     std::fflush(stdout);
     int taken = 0;
-    sigwait(&signals, &taken);
+    do {
+        sigwait(&signals, &taken);
+    } while (taken == SIGHUP);
     app->stop();
     return 0;
 }
 
+std::optional<flow_entry_settings> read_flow_settings(const std::string& path)
+{
+    const auto text = read_file(path);
+    if (!text) {
+        fmt::print(stderr, "skylarkhubd: {} cannot be read\n", path);
+        return std::nullopt;
+    }
+    std::vector<settings_problem> problems;
+    auto settings = parse_flow_settings(*text, problems);
+    for (const settings_problem& p : problems) {
+        fmt::print(stderr, "skylarkhubd: {}: {}: {}\n", path, p.path, p.reason);
+    }
+    return settings;
+}
+
+// The platform replaces the settings file and may or may not say so by SIGHUP.
+constexpr timespec settings_poll{1, 0};
+
+int run_on_platform(const std::string& path)
+{
+    const sigset_t signals = block_signals();
+    const auto settings = read_flow_settings(path);
+    if (!settings) {
+        return exit_usage;
+    }
+    std::string reason;
+    auto app = flow_app::start(*settings, &reason);
+    if (!app) {
+        write_log(log_level::error, "entry", "cannot_start", {{"reason", reason}});
+        return exit_cannot_start;
+    }
+    write_log(log_level::info, "entry", "started",
+              {{"entry", settings->entry.str()}, {"data_centre", settings->data_centre.str()}});
+    std::string text = read_file(path).value_or("");
+    while (true) {
+        const int taken = sigtimedwait(&signals, nullptr, &settings_poll);
+        if (taken == SIGTERM || taken == SIGINT) {
+            break;
+        }
+        const std::string newer = read_file(path).value_or("");
+        if (newer == text && taken != SIGHUP) {
+            continue;
+        }
+        text = newer;
+        std::vector<settings_problem> problems;
+        const auto changed = parse_flow_settings(newer, problems);
+        write_log(log_level::info, "settings", changed ? "reloaded" : "unreadable",
+                  {{"by", taken == SIGHUP ? "signal" : "change"}});
+        if (changed) {
+            app->change_settings(*changed);
+        }
+    }
+    app->stop();
+    return 0;
+}
+
+constexpr const char* settings_variable = "SKYLARKHUB_NODE_FILE";
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     cxxopts::Options options("skylarkhubd", "One entry of skylarkhub: request path, control path and settings.");
-    options.add_options()("settings", "settings file (JSON), see docs/SETTINGS.md", cxxopts::value<std::string>())(
+    options.add_options()("platform", "run on the platform, with the settings file that SKYLARKHUB_NODE_FILE names")(
+        "settings", "settings file (JSON), see docs/SETTINGS.md", cxxopts::value<std::string>())(
         "check", "check the settings file and exit")("version", "print the version and exit")("help",
                                                                                               "print this help");
     options.custom_help("--settings FILE [--check]");
@@ -95,6 +158,14 @@
             fmt::print("skylarkhubd {}\n", SKYLARKHUB_VERSION);
             return 0;
         }
+        if (given.count("platform") > 0) {
+            const char* const path = std::getenv(settings_variable);
+            if (path == nullptr) {
+                fmt::print(stderr, "skylarkhubd: {} is not set\n", settings_variable);
+                return exit_usage;
+            }
+            return run_on_platform(path);
+        }
         if (given.count("settings") == 0) {
             fmt::print(stderr, "skylarkhubd: --settings FILE is missing; see --help\n");
             return exit_usage;
--- /dev/null
+++ b/src/flow_cell_commit.cpp
@@ -0,0 +1,150 @@
+// Making facts durable: the rows of jobs that are behind, batched by part, and what follows once they are written.
+#include <algorithm>
+
+#include "flow_cell_p.h"
+#include "flow_limits_p.h"
+#include "log_line_p.h"
+#include "row_codec_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+void flow_cell::job_changed(instant now, flow_job& job, bool urgent)
+{
+    const std::string part = job_part(job.id());
+    parts_[part].dirty.insert(job.id());
+    commit_soon(now, part, urgent ? duration(0) : commit_gap);
+}
+
+void flow_cell::commit_soon(instant now, const std::string& part, duration wait)
+{
+    part_state& state = parts_[part];
+    const instant due = std::max(now + wait, state.held_until);
+    if (state.planned && state.due <= due) {
+        return;
+    }
+    state.planned = true;
+    state.due = due;
+    if (due > now) {
+        edges_.after(due - now, [](instant) {}); // settle() runs after it
+    }
+}
+
+void flow_cell::commit_part(instant now, const std::string& part)
+{
+    part_state& state = parts_[part];
+    state.planned = false;
+    if (!owns()) {
+        return;
+    }
+    store_transaction t;
+    std::vector<std::pair<job_id, std::uint64_t>> jobs;
+    std::vector<job_id> clean;
+    for (const job_id& id : state.dirty) {
+        const auto found = jobs_.find(id);
+        if (found == jobs_.end()) {
+            clean.push_back(id);
+            continue;
+        }
+        flow_job& job = *found->second;
+        const bool running = std::any_of(job.stages().begin(), job.stages().end(), [](const flow_stage& s) {
+            return std::any_of(s.tasks.begin(), s.tasks.end(), [](const flow_task& k) { return !k.runs.empty(); });
+        });
+        if (job.cancelled() && !job.ended() && !running && all_accounted(now)) {
+            job.note_outcome(flow_state::cancelled);
+        }
+        if (!job.dirty()) {
+            clean.push_back(id);
+            continue;
+        }
+        if (jobs.size() >= commit_rows_most) {
+            break;
+        }
+        jobs.emplace_back(id, job.changes());
+        t.checks.push_back({job_key(id), job.version()});
+        t.puts.push_back({job_key(id), encode_compact(job.current_row())});
+    }
+    for (const job_id& id : clean) {
+        state.dirty.erase(id);
+        const auto found = jobs_.find(id);
+        if (found != jobs_.end()) {
+            after_written(now, *found->second);
+        }
+    }
+    if (jobs.empty()) {
+        return;
+    }
+    state.committing = true;
+    ++stats_.commits;
+    edges_.commit(std::move(t), [this, part, jobs, life = life_](instant then, const store_result& result) {
+        if (life == life_) {
+            on_committed(then, part, jobs, result);
+        }
+    });
+}
+
+void flow_cell::on_committed(instant now, const std::string& part,
+                             const std::vector<std::pair<job_id, std::uint64_t>>& jobs, const store_result& result)
+{
+    part_state& state = parts_[part];
+    state.committing = false;
+    switch (result.outcome) {
+    case table_outcome::applied:
+        state.backoff = duration(0);
+        for (const auto& [id, changes] : jobs) {
+            const auto found = jobs_.find(id);
+            if (found == jobs_.end()) {
+                continue;
+            }
+            found->second->mark_written(changes, result.version);
+            if (!found->second->dirty()) {
+                state.dirty.erase(id);
+            }
+            after_written(now, *found->second);
+        }
+        confirm_all(now);
+        break;
+    case table_outcome::conflict:
+        // Another entry has cancelled a job, or an earlier try of ours is in force although its answer was lost.
+        for (const store_row& row : result.rows) {
+            const auto decoded = decode_compact<wire::flow_job_row>(row.value);
+            if (decoded) {
+                on_job_row(now, job_id(row.key.key), *decoded, row.version);
+            }
+        }
+        state.backoff = std::max(state.backoff, duration(commit_gap));
+        break;
+    case table_outcome::refused:
+    case table_outcome::unknown:
+        state.backoff = std::clamp<duration>(state.backoff * 2, commit_retry, commit_retry_most);
+        state.held_until = now + state.backoff;
+        write_log(log_level::warning, "table", "commit_failed", {{"part", part}, {"reason", result.reason}});
+        break;
+    }
+    if (!state.dirty.empty()) {
+        commit_soon(now, part, state.backoff);
+    }
+}
+
+// Everything known of the job may be in its row now: callers learn what has become of it, and an ended job is put away.
+void flow_cell::after_written(instant now, flow_job& job)
+{
+    if (job.dirty()) {
+        return;
+    }
+    if (!job.cancelled() && !job.ended()) {
+        return;
+    }
+    const bool running = std::any_of(job.stages().begin(), job.stages().end(), [](const flow_stage& s) {
+        return std::any_of(s.tasks.begin(), s.tasks.end(), [](const flow_task& t) { return !t.runs.empty(); });
+    });
+    if (job.ended()) {
+        hooks_.state_changed(now, job.row(), job.id(), state_of(job.row()));
+    }
+    if (job.ended() && !running) {
+        forget_job(job.id());
+    }
+}
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/flow_cell_own.cpp
@@ -0,0 +1,430 @@
+// Ownership of a cell: watching its row, taking it over, renewing, losing and releasing it.
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "flow_cell_p.h"
+#include "flow_limits_p.h"
+#include "log_line_p.h"
+#include "row_codec_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+flow_cell::flow_cell(cell_id id, entry_identity self, const flow_edges& edges, flow_cell_hooks hooks)
+    : id_(std::move(id)), self_(std::move(self)), edges_(edges), hooks_(std::move(hooks))
+{
+}
+
+bool flow_cell::may_send(instant now) const
+{
+    return role_ == role::owning && now - renewed_ < owner_hold;
+}
+
+void flow_cell::read_row(instant now)
+{
+    if (reading_row_) {
+        return;
+    }
+    reading_row_ = true;
+    row_read_at_ = now;
+    const store_key key = cell_key(id_);
+    edges_.read({key.table, key.part, key.key, key.key + '\0'}, [this](instant then, const store_page& page) {
+        reading_row_ = false;
+        if (page.reached) {
+            on_row_read(then, page.rows.empty() ? nullptr : &page.rows.front());
+        }
+    });
+}
+
+void flow_cell::on_row_read(instant now, const store_row* row)
+{
+    const row_version version = row == nullptr ? row_version(0) : row->version;
+    if (row_known_ && version < row_version_) {
+        return;
+    }
+    if (!row_known_ || version != row_version_) {
+        row_unchanged_since_ = now;
+    }
+    row_known_ = true;
+    row_present_ = row != nullptr;
+    row_version_ = version;
+    row_read_at_ = now;
+    if (row == nullptr) {
+        return;
+    }
+    std::string reason;
+    const auto decoded = decode_compact<wire::flow_cell_row>(row->value, &reason);
+    if (!decoded) {
+        write_log(log_level::error, "cell", "row_unreadable", {{"cell", id_.str()}, {"reason", reason}});
+        return;
+    }
+    row_ = *decoded;
+    const bool mine = row_.incarnation == self_.incarnation.str();
+    if (owns() && (!mine || row_.epoch != epoch_.value())) {
+        lose(now, "another entry has taken the cell");
+    }
+}
+
+void flow_cell::tick(instant now, const cell_candidacy& candidacy)
+{
+    switch (role_) {
+    case role::watching:
+        consider_takeover(now, candidacy);
+        return;
+    case role::taking:
+    case role::released:
+        return;
+    case role::reading:
+    case role::owning:
+        break;
+    }
+    if (now >= next_renewal_ && !acting_) {
+        renew(now);
+    }
+    if (role_ != role::owning) {
+        return;
+    }
+    check_lapsed(now);
+    tick_timed(now);
+    if (parts_left_ == 0 && now >= next_watch_) {
+        watch_jobs(now);
+    }
+    if (stopping_) {
+        release(now);
+    }
+}
+
+void flow_cell::consider_takeover(instant now, const cell_candidacy& c)
+{
+    if (acting_ || c.leaving || stopping_) {
+        return;
+    }
+    const auto read_if_older = [&](duration age) {
+        if (!row_known_ || now - row_read_at_ >= age) {
+            read_row(now);
+            return true;
+        }
+        return false;
+    };
+    if (!row_known_) {
+        read_if_older(row_read_interval);
+        return;
+    }
+    const duration turn = candidate_step * c.rank + (c.same_data_centre ? duration(0) : 2 * candidate_step);
+    const duration unchanged = now - row_unchanged_since_;
+    const bool ours = row_present_ && row_.owner == self_.entry.str();
+    if (ours && !row_.released) {
+        take(now); // written by an earlier life of this entry, or by a write of ours whose answer was lost
+        return;
+    }
+    if (!row_present_ || row_.released) {
+        if (unchanged >= turn && !read_if_older(row_read_interval)) {
+            take(now);
+        }
+        return;
+    }
+    if (c.owner_live) {
+        row_unchanged_since_ = now;
+        return;
+    }
+    if (c.owner_restarted) {
+        if (unchanged >= restarted_grace + turn && !read_if_older(row_read_interval)) {
+            take(now);
+        }
+        return;
+    }
+    if (read_if_older(row_read_interval)) {
+        return;
+    }
+    const duration silence = c.same_data_centre ? owner_silence_local : owner_silence_remote;
+    if (unchanged < silence + candidate_step * c.rank) {
+        return;
+    }
+    if (c.same_data_centre) {
+        take(now);
+    }
+    else {
+        probe_then_take(now);
+    }
+}
+
+// A data centre that is cut off still has its owner, its workers and its callers: an entry outside that took the cell
+// over could reach no worker, and when the cut heals everything there would change hands for nothing. So one that is
+// outside must first reach a worker. The order is one that does nothing: its fencing token is the lowest.
+void flow_cell::probe_then_take(instant now)
+{
+    if (workers_.empty()) {
+        return;
+    }
+    acting_ = true;
+    auto at = workers_.begin();
+    std::advance(at, static_cast<std::ptrdiff_t>(row_read_at_.time_since_epoch().count() %
+                                                 static_cast<std::int64_t>(workers_.size())));
+    static_cast<void>(now);
+    edges_.order(place_of(at->second), hold_worker{}, hold_timeout, [this](instant then, const order_answer& answer) {
+        acting_ = false;
+        const bool reached = answer.result != order_result::no_answer && answer.result != order_result::unhealthy;
+        if (reached && role_ == role::watching) {
+            take(then);
+        }
+    });
+}
+
+void flow_cell::take(instant now)
+{
+    acting_ = true;
+    role_ = role::taking;
+    wire::flow_cell_row wanted;
+    wanted.epoch = row_present_ ? row_.epoch + 1 : 1;
+    wanted.owner = self_.entry.str();
+    wanted.incarnation = self_.incarnation.str();
+    wanted.address = self_.address.str();
+    fresh_ = !row_present_;
+    // Whoever owned it before sends nothing any more if it released the row or was an earlier life of this entry.
+    const bool certainly_gone = fresh_ || row_.released || row_.owner == self_.entry.str();
+    old_owner_gone_ = certainly_gone ? duration(0) : owner_hold;
+    store_transaction t;
+    t.checks.push_back({cell_key(id_), row_version_});
+    t.puts.push_back({cell_key(id_), encode_compact(wanted)});
+    renewed_ = now;
+    edges_.commit(std::move(t), [this, wanted](instant then, const store_result& result) {
+        acting_ = false;
+        on_taken(then, wanted, result);
+    });
+}
+
+void flow_cell::on_taken(instant now, const wire::flow_cell_row& wanted, const store_result& result)
+{
+    if (result.outcome != table_outcome::applied) {
+        role_ = role::watching;
+        if (result.outcome == table_outcome::conflict) {
+            on_row_read(now, result.rows.empty() ? nullptr : &result.rows.front());
+        }
+        else {
+            row_known_ = false; // read it again: the write may be in force
+        }
+        write_log(log_level::info, "cell", "take_failed", {{"cell", id_.str()}, {"reason", result.reason}});
+        return;
+    }
+    row_ = wanted;
+    row_present_ = true;
+    row_version_ = result.version;
+    row_unchanged_since_ = now;
+    epoch_ = skylarkhub::epoch(wanted.epoch);
+    role_ = role::reading;
+    taken_at_ = now;
+    next_renewal_ = now + renew_interval;
+    ++life_;
+    ++stats_.takeovers;
+    write_log(log_level::info, "cell", "taken",
+              {{"cell", id_.str()}, {"epoch", std::to_string(wanted.epoch)}, {"fresh", fresh_ ? "yes" : "no"}});
+    parts_left_ = job_parts;
+    watched_ = row_version(std::numeric_limits<std::int64_t>::max());
+    for (int part = 0; part < job_parts; ++part) {
+        read_jobs(now, part, "");
+    }
+}
+
+void flow_cell::read_jobs(instant now, int part, std::string from)
+{
+    static_cast<void>(now);
+    edges_.read({jobs_table, job_part(part), std::move(from), ""},
+                [this, part, life = life_](instant then, const store_page& page) {
+                    if (life == life_) {
+                        on_jobs_read(then, part, page);
+                    }
+                });
+}
+
+void flow_cell::on_jobs_read(instant now, int part, const store_page& page)
+{
+    if (!page.reached) {
+        edges_.after(commit_retry, [this, part, life = life_](instant then) {
+            if (life == life_) {
+                read_jobs(then, part, "");
+            }
+        });
+        return;
+    }
+    watched_ = std::min(watched_, page.version);
+    for (const store_row& row : page.rows) {
+        const auto decoded = decode_compact<wire::flow_job_row>(row.value);
+        if (decoded) {
+            on_job_row(now, job_id(row.key.key), *decoded, row.version);
+        }
+    }
+    if (page.more && !page.rows.empty()) {
+        read_jobs(now, part, page.rows.back().key.key + '\0');
+        return;
+    }
+    if (--parts_left_ == 0 && role_ == role::reading) {
+        become_owner(now);
+    }
+}
+
+void flow_cell::become_owner(instant now)
+{
+    role_ = role::owning;
+    next_watch_ = now + watch_interval;
+    awaited_.clear();
+    if (!fresh_) {
+        for (const auto& [id, job] : jobs_) {
+            awaited_.insert(id);
+        }
+    }
+    write_log(log_level::info, "cell", "owned",
+              {{"cell", id_.str()}, {"jobs", std::to_string(jobs_.size())}, {"workers", std::to_string(workers_.size())}});
+    for (auto& [id, w] : workers_) {
+        hold_soon(now, id, duration(0));
+    }
+    for (auto& [id, job] : jobs_) {
+        if (job->cancelled() || job->ended()) {
+            continue;
+        }
+        job->open_stages(now, edges_.wall());
+        index_ready(*job);
+    }
+    place_soon(now);
+}
+
+void flow_cell::renew(instant now)
+{
+    acting_ = true;
+    wire::flow_cell_row wanted = row_;
+    ++wanted.renewals;
+    store_transaction t;
+    t.checks.push_back({cell_key(id_), row_version_});
+    t.puts.push_back({cell_key(id_), encode_compact(wanted)});
+    edges_.commit(std::move(t), [this, wanted, sent = now, life = life_](instant then, const store_result& result) {
+        if (life != life_) {
+            return;
+        }
+        acting_ = false;
+        if (result.outcome == table_outcome::applied) {
+            row_ = wanted;
+            row_version_ = result.version;
+            renewed_ = sent;
+            next_renewal_ = then + renew_interval;
+            return;
+        }
+        next_renewal_ = then + renew_retry;
+        if (result.outcome == table_outcome::conflict) {
+            // Either another entry has the cell, or an earlier renewal of ours is in force although its answer was lost.
+            on_row_read(then, result.rows.empty() ? nullptr : &result.rows.front());
+        }
+    });
+}
+
+void flow_cell::lose(instant now, const std::string& reason)
+{
+    write_log(log_level::warning, "cell", "lost",
+              {{"cell", id_.str()}, {"epoch", std::to_string(epoch_.value())}, {"reason", reason}});
+    ++life_;
+    role_ = role::watching;
+    acting_ = false;
+    row_unchanged_since_ = now;
+    jobs_.clear();
+    ready_.clear();
+    awaited_.clear();
+    timed_.clear();
+    parts_.clear();
+    reading_jobs_.clear();
+    place_planned_ = false;
+    watching_jobs_ = false;
+    for (auto& [id, w] : workers_) {
+        const flow_listed_worker listing = w.listing;
+        const bool listed = w.listed;
+        w = cell_worker{};
+        w.listing = listing;
+        w.listed = listed;
+    }
+}
+
+void flow_cell::plan_stop(instant now)
+{
+    if (stopping_) {
+        return;
+    }
+    stopping_ = true;
+    if (!owns()) {
+        return;
+    }
+    taken_at_ = now; // of the stop, for release()
+    for (auto& [part, state] : parts_) {
+        if (!state.dirty.empty()) {
+            commit_soon(now, part, duration(0));
+        }
+    }
+}
+
+void flow_cell::release(instant now)
+{
+    if (acting_) {
+        return;
+    }
+    bool settled = std::all_of(parts_.begin(), parts_.end(),
+                               [](const auto& p) { return p.second.dirty.empty() && !p.second.committing; });
+    for (const auto& [id, job] : jobs_) {
+        for (const flow_stage& stage : job->stages()) {
+            for (const flow_task& task : stage.tasks) {
+                settled = settled && std::all_of(task.runs.begin(), task.runs.end(),
+                                                 [](const live_run& run) { return run.confirmed; });
+            }
+        }
+    }
+    if (!settled && now - taken_at_ < stop_settle_most) {
+        return;
+    }
+    acting_ = true;
+    wire::flow_cell_row wanted = row_;
+    wanted.released = true;
+    store_transaction t;
+    t.checks.push_back({cell_key(id_), row_version_});
+    t.puts.push_back({cell_key(id_), encode_compact(wanted)});
+    ++life_; // from here on nothing is sent to a worker
+    role_ = role::released;
+    edges_.commit(std::move(t), [this](instant, const store_result& result) {
+        acting_ = false;
+        write_log(log_level::info, "cell", "released", {{"cell", id_.str()}, {"reason", result.reason}});
+    });
+}
+
+void flow_cell::watch_jobs(instant now)
+{
+    if (watching_jobs_) {
+        return;
+    }
+    watching_jobs_ = true;
+    next_watch_ = now + watch_interval;
+    edges_.watch({jobs_table, watched_, duration(0)}, [this, life = life_](instant then, const store_page& page) {
+        if (life != life_) {
+            return;
+        }
+        watching_jobs_ = false;
+        if (page.history_gone) {
+            parts_left_ = job_parts;
+            watched_ = row_version(std::numeric_limits<std::int64_t>::max());
+            for (int part = 0; part < job_parts; ++part) {
+                read_jobs(then, part, "");
+            }
+            return;
+        }
+        if (!page.reached) {
+            return;
+        }
+        for (const store_row& row : page.rows) {
+            if (row.removed) {
+                continue;
+            }
+            const auto decoded = decode_compact<wire::flow_job_row>(row.value);
+            if (decoded) {
+                on_job_row(then, job_id(row.key.key), *decoded, row.version);
+            }
+        }
+        watched_ = std::max(watched_, page.version);
+    });
+}
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/flow_cell_p.h
@@ -0,0 +1,254 @@
+// One cell: the workers of one data centre (or of some of its racks) with the flows bound to them. Its owner decides
+// where tasks run, holds the workers' leases, and makes ends durable before it confirms them. An entry that does not own
+// the cell watches its row and takes it over when the owner is gone.
+#pragma once
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "flow_edges_p.h"
+#include "flow_job_p.h"
+#include "flow_place_p.h"
+
+namespace skylarkhub {
+
+// The entry that speaks: its name, this life of it, and where its peers reach it.
+struct entry_identity {
+    entry_id entry;
+    incarnation_id incarnation;
+    net_address address;
+    data_centre_id data_centre;
+};
+
+// What a cell asks of the entry around it.
+struct flow_cell_hooks {
+    std::function<const flow_queue*(const queue_id&)> queue; // null: not in the configuration
+    std::function<bool(const std::string& service)> guards_room;
+    // A state that is durable, for the entry that answers the caller.
+    std::function<void(instant, const wire::flow_job_row&, const job_id&, flow_state)> state_changed;
+};
+
+// How this entry stands to the cell's owner and to other candidates.
+struct cell_candidacy {
+    bool owner_live = false;      // the owner's incarnation answers its peers
+    bool owner_restarted = false; // another life of the owner's entry is known
+    bool same_data_centre = false;
+    int rank = 0; // among live candidates of the same kind, 0 first
+    bool leaving = false;
+};
+
+struct flow_cell_stats {
+    std::int64_t starts = 0;
+    std::int64_t done = 0;
+    std::int64_t failed = 0;
+    std::int64_t lost = 0; // runs that ended with their worker
+    std::int64_t commits = 0;
+    std::int64_t holds = 0;
+    std::int64_t takeovers = 0;
+};
+
+class flow_cell {
+public:
+    enum class role : std::uint8_t { watching, taking, reading, owning, released };
+
+    flow_cell(cell_id id, entry_identity self, const flow_edges& edges, flow_cell_hooks hooks);
+    flow_cell(const flow_cell&) = delete;
+    flow_cell& operator=(const flow_cell&) = delete;
+
+    const cell_id& id() const { return id_; }
+    role current_role() const { return role_; }
+    bool owns() const { return role_ == role::owning || role_ == role::reading; }
+    skylarkhub::epoch epoch() const { return epoch_; }
+    const wire::flow_cell_row& row() const { return row_; }
+    const flow_cell_stats& stats() const { return stats_; }
+
+    // --- events ---
+    void on_workers_listed(instant now, const std::vector<flow_listed_worker>& workers);
+    // The cell's row as read now; empty when absent.
+    void on_row_read(instant now, const store_row* row);
+    // Some time has passed: renewals, takeovers, lapsed leases. Called every tick_interval.
+    void tick(instant now, const cell_candidacy& candidacy);
+    // A row of a job bound to this cell, newly written by some entry.
+    void on_job_row(instant now, const job_id& job, const wire::flow_job_row& row, row_version version);
+    // Carries out what the events since the last call have made due. Called after every event.
+    void settle(instant now);
+    // A planned stop: nothing more is started, what is known is written, the row is released.
+    void plan_stop(instant now);
+    bool stopped() const { return role_ == role::released || role_ == role::watching; }
+
+    // What peers are told; only of an owner.
+    wire::flow_cell_news news() const;
+    std::int64_t pending(const queue_id& queue) const;
+    // Bound to this cell and not ended; null when unknown.
+    const flow_job* find_job(const job_id& job) const;
+    std::size_t job_count() const { return jobs_.size(); }
+
+private:
+    struct unconfirmed_end {
+        end_number number;
+        job_id job;
+        std::uint64_t changes = 0; // of the job, that tell this end
+    };
+    struct cell_worker {
+        flow_listed_worker listing;
+        bool listed = false;
+        bool fenced = false; // accepted this epoch and told what runs
+        std::optional<worker_time> reading;
+        instant read_at{};
+        instant lapsed_after{}; // by then every lease given by this cell's owners has certainly ended
+        bool holding = false;   // a hold is under way
+        bool hold_planned = false;
+        instant hold_sent{};
+        instant last_answer{};
+        std::int32_t silent = 0; // holds without an answer in a row
+        end_number seen;
+        end_number confirmed;
+        std::vector<unconfirmed_end> unconfirmed;
+        absl::btree_map<flow_task_id, ledger_run> ledger;
+        resources held;
+        std::int64_t filling_cpu = 0;
+        std::int32_t serving = 0;
+        std::int32_t fillers = 0;
+        instant no_starts_until{};
+        double distrust = 0;
+        instant distrust_at{};
+        double slowness = 1;
+        // Interference, of the newest hold.
+        bool strained = false;
+        instant strained_since{};
+        std::int32_t pace = 100; // of its filling tasks
+        instant paced_at{};
+        std::map<flow_task_id, std::int32_t> paced;
+    };
+
+    // flow_cell_own.cpp
+    void consider_takeover(instant now, const cell_candidacy& candidacy);
+    void probe_then_take(instant now);
+    void take(instant now);
+    void on_taken(instant now, const wire::flow_cell_row& wanted, const store_result& result);
+    void read_jobs(instant now, int part, std::string from);
+    void on_jobs_read(instant now, int part, const store_page& page);
+    void become_owner(instant now);
+    void renew(instant now);
+    void lose(instant now, const std::string& reason);
+    void release(instant now);
+    bool may_send(instant now) const;
+    void watch_jobs(instant now);
+    void read_row(instant now);
+
+    // flow_cell_workers.cpp
+    void hold_soon(instant now, const worker_id& id, duration wait);
+    void send_hold(instant now, const worker_id& id);
+    void on_held(instant now, const worker_id& id, instant sent, const order_answer& answer);
+    void take_inventory(instant now, cell_worker& w, instant sent, const order_answer& answer);
+    void take_end(instant now, cell_worker& w, const listed_end& end);
+    void take_running(instant now, cell_worker& w, const listed_run& run, instant sent);
+    void adopt(instant now, cell_worker& w, flow_job& job, const listed_run& run);
+    void find_missing(instant now, cell_worker& w, instant sent, const order_answer& answer);
+    void confirm_ends(cell_worker& w);
+    void worker_died(instant now, cell_worker& w, const std::string& reason);
+    void check_lapsed(instant now);
+    std::optional<worker_time> lease_end(cell_worker& w, instant now) const;
+    void note_lease(cell_worker& w, instant now) const;
+    worker_place place_of(const cell_worker& w) const { return {w.listing.worker, w.listing.address}; }
+    bool all_accounted(instant now) const;
+    void distrust(instant now, cell_worker& w, double amount);
+
+    // flow_cell_runs.cpp
+    void send_start(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries);
+    void on_started(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries,
+                    const order_answer& answer);
+    void send_stop(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries);
+    void stop_job_runs(instant now, flow_job& job);
+    void stop_copies(instant now, flow_job& job, flow_task& task, const flow_task_id& id, run_number winner);
+    void drop_run(instant now, cell_worker& w, const flow_task_id& task, run_number run);
+    void ledger_add(cell_worker& w, const flow_job& job, const flow_step& step, const flow_task_id& task, run_number run);
+    void ledger_remove(cell_worker& w, const flow_task_id& task, run_number run);
+    void requeue(instant now, flow_job& job, const flow_task_id& task);
+    void after_done(instant now, flow_job& job, const flow_task_id& task);
+    void end_job(instant now, flow_job& job, flow_state outcome);
+    void adopt_job(instant now, const job_id& id, const wire::flow_job_row& row, row_version version);
+    void job_changed(instant now, flow_job& job, bool urgent);
+    void forget_job(const job_id& id);
+
+    // flow_cell_placing.cpp
+    void place_soon(instant now);
+    void place_ready(instant now);
+    bool place_stage(instant now, flow_job& job, flow_stage& stage);
+    cell_worker* choose(instant now, const flow_job& job, const flow_stage& stage, const flow_task& task);
+    place_option option_of(instant now, const cell_worker& w) const;
+    void index_ready(flow_job& job);
+    void tick_timed(instant now);
+
+    // flow_cell_commit.cpp
+    void commit_soon(instant now, const std::string& part, duration wait);
+    void commit_part(instant now, const std::string& part);
+    void on_committed(instant now, const std::string& part, const std::vector<std::pair<job_id, std::uint64_t>>& jobs,
+                      const store_result& result);
+    void after_written(instant now, flow_job& job);
+    void confirm_all(instant now);
+
+    // flow_cell_pace.cpp
+    void take_measures(instant now, cell_worker& w, const order_answer& answer);
+    void pace_fillers(instant now, cell_worker& w);
+
+    struct part_state {
+        bool committing = false;
+        bool planned = false;
+        instant due{};
+        instant held_until{}; // no try before, after one that failed
+        std::set<job_id> dirty;
+        duration backoff{0};
+    };
+    struct ready_key {
+        std::int32_t priority = 0;
+        std::int64_t accepted_ms = 0;
+        job_id job;
+        friend auto operator<=>(const ready_key&,
+                                const ready_key&) = default; // NOLINT(modernize-use-nullptr): wrong in clang-tidy 14
+    };
+
+    cell_id id_;
+    entry_identity self_;
+    const flow_edges& edges_;
+    flow_cell_hooks hooks_;
+
+    role role_ = role::watching;
+    wire::flow_cell_row row_;
+    bool row_known_ = false;   // read at least once
+    bool row_present_ = false;
+    row_version row_version_;
+    instant row_unchanged_since_{};
+    instant row_read_at_{};
+    bool reading_row_ = false;
+    bool acting_ = false;      // a take, renewal or release is under way
+    skylarkhub::epoch epoch_;
+    instant renewed_{};        // when the last renewal that succeeded was sent
+    instant taken_at_{};
+    duration old_owner_gone_{0}; // how long after taken_at_ the owner before may still have sent
+    bool fresh_ = false;       // nobody owned it before
+    bool stopping_ = false;
+    instant next_renewal_{};
+    std::uint64_t life_ = 0;   // of an ownership; callbacks of an earlier one are dropped
+    row_version watched_;      // the jobs table is known up to here
+    bool watching_jobs_ = false;
+    instant next_watch_{};
+    int parts_left_ = 0;
+    std::set<job_id> reading_jobs_;
+
+    std::map<worker_id, cell_worker> workers_;
+    std::map<job_id, std::unique_ptr<flow_job>> jobs_;
+    std::map<ready_key, job_id> ready_;
+    std::set<job_id> awaited_; // known since the takeover; unfound tasks may still run on a worker not accounted for
+    std::set<job_id> timed_;
+    std::map<std::string, part_state> parts_;
+    bool place_planned_ = false;
+    flow_cell_stats stats_;
+};
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/flow_cell_placing.cpp
@@ -0,0 +1,193 @@
+// Which tasks are started next, and where.
+#include <algorithm>
+#include <cmath>
+
+#include "flow_cell_p.h"
+#include "flow_limits_p.h"
+#include "log_line_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+void flow_cell::place_soon(instant now)
+{
+    static_cast<void>(now);
+    place_planned_ = true;
+}
+
+void flow_cell::settle(instant now)
+{
+    if (place_planned_) {
+        place_planned_ = false;
+        place_ready(now);
+    }
+    for (auto& [part, state] : parts_) {
+        if (!state.dirty.empty() && !state.committing && state.due <= now) {
+            commit_part(now, part);
+        }
+    }
+}
+
+void flow_cell::index_ready(flow_job& job)
+{
+    const bool any = std::any_of(job.stages().begin(), job.stages().end(), [](const flow_stage& s) { return s.ready > 0; });
+    const flow_queue* const queue = hooks_.queue(queue_id(job.row().queue));
+    const ready_key key{queue != nullptr ? queue->priority : job.row().priority, job.row().accepted_ms, job.id()};
+    if (any) {
+        ready_[key] = job.id();
+    }
+    else {
+        ready_.erase(key);
+    }
+}
+
+void flow_cell::place_ready(instant now)
+{
+    if (role_ != role::owning || stopping_ || !may_send(now)) {
+        return;
+    }
+    std::vector<std::pair<ready_key, job_id>> waiting(ready_.begin(), ready_.end());
+    for (const auto& [key, id] : waiting) {
+        const auto found = jobs_.find(id);
+        if (found == jobs_.end()) {
+            ready_.erase(key);
+            continue;
+        }
+        if (awaited_.count(id) != 0) {
+            continue;
+        }
+        flow_job& job = *found->second;
+        for (flow_stage& stage : job.stages()) {
+            if (stage.ready > 0) {
+                place_stage(now, job, stage);
+            }
+        }
+        index_ready(job);
+    }
+}
+
+place_option flow_cell::option_of(instant now, const cell_worker& w) const
+{
+    place_option option;
+    option.worker = w.listing.worker;
+    option.rack = w.listing.rack;
+    option.room = w.listing.room;
+    option.held = w.held;
+    option.filling_cpu = w.filling_cpu;
+    option.serving = w.serving;
+    option.fillers = w.fillers;
+    option.strained = w.strained || w.pace < 100;
+    const double age = std::chrono::duration<double>(now - w.distrust_at).count();
+    option.distrust = w.distrust * std::exp2(-age / distrust_half_life_s);
+    option.slowness = w.slowness;
+    return option;
+}
+
+flow_cell::cell_worker* flow_cell::choose(instant now, const flow_job& job, const flow_stage& stage,
+                                          const flow_task& task)
+{
+    const flow_step& step = job.step(stage);
+    cell_worker* best = nullptr;
+    double best_cost = 0;
+    for (auto& [id, w] : workers_) {
+        if (!w.listed || !w.fenced || w.listing.draining || w.listing.service != job.row().service_name ||
+            w.silent > 0 || !w.reading || now < w.no_starts_until) {
+            continue;
+        }
+        const auto& labels = w.listing.labels;
+        if (!step.label.empty() && std::find(labels.begin(), labels.end(), step.label) == labels.end()) {
+            continue;
+        }
+        const place_option option = option_of(now, w);
+        if (!has_room(option, step)) {
+            continue;
+        }
+        const flow_task_id first{job.id(), stage.occurrence, stage.step, 0};
+        std::int32_t beside = 0;
+        for (auto at = w.ledger.lower_bound(first); at != w.ledger.end() && at->first.job == job.id() &&
+                                                    at->first.occurrence == stage.occurrence &&
+                                                    at->first.step == stage.step;
+             ++at) {
+            ++beside;
+        }
+        if (step.per_worker_most > 0 && beside >= step.per_worker_most) {
+            continue;
+        }
+        const bool runs_here = std::any_of(task.runs.begin(), task.runs.end(),
+                                           [&id = id](const live_run& live) { return live.worker == id; });
+        if (runs_here) {
+            continue;
+        }
+        double cost = place_cost(option, step);
+        cost += task.failed_on == id ? 2.0 : 0.0; // as much as a run that takes three times as long
+        if (best == nullptr || cost < best_cost) {
+            best = &w;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+// True when every ready task of the stage has found a worker.
+bool flow_cell::place_stage(instant now, flow_job& job, flow_stage& stage)
+{
+    const flow_step& step = job.step(stage);
+    std::vector<std::pair<std::size_t, cell_worker*>> chosen;
+    run_number gang_run;
+    for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
+        flow_task& task = stage.tasks[i];
+        if (task.stage != task_stage::ready) {
+            if (step.gang && !task.runs.empty()) {
+                return false; // members of an earlier run have not all ended
+            }
+            continue;
+        }
+        cell_worker* const w = choose(now, job, stage, task);
+        if (w == nullptr) {
+            break;
+        }
+        const flow_task_id id{job.id(), stage.occurrence, stage.step, static_cast<std::int32_t>(i)};
+        const run_number run = job.next_run(task, epoch_);
+        gang_run = std::max(gang_run, run);
+        ledger_add(*w, job, step, id, run);
+        chosen.emplace_back(i, w);
+    }
+    const bool all = static_cast<std::int32_t>(chosen.size()) == stage.ready;
+    for (const auto& [i, w] : chosen) {
+        flow_task& task = stage.tasks[i];
+        const flow_task_id id{job.id(), stage.occurrence, stage.step, static_cast<std::int32_t>(i)};
+        const run_number own_run = job.next_run(task, epoch_);
+        if (step.gang && !all) {
+            ledger_remove(*w, id, own_run);
+            continue;
+        }
+        const run_number run = step.gang ? gang_run : own_run;
+        w->ledger.at(id).run = run;
+        task.last_run = run;
+        task.stage = task_stage::placed;
+        --stage.ready;
+        task.runs.push_back({w->listing.worker, run, now});
+        ++stats_.starts;
+        send_start(now, w->listing.worker, id, run, 0);
+    }
+    if (!chosen.empty() && !(step.gang && !all) && !job.started()) {
+        job.note_started();
+        job_changed(now, job, false);
+    }
+    return all;
+}
+
+void flow_cell::tick_timed(instant now)
+{
+    const wall_time wall = edges_.wall();
+    for (const job_id& id : timed_) {
+        const auto found = jobs_.find(id);
+        if (found != jobs_.end() && found->second->open_stages(now, wall)) {
+            index_ready(*found->second);
+            place_soon(now);
+        }
+    }
+}
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/flow_cell_runs.cpp
@@ -0,0 +1,462 @@
+// Runs of tasks: starting, stopping, what becomes of a task when a run ends, and the ledgers of workers.
+#include <algorithm>
+
+#include "flow_cell_p.h"
+#include "flow_limits_p.h"
+#include "log_line_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+namespace {
+
+std::string text_of(const flow_task_id& task)
+{
+    return task.job.str() + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "." +
+           std::to_string(task.index);
+}
+
+live_run* find_run(flow_task& task, const worker_id& worker, run_number run)
+{
+    const auto at = std::find_if(task.runs.begin(), task.runs.end(), [&](const live_run& live) {
+        return live.worker == worker && live.run == run;
+    });
+    return at == task.runs.end() ? nullptr : &*at;
+}
+
+} // namespace
+
+// --- ledgers ---
+
+void flow_cell::ledger_add(cell_worker& w, const flow_job& job, const flow_step& step, const flow_task_id& task,
+                           run_number run)
+{
+    static_cast<void>(job);
+    ledger_run entry{run, step.need, step.filling, step.lasting, step.image, step.tail_target};
+    const auto [at, added] = w.ledger.emplace(task, entry);
+    if (!added) {
+        at->second.run = run;
+        return;
+    }
+    resources counted = step.need;
+    if (step.filling) {
+        w.filling_cpu += counted.cpu_millis;
+        counted.cpu_millis = 0;
+        ++w.fillers;
+    }
+    if (step.tail_target > duration(0)) {
+        ++w.serving;
+    }
+    w.held = w.held + counted;
+}
+
+void flow_cell::ledger_remove(cell_worker& w, const flow_task_id& task, run_number run)
+{
+    const auto at = w.ledger.find(task);
+    if (at == w.ledger.end() || at->second.run != run) {
+        return;
+    }
+    resources counted = at->second.need;
+    if (at->second.filling) {
+        w.filling_cpu -= counted.cpu_millis;
+        counted.cpu_millis = 0;
+        --w.fillers;
+    }
+    if (at->second.tail_target > duration(0)) {
+        --w.serving;
+    }
+    w.held = w.held - counted;
+    w.ledger.erase(at);
+    w.paced.erase(task);
+}
+
+// --- starts ---
+
+void flow_cell::send_start(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries)
+{
+    const auto at = workers_.find(id);
+    const auto found = jobs_.find(task.job);
+    if (at == workers_.end() || found == jobs_.end()) {
+        return;
+    }
+    cell_worker& w = at->second;
+    flow_task* const t = found->second->find_task(task);
+    live_run* const live = t == nullptr ? nullptr : find_run(*t, id, run);
+    if (live == nullptr || live->confirmed) {
+        return;
+    }
+    if (live->stopping || !may_send(now)) {
+        send_stop(now, id, task, run, 0);
+        return;
+    }
+    start_run order;
+    order.task = task;
+    order.run = run;
+    order.payload = found->second->spec().payload;
+    order.checkpoint = t->checkpoint;
+    order.fence = epoch_;
+    if (tries == 0) {
+        live->lease_until = lease_end(w, now).value_or(worker_time{});
+        note_lease(w, now);
+    }
+    // A try that is sent again carries the first one's lease: else a silent worker's would never certainly end.
+    order.lease_until = live->lease_until;
+    edges_.order(place_of(w), order, start_timeout,
+                 [this, id, task, run, tries, life = life_](instant then, const order_answer& answer) {
+                     if (life == life_) {
+                         on_started(then, id, task, run, tries, answer);
+                     }
+                 });
+}
+
+void flow_cell::on_started(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries,
+                           const order_answer& answer)
+{
+    const auto at = workers_.find(id);
+    const auto found = jobs_.find(task.job);
+    if (at == workers_.end() || found == jobs_.end()) {
+        return;
+    }
+    cell_worker& w = at->second;
+    flow_task* const t = found->second->find_task(task);
+    live_run* const live = t == nullptr ? nullptr : find_run(*t, id, run);
+    if (answer.clock && (!w.reading || *answer.clock > *w.reading)) {
+        w.reading = answer.clock;
+        w.read_at = now;
+        w.last_answer = now;
+    }
+    if (live == nullptr) {
+        return; // its end is known already
+    }
+    if (answer.result != order_result::accepted) {
+        write_log(log_level::info, "run", "start_not_accepted",
+                  {{"task", text_of(task)},
+                   {"run", std::to_string(run.value())},
+                   {"worker", id.str()},
+                   {"result", std::to_string(static_cast<int>(answer.result))},
+                   {"tries", std::to_string(tries)},
+                   {"reason", answer.reason}});
+    }
+    switch (answer.result) {
+    case order_result::accepted:
+        live->confirmed = true;
+        live->sent = now;
+        if (live->stopping) {
+            send_stop(now, id, task, run, 0);
+        }
+        return;
+    case order_result::fenced:
+        lose(now, "a worker has seen a higher fencing token");
+        return;
+    case order_result::other_life:
+        worker_died(now, w, "another life answers at its address");
+        place_soon(now);
+        return;
+    case order_result::stale_run:
+        // It ran and has ended, or was stopped: the next exchange lists the end. If it does not, the run is missing.
+        live->confirmed = true;
+        live->sent = now;
+        return;
+    case order_result::no_answer:
+        edges_.after(start_retry, [this, id, task, run, tries, life = life_](instant then) {
+            if (life == life_) {
+                send_start(then, id, task, run, tries + 1);
+            }
+        });
+        return;
+    case order_result::expired:
+    case order_result::no_room:
+    case order_result::no_ticket:
+    case order_result::unhealthy:
+    case order_result::invalid:
+        break;
+    }
+    w.no_starts_until = now + unhealthy_pause;
+    if (answer.result == order_result::unhealthy) {
+        distrust(now, w, 0.5);
+    }
+    if (tries > 0) {
+        send_stop(now, id, task, run, 0); // an earlier try may have been carried out
+        return;
+    }
+    drop_run(now, w, task, run);
+    place_soon(now);
+}
+
+// --- stops ---
+
+void flow_cell::send_stop(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries)
+{
+    const auto at = workers_.find(id);
+    if (at == workers_.end() || !may_send(now)) {
+        return;
+    }
+    edges_.order(place_of(at->second), stop_run{task, run, epoch_}, stop_timeout,
+                 [this, id, task, run, tries, life = life_](instant then, const order_answer& answer) {
+                     const auto w = workers_.find(id);
+                     if (life != life_ || w == workers_.end()) {
+                         return;
+                     }
+                     const auto found = jobs_.find(task.job);
+                     flow_task* const t = found == jobs_.end() ? nullptr : found->second->find_task(task);
+                     live_run* const live = t == nullptr ? nullptr : find_run(*t, id, run);
+                     switch (answer.result) {
+                     case order_result::fenced:
+                         lose(then, "a worker has seen a higher fencing token");
+                         return;
+                     case order_result::other_life:
+                         worker_died(then, w->second, "another life answers at its address");
+                         return;
+                     case order_result::no_answer:
+                     case order_result::unhealthy:
+                         if (live == nullptr && tries > 3) {
+                             return;
+                         }
+                         edges_.after(stop_retry, [this, id, task, run, tries, life = life_](instant again) {
+                             if (life == life_) {
+                                 send_stop(again, id, task, run, tries + 1);
+                             }
+                         });
+                         return;
+                     default:
+                         break;
+                     }
+                     // It ends within moments, or it was never there and never will be: the next exchange tells.
+                     if (live != nullptr) {
+                         live->confirmed = true;
+                         live->stopping = true;
+                         live->sent = then - 3 * hold_wait;
+                     }
+                 });
+}
+
+void flow_cell::stop_job_runs(instant now, flow_job& job)
+{
+    for (flow_stage& stage : job.stages()) {
+        for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
+            flow_task& task = stage.tasks[i];
+            const flow_task_id id{job.id(), stage.occurrence, stage.step, static_cast<std::int32_t>(i)};
+            if (task.stage == task_stage::ready) {
+                task.stage = task_stage::closed;
+                --stage.ready;
+            }
+            for (live_run& live : task.runs) {
+                if (!live.stopping) {
+                    live.stopping = true;
+                    send_stop(now, live.worker, id, live.run, 0);
+                }
+            }
+        }
+    }
+    index_ready(job);
+}
+
+void flow_cell::stop_copies(instant now, flow_job& job, flow_task& task, const flow_task_id& id, run_number winner)
+{
+    static_cast<void>(job);
+    for (live_run& live : task.runs) {
+        if (live.run != winner && !live.stopping) {
+            live.stopping = true;
+            send_stop(now, live.worker, id, live.run, 0);
+        }
+    }
+}
+
+// --- what becomes of a task ---
+
+// The run is certainly not going on any more.
+void flow_cell::drop_run(instant now, cell_worker& w, const flow_task_id& task, run_number run)
+{
+    ledger_remove(w, task, run);
+    place_soon(now);
+    const auto found = jobs_.find(task.job);
+    if (found == jobs_.end()) {
+        return;
+    }
+    flow_job& job = *found->second;
+    flow_task* const t = job.find_task(task);
+    if (t == nullptr) {
+        return;
+    }
+    t->runs.erase(std::remove_if(t->runs.begin(), t->runs.end(),
+                                 [&](const live_run& live) {
+                                     return live.worker == w.listing.worker && live.run == run;
+                                 }),
+                  t->runs.end());
+    if (t->runs.empty() && t->stage == task_stage::placed) {
+        requeue(now, job, task);
+    }
+    if (job.cancelled() || job.ended()) {
+        job_changed(now, job, false); // it may be the last run, after which the job is put away
+    }
+}
+
+void flow_cell::requeue(instant now, flow_job& job, const flow_task_id& task)
+{
+    flow_stage* const stage = job.find_stage(task);
+    flow_task* const t = job.find_task(task);
+    if (job.cancelled() || job.ended()) {
+        t->stage = task_stage::closed;
+        return;
+    }
+    t->stage = task_stage::ready;
+    t->ready_since = now;
+    ++stage->ready;
+    index_ready(job);
+}
+
+void flow_cell::after_done(instant now, flow_job& job, const flow_task_id& task)
+{
+    flow_stage* const stage = job.find_stage(task);
+    flow_task* const t = job.find_task(task);
+    stop_copies(now, job, *t, task, run_number(0));
+    const bool stage_done = stage->done == static_cast<std::int32_t>(stage->tasks.size());
+    if (stage_done && job.all_done()) {
+        end_job(now, job, flow_state::done);
+    }
+    else if (stage_done && job.open_stages(now, edges_.wall())) {
+        index_ready(job);
+        place_soon(now);
+    }
+    job_changed(now, job, stage_done);
+}
+
+void flow_cell::end_job(instant now, flow_job& job, flow_state outcome)
+{
+    if (job.ended()) {
+        return;
+    }
+    write_log(log_level::info, "job", "ended",
+              {{"job", job.id().str()}, {"cell", id_.str()}, {"outcome", std::to_string(static_cast<int>(outcome))}});
+    job.note_outcome(outcome);
+    stop_job_runs(now, job);
+    job_changed(now, job, true);
+}
+
+// --- jobs ---
+
+const flow_job* flow_cell::find_job(const job_id& job) const
+{
+    const auto found = jobs_.find(job);
+    return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+void flow_cell::on_job_row(instant now, const job_id& job, const wire::flow_job_row& row, row_version version)
+{
+    if (!owns()) {
+        return;
+    }
+    const auto found = jobs_.find(job);
+    if (found == jobs_.end()) {
+        if (row.cell == id_.str() && row.outcome == 0) {
+            adopt_job(now, job, row, version);
+        }
+        return;
+    }
+    flow_job& known = *found->second;
+    const bool was_cancelled = known.cancelled();
+    known.merge(row, version);
+    if (known.cancelled() && !was_cancelled) {
+        write_log(log_level::info, "job", "cancelled", {{"job", job.str()}, {"cell", id_.str()}});
+        stop_job_runs(now, known);
+        job_changed(now, known, false);
+    }
+}
+
+void flow_cell::adopt_job(instant now, const job_id& id, const wire::flow_job_row& row, row_version version)
+{
+    auto& job = jobs_[id];
+    job = std::make_unique<flow_job>(id, row, version);
+    if (job->timed()) {
+        timed_.insert(id);
+    }
+    if (role_ != role::owning) {
+        return;
+    }
+    write_log(log_level::info, "job", "bound",
+              {{"job", id.str()},
+               {"cell", id_.str()},
+               {"queue", row.queue},
+               {"steps", std::to_string(row.steps.size())},
+               {"cell_epoch", std::to_string(row.cell_epoch)}});
+    if (row.cell_epoch < epoch_.value() && !all_accounted(now)) {
+        awaited_.insert(id); // the owner before may have heard of it first
+    }
+    if (job->cancelled()) {
+        job_changed(now, *job, false);
+        return;
+    }
+    job->open_stages(now, edges_.wall());
+    index_ready(*job);
+    place_soon(now);
+}
+
+void flow_cell::forget_job(const job_id& id)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) {
+        return;
+    }
+    for (auto at = ready_.begin(); at != ready_.end();) {
+        at = at->second == id ? ready_.erase(at) : std::next(at);
+    }
+    awaited_.erase(id);
+    timed_.erase(id);
+    parts_[job_part(id)].dirty.erase(id);
+    jobs_.erase(found);
+}
+
+std::int64_t flow_cell::pending(const queue_id& queue) const
+{
+    return std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& j) {
+        return j.second->row().queue == queue.str() && !j.second->started() && !j.second->cancelled();
+    });
+}
+
+wire::flow_cell_news flow_cell::news() const
+{
+    wire::flow_cell_news news;
+    news.cell = id_.str();
+    news.epoch = epoch_.value();
+    std::map<std::string, wire::flow_pool_row> pools;
+    std::map<std::string, std::set<std::string>> labels;
+    for (const auto& [id, w] : workers_) {
+        if (!w.listed || w.listing.draining) {
+            continue;
+        }
+        wire::flow_pool_row& pool = pools[w.listing.service];
+        pool.service_name = w.listing.service;
+        if (!w.fenced || w.silent >= silent_holds_most) {
+            continue;
+        }
+        const std::int64_t free = w.listing.room.cpu_millis - w.held.cpu_millis;
+        pool.total_cpu_millis += w.listing.room.cpu_millis;
+        pool.free_cpu_millis += free;
+        pool.unused_cpu_millis += free - w.filling_cpu;
+        labels[w.listing.service].insert(w.listing.labels.begin(), w.listing.labels.end());
+    }
+    for (const auto& [id, job] : jobs_) {
+        if (!job->started() && !job->cancelled()) {
+            ++news.pending[job->row().queue];
+        }
+        const auto pool = pools.find(job->row().service_name);
+        if (pool == pools.end()) {
+            continue;
+        }
+        for (const flow_stage& stage : job->stages()) {
+            const std::int64_t queued = stage.ready * job->step(stage).need.cpu_millis;
+            pool->second.unused_cpu_millis -= queued;
+            if (!job->step(stage).filling) {
+                pool->second.free_cpu_millis -= queued;
+            }
+        }
+    }
+    for (auto& [service, pool] : pools) {
+        pool.labels.assign(labels[service].begin(), labels[service].end());
+        news.pools.push_back(std::move(pool));
+    }
+    return news;
+}
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/flow_cell_workers.cpp
@@ -0,0 +1,485 @@
+// The workers of a cell: fencing, leases, what runs there, and the ends they list.
+#include <algorithm>
+#include <cmath>
+
+#include "flow_cell_p.h"
+#include "flow_limits_p.h"
+#include "log_line_p.h"
+#include "row_codec_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+namespace {
+
+std::string text_of(const flow_task_id& task)
+{
+    return task.job.str() + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "." +
+           std::to_string(task.index);
+}
+
+// The least wait on our clock after which `d` has certainly passed on a worker's.
+duration certainly(duration d)
+{
+    return duration(static_cast<std::int64_t>(static_cast<double>(d.count()) * (1 + clock_drift))) + lease_margin;
+}
+
+} // namespace
+
+void flow_cell::on_workers_listed(instant now, const std::vector<flow_listed_worker>& workers)
+{
+    std::set<worker_id> present;
+    for (const flow_listed_worker& listing : workers) {
+        present.insert(listing.worker);
+        // A new life at an address proves that the life before it has ended, with everything that ran.
+        for (auto& [id, other] : workers_) {
+            if (id != listing.worker && other.listing.address == listing.address && owns()) {
+                worker_died(now, other, "another life at its address");
+            }
+        }
+        const auto [at, added] = workers_.try_emplace(listing.worker);
+        cell_worker& w = at->second;
+        if (added || w.listing.draining != listing.draining || !w.listed) {
+            write_log(log_level::info, "worker", "listed",
+                      {{"cell", id_.str()},
+                       {"worker", listing.worker.str()},
+                       {"address", listing.address.str()},
+                       {"draining", listing.draining ? "yes" : "no"}});
+        }
+        w.listing = listing;
+        w.listed = true;
+        if (role_ == role::owning && added) {
+            hold_soon(now, listing.worker, duration(0));
+        }
+    }
+    for (auto at = workers_.begin(); at != workers_.end();) {
+        cell_worker& w = at->second;
+        if (present.count(at->first) == 0) {
+            if (w.listed) {
+                write_log(log_level::info, "worker", "unlisted", {{"cell", id_.str()}, {"worker", at->first.str()}});
+            }
+            w.listed = false;
+            if (!owns() || (w.ledger.empty() && (w.fenced || all_accounted(now)))) {
+                at = workers_.erase(at);
+                continue;
+            }
+        }
+        ++at;
+    }
+    if (role_ == role::owning) {
+        place_soon(now);
+    }
+}
+
+// --- leases ---
+
+std::optional<worker_time> flow_cell::lease_end(cell_worker& w, instant now) const
+{
+    if (!w.reading) {
+        return std::nullopt;
+    }
+    return *w.reading + (now - w.read_at) + lease;
+}
+
+void flow_cell::note_lease(cell_worker& w, instant now) const
+{
+    w.lapsed_after = std::max(w.lapsed_after, now + certainly(lease));
+}
+
+bool flow_cell::all_accounted(instant now) const
+{
+    if (now >= taken_at_ + old_owner_gone_ + certainly(lease)) {
+        return true;
+    }
+    return std::all_of(workers_.begin(), workers_.end(), [](const auto& w) { return w.second.fenced; });
+}
+
+void flow_cell::check_lapsed(instant now)
+{
+    for (auto at = workers_.begin(); at != workers_.end();) {
+        cell_worker& w = at->second;
+        const bool silent = now - w.last_answer > lease && w.lapsed_after != instant{};
+        if (silent && now > w.lapsed_after && !w.ledger.empty()) {
+            worker_died(now, w, "no answer for longer than its lease");
+        }
+        if (!w.listed && w.ledger.empty() && w.fenced) {
+            at = workers_.erase(at);
+            continue;
+        }
+        ++at;
+    }
+    if (!awaited_.empty() && all_accounted(now)) {
+        awaited_.clear();
+        place_soon(now);
+    }
+}
+
+// Everything that ran there has ended and told nobody.
+void flow_cell::worker_died(instant now, cell_worker& w, const std::string& reason)
+{
+    if (!w.ledger.empty()) {
+        write_log(log_level::warning, "worker", "lost",
+                  {{"cell", id_.str()},
+                   {"worker", w.listing.worker.str()},
+                   {"runs", std::to_string(w.ledger.size())},
+                   {"reason", reason}});
+    }
+    while (!w.ledger.empty()) {
+        const auto [task, run] = *w.ledger.begin();
+        ++stats_.lost;
+        drop_run(now, w, task, run.run);
+    }
+    w.fenced = true; // nothing of an earlier owner runs there either
+    w.listed = false;
+}
+
+// --- exchanges ---
+
+void flow_cell::hold_soon(instant now, const worker_id& id, duration wait)
+{
+    const auto at = workers_.find(id);
+    if (at == workers_.end() || at->second.hold_planned || at->second.holding) {
+        return;
+    }
+    if (wait <= duration(0)) {
+        send_hold(now, id);
+        return;
+    }
+    at->second.hold_planned = true;
+    edges_.after(wait, [this, id, life = life_](instant then) {
+        const auto w = workers_.find(id);
+        if (life != life_ || w == workers_.end()) {
+            return;
+        }
+        w->second.hold_planned = false;
+        send_hold(then, id);
+    });
+}
+
+void flow_cell::send_hold(instant now, const worker_id& id)
+{
+    const auto at = workers_.find(id);
+    if (at == workers_.end() || at->second.holding) {
+        return;
+    }
+    cell_worker& w = at->second;
+    if (!may_send(now)) {
+        if (owns()) {
+            hold_soon(now, id, hold_retry);
+        }
+        return;
+    }
+    if (!w.listed && w.ledger.empty()) {
+        return;
+    }
+    w.holding = true;
+    w.hold_sent = now;
+    ++stats_.holds;
+    hold_worker order;
+    order.fence = epoch_;
+    order.confirmed = w.confirmed;
+    // A worker that did not answer may still have heard: renewing without end would leave its tasks in doubt without end.
+    // The exchanges that follow an unanswered one only ask.
+    const bool renewing = w.fenced && w.silent == 0;
+    order.lease_until = renewing ? lease_end(w, now) : std::nullopt;
+    order.wait = renewing ? hold_wait : duration(0);
+    if (order.lease_until) {
+        note_lease(w, now);
+    }
+    edges_.order(place_of(w), order, hold_timeout, [this, id, sent = now, life = life_](instant then, const order_answer& answer) {
+        if (life == life_) {
+            on_held(then, id, sent, answer);
+        }
+    });
+}
+
+void flow_cell::on_held(instant now, const worker_id& id, instant sent, const order_answer& answer)
+{
+    const auto at = workers_.find(id);
+    if (at == workers_.end()) {
+        return;
+    }
+    cell_worker& w = at->second;
+    w.holding = false;
+    switch (answer.result) {
+    case order_result::accepted: {
+        w.silent = 0;
+        w.last_answer = now;
+        if (answer.clock) {
+            w.reading = answer.clock;
+            w.read_at = now;
+        }
+        take_inventory(now, w, sent, answer);
+        const auto again = workers_.find(id);
+        if (again == workers_.end()) {
+            return;
+        }
+        const duration gap = again->second.unconfirmed.empty() ? hold_gap : hold_gap_unconfirmed;
+        hold_soon(now, id, sent + gap - now);
+        return;
+    }
+    case order_result::fenced:
+        lose(now, "a worker has seen a higher fencing token");
+        return;
+    case order_result::other_life:
+        worker_died(now, w, "another life answers at its address");
+        place_soon(now);
+        return;
+    default:
+        ++w.silent;
+        if (w.silent == silent_holds_most) {
+            write_log(log_level::warning, "worker", "silent",
+                      {{"cell", id_.str()}, {"worker", id.str()}, {"reason", answer.reason}});
+        }
+        hold_soon(now, id, hold_retry);
+        return;
+    }
+}
+
+void flow_cell::take_inventory(instant now, cell_worker& w, instant sent, const order_answer& answer)
+{
+    const bool first = !w.fenced;
+    w.fenced = true;
+    for (const listed_end& end : answer.ends) {
+        if (end.number > w.seen) {
+            w.seen = end.number;
+            take_end(now, w, end);
+        }
+    }
+    for (const listed_run& run : answer.running) {
+        take_running(now, w, run, sent);
+    }
+    if (!first) {
+        find_missing(now, w, sent, answer);
+    }
+    confirm_ends(w);
+    take_measures(now, w, answer);
+    if (first && !awaited_.empty() && all_accounted(now)) {
+        awaited_.clear();
+        place_soon(now);
+    }
+    if (first) {
+        place_soon(now);
+    }
+}
+
+void flow_cell::take_end(instant now, cell_worker& w, const listed_end& end)
+{
+    const auto found = jobs_.find(end.task.job);
+    if (found == jobs_.end()) {
+        // Ended or not ours: its end tells nothing that is not durable already, or the job's owner has it in its row.
+        ledger_remove(w, end.task, end.run);
+        return;
+    }
+    flow_job& job = *found->second;
+    flow_task* const task = job.find_task(end.task);
+    if (task == nullptr) {
+        ledger_remove(w, end.task, end.run);
+        return;
+    }
+    task->last_run = std::max(task->last_run, end.run);
+    const flow_step& step = job.step(*job.find_stage(end.task));
+    job.note_checkpoint(end.task, end.checkpoint);
+    const std::uint64_t before = job.changes();
+    job.note_started();
+    switch (end.how) {
+    case run_end::done:
+        if (!step.lasting) {
+            ++stats_.done;
+            job.note_done(end.task);
+        }
+        break;
+    case run_end::failed:
+        ++stats_.failed;
+        task->failed_on = w.listing.worker;
+        if (!step.lasting) {
+            job.note_failure(end.task);
+        }
+        distrust(now, w, 1);
+        break;
+    case run_end::stopped:
+    case run_end::lapsed:
+    case run_end::broken:
+    case run_end::alone:
+        break;
+    }
+    write_log(log_level::info, "run", "ended",
+              {{"task", text_of(end.task)},
+               {"run", std::to_string(end.run.value())},
+               {"worker", w.listing.worker.str()},
+               {"how", std::to_string(static_cast<int>(end.how))}});
+    if (job.changes() != before) {
+        w.unconfirmed.push_back({end.number, end.task.job, job.changes()});
+    }
+    drop_run(now, w, end.task, end.run);
+    // drop_run may have ended the job.
+    const auto still = jobs_.find(end.task.job);
+    if (still == jobs_.end()) {
+        return;
+    }
+    if (end.how == run_end::done && !step.lasting) {
+        after_done(now, *still->second, end.task);
+    }
+    else if (end.how == run_end::failed && !step.lasting && !still->second->ended()) {
+        const flow_queue* const queue = hooks_.queue(queue_id(still->second->row().queue));
+        const std::int32_t most = queue != nullptr ? queue->failures_most : still->second->row().failures_most;
+        if (task->stage != task_stage::done && task->failures >= most) {
+            end_job(now, *still->second, flow_state::failed);
+        }
+        job_changed(now, *still->second, true);
+    }
+    else if (job.dirty()) {
+        job_changed(now, job, false);
+    }
+}
+
+void flow_cell::take_running(instant now, cell_worker& w, const listed_run& run, instant sent)
+{
+    const auto held = w.ledger.find(run.task);
+    const auto found = jobs_.find(run.task.job);
+    if (found == jobs_.end()) {
+        if (held == w.ledger.end()) {
+            // Not in the rows read so far: its row is new, or the job has ended. Only the row tells which.
+            if (reading_jobs_.insert(run.task.job).second) {
+                const store_key key = job_key(run.task.job);
+                edges_.read({key.table, key.part, key.key, key.key + '\0'},
+                            [this, job = run.task.job, id = w.listing.worker, run, life = life_](
+                                instant then, const store_page& page) {
+                                if (life != life_) {
+                                    return;
+                                }
+                                reading_jobs_.erase(job);
+                                if (!page.reached) {
+                                    return; // the next exchange asks again
+                                }
+                                if (!page.rows.empty()) {
+                                    const auto row = decode_compact<wire::flow_job_row>(page.rows.front().value);
+                                    if (row) {
+                                        on_job_row(then, job, *row, page.rows.front().version);
+                                    }
+                                }
+                                if (jobs_.count(job) == 0) {
+                                    send_stop(then, id, run.task, run.run, 0);
+                                }
+                            });
+            }
+        }
+        return;
+    }
+    flow_job& job = *found->second;
+    job.note_checkpoint(run.task, run.checkpoint);
+    if (held != w.ledger.end() && held->second.run == run.run) {
+        flow_task* const task = job.find_task(run.task);
+        if (task == nullptr) {
+            return;
+        }
+        for (live_run& live : task->runs) {
+            if (live.worker == w.listing.worker && live.run == run.run) {
+                live.confirmed = true;
+            }
+        }
+        return;
+    }
+    if (held != w.ledger.end() && held->second.run > run.run) {
+        return; // the newer one is on its way
+    }
+    static_cast<void>(sent);
+    adopt(now, w, job, run);
+}
+
+// A run that an earlier owner started, or one of ours whose order was carried out late.
+void flow_cell::adopt(instant now, cell_worker& w, flow_job& job, const listed_run& run)
+{
+    flow_stage* const stage = job.find_stage(run.task);
+    flow_task* const task = job.find_task(run.task);
+    if (task == nullptr || job.cancelled() || job.ended()) {
+        send_stop(now, w.listing.worker, run.task, run.run, 0);
+        return;
+    }
+    const flow_step& step = job.step(*stage);
+    ledger_add(w, job, step, run.task, run.run);
+    const bool wanted = task->stage != task_stage::done && (task->runs.empty() || step.speculative);
+    task->runs.push_back({w.listing.worker, run.run, now, true, !wanted});
+    task->last_run = std::max(task->last_run, run.run);
+    if (!wanted) {
+        send_stop(now, w.listing.worker, run.task, run.run, 0);
+        return;
+    }
+    if (task->stage == task_stage::ready) {
+        --stage->ready;
+    }
+    task->stage = task_stage::placed;
+    job.note_started();
+    job_changed(now, job, false);
+    index_ready(job);
+}
+
+// A run that was confirmed before this exchange began, and is neither running nor ended: it is gone. That should not
+// happen; left alone, its task would wait for an end that never comes.
+void flow_cell::find_missing(instant now, cell_worker& w, instant sent, const order_answer& answer)
+{
+    std::vector<std::pair<flow_task_id, run_number>> missing;
+    for (const auto& [task, run] : w.ledger) {
+        const auto found = jobs_.find(task.job);
+        if (found == jobs_.end()) {
+            continue;
+        }
+        const flow_task* const t = found->second->find_task(task);
+        if (t == nullptr) {
+            continue;
+        }
+        const run_number number = run.run;
+        const bool settled = std::any_of(t->runs.begin(), t->runs.end(), [&](const live_run& live) {
+            return live.worker == w.listing.worker && live.run == number && live.confirmed && live.sent < sent - hold_wait * 2;
+        });
+        const bool listed = std::any_of(answer.running.begin(), answer.running.end(),
+                                        [&task = task](const listed_run& r) { return r.task == task; });
+        if (settled && !listed) {
+            missing.emplace_back(task, number);
+        }
+    }
+    for (const auto& [task, run] : missing) {
+        write_log(log_level::warning, "run", "vanished",
+                  {{"task", text_of(task)}, {"run", std::to_string(run.value())}, {"worker", w.listing.worker.str()}});
+        drop_run(now, w, task, run);
+    }
+}
+
+// Ends are confirmed in order, each once the row of its job tells it.
+void flow_cell::confirm_ends(cell_worker& w)
+{
+    end_number confirmed = w.seen;
+    std::vector<unconfirmed_end> left;
+    for (const unconfirmed_end& end : w.unconfirmed) {
+        const auto found = jobs_.find(end.job);
+        const bool durable = found == jobs_.end() || found->second->written() >= end.changes;
+        if (!durable) {
+            confirmed = std::min(confirmed, end_number(end.number.value() - 1));
+            left.push_back(end);
+        }
+    }
+    w.unconfirmed = std::move(left);
+    w.confirmed = std::max(w.confirmed, confirmed);
+}
+
+void flow_cell::confirm_all(instant now)
+{
+    for (auto& [id, w] : workers_) {
+        if (!w.unconfirmed.empty()) {
+            confirm_ends(w);
+            if (w.unconfirmed.empty()) {
+                send_hold(now, id);
+            }
+        }
+    }
+}
+
+void flow_cell::distrust(instant now, cell_worker& w, double amount)
+{
+    const double age = std::chrono::duration<double>(now - w.distrust_at).count();
+    w.distrust = w.distrust * std::exp2(-age / distrust_half_life_s) + amount;
+    w.distrust_at = now;
+}
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/flow_entry.cpp
@@ -0,0 +1,209 @@
+#include "flow_entry_p.h"
+
+#include <algorithm>
+
+#include "flow_limits_p.h"
+#include "log_line_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+flow_entry::flow_entry(entry_identity self, flow_edges edges) : self_(std::move(self)), edges_(std::move(edges)) {}
+
+void flow_entry::begin(instant now)
+{
+    begun_ = now;
+    next_hello_ = now;
+    register_self(now);
+    read_entries(now);
+    watch_operator(now);
+    list_workers(now);
+    edges_.after(tick_interval, [this](instant then) { tick(then); });
+}
+
+void flow_entry::tick(instant now)
+{
+    if (now >= next_hello_) {
+        next_hello_ = now + hello_interval;
+        tell_peers(now, false);
+    }
+    if (now >= next_entries_read_) {
+        read_entries(now);
+    }
+    if (now >= next_list_ && !listing_) {
+        list_workers(now);
+    }
+    if (now >= next_untold_ && !untold_.empty()) {
+        next_untold_ = now + untold_retry;
+        std::vector<job_id> jobs;
+        for (const auto& [job, row] : untold_) {
+            jobs.push_back(job);
+        }
+        for (const job_id& job : jobs) {
+            tell_owner(now, job);
+        }
+    }
+    if (now - begun_ >= peers_learned) {
+        for (auto& [id, cell] : cells_) {
+            cell->tick(now, candidacy(now, *cell));
+        }
+        yield_cells(now);
+    }
+    edges_.after(tick_interval, [this](instant then) { tick(then); });
+}
+
+void flow_entry::settle(instant now)
+{
+    for (auto& [id, cell] : cells_) {
+        cell->settle(now);
+    }
+    tell_states(now);
+}
+
+bool flow_entry::ready(instant now) const
+{
+    static_cast<void>(now);
+    return config_.has_value() && !leaving_;
+}
+
+void flow_entry::plan_stop(instant now)
+{
+    if (leaving_) {
+        return;
+    }
+    leaving_ = true;
+    write_log(log_level::info, "entry", "stop_planned", {{"entry", self_.entry.str()}});
+    tell_peers(now, true);
+    for (auto& [id, cell] : cells_) {
+        cell->plan_stop(now);
+    }
+}
+
+bool flow_entry::stopped() const
+{
+    return std::all_of(cells_.begin(), cells_.end(), [](const auto& c) { return c.second->stopped(); });
+}
+
+void flow_entry::note_table(instant now, bool reached)
+{
+    if (reached) {
+        table_reached_ = now;
+    }
+}
+
+// --- workers and cells ---
+
+void flow_entry::list_workers(instant now)
+{
+    static_cast<void>(now);
+    listing_ = true;
+    edges_.list_workers([this](instant then, const std::optional<std::vector<flow_listed_worker>>& workers) {
+        listing_ = false;
+        const bool owner = std::any_of(cells_.begin(), cells_.end(), [](const auto& c) { return c.second->owns(); });
+        next_list_ = then + (owner ? list_interval_owner : list_interval_other);
+        if (workers) {
+            on_workers(then, *workers);
+        }
+    });
+}
+
+void flow_entry::on_workers(instant now, const std::vector<flow_listed_worker>& workers)
+{
+    std::map<cell_id, std::vector<flow_listed_worker>> by_cell;
+    for (const flow_listed_worker& w : workers) {
+        const cell_id id(w.data_centre.str());
+        cell_of(id, w.data_centre);
+        racks_[w.rack] = id;
+        by_cell[id].push_back(w);
+    }
+    for (auto& [id, cell] : cells_) {
+        cell->on_workers_listed(now, by_cell[id]);
+    }
+}
+
+flow_cell& flow_entry::cell_of(const cell_id& id, const data_centre_id& data_centre)
+{
+    auto& cell = cells_[id];
+    if (!cell) {
+        cell = std::make_unique<flow_cell>(id, self_, edges_, make_hooks());
+        cell_places_[id] = data_centre;
+    }
+    return *cell;
+}
+
+flow_cell_hooks flow_entry::make_hooks()
+{
+    flow_cell_hooks hooks;
+    hooks.queue = [this](const queue_id& name) -> const flow_queue* {
+        if (!config_) {
+            return nullptr;
+        }
+        const auto at = std::find_if(config_->queues.begin(), config_->queues.end(),
+                                     [&](const flow_queue& q) { return q.name == name; });
+        return at == config_->queues.end() ? nullptr : &*at;
+    };
+    hooks.guards_room = [this](const std::string& service) {
+        return config_ && std::any_of(config_->services.begin(), config_->services.end(), [&](const flow_service& s) {
+                   return s.name == service && s.guards_room;
+               });
+    };
+    hooks.state_changed = [this](instant now, const wire::flow_job_row& row, const job_id& job, flow_state state) {
+        if (row.accepted_by == self_.address.str()) {
+            wire::flow_message message;
+            wire::flow_state_news news;
+            news.job = job.str();
+            news.state = static_cast<std::int32_t>(state);
+            message.states.push_back(news);
+            on_message(now, message);
+            return;
+        }
+        wire::flow_state_news news;
+        news.job = job.str();
+        news.state = static_cast<std::int32_t>(state);
+        state_news_[net_address(row.accepted_by)].push_back(news);
+    };
+    return hooks;
+}
+
+// A cell that an entry of another data centre took over goes home once its own data centre has an entry again: the next
+// cut between the two would part the owner from all its workers.
+void flow_entry::yield_cells(instant now)
+{
+    static_cast<void>(now);
+}
+
+// --- configuration ---
+
+void flow_entry::watch_operator(instant now)
+{
+    static_cast<void>(now);
+    edges_.watch_operator(operator_seen_, operator_wait, [this](instant then, const operator_page& page) {
+        if (page.reached) {
+            operator_seen_ = page.history_gone ? row_version(0) : std::max(operator_seen_, page.version);
+            if (page.config) {
+                take_config(then, *page.config, page.config_text, "table");
+            }
+            watch_operator(then);
+            return;
+        }
+        edges_.after(operator_retry, [this](instant later) { watch_operator(later); });
+    });
+}
+
+// Versions only rise: a late answer of the table or a peer that is behind must not bring an older one back.
+void flow_entry::take_config(instant now, flow_config config, std::string text, const char* from)
+{
+    if (config_ && config.version <= config_->version) {
+        return;
+    }
+    write_log(log_level::info, "config", "in_force",
+              {{"version", std::to_string(config.version.value())},
+               {"queues", std::to_string(config.queues.size())},
+               {"from", from}});
+    config_ = std::move(config);
+    config_text_ = std::move(text);
+    tell_peers(now, false);
+}
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/flow_entry_p.h
@@ -0,0 +1,182 @@
+// One entry's part in flows: what callers ask, the peers it knows, the configuration in force, and the cells it owns or
+// watches. Holds no lock and does no I/O: the daemon calls it under one lock and carries out what it asks of its edges.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "flow_cell_p.h"
+#include "flow_edges_p.h"
+
+namespace skylarkhub {
+
+// --- what callers ask and are told ---
+
+enum class caller_verb : std::uint8_t { submit, state, cancel };
+
+struct caller_request {
+    caller_verb verb = caller_verb::state;
+    std::string host;
+    std::string path;
+    std::optional<flow_spec> spec; // of a submit; empty when the body was no such thing
+    std::string problem;           // why not
+    duration patience{0};          // how long the caller waits; 0: not said
+};
+
+enum class caller_result : std::uint8_t {
+    accepted,
+    state,
+    pending,
+    cancelled,
+    unknown_queue, // no such queue in the configuration
+    unknown_job,
+    invalid,
+    not_accepted, // did not run and never will on account of this request
+    try_later,    // not known now; nothing was done
+    unsettled     // the write may be in force or not
+};
+struct caller_answer {
+    caller_result result = caller_result::try_later;
+    flow_state state = flow_state::queued;
+    std::int64_t pending = 0;
+    duration come_back{0}; // 0: not said
+    std::string reason;
+};
+using caller_reply = std::function<void(caller_answer)>;
+
+struct flow_entry_stats {
+    std::int64_t accepted = 0;
+    std::int64_t repeated = 0;
+    std::int64_t refused = 0;
+    std::int64_t unsettled = 0;
+    std::int64_t cancels = 0;
+    std::int64_t states = 0;
+    std::int64_t state_reads = 0;
+};
+
+class flow_entry {
+public:
+    flow_entry(entry_identity self, flow_edges edges);
+    flow_entry(const flow_entry&) = delete;
+    flow_entry& operator=(const flow_entry&) = delete;
+
+    // Registers the entry and begins to learn; call once.
+    void begin(instant now);
+    // After every event.
+    void settle(instant now);
+    // Fit to take callers.
+    bool ready(instant now) const;
+    void plan_stop(instant now);
+    // Nothing is left to wait for; only after plan_stop().
+    bool stopped() const;
+
+    void on_request(instant now, caller_request request, caller_reply reply);
+    wire::flow_message on_message(instant now, const wire::flow_message& message);
+
+    const flow_entry_stats& stats() const { return stats_; }
+    settings_version config_version() const { return config_ ? config_->version : settings_version(0); }
+    const std::map<cell_id, std::unique_ptr<flow_cell>>& cells() const { return cells_; }
+    // Control addresses of peers heard from lately that say they reach the platform's table, nearest first.
+    std::vector<net_address> peers_with_table(instant now) const;
+    // Told by the daemon when a call to the table was answered or not.
+    void note_table(instant now, bool reached);
+
+private:
+    struct peer {
+        entry_identity identity;
+        instant heard{};
+        bool ever_heard = false;
+        bool leaving = false;
+        bool reaches_table = false;
+        bool telling = false;
+        std::vector<wire::flow_cell_news> cells;
+        instant news_at{};
+    };
+    // A job this entry answers callers for.
+    struct followed_job {
+        queue_id queue;
+        bool accepted = false; // durable
+        bool accepting = false;
+        flow_state state = flow_state::queued;
+        instant checked{}; // when `state` was last known to be so
+        std::vector<caller_reply> waiting_accept;
+        std::vector<caller_reply> waiting_state;
+        bool reading = false;
+    };
+    // A row that the owner of its cell has not taken note of yet.
+    struct untold_row {
+        cell_id cell;
+        wire::flow_job_row row;
+        std::string bytes;
+        row_version version;
+        bool telling = false;
+    };
+
+    // flow_front.cpp
+    const flow_queue* match_queue(const std::string& host, const std::string& path) const;
+    void submit(instant now, const flow_queue& queue, const job_id& job, caller_request request, caller_reply reply);
+    std::optional<cell_id> choose_cell(instant now, const flow_queue& queue, const flow_spec& spec);
+    void write_job(instant now, const job_id& job, wire::flow_job_row row, instant give_up, int tries, bool may_be_in_force);
+    void on_job_written(instant now, const job_id& job, const wire::flow_job_row& row, instant give_up, int tries,
+                        bool may_be_in_force, const store_result& result);
+    void answer_accept(instant now, const job_id& job, caller_answer answer);
+    void ask_state(instant now, const job_id& job, caller_reply reply);
+    void read_state(instant now, const job_id& job);
+    void cancel(instant now, const job_id& job, instant give_up, caller_reply reply);
+    void write_cancel(instant now, const job_id& job, wire::flow_job_row row, row_version version, instant give_up,
+                      caller_reply reply);
+    std::int64_t count_pending(const queue_id& queue) const;
+    void tell_owner(instant now, const job_id& job);
+    void tell_states(instant now);
+
+    // flow_peers.cpp
+    void register_self(instant now);
+    void read_entries(instant now);
+    void learn(const wire::flow_entry_row& row);
+    void tell_peers(instant now, bool everyone);
+    void tell(instant now, peer& p, wire::flow_message message);
+    wire::flow_hello hello(instant now) const;
+    void on_hello(instant now, const wire::flow_hello& hello);
+    bool heard(const peer& p, instant now) const;
+    const peer* owner_of(instant now, const cell_id& cell) const;
+    cell_candidacy candidacy(instant now, const flow_cell& cell) const;
+
+    // flow_entry.cpp
+    void tick(instant now);
+    void list_workers(instant now);
+    void on_workers(instant now, const std::vector<flow_listed_worker>& workers);
+    void watch_operator(instant now);
+    void take_config(instant now, flow_config config, std::string text, const char* from);
+    flow_cell& cell_of(const cell_id& id, const data_centre_id& data_centre);
+    void yield_cells(instant now);
+    flow_cell_hooks make_hooks();
+
+    entry_identity self_;
+    flow_edges edges_;
+    instant begun_{};
+    bool leaving_ = false;
+    std::optional<flow_config> config_;
+    std::string config_text_;
+    row_version operator_seen_;
+    std::map<entry_id, peer> peers_;
+    std::map<cell_id, std::unique_ptr<flow_cell>> cells_;
+    std::map<cell_id, data_centre_id> cell_places_;
+    std::map<cell_id, std::int64_t> assigned_cpu_; // to a cell since its last news
+    std::map<rack_id, cell_id> racks_;
+    absl::flat_hash_map<job_id, followed_job> followed_;
+    std::map<job_id, untold_row> untold_;
+    std::map<net_address, std::vector<wire::flow_state_news>> state_news_;
+    instant next_list_{};
+    bool listing_ = false;
+    instant next_hello_{};
+    instant next_entries_read_{};
+    instant next_untold_{};
+    instant table_reached_{};
+    std::int64_t accept_count_ = 0;
+    flow_entry_stats stats_;
+};
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/flow_front.cpp
@@ -0,0 +1,479 @@
+// What callers ask of an entry: submitting a flow, its state, cancelling it, and how many of a queue wait.
+#include <algorithm>
+
+#include "flow_entry_p.h"
+#include "flow_limits_p.h"
+#include "log_line_p.h"
+#include "row_codec_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+namespace {
+
+constexpr std::size_t job_id_length = 16;
+
+// Why a specification cannot run anywhere, empty when it can.
+std::string find_problem(const flow_spec& spec)
+{
+    if (spec.steps.empty()) {
+        return "a job needs a step";
+    }
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        const flow_step& step = spec.steps[i];
+        if (step.count < 1 || step.count > tasks_per_step_most) {
+            return "a step's number of tasks is out of range";
+        }
+        for (const std::int32_t after : step.after) {
+            if (after < 0 || after >= static_cast<std::int32_t>(i)) {
+                return "a step may only follow earlier ones";
+            }
+        }
+    }
+    return "";
+}
+
+} // namespace
+
+const flow_queue* flow_entry::match_queue(const std::string& host, const std::string& path) const
+{
+    const flow_queue* best = nullptr;
+    for (const flow_queue& q : config_->queues) {
+        if (q.host == host && path.compare(0, q.prefix.size(), q.prefix) == 0 &&
+            (best == nullptr || q.prefix.size() > best->prefix.size())) {
+            best = &q;
+        }
+    }
+    return best;
+}
+
+void flow_entry::on_request(instant now, caller_request request, caller_reply reply)
+{
+    if (!config_) {
+        reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry, "no configuration yet"});
+        return;
+    }
+    const flow_queue* const queue = match_queue(request.host, request.path);
+    if (queue == nullptr) {
+        reply({caller_result::unknown_queue, flow_state::queued, 0, duration(0), "no such queue"});
+        return;
+    }
+    const std::string rest = request.path.substr(queue->prefix.size());
+    if (rest.empty() && request.verb == caller_verb::state) {
+        reply({caller_result::pending, flow_state::queued, count_pending(queue->name), duration(0), ""});
+        return;
+    }
+    if (rest.size() != job_id_length || rest.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos) {
+        reply({caller_result::invalid, flow_state::queued, 0, duration(0), "a job's id is 16 hexadecimal digits"});
+        return;
+    }
+    const job_id job(rest);
+    const duration patience = request.patience > duration(0) ? request.patience : default_patience;
+    switch (request.verb) {
+    case caller_verb::submit:
+        submit(now, *queue, job, std::move(request), std::move(reply));
+        return;
+    case caller_verb::state:
+        ++stats_.states;
+        ask_state(now, job, std::move(reply));
+        return;
+    case caller_verb::cancel:
+        ++stats_.cancels;
+        cancel(now, job, now + patience - answer_margin, std::move(reply));
+        return;
+    }
+}
+
+// --- submit ---
+
+void flow_entry::submit(instant now, const flow_queue& queue, const job_id& job, caller_request request,
+                        caller_reply reply)
+{
+    const auto known = followed_.find(job);
+    if (known != followed_.end() && known->second.accepted) {
+        ++stats_.repeated;
+        reply({caller_result::accepted, flow_state::queued, 0, duration(0), ""});
+        return;
+    }
+    if (known != followed_.end() && known->second.accepting) {
+        known->second.waiting_accept.push_back(std::move(reply));
+        return;
+    }
+    const std::string problem = request.spec ? find_problem(*request.spec) : request.problem;
+    if (!problem.empty()) {
+        reply({caller_result::invalid, flow_state::queued, 0, duration(0), problem});
+        return;
+    }
+    const auto cell = choose_cell(now, queue, *request.spec);
+    if (leaving_ || !cell) {
+        ++stats_.refused;
+        write_log(log_level::info, "job", "refused", {{"job", job.str()}, {"reason", leaving_ ? "stopping" : "no cell"}});
+        reply({caller_result::not_accepted, flow_state::queued, 0, unavailable_retry, "nothing takes jobs here now"});
+        return;
+    }
+    wire::flow_job_row row = make_job_row(*request.spec);
+    row.queue = queue.name.str();
+    row.service_name = queue.service;
+    row.cell = cell->str();
+    row.accepted_by = self_.address.str();
+    row.accept_token = self_.incarnation.str() + "/" + std::to_string(++accept_count_);
+    row.accepted_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(edges_.wall().time_since_epoch()).count();
+    row.failures_most = queue.failures_most;
+    row.priority = queue.priority;
+    const auto own = cells_.find(*cell);
+    if (own != cells_.end() && own->second->owns()) {
+        row.cell_epoch = own->second->epoch().value();
+    }
+    else {
+        const peer* const owner = owner_of(now, *cell);
+        for (const wire::flow_cell_news& news : owner->cells) {
+            row.cell_epoch = news.cell == cell->str() ? news.epoch : row.cell_epoch;
+        }
+    }
+    followed_job& f = followed_[job];
+    f.queue = queue.name;
+    f.accepting = true;
+    f.waiting_accept.push_back(std::move(reply));
+    const duration patience = request.patience > duration(0) ? request.patience : default_patience;
+    write_job(now, job, std::move(row), now + patience - answer_margin, 0, false);
+}
+
+// The cell with the most processors left unused, counting what was sent there since it last told.
+std::optional<cell_id> flow_entry::choose_cell(instant now, const flow_queue& queue, const flow_spec& spec)
+{
+    std::int64_t wanted = 0;
+    std::string label;
+    rack_id rack;
+    bool filling = false;
+    for (const flow_step& step : spec.steps) {
+        wanted = std::max(wanted, step.need.cpu_millis * step.count);
+        label = step.label.empty() ? label : step.label;
+        rack = step.data_rack.valid() ? step.data_rack : rack;
+        filling = filling || step.filling;
+    }
+    std::optional<cell_id> best;
+    double best_score = 0;
+    const auto weigh = [&](const wire::flow_cell_news& news, bool own) {
+        for (const wire::flow_pool_row& pool : news.pools) {
+            if (pool.service_name != queue.service || pool.total_cpu_millis <= 0) {
+                continue;
+            }
+            if (!label.empty() && std::find(pool.labels.begin(), pool.labels.end(), label) == pool.labels.end()) {
+                continue;
+            }
+            const cell_id id(news.cell);
+            const auto total = static_cast<double>(pool.total_cpu_millis);
+            const double unused = static_cast<double>(pool.unused_cpu_millis - assigned_cpu_[id]) / total;
+            const double free = static_cast<double>(pool.free_cpu_millis - assigned_cpu_[id]) / total;
+            double score = filling ? unused : unused + std::min(0.0, free);
+            score += own ? 0.02 : 0.0; // as good a cell here spares a message
+            const auto home = racks_.find(rack);
+            score += rack.valid() && home != racks_.end() && home->second == id ? 1.0 : 0.0;
+            if (!best || score > best_score) {
+                best = id;
+                best_score = score;
+            }
+        }
+    };
+    for (const auto& [id, cell] : cells_) {
+        if (cell->current_role() == flow_cell::role::owning) {
+            weigh(cell->news(), true);
+        }
+    }
+    for (const auto& [id, p] : peers_) {
+        if (heard(p, now) && !p.leaving) {
+            for (const wire::flow_cell_news& news : p.cells) {
+                weigh(news, false);
+            }
+        }
+    }
+    if (best) {
+        assigned_cpu_[*best] += wanted;
+    }
+    return best;
+}
+
+void flow_entry::write_job(instant now, const job_id& job, wire::flow_job_row row, instant give_up, int tries,
+                           bool may_be_in_force)
+{
+    static_cast<void>(now);
+    store_transaction t;
+    t.checks.push_back({job_key(job), row_version(0)});
+    t.puts.push_back({job_key(job), encode_compact(row)});
+    edges_.commit(std::move(t), [this, job, row = std::move(row), give_up, tries,
+                                 may_be_in_force](instant then, const store_result& result) {
+        on_job_written(then, job, row, give_up, tries, may_be_in_force, result);
+    });
+}
+
+void flow_entry::on_job_written(instant now, const job_id& job, const wire::flow_job_row& row, instant give_up,
+                                int tries, bool may_be_in_force, const store_result& result)
+{
+    switch (result.outcome) {
+    case table_outcome::applied:
+        ++stats_.accepted;
+        write_log(log_level::info, "job", "accepted",
+                  {{"job", job.str()},
+                   {"queue", row.queue},
+                   {"cell", row.cell},
+                   {"version", std::to_string(result.version.value())},
+                   {"config", std::to_string(config_version().value())}});
+        untold_[job] = {cell_id(row.cell), row, encode_compact(row), result.version};
+        answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
+        tell_owner(now, job);
+        return;
+    case table_outcome::conflict: {
+        // The job is there: accepted before, by this entry (its answer was lost) or through another one.
+        ++stats_.repeated;
+        const auto there = result.rows.empty() ? std::nullopt : decode_compact<wire::flow_job_row>(result.rows.front().value);
+        if (there && there->accept_token == row.accept_token) {
+            untold_[job] = {cell_id(row.cell), row, encode_compact(row), result.rows.front().version};
+            tell_owner(now, job);
+        }
+        write_log(log_level::info, "job", "accepted_before", {{"job", job.str()}});
+        answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
+        return;
+    }
+    case table_outcome::refused:
+    case table_outcome::unknown:
+        break;
+    }
+    const bool in_doubt = may_be_in_force || result.outcome == table_outcome::unknown;
+    if (now + accept_retry < give_up && (in_doubt || tries < accept_tries)) {
+        edges_.after(accept_retry, [this, job, row, give_up, tries, in_doubt](instant then) {
+            write_job(then, job, row, give_up, tries + 1, in_doubt);
+        });
+        return;
+    }
+    write_log(log_level::warning, "job", in_doubt ? "accept_unsettled" : "refused",
+              {{"job", job.str()}, {"reason", result.reason}, {"tries", std::to_string(tries + 1)}});
+    ++(in_doubt ? stats_.unsettled : stats_.refused);
+    answer_accept(now, job,
+                  {in_doubt ? caller_result::unsettled : caller_result::not_accepted, flow_state::queued, 0,
+                   unavailable_retry, "the table could not be written"});
+}
+
+void flow_entry::answer_accept(instant now, const job_id& job, caller_answer answer)
+{
+    const auto at = followed_.find(job);
+    if (at == followed_.end()) {
+        return;
+    }
+    followed_job& f = at->second;
+    f.accepting = false;
+    f.accepted = answer.result == caller_result::accepted;
+    f.checked = now;
+    std::vector<caller_reply> waiting;
+    waiting.swap(f.waiting_accept);
+    if (!f.accepted) {
+        followed_.erase(at);
+    }
+    for (const caller_reply& reply : waiting) {
+        reply(answer);
+    }
+}
+
+// The owner learns of a new row at once; until it has answered, it is told again.
+void flow_entry::tell_owner(instant now, const job_id& job)
+{
+    const auto at = untold_.find(job);
+    if (at == untold_.end() || at->second.telling) {
+        return;
+    }
+    const auto cell = cells_.find(at->second.cell);
+    if (cell != cells_.end() && cell->second->owns()) {
+        const untold_row row = std::move(at->second);
+        untold_.erase(at);
+        cell->second->on_job_row(now, job, row.row, row.version);
+        return;
+    }
+    const peer* const owner = owner_of(now, at->second.cell);
+    if (owner == nullptr) {
+        return; // tick() tries again
+    }
+    at->second.telling = true;
+    wire::flow_message message;
+    wire::flow_row_news news;
+    news.job = job.str();
+    news.version = at->second.version.value();
+    news.row = at->second.bytes;
+    message.rows.push_back(std::move(news));
+    edges_.tell(owner->identity.address, std::move(message),
+                [this, job](instant, const std::optional<wire::flow_message>& answer) {
+                    const auto row = untold_.find(job);
+                    if (row == untold_.end()) {
+                        return;
+                    }
+                    row->second.telling = false;
+                    if (answer && answer->unknown_jobs.empty()) {
+                        untold_.erase(row);
+                    }
+                });
+}
+
+void flow_entry::tell_states(instant now)
+{
+    static_cast<void>(now);
+    if (state_news_.empty()) {
+        return;
+    }
+    std::map<net_address, std::vector<wire::flow_state_news>> news;
+    news.swap(state_news_);
+    for (auto& [address, states] : news) {
+        wire::flow_message message;
+        message.states = std::move(states);
+        // A message that is lost costs its job one read of the table, when its caller asks again.
+        edges_.tell(address, std::move(message), [](instant, const std::optional<wire::flow_message>&) {});
+    }
+}
+
+// --- state ---
+
+void flow_entry::ask_state(instant now, const job_id& job, caller_reply reply)
+{
+    const auto at = followed_.find(job);
+    if (at != followed_.end() && at->second.accepted) {
+        followed_job& f = at->second;
+        const bool final = f.state == flow_state::done || f.state == flow_state::failed || f.state == flow_state::cancelled;
+        if (final || now - f.checked < state_fresh) {
+            reply({caller_result::state, f.state, 0, duration(0), ""});
+            return;
+        }
+    }
+    followed_job& f = followed_[job];
+    f.waiting_state.push_back(std::move(reply));
+    if (!f.reading) {
+        read_state(now, job);
+    }
+}
+
+void flow_entry::read_state(instant now, const job_id& job)
+{
+    static_cast<void>(now);
+    followed_[job].reading = true;
+    ++stats_.state_reads;
+    const store_key key = job_key(job);
+    edges_.read({key.table, key.part, key.key, key.key + '\0'}, [this, job](instant then, const store_page& page) {
+        const auto at = followed_.find(job);
+        if (at == followed_.end()) {
+            return;
+        }
+        followed_job& f = at->second;
+        f.reading = false;
+        std::vector<caller_reply> waiting;
+        waiting.swap(f.waiting_state);
+        caller_answer answer{caller_result::try_later, f.state, 0, unavailable_retry, "the table could not be read"};
+        if (page.reached && page.rows.empty()) {
+            answer = {caller_result::unknown_job, flow_state::queued, 0, duration(0), "no such job"};
+            if (!f.accepting) {
+                followed_.erase(at);
+            }
+        }
+        else if (page.reached) {
+            const auto row = decode_compact<wire::flow_job_row>(page.rows.front().value);
+            if (row) {
+                f.accepted = true;
+                f.state = state_of(*row);
+                f.checked = then;
+                answer = {caller_result::state, f.state, 0, duration(0), ""};
+            }
+        }
+        else if (f.accepted) {
+            answer = {caller_result::state, f.state, 0, duration(0), ""}; // the newest that is known
+        }
+        for (const caller_reply& reply : waiting) {
+            reply(answer);
+        }
+    });
+}
+
+std::int64_t flow_entry::count_pending(const queue_id& queue) const
+{
+    std::int64_t sum = 0;
+    for (const auto& [id, cell] : cells_) {
+        if (cell->owns()) {
+            sum += cell->pending(queue);
+        }
+    }
+    for (const auto& [id, p] : peers_) {
+        for (const wire::flow_cell_news& news : p.cells) {
+            const auto at = news.pending.find(queue.str());
+            sum += at == news.pending.end() ? 0 : at->second;
+        }
+    }
+    for (const auto& [job, row] : untold_) {
+        sum += row.row.queue == queue.str() ? 1 : 0;
+    }
+    return sum;
+}
+
+// --- cancel ---
+
+void flow_entry::cancel(instant now, const job_id& job, instant give_up, caller_reply reply)
+{
+    const store_key key = job_key(job);
+    edges_.read({key.table, key.part, key.key, key.key + '\0'},
+                [this, job, give_up, reply = std::move(reply)](instant then, const store_page& page) {
+                    if (!page.reached) {
+                        if (then + accept_retry < give_up) {
+                            edges_.after(accept_retry, [this, job, give_up, reply](instant later) {
+                                cancel(later, job, give_up, reply);
+                            });
+                            return;
+                        }
+                        reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry,
+                               "the table could not be read"});
+                        return;
+                    }
+                    if (page.rows.empty()) {
+                        reply({caller_result::unknown_job, flow_state::queued, 0, duration(0), "no such job"});
+                        return;
+                    }
+                    auto row = decode_compact<wire::flow_job_row>(page.rows.front().value);
+                    if (!row) {
+                        reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry, "row unreadable"});
+                        return;
+                    }
+                    if (row->cancelled || row->outcome != 0) {
+                        reply({caller_result::cancelled, flow_state::cancelled, 0, duration(0), ""});
+                        return;
+                    }
+                    write_cancel(then, job, std::move(*row), page.rows.front().version, give_up, reply);
+                });
+    static_cast<void>(now);
+}
+
+void flow_entry::write_cancel(instant now, const job_id& job, wire::flow_job_row row, row_version version,
+                              instant give_up, caller_reply reply)
+{
+    static_cast<void>(now);
+    row.cancelled = true;
+    store_transaction t;
+    t.checks.push_back({job_key(job), version});
+    t.puts.push_back({job_key(job), encode_compact(row)});
+    edges_.commit(std::move(t), [this, job, row = std::move(row), give_up, reply = std::move(reply)](
+                                    instant then, const store_result& result) {
+        if (result.outcome == table_outcome::applied) {
+            write_log(log_level::info, "job", "cancel_accepted",
+                      {{"job", job.str()}, {"version", std::to_string(result.version.value())}});
+            untold_[job] = {cell_id(row.cell), row, encode_compact(row), result.version};
+            const auto at = followed_.find(job);
+            if (at != followed_.end()) {
+                at->second.state = flow_state::cancelled;
+            }
+            reply({caller_result::cancelled, flow_state::cancelled, 0, duration(0), ""});
+            tell_owner(then, job);
+            return;
+        }
+        if (then + accept_retry < give_up) {
+            edges_.after(accept_retry,
+                         [this, job, give_up, reply](instant later) { cancel(later, job, give_up, reply); });
+            return;
+        }
+        reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry, "the table could not be written"});
+    });
+}
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/flow_job.cpp
@@ -0,0 +1,278 @@
+#include "flow_job_p.h"
+
+#include <algorithm>
+
+namespace skylarkhub {
+
+namespace {
+
+// Runs of an owner that took the cell over start this much higher than those of the owner before, which nobody has
+// listed in full. No task comes near a thousand runs within one ownership.
+constexpr std::int64_t runs_per_epoch = 1000;
+
+bool bit_at(const std::string& bits, std::int32_t index)
+{
+    const auto byte = static_cast<std::size_t>(index / 8);
+    return byte < bits.size() && (static_cast<unsigned char>(bits[byte]) >> (index % 8) & 1) != 0;
+}
+
+} // namespace
+
+flow_job::flow_job(job_id id, const wire::flow_job_row& row, row_version version)
+    : id_(std::move(id)), row_(row), spec_(spec_of(row)), version_(version)
+{
+    row_.stages.clear();
+    const std::int32_t occurrences = std::max(1, spec_.occurrences);
+    for (std::int32_t k = 0; k < occurrences; ++k) {
+        for (std::size_t s = 0; s < spec_.steps.size(); ++s) {
+            add_stage(k, static_cast<std::int32_t>(s));
+        }
+    }
+    for (const wire::flow_stage_row& stage : row.stages) {
+        load_stage(stage);
+    }
+    written_ = changes_;
+}
+
+flow_stage* flow_job::add_stage(std::int32_t occurrence, std::int32_t step)
+{
+    flow_stage stage;
+    stage.occurrence = occurrence;
+    stage.step = step;
+    stage.tasks.resize(static_cast<std::size_t>(std::max(0, spec_.steps.at(static_cast<std::size_t>(step)).count)));
+    stages_.push_back(std::move(stage));
+    return &stages_.back();
+}
+
+void flow_job::load_stage(const wire::flow_stage_row& row)
+{
+    flow_stage* const stage = find_stage({id_, row.occurrence, row.step, 0});
+    if (stage == nullptr) {
+        return;
+    }
+    for (std::size_t i = 0; i < stage->tasks.size(); ++i) {
+        flow_task& task = stage->tasks[i];
+        const auto index = static_cast<std::int32_t>(i);
+        if (bit_at(row.done, index)) {
+            note_done({id_, row.occurrence, row.step, index});
+        }
+        const auto failures = row.failures.find(index);
+        if (failures != row.failures.end()) {
+            task.failures = std::max(task.failures, failures->second);
+        }
+        const auto checkpoint = row.checkpoints.find(index);
+        if (checkpoint != row.checkpoints.end() && task.checkpoint.empty()) {
+            task.checkpoint = checkpoint->second;
+        }
+    }
+}
+
+flow_stage* flow_job::find_stage(const flow_task_id& task)
+{
+    const auto steps = static_cast<std::int64_t>(spec_.steps.size());
+    const std::int64_t at = task.occurrence * steps + task.step;
+    if (task.occurrence < 0 || task.step < 0 || task.step >= steps || at >= static_cast<std::int64_t>(stages_.size())) {
+        return nullptr;
+    }
+    return &stages_[static_cast<std::size_t>(at)];
+}
+
+flow_task* flow_job::find_task(const flow_task_id& task)
+{
+    flow_stage* const stage = find_stage(task);
+    if (stage == nullptr || task.index < 0 || task.index >= static_cast<std::int32_t>(stage->tasks.size())) {
+        return nullptr;
+    }
+    return &stage->tasks[static_cast<std::size_t>(task.index)];
+}
+
+bool flow_job::due(std::int32_t occurrence, wall_time wall) const
+{
+    return !timed() || wall >= spec_.first_due + spec_.interval * occurrence;
+}
+
+std::optional<wall_time> flow_job::next_due(wall_time wall) const
+{
+    for (std::int32_t k = 0; k < spec_.occurrences; ++k) {
+        if (!due(k, wall)) {
+            return spec_.first_due + spec_.interval * k;
+        }
+    }
+    return std::nullopt;
+}
+
+bool flow_job::open_stages(instant now, wall_time wall)
+{
+    if (cancelled() || ended()) {
+        return false;
+    }
+    bool opened = false;
+    for (flow_stage& stage : stages_) {
+        if (stage.open || !due(stage.occurrence, wall)) {
+            continue;
+        }
+        const auto& after = step(stage).after;
+        const bool free = std::all_of(after.begin(), after.end(), [&](std::int32_t earlier) {
+            const flow_stage* const s = find_stage({id_, stage.occurrence, earlier, 0});
+            return s == nullptr || s->done == static_cast<std::int32_t>(s->tasks.size());
+        });
+        if (!free) {
+            continue;
+        }
+        stage.open = true;
+        opened = true;
+        for (flow_task& task : stage.tasks) {
+            if (task.stage == task_stage::closed) {
+                task.stage = task_stage::ready;
+                task.ready_since = now;
+                ++stage.ready;
+            }
+        }
+    }
+    return opened;
+}
+
+run_number flow_job::next_run(const flow_task& task, epoch cell_epoch) const
+{
+    const std::int64_t owners = std::max<std::int64_t>(0, cell_epoch.value() - row_.cell_epoch);
+    const std::int64_t base = row_.run_base + owners * runs_per_epoch;
+    return run_number(std::max(task.last_run.value(), base) + 1);
+}
+
+void flow_job::note_started()
+{
+    if (!row_.started) {
+        row_.started = true;
+        ++changes_;
+    }
+}
+
+bool flow_job::note_done(const flow_task_id& task)
+{
+    flow_stage* const stage = find_stage(task);
+    flow_task* const t = find_task(task);
+    if (t == nullptr || t->stage == task_stage::done) {
+        return false;
+    }
+    if (t->stage == task_stage::ready) {
+        --stage->ready;
+    }
+    t->stage = task_stage::done;
+    t->checkpoint.clear();
+    ++stage->done;
+    ++changes_;
+    return true;
+}
+
+std::int32_t flow_job::note_failure(const flow_task_id& task)
+{
+    flow_task* const t = find_task(task);
+    if (t == nullptr) {
+        return 0;
+    }
+    ++changes_;
+    return ++t->failures;
+}
+
+void flow_job::note_checkpoint(const flow_task_id& task, const std::string& checkpoint)
+{
+    flow_task* const t = find_task(task);
+    if (t != nullptr && !checkpoint.empty() && t->stage != task_stage::done) {
+        t->checkpoint = checkpoint;
+    }
+}
+
+void flow_job::note_cancelled()
+{
+    if (!row_.cancelled) {
+        row_.cancelled = true;
+        ++changes_;
+    }
+}
+
+void flow_job::note_outcome(flow_state outcome)
+{
+    if (row_.outcome != 0) {
+        return;
+    }
+    row_.outcome = outcome == flow_state::done ? 1 : outcome == flow_state::failed ? 2 : 3;
+    ++changes_;
+}
+
+bool flow_job::all_done() const
+{
+    return std::all_of(stages_.begin(), stages_.end(), [](const flow_stage& s) {
+        return s.done == static_cast<std::int32_t>(s.tasks.size());
+    });
+}
+
+void flow_job::merge(const wire::flow_job_row& newer, row_version version)
+{
+    if (version <= version_) {
+        return;
+    }
+    version_ = version;
+    const std::uint64_t before = changes_;
+    const bool was_behind = dirty();
+    row_.cancelled = row_.cancelled || newer.cancelled;
+    row_.started = row_.started || newer.started;
+    row_.accepted_by = newer.accepted_by;
+    row_.cell = newer.cell;
+    row_.cell_epoch = newer.cell_epoch;
+    row_.run_base = std::max(row_.run_base, newer.run_base);
+    if (row_.outcome == 0) {
+        row_.outcome = newer.outcome;
+    }
+    for (const wire::flow_stage_row& stage : newer.stages) {
+        load_stage(stage);
+    }
+    // What came from the row need not be written again; our own facts, if any, still must.
+    if (!was_behind) {
+        written_ = changes_;
+    }
+    else {
+        changes_ = std::max(changes_, before);
+    }
+}
+
+void flow_job::mark_written(std::uint64_t changes, row_version version)
+{
+    written_ = std::max(written_, changes);
+    version_ = std::max(version_, version);
+}
+
+wire::flow_job_row flow_job::current_row() const
+{
+    wire::flow_job_row row = row_;
+    for (const flow_stage& stage : stages_) {
+        wire::flow_stage_row s;
+        s.occurrence = stage.occurrence;
+        s.step = stage.step;
+        bool any = false;
+        std::string bits((stage.tasks.size() + 7) / 8, '\0');
+        for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
+            const flow_task& task = stage.tasks[i];
+            const auto index = static_cast<std::int32_t>(i);
+            if (task.stage == task_stage::done) {
+                bits[i / 8] = static_cast<char>(static_cast<unsigned char>(bits[i / 8]) | (1U << (i % 8)));
+                any = true;
+                continue;
+            }
+            if (task.failures > 0) {
+                s.failures[index] = task.failures;
+                any = true;
+            }
+            if (!task.checkpoint.empty()) {
+                s.checkpoints[index] = task.checkpoint;
+                any = true;
+            }
+        }
+        if (any) {
+            s.done = bits;
+            row.stages.push_back(std::move(s));
+        }
+    }
+    return row;
+}
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/flow_job_p.h
@@ -0,0 +1,111 @@
+// One flow in its cell owner's memory: which steps are open, what each task is doing, and what its row must tell.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "flow_row_p.h"
+
+namespace skylarkhub {
+
+// closed: an earlier step is not done yet, or its time has not come.
+enum class task_stage : std::uint8_t { closed, ready, placed, done };
+
+// A run that may be going on: from the moment its start is sent until its end is known.
+struct live_run {
+    worker_id worker;
+    run_number run;
+    instant sent{};
+    bool confirmed = false; // the worker has said that it has it
+    bool stopping = false;
+    worker_time lease_until{}; // that its start carries
+};
+
+struct flow_task {
+    task_stage stage = task_stage::closed;
+    run_number last_run; // highest used
+    std::int32_t failures = 0;
+    std::string checkpoint;
+    instant ready_since{};
+    std::vector<live_run> runs; // more than one only for speculative steps
+    worker_id failed_on;        // the last worker it failed on, avoided where there is another
+};
+
+// The tasks of one step in one occurrence.
+struct flow_stage {
+    std::int32_t occurrence = 0;
+    std::int32_t step = 0;
+    std::vector<flow_task> tasks;
+    std::int32_t done = 0;
+    std::int32_t ready = 0; // tasks that wait for a worker
+    bool open = false;
+};
+
+class flow_job {
+public:
+    // A flow as its row tells it, read or written at `version`.
+    flow_job(job_id id, const wire::flow_job_row& row, row_version version);
+
+    const job_id& id() const { return id_; }
+    const flow_spec& spec() const { return spec_; }
+    const wire::flow_job_row& row() const { return row_; }
+    const flow_step& step(const flow_stage& stage) const { return spec_.steps.at(static_cast<std::size_t>(stage.step)); }
+    std::vector<flow_stage>& stages() { return stages_; }
+    const std::vector<flow_stage>& stages() const { return stages_; }
+
+    // Null when the flow has no such task.
+    flow_stage* find_stage(const flow_task_id& task);
+    flow_task* find_task(const flow_task_id& task);
+
+    bool cancelled() const { return row_.cancelled; }
+    bool ended() const { return row_.outcome != 0; }
+    bool started() const { return row_.started; }
+    bool timed() const { return spec_.occurrences > 0; }
+    row_version version() const { return version_; }
+
+    // Opens every stage whose earlier steps are done and whose time has come; true when one was opened.
+    bool open_stages(instant now, wall_time wall);
+    // When the next occurrence is due; empty when none is to come.
+    std::optional<wall_time> next_due(wall_time wall) const;
+
+    // The number of a new run: above every earlier one of this task, also those of earlier owners of the cell.
+    run_number next_run(const flow_task& task, epoch cell_epoch) const;
+
+    // --- facts; each makes the row behind ---
+    void note_started();
+    // False when it was done already.
+    bool note_done(const flow_task_id& task);
+    // The number of failed runs so far.
+    std::int32_t note_failure(const flow_task_id& task);
+    void note_checkpoint(const flow_task_id& task, const std::string& checkpoint);
+    void note_cancelled();
+    void note_outcome(flow_state outcome);
+
+    // Takes over the facts of a newer row, written by another entry; the row stays behind if it lacks any of ours.
+    void merge(const wire::flow_job_row& newer, row_version version);
+
+    bool all_done() const;
+    bool dirty() const { return changes_ > written_; }
+    std::uint64_t changes() const { return changes_; }
+    std::uint64_t written() const { return written_; }
+    void mark_written(std::uint64_t changes, row_version version);
+    // The row as it should be now.
+    wire::flow_job_row current_row() const;
+
+private:
+    flow_stage* add_stage(std::int32_t occurrence, std::int32_t step);
+    void load_stage(const wire::flow_stage_row& row);
+    bool due(std::int32_t occurrence, wall_time wall) const;
+
+    job_id id_;
+    wire::flow_job_row row_; // without its stages' facts
+    flow_spec spec_;
+    std::vector<flow_stage> stages_;
+    row_version version_;
+    std::uint64_t changes_ = 0;
+    std::uint64_t written_ = 0;
+};
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/flow_peers.cpp
@@ -0,0 +1,267 @@
+// The entries that know each other: who lives, who owns which cell, and which configuration each has.
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "flow_entry_p.h"
+#include "flow_limits_p.h"
+#include "log_line_p.h"
+#include "row_codec_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+namespace {
+
+wire::flow_entry_row row_of(const entry_identity& identity)
+{
+    wire::flow_entry_row row;
+    row.entry = identity.entry.str();
+    row.incarnation = identity.incarnation.str();
+    row.address = identity.address.str();
+    row.data_centre = identity.data_centre.str();
+    return row;
+}
+
+std::uint64_t weight(const cell_id& cell, const entry_id& entry)
+{
+    const std::string text = cell.str() + '/' + entry.str();
+    return XXH64(text.data(), text.size(), 0);
+}
+
+} // namespace
+
+void flow_entry::register_self(instant now)
+{
+    static_cast<void>(now);
+    store_transaction t;
+    t.puts.push_back({entry_key(self_.entry), encode_compact(row_of(self_))});
+    edges_.commit(std::move(t), [this](instant then, const store_result& result) {
+        if (result.outcome != table_outcome::applied) {
+            static_cast<void>(then);
+            edges_.after(register_retry, [this](instant later) { register_self(later); });
+        }
+    });
+}
+
+void flow_entry::read_entries(instant now)
+{
+    next_entries_read_ = now + (now - begun_ < 5 * entries_interval_start ? entries_interval_start : entries_interval);
+    edges_.read({entries_table, shared_part, "", ""}, [this](instant then, const store_page& page) {
+        if (!page.reached) {
+            return;
+        }
+        for (const store_row& row : page.rows) {
+            const auto decoded = decode_compact<wire::flow_entry_row>(row.value);
+            if (decoded) {
+                learn(*decoded);
+            }
+        }
+        if (then - begun_ < 2 * entries_interval_start) {
+            tell_peers(then, true);
+        }
+    });
+}
+
+void flow_entry::learn(const wire::flow_entry_row& row)
+{
+    if (row.entry == self_.entry.str() || row.entry.empty()) {
+        return;
+    }
+    const auto [at, added] = peers_.try_emplace(entry_id(row.entry));
+    peer& p = at->second;
+    if (!added && p.ever_heard) {
+        return; // it says itself who it is
+    }
+    p.identity = {entry_id(row.entry), incarnation_id(row.incarnation), net_address(row.address),
+                  data_centre_id(row.data_centre)};
+}
+
+bool flow_entry::heard(const peer& p, instant now) const
+{
+    return p.ever_heard && now - p.heard < peer_silence;
+}
+
+wire::flow_hello flow_entry::hello(instant now) const
+{
+    wire::flow_hello h;
+    h.sender = row_of(self_);
+    h.leaving = leaving_;
+    h.config_version = config_version().value();
+    h.reaches_table = now - table_reached_ < table_fresh;
+    for (const auto& [id, cell] : cells_) {
+        if (cell->owns()) {
+            h.cells.push_back(cell->news());
+        }
+    }
+    for (const auto& [id, p] : peers_) {
+        if (heard(p, now)) {
+            h.members.push_back(row_of(p.identity));
+        }
+    }
+    return h;
+}
+
+void flow_entry::tell_peers(instant now, bool everyone)
+{
+    wire::flow_message message;
+    message.__set_hello(hello(now));
+    message.config_version = config_version().value();
+    for (auto& [id, p] : peers_) {
+        // One exchange tells both sides, so of two that know each other one begins.
+        if (everyone || !heard(p, now) || self_.entry < id) {
+            tell(now, p, message);
+        }
+    }
+}
+
+void flow_entry::tell(instant now, peer& p, wire::flow_message message)
+{
+    static_cast<void>(now);
+    if (p.telling) {
+        return;
+    }
+    p.telling = true;
+    edges_.tell(p.identity.address, std::move(message),
+                [this, id = p.identity.entry](instant then, const std::optional<wire::flow_message>& answer) {
+                    const auto at = peers_.find(id);
+                    if (at != peers_.end()) {
+                        at->second.telling = false;
+                    }
+                    if (answer) {
+                        on_message(then, *answer);
+                    }
+                    else if (at != peers_.end() && !heard(at->second, then) && then - at->second.heard > peer_forgotten &&
+                             then - begun_ > peer_forgotten) {
+                        peers_.erase(at);
+                    }
+                });
+}
+
+wire::flow_message flow_entry::on_message(instant now, const wire::flow_message& message)
+{
+    wire::flow_message answer;
+    if (message.__isset.hello) {
+        on_hello(now, message.hello);
+        answer.__set_hello(hello(now));
+        if (message.hello.config_version < config_version().value()) {
+            answer.config_version = config_version().value();
+            answer.config = config_text_;
+        }
+    }
+    if (!message.config.empty() && message.config_version > config_version().value()) {
+        auto parsed = edges_.parse_config(message.config);
+        if (parsed) {
+            take_config(now, std::move(*parsed), message.config, "peer");
+        }
+    }
+    for (const wire::flow_row_news& news : message.rows) {
+        const auto row = decode_compact<wire::flow_job_row>(news.row);
+        if (!row) {
+            continue;
+        }
+        const auto cell = cells_.find(cell_id(row->cell));
+        if (cell == cells_.end() || !cell->second->owns()) {
+            answer.unknown_jobs.push_back(news.job);
+            continue;
+        }
+        cell->second->on_job_row(now, job_id(news.job), *row, row_version(news.version));
+    }
+    for (const wire::flow_state_news& news : message.states) {
+        const auto at = followed_.find(job_id(news.job));
+        if (at == followed_.end()) {
+            continue;
+        }
+        at->second.state = static_cast<flow_state>(news.state);
+        at->second.checked = now;
+    }
+    return answer;
+}
+
+void flow_entry::on_hello(instant now, const wire::flow_hello& h)
+{
+    if (h.sender.entry == self_.entry.str()) {
+        return;
+    }
+    peer& p = peers_[entry_id(h.sender.entry)];
+    const bool new_life = !p.ever_heard || p.identity.incarnation.str() != h.sender.incarnation;
+    if (new_life || p.leaving != h.leaving || now - p.heard >= peer_silence) {
+        write_log(log_level::info, "peer", "heard",
+                  {{"entry", h.sender.entry}, {"incarnation", h.sender.incarnation}, {"leaving", h.leaving ? "yes" : "no"}});
+    }
+    p.identity = {entry_id(h.sender.entry), incarnation_id(h.sender.incarnation), net_address(h.sender.address),
+                  data_centre_id(h.sender.data_centre)};
+    p.heard = now;
+    p.ever_heard = true;
+    p.leaving = h.leaving;
+    p.reaches_table = h.reaches_table;
+    p.cells = h.cells;
+    p.news_at = now;
+    for (const wire::flow_cell_news& cell : h.cells) {
+        assigned_cpu_[cell_id(cell.cell)] = 0;
+    }
+    for (const wire::flow_entry_row& member : h.members) {
+        learn(member);
+    }
+}
+
+const flow_entry::peer* flow_entry::owner_of(instant now, const cell_id& cell) const
+{
+    const peer* best = nullptr;
+    std::int64_t best_epoch = 0;
+    for (const auto& [id, p] : peers_) {
+        if (!heard(p, now)) {
+            continue;
+        }
+        for (const wire::flow_cell_news& news : p.cells) {
+            if (news.cell == cell.str() && news.epoch > best_epoch) {
+                best = &p;
+                best_epoch = news.epoch;
+            }
+        }
+    }
+    return best;
+}
+
+cell_candidacy flow_entry::candidacy(instant now, const flow_cell& cell) const
+{
+    cell_candidacy c;
+    c.leaving = leaving_;
+    const auto place = cell_places_.find(cell.id());
+    c.same_data_centre = place != cell_places_.end() && place->second == self_.data_centre;
+    const std::uint64_t own = weight(cell.id(), self_.entry);
+    for (const auto& [id, p] : peers_) {
+        if (!heard(p, now)) {
+            continue;
+        }
+        if (p.identity.entry.str() == cell.row().owner) {
+            const bool same_life = p.identity.incarnation.str() == cell.row().incarnation;
+            c.owner_live = same_life;
+            c.owner_restarted = !same_life;
+        }
+        if (p.leaving) {
+            continue;
+        }
+        const bool local = place != cell_places_.end() && place->second == p.identity.data_centre;
+        if (local == c.same_data_centre && weight(cell.id(), id) > own) {
+            ++c.rank;
+        }
+    }
+    return c;
+}
+
+std::vector<net_address> flow_entry::peers_with_table(instant now) const
+{
+    std::vector<net_address> near;
+    std::vector<net_address> far;
+    for (const auto& [id, p] : peers_) {
+        if (heard(p, now) && p.reaches_table && !p.leaving) {
+            (p.identity.data_centre == self_.data_centre ? near : far).push_back(p.identity.address);
+        }
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/flow_place_p.h
@@ -0,0 +1,52 @@
+// Which worker takes a task: room first, then what the task would cost the others there.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "flow_job_p.h"
+
+namespace skylarkhub {
+
+// One run as its worker's ledger holds it: from before its start is sent until its end is certain.
+struct ledger_run {
+    run_number run;
+    resources need;
+    bool filling = false;
+    bool lasting = false;
+    std::string image;
+    duration tail_target{0};
+};
+
+// A worker as placement sees it.
+struct place_option {
+    worker_id worker;
+    rack_id rack;
+    resources room;
+    resources held;               // of tasks that count against the room, those being stopped included
+    std::int64_t filling_cpu = 0; // wanted by filling tasks, not counted against the room
+    std::int32_t serving = 0;     // lasting tasks with a tail target
+    std::int32_t fillers = 0;
+    bool strained = false;        // a serving task there is near or over its target
+    double distrust = 0;          // 0 healthy; rises with runs that failed or stalled there lately
+    double slowness = 1;          // time that runs take there against the estimate
+};
+
+// What is asked for: one task of a step.
+struct place_need {
+    const flow_step* step = nullptr;
+    const std::string* service = nullptr;
+    bool crowded = false; // an urgent task may go where filling work already takes all processors
+};
+
+// True when the task may run there at all: room that every committed task leaves.
+bool has_room(const place_option& option, const flow_step& step);
+
+// Lower is better; the unit is a share of the worker's processors.
+double place_cost(const place_option& option, const flow_step& step);
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/flow_row_p.h
@@ -0,0 +1,36 @@
+// Flow specifications to table rows and back.
+#pragma once
+
+#include <string>
+
+#include "flow_types.h"
+#include "flow_types_p.h"
+
+namespace skylarkhub {
+
+// Tables and parts in the platform's store that belong to flows.
+inline constexpr const char* jobs_table = "flow-jobs";
+inline constexpr const char* cells_table = "flow-cells";
+inline constexpr const char* entries_table = "flow-entries";
+inline constexpr const char* shared_part = "site"; // of cells and entries: few rows, read whole
+
+// The store applies the transactions of one part one after another, 150 a second on today's platforms; jobs are spread
+// over as many parts as keep the busiest one below half of that at 40 accepted jobs and 200 ended steps a second.
+inline constexpr int job_parts = 8;
+
+std::string job_part(const job_id& job);
+std::string job_part(int number);
+store_key job_key(const job_id& job);
+store_key cell_key(const cell_id& cell);
+store_key entry_key(const entry_id& entry);
+
+wire::flow_step_row to_row(const flow_step& step);
+flow_step from_row(const wire::flow_step_row& row);
+
+// What the caller asked for, in a row without facts.
+wire::flow_job_row make_job_row(const flow_spec& spec);
+flow_spec spec_of(const wire::flow_job_row& row);
+
+flow_state state_of(const wire::flow_job_row& row);
+
+} // namespace skylarkhub
--- a/src/log_line.cpp
+++ b/src/log_line.cpp
@@ -50,7 +50,8 @@
         append_value(line, field.value);
     }
     line += '\n';
-    fmt::print(stderr, "{}", line);
+    fmt::print("{}", line);
+    std::fflush(stdout);
 }
 
 void set_log_level(log_level level)
--- a/src/row_codec_p.h
+++ b/src/row_codec_p.h
@@ -1,4 +1,4 @@
-// Rows of the table: Thrift's compact protocol, then base64, because the table keeps strings.
+// Rows and messages in Thrift's compact protocol, as bytes or, for tables that keep strings, in base64.
 #pragma once
 
 #include <absl/strings/escaping.h>
@@ -14,27 +14,20 @@
 
 namespace skylarkhub {
 
-// Encodes any generated struct of schema/peer.thrift as a table value.
-template <class Row> std::string encode_row(const Row& row)
+// Encodes any generated struct of schema/*.thrift.
+template <class Row> std::string encode_compact(const Row& row)
 {
     auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
     apache::thrift::protocol::TCompactProtocolT<apache::thrift::transport::TMemoryBuffer> protocol(buffer);
     row.write(&protocol);
-    return absl::Base64Escape(buffer->getBufferAsString());
+    return buffer->getBufferAsString();
 }
 
-// Decodes a table value; empty when it is not such a row, with the reason in `last_reason`.
-template <class Row> std::optional<Row> decode_row(const std::string& value, std::string* last_reason = nullptr)
+// Empty when `bytes` is not such a struct, with the reason in `last_reason`.
+template <class Row> std::optional<Row> decode_compact(const std::string& bytes, std::string* last_reason = nullptr)
 {
-    std::string bytes;
-    if (!absl::Base64Unescape(value, &bytes)) {
-        if (last_reason != nullptr) {
-            *last_reason = "value is not base64";
-        }
-        return std::nullopt;
-    }
     auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>(
-        reinterpret_cast<std::uint8_t*>(bytes.data()), static_cast<std::uint32_t>(bytes.size()));
+        reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data())), static_cast<std::uint32_t>(bytes.size()));
     apache::thrift::protocol::TCompactProtocolT<apache::thrift::transport::TMemoryBuffer> protocol(buffer);
     Row row;
     try {
@@ -49,4 +42,23 @@
     return row;
 }
 
+// Encodes any generated struct of schema/peer.thrift as a table value.
+template <class Row> std::string encode_row(const Row& row)
+{
+    return absl::Base64Escape(encode_compact(row));
+}
+
+// Decodes a table value; empty when it is not such a row, with the reason in `last_reason`.
+template <class Row> std::optional<Row> decode_row(const std::string& value, std::string* last_reason = nullptr)
+{
+    std::string bytes;
+    if (!absl::Base64Unescape(value, &bytes)) {
+        if (last_reason != nullptr) {
+            *last_reason = "value is not base64";
+        }
+        return std::nullopt;
+    }
+    return decode_compact<Row>(bytes, last_reason);
+}
+
 } // namespace skylarkhub
