--- a/src/daemon_flow_app.cpp
+++ b/src/daemon_flow_app.cpp
@@ -69,8 +69,7 @@
                 const auto changed = [this, first]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
                     return stopping_ || (!steps_.empty() && steps_.begin()->first < first);
                 };
-                mutex_.AwaitWithTimeout(absl::Condition(&changed),
-                                        absl::Microseconds((wake - now).count()));
+                mutex_.AwaitWithTimeout(absl::Condition(&changed), absl::Microseconds((wake - now).count()));
             }
             if (stopping_) {
                 return;
@@ -99,7 +98,8 @@
 std::unique_ptr<flow_app> flow_app::start(const flow_entry_settings& settings, std::string* last_reason)
 {
     auto app = std::unique_ptr<flow_app>(new flow_app(settings));
-    app->timer_ = std::make_unique<flow_timer>([a = app.get()](const std::function<void(instant)>& step) { a->run(step); });
+    app->timer_ =
+        std::make_unique<flow_timer>([a = app.get()](const std::function<void(instant)>& step) { a->run(step); });
     app->entry_ = std::make_unique<flow_entry>(app->self_, app->make_edges());
     if (!app->listen(last_reason)) {
         return nullptr;
@@ -206,8 +206,9 @@
         return;
     }
     run([&](instant now) {
-        entry_->on_request(now, std::move(*decoded),
-                           [reply = std::move(reply)](const caller_answer& answer) { reply(platform::make_response(answer)); });
+        entry_->on_request(now, std::move(*decoded), [reply = std::move(reply)](const caller_answer& answer) {
+            reply(platform::make_response(answer));
+        });
     });
 }
 
@@ -228,7 +229,9 @@
     absl::MutexLock lock(&mutex_);
     const flow_entry_stats& s = entry_->stats();
     std::string out;
-    const auto add = [&](const char* name, std::int64_t value) { out += fmt::format("skylarkhub_{} {}\n", name, value); };
+    const auto add = [&](const char* name, std::int64_t value) {
+        out += fmt::format("skylarkhub_{} {}\n", name, value);
+    };
     add("jobs_accepted_total", s.accepted);
     add("jobs_repeated_total", s.repeated);
     add("jobs_refused_total", s.refused);
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -14,8 +14,7 @@
 
 flow_cell::flow_cell(cell_id id, entry_identity self, const flow_edges& edges, flow_cell_hooks hooks)
     : id_(std::move(id)), self_(std::move(self)), edges_(edges), hooks_(std::move(hooks))
-{
-}
+{}
 
 bool flow_cell::may_send(instant now) const
 {
@@ -274,8 +273,9 @@
             awaited_.insert(id);
         }
     }
-    write_log(log_level::info, "cell", "owned",
-              {{"cell", id_.str()}, {"jobs", std::to_string(jobs_.size())}, {"workers", std::to_string(workers_.size())}});
+    write_log(
+        log_level::info, "cell", "owned",
+        {{"cell", id_.str()}, {"jobs", std::to_string(jobs_.size())}, {"workers", std::to_string(workers_.size())}});
     for (auto& [id, w] : workers_) {
         hold_soon(now, id, duration(0));
     }
@@ -311,7 +311,8 @@
         }
         next_renewal_ = then + renew_retry;
         if (result.outcome == table_outcome::conflict) {
-            // Either another entry has the cell, or an earlier renewal of ours is in force although its answer was lost.
+            // Either another entry has the cell, or an earlier renewal of ours is in force although its answer was
+            // lost.
             on_row_read(then, result.rows.empty() ? nullptr : &result.rows.front());
         }
     });
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -1,6 +1,6 @@
 // One cell: the workers of one data centre (or of some of its racks) with the flows bound to them. Its owner decides
-// where tasks run, holds the workers' leases, and makes ends durable before it confirms them. An entry that does not own
-// the cell watches its row and takes it over when the owner is gone.
+// where tasks run, holds the workers' leases, and makes ends durable before it confirms them. An entry that does not
+// own the cell watches its row and takes it over when the owner is gone.
 #pragma once
 
 #include <absl/container/btree_map.h>
@@ -167,7 +167,8 @@
     void stop_job_runs(instant now, flow_job& job);
     void stop_copies(instant now, flow_job& job, flow_task& task, const flow_task_id& id, run_number winner);
     void drop_run(instant now, cell_worker& w, const flow_task_id& task, run_number run);
-    void ledger_add(cell_worker& w, const flow_job& job, const flow_step& step, const flow_task_id& task, run_number run);
+    void ledger_add(cell_worker& w, const flow_job& job, const flow_step& step, const flow_task_id& task,
+                    run_number run);
     void ledger_remove(cell_worker& w, const flow_task_id& task, run_number run);
     void requeue(instant now, flow_job& job, const flow_task_id& task);
     void after_done(instant now, flow_job& job, const flow_task_id& task);
@@ -220,22 +221,22 @@
 
     role role_ = role::watching;
     wire::flow_cell_row row_;
-    bool row_known_ = false;   // read at least once
+    bool row_known_ = false; // read at least once
     bool row_present_ = false;
     row_version row_version_;
     instant row_unchanged_since_{};
     instant row_read_at_{};
     bool reading_row_ = false;
-    bool acting_ = false;      // a take, renewal or release is under way
+    bool acting_ = false; // a take, renewal or release is under way
     skylarkhub::epoch epoch_;
-    instant renewed_{};        // when the last renewal that succeeded was sent
+    instant renewed_{}; // when the last renewal that succeeded was sent
     instant taken_at_{};
     duration old_owner_gone_{0}; // how long after taken_at_ the owner before may still have sent
-    bool fresh_ = false;       // nobody owned it before
+    bool fresh_ = false;         // nobody owned it before
     bool stopping_ = false;
     instant next_renewal_{};
-    std::uint64_t life_ = 0;   // of an ownership; callbacks of an earlier one are dropped
-    row_version watched_;      // the jobs table is known up to here
+    std::uint64_t life_ = 0; // of an ownership; callbacks of an earlier one are dropped
+    row_version watched_;    // the jobs table is known up to here
     bool watching_jobs_ = false;
     instant next_watch_{};
     int parts_left_ = 0;
--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -11,14 +11,15 @@
 
 namespace {
 
-// A tail is a rough figure of the last half second. Above this share of the target the filling work beside it is slowed;
-// below the lower one it is let go again, a step at a time.
+// A tail is a rough figure of the last half second. Above this share of the target the filling work beside it is
+// slowed; below the lower one it is let go again, a step at a time.
 constexpr double strained_share = 0.85;
 constexpr double relaxed_share = 0.6;
-constexpr int pace_floor = 0;          // percent; work that is stopped entirely keeps its memory and what it has done
-constexpr int pace_first = 30;         // percent; the first answer to a strain
-constexpr int pace_step = 20;          // percent; each step back
-constexpr duration pace_interval = std::chrono::milliseconds(700); // a measurement covers half a second; then look again
+constexpr int pace_floor = 0;  // percent; work that is stopped entirely keeps its memory and what it has done
+constexpr int pace_first = 30; // percent; the first answer to a strain
+constexpr int pace_step = 20;  // percent; each step back
+constexpr duration pace_interval =
+    std::chrono::milliseconds(700); // a measurement covers half a second; then look again
 
 } // namespace
 
@@ -45,7 +46,9 @@
         w.pace = w.pace > pace_first ? pace_first : pace_floor;
         w.paced_at = now;
         write_log(log_level::info, "pace", "slowed",
-                  {{"worker", w.listing.worker.str()}, {"percent", std::to_string(w.pace)}, {"tail_share", std::to_string(worst)}});
+                  {{"worker", w.listing.worker.str()},
+                   {"percent", std::to_string(w.pace)},
+                   {"tail_share", std::to_string(worst)}});
     }
     else if (worst < relaxed_share && w.pace < 100) {
         w.pace = std::min(100, w.pace + pace_step);
@@ -70,8 +73,8 @@
         }
         w.paced[task] = w.pace;
         edges_.order(place_of(w), pace_run{task, run.run, w.pace, epoch_}, pace_timeout,
-                     [this, id = w.listing.worker, task = task, wanted = w.pace, life = life_](
-                         instant, const order_answer& answer) {
+                     [this, id = w.listing.worker, task = task, wanted = w.pace,
+                      life = life_](instant, const order_answer& answer) {
                          const auto at = workers_.find(id);
                          if (life != life_ || at == workers_.end() || answer.result == order_result::accepted) {
                              return;
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -31,7 +31,8 @@
 
 void flow_cell::index_ready(flow_job& job)
 {
-    const bool any = std::any_of(job.stages().begin(), job.stages().end(), [](const flow_stage& s) { return s.ready > 0; });
+    const bool any =
+        std::any_of(job.stages().begin(), job.stages().end(), [](const flow_stage& s) { return s.ready > 0; });
     const flow_queue* const queue = hooks_.queue(queue_id(job.row().queue));
     const ready_key key{queue != nullptr ? queue->priority : job.row().priority, job.row().accepted_ms, job.id()};
     if (any) {
@@ -105,9 +106,9 @@
         }
         const flow_task_id first{job.id(), stage.occurrence, stage.step, 0};
         std::int32_t beside = 0;
-        for (auto at = w.ledger.lower_bound(first); at != w.ledger.end() && at->first.job == job.id() &&
-                                                    at->first.occurrence == stage.occurrence &&
-                                                    at->first.step == stage.step;
+        for (auto at = w.ledger.lower_bound(first);
+             at != w.ledger.end() && at->first.job == job.id() && at->first.occurrence == stage.occurrence &&
+             at->first.step == stage.step;
              ++at) {
             ++beside;
         }
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -19,9 +19,8 @@
 
 live_run* find_run(flow_task& task, const worker_id& worker, run_number run)
 {
-    const auto at = std::find_if(task.runs.begin(), task.runs.end(), [&](const live_run& live) {
-        return live.worker == worker && live.run == run;
-    });
+    const auto at = std::find_if(task.runs.begin(), task.runs.end(),
+                                 [&](const live_run& live) { return live.worker == worker && live.run == run; });
     return at == task.runs.end() ? nullptr : &*at;
 }
 
@@ -279,11 +278,10 @@
     if (t == nullptr) {
         return;
     }
-    t->runs.erase(std::remove_if(t->runs.begin(), t->runs.end(),
-                                 [&](const live_run& live) {
-                                     return live.worker == w.listing.worker && live.run == run;
-                                 }),
-                  t->runs.end());
+    t->runs.erase(
+        std::remove_if(t->runs.begin(), t->runs.end(),
+                       [&](const live_run& live) { return live.worker == w.listing.worker && live.run == run; }),
+        t->runs.end());
     if (t->runs.empty() && t->stage == task_stage::placed) {
         requeue(now, job, task);
     }
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -179,19 +179,20 @@
     hold_worker order;
     order.fence = epoch_;
     order.confirmed = w.confirmed;
-    // A worker that did not answer may still have heard: renewing without end would leave its tasks in doubt without end.
-    // The exchanges that follow an unanswered one only ask.
+    // A worker that did not answer may still have heard: renewing without end would leave its tasks in doubt without
+    // end. The exchanges that follow an unanswered one only ask.
     const bool renewing = w.fenced && w.silent == 0;
     order.lease_until = renewing ? lease_end(w, now) : std::nullopt;
     order.wait = renewing ? hold_wait : duration(0);
     if (order.lease_until) {
         note_lease(w, now);
     }
-    edges_.order(place_of(w), order, hold_timeout, [this, id, sent = now, life = life_](instant then, const order_answer& answer) {
-        if (life == life_) {
-            on_held(then, id, sent, answer);
-        }
-    });
+    edges_.order(place_of(w), order, hold_timeout,
+                 [this, id, sent = now, life = life_](instant then, const order_answer& answer) {
+                     if (life == life_) {
+                         on_held(then, id, sent, answer);
+                     }
+                 });
 }
 
 void flow_cell::on_held(instant now, const worker_id& id, instant sent, const order_answer& answer)
@@ -344,8 +345,8 @@
             if (reading_jobs_.insert(run.task.job).second) {
                 const store_key key = job_key(run.task.job);
                 edges_.read({key.table, key.part, key.key, key.key + '\0'},
-                            [this, job = run.task.job, id = w.listing.worker, run, life = life_](
-                                instant then, const store_page& page) {
+                            [this, job = run.task.job, id = w.listing.worker, run,
+                             life = life_](instant then, const store_page& page) {
                                 if (life != life_) {
                                     return;
                                 }
@@ -431,7 +432,8 @@
         }
         const run_number number = run.run;
         const bool settled = std::any_of(t->runs.begin(), t->runs.end(), [&](const live_run& live) {
-            return live.worker == w.listing.worker && live.run == number && live.confirmed && live.sent < sent - hold_wait * 2;
+            return live.worker == w.listing.worker && live.run == number && live.confirmed &&
+                   live.sent < sent - hold_wait * 2;
         });
         const bool listed = std::any_of(answer.running.begin(), answer.running.end(),
                                         [&task = task](const listed_run& r) { return r.task == task; });
--- a/src/flow_edges_p.h
+++ b/src/flow_edges_p.h
@@ -1,5 +1,5 @@
-// What an entry's decisions about flows need from outside. The daemon carries these out over the network; tests stand in
-// for them under a virtual clock. No function waits; each callback runs once, later, with the time at which it runs.
+// What an entry's decisions about flows need from outside. The daemon carries these out over the network; tests stand
+// in for them under a virtual clock. No function waits; each callback runs once, later, with the time at which it runs.
 #pragma once
 
 #include <functional>
@@ -27,7 +27,8 @@
     // `timeout`: how long an answer is waited for, not counting a hold's own wait.
     std::function<void(worker_place, worker_order, duration timeout, std::function<void(instant, order_answer)>)> order;
     // The peer's own message in return, empty when there was no answer.
-    std::function<void(net_address, wire::flow_message, std::function<void(instant, std::optional<wire::flow_message>)>)>
+    std::function<void(net_address, wire::flow_message,
+                       std::function<void(instant, std::optional<wire::flow_message>)>)>
         tell;
     std::function<void(duration, std::function<void(instant)>)> after;
     std::function<wall_time()> wall;
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -144,9 +144,8 @@
         return at == config_->queues.end() ? nullptr : &*at;
     };
     hooks.guards_room = [this](const std::string& service) {
-        return config_ && std::any_of(config_->services.begin(), config_->services.end(), [&](const flow_service& s) {
-                   return s.name == service && s.guards_room;
-               });
+        return config_ && std::any_of(config_->services.begin(), config_->services.end(),
+                                      [&](const flow_service& s) { return s.name == service && s.guards_room; });
     };
     hooks.state_changed = [this](instant now, const wire::flow_job_row& row, const job_id& job, flow_state state) {
         if (row.accepted_by == self_.address.str()) {
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -119,7 +119,8 @@
     const flow_queue* match_queue(const std::string& host, const std::string& path) const;
     void submit(instant now, const flow_queue& queue, const job_id& job, caller_request request, caller_reply reply);
     std::optional<cell_id> choose_cell(instant now, const flow_queue& queue, const flow_spec& spec);
-    void write_job(instant now, const job_id& job, wire::flow_job_row row, instant give_up, int tries, bool may_be_in_force);
+    void write_job(instant now, const job_id& job, wire::flow_job_row row, instant give_up, int tries,
+                   bool may_be_in_force);
     void on_job_written(instant now, const job_id& job, const wire::flow_job_row& row, instant give_up, int tries,
                         bool may_be_in_force, const store_result& result);
     void answer_accept(instant now, const job_id& job, caller_answer answer);
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -108,7 +108,8 @@
     const auto cell = choose_cell(now, queue, *request.spec);
     if (leaving_ || !cell) {
         ++stats_.refused;
-        write_log(log_level::info, "job", "refused", {{"job", job.str()}, {"reason", leaving_ ? "stopping" : "no cell"}});
+        write_log(log_level::info, "job", "refused",
+                  {{"job", job.str()}, {"reason", leaving_ ? "stopping" : "no cell"}});
         reply({caller_result::not_accepted, flow_state::queued, 0, unavailable_retry, "nothing takes jobs here now"});
         return;
     }
@@ -118,8 +119,7 @@
     row.cell = cell->str();
     row.accepted_by = self_.address.str();
     row.accept_token = self_.incarnation.str() + "/" + std::to_string(++accept_count_);
-    row.accepted_ms =
-        std::chrono::duration_cast<std::chrono::milliseconds>(edges_.wall().time_since_epoch()).count();
+    row.accepted_ms = std::chrono::duration_cast<std::chrono::milliseconds>(edges_.wall().time_since_epoch()).count();
     row.failures_most = queue.failures_most;
     row.priority = queue.priority;
     const auto own = cells_.find(*cell);
@@ -227,7 +227,8 @@
     case table_outcome::conflict: {
         // The job is there: accepted before, by this entry (its answer was lost) or through another one.
         ++stats_.repeated;
-        const auto there = result.rows.empty() ? std::nullopt : decode_compact<wire::flow_job_row>(result.rows.front().value);
+        const auto there =
+            result.rows.empty() ? std::nullopt : decode_compact<wire::flow_job_row>(result.rows.front().value);
         if (there && there->accept_token == row.accept_token) {
             untold_[job] = {cell_id(row.cell), row, encode_compact(row), result.rows.front().version};
             tell_owner(now, job);
@@ -336,7 +337,8 @@
     const auto at = followed_.find(job);
     if (at != followed_.end() && at->second.accepted) {
         followed_job& f = at->second;
-        const bool final = f.state == flow_state::done || f.state == flow_state::failed || f.state == flow_state::cancelled;
+        const bool final =
+            f.state == flow_state::done || f.state == flow_state::failed || f.state == flow_state::cancelled;
         if (final || now - f.checked < state_fresh) {
             reply({caller_result::state, f.state, 0, duration(0), ""});
             return;
@@ -414,34 +416,32 @@
 void flow_entry::cancel(instant now, const job_id& job, instant give_up, caller_reply reply)
 {
     const store_key key = job_key(job);
-    edges_.read({key.table, key.part, key.key, key.key + '\0'},
-                [this, job, give_up, reply = std::move(reply)](instant then, const store_page& page) {
-                    if (!page.reached) {
-                        if (then + accept_retry < give_up) {
-                            edges_.after(accept_retry, [this, job, give_up, reply](instant later) {
-                                cancel(later, job, give_up, reply);
-                            });
-                            return;
-                        }
-                        reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry,
-                               "the table could not be read"});
-                        return;
-                    }
-                    if (page.rows.empty()) {
-                        reply({caller_result::unknown_job, flow_state::queued, 0, duration(0), "no such job"});
-                        return;
-                    }
-                    auto row = decode_compact<wire::flow_job_row>(page.rows.front().value);
-                    if (!row) {
-                        reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry, "row unreadable"});
-                        return;
-                    }
-                    if (row->cancelled || row->outcome != 0) {
-                        reply({caller_result::cancelled, flow_state::cancelled, 0, duration(0), ""});
-                        return;
-                    }
-                    write_cancel(then, job, std::move(*row), page.rows.front().version, give_up, reply);
-                });
+    edges_.read({key.table, key.part, key.key, key.key + '\0'}, [this, job, give_up, reply = std::move(reply)](
+                                                                    instant then, const store_page& page) {
+        if (!page.reached) {
+            if (then + accept_retry < give_up) {
+                edges_.after(accept_retry,
+                             [this, job, give_up, reply](instant later) { cancel(later, job, give_up, reply); });
+                return;
+            }
+            reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry, "the table could not be read"});
+            return;
+        }
+        if (page.rows.empty()) {
+            reply({caller_result::unknown_job, flow_state::queued, 0, duration(0), "no such job"});
+            return;
+        }
+        auto row = decode_compact<wire::flow_job_row>(page.rows.front().value);
+        if (!row) {
+            reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry, "row unreadable"});
+            return;
+        }
+        if (row->cancelled || row->outcome != 0) {
+            reply({caller_result::cancelled, flow_state::cancelled, 0, duration(0), ""});
+            return;
+        }
+        write_cancel(then, job, std::move(*row), page.rows.front().version, give_up, reply);
+    });
     static_cast<void>(now);
 }
 
@@ -453,8 +453,8 @@
     store_transaction t;
     t.checks.push_back({job_key(job), version});
     t.puts.push_back({job_key(job), encode_compact(row)});
-    edges_.commit(std::move(t), [this, job, row = std::move(row), give_up, reply = std::move(reply)](
-                                    instant then, const store_result& result) {
+    edges_.commit(std::move(t), [this, job, row = std::move(row), give_up,
+                                 reply = std::move(reply)](instant then, const store_result& result) {
         if (result.outcome == table_outcome::applied) {
             write_log(log_level::info, "job", "cancel_accepted",
                       {{"job", job.str()}, {"version", std::to_string(result.version.value())}});
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -201,9 +201,8 @@
 
 bool flow_job::all_done() const
 {
-    return std::all_of(stages_.begin(), stages_.end(), [](const flow_stage& s) {
-        return s.done == static_cast<std::int32_t>(s.tasks.size());
-    });
+    return std::all_of(stages_.begin(), stages_.end(),
+                       [](const flow_stage& s) { return s.done == static_cast<std::int32_t>(s.tasks.size()); });
 }
 
 void flow_job::merge(const wire::flow_job_row& newer, row_version version)
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -51,7 +51,10 @@
     const job_id& id() const { return id_; }
     const flow_spec& spec() const { return spec_; }
     const wire::flow_job_row& row() const { return row_; }
-    const flow_step& step(const flow_stage& stage) const { return spec_.steps.at(static_cast<std::size_t>(stage.step)); }
+    const flow_step& step(const flow_stage& stage) const
+    {
+        return spec_.steps.at(static_cast<std::size_t>(stage.step));
+    }
     std::vector<flow_stage>& stages() { return stages_; }
     const std::vector<flow_stage>& stages() const { return stages_; }
 
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -14,8 +14,9 @@
 inline constexpr double clock_drift = 0.03;     // a worker's clock may be 2% slow; ours a little fast
 inline constexpr duration lease_margin = 150ms; // for an exchange's own time
 inline constexpr duration hold_wait = 1000ms;   // an exchange waits this long for an end; measurements are this fresh
-inline constexpr duration hold_gap = 25ms;      // least between two exchanges with a worker: ends close together share one
-inline constexpr duration hold_gap_unconfirmed = 60ms; // while an end waits to become durable: answers come at once then
+inline constexpr duration hold_gap = 25ms; // least between two exchanges with a worker: ends close together share one
+inline constexpr duration hold_gap_unconfirmed =
+    60ms;                                       // while an end waits to become durable: answers come at once then
 inline constexpr duration hold_retry = 300ms;   // after an exchange without an answer
 inline constexpr duration hold_timeout = 900ms; // on top of the exchange's own wait
 
@@ -43,31 +44,31 @@
 inline constexpr duration stop_settle_most = 1500ms;     // for answers under way before a planned stop releases the row
 
 // --- rows of jobs ---
-inline constexpr duration commit_gap = 60ms;     // ends that do not complete a step wait this long for others
+inline constexpr duration commit_gap = 60ms; // ends that do not complete a step wait this long for others
 inline constexpr duration commit_retry = 100ms;
 inline constexpr duration commit_retry_most = 800ms;
 inline constexpr std::size_t commit_rows_most = 24; // of one transaction; the store's limit is 100 rows and 1 MB
-inline constexpr duration watch_interval = 2s;   // a lost message about a new row costs this much
+inline constexpr duration watch_interval = 2s;      // a lost message about a new row costs this much
 
 // --- entries ---
 inline constexpr duration hello_interval = 500ms;
-inline constexpr duration peer_silence = 1600ms;  // three hellos
-inline constexpr duration peer_forgotten = 20s;   // a removed entry's address is not tried for ever
-inline constexpr duration peers_learned = 700ms;  // after a start, before it looks for cells to own
-inline constexpr duration table_fresh = 1500ms;   // an answer of the table this old still counts as reaching it
+inline constexpr duration peer_silence = 1600ms; // three hellos
+inline constexpr duration peer_forgotten = 20s;  // a removed entry's address is not tried for ever
+inline constexpr duration peers_learned = 700ms; // after a start, before it looks for cells to own
+inline constexpr duration table_fresh = 1500ms;  // an answer of the table this old still counts as reaching it
 inline constexpr duration register_retry = 500ms;
 inline constexpr duration entries_interval_start = 1s; // entries start within moments of each other
 inline constexpr duration entries_interval = 10s;      // after that they hear of each other
 inline constexpr duration list_interval_owner = 1s;    // a draining worker must get no work within 2 s
 inline constexpr duration list_interval_other = 3s;
-inline constexpr duration operator_wait = 1s;     // of one look for changes; a connection that went silent costs this
+inline constexpr duration operator_wait = 1s; // of one look for changes; a connection that went silent costs this
 inline constexpr duration operator_retry = 200ms;
-inline constexpr duration untold_retry = 300ms;   // rows that an owner has not taken note of
+inline constexpr duration untold_retry = 300ms; // rows that an owner has not taken note of
 
 // --- callers ---
 inline constexpr std::int32_t tasks_per_step_most = 4096;
-inline constexpr duration default_patience = 3s;  // of a caller that does not say how long it waits
-inline constexpr duration answer_margin = 150ms;  // before the caller's time is up
+inline constexpr duration default_patience = 3s; // of a caller that does not say how long it waits
+inline constexpr duration answer_margin = 150ms; // before the caller's time is up
 inline constexpr duration accept_retry = 120ms;
 inline constexpr int accept_tries = 3;            // while the table refuses; a write in doubt is tried until time is up
 inline constexpr duration unavailable_retry = 1s; // what a caller is told when the table or the cells are away
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -132,8 +132,8 @@
                     if (answer) {
                         on_message(then, *answer);
                     }
-                    else if (at != peers_.end() && !heard(at->second, then) && then - at->second.heard > peer_forgotten &&
-                             then - begun_ > peer_forgotten) {
+                    else if (at != peers_.end() && !heard(at->second, then) &&
+                             then - at->second.heard > peer_forgotten && then - begun_ > peer_forgotten) {
                         peers_.erase(at);
                     }
                 });
@@ -187,8 +187,9 @@
     peer& p = peers_[entry_id(h.sender.entry)];
     const bool new_life = !p.ever_heard || p.identity.incarnation.str() != h.sender.incarnation;
     if (new_life || p.leaving != h.leaving || now - p.heard >= peer_silence) {
-        write_log(log_level::info, "peer", "heard",
-                  {{"entry", h.sender.entry}, {"incarnation", h.sender.incarnation}, {"leaving", h.leaving ? "yes" : "no"}});
+        write_log(
+            log_level::info, "peer", "heard",
+            {{"entry", h.sender.entry}, {"incarnation", h.sender.incarnation}, {"leaving", h.leaving ? "yes" : "no"}});
     }
     p.identity = {entry_id(h.sender.entry), incarnation_id(h.sender.incarnation), net_address(h.sender.address),
                   data_centre_id(h.sender.data_centre)};
--- a/src/flow_place.cpp
+++ b/src/flow_place.cpp
@@ -7,14 +7,14 @@
 namespace {
 
 // Weights in shares of a worker's processors: what one unit of the cause costs the work on that worker.
-constexpr double remote_cost = 3.0;      // away from its data a task takes two to three times as long
-constexpr double distrust_cost = 5.0;    // a failed run costs the whole run again
-constexpr double slow_cost = 1.0;        // for each further multiple of the estimated time
-constexpr double strain_cost = 4.0;      // a filler beside a serving task that is near its target is paced or stopped
-constexpr double beside_serving = 0.30;  // a filler beside a serving task may disturb it, by an amount not known yet
-constexpr double beside_filler = 0.25;   // a serving task beside a filler
-constexpr double serving_beside = 0.15;  // serving tasks disturb each other by their load
-constexpr double overcommit_cost = 2.0;  // filling work that gets less than it wants runs longer
+constexpr double remote_cost = 3.0;     // away from its data a task takes two to three times as long
+constexpr double distrust_cost = 5.0;   // a failed run costs the whole run again
+constexpr double slow_cost = 1.0;       // for each further multiple of the estimated time
+constexpr double strain_cost = 4.0;     // a filler beside a serving task that is near its target is paced or stopped
+constexpr double beside_serving = 0.30; // a filler beside a serving task may disturb it, by an amount not known yet
+constexpr double beside_filler = 0.25;  // a serving task beside a filler
+constexpr double serving_beside = 0.15; // serving tasks disturb each other by their load
+constexpr double overcommit_cost = 2.0; // filling work that gets less than it wants runs longer
 
 } // namespace
 
--- a/src/flow_place_p.h
+++ b/src/flow_place_p.h
@@ -31,9 +31,9 @@
     std::int64_t filling_cpu = 0; // wanted by filling tasks, not counted against the room
     std::int32_t serving = 0;     // lasting tasks with a tail target
     std::int32_t fillers = 0;
-    bool strained = false;        // a serving task there is near or over its target
-    double distrust = 0;          // 0 healthy; rises with runs that failed or stalled there lately
-    double slowness = 1;          // time that runs take there against the estimate
+    bool strained = false; // a serving task there is near or over its target
+    double distrust = 0;   // 0 healthy; rises with runs that failed or stalled there lately
+    double slowness = 1;   // time that runs take there against the estimate
 };
 
 // What is asked for: one task of a step.
--- a/src/flow_types_p.h
+++ b/src/flow_types_p.h
@@ -24,16 +24,16 @@
     duration estimate{0};
     std::vector<std::int32_t> after; // steps all tasks of which must be done first
     bool checkpointing = false;
-    bool gang = false;           // the tasks run together or not at all
-    bool same_rack = false;      // a gang that is slow across racks
-    bool speculative = false;    // copies may run side by side
-    bool lasting = false;        // runs until the job is cancelled
-    bool filling = false;        // its processors come from what other tasks leave unused
-    std::string label;           // the worker must have it; empty: any
-    rack_id data_rack;           // slower on any other
-    std::int32_t per_worker_most = 0; // tasks of one occurrence on one worker; 0: no limit
-    std::string image;           // tasks of one image behave alike
-    duration tail_target{0};     // of a lasting task's own response times; 0: none
+    bool gang = false;                 // the tasks run together or not at all
+    bool same_rack = false;            // a gang that is slow across racks
+    bool speculative = false;          // copies may run side by side
+    bool lasting = false;              // runs until the job is cancelled
+    bool filling = false;              // its processors come from what other tasks leave unused
+    std::string label;                 // the worker must have it; empty: any
+    rack_id data_rack;                 // slower on any other
+    std::int32_t per_worker_most = 0;  // tasks of one occurrence on one worker; 0: no limit
+    std::string image;                 // tasks of one image behave alike
+    duration tail_target{0};           // of a lasting task's own response times; 0: none
     std::int32_t unavailable_most = 0; // tasks that may be away by our doing at a time; 0: not limited
 };
 
@@ -71,9 +71,9 @@
     std::string service;
     std::int32_t priority = 0; // 0 first
     std::int32_t failures_most = 1;
-    double slack_factor = 1;       // of the longest chain, for the latency objective
-    duration latency_target{0};    // on top of it
-    bool advised = false;          // starts need a ticket of the advice service
+    double slack_factor = 1;    // of the longest chain, for the latency objective
+    duration latency_target{0}; // on top of it
+    bool advised = false;       // starts need a ticket of the advice service
 };
 
 struct flow_service {
@@ -134,15 +134,15 @@
 
 enum class order_result : std::uint8_t {
     accepted,
-    fenced,     // a higher fencing token was seen
-    stale_run,  // this run or a higher one was stopped or has ended there
-    expired,    // its lease had ended
+    fenced,    // a higher fencing token was seen
+    stale_run, // this run or a higher one was stopped or has ended there
+    expired,   // its lease had ended
     no_room,
     no_ticket,
     other_life, // the address belongs to another life of a worker by now
     unhealthy,  // did nothing
     invalid,
-    no_answer   // may have been carried out, or may be later
+    no_answer // may have been carried out, or may be later
 };
 
 enum class run_end : std::uint8_t { done, failed, stopped, lapsed, broken, alone };
