--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -143,7 +143,7 @@
         hooks_.state_changed(now, job.row(), job.id(), state_of(job.row()));
     }
     if (job.ended() && !running) {
-        forget_job(job.id());
+        forget_job(now, job.id());
     }
 }
 
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -86,6 +86,7 @@
         return;
     }
     check_lapsed(now);
+    std::erase_if(put_away_, [&](const auto& job) { return now - job.second > put_away_kept; });
     tick_timed(now);
     if (parts_left_ == 0 && now >= next_watch_) {
         watch_jobs(now);
@@ -330,6 +331,7 @@
     ready_.clear();
     awaited_.clear();
     timed_.clear();
+    put_away_.clear();
     parts_.clear();
     reading_jobs_.clear();
     place_planned_ = false;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -14,6 +14,7 @@
 #include "flow_edges_p.h"
 #include "flow_job_p.h"
 #include "flow_place_p.h"
+#include "flow_press_p.h"
 
 namespace skylarkhub {
 
@@ -121,8 +122,11 @@
         // Interference, of the newest hold.
         bool strained = false;
         instant strained_since{};
-        std::int32_t pace = 100; // of its filling tasks
+        double pressure = 0;          // that its filling tasks are expected to add to tails there
+        std::int32_t pace = 100;      // of the filling tasks that press hardest
+        std::int32_t pace_rest = 100; // of the others
         instant paced_at{};
+        std::int64_t lasting_cpu = 0; // committed to lasting tasks, which use less than half of it on the whole
         std::map<flow_task_id, std::int32_t> paced;
     };
 
@@ -175,7 +179,7 @@
     void end_job(instant now, flow_job& job, flow_state outcome);
     void adopt_job(instant now, const job_id& id, const wire::flow_job_row& row, row_version version);
     void job_changed(instant now, flow_job& job, bool urgent);
-    void forget_job(const job_id& id);
+    void forget_job(instant now, job_id id);
 
     // flow_cell_placing.cpp
     void place_soon(instant now);
@@ -196,7 +200,10 @@
 
     // flow_cell_pace.cpp
     void take_measures(instant now, cell_worker& w, const order_answer& answer);
+    void choose_pace(instant now, cell_worker& w, double worst);
     void pace_fillers(instant now, cell_worker& w);
+    bool presses_hard(const std::string& image) const;
+    void recount_pressure(cell_worker& w) const;
 
     struct part_state {
         bool committing = false;
@@ -247,7 +254,9 @@
     std::map<ready_key, job_id> ready_;
     std::set<job_id> awaited_; // known since the takeover; unfound tasks may still run on a worker not accounted for
     std::set<job_id> timed_;
+    std::map<job_id, instant> put_away_; // ended jobs, until no late page can tell of them any more
     std::map<std::string, part_state> parts_;
+    pressure_model presses_;
     bool place_planned_ = false;
     flow_cell_stats stats_;
 };
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -78,7 +78,9 @@
     option.filling_cpu = w.filling_cpu;
     option.serving = w.serving;
     option.fillers = w.fillers;
-    option.strained = w.strained || w.pace < 100;
+    option.lasting_cpu = w.lasting_cpu;
+    option.tail = presses_.base() + w.pressure;
+    option.strained = w.strained;
     const double age = std::chrono::duration<double>(now - w.distrust_at).count();
     option.distrust = w.distrust * std::exp2(-age / distrust_half_life_s);
     option.slowness = w.slowness;
@@ -89,6 +91,7 @@
                                           const flow_task& task)
 {
     const flow_step& step = job.step(stage);
+    const double pressure = step.filling ? presses_.pressure(step.image) : 0;
     cell_worker* best = nullptr;
     double best_cost = 0;
     for (auto& [id, w] : workers_) {
@@ -120,7 +123,7 @@
         if (runs_here) {
             continue;
         }
-        double cost = place_cost(option, step);
+        double cost = place_cost(option, step, pressure);
         cost += task.failed_on == id ? 2.0 : 0.0; // as much as a run that takes three times as long
         if (best == nullptr || cost < best_cost) {
             best = &w;
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -43,6 +43,11 @@
         w.filling_cpu += counted.cpu_millis;
         counted.cpu_millis = 0;
         ++w.fillers;
+        w.pressure += presses_.pressure(step.image) * static_cast<double>(step.need.cpu_millis) /
+                      static_cast<double>(std::max<std::int64_t>(1, w.listing.room.cpu_millis));
+    }
+    if (step.lasting) {
+        w.lasting_cpu += step.need.cpu_millis;
     }
     if (step.tail_target > duration(0)) {
         ++w.serving;
@@ -62,12 +67,19 @@
         counted.cpu_millis = 0;
         --w.fillers;
     }
+    if (at->second.lasting) {
+        w.lasting_cpu -= at->second.need.cpu_millis;
+    }
+    const bool filling = at->second.filling;
     if (at->second.tail_target > duration(0)) {
         --w.serving;
     }
     w.held = w.held - counted;
     w.ledger.erase(at);
     w.paced.erase(task);
+    if (filling) {
+        recount_pressure(w);
+    }
 }
 
 // --- starts ---
@@ -347,7 +359,9 @@
     }
     const auto found = jobs_.find(job);
     if (found == jobs_.end()) {
-        if (row.cell == id_.str() && row.outcome == 0) {
+        // A page read or a message sent before the job's last write still shows it going on: taken up again it would run
+        // anew, with its runs numbered from the first.
+        if (row.cell == id_.str() && row.outcome == 0 && put_away_.count(job) == 0) {
             adopt_job(now, job, row, version);
         }
         return;
@@ -390,7 +404,7 @@
     place_soon(now);
 }
 
-void flow_cell::forget_job(const job_id& id)
+void flow_cell::forget_job(instant now, job_id id) // NOLINT(performance-unnecessary-value-param): the job owns the name
 {
     const auto found = jobs_.find(id);
     if (found == jobs_.end()) {
@@ -403,6 +417,7 @@
     timed_.erase(id);
     parts_[job_part(id)].dirty.erase(id);
     jobs_.erase(found);
+    put_away_[id] = now;
 }
 
 std::int64_t flow_cell::pending(const queue_id& queue) const
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -74,6 +74,8 @@
 inline constexpr duration unavailable_retry = 1s; // what a caller is told when the table or the cells are away
 inline constexpr duration state_fresh = 1500ms;   // an owner tells each end at once; older than this, the row is read
 
+inline constexpr duration put_away_kept = 30s;   // an ended job is known this long; pages and messages are seconds old
+
 // --- placement ---
 inline constexpr double distrust_half_life_s = 6; // of the memory that runs failed on a worker
 
--- a/src/flow_place.cpp
+++ b/src/flow_place.cpp
@@ -6,14 +6,20 @@
 
 namespace {
 
-// Weights in shares of a worker's processors: what one unit of the cause costs the work on that worker.
+// Weights in shares of a worker's processors: what one unit of the cause costs the work on that worker. Measured on a
+// calm day: serving tasks do not disturb each other (tails of 0.4 to 0.5 of the target at one to eight on a worker), while
+// filling tasks beside them push tails over the target in a tenth of the looks at 20% of the processors, in half at 60%.
+// So serving tasks are packed, and filling work keeps away from them as long as there is another worker.
 constexpr double remote_cost = 3.0;     // away from its data a task takes two to three times as long
 constexpr double distrust_cost = 5.0;   // a failed run costs the whole run again
 constexpr double slow_cost = 1.0;       // for each further multiple of the estimated time
-constexpr double strain_cost = 4.0;     // a filler beside a serving task that is near its target is paced or stopped
-constexpr double beside_serving = 0.30; // a filler beside a serving task may disturb it, by an amount not known yet
-constexpr double beside_filler = 0.25;  // a serving task beside a filler
-constexpr double serving_beside = 0.15; // serving tasks disturb each other by their load
+constexpr double strain_cost = 3.0;     // a filler beside a serving task that is near its target is paced
+constexpr double beside_serving = 0.25; // a filler beside serving tasks, however light
+constexpr double tail_cost = 4.0;       // for each share of the target that the tail is expected above the comfortable one
+constexpr double comfortable_tail = 0.6;
+constexpr double lasting_use = 0.45;    // of what lasting tasks have committed; the rest is left to filling work
+constexpr double filler_beside = 0.3;   // a serving task beside each filler
+constexpr double apart_cost = 0.5;      // serving or plain work on a worker that has no serving task yet
 constexpr double overcommit_cost = 2.0; // filling work that gets less than it wants runs longer
 
 } // namespace
@@ -27,22 +33,30 @@
     return fits(option.held + need, option.room);
 }
 
-double place_cost(const place_option& option, const flow_step& step)
+double place_cost(const place_option& option, const flow_step& step, double pressure)
 {
     const double total = std::max<double>(1, static_cast<double>(option.room.cpu_millis));
-    const double wanted = static_cast<double>(option.held.cpu_millis + option.filling_cpu + step.need.cpu_millis);
-    double cost = wanted / total;
-    cost += overcommit_cost * std::max(0.0, cost - 1.0);
-    cost += distrust_cost * option.distrust + slow_cost * (option.slowness - 1.0);
+    const double counted = static_cast<double>(option.held.cpu_millis + (step.filling ? 0 : step.need.cpu_millis)) / total;
+    const double idle = (1.0 - lasting_use) * static_cast<double>(option.lasting_cpu);
+    const double wanted =
+        (static_cast<double>(option.held.cpu_millis + option.filling_cpu + step.need.cpu_millis) - idle) / total;
+    double cost = distrust_cost * option.distrust + slow_cost * (option.slowness - 1.0);
     if (step.data_rack.valid() && step.data_rack != option.rack) {
         cost += remote_cost;
     }
     if (step.filling) {
-        cost += beside_serving * option.serving;
+        cost += wanted + overcommit_cost * std::max(0.0, wanted - 1.0);
+        if (option.serving > 0) {
+            const double tail = option.tail + pressure * static_cast<double>(step.need.cpu_millis) / total;
+            cost += beside_serving + tail_cost * std::max(0.0, tail - comfortable_tail);
+        }
         cost += option.strained ? strain_cost : 0;
+        return cost;
     }
+    // Packed where serving tasks are, so that other workers stay whole for filling work.
+    cost += option.serving > 0 ? 1.0 - counted : apart_cost + wanted;
     if (step.lasting && step.tail_target > duration(0)) {
-        cost += beside_filler * option.fillers + serving_beside * option.serving;
+        cost += filler_beside * option.fillers;
     }
     return cost;
 }
--- a/src/flow_place_p.h
+++ b/src/flow_place_p.h
@@ -31,22 +31,17 @@
     std::int64_t filling_cpu = 0; // wanted by filling tasks, not counted against the room
     std::int32_t serving = 0;     // lasting tasks with a tail target
     std::int32_t fillers = 0;
-    bool strained = false; // a serving task there is near or over its target
+    std::int64_t lasting_cpu = 0; // of `held`, committed to lasting tasks
+    double tail = 0;              // expected there, as a share of the target, with the filling work it has
+    bool strained = false;        // a serving task there is near or over its target
     double distrust = 0;   // 0 healthy; rises with runs that failed or stalled there lately
     double slowness = 1;   // time that runs take there against the estimate
 };
 
-// What is asked for: one task of a step.
-struct place_need {
-    const flow_step* step = nullptr;
-    const std::string* service = nullptr;
-    bool crowded = false; // an urgent task may go where filling work already takes all processors
-};
-
 // True when the task may run there at all: room that every committed task leaves.
 bool has_room(const place_option& option, const flow_step& step);
 
-// Lower is better; the unit is a share of the worker's processors.
-double place_cost(const place_option& option, const flow_step& step);
+// Lower is better; the unit is a share of the worker's processors. `pressure`: of the step's image, see pressure_model.
+double place_cost(const place_option& option, const flow_step& step, double pressure);
 
 } // namespace skylarkhub
