--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -72,6 +72,9 @@
   3: i64 total_cpu_millis = 0
   4: list<string> labels
   5: i64 unused_cpu_millis = 0 // less filling work too
+  6: i64 lasting_cpu_millis = 0 // committed to lasting tasks
+  7: i64 open_cpu_millis = 0    // left for filling work on workers without serving tasks
+  8: i32 workers = 0
 }
 
 struct flow_cell_news {
@@ -79,6 +82,7 @@
   2: i64 epoch = 0
   3: list<flow_pool_row> pools
   4: map<string, i32> pending // queue -> jobs no task of which has started
+  5: map<string, double> pressures // image -> how hard its filling work presses on serving tasks
 }
 
 struct flow_hello {
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -126,6 +126,7 @@
         std::int32_t pace = 100;      // of the filling tasks that press hardest
         std::int32_t pace_rest = 100; // of the others
         instant paced_at{};
+        instant next_evict{};
         std::int64_t lasting_cpu = 0; // committed to lasting tasks, which use less than half of it on the whole
         std::map<flow_task_id, std::int32_t> paced;
     };
@@ -201,6 +202,7 @@
     // flow_cell_pace.cpp
     void take_measures(instant now, cell_worker& w, const order_answer& answer);
     void choose_pace(instant now, cell_worker& w, double worst);
+    void evict_fillers(instant now, cell_worker& w);
     void pace_fillers(instant now, cell_worker& w);
     bool presses_hard(const std::string& image) const;
     void recount_pressure(cell_worker& w) const;
--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -18,8 +18,8 @@
 constexpr double relaxed_share = 0.65;
 constexpr int pace_least = 15;    // percent; below it, none at all
 constexpr int pace_step_up = 20;  // percent
-constexpr double hard_pressure = 1.5; // an image that presses harder is slowed first: a third of a worker doubles a tail
 // A measurement covers half a second; sooner than this, it still tells of the time before the last change.
+constexpr duration evict_interval = std::chrono::milliseconds(150); // lets the ledgers show where the last one went
 constexpr duration pace_interval = std::chrono::milliseconds(600);
 
 } // namespace
@@ -68,6 +68,9 @@
         w.strained_since = now;
     }
     choose_pace(now, w, worst);
+    if (w.strained) {
+        evict_fillers(now, w);
+    }
     recount_pressure(w);
     pace_fillers(now, w);
 }
@@ -117,6 +120,40 @@
     }
 }
 
+// Filling work that is slowed to nothing makes no way where it is. It goes on from its checkpoint where it presses on
+// nobody, one task at a time, as long as there is such a place.
+void flow_cell::evict_fillers(instant now, cell_worker& w)
+{
+    if (w.pace > 0 || now < w.next_evict) {
+        return;
+    }
+    for (const auto& [task, run] : w.ledger) {
+        if (!run.filling || !presses_hard(run.image)) {
+            continue;
+        }
+        const auto found = jobs_.find(task.job);
+        flow_task* const t = found == jobs_.end() ? nullptr : found->second->find_task(task);
+        if (t == nullptr || t->runs.size() != 1 || t->runs.front().stopping || !t->runs.front().confirmed) {
+            continue;
+        }
+        const flow_job& job = *found->second;
+        const flow_stage& stage = *found->second->find_stage(task);
+        const cell_worker* const better = choose(now, job, stage, *t);
+        if (better == nullptr || better->serving > 0) {
+            return;
+        }
+        write_log(log_level::info, "run", "evicted",
+                  {{"job", task.job.str()},
+                   {"worker", w.listing.worker.str()},
+                   {"to", better->listing.worker.str()},
+                   {"image", run.image}});
+        t->runs.front().stopping = true;
+        send_stop(now, w.listing.worker, task, run.run, 0);
+        w.next_evict = now + evict_interval;
+        return;
+    }
+}
+
 void flow_cell::pace_fillers(instant now, cell_worker& w)
 {
     if (!may_send(now)) {
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -447,6 +447,11 @@
         pool.total_cpu_millis += w.listing.room.cpu_millis;
         pool.free_cpu_millis += free;
         pool.unused_cpu_millis += free - w.filling_cpu;
+        pool.lasting_cpu_millis += w.lasting_cpu;
+        ++pool.workers;
+        if (w.serving == 0) {
+            pool.open_cpu_millis += free + w.listing.room.cpu_millis / 2 - w.filling_cpu;
+        }
         labels[w.listing.service].insert(w.listing.labels.begin(), w.listing.labels.end());
     }
     for (const auto& [id, job] : jobs_) {
@@ -460,11 +465,15 @@
         for (const flow_stage& stage : job->stages()) {
             const std::int64_t queued = stage.ready * job->step(stage).need.cpu_millis;
             pool->second.unused_cpu_millis -= queued;
+            pool->second.open_cpu_millis -= presses_hard(job->step(stage).image) ? queued : 0;
             if (!job->step(stage).filling) {
                 pool->second.free_cpu_millis -= queued;
             }
         }
     }
+    for (const auto& [image, pressure] : presses_.pressures()) {
+        news.pressures[image] = pressure;
+    }
     for (auto& [service, pool] : pools) {
         pool.labels.assign(labels[service].begin(), labels[service].end());
         news.pools.push_back(std::move(pool));
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -140,37 +140,84 @@
     write_job(now, job, std::move(row), now + patience - answer_margin, 0, false);
 }
 
-// The cell with the most processors left unused, counting what was sent there since it last told.
-std::optional<cell_id> flow_entry::choose_cell(instant now, const flow_queue& queue, const flow_spec& spec)
-{
-    std::int64_t wanted = 0;
+namespace {
+
+// What decides where a flow goes.
+struct flow_wants {
+    std::int64_t cpu = 0;     // of its widest step
+    std::int32_t workers = 1; // that a step with a limit per worker spreads over
     std::string label;
     rack_id rack;
     bool filling = false;
+    bool lasting = false;
+    bool hard = false; // its filling work presses hard on serving tasks
+};
+
+flow_wants wants_of(const flow_spec& spec)
+{
+    flow_wants wants;
     for (const flow_step& step : spec.steps) {
-        wanted = std::max(wanted, step.need.cpu_millis * step.count);
-        label = step.label.empty() ? label : step.label;
-        rack = step.data_rack.valid() ? step.data_rack : rack;
-        filling = filling || step.filling;
+        wants.cpu = std::max(wants.cpu, step.need.cpu_millis * step.count);
+        wants.label = step.label.empty() ? wants.label : step.label;
+        wants.rack = step.data_rack.valid() ? step.data_rack : wants.rack;
+        wants.filling = wants.filling || step.filling;
+        wants.lasting = wants.lasting || step.lasting;
+        if (step.per_worker_most > 0) {
+            wants.workers = std::max(wants.workers, (step.count + step.per_worker_most - 1) / step.per_worker_most);
+        }
     }
+    return wants;
+}
+
+// Lasting work fills one cell after another up to this share of its processors: tasks that may share a worker with few
+// of their kind spread over every worker of a cell, so only a cell that has little lasting work keeps workers without
+// serving tasks, where filling work that presses hard disturbs nobody.
+constexpr double lasting_share_most = 0.85;
+
+double cell_score(const wire::flow_pool_row& pool, const flow_wants& wants, std::int64_t assigned)
+{
+    const auto total = static_cast<double>(pool.total_cpu_millis);
+    const double unused = static_cast<double>(pool.unused_cpu_millis - assigned) / total;
+    const double free = static_cast<double>(pool.free_cpu_millis - assigned) / total;
+    const double wanted = static_cast<double>(wants.cpu) / total;
+    if (wants.lasting) {
+        const double lasting = static_cast<double>(pool.lasting_cpu_millis + assigned) / total;
+        const bool fits = free >= wanted && lasting + wanted <= lasting_share_most && wants.workers <= pool.workers;
+        return fits ? 1.0 + lasting : free;
+    }
+    if (wants.hard) {
+        const double open = static_cast<double>(pool.open_cpu_millis - assigned) / total;
+        return std::min(open, wanted) + 0.2 * unused;
+    }
+    return wants.filling ? unused : unused + std::min(0.0, free);
+}
+
+} // namespace
+
+// The cell that serves the flow best, counting what was sent there since it last told.
+std::optional<cell_id> flow_entry::choose_cell(instant now, const flow_queue& queue, const flow_spec& spec)
+{
+    flow_wants wants = wants_of(spec);
     std::optional<cell_id> best;
     double best_score = 0;
     const auto weigh = [&](const wire::flow_cell_news& news, bool own) {
+        for (const flow_step& step : spec.steps) {
+            const auto pressure = news.pressures.find(step.image);
+            wants.hard = wants.hard || (step.filling && pressure != news.pressures.end() && pressure->second >= hard_pressure);
+        }
         for (const wire::flow_pool_row& pool : news.pools) {
             if (pool.service_name != queue.service || pool.total_cpu_millis <= 0) {
                 continue;
             }
-            if (!label.empty() && std::find(pool.labels.begin(), pool.labels.end(), label) == pool.labels.end()) {
+            if (!wants.label.empty() &&
+                std::find(pool.labels.begin(), pool.labels.end(), wants.label) == pool.labels.end()) {
                 continue;
             }
             const cell_id id(news.cell);
-            const auto total = static_cast<double>(pool.total_cpu_millis);
-            const double unused = static_cast<double>(pool.unused_cpu_millis - assigned_cpu_[id]) / total;
-            const double free = static_cast<double>(pool.free_cpu_millis - assigned_cpu_[id]) / total;
-            double score = filling ? unused : unused + std::min(0.0, free);
-            score += own ? 0.02 : 0.0; // as good a cell here spares a message
-            const auto home = racks_.find(rack);
-            score += rack.valid() && home != racks_.end() && home->second == id ? 1.0 : 0.0;
+            double score = cell_score(pool, wants, assigned_cpu_[id]);
+            score += own ? 0.01 : 0.0; // as good a cell here spares a message
+            const auto home = racks_.find(wants.rack);
+            score += wants.rack.valid() && home != racks_.end() && home->second == id ? 1.0 : 0.0;
             if (!best || score > best_score) {
                 best = id;
                 best_score = score;
@@ -179,7 +226,7 @@
     };
     for (const auto& [id, cell] : cells_) {
         if (cell->current_role() == flow_cell::role::owning) {
-            weigh(cell->news(), true);
+            weigh(cell->news(), !wants.lasting);
         }
     }
     for (const auto& [id, p] : peers_) {
@@ -190,7 +237,7 @@
         }
     }
     if (best) {
-        assigned_cpu_[*best] += wanted;
+        assigned_cpu_[*best] += wants.cpu;
     }
     return best;
 }
--- a/src/flow_press_p.h
+++ b/src/flow_press_p.h
@@ -12,6 +12,9 @@
 // Share of one worker's processors that tasks of an image use.
 using image_share = std::pair<std::string, double>;
 
+// An image that presses harder is kept away from serving tasks: a third of a worker raises a tail by half its target.
+inline constexpr double hard_pressure = 1.5;
+
 // A linear model of the tail latency of serving tasks, as a share of their target:
 //   tail = base + sum over images of pressure(image) * share(image)
 // fitted by normalised least mean squares as measurements come in. A few images press many times harder than the rest,
@@ -22,6 +25,8 @@
     void learn(double tail_share, const std::vector<image_share>& shares);
 
     double pressure(const std::string& image) const;
+    // What was learned of each image so far.
+    const absl::flat_hash_map<std::string, double>& pressures() const { return pressures_; }
     double base() const { return base_; }
     double predict(const std::vector<image_share>& shares) const;
 
