--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -84,6 +84,8 @@
 
     // What peers are told; only of an owner.
     wire::flow_cell_news news() const;
+    // What the owner of another cell has learned of images.
+    void hint_pressures(const std::map<std::string, double>& pressures);
     std::int64_t pending(const queue_id& queue) const;
     // Bound to this cell and not ended; null when unknown.
     const flow_job* find_job(const job_id& job) const;
@@ -122,6 +124,9 @@
         // Interference, of the newest hold.
         bool strained = false;
         instant strained_since{};
+        instant calm_since{};
+        double tail = 0;              // the worst there at the newest look, as a share of its target
+        std::int32_t hard_most = 100; // percent; a pace above it has strained serving tasks here lately
         double pressure = 0;          // that its filling tasks are expected to add to tails there
         std::int32_t pace = 100;      // of the filling tasks that press hardest
         std::int32_t pace_rest = 100; // of the others
@@ -202,6 +207,7 @@
     // flow_cell_pace.cpp
     void take_measures(instant now, cell_worker& w, const order_answer& answer);
     void choose_pace(instant now, cell_worker& w, double worst);
+    double expected_tail(const cell_worker& w, const ledger_run& run) const;
     void evict_fillers(instant now, cell_worker& w);
     void pace_fillers(instant now, cell_worker& w);
     bool presses_hard(const std::string& image) const;
--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -17,13 +17,26 @@
 constexpr double strained_share = 0.85;
 constexpr double relaxed_share = 0.65;
 constexpr int pace_least = 15;    // percent; below it, none at all
-constexpr int pace_step_up = 20;  // percent
+constexpr int rest_step = 50;     // percent; most images press on nobody, and slowing them costs their jobs' objective
+constexpr int hard_step = 10;     // percent
+// A tail that was driven up comes down over two to three seconds after its cause has gone, as the backlog drains; slowing
+// more work meanwhile would be for nothing.
+constexpr duration drain_time = std::chrono::milliseconds(1800);
+constexpr double tail_drains = 0.9; // a tail that falls faster than this from look to look is draining
+constexpr duration calm_time = std::chrono::milliseconds(1500);
 // A measurement covers half a second; sooner than this, it still tells of the time before the last change.
 constexpr duration evict_interval = std::chrono::milliseconds(150); // lets the ledgers show where the last one went
 constexpr duration pace_interval = std::chrono::milliseconds(600);
 
 } // namespace
 
+void flow_cell::hint_pressures(const std::map<std::string, double>& pressures)
+{
+    for (const auto& [image, pressure] : pressures) {
+        presses_.hint(image, pressure);
+    }
+}
+
 bool flow_cell::presses_hard(const std::string& image) const
 {
     return presses_.pressure(image) >= hard_pressure;
@@ -67,8 +80,12 @@
     if (w.strained && !was_strained) {
         w.strained_since = now;
     }
+    if (worst >= relaxed_share || w.calm_since == instant{}) {
+        w.calm_since = now;
+    }
     choose_pace(now, w, worst);
-    if (w.strained) {
+    w.tail = worst;
+    if (w.strained || w.pace == 0) {
         evict_fillers(now, w);
     }
     recount_pressure(w);
@@ -91,20 +108,20 @@
         const bool any_hard = std::any_of(w.ledger.begin(), w.ledger.end(), [this](const auto& r) {
             return r.second.filling && presses_hard(r.second.image);
         });
-        const auto lower = [&](int pace) { return pace / 2 < pace_least || worst > 2 ? 0 : pace / 2; };
         if (any_hard && w.pace > 0) {
-            w.pace = lower(w.pace);
+            w.hard_most = std::max(hard_step, w.pace / 2);
+            w.pace = 0;
         }
-        else {
-            w.pace_rest = lower(w.pace_rest);
+        else if (now - w.strained_since >= drain_time && worst > 1.0 && worst > tail_drains * w.tail) {
+            // Not the hard ones, or they have been off for long enough: a backlog drains by itself.
+            w.pace_rest = w.pace_rest / 2 < pace_least ? 0 : w.pace_rest / 2;
         }
     }
     else if (worst < relaxed_share) {
-        if (w.pace_rest < 100) {
-            w.pace_rest = std::min(100, w.pace_rest + pace_step_up);
-        }
-        else if (w.pace < 100) {
-            w.pace = std::min(100, w.pace + pace_step_up);
+        w.pace_rest = std::min(100, w.pace_rest + rest_step);
+        if (w.pace_rest == 100 && now - w.calm_since >= calm_time) {
+            w.hard_most = std::min(100, w.hard_most + hard_step / 2);
+            w.pace = std::min(w.hard_most, w.pace + hard_step);
         }
     }
     if (w.pace == before && w.pace_rest == rest_before) {
@@ -120,6 +137,13 @@
     }
 }
 
+double flow_cell::expected_tail(const cell_worker& w, const ledger_run& run) const
+{
+    const double room = static_cast<double>(std::max<std::int64_t>(1, w.listing.room.cpu_millis));
+    return std::max(w.tail, presses_.base() + w.pressure) +
+           presses_.pressure(run.image) * static_cast<double>(run.need.cpu_millis) / room;
+}
+
 // Filling work that is slowed to nothing makes no way where it is. It goes on from its checkpoint where it presses on
 // nobody, one task at a time, as long as there is such a place.
 void flow_cell::evict_fillers(instant now, cell_worker& w)
@@ -139,7 +163,7 @@
         const flow_job& job = *found->second;
         const flow_stage& stage = *found->second->find_stage(task);
         const cell_worker* const better = choose(now, job, stage, *t);
-        if (better == nullptr || better->serving > 0) {
+        if (better == nullptr || (better->serving > 0 && expected_tail(*better, run) > comfortable_tail)) {
             return;
         }
         write_log(log_level::info, "run", "evicted",
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -79,7 +79,7 @@
     option.serving = w.serving;
     option.fillers = w.fillers;
     option.lasting_cpu = w.lasting_cpu;
-    option.tail = presses_.base() + w.pressure;
+    option.tail = std::max(w.tail, presses_.base() + w.pressure);
     option.strained = w.strained;
     const double age = std::chrono::duration<double>(now - w.distrust_at).count();
     option.distrust = w.distrust * std::exp2(-age / distrust_half_life_s);
@@ -107,6 +107,13 @@
         if (!has_room(option, step)) {
             continue;
         }
+        // Left waiting a while for a worker where it disturbs nobody: beside serving tasks it would be slowed to nothing.
+        if (pressure >= hard_pressure && w.serving > 0 && now - task.ready_since < hard_patience) {
+            const double room = static_cast<double>(std::max<std::int64_t>(1, w.listing.room.cpu_millis));
+            if (option.tail + pressure * static_cast<double>(step.need.cpu_millis) / room > comfortable_tail) {
+                continue;
+            }
+        }
         const flow_task_id first{job.id(), stage.occurrence, stage.step, 0};
         std::int32_t beside = 0;
         for (auto at = w.ledger.lower_bound(first);
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -446,7 +446,7 @@
         const std::int64_t free = w.listing.room.cpu_millis - w.held.cpu_millis;
         pool.total_cpu_millis += w.listing.room.cpu_millis;
         pool.free_cpu_millis += free;
-        pool.unused_cpu_millis += free - w.filling_cpu;
+        pool.unused_cpu_millis += left_for_filling(option_of(w.read_at, w));
         pool.lasting_cpu_millis += w.lasting_cpu;
         ++pool.workers;
         if (w.serving == 0) {
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -172,7 +172,7 @@
 // Lasting work fills one cell after another up to this share of its processors: tasks that may share a worker with few
 // of their kind spread over every worker of a cell, so only a cell that has little lasting work keeps workers without
 // serving tasks, where filling work that presses hard disturbs nobody.
-constexpr double lasting_share_most = 0.85;
+constexpr double lasting_share_most = 0.9;
 
 double cell_score(const wire::flow_pool_row& pool, const flow_wants& wants, std::int64_t assigned)
 {
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -77,6 +77,7 @@
 inline constexpr duration put_away_kept = 30s;   // an ended job is known this long; pages and messages are seconds old
 
 // --- placement ---
+inline constexpr duration hard_patience = 3s; // of a filling task that presses hard, for a place where it disturbs nobody
 inline constexpr double distrust_half_life_s = 6; // of the memory that runs failed on a worker
 
 } // namespace skylarkhub::flow_limits
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -201,6 +201,9 @@
     p.news_at = now;
     for (const wire::flow_cell_news& cell : h.cells) {
         assigned_cpu_[cell_id(cell.cell)] = 0;
+        for (auto& [id, own] : cells_) {
+            own->hint_pressures(cell.pressures);
+        }
     }
     for (const wire::flow_entry_row& member : h.members) {
         learn(member);
--- a/src/flow_place.cpp
+++ b/src/flow_place.cpp
@@ -1,5 +1,7 @@
 #include "flow_place_p.h"
 
+#include "flow_press_p.h"
+
 #include <algorithm>
 
 namespace skylarkhub {
@@ -14,16 +16,20 @@
 constexpr double distrust_cost = 5.0;   // a failed run costs the whole run again
 constexpr double slow_cost = 1.0;       // for each further multiple of the estimated time
 constexpr double strain_cost = 3.0;     // a filler beside a serving task that is near its target is paced
-constexpr double beside_serving = 0.25; // a filler beside serving tasks, however light
+constexpr double beside_serving = 0.5;  // a hard filler beside serving tasks, or a light one where a hard one could go
 constexpr double tail_cost = 4.0;       // for each share of the target that the tail is expected above the comfortable one
-constexpr double comfortable_tail = 0.6;
-constexpr double lasting_use = 0.45;    // of what lasting tasks have committed; the rest is left to filling work
 constexpr double filler_beside = 0.3;   // a serving task beside each filler
 constexpr double apart_cost = 0.5;      // serving or plain work on a worker that has no serving task yet
 constexpr double overcommit_cost = 2.0; // filling work that gets less than it wants runs longer
 
 } // namespace
 
+std::int64_t left_for_filling(const place_option& option)
+{
+    const double idle = (1.0 - lasting_use) * static_cast<double>(option.lasting_cpu);
+    return option.room.cpu_millis - option.held.cpu_millis - option.filling_cpu + static_cast<std::int64_t>(idle);
+}
+
 bool has_room(const place_option& option, const flow_step& step)
 {
     resources need = step.need;
@@ -37,9 +43,8 @@
 {
     const double total = std::max<double>(1, static_cast<double>(option.room.cpu_millis));
     const double counted = static_cast<double>(option.held.cpu_millis + (step.filling ? 0 : step.need.cpu_millis)) / total;
-    const double idle = (1.0 - lasting_use) * static_cast<double>(option.lasting_cpu);
     const double wanted =
-        (static_cast<double>(option.held.cpu_millis + option.filling_cpu + step.need.cpu_millis) - idle) / total;
+        1.0 - static_cast<double>(left_for_filling(option) - step.need.cpu_millis) / total;
     double cost = distrust_cost * option.distrust + slow_cost * (option.slowness - 1.0);
     if (step.data_rack.valid() && step.data_rack != option.rack) {
         cost += remote_cost;
@@ -48,8 +53,11 @@
         cost += wanted + overcommit_cost * std::max(0.0, wanted - 1.0);
         if (option.serving > 0) {
             const double tail = option.tail + pressure * static_cast<double>(step.need.cpu_millis) / total;
-            cost += beside_serving + tail_cost * std::max(0.0, tail - comfortable_tail);
+            cost += tail_cost * std::max(0.0, tail - comfortable_tail);
         }
+        // Workers without serving tasks are kept for what can go nowhere else.
+        const bool hard = pressure >= hard_pressure;
+        cost += hard == (option.serving > 0) ? beside_serving : 0;
         cost += option.strained ? strain_cost : 0;
         return cost;
     }
--- a/src/flow_place_p.h
+++ b/src/flow_place_p.h
@@ -38,6 +38,16 @@
     double slowness = 1;   // time that runs take there against the estimate
 };
 
+// Of what lasting tasks have committed, the share they use on the whole; the rest is left to filling work. Measured on a
+// calm day: filling work beside 80% committed to lasting tasks went on at full speed up to as much again.
+inline constexpr double lasting_use = 0.45;
+
+// Of a serving task's target; filling work is not added where the tail is expected above it.
+inline constexpr double comfortable_tail = 0.65;
+
+// Processors that filling work can still have: what committed tasks and other filling work leave unused.
+std::int64_t left_for_filling(const place_option& option);
+
 // True when the task may run there at all: room that every committed task leaves.
 bool has_room(const place_option& option, const flow_step& step);
 
--- a/src/flow_press_p.h
+++ b/src/flow_press_p.h
@@ -24,6 +24,9 @@
     // One look at a worker: the worst tail there, and what filled beside it.
     void learn(double tail_share, const std::vector<image_share>& shares);
 
+    // What another cell has learned, for images not seen here yet.
+    void hint(const std::string& image, double pressure) { pressures_.try_emplace(image, pressure); }
+
     double pressure(const std::string& image) const;
     // What was learned of each image so far.
     const absl::flat_hash_map<std::string, double>& pressures() const { return pressures_; }
