--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -18,6 +18,14 @@
   13: i32 unavailable_most = 0
 }
 
+// A task that another cell than its job's takes care of. Only the cell that has it moves it on, while no run of it lives.
+struct flow_home_row {
+  1: string cell
+  2: i64 epoch = 0     // of that cell when the task was given to it
+  3: i64 run_floor = 0 // its runs are numbered above
+  4: i32 moves = 0     // the highest is in force
+}
+
 // What is certain about the tasks of one step in one occurrence. Facts are only ever added.
 struct flow_stage_row {
   1: i32 occurrence = 0
@@ -25,6 +33,7 @@
   3: binary done              // bit per task
   4: map<i32, i32> failures   // task -> runs that failed
   5: map<i32, string> checkpoints
+  6: map<i32, flow_home_row> homes
 }
 
 struct flow_job_row {
@@ -75,6 +84,8 @@
   6: i64 lasting_cpu_millis = 0 // committed to lasting tasks
   7: i64 open_cpu_millis = 0    // left for filling work on workers without serving tasks
   8: i32 workers = 0
+  9: i64 largest_free_memory_mib = 0 // of one worker
+  10: list<i32> free_cpu_millis_each // of each worker, the largest first
 }
 
 struct flow_cell_news {
@@ -99,6 +110,7 @@
   1: string job
   2: i64 version = 0
   3: binary row
+  4: string cell // whose owner is told
 }
 
 struct flow_state_news {
--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -101,6 +101,7 @@
             if (!found->second->dirty()) {
                 state.dirty.erase(id);
             }
+            tell_others(now, *found->second);
             after_written(now, *found->second);
         }
         confirm_all(now);
@@ -139,7 +140,7 @@
     const bool running = std::any_of(job.stages().begin(), job.stages().end(), [](const flow_stage& s) {
         return std::any_of(s.tasks.begin(), s.tasks.end(), [](const flow_task& t) { return !t.runs.empty(); });
     });
-    if (job.ended()) {
+    if (job.ended() && job.row().cell == id_.str()) {
         hooks_.state_changed(now, job.row(), job.id(), state_of(job.row()));
     }
     if (job.ended() && !running) {
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -88,6 +88,9 @@
     check_lapsed(now);
     std::erase_if(put_away_, [&](const auto& job) { return now - job.second > put_away_kept; });
     tick_timed(now);
+    if (now >= next_give_away_) {
+        give_away_waiting(now);
+    }
     if (parts_left_ == 0 && now >= next_watch_) {
         watch_jobs(now);
     }
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -30,6 +30,10 @@
 struct flow_cell_hooks {
     std::function<const flow_queue*(const queue_id&)> queue; // null: not in the configuration
     std::function<bool(const std::string& service)> guards_room;
+    // Another cell with room for one more task of such a step, with its epoch; empty when none is known.
+    std::function<std::optional<std::pair<cell_id, epoch>>(instant, const std::string& service, const flow_step&)> find_room;
+    // A row that the owner of another cell must know.
+    std::function<void(instant, const cell_id&, const job_id&, const wire::flow_job_row&, row_version)> tell_cell;
     // A state that is durable, for the entry that answers the caller.
     std::function<void(instant, const wire::flow_job_row&, const job_id&, flow_state)> state_changed;
 };
@@ -194,6 +198,8 @@
     cell_worker* choose(instant now, const flow_job& job, const flow_stage& stage, const flow_task& task);
     place_option option_of(instant now, const cell_worker& w) const;
     void index_ready(flow_job& job);
+    void give_away_waiting(instant now);
+    void tell_others(instant now, const flow_job& job);
     void tick_timed(instant now);
 
     // flow_cell_commit.cpp
@@ -254,6 +260,7 @@
     row_version watched_;    // the jobs table is known up to here
     bool watching_jobs_ = false;
     instant next_watch_{};
+    instant next_give_away_{};
     int parts_left_ = 0;
     std::set<job_id> reading_jobs_;
 
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -189,6 +189,62 @@
     return all;
 }
 
+// Tasks that no worker here has room for go to a cell that has: a cell may lose workers, or fill up with tasks that last,
+// while others stay empty.
+void flow_cell::give_away_waiting(instant now)
+{
+    next_give_away_ = now + give_away_interval;
+    if (stopping_ || !may_send(now)) {
+        return;
+    }
+    int left = give_away_most;
+    const std::map<ready_key, job_id> waiting = ready_;
+    for (const auto& [key, id] : waiting) {
+        const auto found = jobs_.find(id);
+        if (found == jobs_.end() || awaited_.count(id) != 0) {
+            continue;
+        }
+        flow_job& job = *found->second;
+        bool given = false;
+        for (flow_stage& stage : job.stages()) {
+            const flow_step& step = job.step(stage);
+            if (stage.ready == 0 || (step.gang && stage.ready != static_cast<std::int32_t>(stage.tasks.size()))) {
+                continue;
+            }
+            std::optional<std::pair<cell_id, skylarkhub::epoch>> to;
+            for (std::size_t i = 0; i < stage.tasks.size() && (left > 0 || step.gang); ++i) {
+                flow_task& task = stage.tasks[i];
+                if (task.stage != task_stage::ready || !task.runs.empty() || now - task.ready_since < give_away_after) {
+                    continue;
+                }
+                if (!to || !step.gang) {
+                    to = hooks_.find_room(now, job.row().service_name, step);
+                }
+                if (!to) {
+                    break;
+                }
+                const flow_task_id task_id{id, stage.occurrence, stage.step, static_cast<std::int32_t>(i)};
+                write_log(log_level::info, "task", "given_away",
+                          {{"job", id.str()},
+                           {"step", std::to_string(stage.step)},
+                           {"index", std::to_string(i)},
+                           {"from", id_.str()},
+                           {"to", to->first.str()}});
+                job.give_away(task_id, to->first, to->second, epoch_);
+                given = true;
+                --left;
+            }
+        }
+        if (given) {
+            index_ready(job);
+            job_changed(now, job, true);
+        }
+        if (left <= 0) {
+            return;
+        }
+    }
+}
+
 void flow_cell::tick_timed(instant now)
 {
     const wall_time wall = edges_.wall();
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -361,25 +361,52 @@
     if (found == jobs_.end()) {
         // A page read or a message sent before the job's last write still shows it going on: taken up again it would run
         // anew, with its runs numbered from the first.
-        if (row.cell == id_.str() && row.outcome == 0 && put_away_.count(job) == 0) {
+        if (row.outcome == 0 && put_away_.count(job) == 0) {
             adopt_job(now, job, row, version);
         }
         return;
     }
     flow_job& known = *found->second;
     const bool was_cancelled = known.cancelled();
-    known.merge(row, version);
+    const bool was_ended = known.ended();
+    known.merge(now, row, version);
+    if (known.ended() && !was_ended) {
+        stop_job_runs(now, known);
+        job_changed(now, known, true);
+    }
+    else if (!known.cancelled() && role_ == role::owning && known.open_stages(now, edges_.wall())) {
+        place_soon(now); // another cell has ended the last task of a step
+    }
+    if (!known.cancelled() && !known.ended()) {
+        index_ready(known);
+        if (known.all_done()) {
+            end_job(now, known, flow_state::done);
+        }
+    }
     if (known.cancelled() && !was_cancelled) {
         write_log(log_level::info, "job", "cancelled", {{"job", job.str()}, {"cell", id_.str()}});
         stop_job_runs(now, known);
         job_changed(now, known, false);
+        tell_others(now, known);
+    }
+}
+
+// A row is told to the other cells that have tasks of its job: that it was cancelled, which of its tasks are done.
+void flow_cell::tell_others(instant now, const flow_job& job)
+{
+    for (const cell_id& cell : job.other_cells()) {
+        hooks_.tell_cell(now, cell, job.id(), job.current_row(), job.version());
     }
 }
 
 void flow_cell::adopt_job(instant now, const job_id& id, const wire::flow_job_row& row, row_version version)
 {
+    auto made = std::make_unique<flow_job>(id, id_, row, version);
+    if (!made->concerns_here()) {
+        return;
+    }
     auto& job = jobs_[id];
-    job = std::make_unique<flow_job>(id, row, version);
+    job = std::move(made);
     if (job->timed()) {
         timed_.insert(id);
     }
@@ -447,6 +474,9 @@
         pool.total_cpu_millis += w.listing.room.cpu_millis;
         pool.free_cpu_millis += free;
         pool.unused_cpu_millis += left_for_filling(option_of(w.read_at, w));
+        pool.free_cpu_millis_each.push_back(static_cast<std::int32_t>(free));
+        pool.largest_free_memory_mib =
+            std::max(pool.largest_free_memory_mib, w.listing.room.memory_mib - w.held.memory_mib);
         pool.lasting_cpu_millis += w.lasting_cpu;
         ++pool.workers;
         if (w.serving == 0) {
@@ -455,7 +485,7 @@
         labels[w.listing.service].insert(w.listing.labels.begin(), w.listing.labels.end());
     }
     for (const auto& [id, job] : jobs_) {
-        if (!job->started() && !job->cancelled()) {
+        if (!job->started() && !job->cancelled() && job->row().cell == id_.str()) {
             ++news.pending[job->row().queue];
         }
         const auto pool = pools.find(job->row().service_name);
@@ -475,6 +505,7 @@
         news.pressures[image] = pressure;
     }
     for (auto& [service, pool] : pools) {
+        std::sort(pool.free_cpu_millis_each.rbegin(), pool.free_cpu_millis_each.rend());
         pool.labels.assign(labels[service].begin(), labels[service].end());
         news.pools.push_back(std::move(pool));
     }
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -36,12 +36,12 @@
     }
     if (now >= next_untold_ && !untold_.empty()) {
         next_untold_ = now + untold_retry;
-        std::vector<job_id> jobs;
-        for (const auto& [job, row] : untold_) {
-            jobs.push_back(job);
+        std::vector<std::pair<cell_id, job_id>> keys;
+        for (const auto& [key, row] : untold_) {
+            keys.push_back(key);
         }
-        for (const job_id& job : jobs) {
-            tell_owner(now, job);
+        for (const auto& [cell, job] : keys) {
+            tell_owner(now, cell, job);
         }
     }
     if (now - begun_ >= peers_learned) {
@@ -147,6 +147,11 @@
         return config_ && std::any_of(config_->services.begin(), config_->services.end(),
                                       [&](const flow_service& s) { return s.name == service && s.guards_room; });
     };
+    hooks.find_room = [this](instant now, const std::string& service, const flow_step& step) {
+        return find_room(now, service, step);
+    };
+    hooks.tell_cell = [this](instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row,
+                             row_version version) { tell_cell(now, cell, job, row, version); };
     hooks.state_changed = [this](instant now, const wire::flow_job_row& row, const job_id& job, flow_state state) {
         if (row.accepted_by == self_.address.str()) {
             wire::flow_message message;
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -108,7 +108,6 @@
     };
     // A row that the owner of its cell has not taken note of yet.
     struct untold_row {
-        cell_id cell;
         wire::flow_job_row row;
         std::string bytes;
         row_version version;
@@ -119,6 +118,7 @@
     const flow_queue* match_queue(const std::string& host, const std::string& path) const;
     void submit(instant now, const flow_queue& queue, const job_id& job, caller_request request, caller_reply reply);
     std::optional<cell_id> choose_cell(instant now, const flow_queue& queue, const flow_spec& spec);
+    std::vector<wire::flow_cell_news>& own_news(instant now);
     void write_job(instant now, const job_id& job, wire::flow_job_row row, instant give_up, int tries,
                    bool may_be_in_force);
     void on_job_written(instant now, const job_id& job, const wire::flow_job_row& row, instant give_up, int tries,
@@ -130,7 +130,9 @@
     void write_cancel(instant now, const job_id& job, wire::flow_job_row row, row_version version, instant give_up,
                       caller_reply reply);
     std::int64_t count_pending(const queue_id& queue) const;
-    void tell_owner(instant now, const job_id& job);
+    void tell_cell(instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row, row_version version);
+    void tell_owner(instant now, const cell_id& cell, const job_id& job);
+    std::optional<std::pair<cell_id, epoch>> find_room(instant now, const std::string& service, const flow_step& step);
     void tell_states(instant now);
 
     // flow_peers.cpp
@@ -167,8 +169,10 @@
     std::map<cell_id, data_centre_id> cell_places_;
     std::map<cell_id, std::int64_t> assigned_cpu_; // to a cell since its last news
     std::map<rack_id, cell_id> racks_;
+    std::vector<wire::flow_cell_news> own_news_;
+    instant own_news_at_{};
     absl::flat_hash_map<job_id, followed_job> followed_;
-    std::map<job_id, untold_row> untold_;
+    std::map<std::pair<cell_id, job_id>, untold_row> untold_;
     std::map<net_address, std::vector<wire::flow_state_news>> state_news_;
     instant next_list_{};
     bool listing_ = false;
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -145,7 +145,9 @@
 // What decides where a flow goes.
 struct flow_wants {
     std::int64_t cpu = 0;     // of its widest step
-    std::int32_t workers = 1; // that a step with a limit per worker spreads over
+    std::int32_t tasks = 0;   // of the widest step
+    std::int64_t task_cpu = 0;
+    std::int32_t per_worker_most = 0; // 0: no limit
     std::string label;
     rack_id rack;
     bool filling = false;
@@ -157,14 +159,16 @@
 {
     flow_wants wants;
     for (const flow_step& step : spec.steps) {
-        wants.cpu = std::max(wants.cpu, step.need.cpu_millis * step.count);
+        if (step.need.cpu_millis * step.count >= wants.cpu) {
+            wants.cpu = step.need.cpu_millis * step.count;
+            wants.tasks = step.count;
+            wants.task_cpu = step.need.cpu_millis;
+            wants.per_worker_most = step.per_worker_most;
+        }
         wants.label = step.label.empty() ? wants.label : step.label;
         wants.rack = step.data_rack.valid() ? step.data_rack : wants.rack;
         wants.filling = wants.filling || step.filling;
         wants.lasting = wants.lasting || step.lasting;
-        if (step.per_worker_most > 0) {
-            wants.workers = std::max(wants.workers, (step.count + step.per_worker_most - 1) / step.per_worker_most);
-        }
     }
     return wants;
 }
@@ -174,6 +178,32 @@
 // serving tasks, where filling work that presses hard disturbs nobody.
 constexpr double lasting_share_most = 0.9;
 
+// How many of the tasks the workers of a pool have room for now.
+std::int32_t tasks_that_fit(const wire::flow_pool_row& pool, const flow_wants& wants)
+{
+    std::int32_t fit = 0;
+    for (const std::int32_t free : pool.free_cpu_millis_each) {
+        const auto here = static_cast<std::int32_t>(free / std::max<std::int64_t>(1, wants.task_cpu));
+        fit += std::max(0, wants.per_worker_most > 0 ? std::min(here, wants.per_worker_most) : here);
+    }
+    return std::min(fit, wants.tasks);
+}
+
+// Takes what the tasks will need out of what a cell last said of its room, fullest workers first as its owner places them.
+void take_room(wire::flow_pool_row& pool, const flow_wants& wants)
+{
+    std::int32_t left = wants.tasks;
+    for (auto free = pool.free_cpu_millis_each.rbegin(); free != pool.free_cpu_millis_each.rend() && left > 0; ++free) {
+        std::int32_t here = 0;
+        while (left > 0 && *free >= wants.task_cpu && (wants.per_worker_most == 0 || here < wants.per_worker_most)) {
+            *free -= static_cast<std::int32_t>(wants.task_cpu);
+            ++here;
+            --left;
+        }
+    }
+    pool.lasting_cpu_millis += wants.lasting ? wants.cpu : 0;
+}
+
 double cell_score(const wire::flow_pool_row& pool, const flow_wants& wants, std::int64_t assigned)
 {
     const auto total = static_cast<double>(pool.total_cpu_millis);
@@ -181,8 +211,8 @@
     const double free = static_cast<double>(pool.free_cpu_millis - assigned) / total;
     const double wanted = static_cast<double>(wants.cpu) / total;
     if (wants.lasting) {
-        const double lasting = static_cast<double>(pool.lasting_cpu_millis + assigned) / total;
-        const bool fits = free >= wanted && lasting + wanted <= lasting_share_most && wants.workers <= pool.workers;
+        const double lasting = static_cast<double>(pool.lasting_cpu_millis) / total;
+        const bool fits = tasks_that_fit(pool, wants) == wants.tasks && lasting + wanted <= lasting_share_most;
         return fits ? 1.0 + lasting : free;
     }
     if (wants.hard) {
@@ -194,18 +224,35 @@
 
 } // namespace
 
+// What the cells owned here would say of themselves, looked up afresh now and then only.
+std::vector<wire::flow_cell_news>& flow_entry::own_news(instant now)
+{
+    if (now - own_news_at_ >= own_news_fresh) {
+        own_news_.clear();
+        for (const auto& [id, cell] : cells_) {
+            if (cell->current_role() == flow_cell::role::owning) {
+                own_news_.push_back(cell->news());
+                assigned_cpu_[id] = 0;
+            }
+        }
+        own_news_at_ = now;
+    }
+    return own_news_;
+}
+
 // The cell that serves the flow best, counting what was sent there since it last told.
 std::optional<cell_id> flow_entry::choose_cell(instant now, const flow_queue& queue, const flow_spec& spec)
 {
     flow_wants wants = wants_of(spec);
     std::optional<cell_id> best;
     double best_score = 0;
-    const auto weigh = [&](const wire::flow_cell_news& news, bool own) {
+    wire::flow_pool_row* best_pool = nullptr;
+    const auto weigh = [&](wire::flow_cell_news& news, bool own) {
         for (const flow_step& step : spec.steps) {
             const auto pressure = news.pressures.find(step.image);
             wants.hard = wants.hard || (step.filling && pressure != news.pressures.end() && pressure->second >= hard_pressure);
         }
-        for (const wire::flow_pool_row& pool : news.pools) {
+        for (wire::flow_pool_row& pool : news.pools) {
             if (pool.service_name != queue.service || pool.total_cpu_millis <= 0) {
                 continue;
             }
@@ -221,23 +268,23 @@
             if (!best || score > best_score) {
                 best = id;
                 best_score = score;
+                best_pool = &pool;
             }
         }
     };
-    for (const auto& [id, cell] : cells_) {
-        if (cell->current_role() == flow_cell::role::owning) {
-            weigh(cell->news(), !wants.lasting);
-        }
+    for (wire::flow_cell_news& news : own_news(now)) {
+        weigh(news, !wants.lasting);
     }
-    for (const auto& [id, p] : peers_) {
+    for (auto& [id, p] : peers_) {
         if (heard(p, now) && !p.leaving) {
-            for (const wire::flow_cell_news& news : p.cells) {
+            for (wire::flow_cell_news& news : p.cells) {
                 weigh(news, false);
             }
         }
     }
     if (best) {
         assigned_cpu_[*best] += wants.cpu;
+        take_room(*best_pool, wants);
     }
     return best;
 }
@@ -267,9 +314,8 @@
                    {"cell", row.cell},
                    {"version", std::to_string(result.version.value())},
                    {"config", std::to_string(config_version().value())}});
-        untold_[job] = {cell_id(row.cell), row, encode_compact(row), result.version};
         answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
-        tell_owner(now, job);
+        tell_cell(now, cell_id(row.cell), job, row, result.version);
         return;
     case table_outcome::conflict: {
         // The job is there: accepted before, by this entry (its answer was lost) or through another one.
@@ -277,8 +323,7 @@
         const auto there =
             result.rows.empty() ? std::nullopt : decode_compact<wire::flow_job_row>(result.rows.front().value);
         if (there && there->accept_token == row.accept_token) {
-            untold_[job] = {cell_id(row.cell), row, encode_compact(row), result.rows.front().version};
-            tell_owner(now, job);
+            tell_cell(now, cell_id(row.cell), job, row, result.rows.front().version);
         }
         write_log(log_level::info, "job", "accepted_before", {{"job", job.str()}});
         answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
@@ -323,21 +368,31 @@
     }
 }
 
+void flow_entry::tell_cell(instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row,
+                           row_version version)
+{
+    untold_row& untold = untold_[{cell, job}];
+    untold.row = row;
+    untold.bytes = encode_compact(row);
+    untold.version = version;
+    tell_owner(now, cell, job);
+}
+
 // The owner learns of a new row at once; until it has answered, it is told again.
-void flow_entry::tell_owner(instant now, const job_id& job)
+void flow_entry::tell_owner(instant now, const cell_id& cell, const job_id& job)
 {
-    const auto at = untold_.find(job);
+    const auto at = untold_.find({cell, job});
     if (at == untold_.end() || at->second.telling) {
         return;
     }
-    const auto cell = cells_.find(at->second.cell);
-    if (cell != cells_.end() && cell->second->owns()) {
+    const auto own = cells_.find(cell);
+    if (own != cells_.end() && own->second->owns()) {
         const untold_row row = std::move(at->second);
         untold_.erase(at);
-        cell->second->on_job_row(now, job, row.row, row.version);
+        own->second->on_job_row(now, job, row.row, row.version);
         return;
     }
-    const peer* const owner = owner_of(now, at->second.cell);
+    const peer* const owner = owner_of(now, cell);
     if (owner == nullptr) {
         return; // tick() tries again
     }
@@ -347,20 +402,74 @@
     news.job = job.str();
     news.version = at->second.version.value();
     news.row = at->second.bytes;
+    news.cell = cell.str();
     message.rows.push_back(std::move(news));
     edges_.tell(owner->identity.address, std::move(message),
-                [this, job](instant, const std::optional<wire::flow_message>& answer) {
-                    const auto row = untold_.find(job);
+                [this, cell, job, version = at->second.version](instant, const std::optional<wire::flow_message>& answer) {
+                    const auto row = untold_.find({cell, job});
                     if (row == untold_.end()) {
                         return;
                     }
                     row->second.telling = false;
-                    if (answer && answer->unknown_jobs.empty()) {
+                    if (answer && answer->unknown_jobs.empty() && row->second.version == version) {
                         untold_.erase(row);
                     }
                 });
 }
 
+// The cell that has most left (for a lasting task: that has most lasting work already), with a worker that one more task of the step fits on.
+std::optional<std::pair<cell_id, epoch>> flow_entry::find_room(instant now, const std::string& service,
+                                                               const flow_step& step)
+{
+    const wire::flow_cell_news* best = nullptr;
+    std::int64_t best_score = 0;
+    wire::flow_pool_row* best_pool = nullptr;
+    flow_wants wants;
+    wants.tasks = 1;
+    wants.cpu = step.need.cpu_millis;
+    wants.task_cpu = step.need.cpu_millis;
+    wants.lasting = step.lasting;
+    const auto weigh = [&](wire::flow_cell_news& news) {
+        for (wire::flow_pool_row& pool : news.pools) {
+            const bool labelled = step.label.empty() ||
+                                  std::find(pool.labels.begin(), pool.labels.end(), step.label) != pool.labels.end();
+            const auto pressure = news.pressures.find(step.image);
+            const bool hard = step.filling && pressure != news.pressures.end() && pressure->second >= hard_pressure;
+            const std::int64_t left = (hard           ? pool.open_cpu_millis
+                                       : step.filling ? pool.unused_cpu_millis
+                                                      : pool.free_cpu_millis) -
+                                      assigned_cpu_[cell_id(news.cell)];
+            const bool fits_worker = pool.largest_free_memory_mib >= step.need.memory_mib &&
+                                     (step.filling || tasks_that_fit(pool, wants) > 0);
+            const std::int64_t score = step.lasting ? 1 + pool.lasting_cpu_millis : left;
+            if (pool.service_name == service && labelled && fits_worker && (step.lasting || left >= step.need.cpu_millis) &&
+                score > best_score) {
+                best = &news;
+                best_score = score;
+                best_pool = &pool;
+            }
+        }
+    };
+    for (wire::flow_cell_news& news : own_news(now)) {
+        weigh(news);
+    }
+    for (auto& [id, p] : peers_) {
+        if (heard(p, now) && !p.leaving) {
+            for (wire::flow_cell_news& news : p.cells) {
+                weigh(news);
+            }
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    assigned_cpu_[cell_id(best->cell)] += step.need.cpu_millis;
+    if (!step.filling) {
+        take_room(*best_pool, wants);
+    }
+    return std::make_pair(cell_id(best->cell), epoch(best->epoch));
+}
+
 void flow_entry::tell_states(instant now)
 {
     static_cast<void>(now);
@@ -452,7 +561,7 @@
             sum += at == news.pending.end() ? 0 : at->second;
         }
     }
-    for (const auto& [job, row] : untold_) {
+    for (const auto& [key, row] : untold_) {
         sum += row.row.queue == queue.str() ? 1 : 0;
     }
     return sum;
@@ -505,13 +614,12 @@
         if (result.outcome == table_outcome::applied) {
             write_log(log_level::info, "job", "cancel_accepted",
                       {{"job", job.str()}, {"version", std::to_string(result.version.value())}});
-            untold_[job] = {cell_id(row.cell), row, encode_compact(row), result.version};
             const auto at = followed_.find(job);
             if (at != followed_.end()) {
                 at->second.state = flow_state::cancelled;
             }
             reply({caller_result::cancelled, flow_state::cancelled, 0, duration(0), ""});
-            tell_owner(then, job);
+            tell_cell(then, cell_id(row.cell), job, row, result.version);
             return;
         }
         if (then + accept_retry < give_up) {
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -1,6 +1,7 @@
 #include "flow_job_p.h"
 
 #include <algorithm>
+#include <set>
 
 namespace skylarkhub {
 
@@ -18,8 +19,8 @@
 
 } // namespace
 
-flow_job::flow_job(job_id id, const wire::flow_job_row& row, row_version version)
-    : id_(std::move(id)), row_(row), spec_(spec_of(row)), version_(version)
+flow_job::flow_job(job_id id, cell_id here, const wire::flow_job_row& row, row_version version)
+    : id_(std::move(id)), here_(std::move(here)), row_(row), spec_(spec_of(row)), version_(version)
 {
     row_.stages.clear();
     const std::int32_t occurrences = std::max(1, spec_.occurrences);
@@ -29,11 +30,75 @@
         }
     }
     for (const wire::flow_stage_row& stage : row.stages) {
-        load_stage(stage);
+        load_stage(instant{}, stage);
     }
     written_ = changes_;
 }
 
+bool flow_job::at_home(const flow_task& task) const
+{
+    return (task.home.cell.empty() ? row_.cell : task.home.cell) == here_.str();
+}
+
+bool flow_job::concerns_here() const
+{
+    return row_.cell == here_.str() || std::any_of(stages_.begin(), stages_.end(), [this](const flow_stage& s) {
+               return std::any_of(s.tasks.begin(), s.tasks.end(), [this](const flow_task& t) { return at_home(t); });
+           });
+}
+
+std::vector<cell_id> flow_job::other_cells() const
+{
+    std::set<std::string> cells{row_.cell};
+    for (const flow_stage& stage : stages_) {
+        for (const flow_task& task : stage.tasks) {
+            if (!task.home.cell.empty()) {
+                cells.insert(task.home.cell);
+            }
+        }
+    }
+    cells.erase(here_.str());
+    std::vector<cell_id> out;
+    for (const std::string& cell : cells) {
+        out.emplace_back(cell);
+    }
+    return out;
+}
+
+void flow_job::give_away(const flow_task_id& task, const cell_id& to, epoch to_epoch, epoch own_epoch)
+{
+    flow_task& t = *find_task(task);
+    t.home.run_floor = next_run(t, own_epoch).value() - 1;
+    t.home.cell = to.str();
+    t.home.epoch = to_epoch.value();
+    ++t.home.moves;
+    if (t.stage == task_stage::ready) {
+        --find_stage(task)->ready;
+    }
+    t.stage = task_stage::elsewhere;
+    ++changes_;
+}
+
+void flow_job::load_home(instant now, flow_stage& stage, flow_task& task, const wire::flow_home_row& home)
+{
+    if (home.moves <= task.home.moves) {
+        return;
+    }
+    task.home = home;
+    if (!stage.open || task.stage == task_stage::done) {
+        return;
+    }
+    if (at_home(task) && task.stage == task_stage::elsewhere) {
+        task.stage = task_stage::ready;
+        task.ready_since = now;
+        ++stage.ready;
+    }
+    else if (!at_home(task) && task.stage == task_stage::ready) {
+        task.stage = task_stage::elsewhere;
+        --stage.ready;
+    }
+}
+
 flow_stage* flow_job::add_stage(std::int32_t occurrence, std::int32_t step)
 {
     flow_stage stage;
@@ -44,7 +109,7 @@
     return &stages_.back();
 }
 
-void flow_job::load_stage(const wire::flow_stage_row& row)
+void flow_job::load_stage(instant now, const wire::flow_stage_row& row)
 {
     flow_stage* const stage = find_stage({id_, row.occurrence, row.step, 0});
     if (stage == nullptr) {
@@ -56,6 +121,10 @@
         if (bit_at(row.done, index)) {
             note_done({id_, row.occurrence, row.step, index});
         }
+        const auto home = row.homes.find(index);
+        if (home != row.homes.end()) {
+            load_home(now, *stage, task, home->second);
+        }
         const auto failures = row.failures.find(index);
         if (failures != row.failures.end()) {
             task.failures = std::max(task.failures, failures->second);
@@ -122,7 +191,10 @@
         stage.open = true;
         opened = true;
         for (flow_task& task : stage.tasks) {
-            if (task.stage == task_stage::closed) {
+            if (task.stage == task_stage::closed && !at_home(task)) {
+                task.stage = task_stage::elsewhere;
+            }
+            else if (task.stage == task_stage::closed) {
                 task.stage = task_stage::ready;
                 task.ready_since = now;
                 ++stage.ready;
@@ -134,8 +206,10 @@
 
 run_number flow_job::next_run(const flow_task& task, epoch cell_epoch) const
 {
-    const std::int64_t owners = std::max<std::int64_t>(0, cell_epoch.value() - row_.cell_epoch);
-    const std::int64_t base = row_.run_base + owners * runs_per_epoch;
+    const bool moved = !task.home.cell.empty();
+    const std::int64_t first_epoch = moved ? task.home.epoch : row_.cell_epoch;
+    const std::int64_t owners = std::max<std::int64_t>(0, cell_epoch.value() - first_epoch);
+    const std::int64_t base = (moved ? task.home.run_floor : row_.run_base) + owners * runs_per_epoch;
     return run_number(std::max(task.last_run.value(), base) + 1);
 }
 
@@ -205,7 +279,7 @@
                        [](const flow_stage& s) { return s.done == static_cast<std::int32_t>(s.tasks.size()); });
 }
 
-void flow_job::merge(const wire::flow_job_row& newer, row_version version)
+void flow_job::merge(instant now, const wire::flow_job_row& newer, row_version version)
 {
     if (version <= version_) {
         return;
@@ -223,7 +297,7 @@
         row_.outcome = newer.outcome;
     }
     for (const wire::flow_stage_row& stage : newer.stages) {
-        load_stage(stage);
+        load_stage(now, stage);
     }
     // What came from the row need not be written again; our own facts, if any, still must.
     if (!was_behind) {
@@ -257,6 +331,10 @@
                 any = true;
                 continue;
             }
+            if (task.home.moves > 0) {
+                s.homes[index] = task.home;
+                any = true;
+            }
             if (task.failures > 0) {
                 s.failures[index] = task.failures;
                 any = true;
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -10,8 +10,8 @@
 
 namespace skylarkhub {
 
-// closed: an earlier step is not done yet, or its time has not come.
-enum class task_stage : std::uint8_t { closed, ready, placed, done };
+// closed: an earlier step is not done yet, or its time has not come. elsewhere: another cell takes care of it.
+enum class task_stage : std::uint8_t { closed, ready, placed, elsewhere, done };
 
 // A run that may be going on: from the moment its start is sent until its end is known.
 struct live_run {
@@ -31,6 +31,7 @@
     instant ready_since{};
     std::vector<live_run> runs; // more than one only for speculative steps
     worker_id failed_on;        // the last worker it failed on, avoided where there is another
+    wire::flow_home_row home;   // the cell that takes care of it; no cell: the job's
 };
 
 // The tasks of one step in one occurrence.
@@ -46,7 +47,8 @@
 class flow_job {
 public:
     // A flow as its row tells it, read or written at `version`.
-    flow_job(job_id id, const wire::flow_job_row& row, row_version version);
+    // `here`: the cell whose owner asks.
+    flow_job(job_id id, cell_id here, const wire::flow_job_row& row, row_version version);
 
     const job_id& id() const { return id_; }
     const flow_spec& spec() const { return spec_; }
@@ -68,6 +70,14 @@
     bool timed() const { return spec_.occurrences > 0; }
     row_version version() const { return version_; }
 
+    bool at_home(const flow_task& task) const;
+    // Some task is taken care of by `here`.
+    bool concerns_here() const;
+    // The other cells that take care of some of its tasks, or of the job.
+    std::vector<cell_id> other_cells() const;
+    // Gives a task that no run of which lives to another cell; in force once it is written.
+    void give_away(const flow_task_id& task, const cell_id& to, epoch to_epoch, epoch own_epoch);
+
     // Opens every stage whose earlier steps are done and whose time has come; true when one was opened.
     bool open_stages(instant now, wall_time wall);
     // When the next occurrence is due; empty when none is to come.
@@ -87,7 +97,7 @@
     void note_outcome(flow_state outcome);
 
     // Takes over the facts of a newer row, written by another entry; the row stays behind if it lacks any of ours.
-    void merge(const wire::flow_job_row& newer, row_version version);
+    void merge(instant now, const wire::flow_job_row& newer, row_version version);
 
     bool all_done() const;
     bool dirty() const { return changes_ > written_; }
@@ -99,10 +109,12 @@
 
 private:
     flow_stage* add_stage(std::int32_t occurrence, std::int32_t step);
-    void load_stage(const wire::flow_stage_row& row);
+    void load_stage(instant now, const wire::flow_stage_row& row);
+    void load_home(instant now, flow_stage& stage, flow_task& task, const wire::flow_home_row& home);
     bool due(std::int32_t occurrence, wall_time wall) const;
 
     job_id id_;
+    cell_id here_;
     wire::flow_job_row row_; // without its stages' facts
     flow_spec spec_;
     std::vector<flow_stage> stages_;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -63,6 +63,7 @@
 inline constexpr duration list_interval_other = 3s;
 inline constexpr duration operator_wait = 1s; // of one look for changes; a connection that went silent costs this
 inline constexpr duration operator_retry = 200ms;
+inline constexpr duration own_news_fresh = 100ms;
 inline constexpr duration untold_retry = 300ms; // rows that an owner has not taken note of
 
 // --- callers ---
@@ -77,6 +78,11 @@
 inline constexpr duration put_away_kept = 30s;   // an ended job is known this long; pages and messages are seconds old
 
 // --- placement ---
+// A waiting task goes to another cell after this: well before a task that has its turn may be missed, and long enough for
+// the ends that a full cell sees every few milliseconds to make room first.
+inline constexpr duration give_away_after = 800ms;
+inline constexpr duration give_away_interval = 250ms;
+inline constexpr int give_away_most = 6; // tasks at a time: what other cells say of their room is up to half a second old
 inline constexpr duration hard_patience = 3s; // of a filling task that presses hard, for a place where it disturbs nobody
 inline constexpr double distrust_half_life_s = 6; // of the memory that runs failed on a worker
 
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -161,7 +161,7 @@
         if (!row) {
             continue;
         }
-        const auto cell = cells_.find(cell_id(row->cell));
+        const auto cell = cells_.find(cell_id(news.cell));
         if (cell == cells_.end() || !cell->second->owns()) {
             answer.unknown_jobs.push_back(news.job);
             continue;
