--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -82,10 +82,11 @@
   4: list<string> labels
   5: i64 unused_cpu_millis = 0 // less filling work too
   6: i64 lasting_cpu_millis = 0 // committed to lasting tasks
-  7: i64 open_cpu_millis = 0    // left for filling work on workers without serving tasks
+  7: map<string, i32> fill_cpu_millis // filling image -> what more of it is borne
   8: i32 workers = 0
   9: i64 largest_free_memory_mib = 0 // of one worker
   10: list<i32> free_cpu_millis_each // of each worker, the largest first
+  11: map<string, i64> serving_cpu_millis // serving image -> committed to its tasks
 }
 
 struct flow_cell_news {
@@ -93,7 +94,7 @@
   2: i64 epoch = 0
   3: list<flow_pool_row> pools
   4: map<string, i32> pending // queue -> jobs no task of which has started
-  5: map<string, double> pressures // image -> how hard its filling work presses on serving tasks
+  5: map<string, double> presses // "SERVING|FILLING" -> see interference_model; now and then only
 }
 
 struct flow_hello {
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -31,7 +31,8 @@
     std::function<const flow_queue*(const queue_id&)> queue; // null: not in the configuration
     std::function<bool(const std::string& service)> guards_room;
     // Another cell with room for one more task of such a step, with its epoch; empty when none is known.
-    std::function<std::optional<std::pair<cell_id, epoch>>(instant, const std::string& service, const flow_step&)> find_room;
+    std::function<std::optional<std::pair<cell_id, epoch>>(instant, const cell_id& from, const std::string& service,
+                                                           const flow_step&)> find_room;
     // A row that the owner of another cell must know.
     std::function<void(instant, const cell_id&, const job_id&, const wire::flow_job_row&, row_version)> tell_cell;
     // A state that is durable, for the entry that answers the caller.
@@ -89,7 +90,7 @@
     // What peers are told; only of an owner.
     wire::flow_cell_news news() const;
     // What the owner of another cell has learned of images.
-    void hint_pressures(const std::map<std::string, double>& pressures);
+    void hint_presses(const std::map<std::string, double>& presses);
     std::int64_t pending(const queue_id& queue) const;
     // Bound to this cell and not ended; null when unknown.
     const flow_job* find_job(const job_id& job) const;
@@ -101,6 +102,13 @@
         job_id job;
         std::uint64_t changes = 0; // of the job, that tell this end
     };
+    // The serving tasks of one image on a worker.
+    struct serving_group {
+        int image = 0;
+        std::int32_t tasks = 0;
+        double level = -0.9; // ln(tail / target) there less the pressure of filling work: their own load
+        double bears = 0.4;  // pressure that leaves their tails below target
+    };
     struct cell_worker {
         flow_listed_worker listing;
         bool listed = false;
@@ -125,16 +133,15 @@
         double distrust = 0;
         instant distrust_at{};
         double slowness = 1;
-        // Interference, of the newest hold.
-        bool strained = false;
-        instant strained_since{};
-        instant calm_since{};
-        double tail = 0;              // the worst there at the newest look, as a share of its target
-        std::int32_t hard_most = 100; // percent; a pace above it has strained serving tasks here lately
-        double pressure = 0;          // that its filling tasks are expected to add to tails there
-        std::int32_t pace = 100;      // of the filling tasks that press hardest
-        std::int32_t pace_rest = 100; // of the others
-        instant paced_at{};
+        // Interference.
+        std::vector<serving_group> serving_images; // one for each image that serves there
+        std::vector<double> shares;                // of its processors by filling image, smoothed
+        std::vector<double> wanted;                // the same at full pace, as the ledger has it
+        std::vector<int> paces;                    // percent, by filling image
+        instant measured_at{};
+        instant tightened_at{};
+        double margin = 1;                         // of what serving tasks are believed to bear; less after a strain
+        double tail = 0;                           // the worst there at the newest look, as a share of its target
         instant next_evict{};
         std::int64_t lasting_cpu = 0; // committed to lasting tasks, which use less than half of it on the whole
         std::map<flow_task_id, std::int32_t> paced;
@@ -212,12 +219,15 @@
 
     // flow_cell_pace.cpp
     void take_measures(instant now, cell_worker& w, const order_answer& answer);
-    void choose_pace(instant now, cell_worker& w, double worst);
-    double expected_tail(const cell_worker& w, const ledger_run& run) const;
+    void learn(cell_worker& w, const order_answer& answer);
+    void set_paces(instant now, cell_worker& w);
+    void send_paces(instant now, cell_worker& w);
     void evict_fillers(instant now, cell_worker& w);
-    void pace_fillers(instant now, cell_worker& w);
-    bool presses_hard(const std::string& image) const;
-    void recount_pressure(cell_worker& w) const;
+    void count_serving(cell_worker& w, const ledger_run& run, int change);
+    double pressure_on(const cell_worker& w, const serving_group& group) const;
+    double excess_with(const cell_worker& w, int filling, double share) const;
+    void count_fill_room(const cell_worker& w, wire::flow_pool_row& pool) const;
+    double excess_for(const cell_worker& w, int serving) const;
 
     struct part_state {
         bool committing = false;
@@ -271,7 +281,8 @@
     std::set<job_id> timed_;
     std::map<job_id, instant> put_away_; // ended jobs, until no late page can tell of them any more
     std::map<std::string, part_state> parts_;
-    pressure_model presses_;
+    interference_model interference_;
+    instant refitted_{};
     bool place_planned_ = false;
     flow_cell_stats stats_;
 };
--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -1,6 +1,7 @@
-// Interference: what filling work does to the serving tasks beside it is learned per image, and when a serving task's
-// tail latency nears its target, the filling work that presses hardest is slowed first.
+// Interference: what filling work does to the serving tasks beside it is learned for each pair of images; filling work is
+// slowed to what the serving tasks bear at their present load, and moved where it makes no way.
 #include <algorithm>
+#include <cmath>
 
 #include "flow_cell_p.h"
 #include "flow_limits_p.h"
@@ -12,173 +13,204 @@
 
 namespace {
 
-// A tail is a rough figure of the last half second. Above this share of the target the filling work beside it is slowed;
-// below the lower one it is let go again, a step at a time.
-constexpr double strained_share = 0.85;
-constexpr double relaxed_share = 0.65;
-constexpr int pace_least = 15;    // percent; below it, none at all
-constexpr int rest_step = 50;     // percent; most images press on nobody, and slowing them costs their jobs' objective
-constexpr int hard_step = 10;     // percent
-// A tail that was driven up comes down over two to three seconds after its cause has gone, as the backlog drains; slowing
-// more work meanwhile would be for nothing.
-constexpr duration drain_time = std::chrono::milliseconds(1800);
-constexpr double tail_drains = 0.9; // a tail that falls faster than this from look to look is draining
-constexpr duration calm_time = std::chrono::milliseconds(1500);
-// A measurement covers half a second; sooner than this, it still tells of the time before the last change.
-constexpr duration evict_interval = std::chrono::milliseconds(150); // lets the ledgers show where the last one went
-constexpr duration pace_interval = std::chrono::milliseconds(600);
+constexpr double share_smoothing_s = 0.8; // measured tails follow the filling work about this much later
+constexpr double level_smoothing_s = 0.7;
+constexpr double log_tail_wanted = -0.2;  // 0.8 of the target: a tail swings by a tenth between two looks
+constexpr double load_rise = 0.15;        // ln(tail) by which a serving task's load may rise until the next look
+constexpr double bears_most = 1.0;        // even of an idle one: its load comes back within seconds
+constexpr double strained_tail = 0.95;    // of the target
+constexpr double margin_cut = 0.5;        // of what is believed to be borne, after a strain
+constexpr double margin_least = 0.1;
+constexpr double margin_gain = 0.06;      // back per second
+// A tail that was driven up comes down over two to three seconds after its cause has gone, as the backlog drains.
+constexpr duration drain_time = std::chrono::milliseconds(1500);
+constexpr duration refit_interval = std::chrono::seconds(1);
+constexpr duration evict_interval = std::chrono::milliseconds(100); // lets the ledgers show where the last one went
+constexpr int pace_unknown = -1;
 
-} // namespace
+double smoothing(duration elapsed, double time_constant_s)
+{
+    return 1 - std::exp(-std::chrono::duration<double>(elapsed).count() / time_constant_s);
+}
 
-void flow_cell::hint_pressures(const std::map<std::string, double>& pressures)
+double room_of(const flow_listed_worker& listing)
 {
-    for (const auto& [image, pressure] : pressures) {
-        presses_.hint(image, pressure);
+    return static_cast<double>(std::max<std::int64_t>(1, listing.room.cpu_millis));
+}
+
+double& entry(std::vector<double>& values, int index)
+{
+    if (values.size() <= static_cast<std::size_t>(index)) {
+        values.resize(static_cast<std::size_t>(index) + 1, 0);
     }
+    return values[static_cast<std::size_t>(index)];
 }
 
-bool flow_cell::presses_hard(const std::string& image) const
+double value_at(const std::vector<double>& values, std::size_t index)
 {
-    return presses_.pressure(image) >= hard_pressure;
+    return index < values.size() ? values[index] : 0;
 }
 
-void flow_cell::recount_pressure(cell_worker& w) const
+int pace_at(const std::vector<int>& paces, int index)
 {
-    const double room = static_cast<double>(std::max<std::int64_t>(1, w.listing.room.cpu_millis));
-    w.pressure = 0;
-    for (const auto& [task, run] : w.ledger) {
-        if (run.filling) {
-            const int pace = presses_hard(run.image) ? w.pace : w.pace_rest;
-            w.pressure += presses_.pressure(run.image) * static_cast<double>(run.need.cpu_millis) * pace / 100.0 / room;
-        }
-    }
+    return static_cast<std::size_t>(index) < paces.size() ? paces[static_cast<std::size_t>(index)] : 100;
 }
 
-void flow_cell::take_measures(instant now, cell_worker& w, const order_answer& answer)
+} // namespace
+
+void flow_cell::hint_presses(const std::map<std::string, double>& presses)
 {
-    const double room = static_cast<double>(std::max<std::int64_t>(1, w.listing.room.cpu_millis));
-    double worst = 0;
-    std::map<std::string, double> used;
-    for (const listed_run& run : answer.running) {
-        const auto at = w.ledger.find(run.task);
-        if (at == w.ledger.end()) {
-            continue;
-        }
-        if (at->second.filling) {
-            used[at->second.image] += static_cast<double>(run.measure) / room;
-        }
-        else if (at->second.tail_target > duration(0) && run.progress_percent >= 100) {
-            const double target = std::chrono::duration<double, std::milli>(at->second.tail_target).count();
-            worst = std::max(worst, static_cast<double>(run.measure) / target);
-        }
-    }
-    if (worst > 0 && !used.empty()) {
-        presses_.learn(worst, {used.begin(), used.end()});
+    for (const auto& [pair, press] : presses) {
+        interference_.hint(pair, press);
     }
-    const bool was_strained = w.strained;
-    w.strained = worst >= strained_share;
-    if (w.strained && !was_strained) {
-        w.strained_since = now;
-    }
-    if (worst >= relaxed_share || w.calm_since == instant{}) {
-        w.calm_since = now;
-    }
-    choose_pace(now, w, worst);
-    w.tail = worst;
-    if (w.strained || w.pace == 0) {
-        evict_fillers(now, w);
-    }
-    recount_pressure(w);
-    pace_fillers(now, w);
 }
 
-void flow_cell::choose_pace(instant now, cell_worker& w, double worst)
+// Keeps what is counted of a worker's serving and filling tasks in step with its ledger.
+void flow_cell::count_serving(cell_worker& w, const ledger_run& run, int change)
 {
-    if (w.serving == 0) {
-        w.pace = 100;
-        w.pace_rest = 100;
+    if (run.filling) {
+        double& wanted = entry(w.wanted, run.image_index);
+        wanted = std::max(0.0, wanted + change * static_cast<double>(run.need.cpu_millis) / room_of(w.listing));
         return;
     }
-    if (now - w.paced_at < pace_interval) {
+    if (run.tail_target <= duration(0)) {
         return;
     }
-    const int before = w.pace;
-    const int rest_before = w.pace_rest;
-    if (w.strained && w.fillers > 0) {
-        const bool any_hard = std::any_of(w.ledger.begin(), w.ledger.end(), [this](const auto& r) {
-            return r.second.filling && presses_hard(r.second.image);
-        });
-        if (any_hard && w.pace > 0) {
-            w.hard_most = std::max(hard_step, w.pace / 2);
-            w.pace = 0;
-        }
-        else if (now - w.strained_since >= drain_time && worst > 1.0 && worst > tail_drains * w.tail) {
-            // Not the hard ones, or they have been off for long enough: a backlog drains by itself.
-            w.pace_rest = w.pace_rest / 2 < pace_least ? 0 : w.pace_rest / 2;
-        }
+    const auto at = std::find_if(w.serving_images.begin(), w.serving_images.end(),
+                                 [&](const serving_group& g) { return g.image == run.image_index; });
+    if (at == w.serving_images.end()) {
+        serving_group group;
+        group.image = run.image_index;
+        group.tasks = change;
+        group.level = interference_.base(run.image_index);
+        group.bears = std::clamp(log_tail_wanted - load_rise - group.level, 0.0, bears_most);
+        w.serving_images.push_back(group);
+        return;
     }
-    else if (worst < relaxed_share) {
-        w.pace_rest = std::min(100, w.pace_rest + rest_step);
-        if (w.pace_rest == 100 && now - w.calm_since >= calm_time) {
-            w.hard_most = std::min(100, w.hard_most + hard_step / 2);
-            w.pace = std::min(w.hard_most, w.pace + hard_step);
-        }
+    at->tasks += change;
+    if (at->tasks <= 0) {
+        w.serving_images.erase(at);
     }
-    if (w.pace == before && w.pace_rest == rest_before) {
-        return;
+}
+
+// The pressure on one image's serving tasks by the filling work there, at its pace.
+double flow_cell::pressure_on(const cell_worker& w, const serving_group& group) const
+{
+    double pressure = 0;
+    for (std::size_t f = 0; f < w.wanted.size(); ++f) {
+        const int filling = static_cast<int>(f);
+        pressure += interference_.press(group.image, filling) * w.wanted[f] * pace_at(w.paces, filling) / 100.0;
     }
-    w.paced_at = now;
-    if (w.pace < before || w.pace_rest < rest_before) {
-        write_log(log_level::info, "pace", "slowed",
-                  {{"worker", w.listing.worker.str()},
-                   {"hard_percent", std::to_string(w.pace)},
-                   {"rest_percent", std::to_string(w.pace_rest)},
-                   {"tail_share", std::to_string(worst)}});
+    return pressure;
+}
+
+// By how much pressure would go beyond what is borne, with more of one filling image there.
+double flow_cell::excess_with(const cell_worker& w, int filling, double share) const
+{
+    double worst = 0;
+    for (const serving_group& group : w.serving_images) {
+        double pressure = interference_.press(group.image, filling) * share;
+        for (std::size_t f = 0; f < w.wanted.size(); ++f) {
+            pressure += interference_.press(group.image, static_cast<int>(f)) * w.wanted[f];
+        }
+        // Work that presses on nobody is welcome even where other work already presses too much.
+        const double own = interference_.press(group.image, filling) * share;
+        worst = std::max(worst, std::min(own * 3, pressure - group.bears * w.margin));
     }
+    return std::max(0.0, worst);
 }
 
-double flow_cell::expected_tail(const cell_worker& w, const ledger_run& run) const
+// The same for a serving task that would join the filling work there.
+double flow_cell::excess_for(const cell_worker& w, int serving) const
 {
-    const double room = static_cast<double>(std::max<std::int64_t>(1, w.listing.room.cpu_millis));
-    return std::max(w.tail, presses_.base() + w.pressure) +
-           presses_.pressure(run.image) * static_cast<double>(run.need.cpu_millis) / room;
+    double pressure = 0;
+    for (std::size_t f = 0; f < w.wanted.size(); ++f) {
+        pressure += interference_.press(serving, static_cast<int>(f)) * w.wanted[f];
+    }
+    const double bears = std::clamp(log_tail_wanted - load_rise - interference_.base(serving), 0.0, bears_most);
+    return std::clamp(pressure - bears, 0.0, 0.3);
 }
 
-// Filling work that is slowed to nothing makes no way where it is. It goes on from its checkpoint where it presses on
-// nobody, one task at a time, as long as there is such a place.
-void flow_cell::evict_fillers(instant now, cell_worker& w)
+void flow_cell::learn(cell_worker& w, const order_answer& answer)
 {
-    if (w.pace > 0 || now < w.next_evict) {
-        return;
+    std::vector<double> used(w.wanted.size(), 0);
+    for (const listed_run& run : answer.running) {
+        const auto at = w.ledger.find(run.task);
+        if (at != w.ledger.end() && at->second.filling) {
+            entry(used, at->second.image_index) += static_cast<double>(run.measure) / room_of(w.listing);
+        }
     }
-    for (const auto& [task, run] : w.ledger) {
-        if (!run.filling || !presses_hard(run.image)) {
+    const double a = w.shares.empty() ? 1 : smoothing(w.read_at - w.measured_at, share_smoothing_s);
+    w.shares.resize(std::max(w.shares.size(), used.size()), 0);
+    for (std::size_t f = 0; f < w.shares.size(); ++f) {
+        w.shares[f] += a * (value_at(used, f) - w.shares[f]);
+    }
+    std::map<int, double> worst;
+    for (const listed_run& run : answer.running) {
+        const auto at = w.ledger.find(run.task);
+        if (at == w.ledger.end() || at->second.tail_target <= duration(0) || run.progress_percent < 100 ||
+            run.measure <= 0) {
             continue;
         }
-        const auto found = jobs_.find(task.job);
-        flow_task* const t = found == jobs_.end() ? nullptr : found->second->find_task(task);
-        if (t == nullptr || t->runs.size() != 1 || t->runs.front().stopping || !t->runs.front().confirmed) {
+        const double target = std::chrono::duration<double, std::milli>(at->second.tail_target).count();
+        const double tail = static_cast<double>(run.measure) / target;
+        w.tail = std::max(w.tail, tail);
+        const int image = at->second.image_index;
+        interference_.learn(image, std::log(tail), w.shares);
+        const auto [known, added] = worst.try_emplace(image, std::log(tail));
+        known->second = std::max(known->second, std::log(tail));
+    }
+    const double b = smoothing(w.read_at - w.measured_at, level_smoothing_s);
+    for (serving_group& group : w.serving_images) {
+        const auto seen = worst.find(group.image);
+        if (seen == worst.end()) {
             continue;
         }
-        const flow_job& job = *found->second;
-        const flow_stage& stage = *found->second->find_stage(task);
-        const cell_worker* const better = choose(now, job, stage, *t);
-        if (better == nullptr || (better->serving > 0 && expected_tail(*better, run) > comfortable_tail)) {
-            return;
+        double pressure = 0;
+        for (std::size_t f = 0; f < w.shares.size(); ++f) {
+            pressure += interference_.press(group.image, static_cast<int>(f)) * w.shares[f];
         }
-        write_log(log_level::info, "run", "evicted",
-                  {{"job", task.job.str()},
-                   {"worker", w.listing.worker.str()},
-                   {"to", better->listing.worker.str()},
-                   {"image", run.image}});
-        t->runs.front().stopping = true;
-        send_stop(now, w.listing.worker, task, run.run, 0);
-        w.next_evict = now + evict_interval;
-        return;
+        const double level = std::clamp(seen->second - pressure, -1.6, 0.5);
+        group.level += b * (level - group.level);
+        const double load = std::max({group.level, level, interference_.base(group.image)});
+        group.bears = std::clamp(log_tail_wanted - load_rise - load, 0.0, bears_most);
     }
+    w.measured_at = w.read_at;
 }
 
-void flow_cell::pace_fillers(instant now, cell_worker& w)
+void flow_cell::take_measures(instant now, cell_worker& w, const order_answer& answer)
+{
+    const duration since = w.measured_at == instant{} ? duration(0) : now - w.measured_at;
+    w.tail = 0;
+    learn(w, answer);
+    if (now - refitted_ >= refit_interval) {
+        refitted_ = now;
+        interference_.refit();
+    }
+    w.margin = std::min(1.0, w.margin + margin_gain * std::chrono::duration<double>(since).count());
+    if (w.tail >= strained_tail && w.fillers > 0 && now - w.tightened_at >= drain_time) {
+        w.margin = std::max(margin_least, w.margin * margin_cut);
+        w.tightened_at = now;
+        write_log(log_level::info, "pace", "tightened",
+                  {{"worker", w.listing.worker.str()},
+                   {"tail_share", std::to_string(w.tail)},
+                   {"margin", std::to_string(w.margin)}});
+    }
+    set_paces(now, w);
+    evict_fillers(now, w);
+}
+
+void flow_cell::set_paces(instant now, cell_worker& w)
+{
+    std::vector<serving_bearing> serving;
+    for (const serving_group& group : w.serving_images) {
+        serving.push_back({group.image, group.bears * w.margin});
+    }
+    w.paces = choose_paces(interference_, serving, w.wanted);
+    send_paces(now, w);
+}
+
+void flow_cell::send_paces(instant now, cell_worker& w)
 {
     if (!may_send(now)) {
         return;
@@ -187,10 +219,12 @@
         if (!run.filling) {
             continue;
         }
-        const std::int32_t wanted = presses_hard(run.image) ? w.pace : w.pace_rest;
+        const std::int32_t wanted = pace_at(w.paces, run.image_index);
         const auto known = w.paced.find(task);
         const std::int32_t current = known == w.paced.end() ? 100 : known->second;
-        if (current == wanted) {
+        // Small steps up are not worth an order each; down, up to full pace and from nothing always are.
+        const bool worth = wanted < current || (wanted > current && (wanted == 100 || current <= 0 || wanted >= current + 30));
+        if (!worth || current == wanted) {
             continue;
         }
         w.paced[task] = wanted;
@@ -203,10 +237,46 @@
                          }
                          const auto p = at->second.paced.find(task);
                          if (p != at->second.paced.end() && p->second == wanted) {
-                             p->second = -1; // not known: said again with the next exchange
+                             p->second = pace_unknown; // said again with the next exchange
                          }
                      });
     }
 }
 
+// Filling work that is slowed to nothing makes no way where it is. It goes on from its checkpoint where it presses on
+// nobody, one task at a time, as long as there is such a place.
+void flow_cell::evict_fillers(instant now, cell_worker& w)
+{
+    if (now < w.next_evict || w.serving == 0) {
+        return;
+    }
+    for (const auto& [task, run] : w.ledger) {
+        if (!run.filling || pace_at(w.paces, run.image_index) > 20) {
+            continue;
+        }
+        const auto found = jobs_.find(task.job);
+        flow_task* const t = found == jobs_.end() ? nullptr : found->second->find_task(task);
+        if (t == nullptr || t->runs.size() != 1 || t->runs.front().stopping || !t->runs.front().confirmed ||
+            now - t->runs.front().sent < evict_after) {
+            continue;
+        }
+        const flow_stage& stage = *found->second->find_stage(task);
+        const flow_step& step = found->second->step(stage);
+        const cell_worker* const better = step.checkpointing ? choose(now, *found->second, stage, *t) : nullptr;
+        if (better == nullptr ||
+            excess_with(*better, run.image_index, static_cast<double>(run.need.cpu_millis) / room_of(better->listing)) > 0) {
+            continue;
+        }
+        write_log(log_level::info, "run", "evicted",
+                  {{"job", task.job.str()},
+                   {"worker", w.listing.worker.str()},
+                   {"to", better->listing.worker.str()},
+                   {"image", run.image}});
+        t->runs.front().stopping = true;
+        send_stop(now, w.listing.worker, task, run.run, 0);
+        w.next_evict = now + evict_interval;
+        return;
+    }
+}
+
 } // namespace skylarkhub
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -79,8 +79,6 @@
     option.serving = w.serving;
     option.fillers = w.fillers;
     option.lasting_cpu = w.lasting_cpu;
-    option.tail = std::max(w.tail, presses_.base() + w.pressure);
-    option.strained = w.strained;
     const double age = std::chrono::duration<double>(now - w.distrust_at).count();
     option.distrust = w.distrust * std::exp2(-age / distrust_half_life_s);
     option.slowness = w.slowness;
@@ -91,7 +89,10 @@
                                           const flow_task& task)
 {
     const flow_step& step = job.step(stage);
-    const double pressure = step.filling ? presses_.pressure(step.image) : 0;
+    const bool serves = step.tail_target > duration(0);
+    const int image = step.filling ? interference_.filling_index(step.image)
+                      : serves     ? interference_.serving_index(step.image)
+                                   : 0;
     cell_worker* best = nullptr;
     double best_cost = 0;
     for (auto& [id, w] : workers_) {
@@ -107,13 +108,21 @@
         if (!has_room(option, step)) {
             continue;
         }
-        // Left waiting a while for a worker where it disturbs nobody: beside serving tasks it would be slowed to nothing.
-        if (pressure >= hard_pressure && w.serving > 0 && now - task.ready_since < hard_patience) {
+        place_interference interference;
+        if (step.filling) {
             const double room = static_cast<double>(std::max<std::int64_t>(1, w.listing.room.cpu_millis));
-            if (option.tail + pressure * static_cast<double>(step.need.cpu_millis) / room > comfortable_tail) {
+            interference.excess = excess_with(w, image, static_cast<double>(step.need.cpu_millis) / room);
+            // Left waiting a while for a place where it is borne: elsewhere it would be slowed to nothing.
+            if (interference.excess > 0 && now - task.ready_since < fill_patience) {
                 continue;
             }
         }
+        else if (serves) {
+            interference.excess = excess_for(w, image);
+            interference.mixed =
+                w.serving > 0 && std::none_of(w.serving_images.begin(), w.serving_images.end(),
+                                              [image](const serving_group& g) { return g.image == image; });
+        }
         const flow_task_id first{job.id(), stage.occurrence, stage.step, 0};
         std::int32_t beside = 0;
         for (auto at = w.ledger.lower_bound(first);
@@ -130,7 +139,7 @@
         if (runs_here) {
             continue;
         }
-        double cost = place_cost(option, step, pressure);
+        double cost = place_cost(option, step, interference);
         cost += task.failed_on == id ? 2.0 : 0.0; // as much as a run that takes three times as long
         if (best == nullptr || cost < best_cost) {
             best = &w;
@@ -218,7 +227,7 @@
                     continue;
                 }
                 if (!to || !step.gang) {
-                    to = hooks_.find_room(now, job.row().service_name, step);
+                    to = hooks_.find_room(now, id_, job.row().service_name, step);
                 }
                 if (!to) {
                     break;
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -32,7 +32,11 @@
                            run_number run)
 {
     static_cast<void>(job);
-    ledger_run entry{run, step.need, step.filling, step.lasting, step.image, step.tail_target};
+    const bool serves = step.tail_target > duration(0);
+    const int image = step.filling ? interference_.filling_index(step.image)
+                      : serves     ? interference_.serving_index(step.image)
+                                   : 0;
+    const ledger_run entry{run, step.need, step.filling, step.lasting, step.image, image, step.tail_target};
     const auto [at, added] = w.ledger.emplace(task, entry);
     if (!added) {
         at->second.run = run;
@@ -43,8 +47,6 @@
         w.filling_cpu += counted.cpu_millis;
         counted.cpu_millis = 0;
         ++w.fillers;
-        w.pressure += presses_.pressure(step.image) * static_cast<double>(step.need.cpu_millis) /
-                      static_cast<double>(std::max<std::int64_t>(1, w.listing.room.cpu_millis));
     }
     if (step.lasting) {
         w.lasting_cpu += step.need.cpu_millis;
@@ -53,6 +55,7 @@
         ++w.serving;
     }
     w.held = w.held + counted;
+    count_serving(w, entry, 1);
 }
 
 void flow_cell::ledger_remove(cell_worker& w, const flow_task_id& task, run_number run)
@@ -70,16 +73,13 @@
     if (at->second.lasting) {
         w.lasting_cpu -= at->second.need.cpu_millis;
     }
-    const bool filling = at->second.filling;
     if (at->second.tail_target > duration(0)) {
         --w.serving;
     }
     w.held = w.held - counted;
+    count_serving(w, at->second, -1);
     w.ledger.erase(at);
     w.paced.erase(task);
-    if (filling) {
-        recount_pressure(w);
-    }
 }
 
 // --- starts ---
@@ -454,6 +454,26 @@
     });
 }
 
+// What a worker adds to the room for each filling image, and to what its pool serves.
+void flow_cell::count_fill_room(const cell_worker& w, wire::flow_pool_row& pool) const
+{
+    const std::int64_t left = std::max<std::int64_t>(0, left_for_filling(option_of(w.read_at, w)));
+    const double room = static_cast<double>(std::max<std::int64_t>(1, w.listing.room.cpu_millis));
+    for (int f = 0; f < interference_.filling_count(); ++f) {
+        double borne = static_cast<double>(left) / room;
+        for (const serving_group& group : w.serving_images) {
+            const double spare = std::max(0.0, group.bears * w.margin - pressure_on(w, group));
+            borne = std::min(borne, spare / std::max(0.01, interference_.press(group.image, f)));
+        }
+        pool.fill_cpu_millis[interference_.filling_name(f)] += static_cast<std::int32_t>(borne * room);
+    }
+    for (const auto& [task, run] : w.ledger) {
+        if (run.tail_target > duration(0)) {
+            pool.serving_cpu_millis[run.image] += run.need.cpu_millis;
+        }
+    }
+}
+
 wire::flow_cell_news flow_cell::news() const
 {
     wire::flow_cell_news news;
@@ -479,9 +499,7 @@
             std::max(pool.largest_free_memory_mib, w.listing.room.memory_mib - w.held.memory_mib);
         pool.lasting_cpu_millis += w.lasting_cpu;
         ++pool.workers;
-        if (w.serving == 0) {
-            pool.open_cpu_millis += free + w.listing.room.cpu_millis / 2 - w.filling_cpu;
-        }
+        count_fill_room(w, pool);
         labels[w.listing.service].insert(w.listing.labels.begin(), w.listing.labels.end());
     }
     for (const auto& [id, job] : jobs_) {
@@ -495,15 +513,15 @@
         for (const flow_stage& stage : job->stages()) {
             const std::int64_t queued = stage.ready * job->step(stage).need.cpu_millis;
             pool->second.unused_cpu_millis -= queued;
-            pool->second.open_cpu_millis -= presses_hard(job->step(stage).image) ? queued : 0;
+            if (stage.ready > 0 && job->step(stage).filling) {
+                pool->second.fill_cpu_millis[job->step(stage).image] -= static_cast<std::int32_t>(queued);
+            }
             if (!job->step(stage).filling) {
                 pool->second.free_cpu_millis -= queued;
             }
         }
     }
-    for (const auto& [image, pressure] : presses_.pressures()) {
-        news.pressures[image] = pressure;
-    }
+    news.presses = interference_.learned();
     for (auto& [service, pool] : pools) {
         std::sort(pool.free_cpu_millis_each.rbegin(), pool.free_cpu_millis_each.rend());
         pool.labels.assign(labels[service].begin(), labels[service].end());
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -132,7 +132,8 @@
     std::int64_t count_pending(const queue_id& queue) const;
     void tell_cell(instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row, row_version version);
     void tell_owner(instant now, const cell_id& cell, const job_id& job);
-    std::optional<std::pair<cell_id, epoch>> find_room(instant now, const std::string& service, const flow_step& step);
+    std::optional<std::pair<cell_id, epoch>> find_room(instant now, const cell_id& from, const std::string& service,
+                                                     const flow_step& step);
     void tell_states(instant now);
 
     // flow_peers.cpp
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -152,7 +152,7 @@
     rack_id rack;
     bool filling = false;
     bool lasting = false;
-    bool hard = false; // its filling work presses hard on serving tasks
+    std::string image;   // of the widest step
 };
 
 flow_wants wants_of(const flow_spec& spec)
@@ -164,6 +164,7 @@
             wants.tasks = step.count;
             wants.task_cpu = step.need.cpu_millis;
             wants.per_worker_most = step.per_worker_most;
+            wants.image = step.image;
         }
         wants.label = step.label.empty() ? wants.label : step.label;
         wants.rack = step.data_rack.valid() ? step.data_rack : wants.rack;
@@ -201,7 +202,10 @@
             --left;
         }
     }
-    pool.lasting_cpu_millis += wants.lasting ? wants.cpu : 0;
+    if (wants.lasting) {
+        pool.lasting_cpu_millis += wants.cpu;
+        pool.serving_cpu_millis[wants.image] += wants.cpu;
+    }
 }
 
 double cell_score(const wire::flow_pool_row& pool, const flow_wants& wants, std::int64_t assigned)
@@ -211,13 +215,15 @@
     const double free = static_cast<double>(pool.free_cpu_millis - assigned) / total;
     const double wanted = static_cast<double>(wants.cpu) / total;
     if (wants.lasting) {
+        const auto own_image = pool.serving_cpu_millis.find(wants.image);
+        const double together = own_image == pool.serving_cpu_millis.end() ? 0 : static_cast<double>(own_image->second) / total;
         const double lasting = static_cast<double>(pool.lasting_cpu_millis) / total;
         const bool fits = tasks_that_fit(pool, wants) == wants.tasks && lasting + wanted <= lasting_share_most;
-        return fits ? 1.0 + lasting : free;
+        return fits ? 1.0 + together + 0.3 * lasting : free;
     }
-    if (wants.hard) {
-        const double open = static_cast<double>(pool.open_cpu_millis - assigned) / total;
-        return std::min(open, wanted) + 0.2 * unused;
+    const auto borne = pool.fill_cpu_millis.find(wants.image);
+    if (wants.filling && borne != pool.fill_cpu_millis.end()) {
+        return std::min(static_cast<double>(borne->second - assigned) / total, unused);
     }
     return wants.filling ? unused : unused + std::min(0.0, free);
 }
@@ -248,10 +254,6 @@
     double best_score = 0;
     wire::flow_pool_row* best_pool = nullptr;
     const auto weigh = [&](wire::flow_cell_news& news, bool own) {
-        for (const flow_step& step : spec.steps) {
-            const auto pressure = news.pressures.find(step.image);
-            wants.hard = wants.hard || (step.filling && pressure != news.pressures.end() && pressure->second >= hard_pressure);
-        }
         for (wire::flow_pool_row& pool : news.pools) {
             if (pool.service_name != queue.service || pool.total_cpu_millis <= 0) {
                 continue;
@@ -418,8 +420,8 @@
 }
 
 // The cell that has most left (for a lasting task: that has most lasting work already), with a worker that one more task of the step fits on.
-std::optional<std::pair<cell_id, epoch>> flow_entry::find_room(instant now, const std::string& service,
-                                                               const flow_step& step)
+std::optional<std::pair<cell_id, epoch>> flow_entry::find_room(instant now, const cell_id& from,
+                                                               const std::string& service, const flow_step& step)
 {
     const wire::flow_cell_news* best = nullptr;
     std::int64_t best_score = 0;
@@ -430,12 +432,15 @@
     wants.task_cpu = step.need.cpu_millis;
     wants.lasting = step.lasting;
     const auto weigh = [&](wire::flow_cell_news& news) {
+        if (news.cell == from.str()) {
+            return;
+        }
         for (wire::flow_pool_row& pool : news.pools) {
             const bool labelled = step.label.empty() ||
                                   std::find(pool.labels.begin(), pool.labels.end(), step.label) != pool.labels.end();
-            const auto pressure = news.pressures.find(step.image);
-            const bool hard = step.filling && pressure != news.pressures.end() && pressure->second >= hard_pressure;
-            const std::int64_t left = (hard           ? pool.open_cpu_millis
+            const auto borne = pool.fill_cpu_millis.find(step.image);
+            const bool known = step.filling && borne != pool.fill_cpu_millis.end();
+            const std::int64_t left = (known          ? borne->second
                                        : step.filling ? pool.unused_cpu_millis
                                                       : pool.free_cpu_millis) -
                                       assigned_cpu_[cell_id(news.cell)];
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -202,7 +202,7 @@
     for (const wire::flow_cell_news& cell : h.cells) {
         assigned_cpu_[cell_id(cell.cell)] = 0;
         for (auto& [id, own] : cells_) {
-            own->hint_pressures(cell.pressures);
+            own->hint_presses(cell.presses);
         }
     }
     for (const wire::flow_entry_row& member : h.members) {
--- a/src/flow_place.cpp
+++ b/src/flow_place.cpp
@@ -1,26 +1,22 @@
 #include "flow_place_p.h"
 
-#include "flow_press_p.h"
-
 #include <algorithm>
 
 namespace skylarkhub {
 
 namespace {
 
-// Weights in shares of a worker's processors: what one unit of the cause costs the work on that worker. Measured on a
-// calm day: serving tasks do not disturb each other (tails of 0.4 to 0.5 of the target at one to eight on a worker), while
-// filling tasks beside them push tails over the target in a tenth of the looks at 20% of the processors, in half at 60%.
-// So serving tasks are packed, and filling work keeps away from them as long as there is another worker.
-constexpr double remote_cost = 3.0;     // away from its data a task takes two to three times as long
-constexpr double distrust_cost = 5.0;   // a failed run costs the whole run again
-constexpr double slow_cost = 1.0;       // for each further multiple of the estimated time
-constexpr double strain_cost = 3.0;     // a filler beside a serving task that is near its target is paced
-constexpr double beside_serving = 0.5;  // a hard filler beside serving tasks, or a light one where a hard one could go
-constexpr double tail_cost = 4.0;       // for each share of the target that the tail is expected above the comfortable one
-constexpr double filler_beside = 0.3;   // a serving task beside each filler
-constexpr double apart_cost = 0.5;      // serving or plain work on a worker that has no serving task yet
-constexpr double overcommit_cost = 2.0; // filling work that gets less than it wants runs longer
+// Weights in shares of a worker's processors: what one unit of the cause costs the work on that worker. Serving tasks do
+// not disturb each other (tails of 0.4 to 0.5 of the target at one to eight on a worker), so they are packed, those of
+// one image together: filling work then has workers where it presses on nobody, or on one image that bears it.
+constexpr double remote_cost = 3.0;      // away from its data a task takes two to three times as long
+constexpr double distrust_cost = 5.0;    // a failed run costs the whole run again
+constexpr double slow_cost = 1.0;        // for each further multiple of the estimated time
+constexpr double excess_cost = 6.0;      // filling work beyond what is borne is slowed, or the tails there go over target
+constexpr double beside_serving = 0.15;  // filling work beside serving tasks that bear it now, and may not later
+constexpr double apart_cost = 0.6;       // serving or plain work on a worker that has no serving task yet
+constexpr double mixed_cost = 0.4;       // a serving task where only other images serve
+constexpr double overcommit_cost = 2.0;  // filling work that gets less than it wants runs longer
 
 } // namespace
 
@@ -39,34 +35,23 @@
     return fits(option.held + need, option.room);
 }
 
-double place_cost(const place_option& option, const flow_step& step, double pressure)
+double place_cost(const place_option& option, const flow_step& step, const place_interference& interference)
 {
     const double total = std::max<double>(1, static_cast<double>(option.room.cpu_millis));
     const double counted = static_cast<double>(option.held.cpu_millis + (step.filling ? 0 : step.need.cpu_millis)) / total;
-    const double wanted =
-        1.0 - static_cast<double>(left_for_filling(option) - step.need.cpu_millis) / total;
+    const double wanted = 1.0 - static_cast<double>(left_for_filling(option) - step.need.cpu_millis) / total;
     double cost = distrust_cost * option.distrust + slow_cost * (option.slowness - 1.0);
     if (step.data_rack.valid() && step.data_rack != option.rack) {
         cost += remote_cost;
     }
+    cost += excess_cost * interference.excess;
     if (step.filling) {
         cost += wanted + overcommit_cost * std::max(0.0, wanted - 1.0);
-        if (option.serving > 0) {
-            const double tail = option.tail + pressure * static_cast<double>(step.need.cpu_millis) / total;
-            cost += tail_cost * std::max(0.0, tail - comfortable_tail);
-        }
-        // Workers without serving tasks are kept for what can go nowhere else.
-        const bool hard = pressure >= hard_pressure;
-        cost += hard == (option.serving > 0) ? beside_serving : 0;
-        cost += option.strained ? strain_cost : 0;
-        return cost;
+        return cost + (option.serving > 0 ? beside_serving : 0);
     }
     // Packed where serving tasks are, so that other workers stay whole for filling work.
     cost += option.serving > 0 ? 1.0 - counted : apart_cost + wanted;
-    if (step.lasting && step.tail_target > duration(0)) {
-        cost += filler_beside * option.fillers;
-    }
-    return cost;
+    return cost + (interference.mixed ? mixed_cost : 0);
 }
 
 } // namespace skylarkhub
--- a/src/flow_place_p.h
+++ b/src/flow_place_p.h
@@ -19,6 +19,7 @@
     bool filling = false;
     bool lasting = false;
     std::string image;
+    int image_index = 0; // in the interference model: among serving images if it has a tail target, else filling ones
     duration tail_target{0};
 };
 
@@ -32,8 +33,6 @@
     std::int32_t serving = 0;     // lasting tasks with a tail target
     std::int32_t fillers = 0;
     std::int64_t lasting_cpu = 0; // of `held`, committed to lasting tasks
-    double tail = 0;              // expected there, as a share of the target, with the filling work it has
-    bool strained = false;        // a serving task there is near or over its target
     double distrust = 0;   // 0 healthy; rises with runs that failed or stalled there lately
     double slowness = 1;   // time that runs take there against the estimate
 };
@@ -42,16 +41,19 @@
 // calm day: filling work beside 80% committed to lasting tasks went on at full speed up to as much again.
 inline constexpr double lasting_use = 0.45;
 
-// Of a serving task's target; filling work is not added where the tail is expected above it.
-inline constexpr double comfortable_tail = 0.65;
-
 // Processors that filling work can still have: what committed tasks and other filling work leave unused.
 std::int64_t left_for_filling(const place_option& option);
 
 // True when the task may run there at all: room that every committed task leaves.
 bool has_room(const place_option& option, const flow_step& step);
 
-// Lower is better; the unit is a share of the worker's processors. `pressure`: of the step's image, see pressure_model.
-double place_cost(const place_option& option, const flow_step& step, double pressure);
+// What the interference model expects if the task goes there.
+struct place_interference {
+    double excess = 0;   // pressure beyond what serving tasks bear, in units of ln(tail)
+    bool mixed = false;  // a serving task beside serving tasks of other images only
+};
+
+// Lower is better; the unit is a share of the worker's processors.
+double place_cost(const place_option& option, const flow_step& step, const place_interference& interference);
 
 } // namespace skylarkhub
--- a/src/flow_press_p.h
+++ b/src/flow_press_p.h
@@ -1,41 +1,65 @@
-// How much filling work disturbs the serving tasks beside it: learned from what serving tasks measure, per image.
+// How filling work disturbs the serving tasks beside it: learned per pair of images from what serving tasks measure.
 #pragma once
 
-#include <absl/container/flat_hash_map.h>
-
+#include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace skylarkhub {
 
-// Share of one worker's processors that tasks of an image use.
-using image_share = std::pair<std::string, double>;
-
-// An image that presses harder is kept away from serving tasks: a third of a worker raises a tail by half its target.
-inline constexpr double hard_pressure = 1.5;
-
-// A linear model of the tail latency of serving tasks, as a share of their target:
-//   tail = base + sum over images of pressure(image) * share(image)
-// fitted by normalised least mean squares as measurements come in. A few images press many times harder than the rest,
-// and which they are is new on every installation, so it has to be learned within seconds from what each worker shows.
-class pressure_model {
+// A log-linear model of the tail latency of a serving task of image s beside filling work:
+//   ln(tail / target) = base(s) + sum over filling images f of press(s, f) * share(f)
+// with share(f) the part of the worker's processors that tasks of f use. Fitted by ridge regression over what was
+// measured, with a memory of a minute or so. Measured with nothing slowed: the model explains half of the variance of
+// ln(tail) with shares smoothed over 0.8 s; most pairs press 0 to 2, one to three of nine press 5 to 12, and which
+// these are differs from one serving image to the next. So it has to be learned, on every installation anew.
+class interference_model {
 public:
-    // One look at a worker: the worst tail there, and what filled beside it.
-    void learn(double tail_share, const std::vector<image_share>& shares);
+    // Small numbers for image names, given on first sight; filling images beyond filling_most share the last one.
+    int serving_index(const std::string& image);
+    int filling_index(const std::string& image);
+    static constexpr int filling_most = 24;
+
+    // `shares` by filling index; missing ones are 0.
+    void learn(int serving, double log_tail, const std::vector<double>& shares);
+    // Makes what was learned count; once a second or so.
+    void refit();
 
-    // What another cell has learned, for images not seen here yet.
-    void hint(const std::string& image, double pressure) { pressures_.try_emplace(image, pressure); }
+    double press(int serving, int filling) const;
+    double base(int serving) const;
+    int serving_count() const { return static_cast<int>(serving_.size()); }
+    const std::string& filling_name(int filling) const { return filling_names_[static_cast<std::size_t>(filling)]; }
+    int filling_count() const { return static_cast<int>(filling_names_.size()); }
 
-    double pressure(const std::string& image) const;
-    // What was learned of each image so far.
-    const absl::flat_hash_map<std::string, double>& pressures() const { return pressures_; }
-    double base() const { return base_; }
-    double predict(const std::vector<image_share>& shares) const;
+    // For other cells: presses by "SERVING|FILLING", of the pairs that were measured enough.
+    std::map<std::string, double> learned() const;
+    // What another cell has learned: the starting point for pairs not measured here.
+    void hint(const std::string& pair, double press);
 
 private:
-    absl::flat_hash_map<std::string, double> pressures_;
-    double base_ = 0.45;
+    struct fit {
+        std::string name;
+        int samples = 0;
+        std::vector<double> moments;  // of (shares, 1) with themselves, row by row
+        std::vector<double> products; // of (shares, 1) with ln(tail)
+        std::vector<double> start;    // what the fit is drawn towards where little was measured
+        std::vector<double> press;
+        double base = -0.9;
+    };
+    fit make_fit(const std::string& name) const;
+
+    std::vector<fit> serving_;
+    std::vector<std::string> filling_names_;
+};
+
+// The pace of filling work, in percent by filling image, that keeps the pressure on every serving image within what it
+// bears. `shares`: what the tasks of each filling image would use at full pace. The images that press least go first, so
+// that as much work as possible goes on.
+struct serving_bearing {
+    int serving = 0;
+    double bears = 0; // of sum press * share
 };
+std::vector<int> choose_paces(const interference_model& model, const std::vector<serving_bearing>& serving,
+                              const std::vector<double>& shares);
 
 } // namespace skylarkhub
