--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -88,6 +88,10 @@
     check_lapsed(now);
     std::erase_if(put_away_, [&](const auto& job) { return now - job.second > put_away_kept; });
     tick_timed(now);
+    if (now >= next_summary_) {
+        next_summary_ = now + summary_interval;
+        log_summary();
+    }
     if (now >= next_give_away_) {
         give_away_waiting(now);
     }
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -206,6 +206,7 @@
     place_option option_of(instant now, const cell_worker& w) const;
     void index_ready(flow_job& job);
     void give_away_waiting(instant now);
+    void log_summary() const;
     void tell_others(instant now, const flow_job& job);
     void tick_timed(instant now);
 
@@ -271,6 +272,7 @@
     bool watching_jobs_ = false;
     instant next_watch_{};
     instant next_give_away_{};
+    instant next_summary_{};
     int parts_left_ = 0;
     std::set<job_id> reading_jobs_;
 
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -254,6 +254,53 @@
     }
 }
 
+void flow_cell::log_summary() const
+{
+    resources room;
+    resources held;
+    std::int64_t filling = 0;
+    std::int64_t lasting = 0;
+    std::int64_t largest_free = 0;
+    int usable = 0;
+    int silent = 0;
+    for (const auto& [id, w] : workers_) {
+        silent += w.silent > 0 ? 1 : 0;
+        if (!w.listed || !w.fenced || w.listing.draining || w.silent > 0) {
+            continue;
+        }
+        ++usable;
+        room = room + w.listing.room;
+        held = held + w.held;
+        filling += w.filling_cpu;
+        lasting += w.lasting_cpu;
+        largest_free = std::max(largest_free, w.listing.room.cpu_millis - w.held.cpu_millis);
+    }
+    std::map<std::string, int> ready;
+    for (const auto& [id, job] : jobs_) {
+        for (const flow_stage& stage : job->stages()) {
+            const flow_step& step = job->step(stage);
+            ready[step.lasting ? "ready_lasting" : step.filling ? "ready_filling" : "ready_plain"] += stage.ready;
+        }
+    }
+    write_log(log_level::info, "cell", "load",
+              {{"cell", id_.str()},
+               {"epoch", std::to_string(epoch_.value())},
+               {"jobs", std::to_string(jobs_.size())},
+               {"awaited", std::to_string(awaited_.size())},
+               {"workers", std::to_string(usable)},
+               {"silent", std::to_string(silent)},
+               {"room_cpu", std::to_string(room.cpu_millis)},
+               {"held_cpu", std::to_string(held.cpu_millis)},
+               {"lasting_cpu", std::to_string(lasting)},
+               {"filling_cpu", std::to_string(filling)},
+               {"largest_free_cpu", std::to_string(largest_free)},
+               {"room_memory", std::to_string(room.memory_mib)},
+               {"held_memory", std::to_string(held.memory_mib)},
+               {"ready_lasting", std::to_string(ready["ready_lasting"])},
+               {"ready_filling", std::to_string(ready["ready_filling"])},
+               {"ready_plain", std::to_string(ready["ready_plain"])}});
+}
+
 void flow_cell::tick_timed(instant now)
 {
     const wall_time wall = edges_.wall();
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -1,4 +1,6 @@
 // What callers ask of an entry: submitting a flow, its state, cancelling it, and how many of a queue wait.
+#include <xxhash.h>
+
 #include <algorithm>
 
 #include "flow_entry_p.h"
@@ -208,7 +210,15 @@
     }
 }
 
-double cell_score(const wire::flow_pool_row& pool, const flow_wants& wants, std::int64_t assigned)
+// Between 0 and 1, the same at every entry: entries that know nothing of each other's choices yet send an image to the
+// same cell, and different images to different ones.
+double draw(const std::string& image, const std::string& cell)
+{
+    const std::string text = image + '/' + cell;
+    return static_cast<double>(XXH64(text.data(), text.size(), 0) >> 11) / static_cast<double>(1ULL << 53);
+}
+
+double cell_score(const std::string& cell, const wire::flow_pool_row& pool, const flow_wants& wants, std::int64_t assigned)
 {
     const auto total = static_cast<double>(pool.total_cpu_millis);
     const double unused = static_cast<double>(pool.unused_cpu_millis - assigned) / total;
@@ -219,13 +229,17 @@
         const double together = own_image == pool.serving_cpu_millis.end() ? 0 : static_cast<double>(own_image->second) / total;
         const double lasting = static_cast<double>(pool.lasting_cpu_millis) / total;
         const bool fits = tasks_that_fit(pool, wants) == wants.tasks && lasting + wanted <= lasting_share_most;
-        return fits ? 1.0 + together + 0.3 * lasting : free;
+        return fits ? 1.0 + together + 0.2 * draw(wants.image, cell) : free;
     }
     const auto borne = pool.fill_cpu_millis.find(wants.image);
     if (wants.filling && borne != pool.fill_cpu_millis.end()) {
         return std::min(static_cast<double>(borne->second - assigned) / total, unused);
     }
-    return wants.filling ? unused : unused + std::min(0.0, free);
+    if (wants.filling) {
+        return unused;
+    }
+    // All tasks at once if they fit, then where most is left for those that come after.
+    return static_cast<double>(tasks_that_fit(pool, wants)) / std::max(1, wants.tasks) + 0.5 * free;
 }
 
 } // namespace
@@ -263,7 +277,7 @@
                 continue;
             }
             const cell_id id(news.cell);
-            double score = cell_score(pool, wants, assigned_cpu_[id]);
+            double score = cell_score(news.cell, pool, wants, assigned_cpu_[id]);
             score += own ? 0.01 : 0.0; // as good a cell here spares a message
             const auto home = racks_.find(wants.rack);
             score += wants.rack.valid() && home != racks_.end() && home->second == id ? 1.0 : 0.0;
@@ -419,7 +433,7 @@
                 });
 }
 
-// The cell that has most left (for a lasting task: that has most lasting work already), with a worker that one more task of the step fits on.
+// The cell that has most left, or for a lasting task where most of its image serves, with a worker that one more task of the step fits on.
 std::optional<std::pair<cell_id, epoch>> flow_entry::find_room(instant now, const cell_id& from,
                                                                const std::string& service, const flow_step& step)
 {
@@ -446,7 +460,9 @@
                                       assigned_cpu_[cell_id(news.cell)];
             const bool fits_worker = pool.largest_free_memory_mib >= step.need.memory_mib &&
                                      (step.filling || tasks_that_fit(pool, wants) > 0);
-            const std::int64_t score = step.lasting ? 1 + pool.lasting_cpu_millis : left;
+            const auto together = pool.serving_cpu_millis.find(step.image);
+            const std::int64_t score =
+                step.lasting ? 1 + left / 10 + (together == pool.serving_cpu_millis.end() ? 0 : together->second) : left;
             if (pool.service_name == service && labelled && fits_worker && (step.lasting || left >= step.need.cpu_millis) &&
                 score > best_score) {
                 best = &news;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -50,6 +50,8 @@
 inline constexpr std::size_t commit_rows_most = 24; // of one transaction; the store's limit is 100 rows and 1 MB
 inline constexpr duration watch_interval = 2s;      // a lost message about a new row costs this much
 
+inline constexpr duration summary_interval = 2s; // of the log line that tells how full a cell is
+
 // --- entries ---
 inline constexpr duration hello_interval = 500ms;
 inline constexpr duration peer_silence = 1600ms; // three hellos
--- a/src/flow_place.cpp
+++ b/src/flow_place.cpp
@@ -14,8 +14,10 @@
 constexpr double slow_cost = 1.0;        // for each further multiple of the estimated time
 constexpr double excess_cost = 6.0;      // filling work beyond what is borne is slowed, or the tails there go over target
 constexpr double beside_serving = 0.15;  // filling work beside serving tasks that bear it now, and may not later
-constexpr double apart_cost = 0.6;       // serving or plain work on a worker that has no serving task yet
-constexpr double mixed_cost = 0.4;       // a serving task where only other images serve
+constexpr double apart_cost = 0.6;       // plain work on a worker that has no serving task
+constexpr double open_cost = 0.4;        // the first serving task of a worker: one fewer where filling work presses on nobody
+constexpr double mixed_cost = 1.0;       // a serving task where other images serve: what each bears, both must bear then
+constexpr double spread_cost = 0.3;      // what is left on each worker, too small for a serving task, is plain work's
 constexpr double overcommit_cost = 2.0;  // filling work that gets less than it wants runs longer
 
 } // namespace
@@ -49,9 +51,12 @@
         cost += wanted + overcommit_cost * std::max(0.0, wanted - 1.0);
         return cost + (option.serving > 0 ? beside_serving : 0);
     }
-    // Packed where serving tasks are, so that other workers stay whole for filling work.
-    cost += option.serving > 0 ? 1.0 - counted : apart_cost + wanted;
-    return cost + (interference.mixed ? mixed_cost : 0);
+    if (step.lasting) {
+        cost += spread_cost * counted + (option.serving == 0 ? open_cost : 0);
+        return cost + (interference.mixed ? mixed_cost : 0);
+    }
+    // Plain work fills what serving tasks leave, so that other workers stay whole for filling work.
+    return cost + (option.serving > 0 ? 1.0 - counted : apart_cost + wanted);
 }
 
 } // namespace skylarkhub
