--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -155,7 +155,10 @@
         live->sent = now;
         if (live->stopping) {
             send_stop(now, id, task, run, 0);
+            return;
         }
+        // A run starts at full pace: left so until the next exchange, a batch of them would drive up the tails beside it.
+        set_paces(now, w);
         return;
     case order_result::fenced:
         lose(now, "a worker has seen a higher fencing token");
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -85,7 +85,7 @@
 inline constexpr duration give_away_after = 800ms;
 inline constexpr duration give_away_interval = 250ms;
 inline constexpr int give_away_most = 6; // tasks at a time: what other cells say of their room is up to half a second old
-inline constexpr duration fill_patience = 2s;  // of a filling task for a place where what it presses on bears it
+inline constexpr duration fill_patience = 2400ms;  // of a filling task for a place where what it presses on bears it
 inline constexpr duration evict_after = 500ms; // a run is not moved again sooner than it can have settled
 inline constexpr double distrust_half_life_s = 6; // of the memory that runs failed on a worker
 
