--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -74,6 +74,11 @@
   4: string data_centre
 }
 
+struct flow_worker_room {
+  1: i32 free_cpu_millis = 0
+  2: string serving // the image that serves there; empty: none, "*": several
+}
+
 // The room of one service's workers in a cell.
 struct flow_pool_row {
   1: string service_name
@@ -85,7 +90,7 @@
   7: map<string, i32> fill_cpu_millis // filling image -> what more of it is borne
   8: i32 workers = 0
   9: i64 largest_free_memory_mib = 0 // of one worker
-  10: list<i32> free_cpu_millis_each // of each worker, the largest first
+  10: list<flow_worker_room> each    // worker, the one with most room first
   11: map<string, i64> serving_cpu_millis // serving image -> committed to its tasks
 }
 
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -30,9 +30,10 @@
 struct flow_cell_hooks {
     std::function<const flow_queue*(const queue_id&)> queue; // null: not in the configuration
     std::function<bool(const std::string& service)> guards_room;
-    // Another cell with room for one more task of such a step, with its epoch; empty when none is known.
+    // Another cell with room for one more task of such a step, with its epoch; empty when none is known. `alone`: beside
+    // no serving task of another image.
     std::function<std::optional<std::pair<cell_id, epoch>>(instant, const cell_id& from, const std::string& service,
-                                                           const flow_step&)> find_room;
+                                                           const flow_step&, bool alone)> find_room;
     // A row that the owner of another cell must know.
     std::function<void(instant, const cell_id&, const job_id&, const wire::flow_job_row&, row_version)> tell_cell;
     // A state that is durable, for the entry that answers the caller.
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -119,9 +119,14 @@
         }
         else if (serves) {
             interference.excess = excess_for(w, image);
-            interference.mixed =
+            const bool mixed =
                 w.serving > 0 && std::none_of(w.serving_images.begin(), w.serving_images.end(),
                                               [image](const serving_group& g) { return g.image == image; });
+            // Another cell may have a worker where it would serve beside its own kind.
+            if (mixed && task.home.moves == 0 && now - task.ready_since < mix_after) {
+                continue;
+            }
+            interference.mixed = mixed;
         }
         const flow_task_id first{job.id(), stage.occurrence, stage.step, 0};
         std::int32_t beside = 0;
@@ -223,11 +228,15 @@
             std::optional<std::pair<cell_id, skylarkhub::epoch>> to;
             for (std::size_t i = 0; i < stage.tasks.size() && (left > 0 || step.gang); ++i) {
                 flow_task& task = stage.tasks[i];
-                if (task.stage != task_stage::ready || !task.runs.empty() || now - task.ready_since < give_away_after) {
+                // A task is moved once for its own kind's sake; after that it serves wherever there is room.
+                const bool serves = step.tail_target > duration(0) && task.home.moves == 0;
+                const duration waited = now - task.ready_since;
+                if (task.stage != task_stage::ready || !task.runs.empty() ||
+                    waited < (serves ? give_away_serving_after : give_away_after)) {
                     continue;
                 }
                 if (!to || !step.gang) {
-                    to = hooks_.find_room(now, id_, job.row().service_name, step);
+                    to = hooks_.find_room(now, id_, job.row().service_name, step, serves && waited < mix_after);
                 }
                 if (!to) {
                     break;
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -497,7 +497,12 @@
         pool.total_cpu_millis += w.listing.room.cpu_millis;
         pool.free_cpu_millis += free;
         pool.unused_cpu_millis += left_for_filling(option_of(w.read_at, w));
-        pool.free_cpu_millis_each.push_back(static_cast<std::int32_t>(free));
+        wire::flow_worker_room each;
+        each.free_cpu_millis = static_cast<std::int32_t>(free);
+        each.serving = w.serving_images.empty()       ? ""
+                       : w.serving_images.size() == 1 ? interference_.serving_name(w.serving_images.front().image)
+                                                      : several_images;
+        pool.each.push_back(each);
         pool.largest_free_memory_mib =
             std::max(pool.largest_free_memory_mib, w.listing.room.memory_mib - w.held.memory_mib);
         pool.lasting_cpu_millis += w.lasting_cpu;
@@ -526,7 +531,8 @@
     }
     news.presses = interference_.learned();
     for (auto& [service, pool] : pools) {
-        std::sort(pool.free_cpu_millis_each.rbegin(), pool.free_cpu_millis_each.rend());
+        std::sort(pool.each.begin(), pool.each.end(),
+                  [](const auto& a, const auto& b) { return a.free_cpu_millis > b.free_cpu_millis; });
         pool.labels.assign(labels[service].begin(), labels[service].end());
         news.pools.push_back(std::move(pool));
     }
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -147,8 +147,8 @@
         return config_ && std::any_of(config_->services.begin(), config_->services.end(),
                                       [&](const flow_service& s) { return s.name == service && s.guards_room; });
     };
-    hooks.find_room = [this](instant now, const cell_id& from, const std::string& service, const flow_step& step) {
-        return find_room(now, from, service, step);
+    hooks.find_room = [this](instant now, const cell_id& from, const std::string& service, const flow_step& step, bool alone) {
+        return find_room(now, from, service, step, alone);
     };
     hooks.tell_cell = [this](instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row,
                              row_version version) { tell_cell(now, cell, job, row, version); };
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -133,7 +133,7 @@
     void tell_cell(instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row, row_version version);
     void tell_owner(instant now, const cell_id& cell, const job_id& job);
     std::optional<std::pair<cell_id, epoch>> find_room(instant now, const cell_id& from, const std::string& service,
-                                                     const flow_step& step);
+                                                       const flow_step& step, bool alone);
     void tell_states(instant now);
 
     // flow_peers.cpp
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -176,36 +176,50 @@
     return wants;
 }
 
-// Lasting work fills one cell after another up to this share of its processors: tasks that may share a worker with few
-// of their kind spread over every worker of a cell, so only a cell that has little lasting work keeps workers without
-// serving tasks, where filling work that presses hard disturbs nobody.
-constexpr double lasting_share_most = 0.9;
+bool serves_alone(const wire::flow_worker_room& room, const std::string& image)
+{
+    return room.serving.empty() || room.serving == image;
+}
+
+std::int32_t tasks_that_fit(const wire::flow_worker_room& room, const flow_wants& wants)
+{
+    const auto here = static_cast<std::int32_t>(room.free_cpu_millis / std::max<std::int64_t>(1, wants.task_cpu));
+    return std::max(0, wants.per_worker_most > 0 ? std::min(here, wants.per_worker_most) : here);
+}
 
-// How many of the tasks the workers of a pool have room for now.
-std::int32_t tasks_that_fit(const wire::flow_pool_row& pool, const flow_wants& wants)
+// How many of the tasks the workers of a pool have room for now. `alone`: where no other image serves.
+std::int32_t tasks_that_fit(const wire::flow_pool_row& pool, const flow_wants& wants, bool alone)
 {
     std::int32_t fit = 0;
-    for (const std::int32_t free : pool.free_cpu_millis_each) {
-        const auto here = static_cast<std::int32_t>(free / std::max<std::int64_t>(1, wants.task_cpu));
-        fit += std::max(0, wants.per_worker_most > 0 ? std::min(here, wants.per_worker_most) : here);
+    for (const wire::flow_worker_room& room : pool.each) {
+        fit += !alone || serves_alone(room, wants.image) ? tasks_that_fit(room, wants) : 0;
     }
     return std::min(fit, wants.tasks);
 }
 
-// Takes what the tasks will need out of what a cell last said of its room, fullest workers first as its owner places them.
+// Takes what the tasks will need out of what a cell last said of its room, in the order in which its owner places them.
 void take_room(wire::flow_pool_row& pool, const flow_wants& wants)
 {
     std::int32_t left = wants.tasks;
-    for (auto free = pool.free_cpu_millis_each.rbegin(); free != pool.free_cpu_millis_each.rend() && left > 0; ++free) {
-        std::int32_t here = 0;
-        while (left > 0 && *free >= wants.task_cpu && (wants.per_worker_most == 0 || here < wants.per_worker_most)) {
-            *free -= static_cast<std::int32_t>(wants.task_cpu);
-            ++here;
-            --left;
+    const auto take = [&](auto&& wanted) {
+        for (wire::flow_worker_room& room : pool.each) {
+            if (left == 0 || !wanted(room)) {
+                continue;
+            }
+            const std::int32_t here = std::min(left, tasks_that_fit(room, wants));
+            room.free_cpu_millis -= static_cast<std::int32_t>(here * wants.task_cpu);
+            left -= here;
+            if (wants.lasting && here > 0) {
+                room.serving = serves_alone(room, wants.image) ? wants.image : several_images;
+            }
         }
+    };
+    if (wants.lasting) {
+        take([&](const wire::flow_worker_room& room) { return room.serving == wants.image; });
+        take([&](const wire::flow_worker_room& room) { return room.serving.empty(); });
     }
+    take([](const wire::flow_worker_room&) { return true; });
     if (wants.lasting) {
-        pool.lasting_cpu_millis += wants.cpu;
         pool.serving_cpu_millis[wants.image] += wants.cpu;
     }
 }
@@ -223,13 +237,12 @@
     const auto total = static_cast<double>(pool.total_cpu_millis);
     const double unused = static_cast<double>(pool.unused_cpu_millis - assigned) / total;
     const double free = static_cast<double>(pool.free_cpu_millis - assigned) / total;
-    const double wanted = static_cast<double>(wants.cpu) / total;
     if (wants.lasting) {
         const auto own_image = pool.serving_cpu_millis.find(wants.image);
         const double together = own_image == pool.serving_cpu_millis.end() ? 0 : static_cast<double>(own_image->second) / total;
-        const double lasting = static_cast<double>(pool.lasting_cpu_millis) / total;
-        const bool fits = tasks_that_fit(pool, wants) == wants.tasks && lasting + wanted <= lasting_share_most;
-        return fits ? 1.0 + together + 0.2 * draw(wants.image, cell) : free;
+        const auto tasks = static_cast<double>(wants.tasks);
+        return 2 * tasks_that_fit(pool, wants, true) / tasks + tasks_that_fit(pool, wants, false) / tasks + together +
+               0.2 * draw(wants.image, cell);
     }
     const auto borne = pool.fill_cpu_millis.find(wants.image);
     if (wants.filling && borne != pool.fill_cpu_millis.end()) {
@@ -239,7 +252,7 @@
         return unused;
     }
     // All tasks at once if they fit, then where most is left for those that come after.
-    return static_cast<double>(tasks_that_fit(pool, wants)) / std::max(1, wants.tasks) + 0.5 * free;
+    return static_cast<double>(tasks_that_fit(pool, wants, false)) / std::max(1, wants.tasks) + 0.5 * free;
 }
 
 } // namespace
@@ -435,7 +448,8 @@
 
 // The cell that has most left, or for a lasting task where most of its image serves, with a worker that one more task of the step fits on.
 std::optional<std::pair<cell_id, epoch>> flow_entry::find_room(instant now, const cell_id& from,
-                                                               const std::string& service, const flow_step& step)
+                                                               const std::string& service, const flow_step& step,
+                                                               bool alone)
 {
     const wire::flow_cell_news* best = nullptr;
     std::int64_t best_score = 0;
@@ -445,6 +459,7 @@
     wants.cpu = step.need.cpu_millis;
     wants.task_cpu = step.need.cpu_millis;
     wants.lasting = step.lasting;
+    wants.image = step.image;
     const auto weigh = [&](wire::flow_cell_news& news) {
         if (news.cell == from.str()) {
             return;
@@ -459,7 +474,7 @@
                                                       : pool.free_cpu_millis) -
                                       assigned_cpu_[cell_id(news.cell)];
             const bool fits_worker = pool.largest_free_memory_mib >= step.need.memory_mib &&
-                                     (step.filling || tasks_that_fit(pool, wants) > 0);
+                                     (step.filling || tasks_that_fit(pool, wants, alone) > 0);
             const auto together = pool.serving_cpu_millis.find(step.image);
             const std::int64_t score =
                 step.lasting ? 1 + left / 10 + (together == pool.serving_cpu_millis.end() ? 0 : together->second) : left;
--- a/src/flow_press_p.h
+++ b/src/flow_press_p.h
@@ -28,6 +28,7 @@
     double press(int serving, int filling) const;
     double base(int serving) const;
     int serving_count() const { return static_cast<int>(serving_.size()); }
+    const std::string& serving_name(int serving) const { return serving_[static_cast<std::size_t>(serving)].name; }
     const std::string& filling_name(int filling) const { return filling_names_[static_cast<std::size_t>(filling)]; }
     int filling_count() const { return static_cast<int>(filling_names_.size()); }
 
--- a/src/flow_row_p.h
+++ b/src/flow_row_p.h
@@ -14,6 +14,9 @@
 inline constexpr const char* entries_table = "flow-entries";
 inline constexpr const char* shared_part = "site"; // of cells and entries: few rows, read whole
 
+// In flow_worker_room::serving: serving tasks of more than one image.
+inline constexpr const char* several_images = "*";
+
 // The store applies the transactions of one part one after another, 150 a second on today's platforms; jobs are spread
 // over as many parts as keep the busiest one below half of that at 40 accepted jobs and 200 ended steps a second.
 inline constexpr int job_parts = 8;
