--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -15,13 +15,13 @@
 
 constexpr double share_smoothing_s = 0.8; // measured tails follow the filling work about this much later
 constexpr double level_smoothing_s = 0.7;
-constexpr double log_tail_wanted = -0.2;  // 0.8 of the target: a tail swings by a tenth between two looks
-constexpr double load_rise = 0.15;        // ln(tail) by which a serving task's load may rise until the next look
-constexpr double bears_most = 1.0;        // even of an idle one: its load comes back within seconds
+constexpr double log_tail_wanted = -0.05;  // 0.8 of the target: a tail swings by a tenth between two looks
+constexpr double load_rise = 0.1;        // ln(tail) by which a serving task's load may rise until the next look
+constexpr double bears_most = 1.5;        // even of an idle one: its load comes back within seconds
 constexpr double strained_tail = 0.95;    // of the target
-constexpr double margin_cut = 0.5;        // of what is believed to be borne, after a strain
+constexpr double margin_cut = 0.7;        // of what is believed to be borne, after a strain
 constexpr double margin_least = 0.1;
-constexpr double margin_gain = 0.06;      // back per second
+constexpr double margin_gain = 0.2;      // back per second
 // A tail that was driven up comes down over two to three seconds after its cause has gone, as the backlog drains.
 constexpr duration drain_time = std::chrono::milliseconds(1500);
 constexpr duration refit_interval = std::chrono::seconds(1);
