--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -126,6 +126,7 @@
         end_number confirmed;
         std::vector<unconfirmed_end> unconfirmed;
         absl::btree_map<flow_task_id, ledger_run> ledger;
+        std::int32_t strangers = 0; // runs it lists that the ledger does not have
         resources held;
         std::int64_t filling_cpu = 0;
         std::int32_t serving = 0;
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -251,6 +251,10 @@
     for (const listed_run& run : answer.running) {
         take_running(now, w, run, sent);
     }
+    // What a run takes that the ledger does not know is not known either: a start beside it could go over the room. Its
+    // job's row is being read, or it is being stopped.
+    w.strangers = static_cast<std::int32_t>(std::count_if(answer.running.begin(), answer.running.end(),
+                                                          [&w](const listed_run& r) { return w.ledger.count(r.task) == 0; }));
     if (!first) {
         find_missing(now, w, sent, answer);
     }
