--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -58,6 +58,11 @@
   19: i64 run_base = 0        // numbers of runs start above it; raised when the job moves to another cell
 }
 
+struct flow_worker_name {
+  1: string worker
+  2: string address
+}
+
 struct flow_cell_row {
   1: i64 epoch = 0
   2: string owner             // entry
@@ -65,6 +70,7 @@
   4: string address
   5: i64 renewals = 0
   6: bool released = false    // its owner has stopped and sends nothing any more
+  7: list<flow_worker_name> workers // only these may run tasks of the cell; the platform's list may have lost some
 }
 
 struct flow_entry_row {
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -189,6 +189,8 @@
     wanted.incarnation = self_.incarnation.str();
     wanted.address = self_.address.str();
     fresh_ = !row_present_;
+    know_named(row_);
+    wanted.workers = worker_names();
     // Whoever owned it before sends nothing any more if it released the row or was an earlier life of this entry.
     const bool certainly_gone = fresh_ || row_.released || row_.owner == self_.entry.str();
     old_owner_gone_ = certainly_gone ? duration(0) : owner_hold;
@@ -216,6 +218,7 @@
         return;
     }
     row_ = wanted;
+    note_named(wanted);
     row_present_ = true;
     row_version_ = result.version;
     row_unchanged_since_ = now;
@@ -297,11 +300,47 @@
     place_soon(now);
 }
 
+std::vector<wire::flow_worker_name> flow_cell::worker_names() const
+{
+    std::vector<wire::flow_worker_name> names;
+    for (const auto& [id, w] : workers_) {
+        wire::flow_worker_name name;
+        name.worker = id.str();
+        name.address = w.listing.address.str();
+        names.push_back(std::move(name));
+    }
+    return names;
+}
+
+void flow_cell::note_named(const wire::flow_cell_row& row)
+{
+    for (const wire::flow_worker_name& name : row.workers) {
+        const auto at = workers_.find(worker_id(name.worker));
+        if (at != workers_.end()) {
+            at->second.named = true;
+        }
+    }
+}
+
+// Workers that the owner before may have started tasks on. The platform's list loses workers that it has not heard from,
+// while they run on; a taker that went by the list alone would start their tasks a second time.
+void flow_cell::know_named(const wire::flow_cell_row& row)
+{
+    for (const wire::flow_worker_name& name : row.workers) {
+        const auto [at, added] = workers_.try_emplace(worker_id(name.worker));
+        if (added) {
+            at->second.listing.worker = worker_id(name.worker);
+            at->second.listing.address = net_address(name.address);
+        }
+    }
+}
+
 void flow_cell::renew(instant now)
 {
     acting_ = true;
     wire::flow_cell_row wanted = row_;
     ++wanted.renewals;
+    wanted.workers = worker_names();
     store_transaction t;
     t.checks.push_back({cell_key(id_), row_version_});
     t.puts.push_back({cell_key(id_), encode_compact(wanted)});
@@ -312,6 +351,7 @@
         acting_ = false;
         if (result.outcome == table_outcome::applied) {
             row_ = wanted;
+            note_named(wanted);
             row_version_ = result.version;
             renewed_ = sent;
             next_renewal_ = then + renew_interval;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -113,6 +113,7 @@
     struct cell_worker {
         flow_listed_worker listing;
         bool listed = false;
+        bool named = false;  // in the cell's row as it stands in the table
         bool fenced = false; // accepted this epoch and told what runs
         std::optional<worker_time> reading;
         instant read_at{};
@@ -158,6 +159,9 @@
     void on_jobs_read(instant now, int part, const store_page& page);
     void become_owner(instant now);
     void renew(instant now);
+    std::vector<wire::flow_worker_name> worker_names() const;
+    void note_named(const wire::flow_cell_row& row);
+    void know_named(const wire::flow_cell_row& row);
     void lose(instant now, const std::string& reason);
     void release(instant now);
     bool may_send(instant now) const;
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -96,7 +96,7 @@
     cell_worker* best = nullptr;
     double best_cost = 0;
     for (auto& [id, w] : workers_) {
-        if (!w.listed || !w.fenced || w.listing.draining || w.listing.service != job.row().service_name ||
+        if (!w.listed || !w.named || !w.fenced || w.listing.draining || w.listing.service != job.row().service_name ||
             w.silent > 0 || w.strangers > 0 || !w.reading || now < w.no_starts_until) {
             continue;
         }
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -51,6 +51,7 @@
         w.listed = true;
         if (role_ == role::owning && added) {
             hold_soon(now, listing.worker, duration(0));
+            next_renewal_ = now; // it takes tasks once the row names it
         }
     }
     for (auto at = workers_.begin(); at != workers_.end();) {
@@ -60,7 +61,7 @@
                 write_log(log_level::info, "worker", "unlisted", {{"cell", id_.str()}, {"worker", at->first.str()}});
             }
             w.listed = false;
-            if (!owns() || (w.ledger.empty() && (w.fenced || all_accounted(now)))) {
+            if (role_ == role::watching || (role_ == role::owning && w.ledger.empty() && (w.fenced || all_accounted(now)))) {
                 at = workers_.erase(at);
                 continue;
             }
@@ -170,7 +171,7 @@
         }
         return;
     }
-    if (!w.listed && w.ledger.empty()) {
+    if (!w.listed && w.ledger.empty() && w.fenced) {
         return;
     }
     w.holding = true;
