--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -191,6 +191,7 @@
     void on_started(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries,
                     const order_answer& answer);
     void send_stop(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries);
+    void stop_again(const worker_id& id, const flow_task_id& task, run_number run, int tries);
     void stop_job_runs(instant now, flow_job& job);
     void stop_copies(instant now, flow_job& job, flow_task& task, const flow_task_id& id, run_number winner);
     void drop_run(instant now, cell_worker& w, const flow_task_id& task, run_number run);
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -203,7 +203,13 @@
 void flow_cell::send_stop(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries)
 {
     const auto at = workers_.find(id);
-    if (at == workers_.end() || !may_send(now)) {
+    if (at == workers_.end()) {
+        return;
+    }
+    if (!may_send(now)) {
+        // An owner that has not renewed for long is silent, but may come back before the run's lease ends: a stop that was
+        // dropped meanwhile would leave a cancelled task running.
+        stop_again(id, task, run, tries);
         return;
     }
     edges_.order(place_of(at->second), stop_run{task, run, epoch_}, stop_timeout,
@@ -227,11 +233,7 @@
                          if (live == nullptr && tries > 3) {
                              return;
                          }
-                         edges_.after(stop_retry, [this, id, task, run, tries, life = life_](instant again) {
-                             if (life == life_) {
-                                 send_stop(again, id, task, run, tries + 1);
-                             }
-                         });
+                         stop_again(id, task, run, tries + 1);
                          return;
                      default:
                          break;
@@ -245,6 +247,15 @@
                  });
 }
 
+void flow_cell::stop_again(const worker_id& id, const flow_task_id& task, run_number run, int tries)
+{
+    edges_.after(stop_retry, [this, id, task, run, tries, life = life_](instant then) {
+        if (life == life_) {
+            send_stop(then, id, task, run, tries);
+        }
+    });
+}
+
 void flow_cell::stop_job_runs(instant now, flow_job& job)
 {
     for (flow_stage& stage : job.stages()) {
