--- a/src/daemon_flow_app.cpp
+++ b/src/daemon_flow_app.cpp
@@ -158,6 +158,7 @@
     };
     edges.after = [this](duration wait, std::function<void(instant)> step) { timer_->after(wait, std::move(step)); };
     edges.wall = &read_wall_clock;
+    edges.note = &write_log;
     return edges;
 }
 
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -56,7 +56,7 @@
     std::string reason;
     const auto decoded = decode_compact<wire::flow_cell_row>(row->value, &reason);
     if (!decoded) {
-        write_log(log_level::error, "cell", "row_unreadable", {{"cell", id_.str()}, {"reason", reason}});
+        edges_.note(log_level::error, "cell", "row_unreadable", {{"cell", id_.str()}, {"reason", reason}});
         return;
     }
     row_ = *decoded;
@@ -214,7 +214,7 @@
         else {
             row_known_ = false; // read it again: the write may be in force
         }
-        write_log(log_level::info, "cell", "take_failed", {{"cell", id_.str()}, {"reason", result.reason}});
+        edges_.note(log_level::info, "cell", "take_failed", {{"cell", id_.str()}, {"reason", result.reason}});
         return;
     }
     row_ = wanted;
@@ -228,7 +228,7 @@
     next_renewal_ = now + renew_interval;
     ++life_;
     ++stats_.takeovers;
-    write_log(log_level::info, "cell", "taken",
+    edges_.note(log_level::info, "cell", "taken",
               {{"cell", id_.str()}, {"epoch", std::to_string(wanted.epoch)}, {"fresh", fresh_ ? "yes" : "no"}});
     parts_left_ = job_parts;
     watched_ = row_version(std::numeric_limits<std::int64_t>::max());
@@ -284,7 +284,7 @@
             awaited_.insert(id);
         }
     }
-    write_log(
+    edges_.note(
         log_level::info, "cell", "owned",
         {{"cell", id_.str()}, {"jobs", std::to_string(jobs_.size())}, {"workers", std::to_string(workers_.size())}});
     for (auto& [id, w] : workers_) {
@@ -368,7 +368,7 @@
 
 void flow_cell::lose(instant now, const std::string& reason)
 {
-    write_log(log_level::warning, "cell", "lost",
+    edges_.note(log_level::warning, "cell", "lost",
               {{"cell", id_.str()}, {"epoch", std::to_string(epoch_.value())}, {"reason", reason}});
     ++life_;
     role_ = role::watching;
@@ -437,7 +437,7 @@
     role_ = role::released;
     edges_.commit(std::move(t), [this](instant, const store_result& result) {
         acting_ = false;
-        write_log(log_level::info, "cell", "released", {{"cell", id_.str()}, {"reason", result.reason}});
+        edges_.note(log_level::info, "cell", "released", {{"cell", id_.str()}, {"reason", result.reason}});
     });
 }
 
--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -191,7 +191,7 @@
     if (w.tail >= strained_tail && w.fillers > 0 && now - w.tightened_at >= drain_time) {
         w.margin = std::max(margin_least, w.margin * margin_cut);
         w.tightened_at = now;
-        write_log(log_level::info, "pace", "tightened",
+        edges_.note(log_level::info, "pace", "tightened",
                   {{"worker", w.listing.worker.str()},
                    {"tail_share", std::to_string(w.tail)},
                    {"margin", std::to_string(w.margin)}});
@@ -267,7 +267,7 @@
             excess_with(*better, run.image_index, static_cast<double>(run.need.cpu_millis) / room_of(better->listing)) > 0) {
             continue;
         }
-        write_log(log_level::info, "run", "evicted",
+        edges_.note(log_level::info, "run", "evicted",
                   {{"job", task.job.str()},
                    {"worker", w.listing.worker.str()},
                    {"to", better->listing.worker.str()},
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -242,7 +242,7 @@
                     break;
                 }
                 const flow_task_id task_id{id, stage.occurrence, stage.step, static_cast<std::int32_t>(i)};
-                write_log(log_level::info, "task", "given_away",
+                edges_.note(log_level::info, "task", "given_away",
                           {{"job", id.str()},
                            {"step", std::to_string(stage.step)},
                            {"index", std::to_string(i)},
@@ -291,7 +291,7 @@
             ready[step.lasting ? "ready_lasting" : step.filling ? "ready_filling" : "ready_plain"] += stage.ready;
         }
     }
-    write_log(log_level::info, "cell", "load",
+    edges_.note(log_level::info, "cell", "load",
               {{"cell", id_.str()},
                {"epoch", std::to_string(epoch_.value())},
                {"jobs", std::to_string(jobs_.size())},
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -141,7 +141,7 @@
         return; // its end is known already
     }
     if (answer.result != order_result::accepted) {
-        write_log(log_level::info, "run", "start_not_accepted",
+        edges_.note(log_level::info, "run", "start_not_accepted",
                   {{"task", text_of(task)},
                    {"run", std::to_string(run.value())},
                    {"worker", id.str()},
@@ -351,7 +351,7 @@
     if (job.ended()) {
         return;
     }
-    write_log(log_level::info, "job", "ended",
+    edges_.note(log_level::info, "job", "ended",
               {{"job", job.id().str()}, {"cell", id_.str()}, {"outcome", std::to_string(static_cast<int>(outcome))}});
     job.note_outcome(outcome);
     stop_job_runs(now, job);
@@ -398,7 +398,7 @@
         }
     }
     if (known.cancelled() && !was_cancelled) {
-        write_log(log_level::info, "job", "cancelled", {{"job", job.str()}, {"cell", id_.str()}});
+        edges_.note(log_level::info, "job", "cancelled", {{"job", job.str()}, {"cell", id_.str()}});
         stop_job_runs(now, known);
         job_changed(now, known, false);
         tell_others(now, known);
@@ -427,7 +427,7 @@
     if (role_ != role::owning) {
         return;
     }
-    write_log(log_level::info, "job", "bound",
+    edges_.note(log_level::info, "job", "bound",
               {{"job", id.str()},
                {"cell", id_.str()},
                {"queue", row.queue},
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -41,7 +41,7 @@
         const auto [at, added] = workers_.try_emplace(listing.worker);
         cell_worker& w = at->second;
         if (added || w.listing.draining != listing.draining || !w.listed) {
-            write_log(log_level::info, "worker", "listed",
+            edges_.note(log_level::info, "worker", "listed",
                       {{"cell", id_.str()},
                        {"worker", listing.worker.str()},
                        {"address", listing.address.str()},
@@ -58,7 +58,7 @@
         cell_worker& w = at->second;
         if (present.count(at->first) == 0) {
             if (w.listed) {
-                write_log(log_level::info, "worker", "unlisted", {{"cell", id_.str()}, {"worker", at->first.str()}});
+                edges_.note(log_level::info, "worker", "unlisted", {{"cell", id_.str()}, {"worker", at->first.str()}});
             }
             w.listed = false;
             if (role_ == role::watching || (role_ == role::owning && w.ledger.empty() && (w.fenced || all_accounted(now)))) {
@@ -120,7 +120,7 @@
 void flow_cell::worker_died(instant now, cell_worker& w, const std::string& reason)
 {
     if (!w.ledger.empty()) {
-        write_log(log_level::warning, "worker", "lost",
+        edges_.note(log_level::warning, "worker", "lost",
                   {{"cell", id_.str()},
                    {"worker", w.listing.worker.str()},
                    {"runs", std::to_string(w.ledger.size())},
@@ -231,7 +231,7 @@
     default:
         ++w.silent;
         if (w.silent == silent_holds_most) {
-            write_log(log_level::warning, "worker", "silent",
+            edges_.note(log_level::warning, "worker", "silent",
                       {{"cell", id_.str()}, {"worker", id.str()}, {"reason", answer.reason}});
         }
         hold_soon(now, id, hold_retry);
@@ -310,7 +310,7 @@
     case run_end::alone:
         break;
     }
-    write_log(log_level::info, "run", "ended",
+    edges_.note(log_level::info, "run", "ended",
               {{"task", text_of(end.task)},
                {"run", std::to_string(end.run.value())},
                {"worker", w.listing.worker.str()},
@@ -447,7 +447,7 @@
         }
     }
     for (const auto& [task, run] : missing) {
-        write_log(log_level::warning, "run", "vanished",
+        edges_.note(log_level::warning, "run", "vanished",
                   {{"task", text_of(task)}, {"run", std::to_string(run.value())}, {"worker", w.listing.worker.str()}});
         drop_run(now, w, task, run);
     }
--- a/src/flow_edges_p.h
+++ b/src/flow_edges_p.h
@@ -8,6 +8,7 @@
 
 #include "flow_types.h"
 #include "flow_types_p.h"
+#include "log_line_p.h"
 
 namespace skylarkhub {
 
@@ -21,6 +22,9 @@
 };
 
 struct flow_edges {
+    // One decision for the log: what was decided, and what decided it.
+    std::function<void(log_level, std::string_view subject, std::string_view event, std::initializer_list<log_field>)>
+        note;
     std::function<void(store_transaction, std::function<void(instant, store_result)>)> commit;
     std::function<void(store_range, std::function<void(instant, store_page)>)> read;
     std::function<void(store_watch, std::function<void(instant, store_page)>)> watch;
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -73,7 +73,7 @@
         return;
     }
     leaving_ = true;
-    write_log(log_level::info, "entry", "stop_planned", {{"entry", self_.entry.str()}});
+    edges_.note(log_level::info, "entry", "stop_planned", {{"entry", self_.entry.str()}});
     tell_peers(now, true);
     for (auto& [id, cell] : cells_) {
         cell->plan_stop(now);
@@ -201,7 +201,7 @@
     if (config_ && config.version <= config_->version) {
         return;
     }
-    write_log(log_level::info, "config", "in_force",
+    edges_.note(log_level::info, "config", "in_force",
               {{"version", std::to_string(config.version.value())},
                {"queues", std::to_string(config.queues.size())},
                {"from", from}});
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -110,7 +110,7 @@
     const auto cell = choose_cell(now, queue, *request.spec);
     if (leaving_ || !cell) {
         ++stats_.refused;
-        write_log(log_level::info, "job", "refused",
+        edges_.note(log_level::info, "job", "refused",
                   {{"job", job.str()}, {"reason", leaving_ ? "stopping" : "no cell"}});
         reply({caller_result::not_accepted, flow_state::queued, 0, unavailable_retry, "nothing takes jobs here now"});
         return;
@@ -337,7 +337,7 @@
     switch (result.outcome) {
     case table_outcome::applied:
         ++stats_.accepted;
-        write_log(log_level::info, "job", "accepted",
+        edges_.note(log_level::info, "job", "accepted",
                   {{"job", job.str()},
                    {"queue", row.queue},
                    {"cell", row.cell},
@@ -354,7 +354,7 @@
         if (there && there->accept_token == row.accept_token) {
             tell_cell(now, cell_id(row.cell), job, row, result.rows.front().version);
         }
-        write_log(log_level::info, "job", "accepted_before", {{"job", job.str()}});
+        edges_.note(log_level::info, "job", "accepted_before", {{"job", job.str()}});
         answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
         return;
     }
@@ -369,7 +369,7 @@
         });
         return;
     }
-    write_log(log_level::warning, "job", in_doubt ? "accept_unsettled" : "refused",
+    edges_.note(log_level::warning, "job", in_doubt ? "accept_unsettled" : "refused",
               {{"job", job.str()}, {"reason", result.reason}, {"tries", std::to_string(tries + 1)}});
     ++(in_doubt ? stats_.unsettled : stats_.refused);
     answer_accept(now, job,
@@ -648,7 +648,7 @@
     edges_.commit(std::move(t), [this, job, row = std::move(row), give_up,
                                  reply = std::move(reply)](instant then, const store_result& result) {
         if (result.outcome == table_outcome::applied) {
-            write_log(log_level::info, "job", "cancel_accepted",
+            edges_.note(log_level::info, "job", "cancel_accepted",
                       {{"job", job.str()}, {"version", std::to_string(result.version.value())}});
             const auto at = followed_.find(job);
             if (at != followed_.end()) {
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -187,7 +187,7 @@
     peer& p = peers_[entry_id(h.sender.entry)];
     const bool new_life = !p.ever_heard || p.identity.incarnation.str() != h.sender.incarnation;
     if (new_life || p.leaving != h.leaving || now - p.heard >= peer_silence) {
-        write_log(
+        edges_.note(
             log_level::info, "peer", "heard",
             {{"entry", h.sender.entry}, {"incarnation", h.sender.incarnation}, {"leaving", h.leaving ? "yes" : "no"}});
     }
--- /dev/null
+++ b/tests/support_flow_world.cpp
@@ -0,0 +1,638 @@
+#include "support_flow_world.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace skylarkhub::test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int failures_most = 3;
+constexpr duration list_lag = 100ms;
+
+std::string text_of(const flow_task_id& task)
+{
+    return fmt::format("{}.{}.{}.{}", task.job.str(), task.occurrence, task.step, task.index);
+}
+
+flow_config make_config()
+{
+    flow_config config;
+    config.version = settings_version(1);
+    flow_queue queue;
+    queue.name = queue_id("q");
+    queue.host = "host";
+    queue.prefix = "/q/";
+    queue.service = "service";
+    queue.failures_most = failures_most;
+    config.queues.push_back(queue);
+    config.services.push_back({"service", false, false});
+    return config;
+}
+
+} // namespace
+
+flow_spec chain_spec(int steps, int count, std::int64_t cpu_millis)
+{
+    flow_spec spec;
+    spec.payload = "payload";
+    for (int i = 0; i < steps; ++i) {
+        flow_step step;
+        step.count = count;
+        step.need = {cpu_millis, 1000, 0};
+        if (i > 0) {
+            step.after.push_back(i - 1);
+        }
+        spec.steps.push_back(step);
+    }
+    return spec;
+}
+
+flow_world::flow_world(options o) : options_(std::move(o)), random_(make_random(options_.seed))
+{
+    int n = 0;
+    for (const std::string& dc : options_.data_centres) {
+        for (int i = 0; i < options_.entries_each; ++i) {
+            entry_slot slot;
+            slot.identity.entry = entry_id(fmt::format("entry-{}-{}", dc, i));
+            slot.identity.address = net_address(fmt::format("10.0.0.{}:1", n));
+            slot.identity.data_centre = data_centre_id(dc);
+            entries_.push_back(std::move(slot));
+            ++n;
+        }
+        for (int i = 0; i < options_.workers_each; ++i) {
+            auto w = std::make_unique<flow_fake_worker>();
+            w->id = worker_id(fmt::format("w-{}-{}", dc, i));
+            w->address = net_address(fmt::format("10.1.{}.{}:1", n, i));
+            w->data_centre = data_centre_id(dc);
+            w->clock_offset = std::chrono::seconds(1000 + 17 * i);
+            workers_.push_back(std::move(w));
+        }
+    }
+    for (int i = 0; i < static_cast<int>(entries_.size()); ++i) {
+        start_entry(i);
+    }
+}
+
+flow_world::~flow_world() = default;
+
+// --- time ---
+
+void flow_world::later(duration d, std::function<void()> what)
+{
+    queue_.emplace(now_ + std::max(d, duration(1)), std::move(what));
+}
+
+void flow_world::run_for(duration d)
+{
+    const instant end = now_ + d;
+    while (!queue_.empty() && queue_.begin()->first <= end) {
+        auto at = queue_.begin();
+        now_ = at->first;
+        std::function<void()> what = std::move(at->second);
+        queue_.erase(at);
+        what();
+    }
+    now_ = end;
+}
+
+bool flow_world::run_until(const std::function<bool()>& done, duration most)
+{
+    const instant end = now_ + most;
+    while (now_ < end) {
+        if (done()) {
+            return true;
+        }
+        run_for(20ms);
+    }
+    return done();
+}
+
+// --- entries ---
+
+void flow_world::on_entry(int entry, std::uint64_t life, const std::function<void(flow_entry&, instant)>& what)
+{
+    entry_slot& slot = entries_.at(static_cast<std::size_t>(entry));
+    if (slot.life != life || !slot.decisions) {
+        return;
+    }
+    what(*slot.decisions, now_);
+    slot.decisions->settle(now_);
+}
+
+void flow_world::start_entry(int entry)
+{
+    entry_slot& slot = entries_.at(static_cast<std::size_t>(entry));
+    ++slot.life;
+    ++slot.starts;
+    slot.identity.incarnation = incarnation_id(fmt::format("{}@{}", slot.identity.entry.str(), slot.starts));
+    slot.decisions = std::make_unique<flow_entry>(slot.identity, make_edges(entry));
+    later(1ms, [this, entry, life = slot.life] {
+        on_entry(entry, life, [](flow_entry& e, instant now) { e.begin(now); });
+    });
+}
+
+void flow_world::kill_entry(int entry)
+{
+    entry_slot& slot = entries_.at(static_cast<std::size_t>(entry));
+    ++slot.life;
+    slot.decisions.reset();
+}
+
+void flow_world::stop_by_plan(int entry)
+{
+    on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life,
+             [](flow_entry& e, instant now) { e.plan_stop(now); });
+    run_until([&] { return this->entry(entry)->stopped(); }, 4s);
+    kill_entry(entry);
+}
+
+bool flow_world::table_reached(int entry) const
+{
+    const auto cut = cut_from_table_.find(entry);
+    return !table_down_ && (cut == cut_from_table_.end() || !cut->second);
+}
+
+flow_edges flow_world::make_edges(int entry)
+{
+    const std::uint64_t life = entries_.at(static_cast<std::size_t>(entry)).life;
+    flow_edges edges;
+    const auto answer = [this, entry, life](auto done, auto result, duration wait) {
+        later(wait, [this, entry, life, done, result] {
+            on_entry(entry, life, [&](flow_entry&, instant now) { done(now, result); });
+        });
+    };
+    edges.commit = [this, entry, answer](const store_transaction& t, std::function<void(instant, store_result)> done) {
+        if (!table_reached(entry)) {
+            store_result result;
+            result.outcome = table_outcome::unknown;
+            result.reason = "no answer";
+            answer(std::move(done), result, 1500ms);
+            return;
+        }
+        later(options_.table_latency, [this, entry, t, answer, done = std::move(done)] {
+            store_result result = apply(t);
+            if (answers_to_lose_ > 0) {
+                --answers_to_lose_;
+                result = {};
+                answer(done, result, 1500ms);
+                return;
+            }
+            static_cast<void>(entry);
+            answer(done, result, options_.network_latency);
+        });
+    };
+    edges.read = [this, entry, answer](const store_range& range, std::function<void(instant, store_page)> done) {
+        if (!table_reached(entry)) {
+            answer(std::move(done), store_page{}, 1500ms);
+            return;
+        }
+        later(options_.table_latency, [this, range, answer, done = std::move(done)] {
+            answer(done, read(range), options_.network_latency);
+        });
+    };
+    edges.watch = [this, entry, answer](const store_watch& watch, std::function<void(instant, store_page)> done) {
+        if (!table_reached(entry)) {
+            answer(std::move(done), store_page{}, 1500ms);
+            return;
+        }
+        store_page page;
+        page.reached = true;
+        page.version = row_version(version_);
+        for (const auto& [key, row] : rows_) {
+            if (key.table == watch.table && row.version > watch.after) {
+                page.rows.push_back({key, row.value, row.version, false});
+            }
+        }
+        answer(std::move(done), page, options_.table_latency);
+    };
+    edges.order = [this, answer](const worker_place& to, const worker_order& order, duration timeout,
+                                 std::function<void(instant, order_answer)> done) {
+        later(options_.network_latency, [this, to, order, timeout, answer, done = std::move(done)] {
+            const auto at = std::find_if(workers_.begin(), workers_.end(),
+                                         [&](const auto& w) { return w->address == to.address; });
+            if (at == workers_.end() || !(*at)->up || !(*at)->reachable) {
+                answer(done, order_answer{}, timeout);
+                return;
+            }
+            flow_fake_worker& w = **at;
+            if (w.id != to.worker) {
+                order_answer other;
+                other.result = order_result::other_life;
+                answer(done, other, options_.network_latency);
+                return;
+            }
+            const auto* const hold = std::get_if<hold_worker>(&order);
+            const duration wait = hold != nullptr ? std::min<duration>(hold->wait, 50ms) : duration(0);
+            later(wait, [this, &w, order, answer, done] {
+                answer(done, carry_out(w, order), options_.network_latency);
+            });
+        });
+    };
+    edges.list_workers = [this, entry, answer](
+                             std::function<void(instant, std::optional<std::vector<flow_listed_worker>>)> done) {
+        std::optional<std::vector<flow_listed_worker>> list;
+        if (table_reached(entry)) {
+            list.emplace();
+            for (const auto& w : workers_) {
+                if (w->listed) {
+                    list->push_back({w->id, w->address, w->data_centre, "service", w->room, w->labels,
+                                     rack_id(w->labels.back()), w->draining});
+                }
+            }
+        }
+        answer(std::move(done), list, list_lag);
+    };
+    edges.watch_operator = [this, entry, answer](row_version after, duration wait,
+                                                 std::function<void(instant, operator_page)> done) {
+        operator_page page;
+        page.reached = table_reached(entry);
+        page.version = row_version(1);
+        if (page.reached && after == row_version(0)) {
+            page.config = make_config();
+            page.config_text = "config";
+        }
+        answer(std::move(done), page, after == row_version(0) ? duration(10ms) : wait);
+    };
+    edges.parse_config = [](const std::string&) { return std::optional<flow_config>(make_config()); };
+    edges.tell = [this, entry, life, answer](const net_address& peer, const wire::flow_message& message,
+                                             std::function<void(instant, std::optional<wire::flow_message>)> done) {
+        later(options_.network_latency, [this, entry, peer, message, answer, done = std::move(done)] {
+            for (int i = 0; i < static_cast<int>(entries_.size()); ++i) {
+                entry_slot& slot = entries_[static_cast<std::size_t>(i)];
+                if (slot.identity.address != peer || !slot.decisions || cut_from_peers_[i] || cut_from_peers_[entry]) {
+                    continue;
+                }
+                std::optional<wire::flow_message> reply;
+                on_entry(i, slot.life, [&](flow_entry& e, instant now) { reply = e.on_message(now, message); });
+                answer(done, reply, options_.network_latency);
+                return;
+            }
+            answer(done, std::optional<wire::flow_message>(), 900ms);
+        });
+        static_cast<void>(life);
+    };
+    edges.after = [this, entry, life](duration wait, std::function<void(instant)> what) {
+        later(wait, [this, entry, life, what = std::move(what)] {
+            on_entry(entry, life, [&](flow_entry&, instant now) { what(now); });
+        });
+    };
+    edges.note = [](log_level, std::string_view, std::string_view, std::initializer_list<log_field>) {};
+    edges.wall = [this] { return wall_time(now_.time_since_epoch()); };
+    return edges;
+}
+
+// --- the table ---
+
+store_result flow_world::apply(const store_transaction& t)
+{
+    store_result result;
+    for (const store_check& check : t.checks) {
+        const auto at = rows_.find(check.key);
+        const row_version there = at == rows_.end() ? row_version(0) : at->second.version;
+        if (there != check.version) {
+            result.outcome = table_outcome::conflict;
+        }
+    }
+    if (result.outcome == table_outcome::conflict) {
+        for (const store_check& check : t.checks) {
+            const auto at = rows_.find(check.key);
+            if (at != rows_.end()) {
+                result.rows.push_back({check.key, at->second.value, at->second.version, false});
+            }
+        }
+        return result;
+    }
+    ++version_;
+    for (const store_put& put : t.puts) {
+        rows_[put.key] = {put.value, row_version(version_)};
+    }
+    for (const store_key& key : t.removes) {
+        rows_.erase(key);
+    }
+    result.outcome = table_outcome::applied;
+    result.version = row_version(version_);
+    return result;
+}
+
+store_page flow_world::read(const store_range& range) const
+{
+    store_page page;
+    page.reached = true;
+    page.version = row_version(version_);
+    for (const auto& [key, row] : rows_) {
+        if (key.table == range.table && key.part == range.part && key.key >= range.from &&
+            (range.to.empty() || key.key < range.to)) {
+            page.rows.push_back({key, row.value, row.version, false});
+        }
+    }
+    return page;
+}
+
+// --- workers ---
+
+void flow_world::end_run(flow_fake_worker& w, const flow_task_id& task, run_end how)
+{
+    const auto at = w.running.find(task);
+    w.highest[task] = std::max(w.highest[task], at->second.number);
+    w.ends.push_back({end_number(++w.last_end), task, at->second.number, how, ""});
+    done_[task] += how == run_end::done ? 1 : 0;
+    if (how == run_end::done) {
+        ever_done_.insert(task);
+    }
+    failed_[task] += how == run_end::failed ? 1 : 0;
+    w.running.erase(at);
+}
+
+// Ends that nobody has confirmed when the worker's lease ends, or the worker dies, need not be known to anybody.
+void flow_world::forget_unconfirmed(flow_fake_worker& w)
+{
+    for (const listed_end& end : w.ends) {
+        if (end.how == run_end::done && w.forgotten.insert(end.number).second) {
+            --done_[end.task];
+        }
+    }
+}
+
+void flow_world::advance_worker(flow_fake_worker& w)
+{
+    std::vector<flow_task_id> over;
+    for (const auto& [task, run] : w.running) {
+        if (run.ends <= now_) {
+            over.push_back(task);
+        }
+    }
+    for (const flow_task_id& task : over) {
+        end_run(w, task, w.running.at(task).fails ? run_end::failed : run_end::done);
+    }
+    if (now_ >= w.lease_until) {
+        forget_unconfirmed(w);
+        while (!w.running.empty()) {
+            end_run(w, w.running.begin()->first, run_end::lapsed);
+        }
+    }
+}
+
+order_answer flow_world::carry_out(flow_fake_worker& w, const worker_order& order)
+{
+    advance_worker(w);
+    order_answer answer;
+    if (!w.up) {
+        return answer;
+    }
+    const epoch fence = std::visit([](const auto& o) { return o.fence; }, order);
+    answer.clock = worker_time((now_ + w.clock_offset).time_since_epoch());
+    if (fence < w.fence) {
+        answer.result = order_result::fenced;
+        return answer;
+    }
+    w.fence = fence;
+    if (const auto* const start = std::get_if<start_run>(&order)) {
+        answer.result = do_start(w, *start).result;
+    }
+    else if (const auto* const hold = std::get_if<hold_worker>(&order)) {
+        const auto clock = answer.clock;
+        answer = do_hold(w, *hold);
+        answer.clock = clock;
+    }
+    else if (const auto* const stop = std::get_if<stop_run>(&order)) {
+        const auto at = w.running.find(stop->task);
+        if (at != w.running.end() && at->second.number <= stop->run) {
+            end_run(w, stop->task, run_end::stopped);
+        }
+        w.highest[stop->task] = std::max(w.highest[stop->task], stop->run);
+        answer.result = order_result::accepted;
+    }
+    else {
+        answer.result = order_result::accepted;
+    }
+    return answer;
+}
+
+order_answer flow_world::do_start(flow_fake_worker& w, const start_run& order)
+{
+    order_answer answer;
+    const instant lease(order.lease_until.time_since_epoch() - w.clock_offset);
+    if (lease <= now_) {
+        answer.result = order_result::expired;
+        return answer;
+    }
+    const auto at = w.running.find(order.task);
+    if (at != w.running.end() && at->second.number == order.run) {
+        answer.result = order_result::accepted;
+        return answer;
+    }
+    if (w.highest[order.task] >= order.run || at != w.running.end()) {
+        answer.result = order_result::stale_run;
+        return answer;
+    }
+    check_start(w, order);
+    w.lease_until = std::max(w.lease_until, lease);
+    flow_fake_worker::run run;
+    run.number = order.run;
+    run.payload = order.payload;
+    const auto spec = specs_.find(order.task.job.str());
+    const bool lasting = spec != specs_.end() && spec->second.steps.at(static_cast<std::size_t>(order.task.step)).lasting;
+    run.ends = lasting ? instant::max() : now_ + (options_.run_time ? options_.run_time(order.task) : duration(300ms));
+    run.fails = options_.run_fails && options_.run_fails(order.task, order.run);
+    if (spec != specs_.end()) {
+        run.need = spec->second.steps.at(static_cast<std::size_t>(order.task.step)).need;
+        run.filling = spec->second.steps.at(static_cast<std::size_t>(order.task.step)).filling;
+    }
+    w.running[order.task] = run;
+    ++w.starts;
+    ++starts_[order.task.job.str()];
+    answer.result = order_result::accepted;
+    return answer;
+}
+
+order_answer flow_world::do_hold(flow_fake_worker& w, const hold_worker& order)
+{
+    order_answer answer;
+    answer.result = order_result::accepted;
+    if (order.lease_until) {
+        w.lease_until = std::max(w.lease_until, instant(order.lease_until->time_since_epoch() - w.clock_offset));
+    }
+    w.ends.erase(std::remove_if(w.ends.begin(), w.ends.end(),
+                                [&](const listed_end& e) { return e.number <= order.confirmed; }),
+                 w.ends.end());
+    for (const auto& [task, run] : w.running) {
+        answer.running.push_back({task, run.number, "", 100, 0});
+    }
+    answer.ends = w.ends;
+    return answer;
+}
+
+void flow_world::crash_worker(int worker, bool comes_back)
+{
+    flow_fake_worker& w = *workers_.at(static_cast<std::size_t>(worker));
+    advance_worker(w);
+    w.up = false;
+    w.listed = false;
+    w.running.clear();
+    forget_unconfirmed(w);
+    w.ends.clear();
+    w.forgotten.clear();
+    if (!comes_back) {
+        return;
+    }
+    later(1s, [&w] {
+        w.id = worker_id(w.id.str() + "'");
+        w.up = true;
+        w.listed = true;
+        w.fence = epoch(0);
+        w.last_end = 0;
+        w.highest.clear();
+        w.lease_until = instant{};
+    });
+}
+
+// --- promises ---
+
+void flow_world::fault(const std::string& what)
+{
+    faults_.push_back(fmt::format("{:.3f} s: {}", std::chrono::duration<double>(now_.time_since_epoch()).count(), what));
+}
+
+void flow_world::check_start(const flow_fake_worker& w, const start_run& order)
+{
+    const flow_task_id& task = order.task;
+    const auto spec = specs_.find(task.job.str());
+    if (spec == specs_.end() || spec->second.payload != order.payload) {
+        fault(text_of(task) + " was never submitted so");
+        return;
+    }
+    const flow_step& step = spec->second.steps.at(static_cast<std::size_t>(task.step));
+    for (const auto& other : workers_) {
+        advance_worker(*other);
+        if (other->up && other->running.count(task) != 0 && !step.speculative) {
+            fault(text_of(task) + " runs twice at the same time");
+        }
+    }
+    if (done_[task] > 0) {
+        fault(text_of(task) + " started after it was done");
+    }
+    if (failed_[task] >= failures_most && !step.lasting) {
+        fault(text_of(task) + " started after it had failed for the last time");
+    }
+    if (cancelled_.count(task.job.str()) != 0) {
+        fault(text_of(task) + " started after its job was cancelled");
+    }
+    for (const std::int32_t earlier : step.after) {
+        for (int i = 0; i < spec->second.steps.at(static_cast<std::size_t>(earlier)).count; ++i) {
+            if (ever_done_.count({task.job, task.occurrence, earlier, i}) == 0) {
+                fault(text_of(task) + " started before an earlier step was done");
+                return;
+            }
+        }
+    }
+    resources held = step.need;
+    for (const auto& [other, run] : w.running) {
+        held = held + run.need;
+    }
+    if (!fits(held, w.room)) {
+        fault(text_of(task) + " goes over the room of " + w.id.str());
+    }
+}
+
+// --- callers ---
+
+void flow_world::send_submit(int entry, const std::string& job, const flow_spec& spec)
+{
+    specs_[job] = spec;
+    answers_[job];
+    caller_request request;
+    request.verb = caller_verb::submit;
+    request.host = "host";
+    request.path = "/q/" + job;
+    request.spec = spec;
+    on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life, [&](flow_entry& e, instant now) {
+        e.on_request(now, request, [this, job](const caller_answer& answer) { answers_[job].push_back(answer.result); });
+    });
+}
+
+caller_result flow_world::submit(int entry, const std::string& job, const flow_spec& spec, const std::string& queue)
+{
+    static_cast<void>(queue);
+    const std::size_t before = answers_[job].size();
+    send_submit(entry, job, spec);
+    run_until([&] { return answers_[job].size() > before; }, 4s);
+    return answers_[job].size() > before ? answers_[job].back() : caller_result::unsettled;
+}
+
+caller_result flow_world::cancel(int entry, const std::string& job)
+{
+    // Kept alive by the reply, which may come after this call has given up.
+    const auto result = std::make_shared<std::optional<caller_result>>();
+    caller_request request;
+    request.verb = caller_verb::cancel;
+    request.host = "host";
+    request.path = "/q/" + job;
+    on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life, [&](flow_entry& e, instant now) {
+        e.on_request(now, request, [result](const caller_answer& answer) { *result = answer.result; });
+    });
+    run_until([&] { return result->has_value(); }, 4s);
+    if (*result == caller_result::cancelled) {
+        later(3s, [this, job] { cancelled_.insert(job); });
+    }
+    return result->value_or(caller_result::unsettled);
+}
+
+std::optional<flow_state> flow_world::state(int entry, const std::string& job)
+{
+    const auto result = std::make_shared<std::optional<caller_answer>>();
+    caller_request request;
+    request.verb = caller_verb::state;
+    request.host = "host";
+    request.path = "/q/" + job;
+    on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life, [&](flow_entry& e, instant now) {
+        e.on_request(now, request, [result](const caller_answer& answer) { *result = answer; });
+    });
+    run_until([&] { return result->has_value(); }, 4s);
+    if (!*result || (*result)->result != caller_result::state) {
+        return std::nullopt;
+    }
+    return (*result)->state;
+}
+
+std::int64_t flow_world::starts_of(const std::string& job) const
+{
+    const auto at = starts_.find(job);
+    return at == starts_.end() ? 0 : at->second;
+}
+
+std::int64_t flow_world::running_of(const std::string& job) const
+{
+    std::int64_t n = 0;
+    for (const auto& w : workers_) {
+        n += std::count_if(w->running.begin(), w->running.end(),
+                           [&](const auto& r) { return r.first.job.str() == job; });
+    }
+    return n;
+}
+
+std::int64_t flow_world::running_count() const
+{
+    std::int64_t n = 0;
+    for (const auto& w : workers_) {
+        n += static_cast<std::int64_t>(w->running.size());
+    }
+    return n;
+}
+
+int flow_world::owners_of(const std::string& cell) const
+{
+    int n = 0;
+    for (const entry_slot& slot : entries_) {
+        if (slot.decisions) {
+            const auto at = slot.decisions->cells().find(cell_id(cell));
+            n += at != slot.decisions->cells().end() && at->second->owns() ? 1 : 0;
+        }
+    }
+    return n;
+}
+
+} // namespace skylarkhub::test
--- /dev/null
+++ b/tests/support_flow_world.h
@@ -0,0 +1,149 @@
+// Entries with the product's own flow decisions around a fake table and fake workers, in virtual time. Carries what they
+// ask for, with latencies and faults, and watches the promises from the workers' side.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base_random_p.h"
+#include "flow_entry_p.h"
+
+namespace skylarkhub::test {
+
+// What truly runs and ran on one worker.
+struct flow_fake_worker {
+    worker_id id;
+    net_address address;
+    data_centre_id data_centre;
+    resources room{16000, 64000, 0};
+    std::vector<std::string> labels{"a", "rack-1"};
+    bool up = true;
+    bool listed = true;
+    bool draining = false;
+    bool reachable = true;        // its orders and answers pass
+    duration clock_offset{0};
+    epoch fence;
+    instant lease_until{};
+    std::map<flow_task_id, run_number> highest; // stopped or ended; a run not above it is refused
+    struct run {
+        run_number number;
+        std::string payload;
+        instant ends{};
+        bool fails = false;
+        resources need;
+        bool filling = false;
+        std::int32_t percent = 100;
+    };
+    std::map<flow_task_id, run> running;
+    std::vector<listed_end> ends;
+    std::set<end_number> forgotten; // of `ends`: need not be known to anybody
+    std::int64_t last_end = 0;
+    std::int64_t starts = 0;
+};
+
+class flow_world {
+public:
+    struct options {
+        std::uint64_t seed = 1;
+        std::vector<std::string> data_centres{"a"};
+        int entries_each = 2;
+        int workers_each = 3;
+        duration table_latency = std::chrono::milliseconds(8);
+        duration network_latency = std::chrono::milliseconds(2);
+        std::function<bool(const flow_task_id&, run_number)> run_fails; // empty: none fails
+        std::function<duration(const flow_task_id&)> run_time;          // empty: 300 ms
+    };
+    explicit flow_world(options o);
+    ~flow_world();
+
+    instant now() const { return now_; }
+    void run_for(duration d);
+    bool run_until(const std::function<bool()>& done, duration most);
+
+    // --- what callers do; through entry `entry` ---
+    caller_result submit(int entry, const std::string& job, const flow_spec& spec, const std::string& queue = "q");
+    caller_result cancel(int entry, const std::string& job);
+    std::optional<flow_state> state(int entry, const std::string& job);
+    // Sends and does not wait; the answer is noted in answers().
+    void send_submit(int entry, const std::string& job, const flow_spec& spec);
+    const std::map<std::string, std::vector<caller_result>>& answers() const { return answers_; }
+
+    // --- faults ---
+    void kill_entry(int entry);
+    void start_entry(int entry);
+    void stop_by_plan(int entry);
+    void set_table_down(bool down) { table_down_ = down; }
+    void cut_entry_from_table(int entry, bool cut) { cut_from_table_[entry] = cut; }
+    void cut_entry_from_peers(int entry, bool cut) { cut_from_peers_[entry] = cut; }
+    void lose_next_answers(int n) { answers_to_lose_ = n; }
+    void crash_worker(int worker, bool comes_back);
+    flow_fake_worker& worker(int n) { return *workers_.at(static_cast<std::size_t>(n)); }
+    int worker_count() const { return static_cast<int>(workers_.size()); }
+    flow_entry* entry(int n) { return entries_.at(static_cast<std::size_t>(n)).decisions.get(); }
+    void drop_worker_listing(int worker, bool drop) { workers_.at(static_cast<std::size_t>(worker))->listed = !drop; }
+
+    // --- what was seen ---
+    // Broken promises, in words; empty when none.
+    const std::vector<std::string>& faults() const { return faults_; }
+    std::int64_t starts_of(const std::string& job) const;
+    std::int64_t running_of(const std::string& job) const;
+    std::int64_t running_count() const;
+    int owners_of(const std::string& cell) const;
+
+private:
+    struct stored {
+        std::string value;
+        row_version version;
+    };
+    struct entry_slot {
+        entry_identity identity;
+        std::unique_ptr<flow_entry> decisions;
+        std::uint64_t life = 0;
+        int starts = 0;
+    };
+    void later(duration d, std::function<void()> what);
+    void on_entry(int entry, std::uint64_t life, const std::function<void(flow_entry&, instant)>& what);
+    flow_edges make_edges(int entry);
+    bool table_reached(int entry) const;
+    store_result apply(const store_transaction& t);
+    store_page read(const store_range& range) const;
+    order_answer carry_out(flow_fake_worker& w, const worker_order& order);
+    order_answer do_start(flow_fake_worker& w, const start_run& order);
+    order_answer do_hold(flow_fake_worker& w, const hold_worker& order);
+    void forget_unconfirmed(flow_fake_worker& w);
+    void advance_worker(flow_fake_worker& w);
+    void end_run(flow_fake_worker& w, const flow_task_id& task, run_end how);
+    void fault(const std::string& what);
+    void check_start(const flow_fake_worker& w, const start_run& order);
+
+    options options_;
+    random_source random_;
+    instant now_{std::chrono::seconds(100)};
+    std::multimap<instant, std::function<void()>> queue_;
+    std::vector<entry_slot> entries_;
+    std::vector<std::unique_ptr<flow_fake_worker>> workers_;
+    std::map<store_key, stored> rows_;
+    std::int64_t version_ = 0;
+    bool table_down_ = false;
+    std::map<int, bool> cut_from_table_;
+    std::map<int, bool> cut_from_peers_;
+    int answers_to_lose_ = 0;
+    std::map<std::string, flow_spec> specs_;
+    std::map<std::string, std::vector<caller_result>> answers_;
+    std::map<flow_task_id, int> done_; // less those that nobody need know of
+    std::set<flow_task_id> ever_done_;
+    std::map<flow_task_id, int> failed_;
+    std::set<std::string> cancelled_;
+    std::map<std::string, std::int64_t> starts_;
+    std::vector<std::string> faults_;
+};
+
+// A flow of `steps` steps, one after the other, of `count` tasks each.
+flow_spec chain_spec(int steps, int count, std::int64_t cpu_millis = 1000);
+
+} // namespace skylarkhub::test
--- /dev/null
+++ b/tests/test_flow.cpp
@@ -0,0 +1,360 @@
+// Flows under failure, in virtual time: entries, a table and workers that are killed, cut off and lose answers.
+#include <boost/test/unit_test.hpp>
+
+#include "support_flow_world.h"
+
+using namespace skylarkhub;
+using namespace skylarkhub::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string job_a = "00000000000000aa";
+const std::string job_b = "00000000000000bb";
+
+bool is_done(flow_world& w, int entry, const std::string& job)
+{
+    return w.state(entry, job) == flow_state::done;
+}
+
+void check_no_faults(const flow_world& w)
+{
+    for (const std::string& fault : w.faults()) {
+        BOOST_ERROR(fault);
+    }
+}
+
+flow_spec lasting_spec(int count, std::int64_t cpu_millis)
+{
+    flow_spec spec = chain_spec(1, count, cpu_millis);
+    spec.steps.front().lasting = true;
+    return spec;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(steps_run_in_order_and_the_job_is_shown_done_at_every_entry)
+{
+    flow_world w({.data_centres = {"a", "b"}});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(3, 4)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return is_done(w, 0, job_a); }, 10s));
+    BOOST_TEST(is_done(w, 3, job_a));
+    BOOST_TEST(w.starts_of(job_a) == 12);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(the_same_job_through_two_entries_is_one_job)
+{
+    // The caller gets no answer from one entry in time and asks another. Both answer "accepted"; the tasks run once.
+    flow_world w({.data_centres = {"a", "b"}});
+    w.run_for(2s);
+    w.send_submit(0, job_a, chain_spec(1, 5));
+    w.send_submit(2, job_a, chain_spec(1, 5));
+    BOOST_REQUIRE(w.run_until([&] { return w.answers().at(job_a).size() == 2; }, 5s));
+    for (const caller_result result : w.answers().at(job_a)) {
+        BOOST_TEST((result == caller_result::accepted));
+    }
+    BOOST_REQUIRE(w.run_until([&] { return is_done(w, 0, job_a); }, 10s));
+    w.run_for(5s);
+    BOOST_TEST(w.starts_of(job_a) == 5);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_answer_of_the_table_is_settled_not_refused)
+{
+    // The table applies the accepting write and its answer is lost. The caller must not be told "did not run": the entry
+    // writes again, finds its own row there, and says "accepted".
+    flow_world w({});
+    w.run_for(2s);
+    w.lose_next_answers(1);
+    w.send_submit(0, job_a, chain_spec(1, 2));
+    BOOST_REQUIRE(w.run_until([&] { return !w.answers().at(job_a).empty(); }, 5s));
+    BOOST_TEST((w.answers().at(job_a).front() == caller_result::accepted));
+    BOOST_TEST(w.run_until([&] { return is_done(w, 1, job_a); }, 10s));
+    BOOST_TEST(w.starts_of(job_a) == 2);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_job_that_failed_for_good_is_not_taken_up_again)
+{
+    // Every run fails. The job is shown as failed after its last permitted run, and stays so: pages of the table that
+    // were read before its last write still show it going on, and taken up again its runs would begin anew.
+    flow_world w({.run_fails = [](const flow_task_id&, run_number) { return true; }});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 1)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.state(0, job_a) == flow_state::failed; }, 20s));
+    w.run_for(15s);
+    BOOST_TEST(w.starts_of(job_a) == 3);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_killed_owner_is_followed_by_one_that_adopts_what_runs)
+{
+    // The owner dies while tasks run. The other entry takes the cell over, fences the workers and finds the tasks there:
+    // none is started a second time, and the job ends.
+    flow_world w({.run_time = [](const flow_task_id&) { return duration(8s); }});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 6)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 6; }, 5s));
+    const int owner = w.entry(0)->cells().at(cell_id("a"))->owns() ? 0 : 1;
+    w.kill_entry(owner);
+    BOOST_REQUIRE(w.run_until([&] { return is_done(w, 1 - owner, job_a); }, 20s));
+    BOOST_TEST(w.starts_of(job_a) == 6);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(all_entries_lose_power_and_go_on_from_table_and_workers)
+{
+    flow_world w({.data_centres = {"a", "b"}, .run_time = [](const flow_task_id&) { return duration(2s); }});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(3, 5)) == caller_result::accepted);
+    BOOST_REQUIRE(w.submit(2, job_b, lasting_spec(4, 2000)) == caller_result::accepted);
+    w.run_for(2500ms);
+    for (int i = 0; i < 4; ++i) {
+        w.kill_entry(i);
+    }
+    w.run_for(2s);
+    for (int i = 0; i < 4; ++i) {
+        w.start_entry(i);
+    }
+    BOOST_TEST(w.run_until([&] { return is_done(w, 1, job_a); }, 20s));
+    BOOST_TEST(w.running_of(job_b) == 4);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_taker_that_reads_an_empty_list_starts_nothing_twice)
+{
+    // The platform's list has lost every worker of the cell, as it does while it cannot be written, and the owner dies. The
+    // taker would believe that nothing runs and start everything again; the cell's row names the workers, so it asks them.
+    flow_world w({.run_time = [](const flow_task_id&) { return duration(15s); }});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 6)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 6; }, 5s));
+    w.run_for(2s);
+    for (int i = 0; i < w.worker_count(); ++i) {
+        w.drop_worker_listing(i, true);
+    }
+    w.kill_entry(0);
+    w.kill_entry(1);
+    w.start_entry(0);
+    w.run_for(3s);
+    for (int i = 0; i < w.worker_count(); ++i) {
+        w.drop_worker_listing(i, false);
+    }
+    BOOST_TEST(w.run_until([&] { return is_done(w, 0, job_a); }, 30s));
+    BOOST_TEST(w.starts_of(job_a) == 6);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_starts_beside_runs_that_the_ledger_does_not_know)
+{
+    // Workers are full when all entries lose power, and a new job waits. The new owner hears of runs whose job's row it has
+    // not read yet; a start beside them would go over the worker's room.
+    flow_world w({.workers_each = 1, .run_time = [](const flow_task_id&) { return duration(6s); }});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 4, 4000)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 4; }, 5s));
+    w.kill_entry(0);
+    w.kill_entry(1);
+    w.start_entry(0);
+    w.start_entry(1);
+    w.run_for(2s);
+    w.submit(0, job_b, chain_spec(1, 4, 4000));
+    BOOST_TEST(w.run_until([&] { return is_done(w, 0, job_b); }, 30s));
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_stop_outlives_its_owners_silence)
+{
+    // The owner is cut off from the table for longer than it may go on without a renewal, and hears of a cancelled job in
+    // that time. A stop dropped then would leave the tasks running under the holds that follow once the cut is healed.
+    flow_world w({.data_centres = {"a"}, .entries_each = 1, .run_time = [](const flow_task_id&) { return duration(60s); }});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 3)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 3; }, 5s));
+    w.cut_entry_from_table(0, true);
+    w.run_for(10200ms);
+    w.cut_entry_from_table(0, false);
+    BOOST_TEST((w.cancel(0, job_a) == caller_result::cancelled));
+    w.run_for(4s);
+    BOOST_TEST(w.running_of(job_a) == 0);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_cancelled_job_stops_and_stays_so)
+{
+    flow_world w({.data_centres = {"a", "b"}, .run_time = [](const flow_task_id&) { return duration(20s); }});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(2, 6)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 6; }, 5s));
+    BOOST_TEST((w.cancel(3, job_a) == caller_result::cancelled));
+    w.run_for(1s);
+    BOOST_TEST(w.running_of(job_a) == 0);
+    BOOST_TEST((w.state(1, job_a) == flow_state::cancelled));
+    w.run_for(10s);
+    BOOST_TEST(w.starts_of(job_a) == 6);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(running_work_goes_on_while_the_table_is_down)
+{
+    // The table is away for nine seconds. What runs goes on, the next steps start, and the end is shown once it is durable.
+    flow_world w({.run_time = [](const flow_task_id&) { return duration(1500ms); }});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(4, 3)) == caller_result::accepted);
+    w.run_for(500ms);
+    w.set_table_down(true);
+    w.run_for(9s);
+    BOOST_TEST(w.starts_of(job_a) == 12);
+    BOOST_TEST((w.state(0, job_a) != flow_state::done));
+    w.set_table_down(false);
+    BOOST_TEST(w.run_until([&] { return is_done(w, 0, job_a); }, 10s));
+    BOOST_TEST(w.starts_of(job_a) == 12);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_crashed_workers_tasks_start_again_once_its_next_life_is_listed)
+{
+    flow_world w({.run_time = [](const flow_task_id&) { return duration(5s); }});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 9)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 9; }, 5s));
+    w.crash_worker(0, true);
+    BOOST_TEST(w.run_until([&] { return is_done(w, 0, job_a); }, 25s));
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_worker_that_is_cut_off_keeps_its_tasks_until_its_lease_has_ended)
+{
+    // The worker runs on behind the cut. Its tasks start elsewhere only when its lease has certainly ended there.
+    flow_world w({.run_time = [](const flow_task_id&) { return duration(30s); }});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 6)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 6; }, 5s));
+    const std::int64_t before = w.starts_of(job_a);
+    w.worker(0).reachable = false;
+    w.run_for(4s);
+    BOOST_TEST(w.starts_of(job_a) == before);
+    w.run_for(12s);
+    BOOST_TEST(w.starts_of(job_a) > before);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_task_without_room_goes_to_a_cell_that_has_some)
+{
+    // Lasting tasks fill one cell; the workers of the other stand empty. A task of a job bound to the full cell must not
+    // wait there: it is given to the other cell, and runs once.
+    flow_world w({.data_centres = {"a", "b"}, .workers_each = 1, .run_time = [](const flow_task_id&) { return duration(1s); }});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, lasting_spec(6, 4000)) == caller_result::accepted);
+    w.run_for(8s);
+    BOOST_TEST(w.running_of(job_a) == 6);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_hands_the_cell_over_at_once)
+{
+    flow_world w({.run_time = [](const flow_task_id&) { return duration(5s); }});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 6)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 6; }, 5s));
+    const int owner = w.entry(0)->cells().at(cell_id("a"))->owns() ? 0 : 1;
+    w.stop_by_plan(owner);
+    BOOST_TEST(w.run_until([&] { return w.owners_of("a") == 1; }, 2s));
+    BOOST_TEST(w.run_until([&] { return is_done(w, 1 - owner, job_a); }, 15s));
+    BOOST_TEST(w.starts_of(job_a) == 6);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_worker_gets_no_more_tasks)
+{
+    flow_world w({.workers_each = 2});
+    w.run_for(2s);
+    w.worker(0).draining = true;
+    w.run_for(2s);
+    const std::int64_t before = w.worker(0).starts;
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(2, 6)) == caller_result::accepted);
+    BOOST_TEST(w.run_until([&] { return is_done(w, 0, job_a); }, 20s));
+    BOOST_TEST(w.worker(0).starts == before);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults)
+{
+    // Entries killed and started, cut off from the table and from each other, answers lost, workers crashed and cut off, in
+    // an order drawn from the seed. Afterwards every accepted job ends, and no promise was broken on the way.
+    for (std::uint64_t seed = 1; seed <= 25; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            flow_world w({.seed = seed,
+                          .data_centres = {"a", "b"},
+                          .run_fails = [](const flow_task_id& t, run_number run) { return t.index == 1 && run.value() == 1; },
+                          .run_time = [](const flow_task_id& t) { return duration(200ms * (1 + t.index % 4)); }});
+            random_source random = make_random(seed * 77);
+            w.run_for(2s);
+            std::vector<std::string> accepted;
+            for (int round = 0; round < 20; ++round) {
+                const std::string job = "00000000000" + std::to_string(10000 + static_cast<int>(seed) * 100 + round);
+                const int entry = absl::Uniform(random, 0, 4);
+                if (w.entry(entry) != nullptr &&
+                    w.submit(entry, job, chain_spec(1 + round % 3, 1 + round % 5)) == caller_result::accepted) {
+                    accepted.push_back(job);
+                }
+                const int victim = absl::Uniform(random, 0, 4);
+                switch (absl::Uniform(random, 0, 7)) {
+                case 0:
+                    w.kill_entry(victim);
+                    break;
+                case 1:
+                    w.cut_entry_from_table(victim, true);
+                    break;
+                case 2:
+                    w.cut_entry_from_peers(victim, true);
+                    break;
+                case 3:
+                    w.lose_next_answers(2);
+                    break;
+                case 4:
+                    w.crash_worker(absl::Uniform(random, 0, w.worker_count()), true);
+                    break;
+                case 5:
+                    w.worker(absl::Uniform(random, 0, w.worker_count())).reachable = false;
+                    break;
+                default:
+                    break;
+                }
+                w.run_for(std::chrono::milliseconds(absl::Uniform(random, 100, 1500)));
+                for (int i = 0; i < 4; ++i) {
+                    if (absl::Uniform(random, 0, 2) == 0) {
+                        w.cut_entry_from_table(i, false);
+                        w.cut_entry_from_peers(i, false);
+                        if (w.entry(i) == nullptr) {
+                            w.start_entry(i);
+                        }
+                    }
+                }
+                for (int i = 0; i < w.worker_count(); ++i) {
+                    w.worker(i).reachable = w.worker(i).reachable || absl::Uniform(random, 0, 3) == 0;
+                }
+            }
+            for (int i = 0; i < 4; ++i) {
+                w.cut_entry_from_table(i, false);
+                w.cut_entry_from_peers(i, false);
+                if (w.entry(i) == nullptr) {
+                    w.start_entry(i);
+                }
+            }
+            for (int i = 0; i < w.worker_count(); ++i) {
+                w.worker(i).reachable = true;
+            }
+            for (const std::string& job : accepted) {
+                BOOST_TEST_CONTEXT("job " << job)
+                {
+                    BOOST_TEST(w.run_until([&] { return is_done(w, 0, job); }, 40s));
+                }
+            }
+            check_no_faults(w);
+        }
+    }
+}
--- /dev/null
+++ b/tests/test_flow_job.cpp
@@ -0,0 +1,114 @@
+// A flow's record: what it opens, which facts it keeps, and how two writers' rows are merged.
+#include <boost/test/unit_test.hpp>
+
+#include "flow_job_p.h"
+#include "flow_settings_p.h"
+
+using namespace skylarkhub;
+
+namespace {
+
+const job_id job("00000000000000aa");
+const cell_id here("a");
+
+wire::flow_job_row two_steps()
+{
+    flow_spec spec;
+    spec.payload = "p";
+    for (int i = 0; i < 2; ++i) {
+        flow_step step;
+        step.count = 3;
+        step.checkpointing = i == 0;
+        step.image = "image";
+        if (i > 0) {
+            step.after.push_back(i - 1);
+        }
+        spec.steps.push_back(step);
+    }
+    wire::flow_job_row row = make_job_row(spec);
+    row.cell = here.str();
+    row.cell_epoch = 3;
+    return row;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_specification_survives_its_row)
+{
+    const flow_spec spec = spec_of(two_steps());
+    BOOST_TEST(spec.payload == "p");
+    BOOST_TEST(spec.steps.at(0).checkpointing);
+    BOOST_TEST(!spec.steps.at(1).checkpointing);
+    BOOST_TEST(spec.steps.at(1).after.at(0) == 0);
+    BOOST_TEST(spec.steps.at(1).image == "image");
+}
+
+BOOST_AUTO_TEST_CASE(a_step_opens_when_all_tasks_before_it_are_done)
+{
+    flow_job flow(job, here, two_steps(), row_version(1));
+    flow.open_stages(instant{}, wall_time{});
+    BOOST_TEST(flow.stages().at(0).open);
+    BOOST_TEST(!flow.stages().at(1).open);
+    for (int i = 0; i < 3; ++i) {
+        flow.note_done({job, 0, 0, i});
+    }
+    BOOST_TEST(flow.open_stages(instant{}, wall_time{}));
+    BOOST_TEST(flow.stages().at(1).ready == 3);
+}
+
+BOOST_AUTO_TEST_CASE(facts_of_two_writers_are_kept_both)
+{
+    // The owner has noted an end, and another entry has cancelled the job meanwhile: the row the owner writes after the
+    // conflict must tell both.
+    flow_job flow(job, here, two_steps(), row_version(1));
+    flow.open_stages(instant{}, wall_time{});
+    flow.note_done({job, 0, 0, 1});
+    wire::flow_job_row other = two_steps();
+    other.cancelled = true;
+    flow.merge(instant{}, other, row_version(2));
+    BOOST_TEST(flow.cancelled());
+    BOOST_TEST(flow.dirty());
+    flow_job again(job, here, flow.current_row(), row_version(3));
+    BOOST_TEST(again.cancelled());
+    BOOST_TEST((again.stages().at(0).tasks.at(1).stage == task_stage::done));
+}
+
+BOOST_AUTO_TEST_CASE(runs_are_numbered_above_those_of_earlier_owners)
+{
+    flow_job flow(job, here, two_steps(), row_version(1));
+    flow_task& task = *flow.find_task({job, 0, 0, 0});
+    BOOST_TEST(flow.next_run(task, epoch(3)).value() == 1);
+    task.last_run = run_number(5);
+    BOOST_TEST(flow.next_run(task, epoch(3)).value() == 6);
+    BOOST_TEST(flow.next_run(task, epoch(4)).value() > 1000);
+}
+
+BOOST_AUTO_TEST_CASE(a_task_given_to_another_cell_is_ready_there_only_and_numbered_above)
+{
+    flow_job flow(job, here, two_steps(), row_version(1));
+    flow.open_stages(instant{}, wall_time{});
+    flow.find_task({job, 0, 0, 2})->last_run = run_number(4);
+    flow.give_away({job, 0, 0, 2}, cell_id("b"), epoch(9), epoch(3));
+    BOOST_TEST(flow.stages().at(0).ready == 2);
+    flow_job there(job, cell_id("b"), flow.current_row(), row_version(2));
+    there.open_stages(instant{}, wall_time{});
+    BOOST_TEST(there.stages().at(0).ready == 1);
+    BOOST_TEST(there.next_run(*there.find_task({job, 0, 0, 2}), epoch(9)).value() == 5);
+    BOOST_TEST(there.concerns_here());
+}
+
+BOOST_AUTO_TEST_CASE(settings_are_checked_as_a_whole)
+{
+    std::vector<settings_problem> problems;
+    BOOST_TEST(!parse_flow_settings(R"({"entry":"e","callers_address":"nonsense","surprise":1})", problems));
+    BOOST_TEST(problems.size() > 5); // each missing or wrong field, and the unknown one
+    problems.clear();
+    const auto settings = parse_flow_settings(
+        R"({"entry":"e","data_centre":"d","callers_address":"10.0.0.1:1","readiness_address":"10.0.0.1:2",
+            "peers_address":"10.0.0.1:3","metrics_address":"10.0.0.1:4","table_address":"10.0.0.2:5",
+            "advice_address":"","instances_address":null})",
+        problems);
+    BOOST_TEST(problems.empty());
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings->peers_address.str() == "10.0.0.1:3");
+}
