--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -285,12 +285,12 @@
             if (pool.service_name != queue.service || pool.total_cpu_millis <= 0) {
                 continue;
             }
-            if (!wants.label.empty() &&
-                std::find(pool.labels.begin(), pool.labels.end(), wants.label) == pool.labels.end()) {
-                continue;
-            }
             const cell_id id(news.cell);
             double score = cell_score(news.cell, pool, wants, assigned_cpu_[id]);
+            // Its tasks that need the label are given to a cell that has it, after a wait.
+            const bool labelled = wants.label.empty() ||
+                                  std::find(pool.labels.begin(), pool.labels.end(), wants.label) != pool.labels.end();
+            score -= labelled ? 0.0 : 10.0;
             score += own ? 0.01 : 0.0; // as good a cell here spares a message
             const auto home = racks_.find(wants.rack);
             score += wants.rack.valid() && home != racks_.end() && home->second == id ? 1.0 : 0.0;
