--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -90,7 +90,7 @@
     tick_timed(now);
     if (now >= next_summary_) {
         next_summary_ = now + summary_interval;
-        log_summary();
+        log_summary(now);
     }
     if (now >= next_give_away_) {
         give_away_waiting(now);
@@ -127,11 +127,14 @@
         return;
     }
     if (!row_present_ || row_.released) {
-        if (unchanged >= turn && !read_if_older(row_read_interval)) {
+        if (unchanged >= turn && !read_if_older(row_fresh)) {
             take(now);
         }
         return;
     }
+    if (c.owner_leaving && read_if_older(leaving_row_interval)) {
+        return; // it is about to release the row
+    }
     if (c.owner_live) {
         row_unchanged_since_ = now;
         return;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -43,6 +43,7 @@
 // How this entry stands to the cell's owner and to other candidates.
 struct cell_candidacy {
     bool owner_live = false;      // the owner's incarnation answers its peers
+    bool owner_leaving = false;   // and says that it is stopping
     bool owner_restarted = false; // another life of the owner's entry is known
     bool same_data_centre = false;
     int rank = 0; // among live candidates of the same kind, 0 first
@@ -213,7 +214,7 @@
     place_option option_of(instant now, const cell_worker& w) const;
     void index_ready(flow_job& job);
     void give_away_waiting(instant now);
-    void log_summary() const;
+    void log_summary(instant now) const;
     void tell_others(instant now, const flow_job& job);
     void tick_timed(instant now);
 
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -194,6 +194,14 @@
         --stage.ready;
         task.runs.push_back({w->listing.worker, run, now});
         ++stats_.starts;
+        edges_.note(log_level::info, "run", "placed",
+                    {{"job", id.job.str()},
+                     {"step", std::to_string(id.step)},
+                     {"index", std::to_string(id.index)},
+                     {"run", std::to_string(run.value())},
+                     {"worker", w->listing.worker.str()},
+                     {"waited_ms", std::to_string((now - task.ready_since).count() / 1000)},
+                     {"left_cpu", std::to_string(w->listing.room.cpu_millis - w->held.cpu_millis)}});
         send_start(now, w->listing.worker, id, run, 0);
     }
     if (!chosen.empty() && !(step.gang && !all) && !job.started()) {
@@ -263,7 +271,7 @@
     }
 }
 
-void flow_cell::log_summary() const
+void flow_cell::log_summary(instant now) const
 {
     resources room;
     resources held;
@@ -285,9 +293,18 @@
         largest_free = std::max(largest_free, w.listing.room.cpu_millis - w.held.cpu_millis);
     }
     std::map<std::string, int> ready;
+    duration oldest_lasting{0};
+    std::string oldest;
     for (const auto& [id, job] : jobs_) {
         for (const flow_stage& stage : job->stages()) {
             const flow_step& step = job->step(stage);
+            for (std::size_t i = 0; step.lasting && i < stage.tasks.size(); ++i) {
+                const flow_task& task = stage.tasks[i];
+                if (task.stage == task_stage::ready && now - task.ready_since > oldest_lasting) {
+                    oldest_lasting = now - task.ready_since;
+                    oldest = id.str() + "." + std::to_string(stage.step) + "." + std::to_string(i);
+                }
+            }
             ready[step.lasting ? "ready_lasting" : step.filling ? "ready_filling" : "ready_plain"] += stage.ready;
         }
     }
@@ -307,7 +324,9 @@
                {"held_memory", std::to_string(held.memory_mib)},
                {"ready_lasting", std::to_string(ready["ready_lasting"])},
                {"ready_filling", std::to_string(ready["ready_filling"])},
-               {"ready_plain", std::to_string(ready["ready_plain"])}});
+               {"ready_plain", std::to_string(ready["ready_plain"])},
+               {"oldest_lasting", oldest.empty() ? "none" : oldest},
+               {"oldest_lasting_ms", std::to_string(oldest_lasting.count() / 1000)}});
 }
 
 void flow_cell::tick_timed(instant now)
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -41,6 +41,8 @@
 inline constexpr duration candidate_step = 400ms;        // between candidates, so that one tries at a time
 inline constexpr duration restarted_grace = 1s;          // an owner's next life takes its own cell first
 inline constexpr duration row_read_interval = 500ms;     // of a row whose owner is silent
+inline constexpr duration leaving_row_interval = 120ms;  // of a row whose owner is stopping
+inline constexpr duration row_fresh = 200ms;             // a row that is free was read this lately before it is taken
 inline constexpr duration stop_settle_most = 1500ms;     // for answers under way before a planned stop releases the row
 
 // --- rows of jobs ---
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -242,6 +242,7 @@
         if (p.identity.entry.str() == cell.row().owner) {
             const bool same_life = p.identity.incarnation.str() == cell.row().incarnation;
             c.owner_live = same_life;
+            c.owner_leaving = same_life && p.leaving;
             c.owner_restarted = !same_life;
         }
         if (p.leaving) {
