--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -192,6 +192,7 @@
     void on_started(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries,
                     const order_answer& answer);
     void send_stop(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries);
+    void stop_gang(instant now, flow_job& job, flow_stage& stage, run_number run);
     void stop_again(const worker_id& id, const flow_task_id& task, run_number run, int tries);
     void stop_job_runs(instant now, flow_job& job);
     void stop_copies(instant now, flow_job& job, flow_task& task, const flow_task_id& id, run_number winner);
@@ -210,7 +211,9 @@
     void place_soon(instant now);
     void place_ready(instant now);
     bool place_stage(instant now, flow_job& job, flow_stage& stage);
-    cell_worker* choose(instant now, const flow_job& job, const flow_stage& stage, const flow_task& task);
+    // `near`: the rack where the rest of a gang is; invalid: none.
+    cell_worker* choose(instant now, const flow_job& job, const flow_stage& stage, const flow_task& task,
+                        const rack_id& near = rack_id());
     place_option option_of(instant now, const cell_worker& w) const;
     void index_ready(flow_job& job);
     void give_away_waiting(instant now);
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -10,6 +10,12 @@
 
 using namespace flow_limits;
 
+namespace {
+
+constexpr double apart_rack_cost = 3.0; // a gang over two racks takes two to three times as long
+
+} // namespace
+
 void flow_cell::place_soon(instant now)
 {
     static_cast<void>(now);
@@ -86,7 +92,7 @@
 }
 
 flow_cell::cell_worker* flow_cell::choose(instant now, const flow_job& job, const flow_stage& stage,
-                                          const flow_task& task)
+                                          const flow_task& task, const rack_id& near)
 {
     const flow_step& step = job.step(stage);
     const bool serves = step.tail_target > duration(0);
@@ -145,6 +151,7 @@
             continue;
         }
         double cost = place_cost(option, step, interference);
+        cost += near.valid() && near != w.listing.rack ? apart_rack_cost : 0.0;
         cost += task.failed_on == id ? 2.0 : 0.0; // as much as a run that takes three times as long
         if (best == nullptr || cost < best_cost) {
             best = &w;
@@ -168,7 +175,8 @@
             }
             continue;
         }
-        cell_worker* const w = choose(now, job, stage, task);
+        const rack_id near = step.same_rack && !chosen.empty() ? chosen.front().second->listing.rack : rack_id();
+        cell_worker* const w = choose(now, job, stage, task, near);
         if (w == nullptr) {
             break;
         }
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -173,6 +173,9 @@
         live->sent = now;
         return;
     case order_result::no_answer:
+        if (now - live->sent > gang_start_most && found->second->step(*found->second->find_stage(task)).gang) {
+            stop_gang(now, *found->second, *found->second->find_stage(task), run);
+        }
         edges_.after(start_retry, [this, id, task, run, tries, life = life_](instant then) {
             if (life == life_) {
                 send_start(then, id, task, run, tries + 1);
@@ -190,6 +193,9 @@
     if (answer.result == order_result::unhealthy) {
         distrust(now, w, 0.5);
     }
+    if (found->second->step(*found->second->find_stage(task)).gang) {
+        stop_gang(now, *found->second, *found->second->find_stage(task), run);
+    }
     if (tries > 0) {
         send_stop(now, id, task, run, 0); // an earlier try may have been carried out
         return;
@@ -247,6 +253,19 @@
                  });
 }
 
+// The members of a gang wait for each other on their workers; when one cannot come, the others must not wait in vain.
+void flow_cell::stop_gang(instant now, flow_job& job, flow_stage& stage, run_number run)
+{
+    for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
+        for (live_run& live : stage.tasks[i].runs) {
+            if (live.run == run && !live.stopping) {
+                live.stopping = true;
+                send_stop(now, live.worker, {job.id(), stage.occurrence, stage.step, static_cast<std::int32_t>(i)}, run, 0);
+            }
+        }
+    }
+}
+
 void flow_cell::stop_again(const worker_id& id, const flow_task_id& task, run_number run, int tries)
 {
     edges_.after(stop_retry, [this, id, task, run, tries, life = life_](instant then) {
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -294,6 +294,10 @@
         if (!step.lasting) {
             ++stats_.done;
             job.note_done(end.task);
+            // The members of a gang end together: one such end stands for all of them.
+            for (std::int32_t i = 0; step.gang && i < step.count; ++i) {
+                job.note_done({end.task.job, end.task.occurrence, end.task.step, i});
+            }
         }
         break;
     case run_end::failed:
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -477,7 +477,9 @@
                                      (step.filling || tasks_that_fit(pool, wants, alone) > 0);
             const auto together = pool.serving_cpu_millis.find(step.image);
             const std::int64_t score =
-                step.lasting ? 1 + left / 10 + (together == pool.serving_cpu_millis.end() ? 0 : together->second) : left;
+                step.lasting ? 1 + pool.each.front().free_cpu_millis +
+                                   (together == pool.serving_cpu_millis.end() ? 0 : together->second)
+                             : left;
             if (pool.service_name == service && labelled && fits_worker && (step.lasting || left >= step.need.cpu_millis) &&
                 score > best_score) {
                 best = &news;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -23,6 +23,7 @@
 // --- orders ---
 inline constexpr duration start_timeout = 600ms;
 inline constexpr duration start_retry = 60ms;
+inline constexpr duration gang_start_most = 1000ms; // of a member whose start is not answered; the others give up at 3 s
 inline constexpr duration stop_timeout = 800ms;
 inline constexpr duration stop_retry = 150ms;
 inline constexpr duration pace_timeout = 800ms;
