flow: gangs that wait hold no room

Cause: placing a gang gave up on meeting a member of the run before, and left what it had put into ledgers for the members looked at already: room held for nobody, while tasks that last waited (LOST at 46.5 s, an installation of our own with gangs, mix; found by comparing ledgers with what workers list). Ruled out: full cells (held_cpu counted the ghosts), the way of tasks between cells.

--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -167,12 +167,15 @@
     const flow_step& step = job.step(stage);
     std::vector<std::pair<std::size_t, cell_worker*>> chosen;
     run_number gang_run;
+    const bool members_left = std::any_of(stage.tasks.begin(), stage.tasks.end(), [](const flow_task& t) {
+        return t.stage != task_stage::ready && !t.runs.empty();
+    });
+    if (step.gang && members_left) {
+        return false; // of an earlier run, not all of which have ended
+    }
     for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
         flow_task& task = stage.tasks[i];
         if (task.stage != task_stage::ready) {
-            if (step.gang && !task.runs.empty()) {
-                return false; // members of an earlier run have not all ended
-            }
             continue;
         }
         const rack_id near = step.same_rack && !chosen.empty() ? chosen.front().second->listing.rack : rack_id();
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -358,3 +358,20 @@
         }
     }
 }
+
+BOOST_AUTO_TEST_CASE(a_gang_that_waits_for_its_last_members_holds_no_room)
+{
+    // A gang's members end one after another and it is to run again. While some of the earlier run are left, none of the new
+    // one is placed, and nothing may be held for it: room that a ledger holds for nobody is lost to everyone.
+    flow_world w({.workers_each = 2,
+                  .run_fails = [](const flow_task_id& t, run_number run) { return t.job.str() == job_a && run.value() < 3; },
+                  .run_time = [](const flow_task_id& t) { return duration(300ms * (1 + t.index)); }});
+    w.run_for(2s);
+    flow_spec gang = chain_spec(1, 3, 8000);
+    gang.steps.front().gang = true;
+    BOOST_REQUIRE(w.submit(0, job_a, gang) == caller_result::accepted);
+    w.run_for(8s);
+    BOOST_REQUIRE(w.submit(0, job_b, lasting_spec(4, 8000)) == caller_result::accepted);
+    BOOST_TEST(w.run_until([&] { return w.running_of(job_b) == 4; }, 5s));
+    check_no_faults(w);
+}
