--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -144,6 +144,7 @@
         std::vector<int> paces;                    // percent, by filling image
         instant measured_at{};
         instant tightened_at{};
+        instant over_since{};                      // a serving task has been over its target since; instant{}: none is
         double margin = 1;                         // of what serving tasks are believed to bear; less after a strain
         double tail = 0;                           // the worst there at the newest look, as a share of its target
         instant next_evict{};
--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -24,6 +24,8 @@
 constexpr double margin_gain = 0.2;      // back per second
 // A tail that was driven up comes down over two to three seconds after its cause has gone, as the backlog drains.
 constexpr duration drain_time = std::chrono::milliseconds(1500);
+// The platform counts four seconds over target beside filling work as harm; a tail takes up to two to come down.
+constexpr duration over_most = std::chrono::milliseconds(1200);
 constexpr duration refit_interval = std::chrono::seconds(1);
 constexpr duration evict_interval = std::chrono::milliseconds(100); // lets the ledgers show where the last one went
 constexpr int pace_unknown = -1;
@@ -196,6 +198,12 @@
                    {"tail_share", std::to_string(w.tail)},
                    {"margin", std::to_string(w.margin)}});
     }
+    if (w.tail < 1) {
+        w.over_since = instant{};
+    }
+    else if (w.over_since == instant{}) {
+        w.over_since = now;
+    }
     set_paces(now, w);
     evict_fillers(now, w);
 }
@@ -207,6 +215,10 @@
         serving.push_back({group.image, group.bears * w.margin});
     }
     w.paces = choose_paces(interference_, serving, w.wanted);
+    // Whatever the model says: filling work does not go on beside a serving task that stays over its target.
+    if (w.over_since != instant{} && now - w.over_since >= over_most && w.serving > 0) {
+        std::fill(w.paces.begin(), w.paces.end(), 0);
+    }
     send_paces(now, w);
 }
 
