--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -232,7 +232,7 @@
     ++life_;
     ++stats_.takeovers;
     edges_.note(log_level::info, "cell", "taken",
-              {{"cell", id_.str()}, {"epoch", std::to_string(wanted.epoch)}, {"fresh", fresh_ ? "yes" : "no"}});
+                {{"cell", id_.str()}, {"epoch", std::to_string(wanted.epoch)}, {"fresh", fresh_ ? "yes" : "no"}});
     parts_left_ = job_parts;
     watched_ = row_version(std::numeric_limits<std::int64_t>::max());
     for (int part = 0; part < job_parts; ++part) {
@@ -326,8 +326,8 @@
     }
 }
 
-// Workers that the owner before may have started tasks on. The platform's list loses workers that it has not heard from,
-// while they run on; a taker that went by the list alone would start their tasks a second time.
+// Workers that the owner before may have started tasks on. The platform's list loses workers that it has not heard
+// from, while they run on; a taker that went by the list alone would start their tasks a second time.
 void flow_cell::know_named(const wire::flow_cell_row& row)
 {
     for (const wire::flow_worker_name& name : row.workers) {
@@ -373,7 +373,7 @@
 void flow_cell::lose(instant now, const std::string& reason)
 {
     edges_.note(log_level::warning, "cell", "lost",
-              {{"cell", id_.str()}, {"epoch", std::to_string(epoch_.value())}, {"reason", reason}});
+                {{"cell", id_.str()}, {"epoch", std::to_string(epoch_.value())}, {"reason", reason}});
     ++life_;
     role_ = role::watching;
     acting_ = false;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -30,10 +30,11 @@
 struct flow_cell_hooks {
     std::function<const flow_queue*(const queue_id&)> queue; // null: not in the configuration
     std::function<bool(const std::string& service)> guards_room;
-    // Another cell with room for one more task of such a step, with its epoch; empty when none is known. `alone`: beside
-    // no serving task of another image.
+    // Another cell with room for one more task of such a step, with its epoch; empty when none is known. `alone`:
+    // beside no serving task of another image.
     std::function<std::optional<std::pair<cell_id, epoch>>(instant, const cell_id& from, const std::string& service,
-                                                           const flow_step&, bool alone)> find_room;
+                                                           const flow_step&, bool alone)>
+        find_room;
     // A row that the owner of another cell must know.
     std::function<void(instant, const cell_id&, const job_id&, const wire::flow_job_row&, row_version)> tell_cell;
     // A state that is durable, for the entry that answers the caller.
@@ -144,9 +145,9 @@
         std::vector<int> paces;                    // percent, by filling image
         instant measured_at{};
         instant tightened_at{};
-        instant over_since{};                      // a serving task has been over its target since; instant{}: none is
-        double margin = 1;                         // of what serving tasks are believed to bear; less after a strain
-        double tail = 0;                           // the worst there at the newest look, as a share of its target
+        instant over_since{}; // a serving task has been over its target since; instant{}: none is
+        double margin = 1;    // of what serving tasks are believed to bear; less after a strain
+        double tail = 0;      // the worst there at the newest look, as a share of its target
         instant next_evict{};
         std::int64_t lasting_cpu = 0; // committed to lasting tasks, which use less than half of it on the whole
         std::map<flow_task_id, std::int32_t> paced;
@@ -280,7 +281,7 @@
     bool stopping_ = false;
     instant next_renewal_{};
     std::uint64_t life_ = 0; // of an ownership; callbacks of an earlier one are dropped
-    row_version scanned_;      // every job that went on at this version was read at the takeover
+    row_version scanned_;    // every job that went on at this version was read at the takeover
     row_version watched_;    // the jobs table is known up to here
     bool watching_jobs_ = false;
     instant next_watch_{};
--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -1,5 +1,5 @@
-// Interference: what filling work does to the serving tasks beside it is learned for each pair of images; filling work is
-// slowed to what the serving tasks bear at their present load, and moved where it makes no way.
+// Interference: what filling work does to the serving tasks beside it is learned for each pair of images; filling work
+// is slowed to what the serving tasks bear at their present load, and moved where it makes no way.
 #include <algorithm>
 #include <cmath>
 
@@ -15,13 +15,13 @@
 
 constexpr double share_smoothing_s = 0.8; // measured tails follow the filling work about this much later
 constexpr double level_smoothing_s = 0.7;
-constexpr double log_tail_wanted = -0.05;  // 0.8 of the target: a tail swings by a tenth between two looks
-constexpr double load_rise = 0.1;        // ln(tail) by which a serving task's load may rise until the next look
+constexpr double log_tail_wanted = -0.05; // 0.8 of the target: a tail swings by a tenth between two looks
+constexpr double load_rise = 0.1;         // ln(tail) by which a serving task's load may rise until the next look
 constexpr double bears_most = 1.5;        // even of an idle one: its load comes back within seconds
 constexpr double strained_tail = 0.95;    // of the target
 constexpr double margin_cut = 0.7;        // of what is believed to be borne, after a strain
 constexpr double margin_least = 0.1;
-constexpr double margin_gain = 0.2;      // back per second
+constexpr double margin_gain = 0.2; // back per second
 // A tail that was driven up comes down over two to three seconds after its cause has gone, as the backlog drains.
 constexpr duration drain_time = std::chrono::milliseconds(1500);
 // The platform counts four seconds over target beside filling work as harm; a tail takes up to two to come down.
@@ -194,9 +194,9 @@
         w.margin = std::max(margin_least, w.margin * margin_cut);
         w.tightened_at = now;
         edges_.note(log_level::info, "pace", "tightened",
-                  {{"worker", w.listing.worker.str()},
-                   {"tail_share", std::to_string(w.tail)},
-                   {"margin", std::to_string(w.margin)}});
+                    {{"worker", w.listing.worker.str()},
+                     {"tail_share", std::to_string(w.tail)},
+                     {"margin", std::to_string(w.margin)}});
     }
     if (w.tail < 1) {
         w.over_since = instant{};
@@ -235,23 +235,24 @@
         const auto known = w.paced.find(task);
         const std::int32_t current = known == w.paced.end() ? 100 : known->second;
         // Small steps up are not worth an order each; down, up to full pace and from nothing always are.
-        const bool worth = wanted < current || (wanted > current && (wanted == 100 || current <= 0 || wanted >= current + 30));
+        const bool worth =
+            wanted < current || (wanted > current && (wanted == 100 || current <= 0 || wanted >= current + 30));
         if (!worth || current == wanted) {
             continue;
         }
         w.paced[task] = wanted;
-        edges_.order(place_of(w), pace_run{task, run.run, wanted, epoch_}, pace_timeout,
-                     [this, id = w.listing.worker, task = task, wanted, life = life_](instant,
-                                                                                    const order_answer& answer) {
-                         const auto at = workers_.find(id);
-                         if (life != life_ || at == workers_.end() || answer.result == order_result::accepted) {
-                             return;
-                         }
-                         const auto p = at->second.paced.find(task);
-                         if (p != at->second.paced.end() && p->second == wanted) {
-                             p->second = pace_unknown; // said again with the next exchange
-                         }
-                     });
+        edges_.order(
+            place_of(w), pace_run{task, run.run, wanted, epoch_}, pace_timeout,
+            [this, id = w.listing.worker, task = task, wanted, life = life_](instant, const order_answer& answer) {
+                const auto at = workers_.find(id);
+                if (life != life_ || at == workers_.end() || answer.result == order_result::accepted) {
+                    return;
+                }
+                const auto p = at->second.paced.find(task);
+                if (p != at->second.paced.end() && p->second == wanted) {
+                    p->second = pace_unknown; // said again with the next exchange
+                }
+            });
     }
 }
 
@@ -275,15 +276,15 @@
         const flow_stage& stage = *found->second->find_stage(task);
         const flow_step& step = found->second->step(stage);
         const cell_worker* const better = step.checkpointing ? choose(now, *found->second, stage, *t) : nullptr;
-        if (better == nullptr ||
-            excess_with(*better, run.image_index, static_cast<double>(run.need.cpu_millis) / room_of(better->listing)) > 0) {
+        if (better == nullptr || excess_with(*better, run.image_index,
+                                             static_cast<double>(run.need.cpu_millis) / room_of(better->listing)) > 0) {
             continue;
         }
         edges_.note(log_level::info, "run", "evicted",
-                  {{"job", task.job.str()},
-                   {"worker", w.listing.worker.str()},
-                   {"to", better->listing.worker.str()},
-                   {"image", run.image}});
+                    {{"job", task.job.str()},
+                     {"worker", w.listing.worker.str()},
+                     {"to", better->listing.worker.str()},
+                     {"image", run.image}});
         t->runs.front().stopping = true;
         send_stop(now, w.listing.worker, task, run.run, 0);
         w.next_evict = now + evict_interval;
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -222,8 +222,8 @@
     return all;
 }
 
-// Tasks that no worker here has room for go to a cell that has: a cell may lose workers, or fill up with tasks that last,
-// while others stay empty.
+// Tasks that no worker here has room for go to a cell that has: a cell may lose workers, or fill up with tasks that
+// last, while others stay empty.
 void flow_cell::give_away_waiting(instant now)
 {
     next_give_away_ = now + give_away_interval;
@@ -262,11 +262,11 @@
                 }
                 const flow_task_id task_id{id, stage.occurrence, stage.step, static_cast<std::int32_t>(i)};
                 edges_.note(log_level::info, "task", "given_away",
-                          {{"job", id.str()},
-                           {"step", std::to_string(stage.step)},
-                           {"index", std::to_string(i)},
-                           {"from", id_.str()},
-                           {"to", to->first.str()}});
+                            {{"job", id.str()},
+                             {"step", std::to_string(stage.step)},
+                             {"index", std::to_string(i)},
+                             {"from", id_.str()},
+                             {"to", to->first.str()}});
                 job.give_away(task_id, to->first, to->second, epoch_);
                 given = true;
                 --left;
@@ -320,24 +320,24 @@
         }
     }
     edges_.note(log_level::info, "cell", "load",
-              {{"cell", id_.str()},
-               {"epoch", std::to_string(epoch_.value())},
-               {"jobs", std::to_string(jobs_.size())},
-               {"awaited", std::to_string(awaited_.size())},
-               {"workers", std::to_string(usable)},
-               {"silent", std::to_string(silent)},
-               {"room_cpu", std::to_string(room.cpu_millis)},
-               {"held_cpu", std::to_string(held.cpu_millis)},
-               {"lasting_cpu", std::to_string(lasting)},
-               {"filling_cpu", std::to_string(filling)},
-               {"largest_free_cpu", std::to_string(largest_free)},
-               {"room_memory", std::to_string(room.memory_mib)},
-               {"held_memory", std::to_string(held.memory_mib)},
-               {"ready_lasting", std::to_string(ready["ready_lasting"])},
-               {"ready_filling", std::to_string(ready["ready_filling"])},
-               {"ready_plain", std::to_string(ready["ready_plain"])},
-               {"oldest_lasting", oldest.empty() ? "none" : oldest},
-               {"oldest_lasting_ms", std::to_string(oldest_lasting.count() / 1000)}});
+                {{"cell", id_.str()},
+                 {"epoch", std::to_string(epoch_.value())},
+                 {"jobs", std::to_string(jobs_.size())},
+                 {"awaited", std::to_string(awaited_.size())},
+                 {"workers", std::to_string(usable)},
+                 {"silent", std::to_string(silent)},
+                 {"room_cpu", std::to_string(room.cpu_millis)},
+                 {"held_cpu", std::to_string(held.cpu_millis)},
+                 {"lasting_cpu", std::to_string(lasting)},
+                 {"filling_cpu", std::to_string(filling)},
+                 {"largest_free_cpu", std::to_string(largest_free)},
+                 {"room_memory", std::to_string(room.memory_mib)},
+                 {"held_memory", std::to_string(held.memory_mib)},
+                 {"ready_lasting", std::to_string(ready["ready_lasting"])},
+                 {"ready_filling", std::to_string(ready["ready_filling"])},
+                 {"ready_plain", std::to_string(ready["ready_plain"])},
+                 {"oldest_lasting", oldest.empty() ? "none" : oldest},
+                 {"oldest_lasting_ms", std::to_string(oldest_lasting.count() / 1000)}});
 }
 
 void flow_cell::tick_timed(instant now)
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -142,12 +142,12 @@
     }
     if (answer.result != order_result::accepted) {
         edges_.note(log_level::info, "run", "start_not_accepted",
-                  {{"task", text_of(task)},
-                   {"run", std::to_string(run.value())},
-                   {"worker", id.str()},
-                   {"result", std::to_string(static_cast<int>(answer.result))},
-                   {"tries", std::to_string(tries)},
-                   {"reason", answer.reason}});
+                    {{"task", text_of(task)},
+                     {"run", std::to_string(run.value())},
+                     {"worker", id.str()},
+                     {"result", std::to_string(static_cast<int>(answer.result))},
+                     {"tries", std::to_string(tries)},
+                     {"reason", answer.reason}});
     }
     switch (answer.result) {
     case order_result::accepted:
@@ -157,7 +157,8 @@
             send_stop(now, id, task, run, 0);
             return;
         }
-        // A run starts at full pace: left so until the next exchange, a batch of them would drive up the tails beside it.
+        // A run starts at full pace: left so until the next exchange, a batch of them would drive up the tails beside
+        // it.
         set_paces(now, w);
         return;
     case order_result::fenced:
@@ -213,8 +214,8 @@
         return;
     }
     if (!may_send(now)) {
-        // An owner that has not renewed for long is silent, but may come back before the run's lease ends: a stop that was
-        // dropped meanwhile would leave a cancelled task running.
+        // An owner that has not renewed for long is silent, but may come back before the run's lease ends: a stop that
+        // was dropped meanwhile would leave a cancelled task running.
         stop_again(id, task, run, tries);
         return;
     }
@@ -260,7 +261,8 @@
         for (live_run& live : stage.tasks[i].runs) {
             if (live.run == run && !live.stopping) {
                 live.stopping = true;
-                send_stop(now, live.worker, {job.id(), stage.occurrence, stage.step, static_cast<std::int32_t>(i)}, run, 0);
+                send_stop(now, live.worker, {job.id(), stage.occurrence, stage.step, static_cast<std::int32_t>(i)}, run,
+                          0);
             }
         }
     }
@@ -371,7 +373,7 @@
         return;
     }
     edges_.note(log_level::info, "job", "ended",
-              {{"job", job.id().str()}, {"cell", id_.str()}, {"outcome", std::to_string(static_cast<int>(outcome))}});
+                {{"job", job.id().str()}, {"cell", id_.str()}, {"outcome", std::to_string(static_cast<int>(outcome))}});
     job.note_outcome(outcome);
     stop_job_runs(now, job);
     job_changed(now, job, true);
@@ -396,8 +398,8 @@
         if (version <= scanned_ && role_ == role::owning) {
             return;
         }
-        // A page read or a message sent before the job's last write still shows it going on: taken up again it would run
-        // anew, with its runs numbered from the first.
+        // A page read or a message sent before the job's last write still shows it going on: taken up again it would
+        // run anew, with its runs numbered from the first.
         if (row.outcome == 0 && put_away_.count(job) == 0) {
             adopt_job(now, job, row, version);
         }
@@ -451,11 +453,11 @@
         return;
     }
     edges_.note(log_level::info, "job", "bound",
-              {{"job", id.str()},
-               {"cell", id_.str()},
-               {"queue", row.queue},
-               {"steps", std::to_string(row.steps.size())},
-               {"cell_epoch", std::to_string(row.cell_epoch)}});
+                {{"job", id.str()},
+                 {"cell", id_.str()},
+                 {"queue", row.queue},
+                 {"steps", std::to_string(row.steps.size())},
+                 {"cell_epoch", std::to_string(row.cell_epoch)}});
     if (row.cell_epoch < epoch_.value() && !all_accounted(now)) {
         awaited_.insert(id); // the owner before may have heard of it first
     }
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -42,10 +42,10 @@
         cell_worker& w = at->second;
         if (added || w.listing.draining != listing.draining || !w.listed) {
             edges_.note(log_level::info, "worker", "listed",
-                      {{"cell", id_.str()},
-                       {"worker", listing.worker.str()},
-                       {"address", listing.address.str()},
-                       {"draining", listing.draining ? "yes" : "no"}});
+                        {{"cell", id_.str()},
+                         {"worker", listing.worker.str()},
+                         {"address", listing.address.str()},
+                         {"draining", listing.draining ? "yes" : "no"}});
         }
         w.listing = listing;
         w.listed = true;
@@ -61,7 +61,8 @@
                 edges_.note(log_level::info, "worker", "unlisted", {{"cell", id_.str()}, {"worker", at->first.str()}});
             }
             w.listed = false;
-            if (role_ == role::watching || (role_ == role::owning && w.ledger.empty() && (w.fenced || all_accounted(now)))) {
+            if (role_ == role::watching ||
+                (role_ == role::owning && w.ledger.empty() && (w.fenced || all_accounted(now)))) {
                 at = workers_.erase(at);
                 continue;
             }
@@ -121,10 +122,10 @@
 {
     if (!w.ledger.empty()) {
         edges_.note(log_level::warning, "worker", "lost",
-                  {{"cell", id_.str()},
-                   {"worker", w.listing.worker.str()},
-                   {"runs", std::to_string(w.ledger.size())},
-                   {"reason", reason}});
+                    {{"cell", id_.str()},
+                     {"worker", w.listing.worker.str()},
+                     {"runs", std::to_string(w.ledger.size())},
+                     {"reason", reason}});
     }
     while (!w.ledger.empty()) {
         const auto [task, run] = *w.ledger.begin();
@@ -232,7 +233,7 @@
         ++w.silent;
         if (w.silent == silent_holds_most) {
             edges_.note(log_level::warning, "worker", "silent",
-                      {{"cell", id_.str()}, {"worker", id.str()}, {"reason", answer.reason}});
+                        {{"cell", id_.str()}, {"worker", id.str()}, {"reason", answer.reason}});
         }
         hold_soon(now, id, hold_retry);
         return;
@@ -254,8 +255,9 @@
     }
     // What a run takes that the ledger does not know is not known either: a start beside it could go over the room. Its
     // job's row is being read, or it is being stopped.
-    w.strangers = static_cast<std::int32_t>(std::count_if(answer.running.begin(), answer.running.end(),
-                                                          [&w](const listed_run& r) { return w.ledger.count(r.task) == 0; }));
+    w.strangers =
+        static_cast<std::int32_t>(std::count_if(answer.running.begin(), answer.running.end(),
+                                                [&w](const listed_run& r) { return w.ledger.count(r.task) == 0; }));
     if (!first) {
         find_missing(now, w, sent, answer);
     }
@@ -315,10 +317,10 @@
         break;
     }
     edges_.note(log_level::info, "run", "ended",
-              {{"task", text_of(end.task)},
-               {"run", std::to_string(end.run.value())},
-               {"worker", w.listing.worker.str()},
-               {"how", std::to_string(static_cast<int>(end.how))}});
+                {{"task", text_of(end.task)},
+                 {"run", std::to_string(end.run.value())},
+                 {"worker", w.listing.worker.str()},
+                 {"how", std::to_string(static_cast<int>(end.how))}});
     if (job.changes() != before) {
         w.unconfirmed.push_back({end.number, end.task.job, job.changes()});
     }
@@ -451,8 +453,9 @@
         }
     }
     for (const auto& [task, run] : missing) {
-        edges_.note(log_level::warning, "run", "vanished",
-                  {{"task", text_of(task)}, {"run", std::to_string(run.value())}, {"worker", w.listing.worker.str()}});
+        edges_.note(
+            log_level::warning, "run", "vanished",
+            {{"task", text_of(task)}, {"run", std::to_string(run.value())}, {"worker", w.listing.worker.str()}});
         drop_run(now, w, task, run);
     }
 }
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -147,9 +147,8 @@
         return config_ && std::any_of(config_->services.begin(), config_->services.end(),
                                       [&](const flow_service& s) { return s.name == service && s.guards_room; });
     };
-    hooks.find_room = [this](instant now, const cell_id& from, const std::string& service, const flow_step& step, bool alone) {
-        return find_room(now, from, service, step, alone);
-    };
+    hooks.find_room = [this](instant now, const cell_id& from, const std::string& service, const flow_step& step,
+                             bool alone) { return find_room(now, from, service, step, alone); };
     hooks.tell_cell = [this](instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row,
                              row_version version) { tell_cell(now, cell, job, row, version); };
     hooks.state_changed = [this](instant now, const wire::flow_job_row& row, const job_id& job, flow_state state) {
@@ -202,9 +201,9 @@
         return;
     }
     edges_.note(log_level::info, "config", "in_force",
-              {{"version", std::to_string(config.version.value())},
-               {"queues", std::to_string(config.queues.size())},
-               {"from", from}});
+                {{"version", std::to_string(config.version.value())},
+                 {"queues", std::to_string(config.queues.size())},
+                 {"from", from}});
     config_ = std::move(config);
     config_text_ = std::move(text);
     tell_peers(now, false);
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -130,7 +130,8 @@
     void write_cancel(instant now, const job_id& job, wire::flow_job_row row, row_version version, instant give_up,
                       caller_reply reply);
     std::int64_t count_pending(const queue_id& queue) const;
-    void tell_cell(instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row, row_version version);
+    void tell_cell(instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row,
+                   row_version version);
     void tell_owner(instant now, const cell_id& cell, const job_id& job);
     std::optional<std::pair<cell_id, epoch>> find_room(instant now, const cell_id& from, const std::string& service,
                                                        const flow_step& step, bool alone);
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -111,7 +111,7 @@
     if (leaving_ || !cell) {
         ++stats_.refused;
         edges_.note(log_level::info, "job", "refused",
-                  {{"job", job.str()}, {"reason", leaving_ ? "stopping" : "no cell"}});
+                    {{"job", job.str()}, {"reason", leaving_ ? "stopping" : "no cell"}});
         reply({caller_result::not_accepted, flow_state::queued, 0, unavailable_retry, "nothing takes jobs here now"});
         return;
     }
@@ -146,15 +146,15 @@
 
 // What decides where a flow goes.
 struct flow_wants {
-    std::int64_t cpu = 0;     // of its widest step
-    std::int32_t tasks = 0;   // of the widest step
+    std::int64_t cpu = 0;   // of its widest step
+    std::int32_t tasks = 0; // of the widest step
     std::int64_t task_cpu = 0;
     std::int32_t per_worker_most = 0; // 0: no limit
     std::string label;
     rack_id rack;
     bool filling = false;
     bool lasting = false;
-    std::string image;   // of the widest step
+    std::string image; // of the widest step
 };
 
 flow_wants wants_of(const flow_spec& spec)
@@ -232,14 +232,16 @@
     return static_cast<double>(XXH64(text.data(), text.size(), 0) >> 11) / static_cast<double>(1ULL << 53);
 }
 
-double cell_score(const std::string& cell, const wire::flow_pool_row& pool, const flow_wants& wants, std::int64_t assigned)
+double cell_score(const std::string& cell, const wire::flow_pool_row& pool, const flow_wants& wants,
+                  std::int64_t assigned)
 {
     const auto total = static_cast<double>(pool.total_cpu_millis);
     const double unused = static_cast<double>(pool.unused_cpu_millis - assigned) / total;
     const double free = static_cast<double>(pool.free_cpu_millis - assigned) / total;
     if (wants.lasting) {
         const auto own_image = pool.serving_cpu_millis.find(wants.image);
-        const double together = own_image == pool.serving_cpu_millis.end() ? 0 : static_cast<double>(own_image->second) / total;
+        const double together =
+            own_image == pool.serving_cpu_millis.end() ? 0 : static_cast<double>(own_image->second) / total;
         const auto tasks = static_cast<double>(wants.tasks);
         return 2 * tasks_that_fit(pool, wants, true) / tasks + tasks_that_fit(pool, wants, false) / tasks + together +
                0.2 * draw(wants.image, cell);
@@ -338,11 +340,11 @@
     case table_outcome::applied:
         ++stats_.accepted;
         edges_.note(log_level::info, "job", "accepted",
-                  {{"job", job.str()},
-                   {"queue", row.queue},
-                   {"cell", row.cell},
-                   {"version", std::to_string(result.version.value())},
-                   {"config", std::to_string(config_version().value())}});
+                    {{"job", job.str()},
+                     {"queue", row.queue},
+                     {"cell", row.cell},
+                     {"version", std::to_string(result.version.value())},
+                     {"config", std::to_string(config_version().value())}});
         answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
         tell_cell(now, cell_id(row.cell), job, row, result.version);
         return;
@@ -370,7 +372,7 @@
         return;
     }
     edges_.note(log_level::warning, "job", in_doubt ? "accept_unsettled" : "refused",
-              {{"job", job.str()}, {"reason", result.reason}, {"tries", std::to_string(tries + 1)}});
+                {{"job", job.str()}, {"reason", result.reason}, {"tries", std::to_string(tries + 1)}});
     ++(in_doubt ? stats_.unsettled : stats_.refused);
     answer_accept(now, job,
                   {in_doubt ? caller_result::unsettled : caller_result::not_accepted, flow_state::queued, 0,
@@ -433,23 +435,24 @@
     news.row = at->second.bytes;
     news.cell = cell.str();
     message.rows.push_back(std::move(news));
-    edges_.tell(owner->identity.address, std::move(message),
-                [this, cell, job, version = at->second.version](instant, const std::optional<wire::flow_message>& answer) {
-                    const auto row = untold_.find({cell, job});
-                    if (row == untold_.end()) {
-                        return;
-                    }
-                    row->second.telling = false;
-                    if (answer && answer->unknown_jobs.empty() && row->second.version == version) {
-                        untold_.erase(row);
-                    }
-                });
+    edges_.tell(
+        owner->identity.address, std::move(message),
+        [this, cell, job, version = at->second.version](instant, const std::optional<wire::flow_message>& answer) {
+            const auto row = untold_.find({cell, job});
+            if (row == untold_.end()) {
+                return;
+            }
+            row->second.telling = false;
+            if (answer && answer->unknown_jobs.empty() && row->second.version == version) {
+                untold_.erase(row);
+            }
+        });
 }
 
-// The cell that has most left, or for a lasting task where most of its image serves, with a worker that one more task of the step fits on.
-std::optional<std::pair<cell_id, epoch>> flow_entry::find_room(instant now, const cell_id& from,
-                                                               const std::string& service, const flow_step& step,
-                                                               bool alone)
+// The cell that has most left, or for a lasting task where most of its image serves, with a worker that one more task
+// of the step fits on.
+std::optional<std::pair<cell_id, epoch>>
+flow_entry::find_room(instant now, const cell_id& from, const std::string& service, const flow_step& step, bool alone)
 {
     const wire::flow_cell_news* best = nullptr;
     std::int64_t best_score = 0;
@@ -476,12 +479,12 @@
             const bool fits_worker = pool.largest_free_memory_mib >= step.need.memory_mib &&
                                      (step.filling || tasks_that_fit(pool, wants, alone) > 0);
             const auto together = pool.serving_cpu_millis.find(step.image);
-            const std::int64_t score =
-                step.lasting ? 1 + pool.each.front().free_cpu_millis +
-                                   (together == pool.serving_cpu_millis.end() ? 0 : together->second)
-                             : left;
-            if (pool.service_name == service && labelled && fits_worker && (step.lasting || left >= step.need.cpu_millis) &&
-                score > best_score) {
+            const std::int64_t score = step.lasting
+                                           ? 1 + pool.each.front().free_cpu_millis +
+                                                 (together == pool.serving_cpu_millis.end() ? 0 : together->second)
+                                           : left;
+            if (pool.service_name == service && labelled && fits_worker &&
+                (step.lasting || left >= step.need.cpu_millis) && score > best_score) {
                 best = &news;
                 best_score = score;
                 best_pool = &pool;
@@ -651,7 +654,7 @@
                                  reply = std::move(reply)](instant then, const store_result& result) {
         if (result.outcome == table_outcome::applied) {
             edges_.note(log_level::info, "job", "cancel_accepted",
-                      {{"job", job.str()}, {"version", std::to_string(result.version.value())}});
+                        {{"job", job.str()}, {"version", std::to_string(result.version.value())}});
             const auto at = followed_.find(job);
             if (at != followed_.end()) {
                 at->second.state = flow_state::cancelled;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -23,7 +23,8 @@
 // --- orders ---
 inline constexpr duration start_timeout = 600ms;
 inline constexpr duration start_retry = 60ms;
-inline constexpr duration gang_start_most = 1000ms; // of a member whose start is not answered; the others give up at 3 s
+inline constexpr duration gang_start_most =
+    1000ms; // of a member whose start is not answered; the others give up at 3 s
 inline constexpr duration stop_timeout = 800ms;
 inline constexpr duration stop_retry = 150ms;
 inline constexpr duration pace_timeout = 800ms;
@@ -80,18 +81,20 @@
 inline constexpr duration unavailable_retry = 1s; // what a caller is told when the table or the cells are away
 inline constexpr duration state_fresh = 1500ms;   // an owner tells each end at once; older than this, the row is read
 
-inline constexpr duration put_away_kept = 120s;  // an ended job is known this long; a message may be as old as a cut is long
+inline constexpr duration put_away_kept =
+    120s; // an ended job is known this long; a message may be as old as a cut is long
 
 // --- placement ---
-// A waiting task goes to another cell after this: well before a task that has its turn may be missed, and long enough for
-// the ends that a full cell sees every few milliseconds to make room first.
+// A waiting task goes to another cell after this: well before a task that has its turn may be missed, and long enough
+// for the ends that a full cell sees every few milliseconds to make room first.
 inline constexpr duration give_away_after = 800ms;
 inline constexpr duration give_away_serving_after = 200ms; // to a cell where it serves beside its own kind only
 inline constexpr duration mix_after = 900ms;               // then it serves beside others
 inline constexpr duration give_away_interval = 250ms;
-inline constexpr int give_away_most = 6; // tasks at a time: what other cells say of their room is up to half a second old
-inline constexpr duration fill_patience = 2400ms;  // of a filling task for a place where what it presses on bears it
-inline constexpr duration evict_after = 500ms; // a run is not moved again sooner than it can have settled
+inline constexpr int give_away_most =
+    6; // tasks at a time: what other cells say of their room is up to half a second old
+inline constexpr duration fill_patience = 2400ms; // of a filling task for a place where what it presses on bears it
+inline constexpr duration evict_after = 500ms;    // a run is not moved again sooner than it can have settled
 inline constexpr double distrust_half_life_s = 6; // of the memory that runs failed on a worker
 
 } // namespace skylarkhub::flow_limits
--- a/src/flow_place.cpp
+++ b/src/flow_place.cpp
@@ -6,19 +6,19 @@
 
 namespace {
 
-// Weights in shares of a worker's processors: what one unit of the cause costs the work on that worker. Serving tasks do
-// not disturb each other (tails of 0.4 to 0.5 of the target at one to eight on a worker), so they are packed, those of
-// one image together: filling work then has workers where it presses on nobody, or on one image that bears it.
-constexpr double remote_cost = 3.0;      // away from its data a task takes two to three times as long
-constexpr double distrust_cost = 5.0;    // a failed run costs the whole run again
-constexpr double slow_cost = 1.0;        // for each further multiple of the estimated time
-constexpr double excess_cost = 6.0;      // filling work beyond what is borne is slowed, or the tails there go over target
-constexpr double beside_serving = 0.15;  // filling work beside serving tasks that bear it now, and may not later
-constexpr double apart_cost = 0.6;       // plain work on a worker that has no serving task
-constexpr double open_cost = 0.4;        // the first serving task of a worker: one fewer where filling work presses on nobody
-constexpr double mixed_cost = 1.0;       // a serving task where other images serve: what each bears, both must bear then
-constexpr double spread_cost = 0.3;      // what is left on each worker, too small for a serving task, is plain work's
-constexpr double overcommit_cost = 2.0;  // filling work that gets less than it wants runs longer
+// Weights in shares of a worker's processors: what one unit of the cause costs the work on that worker. Serving tasks
+// do not disturb each other (tails of 0.4 to 0.5 of the target at one to eight on a worker), so they are packed, those
+// of one image together: filling work then has workers where it presses on nobody, or on one image that bears it.
+constexpr double remote_cost = 3.0;   // away from its data a task takes two to three times as long
+constexpr double distrust_cost = 5.0; // a failed run costs the whole run again
+constexpr double slow_cost = 1.0;     // for each further multiple of the estimated time
+constexpr double excess_cost = 6.0;   // filling work beyond what is borne is slowed, or the tails there go over target
+constexpr double beside_serving = 0.15; // filling work beside serving tasks that bear it now, and may not later
+constexpr double apart_cost = 0.6;      // plain work on a worker that has no serving task
+constexpr double open_cost = 0.4;  // the first serving task of a worker: one fewer where filling work presses on nobody
+constexpr double mixed_cost = 1.0; // a serving task where other images serve: what each bears, both must bear then
+constexpr double spread_cost = 0.3;     // what is left on each worker, too small for a serving task, is plain work's
+constexpr double overcommit_cost = 2.0; // filling work that gets less than it wants runs longer
 
 } // namespace
 
@@ -40,7 +40,8 @@
 double place_cost(const place_option& option, const flow_step& step, const place_interference& interference)
 {
     const double total = std::max<double>(1, static_cast<double>(option.room.cpu_millis));
-    const double counted = static_cast<double>(option.held.cpu_millis + (step.filling ? 0 : step.need.cpu_millis)) / total;
+    const double counted =
+        static_cast<double>(option.held.cpu_millis + (step.filling ? 0 : step.need.cpu_millis)) / total;
     const double wanted = 1.0 - static_cast<double>(left_for_filling(option) - step.need.cpu_millis) / total;
     double cost = distrust_cost * option.distrust + slow_cost * (option.slowness - 1.0);
     if (step.data_rack.valid() && step.data_rack != option.rack) {
--- a/src/flow_place_p.h
+++ b/src/flow_place_p.h
@@ -33,12 +33,12 @@
     std::int32_t serving = 0;     // lasting tasks with a tail target
     std::int32_t fillers = 0;
     std::int64_t lasting_cpu = 0; // of `held`, committed to lasting tasks
-    double distrust = 0;   // 0 healthy; rises with runs that failed or stalled there lately
-    double slowness = 1;   // time that runs take there against the estimate
+    double distrust = 0;          // 0 healthy; rises with runs that failed or stalled there lately
+    double slowness = 1;          // time that runs take there against the estimate
 };
 
-// Of what lasting tasks have committed, the share they use on the whole; the rest is left to filling work. Measured on a
-// calm day: filling work beside 80% committed to lasting tasks went on at full speed up to as much again.
+// Of what lasting tasks have committed, the share they use on the whole; the rest is left to filling work. Measured on
+// a calm day: filling work beside 80% committed to lasting tasks went on at full speed up to as much again.
 inline constexpr double lasting_use = 0.45;
 
 // Processors that filling work can still have: what committed tasks and other filling work leave unused.
@@ -49,8 +49,8 @@
 
 // What the interference model expects if the task goes there.
 struct place_interference {
-    double excess = 0;   // pressure beyond what serving tasks bear, in units of ln(tail)
-    bool mixed = false;  // a serving task beside serving tasks of other images only
+    double excess = 0;  // pressure beyond what serving tasks bear, in units of ln(tail)
+    bool mixed = false; // a serving task beside serving tasks of other images only
 };
 
 // Lower is better; the unit is a share of the worker's processors.
--- a/src/flow_press.cpp
+++ b/src/flow_press.cpp
@@ -9,14 +9,14 @@
 namespace {
 
 constexpr int width = interference_model::filling_most + 1; // the last column is the base
-constexpr double start_press = 1.5;   // of a pair not measured: the median of measured ones
-constexpr double start_base = -0.9;   // a calm serving task is at 0.4 of its target
-constexpr double ridge = 0.05;        // as much as five looks at a tenth of a worker's processors
-constexpr double ridge_base = 2.0;    // as much as two looks
+constexpr double start_press = 1.5;                         // of a pair not measured: the median of measured ones
+constexpr double start_base = -0.9;                         // a calm serving task is at 0.4 of its target
+constexpr double ridge = 0.05;                              // as much as five looks at a tenth of a worker's processors
+constexpr double ridge_base = 2.0;                          // as much as two looks
 constexpr double memory = 0.985;      // of a refit, once a second: what is a minute old counts for 0.4
 constexpr double log_tail_least = -2; // tails beyond these say no more than "far under" and "far over"
 constexpr double log_tail_most = 2.5;
-constexpr int samples_to_tell = 30;   // before others are told
+constexpr int samples_to_tell = 30; // before others are told
 
 // Solves a x = b for a symmetric positive definite a of n rows (Cholesky); a and b are used up.
 std::vector<double> solve(std::vector<double> a, std::vector<double> b, int n)
@@ -128,8 +128,9 @@
             }
             const bool base = i == n;
             a[static_cast<std::size_t>(i * m + i)] += base ? ridge_base : ridge;
-            b[static_cast<std::size_t>(i)] = f.products[static_cast<std::size_t>(ci)] +
-                                             (base ? ridge_base * start_base : ridge * f.start[static_cast<std::size_t>(i)]);
+            b[static_cast<std::size_t>(i)] =
+                f.products[static_cast<std::size_t>(ci)] +
+                (base ? ridge_base * start_base : ridge * f.start[static_cast<std::size_t>(i)]);
         }
         const std::vector<double> x = solve(std::move(a), std::move(b), m);
         for (int i = 0; i < n; ++i) {
--- a/src/flow_press_p.h
+++ b/src/flow_press_p.h
@@ -54,8 +54,8 @@
 };
 
 // The pace of filling work, in percent by filling image, that keeps the pressure on every serving image within what it
-// bears. `shares`: what the tasks of each filling image would use at full pace. The images that press least go first, so
-// that as much work as possible goes on.
+// bears. `shares`: what the tasks of each filling image would use at full pace. The images that press least go first,
+// so that as much work as possible goes on.
 struct serving_bearing {
     int serving = 0;
     double bears = 0; // of sum press * share
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -130,9 +130,8 @@
     ++slot.starts;
     slot.identity.incarnation = incarnation_id(fmt::format("{}@{}", slot.identity.entry.str(), slot.starts));
     slot.decisions = std::make_unique<flow_entry>(slot.identity, make_edges(entry));
-    later(1ms, [this, entry, life = slot.life] {
-        on_entry(entry, life, [](flow_entry& e, instant now) { e.begin(now); });
-    });
+    later(1ms,
+          [this, entry, life = slot.life] { on_entry(entry, life, [](flow_entry& e, instant now) { e.begin(now); }); });
 }
 
 void flow_world::kill_entry(int entry)
@@ -190,9 +189,8 @@
             answer(std::move(done), store_page{}, 1500ms);
             return;
         }
-        later(options_.table_latency, [this, range, answer, done = std::move(done)] {
-            answer(done, read(range), options_.network_latency);
-        });
+        later(options_.table_latency,
+              [this, range, answer, done = std::move(done)] { answer(done, read(range), options_.network_latency); });
     };
     edges.watch = [this, entry, answer](const store_watch& watch, std::function<void(instant, store_page)> done) {
         if (!table_reached(entry)) {
@@ -212,8 +210,8 @@
     edges.order = [this, answer](const worker_place& to, const worker_order& order, duration timeout,
                                  std::function<void(instant, order_answer)> done) {
         later(options_.network_latency, [this, to, order, timeout, answer, done = std::move(done)] {
-            const auto at = std::find_if(workers_.begin(), workers_.end(),
-                                         [&](const auto& w) { return w->address == to.address; });
+            const auto at =
+                std::find_if(workers_.begin(), workers_.end(), [&](const auto& w) { return w->address == to.address; });
             if (at == workers_.end() || !(*at)->up || !(*at)->reachable) {
                 answer(done, order_answer{}, timeout);
                 return;
@@ -227,13 +225,12 @@
             }
             const auto* const hold = std::get_if<hold_worker>(&order);
             const duration wait = hold != nullptr ? std::min<duration>(hold->wait, 50ms) : duration(0);
-            later(wait, [this, &w, order, answer, done] {
-                answer(done, carry_out(w, order), options_.network_latency);
-            });
+            later(wait,
+                  [this, &w, order, answer, done] { answer(done, carry_out(w, order), options_.network_latency); });
         });
     };
-    edges.list_workers = [this, entry, answer](
-                             std::function<void(instant, std::optional<std::vector<flow_listed_worker>>)> done) {
+    edges.list_workers = [this, entry,
+                          answer](std::function<void(instant, std::optional<std::vector<flow_listed_worker>>)> done) {
         std::optional<std::vector<flow_listed_worker>> list;
         if (table_reached(entry)) {
             list.emplace();
@@ -446,7 +443,8 @@
     run.number = order.run;
     run.payload = order.payload;
     const auto spec = specs_.find(order.task.job.str());
-    const bool lasting = spec != specs_.end() && spec->second.steps.at(static_cast<std::size_t>(order.task.step)).lasting;
+    const bool lasting =
+        spec != specs_.end() && spec->second.steps.at(static_cast<std::size_t>(order.task.step)).lasting;
     run.ends = lasting ? instant::max() : now_ + (options_.run_time ? options_.run_time(order.task) : duration(300ms));
     run.fails = options_.run_fails && options_.run_fails(order.task, order.run);
     if (spec != specs_.end()) {
@@ -467,9 +465,9 @@
     if (order.lease_until) {
         w.lease_until = std::max(w.lease_until, instant(order.lease_until->time_since_epoch() - w.clock_offset));
     }
-    w.ends.erase(std::remove_if(w.ends.begin(), w.ends.end(),
-                                [&](const listed_end& e) { return e.number <= order.confirmed; }),
-                 w.ends.end());
+    w.ends.erase(
+        std::remove_if(w.ends.begin(), w.ends.end(), [&](const listed_end& e) { return e.number <= order.confirmed; }),
+        w.ends.end());
     for (const auto& [task, run] : w.running) {
         answer.running.push_back({task, run.number, "", 100, 0});
     }
@@ -505,7 +503,8 @@
 
 void flow_world::fault(const std::string& what)
 {
-    faults_.push_back(fmt::format("{:.3f} s: {}", std::chrono::duration<double>(now_.time_since_epoch()).count(), what));
+    faults_.push_back(
+        fmt::format("{:.3f} s: {}", std::chrono::duration<double>(now_.time_since_epoch()).count(), what));
 }
 
 void flow_world::check_start(const flow_fake_worker& w, const start_run& order)
@@ -561,7 +560,8 @@
     request.path = "/q/" + job;
     request.spec = spec;
     on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life, [&](flow_entry& e, instant now) {
-        e.on_request(now, request, [this, job](const caller_answer& answer) { answers_[job].push_back(answer.result); });
+        e.on_request(now, request,
+                     [this, job](const caller_answer& answer) { answers_[job].push_back(answer.result); });
     });
 }
 
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -1,5 +1,5 @@
-// Entries with the product's own flow decisions around a fake table and fake workers, in virtual time. Carries what they
-// ask for, with latencies and faults, and watches the promises from the workers' side.
+// Entries with the product's own flow decisions around a fake table and fake workers, in virtual time. Carries what
+// they ask for, with latencies and faults, and watches the promises from the workers' side.
 #pragma once
 
 #include <functional>
@@ -25,7 +25,7 @@
     bool up = true;
     bool listed = true;
     bool draining = false;
-    bool reachable = true;        // its orders and answers pass
+    bool reachable = true; // its orders and answers pass
     duration clock_offset{0};
     epoch fence;
     instant lease_until{};
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -63,8 +63,8 @@
 
 BOOST_AUTO_TEST_CASE(a_lost_answer_of_the_table_is_settled_not_refused)
 {
-    // The table applies the accepting write and its answer is lost. The caller must not be told "did not run": the entry
-    // writes again, finds its own row there, and says "accepted".
+    // The table applies the accepting write and its answer is lost. The caller must not be told "did not run": the
+    // entry writes again, finds its own row there, and says "accepted".
     flow_world w({});
     w.run_for(2s);
     w.lose_next_answers(1);
@@ -91,8 +91,8 @@
 
 BOOST_AUTO_TEST_CASE(a_killed_owner_is_followed_by_one_that_adopts_what_runs)
 {
-    // The owner dies while tasks run. The other entry takes the cell over, fences the workers and finds the tasks there:
-    // none is started a second time, and the job ends.
+    // The owner dies while tasks run. The other entry takes the cell over, fences the workers and finds the tasks
+    // there: none is started a second time, and the job ends.
     flow_world w({.run_time = [](const flow_task_id&) { return duration(8s); }});
     w.run_for(2s);
     BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 6)) == caller_result::accepted);
@@ -125,8 +125,9 @@
 
 BOOST_AUTO_TEST_CASE(a_taker_that_reads_an_empty_list_starts_nothing_twice)
 {
-    // The platform's list has lost every worker of the cell, as it does while it cannot be written, and the owner dies. The
-    // taker would believe that nothing runs and start everything again; the cell's row names the workers, so it asks them.
+    // The platform's list has lost every worker of the cell, as it does while it cannot be written, and the owner dies.
+    // The taker would believe that nothing runs and start everything again; the cell's row names the workers, so it
+    // asks them.
     flow_world w({.run_time = [](const flow_task_id&) { return duration(15s); }});
     w.run_for(2s);
     BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 6)) == caller_result::accepted);
@@ -149,8 +150,8 @@
 
 BOOST_AUTO_TEST_CASE(nothing_starts_beside_runs_that_the_ledger_does_not_know)
 {
-    // Workers are full when all entries lose power, and a new job waits. The new owner hears of runs whose job's row it has
-    // not read yet; a start beside them would go over the worker's room.
+    // Workers are full when all entries lose power, and a new job waits. The new owner hears of runs whose job's row it
+    // has not read yet; a start beside them would go over the worker's room.
     flow_world w({.workers_each = 1, .run_time = [](const flow_task_id&) { return duration(6s); }});
     w.run_for(2s);
     BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 4, 4000)) == caller_result::accepted);
@@ -167,9 +168,11 @@
 
 BOOST_AUTO_TEST_CASE(a_stop_outlives_its_owners_silence)
 {
-    // The owner is cut off from the table for longer than it may go on without a renewal, and hears of a cancelled job in
-    // that time. A stop dropped then would leave the tasks running under the holds that follow once the cut is healed.
-    flow_world w({.data_centres = {"a"}, .entries_each = 1, .run_time = [](const flow_task_id&) { return duration(60s); }});
+    // The owner is cut off from the table for longer than it may go on without a renewal, and hears of a cancelled job
+    // in that time. A stop dropped then would leave the tasks running under the holds that follow once the cut is
+    // healed.
+    flow_world w(
+        {.data_centres = {"a"}, .entries_each = 1, .run_time = [](const flow_task_id&) { return duration(60s); }});
     w.run_for(2s);
     BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 3)) == caller_result::accepted);
     BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 3; }, 5s));
@@ -199,7 +202,8 @@
 
 BOOST_AUTO_TEST_CASE(running_work_goes_on_while_the_table_is_down)
 {
-    // The table is away for nine seconds. What runs goes on, the next steps start, and the end is shown once it is durable.
+    // The table is away for nine seconds. What runs goes on, the next steps start, and the end is shown once it is
+    // durable.
     flow_world w({.run_time = [](const flow_task_id&) { return duration(1500ms); }});
     w.run_for(2s);
     BOOST_REQUIRE(w.submit(0, job_a, chain_spec(4, 3)) == caller_result::accepted);
@@ -243,9 +247,10 @@
 
 BOOST_AUTO_TEST_CASE(a_task_without_room_goes_to_a_cell_that_has_some)
 {
-    // Lasting tasks fill one cell; the workers of the other stand empty. A task of a job bound to the full cell must not
-    // wait there: it is given to the other cell, and runs once.
-    flow_world w({.data_centres = {"a", "b"}, .workers_each = 1, .run_time = [](const flow_task_id&) { return duration(1s); }});
+    // Lasting tasks fill one cell; the workers of the other stand empty. A task of a job bound to the full cell must
+    // not wait there: it is given to the other cell, and runs once.
+    flow_world w(
+        {.data_centres = {"a", "b"}, .workers_each = 1, .run_time = [](const flow_task_id&) { return duration(1s); }});
     w.run_for(2s);
     BOOST_REQUIRE(w.submit(0, job_a, lasting_spec(6, 4000)) == caller_result::accepted);
     w.run_for(8s);
@@ -282,15 +287,16 @@
 
 BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults)
 {
-    // Entries killed and started, cut off from the table and from each other, answers lost, workers crashed and cut off, in
-    // an order drawn from the seed. Afterwards every accepted job ends, and no promise was broken on the way.
+    // Entries killed and started, cut off from the table and from each other, answers lost, workers crashed and cut
+    // off, in an order drawn from the seed. Afterwards every accepted job ends, and no promise was broken on the way.
     for (std::uint64_t seed = 1; seed <= 500; ++seed) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
-            flow_world w({.seed = seed,
-                          .data_centres = {"a", "b"},
-                          .run_fails = [](const flow_task_id& t, run_number run) { return t.index == 1 && run.value() == 1; },
-                          .run_time = [](const flow_task_id& t) { return duration(200ms * (1 + t.index % 4)); }});
+            flow_world w(
+                {.seed = seed,
+                 .data_centres = {"a", "b"},
+                 .run_fails = [](const flow_task_id& t, run_number run) { return t.index == 1 && run.value() == 1; },
+                 .run_time = [](const flow_task_id& t) { return duration(200ms * (1 + t.index % 4)); }});
             random_source random = make_random(seed * 77);
             w.run_for(2s);
             std::vector<std::string> accepted;
@@ -361,11 +367,12 @@
 
 BOOST_AUTO_TEST_CASE(a_gang_that_waits_for_its_last_members_holds_no_room)
 {
-    // A gang's members end one after another and it is to run again. While some of the earlier run are left, none of the new
-    // one is placed, and nothing may be held for it: room that a ledger holds for nobody is lost to everyone.
-    flow_world w({.workers_each = 2,
-                  .run_fails = [](const flow_task_id& t, run_number run) { return t.job.str() == job_a && run.value() < 3; },
-                  .run_time = [](const flow_task_id& t) { return duration(300ms * (1 + t.index)); }});
+    // A gang's members end one after another and it is to run again. While some of the earlier run are left, none of
+    // the new one is placed, and nothing may be held for it: room that a ledger holds for nobody is lost to everyone.
+    flow_world w(
+        {.workers_each = 2,
+         .run_fails = [](const flow_task_id& t, run_number run) { return t.job.str() == job_a && run.value() < 3; },
+         .run_time = [](const flow_task_id& t) { return duration(300ms * (1 + t.index)); }});
     w.run_for(2s);
     flow_spec gang = chain_spec(1, 3, 8000);
     gang.steps.front().gang = true;
--- a/tests/test_flow_press.cpp
+++ b/tests/test_flow_press.cpp
@@ -58,7 +58,8 @@
 
 BOOST_AUTO_TEST_CASE(work_that_presses_least_keeps_its_pace)
 {
-    // Both images fill a worker of a sensitive service that bears little: the light one goes on, the heavy one is slowed.
+    // Both images fill a worker of a sensitive service that bears little: the light one goes on, the heavy one is
+    // slowed.
     interference_model model;
     show_looks(model, 60);
     const int heavy = model.filling_index("heavy");
--- a/tests/test_flow_wire.cpp
+++ b/tests/test_flow_wire.cpp
@@ -52,7 +52,8 @@
 BOOST_AUTO_TEST_CASE(a_conflict_brings_the_rows_as_they_are)
 {
     const store_result result = read_commit(answered(
-        412, R"({"rows":[{"table":"t","part":"p","key":"k","value":"dmFsdWU=","schema-version":9}],"schema-version":12})"));
+        412,
+        R"({"rows":[{"table":"t","part":"p","key":"k","value":"dmFsdWU=","schema-version":9}],"schema-version":12})"));
     BOOST_TEST((result.outcome == table_outcome::conflict));
     BOOST_REQUIRE(result.rows.size() == 1);
     BOOST_TEST(result.rows.front().value == "value");
@@ -93,8 +94,7 @@
 BOOST_AUTO_TEST_CASE(an_exchange_lists_runs_and_ends)
 {
     const order_answer answer = read_answer(
-        hold_worker{},
-        answered(200, R"({"clock-ms":482113,"running":[["00000000000000aa.0.1.17",2,"cp",41,12]],
+        hold_worker{}, answered(200, R"({"clock-ms":482113,"running":[["00000000000000aa.0.1.17",2,"cp",41,12]],
                           "finished":[[58,"00000000000000aa.0.1.9",1,"done",""],[59,"00000000000000aa.0.1.8",3,"lapsed","x"]]})"));
     BOOST_TEST((answer.result == order_result::accepted));
     BOOST_REQUIRE(answer.running.size() == 1);
@@ -110,7 +110,8 @@
     const worker_order hold = hold_worker{};
     BOOST_TEST((read_answer(hold, answered(200, R"({"clock-ms":1})")).result != order_result::accepted));
     BOOST_TEST((read_answer(hold, answered(200, "nonsense")).result != order_result::accepted));
-    BOOST_TEST((read_answer(hold, answered(200, R"({"running":[[1]],"finished":[]})")).result != order_result::accepted));
+    BOOST_TEST(
+        (read_answer(hold, answered(200, R"({"running":[[1]],"finished":[]})")).result != order_result::accepted));
 }
 
 BOOST_AUTO_TEST_CASE(a_submission_is_read_whole_or_refused_with_a_reason)
@@ -174,7 +175,8 @@
     BOOST_TEST(!read_config("{}").has_value());
     store_row row;
     row.key.key = "i-1";
-    row.value = R"({"service":"s","address":"10.0.0.1:8","zone":"z","state":"draining","room":{"cpu":16000,"mem-mb":100},
+    row.value =
+        R"({"service":"s","address":"10.0.0.1:8","zone":"z","state":"draining","room":{"cpu":16000,"mem-mb":100},
                     "labels":["a","r1-3"]})";
     store_row garbled;
     garbled.key.key = "i-2";
