--- a/src/daemon_flow_app.cpp
+++ b/src/daemon_flow_app.cpp
@@ -267,6 +267,7 @@
     }
     callers_->stop_accepting();
     write_log(log_level::info, "entry", "stopped");
+    flush_log();
 }
 
 } // namespace skylarkhub
--- a/src/daemon_main.cpp
+++ b/src/daemon_main.cpp
@@ -95,7 +95,8 @@
 }
 
 // The platform replaces the settings file and may or may not say so by SIGHUP.
-constexpr timespec settings_poll{1, 0};
+constexpr timespec main_wait{0, 250'000'000};
+constexpr int waits_per_settings_poll = 4;
 
 int run_on_platform(const std::string& path)
 {
@@ -113,11 +114,16 @@
     write_log(log_level::info, "entry", "started",
               {{"entry", settings->entry.str()}, {"data_centre", settings->data_centre.str()}});
     std::string text = read_file(path).value_or("");
+    int waits = 0;
     while (true) {
-        const int taken = sigtimedwait(&signals, nullptr, &settings_poll);
+        flush_log();
+        const int taken = sigtimedwait(&signals, nullptr, &main_wait);
         if (taken == SIGTERM || taken == SIGINT) {
             break;
         }
+        if (taken != SIGHUP && ++waits % waits_per_settings_poll != 0) {
+            continue;
+        }
         const std::string newer = read_file(path).value_or("");
         if (newer == text && taken != SIGHUP) {
             continue;
--- a/src/daemon_ticker.cpp
+++ b/src/daemon_ticker.cpp
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "daemon_app_p.h"
+#include "log_line_p.h"
 #include "daemon_clock_p.h"
 #include "log_line_p.h"
 
@@ -46,6 +47,7 @@
         {5s, [this] { settings_keeper_->poll(); }},
         {5s, [this] { standing_->refresh(); }},
         {500ms, [this] { standing_->tick(); }},
+        {250ms, [] { flush_log(); }},
     };
     while (!stopping_.load()) {
         const instant now = read_clock();
