--- a/src/daemon_flow_app.cpp
+++ b/src/daemon_flow_app.cpp
@@ -183,15 +183,15 @@
         options.idle_seconds = idle_seconds;
         return http_server::start(options, std::move(handler), last_reason);
     };
-    callers_ = serve(settings_.callers_address, [this](http_request request, http_reply reply) {
-        serve_caller(std::move(request), std::move(reply));
+    callers_ = serve(settings_.callers_address, [this](const http_request& request, http_reply reply) {
+        serve_caller(request, std::move(reply));
     });
     readiness_ = serve(settings_.readiness_address, [this](const http_request&, const http_reply& reply) {
         absl::MutexLock lock(&mutex_);
         reply({entry_->ready(read_clock()) ? 200 : 503, {}, ""});
     });
-    peers_ = serve(settings_.peers_address, [this](http_request request, http_reply reply) {
-        serve_peer(std::move(request), std::move(reply));
+    peers_ = serve(settings_.peers_address, [this](const http_request& request, const http_reply& reply) {
+        serve_peer(request, reply);
     });
     metrics_ = serve(settings_.metrics_address, [this](const http_request&, const http_reply& reply) {
         reply({200, {{"Content-Type", "text/plain; version=0.0.4"}}, format_metrics()});
@@ -199,7 +199,7 @@
     return callers_ && readiness_ && peers_ && metrics_;
 }
 
-void flow_app::serve_caller(http_request request, http_reply reply)
+void flow_app::serve_caller(const http_request& request, http_reply reply)
 {
     auto decoded = platform::read_request(request);
     if (!decoded) {
@@ -213,7 +213,7 @@
     });
 }
 
-void flow_app::serve_peer(http_request request, http_reply reply)
+void flow_app::serve_peer(const http_request& request, const http_reply& reply)
 {
     const auto message = decode_compact<wire::flow_message>(request.body);
     if (request.path != peer_path || !message) {
--- a/src/daemon_flow_app_p.h
+++ b/src/daemon_flow_app_p.h
@@ -56,8 +56,8 @@
     void run(const std::function<void(instant)>& step);
     flow_edges make_edges();
     void send_table(http_call call, std::function<void(http_result)> done);
-    void serve_caller(http_request request, http_reply reply);
-    void serve_peer(http_request request, http_reply reply);
+    void serve_caller(const http_request& request, http_reply reply);
+    void serve_peer(const http_request& request, const http_reply& reply);
     std::string format_metrics();
 
     flow_entry_settings settings_;
--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -21,6 +21,8 @@
 constexpr double strained_tail = 0.95;    // of the target
 constexpr double margin_cut = 0.7;        // of what is believed to be borne, after a strain
 constexpr double margin_least = 0.1;
+constexpr double margin_most = 2.5; // where the model sees more pressure than there is
+constexpr double easy_tail = 0.75;  // of the target
 constexpr double margin_gain = 0.2; // back per second
 // A tail that was driven up comes down over two to three seconds after its cause has gone, as the backlog drains.
 constexpr duration drain_time = std::chrono::milliseconds(1500);
@@ -189,7 +191,9 @@
         refitted_ = now;
         interference_.refit();
     }
-    w.margin = std::min(1.0, w.margin + margin_gain * std::chrono::duration<double>(since).count());
+    if (w.tail < easy_tail) {
+        w.margin = std::min(margin_most, w.margin + margin_gain * std::chrono::duration<double>(since).count());
+    }
     if (w.tail >= strained_tail && w.fillers > 0 && now - w.tightened_at >= drain_time) {
         w.margin = std::max(margin_least, w.margin * margin_cut);
         w.tightened_at = now;
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -119,11 +119,11 @@
     void submit(instant now, const flow_queue& queue, const job_id& job, caller_request request, caller_reply reply);
     std::optional<cell_id> choose_cell(instant now, const flow_queue& queue, const flow_spec& spec);
     std::vector<wire::flow_cell_news>& own_news(instant now);
-    void write_job(instant now, const job_id& job, wire::flow_job_row row, instant give_up, int tries,
+    void write_job(instant now, const job_id& job, const wire::flow_job_row& row, instant give_up, int tries,
                    bool may_be_in_force);
     void on_job_written(instant now, const job_id& job, const wire::flow_job_row& row, instant give_up, int tries,
                         bool may_be_in_force, const store_result& result);
-    void answer_accept(instant now, const job_id& job, caller_answer answer);
+    void answer_accept(instant now, const job_id& job, const caller_answer& answer);
     void ask_state(instant now, const job_id& job, caller_reply reply);
     void read_state(instant now, const job_id& job);
     void cancel(instant now, const job_id& job, instant give_up, caller_reply reply);
@@ -142,7 +142,7 @@
     void read_entries(instant now);
     void learn(const wire::flow_entry_row& row);
     void tell_peers(instant now, bool everyone);
-    void tell(instant now, peer& p, wire::flow_message message);
+    void tell(instant now, peer& p, const wire::flow_message& message);
     wire::flow_hello hello(instant now) const;
     void on_hello(instant now, const wire::flow_hello& hello);
     bool heard(const peer& p, instant now) const;
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -139,7 +139,7 @@
     f.accepting = true;
     f.waiting_accept.push_back(std::move(reply));
     const duration patience = request.patience > duration(0) ? request.patience : default_patience;
-    write_job(now, job, std::move(row), now + patience - answer_margin, 0, false);
+    write_job(now, job, row, now + patience - answer_margin, 0, false);
 }
 
 namespace {
@@ -320,14 +320,14 @@
     return best;
 }
 
-void flow_entry::write_job(instant now, const job_id& job, wire::flow_job_row row, instant give_up, int tries,
+void flow_entry::write_job(instant now, const job_id& job, const wire::flow_job_row& row, instant give_up, int tries,
                            bool may_be_in_force)
 {
     static_cast<void>(now);
     store_transaction t;
     t.checks.push_back({job_key(job), row_version(0)});
     t.puts.push_back({job_key(job), encode_compact(row)});
-    edges_.commit(std::move(t), [this, job, row = std::move(row), give_up, tries,
+    edges_.commit(std::move(t), [this, job, row, give_up, tries,
                                  may_be_in_force](instant then, const store_result& result) {
         on_job_written(then, job, row, give_up, tries, may_be_in_force, result);
     });
@@ -379,7 +379,7 @@
                    unavailable_retry, "the table could not be written"});
 }
 
-void flow_entry::answer_accept(instant now, const job_id& job, caller_answer answer)
+void flow_entry::answer_accept(instant now, const job_id& job, const caller_answer& answer)
 {
     const auto at = followed_.find(job);
     if (at == followed_.end()) {
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -59,6 +59,7 @@
     }
     cells.erase(here_.str());
     std::vector<cell_id> out;
+    out.reserve(cells.size());
     for (const std::string& cell : cells) {
         out.emplace_back(cell);
     }
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -116,14 +116,14 @@
     }
 }
 
-void flow_entry::tell(instant now, peer& p, wire::flow_message message)
+void flow_entry::tell(instant now, peer& p, const wire::flow_message& message)
 {
     static_cast<void>(now);
     if (p.telling) {
         return;
     }
     p.telling = true;
-    edges_.tell(p.identity.address, std::move(message),
+    edges_.tell(p.identity.address, message,
                 [this, id = p.identity.entry](instant then, const std::optional<wire::flow_message>& answer) {
                     const auto at = peers_.find(id);
                     if (at != peers_.end()) {
--- a/src/flow_press.cpp
+++ b/src/flow_press.cpp
@@ -18,10 +18,16 @@
 constexpr double log_tail_most = 2.5;
 constexpr int samples_to_tell = 30; // before others are told
 
+// Where a fit's moments keep the product of two columns.
+std::size_t cell_of(int row, int column)
+{
+    return static_cast<std::size_t>(row) * static_cast<std::size_t>(width) + static_cast<std::size_t>(column);
+}
+
 // Solves a x = b for a symmetric positive definite a of n rows (Cholesky); a and b are used up.
 std::vector<double> solve(std::vector<double> a, std::vector<double> b, int n)
 {
-    const auto at = [n](int row, int column) { return static_cast<std::size_t>(row * n + column); };
+    const auto at = [n](int row, int column) { return static_cast<std::size_t>(row) * static_cast<std::size_t>(n) + static_cast<std::size_t>(column); };
     for (int j = 0; j < n; ++j) {
         for (int k = 0; k < j; ++k) {
             a[at(j, j)] -= a[at(j, k)] * a[at(j, k)];
@@ -55,7 +61,7 @@
 {
     fit f;
     f.name = name;
-    f.moments.assign(static_cast<std::size_t>(width * width), 0);
+    f.moments.assign(cell_of(width, 0), 0);
     f.products.assign(width, 0);
     f.start.assign(filling_most, start_press);
     f.press = f.start;
@@ -99,7 +105,7 @@
             continue;
         }
         for (int j = 0; j < width; ++j) {
-            f.moments[static_cast<std::size_t>(i * width + j)] += xi * x[static_cast<std::size_t>(j)];
+            f.moments[cell_of(i, j)] += xi * x[static_cast<std::size_t>(j)];
         }
         f.products[static_cast<std::size_t>(i)] += xi * y;
     }
@@ -118,16 +124,17 @@
         std::iota(columns.begin(), columns.end(), 0);
         columns.push_back(filling_most);
         const int m = n + 1;
-        std::vector<double> a(static_cast<std::size_t>(m * m));
+        const auto size = static_cast<std::size_t>(m);
+        std::vector<double> a(size * size);
         std::vector<double> b(static_cast<std::size_t>(m));
         for (int i = 0; i < m; ++i) {
             const int ci = columns[static_cast<std::size_t>(i)];
             for (int j = 0; j < m; ++j) {
-                a[static_cast<std::size_t>(i * m + j)] =
-                    f.moments[static_cast<std::size_t>(ci * width + columns[static_cast<std::size_t>(j)])];
+                a[static_cast<std::size_t>(i) * size + static_cast<std::size_t>(j)] =
+                    f.moments[cell_of(ci, columns[static_cast<std::size_t>(j)])];
             }
             const bool base = i == n;
-            a[static_cast<std::size_t>(i * m + i)] += base ? ridge_base : ridge;
+            a[static_cast<std::size_t>(i) * size + static_cast<std::size_t>(i)] += base ? ridge_base : ridge;
             b[static_cast<std::size_t>(i)] =
                 f.products[static_cast<std::size_t>(ci)] +
                 (base ? ridge_base * start_base : ridge * f.start[static_cast<std::size_t>(i)]);
@@ -162,7 +169,7 @@
     for (const fit& f : serving_) {
         for (int i = 0; f.samples >= samples_to_tell && i < filling_count(); ++i) {
             const auto at = static_cast<std::size_t>(i);
-            if (f.moments[static_cast<std::size_t>(i * width + i)] > 4 * ridge) {
+            if (f.moments[cell_of(i, i)] > 4 * ridge) {
                 out[f.name + "|" + filling_names_[at]] = f.press[at];
             }
         }
@@ -207,6 +214,7 @@
     });
     std::vector<int> paces(shares.size(), 100);
     std::vector<double> left;
+    left.reserve(serving.size());
     for (const serving_bearing& s : serving) {
         left.push_back(s.bears);
     }
