--- a/src/daemon_main.cpp
+++ b/src/daemon_main.cpp
@@ -1,4 +1,6 @@
 // skylarkhubd: one entry. Exit codes: 0 stopped as asked, 1 cannot start, 2 wrong use or settings.
+#include <absl/debugging/failure_signal_handler.h>
+#include <absl/debugging/symbolize.h>
 #include <fmt/format.h>
 #include <pthread.h>
 #include <signal.h>
@@ -147,6 +149,10 @@
 
 int main(int argc, char** argv)
 {
+    // A crash tells where, on standard error, before the process ends.
+    absl::InitializeSymbolizer(argv[0]);
+    absl::InstallFailureSignalHandler(absl::FailureSignalHandlerOptions());
+
     cxxopts::Options options("skylarkhubd", "One entry of skylarkhub: request path, control path and settings.");
     options.add_options()("platform", "run on the platform, with the settings file that SKYLARKHUB_NODE_FILE names")(
         "settings", "settings file (JSON), see docs/SETTINGS.md", cxxopts::value<std::string>())(
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -210,7 +210,7 @@
 void flow_cell::send_stop(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries)
 {
     const auto at = workers_.find(id);
-    if (at == workers_.end()) {
+    if (at == workers_.end() || !owns()) {
         return;
     }
     if (!may_send(now)) {
