--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -478,9 +478,11 @@
                                       assigned_cpu_[cell_id(news.cell)];
             const bool fits_worker = pool.largest_free_memory_mib >= step.need.memory_mib &&
                                      (step.filling || tasks_that_fit(pool, wants, alone) > 0);
+            // An owner that has just taken its cell over has heard of no worker yet.
+            const std::int64_t largest_free = pool.each.empty() ? 0 : pool.each.front().free_cpu_millis;
             const auto together = pool.serving_cpu_millis.find(step.image);
             const std::int64_t score = step.lasting
-                                           ? 1 + pool.each.front().free_cpu_millis +
+                                           ? 1 + largest_free +
                                                  (together == pool.serving_cpu_millis.end() ? 0 : together->second)
                                            : left;
             if (pool.service_name == service && labelled && fits_worker &&
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -470,3 +470,27 @@
         }
     }
 }
+
+BOOST_AUTO_TEST_CASE(a_cell_whose_owner_has_heard_of_no_worker_yet_is_no_place_and_no_harm)
+{
+    // A lasting task waits in a full cell while the owner of the other has just taken over and its workers do not answer: it
+    // tells of a pool without one worker. Looking for room there must find none, and the waiting goes on.
+    flow_world w({.data_centres = {"a", "b"}, .workers_each = 1, .worker_cpu = 4000});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, lasting_spec(2, 4000)) == caller_result::accepted);
+    w.run_for(3s);
+    BOOST_REQUIRE(w.submit(0, job_b, lasting_spec(2, 4000)) == caller_result::accepted);
+    for (int round = 0; round < 4; ++round) {
+        w.worker(round % 2).reachable = false;
+        const int first = round % 2 * 2;
+        w.kill_entry(first);
+        w.kill_entry(first + 1);
+        w.start_entry(first);
+        w.start_entry(first + 1);
+        w.run_for(5s);
+        w.worker(round % 2).reachable = true;
+        w.run_for(3s);
+    }
+    BOOST_TEST(w.running_count() == 2);
+    check_no_faults(w);
+}
