--- a/src/daemon_flow_app.cpp
+++ b/src/daemon_flow_app.cpp
@@ -190,9 +190,8 @@
         absl::MutexLock lock(&mutex_);
         reply({entry_->ready(read_clock()) ? 200 : 503, {}, ""});
     });
-    peers_ = serve(settings_.peers_address, [this](const http_request& request, const http_reply& reply) {
-        serve_peer(request, reply);
-    });
+    peers_ = serve(settings_.peers_address,
+                   [this](const http_request& request, const http_reply& reply) { serve_peer(request, reply); });
     metrics_ = serve(settings_.metrics_address, [this](const http_request&, const http_reply& reply) {
         reply({200, {{"Content-Type", "text/plain; version=0.0.4"}}, format_metrics()});
     });
--- a/src/daemon_ticker.cpp
+++ b/src/daemon_ticker.cpp
@@ -3,7 +3,6 @@
 #include <map>
 
 #include "daemon_app_p.h"
-#include "log_line_p.h"
 #include "daemon_clock_p.h"
 #include "log_line_p.h"
 
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -296,7 +296,7 @@
     std::map<job_id, std::unique_ptr<flow_job>> jobs_;
     std::map<ready_key, job_id> ready_;
     std::set<job_id> unclaimed_; // known since the takeover; nothing is decided for them before the claim is in the row
-    std::set<job_id> awaited_; // known since the takeover; unfound tasks may still run on a worker not accounted for
+    std::set<job_id> awaited_;   // known since the takeover; unfound tasks may still run on a worker not accounted for
     std::set<job_id> timed_;
     std::map<job_id, instant> put_away_; // ended jobs, until no late page can tell of them any more
     std::map<std::string, part_state> parts_;
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -479,9 +479,9 @@
     place_soon(now);
 }
 
-// An owner that has been followed does not know it yet, and what it had decided may still be written: that a waiting task
-// goes to another cell, say, which its follower starts here at the same moment. So the follower first writes its epoch
-// into the row; a write of the owner before it either came into force by then, and is seen, or conflicts.
+// An owner that has been followed does not know it yet, and what it had decided may still be written: that a waiting
+// task goes to another cell, say, which its follower starts here at the same moment. So the follower first writes its
+// epoch into the row; a write of the owner before it either came into force by then, and is seen, or conflicts.
 void flow_cell::claim_job(instant now, flow_job& job)
 {
     if (job.ended()) {
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -327,10 +327,10 @@
     store_transaction t;
     t.checks.push_back({job_key(job), row_version(0)});
     t.puts.push_back({job_key(job), encode_compact(row)});
-    edges_.commit(std::move(t), [this, job, row, give_up, tries,
-                                 may_be_in_force](instant then, const store_result& result) {
-        on_job_written(then, job, row, give_up, tries, may_be_in_force, result);
-    });
+    edges_.commit(std::move(t),
+                  [this, job, row, give_up, tries, may_be_in_force](instant then, const store_result& result) {
+                      on_job_written(then, job, row, give_up, tries, may_be_in_force, result);
+                  });
 }
 
 void flow_entry::on_job_written(instant now, const job_id& job, const wire::flow_job_row& row, instant give_up,
@@ -481,10 +481,9 @@
             // An owner that has just taken its cell over has heard of no worker yet.
             const std::int64_t largest_free = pool.each.empty() ? 0 : pool.each.front().free_cpu_millis;
             const auto together = pool.serving_cpu_millis.find(step.image);
-            const std::int64_t score = step.lasting
-                                           ? 1 + largest_free +
-                                                 (together == pool.serving_cpu_millis.end() ? 0 : together->second)
-                                           : left;
+            const std::int64_t score =
+                step.lasting ? 1 + largest_free + (together == pool.serving_cpu_millis.end() ? 0 : together->second)
+                             : left;
             if (pool.service_name == service && labelled && fits_worker &&
                 (step.lasting || left >= step.need.cpu_millis) && score > best_score) {
                 best = &news;
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -94,8 +94,8 @@
     std::int32_t note_failure(const flow_task_id& task);
     void note_checkpoint(const flow_task_id& task, const std::string& checkpoint);
     void note_cancelled();
-    // Says in the row that the owner of `here` of this epoch has taken the job on. From then on no write of an owner before
-    // it can come into force, since that checks the row's version as it was.
+    // Says in the row that the owner of `here` of this epoch has taken the job on. From then on no write of an owner
+    // before it can come into force, since that checks the row's version as it was.
     void claim(epoch cell_epoch);
     // The newest epoch of `here` that has claimed it or was named when it was bound.
     epoch newest_epoch() const;
--- a/src/flow_press.cpp
+++ b/src/flow_press.cpp
@@ -27,7 +27,9 @@
 // Solves a x = b for a symmetric positive definite a of n rows (Cholesky); a and b are used up.
 std::vector<double> solve(std::vector<double> a, std::vector<double> b, int n)
 {
-    const auto at = [n](int row, int column) { return static_cast<std::size_t>(row) * static_cast<std::size_t>(n) + static_cast<std::size_t>(column); };
+    const auto at = [n](int row, int column) {
+        return static_cast<std::size_t>(row) * static_cast<std::size_t>(n) + static_cast<std::size_t>(column);
+    };
     for (int j = 0; j < n; ++j) {
         for (int k = 0; k < j; ++k) {
             a[at(j, j)] -= a[at(j, k)] * a[at(j, k)];
--- a/src/flow_types_p.h
+++ b/src/flow_types_p.h
@@ -13,7 +13,7 @@
 namespace skylarkhub {
 
 using queue_id = detail::name<struct queue_tag>;
-using run_number = detail::counter<struct run_tag>; // of a task; rises with every start over the task's life
+using run_number = detail::counter<struct run_tag>;        // of a task; rises with every start over the task's life
 using end_number = detail::counter<struct worker_end_tag>; // of the ends that one life of a worker has listed
 
 // --- work ---
--- a/src/log_line.cpp
+++ b/src/log_line.cpp
@@ -36,8 +36,7 @@
     line += '"';
 }
 
-std::string format_fields(std::string_view subject, std::string_view event,
-                          std::initializer_list<log_field> fields)
+std::string format_fields(std::string_view subject, std::string_view event, std::initializer_list<log_field> fields)
 {
     std::string text = fmt::format("{} {}", subject, event);
     for (const log_field& field : fields) {
--- a/src/log_line_p.h
+++ b/src/log_line_p.h
@@ -19,12 +19,13 @@
     std::string value;
 };
 
-// Lines on their way to a file, most often a pipe. Never waits for the reader: what the file does not take is kept up to
-// waiting_bytes_most; lines beyond that are dropped and counted, and the count is told by a line of its own once there is
-// room again. A line that repeats the one before is counted instead of written.
+// Lines on their way to a file, most often a pipe. Never waits for the reader: what the file does not take is kept up
+// to waiting_bytes_most; lines beyond that are dropped and counted, and the count is told by a line of its own once
+// there is room again. A line that repeats the one before is counted instead of written.
 class log_queue {
 public:
-    static constexpr std::size_t waiting_bytes_most = 256 << 10; // some seconds of the heaviest day, 1% of an entry's memory
+    static constexpr std::size_t waiting_bytes_most =
+        256 << 10; // some seconds of the heaviest day, 1% of an entry's memory
 
     explicit log_queue(int file);
     ~log_queue();
@@ -37,7 +38,8 @@
     std::int64_t bytes() const; // written so far
 
 private:
-    static constexpr std::size_t flush_bytes = 2048; // written at once: a system call each line costs more than the line
+    static constexpr std::size_t flush_bytes =
+        2048; // written at once: a system call each line costs more than the line
     static constexpr absl::Duration flush_interval = absl::Milliseconds(50);
 
     void tell_repeats() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -289,8 +289,8 @@
 
 constexpr int entries = 6; // of the random tests
 
-// Entries killed and started, cut off from the table and from each other, answers lost, workers crashed and cut off, in an
-// order drawn from the seed. Afterwards every accepted job ends, and no promise was broken on the way.
+// Entries killed and started, cut off from the table and from each other, answers lost, workers crashed and cut off, in
+// an order drawn from the seed. Afterwards every accepted job ends, and no promise was broken on the way.
 void play_random_faults(std::uint64_t seed, std::int64_t worker_cpu)
 {
     flow_world w({.seed = seed,
@@ -377,7 +377,10 @@
 BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults)
 {
     for (std::uint64_t seed = 1; seed <= random_seeds; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed) { play_random_faults(seed, 16000); }
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            play_random_faults(seed, 16000);
+        }
     }
 }
 
@@ -385,7 +388,10 @@
 {
     // Three tasks fill a worker: many find no room in their cell and are given to the other, while owners change.
     for (std::uint64_t seed = 1; seed <= random_seeds; ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed) { play_random_faults(seed + 1000, 1500); }
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            play_random_faults(seed + 1000, 1500);
+        }
     }
 }
 
@@ -410,8 +416,8 @@
 BOOST_AUTO_TEST_CASE(an_owner_that_was_followed_gives_no_task_away)
 {
     // An owner is cut off; another takes its cell over and gives a waiting task to cell B, where it runs. The cut heals
-    // towards the peers first: the old owner, which does not know yet, gives the same task to cell C, and its write goes out
-    // when the table is reached again. In force, that write would have the task run in B and in C.
+    // towards the peers first: the old owner, which does not know yet, gives the same task to cell C, and its write
+    // goes out when the table is reached again. In force, that write would have the task run in B and in C.
     for (int healed_after = 0; healed_after < 12; ++healed_after) {
         BOOST_TEST_CONTEXT("round " << healed_after)
         {
@@ -473,8 +479,8 @@
 
 BOOST_AUTO_TEST_CASE(a_cell_whose_owner_has_heard_of_no_worker_yet_is_no_place_and_no_harm)
 {
-    // A lasting task waits in a full cell while the owner of the other has just taken over and its workers do not answer: it
-    // tells of a pool without one worker. Looking for room there must find none, and the waiting goes on.
+    // A lasting task waits in a full cell while the owner of the other has just taken over and its workers do not
+    // answer: it tells of a pool without one worker. Looking for room there must find none, and the waiting goes on.
     flow_world w({.data_centres = {"a", "b"}, .workers_each = 1, .worker_cpu = 4000});
     w.run_for(2s);
     BOOST_REQUIRE(w.submit(0, job_a, lasting_spec(2, 4000)) == caller_result::accepted);
--- a/tests/test_flow_job.cpp
+++ b/tests/test_flow_job.cpp
@@ -115,8 +115,8 @@
 
 BOOST_AUTO_TEST_CASE(a_claim_shows_an_earlier_owner_that_it_was_followed)
 {
-    // The owner of epoch 3 meets a row that the owner of epoch 4 has claimed: by that it knows that it was followed, also
-    // when its own write, which conflicted, had given a task to another cell.
+    // The owner of epoch 3 meets a row that the owner of epoch 4 has claimed: by that it knows that it was followed,
+    // also when its own write, which conflicted, had given a task to another cell.
     flow_job followed(job, here, two_steps(), row_version(1));
     flow_job follower(job, here, two_steps(), row_version(1));
     follower.claim(epoch(4));
--- a/tests/test_log.cpp
+++ b/tests/test_log.cpp
@@ -36,8 +36,8 @@
 
 BOOST_AUTO_TEST_CASE(a_reader_that_never_reads_holds_nothing_up)
 {
-    // Nobody reads the pipe. Lines are taken without waiting, kept up to the limit, then dropped and counted; when somebody
-    // reads again, a line tells how many are missing.
+    // Nobody reads the pipe. Lines are taken without waiting, kept up to the limit, then dropped and counted; when
+    // somebody reads again, a line tells how many are missing.
     pipe_pair p;
     log_queue queue(p.ends[1]);
     constexpr int lines = 20000;
