--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -436,7 +436,7 @@
     news.cell = cell.str();
     message.rows.push_back(std::move(news));
     edges_.tell(
-        owner->identity.address, std::move(message),
+        owner->identity.address, message,
         [this, cell, job, version = at->second.version](instant, const std::optional<wire::flow_message>& answer) {
             const auto row = untold_.find({cell, job});
             if (row == untold_.end()) {
@@ -522,9 +522,9 @@
     news.swap(state_news_);
     for (auto& [address, states] : news) {
         wire::flow_message message;
-        message.states = std::move(states);
+        message.states = states;
         // A message that is lost costs its job one read of the table, when its caller asks again.
-        edges_.tell(address, std::move(message), [](instant, const std::optional<wire::flow_message>&) {});
+        edges_.tell(address, message, [](instant, const std::optional<wire::flow_message>&) {});
     }
 }
 
@@ -638,20 +638,21 @@
             reply({caller_result::cancelled, flow_state::cancelled, 0, duration(0), ""});
             return;
         }
-        write_cancel(then, job, std::move(*row), page.rows.front().version, give_up, reply);
+        write_cancel(then, job, *row, page.rows.front().version, give_up, reply);
     });
     static_cast<void>(now);
 }
 
-void flow_entry::write_cancel(instant now, const job_id& job, wire::flow_job_row row, row_version version,
-                              instant give_up, caller_reply reply)
+void flow_entry::write_cancel(instant now, const job_id& job, const wire::flow_job_row& before,
+                              row_version version, instant give_up, caller_reply reply)
 {
     static_cast<void>(now);
+    wire::flow_job_row row = before;
     row.cancelled = true;
     store_transaction t;
     t.checks.push_back({job_key(job), version});
     t.puts.push_back({job_key(job), encode_compact(row)});
-    edges_.commit(std::move(t), [this, job, row = std::move(row), give_up,
+    edges_.commit(std::move(t), [this, job, row, give_up,
                                  reply = std::move(reply)](instant then, const store_result& result) {
         if (result.outcome == table_outcome::applied) {
             edges_.note(log_level::info, "job", "cancel_accepted",
