--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -34,6 +34,7 @@
   4: map<i32, i32> failures   // task -> runs that failed
   5: map<i32, string> checkpoints
   6: map<i32, flow_home_row> homes
+  7: map<i32, i64> failed_runs // task -> the newest run counted in `failures`
 }
 
 struct flow_job_row {
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -306,7 +306,7 @@
         ++stats_.failed;
         task->failed_on = w.listing.worker;
         if (!step.lasting) {
-            job.note_failure(end.task);
+            job.note_failure(end.task, end.run);
         }
         distrust(now, w, 1);
         break;
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -127,8 +127,8 @@
     void ask_state(instant now, const job_id& job, caller_reply reply);
     void read_state(instant now, const job_id& job);
     void cancel(instant now, const job_id& job, instant give_up, caller_reply reply);
-    void write_cancel(instant now, const job_id& job, const wire::flow_job_row& before, row_version version, instant give_up,
-                      caller_reply reply);
+    void write_cancel(instant now, const job_id& job, const wire::flow_job_row& before, row_version version,
+                      instant give_up, caller_reply reply);
     std::int64_t count_pending(const queue_id& queue) const;
     void tell_cell(instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row,
                    row_version version);
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -643,8 +643,8 @@
     static_cast<void>(now);
 }
 
-void flow_entry::write_cancel(instant now, const job_id& job, const wire::flow_job_row& before,
-                              row_version version, instant give_up, caller_reply reply)
+void flow_entry::write_cancel(instant now, const job_id& job, const wire::flow_job_row& before, row_version version,
+                              instant give_up, caller_reply reply)
 {
     static_cast<void>(now);
     wire::flow_job_row row = before;
@@ -652,8 +652,8 @@
     store_transaction t;
     t.checks.push_back({job_key(job), version});
     t.puts.push_back({job_key(job), encode_compact(row)});
-    edges_.commit(std::move(t), [this, job, row, give_up,
-                                 reply = std::move(reply)](instant then, const store_result& result) {
+    edges_.commit(std::move(t), [this, job, row, give_up, reply = std::move(reply)](instant then,
+                                                                                    const store_result& result) {
         if (result.outcome == table_outcome::applied) {
             edges_.note(log_level::info, "job", "cancel_accepted",
                         {{"job", job.str()}, {"version", std::to_string(result.version.value())}});
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -130,6 +130,10 @@
         if (failures != row.failures.end()) {
             task.failures = std::max(task.failures, failures->second);
         }
+        const auto failed_run = row.failed_runs.find(index);
+        if (failed_run != row.failed_runs.end()) {
+            task.last_failed = std::max(task.last_failed, run_number(failed_run->second));
+        }
         const auto checkpoint = row.checkpoints.find(index);
         if (checkpoint != row.checkpoints.end() && task.checkpoint.empty()) {
             task.checkpoint = checkpoint->second;
@@ -239,12 +243,17 @@
     return true;
 }
 
-std::int32_t flow_job::note_failure(const flow_task_id& task)
+std::int32_t flow_job::note_failure(const flow_task_id& task, run_number run)
 {
     flow_task* const t = find_task(task);
     if (t == nullptr) {
         return 0;
     }
+    // An end that is durable but not confirmed yet is listed again to the next owner.
+    if (run <= t->last_failed) {
+        return t->failures;
+    }
+    t->last_failed = run;
     ++changes_;
     return ++t->failures;
 }
@@ -354,6 +363,7 @@
             }
             if (task.failures > 0) {
                 s.failures[index] = task.failures;
+                s.failed_runs[index] = task.last_failed.value();
                 any = true;
             }
             if (!task.checkpoint.empty()) {
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -27,6 +27,7 @@
     task_stage stage = task_stage::closed;
     run_number last_run; // highest used
     std::int32_t failures = 0;
+    run_number last_failed; // the newest run counted in `failures`
     std::string checkpoint;
     instant ready_since{};
     std::vector<live_run> runs; // more than one only for speculative steps
@@ -90,8 +91,8 @@
     void note_started();
     // False when it was done already.
     bool note_done(const flow_task_id& task);
-    // The number of failed runs so far.
-    std::int32_t note_failure(const flow_task_id& task);
+    // The number of failed runs so far. A run counts once, however often its end is listed.
+    std::int32_t note_failure(const flow_task_id& task, run_number run);
     void note_checkpoint(const flow_task_id& task, const std::string& checkpoint);
     void note_cancelled();
     // Says in the row that the owner of `here` of this epoch has taken the job on. From then on no write of an owner
--- a/tests/test_flow_job.cpp
+++ b/tests/test_flow_job.cpp
@@ -125,3 +125,15 @@
     followed.merge(instant{}, follower.current_row(), row_version(2));
     BOOST_TEST((followed.newest_epoch() == epoch(4)));
 }
+
+BOOST_AUTO_TEST_CASE(a_failed_run_counts_once_however_often_its_end_is_listed)
+{
+    // An owner has counted a failed run in the row and dies before it has confirmed the end. The worker lists it again
+    // to the next owner: counted twice, the job would be shown as failed though no task has failed so often.
+    flow_job first(job, here, two_steps(), row_version(1));
+    BOOST_TEST(first.note_failure({job, 0, 0, 0}, run_number(1)) == 1);
+    flow_job next(job, here, first.current_row(), row_version(2));
+    BOOST_TEST(next.note_failure({job, 0, 0, 0}, run_number(1)) == 1);
+    BOOST_TEST(!next.dirty());
+    BOOST_TEST(next.note_failure({job, 0, 0, 0}, run_number(1001)) == 2);
+}
