--- a/tests/support_site.cpp
+++ b/tests/support_site.cpp
@@ -170,17 +170,22 @@
 {
     std::vector<std::string> addresses;
     const bool told = wait_for([&] {
-        const std::string text = output();
-        if (text.find('\n') == std::string::npos) {
-            return !running();
-        }
-        std::istringstream words(text);
-        std::string word;
-        words >> word;
-        while (words >> word) {
-            addresses.push_back(word);
+        // The line stands among those of the log.
+        std::istringstream lines(output());
+        std::string line;
+        while (std::getline(lines, line) && !lines.eof()) {
+            std::istringstream words(line);
+            std::string word;
+            words >> word;
+            if (word != "listening") {
+                continue;
+            }
+            while (words >> word) {
+                addresses.push_back(word);
+            }
+            return true;
         }
-        return true;
+        return !running();
     });
     if (!told || addresses.empty()) {
         throw std::runtime_error(name_ + " does not listen");
