--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -107,7 +107,7 @@
   2: i64 epoch = 0
   3: list<flow_pool_row> pools
   4: map<string, i32> pending // queue -> jobs no task of which has started
-  5: map<string, double> presses // "SERVING|FILLING" -> see interference_model; now and then only
+  5: map<string, double> presses // "SERVING|FILLING" -> see interference_model
 }
 
 struct flow_hello {
@@ -116,7 +116,6 @@
   3: i64 config_version = 0
   4: list<flow_cell_news> cells // that it owns
   5: list<flow_entry_row> members
-  6: bool reaches_table = false
 }
 
 // A row that an entry has written and the job's owner must know.
--- a/src/daemon_app.cpp
+++ b/src/daemon_app.cpp
@@ -1,12 +1,10 @@
 #include "daemon_app_p.h"
 
-#include <fmt/format.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <map>
 
 #include "daemon_clock_p.h"
+#include "daemon_life_p.h"
 #include "log_line_p.h"
 
 namespace skylarkhub {
@@ -20,29 +18,11 @@
 constexpr duration hand_over_most = std::chrono::seconds(10);
 constexpr duration stop_poll = std::chrono::milliseconds(20);
 
-incarnation_id make_incarnation(const entry_settings& settings)
-{
-    return incarnation_id(fmt::format("{}@{}-{}", settings.name.str(), wall_ms(read_wall_clock()), getpid()));
-}
-
-// Waits for `done` at most `most`; false when it did not come.
-template <class Done> bool wait_until(duration most, Done done)
-{
-    const instant end = read_clock() + most;
-    while (!done()) {
-        if (read_clock() > end) {
-            return false;
-        }
-        std::this_thread::sleep_for(stop_poll);
-    }
-    return true;
-}
-
 } // namespace
 
 daemon_app::daemon_app(const entry_settings& settings)
     : settings_(settings),
-      self_(make_incarnation(settings)),
+      self_(make_incarnation(settings.name)),
       pool_(pool_threads),
       platform_(control_http_, {.address = settings.platform_address,
                                 .writes_per_second = settings.table_writes_per_second,
@@ -149,10 +129,10 @@
     cells_->plan_stop();
     http_server_->stop_accepting();
     const bool drained =
-        wait_until(drain_most, [this] { return router_->drained() && http_server_->in_flight() == 0; });
-    const bool handed = wait_until(hand_over_most, [this] { return cells_->handed_over(); });
+        wait_until(drain_most, stop_poll, [this] { return router_->drained() && http_server_->in_flight() == 0; });
+    const bool handed = wait_until(hand_over_most, stop_poll, [this] { return cells_->handed_over(); });
     // Those in use end with their next answer; what is idle for so long is not in use.
-    wait_until(linger_most, [this] { return http_server_->connections() == 0; });
+    wait_until(linger_most, stop_poll, [this] { return http_server_->connections() == 0; });
     write_log(drained && handed ? log_level::info : log_level::warning, "entry", "stopped",
               {{"drained", drained ? "yes" : "no"}, {"handed_over", handed ? "yes" : "no"}});
     platform_.unregister_instance(self_.str(), [](bool) {});
--- a/src/daemon_clock_p.h
+++ b/src/daemon_clock_p.h
@@ -1,17 +1,11 @@
-// The only places where the daemon reads a clock.
+// The daemon's clocks; it reads no other.
 #pragma once
 
+#include "platform_timer_p.h" // read_clock, the monotonic clock
 #include "skylarkhub/skylarkhub.h"
 
 namespace skylarkhub {
 
-// Monotonic; goes on while the process is stopped, so an entry that was frozen sees that time has passed.
-inline instant read_clock()
-{
-    const auto since = std::chrono::steady_clock::now().time_since_epoch();
-    return instant(std::chrono::duration_cast<duration>(since));
-}
-
 // For due times and records only; never for leases.
 inline wall_time read_wall_clock()
 {
--- a/src/daemon_flow_app.cpp
+++ b/src/daemon_flow_app.cpp
@@ -1,11 +1,11 @@
 #include "daemon_flow_app_p.h"
 
 #include <fmt/format.h>
-#include <unistd.h>
 
 #include "../platform/caller_wire.h"
 #include "../platform/edges.h"
 #include "daemon_clock_p.h"
+#include "daemon_life_p.h"
 #include "log_line_p.h"
 #include "row_codec_p.h"
 
@@ -23,74 +23,13 @@
 
 } // namespace
 
-// --- flow_timer ---
-
-flow_timer::flow_timer(std::function<void(std::function<void(instant)>)> run) : run_(std::move(run))
-{
-    thread_ = std::thread([this] { work(); });
-}
-
-flow_timer::~flow_timer()
-{
-    stop();
-}
-
-void flow_timer::stop()
-{
-    {
-        absl::MutexLock lock(&mutex_);
-        stopping_ = true;
-    }
-    if (thread_.joinable()) {
-        thread_.join();
-    }
-}
-
-void flow_timer::after(duration wait, std::function<void(instant)> step)
-{
-    absl::MutexLock lock(&mutex_);
-    steps_.emplace(read_clock() + wait, std::move(step));
-}
-
-void flow_timer::work()
-{
-    while (true) {
-        std::vector<std::function<void(instant)>> due;
-        {
-            absl::MutexLock lock(&mutex_);
-            const instant now = read_clock();
-            while (!steps_.empty() && steps_.begin()->first <= now) {
-                due.push_back(std::move(steps_.begin()->second));
-                steps_.erase(steps_.begin());
-            }
-            if (due.empty()) {
-                const instant wake = steps_.empty() ? now + std::chrono::seconds(1) : steps_.begin()->first;
-                const instant first = steps_.empty() ? instant::max() : steps_.begin()->first;
-                const auto changed = [this, first]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
-                    return stopping_ || (!steps_.empty() && steps_.begin()->first < first);
-                };
-                mutex_.AwaitWithTimeout(absl::Condition(&changed), absl::Microseconds((wake - now).count()));
-            }
-            if (stopping_) {
-                return;
-            }
-        }
-        for (auto& step : due) {
-            run_(step);
-        }
-    }
-}
-
-// --- flow_app ---
-
 flow_app::flow_app(const flow_entry_settings& settings)
     : settings_(settings),
       table_address_(settings.table_address),
       http_({.connections_per_host = 0, .connections_kept = connections_kept})
 {
     self_.entry = settings.entry;
-    self_.incarnation =
-        incarnation_id(fmt::format("{}@{}-{}", settings.entry.str(), wall_ms(read_wall_clock()), getpid()));
+    self_.incarnation = make_incarnation(settings.entry);
     self_.address = settings.peers_address;
     self_.data_centre = settings.data_centre;
 }
@@ -98,8 +37,6 @@
 std::unique_ptr<flow_app> flow_app::start(const flow_entry_settings& settings, std::string* last_reason)
 {
     auto app = std::unique_ptr<flow_app>(new flow_app(settings));
-    app->timer_ =
-        std::make_unique<flow_timer>([a = app.get()](const std::function<void(instant)>& step) { a->run(step); });
     app->entry_ = std::make_unique<flow_entry>(app->self_, app->make_edges());
     if (!app->listen(last_reason)) {
         return nullptr;
@@ -108,18 +45,20 @@
     return app;
 }
 
+// The parts end one after another, and the clients give every call that is still under way an answer: none of these may
+// reach a part that has gone.
 flow_app::~flow_app()
 {
-    timer_->stop();
-    callers_.reset();
-    readiness_.reset();
-    peers_.reset();
-    metrics_.reset();
+    absl::MutexLock lock(&mutex_);
+    closing_ = true;
 }
 
 void flow_app::run(const std::function<void(instant)>& step)
 {
     absl::MutexLock lock(&mutex_);
+    if (closing_) {
+        return;
+    }
     const instant now = read_clock();
     step(now);
     entry_->settle(now);
@@ -131,7 +70,7 @@
     platform::edge_context context;
     context.http = &http_;
     context.send_table = [this](http_call call, std::function<void(http_result)> done) {
-        send_table(std::move(call), std::move(done));
+        http_.send(std::move(call), std::move(done));
     };
     context.table_address = [this] {
         absl::MutexLock lock(&settings_mutex_);
@@ -156,24 +95,14 @@
             run([&](instant now) { done(now, decoded); });
         });
     };
-    edges.after = [this](duration wait, std::function<void(instant)> step) { timer_->after(wait, std::move(step)); };
+    edges.after = [this](duration wait, std::function<void(instant)> step) {
+        timer_.run_at(read_clock() + wait, [this, step = std::move(step)] { run(step); });
+    };
     edges.wall = &read_wall_clock;
     edges.note = &write_log;
     return edges;
 }
 
-void flow_app::send_table(http_call call, std::function<void(http_result)> done)
-{
-    http_.send(std::move(call), [this, done = std::move(done)](http_result answer) {
-        const bool reached = answer.answered && answer.status != 503 && answer.status != 429;
-        if (reached) {
-            absl::MutexLock lock(&mutex_);
-            entry_->note_table(read_clock(), true);
-        }
-        done(std::move(answer));
-    });
-}
-
 bool flow_app::listen(std::string* last_reason)
 {
     const auto serve = [&](const net_address& address, http_handler handler) {
@@ -188,7 +117,7 @@
     });
     readiness_ = serve(settings_.readiness_address, [this](const http_request&, const http_reply& reply) {
         absl::MutexLock lock(&mutex_);
-        reply({entry_->ready(read_clock()) ? 200 : 503, {}, ""});
+        reply({entry_->ready() ? 200 : 503, {}, ""});
     });
     peers_ = serve(settings_.peers_address,
                    [this](const http_request& request, const http_reply& reply) { serve_peer(request, reply); });
@@ -200,13 +129,13 @@
 
 void flow_app::serve_caller(const http_request& request, http_reply reply)
 {
-    auto decoded = platform::read_request(request);
+    const auto decoded = platform::read_request(request);
     if (!decoded) {
         reply({405, {{"Allow", "GET, POST, DELETE"}}, ""});
         return;
     }
     run([&](instant now) {
-        entry_->on_request(now, std::move(*decoded), [reply = std::move(reply)](const caller_answer& answer) {
+        entry_->on_request(now, *decoded, [reply = std::move(reply)](const caller_answer& answer) {
             reply(platform::make_response(answer));
         });
     });
@@ -252,18 +181,10 @@
 void flow_app::stop()
 {
     run([this](instant now) { entry_->plan_stop(now); });
-    const instant end = read_clock() + stop_most;
-    while (read_clock() < end) {
-        bool done = false;
-        {
-            absl::MutexLock lock(&mutex_);
-            done = entry_->stopped();
-        }
-        if (done && callers_->in_flight() == 0) {
-            break;
-        }
-        std::this_thread::sleep_for(stop_poll);
-    }
+    wait_until(stop_most, stop_poll, [this] {
+        absl::MutexLock lock(&mutex_);
+        return entry_->stopped() && callers_->in_flight() == 0;
+    });
     callers_->stop_accepting();
     write_log(log_level::info, "entry", "stopped");
     flush_log();
--- a/src/daemon_flow_app_p.h
+++ b/src/daemon_flow_app_p.h
@@ -3,41 +3,17 @@
 
 #include <absl/synchronization/mutex.h>
 
-#include <atomic>
-#include <condition_variable>
-#include <map>
 #include <memory>
 #include <string>
-#include <thread>
 
 #include "flow_entry_p.h"
 #include "flow_settings_p.h"
 #include "http_client_p.h"
 #include "http_server_p.h"
+#include "platform_timer_p.h"
 
 namespace skylarkhub {
 
-// Callbacks after a delay, all on one thread.
-class flow_timer {
-public:
-    explicit flow_timer(std::function<void(std::function<void(instant)>)> run);
-    ~flow_timer();
-    flow_timer(const flow_timer&) = delete;
-    flow_timer& operator=(const flow_timer&) = delete;
-
-    void after(duration wait, std::function<void(instant)> step);
-    void stop();
-
-private:
-    void work();
-
-    std::function<void(std::function<void(instant)>)> run_;
-    absl::Mutex mutex_;
-    std::multimap<instant, std::function<void(instant)>> steps_ ABSL_GUARDED_BY(mutex_);
-    bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
-    std::thread thread_;
-};
-
 class flow_app {
 public:
     static std::unique_ptr<flow_app> start(const flow_entry_settings& settings, std::string* last_reason);
@@ -55,7 +31,6 @@
     bool listen(std::string* last_reason);
     void run(const std::function<void(instant)>& step);
     flow_edges make_edges();
-    void send_table(http_call call, std::function<void(http_result)> done);
     void serve_caller(const http_request& request, http_reply reply);
     void serve_peer(const http_request& request, const http_reply& reply);
     std::string format_metrics();
@@ -64,9 +39,10 @@
     entry_identity self_;
     absl::Mutex settings_mutex_;
     net_address table_address_ ABSL_GUARDED_BY(settings_mutex_);
-    absl::Mutex mutex_; // of entry_
+    absl::Mutex mutex_;                            // of entry_, which is set before anything else runs
+    bool closing_ ABSL_GUARDED_BY(mutex_) = false; // no step runs any more
     std::unique_ptr<flow_entry> entry_;
-    std::unique_ptr<flow_timer> timer_;
+    platform_timer timer_;
     http_client http_;
     std::unique_ptr<http_server> callers_;
     std::unique_ptr<http_server> readiness_;
--- a/src/daemon_main.cpp
+++ b/src/daemon_main.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "../platform/settings_path.h"
 #include "daemon_app_p.h"
 #include "daemon_flow_app_p.h"
 #include "log_line_p.h"
@@ -56,6 +57,23 @@
     return name == "error" ? log_level::error : log_level::info;
 }
 
+// Reads a settings file and says on standard error what is wrong with it; empty when anything is.
+template <class Parse> auto read_settings(const std::string& path, std::string& text, Parse parse)
+{
+    std::vector<settings_problem> problems;
+    const auto found = read_file(path);
+    if (!found) {
+        fmt::print(stderr, "skylarkhubd: {} cannot be read\n", path);
+        return decltype(parse(text, problems))();
+    }
+    text = *found;
+    auto settings = parse(text, problems);
+    for (const settings_problem& p : problems) {
+        fmt::print(stderr, "skylarkhubd: {}: {}: {}\n", path, p.path, p.reason);
+    }
+    return settings;
+}
+
 int run(const entry_settings& settings)
 {
     const sigset_t signals = block_signals();
@@ -81,21 +99,6 @@
     return 0;
 }
 
-std::optional<flow_entry_settings> read_flow_settings(const std::string& path)
-{
-    const auto text = read_file(path);
-    if (!text) {
-        fmt::print(stderr, "skylarkhubd: {} cannot be read\n", path);
-        return std::nullopt;
-    }
-    std::vector<settings_problem> problems;
-    auto settings = parse_flow_settings(*text, problems);
-    for (const settings_problem& p : problems) {
-        fmt::print(stderr, "skylarkhubd: {}: {}: {}\n", path, p.path, p.reason);
-    }
-    return settings;
-}
-
 // The platform replaces the settings file and may or may not say so by SIGHUP.
 constexpr timespec main_wait{0, 250'000'000};
 constexpr int waits_per_settings_poll = 4;
@@ -103,7 +106,8 @@
 int run_on_platform(const std::string& path)
 {
     const sigset_t signals = block_signals();
-    const auto settings = read_flow_settings(path);
+    std::string text; // of the settings in force
+    const auto settings = read_settings(path, text, &parse_flow_settings);
     if (!settings) {
         return exit_usage;
     }
@@ -115,7 +119,6 @@
     }
     write_log(log_level::info, "entry", "started",
               {{"entry", settings->entry.str()}, {"data_centre", settings->data_centre.str()}});
-    std::string text = read_file(path).value_or("");
     int waits = 0;
     while (true) {
         flush_log();
@@ -133,18 +136,18 @@
         text = newer;
         std::vector<settings_problem> problems;
         const auto changed = parse_flow_settings(newer, problems);
-        write_log(log_level::info, "settings", changed ? "reloaded" : "unreadable",
-                  {{"by", taken == SIGHUP ? "signal" : "change"}});
-        if (changed) {
-            app->change_settings(*changed);
+        const char* const by = taken == SIGHUP ? "signal" : "change";
+        if (!changed) {
+            write_log(log_level::info, "settings", "unreadable", {{"by", by}, {"reason", format_problems(problems)}});
+            continue;
         }
+        write_log(log_level::info, "settings", "reloaded", {{"by", by}});
+        app->change_settings(*changed);
     }
     app->stop();
     return 0;
 }
 
-constexpr const char* settings_variable = "SKYLARKHUB_NODE_FILE";
-
 } // namespace
 
 int main(int argc, char** argv)
@@ -154,11 +157,11 @@
     absl::InstallFailureSignalHandler(absl::FailureSignalHandlerOptions());
 
     cxxopts::Options options("skylarkhubd", "One entry of skylarkhub: request path, control path and settings.");
-    options.add_options()("platform", "run on the platform, with the settings file that SKYLARKHUB_NODE_FILE names")(
+    options.add_options()("platform", "run on the users' platform, which names the settings file")(
         "settings", "settings file (JSON), see docs/SETTINGS.md", cxxopts::value<std::string>())(
         "check", "check the settings file and exit")("version", "print the version and exit")("help",
                                                                                               "print this help");
-    options.custom_help("--settings FILE [--check]");
+    options.custom_help("--settings FILE [--check] | --platform");
     try {
         const auto given = options.parse(argc, argv);
         if (given.count("help") > 0) {
@@ -171,9 +174,9 @@
             return 0;
         }
         if (given.count("platform") > 0) {
-            const char* const path = std::getenv(settings_variable);
+            const char* const path = std::getenv(platform::settings_path_variable);
             if (path == nullptr) {
-                fmt::print(stderr, "skylarkhubd: {} is not set\n", settings_variable);
+                fmt::print(stderr, "skylarkhubd: {} is not set\n", platform::settings_path_variable);
                 return exit_usage;
             }
             return run_on_platform(path);
@@ -183,17 +186,9 @@
             return exit_usage;
         }
         const std::string path = given["settings"].as<std::string>();
-        const auto text = read_file(path);
-        if (!text) {
-            fmt::print(stderr, "skylarkhubd: {} cannot be read\n", path);
-            return exit_usage;
-        }
-        std::vector<settings_problem> problems;
-        const auto settings = parse_entry_settings(*text, problems);
+        std::string text;
+        const auto settings = read_settings(path, text, &parse_entry_settings);
         if (!settings) {
-            for (const settings_problem& p : problems) {
-                fmt::print(stderr, "skylarkhubd: {}: {}: {}\n", path, p.path, p.reason);
-            }
             return exit_usage;
         }
         if (given.count("check") > 0) {
--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -48,10 +48,7 @@
             continue;
         }
         flow_job& job = *found->second;
-        const bool running = std::any_of(job.stages().begin(), job.stages().end(), [](const flow_stage& s) {
-            return std::any_of(s.tasks.begin(), s.tasks.end(), [](const flow_task& k) { return !k.runs.empty(); });
-        });
-        if (job.cancelled() && !job.ended() && !running && all_accounted(now)) {
+        if (job.cancelled() && !job.ended() && !job.running() && all_accounted(now)) {
             job.note_outcome(flow_state::cancelled);
         }
         if (!job.dirty()) {
@@ -102,7 +99,7 @@
                 state.dirty.erase(id);
             }
             if (unclaimed_.erase(id) != 0) {
-                place_soon(now);
+                place_soon();
             }
             tell_others(now, *found->second);
             after_written(now, *found->second);
@@ -137,19 +134,13 @@
 // Everything known of the job may be in its row now: callers learn what has become of it, and an ended job is put away.
 void flow_cell::after_written(instant now, flow_job& job)
 {
-    if (job.dirty()) {
+    if (job.dirty() || !job.ended()) {
         return;
     }
-    if (!job.cancelled() && !job.ended()) {
-        return;
-    }
-    const bool running = std::any_of(job.stages().begin(), job.stages().end(), [](const flow_stage& s) {
-        return std::any_of(s.tasks.begin(), s.tasks.end(), [](const flow_task& t) { return !t.runs.empty(); });
-    });
-    if (job.ended() && job.row().cell == id_.str()) {
+    if (job.row().cell == id_.str()) {
         hooks_.state_changed(now, job.row(), job.id(), state_of(job.row()));
     }
-    if (job.ended() && !running) {
+    if (!job.running()) {
         forget_job(now, job.id());
     }
 }
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -1,6 +1,4 @@
 // Ownership of a cell: watching its row, taking it over, renewing, losing and releasing it.
-#include <fmt/format.h>
-
 #include <algorithm>
 
 #include "flow_cell_p.h"
@@ -28,8 +26,7 @@
     }
     reading_row_ = true;
     row_read_at_ = now;
-    const store_key key = cell_key(id_);
-    edges_.read({key.table, key.part, key.key, key.key + '\0'}, [this](instant then, const store_page& page) {
+    edges_.read(only_row(cell_key(id_)), [this](instant then, const store_page& page) {
         reading_row_ = false;
         if (page.reached) {
             on_row_read(then, page.rows.empty() ? nullptr : &page.rows.front());
@@ -156,14 +153,23 @@
         take(now);
     }
     else {
-        probe_then_take(now);
+        probe_then_take();
     }
 }
 
+// Puts `wanted` in force if the row still is as this entry knows it.
+void flow_cell::write_row(const wire::flow_cell_row& wanted, std::function<void(instant, const store_result&)> done)
+{
+    store_transaction t;
+    t.checks.push_back({cell_key(id_), row_version_});
+    t.puts.push_back({cell_key(id_), encode_compact(wanted)});
+    edges_.commit(std::move(t), std::move(done));
+}
+
 // A data centre that is cut off still has its owner, its workers and its callers: an entry outside that took the cell
 // over could reach no worker, and when the cut heals everything there would change hands for nothing. So one that is
 // outside must first reach a worker. The order is one that does nothing: its fencing token is the lowest.
-void flow_cell::probe_then_take(instant now)
+void flow_cell::probe_then_take()
 {
     if (workers_.empty()) {
         return;
@@ -172,7 +178,6 @@
     auto at = workers_.begin();
     std::advance(at, static_cast<std::ptrdiff_t>(row_read_at_.time_since_epoch().count() %
                                                  static_cast<std::int64_t>(workers_.size())));
-    static_cast<void>(now);
     edges_.order(place_of(at->second), hold_worker{}, hold_timeout, [this](instant then, const order_answer& answer) {
         acting_ = false;
         const bool reached = answer.result != order_result::no_answer && answer.result != order_result::unhealthy;
@@ -197,11 +202,8 @@
     // Whoever owned it before sends nothing any more if it released the row or was an earlier life of this entry.
     const bool certainly_gone = fresh_ || row_.released || row_.owner == self_.entry.str();
     old_owner_gone_ = certainly_gone ? duration(0) : owner_hold;
-    store_transaction t;
-    t.checks.push_back({cell_key(id_), row_version_});
-    t.puts.push_back({cell_key(id_), encode_compact(wanted)});
     renewed_ = now;
-    edges_.commit(std::move(t), [this, wanted](instant then, const store_result& result) {
+    write_row(wanted, [this, wanted](instant then, const store_result& result) {
         acting_ = false;
         on_taken(then, wanted, result);
     });
@@ -233,16 +235,20 @@
     ++stats_.takeovers;
     edges_.note(log_level::info, "cell", "taken",
                 {{"cell", id_.str()}, {"epoch", std::to_string(wanted.epoch)}, {"fresh", fresh_ ? "yes" : "no"}});
+    read_all_jobs();
+}
+
+void flow_cell::read_all_jobs()
+{
     parts_left_ = job_parts;
     watched_ = row_version(std::numeric_limits<std::int64_t>::max());
     for (int part = 0; part < job_parts; ++part) {
-        read_jobs(now, part, "");
+        read_jobs(part, "");
     }
 }
 
-void flow_cell::read_jobs(instant now, int part, std::string from)
+void flow_cell::read_jobs(int part, std::string from)
 {
-    static_cast<void>(now);
     edges_.read({jobs_table, job_part(part), std::move(from), ""},
                 [this, part, life = life_](instant then, const store_page& page) {
                     if (life == life_) {
@@ -254,9 +260,9 @@
 void flow_cell::on_jobs_read(instant now, int part, const store_page& page)
 {
     if (!page.reached) {
-        edges_.after(commit_retry, [this, part, life = life_](instant then) {
+        edges_.after(commit_retry, [this, part, life = life_](instant) {
             if (life == life_) {
-                read_jobs(then, part, "");
+                read_jobs(part, "");
             }
         });
         return;
@@ -269,7 +275,7 @@
         }
     }
     if (page.more && !page.rows.empty()) {
-        read_jobs(now, part, page.rows.back().key.key + '\0');
+        read_jobs(part, page.rows.back().key.key + '\0');
         return;
     }
     if (--parts_left_ == 0 && role_ == role::reading) {
@@ -304,7 +310,7 @@
         job->open_stages(now, edges_.wall());
         index_ready(*job);
     }
-    place_soon(now);
+    place_soon();
 }
 
 std::vector<wire::flow_worker_name> flow_cell::worker_names() const
@@ -348,10 +354,7 @@
     wire::flow_cell_row wanted = row_;
     ++wanted.renewals;
     wanted.workers = worker_names();
-    store_transaction t;
-    t.checks.push_back({cell_key(id_), row_version_});
-    t.puts.push_back({cell_key(id_), encode_compact(wanted)});
-    edges_.commit(std::move(t), [this, wanted, sent = now, life = life_](instant then, const store_result& result) {
+    write_row(wanted, [this, wanted, sent = now, life = life_](instant then, const store_result& result) {
         if (life != life_) {
             return;
         }
@@ -409,7 +412,7 @@
     if (!owns()) {
         return;
     }
-    taken_at_ = now; // of the stop, for release()
+    stop_planned_at_ = now;
     for (auto& [part, state] : parts_) {
         if (!state.dirty.empty()) {
             commit_soon(now, part, duration(0));
@@ -432,18 +435,15 @@
             }
         }
     }
-    if (!settled && now - taken_at_ < stop_settle_most) {
+    if (!settled && now - stop_planned_at_ < stop_settle_most) {
         return;
     }
     acting_ = true;
     wire::flow_cell_row wanted = row_;
     wanted.released = true;
-    store_transaction t;
-    t.checks.push_back({cell_key(id_), row_version_});
-    t.puts.push_back({cell_key(id_), encode_compact(wanted)});
     ++life_; // from here on nothing is sent to a worker
     role_ = role::released;
-    edges_.commit(std::move(t), [this](instant, const store_result& result) {
+    write_row(wanted, [this](instant, const store_result& result) {
         acting_ = false;
         edges_.note(log_level::info, "cell", "released", {{"cell", id_.str()}, {"reason", result.reason}});
     });
@@ -462,11 +462,7 @@
         }
         watching_jobs_ = false;
         if (page.history_gone) {
-            parts_left_ = job_parts;
-            watched_ = row_version(std::numeric_limits<std::int64_t>::max());
-            for (int part = 0; part < job_parts; ++part) {
-                read_jobs(then, part, "");
-            }
+            read_all_jobs();
             return;
         }
         if (!page.reached) {
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -29,7 +29,6 @@
 // What a cell asks of the entry around it.
 struct flow_cell_hooks {
     std::function<const flow_queue*(const queue_id&)> queue; // null: not in the configuration
-    std::function<bool(const std::string& service)> guards_room;
     // Another cell with room for one more task of such a step, with its epoch; empty when none is known. `alone`:
     // beside no serving task of another image.
     std::function<std::optional<std::pair<cell_id, epoch>>(instant, const cell_id& from, const std::string& service,
@@ -97,7 +96,6 @@
     std::int64_t pending(const queue_id& queue) const;
     // Bound to this cell and not ended; null when unknown.
     const flow_job* find_job(const job_id& job) const;
-    std::size_t job_count() const { return jobs_.size(); }
 
 private:
     struct unconfirmed_end {
@@ -122,7 +120,6 @@
         instant lapsed_after{}; // by then every lease given by this cell's owners has certainly ended
         bool holding = false;   // a hold is under way
         bool hold_planned = false;
-        instant hold_sent{};
         instant last_answer{};
         std::int32_t silent = 0; // holds without an answer in a row
         end_number seen;
@@ -137,7 +134,6 @@
         instant no_starts_until{};
         double distrust = 0;
         instant distrust_at{};
-        double slowness = 1;
         // Interference.
         std::vector<serving_group> serving_images; // one for each image that serves there
         std::vector<double> shares;                // of its processors by filling image, smoothed
@@ -155,12 +151,14 @@
 
     // flow_cell_own.cpp
     void consider_takeover(instant now, const cell_candidacy& candidacy);
-    void probe_then_take(instant now);
+    void probe_then_take();
     void take(instant now);
     void on_taken(instant now, const wire::flow_cell_row& wanted, const store_result& result);
-    void read_jobs(instant now, int part, std::string from);
+    void read_jobs(int part, std::string from);
+    void read_all_jobs();
     void on_jobs_read(instant now, int part, const store_page& page);
     void become_owner(instant now);
+    void write_row(const wire::flow_cell_row& wanted, std::function<void(instant, const store_result&)> done);
     void renew(instant now);
     std::vector<wire::flow_worker_name> worker_names() const;
     void note_named(const wire::flow_cell_row& row);
@@ -177,13 +175,13 @@
     void on_held(instant now, const worker_id& id, instant sent, const order_answer& answer);
     void take_inventory(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void take_end(instant now, cell_worker& w, const listed_end& end);
-    void take_running(instant now, cell_worker& w, const listed_run& run, instant sent);
+    void take_running(instant now, cell_worker& w, const listed_run& run);
     void adopt(instant now, cell_worker& w, flow_job& job, const listed_run& run);
     void find_missing(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void confirm_ends(cell_worker& w);
     void worker_died(instant now, cell_worker& w, const std::string& reason);
     void check_lapsed(instant now);
-    std::optional<worker_time> lease_end(cell_worker& w, instant now) const;
+    std::optional<worker_time> lease_end(const cell_worker& w, instant now) const;
     void note_lease(cell_worker& w, instant now) const;
     worker_place place_of(const cell_worker& w) const { return {w.listing.worker, w.listing.address}; }
     bool all_accounted(instant now) const;
@@ -197,10 +195,11 @@
     void stop_gang(instant now, flow_job& job, flow_stage& stage, run_number run);
     void stop_again(const worker_id& id, const flow_task_id& task, run_number run, int tries);
     void stop_job_runs(instant now, flow_job& job);
-    void stop_copies(instant now, flow_job& job, flow_task& task, const flow_task_id& id, run_number winner);
+    void stop_task_runs(instant now, flow_task& task, const flow_task_id& id);
+    void stop_run_once(instant now, live_run& live, const flow_task_id& id);
     void drop_run(instant now, cell_worker& w, const flow_task_id& task, run_number run);
-    void ledger_add(cell_worker& w, const flow_job& job, const flow_step& step, const flow_task_id& task,
-                    run_number run);
+    void ledger_add(cell_worker& w, const flow_step& step, const flow_task_id& task, run_number run);
+    void count_run(cell_worker& w, const ledger_run& run, int change);
     void ledger_remove(cell_worker& w, const flow_task_id& task, run_number run);
     void requeue(instant now, flow_job& job, const flow_task_id& task);
     void after_done(instant now, flow_job& job, const flow_task_id& task);
@@ -212,7 +211,7 @@
     void forget_job(instant now, job_id id);
 
     // flow_cell_placing.cpp
-    void place_soon(instant now);
+    void place_soon() { place_planned_ = true; }
     void place_ready(instant now);
     bool place_stage(instant now, flow_job& job, flow_stage& stage);
     // `near`: the rack where the rest of a gang is; invalid: none.
@@ -239,6 +238,7 @@
     void set_paces(instant now, cell_worker& w);
     void send_paces(instant now, cell_worker& w);
     void evict_fillers(instant now, cell_worker& w);
+    int image_of(const flow_step& step);
     void count_serving(cell_worker& w, const ledger_run& run, int change);
     double pressure_on(const cell_worker& w, const serving_group& group) const;
     double excess_with(const cell_worker& w, int filling, double share) const;
@@ -278,6 +278,7 @@
     skylarkhub::epoch epoch_;
     instant renewed_{}; // when the last renewal that succeeded was sent
     instant taken_at_{};
+    instant stop_planned_at_{};
     duration old_owner_gone_{0}; // how long after taken_at_ the owner before may still have sent
     bool fresh_ = false;         // nobody owned it before
     bool stopping_ = false;
--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -15,7 +15,7 @@
 
 constexpr double share_smoothing_s = 0.8; // measured tails follow the filling work about this much later
 constexpr double level_smoothing_s = 0.7;
-constexpr double log_tail_wanted = -0.05; // 0.8 of the target: a tail swings by a tenth between two looks
+constexpr double log_tail_wanted = -0.05; // 0.95 of the target
 constexpr double load_rise = 0.1;         // ln(tail) by which a serving task's load may rise until the next look
 constexpr double bears_most = 1.5;        // even of an idle one: its load comes back within seconds
 constexpr double strained_tail = 0.95;    // of the target
@@ -69,6 +69,14 @@
     }
 }
 
+int flow_cell::image_of(const flow_step& step)
+{
+    if (step.filling) {
+        return interference_.filling_index(step.image);
+    }
+    return step.tail_target > duration(0) ? interference_.serving_index(step.image) : 0;
+}
+
 // Keeps what is counted of a worker's serving and filling tasks in step with its ledger.
 void flow_cell::count_serving(cell_worker& w, const ledger_run& run, int change)
 {
@@ -289,8 +297,7 @@
                      {"worker", w.listing.worker.str()},
                      {"to", better->listing.worker.str()},
                      {"image", run.image}});
-        t->runs.front().stopping = true;
-        send_stop(now, w.listing.worker, task, run.run, 0);
+        stop_run_once(now, t->runs.front(), task);
         w.next_evict = now + evict_interval;
         return;
     }
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -16,12 +16,6 @@
 
 } // namespace
 
-void flow_cell::place_soon(instant now)
-{
-    static_cast<void>(now);
-    place_planned_ = true;
-}
-
 void flow_cell::settle(instant now)
 {
     if (place_planned_) {
@@ -87,7 +81,6 @@
     option.lasting_cpu = w.lasting_cpu;
     const double age = std::chrono::duration<double>(now - w.distrust_at).count();
     option.distrust = w.distrust * std::exp2(-age / distrust_half_life_s);
-    option.slowness = w.slowness;
     return option;
 }
 
@@ -96,9 +89,7 @@
 {
     const flow_step& step = job.step(stage);
     const bool serves = step.tail_target > duration(0);
-    const int image = step.filling ? interference_.filling_index(step.image)
-                      : serves     ? interference_.serving_index(step.image)
-                                   : 0;
+    const int image = image_of(step);
     cell_worker* best = nullptr;
     double best_cost = 0;
     for (auto& [id, w] : workers_) {
@@ -134,7 +125,7 @@
             }
             interference.mixed = mixed;
         }
-        const flow_task_id first{job.id(), stage.occurrence, stage.step, 0};
+        const flow_task_id first = job.task_id(stage, 0);
         std::int32_t beside = 0;
         for (auto at = w.ledger.lower_bound(first);
              at != w.ledger.end() && at->first.job == job.id() && at->first.occurrence == stage.occurrence &&
@@ -183,16 +174,16 @@
         if (w == nullptr) {
             break;
         }
-        const flow_task_id id{job.id(), stage.occurrence, stage.step, static_cast<std::int32_t>(i)};
+        const flow_task_id id = job.task_id(stage, i);
         const run_number run = job.next_run(task, epoch_);
         gang_run = std::max(gang_run, run);
-        ledger_add(*w, job, step, id, run);
+        ledger_add(*w, step, id, run);
         chosen.emplace_back(i, w);
     }
     const bool all = static_cast<std::int32_t>(chosen.size()) == stage.ready;
     for (const auto& [i, w] : chosen) {
         flow_task& task = stage.tasks[i];
-        const flow_task_id id{job.id(), stage.occurrence, stage.step, static_cast<std::int32_t>(i)};
+        const flow_task_id id = job.task_id(stage, i);
         const run_number own_run = job.next_run(task, epoch_);
         if (step.gang && !all) {
             ledger_remove(*w, id, own_run);
@@ -260,14 +251,13 @@
                 if (!to) {
                     break;
                 }
-                const flow_task_id task_id{id, stage.occurrence, stage.step, static_cast<std::int32_t>(i)};
                 edges_.note(log_level::info, "task", "given_away",
                             {{"job", id.str()},
                              {"step", std::to_string(stage.step)},
                              {"index", std::to_string(i)},
                              {"from", id_.str()},
                              {"to", to->first.str()}});
-                job.give_away(task_id, to->first, to->second, epoch_);
+                job.give_away(job.task_id(stage, i), to->first, to->second, epoch_);
                 given = true;
                 --left;
             }
@@ -347,7 +337,7 @@
         const auto found = jobs_.find(id);
         if (found != jobs_.end() && found->second->open_stages(now, wall)) {
             index_ready(*found->second);
-            place_soon(now);
+            place_soon();
         }
     }
 }
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -11,12 +11,6 @@
 
 namespace {
 
-std::string text_of(const flow_task_id& task)
-{
-    return task.job.str() + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "." +
-           std::to_string(task.index);
-}
-
 live_run* find_run(flow_task& task, const worker_id& worker, run_number run)
 {
     const auto at = std::find_if(task.runs.begin(), task.runs.end(),
@@ -28,34 +22,15 @@
 
 // --- ledgers ---
 
-void flow_cell::ledger_add(cell_worker& w, const flow_job& job, const flow_step& step, const flow_task_id& task,
-                           run_number run)
+void flow_cell::ledger_add(cell_worker& w, const flow_step& step, const flow_task_id& task, run_number run)
 {
-    static_cast<void>(job);
-    const bool serves = step.tail_target > duration(0);
-    const int image = step.filling ? interference_.filling_index(step.image)
-                      : serves     ? interference_.serving_index(step.image)
-                                   : 0;
-    const ledger_run entry{run, step.need, step.filling, step.lasting, step.image, image, step.tail_target};
+    const ledger_run entry{run, step.need, step.filling, step.lasting, step.image, image_of(step), step.tail_target};
     const auto [at, added] = w.ledger.emplace(task, entry);
     if (!added) {
         at->second.run = run;
         return;
     }
-    resources counted = step.need;
-    if (step.filling) {
-        w.filling_cpu += counted.cpu_millis;
-        counted.cpu_millis = 0;
-        ++w.fillers;
-    }
-    if (step.lasting) {
-        w.lasting_cpu += step.need.cpu_millis;
-    }
-    if (step.tail_target > duration(0)) {
-        ++w.serving;
-    }
-    w.held = w.held + counted;
-    count_serving(w, entry, 1);
+    count_run(w, entry, 1);
 }
 
 void flow_cell::ledger_remove(cell_worker& w, const flow_task_id& task, run_number run)
@@ -64,24 +39,26 @@
     if (at == w.ledger.end() || at->second.run != run) {
         return;
     }
-    resources counted = at->second.need;
-    if (at->second.filling) {
-        w.filling_cpu -= counted.cpu_millis;
-        counted.cpu_millis = 0;
-        --w.fillers;
-    }
-    if (at->second.lasting) {
-        w.lasting_cpu -= at->second.need.cpu_millis;
-    }
-    if (at->second.tail_target > duration(0)) {
-        --w.serving;
-    }
-    w.held = w.held - counted;
-    count_serving(w, at->second, -1);
+    count_run(w, at->second, -1);
     w.ledger.erase(at);
     w.paced.erase(task);
 }
 
+// Adds a run to what is counted of its worker, or takes it off again: `change` is 1 or -1.
+void flow_cell::count_run(cell_worker& w, const ledger_run& run, int change)
+{
+    resources counted{run.need.cpu_millis * change, run.need.memory_mib * change, run.need.accelerators * change};
+    w.lasting_cpu += run.lasting ? counted.cpu_millis : 0;
+    w.serving += run.tail_target > duration(0) ? change : 0;
+    if (run.filling) {
+        w.filling_cpu += counted.cpu_millis;
+        w.fillers += change;
+        counted.cpu_millis = 0;
+    }
+    w.held = w.held + counted;
+    count_serving(w, run, change);
+}
+
 // --- starts ---
 
 void flow_cell::send_start(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries)
@@ -166,7 +143,7 @@
         return;
     case order_result::other_life:
         worker_died(now, w, "another life answers at its address");
-        place_soon(now);
+        place_soon();
         return;
     case order_result::stale_run:
         // It ran and has ended, or was stopped: the next exchange lists the end. If it does not, the run is missing.
@@ -202,7 +179,7 @@
         return;
     }
     drop_run(now, w, task, run);
-    place_soon(now);
+    place_soon();
 }
 
 // --- stops ---
@@ -259,10 +236,8 @@
 {
     for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
         for (live_run& live : stage.tasks[i].runs) {
-            if (live.run == run && !live.stopping) {
-                live.stopping = true;
-                send_stop(now, live.worker, {job.id(), stage.occurrence, stage.step, static_cast<std::int32_t>(i)}, run,
-                          0);
+            if (live.run == run) {
+                stop_run_once(now, live, job.task_id(stage, i));
             }
         }
     }
@@ -282,30 +257,28 @@
     for (flow_stage& stage : job.stages()) {
         for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
             flow_task& task = stage.tasks[i];
-            const flow_task_id id{job.id(), stage.occurrence, stage.step, static_cast<std::int32_t>(i)};
             if (task.stage == task_stage::ready) {
                 task.stage = task_stage::closed;
                 --stage.ready;
             }
-            for (live_run& live : task.runs) {
-                if (!live.stopping) {
-                    live.stopping = true;
-                    send_stop(now, live.worker, id, live.run, 0);
-                }
-            }
+            stop_task_runs(now, task, job.task_id(stage, i));
         }
     }
     index_ready(job);
 }
 
-void flow_cell::stop_copies(instant now, flow_job& job, flow_task& task, const flow_task_id& id, run_number winner)
+void flow_cell::stop_task_runs(instant now, flow_task& task, const flow_task_id& id)
 {
-    static_cast<void>(job);
     for (live_run& live : task.runs) {
-        if (live.run != winner && !live.stopping) {
-            live.stopping = true;
-            send_stop(now, live.worker, id, live.run, 0);
-        }
+        stop_run_once(now, live, id);
+    }
+}
+
+void flow_cell::stop_run_once(instant now, live_run& live, const flow_task_id& id)
+{
+    if (!live.stopping) {
+        live.stopping = true;
+        send_stop(now, live.worker, id, live.run, 0);
     }
 }
 
@@ -315,7 +288,7 @@
 void flow_cell::drop_run(instant now, cell_worker& w, const flow_task_id& task, run_number run)
 {
     ledger_remove(w, task, run);
-    place_soon(now);
+    place_soon();
     const auto found = jobs_.find(task.job);
     if (found == jobs_.end()) {
         return;
@@ -355,14 +328,14 @@
 {
     flow_stage* const stage = job.find_stage(task);
     flow_task* const t = job.find_task(task);
-    stop_copies(now, job, *t, task, run_number(0));
+    stop_task_runs(now, *t, task);
     const bool stage_done = stage->done == static_cast<std::int32_t>(stage->tasks.size());
     if (stage_done && job.all_done()) {
         end_job(now, job, flow_state::done);
     }
     else if (stage_done && job.open_stages(now, edges_.wall())) {
         index_ready(job);
-        place_soon(now);
+        place_soon();
     }
     job_changed(now, job, stage_done);
 }
@@ -417,7 +390,7 @@
         job_changed(now, known, true);
     }
     else if (!known.cancelled() && role_ == role::owning && known.open_stages(now, edges_.wall())) {
-        place_soon(now); // another cell has ended the last task of a step
+        place_soon(); // another cell has ended the last task of a step
     }
     if (!known.cancelled() && !known.ended()) {
         index_ready(known);
@@ -476,7 +449,7 @@
     }
     job->open_stages(now, edges_.wall());
     index_ready(*job);
-    place_soon(now);
+    place_soon();
 }
 
 // An owner that has been followed does not know it yet, and what it had decided may still be written: that a waiting
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -13,12 +13,6 @@
 
 namespace {
 
-std::string text_of(const flow_task_id& task)
-{
-    return task.job.str() + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "." +
-           std::to_string(task.index);
-}
-
 // The least wait on our clock after which `d` has certainly passed on a worker's.
 duration certainly(duration d)
 {
@@ -70,13 +64,13 @@
         ++at;
     }
     if (role_ == role::owning) {
-        place_soon(now);
+        place_soon();
     }
 }
 
 // --- leases ---
 
-std::optional<worker_time> flow_cell::lease_end(cell_worker& w, instant now) const
+std::optional<worker_time> flow_cell::lease_end(const cell_worker& w, instant now) const
 {
     if (!w.reading) {
         return std::nullopt;
@@ -113,7 +107,7 @@
     }
     if (!awaited_.empty() && all_accounted(now)) {
         awaited_.clear();
-        place_soon(now);
+        place_soon();
     }
 }
 
@@ -176,7 +170,6 @@
         return;
     }
     w.holding = true;
-    w.hold_sent = now;
     ++stats_.holds;
     hold_worker order;
     order.fence = epoch_;
@@ -227,7 +220,7 @@
         return;
     case order_result::other_life:
         worker_died(now, w, "another life answers at its address");
-        place_soon(now);
+        place_soon();
         return;
     default:
         ++w.silent;
@@ -251,7 +244,7 @@
         }
     }
     for (const listed_run& run : answer.running) {
-        take_running(now, w, run, sent);
+        take_running(now, w, run);
     }
     // What a run takes that the ledger does not know is not known either: a start beside it could go over the room. Its
     // job's row is being read, or it is being stopped.
@@ -265,10 +258,10 @@
     take_measures(now, w, answer);
     if (first && !awaited_.empty() && all_accounted(now)) {
         awaited_.clear();
-        place_soon(now);
+        place_soon();
     }
     if (first) {
-        place_soon(now);
+        place_soon();
     }
 }
 
@@ -346,7 +339,7 @@
     }
 }
 
-void flow_cell::take_running(instant now, cell_worker& w, const listed_run& run, instant sent)
+void flow_cell::take_running(instant now, cell_worker& w, const listed_run& run)
 {
     const auto held = w.ledger.find(run.task);
     const auto found = jobs_.find(run.task.job);
@@ -354,27 +347,25 @@
         if (held == w.ledger.end()) {
             // Not in the rows read so far: its row is new, or the job has ended. Only the row tells which.
             if (reading_jobs_.insert(run.task.job).second) {
-                const store_key key = job_key(run.task.job);
-                edges_.read({key.table, key.part, key.key, key.key + '\0'},
-                            [this, job = run.task.job, id = w.listing.worker, run,
-                             life = life_](instant then, const store_page& page) {
-                                if (life != life_) {
-                                    return;
-                                }
-                                reading_jobs_.erase(job);
-                                if (!page.reached) {
-                                    return; // the next exchange asks again
-                                }
-                                if (!page.rows.empty()) {
-                                    const auto row = decode_compact<wire::flow_job_row>(page.rows.front().value);
-                                    if (row) {
-                                        on_job_row(then, job, *row, page.rows.front().version);
-                                    }
-                                }
-                                if (jobs_.count(job) == 0) {
-                                    send_stop(then, id, run.task, run.run, 0);
-                                }
-                            });
+                edges_.read(only_row(job_key(run.task.job)), [this, job = run.task.job, id = w.listing.worker, run,
+                                                              life = life_](instant then, const store_page& page) {
+                    if (life != life_) {
+                        return;
+                    }
+                    reading_jobs_.erase(job);
+                    if (!page.reached) {
+                        return; // the next exchange asks again
+                    }
+                    if (!page.rows.empty()) {
+                        const auto row = decode_compact<wire::flow_job_row>(page.rows.front().value);
+                        if (row) {
+                            on_job_row(then, job, *row, page.rows.front().version);
+                        }
+                    }
+                    if (jobs_.count(job) == 0) {
+                        send_stop(then, id, run.task, run.run, 0);
+                    }
+                });
             }
         }
         return;
@@ -396,7 +387,6 @@
     if (held != w.ledger.end() && held->second.run > run.run) {
         return; // the newer one is on its way
     }
-    static_cast<void>(sent);
     adopt(now, w, job, run);
 }
 
@@ -410,7 +400,7 @@
         return;
     }
     const flow_step& step = job.step(*stage);
-    ledger_add(w, job, step, run.task, run.run);
+    ledger_add(w, step, run.task, run.run);
     const bool wanted = task->stage != task_stage::done && (task->runs.empty() || step.speculative);
     task->runs.push_back({w.listing.worker, run.run, now, true, !wanted});
     task->last_run = std::max(task->last_run, run.run);
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -15,10 +15,10 @@
 {
     begun_ = now;
     next_hello_ = now;
-    register_self(now);
+    register_self();
     read_entries(now);
-    watch_operator(now);
-    list_workers(now);
+    watch_operator();
+    list_workers();
     edges_.after(tick_interval, [this](instant then) { tick(then); });
 }
 
@@ -32,7 +32,7 @@
         read_entries(now);
     }
     if (now >= next_list_ && !listing_) {
-        list_workers(now);
+        list_workers();
     }
     if (now >= next_untold_ && !untold_.empty()) {
         next_untold_ = now + untold_retry;
@@ -48,7 +48,6 @@
         for (auto& [id, cell] : cells_) {
             cell->tick(now, candidacy(now, *cell));
         }
-        yield_cells(now);
     }
     edges_.after(tick_interval, [this](instant then) { tick(then); });
 }
@@ -58,12 +57,11 @@
     for (auto& [id, cell] : cells_) {
         cell->settle(now);
     }
-    tell_states(now);
+    tell_states();
 }
 
-bool flow_entry::ready(instant now) const
+bool flow_entry::ready() const
 {
-    static_cast<void>(now);
     return config_.has_value() && !leaving_;
 }
 
@@ -85,18 +83,10 @@
     return std::all_of(cells_.begin(), cells_.end(), [](const auto& c) { return c.second->stopped(); });
 }
 
-void flow_entry::note_table(instant now, bool reached)
-{
-    if (reached) {
-        table_reached_ = now;
-    }
-}
-
 // --- workers and cells ---
 
-void flow_entry::list_workers(instant now)
+void flow_entry::list_workers()
 {
-    static_cast<void>(now);
     listing_ = true;
     edges_.list_workers([this](instant then, const std::optional<std::vector<flow_listed_worker>>& workers) {
         listing_ = false;
@@ -143,22 +133,13 @@
                                      [&](const flow_queue& q) { return q.name == name; });
         return at == config_->queues.end() ? nullptr : &*at;
     };
-    hooks.guards_room = [this](const std::string& service) {
-        return config_ && std::any_of(config_->services.begin(), config_->services.end(),
-                                      [&](const flow_service& s) { return s.name == service && s.guards_room; });
-    };
     hooks.find_room = [this](instant now, const cell_id& from, const std::string& service, const flow_step& step,
                              bool alone) { return find_room(now, from, service, step, alone); };
     hooks.tell_cell = [this](instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row,
                              row_version version) { tell_cell(now, cell, job, row, version); };
     hooks.state_changed = [this](instant now, const wire::flow_job_row& row, const job_id& job, flow_state state) {
         if (row.accepted_by == self_.address.str()) {
-            wire::flow_message message;
-            wire::flow_state_news news;
-            news.job = job.str();
-            news.state = static_cast<std::int32_t>(state);
-            message.states.push_back(news);
-            on_message(now, message);
+            note_state(now, job, state);
             return;
         }
         wire::flow_state_news news;
@@ -169,28 +150,20 @@
     return hooks;
 }
 
-// A cell that an entry of another data centre took over goes home once its own data centre has an entry again: the next
-// cut between the two would part the owner from all its workers.
-void flow_entry::yield_cells(instant now)
-{
-    static_cast<void>(now);
-}
-
 // --- configuration ---
 
-void flow_entry::watch_operator(instant now)
+void flow_entry::watch_operator()
 {
-    static_cast<void>(now);
     edges_.watch_operator(operator_seen_, operator_wait, [this](instant then, const operator_page& page) {
         if (page.reached) {
             operator_seen_ = page.history_gone ? row_version(0) : std::max(operator_seen_, page.version);
             if (page.config) {
                 take_config(then, *page.config, page.config_text, "table");
             }
-            watch_operator(then);
+            watch_operator();
             return;
         }
-        edges_.after(operator_retry, [this](instant later) { watch_operator(later); });
+        edges_.after(operator_retry, [this](instant) { watch_operator(); });
     });
 }
 
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -68,21 +68,17 @@
     // After every event.
     void settle(instant now);
     // Fit to take callers.
-    bool ready(instant now) const;
+    bool ready() const;
     void plan_stop(instant now);
     // Nothing is left to wait for; only after plan_stop().
     bool stopped() const;
 
-    void on_request(instant now, caller_request request, caller_reply reply);
+    void on_request(instant now, const caller_request& request, caller_reply reply);
     wire::flow_message on_message(instant now, const wire::flow_message& message);
 
     const flow_entry_stats& stats() const { return stats_; }
     settings_version config_version() const { return config_ ? config_->version : settings_version(0); }
     const std::map<cell_id, std::unique_ptr<flow_cell>>& cells() const { return cells_; }
-    // Control addresses of peers heard from lately that say they reach the platform's table, nearest first.
-    std::vector<net_address> peers_with_table(instant now) const;
-    // Told by the daemon when a call to the table was answered or not.
-    void note_table(instant now, bool reached);
 
 private:
     struct peer {
@@ -90,14 +86,11 @@
         instant heard{};
         bool ever_heard = false;
         bool leaving = false;
-        bool reaches_table = false;
         bool telling = false;
         std::vector<wire::flow_cell_news> cells;
-        instant news_at{};
     };
     // A job this entry answers callers for.
     struct followed_job {
-        queue_id queue;
         bool accepted = false; // durable
         bool accepting = false;
         flow_state state = flow_state::queued;
@@ -116,33 +109,35 @@
 
     // flow_front.cpp
     const flow_queue* match_queue(const std::string& host, const std::string& path) const;
-    void submit(instant now, const flow_queue& queue, const job_id& job, caller_request request, caller_reply reply);
+    void submit(instant now, const flow_queue& queue, const job_id& job, const caller_request& request, instant give_up,
+                caller_reply reply);
     std::optional<cell_id> choose_cell(instant now, const flow_queue& queue, const flow_spec& spec);
     std::vector<wire::flow_cell_news>& own_news(instant now);
-    void write_job(instant now, const job_id& job, const wire::flow_job_row& row, instant give_up, int tries,
-                   bool may_be_in_force);
+    template <class Weigh> void each_news(instant now, Weigh&& weigh);
+    void write_job(const job_id& job, const wire::flow_job_row& row, instant give_up, int tries, bool may_be_in_force);
     void on_job_written(instant now, const job_id& job, const wire::flow_job_row& row, instant give_up, int tries,
                         bool may_be_in_force, const store_result& result);
     void answer_accept(instant now, const job_id& job, const caller_answer& answer);
     void ask_state(instant now, const job_id& job, caller_reply reply);
-    void read_state(instant now, const job_id& job);
-    void cancel(instant now, const job_id& job, instant give_up, caller_reply reply);
-    void write_cancel(instant now, const job_id& job, const wire::flow_job_row& before, row_version version,
-                      instant give_up, caller_reply reply);
+    void read_state(const job_id& job);
+    void note_state(instant now, const job_id& job, flow_state state);
+    void cancel(const job_id& job, instant give_up, caller_reply reply);
+    void write_cancel(const job_id& job, const wire::flow_job_row& before, row_version version, instant give_up,
+                      caller_reply reply);
     std::int64_t count_pending(const queue_id& queue) const;
     void tell_cell(instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row,
                    row_version version);
     void tell_owner(instant now, const cell_id& cell, const job_id& job);
     std::optional<std::pair<cell_id, epoch>> find_room(instant now, const cell_id& from, const std::string& service,
                                                        const flow_step& step, bool alone);
-    void tell_states(instant now);
+    void tell_states();
 
     // flow_peers.cpp
-    void register_self(instant now);
+    void register_self();
     void read_entries(instant now);
     void learn(const wire::flow_entry_row& row);
     void tell_peers(instant now, bool everyone);
-    void tell(instant now, peer& p, const wire::flow_message& message);
+    void tell(peer& p, const wire::flow_message& message);
     wire::flow_hello hello(instant now) const;
     void on_hello(instant now, const wire::flow_hello& hello);
     bool heard(const peer& p, instant now) const;
@@ -151,12 +146,11 @@
 
     // flow_entry.cpp
     void tick(instant now);
-    void list_workers(instant now);
+    void list_workers();
     void on_workers(instant now, const std::vector<flow_listed_worker>& workers);
-    void watch_operator(instant now);
+    void watch_operator();
     void take_config(instant now, flow_config config, std::string text, const char* from);
     flow_cell& cell_of(const cell_id& id, const data_centre_id& data_centre);
-    void yield_cells(instant now);
     flow_cell_hooks make_hooks();
 
     entry_identity self_;
@@ -181,7 +175,6 @@
     instant next_hello_{};
     instant next_entries_read_{};
     instant next_untold_{};
-    instant table_reached_{};
     std::int64_t accept_count_ = 0;
     flow_entry_stats stats_;
 };
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -50,7 +50,7 @@
     return best;
 }
 
-void flow_entry::on_request(instant now, caller_request request, caller_reply reply)
+void flow_entry::on_request(instant now, const caller_request& request, caller_reply reply)
 {
     if (!config_) {
         reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry, "no configuration yet"});
@@ -72,9 +72,10 @@
     }
     const job_id job(rest);
     const duration patience = request.patience > duration(0) ? request.patience : default_patience;
+    const instant give_up = now + patience - answer_margin;
     switch (request.verb) {
     case caller_verb::submit:
-        submit(now, *queue, job, std::move(request), std::move(reply));
+        submit(now, *queue, job, request, give_up, std::move(reply));
         return;
     case caller_verb::state:
         ++stats_.states;
@@ -82,15 +83,15 @@
         return;
     case caller_verb::cancel:
         ++stats_.cancels;
-        cancel(now, job, now + patience - answer_margin, std::move(reply));
+        cancel(job, give_up, std::move(reply));
         return;
     }
 }
 
 // --- submit ---
 
-void flow_entry::submit(instant now, const flow_queue& queue, const job_id& job, caller_request request,
-                        caller_reply reply)
+void flow_entry::submit(instant now, const flow_queue& queue, const job_id& job, const caller_request& request,
+                        instant give_up, caller_reply reply)
 {
     const auto known = followed_.find(job);
     if (known != followed_.end() && known->second.accepted) {
@@ -135,11 +136,9 @@
         }
     }
     followed_job& f = followed_[job];
-    f.queue = queue.name;
     f.accepting = true;
     f.waiting_accept.push_back(std::move(reply));
-    const duration patience = request.patience > duration(0) ? request.patience : default_patience;
-    write_job(now, job, row, now + patience - answer_margin, 0, false);
+    write_job(job, row, give_up, 0, false);
 }
 
 namespace {
@@ -275,10 +274,25 @@
     return own_news_;
 }
 
+// Shows `weigh` what each cell with a live owner last told, and whether that owner is this entry.
+template <class Weigh> void flow_entry::each_news(instant now, Weigh&& weigh)
+{
+    for (wire::flow_cell_news& news : own_news(now)) {
+        weigh(news, true);
+    }
+    for (auto& [id, p] : peers_) {
+        if (heard(p, now) && !p.leaving) {
+            for (wire::flow_cell_news& news : p.cells) {
+                weigh(news, false);
+            }
+        }
+    }
+}
+
 // The cell that serves the flow best, counting what was sent there since it last told.
 std::optional<cell_id> flow_entry::choose_cell(instant now, const flow_queue& queue, const flow_spec& spec)
 {
-    flow_wants wants = wants_of(spec);
+    const flow_wants wants = wants_of(spec);
     std::optional<cell_id> best;
     double best_score = 0;
     wire::flow_pool_row* best_pool = nullptr;
@@ -293,7 +307,7 @@
             const bool labelled = wants.label.empty() ||
                                   std::find(pool.labels.begin(), pool.labels.end(), wants.label) != pool.labels.end();
             score -= labelled ? 0.0 : 10.0;
-            score += own ? 0.01 : 0.0; // as good a cell here spares a message
+            score += own && !wants.lasting ? 0.01 : 0.0; // as good a cell here spares a message
             const auto home = racks_.find(wants.rack);
             score += wants.rack.valid() && home != racks_.end() && home->second == id ? 1.0 : 0.0;
             if (!best || score > best_score) {
@@ -303,16 +317,7 @@
             }
         }
     };
-    for (wire::flow_cell_news& news : own_news(now)) {
-        weigh(news, !wants.lasting);
-    }
-    for (auto& [id, p] : peers_) {
-        if (heard(p, now) && !p.leaving) {
-            for (wire::flow_cell_news& news : p.cells) {
-                weigh(news, false);
-            }
-        }
-    }
+    each_news(now, weigh);
     if (best) {
         assigned_cpu_[*best] += wants.cpu;
         take_room(*best_pool, wants);
@@ -320,10 +325,9 @@
     return best;
 }
 
-void flow_entry::write_job(instant now, const job_id& job, const wire::flow_job_row& row, instant give_up, int tries,
+void flow_entry::write_job(const job_id& job, const wire::flow_job_row& row, instant give_up, int tries,
                            bool may_be_in_force)
 {
-    static_cast<void>(now);
     store_transaction t;
     t.checks.push_back({job_key(job), row_version(0)});
     t.puts.push_back({job_key(job), encode_compact(row)});
@@ -366,8 +370,8 @@
     }
     const bool in_doubt = may_be_in_force || result.outcome == table_outcome::unknown;
     if (now + accept_retry < give_up && (in_doubt || tries < accept_tries)) {
-        edges_.after(accept_retry, [this, job, row, give_up, tries, in_doubt](instant then) {
-            write_job(then, job, row, give_up, tries + 1, in_doubt);
+        edges_.after(accept_retry, [this, job, row, give_up, tries, in_doubt](instant) {
+            write_job(job, row, give_up, tries + 1, in_doubt);
         });
         return;
     }
@@ -463,7 +467,7 @@
     wants.task_cpu = step.need.cpu_millis;
     wants.lasting = step.lasting;
     wants.image = step.image;
-    const auto weigh = [&](wire::flow_cell_news& news) {
+    const auto weigh = [&](wire::flow_cell_news& news, bool) {
         if (news.cell == from.str()) {
             return;
         }
@@ -492,16 +496,7 @@
             }
         }
     };
-    for (wire::flow_cell_news& news : own_news(now)) {
-        weigh(news);
-    }
-    for (auto& [id, p] : peers_) {
-        if (heard(p, now) && !p.leaving) {
-            for (wire::flow_cell_news& news : p.cells) {
-                weigh(news);
-            }
-        }
-    }
+    each_news(now, weigh);
     if (best == nullptr) {
         return std::nullopt;
     }
@@ -512,9 +507,8 @@
     return std::make_pair(cell_id(best->cell), epoch(best->epoch));
 }
 
-void flow_entry::tell_states(instant now)
+void flow_entry::tell_states()
 {
-    static_cast<void>(now);
     if (state_news_.empty()) {
         return;
     }
@@ -545,17 +539,15 @@
     followed_job& f = followed_[job];
     f.waiting_state.push_back(std::move(reply));
     if (!f.reading) {
-        read_state(now, job);
+        read_state(job);
     }
 }
 
-void flow_entry::read_state(instant now, const job_id& job)
+void flow_entry::read_state(const job_id& job)
 {
-    static_cast<void>(now);
     followed_[job].reading = true;
     ++stats_.state_reads;
-    const store_key key = job_key(job);
-    edges_.read({key.table, key.part, key.key, key.key + '\0'}, [this, job](instant then, const store_page& page) {
+    edges_.read(only_row(job_key(job)), [this, job](instant then, const store_page& page) {
         const auto at = followed_.find(job);
         if (at == followed_.end()) {
             return;
@@ -589,6 +581,16 @@
     });
 }
 
+// What an owner, here or elsewhere, says has become of a job this entry answers callers for.
+void flow_entry::note_state(instant now, const job_id& job, flow_state state)
+{
+    const auto at = followed_.find(job);
+    if (at != followed_.end()) {
+        at->second.state = state;
+        at->second.checked = now;
+    }
+}
+
 std::int64_t flow_entry::count_pending(const queue_id& queue) const
 {
     std::int64_t sum = 0;
@@ -611,15 +613,13 @@
 
 // --- cancel ---
 
-void flow_entry::cancel(instant now, const job_id& job, instant give_up, caller_reply reply)
+void flow_entry::cancel(const job_id& job, instant give_up, caller_reply reply)
 {
-    const store_key key = job_key(job);
-    edges_.read({key.table, key.part, key.key, key.key + '\0'}, [this, job, give_up, reply = std::move(reply)](
-                                                                    instant then, const store_page& page) {
+    edges_.read(only_row(job_key(job)), [this, job, give_up, reply = std::move(reply)](instant then,
+                                                                                       const store_page& page) {
         if (!page.reached) {
             if (then + accept_retry < give_up) {
-                edges_.after(accept_retry,
-                             [this, job, give_up, reply](instant later) { cancel(later, job, give_up, reply); });
+                edges_.after(accept_retry, [this, job, give_up, reply](instant) { cancel(job, give_up, reply); });
                 return;
             }
             reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry, "the table could not be read"});
@@ -638,15 +638,13 @@
             reply({caller_result::cancelled, flow_state::cancelled, 0, duration(0), ""});
             return;
         }
-        write_cancel(then, job, *row, page.rows.front().version, give_up, reply);
+        write_cancel(job, *row, page.rows.front().version, give_up, reply);
     });
-    static_cast<void>(now);
 }
 
-void flow_entry::write_cancel(instant now, const job_id& job, const wire::flow_job_row& before, row_version version,
-                              instant give_up, caller_reply reply)
+void flow_entry::write_cancel(const job_id& job, const wire::flow_job_row& before, row_version version, instant give_up,
+                              caller_reply reply)
 {
-    static_cast<void>(now);
     wire::flow_job_row row = before;
     row.cancelled = true;
     store_transaction t;
@@ -666,8 +664,7 @@
             return;
         }
         if (then + accept_retry < give_up) {
-            edges_.after(accept_retry,
-                         [this, job, give_up, reply](instant later) { cancel(later, job, give_up, reply); });
+            edges_.after(accept_retry, [this, job, give_up, reply](instant) { cancel(job, give_up, reply); });
             return;
         }
         reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry, "the table could not be written"});
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -100,14 +100,13 @@
     }
 }
 
-flow_stage* flow_job::add_stage(std::int32_t occurrence, std::int32_t step)
+void flow_job::add_stage(std::int32_t occurrence, std::int32_t step)
 {
     flow_stage stage;
     stage.occurrence = occurrence;
     stage.step = step;
     stage.tasks.resize(static_cast<std::size_t>(std::max(0, spec_.steps.at(static_cast<std::size_t>(step)).count)));
     stages_.push_back(std::move(stage));
-    return &stages_.back();
 }
 
 void flow_job::load_stage(instant now, const wire::flow_stage_row& row)
@@ -165,16 +164,6 @@
     return !timed() || wall >= spec_.first_due + spec_.interval * occurrence;
 }
 
-std::optional<wall_time> flow_job::next_due(wall_time wall) const
-{
-    for (std::int32_t k = 0; k < spec_.occurrences; ++k) {
-        if (!due(k, wall)) {
-            return spec_.first_due + spec_.interval * k;
-        }
-    }
-    return std::nullopt;
-}
-
 bool flow_job::open_stages(instant now, wall_time wall)
 {
     if (cancelled() || ended()) {
@@ -279,14 +268,6 @@
     return epoch(std::max(bound, claimed == row_.claims.end() ? 0 : claimed->second));
 }
 
-void flow_job::note_cancelled()
-{
-    if (!row_.cancelled) {
-        row_.cancelled = true;
-        ++changes_;
-    }
-}
-
 void flow_job::note_outcome(flow_state outcome)
 {
     if (row_.outcome != 0) {
@@ -302,13 +283,19 @@
                        [](const flow_stage& s) { return s.done == static_cast<std::int32_t>(s.tasks.size()); });
 }
 
+bool flow_job::running() const
+{
+    return std::any_of(stages_.begin(), stages_.end(), [](const flow_stage& s) {
+        return std::any_of(s.tasks.begin(), s.tasks.end(), [](const flow_task& t) { return !t.runs.empty(); });
+    });
+}
+
 void flow_job::merge(instant now, const wire::flow_job_row& newer, row_version version)
 {
     if (version <= version_) {
         return;
     }
     version_ = version;
-    const std::uint64_t before = changes_;
     const bool was_behind = dirty();
     row_.cancelled = row_.cancelled || newer.cancelled;
     row_.started = row_.started || newer.started;
@@ -329,9 +316,6 @@
     if (!was_behind) {
         written_ = changes_;
     }
-    else {
-        changes_ = std::max(changes_, before);
-    }
 }
 
 void flow_job::mark_written(std::uint64_t changes, row_version version)
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -47,8 +47,7 @@
 
 class flow_job {
 public:
-    // A flow as its row tells it, read or written at `version`.
-    // `here`: the cell whose owner asks.
+    // A flow as its row tells it, read or written at `version`. `here`: the cell whose owner asks.
     flow_job(job_id id, cell_id here, const wire::flow_job_row& row, row_version version);
 
     const job_id& id() const { return id_; }
@@ -61,6 +60,10 @@
     std::vector<flow_stage>& stages() { return stages_; }
     const std::vector<flow_stage>& stages() const { return stages_; }
 
+    flow_task_id task_id(const flow_stage& stage, std::size_t index) const
+    {
+        return {id_, stage.occurrence, stage.step, static_cast<std::int32_t>(index)};
+    }
     // Null when the flow has no such task.
     flow_stage* find_stage(const flow_task_id& task);
     flow_task* find_task(const flow_task_id& task);
@@ -81,8 +84,6 @@
 
     // Opens every stage whose earlier steps are done and whose time has come; true when one was opened.
     bool open_stages(instant now, wall_time wall);
-    // When the next occurrence is due; empty when none is to come.
-    std::optional<wall_time> next_due(wall_time wall) const;
 
     // The number of a new run: above every earlier one of this task, also those of earlier owners of the cell.
     run_number next_run(const flow_task& task, epoch cell_epoch) const;
@@ -94,7 +95,6 @@
     // The number of failed runs so far. A run counts once, however often its end is listed.
     std::int32_t note_failure(const flow_task_id& task, run_number run);
     void note_checkpoint(const flow_task_id& task, const std::string& checkpoint);
-    void note_cancelled();
     // Says in the row that the owner of `here` of this epoch has taken the job on. From then on no write of an owner
     // before it can come into force, since that checks the row's version as it was.
     void claim(epoch cell_epoch);
@@ -106,6 +106,8 @@
     void merge(instant now, const wire::flow_job_row& newer, row_version version);
 
     bool all_done() const;
+    // Some run of it may be going on.
+    bool running() const;
     bool dirty() const { return changes_ > written_; }
     std::uint64_t changes() const { return changes_; }
     std::uint64_t written() const { return written_; }
@@ -114,7 +116,7 @@
     wire::flow_job_row current_row() const;
 
 private:
-    flow_stage* add_stage(std::int32_t occurrence, std::int32_t step);
+    void add_stage(std::int32_t occurrence, std::int32_t step);
     void load_stage(instant now, const wire::flow_stage_row& row);
     void load_home(instant now, flow_stage& stage, flow_task& task, const wire::flow_home_row& home);
     bool due(std::int32_t occurrence, wall_time wall) const;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -61,7 +61,6 @@
 inline constexpr duration peer_silence = 1600ms; // three hellos
 inline constexpr duration peer_forgotten = 20s;  // a removed entry's address is not tried for ever
 inline constexpr duration peers_learned = 700ms; // after a start, before it looks for cells to own
-inline constexpr duration table_fresh = 1500ms;  // an answer of the table this old still counts as reaching it
 inline constexpr duration register_retry = 500ms;
 inline constexpr duration entries_interval_start = 1s; // entries start within moments of each other
 inline constexpr duration entries_interval = 10s;      // after that they hear of each other
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -32,15 +32,13 @@
 
 } // namespace
 
-void flow_entry::register_self(instant now)
+void flow_entry::register_self()
 {
-    static_cast<void>(now);
     store_transaction t;
     t.puts.push_back({entry_key(self_.entry), encode_compact(row_of(self_))});
-    edges_.commit(std::move(t), [this](instant then, const store_result& result) {
+    edges_.commit(std::move(t), [this](instant, const store_result& result) {
         if (result.outcome != table_outcome::applied) {
-            static_cast<void>(then);
-            edges_.after(register_retry, [this](instant later) { register_self(later); });
+            edges_.after(register_retry, [this](instant) { register_self(); });
         }
     });
 }
@@ -89,7 +87,6 @@
     h.sender = row_of(self_);
     h.leaving = leaving_;
     h.config_version = config_version().value();
-    h.reaches_table = now - table_reached_ < table_fresh;
     for (const auto& [id, cell] : cells_) {
         if (cell->owns()) {
             h.cells.push_back(cell->news());
@@ -111,14 +108,13 @@
     for (auto& [id, p] : peers_) {
         // One exchange tells both sides, so of two that know each other one begins.
         if (everyone || !heard(p, now) || self_.entry < id) {
-            tell(now, p, message);
+            tell(p, message);
         }
     }
 }
 
-void flow_entry::tell(instant now, peer& p, const wire::flow_message& message)
+void flow_entry::tell(peer& p, const wire::flow_message& message)
 {
-    static_cast<void>(now);
     if (p.telling) {
         return;
     }
@@ -169,12 +165,7 @@
         cell->second->on_job_row(now, job_id(news.job), *row, row_version(news.version));
     }
     for (const wire::flow_state_news& news : message.states) {
-        const auto at = followed_.find(job_id(news.job));
-        if (at == followed_.end()) {
-            continue;
-        }
-        at->second.state = static_cast<flow_state>(news.state);
-        at->second.checked = now;
+        note_state(now, job_id(news.job), static_cast<flow_state>(news.state));
     }
     return answer;
 }
@@ -196,9 +187,7 @@
     p.heard = now;
     p.ever_heard = true;
     p.leaving = h.leaving;
-    p.reaches_table = h.reaches_table;
     p.cells = h.cells;
-    p.news_at = now;
     for (const wire::flow_cell_news& cell : h.cells) {
         assigned_cpu_[cell_id(cell.cell)] = 0;
         for (auto& [id, own] : cells_) {
@@ -256,17 +245,4 @@
     return c;
 }
 
-std::vector<net_address> flow_entry::peers_with_table(instant now) const
-{
-    std::vector<net_address> near;
-    std::vector<net_address> far;
-    for (const auto& [id, p] : peers_) {
-        if (heard(p, now) && p.reaches_table && !p.leaving) {
-            (p.identity.data_centre == self_.data_centre ? near : far).push_back(p.identity.address);
-        }
-    }
-    near.insert(near.end(), far.begin(), far.end());
-    return near;
-}
-
 } // namespace skylarkhub
--- a/src/flow_place.cpp
+++ b/src/flow_place.cpp
@@ -11,7 +11,6 @@
 // of one image together: filling work then has workers where it presses on nobody, or on one image that bears it.
 constexpr double remote_cost = 3.0;   // away from its data a task takes two to three times as long
 constexpr double distrust_cost = 5.0; // a failed run costs the whole run again
-constexpr double slow_cost = 1.0;     // for each further multiple of the estimated time
 constexpr double excess_cost = 6.0;   // filling work beyond what is borne is slowed, or the tails there go over target
 constexpr double beside_serving = 0.15; // filling work beside serving tasks that bear it now, and may not later
 constexpr double apart_cost = 0.6;      // plain work on a worker that has no serving task
@@ -43,7 +42,7 @@
     const double counted =
         static_cast<double>(option.held.cpu_millis + (step.filling ? 0 : step.need.cpu_millis)) / total;
     const double wanted = 1.0 - static_cast<double>(left_for_filling(option) - step.need.cpu_millis) / total;
-    double cost = distrust_cost * option.distrust + slow_cost * (option.slowness - 1.0);
+    double cost = distrust_cost * option.distrust;
     if (step.data_rack.valid() && step.data_rack != option.rack) {
         cost += remote_cost;
     }
--- a/src/flow_place_p.h
+++ b/src/flow_place_p.h
@@ -34,7 +34,6 @@
     std::int32_t fillers = 0;
     std::int64_t lasting_cpu = 0; // of `held`, committed to lasting tasks
     double distrust = 0;          // 0 healthy; rises with runs that failed or stalled there lately
-    double slowness = 1;          // time that runs take there against the estimate
 };
 
 // Of what lasting tasks have committed, the share they use on the whole; the rest is left to filling work. Measured on
--- a/src/flow_row.cpp
+++ b/src/flow_row.cpp
@@ -33,6 +33,11 @@
 {
     return job_part(static_cast<int>(XXH64(job.str().data(), job.str().size(), 0) % job_parts));
 }
+std::string text_of(const flow_task_id& task)
+{
+    return fmt::format("{}.{}.{}.{}", task.job.str(), task.occurrence, task.step, task.index);
+}
+
 store_key job_key(const job_id& job)
 {
     return {jobs_table, job_part(job), job.str()};
@@ -46,6 +51,12 @@
     return {entries_table, shared_part, entry.str()};
 }
 
+store_range only_row(store_key key)
+{
+    std::string end = key.key + '\0';
+    return {std::move(key.table), std::move(key.part), std::move(key.key), std::move(end)};
+}
+
 wire::flow_step_row to_row(const flow_step& step)
 {
     wire::flow_step_row row;
--- a/src/flow_row_p.h
+++ b/src/flow_row_p.h
@@ -23,9 +23,14 @@
 
 std::string job_part(const job_id& job);
 std::string job_part(int number);
+// A task as logs name it.
+std::string text_of(const flow_task_id& task);
+
 store_key job_key(const job_id& job);
 store_key cell_key(const cell_id& cell);
 store_key entry_key(const entry_id& entry);
+// The range that holds this one row and no other.
+store_range only_row(store_key key);
 
 wire::flow_step_row to_row(const flow_step& step);
 flow_step from_row(const wire::flow_step_row& row);
--- a/src/flow_settings.cpp
+++ b/src/flow_settings.cpp
@@ -1,7 +1,5 @@
 #include "flow_settings_p.h"
 
-#include <absl/strings/numbers.h>
-
 #include <array>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -28,12 +26,10 @@
     {"instances_address", &flow_entry_settings::instances_address, false},
 }};
 
-bool is_address(const std::string& text)
+// The platform names the port: 0, which elsewhere takes a free one, would listen where nobody looks.
+bool is_fixed_address(std::string_view text)
 {
-    const auto colon = text.rfind(':');
-    int port = 0;
-    return colon != std::string::npos && colon > 0 && absl::SimpleAtoi(text.substr(colon + 1), &port) && port > 0 &&
-           port < 65536;
+    return is_net_address(text) && text.find_first_not_of('0', text.rfind(':') + 1) != std::string_view::npos;
 }
 
 std::string read_text(const json& j, const char* name, bool required, std::vector<settings_problem>& problems)
@@ -69,7 +65,7 @@
     for (const address_field& field : address_fields) {
         known.insert(field.name);
         const std::string address = read_text(j, field.name, field.required, problems);
-        if (!address.empty() && !is_address(address)) {
+        if (!address.empty() && !is_fixed_address(address)) {
             problems.push_back({field.name, "must be IP:port, is " + address});
         }
         settings.*field.field = net_address(address);
--- a/src/platform_timer_p.h
+++ b/src/platform_timer_p.h
@@ -11,7 +11,8 @@
 
 namespace skylarkhub {
 
-// The entry's monotonic clock.
+// The entry's monotonic clock. Goes on while the process is stopped, so an entry that was frozen sees that time has
+// passed.
 instant read_clock();
 
 class platform_timer {
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -13,11 +13,6 @@
 constexpr int failures_most = 3;
 constexpr duration list_lag = 100ms;
 
-std::string text_of(const flow_task_id& task)
-{
-    return fmt::format("{}.{}.{}.{}", task.job.str(), task.occurrence, task.step, task.index);
-}
-
 flow_config make_config()
 {
     flow_config config;
