flow: tails follow a queue's law; loads are foretold; filling work waits by its due time

Cause: ln(tail) linear in the shares of filling work explained 0.15 to 0.25 of the variance of looks and nothing beyond the target (residual 1.1 there). Serving tasks stood on 45 to 48 of 48 workers. Change: interference_model by that law; load_forecast finds the swing's period and foretells each job's load; serving tasks are packed, by image, beside their own job; filling work goes where it takes least of what is borne, waits instead of being slowed to nothing, and is ordered by when it is due, late jobs last.

--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -385,7 +385,9 @@
     acting_ = false;
     row_unchanged_since_ = now;
     jobs_.clear();
+    loads_.clear();
     ready_.clear();
+    ready_keys_.clear();
     awaited_.clear();
     unclaimed_.clear();
     timed_.clear();
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -13,6 +13,8 @@
 
 #include "flow_edges_p.h"
 #include "flow_job_p.h"
+#include "flow_load_p.h"
+#include "flow_order_p.h"
 #include "flow_place_p.h"
 #include "flow_press_p.h"
 
@@ -29,10 +31,9 @@
 // What a cell asks of the entry around it.
 struct flow_cell_hooks {
     std::function<const flow_queue*(const queue_id&)> queue; // null: not in the configuration
-    // Another cell with room for one more task of such a step, with its epoch; empty when none is known. `alone`:
-    // beside no serving task of another image.
+    // Another cell with room for one more task of such a step, with its epoch; empty when none is known.
     std::function<std::optional<std::pair<cell_id, epoch>>(instant, const cell_id& from, const std::string& service,
-                                                           const flow_step&, bool alone)>
+                                                           const flow_step&)>
         find_room;
     // A row that the owner of another cell must know.
     std::function<void(instant, const cell_id&, const job_id&, const wire::flow_job_row&, row_version)> tell_cell;
@@ -103,12 +104,13 @@
         job_id job;
         std::uint64_t changes = 0; // of the job, that tell this end
     };
-    // The serving tasks of one image on a worker.
+    // The serving tasks of one job's step on a worker: they share an image and a load.
     struct serving_group {
+        job_id job;
         int image = 0;
         std::int32_t tasks = 0;
-        double level = -0.9; // ln(tail / target) there less the pressure of filling work: their own load
-        double bears = 0.4;  // pressure that leaves their tails below target
+        double bears = 0;       // pressure of filling work that leaves their tails below target, at their load now
+        double bears_usual = 0; // the same over the next seconds: for work that stays
     };
     struct cell_worker {
         flow_listed_worker listing;
@@ -135,7 +137,7 @@
         double distrust = 0;
         instant distrust_at{};
         // Interference.
-        std::vector<serving_group> serving_images; // one for each image that serves there
+        std::vector<serving_group> serving_groups; // one for each job that serves there
         std::vector<double> shares;                // of its processors by filling image, smoothed
         std::vector<double> wanted;                // the same at full pace, as the ledger has it
         std::vector<int> paces;                    // percent, by filling image
@@ -199,7 +201,7 @@
     void stop_run_once(instant now, live_run& live, const flow_task_id& id);
     void drop_run(instant now, cell_worker& w, const flow_task_id& task, run_number run);
     void ledger_add(cell_worker& w, const flow_step& step, const flow_task_id& task, run_number run);
-    void count_run(cell_worker& w, const ledger_run& run, int change);
+    void count_run(cell_worker& w, const job_id& job, const ledger_run& run, int change);
     void ledger_remove(cell_worker& w, const flow_task_id& task, run_number run);
     void requeue(instant now, flow_job& job, const flow_task_id& task);
     void after_done(instant now, flow_job& job, const flow_task_id& task);
@@ -219,6 +221,8 @@
                         const rack_id& near = rack_id());
     place_option option_of(instant now, const cell_worker& w) const;
     void index_ready(flow_job& job);
+    void drop_ready(const job_id& job);
+    void index_ready_again();
     void give_away_waiting(instant now);
     void log_summary(instant now) const;
     void tell_others(instant now, const flow_job& job);
@@ -239,9 +243,12 @@
     void send_paces(instant now, cell_worker& w);
     void evict_fillers(instant now, cell_worker& w);
     int image_of(const flow_step& step);
-    void count_serving(cell_worker& w, const ledger_run& run, int change);
+    void count_serving(cell_worker& w, const job_id& job, const ledger_run& run, int change);
+    void set_bearing(serving_group& group, instant now) const;
     double pressure_on(const cell_worker& w, const serving_group& group) const;
-    double excess_with(const cell_worker& w, int filling, double share) const;
+    double borne_share(int filling, std::int64_t cpu_millis) const;
+    place_interference filling_on(const cell_worker& w, int filling, double share) const;
+    std::string serving_image(const cell_worker& w) const;
     void count_fill_room(const cell_worker& w, wire::flow_pool_row& pool) const;
     double excess_for(const cell_worker& w, int serving) const;
 
@@ -254,8 +261,7 @@
         duration backoff{0};
     };
     struct ready_key {
-        std::int32_t priority = 0;
-        std::int64_t accepted_ms = 0;
+        flow_urgency urgency;
         job_id job;
         friend auto operator<=>(const ready_key&,
                                 const ready_key&) = default; // NOLINT(modernize-use-nullptr): wrong in clang-tidy 14
@@ -295,13 +301,15 @@
 
     std::map<worker_id, cell_worker> workers_;
     std::map<job_id, std::unique_ptr<flow_job>> jobs_;
-    std::map<ready_key, job_id> ready_;
+    std::set<ready_key> ready_; // jobs with tasks that wait for a worker, the most urgent first
+    std::map<job_id, ready_key> ready_keys_;
     std::set<job_id> unclaimed_; // known since the takeover; nothing is decided for them before the claim is in the row
     std::set<job_id> awaited_;   // known since the takeover; unfound tasks may still run on a worker not accounted for
     std::set<job_id> timed_;
     std::map<job_id, instant> put_away_; // ended jobs, until no late page can tell of them any more
     std::map<std::string, part_state> parts_;
     interference_model interference_;
+    load_forecast loads_; // of jobs that serve
     instant refitted_{};
     bool place_planned_ = false;
     flow_cell_stats stats_;
--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -1,6 +1,7 @@
 // Interference: what filling work does to the serving tasks beside it is learned for each pair of images; filling work
 // is slowed to what the serving tasks bear at their present load, and moved where it makes no way.
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 #include "flow_cell_p.h"
@@ -13,15 +14,16 @@
 
 namespace {
 
-constexpr double share_smoothing_s = 0.8; // measured tails follow the filling work about this much later
-constexpr double level_smoothing_s = 0.7;
-constexpr double log_tail_wanted = -0.05; // 0.95 of the target
-constexpr double load_rise = 0.1;         // ln(tail) by which a serving task's load may rise until the next look
-constexpr double bears_most = 1.5;        // even of an idle one: its load comes back within seconds
-constexpr double strained_tail = 0.95;    // of the target
-constexpr double margin_cut = 0.7;        // of what is believed to be borne, after a strain
-constexpr double margin_least = 0.1;
-constexpr double margin_most = 2.5; // where the model sees more pressure than there is
+constexpr double share_smoothing_s = 0.4; // measured tails follow the filling work about this much later
+// A pace chosen now is in force from a moment later until the next look, up to a second from now.
+constexpr std::array<double, 3> paced_ahead_s{0.0, 0.4, 0.8};
+// A filling task stays for some seconds.
+constexpr std::array<double, 3> placed_ahead_s{0.3, 1.5, 3.0};
+constexpr double look_age_s = 0.25;    // what a worker measures is of its last half second
+constexpr double strained_tail = 0.95; // of the target
+constexpr double margin_cut = 0.7;     // of what is believed to be borne, after a strain
+constexpr double margin_least = 0.2;
+constexpr double margin_most = 1.1; // where the model sees more pressure than there is
 constexpr double easy_tail = 0.75;  // of the target
 constexpr double margin_gain = 0.2; // back per second
 // A tail that was driven up comes down over two to three seconds after its cause has gone, as the backlog drains.
@@ -30,8 +32,14 @@
 constexpr duration over_most = std::chrono::milliseconds(1200);
 constexpr duration refit_interval = std::chrono::seconds(1);
 constexpr duration evict_interval = std::chrono::milliseconds(100); // lets the ledgers show where the last one went
+constexpr double bears_least = 0.05; // where nothing is borne, everything takes up many times of it
 constexpr int pace_unknown = -1;
 
+double seconds_of(instant t)
+{
+    return std::chrono::duration<double>(t.time_since_epoch()).count();
+}
+
 double smoothing(duration elapsed, double time_constant_s)
 {
     return 1 - std::exp(-std::chrono::duration<double>(elapsed).count() / time_constant_s);
@@ -78,7 +86,7 @@
 }
 
 // Keeps what is counted of a worker's serving and filling tasks in step with its ledger.
-void flow_cell::count_serving(cell_worker& w, const ledger_run& run, int change)
+void flow_cell::count_serving(cell_worker& w, const job_id& job, const ledger_run& run, int change)
 {
     if (run.filling) {
         double& wanted = entry(w.wanted, run.image_index);
@@ -88,21 +96,36 @@
     if (run.tail_target <= duration(0)) {
         return;
     }
-    const auto at = std::find_if(w.serving_images.begin(), w.serving_images.end(),
-                                 [&](const serving_group& g) { return g.image == run.image_index; });
-    if (at == w.serving_images.end()) {
+    const auto at = std::find_if(w.serving_groups.begin(), w.serving_groups.end(),
+                                 [&](const serving_group& g) { return g.image == run.image_index && g.job == job; });
+    if (at == w.serving_groups.end()) {
         serving_group group;
+        group.job = job;
         group.image = run.image_index;
         group.tasks = change;
-        group.level = interference_.base(run.image_index);
-        group.bears = std::clamp(log_tail_wanted - load_rise - group.level, 0.0, bears_most);
-        w.serving_images.push_back(group);
+        set_bearing(group, w.read_at);
+        w.serving_groups.push_back(group);
         return;
     }
     at->tasks += change;
     if (at->tasks <= 0) {
-        w.serving_images.erase(at);
+        w.serving_groups.erase(at);
+    }
+}
+
+void flow_cell::set_bearing(serving_group& group, instant now) const
+{
+    const double time = seconds_of(now);
+    double soon = 0;
+    for (const double ahead : paced_ahead_s) {
+        soon = std::max(soon, loads_.at(group.job, time + ahead));
+    }
+    group.bears = interference_.bearable(group.image, soon);
+    double sum = 0;
+    for (const double ahead : placed_ahead_s) {
+        sum += interference_.bearable(group.image, loads_.at(group.job, time + ahead));
     }
+    group.bears_usual = sum / static_cast<double>(placed_ahead_s.size());
 }
 
 // The pressure on one image's serving tasks by the filling work there, at its pace.
@@ -116,31 +139,45 @@
     return pressure;
 }
 
-// By how much pressure would go beyond what is borne, with more of one filling image there.
-double flow_cell::excess_with(const cell_worker& w, int filling, double share) const
+// What more of one filling image would do there: the part of what its serving tasks bear that it takes up, and by how
+// much pressure would go beyond.
+place_interference flow_cell::filling_on(const cell_worker& w, int filling, double share) const
 {
-    double worst = 0;
-    for (const serving_group& group : w.serving_images) {
-        double pressure = interference_.press(group.image, filling) * share;
-        for (std::size_t f = 0; f < w.wanted.size(); ++f) {
-            pressure += interference_.press(group.image, static_cast<int>(f)) * w.wanted[f];
-        }
-        // Work that presses on nobody is welcome even where other work already presses too much.
+    place_interference out;
+    for (const serving_group& group : w.serving_groups) {
         const double own = interference_.press(group.image, filling) * share;
-        worst = std::max(worst, std::min(own * 3, pressure - group.bears * w.margin));
+        const double bears = group.bears_usual * w.margin;
+        const double pressure = own + interference_.pressure(group.image, w.wanted);
+        out.taken = std::max(out.taken, own / std::max(bears, bears_least));
+        // Work that presses on nobody is welcome even where other work already presses too much.
+        out.excess = std::max(out.excess, std::min(own * 3, pressure - bears));
     }
-    return std::max(0.0, worst);
+    return out;
+}
+
+// Of the workers with serving tasks, the share that would bear one more filling task if they had no other.
+double flow_cell::borne_share(int filling, std::int64_t cpu_millis) const
+{
+    int serving = 0;
+    int bearing = 0;
+    for (const auto& [id, w] : workers_) {
+        if (w.serving_groups.empty() || !w.listed) {
+            continue;
+        }
+        const double share = static_cast<double>(cpu_millis) / room_of(w.listing);
+        ++serving;
+        bearing += std::all_of(w.serving_groups.begin(), w.serving_groups.end(), [&](const serving_group& g) {
+            return interference_.press(g.image, filling) * share <= g.bears_usual * w.margin;
+        });
+    }
+    return serving == 0 ? 1 : static_cast<double>(bearing) / serving;
 }
 
 // The same for a serving task that would join the filling work there.
 double flow_cell::excess_for(const cell_worker& w, int serving) const
 {
-    double pressure = 0;
-    for (std::size_t f = 0; f < w.wanted.size(); ++f) {
-        pressure += interference_.press(serving, static_cast<int>(f)) * w.wanted[f];
-    }
-    const double bears = std::clamp(log_tail_wanted - load_rise - interference_.base(serving), 0.0, bears_most);
-    return std::clamp(pressure - bears, 0.0, 0.3);
+    const double pressure = interference_.pressure(serving, w.wanted);
+    return std::clamp(pressure - interference_.bearable(serving, loads_.at(job_id(), 0)), 0.0, 0.3);
 }
 
 void flow_cell::learn(cell_worker& w, const order_answer& answer)
@@ -157,7 +194,6 @@
     for (std::size_t f = 0; f < w.shares.size(); ++f) {
         w.shares[f] += a * (value_at(used, f) - w.shares[f]);
     }
-    std::map<int, double> worst;
     for (const listed_run& run : answer.running) {
         const auto at = w.ledger.find(run.task);
         if (at == w.ledger.end() || at->second.tail_target <= duration(0) || run.progress_percent < 100 ||
@@ -168,24 +204,15 @@
         const double tail = static_cast<double>(run.measure) / target;
         w.tail = std::max(w.tail, tail);
         const int image = at->second.image_index;
-        interference_.learn(image, std::log(tail), w.shares);
-        const auto [known, added] = worst.try_emplace(image, std::log(tail));
-        known->second = std::max(known->second, std::log(tail));
+        interference_.note_tail(image, tail);
+        const double busy = interference_.busy(image, tail);
+        const double time = seconds_of(w.read_at) - look_age_s;
+        loads_.add(run.task.job, time, interference_.load_of(image, busy, w.shares),
+                   interference_.load_weight(image, busy, w.shares));
+        interference_.learn(image, busy, loads_.at(run.task.job, time), w.shares);
     }
-    const double b = smoothing(w.read_at - w.measured_at, level_smoothing_s);
-    for (serving_group& group : w.serving_images) {
-        const auto seen = worst.find(group.image);
-        if (seen == worst.end()) {
-            continue;
-        }
-        double pressure = 0;
-        for (std::size_t f = 0; f < w.shares.size(); ++f) {
-            pressure += interference_.press(group.image, static_cast<int>(f)) * w.shares[f];
-        }
-        const double level = std::clamp(seen->second - pressure, -1.6, 0.5);
-        group.level += b * (level - group.level);
-        const double load = std::max({group.level, level, interference_.base(group.image)});
-        group.bears = std::clamp(log_tail_wanted - load_rise - load, 0.0, bears_most);
+    for (serving_group& group : w.serving_groups) {
+        set_bearing(group, w.read_at);
     }
     w.measured_at = w.read_at;
 }
@@ -223,7 +250,7 @@
 void flow_cell::set_paces(instant now, cell_worker& w)
 {
     std::vector<serving_bearing> serving;
-    for (const serving_group& group : w.serving_images) {
+    for (const serving_group& group : w.serving_groups) {
         serving.push_back({group.image, group.bears * w.margin});
     }
     w.paces = choose_paces(interference_, serving, w.wanted);
@@ -248,7 +275,7 @@
         const std::int32_t current = known == w.paced.end() ? 100 : known->second;
         // Small steps up are not worth an order each; down, up to full pace and from nothing always are.
         const bool worth =
-            wanted < current || (wanted > current && (wanted == 100 || current <= 0 || wanted >= current + 30));
+            wanted < current || (wanted > current && (wanted == 100 || current <= 0 || wanted >= current + 20));
         if (!worth || current == wanted) {
             continue;
         }
@@ -288,8 +315,9 @@
         const flow_stage& stage = *found->second->find_stage(task);
         const flow_step& step = found->second->step(stage);
         const cell_worker* const better = step.checkpointing ? choose(now, *found->second, stage, *t) : nullptr;
-        if (better == nullptr || excess_with(*better, run.image_index,
-                                             static_cast<double>(run.need.cpu_millis) / room_of(better->listing)) > 0) {
+        if (better == nullptr ||
+            filling_on(*better, run.image_index, static_cast<double>(run.need.cpu_millis) / room_of(better->listing))
+                    .excess > 0) {
             continue;
         }
         edges_.note(log_level::info, "run", "evicted",
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -33,13 +33,33 @@
 {
     const bool any =
         std::any_of(job.stages().begin(), job.stages().end(), [](const flow_stage& s) { return s.ready > 0; });
-    const flow_queue* const queue = hooks_.queue(queue_id(job.row().queue));
-    const ready_key key{queue != nullptr ? queue->priority : job.row().priority, job.row().accepted_ms, job.id()};
+    drop_ready(job.id());
     if (any) {
-        ready_[key] = job.id();
+        const flow_queue* const queue = hooks_.queue(queue_id(job.row().queue));
+        const ready_key key{urgency_of(job, queue, edges_.wall()), job.id()};
+        ready_.insert(key);
+        ready_keys_.emplace(job.id(), key);
     }
-    else {
-        ready_.erase(key);
+}
+
+void flow_cell::drop_ready(const job_id& job)
+{
+    const auto at = ready_keys_.find(job);
+    if (at != ready_keys_.end()) {
+        ready_.erase(at->second);
+        ready_keys_.erase(at);
+    }
+}
+
+// Some have become late while they waited.
+void flow_cell::index_ready_again()
+{
+    const std::set<ready_key> waiting = ready_;
+    for (const ready_key& key : waiting) {
+        const auto found = jobs_.find(key.job);
+        if (found != jobs_.end()) {
+            index_ready(*found->second);
+        }
     }
 }
 
@@ -48,11 +68,12 @@
     if (role_ != role::owning || stopping_ || !may_send(now)) {
         return;
     }
-    std::vector<std::pair<ready_key, job_id>> waiting(ready_.begin(), ready_.end());
-    for (const auto& [key, id] : waiting) {
+    const std::set<ready_key> waiting = ready_;
+    for (const ready_key& key : waiting) {
+        const job_id& id = key.job;
         const auto found = jobs_.find(id);
         if (found == jobs_.end()) {
-            ready_.erase(key);
+            drop_ready(id);
             continue;
         }
         if (awaited_.count(id) != 0 || unclaimed_.count(id) != 0) {
@@ -90,6 +111,7 @@
     const flow_step& step = job.step(stage);
     const bool serves = step.tail_target > duration(0);
     const int image = image_of(step);
+    const double borne = step.filling ? borne_share(image, step.need.cpu_millis) : 0;
     cell_worker* best = nullptr;
     double best_cost = 0;
     for (auto& [id, w] : workers_) {
@@ -108,22 +130,23 @@
         place_interference interference;
         if (step.filling) {
             const double room = static_cast<double>(std::max<std::int64_t>(1, w.listing.room.cpu_millis));
-            interference.excess = excess_with(w, image, static_cast<double>(step.need.cpu_millis) / room);
-            // Left waiting a while for a place where it is borne: elsewhere it would be slowed to nothing.
-            if (interference.excess > 0 && now - task.ready_since < fill_patience) {
+            interference = filling_on(w, image, static_cast<double>(step.need.cpu_millis) / room);
+            interference.borne_elsewhere = borne;
+            const bool crowded =
+                left_for_filling(option) - step.need.cpu_millis < -static_cast<std::int64_t>(fill_overcommit * room);
+            // Left waiting for a place where it is borne and gets its processors: elsewhere it would be slowed to
+            // nothing, or slow down others that were there first.
+            if ((interference.excess > 0 || crowded) && now - task.ready_since < fill_patience) {
                 continue;
             }
         }
         else if (serves) {
             interference.excess = excess_for(w, image);
-            const bool mixed =
-                w.serving > 0 && std::none_of(w.serving_images.begin(), w.serving_images.end(),
-                                              [image](const serving_group& g) { return g.image == image; });
-            // Another cell may have a worker where it would serve beside its own kind.
-            if (mixed && task.home.moves == 0 && now - task.ready_since < mix_after) {
-                continue;
-            }
-            interference.mixed = mixed;
+            const auto any = [&w = w](auto&& same) {
+                return std::any_of(w.serving_groups.begin(), w.serving_groups.end(), same);
+            };
+            interference.mixed = w.serving > 0 && !any([image](const serving_group& g) { return g.image == image; });
+            interference.kin = any([&job](const serving_group& g) { return g.job == job.id(); });
         }
         const flow_task_id first = job.task_id(stage, 0);
         std::int32_t beside = 0;
@@ -222,8 +245,10 @@
         return;
     }
     int left = give_away_most;
-    const std::map<ready_key, job_id> waiting = ready_;
-    for (const auto& [key, id] : waiting) {
+    index_ready_again();
+    const std::set<ready_key> waiting = ready_;
+    for (const ready_key& key : waiting) {
+        const job_id& id = key.job;
         const auto found = jobs_.find(id);
         if (found == jobs_.end() || awaited_.count(id) != 0 || unclaimed_.count(id) != 0) {
             continue;
@@ -238,15 +263,11 @@
             std::optional<std::pair<cell_id, skylarkhub::epoch>> to;
             for (std::size_t i = 0; i < stage.tasks.size() && (left > 0 || step.gang); ++i) {
                 flow_task& task = stage.tasks[i];
-                // A task is moved once for its own kind's sake; after that it serves wherever there is room.
-                const bool serves = step.tail_target > duration(0) && task.home.moves == 0;
-                const duration waited = now - task.ready_since;
-                if (task.stage != task_stage::ready || !task.runs.empty() ||
-                    waited < (serves ? give_away_serving_after : give_away_after)) {
+                if (task.stage != task_stage::ready || !task.runs.empty() || now - task.ready_since < give_away_after) {
                     continue;
                 }
                 if (!to || !step.gang) {
-                    to = hooks_.find_room(now, id_, job.row().service_name, step, serves && waited < mix_after);
+                    to = hooks_.find_room(now, id_, job.row().service_name, step);
                 }
                 if (!to) {
                     break;
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -30,7 +30,7 @@
         at->second.run = run;
         return;
     }
-    count_run(w, entry, 1);
+    count_run(w, task.job, entry, 1);
 }
 
 void flow_cell::ledger_remove(cell_worker& w, const flow_task_id& task, run_number run)
@@ -39,13 +39,13 @@
     if (at == w.ledger.end() || at->second.run != run) {
         return;
     }
-    count_run(w, at->second, -1);
+    count_run(w, task.job, at->second, -1);
     w.ledger.erase(at);
     w.paced.erase(task);
 }
 
 // Adds a run to what is counted of its worker, or takes it off again: `change` is 1 or -1.
-void flow_cell::count_run(cell_worker& w, const ledger_run& run, int change)
+void flow_cell::count_run(cell_worker& w, const job_id& job, const ledger_run& run, int change)
 {
     resources counted{run.need.cpu_millis * change, run.need.memory_mib * change, run.need.accelerators * change};
     w.lasting_cpu += run.lasting ? counted.cpu_millis : 0;
@@ -56,7 +56,7 @@
         counted.cpu_millis = 0;
     }
     w.held = w.held + counted;
-    count_serving(w, run, change);
+    count_serving(w, job, run, change);
 }
 
 // --- starts ---
@@ -480,12 +480,11 @@
     if (found == jobs_.end()) {
         return;
     }
-    for (auto at = ready_.begin(); at != ready_.end();) {
-        at = at->second == id ? ready_.erase(at) : std::next(at);
-    }
+    drop_ready(id);
     awaited_.erase(id);
     unclaimed_.erase(id);
     timed_.erase(id);
+    loads_.forget(id);
     parts_[job_part(id)].dirty.erase(id);
     jobs_.erase(found);
     put_away_[id] = now;
@@ -505,8 +504,8 @@
     const double room = static_cast<double>(std::max<std::int64_t>(1, w.listing.room.cpu_millis));
     for (int f = 0; f < interference_.filling_count(); ++f) {
         double borne = static_cast<double>(left) / room;
-        for (const serving_group& group : w.serving_images) {
-            const double spare = std::max(0.0, group.bears * w.margin - pressure_on(w, group));
+        for (const serving_group& group : w.serving_groups) {
+            const double spare = std::max(0.0, group.bears_usual * w.margin - pressure_on(w, group));
             borne = std::min(borne, spare / std::max(0.01, interference_.press(group.image, f)));
         }
         pool.fill_cpu_millis[interference_.filling_name(f)] += static_cast<std::int32_t>(borne * room);
@@ -518,6 +517,18 @@
     }
 }
 
+// The image of the tasks that serve there: empty when none does, several_images when they differ.
+std::string flow_cell::serving_image(const cell_worker& w) const
+{
+    if (w.serving_groups.empty()) {
+        return "";
+    }
+    const int first = w.serving_groups.front().image;
+    const bool same = std::all_of(w.serving_groups.begin(), w.serving_groups.end(),
+                                  [first](const serving_group& g) { return g.image == first; });
+    return same ? interference_.serving_name(first) : several_images;
+}
+
 wire::flow_cell_news flow_cell::news() const
 {
     wire::flow_cell_news news;
@@ -540,9 +551,7 @@
         pool.unused_cpu_millis += left_for_filling(option_of(w.read_at, w));
         wire::flow_worker_room each;
         each.free_cpu_millis = static_cast<std::int32_t>(free);
-        each.serving = w.serving_images.empty()       ? ""
-                       : w.serving_images.size() == 1 ? interference_.serving_name(w.serving_images.front().image)
-                                                      : several_images;
+        each.serving = serving_image(w);
         pool.each.push_back(each);
         pool.largest_free_memory_mib =
             std::max(pool.largest_free_memory_mib, w.listing.room.memory_mib - w.held.memory_mib);
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -133,8 +133,9 @@
                                      [&](const flow_queue& q) { return q.name == name; });
         return at == config_->queues.end() ? nullptr : &*at;
     };
-    hooks.find_room = [this](instant now, const cell_id& from, const std::string& service, const flow_step& step,
-                             bool alone) { return find_room(now, from, service, step, alone); };
+    hooks.find_room = [this](instant now, const cell_id& from, const std::string& service, const flow_step& step) {
+        return find_room(now, from, service, step);
+    };
     hooks.tell_cell = [this](instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row,
                              row_version version) { tell_cell(now, cell, job, row, version); };
     hooks.state_changed = [this](instant now, const wire::flow_job_row& row, const job_id& job, flow_state state) {
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -186,12 +186,12 @@
     return std::max(0, wants.per_worker_most > 0 ? std::min(here, wants.per_worker_most) : here);
 }
 
-// How many of the tasks the workers of a pool have room for now. `alone`: where no other image serves.
-std::int32_t tasks_that_fit(const wire::flow_pool_row& pool, const flow_wants& wants, bool alone)
+// How many of the tasks the workers of a pool have room for now.
+std::int32_t tasks_that_fit(const wire::flow_pool_row& pool, const flow_wants& wants)
 {
     std::int32_t fit = 0;
     for (const wire::flow_worker_room& room : pool.each) {
-        fit += !alone || serves_alone(room, wants.image) ? tasks_that_fit(room, wants) : 0;
+        fit += tasks_that_fit(room, wants);
     }
     return std::min(fit, wants.tasks);
 }
@@ -238,12 +238,12 @@
     const double unused = static_cast<double>(pool.unused_cpu_millis - assigned) / total;
     const double free = static_cast<double>(pool.free_cpu_millis - assigned) / total;
     if (wants.lasting) {
+        // All of them at once if they fit, then where their image serves already, then where most is left.
+        const auto tasks = static_cast<double>(wants.tasks);
         const auto own_image = pool.serving_cpu_millis.find(wants.image);
         const double together =
             own_image == pool.serving_cpu_millis.end() ? 0 : static_cast<double>(own_image->second) / total;
-        const auto tasks = static_cast<double>(wants.tasks);
-        return 2 * tasks_that_fit(pool, wants, true) / tasks + tasks_that_fit(pool, wants, false) / tasks + together +
-               0.2 * draw(wants.image, cell);
+        return 3 * tasks_that_fit(pool, wants) / tasks + free + together + 0.1 * draw(wants.image, cell);
     }
     const auto borne = pool.fill_cpu_millis.find(wants.image);
     if (wants.filling && borne != pool.fill_cpu_millis.end()) {
@@ -253,7 +253,7 @@
         return unused;
     }
     // All tasks at once if they fit, then where most is left for those that come after.
-    return static_cast<double>(tasks_that_fit(pool, wants, false)) / std::max(1, wants.tasks) + 0.5 * free;
+    return static_cast<double>(tasks_that_fit(pool, wants)) / std::max(1, wants.tasks) + 0.5 * free;
 }
 
 } // namespace
@@ -455,8 +455,8 @@
 
 // The cell that has most left, or for a lasting task where most of its image serves, with a worker that one more task
 // of the step fits on.
-std::optional<std::pair<cell_id, epoch>>
-flow_entry::find_room(instant now, const cell_id& from, const std::string& service, const flow_step& step, bool alone)
+std::optional<std::pair<cell_id, epoch>> flow_entry::find_room(instant now, const cell_id& from,
+                                                               const std::string& service, const flow_step& step)
 {
     const wire::flow_cell_news* best = nullptr;
     std::int64_t best_score = 0;
@@ -481,7 +481,7 @@
                                                       : pool.free_cpu_millis) -
                                       assigned_cpu_[cell_id(news.cell)];
             const bool fits_worker = pool.largest_free_memory_mib >= step.need.memory_mib &&
-                                     (step.filling || tasks_that_fit(pool, wants, alone) > 0);
+                                     (step.filling || tasks_that_fit(pool, wants) > 0);
             // An owner that has just taken its cell over has heard of no worker yet.
             const std::int64_t largest_free = pool.each.empty() ? 0 : pool.each.front().free_cpu_millis;
             const auto together = pool.serving_cpu_millis.find(step.image);
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -87,13 +87,12 @@
 // A waiting task goes to another cell after this: well before a task that has its turn may be missed, and long enough
 // for the ends that a full cell sees every few milliseconds to make room first.
 inline constexpr duration give_away_after = 800ms;
-inline constexpr duration give_away_serving_after = 200ms; // to a cell where it serves beside its own kind only
-inline constexpr duration mix_after = 900ms;               // then it serves beside others
 inline constexpr duration give_away_interval = 250ms;
 inline constexpr int give_away_most =
     6; // tasks at a time: what other cells say of their room is up to half a second old
-inline constexpr duration fill_patience = 2400ms; // of a filling task for a place where what it presses on bears it
-inline constexpr duration evict_after = 500ms;    // a run is not moved again sooner than it can have settled
-inline constexpr double distrust_half_life_s = 6; // of the memory that runs failed on a worker
+inline constexpr duration fill_patience = 12000ms; // of a filling task for a place where what it presses on bears it
+inline constexpr double fill_overcommit = 0.25;    // of a worker: filling tasks use four fifths of what they ask for
+inline constexpr duration evict_after = 500ms;     // a run is not moved again sooner than it can have settled
+inline constexpr double distrust_half_life_s = 6;  // of the memory that runs failed on a worker
 
 } // namespace skylarkhub::flow_limits
--- /dev/null
+++ b/src/flow_load.cpp
@@ -0,0 +1,137 @@
+#include "flow_load_p.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace skylarkhub {
+
+namespace {
+
+constexpr double pi = 3.14159265358979323846;
+constexpr double load_least = 0.05;
+constexpr double load_most = 0.9;
+constexpr double load_start = 0.5;      // of a job that was not looked at; measured ones swing from 0.2 to 0.65
+constexpr double period_least_s = 4;    // a shorter swing is over before an order is in force
+constexpr double period_ratio = 1.06;   // up to 43 s; a period 3% off is a sixth of a radian off in memory_s
+constexpr double memory_s = 15;         // of a swing's fit: one swing or two
+constexpr double line_memory_s = 0.5;   // of the line: some five looks
+constexpr double line_ahead_most_s = 1; // it leads no further
+constexpr double line_ridge = 0.3;      // weight * s^2: towards a level line while there are few looks
+constexpr double swing_ridge = 0.5;     // weight: towards no swing while there are few looks
+constexpr double level_ridge = 0.2;     // weight: towards load_start
+constexpr double judge_memory = 0.999;  // of a look: some seconds of a cell's looks
+constexpr double judge_least = 150;     // looks before a period is believed
+constexpr double explained_least = 0.5;
+
+} // namespace
+
+double load_forecast::period_of(std::size_t candidate)
+{
+    return period_least_s * std::pow(period_ratio, static_cast<double>(candidate));
+}
+
+void load_forecast::swing::add(double kept, double cos, double sin, double load, double weight)
+{
+    const std::array<double, 6> now{1, cos, sin, cos * cos, cos * sin, sin * sin};
+    for (std::size_t i = 0; i < now.size(); ++i) {
+        moments[i] = kept * moments[i] + weight * now[i];
+    }
+    const std::array<double, 3> row{1, cos, sin};
+    for (std::size_t i = 0; i < row.size(); ++i) {
+        products[i] = kept * products[i] + weight * load * row[i];
+    }
+    // Solved by hand (Cramer): three unknowns.
+    const double a = moments[0] + level_ridge;
+    const double b = moments[1];
+    const double c = moments[2];
+    const double d = moments[3] + swing_ridge;
+    const double e = moments[4];
+    const double f = moments[5] + swing_ridge;
+    const double x = products[0] + level_ridge * load_start;
+    const double y = products[1];
+    const double z = products[2];
+    const double determinant = a * (d * f - e * e) - b * (b * f - c * e) + c * (b * e - c * d);
+    solution[0] = (x * (d * f - e * e) - b * (y * f - e * z) + c * (y * e - d * z)) / determinant;
+    solution[1] = (a * (y * f - e * z) - x * (b * f - c * e) + c * (b * z - c * y)) / determinant;
+    solution[2] = (a * (d * z - y * e) - b * (b * z - c * y) + x * (b * e - c * d)) / determinant;
+}
+
+void load_forecast::line::add(double elapsed, double new_load, double new_weight)
+{
+    const double kept = std::exp(-elapsed / line_memory_s);
+    age_squared = kept * (age_squared + 2 * elapsed * age + elapsed * elapsed * weight);
+    age_load = kept * (age_load + elapsed * load);
+    age = kept * (age + elapsed * weight);
+    weight = kept * weight + new_weight;
+    load = kept * load + new_weight * new_load;
+}
+
+double load_forecast::line::ahead(double seconds) const
+{
+    if (weight < 1e-6) {
+        return load_start;
+    }
+    const double mean_age = age / weight;
+    const double slope = (age_load - mean_age * load) / (age_squared - mean_age * age + line_ridge);
+    return load / weight - slope * (mean_age + std::clamp(seconds, 0.0, line_ahead_most_s));
+}
+
+void load_forecast::judge(const job_load& known, double time, double load, double weight)
+{
+    judged_ = judge_memory * judged_ + weight;
+    mean_ = judge_memory * mean_ + weight * load;
+    square_ = judge_memory * square_ + weight * load * load;
+    for (std::size_t i = 0; i < candidates; ++i) {
+        const double angle = 2 * pi * time / period_of(i);
+        const double off = load - known.swings[i].at(std::cos(angle), std::sin(angle));
+        errors_[i] = judge_memory * errors_[i] + weight * off * off;
+    }
+    best_ = static_cast<std::size_t>(std::min_element(errors_.begin(), errors_.end()) - errors_.begin());
+}
+
+void load_forecast::add(const job_id& job, double time, double load, double weight)
+{
+    job_load& known = jobs_[job];
+    const double elapsed = known.looks == 0 ? 0 : std::max(0.0, time - known.time);
+    if (known.looks > 0) {
+        judge(known, time, load, weight);
+    }
+    const double kept = std::exp(-elapsed / memory_s);
+    for (std::size_t i = 0; i < candidates; ++i) {
+        const double angle = 2 * pi * time / period_of(i);
+        known.swings[i].add(kept, std::cos(angle), std::sin(angle), load, weight);
+    }
+    known.recent.add(elapsed, load, weight);
+    known.time = std::max(known.time, time);
+    known.looks += weight;
+}
+
+double load_forecast::period() const
+{
+    if (judged_ < judge_least * 0.5) {
+        return 0;
+    }
+    const double mean = mean_ / judged_;
+    const double variance = square_ / judged_ - mean * mean;
+    return errors_[best_] / judged_ < (1 - explained_least) * variance ? period_of(best_) : 0;
+}
+
+double load_forecast::at(const job_id& job, double time) const
+{
+    const auto known = jobs_.find(job);
+    if (known == jobs_.end()) {
+        return load_start;
+    }
+    const double swings_every = period();
+    double load = 0;
+    if (swings_every > 0) {
+        const double angle = 2 * pi * time / swings_every;
+        load = known->second.swings[best_].at(std::cos(angle), std::sin(angle));
+    }
+    else {
+        load = known->second.recent.ahead(time - known->second.time);
+    }
+    return std::clamp(load, load_least, load_most);
+}
+
+} // namespace skylarkhub
--- a/src/flow_place.cpp
+++ b/src/flow_place.cpp
@@ -7,16 +7,19 @@
 namespace {
 
 // Weights in shares of a worker's processors: what one unit of the cause costs the work on that worker. Serving tasks
-// do not disturb each other (tails of 0.4 to 0.5 of the target at one to eight on a worker), so they are packed, those
-// of one image together: filling work then has workers where it presses on nobody, or on one image that bears it.
+// do not disturb each other, so they are packed on as few workers as hold them: on one without a serving task filling
+// work presses on nobody and has all processors; beside serving tasks that are at the top of their load it has a fifth.
 constexpr double remote_cost = 3.0;   // away from its data a task takes two to three times as long
 constexpr double distrust_cost = 5.0; // a failed run costs the whole run again
 constexpr double excess_cost = 6.0;   // filling work beyond what is borne is slowed, or the tails there go over target
 constexpr double beside_serving = 0.15; // filling work beside serving tasks that bear it now, and may not later
-constexpr double apart_cost = 0.6;      // plain work on a worker that has no serving task
-constexpr double open_cost = 0.4;  // the first serving task of a worker: one fewer where filling work presses on nobody
-constexpr double mixed_cost = 1.0; // a serving task where other images serve: what each bears, both must bear then
-constexpr double spread_cost = 0.3;     // what is left on each worker, too small for a serving task, is plain work's
+constexpr double taken_cost = 1.0; // what serving tasks bear is scarcer than processors: spent where a task takes least
+constexpr double apart_cost = 0.6; // plain work on a worker that has no serving task
+constexpr double open_cost = 1.5;  // the first serving task of a worker: one fewer where filling work presses on nobody
+constexpr double tight_cost = 0.6; // what a serving task leaves free, where no other may fit any more
+constexpr double mixed_cost = 1.0; // beside serving tasks of other images only: what both bear is less than either
+constexpr double kin_gain = 0.3;   // beside tasks of its own job: their load is at its top at the same moments
+constexpr double whole_cost = 0.6; // a worker where filling work presses on nobody, for work that others bear as well
 constexpr double overcommit_cost = 2.0; // filling work that gets less than it wants runs longer
 
 } // namespace
@@ -48,11 +51,12 @@
     }
     cost += excess_cost * interference.excess;
     if (step.filling) {
-        cost += wanted + overcommit_cost * std::max(0.0, wanted - 1.0);
-        return cost + (option.serving > 0 ? beside_serving : 0);
+        cost += taken_cost * interference.taken + wanted + overcommit_cost * std::max(0.0, wanted - 1.0);
+        return cost + (option.serving > 0 ? beside_serving : whole_cost * interference.borne_elsewhere);
     }
     if (step.lasting) {
-        cost += spread_cost * counted + (option.serving == 0 ? open_cost : 0);
+        cost += tight_cost * (1.0 - counted) + (option.serving == 0 ? open_cost : 0);
+        cost -= interference.kin ? kin_gain : 0;
         return cost + (interference.mixed ? mixed_cost : 0);
     }
     // Plain work fills what serving tasks leave, so that other workers stay whole for filling work.
--- a/src/flow_press.cpp
+++ b/src/flow_press.cpp
@@ -8,16 +8,20 @@
 
 namespace {
 
-constexpr int width = interference_model::filling_most + 1; // the last column is the base
-constexpr double start_press = 1.5;                         // of a pair not measured: the median of measured ones
-constexpr double start_base = -0.9;                         // a calm serving task is at 0.4 of its target
-constexpr double ridge = 0.05;                              // as much as five looks at a tenth of a worker's processors
-constexpr double ridge_base = 2.0;                          // as much as two looks
-constexpr double memory = 0.985;      // of a refit, once a second: what is a minute old counts for 0.4
-constexpr double log_tail_least = -2; // tails beyond these say no more than "far under" and "far over"
-constexpr double log_tail_most = 2.5;
-constexpr int samples_to_tell = 30; // before others are told
-
+constexpr int width = interference_model::filling_most;
+constexpr double start_press = 1.5;     // of a pair not measured: a little above the median of measured ones
+constexpr double ridge = 0.02;          // as much as ten looks at a tenth of a worker's processors, load at 0.45
+constexpr double memory = 0.985;        // of a refit, once a second: what is a minute old counts for 0.4
+constexpr int samples_to_tell = 30;     // before others are told
+constexpr double idle_start = 1 / 4.5;  // of the target: the tail of an idle serving task, before one was seen
+constexpr double idle_of_least = 0.8;   // the lowest load of a day leaves a tail a quarter above the idle one
+constexpr double idle_least = 1 / 12.0; // of the target; tails come in whole milliseconds, so a low one says little
+constexpr double idle_most = 1 / 2.0;   // of the target; else nothing could run beside it
+constexpr double busy_most = 0.95;      // beyond it the tail tells of a backlog, not of the load
+constexpr double tail_wanted = 0.95;    // of the target: looks come in whole milliseconds and half a second late
+constexpr double bearable_most = 2.5;   // even of an idle one: its load comes back within seconds
+constexpr double load_least = 0.05;
+constexpr double load_most = 0.9;
 // Where a fit's moments keep the product of two columns.
 std::size_t cell_of(int row, int column)
 {
@@ -67,10 +71,56 @@
     f.products.assign(width, 0);
     f.start.assign(filling_most, start_press);
     f.press = f.start;
-    f.base = start_base;
     return f;
 }
 
+double interference_model::idle_tail(const fit& f) const
+{
+    return f.least_tail == 0 ? idle_start : std::clamp(idle_of_least * f.least_tail, idle_least, idle_most);
+}
+
+void interference_model::note_tail(int serving, double tail)
+{
+    fit& f = serving_[static_cast<std::size_t>(serving)];
+    f.least_tail = f.least_tail == 0 ? tail : std::min(f.least_tail, tail);
+}
+
+double interference_model::busy(int serving, double tail) const
+{
+    return std::clamp(1 - idle_tail(serving_[static_cast<std::size_t>(serving)]) / tail, 0.0, busy_most);
+}
+
+double interference_model::pressure(int serving, const std::vector<double>& shares) const
+{
+    const fit& f = serving_[static_cast<std::size_t>(serving)];
+    double sum = 0;
+    for (std::size_t i = 0; i < std::min(shares.size(), f.press.size()); ++i) {
+        sum += f.press[i] * shares[i];
+    }
+    return sum;
+}
+
+double interference_model::load_of(int serving, double busy, const std::vector<double>& shares) const
+{
+    return std::clamp(busy / (1 + pressure(serving, shares)), load_least, load_most);
+}
+
+// What the model takes off for filling work may be wrong by as much again; a backlog tells nothing of the load.
+double interference_model::load_weight(int serving, double busy, const std::vector<double>& shares) const
+{
+    if (busy >= busy_most) {
+        return 0;
+    }
+    const double off = 1 + 4 * pressure(serving, shares);
+    return 1 / (off * off);
+}
+
+double interference_model::bearable(int serving, double load) const
+{
+    const double busy_wanted = 1 - idle_tail(serving_[static_cast<std::size_t>(serving)]) / tail_wanted;
+    return std::clamp(busy_wanted / std::clamp(load, load_least, load_most) - 1, 0.0, bearable_most);
+}
+
 int interference_model::serving_index(const std::string& image)
 {
     const auto at = std::find_if(serving_.begin(), serving_.end(), [&](const fit& f) { return f.name == image; });
@@ -94,22 +144,19 @@
     return filling_count() - 1;
 }
 
-void interference_model::learn(int serving, double log_tail, const std::vector<double>& shares)
+void interference_model::learn(int serving, double busy, double load, const std::vector<double>& shares)
 {
     fit& f = serving_.at(static_cast<std::size_t>(serving));
-    const double y = std::clamp(log_tail, log_tail_least, log_tail_most);
-    std::vector<double> x(width, 0);
-    std::copy_n(shares.begin(), std::min<std::size_t>(shares.size(), filling_most), x.begin());
-    x[filling_most] = 1;
-    for (int i = 0; i < width; ++i) {
-        const double xi = x[static_cast<std::size_t>(i)];
+    const std::size_t n = std::min<std::size_t>(shares.size(), filling_most);
+    for (std::size_t i = 0; i < n; ++i) {
+        const double xi = load * shares[i];
         if (xi == 0) {
             continue;
         }
-        for (int j = 0; j < width; ++j) {
-            f.moments[cell_of(i, j)] += xi * x[static_cast<std::size_t>(j)];
+        for (std::size_t j = 0; j < n; ++j) {
+            f.moments[cell_of(static_cast<int>(i), static_cast<int>(j))] += xi * load * shares[j];
         }
-        f.products[static_cast<std::size_t>(i)] += xi * y;
+        f.products[i] += xi * (busy - load);
     }
     ++f.samples;
 }
@@ -117,35 +164,25 @@
 void interference_model::refit()
 {
     const int n = filling_count();
+    const auto size = static_cast<std::size_t>(n);
     for (fit& f : serving_) {
         if (f.samples == 0) {
             continue;
         }
-        // Only the columns in use, the base last.
-        std::vector<int> columns(static_cast<std::size_t>(n));
-        std::iota(columns.begin(), columns.end(), 0);
-        columns.push_back(filling_most);
-        const int m = n + 1;
-        const auto size = static_cast<std::size_t>(m);
         std::vector<double> a(size * size);
-        std::vector<double> b(static_cast<std::size_t>(m));
-        for (int i = 0; i < m; ++i) {
-            const int ci = columns[static_cast<std::size_t>(i)];
-            for (int j = 0; j < m; ++j) {
-                a[static_cast<std::size_t>(i) * size + static_cast<std::size_t>(j)] =
-                    f.moments[cell_of(ci, columns[static_cast<std::size_t>(j)])];
+        std::vector<double> b(size);
+        for (int i = 0; i < n; ++i) {
+            const auto row = static_cast<std::size_t>(i);
+            for (int j = 0; j < n; ++j) {
+                a[row * size + static_cast<std::size_t>(j)] = f.moments[cell_of(i, j)];
             }
-            const bool base = i == n;
-            a[static_cast<std::size_t>(i) * size + static_cast<std::size_t>(i)] += base ? ridge_base : ridge;
-            b[static_cast<std::size_t>(i)] =
-                f.products[static_cast<std::size_t>(ci)] +
-                (base ? ridge_base * start_base : ridge * f.start[static_cast<std::size_t>(i)]);
+            a[row * size + row] += ridge;
+            b[row] = f.products[row] + ridge * f.start[row];
         }
-        const std::vector<double> x = solve(std::move(a), std::move(b), m);
-        for (int i = 0; i < n; ++i) {
-            f.press[static_cast<std::size_t>(i)] = std::max(0.0, x[static_cast<std::size_t>(i)]);
+        const std::vector<double> x = solve(std::move(a), std::move(b), n);
+        for (std::size_t i = 0; i < size; ++i) {
+            f.press[i] = std::max(0.0, x[i]);
         }
-        f.base = std::clamp(x[static_cast<std::size_t>(n)], -1.5, -0.3);
         for (double& v : f.moments) {
             v *= memory;
         }
@@ -160,11 +197,6 @@
     return serving_[static_cast<std::size_t>(serving)].press[static_cast<std::size_t>(filling)];
 }
 
-double interference_model::base(int serving) const
-{
-    return serving_[static_cast<std::size_t>(serving)].base;
-}
-
 std::map<std::string, double> interference_model::learned() const
 {
     std::map<std::string, double> out;
--- a/src/flow_press_p.h
+++ b/src/flow_press_p.h
@@ -7,12 +7,13 @@
 
 namespace skylarkhub {
 
-// A log-linear model of the tail latency of a serving task of image s beside filling work:
-//   ln(tail / target) = base(s) + sum over filling images f of press(s, f) * share(f)
-// with share(f) the part of the worker's processors that tasks of f use. Fitted by ridge regression over what was
-// measured, with a memory of a minute or so. Measured with nothing slowed: the model explains half of the variance of
-// ln(tail) with shares smoothed over 0.8 s; most pairs press 0 to 2, one to three of nine press 5 to 12, and which
-// these are differs from one serving image to the next. So it has to be learned, on every installation anew.
+// How busy a serving task is, from the tail latency it measures: the share of its capacity that its load takes up. A
+// queue whose tail is `idle` with nothing to do has a tail of idle / (1 - busy). Measured over a day with filling work
+// beside: busy = load * (1 + sum over filling images f of press(s, f) * share(f)) explains 0.5 to 0.6 of the variance
+// of single looks, most of the rest is that tails come in whole milliseconds; a fit of ln(tail) explains 0.2, and
+// nothing of what goes beyond the target. `load` is the service's own, the same for all tasks of its job, and swings by
+// half within seconds; share(f) is the part of the worker's processors that tasks of f use. Most pairs press 0.5
+// to 1.5, one to three of nine press 4 to 10, and which these are differs from one serving image to the next.
 class interference_model {
 public:
     // Small numbers for image names, given on first sight; filling images beyond filling_most share the last one.
@@ -20,13 +21,22 @@
     int filling_index(const std::string& image);
     static constexpr int filling_most = 24;
 
-    // `shares` by filling index; missing ones are 0.
-    void learn(int serving, double log_tail, const std::vector<double>& shares);
+    // `tail` is a share of the target.
+    void note_tail(int serving, double tail);
+    double busy(int serving, double tail) const;
+    // The load that a look tells of, beside filling work of these shares; and how far to believe it, 0 to 1.
+    double load_of(int serving, double busy, const std::vector<double>& shares) const;
+    double load_weight(int serving, double busy, const std::vector<double>& shares) const;
+    // `load`: of the serving task's job at the time of the look. `shares` by filling index; missing ones are 0.
+    void learn(int serving, double busy, double load, const std::vector<double>& shares);
     // Makes what was learned count; once a second or so.
     void refit();
 
+    // The pressure (sum of press * share) beside which a serving task of this load stays within its target.
+    double bearable(int serving, double load) const;
+    double pressure(int serving, const std::vector<double>& shares) const;
+
     double press(int serving, int filling) const;
-    double base(int serving) const;
     int serving_count() const { return static_cast<int>(serving_.size()); }
     const std::string& serving_name(int serving) const { return serving_[static_cast<std::size_t>(serving)].name; }
     const std::string& filling_name(int filling) const { return filling_names_[static_cast<std::size_t>(filling)]; }
@@ -41,12 +51,13 @@
     struct fit {
         std::string name;
         int samples = 0;
-        std::vector<double> moments;  // of (shares, 1) with themselves, row by row
-        std::vector<double> products; // of (shares, 1) with ln(tail)
+        double least_tail = 0;        // seen so far, as a share of the target; 0: none
+        std::vector<double> moments;  // of load * shares with themselves, row by row
+        std::vector<double> products; // of load * shares with busy - load
         std::vector<double> start;    // what the fit is drawn towards where little was measured
         std::vector<double> press;
-        double base = -0.9;
     };
+    double idle_tail(const fit& f) const;
     fit make_fit(const std::string& name) const;
 
     std::vector<fit> serving_;
