flow: lasting jobs leave short work its share; runs that fall behind are hastened

Ruled out: memory (two thirds held), takeovers (same owner throughout), the order of waiting jobs. Change: a lasting job that does not fit beside a tenth for short work is refused at once, with when to come back, unless its row is there already. Runs that stand still, or that running anew would overtake, are stopped and start again elsewhere, or get a copy where the step allows one; twice at most.

--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -203,6 +203,8 @@
     void ledger_add(cell_worker& w, const flow_step& step, const flow_task_id& task, run_number run);
     void count_run(cell_worker& w, const job_id& job, const ledger_run& run, int change);
     void ledger_remove(cell_worker& w, const flow_task_id& task, run_number run);
+    void hasten(instant now, cell_worker& w, flow_job& job, ledger_run& run, const listed_run& seen);
+    void start_on(instant now, flow_job& job, flow_stage& stage, std::size_t index, cell_worker& w, run_number run);
     void requeue(instant now, flow_job& job, const flow_task_id& task);
     void after_done(instant now, flow_job& job, const flow_task_id& task);
     void end_job(instant now, flow_job& job, flow_state outcome);
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -214,20 +214,9 @@
         }
         const run_number run = step.gang ? gang_run : own_run;
         w->ledger.at(id).run = run;
-        task.last_run = run;
         task.stage = task_stage::placed;
         --stage.ready;
-        task.runs.push_back({w->listing.worker, run, now});
-        ++stats_.starts;
-        edges_.note(log_level::info, "run", "placed",
-                    {{"job", id.job.str()},
-                     {"step", std::to_string(id.step)},
-                     {"index", std::to_string(id.index)},
-                     {"run", std::to_string(run.value())},
-                     {"worker", w->listing.worker.str()},
-                     {"waited_ms", std::to_string((now - task.ready_since).count() / 1000)},
-                     {"left_cpu", std::to_string(w->listing.room.cpu_millis - w->held.cpu_millis)}});
-        send_start(now, w->listing.worker, id, run, 0);
+        start_on(now, job, stage, i, *w, run);
     }
     if (!chosen.empty() && !(step.gang && !all) && !job.started()) {
         job.note_started();
@@ -236,6 +225,73 @@
     return all;
 }
 
+// The run is in the worker's ledger already.
+void flow_cell::start_on(instant now, flow_job& job, flow_stage& stage, std::size_t index, cell_worker& w,
+                         run_number run)
+{
+    flow_task& task = stage.tasks[index];
+    const flow_task_id id = job.task_id(stage, index);
+    task.last_run = run;
+    task.runs.push_back({w.listing.worker, run, now});
+    ++stats_.starts;
+    edges_.note(log_level::info, "run", "placed",
+                {{"job", id.job.str()},
+                 {"step", std::to_string(id.step)},
+                 {"index", std::to_string(id.index)},
+                 {"run", std::to_string(run.value())},
+                 {"worker", w.listing.worker.str()},
+                 {"waited_ms", std::to_string((now - task.ready_since).count() / 1000)},
+                 {"left_cpu", std::to_string(w.listing.room.cpu_millis - w.held.cpu_millis)}});
+    send_start(now, w.listing.worker, id, run, 0);
+}
+
+// A worker that has turned slow, or lets its tasks stand still, keeps answering: its runs end late or never, and with
+// them the step. A run that has fallen behind gets a copy elsewhere if the step allows it; else it is stopped and
+// starts again elsewhere, at its checkpoint if it has one, once its end is certain. Twice at most: a task that is
+// slower everywhere than was estimated must not be started for ever.
+void flow_cell::hasten(instant now, cell_worker& w, flow_job& job, ledger_run& run, const listed_run& seen)
+{
+    constexpr std::int32_t restarts_most = 2;
+    constexpr int pace_free = 50; // percent; below, its pace explains why it does not get on
+    flow_stage& stage = *job.find_stage(seen.task);
+    flow_task& task = *job.find_task(seen.task);
+    const flow_step& step = job.step(stage);
+    if (step.lasting || step.gang) {
+        return;
+    }
+    const auto paced = w.paced.find(seen.task);
+    run.progress.note(now, seen.progress_percent, paced != w.paced.end() && paced->second < pace_free);
+    const bool stalled = run.progress.stalled(now);
+    // How fast filling work gets on depends on what others leave unused.
+    const bool slow = !step.filling && run.progress.slower_than_anew(now, step.estimate);
+    const bool alone = task.runs.size() == 1 && !task.runs.front().stopping;
+    if ((!stalled && !slow) || !alone || task.restarts >= restarts_most || job.cancelled() || job.ended()) {
+        return;
+    }
+    distrust(now, w, 1);
+    task.failed_on = w.listing.worker;
+    cell_worker* const better = choose(now, job, stage, task);
+    if (better == nullptr || better == &w) {
+        return;
+    }
+    ++task.restarts;
+    edges_.note(log_level::info, "run", "behind",
+                {{"task", text_of(seen.task)},
+                 {"run", std::to_string(seen.run.value())},
+                 {"worker", w.listing.worker.str()},
+                 {"percent", std::to_string(seen.progress_percent)},
+                 {"estimate_ms", std::to_string(step.estimate.count() / 1000)},
+                 {"stalled", stalled ? "yes" : "no"},
+                 {"copy_on", step.speculative ? better->listing.worker.str() : "none"}});
+    if (!step.speculative) {
+        stop_run_once(now, task.runs.front(), seen.task);
+        return;
+    }
+    const run_number copy = job.next_run(task, epoch_);
+    ledger_add(*better, step, seen.task, copy);
+    start_on(now, job, stage, static_cast<std::size_t>(seen.task.index), *better, copy);
+}
+
 // Tasks that no worker here has room for go to a cell that has: a cell may lose workers, or fill up with tasks that
 // last, while others stay empty.
 void flow_cell::give_away_waiting(instant now)
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -382,6 +382,7 @@
                 live.confirmed = true;
             }
         }
+        hasten(now, w, job, held->second, run);
         return;
     }
     if (held != w.ledger.end() && held->second.run > run.run) {
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -108,6 +108,10 @@
         reply({caller_result::invalid, flow_state::queued, 0, duration(0), problem});
         return;
     }
+    if (!leaving_ && !has_lasting_room(now, queue, *request.spec)) {
+        refuse_unless_there(job, std::move(reply));
+        return;
+    }
     const auto cell = choose_cell(now, queue, *request.spec);
     if (leaving_ || !cell) {
         ++stats_.refused;
@@ -325,6 +329,48 @@
     return best;
 }
 
+// Whether all tasks of a lasting job find workers now and leave short work its share. Accepted beyond that, they would
+// hold everything for minutes, wait for each other, and let short work wait that is due in a second.
+bool flow_entry::has_lasting_room(instant now, const flow_queue& queue, const flow_spec& spec)
+{
+    const flow_wants wants = wants_of(spec);
+    if (!wants.lasting) {
+        return true;
+    }
+    std::int64_t total = 0;
+    std::int64_t free = 0;
+    std::int32_t fit = 0;
+    each_news(now, [&](wire::flow_cell_news& news, bool) {
+        for (const wire::flow_pool_row& pool : news.pools) {
+            if (pool.service_name == queue.service && pool.total_cpu_millis > 0) {
+                total += pool.total_cpu_millis;
+                free += pool.free_cpu_millis - assigned_cpu_[cell_id(news.cell)];
+                fit += tasks_that_fit(pool, wants);
+            }
+        }
+    });
+    const auto reserve = static_cast<std::int64_t>(short_work_reserve * static_cast<double>(total));
+    return total == 0 || (fit >= wants.tasks && free - wants.cpu >= reserve);
+}
+
+// A caller that got no answer asks again, at any entry: its job may be there already, and then it must not be told that
+// it will never run.
+void flow_entry::refuse_unless_there(const job_id& job, caller_reply reply)
+{
+    edges_.read(only_row(job_key(job)), [this, job, reply = std::move(reply)](instant, const store_page& page) {
+        if (page.reached && !page.rows.empty()) {
+            ++stats_.repeated;
+            reply({caller_result::accepted, flow_state::queued, 0, duration(0), ""});
+            return;
+        }
+        ++stats_.refused;
+        edges_.note(log_level::info, "job", "refused",
+                    {{"job", job.str()}, {"reason", page.reached ? "no room for lasting tasks" : "table not reached"}});
+        reply({page.reached ? caller_result::not_accepted : caller_result::unsettled, flow_state::queued, 0,
+               page.reached ? full_retry : unavailable_retry, "no room for lasting tasks now"});
+    });
+}
+
 void flow_entry::write_job(const job_id& job, const wire::flow_job_row& row, instant give_up, int tries,
                            bool may_be_in_force)
 {
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -31,7 +31,8 @@
     std::string checkpoint;
     instant ready_since{};
     std::vector<live_run> runs; // more than one only for speculative steps
-    worker_id failed_on;        // the last worker it failed on, avoided where there is another
+    worker_id failed_on;        // the last worker it failed or fell behind on, avoided where there is another
+    std::int32_t restarts = 0;  // by this owner, since it had fallen behind
     wire::flow_home_row home;   // the cell that takes care of it; no cell: the job's
 };
 
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -76,7 +76,11 @@
 inline constexpr duration default_patience = 3s; // of a caller that does not say how long it waits
 inline constexpr duration answer_margin = 150ms; // before the caller's time is up
 inline constexpr duration accept_retry = 120ms;
-inline constexpr int accept_tries = 3;            // while the table refuses; a write in doubt is tried until time is up
+inline constexpr int accept_tries = 3; // while the table refuses; a write in doubt is tried until time is up
+// Lasting tasks leave this much of a service's processors to short work, which waited 5 to 15 s for room when they took
+// all there was: twice what it takes on the whole (5%), since it comes in bursts and needs its room on one worker each.
+inline constexpr double short_work_reserve = 0.1;
+inline constexpr duration full_retry = 4s;        // some lasting job ends within this on a site that is full
 inline constexpr duration unavailable_retry = 1s; // what a caller is told when the table or the cells are away
 inline constexpr duration state_fresh = 1500ms;   // an owner tells each end at once; older than this, the row is read
 
--- a/src/flow_place_p.h
+++ b/src/flow_place_p.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "flow_job_p.h"
+#include "flow_straggle_p.h"
 
 namespace skylarkhub {
 
@@ -21,6 +22,7 @@
     std::string image;
     int image_index = 0; // in the interference model: among serving images if it has a tail target, else filling ones
     duration tail_target{0};
+    run_progress progress;
 };
 
 // A worker as placement sees it.
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -26,6 +26,7 @@
     bool listed = true;
     bool draining = false;
     bool reachable = true; // its orders and answers pass
+    double slowness = 1;   // what starts from now on takes this much longer
     duration clock_offset{0};
     epoch fence;
     instant lease_until{};
@@ -33,6 +34,7 @@
     struct run {
         run_number number;
         std::string payload;
+        instant begun{};
         instant ends{};
         bool fails = false;
         resources need;
