--- a/src/daemon_flow_app.cpp
+++ b/src/daemon_flow_app.cpp
@@ -156,19 +156,19 @@
 std::string flow_app::format_metrics()
 {
     absl::MutexLock lock(&mutex_);
-    const flow_entry_stats& s = entry_->stats();
     std::string out;
-    const auto add = [&](const char* name, std::int64_t value) {
-        out += fmt::format("skylarkhub_{} {}\n", name, value);
-    };
-    add("jobs_accepted_total", s.accepted);
-    add("jobs_repeated_total", s.repeated);
-    add("jobs_refused_total", s.refused);
-    add("jobs_unsettled_total", s.unsettled);
-    add("cancels_total", s.cancels);
-    add("state_requests_total", s.states);
-    add("state_reads_total", s.state_reads);
-    add("config_version", entry_->config_version().value());
+    write_stats(out, entry_->stats());
+    for (const auto& [id, cell] : entry_->cells()) {
+        const std::string labels = fmt::format("cell=\"{}\"", id.str());
+        write_stats(out, id.str(), cell->stats());
+        write_value(out, "cell_owned", labels, cell->owns() ? 1 : 0);
+        write_value(out, "cell_epoch", labels, cell->epoch().value());
+        write_value(out, "jobs", labels, static_cast<std::int64_t>(cell->job_count()));
+        write_value(out, "jobs_waiting", labels, static_cast<std::int64_t>(cell->waiting_count()));
+    }
+    write_value(out, "config_version", "", entry_->config_version().value());
+    write_value(out, "log_lines_dropped_total", "", log_lines_dropped());
+    write_value(out, "log_bytes_total", "", log_bytes_written());
     return out;
 }
 
--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -123,6 +123,7 @@
     case table_outcome::unknown:
         state.backoff = std::clamp<duration>(state.backoff * 2, commit_retry, commit_retry_most);
         state.held_until = now + state.backoff;
+        ++stats_.commits_failed;
         edges_.note(log_level::warning, "table", "commit_failed", {{"part", part}, {"reason", result.reason}});
         break;
     }
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -380,6 +380,7 @@
 {
     edges_.note(log_level::warning, "cell", "lost",
                 {{"cell", id_.str()}, {"epoch", std::to_string(epoch_.value())}, {"reason", reason}});
+    ++stats_.losses;
     ++life_;
     role_ = role::watching;
     acting_ = false;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -14,6 +14,7 @@
 #include "flow_edges_p.h"
 #include "flow_job_p.h"
 #include "flow_load_p.h"
+#include "flow_metrics_p.h"
 #include "flow_order_p.h"
 #include "flow_place_p.h"
 #include "flow_press_p.h"
@@ -51,16 +52,6 @@
     bool leaving = false;
 };
 
-struct flow_cell_stats {
-    std::int64_t starts = 0;
-    std::int64_t done = 0;
-    std::int64_t failed = 0;
-    std::int64_t lost = 0; // runs that ended with their worker
-    std::int64_t commits = 0;
-    std::int64_t holds = 0;
-    std::int64_t takeovers = 0;
-};
-
 class flow_cell {
 public:
     enum class role : std::uint8_t { watching, taking, reading, owning, released };
@@ -75,6 +66,8 @@
     skylarkhub::epoch epoch() const { return epoch_; }
     const wire::flow_cell_row& row() const { return row_; }
     const flow_cell_stats& stats() const { return stats_; }
+    std::size_t job_count() const { return jobs_.size(); }
+    std::size_t waiting_count() const { return ready_.size(); } // jobs with tasks that wait for a worker
 
     // --- events ---
     void on_workers_listed(instant now, const std::vector<flow_listed_worker>& workers);
--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -325,6 +325,7 @@
                      {"worker", w.listing.worker.str()},
                      {"to", better->listing.worker.str()},
                      {"image", run.image}});
+        ++stats_.moved;
         stop_run_once(now, t->runs.front(), task);
         w.next_evict = now + evict_interval;
         return;
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -234,6 +234,9 @@
     task.last_run = run;
     task.runs.push_back({w.listing.worker, run, now});
     ++stats_.starts;
+    const flow_step& step = job.step(stage);
+    const task_kind kind = step.lasting ? task_kind::lasting : step.filling ? task_kind::filling : task_kind::brief;
+    stats_.waits[static_cast<std::size_t>(kind)].add(now - task.ready_since);
     edges_.note(log_level::info, "run", "placed",
                 {{"job", id.job.str()},
                  {"step", std::to_string(id.step)},
@@ -275,6 +278,7 @@
         return;
     }
     ++task.restarts;
+    ++stats_.behind;
     edges_.note(log_level::info, "run", "behind",
                 {{"task", text_of(seen.task)},
                  {"run", std::to_string(seen.run.value())},
@@ -336,6 +340,7 @@
                              {"to", to->first.str()}});
                 job.give_away(job.task_id(stage, i), to->first, to->second, epoch_);
                 given = true;
+                ++stats_.given_away;
                 --left;
             }
         }
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -122,12 +122,15 @@
                     {{"task", text_of(task)},
                      {"run", std::to_string(run.value())},
                      {"worker", id.str()},
-                     {"result", std::to_string(static_cast<int>(answer.result))},
+                     {"result", name_of(answer.result)},
                      {"tries", std::to_string(tries)},
                      {"reason", answer.reason}});
     }
     switch (answer.result) {
     case order_result::accepted:
+        if (!live->confirmed) {
+            stats_.start_times.add(now - live->sent);
+        }
         live->confirmed = true;
         live->sent = now;
         if (live->stopping) {
@@ -346,7 +349,9 @@
         return;
     }
     edges_.note(log_level::info, "job", "ended",
-                {{"job", job.id().str()}, {"cell", id_.str()}, {"outcome", std::to_string(static_cast<int>(outcome))}});
+                {{"job", job.id().str()}, {"cell", id_.str()}, {"outcome", name_of(outcome)}});
+    const auto now_ms = std::chrono::duration_cast<std::chrono::milliseconds>(edges_.wall().time_since_epoch()).count();
+    stats_.job_times.add(std::chrono::milliseconds(now_ms - job.row().accepted_ms));
     job.note_outcome(outcome);
     stop_job_runs(now, job);
     job_changed(now, job, true);
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -224,6 +224,7 @@
         return;
     default:
         ++w.silent;
+        ++stats_.holds_unanswered;
         if (w.silent == silent_holds_most) {
             edges_.note(log_level::warning, "worker", "silent",
                         {{"cell", id_.str()}, {"worker", id.str()}, {"reason", answer.reason}});
@@ -304,16 +305,19 @@
         distrust(now, w, 1);
         break;
     case run_end::stopped:
+        ++stats_.stopped;
+        break;
     case run_end::lapsed:
     case run_end::broken:
     case run_end::alone:
+        ++stats_.lapsed;
         break;
     }
     edges_.note(log_level::info, "run", "ended",
                 {{"task", text_of(end.task)},
                  {"run", std::to_string(end.run.value())},
                  {"worker", w.listing.worker.str()},
-                 {"how", std::to_string(static_cast<int>(end.how))}});
+                 {"how", name_of(end.how)}});
     if (job.changes() != before) {
         w.unconfirmed.push_back({end.number, end.task.job, job.changes()});
     }
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -47,16 +47,6 @@
 };
 using caller_reply = std::function<void(caller_answer)>;
 
-struct flow_entry_stats {
-    std::int64_t accepted = 0;
-    std::int64_t repeated = 0;
-    std::int64_t refused = 0;
-    std::int64_t unsettled = 0;
-    std::int64_t cancels = 0;
-    std::int64_t states = 0;
-    std::int64_t state_reads = 0;
-};
-
 class flow_entry {
 public:
     flow_entry(entry_identity self, flow_edges edges);
@@ -95,6 +85,7 @@
         bool accepting = false;
         flow_state state = flow_state::queued;
         instant checked{}; // when `state` was last known to be so
+        instant asked{};   // first, of the try under way
         std::vector<caller_reply> waiting_accept;
         std::vector<caller_reply> waiting_state;
         bool reading = false;
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -141,6 +141,7 @@
     }
     followed_job& f = followed_[job];
     f.accepting = true;
+    f.asked = now;
     f.waiting_accept.push_back(std::move(reply));
     write_job(job, row, give_up, 0, false);
 }
@@ -437,6 +438,7 @@
     }
     followed_job& f = at->second;
     f.accepting = false;
+    stats_.accept_times.add(now - f.asked);
     f.accepted = answer.result == caller_result::accepted;
     f.checked = now;
     std::vector<caller_reply> waiting;
--- a/src/flow_row.cpp
+++ b/src/flow_row.cpp
@@ -33,6 +33,25 @@
 {
     return job_part(static_cast<int>(XXH64(job.str().data(), job.str().size(), 0) % job_parts));
 }
+const char* name_of(flow_state state)
+{
+    constexpr std::array names{"queued", "running", "done", "failed", "cancelled"};
+    return names.at(static_cast<std::size_t>(state));
+}
+
+const char* name_of(run_end how)
+{
+    constexpr std::array names{"done", "failed", "stopped", "lapsed", "broken", "alone"};
+    return names.at(static_cast<std::size_t>(how));
+}
+
+const char* name_of(order_result result)
+{
+    constexpr std::array names{"accepted",  "fenced",     "stale_run", "expired", "no_room",
+                               "no_ticket", "other_life", "unhealthy", "invalid", "no_answer"};
+    return names.at(static_cast<std::size_t>(result));
+}
+
 std::string text_of(const flow_task_id& task)
 {
     return fmt::format("{}.{}.{}.{}", task.job.str(), task.occurrence, task.step, task.index);
--- a/src/flow_row_p.h
+++ b/src/flow_row_p.h
@@ -26,6 +26,11 @@
 // A task as logs name it.
 std::string text_of(const flow_task_id& task);
 
+// For logs.
+const char* name_of(flow_state state);
+const char* name_of(run_end how);
+const char* name_of(order_result result);
+
 store_key job_key(const job_id& job);
 store_key cell_key(const cell_id& cell);
 store_key entry_key(const entry_id& entry);
