flow: an entry that the table turns away goes on through a peer

Change: after three failures in a row an entry sends its table calls to a peer that reaches the table, and looks every 0.4 s whether it is answered itself again. Conditions on versions make a relayed write that comes late or twice harmless.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -116,6 +116,36 @@
   3: i64 config_version = 0
   4: list<flow_cell_news> cells // that it owns
   5: list<flow_entry_row> members
+  6: bool table_away = false // the sender cannot reach the table itself
+}
+
+// A call to the table that the sender asks the receiver to make for it.
+struct flow_relayed_row {
+  1: string table
+  2: string part
+  3: string key
+  4: i64 version = 0
+  5: binary value
+  6: bool removed = false
+}
+struct flow_relayed_commit {
+  1: list<flow_relayed_row> checks  // versions
+  2: list<flow_relayed_row> puts    // values
+  3: list<flow_relayed_row> removes
+}
+struct flow_relayed_read {
+  1: string table
+  2: string part
+  3: string from_key
+  4: string to_key
+}
+struct flow_relayed_result {
+  1: i32 outcome = 0 // of a commit: table_outcome
+  2: i64 version = 0
+  3: list<flow_relayed_row> rows
+  4: bool reached = false // of a read
+  5: bool more = false
+  6: string reason
 }
 
 // A row that an entry has written and the job's owner must know.
@@ -138,4 +168,7 @@
   4: i64 config_version = 0
   5: string config            // as the operator wrote it, when the receiver's is older
   6: list<string> unknown_jobs // rows refused: the receiver does not own their cell
+  7: optional flow_relayed_commit commit
+  8: optional flow_relayed_read lookup
+  9: optional flow_relayed_result relayed // in return
 }
--- a/src/daemon_flow_app.cpp
+++ b/src/daemon_flow_app.cpp
@@ -148,9 +148,11 @@
         reply({400, {}, ""});
         return;
     }
-    wire::flow_message answer;
-    run([&](instant now) { answer = entry_->on_message(now, *message); });
-    reply({200, {}, encode_compact(answer)});
+    run([&](instant now) {
+        entry_->on_message(now, *message, [reply](const wire::flow_message& answer) {
+            reply({200, {}, encode_compact(answer)});
+        });
+    });
 }
 
 std::string flow_app::format_metrics()
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -9,7 +9,16 @@
 
 using namespace flow_limits;
 
-flow_entry::flow_entry(entry_identity self, flow_edges edges) : self_(std::move(self)), edges_(std::move(edges)) {}
+flow_entry::flow_entry(entry_identity self, flow_edges edges)
+    : self_(std::move(self)), direct_(std::move(edges)), edges_(direct_)
+{
+    edges_.commit = [this](store_transaction transaction, std::function<void(instant, store_result)> done) {
+        commit(std::move(transaction), std::move(done));
+    };
+    edges_.read = [this](store_range range, std::function<void(instant, store_page)> done) {
+        read(std::move(range), std::move(done));
+    };
+}
 
 void flow_entry::begin(instant now)
 {
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -64,7 +64,9 @@
     bool stopped() const;
 
     void on_request(instant now, const caller_request& request, caller_reply reply);
-    wire::flow_message on_message(instant now, const wire::flow_message& message);
+    // `reply` is called once, at once or when the table has answered a call made for the sender.
+    void on_message(instant now, const wire::flow_message& message,
+                    const std::function<void(const wire::flow_message&)>& reply);
 
     const flow_entry_stats& stats() const { return stats_; }
     settings_version config_version() const { return config_ ? config_->version : settings_version(0); }
@@ -77,6 +79,7 @@
         bool ever_heard = false;
         bool leaving = false;
         bool telling = false;
+        bool table_away = false;
         std::vector<wire::flow_cell_news> cells;
     };
     // A job this entry answers callers for.
@@ -146,8 +149,23 @@
     flow_cell& cell_of(const cell_id& id, const data_centre_id& data_centre);
     flow_cell_hooks make_hooks();
 
+    // flow_relay.cpp
+    void commit(store_transaction transaction, std::function<void(instant, store_result)> done);
+    void read(store_range range, std::function<void(instant, store_page)> done);
+    void note_table(instant now, bool answered, const std::string& reason);
+    void probe_table();
+    std::optional<net_address> relay_peer();
+    void serve_commit(const wire::flow_relayed_commit& asked, std::function<void(const wire::flow_message&)> reply);
+    void serve_read(const wire::flow_relayed_read& asked, std::function<void(const wire::flow_message&)> reply);
+
+    wire::flow_message take_message(instant now, const wire::flow_message& message);
+
     entry_identity self_;
-    flow_edges edges_;
+    flow_edges direct_; // what this entry reaches itself
+    flow_edges edges_;  // the same, but for the table, which is reached through a peer while it turns this entry away
+    int table_failures_ = 0; // in a row
+    bool table_away_ = false;
+    std::size_t relays_ = 0;
     instant begun_{};
     bool leaving_ = false;
     std::optional<flow_config> config_;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -71,6 +71,10 @@
 inline constexpr duration own_news_fresh = 100ms;
 inline constexpr duration untold_retry = 300ms; // rows that an owner has not taken note of
 
+// --- the table through a peer ---
+inline constexpr int table_failures_most = 3;           // in a row; one or two are a moment's trouble
+inline constexpr duration table_probe_interval = 400ms; // of whether the table answers this entry again
+
 // --- callers ---
 inline constexpr std::int32_t tasks_per_step_most = 4096;
 inline constexpr duration default_patience = 3s; // of a caller that does not say how long it waits
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -87,6 +87,7 @@
     h.sender = row_of(self_);
     h.leaving = leaving_;
     h.config_version = config_version().value();
+    h.table_away = table_away_;
     for (const auto& [id, cell] : cells_) {
         if (cell->owns()) {
             h.cells.push_back(cell->news());
@@ -126,7 +127,7 @@
                         at->second.telling = false;
                     }
                     if (answer) {
-                        on_message(then, *answer);
+                        take_message(then, *answer);
                     }
                     else if (at != peers_.end() && !heard(at->second, then) &&
                              then - at->second.heard > peer_forgotten && then - begun_ > peer_forgotten) {
@@ -135,7 +136,21 @@
                 });
 }
 
-wire::flow_message flow_entry::on_message(instant now, const wire::flow_message& message)
+void flow_entry::on_message(instant now, const wire::flow_message& message,
+                            const std::function<void(const wire::flow_message&)>& reply)
+{
+    if (message.__isset.commit) {
+        serve_commit(message.commit, reply);
+    }
+    else if (message.__isset.lookup) {
+        serve_read(message.lookup, reply);
+    }
+    else {
+        reply(take_message(now, message));
+    }
+}
+
+wire::flow_message flow_entry::take_message(instant now, const wire::flow_message& message)
 {
     wire::flow_message answer;
     if (message.__isset.hello) {
@@ -187,6 +202,7 @@
     p.heard = now;
     p.ever_heard = true;
     p.leaving = h.leaving;
+    p.table_away = h.table_away;
     p.cells = h.cells;
     for (const wire::flow_cell_news& cell : h.cells) {
         assigned_cpu_[cell_id(cell.cell)] = 0;
--- /dev/null
+++ b/src/flow_relay.cpp
@@ -0,0 +1,245 @@
+// The table through a peer. The platform may turn some entries away, or be cut off from them, for ten seconds while it
+// serves the others. An owner that cannot write shows none of its jobs done meanwhile, and callers at such an entry are
+// told to come back. Their calls go through a peer that the table still answers: the conditions on versions make a
+// relayed write that arrives late or twice as harmless as one of the entry's own.
+#include <algorithm>
+
+#include "flow_entry_p.h"
+#include "flow_limits_p.h"
+#include "log_line_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+namespace {
+
+wire::flow_relayed_row to_wire(const store_key& key)
+{
+    wire::flow_relayed_row row;
+    row.table = key.table;
+    row.part = key.part;
+    row.key = key.key;
+    return row;
+}
+
+wire::flow_relayed_row to_wire(const store_row& from)
+{
+    wire::flow_relayed_row row = to_wire(from.key);
+    row.version = from.version.value();
+    row.value = from.value;
+    row.removed = from.removed;
+    return row;
+}
+
+store_key key_of(const wire::flow_relayed_row& row)
+{
+    return {row.table, row.part, row.key};
+}
+
+store_row from_wire(const wire::flow_relayed_row& row)
+{
+    return {key_of(row), row.value, row_version(row.version), row.removed};
+}
+
+wire::flow_relayed_commit to_wire(const store_transaction& transaction)
+{
+    wire::flow_relayed_commit out;
+    for (const store_check& check : transaction.checks) {
+        out.checks.push_back(to_wire(check.key));
+        out.checks.back().version = check.version.value();
+    }
+    for (const store_put& put : transaction.puts) {
+        out.puts.push_back(to_wire(put.key));
+        out.puts.back().value = put.value;
+    }
+    for (const store_key& key : transaction.removes) {
+        out.removes.push_back(to_wire(key));
+    }
+    return out;
+}
+
+store_transaction from_wire(const wire::flow_relayed_commit& commit)
+{
+    store_transaction out;
+    for (const auto& row : commit.checks) {
+        out.checks.push_back({key_of(row), row_version(row.version)});
+    }
+    for (const auto& row : commit.puts) {
+        out.puts.push_back({key_of(row), row.value});
+    }
+    for (const auto& row : commit.removes) {
+        out.removes.push_back(key_of(row));
+    }
+    return out;
+}
+
+// A peer that cannot help answers without a result; then nothing is known of the call.
+template <class Rows> std::vector<store_row> rows_of(const Rows& rows)
+{
+    std::vector<store_row> out;
+    out.reserve(rows.size());
+    std::transform(rows.begin(), rows.end(), std::back_inserter(out), [](const auto& row) { return from_wire(row); });
+    return out;
+}
+
+} // namespace
+
+void flow_entry::note_table(instant now, bool answered, const std::string& reason)
+{
+    static_cast<void>(now);
+    if (answered) {
+        table_failures_ = 0;
+        if (table_away_) {
+            table_away_ = false;
+            edges_.note(log_level::info, "table", "reached_again", {{"entry", self_.entry.str()}});
+        }
+        return;
+    }
+    ++table_failures_;
+    if (table_failures_ >= table_failures_most && !table_away_) {
+        table_away_ = true;
+        edges_.note(log_level::warning, "table", "not_reached", {{"entry", self_.entry.str()}, {"reason", reason}});
+        probe_table();
+    }
+}
+
+void flow_entry::probe_table()
+{
+    direct_.after(table_probe_interval, [this](instant) {
+        if (!table_away_) {
+            return;
+        }
+        direct_.read(only_row(entry_key(self_.entry)), [this](instant then, const store_page& page) {
+            note_table(then, page.reached, page.reason);
+            if (table_away_) {
+                probe_table();
+            }
+        });
+    });
+}
+
+// One after another, so that none makes all calls of an entry that is cut off.
+std::optional<net_address> flow_entry::relay_peer()
+{
+    std::vector<net_address> able;
+    for (const auto& [id, p] : peers_) {
+        // Whether it was heard lately is in its own news: a peer that is gone does not answer, and the call is tried
+        // again.
+        if (p.ever_heard && !p.leaving && !p.table_away) {
+            able.push_back(p.identity.address);
+        }
+    }
+    if (able.empty()) {
+        return std::nullopt;
+    }
+    return able[relays_++ % able.size()];
+}
+
+void flow_entry::commit(store_transaction transaction, std::function<void(instant, store_result)> done)
+{
+    const auto peer = table_away_ ? relay_peer() : std::nullopt;
+    if (!peer) {
+        direct_.commit(std::move(transaction), [this, done = std::move(done)](instant then,
+                                                                              const store_result& result) {
+            const bool answered = result.outcome == table_outcome::applied || result.outcome == table_outcome::conflict;
+            note_table(then, answered, result.reason);
+            done(then, result);
+        });
+        return;
+    }
+    wire::flow_message message;
+    message.__set_commit(to_wire(transaction));
+    direct_.tell(*peer, message,
+                 [done = std::move(done)](instant then, const std::optional<wire::flow_message>& answer) {
+                     store_result result;
+                     result.reason = "no answer from a peer asked for it";
+                     if (answer && answer->__isset.relayed) {
+                         result.outcome = static_cast<table_outcome>(answer->relayed.outcome);
+                         result.version = row_version(answer->relayed.version);
+                         result.rows = rows_of(answer->relayed.rows);
+                         result.reason = answer->relayed.reason;
+                     }
+                     done(then, result);
+                 });
+}
+
+void flow_entry::read(store_range range, std::function<void(instant, store_page)> done)
+{
+    const auto peer = table_away_ ? relay_peer() : std::nullopt;
+    if (!peer) {
+        direct_.read(std::move(range), [this, done = std::move(done)](instant then, const store_page& page) {
+            note_table(then, page.reached, page.reason);
+            done(then, page);
+        });
+        return;
+    }
+    wire::flow_message message;
+    wire::flow_relayed_read asked;
+    asked.table = range.table;
+    asked.part = range.part;
+    asked.from_key = range.from;
+    asked.to_key = range.to;
+    message.__set_lookup(asked);
+    direct_.tell(*peer, message,
+                 [done = std::move(done)](instant then, const std::optional<wire::flow_message>& answer) {
+                     store_page page;
+                     page.reason = "no answer from a peer asked for it";
+                     if (answer && answer->__isset.relayed) {
+                         page.reached = answer->relayed.reached;
+                         page.more = answer->relayed.more;
+                         page.version = row_version(answer->relayed.version);
+                         page.rows = rows_of(answer->relayed.rows);
+                         page.reason = answer->relayed.reason;
+                     }
+                     done(then, page);
+                 });
+}
+
+void flow_entry::serve_commit(const wire::flow_relayed_commit& asked,
+                              std::function<void(const wire::flow_message&)> reply)
+{
+    if (table_away_) {
+        reply({});
+        return;
+    }
+    direct_.commit(from_wire(asked), [this, reply = std::move(reply)](instant then, const store_result& result) {
+        const bool answered = result.outcome == table_outcome::applied || result.outcome == table_outcome::conflict;
+        note_table(then, answered, result.reason);
+        wire::flow_relayed_result out;
+        out.outcome = static_cast<std::int32_t>(result.outcome);
+        out.version = result.version.value();
+        out.reason = result.reason;
+        for (const store_row& row : result.rows) {
+            out.rows.push_back(to_wire(row));
+        }
+        wire::flow_message message;
+        message.__set_relayed(out);
+        reply(message);
+    });
+}
+
+void flow_entry::serve_read(const wire::flow_relayed_read& asked, std::function<void(const wire::flow_message&)> reply)
+{
+    if (table_away_) {
+        reply({});
+        return;
+    }
+    const store_range range{asked.table, asked.part, asked.from_key, asked.to_key};
+    direct_.read(range, [this, reply = std::move(reply)](instant then, const store_page& page) {
+        note_table(then, page.reached, page.reason);
+        wire::flow_relayed_result out;
+        out.reached = page.reached;
+        out.more = page.more;
+        out.version = page.version.value();
+        out.reason = page.reason;
+        for (const store_row& row : page.rows) {
+            out.rows.push_back(to_wire(row));
+        }
+        wire::flow_message message;
+        message.__set_relayed(out);
+        reply(message);
+    });
+}
+
+} // namespace skylarkhub
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -259,9 +259,16 @@
                 if (slot.identity.address != peer || !slot.decisions || cut_from_peers_[i] || cut_from_peers_[entry]) {
                     continue;
                 }
-                std::optional<wire::flow_message> reply;
-                on_entry(i, slot.life, [&](flow_entry& e, instant now) { reply = e.on_message(now, message); });
-                answer(done, reply, options_.network_latency);
+                // Answered once, by the peer or by the time limit: it may be killed while it makes a call for the
+                // sender.
+                const auto answered = std::make_shared<bool>(false);
+                const auto answer_once = [this, answer, done, answered](std::optional<wire::flow_message> reply) {
+                    if (!std::exchange(*answered, true)) {
+                        answer(done, std::move(reply), options_.network_latency);
+                    }
+                };
+                later(900ms, [answer_once] { answer_once(std::nullopt); });
+                on_entry(i, slot.life, [&](flow_entry& e, instant now) { e.on_message(now, message, answer_once); });
                 return;
             }
             answer(done, std::optional<wire::flow_message>(), 900ms);
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -258,6 +258,28 @@
     check_no_faults(w);
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_that_the_table_turns_away_goes_on_through_a_peer)
+{
+    // The table turns one entry away for eight seconds, the owner of the only cell, and serves the other. Its callers
+    // would see their jobs done only after that, and new ones told to come back. Its calls go through the other entry.
+    flow_world w({});
+    w.run_for(2s);
+    const int owner = w.entry(0)->cells().begin()->second->owns() ? 0 : 1;
+    w.cut_entry_from_table(owner, true);
+    w.run_for(6s); // known to be turned away by now
+    const instant asked = w.now();
+    BOOST_REQUIRE(w.submit(owner, job_a, chain_spec(2, 4)) == caller_result::accepted);
+    BOOST_TEST(w.run_until([&] { return is_done(w, owner, job_a); }, 3s));
+    BOOST_TEST(is_done(w, 1 - owner, job_a));
+    BOOST_TEST((w.now() - asked < 3s));
+    w.cut_entry_from_table(owner, false);
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(owner, job_b, chain_spec(1, 2)) == caller_result::accepted);
+    BOOST_TEST(w.run_until([&] { return is_done(w, owner, job_b); }, 3s));
+    BOOST_TEST(w.starts_of(job_a) == 8);
+    check_no_faults(w);
+}
+
 BOOST_AUTO_TEST_CASE(lasting_tasks_leave_room_to_short_work)
 {
     // Standing watches come until they hold every processor; then a page check waits for minutes, and the last watches
