--- a/src/flow_relay.cpp
+++ b/src/flow_relay.cpp
@@ -108,7 +108,7 @@
         if (!table_away_) {
             return;
         }
-        direct_.read(only_row(entry_key(self_.entry)), [this](instant then, const store_page& page) {
+        direct_.read(only_row(entry_key(self_.entry)), [this](instant, const store_page& page) {
             note_table(page.reached, page.reason);
             if (table_away_) {
                 probe_table();
@@ -134,8 +134,8 @@
 
 void flow_entry::commit(store_transaction transaction, std::function<void(instant, store_result)> done)
 {
-    const auto peer = table_away_ ? relay_peer() : std::nullopt;
-    if (!peer) {
+    const auto helper = table_away_ ? relay_peer() : std::nullopt;
+    if (!helper) {
         direct_.commit(std::move(transaction), [this, done = std::move(done)](instant then,
                                                                               const store_result& result) {
             const bool answered = result.outcome == table_outcome::applied || result.outcome == table_outcome::conflict;
@@ -146,7 +146,7 @@
     }
     wire::flow_message message;
     message.__set_commit(to_wire(transaction));
-    direct_.tell(*peer, message,
+    direct_.tell(*helper, message,
                  [done = std::move(done)](instant then, const std::optional<wire::flow_message>& answer) {
                      store_result result;
                      result.reason = "no answer from a peer asked for it";
@@ -162,8 +162,8 @@
 
 void flow_entry::read(store_range range, std::function<void(instant, store_page)> done)
 {
-    const auto peer = table_away_ ? relay_peer() : std::nullopt;
-    if (!peer) {
+    const auto helper = table_away_ ? relay_peer() : std::nullopt;
+    if (!helper) {
         direct_.read(std::move(range), [this, done = std::move(done)](instant then, const store_page& page) {
             note_table(page.reached, page.reason);
             done(then, page);
@@ -177,7 +177,7 @@
     asked.from_key = range.from;
     asked.to_key = range.to;
     message.__set_lookup(asked);
-    direct_.tell(*peer, message,
+    direct_.tell(*helper, message,
                  [done = std::move(done)](instant then, const std::optional<wire::flow_message>& answer) {
                      store_page page;
                      page.reason = "no answer from a peer asked for it";
@@ -199,7 +199,7 @@
         reply({}); // without a result: the sender knows nothing of its call, and tries again
         return;
     }
-    direct_.commit(from_wire(asked), [this, reply = std::move(reply)](instant then, const store_result& result) {
+    direct_.commit(from_wire(asked), [this, reply = std::move(reply)](instant, const store_result& result) {
         const bool answered = result.outcome == table_outcome::applied || result.outcome == table_outcome::conflict;
         note_table(answered, result.reason);
         wire::flow_relayed_result out;
@@ -222,7 +222,7 @@
         return;
     }
     const store_range range{asked.table, asked.part, asked.from_key, asked.to_key};
-    direct_.read(range, [this, reply = std::move(reply)](instant then, const store_page& page) {
+    direct_.read(range, [this, reply = std::move(reply)](instant, const store_page& page) {
         note_table(page.reached, page.reason);
         wire::flow_relayed_result out;
         out.reached = page.reached;
