flow: a new owner reads the workers' list before it starts anything

Ruled out: the relay (the table answered it), a lagging list (other owners knew at 25.7 s). Change: after a takeover the entry asks for the list at once, and the cell waits for it, a second at most. The test fails without the change.

--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -83,6 +83,9 @@
         return;
     }
     check_lapsed(now);
+    if (!listed_since_taken_) {
+        place_soon();
+    }
     std::erase_if(put_away_, [&](const auto& job) { return now - job.second > put_away_kept; });
     tick_timed(now);
     if (now >= next_summary_) {
@@ -230,6 +233,7 @@
     epoch_ = skylarkhub::epoch(wanted.epoch);
     role_ = role::reading;
     taken_at_ = now;
+    listed_since_taken_ = false;
     next_renewal_ = now + renew_interval;
     ++life_;
     ++stats_.takeovers;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -279,6 +279,7 @@
     skylarkhub::epoch epoch_;
     instant renewed_{}; // when the last renewal that succeeded was sent
     instant taken_at_{};
+    bool listed_since_taken_ = false;
     instant stop_planned_at_{};
     duration old_owner_gone_{0}; // how long after taken_at_ the owner before may still have sent
     bool fresh_ = false;         // nobody owned it before
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -68,6 +68,11 @@
     if (role_ != role::owning || stopping_ || !may_send(now)) {
         return;
     }
+    // An entry that owns nothing looks at the list seldom: what it knows when it takes a cell over may be so old that
+    // it would start tasks on workers that have said long ago that they leave. The entry asks for the list at once.
+    if (!listed_since_taken_ && now - taken_at_ < list_wait_most) {
+        return;
+    }
     const std::set<ready_key> waiting = ready_;
     for (const ready_key& key : waiting) {
         const job_id& id = key.job;
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -23,6 +23,7 @@
 
 void flow_cell::on_workers_listed(instant now, const std::vector<flow_listed_worker>& workers)
 {
+    listed_since_taken_ = true;
     std::set<worker_id> present;
     for (const flow_listed_worker& listing : workers) {
         present.insert(listing.worker);
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -1,6 +1,7 @@
 #include "flow_entry_p.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "flow_limits_p.h"
 #include "log_line_p.h"
@@ -41,7 +42,11 @@
     if (now >= next_entries_read_) {
         read_entries(now);
     }
-    if (now >= next_list_ && !listing_) {
+    const std::int64_t takeovers =
+        std::accumulate(cells_.begin(), cells_.end(), std::int64_t{0},
+                        [](std::int64_t sum, const auto& cell) { return sum + cell.second->stats().takeovers; });
+    if ((now >= next_list_ || takeovers != takeovers_listed_) && !listing_) {
+        takeovers_listed_ = takeovers;
         list_workers();
     }
     if (now >= next_untold_ && !untold_.empty()) {
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -184,6 +184,7 @@
     std::map<net_address, std::vector<wire::flow_state_news>> state_news_;
     instant next_list_{};
     bool listing_ = false;
+    std::int64_t takeovers_listed_ = 0; // takeovers of cells when the list was last asked for
     instant next_hello_{};
     instant next_entries_read_{};
     instant next_untold_{};
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -1,5 +1,6 @@
 // Flows under failure, in virtual time: entries, a table and workers that are killed, cut off and lose answers.
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 #include "support_flow_world.h"
 
@@ -459,6 +460,33 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_CASE(a_new_owner_starts_nothing_on_a_worker_that_said_long_ago_that_it_leaves)
+{
+    // A worker says that it leaves while its cell's owner is dead. The entry that takes the cell over has looked at the
+    // list just before, and looks again only seconds later: a task that it starts there meanwhile ends with the worker.
+    for (int phase = 0; phase < 10; ++phase) {
+        BOOST_TEST_CONTEXT("phase " << phase)
+        {
+            flow_world w({.run_time = [](const flow_task_id&) { return duration(200ms); }});
+            w.run_for(3s + 330ms * phase);
+            const int owner = w.entry(0)->cells().begin()->second->owns() ? 0 : 1;
+            w.kill_entry(owner);
+            w.run_for(1500ms);
+            w.worker(1).draining = true;
+            w.run_for(2s);
+            const std::int64_t before = w.worker(1).starts;
+            for (int i = 0; i < 8; ++i) {
+                w.send_submit(1 - owner, fmt::format("00000000000000{:02x}", i), chain_spec(1, 3));
+                w.run_for(250ms);
+            }
+            w.run_for(3s);
+            BOOST_TEST(w.worker(1).starts == before);
+            BOOST_TEST(is_done(w, 1 - owner, "0000000000000007"));
+            check_no_faults(w);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults)
 {
     for (std::uint64_t seed = 1; seed <= random_seeds; ++seed) {
