flow: one piece for what stood twice: superseded owners, runs looked up, relayed answers

What an order's answer tells of a later owner or another life stood three times (superseded), the lookup of a run with its worker, job and task three times (locate), a relayed result was decoded and encoded in four places. load_forecast made each candidate's angle and period anew twice a look, in a path taken at every look: once now, its periods once per process. The share of workers that bear a task was worked out for each place, it is for those without a serving task only. Behaviour is unchanged, but that a stop answered by another life plans a placing pass, as starts and exchanges do.

--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -175,6 +175,7 @@
     void find_missing(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void confirm_ends(cell_worker& w);
     void worker_died(instant now, cell_worker& w, const std::string& reason);
+    bool superseded(instant now, cell_worker& w, order_result result);
     void check_lapsed(instant now);
     std::optional<worker_time> lease_end(const cell_worker& w, instant now) const;
     void note_lease(cell_worker& w, instant now) const;
@@ -183,6 +184,14 @@
     void distrust(instant now, cell_worker& w, double amount);
 
     // flow_cell_runs.cpp
+    // What is known of a run; null where it is not known (any more).
+    struct run_parts {
+        cell_worker* worker = nullptr;
+        flow_job* job = nullptr;
+        flow_task* task = nullptr;
+        live_run* live = nullptr;
+    };
+    run_parts locate(const worker_id& id, const flow_task_id& task, run_number run);
     void send_start(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries);
     void on_started(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries,
                     const order_answer& answer);
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -116,7 +116,6 @@
     const flow_step& step = job.step(stage);
     const bool serves = step.tail_target > duration(0);
     const int image = image_of(step);
-    const double borne = step.filling ? borne_share(image, step.need.cpu_millis) : 0;
     cell_worker* best = nullptr;
     double best_cost = 0;
     for (auto& [id, w] : workers_) {
@@ -136,7 +135,7 @@
         if (step.filling) {
             const double room = static_cast<double>(std::max<std::int64_t>(1, w.listing.room.cpu_millis));
             interference = filling_on(w, image, static_cast<double>(step.need.cpu_millis) / room);
-            interference.borne_elsewhere = borne;
+            interference.borne_elsewhere = w.serving == 0 ? borne_share(image, step.need.cpu_millis) : 0;
             const bool crowded =
                 left_for_filling(option) - step.need.cpu_millis < -static_cast<std::int64_t>(fill_overcommit * room);
             // Left waiting for a place where it is borne and gets its processors: elsewhere it would be slowed to
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -59,18 +59,27 @@
     count_serving(w, job, run, change);
 }
 
+flow_cell::run_parts flow_cell::locate(const worker_id& id, const flow_task_id& task, run_number run)
+{
+    run_parts parts;
+    const auto at = workers_.find(id);
+    const auto found = jobs_.find(task.job);
+    parts.worker = at == workers_.end() ? nullptr : &at->second;
+    parts.job = found == jobs_.end() ? nullptr : found->second.get();
+    parts.task = parts.job == nullptr ? nullptr : parts.job->find_task(task);
+    parts.live = parts.task == nullptr ? nullptr : find_run(*parts.task, id, run);
+    return parts;
+}
+
 // --- starts ---
 
 void flow_cell::send_start(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries)
 {
-    const auto at = workers_.find(id);
-    const auto found = jobs_.find(task.job);
-    if (at == workers_.end() || found == jobs_.end()) {
+    const auto [worker, job, t, live] = locate(id, task, run);
+    if (worker == nullptr || job == nullptr) {
         return;
     }
-    cell_worker& w = at->second;
-    flow_task* const t = found->second->find_task(task);
-    live_run* const live = t == nullptr ? nullptr : find_run(*t, id, run);
+    cell_worker& w = *worker;
     if (live == nullptr || live->confirmed) {
         return;
     }
@@ -81,7 +90,7 @@
     start_run order;
     order.task = task;
     order.run = run;
-    order.payload = found->second->spec().payload;
+    order.payload = job->spec().payload;
     order.checkpoint = t->checkpoint;
     order.fence = epoch_;
     if (tries == 0) {
@@ -101,14 +110,11 @@
 void flow_cell::on_started(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries,
                            const order_answer& answer)
 {
-    const auto at = workers_.find(id);
-    const auto found = jobs_.find(task.job);
-    if (at == workers_.end() || found == jobs_.end()) {
+    const auto [worker, job, t, live] = locate(id, task, run);
+    if (worker == nullptr || job == nullptr) {
         return;
     }
-    cell_worker& w = at->second;
-    flow_task* const t = found->second->find_task(task);
-    live_run* const live = t == nullptr ? nullptr : find_run(*t, id, run);
+    cell_worker& w = *worker;
     if (answer.clock && (!w.reading || *answer.clock > *w.reading)) {
         w.reading = answer.clock;
         w.read_at = now;
@@ -126,6 +132,9 @@
                      {"tries", std::to_string(tries)},
                      {"reason", answer.reason}});
     }
+    if (superseded(now, w, answer.result)) {
+        return;
+    }
     switch (answer.result) {
     case order_result::accepted:
         if (!live->confirmed) {
@@ -141,21 +150,14 @@
         // it.
         set_paces(now, w);
         return;
-    case order_result::fenced:
-        lose(now, "a worker has seen a higher fencing token");
-        return;
-    case order_result::other_life:
-        worker_died(now, w, "another life answers at its address");
-        place_soon();
-        return;
     case order_result::stale_run:
         // It ran and has ended, or was stopped: the next exchange lists the end. If it does not, the run is missing.
         live->confirmed = true;
         live->sent = now;
         return;
     case order_result::no_answer:
-        if (now - live->sent > gang_start_most && found->second->step(*found->second->find_stage(task)).gang) {
-            stop_gang(now, *found->second, *found->second->find_stage(task), run);
+        if (now - live->sent > gang_start_most && job->step(*job->find_stage(task)).gang) {
+            stop_gang(now, *job, *job->find_stage(task), run);
         }
         edges_.after(start_retry, [this, id, task, run, tries, life = life_](instant then) {
             if (life == life_) {
@@ -163,6 +165,8 @@
             }
         });
         return;
+    case order_result::fenced:
+    case order_result::other_life:
     case order_result::expired:
     case order_result::no_room:
     case order_result::no_ticket:
@@ -174,8 +178,8 @@
     if (answer.result == order_result::unhealthy) {
         distrust(now, w, 0.5);
     }
-    if (found->second->step(*found->second->find_stage(task)).gang) {
-        stop_gang(now, *found->second, *found->second->find_stage(task), run);
+    if (job->step(*job->find_stage(task)).gang) {
+        stop_gang(now, *job, *job->find_stage(task), run);
     }
     if (tries > 0) {
         send_stop(now, id, task, run, 0); // an earlier try may have been carried out
@@ -201,29 +205,19 @@
     }
     edges_.order(place_of(at->second), stop_run{task, run, epoch_}, stop_timeout,
                  [this, id, task, run, tries, life = life_](instant then, const order_answer& answer) {
-                     const auto w = workers_.find(id);
-                     if (life != life_ || w == workers_.end()) {
+                     if (life != life_) {
                          return;
                      }
-                     const auto found = jobs_.find(task.job);
-                     flow_task* const t = found == jobs_.end() ? nullptr : found->second->find_task(task);
-                     live_run* const live = t == nullptr ? nullptr : find_run(*t, id, run);
-                     switch (answer.result) {
-                     case order_result::fenced:
-                         lose(then, "a worker has seen a higher fencing token");
+                     const run_parts parts = locate(id, task, run);
+                     if (parts.worker == nullptr || superseded(then, *parts.worker, answer.result)) {
                          return;
-                     case order_result::other_life:
-                         worker_died(then, w->second, "another life answers at its address");
-                         return;
-                     case order_result::no_answer:
-                     case order_result::unhealthy:
-                         if (live == nullptr && tries > 3) {
-                             return;
+                     }
+                     live_run* const live = parts.live;
+                     if (answer.result == order_result::no_answer || answer.result == order_result::unhealthy) {
+                         if (live != nullptr || tries <= 3) {
+                             stop_again(id, task, run, tries + 1);
                          }
-                         stop_again(id, task, run, tries + 1);
                          return;
-                     default:
-                         break;
                      }
                      // It ends within moments, or it was never there and never will be: the next exchange tells.
                      if (live != nullptr) {
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -131,6 +131,22 @@
     w.listed = false;
 }
 
+// Whether an order's answer shows that another owner has followed this one, or that the worker's life has ended; then
+// everything is done that follows from it.
+bool flow_cell::superseded(instant now, cell_worker& w, order_result result)
+{
+    if (result == order_result::fenced) {
+        lose(now, "a worker has seen a higher fencing token");
+        return true;
+    }
+    if (result == order_result::other_life) {
+        worker_died(now, w, "another life answers at its address");
+        place_soon();
+        return true;
+    }
+    return false;
+}
+
 // --- exchanges ---
 
 void flow_cell::hold_soon(instant now, const worker_id& id, duration wait)
@@ -199,31 +215,10 @@
     }
     cell_worker& w = at->second;
     w.holding = false;
-    switch (answer.result) {
-    case order_result::accepted: {
-        w.silent = 0;
-        w.last_answer = now;
-        if (answer.clock) {
-            w.reading = answer.clock;
-            w.read_at = now;
-        }
-        take_inventory(now, w, sent, answer);
-        const auto again = workers_.find(id);
-        if (again == workers_.end()) {
-            return;
-        }
-        const duration gap = again->second.unconfirmed.empty() ? hold_gap : hold_gap_unconfirmed;
-        hold_soon(now, id, sent + gap - now);
+    if (superseded(now, w, answer.result)) {
         return;
     }
-    case order_result::fenced:
-        lose(now, "a worker has seen a higher fencing token");
-        return;
-    case order_result::other_life:
-        worker_died(now, w, "another life answers at its address");
-        place_soon();
-        return;
-    default:
+    if (answer.result != order_result::accepted) {
         ++w.silent;
         ++stats_.holds_unanswered;
         if (w.silent == silent_holds_most) {
@@ -233,6 +228,19 @@
         hold_soon(now, id, hold_retry);
         return;
     }
+    w.silent = 0;
+    w.last_answer = now;
+    if (answer.clock) {
+        w.reading = answer.clock;
+        w.read_at = now;
+    }
+    take_inventory(now, w, sent, answer);
+    const auto again = workers_.find(id);
+    if (again == workers_.end()) {
+        return;
+    }
+    const duration gap = again->second.unconfirmed.empty() ? hold_gap : hold_gap_unconfirmed;
+    hold_soon(now, id, sent + gap - now);
 }
 
 void flow_cell::take_inventory(instant now, cell_worker& w, instant sent, const order_answer& answer)
--- a/src/flow_load.cpp
+++ b/src/flow_load.cpp
@@ -25,18 +25,31 @@
 
 } // namespace
 
-double load_forecast::period_of(std::size_t candidate)
+const std::array<double, load_forecast::candidates>& load_forecast::periods()
 {
-    return period_least_s * std::pow(period_ratio, static_cast<double>(candidate));
+    static const auto all = [] {
+        std::array<double, candidates> out{};
+        for (std::size_t i = 0; i < candidates; ++i) {
+            out[i] = period_least_s * std::pow(period_ratio, static_cast<double>(i));
+        }
+        return out;
+    }();
+    return all;
 }
 
-void load_forecast::swing::add(double kept, double cos, double sin, double load, double weight)
+load_forecast::phase load_forecast::phase_at(double time, double period)
 {
-    const std::array<double, 6> now{1, cos, sin, cos * cos, cos * sin, sin * sin};
-    for (std::size_t i = 0; i < now.size(); ++i) {
-        moments[i] = kept * moments[i] + weight * now[i];
+    const double angle = 2 * pi * time / period;
+    return {std::cos(angle), std::sin(angle)};
+}
+
+void load_forecast::swing::add(double kept, const phase& now, double load, double weight)
+{
+    const std::array<double, 6> squares{1, now.cos, now.sin, now.cos * now.cos, now.cos * now.sin, now.sin * now.sin};
+    for (std::size_t i = 0; i < squares.size(); ++i) {
+        moments[i] = kept * moments[i] + weight * squares[i];
     }
-    const std::array<double, 3> row{1, cos, sin};
+    const std::array<double, 3> row{1, now.cos, now.sin};
     for (std::size_t i = 0; i < row.size(); ++i) {
         products[i] = kept * products[i] + weight * load * row[i];
     }
@@ -76,31 +89,28 @@
     return load / weight - slope * (mean_age + std::clamp(seconds, 0.0, line_ahead_most_s));
 }
 
-void load_forecast::judge(const job_load& known, double time, double load, double weight)
-{
-    judged_ = judge_memory * judged_ + weight;
-    mean_ = judge_memory * mean_ + weight * load;
-    square_ = judge_memory * square_ + weight * load * load;
-    for (std::size_t i = 0; i < candidates; ++i) {
-        const double angle = 2 * pi * time / period_of(i);
-        const double off = load - known.swings[i].at(std::cos(angle), std::sin(angle));
-        errors_[i] = judge_memory * errors_[i] + weight * off * off;
-    }
-    best_ = static_cast<std::size_t>(std::min_element(errors_.begin(), errors_.end()) - errors_.begin());
-}
-
 void load_forecast::add(const job_id& job, double time, double load, double weight)
 {
     job_load& known = jobs_[job];
-    const double elapsed = known.looks == 0 ? 0 : std::max(0.0, time - known.time);
-    if (known.looks > 0) {
-        judge(known, time, load, weight);
-    }
+    const bool first = known.looks == 0;
+    const double elapsed = first ? 0 : std::max(0.0, time - known.time);
     const double kept = std::exp(-elapsed / memory_s);
+    if (!first) {
+        judged_ = judge_memory * judged_ + weight;
+        mean_ = judge_memory * mean_ + weight * load;
+        square_ = judge_memory * square_ + weight * load * load;
+    }
     for (std::size_t i = 0; i < candidates; ++i) {
-        const double angle = 2 * pi * time / period_of(i);
-        known.swings[i].add(kept, std::cos(angle), std::sin(angle), load, weight);
+        const phase now = phase_at(time, periods()[i]);
+        swing& fit = known.swings[i];
+        if (!first) {
+            // How well it foretold this look, before the look is taken in.
+            const double off = load - fit.at(now);
+            errors_[i] = judge_memory * errors_[i] + weight * off * off;
+        }
+        fit.add(kept, now, load, weight);
     }
+    best_ = static_cast<std::size_t>(std::min_element(errors_.begin(), errors_.end()) - errors_.begin());
     known.recent.add(elapsed, load, weight);
     known.time = std::max(known.time, time);
     known.looks += weight;
@@ -113,7 +123,7 @@
     }
     const double mean = mean_ / judged_;
     const double variance = square_ / judged_ - mean * mean;
-    return errors_[best_] / judged_ < (1 - explained_least) * variance ? period_of(best_) : 0;
+    return errors_[best_] / judged_ < (1 - explained_least) * variance ? periods()[best_] : 0;
 }
 
 double load_forecast::at(const job_id& job, double time) const
@@ -125,8 +135,7 @@
     const double swings_every = period();
     double load = 0;
     if (swings_every > 0) {
-        const double angle = 2 * pi * time / swings_every;
-        load = known->second.swings[best_].at(std::cos(angle), std::sin(angle));
+        load = known->second.swings[best_].at(phase_at(time, swings_every));
     }
     else {
         load = known->second.recent.ahead(time - known->second.time);
--- a/src/flow_load_p.h
+++ b/src/flow_load_p.h
@@ -28,15 +28,20 @@
 
 private:
     static constexpr std::size_t candidates = 42;
-    static double period_of(std::size_t candidate);
+    struct phase {
+        double cos = 0;
+        double sin = 0;
+    };
+    static phase phase_at(double time, double period);
+    static const std::array<double, candidates>& periods();
 
     // load = level + a * cos + b * sin, by least squares with forgetting.
     struct swing {
         std::array<double, 6> moments{}; // of (1, cos, sin): 11, 1c, 1s, cc, cs, ss
         std::array<double, 3> products{};
         std::array<double, 3> solution{};
-        void add(double kept, double cos, double sin, double load, double weight);
-        double at(double cos, double sin) const { return solution[0] + solution[1] * cos + solution[2] * sin; }
+        void add(double kept, const phase& now, double load, double weight);
+        double at(const phase& p) const { return solution[0] + solution[1] * p.cos + solution[2] * p.sin; }
     };
     // A line through the recent past.
     struct line {
@@ -54,8 +59,6 @@
         line recent;
         std::array<swing, candidates> swings{};
     };
-    void judge(const job_load& known, double time, double load, double weight);
-
     std::map<job_id, job_load> jobs_;
     std::array<double, candidates> errors_{}; // of each period's forecasts
     double judged_ = 0;
--- a/src/flow_relay.cpp
+++ b/src/flow_relay.cpp
@@ -42,6 +42,28 @@
     return {key_of(row), row.value, row_version(row.version), row.removed};
 }
 
+std::vector<wire::flow_relayed_row> wire_rows(const std::vector<store_row>& rows)
+{
+    std::vector<wire::flow_relayed_row> out;
+    out.reserve(rows.size());
+    std::transform(rows.begin(), rows.end(), std::back_inserter(out),
+                   [](const store_row& row) { return to_wire(row); });
+    return out;
+}
+
+std::vector<store_row> rows_of(const std::vector<wire::flow_relayed_row>& rows)
+{
+    std::vector<store_row> out;
+    out.reserve(rows.size());
+    std::transform(rows.begin(), rows.end(), std::back_inserter(out), [](const auto& row) { return from_wire(row); });
+    return out;
+}
+
+bool reached(const store_result& result)
+{
+    return result.outcome == table_outcome::applied || result.outcome == table_outcome::conflict;
+}
+
 wire::flow_relayed_commit to_wire(const store_transaction& transaction)
 {
     wire::flow_relayed_commit out;
@@ -74,12 +96,29 @@
     return out;
 }
 
-template <class Rows> std::vector<store_row> rows_of(const Rows& rows)
+wire::flow_message reply_with(const store_result& result)
 {
-    std::vector<store_row> out;
-    out.reserve(rows.size());
-    std::transform(rows.begin(), rows.end(), std::back_inserter(out), [](const auto& row) { return from_wire(row); });
-    return out;
+    wire::flow_relayed_result out;
+    out.outcome = static_cast<std::int32_t>(result.outcome);
+    out.version = result.version.value();
+    out.rows = wire_rows(result.rows);
+    out.reason = result.reason;
+    wire::flow_message message;
+    message.__set_relayed(out);
+    return message;
+}
+
+wire::flow_message reply_with(const store_page& page)
+{
+    wire::flow_relayed_result out;
+    out.reached = page.reached;
+    out.more = page.more;
+    out.version = page.version.value();
+    out.rows = wire_rows(page.rows);
+    out.reason = page.reason;
+    wire::flow_message message;
+    message.__set_relayed(out);
+    return message;
 }
 
 } // namespace
@@ -136,12 +175,11 @@
 {
     const auto helper = table_away_ ? relay_peer() : std::nullopt;
     if (!helper) {
-        direct_.commit(std::move(transaction), [this, done = std::move(done)](instant then,
-                                                                              const store_result& result) {
-            const bool answered = result.outcome == table_outcome::applied || result.outcome == table_outcome::conflict;
-            note_table(answered, result.reason);
-            done(then, result);
-        });
+        direct_.commit(std::move(transaction),
+                       [this, done = std::move(done)](instant then, const store_result& result) {
+                           note_table(reached(result), result.reason);
+                           done(then, result);
+                       });
         return;
     }
     wire::flow_message message;
@@ -200,18 +238,8 @@
         return;
     }
     direct_.commit(from_wire(asked), [this, reply = std::move(reply)](instant, const store_result& result) {
-        const bool answered = result.outcome == table_outcome::applied || result.outcome == table_outcome::conflict;
-        note_table(answered, result.reason);
-        wire::flow_relayed_result out;
-        out.outcome = static_cast<std::int32_t>(result.outcome);
-        out.version = result.version.value();
-        out.reason = result.reason;
-        for (const store_row& row : result.rows) {
-            out.rows.push_back(to_wire(row));
-        }
-        wire::flow_message message;
-        message.__set_relayed(out);
-        reply(message);
+        note_table(reached(result), result.reason);
+        reply(reply_with(result));
     });
 }
 
@@ -224,17 +252,7 @@
     const store_range range{asked.table, asked.part, asked.from_key, asked.to_key};
     direct_.read(range, [this, reply = std::move(reply)](instant, const store_page& page) {
         note_table(page.reached, page.reason);
-        wire::flow_relayed_result out;
-        out.reached = page.reached;
-        out.more = page.more;
-        out.version = page.version.value();
-        out.reason = page.reason;
-        for (const store_row& row : page.rows) {
-            out.rows.push_back(to_wire(row));
-        }
-        wire::flow_message message;
-        message.__set_relayed(out);
-        reply(message);
+        reply(reply_with(page));
     });
 }
 
