flow: failed runs count by their numbers, in whatever order their ends are heard

After a takeover the ends of several workers come in any order; an older run heard after a newer one did not count, and the task started again after its last attempt. Two owners' counts were merged by the larger, with the same result. Change: the row keeps the numbers of the runs that failed; a job whose task is spent ends before anything of it is placed. Both tests fail without the change (1 instead of 3; 1 instead of 2).

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -31,10 +31,9 @@
   1: i32 occurrence = 0
   2: i32 step = 0
   3: binary done              // bit per task
-  4: map<i32, i32> failures   // task -> runs that failed
   5: map<i32, string> checkpoints
   6: map<i32, flow_home_row> homes
-  7: map<i32, i64> failed_runs // task -> the newest run counted in `failures`
+  8: map<i32, list<i64>> failed_runs // task -> the runs that failed; no more than its attempts
 }
 
 struct flow_job_row {
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -209,6 +209,8 @@
     void start_on(instant now, flow_job& job, flow_stage& stage, std::size_t index, cell_worker& w, run_number run);
     void requeue(instant now, flow_job& job, const flow_task_id& task);
     void after_done(instant now, flow_job& job, const flow_task_id& task);
+    bool out_of_attempts(const flow_job& job, const flow_task& task) const;
+    bool has_spent_task(const flow_job& job) const;
     void end_job(instant now, flow_job& job, flow_state outcome);
     void adopt_job(instant now, const job_id& id, const wire::flow_job_row& row, row_version version);
     void job_changed(instant now, flow_job& job, bool urgent);
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -85,6 +85,11 @@
             continue;
         }
         flow_job& job = *found->second;
+        // What two owners counted may reach the limit only when their rows are merged; no run ends then to show it.
+        if (has_spent_task(job)) {
+            end_job(now, job, flow_state::failed);
+            continue;
+        }
         for (flow_stage& stage : job.stages()) {
             if (stage.ready > 0) {
                 place_stage(now, job, stage);
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -337,6 +337,24 @@
     job_changed(now, job, stage_done);
 }
 
+bool flow_cell::out_of_attempts(const flow_job& job, const flow_task& task) const
+{
+    if (task.failed_runs.empty() || task.stage == task_stage::done) {
+        return false;
+    }
+    const flow_queue* const queue = hooks_.queue(queue_id(job.row().queue));
+    const std::int32_t most = queue != nullptr ? queue->failures_most : job.row().failures_most;
+    return static_cast<std::int32_t>(task.failed_runs.size()) >= most;
+}
+
+bool flow_cell::has_spent_task(const flow_job& job) const
+{
+    return std::any_of(job.stages().begin(), job.stages().end(), [&](const flow_stage& stage) {
+        return std::any_of(stage.tasks.begin(), stage.tasks.end(),
+                           [&](const flow_task& task) { return out_of_attempts(job, task); });
+    });
+}
+
 void flow_cell::end_job(instant now, flow_job& job, flow_state outcome)
 {
     if (job.ended()) {
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -340,9 +340,7 @@
         after_done(now, *still->second, end.task);
     }
     else if (end.how == run_end::failed && !step.lasting && !still->second->ended()) {
-        const flow_queue* const queue = hooks_.queue(queue_id(still->second->row().queue));
-        const std::int32_t most = queue != nullptr ? queue->failures_most : still->second->row().failures_most;
-        if (task->stage != task_stage::done && task->failures >= most) {
+        if (out_of_attempts(*still->second, *task)) {
             end_job(now, *still->second, flow_state::failed);
         }
         job_changed(now, *still->second, true);
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -125,13 +125,11 @@
         if (home != row.homes.end()) {
             load_home(now, *stage, task, home->second);
         }
-        const auto failures = row.failures.find(index);
-        if (failures != row.failures.end()) {
-            task.failures = std::max(task.failures, failures->second);
-        }
-        const auto failed_run = row.failed_runs.find(index);
-        if (failed_run != row.failed_runs.end()) {
-            task.last_failed = std::max(task.last_failed, run_number(failed_run->second));
+        const auto failed = row.failed_runs.find(index);
+        if (failed != row.failed_runs.end()) {
+            for (const std::int64_t run : failed->second) {
+                task.failed_runs.insert(run_number(run));
+            }
         }
         const auto checkpoint = row.checkpoints.find(index);
         if (checkpoint != row.checkpoints.end() && task.checkpoint.empty()) {
@@ -239,12 +237,10 @@
         return 0;
     }
     // An end that is durable but not confirmed yet is listed again to the next owner.
-    if (run <= t->last_failed) {
-        return t->failures;
+    if (t->failed_runs.insert(run).second) {
+        ++changes_;
     }
-    t->last_failed = run;
-    ++changes_;
-    return ++t->failures;
+    return static_cast<std::int32_t>(t->failed_runs.size());
 }
 
 void flow_job::note_checkpoint(const flow_task_id& task, const std::string& checkpoint)
@@ -345,9 +341,8 @@
                 s.homes[index] = task.home;
                 any = true;
             }
-            if (task.failures > 0) {
-                s.failures[index] = task.failures;
-                s.failed_runs[index] = task.last_failed.value();
+            for (const run_number run : task.failed_runs) {
+                s.failed_runs[index].push_back(run.value());
                 any = true;
             }
             if (!task.checkpoint.empty()) {
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,8 +27,9 @@
 struct flow_task {
     task_stage stage = task_stage::closed;
     run_number last_run; // highest used
-    std::int32_t failures = 0;
-    run_number last_failed; // the newest run counted in `failures`
+    // By number, not by count: ends are heard more than once, by several owners, and in any order. At most as many as
+    // the task has attempts.
+    std::set<run_number> failed_runs;
     std::string checkpoint;
     instant ready_since{};
     std::vector<live_run> runs; // more than one only for speculative steps
--- a/tests/test_flow_job.cpp
+++ b/tests/test_flow_job.cpp
@@ -126,6 +126,35 @@
     BOOST_TEST((followed.newest_epoch() == epoch(4)));
 }
 
+BOOST_AUTO_TEST_CASE(failed_runs_count_in_whatever_order_their_ends_are_heard)
+{
+    // The table is down while a task fails on three workers, then its owner dies. The next owner hears of the third run
+    // first: counted by the newest number only, the two before it would not count, and the task would start again after
+    // it had failed as often as it may.
+    flow_job next(job, here, two_steps(), row_version(1));
+    const flow_task_id task{job, 0, 0, 0};
+    BOOST_TEST(next.note_failure(task, run_number(3)) == 1);
+    BOOST_TEST(next.note_failure(task, run_number(1)) == 2);
+    BOOST_TEST(next.note_failure(task, run_number(2)) == 3);
+    BOOST_TEST(next.note_failure(task, run_number(1)) == 3);
+    flow_job after(job, here, next.current_row(), row_version(2));
+    BOOST_TEST(after.note_failure(task, run_number(2)) == 3);
+    BOOST_TEST(!after.dirty());
+}
+
+BOOST_AUTO_TEST_CASE(failed_runs_that_two_writers_counted_add_up)
+{
+    // An owner that was followed counted one run, its follower another; their rows are merged.
+    const flow_task_id task{job, 0, 0, 0};
+    flow_job one(job, here, two_steps(), row_version(1));
+    BOOST_TEST(one.note_failure(task, run_number(1)) == 1);
+    flow_job other(job, here, two_steps(), row_version(1));
+    BOOST_TEST(other.note_failure(task, run_number(1001)) == 1);
+    one.merge(instant{}, other.current_row(), row_version(2));
+    BOOST_TEST(one.note_failure(task, run_number(1001)) == 2);
+    BOOST_TEST(one.dirty());
+}
+
 BOOST_AUTO_TEST_CASE(a_failed_run_counts_once_however_often_its_end_is_listed)
 {
     // An owner has counted a failed run in the row and dies before it has confirmed the end. The worker lists it again
