test_flow: a worker that left while the owner stood still holds up all tasks of its cell

Cause: a follower waits until each worker named in the cell's row has told what it runs, or 16.6 s. The world of the tests can let an entry stand still.

--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -115,6 +115,10 @@
     if (slot.life != life || !slot.decisions) {
         return;
     }
+    if (slot.frozen) {
+        slot.missed.emplace_back([this, entry, life, what] { on_entry(entry, life, what); });
+        return;
+    }
     what(*slot.decisions, now_);
     slot.decisions->settle(now_);
 }
@@ -135,6 +139,22 @@
     entry_slot& slot = entries_.at(static_cast<std::size_t>(entry));
     ++slot.life;
     slot.decisions.reset();
+    slot.frozen = false;
+    slot.missed.clear();
+}
+
+void flow_world::freeze_entry(int entry)
+{
+    entries_.at(static_cast<std::size_t>(entry)).frozen = true;
+}
+
+void flow_world::thaw_entry(int entry)
+{
+    entry_slot& slot = entries_.at(static_cast<std::size_t>(entry));
+    slot.frozen = false;
+    for (const auto& event : std::exchange(slot.missed, {})) {
+        event();
+    }
 }
 
 void flow_world::stop_by_plan(int entry)
@@ -157,7 +177,7 @@
     flow_edges edges;
     const auto answer = [this, entry, life](auto done, auto result, duration wait) {
         later(wait, [this, entry, life, done, result] {
-            on_entry(entry, life, [&](flow_entry&, instant now) { done(now, result); });
+            on_entry(entry, life, [done, result](flow_entry&, instant now) { done(now, result); });
         });
     };
     edges.commit = [this, entry, answer](const store_transaction& t, std::function<void(instant, store_result)> done) {
@@ -268,7 +288,9 @@
                     }
                 };
                 later(900ms, [answer_once] { answer_once(std::nullopt); });
-                on_entry(i, slot.life, [&](flow_entry& e, instant now) { e.on_message(now, message, answer_once); });
+                on_entry(i, slot.life, [message, answer_once](flow_entry& e, instant now) {
+                    e.on_message(now, message, answer_once);
+                });
                 return;
             }
             answer(done, std::optional<wire::flow_message>(), 900ms);
@@ -277,7 +299,7 @@
     };
     edges.after = [this, entry, life](duration wait, std::function<void(instant)> what) {
         later(wait, [this, entry, life, what = std::move(what)] {
-            on_entry(entry, life, [&](flow_entry&, instant now) { what(now); });
+            on_entry(entry, life, [what](flow_entry&, instant now) { what(now); });
         });
     };
     edges.note = [this, entry](log_level, std::string_view subject, std::string_view event,
@@ -507,6 +529,15 @@
     });
 }
 
+void flow_world::fail_run(const flow_task_id& task)
+{
+    for (const auto& w : workers_) {
+        if (w->running.count(task) != 0) {
+            end_run(*w, task, run_end::failed);
+        }
+    }
+}
+
 // --- promises ---
 
 void flow_world::fault(const std::string& what)
@@ -567,10 +598,11 @@
     request.host = "host";
     request.path = "/q/" + job;
     request.spec = spec;
-    on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life, [&](flow_entry& e, instant now) {
-        e.on_request(now, request,
-                     [this, job](const caller_answer& answer) { answers_[job].push_back(answer.result); });
-    });
+    on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life,
+             [this, job, request](flow_entry& e, instant now) {
+                 e.on_request(now, request,
+                              [this, job](const caller_answer& answer) { answers_[job].push_back(answer.result); });
+             });
 }
 
 caller_result flow_world::submit(int entry, const std::string& job, const flow_spec& spec, const std::string& queue)
@@ -590,7 +622,7 @@
     request.verb = caller_verb::cancel;
     request.host = "host";
     request.path = "/q/" + job;
-    on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life, [&](flow_entry& e, instant now) {
+    on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life, [request, result](flow_entry& e, instant now) {
         e.on_request(now, request, [result](const caller_answer& answer) { *result = answer.result; });
     });
     run_until([&] { return result->has_value(); }, 4s);
@@ -607,7 +639,7 @@
     request.verb = caller_verb::state;
     request.host = "host";
     request.path = "/q/" + job;
-    on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life, [&](flow_entry& e, instant now) {
+    on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life, [request, result](flow_entry& e, instant now) {
         e.on_request(now, request, [result](const caller_answer& answer) { *result = answer; });
     });
     run_until([&] { return result->has_value(); }, 4s);
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -79,6 +79,9 @@
 
     // --- faults ---
     void kill_entry(int entry);
+    // The entry stands still: what reaches it meanwhile, its own timers too, it handles when it goes on.
+    void freeze_entry(int entry);
+    void thaw_entry(int entry);
     void start_entry(int entry);
     void stop_by_plan(int entry);
     void set_table_down(bool down) { table_down_ = down; }
@@ -86,6 +89,8 @@
     void cut_entry_from_peers(int entry, bool cut) { cut_from_peers_[entry] = cut; }
     void lose_next_answers(int n) { answers_to_lose_ = n; }
     void crash_worker(int worker, bool comes_back);
+    // Ends a run by its own fault, wherever it is.
+    void fail_run(const flow_task_id& task);
     flow_fake_worker& worker(int n) { return *workers_.at(static_cast<std::size_t>(n)); }
     int worker_count() const { return static_cast<int>(workers_.size()); }
     flow_entry* entry(int n) { return entries_.at(static_cast<std::size_t>(n)).decisions.get(); }
@@ -109,6 +114,8 @@
         std::unique_ptr<flow_entry> decisions;
         std::uint64_t life = 0;
         int starts = 0;
+        bool frozen = false;
+        std::vector<std::function<void()>> missed; // while it stood still
     };
     void later(duration d, std::function<void()> what);
     void on_entry(int entry, std::uint64_t life, const std::function<void(flow_entry&, instant)>& what);
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -619,3 +619,41 @@
     BOOST_TEST(w.running_count() == 2);
     check_no_faults(w);
 }
+
+BOOST_AUTO_TEST_CASE(a_worker_that_left_while_the_owner_stood_still_holds_up_no_other_workers_tasks)
+{
+    // A task that lasts fails on a worker that is up, and nothing runs in its place for 17 s, with room all around. The
+    // owner of the cell stands still for 5 s; another worker of the cell leaves meanwhile, as workers do all the time.
+    // The follower cannot ask that one what runs there. It waited until the owner before had certainly fallen silent,
+    // 10 s, and a lease, before it started anything again: one that left held up the tasks of all the others.
+    constexpr duration stood_still = 5s;
+    constexpr duration missed_most = 12s; // since the owner stood still; tasks may be missed for 3 s once all is calm
+    flow_world w({.entries_each = 3, .workers_each = 6});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, lasting_spec(10, 4000)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 10; }, 5s));
+    w.run_for(2s);
+    int owner = 0;
+    while (!w.entry(owner)->cells().at(cell_id("a"))->owns()) {
+        ++owner;
+    }
+    w.freeze_entry(owner);
+    w.run_for(1s);
+    int leaving = 0;
+    while (w.worker(leaving).running.empty()) {
+        ++leaving;
+    }
+    w.crash_worker(leaving, false);
+    flow_task_id failing;
+    for (int i = 0; i < w.worker_count(); ++i) {
+        if (w.worker(i).up && !w.worker(i).running.empty()) {
+            failing = w.worker(i).running.begin()->first;
+        }
+    }
+    w.fail_run(failing);
+    w.run_for(stood_still - 1s);
+    w.thaw_entry(owner);
+    w.run_for(missed_most - stood_still);
+    BOOST_TEST(w.running_of(job_a) == 10);
+    check_no_faults(w);
+}
