flow: an owner that cannot renew falls silent after 3 s, and its follower counts from the renewal

Cause: a follower that could not reach one worker of the cell waited 10 s from its own takeover, and a lease, before it started any task it had not found. The 10 s stood for outages of the table, in which there is no follower. Where a worker a second leaves, one is always unreachable: tasks that last stood still for 16.6 s with room for them. Ruled out: processor time of the follower (it had some to spare), rows of given tasks that got lost. Change: without the table an owner sends for 3 s; for 10 s only while the table answers none of the entries it hears from, which must be most. A follower counts the 3 s from when it first saw the last renewal, and the first candidate looks at the row each second.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -116,6 +116,7 @@
   4: list<flow_cell_news> cells // that it owns
   5: list<flow_entry_row> members
   6: bool table_away = false // the sender cannot reach the table itself
+  7: i64 table_silent_ms = 0 // since the table last answered the sender, whatever it was asked
 }
 
 // A call to the table that the sender asks the receiver to make for it.
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -14,9 +14,17 @@
     : id_(std::move(id)), self_(std::move(self)), edges_(edges), hooks_(std::move(hooks))
 {}
 
+// An owner that stood still, or that the table turned away, may have been followed without knowing. It sends nothing
+// once its last renewal is older than a follower takes into account: else it would start anew, on workers that the
+// follower cannot reach, what the follower starts elsewhere. While the table answers nobody there is no follower, and
+// what runs is kept alive.
 bool flow_cell::may_send(instant now) const
 {
-    return role_ == role::owning && now - renewed_ < owner_hold;
+    if (role_ != role::owning) {
+        return false;
+    }
+    const duration age = now - renewed_;
+    return age < owner_hold || (age < owner_hold_outage && hooks_.table_outage(now, renewed_));
 }
 
 void flow_cell::read_row(instant now)
@@ -42,6 +50,7 @@
     }
     if (!row_known_ || version != row_version_) {
         row_unchanged_since_ = now;
+        row_seen_at_ = now;
     }
     row_known_ = true;
     row_present_ = row != nullptr;
@@ -137,6 +146,9 @@
     }
     if (c.owner_live) {
         row_unchanged_since_ = now;
+        if (c.rank == 0 && c.same_data_centre) {
+            read_if_older(row_watch_interval);
+        }
         return;
     }
     if (c.owner_restarted) {
@@ -204,7 +216,7 @@
     wanted.workers = worker_names();
     // Whoever owned it before sends nothing any more if it released the row or was an earlier life of this entry.
     const bool certainly_gone = fresh_ || row_.released || row_.owner == self_.entry.str();
-    old_owner_gone_ = certainly_gone ? duration(0) : owner_hold;
+    old_owner_silent_ = certainly_gone ? now : std::max(now, row_seen_at_ + owner_hold);
     renewed_ = now;
     write_row(wanted, [this, wanted](instant then, const store_result& result) {
         acting_ = false;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -38,6 +38,8 @@
         find_room;
     // A row that the owner of another cell must know.
     std::function<void(instant, const cell_id&, const job_id&, const wire::flow_job_row&, row_version)> tell_cell;
+    // The table has answered nobody that this entry hears from since `since`, and it hears from most entries.
+    std::function<bool(instant now, instant since)> table_outage;
     // A state that is durable, for the entry that answers the caller.
     std::function<void(instant, const wire::flow_job_row&, const job_id&, flow_state)> state_changed;
 };
@@ -283,7 +285,8 @@
     bool row_known_ = false; // read at least once
     bool row_present_ = false;
     row_version row_version_;
-    instant row_unchanged_since_{};
+    instant row_unchanged_since_{}; // or its owner was heard of
+    instant row_seen_at_{};         // first, as it is now: the renewal that wrote it was sent before
     instant row_read_at_{};
     bool reading_row_ = false;
     bool acting_ = false; // a take, renewal or release is under way
@@ -292,7 +295,7 @@
     instant taken_at_{};
     bool listed_since_taken_ = false;
     instant stop_planned_at_{};
-    duration old_owner_gone_{0}; // how long after taken_at_ the owner before may still have sent
+    instant old_owner_silent_{}; // from then on the owner before certainly sends nothing
     bool fresh_ = false;         // nobody owned it before
     bool stopping_ = false;
     instant next_renewal_{};
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -86,7 +86,7 @@
 
 bool flow_cell::all_accounted(instant now) const
 {
-    if (now >= taken_at_ + old_owner_gone_ + certainly(lease)) {
+    if (now >= old_owner_silent_ + certainly(lease)) {
         return true;
     }
     return std::all_of(workers_.begin(), workers_.end(), [](const auto& w) { return w.second.fenced; });
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -108,6 +108,7 @@
         const bool owner = std::any_of(cells_.begin(), cells_.end(), [](const auto& c) { return c.second->owns(); });
         next_list_ = then + (owner ? list_interval_owner : list_interval_other);
         if (workers) {
+            table_answered_ = then;
             on_workers(then, *workers);
         }
     });
@@ -151,6 +152,7 @@
     hooks.find_room = [this](instant now, const cell_id& from, const std::string& service, const flow_step& step) {
         return find_room(now, from, service, step);
     };
+    hooks.table_outage = [this](instant now, instant since) { return table_outage(now, since); };
     hooks.tell_cell = [this](instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row,
                              row_version version) { tell_cell(now, cell, job, row, version); };
     hooks.state_changed = [this](instant now, const wire::flow_job_row& row, const job_id& job, flow_state state) {
@@ -172,6 +174,7 @@
 {
     edges_.watch_operator(operator_seen_, operator_wait, [this](instant then, const operator_page& page) {
         if (page.reached) {
+            table_answered_ = then;
             operator_seen_ = page.history_gone ? row_version(0) : std::max(operator_seen_, page.version);
             if (page.config) {
                 take_config(then, *page.config, page.config_text, "table");
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -80,6 +80,7 @@
         bool leaving = false;
         bool telling = false;
         bool table_away = false;
+        instant table_answered{}; // when the table last answered it
         std::vector<wire::flow_cell_news> cells;
     };
     // A job this entry answers callers for.
@@ -152,7 +153,8 @@
     // flow_relay.cpp
     void commit(store_transaction transaction, std::function<void(instant, store_result)> done);
     void read(store_range range, std::function<void(instant, store_page)> done);
-    void note_table(bool answered, const std::string& reason);
+    void note_table(instant now, bool answered, const std::string& reason);
+    bool table_outage(instant now, instant since) const;
     void probe_table();
     std::optional<net_address> relay_peer();
     void serve_commit(const wire::flow_relayed_commit& asked, std::function<void(const wire::flow_message&)> reply);
@@ -166,6 +168,7 @@
     instant ticked_at_{};
     int table_failures_ = 0; // in a row
     bool table_away_ = false;
+    instant table_answered_{}; // when the table last answered this entry
     std::size_t relays_ = 0;
     instant begun_{};
     bool leaving_ = false;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -35,9 +35,16 @@
 inline constexpr duration tick_interval = 100ms;
 inline constexpr duration renew_interval = 1s;
 inline constexpr duration renew_retry = 250ms;
-// An owner that cannot renew goes on this long, counted from sending its last renewal that succeeded: the longest store
-// outages last about 9 s. A taker waits for it, and a lease, before it believes that an unreachable worker is idle.
-inline constexpr duration owner_hold = 10s;
+// An owner that cannot renew goes on this long, counted from sending its last renewal that succeeded: long enough for
+// one renewal whose answer is lost (its interval, 1.5 s until it is given up, a retry). A taker waits for it, and a
+// lease, before it believes that a worker it cannot reach is idle; tasks that may run there stand still that long.
+inline constexpr duration owner_hold = 3s;
+// The same while the table answers nobody: the longest outages last about 9 s, and nobody can take the cell meanwhile.
+inline constexpr duration owner_hold_outage = 10s;
+// A peer that the table has answered later than this after the owner's last renewal shows that it is no outage. The
+// interval of renewals and the age of what a peer says of itself.
+inline constexpr duration outage_slack = 1500ms;
+inline constexpr duration row_watch_interval = 1s; // of a live owner's row, by the first candidate: bounds its renewal
 inline constexpr duration owner_silence_local = 2500ms;  // row unrenewed before an entry of the data centre takes over
 inline constexpr duration owner_silence_remote = 5500ms; // before one of another does
 inline constexpr duration candidate_step = 400ms;        // between candidates, so that one tries at a time
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -88,6 +88,7 @@
     h.leaving = leaving_;
     h.config_version = config_version().value();
     h.table_away = table_away_;
+    h.table_silent_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - table_answered_).count();
     for (const auto& [id, cell] : cells_) {
         if (cell->owns()) {
             h.cells.push_back(cell->news());
@@ -203,6 +204,7 @@
     p.ever_heard = true;
     p.leaving = h.leaving;
     p.table_away = h.table_away;
+    p.table_answered = now - std::chrono::milliseconds(h.table_silent_ms);
     p.cells = h.cells;
     for (const wire::flow_cell_news& cell : h.cells) {
         assigned_cpu_[cell_id(cell.cell)] = 0;
--- a/src/flow_relay.cpp
+++ b/src/flow_relay.cpp
@@ -123,9 +123,10 @@
 
 } // namespace
 
-void flow_entry::note_table(bool answered, const std::string& reason)
+void flow_entry::note_table(instant now, bool answered, const std::string& reason)
 {
     if (answered) {
+        table_answered_ = now;
         table_failures_ = 0;
         if (table_away_) {
             table_away_ = false;
@@ -141,14 +142,35 @@
     }
 }
 
+// Whether the table has answered nobody since `since`, as far as this entry hears. One that hears from few entries is
+// itself cut off: others may go on with the table, and take over what it owns.
+bool flow_entry::table_outage(instant now, instant since) const
+{
+    const instant latest = since + outage_slack;
+    std::size_t heard_of = 1; // itself
+    if (table_answered_ > latest) {
+        return false;
+    }
+    for (const auto& [id, p] : peers_) {
+        if (!heard(p, now)) {
+            continue;
+        }
+        ++heard_of;
+        if (p.table_answered > latest) {
+            return false;
+        }
+    }
+    return 2 * heard_of > peers_.size() + 1;
+}
+
 void flow_entry::probe_table()
 {
     direct_.after(table_probe_interval, [this](instant) {
         if (!table_away_) {
             return;
         }
-        direct_.read(only_row(entry_key(self_.entry)), [this](instant, const store_page& page) {
-            note_table(page.reached, page.reason);
+        direct_.read(only_row(entry_key(self_.entry)), [this](instant then, const store_page& page) {
+            note_table(then, page.reached, page.reason);
             if (table_away_) {
                 probe_table();
             }
@@ -177,7 +199,7 @@
     if (!helper) {
         direct_.commit(std::move(transaction),
                        [this, done = std::move(done)](instant then, const store_result& result) {
-                           note_table(reached(result), result.reason);
+                           note_table(then, reached(result), result.reason);
                            done(then, result);
                        });
         return;
@@ -203,7 +225,7 @@
     const auto helper = table_away_ ? relay_peer() : std::nullopt;
     if (!helper) {
         direct_.read(std::move(range), [this, done = std::move(done)](instant then, const store_page& page) {
-            note_table(page.reached, page.reason);
+            note_table(then, page.reached, page.reason);
             done(then, page);
         });
         return;
@@ -237,8 +259,8 @@
         reply({}); // without a result: the sender knows nothing of its call, and tries again
         return;
     }
-    direct_.commit(from_wire(asked), [this, reply = std::move(reply)](instant, const store_result& result) {
-        note_table(reached(result), result.reason);
+    direct_.commit(from_wire(asked), [this, reply = std::move(reply)](instant then, const store_result& result) {
+        note_table(then, reached(result), result.reason);
         reply(reply_with(result));
     });
 }
@@ -250,8 +272,8 @@
         return;
     }
     const store_range range{asked.table, asked.part, asked.from_key, asked.to_key};
-    direct_.read(range, [this, reply = std::move(reply)](instant, const store_page& page) {
-        note_table(page.reached, page.reason);
+    direct_.read(range, [this, reply = std::move(reply)](instant then, const store_page& page) {
+        note_table(then, page.reached, page.reason);
         reply(reply_with(page));
     });
 }
