flow: what lasts moves off a worker that drains; a follower waits only for workers the row named

Cause: a worker that left took its lasting tasks with it; they were away for a lease, and any takeover near that moment had one more worker that could not be asked. Ruled out: nothing stops them earlier. Change: an owner stops lasting tasks on a draining worker while another has room; a draining worker without runs leaves the row; a worker that no owner before could have used is not waited for. The log tells for how many jobs a follower waits, until when, and which workers never answered.

--- /dev/null
+++ b/src/flow_cell_drain.cpp
@@ -0,0 +1,49 @@
+// Workers that drain: what lasts moves off them before they leave.
+#include <algorithm>
+
+#include "flow_cell_p.h"
+#include "flow_limits_p.h"
+#include "log_line_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+// A worker that leaves takes its tasks with it and tells nobody: one that lasts is away until the lease of its run has
+// ended, about six seconds, and where the owner is followed meanwhile, longer. Stopped while the worker still answers,
+// it runs elsewhere within half a second. Short tasks mostly end before the worker goes.
+void flow_cell::vacate_draining(instant now)
+{
+    next_vacating_ = now + vacate_interval;
+    if (!may_send(now) || stopping_) {
+        return;
+    }
+    for (auto& [id, w] : workers_) {
+        if (w.listed && w.listing.draining && w.fenced && w.silent == 0) {
+            vacate(now, w);
+        }
+    }
+}
+
+void flow_cell::vacate(instant now, cell_worker& w)
+{
+    std::int32_t moved = 0;
+    for (const auto& [id, run] : w.ledger) {
+        const auto [worker, job, task, live] = locate(w.listing.worker, id, run.run);
+        if (!run.lasting || live == nullptr || !live->confirmed || live->stopping || task->runs.size() != 1) {
+            continue;
+        }
+        const flow_stage& stage = *job->find_stage(id);
+        if (job->step(stage).gang || awaited_.count(id.job) != 0 || choose(now, *job, stage, *task) == nullptr) {
+            continue; // better there for the rest of the worker's time than nowhere
+        }
+        stop_run_once(now, *live, id);
+        ++moved;
+    }
+    if (moved > 0) {
+        edges_.note(log_level::info, "worker", "vacated",
+                    {{"cell", id_.str()}, {"worker", w.listing.worker.str()}, {"lasting", std::to_string(moved)}});
+    }
+}
+
+} // namespace skylarkhub
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -92,6 +92,9 @@
         return;
     }
     check_lapsed(now);
+    if (now >= next_vacating_) {
+        vacate_draining(now);
+    }
     if (!listed_since_taken_) {
         place_soon();
     }
@@ -310,9 +313,14 @@
             awaited_.insert(id);
         }
     }
-    edges_.note(
-        log_level::info, "cell", "owned",
-        {{"cell", id_.str()}, {"jobs", std::to_string(jobs_.size())}, {"workers", std::to_string(workers_.size())}});
+    const duration wait = std::max<duration>(duration(0), old_owner_silent_ - now);
+    edges_.note(log_level::info, "cell", "owned",
+                {{"cell", id_.str()},
+                 {"epoch", std::to_string(epoch_.value())},
+                 {"jobs", std::to_string(jobs_.size())},
+                 {"workers", std::to_string(workers_.size())},
+                 {"awaited", std::to_string(awaited_.size())},
+                 {"owner_before_silent_in_ms", std::to_string(wait.count() / 1000)}});
     for (auto& [id, w] : workers_) {
         hold_soon(now, id, duration(0));
     }
@@ -333,6 +341,9 @@
 {
     std::vector<wire::flow_worker_name> names;
     for (const auto& [id, w] : workers_) {
+        if (w.listing.draining && w.fenced && w.ledger.empty()) {
+            continue; // nothing runs there, and nothing is started there any more: a follower need not ask it
+        }
         wire::flow_worker_name name;
         name.worker = id.str();
         name.address = w.listing.address.str();
@@ -357,6 +368,7 @@
 {
     for (const wire::flow_worker_name& name : row.workers) {
         const auto [at, added] = workers_.try_emplace(worker_id(name.worker));
+        at->second.inherited = true;
         if (added) {
             at->second.listing.worker = worker_id(name.worker);
             at->second.listing.address = net_address(name.address);
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -110,8 +110,9 @@
     struct cell_worker {
         flow_listed_worker listing;
         bool listed = false;
-        bool named = false;  // in the cell's row as it stands in the table
-        bool fenced = false; // accepted this epoch and told what runs
+        bool named = false;     // in the cell's row as it stands in the table
+        bool fenced = false;    // accepted this epoch and told what runs
+        bool inherited = false; // the owner before may have started tasks there
         std::optional<worker_time> reading;
         instant read_at{};
         instant lapsed_after{}; // by then every lease given by this cell's owners has certainly ended
@@ -183,8 +184,13 @@
     void note_lease(cell_worker& w, instant now) const;
     worker_place place_of(const cell_worker& w) const { return {w.listing.worker, w.listing.address}; }
     bool all_accounted(instant now) const;
+    void note_accounted(instant now);
     void distrust(instant now, cell_worker& w, double amount);
 
+    // flow_cell_drain.cpp
+    void vacate_draining(instant now);
+    void vacate(instant now, cell_worker& w);
+
     // flow_cell_runs.cpp
     // What is known of a run; null where it is not known (any more).
     struct run_parts {
@@ -306,6 +312,7 @@
     instant next_watch_{};
     instant next_give_away_{};
     instant next_summary_{};
+    instant next_vacating_{};
     int parts_left_ = 0;
     std::set<job_id> reading_jobs_;
 
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -89,7 +89,26 @@
     if (now >= old_owner_silent_ + certainly(lease)) {
         return true;
     }
-    return std::all_of(workers_.begin(), workers_.end(), [](const auto& w) { return w.second.fenced; });
+    return std::all_of(workers_.begin(), workers_.end(),
+                       [](const auto& w) { return w.second.fenced || !w.second.inherited; });
+}
+
+// What could not be found may be started from now on.
+void flow_cell::note_accounted(instant now)
+{
+    if (awaited_.empty() || !all_accounted(now)) {
+        return;
+    }
+    const auto silent = std::count_if(workers_.begin(), workers_.end(),
+                                      [](const auto& w) { return w.second.inherited && !w.second.fenced; });
+    edges_.note(log_level::info, "cell", "accounted",
+                {{"cell", id_.str()},
+                 {"epoch", std::to_string(epoch_.value())},
+                 {"jobs", std::to_string(awaited_.size())},
+                 {"after_ms", std::to_string((now - taken_at_).count() / 1000)},
+                 {"never_answered", std::to_string(silent)}});
+    awaited_.clear();
+    place_soon();
 }
 
 void flow_cell::check_lapsed(instant now)
@@ -106,10 +125,7 @@
         }
         ++at;
     }
-    if (!awaited_.empty() && all_accounted(now)) {
-        awaited_.clear();
-        place_soon();
-    }
+    note_accounted(now);
 }
 
 // Everything that ran there has ended and told nobody.
@@ -266,11 +282,8 @@
     }
     confirm_ends(w);
     take_measures(now, w, answer);
-    if (first && !awaited_.empty() && all_accounted(now)) {
-        awaited_.clear();
-        place_soon();
-    }
     if (first) {
+        note_accounted(now);
         place_soon();
     }
 }
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -28,8 +28,9 @@
 inline constexpr duration stop_timeout = 800ms;
 inline constexpr duration stop_retry = 150ms;
 inline constexpr duration pace_timeout = 800ms;
-inline constexpr duration unhealthy_pause = 1s; // of starts on a worker that refused one
-inline constexpr int silent_holds_most = 2;     // exchanges in a row without an answer, then no starts
+inline constexpr duration unhealthy_pause = 1s;    // of starts on a worker that refused one
+inline constexpr int silent_holds_most = 2;        // exchanges in a row without an answer, then no starts
+inline constexpr duration vacate_interval = 250ms; // a worker that drains is there for two to three seconds
 
 // --- ownership ---
 inline constexpr duration tick_interval = 100ms;
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -620,6 +620,28 @@
     check_no_faults(w);
 }
 
+BOOST_AUTO_TEST_CASE(what_lasts_moves_off_a_worker_that_drains_before_it_leaves)
+{
+    // A worker says that it leaves, serves on for two seconds and is gone with all that ran there. Its tasks that last
+    // were away until the lease of their runs had ended, six seconds later; now they run elsewhere when it goes.
+    flow_world w({.workers_each = 4});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, lasting_spec(6, 4000)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 6; }, 5s));
+    int leaving = 0;
+    while (w.worker(leaving).running.empty()) {
+        ++leaving;
+    }
+    w.worker(leaving).draining = true;
+    w.run_for(2s);
+    BOOST_TEST(w.worker(leaving).running.empty());
+    w.crash_worker(leaving, false);
+    BOOST_TEST(w.running_of(job_a) == 6);
+    w.run_for(10s);
+    BOOST_TEST(w.running_of(job_a) == 6);
+    check_no_faults(w);
+}
+
 BOOST_AUTO_TEST_CASE(a_worker_that_left_while_the_owner_stood_still_holds_up_no_other_workers_tasks)
 {
     // A task that lasts fails on a worker that is up, and nothing runs in its place for 17 s, with room all around. The
