flow: cells of about 24 workers, owned in proportion to each entry's processor

Cause: a cell was a whole data centre. On the grown Tausi site one entry of 0.07 to 0.5 core owned 88 workers and was at its limit from the start: holds late, leases lapsed by the hundred. Ruled out: racks as cells (6 workers cannot hold a step with one task a worker); a hash of racks (uneven, and moves racks when cells come). Change: each data centre has a row that says which cell each rack is in; racks are added by compare-and-set and never moved, so that a worker knows the fencing tokens of one cell only. Data centres of up to 30 workers stay one cell with its name. Entries tell their processor, and free cells are dealt in order to the one that would have the fewest workers a core; the cell's row decides as before. A worker that is down does not crash now. Checked: test_flow, test_flow_job, test_flow_layout.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -74,11 +74,21 @@
   7: list<flow_worker_name> workers // only these may run tasks of the cell; the platform's list may have lost some
 }
 
+// Which cell the workers of each rack of one data centre belong to. Racks are only ever added.
+struct flow_laid_rack {
+  1: string cell
+  2: i32 workers = 0 // that it was taken to have
+}
+struct flow_layout_row {
+  1: map<string, flow_laid_rack> racks
+}
+
 struct flow_entry_row {
   1: string entry
   2: string incarnation
   3: string address
   4: string data_centre
+  5: double cores = 1 // of its processor, that it may use
 }
 
 struct flow_worker_room {
--- a/src/daemon_flow_app.cpp
+++ b/src/daemon_flow_app.cpp
@@ -32,6 +32,7 @@
     self_.incarnation = make_incarnation(settings.entry);
     self_.address = settings.peers_address;
     self_.data_centre = settings.data_centre;
+    self_.cores = settings.cores * settings.cpu_share;
 }
 
 std::unique_ptr<flow_app> flow_app::start(const flow_entry_settings& settings, std::string* last_reason)
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -1,4 +1,4 @@
-// One cell: the workers of one data centre (or of some of its racks) with the flows bound to them. Its owner decides
+// One cell: the workers of some racks of a data centre, or of all, with the flows bound to them. Its owner decides
 // where tasks run, holds the workers' leases, and makes ends durable before it confirms them. An entry that does not
 // own the cell watches its row and takes it over when the owner is gone.
 #pragma once
@@ -27,6 +27,7 @@
     incarnation_id incarnation;
     net_address address;
     data_centre_id data_centre;
+    double cores = 1; // of its processor, that it may use
 };
 
 // What a cell asks of the entry around it.
--- /dev/null
+++ b/src/flow_cells.cpp
@@ -0,0 +1,218 @@
+// The cells that an entry knows: which racks they are made of, and how it stands to owning them.
+#include <algorithm>
+
+#include "flow_entry_p.h"
+#include "flow_limits_p.h"
+#include "log_line_p.h"
+#include "row_codec_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+void flow_entry::list_workers()
+{
+    listing_ = true;
+    edges_.list_workers([this](instant then, const std::optional<std::vector<flow_listed_worker>>& workers) {
+        listing_ = false;
+        const bool owner = std::any_of(cells_.begin(), cells_.end(), [](const auto& c) { return c.second->owns(); });
+        next_list_ = then + (owner ? list_interval_owner : list_interval_other);
+        if (workers) {
+            table_answered_ = then;
+            on_workers(then, *workers);
+        }
+    });
+}
+
+void flow_entry::on_workers(instant now, const std::vector<flow_listed_worker>& workers)
+{
+    std::map<data_centre_id, rack_workers> listed;
+    std::map<cell_id, std::vector<flow_listed_worker>> by_cell;
+    for (const flow_listed_worker& w : workers) {
+        ++listed[w.data_centre][w.rack];
+        const cell_layout& layout = layouts_[w.data_centre].layout;
+        const auto laid = layout.find(w.rack);
+        if (laid != layout.end()) {
+            by_cell[laid->second.cell].push_back(w);
+        }
+    }
+    for (auto& [data_centre, known] : layouts_) {
+        if (known.listed != listed[data_centre]) {
+            known.listed = std::move(listed[data_centre]);
+            known.changed_at = now;
+        }
+    }
+    for (auto& [id, cell] : cells_) {
+        cell->on_workers_listed(now, by_cell[id]);
+    }
+    lay_racks(now);
+}
+
+flow_cell& flow_entry::cell_of(const cell_id& id, const data_centre_id& data_centre)
+{
+    auto& cell = cells_[id];
+    if (!cell) {
+        cell = std::make_unique<flow_cell>(id, self_, edges_, make_hooks());
+        cell_places_[id] = data_centre;
+        next_ranks_ = instant{};
+    }
+    return *cell;
+}
+
+// --- layouts ---
+
+void flow_entry::read_layouts(instant now)
+{
+    if (reading_layouts_) {
+        return;
+    }
+    reading_layouts_ = true;
+    next_layouts_read_ = now + layouts_interval;
+    edges_.read({layouts_table, shared_part, "", ""}, [this, asked = now](instant then, const store_page& page) {
+        reading_layouts_ = false;
+        if (!page.reached) {
+            next_layouts_read_ = then + register_retry;
+            return;
+        }
+        for (const store_row& row : page.rows) {
+            take_layout(then, row);
+        }
+        layouts_known_ = true;
+        layouts_read_at_ = asked;
+    });
+}
+
+void flow_entry::take_layout(instant now, const store_row& row)
+{
+    const data_centre_id data_centre(row.key.key);
+    data_centre_cells& known = layouts_[data_centre];
+    if (row.version <= known.version) {
+        return;
+    }
+    std::string reason;
+    const auto decoded = decode_compact<wire::flow_layout_row>(row.value, &reason);
+    if (!decoded) {
+        edges_.note(log_level::error, "layout", "row_unreadable",
+                    {{"data_centre", data_centre.str()}, {"reason", reason}});
+        return;
+    }
+    known.version = row.version;
+    known.layout = from_row(*decoded);
+    for (const auto& [rack, laid] : known.layout) {
+        racks_[rack] = laid.cell;
+        cell_of(laid.cell, data_centre);
+    }
+    // The newest list is not looked at again: a worker may have begun another life since.
+    next_list_ = now;
+}
+
+// A rack that is new in the list goes to a cell, once the list is whole and the row that another entry may have written
+// has been read. The entries of the data centre try at about the same time; the row's version lets one of them through.
+void flow_entry::lay_racks(instant now)
+{
+    for (auto& [data_centre, known] : layouts_) {
+        if (!has_new_racks(known.layout, known.listed)) {
+            known.unlaid_since = instant{};
+            continue;
+        }
+        if (known.unlaid_since == instant{}) {
+            known.unlaid_since = now;
+        }
+        next_list_ = std::min(next_list_, now + layout_list_interval);
+        if (layouts_read_at_ < known.unlaid_since && layouts_known_) {
+            read_layouts(now);
+            continue;
+        }
+        const duration wait = data_centre == self_.data_centre ? duration(0) : layout_wait_remote;
+        const duration unlaid = now - known.unlaid_since;
+        const bool settled = now - known.changed_at >= layout_settle || unlaid >= layout_settle_most;
+        if (layouts_known_ && !known.writing && !leaving_ && unlaid >= wait && settled) {
+            write_layout(now, data_centre);
+        }
+    }
+}
+
+void flow_entry::write_layout(instant, const data_centre_id& data_centre)
+{
+    data_centre_cells& known = layouts_[data_centre];
+    known.writing = true;
+    const cell_layout wanted = extend_layout(data_centre, known.layout, known.listed);
+    store_transaction t;
+    t.checks.push_back({layout_key(data_centre), known.version});
+    t.puts.push_back({layout_key(data_centre), encode_compact(to_row(wanted))});
+    const std::string value = t.puts.front().value;
+    edges_.commit(std::move(t), [this, data_centre, value](instant then, const store_result& result) {
+        data_centre_cells& written = layouts_[data_centre];
+        written.writing = false;
+        switch (result.outcome) {
+        case table_outcome::applied:
+            take_layout(then, {layout_key(data_centre), value, result.version, false});
+            edges_.note(log_level::info, "layout", "extended",
+                        {{"data_centre", data_centre.str()},
+                         {"racks", std::to_string(written.layout.size())},
+                         {"cells", std::to_string(count_workers(written.layout, {}).size())}});
+            return;
+        case table_outcome::conflict:
+            for (const store_row& row : result.rows) {
+                take_layout(then, row);
+            }
+            return;
+        case table_outcome::refused:
+        case table_outcome::unknown:
+            edges_.note(log_level::warning, "layout", "extend_failed",
+                        {{"data_centre", data_centre.str()}, {"reason", result.reason}});
+            read_layouts(then); // the write may be in force
+            return;
+        }
+    });
+}
+
+// --- ranks ---
+
+// Who owns the cell and lives, as far as this entry knows; invalid: nobody.
+entry_id flow_entry::live_owner(instant now, const cell_id& id, const flow_cell& cell) const
+{
+    if (cell.owns() || cell.current_role() == flow_cell::role::taking) {
+        return self_.entry;
+    }
+    if (const peer* const told = owner_of(now, id)) {
+        return told->leaving ? entry_id() : told->identity.entry;
+    }
+    const wire::flow_cell_row& row = cell.row();
+    const auto named = peers_.find(entry_id(row.owner));
+    const bool lives = named != peers_.end() && heard(named->second, now) && !named->second.leaving &&
+                       named->second.identity.incarnation.str() == row.incarnation;
+    return lives && !row.released ? named->second.identity.entry : entry_id();
+}
+
+void flow_entry::rank_cells(instant now)
+{
+    if (now < next_ranks_) {
+        return;
+    }
+    std::map<cell_id, std::int64_t> workers;
+    for (const auto& [data_centre, known] : layouts_) {
+        workers.merge(count_workers(known.layout, known.listed));
+    }
+    std::map<entry_id, std::int64_t> owned;
+    std::vector<deal_cell> cells;
+    bool all_owned = true;
+    for (const auto& [id, cell] : cells_) {
+        deal_cell c{id, cell_places_.at(id), workers[id], live_owner(now, id, *cell)};
+        owned[c.owner] += c.workers;
+        all_owned = all_owned && c.owner.valid();
+        cells.push_back(std::move(c));
+    }
+    std::vector<deal_entry> entries;
+    entries.push_back({self_.entry, self_.data_centre, self_.cores, owned[self_.entry]});
+    for (const auto& [id, p] : peers_) {
+        if (heard(p, now) && !p.leaving) {
+            entries.push_back({id, p.identity.data_centre, p.identity.cores, owned[id]});
+        }
+    }
+    ranks_ = deal_ranks(self_.entry, std::move(entries), cells);
+    // An owner that falls silent is waited for longer than the ranks are old.
+    next_ranks_ = all_owned ? now + deal_interval : now;
+}
+
+} // namespace skylarkhub
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -28,6 +28,7 @@
     register_self();
     read_entries(now);
     watch_operator();
+    read_layouts(now);
     list_workers();
     edges_.after(tick_interval, [this](instant then) { tick(then); });
 }
@@ -49,6 +50,10 @@
         takeovers_listed_ = takeovers;
         list_workers();
     }
+    if (now >= next_layouts_read_) {
+        read_layouts(now);
+    }
+    lay_racks(now);
     if (now >= next_untold_ && !untold_.empty()) {
         next_untold_ = now + untold_retry;
         std::vector<std::pair<cell_id, job_id>> keys;
@@ -60,6 +65,7 @@
         }
     }
     if (now - begun_ >= peers_learned) {
+        rank_cells(now);
         for (auto& [id, cell] : cells_) {
             cell->tick(now, candidacy(now, *cell));
         }
@@ -98,45 +104,7 @@
     return std::all_of(cells_.begin(), cells_.end(), [](const auto& c) { return c.second->stopped(); });
 }
 
-// --- workers and cells ---
-
-void flow_entry::list_workers()
-{
-    listing_ = true;
-    edges_.list_workers([this](instant then, const std::optional<std::vector<flow_listed_worker>>& workers) {
-        listing_ = false;
-        const bool owner = std::any_of(cells_.begin(), cells_.end(), [](const auto& c) { return c.second->owns(); });
-        next_list_ = then + (owner ? list_interval_owner : list_interval_other);
-        if (workers) {
-            table_answered_ = then;
-            on_workers(then, *workers);
-        }
-    });
-}
-
-void flow_entry::on_workers(instant now, const std::vector<flow_listed_worker>& workers)
-{
-    std::map<cell_id, std::vector<flow_listed_worker>> by_cell;
-    for (const flow_listed_worker& w : workers) {
-        const cell_id id(w.data_centre.str());
-        cell_of(id, w.data_centre);
-        racks_[w.rack] = id;
-        by_cell[id].push_back(w);
-    }
-    for (auto& [id, cell] : cells_) {
-        cell->on_workers_listed(now, by_cell[id]);
-    }
-}
-
-flow_cell& flow_entry::cell_of(const cell_id& id, const data_centre_id& data_centre)
-{
-    auto& cell = cells_[id];
-    if (!cell) {
-        cell = std::make_unique<flow_cell>(id, self_, edges_, make_hooks());
-        cell_places_[id] = data_centre;
-    }
-    return *cell;
-}
+// --- cells ---
 
 flow_cell_hooks flow_entry::make_hooks()
 {
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -10,6 +10,7 @@
 
 #include "flow_cell_p.h"
 #include "flow_edges_p.h"
+#include "flow_layout_p.h"
 
 namespace skylarkhub {
 
@@ -71,6 +72,7 @@
     const flow_entry_stats& stats() const { return stats_; }
     settings_version config_version() const { return config_ ? config_->version : settings_version(0); }
     const std::map<cell_id, std::unique_ptr<flow_cell>>& cells() const { return cells_; }
+    const std::map<rack_id, cell_id>& racks() const { return racks_; }
 
 private:
     struct peer {
@@ -101,6 +103,15 @@
         row_version version;
         bool telling = false;
     };
+    // One data centre: which of its racks are in which cell, and what the platform's list showed last.
+    struct data_centre_cells {
+        cell_layout layout;
+        row_version version; // of its row; 0: there is none
+        rack_workers listed;
+        instant changed_at{};   // `listed`
+        instant unlaid_since{}; // a listed rack is in no cell; instant{}: all are
+        bool writing = false;
+    };
 
     // flow_front.cpp
     const flow_queue* match_queue(const std::string& host, const std::string& path) const;
@@ -141,13 +152,21 @@
     const peer* owner_of(instant now, const cell_id& cell) const;
     cell_candidacy candidacy(instant now, const flow_cell& cell) const;
 
-    // flow_entry.cpp
-    void tick(instant now);
+    // flow_cells.cpp
     void list_workers();
     void on_workers(instant now, const std::vector<flow_listed_worker>& workers);
+    void read_layouts(instant now);
+    void take_layout(instant now, const store_row& row);
+    void lay_racks(instant now);
+    void write_layout(instant now, const data_centre_id& data_centre);
+    flow_cell& cell_of(const cell_id& id, const data_centre_id& data_centre);
+    void rank_cells(instant now);
+    entry_id live_owner(instant now, const cell_id& id, const flow_cell& cell) const;
+
+    // flow_entry.cpp
+    void tick(instant now);
     void watch_operator();
     void take_config(instant now, flow_config config, std::string text, const char* from);
-    flow_cell& cell_of(const cell_id& id, const data_centre_id& data_centre);
     flow_cell_hooks make_hooks();
 
     // flow_relay.cpp
@@ -180,6 +199,13 @@
     std::map<cell_id, data_centre_id> cell_places_;
     std::map<cell_id, std::int64_t> assigned_cpu_; // to a cell since its last news
     std::map<rack_id, cell_id> racks_;
+    std::map<data_centre_id, data_centre_cells> layouts_;
+    bool layouts_known_ = false; // read at least once
+    bool reading_layouts_ = false;
+    instant layouts_read_at_{}; // asked for, when the newest answer came
+    instant next_layouts_read_{};
+    std::map<cell_id, int> ranks_; // this entry's, as an owner of each cell
+    instant next_ranks_{};
     std::vector<wire::flow_cell_news> own_news_;
     instant own_news_at_{};
     absl::flat_hash_map<job_id, followed_job> followed_;
--- /dev/null
+++ b/src/flow_layout.cpp
@@ -0,0 +1,141 @@
+#include "flow_layout_p.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+
+#include "flow_limits_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+namespace {
+
+cell_id name_cell(const data_centre_id& data_centre, std::size_t number)
+{
+    return cell_id(number == 0 ? data_centre.str() : data_centre.str() + '.' + std::to_string(number));
+}
+
+std::size_t count_cells(const std::map<cell_id, std::int64_t>& cells, std::int64_t workers)
+{
+    if (!cells.empty()) {
+        return cells.size();
+    }
+    return workers <= cell_workers_most ? 1 : static_cast<std::size_t>((workers - 1) / cell_workers_usual) + 1;
+}
+
+std::uint64_t draw(const cell_id& cell, const entry_id& entry)
+{
+    const std::string text = cell.str() + '/' + entry.str();
+    return XXH64(text.data(), text.size(), 0);
+}
+
+} // namespace
+
+cell_layout from_row(const wire::flow_layout_row& row)
+{
+    cell_layout layout;
+    for (const auto& [rack, laid] : row.racks) {
+        layout[rack_id(rack)] = {cell_id(laid.cell), laid.workers};
+    }
+    return layout;
+}
+
+wire::flow_layout_row to_row(const cell_layout& layout)
+{
+    wire::flow_layout_row row;
+    for (const auto& [rack, laid] : layout) {
+        wire::flow_laid_rack to;
+        to.cell = laid.cell.str();
+        to.workers = laid.workers;
+        row.racks[rack.str()] = to;
+    }
+    return row;
+}
+
+bool has_new_racks(const cell_layout& layout, const rack_workers& listed)
+{
+    return std::any_of(listed.begin(), listed.end(), [&](const auto& rack) { return layout.count(rack.first) == 0; });
+}
+
+cell_layout extend_layout(const data_centre_id& data_centre, cell_layout layout, const rack_workers& listed)
+{
+    // While a site starts, the list shows few workers of each rack: taken at that, they would all go to one cell, and
+    // stay there. Racks of one data centre are alike, so each counts as the largest.
+    std::int32_t largest = 0;
+    for (const auto& [rack, workers] : listed) {
+        largest = std::max(largest, workers);
+    }
+    std::int64_t coming = 0;
+    std::map<cell_id, std::int64_t> cells = count_workers(layout, listed);
+    std::vector<rack_id> racks;
+    for (const auto& [rack, workers] : listed) {
+        if (layout.count(rack) == 0) {
+            racks.push_back(rack);
+            coming += largest;
+        }
+    }
+    for (std::size_t n = cells.size(), most = count_cells(cells, coming); n < most; ++n) {
+        cells[name_cell(data_centre, n)] = 0;
+    }
+    for (const rack_id& rack : racks) {
+        auto to = std::min_element(cells.begin(), cells.end(),
+                                   [](const auto& a, const auto& b) { return a.second < b.second; });
+        if (to->second > 0 && to->second + largest > cell_workers_most) {
+            std::size_t number = cells.size();
+            while (cells.count(name_cell(data_centre, number)) != 0) {
+                ++number;
+            }
+            to = cells.emplace(name_cell(data_centre, number), 0).first;
+        }
+        to->second += largest;
+        layout[rack] = {to->first, largest};
+    }
+    return layout;
+}
+
+std::map<cell_id, std::int64_t> count_workers(const cell_layout& layout, const rack_workers& listed)
+{
+    std::map<cell_id, std::int64_t> cells;
+    for (const auto& [rack, laid] : layout) {
+        const auto now = listed.find(rack);
+        cells[laid.cell] += std::max(laid.workers, now == listed.end() ? 0 : now->second);
+    }
+    return cells;
+}
+
+std::map<cell_id, int> deal_ranks(const entry_id& self, std::vector<deal_entry> entries,
+                                  const std::vector<deal_cell>& cells)
+{
+    std::map<cell_id, int> ranks;
+    for (const deal_cell& cell : cells) {
+        const auto key = [&](const deal_entry& e) {
+            return std::make_tuple(e.data_centre != cell.data_centre,
+                                   static_cast<double>(e.workers + cell.workers) / e.cores, draw(cell.cell, e.entry));
+        };
+        const auto own =
+            std::find_if(entries.begin(), entries.end(), [&](const deal_entry& e) { return e.entry == self; });
+        deal_entry* first = nullptr;
+        int before = 0;
+        for (deal_entry& e : entries) {
+            if (e.entry == cell.owner) {
+                continue;
+            }
+            if (first == nullptr || key(e) < key(*first)) {
+                first = &e;
+            }
+            const bool same_kind =
+                own != entries.end() && (e.data_centre == cell.data_centre) == (own->data_centre == cell.data_centre);
+            before += same_kind && key(e) < key(*own) ? 1 : 0;
+        }
+        ranks[cell.cell] = before;
+        if (!cell.owner.valid() && first != nullptr) {
+            first->workers += cell.workers;
+        }
+    }
+    return ranks;
+}
+
+} // namespace skylarkhub
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -79,6 +79,19 @@
 inline constexpr duration own_news_fresh = 100ms;
 inline constexpr duration untold_retry = 300ms; // rows that an owner has not taken note of
 
+// --- cells ---
+// An entry uses 0.02 core on average and 0.04 at most on a cell of 12 or of 22 workers, about what the smallest has
+// besides its callers; at 88 workers it was at its limit all the time.
+inline constexpr std::int64_t cell_workers_usual = 24;
+// A data centre, or a cell that a rack is added to, is not split for a few workers more.
+inline constexpr std::int64_t cell_workers_most = 30;
+inline constexpr duration layout_list_interval = 250ms; // while a listed rack is in no cell
+inline constexpr duration layout_settle = 300ms;        // a list that has not changed this long is whole
+inline constexpr duration layout_settle_most = 2s;      // one that changes all the time is not waited for
+inline constexpr duration layout_wait_remote = 3s;      // before an entry of another data centre lays racks
+inline constexpr duration layouts_interval = 10s;       // between reads of all layouts; a rack of no cell is one too
+inline constexpr duration deal_interval = 1s;           // between rankings while every cell has a live owner
+
 // --- the table through a peer ---
 inline constexpr int table_failures_most = 3;           // in a row; one or two are a moment's trouble
 inline constexpr duration table_probe_interval = 400ms; // of whether the table answers this entry again
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -1,6 +1,4 @@
 // The entries that know each other: who lives, who owns which cell, and which configuration each has.
-#include <xxhash.h>
-
 #include <algorithm>
 
 #include "flow_entry_p.h"
@@ -14,6 +12,12 @@
 
 namespace {
 
+entry_identity identity_of(const wire::flow_entry_row& row)
+{
+    return {entry_id(row.entry), incarnation_id(row.incarnation), net_address(row.address),
+            data_centre_id(row.data_centre), row.cores > 0 ? row.cores : 1};
+}
+
 wire::flow_entry_row row_of(const entry_identity& identity)
 {
     wire::flow_entry_row row;
@@ -21,15 +25,10 @@
     row.incarnation = identity.incarnation.str();
     row.address = identity.address.str();
     row.data_centre = identity.data_centre.str();
+    row.cores = identity.cores;
     return row;
 }
 
-std::uint64_t weight(const cell_id& cell, const entry_id& entry)
-{
-    const std::string text = cell.str() + '/' + entry.str();
-    return XXH64(text.data(), text.size(), 0);
-}
-
 } // namespace
 
 void flow_entry::register_self()
@@ -72,8 +71,7 @@
     if (!added && p.ever_heard) {
         return; // it says itself who it is
     }
-    p.identity = {entry_id(row.entry), incarnation_id(row.incarnation), net_address(row.address),
-                  data_centre_id(row.data_centre)};
+    p.identity = identity_of(row);
 }
 
 bool flow_entry::heard(const peer& p, instant now) const
@@ -198,8 +196,7 @@
             log_level::info, "peer", "heard",
             {{"entry", h.sender.entry}, {"incarnation", h.sender.incarnation}, {"leaving", h.leaving ? "yes" : "no"}});
     }
-    p.identity = {entry_id(h.sender.entry), incarnation_id(h.sender.incarnation), net_address(h.sender.address),
-                  data_centre_id(h.sender.data_centre)};
+    p.identity = identity_of(h.sender);
     p.heard = now;
     p.ever_heard = true;
     p.leaving = h.leaving;
@@ -241,25 +238,15 @@
     c.leaving = leaving_;
     const auto place = cell_places_.find(cell.id());
     c.same_data_centre = place != cell_places_.end() && place->second == self_.data_centre;
-    const std::uint64_t own = weight(cell.id(), self_.entry);
-    for (const auto& [id, p] : peers_) {
-        if (!heard(p, now)) {
-            continue;
-        }
-        if (p.identity.entry.str() == cell.row().owner) {
-            const bool same_life = p.identity.incarnation.str() == cell.row().incarnation;
-            c.owner_live = same_life;
-            c.owner_leaving = same_life && p.leaving;
-            c.owner_restarted = !same_life;
-        }
-        if (p.leaving) {
-            continue;
-        }
-        const bool local = place != cell_places_.end() && place->second == p.identity.data_centre;
-        if (local == c.same_data_centre && weight(cell.id(), id) > own) {
-            ++c.rank;
-        }
-    }
+    const auto owner = peers_.find(entry_id(cell.row().owner));
+    if (owner != peers_.end() && heard(owner->second, now)) {
+        const peer& p = owner->second;
+        c.owner_live = p.identity.incarnation.str() == cell.row().incarnation;
+        c.owner_leaving = c.owner_live && p.leaving;
+        c.owner_restarted = !c.owner_live;
+    }
+    const auto rank = ranks_.find(cell.id());
+    c.rank = rank == ranks_.end() ? 0 : rank->second;
     return c;
 }
 
--- a/src/flow_row.cpp
+++ b/src/flow_row.cpp
@@ -69,6 +69,10 @@
 {
     return {entries_table, shared_part, entry.str()};
 }
+store_key layout_key(const data_centre_id& data_centre)
+{
+    return {layouts_table, shared_part, data_centre.str()};
+}
 
 store_range only_row(store_key key)
 {
--- a/src/flow_row_p.h
+++ b/src/flow_row_p.h
@@ -12,7 +12,8 @@
 inline constexpr const char* jobs_table = "flow-jobs";
 inline constexpr const char* cells_table = "flow-cells";
 inline constexpr const char* entries_table = "flow-entries";
-inline constexpr const char* shared_part = "site"; // of cells and entries: few rows, read whole
+inline constexpr const char* layouts_table = "flow-layouts";
+inline constexpr const char* shared_part = "site"; // of cells, entries and layouts: few rows, read whole
 
 // In flow_worker_room::serving: serving tasks of more than one image.
 inline constexpr const char* several_images = "*";
@@ -34,6 +35,7 @@
 store_key job_key(const job_id& job);
 store_key cell_key(const cell_id& cell);
 store_key entry_key(const entry_id& entry);
+store_key layout_key(const data_centre_id& data_centre);
 // The range that holds this one row and no other.
 store_range only_row(store_key key);
 
--- a/src/flow_settings.cpp
+++ b/src/flow_settings.cpp
@@ -26,6 +26,16 @@
     {"instances_address", &flow_entry_settings::instances_address, false},
 }};
 
+struct amount_field {
+    const char* name;
+    double flow_entry_settings::*field;
+};
+
+constexpr std::array<amount_field, 2> amount_fields{{
+    {"cores", &flow_entry_settings::cores},
+    {"cpu_share", &flow_entry_settings::cpu_share},
+}};
+
 // The platform names the port: 0, which elsewhere takes a free one, would listen where nobody looks.
 bool is_fixed_address(std::string_view text)
 {
@@ -48,6 +58,20 @@
     return at->get<std::string>();
 }
 
+// Leaves `amount` as it is when the field is absent.
+void read_amount(const json& j, const char* name, double& amount, std::vector<settings_problem>& problems)
+{
+    const auto at = j.find(name);
+    if (at == j.end() || at->is_null()) {
+        return;
+    }
+    if (!at->is_number() || !(at->get<double>() > 0)) {
+        problems.push_back({name, "must be a number above 0"});
+        return;
+    }
+    amount = at->get<double>();
+}
+
 } // namespace
 
 std::optional<flow_entry_settings> parse_flow_settings(std::string_view text, std::vector<settings_problem>& problems)
@@ -70,6 +94,10 @@
         }
         settings.*field.field = net_address(address);
     }
+    for (const amount_field& field : amount_fields) {
+        known.insert(field.name);
+        read_amount(j, field.name, settings.*field.field, problems);
+    }
     for (const auto& [name, value] : j.items()) {
         if (known.count(name) == 0) {
             problems.push_back({name, "is not a setting"});
--- a/src/flow_settings_p.h
+++ b/src/flow_settings_p.h
@@ -21,6 +21,8 @@
     net_address table_address;
     net_address advice_address;    // may be empty: no service advises
     net_address instances_address; // may be empty: instances are not ours to move
+    double cores = 1;              // of the machine
+    double cpu_share = 1;          // of each that the entry may use
 };
 
 // Empty when anything is wrong, with one problem for each wrong field. Unknown fields are refused.
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -55,17 +55,14 @@
             slot.identity.entry = entry_id(fmt::format("entry-{}-{}", dc, i));
             slot.identity.address = net_address(fmt::format("10.0.0.{}:1", n));
             slot.identity.data_centre = data_centre_id(dc);
+            if (!options_.cores.empty()) {
+                slot.identity.cores = options_.cores.at(static_cast<std::size_t>(i) % options_.cores.size());
+            }
             entries_.push_back(std::move(slot));
             ++n;
         }
         for (int i = 0; i < options_.workers_each; ++i) {
-            auto w = std::make_unique<flow_fake_worker>();
-            w->id = worker_id(fmt::format("w-{}-{}", dc, i));
-            w->address = net_address(fmt::format("10.1.{}.{}:1", n, i));
-            w->data_centre = data_centre_id(dc);
-            w->room.cpu_millis = options_.worker_cpu;
-            w->clock_offset = std::chrono::seconds(1000 + 17 * i);
-            workers_.push_back(std::move(w));
+            add_worker(dc, options_.rack_size == 0 ? "rack-1" : fmt::format("rack-{}-{}", dc, i / options_.rack_size));
         }
     }
     for (int i = 0; i < static_cast<int>(entries_.size()); ++i) {
@@ -75,6 +72,22 @@
 
 flow_world::~flow_world() = default;
 
+int flow_world::add_worker(const std::string& data_centre, const std::string& rack)
+{
+    const int n = worker_count();
+    const auto in_data_centre = std::count_if(workers_.begin(), workers_.end(),
+                                              [&](const auto& w) { return w->data_centre.str() == data_centre; });
+    auto w = std::make_unique<flow_fake_worker>();
+    w->id = worker_id(fmt::format("w-{}-{}", data_centre, in_data_centre));
+    w->address = net_address(fmt::format("10.1.0.{}:1", n));
+    w->data_centre = data_centre_id(data_centre);
+    w->labels.back() = rack;
+    w->room.cpu_millis = options_.worker_cpu;
+    w->clock_offset = std::chrono::seconds(1000 + 17 * in_data_centre);
+    workers_.push_back(std::move(w));
+    return n;
+}
+
 // --- time ---
 
 void flow_world::later(duration d, std::function<void()> what)
@@ -508,6 +521,9 @@
 void flow_world::crash_worker(int worker, bool comes_back)
 {
     flow_fake_worker& w = *workers_.at(static_cast<std::size_t>(worker));
+    if (!w.up) {
+        return; // it would begin its next life twice, the second time with the runs and ends of the first
+    }
     advance_worker(w);
     w.up = false;
     w.listed = false;
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -56,6 +56,8 @@
         std::vector<std::string> data_centres{"a"};
         int entries_each = 2;
         int workers_each = 3;
+        int rack_size = 0;         // workers of a data centre in one rack; 0: all
+        std::vector<double> cores; // of the entries of a data centre, in turn; empty: 1
         std::int64_t worker_cpu = 16000;
         duration table_latency = std::chrono::milliseconds(8);
         duration network_latency = std::chrono::milliseconds(2);
@@ -94,6 +96,8 @@
     flow_fake_worker& worker(int n) { return *workers_.at(static_cast<std::size_t>(n)); }
     int worker_count() const { return static_cast<int>(workers_.size()); }
     flow_entry* entry(int n) { return entries_.at(static_cast<std::size_t>(n)).decisions.get(); }
+    // One more, listed from now on; its number.
+    int add_worker(const std::string& data_centre, const std::string& rack);
     void drop_worker_listing(int worker, bool drop) { workers_.at(static_cast<std::size_t>(worker))->listed = !drop; }
 
     // --- what was seen ---
--- a/tests/test_flow_job.cpp
+++ b/tests/test_flow_job.cpp
@@ -1,6 +1,8 @@
 // A flow's record: what it opens, which facts it keeps, and how two writers' rows are merged.
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 #include "flow_job_p.h"
 #include "flow_settings_p.h"
 
@@ -103,14 +105,20 @@
     BOOST_TEST(!parse_flow_settings(R"({"entry":"e","callers_address":"nonsense","surprise":1})", problems));
     BOOST_TEST(problems.size() > 5); // each missing or wrong field, and the unknown one
     problems.clear();
+    BOOST_TEST(!parse_flow_settings(R"({"cores":"2","cpu_share":0})", problems));
+    BOOST_TEST(std::count_if(problems.begin(), problems.end(),
+                             [](const auto& p) { return p.document == "cores" || p.document == "cpu_share"; }) == 2);
+    problems.clear();
     const auto settings = parse_flow_settings(
         R"({"entry":"e","data_centre":"d","callers_address":"10.0.0.1:1","readiness_address":"10.0.0.1:2",
             "peers_address":"10.0.0.1:3","metrics_address":"10.0.0.1:4","table_address":"10.0.0.2:5",
-            "advice_address":"","instances_address":null})",
+            "advice_address":"","instances_address":null,"cores":2,"cpu_share":0.07})",
         problems);
     BOOST_TEST(problems.empty());
     BOOST_REQUIRE(settings.has_value());
     BOOST_TEST(settings->peers_address.str() == "10.0.0.1:3");
+    BOOST_TEST(settings->cores == 2);
+    BOOST_TEST(settings->cpu_share == 0.07);
 }
 
 BOOST_AUTO_TEST_CASE(a_claim_shows_an_earlier_owner_that_it_was_followed)
--- /dev/null
+++ b/tests/test_flow_layout.cpp
@@ -0,0 +1,248 @@
+// Which racks make a cell, and which entry is to own which cell.
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include "flow_layout_p.h"
+#include "flow_limits_p.h"
+#include "support_flow_world.h"
+
+using namespace skylarkhub;
+using namespace skylarkhub::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const data_centre_id here("a");
+const std::string job_a = "00000000000000aa";
+
+rack_workers racks_of(int racks, int workers)
+{
+    rack_workers listed;
+    for (int i = 0; i < racks; ++i) {
+        listed[rack_id(fmt::format("rack-{:02}", i))] = workers;
+    }
+    return listed;
+}
+
+std::vector<std::string> cell_names(const flow_entry& entry)
+{
+    std::vector<std::string> names;
+    for (const auto& [id, cell] : entry.cells()) {
+        names.push_back(id.str());
+    }
+    return names;
+}
+
+int cells_owned(const flow_entry& entry)
+{
+    int owned = 0;
+    for (const auto& [id, cell] : entry.cells()) {
+        owned += cell->owns() ? 1 : 0;
+    }
+    return owned;
+}
+
+void check_no_faults(const flow_world& w)
+{
+    for (const std::string& fault : w.faults()) {
+        BOOST_ERROR(fault);
+    }
+}
+
+// Eight entries as unequal as those of a large site, and workers for five cells.
+flow_world::options large_site()
+{
+    flow_world::options o;
+    o.entries_each = 8;
+    o.workers_each = 102;
+    o.rack_size = 6;
+    o.cores = {0.07, 0.07, 0.5, 0.07, 0.07, 0.5, 0.07, 0.07};
+    return o;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_small_data_centre_is_one_cell_with_its_name)
+{
+    for (const auto& listed : {racks_of(2, 6), racks_of(3, 8), racks_of(4, 6), racks_of(1, 40)}) {
+        const cell_layout layout = extend_layout(here, {}, listed);
+        BOOST_TEST(layout.size() == listed.size());
+        for (const auto& [rack, laid] : layout) {
+            BOOST_TEST(laid.cell.str() == "a");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_large_data_centre_is_cells_of_about_equal_size)
+{
+    const auto sizes = [](const rack_workers& listed) {
+        std::vector<std::int64_t> counted;
+        for (const auto& [cell, workers] : count_workers(extend_layout(here, {}, listed), listed)) {
+            counted.push_back(workers);
+        }
+        return counted;
+    };
+    BOOST_TEST(sizes(racks_of(15, 6)) == (std::vector<std::int64_t>{24, 24, 24, 18}), boost::test_tools::per_element());
+    BOOST_TEST(sizes(racks_of(16, 8)) == (std::vector<std::int64_t>{24, 24, 24, 24, 16, 16}),
+               boost::test_tools::per_element());
+    BOOST_TEST(sizes(racks_of(3, 40)) == (std::vector<std::int64_t>{40, 40, 40}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_list_that_shows_few_workers_of_each_rack_does_not_make_one_cell_of_all)
+{
+    // While a site starts, its list shows the first workers of most racks. By their number they would all fit in one
+    // cell, where they would stay.
+    rack_workers listed = racks_of(15, 1);
+    listed.begin()->second = 6;
+    const cell_layout layout = extend_layout(here, {}, listed);
+    BOOST_TEST(count_workers(layout, racks_of(15, 6)).size() == 4);
+}
+
+BOOST_AUTO_TEST_CASE(racks_that_are_laid_stay_and_new_ones_are_added)
+{
+    const cell_layout before = extend_layout(here, {}, racks_of(4, 6));
+    rack_workers listed = racks_of(8, 6);
+    listed.erase(rack_id("rack-00")); // its workers are not listed now
+    BOOST_TEST(has_new_racks(before, listed));
+    const cell_layout after = extend_layout(here, before, listed);
+    BOOST_TEST(!has_new_racks(after, listed));
+    for (const auto& [rack, laid] : before) {
+        BOOST_TEST((after.at(rack).cell == laid.cell));
+    }
+    for (const auto& [cell, workers] : count_workers(after, listed)) {
+        BOOST_TEST(workers <= flow_limits::cell_workers_most);
+    }
+    BOOST_TEST((from_row(to_row(after)).at(rack_id("rack-07")).cell == after.at(rack_id("rack-07")).cell));
+}
+
+BOOST_AUTO_TEST_CASE(free_cells_are_dealt_by_cores)
+{
+    const std::vector<deal_entry> entries{
+        {entry_id("e1"), here, 0.07, 0}, {entry_id("e2"), here, 0.5, 0}, {entry_id("e3"), data_centre_id("b"), 4, 0}};
+    const std::vector<deal_cell> cells{{cell_id("a"), here, 24, {}}, {cell_id("a.1"), here, 24, {}}};
+    for (const auto& [cell, rank] : deal_ranks(entry_id("e2"), entries, cells)) {
+        BOOST_TEST(rank == 0); // 48 workers on 0.5 core are less each than 24 on 0.07
+    }
+    for (const auto& [cell, rank] : deal_ranks(entry_id("e1"), entries, cells)) {
+        BOOST_TEST(rank == 1);
+    }
+    for (const auto& [cell, rank] : deal_ranks(entry_id("e3"), entries, cells)) {
+        BOOST_TEST(rank == 0); // of those outside
+    }
+    // Who follows an owner is not the owner.
+    BOOST_TEST(deal_ranks(entry_id("e1"), entries, {{cell_id("a"), here, 24, entry_id("e2")}}).at(cell_id("a")) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(entries_that_start_together_agree_on_the_cells_and_share_them_out)
+{
+    // All entries list the workers and write the layout at the same time; one write is in force, and the others take it
+    // over. Of five cells each of the two large entries, with 0.5 core, takes two or three and no small one takes two.
+    flow_world w(large_site());
+    w.run_for(5s);
+    const auto names = cell_names(*w.entry(0));
+    BOOST_TEST(names.size() == 5);
+    int owned = 0;
+    for (int i = 0; i < 8; ++i) {
+        BOOST_TEST(cell_names(*w.entry(i)) == names, boost::test_tools::per_element());
+        BOOST_TEST((w.entry(i)->racks() == w.entry(0)->racks()));
+        const int own = cells_owned(*w.entry(i));
+        const bool large = i == 2 || i == 5;
+        BOOST_TEST(own >= (large ? 2 : 0));
+        BOOST_TEST(own <= (large ? 3 : 1));
+        owned += own;
+    }
+    BOOST_TEST(owned == 5);
+}
+
+BOOST_AUTO_TEST_CASE(equal_entries_own_no_more_than_one_cell_each)
+{
+    flow_world::options o = large_site();
+    o.cores.clear();
+    flow_world w(o);
+    w.run_for(5s);
+    for (int i = 0; i < 8; ++i) {
+        BOOST_TEST(cells_owned(*w.entry(i)) <= 1);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_new_rack_gets_a_cell_that_all_entries_know)
+{
+    flow_world w({.entries_each = 3, .workers_each = 30, .rack_size = 6, .run_time = [](const flow_task_id&) {
+                      return duration(8s);
+                  }});
+    w.run_for(3s);
+    BOOST_TEST(cell_names(*w.entry(0)).size() == 1);
+    const int added = w.add_worker("a", "rack-new");
+    w.run_for(6s);
+    for (int i = 0; i < 3; ++i) {
+        BOOST_TEST((w.entry(i)->racks() == w.entry(0)->racks()));
+    }
+    BOOST_TEST(cell_names(*w.entry(0)).size() == 2);
+    BOOST_TEST(w.owners_of("a.1") == 1);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 31, 16000)) == caller_result::accepted); // one a worker
+    BOOST_TEST(w.run_until([&] { return w.running_of(job_a) == 31; }, 4s));
+    BOOST_TEST(w.worker(added).starts == 1);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(the_cells_outlast_a_loss_of_power_of_all_entries)
+{
+    // When the entries come back the list shows one worker. Laid anew from it, the racks would be in other cells, and
+    // workers would be fenced by two owners.
+    flow_world w(large_site());
+    w.run_for(3s);
+    const std::map<rack_id, cell_id> before = w.entry(0)->racks();
+    for (int i = 0; i < 8; ++i) {
+        w.kill_entry(i);
+    }
+    for (int i = 1; i < w.worker_count(); ++i) {
+        w.drop_worker_listing(i, true);
+    }
+    for (int i = 0; i < 8; ++i) {
+        w.start_entry(i);
+    }
+    w.run_for(4s);
+    for (int i = 0; i < 8; ++i) {
+        BOOST_TEST((w.entry(i)->racks() == before));
+    }
+    int owned = 0;
+    for (const std::string& cell : cell_names(*w.entry(0))) {
+        owned += w.owners_of(cell);
+    }
+    BOOST_TEST(owned == 5);
+}
+
+BOOST_AUTO_TEST_CASE(a_step_wider_than_a_cell_finds_its_workers_in_the_others)
+{
+    // Forty lasting tasks, one a worker, and cells of 24: those that find no worker in the job's cell are given to
+    // others, within three seconds.
+    flow_world w(large_site());
+    w.run_for(4s);
+    flow_spec spec = chain_spec(1, 40, 1000);
+    spec.steps.front().lasting = true;
+    spec.steps.front().per_worker_most = 1;
+    BOOST_REQUIRE(w.submit(0, job_a, spec) == caller_result::accepted);
+    BOOST_TEST(w.run_until([&] { return w.running_of(job_a) == 40; }, 3s));
+    for (int i = 0; i < w.worker_count(); ++i) {
+        BOOST_TEST(w.worker(i).running.size() <= 1);
+    }
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_job_across_cells_runs_once_when_the_owner_of_one_dies)
+{
+    // The tasks of one step run in two cells when the owner of one of them dies. Its follower adopts what runs there.
+    flow_world::options o = large_site();
+    o.run_time = [](const flow_task_id&) { return duration(12s); };
+    flow_world w(o);
+    w.run_for(4s);
+    flow_spec spec = chain_spec(2, 40, 1000);
+    spec.steps.front().per_worker_most = 1;
+    BOOST_REQUIRE(w.submit(0, job_a, spec) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 40; }, 5s));
+    const int owner = cells_owned(*w.entry(2)) > 0 ? 2 : 5;
+    w.kill_entry(owner);
+    BOOST_TEST(w.run_until([&] { return w.state(0, job_a) == flow_state::done; }, 60s));
+    BOOST_TEST(w.starts_of(job_a) == 80);
+    check_no_faults(w);
+}
