platform: an entry of another writer names no worker, and breaks nothing else

Cause: the list of workers, pages of the table, answers of workers and callers' bodies were read with conversions of the JSON library that throw, wrap around or are undefined on a field of another type or size. Some of these exceptions were caught for a whole entry, others (a worker's clock, the reason of a refusal, a row of the table) by nobody. A body that is no UTF-8 was quoted in the answer to its caller, whose encoding then threw. A page that could not be read passed for an empty one: no workers, no jobs.

An entry is a worker or unusable, with a constant reason: fields missing or of another type, an address that is not IP:port, no zone, no amounts of room, an unknown state, a service that the configuration in force does not name. It is logged when it appears and when its reason changes, at most 20 lines a reading, and counted (worker_entries_unusable and _noticed_total). An answer of a worker with a row that cannot be read stays no answer: with the row left out, a run that goes on would be taken for gone. Rows of jobs, cells and entries that cannot be decoded are logged where they are read, and a damaged length ends in a reason.

--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -3,6 +3,7 @@
 
 #include "flow_cell_p.h"
 #include "flow_limits_p.h"
+#include "flow_row_read_p.h"
 #include "log_line_p.h"
 #include "row_codec_p.h"
 
@@ -109,7 +110,7 @@
     case table_outcome::conflict:
         // Another entry has cancelled a job, or an earlier try of ours is in force although its answer was lost.
         for (const store_row& row : result.rows) {
-            const auto decoded = decode_compact<wire::flow_job_row>(row.value);
+            const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
             if (decoded) {
                 on_job_row(now, job_id(row.key.key), *decoded, row.version);
                 if (role_ != role::owning) {
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -3,6 +3,7 @@
 
 #include "flow_cell_p.h"
 #include "flow_limits_p.h"
+#include "flow_row_read_p.h"
 #include "log_line_p.h"
 #include "row_codec_p.h"
 
@@ -59,10 +60,8 @@
     if (row == nullptr) {
         return;
     }
-    std::string reason;
-    const auto decoded = decode_compact<wire::flow_cell_row>(row->value, &reason);
+    const auto decoded = read_flow_row<wire::flow_cell_row>(edges_, *row);
     if (!decoded) {
-        edges_.note(log_level::error, "cell", "row_unreadable", {{"cell", id_.str()}, {"reason", reason}});
         return;
     }
     row_ = *decoded;
@@ -285,7 +284,7 @@
     }
     watched_ = std::min(watched_, page.version);
     for (const store_row& row : page.rows) {
-        const auto decoded = decode_compact<wire::flow_job_row>(row.value);
+        const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
         if (decoded) {
             on_job_row(now, job_id(row.key.key), *decoded, row.version);
         }
@@ -491,7 +490,7 @@
             if (row.removed) {
                 continue;
             }
-            const auto decoded = decode_compact<wire::flow_job_row>(row.value);
+            const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
             if (decoded) {
                 on_job_row(then, job_id(row.key.key), *decoded, row.version);
             }
--- a/src/flow_edges_p.h
+++ b/src/flow_edges_p.h
@@ -37,7 +37,7 @@
     std::function<void(duration, std::function<void(instant)>)> after;
     std::function<wall_time()> wall;
     // Empty when the platform's list could not be read.
-    std::function<void(std::function<void(instant, std::optional<std::vector<flow_listed_worker>>)>)> list_workers;
+    std::function<void(std::function<void(instant, std::optional<flow_worker_list>)>)> list_workers;
     // `after` 0: everything there is; else waits up to `wait` for a change.
     std::function<void(row_version after, duration wait, std::function<void(instant, operator_page)>)> watch_operator;
     std::function<std::optional<flow_config>(const std::string& text)> parse_config;
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 
 #include "flow_limits_p.h"
 #include "log_line_p.h"
@@ -103,21 +104,57 @@
 void flow_entry::list_workers()
 {
     listing_ = true;
-    edges_.list_workers([this](instant then, const std::optional<std::vector<flow_listed_worker>>& workers) {
+    edges_.list_workers([this](instant then, std::optional<flow_worker_list> list) {
         listing_ = false;
         const bool owner = std::any_of(cells_.begin(), cells_.end(), [](const auto& c) { return c.second->owns(); });
         next_list_ = then + (owner ? list_interval_owner : list_interval_other);
-        if (workers) {
+        if (list) {
             table_answered_ = then;
-            on_workers(then, *workers);
+            on_workers(then, std::move(*list));
         }
     });
 }
 
-void flow_entry::on_workers(instant now, const std::vector<flow_listed_worker>& workers)
+// A worker of a service that the configuration in force does not name is not used; a later one may name it.
+void flow_entry::refuse_unknown_services(flow_worker_list& list) const
 {
+    if (!config_) {
+        return;
+    }
+    std::set<std::string> known;
+    for (const flow_service& service : config_->services) {
+        known.insert(service.name);
+    }
+    const auto unknown =
+        std::stable_partition(list.workers.begin(), list.workers.end(),
+                              [&known](const flow_listed_worker& w) { return known.count(w.service) != 0; });
+    for (auto at = unknown; at != list.workers.end(); ++at) {
+        list.unusable.push_back({at->worker, "service is not in the configuration"});
+    }
+    list.workers.erase(unknown, list.workers.end());
+}
+
+void flow_entry::note_unusable(instant now, const std::vector<flow_unusable_entry>& entries)
+{
+    const std::vector<flow_unusable_entry> fresh = unusable_.take(now, entries);
+    stats_.unusable_entries = static_cast<std::int64_t>(entries.size());
+    stats_.unusable_entries_noticed += static_cast<std::int64_t>(fresh.size());
+    for (std::size_t i = 0; i < fresh.size() && i < unusable_lines_most; ++i) {
+        edges_.note(log_level::warning, "worker", "entry_unusable",
+                    {{"worker", fresh[i].worker.str()}, {"reason", fresh[i].reason}});
+    }
+    if (fresh.size() > unusable_lines_most) {
+        edges_.note(log_level::warning, "worker", "entries_unusable",
+                    {{"not_shown", std::to_string(fresh.size() - unusable_lines_most)}});
+    }
+}
+
+void flow_entry::on_workers(instant now, flow_worker_list list)
+{
+    refuse_unknown_services(list);
+    note_unusable(now, list.unusable);
     std::map<cell_id, std::vector<flow_listed_worker>> by_cell;
-    for (const flow_listed_worker& w : workers) {
+    for (const flow_listed_worker& w : list.workers) {
         const cell_id id(w.data_centre.str());
         cell_of(id, w.data_centre);
         racks_[w.rack] = id;
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -10,6 +10,7 @@
 
 #include "flow_cell_p.h"
 #include "flow_edges_p.h"
+#include "flow_unusable_p.h"
 
 namespace skylarkhub {
 
@@ -144,7 +145,9 @@
     // flow_entry.cpp
     void tick(instant now);
     void list_workers();
-    void on_workers(instant now, const std::vector<flow_listed_worker>& workers);
+    void on_workers(instant now, flow_worker_list list);
+    void refuse_unknown_services(flow_worker_list& list) const;
+    void note_unusable(instant now, const std::vector<flow_unusable_entry>& entries);
     void watch_operator();
     void take_config(instant now, flow_config config, std::string text, const char* from);
     flow_cell& cell_of(const cell_id& id, const data_centre_id& data_centre);
@@ -185,6 +188,7 @@
     absl::flat_hash_map<job_id, followed_job> followed_;
     std::map<std::pair<cell_id, job_id>, untold_row> untold_;
     std::map<net_address, std::vector<wire::flow_state_news>> state_news_;
+    unusable_entries unusable_;
     instant next_list_{};
     bool listing_ = false;
     std::int64_t takeovers_listed_ = 0; // takeovers of cells when the list was last asked for
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -5,6 +5,7 @@
 
 #include "flow_entry_p.h"
 #include "flow_limits_p.h"
+#include "flow_row_read_p.h"
 #include "log_line_p.h"
 #include "row_codec_p.h"
 
@@ -403,7 +404,7 @@
         // The job is there: accepted before, by this entry (its answer was lost) or through another one.
         ++stats_.repeated;
         const auto there =
-            result.rows.empty() ? std::nullopt : decode_compact<wire::flow_job_row>(result.rows.front().value);
+            result.rows.empty() ? std::nullopt : read_flow_row<wire::flow_job_row>(edges_, result.rows.front());
         if (there && there->accept_token == row.accept_token) {
             tell_cell(now, cell_id(row.cell), job, row, result.rows.front().version);
         }
@@ -612,7 +613,7 @@
             }
         }
         else if (page.reached) {
-            const auto row = decode_compact<wire::flow_job_row>(page.rows.front().value);
+            const auto row = read_flow_row<wire::flow_job_row>(edges_, page.rows.front());
             if (row) {
                 f.accepted = true;
                 f.state = state_of(*row);
@@ -677,7 +678,7 @@
             reply({caller_result::unknown_job, flow_state::queued, 0, duration(0), "no such job"});
             return;
         }
-        auto row = decode_compact<wire::flow_job_row>(page.rows.front().value);
+        auto row = read_flow_row<wire::flow_job_row>(edges_, page.rows.front());
         if (!row) {
             reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry, "row unreadable"});
             return;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -73,8 +73,12 @@
 inline constexpr duration entries_interval = 10s;      // after that they hear of each other
 inline constexpr duration list_interval_owner = 1s;    // a draining worker must get no work within 2 s
 inline constexpr duration list_interval_other = 3s;
-inline constexpr duration list_wait_most = 1s; // of a new owner for the list, before it starts tasks without
-inline constexpr duration operator_wait = 1s;  // of one look for changes; a connection that went silent costs this
+// An unusable entry is told again only after it has been away this long: one that two writers write in turns would be
+// news with every reading of the list.
+inline constexpr duration unusable_kept = 60s;
+inline constexpr std::size_t unusable_lines_most = 20; // in the log, for one reading of the list
+inline constexpr duration list_wait_most = 1s;         // of a new owner for the list, before it starts tasks without
+inline constexpr duration operator_wait = 1s; // of one look for changes; a connection that went silent costs this
 inline constexpr duration operator_retry = 200ms;
 inline constexpr duration own_news_fresh = 100ms;
 inline constexpr duration untold_retry = 300ms; // rows that an owner has not taken note of
--- a/src/flow_metrics_p.h
+++ b/src/flow_metrics_p.h
@@ -67,7 +67,9 @@
     std::int64_t cancels = 0;
     std::int64_t states = 0;
     std::int64_t state_reads = 0;
-    latency_counts accept_times; // from the caller's request to the answer, refusals included
+    std::int64_t unusable_entries = 0;         // of the list of workers, as read last
+    std::int64_t unusable_entries_noticed = 0; // newly unusable, or for another reason than before
+    latency_counts accept_times;               // from the caller's request to the answer, refusals included
 };
 
 // A counter, or a gauge whose name does not end in _total; `labels` as above.
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -5,6 +5,7 @@
 
 #include "flow_entry_p.h"
 #include "flow_limits_p.h"
+#include "flow_row_read_p.h"
 #include "log_line_p.h"
 #include "row_codec_p.h"
 
@@ -51,7 +52,7 @@
             return;
         }
         for (const store_row& row : page.rows) {
-            const auto decoded = decode_compact<wire::flow_entry_row>(row.value);
+            const auto decoded = read_flow_row<wire::flow_entry_row>(edges_, row);
             if (decoded) {
                 learn(*decoded);
             }
@@ -169,8 +170,10 @@
         }
     }
     for (const wire::flow_row_news& news : message.rows) {
-        const auto row = decode_compact<wire::flow_job_row>(news.row);
+        std::string reason;
+        const auto row = decode_compact<wire::flow_job_row>(news.row, &reason);
         if (!row) {
+            edges_.note(log_level::error, "peer", "row_unreadable", {{"job", news.job}, {"reason", reason}});
             continue;
         }
         const auto cell = cells_.find(cell_id(news.cell));
--- /dev/null
+++ b/src/flow_row_read_p.h
@@ -0,0 +1,28 @@
+// Rows that entries keep in the table, read back.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "flow_edges_p.h"
+#include "row_codec_p.h"
+
+namespace skylarkhub {
+
+// Empty when the row's bytes cannot be read. What follows from that differs, but nobody would find out why a job stands
+// still that was left out in silence.
+template <class Row> std::optional<Row> read_flow_row(const flow_edges& edges, const store_row& row)
+{
+    std::string reason;
+    auto decoded = decode_compact<Row>(row.value, &reason);
+    if (!decoded) {
+        edges.note(log_level::error, "row", "unreadable",
+                   {{"table", row.key.table},
+                    {"key", row.key.key},
+                    {"version", std::to_string(row.version.value())},
+                    {"reason", reason}});
+    }
+    return decoded;
+}
+
+} // namespace skylarkhub
--- a/src/flow_types_p.h
+++ b/src/flow_types_p.h
@@ -103,6 +103,17 @@
     bool draining = false;
 };
 
+// An entry of the list that names no worker to use.
+struct flow_unusable_entry {
+    worker_id worker;
+    std::string reason;
+};
+
+struct flow_worker_list {
+    std::vector<flow_listed_worker> workers;
+    std::vector<flow_unusable_entry> unusable;
+};
+
 struct start_run {
     flow_task_id task;
     run_number run;
--- a/src/row_codec_p.h
+++ b/src/row_codec_p.h
@@ -33,7 +33,7 @@
     try {
         row.read(&protocol);
     }
-    catch (const apache::thrift::TException& error) {
+    catch (const std::exception& error) { // Thrift's own, or that a damaged length is too long to be allocated
         if (last_reason != nullptr) {
             *last_reason = error.what();
         }
