flow: runs of cancelled jobs are stopped wherever they appear, and a stranger's entry ends no worker

Besides: all runs of an unknown job that are listed while its row is read are stopped together, not one for each exchange, and those of a job known to have ended without reading its row.

Ruled out: late starts of an owner that is gone for good (its follower's fencing token refuses them, or its first exchange lists them), late starts after a job was put away (its stops were accepted before that, and a run not above one stopped is refused).

--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -110,6 +110,7 @@
     struct cell_worker {
         flow_listed_worker listing;
         bool listed = false;
+        bool over = false;   // another life answers at its address, whatever the list says
         bool named = false;  // in the cell's row as it stands in the table
         bool fenced = false; // accepted this epoch and told what runs
         std::optional<worker_time> reading;
@@ -173,11 +174,15 @@
     void take_inventory(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void take_end(instant now, cell_worker& w, const listed_end& end);
     void take_running(instant now, cell_worker& w, const listed_run& run);
+    void take_stray(instant now, const cell_worker& w, const listed_run& run);
+    void on_stray_row(instant now, const job_id& job, const store_page& page);
     void adopt(instant now, cell_worker& w, flow_job& job, const listed_run& run);
     void find_missing(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void confirm_ends(cell_worker& w);
     void worker_died(instant now, cell_worker& w, const std::string& reason);
     bool superseded(instant now, cell_worker& w, order_result result);
+    // Nothing is left to do there: it is not in use, and nothing is known to run.
+    static bool is_idle_and_unlisted(const cell_worker& w);
     void check_lapsed(instant now);
     std::optional<worker_time> lease_end(const cell_worker& w, instant now) const;
     void note_lease(cell_worker& w, instant now) const;
@@ -260,6 +265,14 @@
     void count_fill_room(const cell_worker& w, wire::flow_pool_row& pool) const;
     double excess_for(const cell_worker& w, int serving) const;
 
+    // A run that a worker lists, of a job that is not known here.
+    struct stray_run {
+        worker_id worker;
+        flow_task_id task;
+        run_number run;
+        friend auto operator<=>(const stray_run&,
+                                const stray_run&) = default; // NOLINT(modernize-use-nullptr): wrong in clang-tidy 14
+    };
     struct part_state {
         bool committing = false;
         bool planned = false;
@@ -307,7 +320,7 @@
     instant next_give_away_{};
     instant next_summary_{};
     int parts_left_ = 0;
-    std::set<job_id> reading_jobs_;
+    std::map<job_id, std::set<stray_run>> reading_jobs_;
 
     std::map<worker_id, cell_worker> workers_;
     std::map<job_id, std::unique_ptr<flow_job>> jobs_;
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -4,8 +4,8 @@
 
 #include "flow_cell_p.h"
 #include "flow_limits_p.h"
+#include "flow_row_read_p.h"
 #include "log_line_p.h"
-#include "row_codec_p.h"
 
 namespace skylarkhub {
 
@@ -27,14 +27,11 @@
     std::set<worker_id> present;
     for (const flow_listed_worker& listing : workers) {
         present.insert(listing.worker);
-        // A new life at an address proves that the life before it has ended, with everything that ran.
-        for (auto& [id, other] : workers_) {
-            if (id != listing.worker && other.listing.address == listing.address && owns()) {
-                worker_died(now, other, "another life at its address");
-            }
-        }
         const auto [at, added] = workers_.try_emplace(listing.worker);
         cell_worker& w = at->second;
+        if (w.over) {
+            continue; // its entry outlives it, or never was a worker's
+        }
         if (added || w.listing.draining != listing.draining || !w.listed) {
             edges_.note(log_level::info, "worker", "listed",
                         {{"cell", id_.str()},
@@ -42,10 +39,15 @@
                          {"address", listing.address.str()},
                          {"draining", listing.draining ? "yes" : "no"}});
         }
+        // The exchanges with a worker that fell out of the list end once nothing runs there: without another one it
+        // would take tasks again and nobody would hear their ends.
+        const bool held = w.listed && !added;
         w.listing = listing;
         w.listed = true;
-        if (role_ == role::owning && added) {
+        if (role_ == role::owning && !held) {
             hold_soon(now, listing.worker, duration(0));
+        }
+        if (role_ == role::owning && added) {
             next_renewal_ = now; // it takes tasks once the row names it
         }
     }
@@ -57,7 +59,8 @@
             }
             w.listed = false;
             if (role_ == role::watching ||
-                (role_ == role::owning && w.ledger.empty() && (w.fenced || all_accounted(now)))) {
+                (role_ == role::owning &&
+                 (w.over || is_idle_and_unlisted(w) || (!w.fenced && w.ledger.empty() && all_accounted(now))))) {
                 at = workers_.erase(at);
                 continue;
             }
@@ -97,10 +100,12 @@
     for (auto at = workers_.begin(); at != workers_.end();) {
         cell_worker& w = at->second;
         const bool silent = now - w.last_answer > lease && w.lapsed_after != instant{};
-        if (silent && now > w.lapsed_after && !w.ledger.empty()) {
+        if (silent && now > w.lapsed_after && (!w.ledger.empty() || w.strangers > 0)) {
             worker_died(now, w, "no answer for longer than its lease");
         }
-        if (!w.listed && w.ledger.empty() && w.fenced) {
+        // The name of one that is over is kept while the list names it: taken for new it would be asked, and logged,
+        // with each reading.
+        if (is_idle_and_unlisted(w) && !w.over) {
             at = workers_.erase(at);
             continue;
         }
@@ -112,6 +117,13 @@
     }
 }
 
+// A run there that is not in the ledger is still to be stopped, or to be known: left alone on a worker that fell out of
+// the list, a task of a cancelled job would go on until its lease ends.
+bool flow_cell::is_idle_and_unlisted(const cell_worker& w)
+{
+    return !w.listed && w.fenced && w.ledger.empty() && w.strangers == 0;
+}
+
 // Everything that ran there has ended and told nobody.
 void flow_cell::worker_died(instant now, cell_worker& w, const std::string& reason)
 {
@@ -128,6 +140,7 @@
         drop_run(now, w, task, run.run);
     }
     w.fenced = true; // nothing of an earlier owner runs there either
+    w.strangers = 0;
     w.listed = false;
 }
 
@@ -141,6 +154,7 @@
     }
     if (result == order_result::other_life) {
         worker_died(now, w, "another life answers at its address");
+        w.over = true;
         place_soon();
         return true;
     }
@@ -183,7 +197,7 @@
         }
         return;
     }
-    if (!w.listed && w.ledger.empty() && w.fenced) {
+    if (is_idle_and_unlisted(w)) {
         return;
     }
     w.holding = true;
@@ -356,28 +370,7 @@
     const auto found = jobs_.find(run.task.job);
     if (found == jobs_.end()) {
         if (held == w.ledger.end()) {
-            // Not in the rows read so far: its row is new, or the job has ended. Only the row tells which.
-            if (reading_jobs_.insert(run.task.job).second) {
-                edges_.read(only_row(job_key(run.task.job)), [this, job = run.task.job, id = w.listing.worker, run,
-                                                              life = life_](instant then, const store_page& page) {
-                    if (life != life_) {
-                        return;
-                    }
-                    reading_jobs_.erase(job);
-                    if (!page.reached) {
-                        return; // the next exchange asks again
-                    }
-                    if (!page.rows.empty()) {
-                        const auto row = decode_compact<wire::flow_job_row>(page.rows.front().value);
-                        if (row) {
-                            on_job_row(then, job, *row, page.rows.front().version);
-                        }
-                    }
-                    if (jobs_.count(job) == 0) {
-                        send_stop(then, id, run.task, run.run, 0);
-                    }
-                });
-            }
+            take_stray(now, w, run);
         }
         return;
     }
@@ -402,6 +395,48 @@
     adopt(now, w, job, run);
 }
 
+// A run of a job that is not in the rows read so far: its row is new, or the job has ended. Only the row tells which.
+// All that are listed until it is read wait for it: with one stopped for each exchange, the tasks of a cancelled job
+// that a worker started late would go on for seconds.
+void flow_cell::take_stray(instant now, const cell_worker& w, const listed_run& run)
+{
+    if (put_away_.count(run.task.job) != 0) {
+        send_stop(now, w.listing.worker, run.task, run.run, 0);
+        return;
+    }
+    const auto [strays, first] = reading_jobs_.try_emplace(run.task.job);
+    strays->second.insert({w.listing.worker, run.task, run.run});
+    if (!first) {
+        return;
+    }
+    edges_.read(only_row(job_key(run.task.job)),
+                [this, job = run.task.job, life = life_](instant then, const store_page& page) {
+                    if (life == life_) {
+                        on_stray_row(then, job, page);
+                    }
+                });
+}
+
+void flow_cell::on_stray_row(instant now, const job_id& job, const store_page& page)
+{
+    const auto strays = reading_jobs_.extract(job);
+    if (!page.reached) {
+        return; // the next exchange asks again
+    }
+    if (!page.rows.empty()) {
+        const auto row = read_flow_row<wire::flow_job_row>(edges_, page.rows.front());
+        if (row) {
+            on_job_row(now, job, *row, page.rows.front().version);
+        }
+    }
+    if (strays.empty() || jobs_.count(job) != 0) {
+        return;
+    }
+    for (const stray_run& stray : strays.mapped()) {
+        send_stop(now, stray.worker, stray.task, stray.run, 0);
+    }
+}
+
 // A run that an earlier owner started, or one of ours whose order was carried out late.
 void flow_cell::adopt(instant now, cell_worker& w, flow_job& job, const listed_run& run)
 {
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -25,7 +25,9 @@
 inline constexpr duration start_retry = 60ms;
 inline constexpr duration gang_start_most =
     1000ms; // of a member whose start is not answered; the others give up at 3 s
-inline constexpr duration stop_timeout = 800ms;
+// A worker may leave an order unanswered and carry it out seconds later. A cancelled task has about 3 s to end: this
+// and stop_retry make seven tries in that time, where an answer takes a few milliseconds.
+inline constexpr duration stop_timeout = 300ms;
 inline constexpr duration stop_retry = 150ms;
 inline constexpr duration pace_timeout = 800ms;
 inline constexpr duration unhealthy_pause = 1s; // of starts on a worker that refused one
--- /dev/null
+++ b/tests/test_flow_cancel.cpp
@@ -0,0 +1,172 @@
+// What still runs after a job was cancelled: orders carried out long after they were sent, senders that are gone.
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include "base_random_p.h"
+#include "support_flow_world.h"
+
+using namespace skylarkhub;
+using namespace skylarkhub::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string job_a = "00000000000000aa";
+
+void check_no_faults(const flow_world& w)
+{
+    for (const std::string& fault : w.faults()) {
+        BOOST_ERROR(fault);
+    }
+}
+
+flow_spec lasting_spec(int count)
+{
+    flow_spec spec = chain_spec(1, count);
+    spec.steps.front().lasting = true;
+    return spec;
+}
+
+int owner_of(flow_world& w)
+{
+    return w.entry(0)->cells().at(cell_id("a"))->owns() ? 0 : 1;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(starts_carried_out_after_the_cancel_are_stopped)
+{
+    // The worker leaves the starts of a job unanswered; the job is cancelled; then the worker carries them out.
+    for (int delay_ms = 500; delay_ms <= 8000; delay_ms += 500) {
+        BOOST_TEST_CONTEXT("carried out after " << delay_ms << " ms")
+        {
+            flow_world w({.run_time = [](const flow_task_id&) { return duration(60s); }});
+            w.run_for(2s);
+            w.delay_next_starts(100, std::chrono::milliseconds(delay_ms));
+            BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 12)) == caller_result::accepted);
+            w.run_for(300ms);
+            w.delay_next_starts(0, duration(0));
+            BOOST_TEST((w.cancel(1, job_a) == caller_result::cancelled));
+            w.run_for(15s);
+            BOOST_TEST(w.running_of(job_a) == 0);
+            check_no_faults(w);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(starts_of_an_instance_that_is_gone_for_good_are_stopped)
+{
+    // The owner sends starts that the workers leave unanswered, and is removed for good with the job cancelled. Its
+    // follower knows nothing of these runs and finds the job cancelled in its row; the workers carry the starts out
+    // before they have heard of the follower.
+    for (int delay_ms = 500; delay_ms <= 8000; delay_ms += 500) {
+        BOOST_TEST_CONTEXT("carried out after " << delay_ms << " ms")
+        {
+            flow_world w({.run_time = [](const flow_task_id&) { return duration(60s); }});
+            w.run_for(2s);
+            w.delay_next_starts(100, std::chrono::milliseconds(delay_ms));
+            BOOST_REQUIRE(w.submit(0, job_a, lasting_spec(20)) == caller_result::accepted);
+            w.run_for(300ms);
+            const int owner = owner_of(w);
+            BOOST_TEST((w.cancel(1 - owner, job_a) == caller_result::cancelled));
+            w.kill_entry(owner);
+            w.delay_next_starts(0, duration(0));
+            w.run_for(20s);
+            BOOST_TEST(w.running_of(job_a) == 0);
+            check_no_faults(w);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(many_stray_runs_of_one_job_are_stopped_together)
+{
+    // A follower hears of twenty runs of a job that has ended, on one worker. Stopped one for each exchange they would
+    // go on for seconds.
+    flow_world w(
+        {.workers_each = 1, .worker_cpu = 64000, .run_time = [](const flow_task_id&) { return duration(60s); }});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 20)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 20; }, 5s));
+    w.worker(0).reachable = false; // its owner hears nothing, and neither does its follower at first
+    const int owner = owner_of(w);
+    BOOST_TEST((w.cancel(1 - owner, job_a) == caller_result::cancelled));
+    w.run_for(300ms);
+    w.kill_entry(owner);
+    w.worker(0).lease_until = instant::max(); // held by nobody, and yet not lapsed
+    w.run_for(14s);                           // until the follower has written that the job has ended
+    BOOST_REQUIRE(w.state(1 - owner, job_a) == flow_state::cancelled);
+    w.worker(0).reachable = true;
+    BOOST_TEST(w.run_until([&] { return w.running_of(job_a) == 0; }, 1200ms));
+}
+
+BOOST_AUTO_TEST_CASE(stray_runs_are_stopped_on_a_worker_that_fell_out_of_the_list)
+{
+    // A follower has asked a worker what runs there, and stops what belongs to a job that has ended; the stops get no
+    // answer. Meanwhile the worker's entry lapses, though it is alive. With nothing of its own there the follower would
+    // look at it no more, and the tasks would run on.
+    flow_world w({.workers_each = 1, .run_time = [](const flow_task_id&) { return duration(60s); }});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 6)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 6; }, 5s));
+    w.worker(0).reachable = false;
+    const int owner = owner_of(w);
+    BOOST_TEST((w.cancel(1 - owner, job_a) == caller_result::cancelled));
+    w.run_for(300ms);
+    w.kill_entry(owner);
+    w.worker(0).lease_until = instant::max();
+    w.run_for(14s);
+    w.lose_stops(true);
+    w.worker(0).reachable = true;
+    w.run_for(1500ms);
+    w.drop_worker_listing(0, true);
+    w.run_for(4s);
+    w.lose_stops(false);
+    BOOST_TEST(w.run_until([&] { return w.running_of(job_a) == 0; }, 1500ms));
+}
+
+BOOST_AUTO_TEST_CASE(cancelled_jobs_leave_nothing_running_under_late_orders_and_removed_instances)
+{
+    // A fifth of all orders gets no answer and is carried out 2 to 12 s later, while most jobs are cancelled soon after
+    // they began and owners are killed, stand still and come back. Nothing of a cancelled job runs on for long.
+    for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            flow_world w({.seed = seed, .entries_each = 3, .workers_each = 4, .run_time = [](const flow_task_id& t) {
+                              return duration(1s * (1 + 4 * (t.index % 4)));
+                          }});
+            random_source random = make_random(seed * 31);
+            w.run_for(2s);
+            w.delay_orders(0.2);
+            std::vector<std::string> kept;
+            for (int round = 0; round < 16; ++round) {
+                const std::string job = fmt::format("{:016x}", seed * 100 + static_cast<std::uint64_t>(round));
+                const int by = absl::Uniform(random, 0, 3);
+                if (w.entry(by) == nullptr) {
+                    w.start_entry(by);
+                    w.run_for(500ms);
+                }
+                const bool accepted = w.submit(by, job, chain_spec(1, 6)) == caller_result::accepted;
+                w.run_for(std::chrono::milliseconds(absl::Uniform(random, 0, 2500)));
+                if (accepted && absl::Uniform(random, 0, 4) != 0) {
+                    w.cancel(by, job);
+                }
+                else if (accepted) {
+                    kept.push_back(job);
+                }
+                if (absl::Uniform(random, 0, 4) == 0) {
+                    w.kill_entry(absl::Uniform(random, 0, 3));
+                }
+            }
+            w.delay_orders(0);
+            for (int i = 0; i < 3; ++i) {
+                if (w.entry(i) == nullptr) {
+                    w.start_entry(i);
+                }
+            }
+            for (const std::string& job : kept) {
+                BOOST_TEST(w.run_until([&] { return w.state(0, job) == flow_state::done; }, 80s));
+            }
+            check_no_faults(w);
+        }
+    }
+}
