--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 
 #include "flow_limits_p.h"
 #include "log_line_p.h"
