flow: hellos look at the workers at most ten times a second and seldom name members

Cause: 38 entries answer or send some 74 hellos a second each. Each answer counted the room of all workers of all cells owned anew, and each hello named all other entries, some 90 bytes each, which every receiver looked up one by one. Change: what cells say of themselves is kept for 0.1 s, anew at once when a cell was taken or lost; members are named to an entry that is new, to all after a start, and every 5 s. Checked: test_flow, test_flow_layout. Not measured yet.

--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -146,8 +146,9 @@
     void learn(const wire::flow_entry_row& row);
     void tell_peers(instant now, bool everyone);
     void tell(peer& p, const wire::flow_message& message);
-    wire::flow_hello hello(instant now) const;
-    void on_hello(instant now, const wire::flow_hello& hello);
+    wire::flow_hello hello(instant now, bool with_members);
+    const std::vector<wire::flow_cell_news>& told_news(instant now);
+    bool on_hello(instant now, const wire::flow_hello& hello);
     bool heard(const peer& p, instant now) const;
     const peer* owner_of(instant now, const cell_id& cell) const;
     cell_candidacy candidacy(instant now, const flow_cell& cell) const;
@@ -215,6 +216,9 @@
     bool listing_ = false;
     std::int64_t takeovers_listed_ = 0; // takeovers of cells when the list was last asked for
     instant next_hello_{};
+    instant next_members_{};
+    std::vector<wire::flow_cell_news> told_news_; // in hellos
+    instant told_news_at_{};
     instant next_entries_read_{};
     instant next_untold_{};
     std::int64_t accept_count_ = 0;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -65,6 +65,9 @@
 
 // --- entries ---
 inline constexpr duration hello_interval = 500ms;
+// Between hellos that name the entries heard of: most of a hello's bytes on a large site. An entry that starts is named
+// them at once, and the table has them too, so they tell news only while the table is away.
+inline constexpr duration members_interval = 5s;
 inline constexpr duration peer_silence = 1600ms; // three hellos
 inline constexpr duration peer_forgotten = 20s;  // a removed entry's address is not tried for ever
 inline constexpr duration peers_learned = 700ms; // after a start, before it looks for cells to own
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -79,7 +79,32 @@
     return p.ever_heard && now - p.heard < peer_silence;
 }
 
-wire::flow_hello flow_entry::hello(instant now) const
+// What the cells owned here say of themselves. Some hundred hellos a second are sent and answered on a large site, and
+// a look at all workers for each would cost more than all else that they tell; a cell taken or lost shows at once.
+const std::vector<wire::flow_cell_news>& flow_entry::told_news(instant now)
+{
+    std::size_t owned = 0;
+    bool same = now - told_news_at_ < own_news_fresh;
+    for (const auto& [id, cell] : cells_) {
+        if (cell->owns()) {
+            same = same && owned < told_news_.size() && told_news_[owned].cell == id.str() &&
+                   told_news_[owned].epoch == cell->epoch().value();
+            ++owned;
+        }
+    }
+    if (!same || owned != told_news_.size()) {
+        told_news_.clear();
+        told_news_at_ = now;
+        for (const auto& [id, cell] : cells_) {
+            if (cell->owns()) {
+                told_news_.push_back(cell->news());
+            }
+        }
+    }
+    return told_news_;
+}
+
+wire::flow_hello flow_entry::hello(instant now, bool with_members)
 {
     wire::flow_hello h;
     h.sender = row_of(self_);
@@ -87,13 +112,9 @@
     h.config_version = config_version().value();
     h.table_away = table_away_;
     h.table_silent_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - table_answered_).count();
-    for (const auto& [id, cell] : cells_) {
-        if (cell->owns()) {
-            h.cells.push_back(cell->news());
-        }
-    }
+    h.cells = told_news(now);
     for (const auto& [id, p] : peers_) {
-        if (heard(p, now)) {
+        if (with_members && heard(p, now)) {
             h.members.push_back(row_of(p.identity));
         }
     }
@@ -102,8 +123,12 @@
 
 void flow_entry::tell_peers(instant now, bool everyone)
 {
+    const bool with_members = everyone || now >= next_members_;
+    if (with_members) {
+        next_members_ = now + members_interval;
+    }
     wire::flow_message message;
-    message.__set_hello(hello(now));
+    message.__set_hello(hello(now, with_members));
     message.config_version = config_version().value();
     for (auto& [id, p] : peers_) {
         // One exchange tells both sides, so of two that know each other one begins.
@@ -153,8 +178,8 @@
 {
     wire::flow_message answer;
     if (message.__isset.hello) {
-        on_hello(now, message.hello);
-        answer.__set_hello(hello(now));
+        const bool new_life = on_hello(now, message.hello);
+        answer.__set_hello(hello(now, new_life || !message.hello.members.empty()));
         if (message.hello.config_version < config_version().value()) {
             answer.config_version = config_version().value();
             answer.config = config_text_;
@@ -184,10 +209,11 @@
     return answer;
 }
 
-void flow_entry::on_hello(instant now, const wire::flow_hello& h)
+// Whether the sender is in a life that this entry had not heard of.
+bool flow_entry::on_hello(instant now, const wire::flow_hello& h)
 {
     if (h.sender.entry == self_.entry.str()) {
-        return;
+        return false;
     }
     peer& p = peers_[entry_id(h.sender.entry)];
     const bool new_life = !p.ever_heard || p.identity.incarnation.str() != h.sender.incarnation;
@@ -212,6 +238,7 @@
     for (const wire::flow_entry_row& member : h.members) {
         learn(member);
     }
+    return new_life;
 }
 
 const flow_entry::peer* flow_entry::owner_of(instant now, const cell_id& cell) const
