flow: gangs move whole, run over several cells where one is too small, and labels are told by worker

Members of a gang were given away one by one, each by its own wait. One whose end was heard later than the others' stayed behind: the rest waited elsewhere in vain, and it stood still for ever. 2. A gang was placed by one cell's owner only. Wider than its cell (a limit for each worker, a label, or a cell full of tasks that last) it never started, with room for it in the data centres together. Of labels a cell told only which there are. A task went to the cell with most room whatever its labelled workers had left, and to and fro between two such cells. Change: a gang is given away when all members have waited, whole to a cell that has room for all. Else the owner writes into the row which cell starts which members, above one floor of run numbers; each starts them under that number once it knows the row. Members that end or cannot start within 1 s go back to the job's cell under another floor, so that all cells see that the run is off and stop theirs before 3 s are over. A new owner, whose numbers are others, gives its members back. Each worker's labels are told. Ruled out: refusing such jobs; one number for all owners for ever (a new owner does not know what the one before has started under it).

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -84,6 +84,7 @@
 struct flow_worker_room {
   1: i32 free_cpu_millis = 0
   2: string serving // the image that serves there; empty: none, "*": several
+  3: list<i32> labels // places in the pool's `labels`
 }
 
 // The room of one service's workers in a cell.
--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -98,7 +98,8 @@
             if (!found->second->dirty()) {
                 state.dirty.erase(id);
             }
-            if (unclaimed_.erase(id) != 0) {
+            // Members of a gang that runs over several cells wait until all of them can know its number.
+            if (unclaimed_.erase(id) != 0 || ready_keys_.count(id) != 0) {
                 place_soon();
             }
             tell_others(now, *found->second);
--- /dev/null
+++ b/src/flow_cell_gangs.cpp
@@ -0,0 +1,198 @@
+// Gangs that no cell has room for as a whole. The owner that has all members writes into the job's row which cell
+// starts which of them, and the floor of their numbers, the same for all; each cell starts its members under that
+// number once it knows the row. Members that end, or cannot start, go back to the job's cell, and are placed anew when
+// all are there.
+#include <algorithm>
+
+#include "flow_cell_p.h"
+#include "flow_limits_p.h"
+#include "log_line_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+namespace {
+
+// The number under which all members are to start; empty unless they agree on one.
+std::optional<run_number> shared_run(const flow_stage& stage)
+{
+    std::optional<std::int64_t> floor;
+    for (const flow_task& task : stage.tasks) {
+        if (task.stage == task_stage::done) {
+            continue;
+        }
+        if (task.home.moves == 0 || floor.value_or(task.home.run_floor) != task.home.run_floor) {
+            return std::nullopt;
+        }
+        floor = task.home.run_floor;
+    }
+    return floor ? std::make_optional(run_number(*floor + 1)) : std::nullopt;
+}
+
+} // namespace
+
+bool is_spread(const flow_stage& stage)
+{
+    return std::any_of(stage.tasks.begin(), stage.tasks.end(),
+                       [](const flow_task& t) { return t.stage == task_stage::elsewhere; });
+}
+
+// Under an owner that came after, or when a member here has used the number already, it would be started under another
+// number than the rest, and wait for them in vain.
+bool flow_cell::may_join(const flow_job& job, const flow_stage& stage) const
+{
+    const std::optional<run_number> run = shared_run(stage);
+    return run && std::all_of(stage.tasks.begin(), stage.tasks.end(), [&](const flow_task& task) {
+               return task.stage == task_stage::done || task.stage == task_stage::elsewhere ||
+                      (task.stage == task_stage::ready && task.runs.empty() && task.home.epoch == epoch_.value() &&
+                       job.next_run(task, epoch_) == *run);
+           });
+}
+
+// True when the job's row has to be written.
+bool flow_cell::move_gang(instant now, flow_job& job, flow_stage& stage)
+{
+    return is_spread(stage) ? give_back_gang(now, job, stage) : spread_gang(now, job, stage);
+}
+
+bool flow_cell::spread_gang(instant now, flow_job& job, flow_stage& stage)
+{
+    const bool waits = std::all_of(stage.tasks.begin(), stage.tasks.end(), [&](const flow_task& task) {
+        return task.stage == task_stage::ready && task.runs.empty() && now - task.ready_since >= give_away_after;
+    });
+    if (!waits) {
+        return false;
+    }
+    const auto count = static_cast<std::int32_t>(stage.tasks.size());
+    std::vector<flow_cell_room> rooms = hooks_.list_room(now, id_, job.row().service_name, job.step(stage));
+    const bool whole = !rooms.empty() && rooms.front().tasks >= count;
+    if (!whole) {
+        const duration patience = count_ever(job, stage) < count ? gang_spread_after : gang_spread_late;
+        const bool patient = std::any_of(stage.tasks.begin(), stage.tasks.end(),
+                                         [&](const flow_task& task) { return now - task.ready_since < patience; });
+        if (rooms.empty() || patient) {
+            return false;
+        }
+        rooms.insert(rooms.begin(), {id_, epoch_, count_fitting(now, job, stage)});
+    }
+    std::int32_t fitting = 0;
+    for (const flow_cell_room& room : rooms) {
+        fitting += room.tasks;
+    }
+    if (fitting < count) {
+        return false;
+    }
+    std::int64_t floor = 0;
+    for (const flow_task& task : stage.tasks) {
+        floor = std::max(floor, job.next_run(task, epoch_).value() - 1);
+    }
+    std::string where;
+    std::size_t next = 0;
+    for (const flow_cell_room& room : rooms) {
+        const std::size_t end = std::min(stage.tasks.size(), next + static_cast<std::size_t>(room.tasks));
+        if (end == next) {
+            continue;
+        }
+        where += (where.empty() ? "" : " ") + room.cell.str() + ":" + std::to_string(end - next);
+        for (; next < end; ++next) {
+            job.move(job.task_id(stage, next), room.cell, room.epoch, floor);
+            stage.tasks[next].ready_since = now; // waits for the others from now on
+        }
+    }
+    stats_.given_away += count;
+    edges_.note(log_level::info, "gang", "given_away",
+                {{"job", job.id().str()},
+                 {"step", std::to_string(stage.step)},
+                 {"run", std::to_string(floor + 1)},
+                 {"from", id_.str()},
+                 {"to", where}});
+    return true;
+}
+
+// How many members the workers here would have room for if nothing else ran on them.
+std::int32_t flow_cell::count_ever(const flow_job& job, const flow_stage& stage) const
+{
+    const flow_step& step = job.step(stage);
+    std::int64_t sum = 0;
+    for (const auto& [id, w] : workers_) {
+        const auto& labels = w.listing.labels;
+        const bool labelled = step.label.empty() || std::find(labels.begin(), labels.end(), step.label) != labels.end();
+        if (!w.listed || w.listing.draining || w.listing.service != job.row().service_name || !labelled) {
+            continue;
+        }
+        std::int64_t here = w.listing.room.memory_mib / std::max<std::int64_t>(1, step.need.memory_mib);
+        if (!step.filling) {
+            here = std::min(here, w.listing.room.cpu_millis / std::max<std::int64_t>(1, step.need.cpu_millis));
+        }
+        sum += step.per_worker_most > 0 ? std::min<std::int64_t>(here, step.per_worker_most) : here;
+    }
+    return static_cast<std::int32_t>(std::min<std::int64_t>(sum, step.count));
+}
+
+// How many of the waiting members the workers here have room for.
+std::int32_t flow_cell::count_fitting(instant now, flow_job& job, flow_stage& stage)
+{
+    std::vector<std::pair<std::size_t, cell_worker*>> chosen;
+    for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
+        cell_worker* const w = choose(now, job, stage, stage.tasks[i]);
+        if (w == nullptr) {
+            break;
+        }
+        ledger_add(*w, job.step(stage), job.task_id(stage, i), run_number());
+        chosen.emplace_back(i, w);
+    }
+    for (const auto& [i, w] : chosen) {
+        ledger_remove(*w, job.task_id(stage, i), run_number());
+    }
+    return static_cast<std::int32_t>(chosen.size());
+}
+
+// Failure: some members have started, and another cell's cannot. Symptom: those end alone, and hold their room until
+// then. A member that goes back is given another floor, so that every cell sees from the row that the run is off, and
+// stops its members well before they end alone.
+bool flow_cell::give_back_gang(instant now, flow_job& job, flow_stage& stage)
+{
+    const std::optional<run_number> run = shared_run(stage);
+    const bool joins = may_join(job, stage);
+    const bool job_here = job.row().cell == id_.str();
+    bool changed = false;
+    for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
+        const flow_task& task = stage.tasks[i];
+        if (task.stage != task_stage::ready || !task.runs.empty() ||
+            (joins && now - task.ready_since < gang_join_most)) {
+            continue;
+        }
+        if (job_here && (!run || changed)) {
+            continue; // the others can see it already
+        }
+        const std::int64_t floor = std::max(job.next_run(task, epoch_).value() - 1, task.home.run_floor + 1);
+        job.move(job.task_id(stage, i), cell_id(job.row().cell),
+                 job_here ? epoch_ : skylarkhub::epoch(job.row().cell_epoch), floor);
+        changed = true;
+    }
+    if (changed) {
+        edges_.note(log_level::info, "gang", "given_back",
+                    {{"job", job.id().str()}, {"step", std::to_string(stage.step)}, {"from", id_.str()}});
+        stop_stranded(now, job);
+    }
+    return changed;
+}
+
+// Stops what runs here of gangs that cannot be complete: some member has gone back, perhaps to here.
+void flow_cell::stop_stranded(instant now, flow_job& job)
+{
+    for (flow_stage& stage : job.stages()) {
+        const bool complete = std::all_of(stage.tasks.begin(), stage.tasks.end(), [](const flow_task& t) {
+            return t.stage == task_stage::placed || t.stage == task_stage::done;
+        });
+        if (!job.step(stage).gang || complete || shared_run(stage)) {
+            continue;
+        }
+        for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
+            stop_task_runs(now, stage.tasks[i], job.task_id(stage, i));
+        }
+    }
+}
+
+} // namespace skylarkhub
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -29,6 +29,13 @@
     data_centre_id data_centre;
 };
 
+// How many tasks of some step a cell has room for.
+struct flow_cell_room {
+    cell_id cell;
+    skylarkhub::epoch epoch;
+    std::int32_t tasks = 0;
+};
+
 // What a cell asks of the entry around it.
 struct flow_cell_hooks {
     std::function<const flow_queue*(const queue_id&)> queue; // null: not in the configuration
@@ -36,6 +43,10 @@
     std::function<std::optional<std::pair<cell_id, epoch>>(instant, const cell_id& from, const std::string& service,
                                                            const flow_step&)>
         find_room;
+    // The other cells with room for tasks of such a step, the one with most first.
+    std::function<std::vector<flow_cell_room>(instant, const cell_id& from, const std::string& service,
+                                              const flow_step&)>
+        list_room;
     // A row that the owner of another cell must know.
     std::function<void(instant, const cell_id&, const job_id&, const wire::flow_job_row&, row_version)> tell_cell;
     // The table has answered nobody that this entry hears from since `since`, and it hears from most entries.
@@ -236,6 +247,15 @@
     void tell_others(instant now, const flow_job& job);
     void tick_timed(instant now);
 
+    // flow_cell_gangs.cpp
+    bool may_join(const flow_job& job, const flow_stage& stage) const;
+    bool move_gang(instant now, flow_job& job, flow_stage& stage);
+    bool spread_gang(instant now, flow_job& job, flow_stage& stage);
+    bool give_back_gang(instant now, flow_job& job, flow_stage& stage);
+    std::int32_t count_ever(const flow_job& job, const flow_stage& stage) const;
+    std::int32_t count_fitting(instant now, flow_job& job, flow_stage& stage);
+    void stop_stranded(instant now, flow_job& job);
+
     // flow_cell_commit.cpp
     void commit_soon(instant now, const std::string& part, duration wait);
     void commit_part(instant now, const std::string& part);
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -145,7 +145,8 @@
                 left_for_filling(option) - step.need.cpu_millis < -static_cast<std::int64_t>(fill_overcommit * room);
             // Left waiting for a place where it is borne and gets its processors: elsewhere it would be slowed to
             // nothing, or slow down others that were there first.
-            if ((interference.excess > 0 || crowded) && now - task.ready_since < fill_patience) {
+            if ((interference.excess > 0 || crowded) && now - task.ready_since < fill_patience &&
+                !(step.gang && is_spread(stage))) {
                 continue;
             }
         }
@@ -196,6 +197,9 @@
     if (step.gang && members_left) {
         return false; // of an earlier run, not all of which have ended
     }
+    if (step.gang && is_spread(stage) && (job.dirty() || !may_join(job, stage))) {
+        return false;
+    }
     for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
         flow_task& task = stage.tasks[i];
         if (task.stage != task_stage::ready) {
@@ -330,18 +334,19 @@
         bool given = false;
         for (flow_stage& stage : job.stages()) {
             const flow_step& step = job.step(stage);
-            if (stage.ready == 0 || (step.gang && stage.ready != static_cast<std::int32_t>(stage.tasks.size()))) {
+            if (stage.ready == 0) {
+                continue;
+            }
+            if (step.gang) {
+                given = move_gang(now, job, stage) || given;
                 continue;
             }
-            std::optional<std::pair<cell_id, skylarkhub::epoch>> to;
-            for (std::size_t i = 0; i < stage.tasks.size() && (left > 0 || step.gang); ++i) {
+            for (std::size_t i = 0; i < stage.tasks.size() && left > 0; ++i) {
                 flow_task& task = stage.tasks[i];
                 if (task.stage != task_stage::ready || !task.runs.empty() || now - task.ready_since < give_away_after) {
                     continue;
                 }
-                if (!to || !step.gang) {
-                    to = hooks_.find_room(now, id_, job.row().service_name, step);
-                }
+                const auto to = hooks_.find_room(now, id_, job.row().service_name, step);
                 if (!to) {
                     break;
                 }
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -402,6 +402,7 @@
     if (deposed_by(now, known)) {
         return;
     }
+    stop_stranded(now, known);
     if (known.ended() && !was_ended) {
         stop_job_runs(now, known);
         job_changed(now, known, true);
@@ -552,7 +553,6 @@
     news.cell = id_.str();
     news.epoch = epoch_.value();
     std::map<std::string, wire::flow_pool_row> pools;
-    std::map<std::string, std::set<std::string>> labels;
     for (const auto& [id, w] : workers_) {
         if (!w.listed || w.listing.draining) {
             continue;
@@ -569,13 +569,20 @@
         wire::flow_worker_room each;
         each.free_cpu_millis = static_cast<std::int32_t>(free);
         each.serving = serving_image(w);
+        std::vector<std::string>& known = pool.labels;
+        for (const std::string& label : w.listing.labels) {
+            const auto at = std::find(known.begin(), known.end(), label);
+            each.labels.push_back(static_cast<std::int32_t>(at - known.begin()));
+            if (at == known.end()) {
+                known.push_back(label);
+            }
+        }
         pool.each.push_back(each);
         pool.largest_free_memory_mib =
             std::max(pool.largest_free_memory_mib, w.listing.room.memory_mib - w.held.memory_mib);
         pool.lasting_cpu_millis += w.lasting_cpu;
         ++pool.workers;
         count_fill_room(w, pool);
-        labels[w.listing.service].insert(w.listing.labels.begin(), w.listing.labels.end());
     }
     for (const auto& [id, job] : jobs_) {
         if (!job->started() && !job->cancelled() && job->row().cell == id_.str()) {
@@ -600,7 +607,6 @@
     for (auto& [service, pool] : pools) {
         std::sort(pool.each.begin(), pool.each.end(),
                   [](const auto& a, const auto& b) { return a.free_cpu_millis > b.free_cpu_millis; });
-        pool.labels.assign(labels[service].begin(), labels[service].end());
         news.pools.push_back(std::move(pool));
     }
     return news;
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -152,6 +152,9 @@
     hooks.find_room = [this](instant now, const cell_id& from, const std::string& service, const flow_step& step) {
         return find_room(now, from, service, step);
     };
+    hooks.list_room = [this](instant now, const cell_id& from, const std::string& service, const flow_step& step) {
+        return list_room(now, from, service, step);
+    };
     hooks.table_outage = [this](instant now, instant since) { return table_outage(now, since); };
     hooks.tell_cell = [this](instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row,
                              row_version version) { tell_cell(now, cell, job, row, version); };
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -127,6 +127,8 @@
     void tell_owner(instant now, const cell_id& cell, const job_id& job);
     std::optional<std::pair<cell_id, epoch>> find_room(instant now, const cell_id& from, const std::string& service,
                                                        const flow_step& step);
+    std::vector<flow_cell_room> list_room(instant now, const cell_id& from, const std::string& service,
+                                          const flow_step& step);
     void tell_states();
 
     // flow_peers.cpp
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -158,7 +158,8 @@
     rack_id rack;
     bool filling = false;
     bool lasting = false;
-    std::string image; // of the widest step
+    std::string image;      // of the widest step
+    std::string task_label; // without which a worker has no room for any of the tasks; empty: none
 };
 
 flow_wants wants_of(const flow_spec& spec)
@@ -194,9 +195,12 @@
 // How many of the tasks the workers of a pool have room for now.
 std::int32_t tasks_that_fit(const wire::flow_pool_row& pool, const flow_wants& wants)
 {
+    const auto label = std::find(pool.labels.begin(), pool.labels.end(), wants.task_label) - pool.labels.begin();
     std::int32_t fit = 0;
     for (const wire::flow_worker_room& room : pool.each) {
-        fit += tasks_that_fit(room, wants);
+        const bool labelled =
+            wants.task_label.empty() || std::find(room.labels.begin(), room.labels.end(), label) != room.labels.end();
+        fit += labelled ? tasks_that_fit(room, wants) : 0;
     }
     return std::min(fit, wants.tasks);
 }
@@ -515,6 +519,7 @@
     wants.task_cpu = step.need.cpu_millis;
     wants.lasting = step.lasting;
     wants.image = step.image;
+    wants.task_label = step.label;
     const auto weigh = [&](wire::flow_cell_news& news, bool) {
         if (news.cell == from.str()) {
             return;
@@ -555,6 +560,31 @@
     return std::make_pair(cell_id(best->cell), epoch(best->epoch));
 }
 
+// Of memory a cell tells only how much its emptiest worker has: its owner may find room for fewer.
+std::vector<flow_cell_room> flow_entry::list_room(instant now, const cell_id& from, const std::string& service,
+                                                  const flow_step& step)
+{
+    flow_wants wants;
+    wants.tasks = step.count;
+    wants.task_cpu = step.filling ? 0 : step.need.cpu_millis;
+    wants.per_worker_most = step.per_worker_most;
+    wants.task_label = step.label;
+    std::vector<flow_cell_room> rooms;
+    each_news(now, [&](const wire::flow_cell_news& news, bool) {
+        for (const wire::flow_pool_row& pool : news.pools) {
+            const std::int32_t tasks = tasks_that_fit(pool, wants);
+            if (news.cell != from.str() && pool.service_name == service && tasks > 0 &&
+                pool.largest_free_memory_mib >= step.need.memory_mib) {
+                rooms.push_back({cell_id(news.cell), epoch(news.epoch), tasks});
+            }
+        }
+    });
+    std::sort(rooms.begin(), rooms.end(), [](const flow_cell_room& a, const flow_cell_room& b) {
+        return a.tasks != b.tasks ? a.tasks > b.tasks : a.cell < b.cell;
+    });
+    return rooms;
+}
+
 void flow_entry::tell_states()
 {
     if (state_news_.empty()) {
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -67,17 +67,25 @@
 }
 
 void flow_job::give_away(const flow_task_id& task, const cell_id& to, epoch to_epoch, epoch own_epoch)
+{
+    move(task, to, to_epoch, next_run(*find_task(task), own_epoch).value() - 1);
+}
+
+void flow_job::move(const flow_task_id& task, const cell_id& to, epoch to_epoch, std::int64_t floor)
 {
     flow_task& t = *find_task(task);
-    t.home.run_floor = next_run(t, own_epoch).value() - 1;
+    t.home.run_floor = floor;
     t.home.cell = to.str();
     t.home.epoch = to_epoch.value();
     ++t.home.moves;
+    ++changes_;
+    if (at_home(t)) {
+        return;
+    }
     if (t.stage == task_stage::ready) {
         --find_stage(task)->ready;
     }
     t.stage = task_stage::elsewhere;
-    ++changes_;
 }
 
 void flow_job::load_home(instant now, flow_stage& stage, flow_task& task, const wire::flow_home_row& home)
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -48,6 +48,9 @@
     bool open = false;
 };
 
+// Members of a gang are in another cell: it runs over several.
+bool is_spread(const flow_stage& stage);
+
 class flow_job {
 public:
     // A flow as its row tells it, read or written at `version`. `here`: the cell whose owner asks.
@@ -84,6 +87,8 @@
     std::vector<cell_id> other_cells() const;
     // Gives a task that no run of which lives to another cell; in force once it is written.
     void give_away(const flow_task_id& task, const cell_id& to, epoch to_epoch, epoch own_epoch);
+    // The same with its runs numbered above `floor`; `to` may be the cell that has it.
+    void move(const flow_task_id& task, const cell_id& to, epoch to_epoch, std::int64_t floor);
 
     // Opens every stage whose earlier steps are done and whose time has come; true when one was opened.
     bool open_stages(instant now, wall_time wall);
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -106,6 +106,14 @@
 inline constexpr duration give_away_interval = 250ms;
 inline constexpr int give_away_most =
     6; // tasks at a time: what other cells say of their room is up to half a second old
+// A gang for which its cell is too small is spread over several after this: twice give_away_after, so that a larger
+// cell can have it whole first.
+inline constexpr duration gang_spread_after = 1600ms;
+// The same where its cell is only full: short runs that make room end within this, and a gang in one cell neither waits
+// for messages between cells nor for room that is gone again.
+inline constexpr duration gang_spread_late = 5s;
+// Members that a cell has not started by then go back, and the others are stopped: a third of what those wait for them.
+inline constexpr duration gang_join_most = 1000ms;
 inline constexpr duration fill_patience = 12000ms; // of a filling task for a place where what it presses on bears it
 inline constexpr double fill_overcommit = 0.25;    // of a worker: filling tasks use four fifths of what they ask for
 inline constexpr duration evict_after = 500ms;     // a run is not moved again sooner than it can have settled
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -12,6 +12,7 @@
 
 constexpr int failures_most = 3;
 constexpr duration list_lag = 100ms;
+constexpr duration gang_patience = 3s; // of a member for the others, then it ends alone
 
 flow_config make_config()
 {
@@ -377,7 +378,58 @@
         ever_done_.insert(task);
     }
     failed_[task] += how == run_end::failed ? 1 : 0;
+    const run_number run = at->second.number;
+    const bool at_work = at->second.waits_until == instant::max();
     w.running.erase(at);
+    if (at_work && waiting_step(task) != nullptr) {
+        end_gang(task, run, how);
+    }
+}
+
+// The task's step when it is a gang whose members wait for each other; else null.
+const flow_step* flow_world::waiting_step(const flow_task_id& task) const
+{
+    const auto spec = specs_.find(task.job.str());
+    if (!options_.gangs_wait || spec == specs_.end()) {
+        return nullptr;
+    }
+    const flow_step& step = spec->second.steps.at(static_cast<std::size_t>(task.step));
+    return step.gang ? &step : nullptr;
+}
+
+// Every member sets to work once the last of them is there.
+void flow_world::begin_gang(const flow_task_id& task, run_number run)
+{
+    std::vector<flow_fake_worker::run*> members;
+    for (const auto& w : workers_) {
+        for (auto& [other, live] : w->running) {
+            if (w->up && other.job == task.job && other.occurrence == task.occurrence && other.step == task.step &&
+                live.number == run) {
+                members.push_back(&live);
+            }
+        }
+    }
+    if (static_cast<std::int32_t>(members.size()) != waiting_step(task)->count) {
+        return;
+    }
+    for (flow_fake_worker::run* const member : members) {
+        member->waits_until = instant::max();
+        member->ends = now_ + (member->fails ? member->takes / 2 : member->takes);
+    }
+}
+
+// What was at work with it ends as it did if it is done, else broken; what waits for it goes on waiting.
+void flow_world::end_gang(const flow_task_id& task, run_number run, run_end how)
+{
+    for (const auto& w : workers_) {
+        for (std::int32_t i = 0; i < waiting_step(task)->count; ++i) {
+            const flow_task_id other{task.job, task.occurrence, task.step, i};
+            const auto at = w->running.find(other);
+            if (at != w->running.end() && at->second.number == run && at->second.waits_until == instant::max()) {
+                end_run(*w, other, how == run_end::done ? run_end::done : run_end::broken);
+            }
+        }
+    }
 }
 
 // Ends that nobody has confirmed when the worker's lease ends, or the worker dies, need not be known to anybody.
@@ -394,12 +446,23 @@
 {
     std::vector<flow_task_id> over;
     for (const auto& [task, run] : w.running) {
-        if (run.ends <= now_) {
+        if (std::min(run.ends, run.waits_until) <= now_) {
             over.push_back(task);
         }
     }
     for (const flow_task_id& task : over) {
-        end_run(w, task, w.running.at(task).fails ? run_end::failed : run_end::done);
+        const auto at = w.running.find(task);
+        if (at == w.running.end()) {
+            continue; // it ended with another member of its gang
+        }
+        if (at->second.waits_until != instant::max()) {
+            if (!options_.gangs_end_alone) {
+                fault(text_of(task) + " waited for its gang in vain");
+            }
+            end_run(w, task, run_end::alone);
+            continue;
+        }
+        end_run(w, task, at->second.fails ? run_end::failed : run_end::done);
     }
     if (now_ >= w.lease_until) {
         forget_unconfirmed(w);
@@ -479,7 +542,16 @@
         run.need = spec->second.steps.at(static_cast<std::size_t>(order.task.step)).need;
         run.filling = spec->second.steps.at(static_cast<std::size_t>(order.task.step)).filling;
     }
+    run.takes = takes;
+    const bool waits = waiting_step(order.task) != nullptr;
+    if (waits) {
+        run.waits_until = now_ + gang_patience;
+        run.ends = instant::max();
+    }
     w.running[order.task] = run;
+    if (waits) {
+        begin_gang(order.task, order.run);
+    }
     ++w.starts;
     ++starts_[order.task.job.str()];
     answer.result = order_result::accepted;
@@ -511,7 +583,12 @@
     advance_worker(w);
     w.up = false;
     w.listed = false;
-    w.running.clear();
+    const std::map<flow_task_id, flow_fake_worker::run> died = std::exchange(w.running, {});
+    for (const auto& [task, run] : died) {
+        if (waiting_step(task) != nullptr && run.waits_until == instant::max()) {
+            end_gang(task, run.number, run_end::broken);
+        }
+    }
     forget_unconfirmed(w);
     w.ends.clear();
     w.forgotten.clear();
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -36,10 +36,12 @@
         std::string payload;
         instant begun{};
         instant ends{};
+        duration takes{0}; // from when it is at work
         bool fails = false;
         resources need;
         bool filling = false;
         std::int32_t percent = 100;
+        instant waits_until = instant::max(); // for the other members of its gang; max: it is at work
     };
     std::map<flow_task_id, run> running;
     std::vector<listed_end> ends;
@@ -61,6 +63,8 @@
         duration network_latency = std::chrono::milliseconds(2);
         std::function<bool(const flow_task_id&, run_number)> run_fails; // empty: none fails
         std::function<duration(const flow_task_id&)> run_time;          // empty: 300 ms
+        bool gangs_wait = false;      // for all members of a run, on all workers, and end with the first that ends
+        bool gangs_end_alone = false; // a member that waited in vain is no fault: something was impaired
     };
     explicit flow_world(options o);
     ~flow_world();
@@ -129,6 +133,9 @@
     void forget_unconfirmed(flow_fake_worker& w);
     void advance_worker(flow_fake_worker& w);
     void end_run(flow_fake_worker& w, const flow_task_id& task, run_end how);
+    const flow_step* waiting_step(const flow_task_id& task) const;
+    void begin_gang(const flow_task_id& task, run_number run);
+    void end_gang(const flow_task_id& task, run_number run, run_end how);
     void fault(const std::string& what);
     void check_start(const flow_fake_worker& w, const start_run& order);
 
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -527,6 +527,162 @@
     check_no_faults(w);
 }
 
+BOOST_AUTO_TEST_CASE(a_gang_goes_to_another_cell_whole_or_not_at_all)
+{
+    // A gang has failed where all workers are about to leave, and one member's end is heard two seconds late, since its
+    // worker could not be reached. By then the other member has waited long enough to be given away, and the late one
+    // has not: the first one, given away by itself, would wait elsewhere in vain, and the late one would stay where it
+    // has no room, for ever.
+    flow_world w({.data_centres = {"a", "b"},
+                  .workers_each = 2,
+                  .worker_cpu = 18000,
+                  .run_fails = [](const flow_task_id&, run_number run) { return run.value() < 2; },
+                  .gangs_wait = true});
+    w.run_for(2s);
+    flow_spec gang = chain_spec(1, 2, 10000);
+    gang.steps.front().gang = true;
+    BOOST_REQUIRE(w.submit(0, job_a, gang) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 2; }, 2s));
+    int last = -1;
+    for (int i = 0; i < w.worker_count(); ++i) {
+        if (!w.worker(i).running.empty()) {
+            w.worker(i).draining = true;
+            last = i;
+        }
+    }
+    w.worker(last).reachable = false;
+    w.run_for(2s);
+    w.worker(last).reachable = true;
+    BOOST_TEST(w.run_until([&] { return is_done(w, 0, job_a); }, 8s));
+    BOOST_TEST(w.starts_of(job_a) == 4);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_wider_than_every_cell_runs_over_several)
+{
+    // Only one member may run on a worker, and no data centre has as many workers as the gang has members; together
+    // they have. Placed by one cell's owner alone the gang would never start, with nearly everything free.
+    flow_world w({.data_centres = {"a", "b", "c"}, .workers_each = 2, .gangs_wait = true});
+    w.run_for(2s);
+    flow_spec gang = chain_spec(1, 5, 1000);
+    gang.steps.front().gang = true;
+    gang.steps.front().per_worker_most = 1;
+    BOOST_REQUIRE(w.submit(0, job_a, gang) == caller_result::accepted);
+    BOOST_TEST(w.run_until([&] { return is_done(w, 0, job_a); }, 15s));
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_that_another_cell_cannot_complete_waits_for_nobody)
+{
+    // Cell B seems to have room for two members, and has it for one, so it gives both back. By then cell A has started
+    // its own: left alone they would wait three seconds for the others in vain, again and again.
+    flow_world w({.data_centres = {"a", "b"}, .workers_each = 2, .gangs_wait = true});
+    w.worker(3).room.memory_mib = 500; // less than a member needs
+    w.run_for(2s);
+    flow_spec gang = chain_spec(1, 4, 1000);
+    gang.steps.front().gang = true;
+    gang.steps.front().per_worker_most = 1;
+    BOOST_REQUIRE(w.submit(0, job_a, gang) == caller_result::accepted);
+    w.run_for(12s);
+    BOOST_TEST(w.starts_of(job_a) > 2);
+    w.worker(3).room.memory_mib = 64000;
+    BOOST_TEST(w.run_until([&] { return is_done(w, 0, job_a); }, 8s));
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_over_several_cells_fails_together_and_runs_again)
+{
+    // One member fails, the others break off in three cells, whose owners hear of it at different moments. Started
+    // again by each owner for itself, the members would have different numbers, and wait for each other in vain.
+    flow_world w({.data_centres = {"a", "b", "c"},
+                  .workers_each = 2,
+                  .run_fails = [](const flow_task_id& t, run_number) { return t.index == 3; },
+                  .gangs_wait = true});
+    w.run_for(2s);
+    flow_spec gang = chain_spec(1, 5, 1000);
+    gang.steps.front().gang = true;
+    gang.steps.front().per_worker_most = 1;
+    BOOST_REQUIRE(w.submit(0, job_a, gang) == caller_result::accepted);
+    BOOST_TEST(w.run_until([&] { return w.state(0, job_a) == flow_state::failed; }, 30s));
+    BOOST_TEST(w.starts_of(job_a) == 15);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_over_several_cells_outlives_their_owners_and_workers)
+{
+    // An owner, or a worker with a member, dies at any moment of a gang that runs over three cells. The new owner
+    // numbers its starts anew, so its members cannot join the run that the others wait for: all go back, and start
+    // again.
+    for (int round = 0; round < 24; ++round) {
+        BOOST_TEST_CONTEXT("round " << round)
+        {
+            flow_world w({.seed = static_cast<std::uint64_t>(round) + 1,
+                          .data_centres = {"a", "b", "c"},
+                          .workers_each = 2,
+                          .run_time = [](const flow_task_id&) { return duration(800ms); },
+                          .gangs_wait = true,
+                          .gangs_end_alone = true});
+            w.run_for(2s);
+            flow_spec gang = chain_spec(1, 5, 1000);
+            gang.steps.front().gang = true;
+            gang.steps.front().per_worker_most = 1;
+            BOOST_REQUIRE(w.submit(0, job_a, gang) == caller_result::accepted);
+            w.run_for(1500ms + round / 2 * 40ms);
+            if (round % 2 == 0) {
+                w.kill_entry(round / 2 % 6);
+            }
+            else {
+                w.crash_worker(round / 2 % 6, true);
+            }
+            BOOST_TEST(w.run_until([&] { return is_done(w, round / 2 % 6 == 0 ? 1 : 0, job_a); }, 40s));
+            check_no_faults(w);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_task_with_a_label_goes_where_a_worker_with_it_has_room)
+{
+    // A task needs a label that one worker of each cell has. In cells A and B that worker is full, and the others have
+    // more left than all of C, where the worker with the label has come up and is idle. Sent where most is left, the
+    // task would go to and fro between A and B for ever.
+    flow_world w({.data_centres = {"a", "b", "c"}});
+    for (const int worker : {0, 3, 6}) {
+        w.worker(worker).labels = {"rack-1", "x"};
+    }
+    for (const int worker : {6, 7, 8}) {
+        w.drop_worker_listing(worker, true);
+    }
+    w.run_for(2s);
+    flow_spec service = lasting_spec(2, 14000);
+    service.steps.front().label = "x";
+    BOOST_REQUIRE(w.submit(0, job_b, service) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_b) == 2; }, 5s));
+    flow_spec labelled = chain_spec(1, 1, 8000);
+    labelled.steps.front().label = "x";
+    BOOST_REQUIRE(w.submit(0, job_a, labelled) == caller_result::accepted);
+    w.drop_worker_listing(6, false);
+    BOOST_TEST(w.run_until([&] { return is_done(w, 0, job_a); }, 8s));
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_with_a_label_runs_over_the_workers_that_have_it)
+{
+    // One worker of each data centre has the label, and only one member may run on a worker. Taken for room, the other
+    // workers would draw the gang from cell to cell, or leave a cell with more members than it can start.
+    flow_world w({.data_centres = {"a", "b", "c"}, .gangs_wait = true});
+    for (const int worker : {0, 3, 6}) {
+        w.worker(worker).labels = {"rack-1", "x"};
+    }
+    w.run_for(2s);
+    flow_spec gang = chain_spec(1, 3, 1000);
+    gang.steps.front().gang = true;
+    gang.steps.front().per_worker_most = 1;
+    gang.steps.front().label = "x";
+    BOOST_REQUIRE(w.submit(0, job_a, gang) == caller_result::accepted);
+    BOOST_TEST(w.run_until([&] { return is_done(w, 0, job_a); }, 6s));
+    check_no_faults(w);
+}
+
 BOOST_AUTO_TEST_CASE(an_owner_that_was_followed_gives_no_task_away)
 {
     // An owner is cut off; another takes its cell over and gives a waiting task to cell B, where it runs. The cut heals
