http: read what has arrived before a call's time is judged

Cause: libcurl looks at a transfer's limit before it reads the socket. A thread that is held up wakes after the limit and throws away an answer that has long arrived. A worker's last answer listed an end; the worker counts it as known and leaves, the owner asks again in vain and starts the task anew once the lease is over. Ruled out: the answer's size (10 bytes and 40 kB alike are lost). Change: the client's own limits, judged against the time before the sockets were read, and counted from when the request left. Conclusion: an answer that reached the socket in time is delivered, however late the thread is.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -8,8 +8,13 @@
 #include <algorithm>
 #include <cctype>
 #include <deque>
+#include <map>
+#include <optional>
 #include <thread>
 #include <unordered_map>
+#include <utility>
+
+#include "platform_timer_p.h"
 
 namespace skylarkhub {
 
@@ -20,7 +25,11 @@
     return std::max<long>(1, static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(d).count()));
 }
 
-constexpr std::int64_t header_bytes_most = 64 << 10; // libcurl limits each line, not their number
+constexpr std::int64_t header_bytes_most = 64 << 10;    // libcurl limits each line, not their number
+constexpr duration idle_look = std::chrono::seconds(1); // a wake-up that got lost costs this much
+
+struct transfer;
+using due_times = std::multimap<instant, transfer*>;
 
 struct transfer {
     http_call call;
@@ -29,6 +38,10 @@
     curl_slist* headers = nullptr;
     CURL* handle = nullptr;
     std::int64_t header_bytes = 0;
+    due_times::iterator due;     // when its time is over
+    std::optional<instant> left; // when its request began to leave
+    bool timed_from_left = false;
+    bool heard = false; // bytes of the answer, since this was last asked
 
     ~transfer()
     {
@@ -46,6 +59,7 @@
 {
     auto& t = *static_cast<transfer*>(context);
     const std::size_t bytes = size * count;
+    t.heard = true;
     if (static_cast<std::int64_t>(t.result.body.size() + bytes) > t.call.answer_bytes_most) {
         t.result.reason = "answer is larger than the limit";
         return 0;
@@ -58,6 +72,7 @@
 {
     auto& t = *static_cast<transfer*>(context);
     const std::string_view line(data, size * count);
+    t.heard = true;
     t.header_bytes += static_cast<std::int64_t>(line.size());
     if (t.header_bytes > header_bytes_most) {
         t.result.reason = "headers are larger than the limit";
@@ -97,6 +112,7 @@
     long sent_bytes = 0;
     curl_easy_getinfo(t.handle, CURLINFO_REQUEST_SIZE, &sent_bytes);
     if (sent_bytes == 0) {
+        t.left = read_clock();
         return CURL_PREREQFUNC_OK;
     }
     t.result.reason = "connection closed after the request was sent";
@@ -119,7 +135,6 @@
     curl_easy_setopt(h, CURLOPT_NOPROXY, "*");
     curl_easy_setopt(h, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(h, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-    curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, to_ms(t.call.timeout));
     curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS, to_ms(std::min(t.call.connect_timeout, t.call.timeout)));
     curl_easy_setopt(h, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, &take_body);
@@ -189,14 +204,52 @@
             if (!take_waiting()) {
                 break;
             }
+            // Before the sockets are read: whatever had arrived by then is read before anybody's time is judged.
+            const instant looked = read_clock();
             int running = 0;
             curl_multi_perform(multi, &running);
             finish_done();
-            curl_multi_poll(multi, nullptr, 0, 1000, nullptr);
+            const duration wait = end_overdue(looked) ? duration(0) : time_to_next();
+            curl_multi_poll(multi, nullptr, 0, static_cast<int>(wait / std::chrono::milliseconds(1)), nullptr);
         }
         abandon_all();
     }
 
+    duration time_to_next() const
+    {
+        if (due.empty()) {
+            return idle_look;
+        }
+        const duration left = due.begin()->first - read_clock() + std::chrono::milliseconds(1);
+        return std::clamp(left, duration(0), idle_look);
+    }
+
+    // Ends the calls whose time was over when the sockets were last looked at. libcurl's own limit is not used: it is
+    // judged before the socket is read. On a starved machine a thread wakes up after the limit to an answer that has
+    // long arrived; dropped, what it tells is lost (a worker's last word before it leaves: that a task is done), and
+    // the task runs again. For the same reason the time for an answer counts from when the request left. True when some
+    // must be looked at again at once: part of their answer has just been read, and there may be more.
+    bool end_overdue(instant looked)
+    {
+        bool again = false;
+        while (!due.empty() && due.begin()->first <= looked) {
+            transfer& t = *due.begin()->second;
+            due.erase(t.due);
+            if (t.left && !std::exchange(t.timed_from_left, true)) {
+                t.due = due.emplace(*t.left + t.call.timeout, &t);
+            }
+            else if (std::exchange(t.heard, false)) {
+                t.due = due.emplace(looked + duration(1), &t); // ends with the answer's limit at the latest
+                again = true;
+            }
+            else {
+                t.due = due.end();
+                finish(t.handle, CURLE_OPERATION_TIMEDOUT);
+            }
+        }
+        return again;
+    }
+
     // False when the client is stopping.
     bool take_waiting()
     {
@@ -212,6 +265,7 @@
             prepare(*t);
             CURL* const handle = t->handle;
             curl_multi_add_handle(multi, handle);
+            t->due = due.emplace(read_clock() + t->call.timeout, t.get());
             active.emplace(handle, std::move(t));
         }
         return true;
@@ -224,15 +278,21 @@
             if (message->msg != CURLMSG_DONE) {
                 continue;
             }
-            CURL* const handle = message->easy_handle;
-            const CURLcode code = message->data.result;
-            auto found = active.find(handle);
-            std::unique_ptr<transfer> t = std::move(found->second);
-            active.erase(found);
-            curl_multi_remove_handle(multi, handle);
-            conclude(*t, code);
-            t->done(std::move(t->result));
+            finish(message->easy_handle, message->data.result);
+        }
+    }
+
+    void finish(CURL* handle, CURLcode code)
+    {
+        auto found = active.find(handle);
+        std::unique_ptr<transfer> t = std::move(found->second);
+        active.erase(found);
+        if (t->due != due.end()) {
+            due.erase(t->due);
         }
+        curl_multi_remove_handle(multi, handle);
+        conclude(*t, code);
+        t->done(std::move(t->result));
     }
 
     void abandon_all()
@@ -243,6 +303,7 @@
             t->done(std::move(t->result));
         }
         active.clear();
+        due.clear();
         std::deque<std::unique_ptr<transfer>> taken;
         {
             absl::MutexLock lock(&mutex);
@@ -257,6 +318,7 @@
 
     CURLM* multi;
     std::unordered_map<CURL*, std::unique_ptr<transfer>> active; // of the client's thread only
+    due_times due;                                               // of `active`; of the client's thread only
     absl::Mutex mutex;
     std::deque<std::unique_ptr<transfer>> waiting ABSL_GUARDED_BY(mutex);
     bool stopping ABSL_GUARDED_BY(mutex) = false;
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <absl/synchronization/blocking_counter.h>
+#include <absl/synchronization/notification.h>
 #include <fmt/format.h>
 
 #include <atomic>
@@ -115,6 +116,73 @@
     BOOST_TEST(result.may_have_arrived);
 }
 
+// The client's thread is held up, as on a starved machine, until the call's time is over. The answer arrived in time
+// and lies in the socket. The caller must get it: thrown away, what it told is lost, while the sender believes it
+// known.
+BOOST_AUTO_TEST_CASE(an_answer_that_arrived_while_the_client_was_held_up_is_delivered)
+{
+    for (const std::size_t answer_bytes : {10, 40'000}) { // one read of the socket, several
+        absl::Notification arrived;
+        http_reply kept;
+        auto server = start_server([&](const http_request& request, http_reply reply) {
+            if (request.body == "prompt") {
+                reply({200, {}, ""});
+                return;
+            }
+            kept = std::move(reply);
+            arrived.Notify();
+        });
+        http_client client;
+        auto call = post(*server, "slow");
+        call.timeout = std::chrono::seconds(1);
+        absl::Notification finished;
+        http_result result;
+        client.send(call, [&](http_result r) {
+            result = std::move(r);
+            finished.Notify();
+        });
+        arrived.WaitForNotification();
+        client.send(post(*server, "prompt"), [&](const http_result&) {
+            kept({200, {}, std::string(answer_bytes, 'y')});
+            std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+        });
+        finished.WaitForNotification();
+        BOOST_TEST(result.answered, result.reason);
+        BOOST_TEST(result.body.size() == answer_bytes);
+    }
+}
+
+// A call waits for the one connection, and the client's thread is held up until the call's time is over. The request
+// leaves then, and the server carries it out: it is given its time for the answer, since only that tells what it did.
+BOOST_AUTO_TEST_CASE(a_request_that_left_late_is_given_time_for_its_answer)
+{
+    absl::Notification arrived;
+    http_reply kept;
+    auto server = start_server([&](const http_request& request, http_reply reply) {
+        if (request.body == "second") {
+            reply({200, {}, "done"});
+            return;
+        }
+        kept = std::move(reply);
+        arrived.Notify();
+    });
+    http_client client({.connections_per_host = 1});
+    client.send(post(*server, "first"),
+                [](const http_result&) { std::this_thread::sleep_for(std::chrono::milliseconds(1500)); });
+    arrived.WaitForNotification();
+    absl::Notification finished;
+    http_result result;
+    auto second = post(*server, "second");
+    second.timeout = std::chrono::seconds(1);
+    client.send(second, [&](http_result r) {
+        result = std::move(r);
+        finished.Notify();
+    });
+    kept({200, {}, ""});
+    finished.WaitForNotification();
+    BOOST_TEST(result.answered, result.reason);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_over_the_limit_does_not_look_whole)
 {
     auto server = start_server([](const http_request&, const http_reply& reply) {
