flow: a worker is given up only after its last exchange has concluded

Cause: silence was judged by the last answer handled, in a tick that may come before the answers that wait; another life at an address was believed at once. An owner that was held up gave workers up although their answers, with ends that were done, lay ready, and started these tasks again. Ruled out: leases that last longer than assumed; a reading that is handled late makes them shorter. Change: runs are dropped once no exchange is under way and the last one had no answer; when the life has ended, the answer under way is taken in first. The world of the tests knows slow entries: turns seconds apart, timers and answers in any order, orders that leave late, holds that wait, workers that are replaced.

--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -30,7 +30,7 @@
         // A new life at an address proves that the life before it has ended, with everything that ran.
         for (auto& [id, other] : workers_) {
             if (id != listing.worker && other.listing.address == listing.address && owns()) {
-                worker_died(now, other, "another life at its address");
+                life_ended(now, other, "another life at its address");
             }
         }
         const auto [at, added] = workers_.try_emplace(listing.worker);
@@ -43,7 +43,7 @@
                          {"draining", listing.draining ? "yes" : "no"}});
         }
         w.listing = listing;
-        w.listed = true;
+        w.listed = w.life_over.empty();
         if (role_ == role::owning && added) {
             hold_soon(now, listing.worker, duration(0));
             next_renewal_ = now; // it takes tasks once the row names it
@@ -57,7 +57,7 @@
             }
             w.listed = false;
             if (role_ == role::watching ||
-                (role_ == role::owning && w.ledger.empty() && (w.fenced || all_accounted(now)))) {
+                (role_ == role::owning && w.ledger.empty() && !w.holding && (w.fenced || all_accounted(now)))) {
                 at = workers_.erase(at);
                 continue;
             }
@@ -96,11 +96,8 @@
 {
     for (auto at = workers_.begin(); at != workers_.end();) {
         cell_worker& w = at->second;
-        const bool silent = now - w.last_answer > lease && w.lapsed_after != instant{};
-        if (silent && now > w.lapsed_after && !w.ledger.empty()) {
-            worker_died(now, w, "no answer for longer than its lease");
-        }
-        if (!w.listed && w.ledger.empty() && w.fenced) {
+        bury_if_lapsed(now, w);
+        if (!w.listed && w.ledger.empty() && !w.holding && w.fenced) {
             at = workers_.erase(at);
             continue;
         }
@@ -112,6 +109,30 @@
     }
 }
 
+// Judged only once the exchange that was under way has concluded without an answer. An owner that was held up for
+// longer than a lease finds the answers of all its workers waiting, and its own tick before them: taken for dead, they
+// would have their tasks started again although the answers tell that these are done.
+void flow_cell::bury_if_lapsed(instant now, cell_worker& w)
+{
+    const bool silent = w.silent > 0 && !w.holding && now - w.last_answer > lease && w.lapsed_after != instant{};
+    if (silent && now > w.lapsed_after && !w.ledger.empty()) {
+        worker_died(now, w, "no answer for longer than its lease");
+    }
+}
+
+// Nothing runs there any more. The exchange that is under way may have been answered before, with ends that only this
+// answer tells, and be waiting behind the news: its tasks are started again once it has concluded, at its time limit at
+// the latest.
+void flow_cell::life_ended(instant now, cell_worker& w, const std::string& reason)
+{
+    if (!w.holding) {
+        worker_died(now, w, reason);
+        return;
+    }
+    w.life_over = reason;
+    w.listed = false;
+}
+
 // Everything that ran there has ended and told nobody.
 void flow_cell::worker_died(instant now, cell_worker& w, const std::string& reason)
 {
@@ -127,6 +148,7 @@
         ++stats_.lost;
         drop_run(now, w, task, run.run);
     }
+    w.life_over.clear();
     w.fenced = true; // nothing of an earlier owner runs there either
     w.listed = false;
 }
@@ -140,7 +162,7 @@
         return true;
     }
     if (result == order_result::other_life) {
-        worker_died(now, w, "another life answers at its address");
+        life_ended(now, w, "another life answers at its address");
         place_soon();
         return true;
     }
@@ -218,6 +240,13 @@
     if (superseded(now, w, answer.result)) {
         return;
     }
+    if (!w.life_over.empty()) {
+        if (answer.result == order_result::accepted) {
+            take_inventory(now, w, sent, answer);
+        }
+        worker_died(now, w, w.life_over);
+        return;
+    }
     if (answer.result != order_result::accepted) {
         ++w.silent;
         ++stats_.holds_unanswered;
@@ -225,6 +254,7 @@
             edges_.note(log_level::warning, "worker", "silent",
                         {{"cell", id_.str()}, {"worker", id.str()}, {"reason", answer.reason}});
         }
+        bury_if_lapsed(now, w);
         hold_soon(now, id, hold_retry);
         return;
     }
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -109,14 +109,15 @@
 
 // --- entries ---
 
-void flow_world::on_entry(int entry, std::uint64_t life, const std::function<void(flow_entry&, instant)>& what)
+void flow_world::on_entry(int entry, std::uint64_t life, const std::function<void(flow_entry&, instant)>& what,
+                          bool timer)
 {
     entry_slot& slot = entries_.at(static_cast<std::size_t>(entry));
     if (slot.life != life || !slot.decisions) {
         return;
     }
     if (slot.frozen) {
-        slot.missed.emplace_back([this, entry, life, what] { on_entry(entry, life, what); });
+        slot.missed.push_back({timer, [this, entry, life, what] { on_entry(entry, life, what); }});
         return;
     }
     what(*slot.decisions, now_);
@@ -148,15 +149,74 @@
     entries_.at(static_cast<std::size_t>(entry)).frozen = true;
 }
 
-void flow_world::thaw_entry(int entry)
+void flow_world::thaw_entry(int entry, bool newest_first)
 {
     entry_slot& slot = entries_.at(static_cast<std::size_t>(entry));
     slot.frozen = false;
+    if (newest_first) {
+        std::reverse(slot.missed.begin(), slot.missed.end());
+    }
     for (const auto& event : std::exchange(slot.missed, {})) {
-        event();
+        event.handle();
     }
 }
 
+void flow_world::let_timers(int entry)
+{
+    entry_slot& slot = entries_.at(static_cast<std::size_t>(entry));
+    const auto answers =
+        std::stable_partition(slot.missed.begin(), slot.missed.end(), [](const missed_event& e) { return e.timer; });
+    std::vector<missed_event> waiting(std::make_move_iterator(answers), std::make_move_iterator(slot.missed.end()));
+    slot.missed.erase(answers, slot.missed.end());
+    thaw_entry(entry);
+    slot.frozen = true;
+    slot.missed = std::move(waiting);
+}
+
+void flow_world::make_slow(int entry, duration pause_most)
+{
+    entry_slot& slot = entries_.at(static_cast<std::size_t>(entry));
+    slot.pause_most = pause_most;
+    take_turn(entry, ++slot.slow_turns);
+}
+
+void flow_world::take_turn(int entry, std::uint64_t spell)
+{
+    entry_slot& slot = entries_.at(static_cast<std::size_t>(entry));
+    if (slot.slow_turns != spell) {
+        return;
+    }
+    if (slot.pause_most <= duration(0)) {
+        thaw_entry(entry);
+        return;
+    }
+    const int order = absl::Uniform(random_, 0, 4);
+    if (order == 0) {
+        std::shuffle(slot.missed.begin(), slot.missed.end(), random_);
+    }
+    if (order == 1) {
+        let_timers(entry);
+    }
+    else {
+        thaw_entry(entry, order == 2);
+    }
+    later(duration(absl::Uniform<std::int64_t>(random_, 0, 40'000)), [this, entry, spell] {
+        entry_slot& held = entries_.at(static_cast<std::size_t>(entry));
+        if (held.slow_turns != spell) {
+            return;
+        }
+        freeze_entry(entry);
+        later(duration(absl::Uniform<std::int64_t>(random_, 0, held.pause_most.count())),
+              [this, entry, spell] { take_turn(entry, spell); });
+    });
+}
+
+duration flow_world::sending_delay(int entry)
+{
+    const duration most = entries_.at(static_cast<std::size_t>(entry)).pause_most / 4;
+    return most > duration(0) ? duration(absl::Uniform<std::int64_t>(random_, 0, most.count())) : duration(0);
+}
+
 void flow_world::stop_by_plan(int entry)
 {
     on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life,
@@ -223,9 +283,10 @@
         }
         answer(std::move(done), page, options_.table_latency);
     };
-    edges.order = [this, answer](const worker_place& to, const worker_order& order, duration timeout,
-                                 std::function<void(instant, order_answer)> done) {
-        later(options_.network_latency, [this, to, order, timeout, answer, done = std::move(done)] {
+    edges.order = [this, entry, answer](const worker_place& to, const worker_order& order, duration timeout,
+                                        std::function<void(instant, order_answer)> done) {
+        later(options_.network_latency + sending_delay(entry), [this, to, order, timeout, answer,
+                                                                done = std::move(done)] {
             const auto at =
                 std::find_if(workers_.begin(), workers_.end(), [&](const auto& w) { return w->address == to.address; });
             if (at == workers_.end() || !(*at)->up || !(*at)->reachable) {
@@ -240,6 +301,12 @@
                 return;
             }
             const auto* const hold = std::get_if<hold_worker>(&order);
+            if (hold != nullptr && options_.holds_wait) {
+                hold_until_end(w, w.id, *hold, now_ + hold->wait, [this, &w, life = w.id, order, answer, done] {
+                    answer(done, w.id == life ? carry_out(w, order) : order_answer{}, options_.network_latency);
+                });
+                return;
+            }
             const duration wait = hold != nullptr ? std::min<duration>(hold->wait, 50ms) : duration(0);
             later(wait,
                   [this, &w, order, answer, done] { answer(done, carry_out(w, order), options_.network_latency); });
@@ -299,7 +366,8 @@
     };
     edges.after = [this, entry, life](duration wait, std::function<void(instant)> what) {
         later(wait, [this, entry, life, what = std::move(what)] {
-            on_entry(entry, life, [what](flow_entry&, instant now) { what(now); });
+            on_entry(
+                entry, life, [what](flow_entry&, instant now) { what(now); }, true);
         });
     };
     edges.note = [this, entry](log_level, std::string_view subject, std::string_view event,
@@ -384,7 +452,7 @@
 void flow_world::forget_unconfirmed(flow_fake_worker& w)
 {
     for (const listed_end& end : w.ends) {
-        if (end.how == run_end::done && w.forgotten.insert(end.number).second) {
+        if (end.how == run_end::done && w.told.count(end.number) == 0 && w.forgotten.insert(end.number).second) {
             --done_[end.task];
         }
     }
@@ -394,12 +462,14 @@
 {
     std::vector<flow_task_id> over;
     for (const auto& [task, run] : w.running) {
-        if (run.ends <= now_) {
+        const instant end = std::min(run.ends, run.stops);
+        if (end <= now_ && end < w.lease_until) {
             over.push_back(task);
         }
     }
     for (const flow_task_id& task : over) {
-        end_run(w, task, w.running.at(task).fails ? run_end::failed : run_end::done);
+        const flow_fake_worker::run& run = w.running.at(task);
+        end_run(w, task, run.stops < run.ends ? run_end::stopped : run.fails ? run_end::failed : run_end::done);
     }
     if (now_ >= w.lease_until) {
         forget_unconfirmed(w);
@@ -409,6 +479,19 @@
     }
 }
 
+void flow_world::hold_until_end(flow_fake_worker& w, const worker_id& life, const hold_worker& order, instant until,
+                                const std::function<void()>& answer)
+{
+    constexpr duration look = 10ms;
+    advance_worker(w);
+    const bool ended = !w.ends.empty() && w.ends.back().number > order.confirmed;
+    if (now_ >= until || ended || !w.up || w.id != life || order.fence < w.fence) {
+        answer();
+        return;
+    }
+    later(look, [this, &w, life, order, until, answer] { hold_until_end(w, life, order, until, answer); });
+}
+
 order_answer flow_world::carry_out(flow_fake_worker& w, const worker_order& order)
 {
     advance_worker(w);
@@ -434,7 +517,12 @@
     else if (const auto* const stop = std::get_if<stop_run>(&order)) {
         const auto at = w.running.find(stop->task);
         if (at != w.running.end() && at->second.number <= stop->run) {
-            end_run(w, stop->task, run_end::stopped);
+            if (options_.stop_time > duration(0)) {
+                at->second.stops = std::min(at->second.stops, now_ + options_.stop_time);
+            }
+            else {
+                end_run(w, stop->task, run_end::stopped);
+            }
         }
         w.highest[stop->task] = std::max(w.highest[stop->task], stop->run);
         answer.result = order_result::accepted;
@@ -502,6 +590,11 @@
         answer.running.push_back({task, run.number, "", static_cast<std::int32_t>(done), 0});
     }
     answer.ends = w.ends;
+    for (const listed_end& end : w.ends) {
+        if (options_.told_counts && w.forgotten.count(end.number) == 0) {
+            w.told.insert(end.number);
+        }
+    }
     return answer;
 }
 
@@ -515,17 +608,34 @@
     forget_unconfirmed(w);
     w.ends.clear();
     w.forgotten.clear();
-    if (!comes_back) {
+    w.told.clear();
+    if (comes_back) {
+        later(1s, [this, &w] { start_next_life(w); });
+    }
+}
+
+void flow_world::start_next_life(flow_fake_worker& w)
+{
+    w.id = worker_id(w.id.str() + "'");
+    w.up = true;
+    w.listed = true;
+    w.draining = false;
+    w.fence = epoch(0);
+    w.last_end = 0;
+    w.highest.clear();
+    w.lease_until = instant{};
+}
+
+void flow_world::replace_worker(int worker, duration drain, duration gap)
+{
+    flow_fake_worker& w = *workers_.at(static_cast<std::size_t>(worker));
+    if (!w.up || w.draining) {
         return;
     }
-    later(1s, [&w] {
-        w.id = worker_id(w.id.str() + "'");
-        w.up = true;
-        w.listed = true;
-        w.fence = epoch(0);
-        w.last_end = 0;
-        w.highest.clear();
-        w.lease_until = instant{};
+    w.draining = true;
+    later(drain, [this, worker, gap, &w] {
+        crash_worker(worker, false);
+        later(gap, [this, &w] { start_next_life(w); });
     });
 }
 
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -40,10 +40,12 @@
         resources need;
         bool filling = false;
         std::int32_t percent = 100;
+        instant stops{instant::max()}; // it was told to, and takes its time
     };
     std::map<flow_task_id, run> running;
     std::vector<listed_end> ends;
     std::set<end_number> forgotten; // of `ends`: need not be known to anybody
+    std::set<end_number> told;      // of `ends`: an answer that lists them has left for an entry
     std::int64_t last_end = 0;
     std::int64_t starts = 0;
 };
@@ -61,6 +63,11 @@
         duration network_latency = std::chrono::milliseconds(2);
         std::function<bool(const flow_task_id&, run_number)> run_fails; // empty: none fails
         std::function<duration(const flow_task_id&)> run_time;          // empty: 300 ms
+        duration stop_time{0};                                          // that a stop takes
+        // An end counts as known for good once an answer that lists it has left, whether or not it is confirmed. The
+        // rules hold this against an owner that is just slow; where answers are lost and entries killed, they don't.
+        bool told_counts = false;
+        bool holds_wait = false; // for an end, as long as the order allows; else 50 ms, which takes less to play
     };
     explicit flow_world(options o);
     ~flow_world();
@@ -79,9 +86,15 @@
 
     // --- faults ---
     void kill_entry(int entry);
-    // The entry stands still: what reaches it meanwhile, its own timers too, it handles when it goes on.
+    // The entry stands still: what reaches it meanwhile, its own timers too, it handles when it goes on, in the order
+    // in which it came or the newest first.
     void freeze_entry(int entry);
-    void thaw_entry(int entry);
+    void thaw_entry(int entry, bool newest_first = false);
+    // Its own timers get their turn, while answers still wait.
+    void let_timers(int entry);
+    // From now on the entry gets its processor in turns, up to `pause_most` apart: what reached it since the last one
+    // it handles at once, timers and answers in any order, and its orders leave late. 0: it is as quick as any again.
+    void make_slow(int entry, duration pause_most);
     void start_entry(int entry);
     void stop_by_plan(int entry);
     void set_table_down(bool down) { table_down_ = down; }
@@ -89,6 +102,8 @@
     void cut_entry_from_peers(int entry, bool cut) { cut_from_peers_[entry] = cut; }
     void lose_next_answers(int n) { answers_to_lose_ = n; }
     void crash_worker(int worker, bool comes_back);
+    // It says that it leaves, serves for `drain` and exits; `gap` later another life starts at its address.
+    void replace_worker(int worker, duration drain, duration gap);
     // Ends a run by its own fault, wherever it is.
     void fail_run(const flow_task_id& task);
     flow_fake_worker& worker(int n) { return *workers_.at(static_cast<std::size_t>(n)); }
@@ -109,20 +124,32 @@
         std::string value;
         row_version version;
     };
+    struct missed_event {
+        bool timer = false;
+        std::function<void()> handle;
+    };
     struct entry_slot {
         entry_identity identity;
         std::unique_ptr<flow_entry> decisions;
         std::uint64_t life = 0;
         int starts = 0;
         bool frozen = false;
-        std::vector<std::function<void()>> missed; // while it stood still
+        std::vector<missed_event> missed; // while it stood still
+        duration pause_most{0};           // of a slow one
+        std::uint64_t slow_turns = 0;     // the ones planned for an earlier spell of slowness are not taken
     };
+    void take_turn(int entry, std::uint64_t spell);
     void later(duration d, std::function<void()> what);
-    void on_entry(int entry, std::uint64_t life, const std::function<void(flow_entry&, instant)>& what);
+    void on_entry(int entry, std::uint64_t life, const std::function<void(flow_entry&, instant)>& what,
+                  bool timer = false);
+    duration sending_delay(int entry);
+    void start_next_life(flow_fake_worker& w);
     flow_edges make_edges(int entry);
     bool table_reached(int entry) const;
     store_result apply(const store_transaction& t);
     store_page read(const store_range& range) const;
+    void hold_until_end(flow_fake_worker& w, const worker_id& life, const hold_worker& order, instant until,
+                        const std::function<void()>& answer);
     order_answer carry_out(flow_fake_worker& w, const worker_order& order);
     order_answer do_start(flow_fake_worker& w, const start_run& order);
     order_answer do_hold(flow_fake_worker& w, const hold_worker& order);
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -371,6 +371,32 @@
     check_no_faults(w);
 }
 
+BOOST_AUTO_TEST_CASE(an_owner_that_was_held_up_hears_its_workers_before_it_gives_them_up)
+{
+    // The owner is held up for longer than a lease. The answers that tell of the tasks' ends wait for it, and a worker
+    // has left meanwhile. The owner's timers and the answer to its renewal come first: all workers seem silent for too
+    // long. Given up at once, their tasks would start again, though the workers have told that they are done.
+    flow_world w({.entries_each = 1,
+                  .workers_each = 3,
+                  .run_time = [](const flow_task_id&) { return duration(1s); },
+                  .told_counts = true,
+                  .holds_wait = true});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 2, 16000)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 2; }, 5s));
+    w.run_for(980ms);
+    w.freeze_entry(0);
+    w.run_for(1s);
+    w.crash_worker(0, false);
+    w.run_for(7s);
+    w.let_timers(0);
+    w.run_for(50ms);
+    w.thaw_entry(0, true);
+    BOOST_TEST(w.run_until([&] { return is_done(w, 0, job_a); }, 10s));
+    BOOST_TEST(w.starts_of(job_a) == 2);
+    check_no_faults(w);
+}
+
 namespace {
 
 constexpr int entries = 6; // of the random tests
@@ -456,6 +482,66 @@
     check_no_faults(w);
 }
 
+// Owners that get their processor in turns seconds apart, beside workers that leave and are replaced all the while,
+// workers that turn slow, stops that take their time, work that ends and work that lasts. Nobody is killed or cut off:
+// what an answer has told an owner counts as known. Afterwards the work that ends has ended.
+void play_slow_owners(std::uint64_t seed, int entries_each)
+{
+    const int slow_entries = 2 * entries_each;
+    flow_world w({.seed = seed,
+                  .data_centres = {"a", "b"},
+                  .entries_each = entries_each,
+                  .workers_each = 8,
+                  .worker_cpu = 8000,
+                  .run_fails = [](const flow_task_id& t, run_number run) { return t.index == 1 && run.value() == 1; },
+                  .run_time = [](const flow_task_id& t) { return duration(300ms * (1 + t.index % 12)); },
+                  .stop_time = 300ms,
+                  .told_counts = true,
+                  .holds_wait = true});
+    random_source random = make_random(seed * 31);
+    w.run_for(2s);
+    for (int i = 0; i < slow_entries; ++i) {
+        if (absl::Uniform(random, 0, 3) != 0) {
+            w.make_slow(i, std::chrono::milliseconds(absl::Uniform(random, 200, 8000)));
+        }
+    }
+    std::vector<std::string> accepted;
+    for (int round = 0; round < 40; ++round) {
+        const std::string job = "00000000000" + std::to_string(10000 + static_cast<int>(seed % 800) * 100 + round);
+        flow_spec spec = round % 8 == 3 ? lasting_spec(3, 1000) : chain_spec(1 + round % 3, 3 + round % 10);
+        for (flow_step& step : spec.steps) {
+            step.estimate = round % 2 == 0 ? duration(500ms) : duration(0);
+        }
+        w.send_submit(absl::Uniform(random, 0, slow_entries), job, spec);
+        if (round % 8 != 3) {
+            accepted.push_back(job);
+        }
+        const int victim = absl::Uniform(random, 0, w.worker_count());
+        if (absl::Uniform(random, 0, 3) != 0) {
+            w.replace_worker(victim, std::chrono::milliseconds(absl::Uniform(random, 300, 5000)),
+                             std::chrono::milliseconds(absl::Uniform(random, 5, 2000)));
+        }
+        else {
+            w.worker(victim).slowness = absl::Uniform(random, 0, 2) == 0 ? 1 : 8;
+        }
+        w.run_for(std::chrono::milliseconds(absl::Uniform(random, 100, 1500)));
+    }
+    for (int i = 0; i < slow_entries; ++i) {
+        w.make_slow(i, duration(0));
+    }
+    w.run_for(20s);
+    for (const std::string& job : accepted) {
+        const auto& answers = w.answers().at(job);
+        if (!answers.empty() && answers.front() == caller_result::accepted) {
+            BOOST_TEST_CONTEXT("job " << job)
+            {
+                BOOST_TEST(w.run_until([&] { return is_done(w, 0, job); }, 60s));
+            }
+        }
+    }
+    check_no_faults(w);
+}
+
 constexpr std::uint64_t random_seeds = 500;
 
 } // namespace
@@ -657,3 +743,18 @@
     BOOST_TEST(w.running_of(job_a) == 10);
     check_no_faults(w);
 }
+
+BOOST_AUTO_TEST_CASE(slow_owners_start_nothing_twice)
+{
+    // More seeds by hand: test_flow --run_test=slow_owners_start_nothing_twice -- FIRST LAST
+    const auto& arguments = boost::unit_test::framework::master_test_suite();
+    const bool by_hand = arguments.argc == 3;
+    const std::uint64_t first = by_hand ? std::stoull(arguments.argv[1]) : 1;
+    const std::uint64_t last = by_hand ? std::stoull(arguments.argv[2]) : 24;
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            play_slow_owners(seed, 1);
+        }
+    }
+}
