flow: an end of a job that is not known is confirmed only once its row has been read

Cause: an owner that follows another reads the jobs' rows first. The owner before may hear of a job after that, run its tasks and be followed; the workers list the ends, the new owner knows no such job and confirms them, and starts the tasks again when it comes across the row, up to 2 s later. Change: such an end is kept, and not confirmed, until the row is read; ends of jobs put away by this owner are confirmed as before.

--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -123,6 +123,7 @@
         end_number seen;
         end_number confirmed;
         std::vector<unconfirmed_end> unconfirmed;
+        std::vector<listed_end> unknown; // of jobs that are not known; their rows are being read
         absl::btree_map<flow_task_id, ledger_run> ledger;
         std::int32_t strangers = 0; // runs it lists that the ledger does not have
         resources held;
@@ -173,6 +174,8 @@
     void on_held(instant now, const worker_id& id, instant sent, const order_answer& answer);
     void take_inventory(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void take_end(instant now, cell_worker& w, const listed_end& end);
+    void read_unknown_job(const job_id& job);
+    void take_unknown_ends(instant now, const job_id& job);
     void take_running(instant now, cell_worker& w, const listed_run& run);
     void adopt(instant now, cell_worker& w, flow_job& job, const listed_run& run);
     void find_missing(instant now, cell_worker& w, instant sent, const order_answer& answer);
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -269,7 +269,8 @@
     if (again == workers_.end()) {
         return;
     }
-    const duration gap = again->second.unconfirmed.empty() ? hold_gap : hold_gap_unconfirmed;
+    const bool all_told = again->second.unconfirmed.empty() && again->second.unknown.empty();
+    const duration gap = all_told ? hold_gap : hold_gap_unconfirmed;
     hold_soon(now, id, sent + gap - now);
 }
 
@@ -309,8 +310,14 @@
 {
     const auto found = jobs_.find(end.task.job);
     if (found == jobs_.end()) {
-        // Ended or not ours: its end tells nothing that is not durable already, or the job's owner has it in its row.
         ledger_remove(w, end.task, end.run);
+        // An ended job's end tells nothing that is not durable already. Of any other its row must tell: a job that the
+        // owner before was told of after this one had read the rows. Confirmed unread, its end would be forgotten and
+        // the task start again once the row is come across.
+        if (put_away_.count(end.task.job) == 0) {
+            w.unknown.push_back(end);
+            read_unknown_job(end.task.job);
+        }
         return;
     }
     flow_job& job = *found->second;
@@ -380,6 +387,56 @@
     }
 }
 
+void flow_cell::read_unknown_job(const job_id& job)
+{
+    if (!reading_jobs_.insert(job).second) {
+        return;
+    }
+    edges_.read(only_row(job_key(job)), [this, job, life = life_](instant then, const store_page& page) {
+        if (life != life_) {
+            return;
+        }
+        reading_jobs_.erase(job);
+        if (!page.reached) {
+            edges_.after(commit_retry, [this, job, life](instant) {
+                if (life == life_) {
+                    read_unknown_job(job);
+                }
+            });
+            return;
+        }
+        if (!page.rows.empty()) {
+            const auto row = decode_compact<wire::flow_job_row>(page.rows.front().value);
+            if (row) {
+                on_job_row(then, job, *row, page.rows.front().version);
+            }
+        }
+        take_unknown_ends(then, job);
+    });
+}
+
+// The job's row has been read: it is known now, or has ended, or is not this cell's and its owner has its ends.
+void flow_cell::take_unknown_ends(instant now, const job_id& job)
+{
+    for (auto& [id, w] : workers_) {
+        std::vector<listed_end> ends;
+        std::erase_if(w.unknown, [&](const listed_end& end) {
+            if (end.task.job == job) {
+                ends.push_back(end);
+            }
+            return end.task.job == job;
+        });
+        for (const listed_end& end : ends) {
+            if (jobs_.count(job) != 0) {
+                take_end(now, w, end);
+            }
+        }
+        if (!ends.empty()) {
+            confirm_ends(w);
+        }
+    }
+}
+
 void flow_cell::take_running(instant now, cell_worker& w, const listed_run& run)
 {
     const auto held = w.ledger.find(run.task);
@@ -395,7 +452,8 @@
                     }
                     reading_jobs_.erase(job);
                     if (!page.reached) {
-                        return; // the next exchange asks again
+                        read_unknown_job(job); // for ends of it; the next exchange asks again about this run
+                        return;
                     }
                     if (!page.rows.empty()) {
                         const auto row = decode_compact<wire::flow_job_row>(page.rows.front().value);
@@ -403,6 +461,7 @@
                             on_job_row(then, job, *row, page.rows.front().version);
                         }
                     }
+                    take_unknown_ends(then, job);
                     if (jobs_.count(job) == 0) {
                         send_stop(then, id, run.task, run.run, 0);
                     }
@@ -505,6 +564,9 @@
             left.push_back(end);
         }
     }
+    for (const listed_end& end : w.unknown) {
+        confirmed = std::min(confirmed, end_number(end.number.value() - 1));
+    }
     w.unconfirmed = std::move(left);
     w.confirmed = std::max(w.confirmed, confirmed);
 }
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 
+#include "flow_row_p.h"
+#include "row_codec_p.h"
+
 namespace skylarkhub::test {
 
 namespace {
@@ -639,6 +642,25 @@
     });
 }
 
+void flow_world::accept_unheard(const std::string& job, const cell_id& cell, const flow_spec& spec)
+{
+    specs_[job] = spec;
+    wire::flow_job_row row = make_job_row(spec);
+    row.queue = "q";
+    row.service_name = "service";
+    row.cell = cell.str();
+    row.cell_epoch = 1;
+    row.failures_most = failures_most;
+    rows_[job_key(job_id(job))] = {encode_compact(row), row_version(++version_)};
+}
+
+void flow_world::end_unheard(int worker, const flow_task_id& task, run_number run)
+{
+    flow_fake_worker& w = *workers_.at(static_cast<std::size_t>(worker));
+    w.running[task].number = run;
+    end_run(w, task, run_end::done);
+}
+
 void flow_world::fail_run(const flow_task_id& task)
 {
     for (const auto& w : workers_) {
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -104,6 +104,10 @@
     void crash_worker(int worker, bool comes_back);
     // It says that it leaves, serves for `drain` and exits; `gap` later another life starts at its address.
     void replace_worker(int worker, duration drain, duration gap);
+    // A job in the table that no owner has been told of, and an end `done` of one of its tasks, as an earlier owner of
+    // the cell leaves them.
+    void accept_unheard(const std::string& job, const cell_id& cell, const flow_spec& spec);
+    void end_unheard(int worker, const flow_task_id& task, run_number run);
     // Ends a run by its own fault, wherever it is.
     void fail_run(const flow_task_id& task);
     flow_fake_worker& worker(int n) { return *workers_.at(static_cast<std::size_t>(n)); }
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -397,6 +397,21 @@
     check_no_faults(w);
 }
 
+BOOST_AUTO_TEST_CASE(an_end_of_a_job_that_the_owner_does_not_know_yet_is_not_forgotten)
+{
+    // A job was accepted while the cell changed hands: the owner before heard of it and ran its tasks, the new one had
+    // read the jobs already. The new owner is listed ends of a job that it does not know. Confirmed at once, the
+    // workers forget them, and the tasks start again when the owner comes across the job's row up to two seconds later.
+    flow_world w({.entries_each = 1, .workers_each = 2});
+    w.run_for(2500ms);
+    w.accept_unheard(job_a, cell_id("a"), chain_spec(1, 2));
+    w.end_unheard(0, {job_id(job_a), 0, 0, 0}, run_number(1));
+    w.end_unheard(1, {job_id(job_a), 0, 0, 1}, run_number(1));
+    BOOST_TEST(w.run_until([&] { return is_done(w, 0, job_a); }, 10s));
+    BOOST_TEST(w.starts_of(job_a) == 0);
+    check_no_faults(w);
+}
+
 namespace {
 
 constexpr int entries = 6; // of the random tests
