flow: an entry that was held up does not crash on a job for a cell whose owner it has not heard of lately

Cause: the cell is chosen, then its owner is looked up again; an entry that was held up finds no peer heard of lately, and read through a null pointer.

--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -134,9 +134,10 @@
         row.cell_epoch = own->second->epoch().value();
     }
     else {
+        // It may have fallen silent since the cell was chosen: an entry that was held up judges all peers so at first.
         const peer* const owner = owner_of(now, *cell);
-        for (const wire::flow_cell_news& news : owner->cells) {
-            row.cell_epoch = news.cell == cell->str() ? news.epoch : row.cell_epoch;
+        for (std::size_t i = 0; owner != nullptr && i < owner->cells.size(); ++i) {
+            row.cell_epoch = owner->cells[i].cell == cell->str() ? owner->cells[i].epoch : row.cell_epoch;
         }
     }
     followed_job& f = followed_[job];
