flow: an owner that has been followed leaves the ends that it heard to the next one

Cause: what an owner had heard and not written yet was dropped when it learned that it had been followed, and so were answers that came after. Where the worker had left meanwhile nobody else could hear of the end, and the next owner started the task again. Change: ends done and failed are added to the job's row as it stands then, and the cell's owner is told. They are facts, so no fence is needed; nothing that the owner had decided is written. Before: an_owner_that_has_been_followed_leaves_the_ends_that_it_heard starts the task a second time.

--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -10,6 +10,27 @@
 
 using namespace flow_limits;
 
+namespace {
+
+// Of a step that does not last.
+void note_end(flow_job& job, const listed_end& end)
+{
+    if (end.how == run_end::failed) {
+        job.note_failure(end.task, end.run);
+    }
+    if (end.how != run_end::done) {
+        return;
+    }
+    job.note_done(end.task);
+    const flow_step& step = job.step(*job.find_stage(end.task));
+    // The members of a gang end together: one such end stands for all of them.
+    for (std::int32_t i = 0; step.gang && i < step.count; ++i) {
+        job.note_done({end.task.job, end.task.occurrence, end.task.step, i});
+    }
+}
+
+} // namespace
+
 void flow_cell::job_changed(instant now, flow_job& job, bool urgent)
 {
     const std::string part = job_part(job.id());
@@ -132,6 +153,73 @@
     }
 }
 
+// --- what an owner leaves that has been followed ---
+
+// That a run is done or has failed is a fact, whoever writes it. The worker that told it to this owner may be gone
+// before the next one asks, and the next one would start the task again; so the row is told, and the next owner with
+// it. Only ends are added, to the row as it is now: nothing that this owner had decided.
+void flow_cell::leave_ends(const job_id& job, const std::vector<listed_end>& ends)
+{
+    edges_.read(only_row(job_key(job)), [this, job, ends](instant, const store_page& page) {
+        const auto again = [this, job, ends](instant) { leave_ends(job, ends); };
+        if (!page.reached) {
+            edges_.after(commit_retry_most, again);
+            return;
+        }
+        const auto row = page.rows.empty() ? std::nullopt : decode_compact<wire::flow_job_row>(page.rows.front().value);
+        if (!row || row->outcome != 0) {
+            return;
+        }
+        flow_job left(job, id_, *row, page.rows.front().version);
+        for (const listed_end& end : ends) {
+            const flow_stage* const stage = left.find_stage(end.task);
+            if (stage != nullptr && !left.step(*stage).lasting) {
+                note_end(left, end);
+            }
+        }
+        if (!left.dirty()) {
+            return;
+        }
+        store_transaction t;
+        t.checks.push_back({job_key(job), left.version()});
+        t.puts.push_back({job_key(job), encode_compact(left.current_row())});
+        edges_.commit(std::move(t),
+                      [this, job, again, told = left.current_row()](instant now, const store_result& result) {
+                          if (result.outcome != table_outcome::applied) {
+                              const bool conflict = result.outcome == table_outcome::conflict;
+                              edges_.after(conflict ? commit_retry : commit_retry_most, again);
+                              return;
+                          }
+                          edges_.note(log_level::info, "job", "ends_left", {{"job", job.str()}, {"cell", id_.str()}});
+                          hooks_.tell_cell(now, id_, job, told, result.version);
+                      });
+    });
+}
+
+void flow_cell::leave_unwritten_ends()
+{
+    for (const auto& [id, job] : jobs_) {
+        if (!job->dirty()) {
+            continue;
+        }
+        std::vector<listed_end> ends;
+        for (const flow_stage& stage : job->stages()) {
+            for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
+                const flow_task& task = stage.tasks[i];
+                if (task.stage == task_stage::done) {
+                    ends.push_back({end_number(), job->task_id(stage, i), run_number(), run_end::done, ""});
+                }
+                for (const run_number run : task.failed_runs) {
+                    ends.push_back({end_number(), job->task_id(stage, i), run, run_end::failed, ""});
+                }
+            }
+        }
+        if (!ends.empty()) {
+            leave_ends(id, ends);
+        }
+    }
+}
+
 // Everything known of the job may be in its row now: callers learn what has become of it, and an ended job is put away.
 void flow_cell::after_written(instant now, flow_job& job)
 {
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -397,6 +397,7 @@
     edges_.note(log_level::warning, "cell", "lost",
                 {{"cell", id_.str()}, {"epoch", std::to_string(epoch_.value())}, {"reason", reason}});
     ++stats_.losses;
+    leave_unwritten_ends();
     ++life_;
     role_ = role::watching;
     acting_ = false;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -174,6 +174,8 @@
     void on_held(instant now, const worker_id& id, instant sent, const order_answer& answer);
     void take_inventory(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void take_end(instant now, cell_worker& w, const listed_end& end);
+    void leave_ends(const job_id& job, const std::vector<listed_end>& ends);
+    void leave_unwritten_ends();
     void read_unknown_job(const job_id& job);
     void take_unknown_ends(instant now, const job_id& job);
     void take_running(instant now, cell_worker& w, const listed_run& run);
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -225,6 +225,15 @@
                  [this, id, sent = now, life = life_](instant then, const order_answer& answer) {
                      if (life == life_) {
                          on_held(then, id, sent, answer);
+                         return;
+                     }
+                     // Asked by an owner that has been followed since: the worker may not be there for the next one.
+                     std::map<job_id, std::vector<listed_end>> by_job;
+                     for (const listed_end& end : answer.ends) {
+                         by_job[end.task.job].push_back(end);
+                     }
+                     for (const auto& [job, ends] : by_job) {
+                         leave_ends(job, ends);
                      }
                  });
 }
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -66,7 +66,9 @@
         duration stop_time{0};                                          // that a stop takes
         // An end counts as known for good once an answer that lists it has left, whether or not it is confirmed. The
         // rules hold this against an owner that is just slow; where answers are lost and entries killed, they don't.
+        // `heard_counts`: only from when the entry has handled that answer.
         bool told_counts = false;
+        bool heard_counts = false;
         bool holds_wait = false; // for an end, as long as the order allows; else 50 ms, which takes less to play
     };
     explicit flow_world(options o);
@@ -154,6 +156,7 @@
     store_page read(const store_range& range) const;
     void hold_until_end(flow_fake_worker& w, const worker_id& life, const hold_worker& order, instant until,
                         const std::function<void()>& answer);
+    void note_told(flow_fake_worker& w, const order_answer& answer);
     order_answer carry_out(flow_fake_worker& w, const worker_order& order);
     order_answer do_start(flow_fake_worker& w, const start_run& order);
     order_answer do_hold(flow_fake_worker& w, const hold_worker& order);
