--- a/src/flow_cell_drain.cpp
+++ b/src/flow_cell_drain.cpp
@@ -1,5 +1,6 @@
 // Workers that drain: what lasts moves off them before they leave.
-#include <algorithm>
+#include <utility>
+#include <vector>
 
 #include "flow_cell_p.h"
 #include "flow_limits_p.h"
@@ -25,24 +26,34 @@
     }
 }
 
+// Each task that is stopped has a place of its own: the room that one will take is no room for the next.
 void flow_cell::vacate(instant now, cell_worker& w)
 {
-    std::int32_t moved = 0;
+    std::vector<std::pair<cell_worker*, resources>> promised;
     for (const auto& [id, run] : w.ledger) {
         const auto [worker, job, task, live] = locate(w.listing.worker, id, run.run);
         if (!run.lasting || live == nullptr || !live->confirmed || live->stopping || task->runs.size() != 1) {
             continue;
         }
         const flow_stage& stage = *job->find_stage(id);
-        if (job->step(stage).gang || awaited_.count(id.job) != 0 || choose(now, *job, stage, *task) == nullptr) {
+        if (job->step(stage).gang || awaited_.count(id.job) != 0 || unclaimed_.count(id.job) != 0) {
+            continue;
+        }
+        cell_worker* const place = choose(now, *job, stage, *task);
+        if (place == nullptr) {
             continue; // better there for the rest of the worker's time than nowhere
         }
+        place->held = place->held + run.need;
+        promised.emplace_back(place, run.need);
         stop_run_once(now, *live, id);
-        ++moved;
     }
-    if (moved > 0) {
-        edges_.note(log_level::info, "worker", "vacated",
-                    {{"cell", id_.str()}, {"worker", w.listing.worker.str()}, {"lasting", std::to_string(moved)}});
+    for (const auto& [place, need] : promised) {
+        place->held = place->held - need;
+    }
+    if (!promised.empty()) {
+        edges_.note(
+            log_level::info, "worker", "vacated",
+            {{"cell", id_.str()}, {"worker", w.listing.worker.str()}, {"lasting", std::to_string(promised.size())}});
     }
 }
 
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -49,10 +49,16 @@
     if (row_known_ && version < row_version_) {
         return;
     }
-    if (!row_known_ || version != row_version_) {
-        row_unchanged_since_ = now;
+    const bool changed = !row_known_ || version != row_version_;
+    if (changed) {
         row_seen_at_ = now;
     }
+    // A row that could not be read for a while may stand unchanged because its owner could not write it either: it is
+    // given the time of a silence from now on.
+    if (changed || now - row_answered_at_ > row_unread_most) {
+        row_unchanged_since_ = now;
+    }
+    row_answered_at_ = now;
     row_known_ = true;
     row_present_ = row != nullptr;
     row_version_ = version;
@@ -147,10 +153,14 @@
         return; // it is about to release the row
     }
     if (c.owner_live) {
-        row_unchanged_since_ = now;
+        // The first candidate knows the row itself: an owner that falls silent is followed 2.5 s after its last renewal
+        // was seen, before the leases that it gave have ended.
         if (c.rank == 0 && c.same_data_centre) {
             read_if_older(row_watch_interval);
         }
+        else {
+            row_unchanged_since_ = now;
+        }
         return;
     }
     if (c.owner_restarted) {
@@ -216,9 +226,13 @@
     fresh_ = !row_present_;
     know_named(row_);
     wanted.workers = worker_names();
-    // Whoever owned it before sends nothing any more if it released the row or was an earlier life of this entry.
+    // Whoever owned it before sends nothing any more if it released the row or was an earlier life of this entry. This
+    // life's own name there stems from a take whose answer was lost: the owner before that one counts on.
+    const bool taken_before = row_present_ && row_.incarnation == self_.incarnation.str();
     const bool certainly_gone = fresh_ || row_.released || row_.owner == self_.entry.str();
-    old_owner_silent_ = certainly_gone ? now : std::max(now, row_seen_at_ + owner_hold);
+    if (!taken_before) {
+        old_owner_silent_ = certainly_gone ? now : std::max(now, row_seen_at_ + owner_hold);
+    }
     renewed_ = now;
     write_row(wanted, [this, wanted](instant then, const store_result& result) {
         acting_ = false;
@@ -353,6 +367,9 @@
 
 void flow_cell::note_named(const wire::flow_cell_row& row)
 {
+    for (auto& [id, w] : workers_) {
+        w.named = false;
+    }
     for (const wire::flow_worker_name& name : row.workers) {
         const auto at = workers_.find(worker_id(name.worker));
         if (at != workers_.end()) {
@@ -408,6 +425,7 @@
     edges_.note(log_level::warning, "cell", "lost",
                 {{"cell", id_.str()}, {"epoch", std::to_string(epoch_.value())}, {"reason", reason}});
     ++stats_.losses;
+    leave_unwritten_ends();
     ++life_;
     role_ = role::watching;
     acting_ = false;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -133,9 +133,11 @@
         bool hold_planned = false;
         instant last_answer{};
         std::int32_t silent = 0; // holds without an answer in a row
+        std::string life_over;   // how that is known, while the last exchange has not concluded; else empty
         end_number seen;
         end_number confirmed;
         std::vector<unconfirmed_end> unconfirmed;
+        std::vector<listed_end> unknown; // of jobs that are not known; their rows are being read
         absl::btree_map<flow_task_id, ledger_run> ledger;
         std::int32_t strangers = 0; // runs it lists that the ledger does not have
         resources held;
@@ -186,12 +188,18 @@
     void on_held(instant now, const worker_id& id, instant sent, const order_answer& answer);
     void take_inventory(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void take_end(instant now, cell_worker& w, const listed_end& end);
+    void leave_ends(const job_id& job, const std::vector<listed_end>& ends);
+    void leave_unwritten_ends();
+    void read_unknown_job(const job_id& job);
+    void take_unknown_ends(instant now, const job_id& job);
     void take_running(instant now, cell_worker& w, const listed_run& run);
     void take_stray(instant now, const cell_worker& w, const listed_run& run);
-    void on_stray_row(instant now, const job_id& job, const store_page& page);
+    void on_unknown_job(instant now, const job_id& job, const store_page& page);
     void adopt(instant now, cell_worker& w, flow_job& job, const listed_run& run);
     void find_missing(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void confirm_ends(cell_worker& w);
+    void life_ended(instant now, cell_worker& w, const std::string& reason);
+    void bury_if_lapsed(instant now, cell_worker& w);
     void worker_died(instant now, cell_worker& w, const std::string& reason);
     bool superseded(instant now, cell_worker& w, order_result result);
     // Nothing is left to do there: it is not in use, and nothing is known to run.
@@ -328,6 +336,7 @@
     instant row_unchanged_since_{}; // or its owner was heard of
     instant row_seen_at_{};         // first, as it is now: the renewal that wrote it was sent before
     instant row_read_at_{};
+    instant row_answered_at_{}; // when it was last read with success
     bool reading_row_ = false;
     bool acting_ = false; // a take, renewal or release is under way
     skylarkhub::epoch epoch_;
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -43,7 +43,7 @@
         // would take tasks again and nobody would hear their ends.
         const bool held = w.listed && !added;
         w.listing = listing;
-        w.listed = true;
+        w.listed = w.life_over.empty();
         if (role_ == role::owning && !held) {
             hold_soon(now, listing.worker, duration(0));
         }
@@ -59,7 +59,7 @@
             }
             w.listed = false;
             if (role_ == role::watching ||
-                (role_ == role::owning &&
+                (role_ == role::owning && !w.holding &&
                  (w.over || is_idle_and_unlisted(w) || (!w.fenced && w.ledger.empty() && all_accounted(now))))) {
                 at = workers_.erase(at);
                 continue;
@@ -110,7 +110,12 @@
                  {"jobs", std::to_string(awaited_.size())},
                  {"after_ms", std::to_string((now - taken_at_).count() / 1000)},
                  {"never_answered", std::to_string(silent)}});
-    awaited_.clear();
+    for (const job_id& id : std::exchange(awaited_, {})) {
+        const auto found = jobs_.find(id);
+        if (found != jobs_.end() && found->second->cancelled()) {
+            job_changed(now, *found->second, false); // nothing of it runs anywhere: it may be put away
+        }
+    }
     place_soon();
 }
 
@@ -118,13 +123,10 @@
 {
     for (auto at = workers_.begin(); at != workers_.end();) {
         cell_worker& w = at->second;
-        const bool silent = now - w.last_answer > lease && w.lapsed_after != instant{};
-        if (silent && now > w.lapsed_after && (!w.ledger.empty() || w.strangers > 0)) {
-            worker_died(now, w, "no answer for longer than its lease");
-        }
+        bury_if_lapsed(now, w);
         // The name of one that is over is kept while the list names it: taken for new it would be asked, and logged,
         // with each reading.
-        if (is_idle_and_unlisted(w) && !w.over) {
+        if (is_idle_and_unlisted(w) && !w.holding && !w.over) {
             at = workers_.erase(at);
             continue;
         }
@@ -140,6 +142,30 @@
     return !w.listed && w.fenced && w.ledger.empty() && w.strangers == 0;
 }
 
+// Judged only once the exchange that was under way has concluded without an answer. An owner that was held up for
+// longer than a lease finds the answers of all its workers waiting, and its own tick before them: taken for dead, they
+// would have their tasks started again although the answers tell that these are done.
+void flow_cell::bury_if_lapsed(instant now, cell_worker& w)
+{
+    const bool silent = w.silent > 0 && !w.holding && now - w.last_answer > lease && w.lapsed_after != instant{};
+    if (silent && now > w.lapsed_after && (!w.ledger.empty() || w.strangers > 0)) {
+        worker_died(now, w, "no answer for longer than its lease");
+    }
+}
+
+// Nothing runs there any more. The exchange that is under way may have been answered before, with ends that only this
+// answer tells, and be waiting behind the news: its tasks are started again once it has concluded, at its time limit at
+// the latest.
+void flow_cell::life_ended(instant now, cell_worker& w, const std::string& reason)
+{
+    if (!w.holding) {
+        worker_died(now, w, reason);
+        return;
+    }
+    w.life_over = reason;
+    w.listed = false;
+}
+
 // Everything that ran there has ended and told nobody.
 void flow_cell::worker_died(instant now, cell_worker& w, const std::string& reason)
 {
@@ -155,6 +181,7 @@
         ++stats_.lost;
         drop_run(now, w, task, run.run);
     }
+    w.life_over.clear();
     w.fenced = true; // nothing of an earlier owner runs there either
     w.strangers = 0;
     w.listed = false;
@@ -169,8 +196,8 @@
         return true;
     }
     if (result == order_result::other_life) {
-        worker_died(now, w, "another life answers at its address");
         w.over = true;
+        life_ended(now, w, "another life answers at its address");
         place_soon();
         return true;
     }
@@ -233,6 +260,15 @@
                  [this, id, sent = now, life = life_](instant then, const order_answer& answer) {
                      if (life == life_) {
                          on_held(then, id, sent, answer);
+                         return;
+                     }
+                     // Asked by an owner that has been followed since: the worker may not be there for the next one.
+                     std::map<job_id, std::vector<listed_end>> by_job;
+                     for (const listed_end& end : answer.ends) {
+                         by_job[end.task.job].push_back(end);
+                     }
+                     for (const auto& [job, ends] : by_job) {
+                         leave_ends(job, ends);
                      }
                  });
 }
@@ -248,6 +284,13 @@
     if (superseded(now, w, answer.result)) {
         return;
     }
+    if (!w.life_over.empty()) {
+        if (answer.result == order_result::accepted) {
+            take_inventory(now, w, sent, answer);
+        }
+        worker_died(now, w, w.life_over);
+        return;
+    }
     if (answer.result != order_result::accepted) {
         ++w.silent;
         ++stats_.holds_unanswered;
@@ -255,6 +298,7 @@
             edges_.note(log_level::warning, "worker", "silent",
                         {{"cell", id_.str()}, {"worker", id.str()}, {"reason", answer.reason}});
         }
+        bury_if_lapsed(now, w);
         hold_soon(now, id, hold_retry);
         return;
     }
@@ -269,7 +313,8 @@
     if (again == workers_.end()) {
         return;
     }
-    const duration gap = again->second.unconfirmed.empty() ? hold_gap : hold_gap_unconfirmed;
+    const bool all_told = again->second.unconfirmed.empty() && again->second.unknown.empty();
+    const duration gap = all_told ? hold_gap : hold_gap_unconfirmed;
     hold_soon(now, id, sent + gap - now);
 }
 
@@ -306,8 +351,14 @@
 {
     const auto found = jobs_.find(end.task.job);
     if (found == jobs_.end()) {
-        // Ended or not ours: its end tells nothing that is not durable already, or the job's owner has it in its row.
         ledger_remove(w, end.task, end.run);
+        // An ended job's end tells nothing that is not durable already. Of any other its row must tell: a job that the
+        // owner before was told of after this one had read the rows. Confirmed unread, its end would be forgotten and
+        // the task start again once the row is come across.
+        if (put_away_.count(end.task.job) == 0) {
+            w.unknown.push_back(end);
+            read_unknown_job(end.task.job);
+        }
         return;
     }
     flow_job& job = *found->second;
@@ -377,6 +428,67 @@
     }
 }
 
+void flow_cell::read_unknown_job(const job_id& job)
+{
+    if (!reading_jobs_.try_emplace(job).second) {
+        return;
+    }
+    edges_.read(only_row(job_key(job)), [this, job, life = life_](instant then, const store_page& page) {
+        if (life == life_) {
+            on_unknown_job(then, job, page);
+        }
+    });
+}
+
+void flow_cell::on_unknown_job(instant now, const job_id& job, const store_page& page)
+{
+    const auto strays = reading_jobs_.extract(job);
+    if (!page.reached) {
+        // For ends of it; the next exchange lists again what runs.
+        edges_.after(commit_retry, [this, job, life = life_](instant) {
+            if (life == life_) {
+                read_unknown_job(job);
+            }
+        });
+        return;
+    }
+    if (!page.rows.empty()) {
+        const auto row = read_flow_row<wire::flow_job_row>(edges_, page.rows.front());
+        if (row) {
+            on_job_row(now, job, *row, page.rows.front().version);
+        }
+    }
+    take_unknown_ends(now, job);
+    if (strays.empty() || jobs_.count(job) != 0) {
+        return;
+    }
+    for (const stray_run& stray : strays.mapped()) {
+        send_stop(now, stray.worker, stray.task, stray.run, 0);
+    }
+}
+
+// The job's row has been read: it is known now, or has ended, or is not this cell's and its owner has its ends.
+void flow_cell::take_unknown_ends(instant now, const job_id& job)
+{
+    for (auto& [id, w] : workers_) {
+        std::vector<listed_end> ends;
+        std::erase_if(w.unknown, [&](const listed_end& end) {
+            if (end.task.job == job) {
+                ends.push_back(end);
+            }
+            return end.task.job == job;
+        });
+        for (const listed_end& end : ends) {
+            if (jobs_.count(job) != 0) {
+                take_end(now, w, end);
+            }
+        }
+        if (!ends.empty()) {
+            confirm_ends(w);
+        }
+    }
+}
+
 void flow_cell::take_running(instant now, cell_worker& w, const listed_run& run)
 {
     const auto held = w.ledger.find(run.task);
@@ -417,37 +529,8 @@
         send_stop(now, w.listing.worker, run.task, run.run, 0);
         return;
     }
-    const auto [strays, first] = reading_jobs_.try_emplace(run.task.job);
-    strays->second.insert({w.listing.worker, run.task, run.run});
-    if (!first) {
-        return;
-    }
-    edges_.read(only_row(job_key(run.task.job)),
-                [this, job = run.task.job, life = life_](instant then, const store_page& page) {
-                    if (life == life_) {
-                        on_stray_row(then, job, page);
-                    }
-                });
-}
-
-void flow_cell::on_stray_row(instant now, const job_id& job, const store_page& page)
-{
-    const auto strays = reading_jobs_.extract(job);
-    if (!page.reached) {
-        return; // the next exchange asks again
-    }
-    if (!page.rows.empty()) {
-        const auto row = read_flow_row<wire::flow_job_row>(edges_, page.rows.front());
-        if (row) {
-            on_job_row(now, job, *row, page.rows.front().version);
-        }
-    }
-    if (strays.empty() || jobs_.count(job) != 0) {
-        return;
-    }
-    for (const stray_run& stray : strays.mapped()) {
-        send_stop(now, stray.worker, stray.task, stray.run, 0);
-    }
+    read_unknown_job(run.task.job);
+    reading_jobs_[run.task.job].insert({w.listing.worker, run.task, run.run});
 }
 
 // A run that an earlier owner started, or one of ours whose order was carried out late.
@@ -523,6 +606,9 @@
             left.push_back(end);
         }
     }
+    for (const listed_end& end : w.unknown) {
+        confirmed = std::min(confirmed, end_number(end.number.value() - 1));
+    }
     w.unconfirmed = std::move(left);
     w.confirmed = std::max(w.confirmed, confirmed);
 }
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -47,6 +47,7 @@
 // A peer that the table has answered later than this after the owner's last renewal shows that it is no outage. The
 // interval of renewals and the age of what a peer says of itself.
 inline constexpr duration outage_slack = 1500ms;
+inline constexpr duration row_unread_most = 2s;    // two looks of the first candidate
 inline constexpr duration row_watch_interval = 1s; // of a live owner's row, by the first candidate: bounds its renewal
 inline constexpr duration owner_silence_local = 2500ms;  // row unrenewed before an entry of the data centre takes over
 inline constexpr duration owner_silence_remote = 5500ms; // before one of another does
--- a/src/flow_relay.cpp
+++ b/src/flow_relay.cpp
@@ -160,7 +160,7 @@
             return false;
         }
     }
-    return 2 * heard_of > peers_.size() + 1;
+    return 2 * heard_of >= peers_.size() + 1;
 }
 
 void flow_entry::probe_table()
--- a/src/platform_timer.cpp
+++ b/src/platform_timer.cpp
@@ -2,11 +2,18 @@
 
 #include <absl/time/time.h>
 
+#include <ctime>
+
 namespace skylarkhub {
 
+// Not std::chrono::steady_clock, which stands still while the instance is suspended: an owner that wakes would hold its
+// leases and its renewal for fresh, and act beside the one that has followed it.
 instant read_clock()
 {
-    return instant(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    timespec at{};
+    clock_gettime(CLOCK_BOOTTIME, &at);
+    return instant(
+        std::chrono::duration_cast<duration>(std::chrono::seconds(at.tv_sec) + std::chrono::nanoseconds(at.tv_nsec)));
 }
 
 platform_timer::platform_timer() : thread_([this] { run(); }) {}
--- a/src/platform_timer_p.h
+++ b/src/platform_timer_p.h
@@ -11,8 +11,8 @@
 
 namespace skylarkhub {
 
-// The entry's monotonic clock. Goes on while the process is stopped, so an entry that was frozen sees that time has
-// passed.
+// The entry's monotonic clock. Goes on while the process is stopped and while the instance is suspended, so an entry
+// that was frozen sees that time has passed.
 instant read_clock();
 
 class platform_timer {
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 
+#include "flow_row_p.h"
+#include "row_codec_p.h"
+
 namespace skylarkhub::test {
 
 namespace {
@@ -126,14 +129,15 @@
 
 // --- entries ---
 
-void flow_world::on_entry(int entry, std::uint64_t life, const std::function<void(flow_entry&, instant)>& what)
+void flow_world::on_entry(int entry, std::uint64_t life, const std::function<void(flow_entry&, instant)>& what,
+                          bool timer)
 {
     entry_slot& slot = entries_.at(static_cast<std::size_t>(entry));
     if (slot.life != life || !slot.decisions) {
         return;
     }
     if (slot.frozen) {
-        slot.missed.emplace_back([this, entry, life, what] { on_entry(entry, life, what); });
+        slot.missed.push_back({timer, [this, entry, life, what] { on_entry(entry, life, what); }});
         return;
     }
     what(*slot.decisions, now_);
@@ -166,13 +170,72 @@
     entries_.at(static_cast<std::size_t>(entry)).frozen = true;
 }
 
-void flow_world::thaw_entry(int entry)
+void flow_world::thaw_entry(int entry, bool newest_first)
 {
     entry_slot& slot = entries_.at(static_cast<std::size_t>(entry));
     slot.frozen = false;
+    if (newest_first) {
+        std::reverse(slot.missed.begin(), slot.missed.end());
+    }
     for (const auto& event : std::exchange(slot.missed, {})) {
-        event();
+        event.handle();
+    }
+}
+
+void flow_world::let_timers(int entry)
+{
+    entry_slot& slot = entries_.at(static_cast<std::size_t>(entry));
+    const auto answers =
+        std::stable_partition(slot.missed.begin(), slot.missed.end(), [](const missed_event& e) { return e.timer; });
+    std::vector<missed_event> waiting(std::make_move_iterator(answers), std::make_move_iterator(slot.missed.end()));
+    slot.missed.erase(answers, slot.missed.end());
+    thaw_entry(entry);
+    slot.frozen = true;
+    slot.missed = std::move(waiting);
+}
+
+void flow_world::make_slow(int entry, duration pause_most)
+{
+    entry_slot& slot = entries_.at(static_cast<std::size_t>(entry));
+    slot.pause_most = pause_most;
+    take_turn(entry, ++slot.slow_turns);
+}
+
+void flow_world::take_turn(int entry, std::uint64_t spell)
+{
+    entry_slot& slot = entries_.at(static_cast<std::size_t>(entry));
+    if (slot.slow_turns != spell) {
+        return;
     }
+    if (slot.pause_most <= duration(0)) {
+        thaw_entry(entry);
+        return;
+    }
+    const int order = absl::Uniform(random_, 0, 4);
+    if (order == 0) {
+        std::shuffle(slot.missed.begin(), slot.missed.end(), random_);
+    }
+    if (order == 1) {
+        let_timers(entry);
+    }
+    else {
+        thaw_entry(entry, order == 2);
+    }
+    later(duration(absl::Uniform<std::int64_t>(random_, 0, 40'000)), [this, entry, spell] {
+        entry_slot& held = entries_.at(static_cast<std::size_t>(entry));
+        if (held.slow_turns != spell) {
+            return;
+        }
+        freeze_entry(entry);
+        later(duration(absl::Uniform<std::int64_t>(random_, 0, held.pause_most.count())),
+              [this, entry, spell] { take_turn(entry, spell); });
+    });
+}
+
+duration flow_world::sending_delay(int entry)
+{
+    const duration most = entries_.at(static_cast<std::size_t>(entry)).pause_most / 4;
+    return most > duration(0) ? duration(absl::Uniform<std::int64_t>(random_, 0, most.count())) : duration(0);
 }
 
 void flow_world::stop_by_plan(int entry)
@@ -241,9 +304,10 @@
         }
         answer(std::move(done), page, options_.table_latency);
     };
-    edges.order = [this, answer](const worker_place& to, const worker_order& order, duration timeout,
-                                 std::function<void(instant, order_answer)> done) {
-        later(options_.network_latency, [this, to, order, timeout, answer, done = std::move(done)] {
+    edges.order = [this, entry, answer](const worker_place& to, const worker_order& order, duration timeout,
+                                        std::function<void(instant, order_answer)> done) {
+        later(options_.network_latency + sending_delay(entry), [this, to, order, timeout, answer,
+                                                                done = std::move(done)] {
             const auto at =
                 std::find_if(workers_.begin(), workers_.end(), [&](const auto& w) { return w->address == to.address; });
             if (at == workers_.end() || !(*at)->up || !(*at)->reachable) {
@@ -251,6 +315,12 @@
                 return;
             }
             flow_fake_worker& w = **at;
+            auto heard = [this, &w, life = w.id, done](instant then, const order_answer& given) {
+                if (options_.heard_counts && w.id == life && w.up) {
+                    note_told(w, given);
+                }
+                done(then, given);
+            };
             if (w.id != to.worker) {
                 order_answer other;
                 other.result = order_result::other_life;
@@ -258,6 +328,12 @@
                 return;
             }
             const auto* const hold = std::get_if<hold_worker>(&order);
+            if (hold != nullptr && options_.holds_wait) {
+                hold_until_end(w, w.id, *hold, now_ + hold->wait, [this, &w, life = w.id, order, answer, heard] {
+                    answer(heard, w.id == life ? carry_out(w, order) : order_answer{}, options_.network_latency);
+                });
+                return;
+            }
             const duration wait = hold != nullptr ? std::min<duration>(hold->wait, 50ms) : duration(0);
             if (stops_lost_ && std::holds_alternative<stop_run>(order)) {
                 answer(done, order_answer{}, timeout);
@@ -273,7 +349,7 @@
                 return;
             }
             later(wait,
-                  [this, &w, order, answer, done] { answer(done, carry_out(w, order), options_.network_latency); });
+                  [this, &w, order, answer, heard] { answer(heard, carry_out(w, order), options_.network_latency); });
         });
     };
     edges.list_workers = [this, entry, answer](std::function<void(instant, std::optional<flow_worker_list>)> done) {
@@ -332,7 +408,8 @@
     };
     edges.after = [this, entry, life](duration wait, std::function<void(instant)> what) {
         later(wait, [this, entry, life, what = std::move(what)] {
-            on_entry(entry, life, [what](flow_entry&, instant now) { what(now); });
+            on_entry(
+                entry, life, [what](flow_entry&, instant now) { what(now); }, true);
         });
     };
     edges.note = [this, entry](log_level, std::string_view subject, std::string_view event,
@@ -469,7 +546,7 @@
 void flow_world::forget_unconfirmed(flow_fake_worker& w)
 {
     for (const listed_end& end : w.ends) {
-        if (end.how == run_end::done && w.forgotten.insert(end.number).second) {
+        if (end.how == run_end::done && w.told.count(end.number) == 0 && w.forgotten.insert(end.number).second) {
             --done_[end.task];
         }
     }
@@ -479,7 +556,8 @@
 {
     std::vector<flow_task_id> over;
     for (const auto& [task, run] : w.running) {
-        if (std::min(run.ends, run.waits_until) <= now_) {
+        const instant end = std::min({run.ends, run.waits_until, run.stops});
+        if (end <= now_ && end < w.lease_until) {
             over.push_back(task);
         }
     }
@@ -488,14 +566,19 @@
         if (at == w.running.end()) {
             continue; // it ended with another member of its gang
         }
-        if (at->second.waits_until != instant::max()) {
+        const flow_fake_worker::run& run = at->second;
+        if (run.stops < std::min(run.ends, run.waits_until)) {
+            end_run(w, task, run_end::stopped);
+            continue;
+        }
+        if (run.waits_until != instant::max()) {
             if (!options_.gangs_end_alone) {
                 fault(text_of(task) + " waited for its gang in vain");
             }
             end_run(w, task, run_end::alone);
             continue;
         }
-        end_run(w, task, at->second.fails ? run_end::failed : run_end::done);
+        end_run(w, task, run.fails ? run_end::failed : run_end::done);
     }
     if (now_ >= w.lease_until) {
         forget_unconfirmed(w);
@@ -518,6 +601,28 @@
     return std::nullopt;
 }
 
+void flow_world::hold_until_end(flow_fake_worker& w, const worker_id& life, const hold_worker& order, instant until,
+                                const std::function<void()>& answer)
+{
+    constexpr duration look = 10ms;
+    advance_worker(w);
+    const bool ended = !w.ends.empty() && w.ends.back().number > order.confirmed;
+    if (now_ >= until || ended || !w.up || w.id != life || order.fence < w.fence) {
+        answer();
+        return;
+    }
+    later(look, [this, &w, life, order, until, answer] { hold_until_end(w, life, order, until, answer); });
+}
+
+void flow_world::note_told(flow_fake_worker& w, const order_answer& answer)
+{
+    for (const listed_end& end : answer.ends) {
+        if (w.forgotten.count(end.number) == 0) {
+            w.told.insert(end.number);
+        }
+    }
+}
+
 order_answer flow_world::carry_out(flow_fake_worker& w, const worker_order& order, bool late)
 {
     advance_worker(w);
@@ -543,7 +648,12 @@
     else if (const auto* const stop = std::get_if<stop_run>(&order)) {
         const auto at = w.running.find(stop->task);
         if (at != w.running.end() && at->second.number <= stop->run) {
-            end_run(w, stop->task, run_end::stopped);
+            if (options_.stop_time > duration(0)) {
+                at->second.stops = std::min(at->second.stops, now_ + options_.stop_time);
+            }
+            else {
+                end_run(w, stop->task, run_end::stopped);
+            }
         }
         w.highest[stop->task] = std::max(w.highest[stop->task], stop->run);
         answer.result = order_result::accepted;
@@ -621,6 +731,9 @@
         answer.running.push_back({task, run.number, "", static_cast<std::int32_t>(done), 0});
     }
     answer.ends = w.ends;
+    if (options_.told_counts) {
+        note_told(w, answer);
+    }
     return answer;
 }
 
@@ -642,20 +755,56 @@
     forget_unconfirmed(w);
     w.ends.clear();
     w.forgotten.clear();
-    if (!comes_back) {
+    w.told.clear();
+    if (comes_back) {
+        later(1s, [this, &w] { start_next_life(w); });
+    }
+}
+
+void flow_world::start_next_life(flow_fake_worker& w)
+{
+    w.id = worker_id(w.id.str() + "'");
+    w.up = true;
+    w.listed = true;
+    w.draining = false;
+    w.fence = epoch(0);
+    w.last_end = 0;
+    w.highest.clear();
+    w.lease_until = instant{};
+}
+
+void flow_world::replace_worker(int worker, duration drain, duration gap)
+{
+    flow_fake_worker& w = *workers_.at(static_cast<std::size_t>(worker));
+    if (!w.up || w.draining) {
         return;
     }
-    later(1s, [&w] {
-        w.id = worker_id(w.id.str() + "'");
-        w.up = true;
-        w.listed = true;
-        w.fence = epoch(0);
-        w.last_end = 0;
-        w.highest.clear();
-        w.lease_until = instant{};
+    w.draining = true;
+    later(drain, [this, worker, gap, &w] {
+        crash_worker(worker, false);
+        later(gap, [this, &w] { start_next_life(w); });
     });
 }
 
+void flow_world::accept_unheard(const std::string& job, const cell_id& cell, const flow_spec& spec)
+{
+    specs_[job] = spec;
+    wire::flow_job_row row = make_job_row(spec);
+    row.queue = "q";
+    row.service_name = "service";
+    row.cell = cell.str();
+    row.cell_epoch = 1;
+    row.failures_most = failures_most;
+    rows_[job_key(job_id(job))] = {encode_compact(row), row_version(++version_)};
+}
+
+void flow_world::end_unheard(int worker, const flow_task_id& task, run_number run)
+{
+    flow_fake_worker& w = *workers_.at(static_cast<std::size_t>(worker));
+    w.running[task].number = run;
+    end_run(w, task, run_end::done);
+}
+
 void flow_world::fail_run(const flow_task_id& task)
 {
     for (const auto& w : workers_) {
