flow_cell: news for hellos are made four times a second, not once for each peer

Cause: an owner made the news of its cell anew for every hello it sent or answered, 68 times a second among 35 entries; every entry took every told press into the models of all cells, its own or not; and room for filling work was summed over all pairs of images for each image again. Ruled out: hellos less often, since silence of 1.6 s means that an entry has gone. Change: told news are kept 250 ms, presses are in them for 0.7 s of every 3 s and taken in by owners only.

--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -87,6 +87,8 @@
 
     // What peers are told; only of an owner.
     wire::flow_cell_news news() const;
+    // The same for a hello: made anew every news_kept only, with presses in some of them.
+    const wire::flow_cell_news& told_news(instant now);
     // What the owner of another cell has learned of images.
     void hint_presses(const std::map<std::string, double>& presses);
     std::int64_t pending(const queue_id& queue) const;
@@ -322,6 +324,10 @@
     load_forecast loads_; // of jobs that serve
     instant refitted_{};
     bool place_planned_ = false;
+    wire::flow_cell_news told_news_;
+    instant told_news_at_{};
+    std::uint64_t told_news_life_ = 0; // one more than the ownership it was made in; 0: none was
+    instant presses_told_from_{};
     flow_cell_stats stats_;
 };
 
--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -72,6 +72,9 @@
 
 void flow_cell::hint_presses(const std::map<std::string, double>& presses)
 {
+    if (!owns()) {
+        return; // told again soon, should this entry take the cell over
+    }
     for (const auto& [pair, press] : presses) {
         interference_.hint(pair, press);
     }
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -519,11 +519,15 @@
 {
     const std::int64_t left = std::max<std::int64_t>(0, left_for_filling(option_of(w.read_at, w)));
     const double room = static_cast<double>(std::max<std::int64_t>(1, w.listing.room.cpu_millis));
+    std::vector<double> spare;
+    spare.reserve(w.serving_groups.size());
+    for (const serving_group& group : w.serving_groups) {
+        spare.push_back(std::max(0.0, group.bears_usual * w.margin - pressure_on(w, group)));
+    }
     for (int f = 0; f < interference_.filling_count(); ++f) {
         double borne = static_cast<double>(left) / room;
-        for (const serving_group& group : w.serving_groups) {
-            const double spare = std::max(0.0, group.bears_usual * w.margin - pressure_on(w, group));
-            borne = std::min(borne, spare / std::max(0.01, interference_.press(group.image, f)));
+        for (std::size_t g = 0; g < spare.size(); ++g) {
+            borne = std::min(borne, spare[g] / std::max(0.01, interference_.press(w.serving_groups[g].image, f)));
         }
         pool.fill_cpu_millis[interference_.filling_name(f)] += static_cast<std::int32_t>(borne * room);
     }
@@ -606,4 +610,20 @@
     return news;
 }
 
+const wire::flow_cell_news& flow_cell::told_news(instant now)
+{
+    if (told_news_life_ != life_ + 1 || told_news_at_ + news_kept <= now) {
+        told_news_ = news();
+        told_news_at_ = now;
+        told_news_life_ = life_ + 1;
+        if (now - presses_told_from_ >= presses_interval) {
+            presses_told_from_ = now;
+        }
+        if (now - presses_told_from_ > presses_told_for) {
+            told_news_.presses.clear();
+        }
+    }
+    return told_news_;
+}
+
 } // namespace skylarkhub
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -65,6 +65,12 @@
 
 // --- entries ---
 inline constexpr duration hello_interval = 500ms;
+// Peers hear each other's news this seldom anyway; making them anew for each of dozens of peers costs an owner more
+// than its workers do.
+inline constexpr duration news_kept = 250ms;
+// Presses change over tens of seconds: told for somewhat more than one round of hellos, then left out for the rest.
+inline constexpr duration presses_interval = 3s;
+inline constexpr duration presses_told_for = 700ms;
 inline constexpr duration peer_silence = 1600ms; // three hellos
 inline constexpr duration peer_forgotten = 20s;  // a removed entry's address is not tried for ever
 inline constexpr duration peers_learned = 700ms; // after a start, before it looks for cells to own
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -91,7 +91,7 @@
     h.table_silent_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - table_answered_).count();
     for (const auto& [id, cell] : cells_) {
         if (cell->owns()) {
-            h.cells.push_back(cell->news());
+            h.cells.push_back(cell->told_news(now));
         }
     }
     for (const auto& [id, p] : peers_) {
