flow: hellos name the other entries for 0.7 s of every 3 s; a message is not copied for each peer

Cause: after their news, the list of all entries was most of what a hello costs both sides, 68 times a second among 35 entries, and the edge took each message by value. Ruled out: the list only when it has changed: what a peer missed would never be said again. Change: names are told in turn like presses; a new entry reads them from the table and tells everyone itself.

--- a/src/flow_edges_p.h
+++ b/src/flow_edges_p.h
@@ -31,7 +31,7 @@
     // `timeout`: how long an answer is waited for, not counting a hold's own wait.
     std::function<void(worker_place, worker_order, duration timeout, std::function<void(instant, order_answer)>)> order;
     // The peer's own message in return, empty when there was no answer.
-    std::function<void(net_address, wire::flow_message,
+    std::function<void(net_address, const wire::flow_message&,
                        std::function<void(instant, std::optional<wire::flow_message>)>)>
         tell;
     std::function<void(duration, std::function<void(instant)>)> after;
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -135,7 +135,7 @@
     void learn(const wire::flow_entry_row& row);
     void tell_peers(instant now, bool everyone);
     void tell(peer& p, const wire::flow_message& message);
-    wire::flow_hello hello(instant now) const;
+    wire::flow_hello hello(instant now);
     void on_hello(instant now, const wire::flow_hello& hello);
     bool heard(const peer& p, instant now) const;
     const peer* owner_of(instant now, const cell_id& cell) const;
@@ -189,6 +189,7 @@
     bool listing_ = false;
     std::int64_t takeovers_listed_ = 0; // takeovers of cells when the list was last asked for
     instant next_hello_{};
+    instant members_told_from_{};
     instant next_entries_read_{};
     instant next_untold_{};
     std::int64_t accept_count_ = 0;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -71,6 +71,10 @@
 // Presses change over tens of seconds: told for somewhat more than one round of hellos, then left out for the rest.
 inline constexpr duration presses_interval = 3s;
 inline constexpr duration presses_told_for = 700ms;
+// The same for the names of entries: a new one reads them from the table and tells everyone; only while the table is
+// away does it need to be told of by others. Dozens of names in each hello are most of its cost.
+inline constexpr duration members_interval = 3s;
+inline constexpr duration members_told_for = 700ms;
 inline constexpr duration peer_silence = 1600ms; // three hellos
 inline constexpr duration peer_forgotten = 20s;  // a removed entry's address is not tried for ever
 inline constexpr duration peers_learned = 700ms; // after a start, before it looks for cells to own
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -81,7 +81,7 @@
     return p.ever_heard && now - p.heard < peer_silence;
 }
 
-wire::flow_hello flow_entry::hello(instant now) const
+wire::flow_hello flow_entry::hello(instant now)
 {
     wire::flow_hello h;
     h.sender = row_of(self_);
@@ -94,8 +94,11 @@
             h.cells.push_back(cell->told_news(now));
         }
     }
+    if (now - members_told_from_ >= members_interval) {
+        members_told_from_ = now;
+    }
     for (const auto& [id, p] : peers_) {
-        if (heard(p, now)) {
+        if (now - members_told_from_ <= members_told_for && heard(p, now)) {
             h.members.push_back(row_of(p.identity));
         }
     }
