flow_load: phases are worked out once for all looks of one exchange

Cause: each of ten looks of an exchange worked out sine and cosine of 42 periods for the same moment.

--- a/src/flow_load.cpp
+++ b/src/flow_load.cpp
@@ -63,10 +63,10 @@
     const double x = products[0] + level_ridge * load_start;
     const double y = products[1];
     const double z = products[2];
-    const double determinant = a * (d * f - e * e) - b * (b * f - c * e) + c * (b * e - c * d);
-    solution[0] = (x * (d * f - e * e) - b * (y * f - e * z) + c * (y * e - d * z)) / determinant;
-    solution[1] = (a * (y * f - e * z) - x * (b * f - c * e) + c * (b * z - c * y)) / determinant;
-    solution[2] = (a * (d * z - y * e) - b * (b * z - c * y) + x * (b * e - c * d)) / determinant;
+    const double inverse = 1 / (a * (d * f - e * e) - b * (b * f - c * e) + c * (b * e - c * d));
+    solution[0] = (x * (d * f - e * e) - b * (y * f - e * z) + c * (y * e - d * z)) * inverse;
+    solution[1] = (a * (y * f - e * z) - x * (b * f - c * e) + c * (b * z - c * y)) * inverse;
+    solution[2] = (a * (d * z - y * e) - b * (b * z - c * y) + x * (b * e - c * d)) * inverse;
 }
 
 void load_forecast::line::add(double elapsed, double new_load, double new_weight)
@@ -100,8 +100,14 @@
         mean_ = judge_memory * mean_ + weight * load;
         square_ = judge_memory * square_ + weight * load * load;
     }
+    if (time != phases_at_) {
+        phases_at_ = time;
+        for (std::size_t i = 0; i < candidates; ++i) {
+            phases_[i] = phase_at(time, periods()[i]);
+        }
+    }
     for (std::size_t i = 0; i < candidates; ++i) {
-        const phase now = phase_at(time, periods()[i]);
+        const phase& now = phases_[i];
         swing& fit = known.swings[i];
         if (!first) {
             // How well it foretold this look, before the look is taken in.
--- a/src/flow_load_p.h
+++ b/src/flow_load_p.h
@@ -60,6 +60,8 @@
         std::array<swing, candidates> swings{};
     };
     std::map<job_id, job_load> jobs_;
+    double phases_at_ = -1; // all looks of one exchange with a worker share their time
+    std::array<phase, candidates> phases_{};
     std::array<double, candidates> errors_{}; // of each period's forecasts
     double judged_ = 0;
     double mean_ = 0;   // of loads
