Revert "flow_lateness: an entry that runs late leaves out looks first, then filling work, then exchanges"

Ruled out: nothing yet; which level was in force when was not looked at. Conclusion: not shown to help, so not kept. To be tried again with the entry's log, the rarer looks apart from the rest.

--- a/src/daemon_flow_app.cpp
+++ b/src/daemon_flow_app.cpp
@@ -160,8 +160,6 @@
     absl::MutexLock lock(&mutex_);
     std::string out;
     write_stats(out, entry_->stats());
-    write_value(out, "late_ms", "", entry_->lateness().late().count() / 1000);
-    write_value(out, "shed_level", "", static_cast<std::int64_t>(entry_->lateness().level()));
     for (const auto& [id, cell] : entry_->cells()) {
         const std::string labels = fmt::format("cell=\"{}\"", id.str());
         write_stats(out, id.str(), cell->stats());
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -92,16 +92,14 @@
         return;
     }
     check_lapsed(now);
-    if (!listed_since_taken_ || (shed_ >= flow_shed::filling && now >= next_filling_)) {
+    if (!listed_since_taken_) {
         place_soon();
     }
     std::erase_if(put_away_, [&](const auto& job) { return now - job.second > put_away_kept; });
     tick_timed(now);
     if (now >= next_summary_) {
         next_summary_ = now + summary_interval;
-        if (shed_ == flow_shed::none) {
-            log_summary(now);
-        }
+        log_summary(now);
     }
     if (now >= next_give_away_) {
         give_away_waiting(now);
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -13,7 +13,6 @@
 
 #include "flow_edges_p.h"
 #include "flow_job_p.h"
-#include "flow_lateness_p.h"
 #include "flow_load_p.h"
 #include "flow_metrics_p.h"
 #include "flow_order_p.h"
@@ -84,8 +83,6 @@
     void settle(instant now);
     // A planned stop: nothing more is started, what is known is written, the row is released.
     void plan_stop(instant now);
-    // What to leave out until told otherwise.
-    void set_shed(flow_shed level) { shed_ = level; }
     bool stopped() const { return role_ == role::released || role_ == role::watching; }
 
     // What peers are told; only of an owner.
@@ -228,7 +225,6 @@
     // flow_cell_placing.cpp
     void place_soon() { place_planned_ = true; }
     void place_ready(instant now);
-    bool filling_turn(instant now);
     bool place_stage(instant now, flow_job& job, flow_stage& stage);
     // `near`: the rack where the rest of a gang is; invalid: none.
     cell_worker* choose(instant now, const flow_job& job, const flow_stage& stage, const flow_task& task,
@@ -328,8 +324,6 @@
     load_forecast loads_; // of jobs that serve
     instant refitted_{};
     bool place_planned_ = false;
-    flow_shed shed_ = flow_shed::none;
-    instant next_filling_{}; // when waiting filling work is looked at again
     wire::flow_cell_news told_news_;
     instant told_news_at_{};
     std::uint64_t told_news_life_ = 0; // one more than the ownership it was made in; 0: none was
--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -72,7 +72,7 @@
 
 void flow_cell::hint_presses(const std::map<std::string, double>& presses)
 {
-    if (!owns() || shed_ != flow_shed::none) {
+    if (!owns()) {
         return; // told again soon, should this entry take the cell over
     }
     for (const auto& [pair, press] : presses) {
@@ -224,9 +224,6 @@
 void flow_cell::take_measures(instant now, cell_worker& w, const order_answer& answer)
 {
     const duration since = w.measured_at == instant{} ? duration(0) : now - w.measured_at;
-    if (shed_ != flow_shed::none && w.measured_at != instant{} && since < looks_gap_late) {
-        return;
-    }
     w.tail = 0;
     learn(w, answer);
     if (now - refitted_ >= refit_interval) {
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -73,7 +73,6 @@
     if (!listed_since_taken_ && now - taken_at_ < list_wait_most) {
         return;
     }
-    const bool fill = filling_turn(now);
     const std::set<ready_key> waiting = ready_;
     for (const ready_key& key : waiting) {
         const job_id& id = key.job;
@@ -92,7 +91,7 @@
             continue;
         }
         for (flow_stage& stage : job.stages()) {
-            if (stage.ready > 0 && (fill || !job.step(stage).filling)) {
+            if (stage.ready > 0) {
                 place_stage(now, job, stage);
             }
         }
@@ -100,16 +99,6 @@
     }
 }
 
-// Whether filling work is looked at now: at every turn, or seldom on an entry that runs late.
-bool flow_cell::filling_turn(instant now)
-{
-    if (shed_ >= flow_shed::filling && now < next_filling_) {
-        return false;
-    }
-    next_filling_ = now + filling_gap_late;
-    return true;
-}
-
 place_option flow_cell::option_of(instant now, const cell_worker& w) const
 {
     place_option option;
@@ -284,9 +273,6 @@
     }
     const auto paced = w.paced.find(seen.task);
     run.progress.note(now, seen.progress_percent, paced != w.paced.end() && paced->second < pace_free);
-    if (shed_ != flow_shed::none) {
-        return;
-    }
     const bool stalled = run.progress.stalled(now);
     // How fast filling work gets on depends on what others leave unused.
     const bool slow = !step.filling && run.progress.slower_than_anew(now, step.estimate);
@@ -327,7 +313,7 @@
 // last, while others stay empty.
 void flow_cell::give_away_waiting(instant now)
 {
-    next_give_away_ = now + (shed_ == flow_shed::none ? give_away_interval : give_away_interval_late);
+    next_give_away_ = now + give_away_interval;
     if (stopping_ || !may_send(now)) {
         return;
     }
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -619,7 +619,7 @@
         if (now - presses_told_from_ >= presses_interval) {
             presses_told_from_ = now;
         }
-        if (now - presses_told_from_ > presses_told_for || shed_ != flow_shed::none) {
+        if (now - presses_told_from_ > presses_told_for) {
             told_news_.presses.clear();
         }
     }
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -243,9 +243,7 @@
     if (again == workers_.end()) {
         return;
     }
-    const duration gap = shed_ >= flow_shed::exchanges       ? hold_gap_late
-                         : again->second.unconfirmed.empty() ? hold_gap
-                                                             : hold_gap_unconfirmed;
+    const duration gap = again->second.unconfirmed.empty() ? hold_gap : hold_gap_unconfirmed;
     hold_soon(now, id, sent + gap - now);
 }
 
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -29,33 +29,12 @@
     read_entries(now);
     watch_operator();
     list_workers();
-    plan_tick(now);
-}
-
-void flow_entry::plan_tick(instant now)
-{
-    tick_due_ = now + tick_interval;
     edges_.after(tick_interval, [this](instant then) { tick(then); });
 }
 
-// Only an owner has anything to leave out; each level is told to the log by any entry.
-void flow_entry::note_lateness(instant now)
-{
-    if (!lateness_.note(tick_due_, now)) {
-        return;
-    }
-    edges_.note(
-        log_level::warning, "entry", "late",
-        {{"leaves_out", name_of(lateness_.level())}, {"late_ms", std::to_string(lateness_.late().count() / 1000)}});
-    for (auto& [id, cell] : cells_) {
-        cell->set_shed(lateness_.level());
-    }
-}
-
 void flow_entry::tick(instant now)
 {
     ticked_at_ = now;
-    note_lateness(now);
     if (now >= next_hello_) {
         next_hello_ = now + hello_interval;
         tell_peers(now, false);
@@ -85,7 +64,7 @@
             cell->tick(now, candidacy(now, *cell));
         }
     }
-    plan_tick(now);
+    edges_.after(tick_interval, [this](instant then) { tick(then); });
 }
 
 void flow_entry::settle(instant now)
@@ -155,7 +134,6 @@
     if (!cell) {
         cell = std::make_unique<flow_cell>(id, self_, edges_, make_hooks());
         cell_places_[id] = data_centre;
-        cell->set_shed(lateness_.level());
     }
     return *cell;
 }
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -10,7 +10,6 @@
 
 #include "flow_cell_p.h"
 #include "flow_edges_p.h"
-#include "flow_lateness_p.h"
 
 namespace skylarkhub {
 
@@ -70,7 +69,6 @@
                     const std::function<void(const wire::flow_message&)>& reply);
 
     const flow_entry_stats& stats() const { return stats_; }
-    const flow_lateness& lateness() const { return lateness_; }
     settings_version config_version() const { return config_ ? config_->version : settings_version(0); }
     const std::map<cell_id, std::unique_ptr<flow_cell>>& cells() const { return cells_; }
 
@@ -145,8 +143,6 @@
 
     // flow_entry.cpp
     void tick(instant now);
-    void plan_tick(instant now);
-    void note_lateness(instant now);
     void list_workers();
     void on_workers(instant now, const std::vector<flow_listed_worker>& workers);
     void watch_operator();
@@ -170,8 +166,6 @@
     flow_edges direct_; // what this entry reaches itself
     flow_edges edges_;  // the same, but for the table, which is reached through a peer while it turns this entry away
     instant ticked_at_{};
-    instant tick_due_{};
-    flow_lateness lateness_;
     int table_failures_ = 0; // in a row
     bool table_away_ = false;
     instant table_answered_{}; // when the table last answered this entry
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -119,12 +119,6 @@
 inline constexpr duration fill_patience = 12000ms; // of a filling task for a place where what it presses on bears it
 inline constexpr double fill_overcommit = 0.25;    // of a worker: filling tasks use four fifths of what they ask for
 inline constexpr duration evict_after = 500ms;     // a run is not moved again sooner than it can have settled
-
-// --- an entry that runs late, see flow_lateness ---
-inline constexpr duration looks_gap_late = 1s;          // four seconds over target beside filling work count as harm
-inline constexpr duration give_away_interval_late = 1s; // other cells see this seldom that one is full
-inline constexpr duration filling_gap_late = 1s;        // three seconds without a run while there is room count as lost
-inline constexpr duration hold_gap_late = 250ms;        // ends wait this long; a fifth of today's exchanges in a burst
-inline constexpr double distrust_half_life_s = 6;       // of the memory that runs failed on a worker
+inline constexpr double distrust_half_life_s = 6;  // of the memory that runs failed on a worker
 
 } // namespace skylarkhub::flow_limits
