--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -80,31 +80,6 @@
     return p.ever_heard && now - p.heard < peer_silence;
 }
 
-// What the cells owned here say of themselves. Some hundred hellos a second are sent and answered on a large site, and
-// a look at all workers for each would cost more than all else that they tell; a cell taken or lost shows at once.
-const std::vector<wire::flow_cell_news>& flow_entry::told_news(instant now)
-{
-    std::size_t owned = 0;
-    bool same = now - told_news_at_ < own_news_fresh;
-    for (const auto& [id, cell] : cells_) {
-        if (cell->owns()) {
-            same = same && owned < told_news_.size() && told_news_[owned].cell == id.str() &&
-                   told_news_[owned].epoch == cell->epoch().value();
-            ++owned;
-        }
-    }
-    if (!same || owned != told_news_.size()) {
-        told_news_.clear();
-        told_news_at_ = now;
-        for (const auto& [id, cell] : cells_) {
-            if (cell->owns()) {
-                told_news_.push_back(cell->news());
-            }
-        }
-    }
-    return told_news_;
-}
-
 wire::flow_hello flow_entry::hello(instant now, bool with_members)
 {
     wire::flow_hello h;
@@ -113,7 +88,11 @@
     h.config_version = config_version().value();
     h.table_away = table_away_;
     h.table_silent_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - table_answered_).count();
-    h.cells = told_news(now);
+    for (const auto& [id, cell] : cells_) {
+        if (cell->owns()) {
+            h.cells.push_back(cell->told_news(now));
+        }
+    }
     for (const auto& [id, p] : peers_) {
         if (with_members && heard(p, now)) {
             h.members.push_back(row_of(p.identity));
--- a/tests/test_flow_wire.cpp
+++ b/tests/test_flow_wire.cpp
@@ -184,7 +184,7 @@
     store_row garbled;
     garbled.key.key = "i-2";
     garbled.value = "nonsense";
-    const auto list = read_workers({row, garbled});
+    const auto list = worker_list_reader().read({row, garbled});
     BOOST_REQUIRE(list.workers.size() == 1);
     BOOST_TEST(list.workers.front().draining);
     BOOST_TEST(list.workers.front().rack.str() == "r1-3");
@@ -264,7 +264,7 @@
                 {"rows",
                  {row_of("i-1", absl::Base64Escape(good.dump())), row_of("i-2", absl::Base64Escape(bad.value)),
                   row_of("i-3", absl::Base64Escape(good.dump()))}}};
-            const flow_worker_list list = read_workers(read_page(answered(200, page.dump())).rows);
+            const flow_worker_list list = worker_list_reader().read(read_page(answered(200, page.dump())).rows);
             BOOST_TEST(list.workers.size() == 2);
             BOOST_REQUIRE(list.unusable.size() == 1);
             BOOST_TEST(list.unusable.front().worker.str() == "i-2");
@@ -277,7 +277,7 @@
                row_of("i\r\nX: 4", absl::Base64Escape(good.dump())), row_of("", absl::Base64Escape(good.dump()))}}};
     odd["rows"][2]["value"] = 17;
     odd["rows"][2]["schema-version"] = "new";
-    const flow_worker_list list = read_workers(read_page(answered(200, odd.dump())).rows);
+    const flow_worker_list list = worker_list_reader().read(read_page(answered(200, odd.dump())).rows);
     BOOST_TEST(list.workers.size() == 1);
     BOOST_TEST(list.unusable.size() == 4);
 }
@@ -386,3 +386,54 @@
     BOOST_TEST(!decode_compact<wire::flow_job_row>("", &reason).has_value());
     BOOST_TEST(!reason.empty());
 }
+
+BOOST_AUTO_TEST_CASE(a_worker_whose_row_has_changed_is_read_anew)
+{
+    // Rows whose version is known are not parsed again. A worker that begins to drain writes a new version of its row:
+    // taken for the old one, it would be sent tasks until it is gone.
+    store_row row;
+    row.key.key = "w@1";
+    row.version = row_version(7);
+    const json ready = json::parse(
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","room":{"cpu":16000,"mem-mb":100,"gpus":0},
+            "labels":["a","r1-3"]})");
+    row.value = ready.dump();
+    worker_list_reader reader;
+    BOOST_TEST(!reader.read({row}).workers.at(0).draining);
+    BOOST_TEST(reader.read({row}).workers.at(0).address.str() == "10.0.0.1:80");
+    json draining = ready;
+    draining["state"] = "draining";
+    row.value = draining.dump();
+    row.version = row_version(8);
+    BOOST_TEST(reader.read({row}).workers.at(0).draining);
+    BOOST_TEST(reader.read({}).workers.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_page_is_read_whole_or_not_at_all)
+{
+    // A page cut short whose rows were taken for all there are would make every worker after the cut look gone.
+    http_result answer;
+    answer.answered = true;
+    answer.status = 200;
+    answer.body =
+        R"({"now-ms":5,"rows":[{"table":"t","part":"p","key":"k","value":"YQ==","schema-version":3,"x":{"key":"y"}},)"
+        R"({"key":"gone","deleted":true,"schema-version":4,"value":null}],"has-more":true,"schema-version":9})";
+    const store_page page = read_page(answer);
+    BOOST_TEST(page.reached);
+    BOOST_TEST(page.more);
+    BOOST_TEST(page.version.value() == 9);
+    BOOST_REQUIRE_EQUAL(page.rows.size(), 2U);
+    BOOST_TEST(page.rows[0].key.table == "t");
+    BOOST_TEST(page.rows[0].key.part == "p");
+    BOOST_TEST(page.rows[0].key.key == "k");
+    BOOST_TEST(page.rows[0].value == "a");
+    BOOST_TEST(page.rows[0].version.value() == 3);
+    BOOST_TEST(!page.rows[0].removed);
+    BOOST_TEST(page.rows[1].removed);
+    BOOST_TEST(page.rows[1].value.empty());
+    answer.body.resize(answer.body.size() / 2);
+    BOOST_TEST(!read_page(answer).reached);
+    BOOST_TEST(read_page(answer).rows.empty());
+    answer.body = "[]";
+    BOOST_TEST(!read_page(answer).reached);
+}
