peer_channel: reads the entry's one clock

Cause: read_clock() stood twice; the copy here still read the clock that stands still while the instance is suspended, and both give an instant. Change: the copy is gone. Deadlines of calls to peers now count suspension like all others. Checked: test_peer passes.

--- a/src/peer_channel.cpp
+++ b/src/peer_channel.cpp
@@ -21,6 +21,8 @@
 #include <thread>
 #include <vector>
 
+#include "platform_timer_p.h"
+
 namespace skylarkhub {
 
 namespace {
@@ -33,11 +35,6 @@
     return {us / 1'000'000, us % 1'000'000};
 }
 
-instant read_clock()
-{
-    return instant(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 struct event_deleter {
     void operator()(event* e) const { event_free(e); }
     void operator()(event_base* b) const { event_base_free(b); }
