bench_flow: its listed workers are ready

Cause: the list that it serves named a state that the reader of the list refuses since unknown states are refused, so no worker was in use and the program measured an idle entry. Change: the state is ready.

--- a/bench/bench_flow.cpp
+++ b/bench/bench_flow.cpp
@@ -184,7 +184,7 @@
                 own ? workers_[static_cast<std::size_t>(i)].place
                     : worker_place{worker_id(fmt::format("other-{}@1", i)), net_address(fmt::format("10.2.0.{}:1", i))};
             const std::string value = fmt::format(
-                R"({{"address":"{}","zone":"{}","service":"work","state":"up","room":{{"cpu":16000,"mem-mb":64000,"gpus":0}},"labels":["plain","rack-{}"]}})",
+                R"({{"address":"{}","zone":"{}","service":"work","state":"ready","room":{{"cpu":16000,"mem-mb":64000,"gpus":0}},"labels":["plain","rack-{}"]}})",
                 place.address.str(), own ? "zone-0" : fmt::format("zone-{}", 1 + i % 3), i / 6);
             rows += fmt::format(R"({}{{"table":"servers","part":"","key":"{}","schema-version":{},"value":"{}"}})",
                                 rows.empty() ? "" : ",", place.worker.str(), i + 1, absl::Base64Escape(value));
