flow: one piece for ends that are noted, labels that fit, rows read back and places promised

- flow_job::note_end serves an owner that hears an end and one that leaves its ends to its follower.
- Whether a worker's life is over was kept twice, as a flag and as a reason; the flag is enough.
- has_label serves placing, gangs and both choices of a cell.
- Rows of layouts are read like all others; their damage is logged as `row unreadable`.
- Places promised to tasks that move off a draining worker go through the ledger, as those of gangs do: limits on tasks of a step on one worker and what serves there count too, which the sum of room alone left out.
- Workers of the list are moved, not copied, to their cells.

--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -11,27 +11,6 @@
 
 using namespace flow_limits;
 
-namespace {
-
-// Of a step that does not last.
-void note_end(flow_job& job, const listed_end& end)
-{
-    if (end.how == run_end::failed) {
-        job.note_failure(end.task, end.run);
-    }
-    if (end.how != run_end::done) {
-        return;
-    }
-    job.note_done(end.task);
-    const flow_step& step = job.step(*job.find_stage(end.task));
-    // The members of a gang end together: one such end stands for all of them.
-    for (std::int32_t i = 0; step.gang && i < step.count; ++i) {
-        job.note_done({end.task.job, end.task.occurrence, end.task.step, i});
-    }
-}
-
-} // namespace
-
 void flow_cell::job_changed(instant now, flow_job& job, bool urgent)
 {
     const std::string part = job_part(job.id());
@@ -177,7 +156,7 @@
         for (const listed_end& end : ends) {
             const flow_stage* const stage = left.find_stage(end.task);
             if (stage != nullptr && !left.step(*stage).lasting) {
-                note_end(left, end);
+                left.note_end(end);
             }
         }
         if (!left.dirty()) {
--- a/src/flow_cell_drain.cpp
+++ b/src/flow_cell_drain.cpp
@@ -29,7 +29,7 @@
 // Each task that is stopped has a place of its own: the room that one will take is no room for the next.
 void flow_cell::vacate(instant now, cell_worker& w)
 {
-    std::vector<std::pair<cell_worker*, resources>> promised;
+    std::vector<std::pair<cell_worker*, flow_task_id>> promised;
     for (const auto& [id, run] : w.ledger) {
         const auto [worker, job, task, live] = locate(w.listing.worker, id, run.run);
         if (!run.lasting || live == nullptr || !live->confirmed || live->stopping || task->runs.size() != 1) {
@@ -43,12 +43,12 @@
         if (place == nullptr) {
             continue; // better there for the rest of the worker's time than nowhere
         }
-        place->held = place->held + run.need;
-        promised.emplace_back(place, run.need);
+        ledger_add(*place, job->step(stage), id, run_number());
+        promised.emplace_back(place, id);
         stop_run_once(now, *live, id);
     }
-    for (const auto& [place, need] : promised) {
-        place->held = place->held - need;
+    for (const auto& [place, id] : promised) {
+        ledger_remove(*place, id, run_number());
     }
     if (!promised.empty()) {
         edges_.note(
--- a/src/flow_cell_gangs.cpp
+++ b/src/flow_cell_gangs.cpp
@@ -116,9 +116,8 @@
     const flow_step& step = job.step(stage);
     std::int64_t sum = 0;
     for (const auto& [id, w] : workers_) {
-        const auto& labels = w.listing.labels;
-        const bool labelled = step.label.empty() || std::find(labels.begin(), labels.end(), step.label) != labels.end();
-        if (!w.listed || w.listing.draining || w.listing.service != job.row().service_name || !labelled) {
+        if (!w.listed || w.listing.draining || w.listing.service != job.row().service_name ||
+            !has_label(w.listing.labels, step.label)) {
             continue;
         }
         std::int64_t here = w.listing.room.memory_mib / std::max<std::int64_t>(1, step.need.memory_mib);
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -135,7 +135,6 @@
         bool hold_planned = false;
         instant last_answer{};
         std::int32_t silent = 0; // holds without an answer in a row
-        std::string life_over;   // how that is known, while the last exchange has not concluded; else empty
         end_number seen;
         end_number confirmed;
         std::vector<unconfirmed_end> unconfirmed;
@@ -200,7 +199,7 @@
     void adopt(instant now, cell_worker& w, flow_job& job, const listed_run& run);
     void find_missing(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void confirm_ends(cell_worker& w);
-    void life_ended(instant now, cell_worker& w, const std::string& reason);
+    void life_ended(instant now, cell_worker& w);
     void bury_if_lapsed(instant now, cell_worker& w);
     void worker_died(instant now, cell_worker& w, const std::string& reason);
     bool superseded(instant now, cell_worker& w, order_result result);
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -128,8 +128,7 @@
             w.silent > 0 || w.strangers > 0 || !w.reading || now < w.no_starts_until) {
             continue;
         }
-        const auto& labels = w.listing.labels;
-        if (!step.label.empty() && std::find(labels.begin(), labels.end(), step.label) == labels.end()) {
+        if (!has_label(w.listing.labels, step.label)) {
             continue;
         }
         const place_option option = option_of(now, w);
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -43,7 +43,7 @@
         // would take tasks again and nobody would hear their ends.
         const bool held = w.listed && !added;
         w.listing = listing;
-        w.listed = w.life_over.empty();
+        w.listed = true;
         if (role_ == role::owning && !held) {
             hold_soon(now, listing.worker, duration(0));
         }
@@ -156,14 +156,13 @@
 // Nothing runs there any more. The exchange that is under way may have been answered before, with ends that only this
 // answer tells, and be waiting behind the news: its tasks are started again once it has concluded, at its time limit at
 // the latest.
-void flow_cell::life_ended(instant now, cell_worker& w, const std::string& reason)
+void flow_cell::life_ended(instant now, cell_worker& w)
 {
+    w.over = true;
+    w.listed = false;
     if (!w.holding) {
-        worker_died(now, w, reason);
-        return;
+        worker_died(now, w, "another life answers at its address");
     }
-    w.life_over = reason;
-    w.listed = false;
 }
 
 // Everything that ran there has ended and told nobody.
@@ -181,7 +180,6 @@
         ++stats_.lost;
         drop_run(now, w, task, run.run);
     }
-    w.life_over.clear();
     w.fenced = true; // nothing of an earlier owner runs there either
     w.strangers = 0;
     w.listed = false;
@@ -196,8 +194,7 @@
         return true;
     }
     if (result == order_result::other_life) {
-        w.over = true;
-        life_ended(now, w, "another life answers at its address");
+        life_ended(now, w);
         place_soon();
         return true;
     }
@@ -284,11 +281,11 @@
     if (superseded(now, w, answer.result)) {
         return;
     }
-    if (!w.life_over.empty()) {
+    if (w.over) {
         if (answer.result == order_result::accepted) {
             take_inventory(now, w, sent, answer);
         }
-        worker_died(now, w, w.life_over);
+        life_ended(now, w);
         return;
     }
     if (answer.result != order_result::accepted) {
@@ -372,23 +369,16 @@
     job.note_checkpoint(end.task, end.checkpoint);
     const std::uint64_t before = job.changes();
     job.note_started();
+    if (!step.lasting) {
+        job.note_end(end);
+    }
     switch (end.how) {
     case run_end::done:
-        if (!step.lasting) {
-            ++stats_.done;
-            job.note_done(end.task);
-            // The members of a gang end together: one such end stands for all of them.
-            for (std::int32_t i = 0; step.gang && i < step.count; ++i) {
-                job.note_done({end.task.job, end.task.occurrence, end.task.step, i});
-            }
-        }
+        stats_.done += step.lasting ? 0 : 1;
         break;
     case run_end::failed:
         ++stats_.failed;
         task->failed_on = w.listing.worker;
-        if (!step.lasting) {
-            job.note_failure(end.task, end.run);
-        }
         distrust(now, w, 1);
         break;
     case run_end::stopped:
--- a/src/flow_cells.cpp
+++ b/src/flow_cells.cpp
@@ -3,6 +3,7 @@
 
 #include "flow_entry_p.h"
 #include "flow_limits_p.h"
+#include "flow_row_read_p.h"
 #include "log_line_p.h"
 #include "row_codec_p.h"
 
@@ -64,12 +65,12 @@
     note_unusable(now, list.unusable);
     std::map<data_centre_id, rack_workers> listed;
     std::map<cell_id, std::vector<flow_listed_worker>> by_cell;
-    for (const flow_listed_worker& w : list.workers) {
+    for (flow_listed_worker& w : list.workers) {
         ++listed[w.data_centre][w.rack];
         const cell_layout& layout = layouts_[w.data_centre].layout;
         const auto laid = layout.find(w.rack);
         if (laid != layout.end()) {
-            by_cell[laid->second.cell].push_back(w);
+            by_cell[laid->second.cell].push_back(std::move(w));
         }
     }
     for (auto& [data_centre, known] : layouts_) {
@@ -125,11 +126,8 @@
     if (row.version <= known.version) {
         return;
     }
-    std::string reason;
-    const auto decoded = decode_compact<wire::flow_layout_row>(row.value, &reason);
+    const auto decoded = read_flow_row<wire::flow_layout_row>(edges_, row);
     if (!decoded) {
-        edges_.note(log_level::error, "layout", "row_unreadable",
-                    {{"data_centre", data_centre.str()}, {"reason", reason}});
         return;
     }
     known.version = row.version;
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -315,9 +315,7 @@
             const cell_id id(news.cell);
             double score = cell_score(news.cell, pool, wants, assigned_cpu_[id]);
             // Its tasks that need the label are given to a cell that has it, after a wait.
-            const bool labelled = wants.label.empty() ||
-                                  std::find(pool.labels.begin(), pool.labels.end(), wants.label) != pool.labels.end();
-            score -= labelled ? 0.0 : 10.0;
+            score -= has_label(pool.labels, wants.label) ? 0.0 : 10.0;
             score += own && !wants.lasting ? 0.01 : 0.0; // as good a cell here spares a message
             const auto home = racks_.find(wants.rack);
             score += wants.rack.valid() && home != racks_.end() && home->second == id ? 1.0 : 0.0;
@@ -527,8 +525,6 @@
             return;
         }
         for (wire::flow_pool_row& pool : news.pools) {
-            const bool labelled = step.label.empty() ||
-                                  std::find(pool.labels.begin(), pool.labels.end(), step.label) != pool.labels.end();
             const auto borne = pool.fill_cpu_millis.find(step.image);
             const bool known = step.filling && borne != pool.fill_cpu_millis.end();
             const std::int64_t left = (known          ? borne->second
@@ -543,7 +539,7 @@
             const std::int64_t score =
                 step.lasting ? 1 + largest_free + (together == pool.serving_cpu_millis.end() ? 0 : together->second)
                              : left;
-            if (pool.service_name == service && labelled && fits_worker &&
+            if (pool.service_name == service && has_label(pool.labels, step.label) && fits_worker &&
                 (step.lasting || left >= step.need.cpu_millis) && score > best_score) {
                 best = &news;
                 best_score = score;
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -251,6 +251,22 @@
     return static_cast<std::int32_t>(t->failed_runs.size());
 }
 
+void flow_job::note_end(const listed_end& end)
+{
+    if (end.how == run_end::failed) {
+        note_failure(end.task, end.run);
+    }
+    if (end.how != run_end::done) {
+        return;
+    }
+    note_done(end.task);
+    const flow_step& ended = step(*find_stage(end.task));
+    // The members of a gang end together: one such end stands for all of them.
+    for (std::int32_t i = 0; ended.gang && i < ended.count; ++i) {
+        note_done({end.task.job, end.task.occurrence, end.task.step, i});
+    }
+}
+
 void flow_job::note_checkpoint(const flow_task_id& task, const std::string& checkpoint)
 {
     flow_task* const t = find_task(task);
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -102,6 +102,8 @@
     bool note_done(const flow_task_id& task);
     // The number of failed runs so far. A run counts once, however often its end is listed.
     std::int32_t note_failure(const flow_task_id& task, run_number run);
+    // What the end of a run of a step that does not last tells of its tasks.
+    void note_end(const listed_end& end);
     void note_checkpoint(const flow_task_id& task, const std::string& checkpoint);
     // Says in the row that the owner of `here` of this epoch has taken the job on. From then on no write of an owner
     // before it can come into force, since that checks the row's version as it was.
--- a/src/flow_place.cpp
+++ b/src/flow_place.cpp
@@ -30,6 +30,11 @@
     return option.room.cpu_millis - option.held.cpu_millis - option.filling_cpu + static_cast<std::int64_t>(idle);
 }
 
+bool has_label(const std::vector<std::string>& labels, const std::string& label)
+{
+    return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
 bool has_room(const place_option& option, const flow_step& step)
 {
     resources need = step.need;
--- a/src/flow_place_p.h
+++ b/src/flow_place_p.h
@@ -46,6 +46,9 @@
 // Processors that filling work can still have: what committed tasks and other filling work leave unused.
 std::int64_t left_for_filling(const place_option& option);
 
+// Whether a worker, or some worker of a pool, with these labels may take what asks for `label`; empty: any may.
+bool has_label(const std::vector<std::string>& labels, const std::string& label);
+
 // True when the task may run there at all: room that every committed task leaves.
 bool has_room(const place_option& option, const flow_step& step);
 
