cells: an entry leaves cells to those whose turn it is; one look at changed jobs an entry

Each of its cells read every two seconds the rows of all jobs that had changed (0.27 GB at the table in 61 s), its link was full, exchanges with workers and the table timed out (3,811 starts without an answer), leases ended, and ends whose answers were lost were played again. Nobody followed, since its renewals still came through. Ruled out: processor (0.087 of a core at most, none charged), memory (46 MB), a lost owner (it answered its peers). Change: the layout is read every 250 ms while entries start together; cells are dealt anew after each one gone for; one look at the changes of jobs serves all cells of an entry. Tests: both new cases of test_flow_layout fail on the code before.

--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -112,9 +112,6 @@
     if (now >= next_give_away_) {
         give_away_waiting(now);
     }
-    if (parts_left_ == 0 && now >= next_watch_) {
-        watch_jobs(now);
-    }
     if (stopping_) {
         release(now);
     }
@@ -325,7 +322,6 @@
 {
     role_ = role::owning;
     scanned_ = watched_;
-    next_watch_ = now + watch_interval;
     awaited_.clear();
     if (!fresh_) {
         for (const auto& [id, job] : jobs_) {
@@ -447,7 +443,6 @@
     parts_.clear();
     reading_jobs_.clear();
     place_planned_ = false;
-    watching_jobs_ = false;
     for (auto& [id, w] : workers_) {
         const flow_listed_worker listing = w.listing;
         const bool listed = w.listed;
@@ -503,36 +498,23 @@
     });
 }
 
-void flow_cell::watch_jobs(instant now)
+std::optional<row_version> flow_cell::jobs_known() const
 {
-    if (watching_jobs_) {
-        return;
+    return role_ == role::owning && parts_left_ == 0 ? std::optional(watched_) : std::nullopt;
+}
+
+void flow_cell::on_jobs_watched(row_version after, row_version up_to)
+{
+    if (jobs_known() && watched_ >= after) {
+        watched_ = std::max(watched_, up_to);
+    }
+}
+
+void flow_cell::on_job_history_gone()
+{
+    if (jobs_known()) {
+        read_all_jobs();
     }
-    watching_jobs_ = true;
-    next_watch_ = now + watch_interval;
-    edges_.watch({jobs_table, watched_, duration(0)}, [this, life = life_](instant then, const store_page& page) {
-        if (life != life_) {
-            return;
-        }
-        watching_jobs_ = false;
-        if (page.history_gone) {
-            read_all_jobs();
-            return;
-        }
-        if (!page.reached) {
-            return;
-        }
-        for (const store_row& row : page.rows) {
-            if (row.removed) {
-                continue;
-            }
-            const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
-            if (decoded) {
-                on_job_row(then, job_id(row.key.key), *decoded, row.version);
-            }
-        }
-        watched_ = std::max(watched_, page.version);
-    });
 }
 
 } // namespace skylarkhub
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -76,6 +76,8 @@
 
     const cell_id& id() const { return id_; }
     role current_role() const { return role_; }
+    // Owned, or a take of it is under way.
+    bool goes_for_ownership() const { return owns() || role_ == role::taking; }
     bool owns() const { return role_ == role::owning || role_ == role::reading; }
     skylarkhub::epoch epoch() const { return epoch_; }
     const wire::flow_cell_row& row() const { return row_; }
@@ -91,6 +93,13 @@
     void tick(instant now, const cell_candidacy& candidacy);
     // A row of a job bound to this cell, newly written by some entry.
     void on_job_row(instant now, const job_id& job, const wire::flow_job_row& row, row_version version);
+    // The version up to which the table of jobs is known here; empty while it is read as a whole, or not owned.
+    std::optional<row_version> jobs_known() const;
+    // Every row of the table of jobs that changed after the one version and up to the other was given to on_job_row().
+    // A cell that was taken while the look was under way may know less than `after`: it is looked for again from there.
+    void on_jobs_watched(row_version after, row_version up_to);
+    // The table has discarded changes that were not seen here.
+    void on_job_history_gone();
     // Carries out what the events since the last call have made due. Called after every event.
     void settle(instant now);
     // A planned stop: nothing more is started, what is known is written, the row is released.
@@ -180,7 +189,6 @@
     void lose(instant now, const std::string& reason);
     void release(instant now);
     bool may_send(instant now) const;
-    void watch_jobs(instant now);
     void read_row(instant now);
 
     // flow_cell_workers.cpp
@@ -352,8 +360,6 @@
     std::uint64_t life_ = 0; // of an ownership; callbacks of an earlier one are dropped
     row_version scanned_;    // every job that went on at this version was read at the takeover
     row_version watched_;    // the jobs table is known up to here
-    bool watching_jobs_ = false;
-    instant next_watch_{};
     instant next_give_away_{};
     instant next_summary_{};
     instant next_vacating_{};
--- a/src/flow_cells.cpp
+++ b/src/flow_cells.cpp
@@ -104,7 +104,8 @@
         return;
     }
     reading_layouts_ = true;
-    next_layouts_read_ = now + layouts_interval;
+    const bool starting = now - begun_ < layouts_start;
+    next_layouts_read_ = now + (starting ? layout_list_interval : layouts_interval);
     edges_.read({layouts_table, shared_part, "", ""}, [this, asked = now](instant then, const store_page& page) {
         reading_layouts_ = false;
         if (!page.reached) {
@@ -201,12 +202,62 @@
     });
 }
 
+// --- changes of jobs ---
+
+// One look for all owned cells: a look for each, at the rows of all jobs that had changed, took 1.7 Mbit/s a cell where
+// 19 jobs a second come in, and an entry with a link of 10 Mbit/s and five cells reached neither its workers nor the
+// table in time.
+void flow_entry::watch_jobs(instant now)
+{
+    std::optional<row_version> known;
+    for (const auto& [id, cell] : cells_) {
+        const auto of_cell = cell->jobs_known();
+        if (of_cell && (!known || *of_cell < *known)) {
+            known = of_cell;
+        }
+    }
+    if (!known || watching_jobs_) {
+        return;
+    }
+    watching_jobs_ = true;
+    next_watch_ = now + watch_interval;
+    edges_.watch({jobs_table, *known, duration(0)}, [this, after = *known](instant then, const store_page& page) {
+        watching_jobs_ = false;
+        if (page.history_gone) {
+            for (auto& [id, cell] : cells_) {
+                cell->on_job_history_gone();
+            }
+        }
+        else if (page.reached) {
+            on_jobs_changed(then, after, page);
+        }
+    });
+}
+
+void flow_entry::on_jobs_changed(instant now, row_version after, const store_page& page)
+{
+    for (const store_row& row : page.rows) {
+        if (row.removed) {
+            continue;
+        }
+        const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
+        for (auto& [id, cell] : cells_) {
+            if (decoded && cell->jobs_known()) {
+                cell->on_job_row(now, job_id(row.key.key), *decoded, row.version);
+            }
+        }
+    }
+    for (auto& [id, cell] : cells_) {
+        cell->on_jobs_watched(after, page.version);
+    }
+}
+
 // --- ranks ---
 
 // Who owns the cell and lives, as far as this entry knows; invalid: nobody.
 entry_id flow_entry::live_owner(instant now, const cell_id& id, const flow_cell& cell) const
 {
-    if (cell.owns() || cell.current_role() == flow_cell::role::taking) {
+    if (cell.goes_for_ownership()) {
         return self_.entry;
     }
     if (const peer* const told = owner_of(now, id)) {
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -66,14 +66,29 @@
         }
     }
     if (now - begun_ >= peers_learned) {
-        rank_cells(now);
-        for (auto& [id, cell] : cells_) {
-            cell->tick(now, candidacy(now, *cell));
-        }
+        tick_cells(now);
+    }
+    if (now >= next_watch_) {
+        watch_jobs(now);
     }
     edges_.after(tick_interval, [this](instant then) { tick(then); });
 }
 
+// The cells are dealt anew after each one that this entry goes for: with the ranks from before it would go for all that
+// have no owner at once, and hold them before others had their turn.
+void flow_entry::tick_cells(instant now)
+{
+    rank_cells(now);
+    for (auto& [id, cell] : cells_) {
+        const bool owned = cell->goes_for_ownership();
+        cell->tick(now, candidacy(now, *cell));
+        if (!owned && cell->goes_for_ownership()) {
+            next_ranks_ = now;
+            rank_cells(now);
+        }
+    }
+}
+
 void flow_entry::settle(instant now)
 {
     for (auto& [id, cell] : cells_) {
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -165,11 +165,14 @@
     void lay_racks(instant now);
     void write_layout(instant now, const data_centre_id& data_centre);
     flow_cell& cell_of(const cell_id& id, const data_centre_id& data_centre);
+    void watch_jobs(instant now);
+    void on_jobs_changed(instant now, row_version after, const store_page& page);
     void rank_cells(instant now);
     entry_id live_owner(instant now, const cell_id& id, const flow_cell& cell) const;
 
     // flow_entry.cpp
     void tick(instant now);
+    void tick_cells(instant now);
     void watch_operator();
     void take_config(instant now, flow_config config, std::string text, const char* from);
     flow_cell_hooks make_hooks();
@@ -209,6 +212,8 @@
     bool reading_layouts_ = false;
     instant layouts_read_at_{}; // asked for, when the newest answer came
     instant next_layouts_read_{};
+    bool watching_jobs_ = false;
+    instant next_watch_{};
     std::map<cell_id, int> ranks_; // this entry's, as an owner of each cell
     instant next_ranks_{};
     std::vector<wire::flow_cell_news> own_news_;
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -310,6 +310,7 @@
         });
     };
     edges.watch = [this, entry, answer](const store_watch& watch, std::function<void(instant, store_page)> done) {
+        looks_at_jobs_[entry] += watch.table == jobs_table ? 1 : 0;
         if (!table_reached(entry)) {
             answer(std::move(done), store_page{}, 1500ms);
             return;
@@ -386,7 +387,9 @@
                 }
             }
         }
-        answer(std::move(done), list, options_.list_latency);
+        const auto latency = options_.list_latencies.find(entry);
+        answer(std::move(done), list,
+               latency == options_.list_latencies.end() ? options_.list_latency : latency->second);
     };
     edges.watch_operator = [this, entry, answer](row_version after, duration wait,
                                                  std::function<void(instant, operator_page)> done) {
@@ -1009,6 +1012,12 @@
     return at == logged_.end() ? 0 : at->second;
 }
 
+std::int64_t flow_world::looks_at_jobs(int entry) const
+{
+    const auto at = looks_at_jobs_.find(entry);
+    return at == looks_at_jobs_.end() ? 0 : at->second;
+}
+
 int flow_world::owners_of(const std::string& cell) const
 {
     int n = 0;
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -69,6 +69,7 @@
         duration network_latency = std::chrono::milliseconds(2);
         duration jobs_page_time{0};                             // over the entry's link, for each page at a time
         duration list_latency = std::chrono::milliseconds(100); // of the list of workers
+        std::map<int, duration> list_latencies;                 // of entries for which it is another
         std::function<bool(const flow_task_id&, run_number)> run_fails; // empty: none fails
         std::function<duration(const flow_task_id&)> run_time;          // empty: 300 ms
         bool gangs_wait = false;      // for all members of a run, on all workers, and end with the first that ends
@@ -146,6 +147,8 @@
     // --- what was seen ---
     // Broken promises, in words; empty when none.
     const std::vector<std::string>& faults() const { return faults_; }
+    // How often the entry has asked the table for changes of jobs.
+    std::int64_t looks_at_jobs(int entry) const;
     std::int64_t logged(const std::string& subject, const std::string& event) const;
     std::int64_t starts_of(const std::string& job) const;
     std::int64_t running_of(const std::string& job) const;
@@ -153,6 +156,7 @@
     int owners_of(const std::string& cell) const;
 
 private:
+    std::map<int, std::int64_t> looks_at_jobs_;
     struct stored {
         std::string value;
         row_version version;
--- a/tests/test_flow_layout.cpp
+++ b/tests/test_flow_layout.cpp
@@ -154,6 +154,44 @@
     BOOST_TEST(owned == 5);
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_that_knows_the_cells_first_leaves_them_to_those_whose_turn_it_is)
+{
+    // Lasting tasks of most workers stand still: a small entry owned five cells and reached few of their workers over
+    // its link. It had listed the workers, and laid the racks, seconds before the others knew of a cell, and went for
+    // all that had no owner as soon as its turn to follow came.
+    for (const int early : {0, 1, 3, 4, 6, 7}) {
+        flow_world::options o = large_site();
+        for (int i = 0; i < o.entries_each; ++i) {
+            o.list_latencies[i] = i == early ? 100ms : 4500ms;
+        }
+        flow_world w(o);
+        w.run_for(6s);
+        int owned = 0;
+        for (int i = 0; i < o.entries_each; ++i) {
+            const int own = cells_owned(*w.entry(i));
+            BOOST_TEST(own <= (i == 2 || i == 5 ? 3 : 1), "early " << early << ": entry " << i << " owns " << own);
+            owned += own;
+        }
+        BOOST_TEST(owned == 5);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_looks_at_the_changes_of_jobs_once_for_all_its_cells)
+{
+    // An owner with a narrow link reaches neither its workers nor the table: for each of its cells it reads every two
+    // seconds the rows of all jobs of the site that changed.
+    flow_world::options o = large_site();
+    o.entries_each = 1;
+    o.cores = {0.5};
+    flow_world w(o);
+    w.run_for(4s);
+    BOOST_REQUIRE(cells_owned(*w.entry(0)) == 5);
+    const std::int64_t before = w.looks_at_jobs(0);
+    w.run_for(10s);
+    BOOST_TEST(w.looks_at_jobs(0) - before <= 5);
+    BOOST_TEST(w.looks_at_jobs(0) - before >= 4);
+}
+
 BOOST_AUTO_TEST_CASE(equal_entries_own_no_more_than_one_cell_each)
 {
     flow_world::options o = large_site();
