flow_demand: lasting jobs leave as much room as work that ends is seen to need

Change: each cell measures the processors that jobs that end ask for (a rate over 20 s, by the age of each job); lasting jobs leave that share, 0.1 to 0.4; 0.3 until something was seen. The refusal logs what decided it. Six cases of test_flow that fill a site with lasting jobs now do so after 40 s without other work, when a tenth is left.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -110,6 +110,7 @@
   9: i64 largest_free_memory_mib = 0 // of one worker
   10: list<flow_worker_room> each    // worker, the one with most room first
   11: map<string, i64> serving_cpu_millis // serving image -> committed to its tasks
+  12: i64 demand_cpu_millis = 0 // what jobs that end need on average
 }
 
 struct flow_cell_news {
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -434,6 +434,7 @@
     row_unchanged_since_ = now;
     jobs_.clear();
     loads_.clear();
+    demand_.clear();
     ready_.clear();
     ready_keys_.clear();
     awaited_.clear();
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "flow_demand_p.h"
 #include "flow_edges_p.h"
 #include "flow_job_p.h"
 #include "flow_load_p.h"
@@ -107,7 +108,7 @@
     bool stopped() const { return role_ == role::released || role_ == role::watching; }
 
     // What peers are told; only of an owner.
-    wire::flow_cell_news news() const;
+    wire::flow_cell_news news(instant now) const;
     // The same for a hello: made anew every news_kept only, with presses in some of them.
     const wire::flow_cell_news& told_news(instant now);
     // What the owner of another cell has learned of images.
@@ -254,6 +255,7 @@
     bool out_of_attempts(const flow_job& job, const flow_task& task) const;
     bool has_spent_task(const flow_job& job) const;
     void end_job(instant now, flow_job& job, flow_state outcome);
+    void note_demand(instant now, const flow_job& job);
     void adopt_job(instant now, const job_id& id, const wire::flow_job_row& row, row_version version);
     void job_changed(instant now, flow_job& job, bool urgent);
     void claim_job(instant now, flow_job& job);
@@ -377,7 +379,8 @@
     std::map<job_id, instant> put_away_; // ended jobs, until no late page can tell of them any more
     std::map<std::string, part_state> parts_;
     interference_model interference_;
-    load_forecast loads_; // of jobs that serve
+    load_forecast loads_;                       // of jobs that serve
+    std::map<std::string, work_demand> demand_; // by service, of the jobs bound here
     instant refitted_{};
     bool place_planned_ = false;
     wire::flow_cell_news told_news_;
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -432,6 +432,17 @@
     }
 }
 
+// Of a job whose tasks run in several cells, the one that it is bound to counts it.
+void flow_cell::note_demand(instant now, const flow_job& job)
+{
+    if (job.row().cell != id_.str()) {
+        return;
+    }
+    const auto accepted = wall_time(std::chrono::milliseconds(job.row().accepted_ms));
+    const auto age = std::chrono::duration_cast<duration>(edges_.wall() - accepted);
+    demand_[job.row().service_name].note(now, age, ending_cpu_seconds(job));
+}
+
 void flow_cell::adopt_job(instant now, const job_id& id, const wire::flow_job_row& row, row_version version)
 {
     auto made = std::make_unique<flow_job>(id, id_, row, version);
@@ -440,6 +451,7 @@
     }
     auto& job = jobs_[id];
     job = std::move(made);
+    note_demand(now, *job);
     if (job->timed()) {
         timed_.insert(id);
     }
@@ -551,7 +563,7 @@
     return same ? interference_.serving_name(first) : several_images;
 }
 
-wire::flow_cell_news flow_cell::news() const
+wire::flow_cell_news flow_cell::news(instant now) const
 {
     wire::flow_cell_news news;
     news.cell = id_.str();
@@ -609,6 +621,9 @@
     }
     news.presses = interference_.learned();
     for (auto& [service, pool] : pools) {
+        const auto demand = demand_.find(service);
+        pool.demand_cpu_millis = (demand == demand_.end() ? work_demand() : demand->second)
+                                     .cpu_millis(now, taken_at_, pool.total_cpu_millis);
         std::sort(pool.each.begin(), pool.each.end(),
                   [](const auto& a, const auto& b) { return a.free_cpu_millis > b.free_cpu_millis; });
         news.pools.push_back(std::move(pool));
@@ -619,7 +634,7 @@
 const wire::flow_cell_news& flow_cell::told_news(instant now)
 {
     if (told_news_life_ != life_ + 1 || told_news_at_ + news_kept <= now) {
-        told_news_ = news();
+        told_news_ = news(now);
         told_news_at_ = now;
         told_news_life_ = life_ + 1;
         if (now - presses_told_from_ >= presses_interval) {
--- /dev/null
+++ b/src/flow_demand.cpp
@@ -0,0 +1,59 @@
+#include "flow_demand_p.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "flow_limits_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+namespace {
+
+double seconds(duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+double kept_after(duration d)
+{
+    return std::exp(-seconds(d) / seconds(demand_memory));
+}
+
+} // namespace
+
+void work_demand::note(instant now, duration age, double cpu_seconds)
+{
+    level_ *= kept_after(now - noted_);
+    level_ += cpu_seconds / seconds(demand_memory) * kept_after(std::max(age, duration(0)));
+    noted_ = now;
+}
+
+std::int64_t work_demand::cpu_millis(instant now, instant begun, std::int64_t room) const
+{
+    const double unseen = demand_unseen * static_cast<double>(room) * kept_after(now - begun);
+    return static_cast<std::int64_t>(level_ * kept_after(now - noted_) + unseen);
+}
+
+double ending_cpu_seconds(const flow_job& job)
+{
+    double sum = 0;
+    for (const flow_step& step : job.spec().steps) {
+        if (!step.lasting) {
+            sum += static_cast<double>(step.count * step.need.cpu_millis) * seconds(step.estimate);
+        }
+    }
+    return sum;
+}
+
+double ending_work_reserve(std::int64_t demand_cpu_millis, std::int64_t total_cpu_millis)
+{
+    if (total_cpu_millis <= 0) {
+        return ending_reserve_least;
+    }
+    const double share = static_cast<double>(demand_cpu_millis) / static_cast<double>(total_cpu_millis);
+    return std::clamp(share, ending_reserve_least, ending_reserve_most);
+}
+
+} // namespace skylarkhub
--- /dev/null
+++ b/src/flow_demand_p.h
@@ -0,0 +1,30 @@
+// How many processors the work that ends needs on average: jobs of brief and of filling tasks, as they come in.
+#pragma once
+
+#include "flow_job_p.h"
+
+namespace skylarkhub {
+
+// The pattern: lasting jobs come first, find the workers empty, and stay for minutes; the jobs that end come after
+// them, at a rate that nobody has told. With a tenth of the processors left to them, a third of theirs was never done
+// on days on which they ask for two fifths. So what they ask for is measured, and lasting jobs leave as much.
+class work_demand {
+public:
+    // A job accepted `age` ago, all of whose tasks together need `cpu_seconds` (thousandths of a processor x seconds).
+    void note(instant now, duration age, double cpu_seconds);
+    // In thousandths of a processor, over the last demand_memory or so. `room`: of the workers that serve it, the same.
+    // At first it is taken for demand_unseen of that; the longer it is watched, since `begun`, the less that counts.
+    std::int64_t cpu_millis(instant now, instant begun, std::int64_t room) const;
+
+private:
+    instant noted_{};
+    double level_ = 0; // at noted_
+};
+
+// What all tasks of one occurrence of the job need together, lasting ones left out; as work_demand::note takes it.
+double ending_cpu_seconds(const flow_job& job);
+
+// The share of a service's processors that lasting jobs leave to work that ends, by what that work needs.
+double ending_work_reserve(std::int64_t demand_cpu_millis, std::int64_t total_cpu_millis);
+
+} // namespace skylarkhub
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -119,7 +119,7 @@
     void submit(instant now, const flow_queue& queue, const job_id& job, const caller_request& request, instant give_up,
                 caller_reply reply);
     std::optional<cell_id> choose_cell(instant now, const flow_queue& queue, const flow_spec& spec);
-    bool has_lasting_room(instant now, const flow_queue& queue, const flow_spec& spec);
+    bool has_lasting_room(instant now, const job_id& job, const flow_queue& queue, const flow_spec& spec);
     void refuse_unless_there(const job_id& job, caller_reply reply);
     std::vector<wire::flow_cell_news>& own_news(instant now);
     template <class Weigh> void each_news(instant now, Weigh&& weigh);
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -109,7 +109,7 @@
         reply({caller_result::invalid, flow_state::queued, 0, duration(0), problem});
         return;
     }
-    if (!leaving_ && !has_lasting_room(now, queue, *request.spec)) {
+    if (!leaving_ && !has_lasting_room(now, job, queue, *request.spec)) {
         refuse_unless_there(job, std::move(reply));
         return;
     }
@@ -276,7 +276,7 @@
         own_news_.clear();
         for (const auto& [id, cell] : cells_) {
             if (cell->current_role() == flow_cell::role::owning) {
-                own_news_.push_back(cell->news());
+                own_news_.push_back(cell->news(now));
                 assigned_cpu_[id] = 0;
             }
         }
@@ -334,9 +334,9 @@
     return best;
 }
 
-// Whether all tasks of a lasting job find workers now and leave short work its share. Accepted beyond that, they would
-// hold everything for minutes, wait for each other, and let short work wait that is due in a second.
-bool flow_entry::has_lasting_room(instant now, const flow_queue& queue, const flow_spec& spec)
+// Whether all tasks of a lasting job find workers now and leave what jobs that end need. Accepted beyond that, they
+// would hold everything for minutes, wait for each other, and let work wait that is due in seconds.
+bool flow_entry::has_lasting_room(instant now, const job_id& job, const flow_queue& queue, const flow_spec& spec)
 {
     const flow_wants wants = wants_of(spec);
     if (!wants.lasting) {
@@ -344,18 +344,32 @@
     }
     std::int64_t total = 0;
     std::int64_t free = 0;
+    std::int64_t demand = 0;
     std::int32_t fit = 0;
     each_news(now, [&](wire::flow_cell_news& news, bool) {
         for (const wire::flow_pool_row& pool : news.pools) {
             if (pool.service_name == queue.service && pool.total_cpu_millis > 0) {
                 total += pool.total_cpu_millis;
+                demand += pool.demand_cpu_millis;
                 free += pool.free_cpu_millis - assigned_cpu_[cell_id(news.cell)];
                 fit += tasks_that_fit(pool, wants);
             }
         }
     });
-    const auto reserve = static_cast<std::int64_t>(short_work_reserve * static_cast<double>(total));
-    return total == 0 || (fit >= wants.tasks && free - wants.cpu >= reserve);
+    const double reserve = ending_work_reserve(demand, total);
+    const bool room = total == 0 || (fit >= wants.tasks &&
+                                     static_cast<double>(free - wants.cpu) >= reserve * static_cast<double>(total));
+    if (!room) {
+        edges_.note(log_level::info, "job", "no_lasting_room",
+                    {{"job", job.str()},
+                     {"wants_tasks", std::to_string(wants.tasks)},
+                     {"fit_tasks", std::to_string(fit)},
+                     {"wants_cpu", std::to_string(wants.cpu)},
+                     {"free_cpu", std::to_string(free)},
+                     {"total_cpu", std::to_string(total)},
+                     {"reserve", std::to_string(reserve)}});
+    }
+    return room;
 }
 
 // A caller that got no answer asks again, at any entry: its job may be there already, and then it must not be told that
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -126,9 +126,15 @@
 inline constexpr duration answer_margin = 150ms; // before the caller's time is up
 inline constexpr duration accept_retry = 120ms;
 inline constexpr int accept_tries = 3; // while the table refuses; a write in doubt is tried until time is up
-// Lasting tasks leave this much of a service's processors to short work, which waited 5 to 15 s for room when they took
-// all there was: twice what it takes on the whole (5%), since it comes in bursts and needs its room on one worker each.
-inline constexpr double short_work_reserve = 0.1;
+// Lasting jobs leave to work that ends what it is seen to need of a service's processors. At the least this share,
+// twice what brief tasks take on sites with hardly any other such work (5%), since they come in bursts and each needs
+// its room on one worker; at the most this one, beyond which ever fewer lasting jobs make room for ever more work that
+// waits.
+inline constexpr double ending_reserve_least = 0.1;
+inline constexpr double ending_reserve_most = 0.4;
+// Until jobs that end were seen: lasting jobs taken on before can't be given up again, those refused can come later.
+inline constexpr double demand_unseen = 0.3;
+inline constexpr duration demand_memory = 20s;    // rates of jobs swing by a sixth within 11 s
 inline constexpr duration full_retry = 4s;        // some lasting job ends within this on a site that is full
 inline constexpr duration unavailable_retry = 1s; // what a caller is told when the table or the cells are away
 inline constexpr duration state_fresh = 1500ms;   // an owner tells each end at once; older than this, the row is read
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -12,6 +12,8 @@
 
 const std::string job_a = "00000000000000aa";
 const std::string job_b = "00000000000000bb";
+// No work that ends has come for so long that lasting jobs need to leave no more than the least for it.
+constexpr duration watched_long = 40s;
 
 bool is_done(flow_world& w, int entry, const std::string& job)
 {
@@ -252,7 +254,7 @@
     // not wait there: it is given to the other cell, and runs once.
     flow_world w(
         {.data_centres = {"a", "b"}, .workers_each = 1, .run_time = [](const flow_task_id&) { return duration(1s); }});
-    w.run_for(2s);
+    w.run_for(watched_long);
     BOOST_REQUIRE(w.submit(0, job_a, lasting_spec(6, 4000)) == caller_result::accepted);
     w.run_for(8s);
     BOOST_TEST(w.running_of(job_a) == 6);
@@ -287,7 +289,7 @@
     // wait for each other. One that does not fit beside the share of short work is told so at once, and when to come
     // back; a check that comes then starts at once.
     flow_world w({.workers_each = 4});
-    w.run_for(2s);
+    w.run_for(watched_long);
     BOOST_REQUIRE(w.submit(0, job_a, lasting_spec(6, 8000)) == caller_result::accepted);
     w.run_for(1s);
     BOOST_TEST((w.submit(1, job_b, lasting_spec(2, 8000)) == caller_result::not_accepted));
@@ -302,7 +304,7 @@
     // The caller's first try got no answer, and the job it handed in fills the site. It asks again through another
     // entry: "refused, will never run" would be false, and make it hand the same watch in a second time.
     flow_world w({.workers_each = 2});
-    w.run_for(2s);
+    w.run_for(watched_long);
     BOOST_REQUIRE(w.submit(0, job_a, lasting_spec(3, 8000)) == caller_result::accepted);
     w.run_for(1s);
     BOOST_TEST((w.submit(1, job_a, lasting_spec(3, 8000)) == caller_result::accepted));
@@ -648,7 +650,7 @@
          .worker_cpu = 18000, // two tasks, and a little for short work
          .run_fails = [](const flow_task_id& t, run_number run) { return t.job.str() == job_a && run.value() < 3; },
          .run_time = [](const flow_task_id& t) { return duration(300ms * (1 + t.index)); }});
-    w.run_for(2s);
+    w.run_for(watched_long);
     flow_spec gang = chain_spec(1, 3, 8000);
     gang.steps.front().gang = true;
     BOOST_REQUIRE(w.submit(0, job_a, gang) == caller_result::accepted);
@@ -827,7 +829,7 @@
                           .workers_each = 1,
                           .worker_cpu = 1150, // one task, and a little for short work
                           .run_time = [](const flow_task_id&) { return duration(60s); }});
-            w.run_for(3s);
+            w.run_for(watched_long);
             const std::vector<std::string> fillers{"00000000000000f1", "00000000000000f2", "00000000000000f3"};
             for (const std::string& filler : fillers) {
                 BOOST_REQUIRE(w.submit(0, filler, lasting_spec(1, 1000)) == caller_result::accepted);
@@ -883,7 +885,7 @@
     // A lasting task waits in a full cell while the owner of the other has just taken over and its workers do not
     // answer: it tells of a pool without one worker. Looking for room there must find none, and the waiting goes on.
     flow_world w({.data_centres = {"a", "b"}, .workers_each = 1, .worker_cpu = 4600});
-    w.run_for(2s);
+    w.run_for(watched_long);
     // At the same moment, so that neither entry knows of the other's job: one of them waits.
     w.send_submit(0, job_a, lasting_spec(2, 4000));
     w.send_submit(2, job_b, lasting_spec(2, 4000));
