--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -305,7 +305,6 @@
     void count_serving(cell_worker& w, const job_id& job, const ledger_run& run, int change);
     void set_bearing(serving_group& group, instant now) const;
     double pressure_on(const cell_worker& w, const serving_group& group) const;
-    double borne_share(int filling, std::int64_t cpu_millis) const;
     place_interference filling_on(const cell_worker& w, int filling, double share) const;
     std::string serving_image(const cell_worker& w) const;
     void count_fill_room(const cell_worker& w, wire::flow_pool_row& pool) const;
--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -158,25 +158,6 @@
     return out;
 }
 
-// Of the workers with serving tasks, the share that would bear one more filling task if they had no other.
-double flow_cell::borne_share(int filling, std::int64_t cpu_millis) const
-{
-    int serving = 0;
-    int bearing = 0;
-    for (const auto& [id, worker] : workers_) {
-        const cell_worker& w = worker;
-        if (w.serving_groups.empty() || !w.listed) {
-            continue;
-        }
-        const double share = static_cast<double>(cpu_millis) / room_of(w.listing);
-        ++serving;
-        bearing += std::all_of(w.serving_groups.begin(), w.serving_groups.end(), [&](const serving_group& g) {
-            return interference_.press(g.image, filling) * share <= g.bears_usual * w.margin;
-        });
-    }
-    return serving == 0 ? 1 : static_cast<double>(bearing) / serving;
-}
-
 // By how much pressure would go beyond what is borne by a serving task that would join the filling work there.
 double flow_cell::excess_for(const cell_worker& w, int serving) const
 {
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -139,7 +139,6 @@
         if (step.filling) {
             const double room = static_cast<double>(std::max<std::int64_t>(1, w.listing.room.cpu_millis));
             interference = filling_on(w, image, static_cast<double>(step.need.cpu_millis) / room);
-            interference.borne_elsewhere = w.serving == 0 ? borne_share(image, step.need.cpu_millis) : 0;
             const bool crowded =
                 left_for_filling(option) - step.need.cpu_millis < -static_cast<std::int64_t>(fill_overcommit * room);
             // Left waiting for a place where it is borne and gets its processors: elsewhere it would be slowed to
@@ -151,11 +150,6 @@
         }
         else if (serves) {
             interference.excess = excess_for(w, image);
-            const auto any = [&w = w](auto&& same) {
-                return std::any_of(w.serving_groups.begin(), w.serving_groups.end(), same);
-            };
-            interference.mixed = w.serving > 0 && !any([image](const serving_group& g) { return g.image == image; });
-            interference.kin = any([&job](const serving_group& g) { return g.job == job.id(); });
         }
         const flow_task_id first = job.task_id(stage, 0);
         std::int32_t beside = 0;
--- a/src/flow_place.cpp
+++ b/src/flow_place.cpp
@@ -17,9 +17,6 @@
 constexpr double apart_cost = 0.6; // plain work on a worker that has no serving task
 constexpr double open_cost = 1.5;  // the first serving task of a worker: one fewer where filling work presses on nobody
 constexpr double tight_cost = 0.6; // what a serving task leaves free, where no other may fit any more
-constexpr double mixed_cost = 1.0; // beside serving tasks of other images only: what both bear is less than either
-constexpr double kin_gain = 0.3;   // beside tasks of its own job: their load is at its top at the same moments
-constexpr double whole_cost = 0.6; // a worker where filling work presses on nobody, for work that others bear as well
 constexpr double overcommit_cost = 2.0; // filling work that gets less than it wants runs longer
 
 } // namespace
@@ -57,12 +54,10 @@
     cost += excess_cost * interference.excess;
     if (step.filling) {
         cost += taken_cost * interference.taken + wanted + overcommit_cost * std::max(0.0, wanted - 1.0);
-        return cost + (option.serving > 0 ? beside_serving : whole_cost * interference.borne_elsewhere);
+        return cost + (option.serving > 0 ? beside_serving : 0);
     }
     if (step.lasting) {
-        cost += tight_cost * (1.0 - counted) + (option.serving == 0 ? open_cost : 0);
-        cost -= interference.kin ? kin_gain : 0;
-        return cost + (interference.mixed ? mixed_cost : 0);
+        return cost + tight_cost * (1.0 - counted) + (option.serving == 0 ? open_cost : 0);
     }
     // Plain work fills what serving tasks leave, so that other workers stay whole for filling work.
     return cost + (option.serving > 0 ? 1.0 - counted : apart_cost + wanted);
--- a/src/flow_place_p.h
+++ b/src/flow_place_p.h
@@ -54,11 +54,8 @@
 
 // What the interference model expects if the task goes there.
 struct place_interference {
-    double excess = 0;          // pressure beyond what serving tasks bear, in units of ln(tail)
-    double taken = 0;           // of what serving tasks bear, the part that filling work takes up
-    double borne_elsewhere = 0; // share of the workers with serving tasks that bear such a filling task
-    bool mixed = false;         // a serving task beside serving tasks of other images only
-    bool kin = false;           // a serving task beside others of its job
+    double excess = 0; // pressure beyond what serving tasks bear
+    double taken = 0;  // of what serving tasks bear, the part that filling work takes up
 };
 
 // Lower is better; the unit is a share of the worker's processors.
