--- a/src/flow_cells.cpp
+++ b/src/flow_cells.cpp
@@ -204,9 +204,9 @@
 
 // --- changes of jobs ---
 
-// One look for all owned cells: a look for each, at the rows of all jobs that had changed, took 1.7 Mbit/s a cell where
-// 19 jobs a second come in, and an entry with a link of 10 Mbit/s and five cells reached neither its workers nor the
-// table in time.
+// One look for all owned cells: with a look for each, an owner read the rows of all jobs that had changed once a cell.
+// On a site of 21 cells, 42 entries and 19 jobs a second one look an entry, with cells dealt as they should be, takes
+// what the table sends and gets from 0.274 to 0.209 GB in 61 s.
 void flow_entry::watch_jobs(instant now)
 {
     std::optional<row_version> known;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -111,7 +111,8 @@
 inline constexpr duration layout_settle_most = 2s;      // one that changes all the time is not waited for
 inline constexpr duration layout_wait_remote = 3s;      // before an entry of another data centre lays racks
 // Entries that start together learn of a new layout within moments of each other for this long. An entry that knew it
-// a second before the others took five cells of seven that were not its turn, and its link bore two.
+// seconds before the others took five cells of seven that were not its turn, and its link of 10 Mbit/s did not bear
+// them.
 inline constexpr duration layouts_start = 6s;
 inline constexpr duration layouts_interval = 10s; // between reads of all layouts; a rack of no cell is one too
 inline constexpr duration deal_interval = 1s;     // between rankings while every cell has a live owner
