--- a/tests/test_flow_demand.cpp
+++ b/tests/test_flow_demand.cpp
@@ -32,8 +32,8 @@
 
 BOOST_AUTO_TEST_CASE(lasting_jobs_leave_what_a_steady_flow_of_rebuilds_needs)
 {
-    // Half of the rebuilds are never done: they ask for a third of all processors, five and a half jobs a second of 151
-    // processor seconds each, and lasting jobs that came before them left a tenth.
+    // A fifth of the rebuilds is never done: they ask for a third of all processors, five and a half jobs a second of
+    // 151 processor seconds each, and lasting jobs that came before them left a tenth.
     work_demand demand;
     const double each = ending_cpu_seconds(make_job(false));
     BOOST_TEST(each == 2 * 8 * 3500 * 2.7, boost::test_tools::tolerance(1e-9));
