cell load tells what is not written yet, and a task's arrival in another cell is logged

Seen: between `task given_away` and `run placed` the log told nothing, so a write that conflicts again and again, a row that its receiver drops, and a receiver without room could not be told apart. Now `cell load` has the number of jobs whose row is behind, the age of the oldest, and the counts of commits and conflicts; `task arrived` names the row's version. A counter more on the metrics page (commits_conflicted_total). No decision changes.

--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -14,7 +14,7 @@
 void flow_cell::job_changed(instant now, flow_job& job, bool urgent)
 {
     const std::string part = job_part(job.id());
-    parts_[part].dirty.insert(job.id());
+    parts_[part].dirty.try_emplace(job.id(), now);
     commit_soon(now, part, urgent ? duration(0) : commit_gap);
 }
 
@@ -42,7 +42,7 @@
     store_transaction t;
     std::vector<std::pair<job_id, std::uint64_t>> jobs;
     std::vector<job_id> clean;
-    for (const job_id& id : state.dirty) {
+    for (const auto& [id, since] : state.dirty) {
         const auto found = jobs_.find(id);
         if (found == jobs_.end()) {
             clean.push_back(id);
@@ -110,6 +110,7 @@
         break;
     case table_outcome::conflict:
         // Another entry has cancelled a job, or an earlier try of ours is in force although its answer was lost.
+        ++stats_.commits_conflicted;
         for (const store_row& row : result.rows) {
             const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
             if (decoded) {
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -323,7 +323,7 @@
         bool planned = false;
         instant due{};
         instant held_until{}; // no try before, after one that failed
-        std::set<job_id> dirty;
+        std::map<job_id, instant> dirty; // and since when
         duration backoff{0};
     };
     struct ready_key {
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -402,6 +402,14 @@
             ready[step.lasting ? "ready_lasting" : step.filling ? "ready_filling" : "ready_plain"] += stage.ready;
         }
     }
+    std::size_t unwritten = 0;
+    duration oldest_unwritten{0};
+    for (const auto& [part, state] : parts_) {
+        unwritten += state.dirty.size();
+        for (const auto& [id, since] : state.dirty) {
+            oldest_unwritten = std::max(oldest_unwritten, now - since);
+        }
+    }
     edges_.note(log_level::info, "cell", "load",
                 {{"cell", id_.str()},
                  {"epoch", std::to_string(epoch_.value())},
@@ -420,7 +428,11 @@
                  {"ready_filling", std::to_string(ready["ready_filling"])},
                  {"ready_plain", std::to_string(ready["ready_plain"])},
                  {"oldest_lasting", oldest.empty() ? "none" : oldest},
-                 {"oldest_lasting_ms", std::to_string(oldest_lasting.count() / 1000)}});
+                 {"oldest_lasting_ms", std::to_string(oldest_lasting.count() / 1000)},
+                 {"unwritten", std::to_string(unwritten)},
+                 {"oldest_unwritten_ms", std::to_string(oldest_unwritten.count() / 1000)},
+                 {"commits", std::to_string(stats_.commits)},
+                 {"conflicts", std::to_string(stats_.commits_conflicted)}});
 }
 
 void flow_cell::tick_timed(instant now)
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -398,7 +398,15 @@
     flow_job& known = *found->second;
     const bool was_cancelled = known.cancelled();
     const bool was_ended = known.ended();
+    const std::int32_t waited = known.count_ready();
     known.merge(now, row, version);
+    if (known.count_ready() > waited) {
+        edges_.note(log_level::info, "task", "arrived",
+                    {{"job", job.str()},
+                     {"cell", id_.str()},
+                     {"tasks", std::to_string(known.count_ready() - waited)},
+                     {"version", std::to_string(version.value())}});
+    }
     if (deposed_by(now, known)) {
         return;
     }
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -1,6 +1,7 @@
 #include "flow_job_p.h"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 
 namespace skylarkhub {
@@ -297,6 +298,12 @@
     ++changes_;
 }
 
+std::int32_t flow_job::count_ready() const
+{
+    return std::accumulate(stages_.begin(), stages_.end(), std::int32_t{0},
+                           [](std::int32_t sum, const flow_stage& s) { return sum + s.ready; });
+}
+
 bool flow_job::all_done() const
 {
     return std::all_of(stages_.begin(), stages_.end(),
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -116,6 +116,8 @@
     void merge(instant now, const wire::flow_job_row& newer, row_version version);
 
     bool all_done() const;
+    // Tasks that wait for a worker.
+    std::int32_t count_ready() const;
     // Some run of it may be going on.
     bool running() const;
     bool dirty() const { return changes_ > written_; }
--- a/src/flow_metrics.cpp
+++ b/src/flow_metrics.cpp
@@ -79,6 +79,7 @@
     write_value(page, "tasks_given_away_total", labels, stats.given_away);
     write_value(page, "commits_total", labels, stats.commits);
     write_value(page, "commits_failed_total", labels, stats.commits_failed);
+    write_value(page, "commits_conflicted_total", labels, stats.commits_conflicted);
     write_value(page, "exchanges_total", labels, stats.holds);
     write_value(page, "exchanges_unanswered_total", labels, stats.holds_unanswered);
     write_value(page, "takeovers_total", labels, stats.takeovers);
--- a/src/flow_metrics_p.h
+++ b/src/flow_metrics_p.h
@@ -50,6 +50,7 @@
     std::int64_t given_away = 0;
     std::int64_t commits = 0;
     std::int64_t commits_failed = 0;
+    std::int64_t commits_conflicted = 0;
     std::int64_t holds = 0;
     std::int64_t holds_unanswered = 0;
     std::int64_t takeovers = 0;
