--- /dev/null
+++ b/tests/test_flow_moves.cpp
@@ -0,0 +1,77 @@
+// Tasks that move to another cell: because their worker leaves, or because their own cell has no room for them.
+#include <boost/test/unit_test.hpp>
+
+#include "support_flow_world.h"
+
+using namespace skylarkhub;
+using namespace skylarkhub::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string job_a = "00000000000000aa";
+const std::string job_b = "00000000000000bb";
+const std::string job_c = "00000000000000cc";
+
+void check_no_faults(const flow_world& w)
+{
+    for (const std::string& fault : w.faults()) {
+        BOOST_ERROR(fault);
+    }
+}
+
+flow_spec lasting_spec(int count, std::int64_t cpu_millis)
+{
+    flow_spec spec = chain_spec(1, count, cpu_millis);
+    spec.steps.front().lasting = true;
+    return spec;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(what_lasts_leaves_a_full_cell_before_its_worker_goes)
+{
+    // A worker says that it leaves while all others of its cell are full. Its tasks that last stayed until it was gone
+    // and were away for the rest of their lease and the wait for room, more than nine seconds, with half of the site
+    // idle: only workers of the same cell were looked at for them.
+    flow_world w({.data_centres = {"a", "b"}, .workers_each = 2});
+    w.run_for(2s);
+    w.accept_unheard(job_a, cell_id("a"), lasting_spec(8, 4000));
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 8; }, 5s));
+    const int leaving = 0;
+    BOOST_REQUIRE(w.worker(leaving).running.size() == 4);
+    w.worker(leaving).draining = true;
+    w.run_for(2s);
+    BOOST_TEST(w.worker(leaving).running.empty());
+    BOOST_TEST(w.running_of(job_a) == 8);
+    w.crash_worker(leaving, false);
+    w.run_for(10s);
+    BOOST_TEST(w.running_of(job_a) == 8);
+    check_no_faults(w);
+}
+
+BOOST_AUTO_TEST_CASE(a_lasting_task_finds_room_beside_short_work_that_always_waits)
+{
+    // Workers have left, and the site is full. A lasting task ends, and nothing runs in its place for as long as short
+    // tasks wait anywhere: its own cell holds nothing but lasting tasks, so it goes nowhere, and where short tasks come
+    // and go each takes at once what another gives back, which is less than the lasting task needs.
+    constexpr duration placed_most = 4s; // a wait before it is given away, one before a worker is reserved, short runs
+    flow_world w({.data_centres = {"a", "b"}, .workers_each = 2, .run_time = [](const flow_task_id& task) {
+                      return task.job.str() == job_a ? duration(500ms + task.index % 7 * 60ms) : duration(300ms);
+                  }});
+    w.run_for(2s);
+    w.accept_unheard(job_b, cell_id("a"), lasting_spec(8, 4000));
+    w.accept_unheard(job_c, cell_id("b"), lasting_spec(4, 4000));
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_b) == 8 && w.running_of(job_c) == 4; }, 5s));
+    w.accept_unheard(job_a, cell_id("b"), chain_spec(1, 200, 3500));
+    w.run_for(3s);
+    BOOST_REQUIRE(w.running_of(job_a) >= 3);
+    w.drop_worker_listing(0, true); // what runs there goes on, nothing more is started
+    w.run_for(1500ms);
+    const flow_task_id ended{job_id(job_b), 0, 0, w.worker(0).running.begin()->first.index};
+    w.fail_run(ended);
+    w.run_for(placed_most);
+    BOOST_TEST(w.running_of(job_b) == 8);
+    BOOST_TEST(w.running_of(job_a) > 0);
+    check_no_faults(w);
+}
