pending: jobs of cells whose owner cannot be heard are counted at every entry

Cause: what a cell's owner had told was kept with the owner: an owner that started anew took it away until the next one was heard. And a job accepted for a cell whose owner could not be told was known to the entry that had accepted it only. Change: what was told is kept by cell until an owner of that epoch or a later one tells again, after it has read all rows; hellos tell how many jobs their sender could not tell of yet. A job whose tasks are elsewhere is counted by its own cell only.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -120,6 +120,7 @@
   3: list<flow_pool_row> pools
   4: map<string, i32> pending // queue -> jobs no task of which has started
   5: map<string, double> presses // "SERVING|FILLING" -> see interference_model
+  6: bool pending_whole = true // the rows of all jobs have been read
 }
 
 struct flow_hello {
@@ -130,6 +131,7 @@
   5: list<flow_entry_row> members
   6: bool table_away = false // the sender cannot reach the table itself
   7: i64 table_silent_ms = 0 // since the table last answered the sender, whatever it was asked
+  8: map<string, i32> untold // queue -> jobs it has accepted whose cell's owner it could not tell yet
 }
 
 // A call to the table that the sender asks the receiver to make for it.
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -536,7 +536,8 @@
 std::int64_t flow_cell::pending(const queue_id& queue) const
 {
     return std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& j) {
-        return j.second->row().queue == queue.str() && !j.second->started() && !j.second->cancelled();
+        return j.second->row().queue == queue.str() && j.second->row().cell == id_.str() && !j.second->started() &&
+               !j.second->cancelled();
     });
 }
 
@@ -581,6 +582,7 @@
     wire::flow_cell_news news;
     news.cell = id_.str();
     news.epoch = epoch_.value();
+    news.pending_whole = role_ == role::owning;
     std::map<std::string, wire::flow_pool_row> pools;
     for (const auto& [id, w] : workers_) {
         if (!w.listed || w.listing.draining) {
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -85,6 +85,12 @@
         bool table_away = false;
         instant table_answered{}; // when the table last answered it
         std::vector<wire::flow_cell_news> cells;
+        std::map<std::string, std::int32_t> untold; // by queue, jobs whose cell's owner it could not tell yet
+    };
+    // Jobs of a cell no task of which has started, by queue, as its owner of that epoch told last.
+    struct cell_pending {
+        std::int64_t epoch = 0;
+        std::map<std::string, std::int32_t> counts;
     };
     // A job this entry answers callers for.
     struct followed_job {
@@ -134,6 +140,8 @@
     void write_cancel(const job_id& job, const wire::flow_job_row& before, row_version version, instant give_up,
                       caller_reply reply);
     std::int64_t count_pending(const queue_id& queue) const;
+    std::map<std::string, std::int32_t> count_untold() const;
+    void note_pending(const wire::flow_cell_news& news);
     void tell_cell(instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row,
                    row_version version);
     void tell_owner(instant now, const cell_id& cell, const job_id& job);
@@ -220,6 +228,7 @@
     instant own_news_at_{};
     absl::flat_hash_map<job_id, followed_job> followed_;
     std::map<std::pair<cell_id, job_id>, untold_row> untold_;
+    std::map<cell_id, cell_pending> told_pending_;
     std::map<net_address, std::vector<wire::flow_state_news>> state_news_;
     unusable_entries unusable_;
     instant next_list_{};
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -693,26 +693,6 @@
     }
 }
 
-std::int64_t flow_entry::count_pending(const queue_id& queue) const
-{
-    std::int64_t sum = 0;
-    for (const auto& [id, cell] : cells_) {
-        if (cell->owns()) {
-            sum += cell->pending(queue);
-        }
-    }
-    for (const auto& [id, p] : peers_) {
-        for (const wire::flow_cell_news& news : p.cells) {
-            const auto at = news.pending.find(queue.str());
-            sum += at == news.pending.end() ? 0 : at->second;
-        }
-    }
-    for (const auto& [key, row] : untold_) {
-        sum += row.row.queue == queue.str() ? 1 : 0;
-    }
-    return sum;
-}
-
 // --- cancel ---
 
 void flow_entry::cancel(const job_id& job, instant give_up, caller_reply reply)
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -87,10 +87,12 @@
     h.leaving = leaving_;
     h.config_version = config_version().value();
     h.table_away = table_away_;
+    h.untold = count_untold();
     h.table_silent_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - table_answered_).count();
     for (const auto& [id, cell] : cells_) {
         if (cell->owns()) {
             h.cells.push_back(cell->told_news(now));
+            note_pending(h.cells.back());
         }
     }
     for (const auto& [id, p] : peers_) {
@@ -211,7 +213,9 @@
     p.table_away = h.table_away;
     p.table_answered = now - std::chrono::milliseconds(h.table_silent_ms);
     p.cells = h.cells;
+    p.untold = h.untold;
     for (const wire::flow_cell_news& cell : h.cells) {
+        note_pending(cell);
         assigned_cpu_[cell_id(cell.cell)] = 0;
         for (auto& [id, own] : cells_) {
             own->hint_presses(cell.presses);
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -821,6 +821,13 @@
     rows_[job_key(job_id(job))] = {encode_compact(row), row_version(++version_)};
 }
 
+std::int32_t flow_world::outcome_in_row(const std::string& job) const
+{
+    std::string reason;
+    const auto row = decode_compact<wire::flow_job_row>(rows_.at(job_key(job_id(job))).value, &reason);
+    return row ? row->outcome : 0;
+}
+
 void flow_world::end_unheard(int worker, const flow_task_id& task, run_number run)
 {
     flow_fake_worker& w = *workers_.at(static_cast<std::size_t>(worker));
@@ -975,6 +982,20 @@
     return (*result)->state;
 }
 
+std::int64_t flow_world::pending(int entry)
+{
+    const auto result = std::make_shared<std::optional<caller_answer>>();
+    caller_request request;
+    request.verb = caller_verb::state;
+    request.host = "host";
+    request.path = "/q/";
+    on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life, [request, result](flow_entry& e, instant now) {
+        e.on_request(now, request, [result](const caller_answer& answer) { *result = answer; });
+    });
+    run_until([&] { return result->has_value(); }, 4s);
+    return *result && (*result)->result == caller_result::pending ? (*result)->pending : -1;
+}
+
 std::int64_t flow_world::starts_of(const std::string& job) const
 {
     const auto at = starts_.find(job);
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -93,6 +93,8 @@
     caller_result submit(int entry, const std::string& job, const flow_spec& spec, const std::string& queue = "q");
     caller_result cancel(int entry, const std::string& job);
     std::optional<flow_state> state(int entry, const std::string& job);
+    // The number of jobs that wait, as the entry says; -1: it did not answer.
+    std::int64_t pending(int entry);
     // Sends and does not wait; the answer is noted in answers().
     void send_submit(int entry, const std::string& job, const flow_spec& spec);
     const std::map<std::string, std::vector<caller_result>>& answers() const { return answers_; }
@@ -134,6 +136,10 @@
     // A job in the table that no owner has been told of, and an end `done` of one of its tasks, as an earlier owner of
     // the cell leaves them.
     void accept_unheard(const std::string& job, const cell_id& cell, const flow_spec& spec);
+    // Another owner has written the job's row, with nothing new in it.
+    void touch_row(const std::string& job) { rows_.at(job_key(job_id(job))).version = row_version(++version_); }
+    // As the table has it; 0: the job has not ended.
+    std::int32_t outcome_in_row(const std::string& job) const;
     void end_unheard(int worker, const flow_task_id& task, run_number run);
     // Ends a run by its own fault, wherever it is.
     void fail_run(const flow_task_id& task);
