commits: a row that others keep changing is written apart from the rest, the oldest rows first

Seen: a task that is given away does not reach its new cell for seconds, a job that has ended is not shown so; nothing in the log. Cause: an owner writes up to 24 rows in one transaction, each checked against its version, in the order of their ids. Jobs with tasks in many cells are written by all their owners; one such row that had changed again refused all 24, the next try began with the same ones, and those behind them were never reached. (Optimistic concurrency over a group, without fairness.) Ruled out: lost or refused calls (no commit_failed in those seconds), a receiver that drops the row (bound 25 ms after the write). Change: a row found changed is contended: it is written alone, in turn with groups of the others, until it has gone through; groups are made of the rows that have been behind longest; after a conflict the rows are written again at once, while what was read is fresh. Why it holds: a group contains no row that another owner is known to write, so it is refused once at most for each new one; of several owners of a contended row one gets through each time.

--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -32,15 +32,36 @@
     }
 }
 
-void flow_cell::commit_part(instant now, const std::string& part)
+// The rows that go into the next transaction: the oldest ones that are behind, or a single contended one in turn with
+// them. Rows of jobs with tasks in many cells are written by all their owners; put together with one of these, the
+// others would be refused with it for as long as it keeps changing.
+std::vector<job_id> flow_cell::pick_rows(part_state& state) const
 {
-    part_state& state = parts_[part];
-    state.planned = false;
-    if (!owns()) {
-        return;
+    std::vector<std::pair<instant, job_id>> oldest;
+    const bool alone = state.contended_next && !state.contended.empty();
+    state.contended_next = !state.contended_next;
+    for (const auto& [id, since] : state.dirty) {
+        const bool contended = state.contended.count(id) != 0;
+        if (contended == alone) {
+            oldest.emplace_back(since, id);
+        }
     }
-    store_transaction t;
-    std::vector<std::pair<job_id, std::uint64_t>> jobs;
+    if (oldest.empty()) {
+        for (const auto& [id, since] : state.dirty) {
+            oldest.emplace_back(since, id);
+        }
+    }
+    std::sort(oldest.begin(), oldest.end());
+    const bool single = !oldest.empty() && state.contended.count(oldest.front().second) != 0;
+    oldest.resize(std::min(oldest.size(), single ? std::size_t{1} : commit_rows_most));
+    std::vector<job_id> rows;
+    std::transform(oldest.begin(), oldest.end(), std::back_inserter(rows), [](const auto& row) { return row.second; });
+    return rows;
+}
+
+// Forgets those that turn out to be written already, and ends those of cancelled jobs nothing of which runs.
+void flow_cell::drop_clean(instant now, part_state& state)
+{
     std::vector<job_id> clean;
     for (const auto& [id, since] : state.dirty) {
         const auto found = jobs_.find(id);
@@ -54,22 +75,34 @@
         }
         if (!job.dirty()) {
             clean.push_back(id);
-            continue;
         }
-        if (jobs.size() >= commit_rows_most) {
-            break;
-        }
-        jobs.emplace_back(id, job.changes());
-        t.checks.push_back({job_key(id), job.version()});
-        t.puts.push_back({job_key(id), encode_compact(job.current_row())});
     }
     for (const job_id& id : clean) {
         state.dirty.erase(id);
+        state.contended.erase(id);
         const auto found = jobs_.find(id);
         if (found != jobs_.end()) {
             after_written(now, *found->second);
         }
     }
+}
+
+void flow_cell::commit_part(instant now, const std::string& part)
+{
+    part_state& state = parts_[part];
+    state.planned = false;
+    if (!owns()) {
+        return;
+    }
+    drop_clean(now, state);
+    store_transaction t;
+    std::vector<std::pair<job_id, std::uint64_t>> jobs;
+    for (const job_id& id : pick_rows(state)) {
+        const flow_job& job = *jobs_.at(id);
+        jobs.emplace_back(id, job.changes());
+        t.checks.push_back({job_key(id), job.version()});
+        t.puts.push_back({job_key(id), encode_compact(job.current_row())});
+    }
     if (jobs.empty()) {
         return;
     }
@@ -96,9 +129,13 @@
                 continue;
             }
             found->second->mark_written(changes, result.version);
+            state.contended.erase(id);
             if (!found->second->dirty()) {
                 state.dirty.erase(id);
             }
+            else {
+                state.dirty[id] = now; // changed since it was sent
+            }
             // Members of a gang that runs over several cells wait until all of them can know its number.
             if (unclaimed_.erase(id) != 0 || ready_keys_.count(id) != 0) {
                 place_soon();
@@ -112,6 +149,10 @@
         // Another entry has cancelled a job, or an earlier try of ours is in force although its answer was lost.
         ++stats_.commits_conflicted;
         for (const store_row& row : result.rows) {
+            const auto found = jobs_.find(job_id(row.key.key));
+            if (found != jobs_.end() && found->second->version() != row.version) {
+                state.contended.insert(found->first);
+            }
             const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
             if (decoded) {
                 on_job_row(now, job_id(row.key.key), *decoded, row.version);
@@ -120,7 +161,8 @@
                 }
             }
         }
-        state.backoff = std::max(state.backoff, duration(commit_gap));
+        // Its rows are known as they are now: the sooner they are written again, the fewer have changed by then.
+        state.backoff = duration(0);
         break;
     case table_outcome::refused:
     case table_outcome::unknown:
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -180,6 +180,17 @@
         std::map<flow_task_id, std::int32_t> paced;
     };
 
+    struct part_state {
+        bool committing = false;
+        bool planned = false;
+        instant due{};
+        instant held_until{};            // no try before, after one that failed
+        std::map<job_id, instant> dirty; // and since when
+        std::set<job_id> contended;      // of these, the ones that another owner had changed at the last try
+        bool contended_next = false;
+        duration backoff{0};
+    };
+
     // flow_cell_own.cpp
     void consider_takeover(instant now, const cell_candidacy& candidacy);
     void probe_then_take();
@@ -305,6 +316,8 @@
 
     // flow_cell_commit.cpp
     void commit_soon(instant now, const std::string& part, duration wait);
+    std::vector<job_id> pick_rows(part_state& state) const;
+    void drop_clean(instant now, part_state& state);
     void commit_part(instant now, const std::string& part);
     void on_committed(instant now, const std::string& part, const std::vector<std::pair<job_id, std::uint64_t>>& jobs,
                       const store_result& result);
@@ -334,14 +347,6 @@
         friend auto operator<=>(const stray_run&,
                                 const stray_run&) = default; // NOLINT(modernize-use-nullptr): wrong in clang-tidy 14
     };
-    struct part_state {
-        bool committing = false;
-        bool planned = false;
-        instant due{};
-        instant held_until{};            // no try before, after one that failed
-        std::map<job_id, instant> dirty; // and since when
-        duration backoff{0};
-    };
     struct ready_key {
         flow_urgency urgency;
         job_id job;
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -528,7 +528,9 @@
     unclaimed_.erase(id);
     timed_.erase(id);
     loads_.forget(id);
-    parts_[job_part(id)].dirty.erase(id);
+    part_state& state = parts_[job_part(id)];
+    state.dirty.erase(id);
+    state.contended.erase(id);
     jobs_.erase(found);
     put_away_[id] = now;
 }
