give-away: filling work that has moved waits twice as long before each next move

Cause: filling work waits up to 12 s where it is borne nowhere, and each cell gave it to the next after 0.8 s. Change: each move of filling work is waited for twice as long as the one before; its write no longer goes at once but with others.

--- a/src/flow_cell_moves.cpp
+++ b/src/flow_cell_moves.cpp
@@ -9,6 +9,18 @@
 
 using namespace flow_limits;
 
+namespace {
+
+// Filling work waits where it is borne nowhere. Given away from cell to cell at the same pace all the while, it made as
+// many writes as all other work together, of rows that every owner writes; so each move is waited for twice as long.
+duration wait_before_move(const flow_step& step, const flow_task& task)
+{
+    const std::int32_t doublings = step.filling ? std::min(task.home.moves, move_doublings_most) : 0;
+    return give_away_after * (1 << doublings);
+}
+
+} // namespace
+
 // In force once the job's row is written.
 void flow_cell::give_to(instant now, flow_job& job, const flow_task_id& task,
                         const std::pair<cell_id, skylarkhub::epoch>& to)
@@ -22,7 +34,7 @@
     job.give_away(task, to.first, to.second, epoch_);
     ++stats_.given_away;
     index_ready(job);
-    job_changed(now, job, true);
+    job_changed(now, job, job.step(*job.find_stage(task)).lasting); // others may share the write
 }
 
 // Tasks that no worker here has room for go to a cell that has: a cell may lose workers, or fill up with tasks that
@@ -67,7 +79,8 @@
     int given = 0;
     for (std::size_t i = 0; i < stage.tasks.size() && given < most; ++i) {
         const flow_task& task = stage.tasks[i];
-        if (task.stage != task_stage::ready || !task.runs.empty() || now - task.ready_since < give_away_after) {
+        if (task.stage != task_stage::ready || !task.runs.empty() ||
+            now - task.ready_since < wait_before_move(step, task)) {
             continue;
         }
         const auto to = find_place_elsewhere(now, job, step);
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -147,6 +147,7 @@
 // A waiting task goes to another cell after this: well before a task that has its turn may be missed, and long enough
 // for the ends that a full cell sees every few milliseconds to make room first.
 inline constexpr duration give_away_after = 800ms;
+inline constexpr std::int32_t move_doublings_most = 4; // of that wait, for filling work that has moved before
 inline constexpr duration give_away_interval = 250ms;
 // Tasks at a time. Each is taken off the room that its new cell has told of, so many may go at once; a bound all the
 // same, since what was told is up to half a second old. At 6 a cell that had taken on 350 lasting tasks before it heard
--- a/tests/test_flow_moves.cpp
+++ b/tests/test_flow_moves.cpp
@@ -75,3 +75,22 @@
     BOOST_TEST(w.running_of(job_a) > 0);
     check_no_faults(w);
 }
+
+BOOST_AUTO_TEST_CASE(filling_work_that_no_cell_can_place_does_not_go_round)
+{
+    // Filling tasks wait in every cell. Each was given away to the next one once a second, as often as all tasks that
+    // ran were started, and every move is a write of a row that all their cells' owners write.
+    constexpr std::int64_t waiting = 16;
+    constexpr std::int64_t moves_most = 4; // within the time below, each after twice the wait of the one before
+    flow_world w(
+        {.data_centres = {"a", "b"}, .workers_each = 2, .run_time = [](const flow_task_id&) { return duration(30s); }});
+    w.run_for(2s);
+    flow_spec filling = chain_spec(1, waiting + 4, 10);
+    filling.steps.front().filling = true;
+    filling.steps.front().per_worker_most = 1;
+    w.accept_unheard(job_a, cell_id("a"), filling);
+    w.run_for(12s);
+    BOOST_TEST(w.running_of(job_a) == 4);
+    BOOST_TEST(w.logged("task", "given_away") <= waiting * moves_most + 2);
+    check_no_faults(w);
+}
