flow: adopt the runs that workers listed before their job's row was read

Callers could see a task run twice: its job was accepted while the cell changed hands, the owner before started it, and the new owner, which had read the jobs already, was listed the run first and read the row after it. Between the two and the workers' next answer, up to a second later, the tasks seemed to run nowhere and were started on another worker. Cause: the listed runs were kept only to be stopped if the job had ended. Ruled out: the wait for all workers; all have answered by then. Change: a job that is taken on adopts the runs listed meanwhile. A try to read the row that gets no answer keeps them too, since the row may be heard of in another way before the next try. Such a run that has ended since is listed as ended: ends of a job that is not known are kept until its row is read.

--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -201,9 +201,11 @@
     void leave_ends(const job_id& job, const std::vector<listed_end>& ends);
     void leave_unwritten_ends();
     void read_unknown_job(const job_id& job);
+    void ask_unknown_job(const job_id& job);
     void take_unknown_ends(instant now, const job_id& job);
     void take_running(instant now, cell_worker& w, const listed_run& run);
     void take_stray(instant now, const cell_worker& w, const listed_run& run);
+    void adopt_strays(instant now, flow_job& job);
     void on_unknown_job(instant now, const job_id& job, const store_page& page);
     void adopt(instant now, cell_worker& w, flow_job& job, const listed_run& run);
     void find_missing(instant now, cell_worker& w, instant sent, const order_answer& answer);
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -470,6 +470,7 @@
     if (job->newest_epoch() < epoch_) {
         claim_job(now, *job);
     }
+    adopt_strays(now, *job);
     if (row.cell_epoch < epoch_.value() && !all_accounted(now)) {
         awaited_.insert(id); // the owner before may have heard of it first
     }
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -420,9 +420,13 @@
 
 void flow_cell::read_unknown_job(const job_id& job)
 {
-    if (!reading_jobs_.try_emplace(job).second) {
-        return;
+    if (reading_jobs_.try_emplace(job).second) {
+        ask_unknown_job(job);
     }
+}
+
+void flow_cell::ask_unknown_job(const job_id& job)
+{
     edges_.read(only_row(job_key(job)), [this, job, life = life_](instant then, const store_page& page) {
         if (life == life_) {
             on_unknown_job(then, job, page);
@@ -430,14 +434,28 @@
     });
 }
 
+// Workers may list runs of a job before its row is known. Left to the next exchange, a task whose worker has told what
+// it runs would seem to run nowhere, and start a second time.
+void flow_cell::adopt_strays(instant now, flow_job& job)
+{
+    const auto strays = reading_jobs_.find(job.id());
+    if (strays == reading_jobs_.end()) {
+        return;
+    }
+    for (const stray_run& stray : std::exchange(strays->second, {})) {
+        const auto at = workers_.find(stray.worker);
+        if (at != workers_.end() && !at->second.over && at->second.ledger.count(stray.task) == 0) {
+            adopt(now, at->second, job, {stray.task, stray.run, "", 0, 0});
+        }
+    }
+}
+
 void flow_cell::on_unknown_job(instant now, const job_id& job, const store_page& page)
 {
-    const auto strays = reading_jobs_.extract(job);
     if (!page.reached) {
-        // For ends of it; the next exchange lists again what runs.
         edges_.after(commit_retry, [this, job, life = life_](instant) {
             if (life == life_) {
-                read_unknown_job(job);
+                ask_unknown_job(job);
             }
         });
         return;
@@ -449,6 +467,7 @@
         }
     }
     take_unknown_ends(now, job);
+    const auto strays = reading_jobs_.extract(job);
     if (strays.empty() || jobs_.count(job) != 0) {
         return;
     }
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -828,6 +828,16 @@
     end_run(w, task, run_end::done);
 }
 
+void flow_world::run_unheard(int worker, const flow_task_id& task, run_number run, duration takes)
+{
+    flow_fake_worker& w = *workers_.at(static_cast<std::size_t>(worker));
+    flow_fake_worker::run& live = w.running[task];
+    live.number = run;
+    live.begun = now_;
+    live.takes = takes;
+    live.ends = now_ + takes;
+}
+
 void flow_world::fail_run(const flow_task_id& task)
 {
     for (const auto& w : workers_) {
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -135,6 +135,8 @@
     // the cell leaves them.
     void accept_unheard(const std::string& job, const cell_id& cell, const flow_spec& spec);
     void end_unheard(int worker, const flow_task_id& task, run_number run);
+    // A run of such a job that goes on.
+    void run_unheard(int worker, const flow_task_id& task, run_number run, duration takes);
     // Ends a run by its own fault, wherever it is.
     void fail_run(const flow_task_id& task);
     flow_fake_worker& worker(int n) { return *workers_.at(static_cast<std::size_t>(n)); }
--- a/tests/test_flow_takeover.cpp
+++ b/tests/test_flow_takeover.cpp
@@ -137,3 +137,18 @@
         }
     }
 }
+
+BOOST_AUTO_TEST_CASE(a_run_listed_before_its_jobs_row_is_read_is_not_started_beside)
+{
+    // A job was accepted while the cell changed hands: the owner before started its tasks, the new one had read the
+    // jobs already. Its workers list runs of a job that it does not know. Once it has read the job's row, the tasks
+    // seem to run nowhere until the workers are asked again; started then, they run twice.
+    flow_world w({.entries_each = 1, .workers_each = 3, .holds_wait = true});
+    w.run_for(2500ms);
+    w.accept_unheard(jobs.front(), cell_id("a"), chain_spec(1, 2));
+    w.run_unheard(0, {job_id(jobs.front()), 0, 0, 0}, run_number(1), 3s);
+    w.run_unheard(1, {job_id(jobs.front()), 0, 0, 1}, run_number(1), 3s);
+    BOOST_TEST(w.run_until([&] { return w.state(0, jobs.front()) == flow_state::done; }, 10s));
+    BOOST_TEST(w.starts_of(jobs.front()) == 0);
+    check_no_faults(w);
+}
