flow: other cells are told a job's row only as the table has it

Callers could see a task run twice: its owner had given it away to another cell and been followed before the give-away was written; the follower started the task, and so did the other cell. Cause: when a write of the row was applied, the owner told the other cells its row as it was by then, with what it had decided since. Change: the row that is told is the one that was written, with its version; on a cancel it is the row that was read.

--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -40,7 +40,7 @@
         return;
     }
     store_transaction t;
-    std::vector<std::pair<job_id, std::uint64_t>> jobs;
+    std::vector<committed_row> rows;
     std::vector<job_id> clean;
     for (const job_id& id : state.dirty) {
         const auto found = jobs_.find(id);
@@ -56,12 +56,12 @@
             clean.push_back(id);
             continue;
         }
-        if (jobs.size() >= commit_rows_most) {
+        if (rows.size() >= commit_rows_most) {
             break;
         }
-        jobs.emplace_back(id, job.changes());
+        rows.push_back({id, job.changes(), job.current_row()});
         t.checks.push_back({job_key(id), job.version()});
-        t.puts.push_back({job_key(id), encode_compact(job.current_row())});
+        t.puts.push_back({job_key(id), encode_compact(rows.back().row)});
     }
     for (const job_id& id : clean) {
         state.dirty.erase(id);
@@ -70,27 +70,27 @@
             after_written(now, *found->second);
         }
     }
-    if (jobs.empty()) {
+    if (rows.empty()) {
         return;
     }
     state.committing = true;
     ++stats_.commits;
-    edges_.commit(std::move(t), [this, part, jobs, life = life_](instant then, const store_result& result) {
+    edges_.commit(std::move(t), [this, part, rows, life = life_](instant then, const store_result& result) {
         if (life == life_) {
-            on_committed(then, part, jobs, result);
+            on_committed(then, part, rows, result);
         }
     });
 }
 
-void flow_cell::on_committed(instant now, const std::string& part,
-                             const std::vector<std::pair<job_id, std::uint64_t>>& jobs, const store_result& result)
+void flow_cell::on_committed(instant now, const std::string& part, const std::vector<committed_row>& rows,
+                             const store_result& result)
 {
     part_state& state = parts_[part];
     state.committing = false;
     switch (result.outcome) {
     case table_outcome::applied:
         state.backoff = duration(0);
-        for (const auto& [id, changes] : jobs) {
+        for (const auto& [id, changes, row] : rows) {
             const auto found = jobs_.find(id);
             if (found == jobs_.end()) {
                 continue;
@@ -104,7 +104,7 @@
                 place_soon();
             }
             send_noted(now, *found->second);
-            tell_others(now, *found->second);
+            tell_others(now, *found->second, row, result.version);
             after_written(now, *found->second);
         }
         confirm_all(now);
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -285,7 +285,7 @@
     void index_ready_again();
     void give_away_waiting(instant now);
     void log_summary(instant now) const;
-    void tell_others(instant now, const flow_job& job);
+    void tell_others(instant now, const flow_job& job, const wire::flow_job_row& row, row_version version);
     void tick_timed(instant now);
 
     // flow_cell_gangs.cpp
@@ -298,9 +298,15 @@
     void stop_stranded(instant now, flow_job& job);
 
     // flow_cell_commit.cpp
+    // A job's row as it was sent to the table.
+    struct committed_row {
+        job_id job;
+        std::uint64_t changes = 0; // of the job, that it tells
+        wire::flow_job_row row;
+    };
     void commit_soon(instant now, const std::string& part, duration wait);
     void commit_part(instant now, const std::string& part);
-    void on_committed(instant now, const std::string& part, const std::vector<std::pair<job_id, std::uint64_t>>& jobs,
+    void on_committed(instant now, const std::string& part, const std::vector<committed_row>& rows,
                       const store_result& result);
     void after_written(instant now, flow_job& job);
     void confirm_all(instant now);
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -425,15 +425,17 @@
         edges_.note(log_level::info, "job", "cancelled", {{"job", job.str()}, {"cell", id_.str()}});
         stop_job_runs(now, known);
         job_changed(now, known, false);
-        tell_others(now, known);
+        tell_others(now, known, row, version);
     }
 }
 
-// A row is told to the other cells that have tasks of its job: that it was cancelled, which of its tasks are done.
-void flow_cell::tell_others(instant now, const flow_job& job)
+// A row is told to the other cells that have tasks of its job: that it was cancelled, which of its tasks are done. Only
+// as it is in the table: what this owner has decided since may never be written, if it has been followed. Told of a
+// task that was given away so, another cell would start it beside the follower.
+void flow_cell::tell_others(instant now, const flow_job& job, const wire::flow_job_row& row, row_version version)
 {
     for (const cell_id& cell : job.other_cells()) {
-        hooks_.tell_cell(now, cell, job.id(), job.current_row(), job.version());
+        hooks_.tell_cell(now, cell, job.id(), row, version);
     }
 }
 
--- a/tests/test_flow_takeover.cpp
+++ b/tests/test_flow_takeover.cpp
@@ -422,3 +422,35 @@
         }
     }
 }
+
+BOOST_AUTO_TEST_CASE(a_cell_is_told_only_what_the_table_has)
+{
+    // An owner gives a task away while an earlier write of the job's row is under way, and stands still before it hears
+    // that this one was applied. Its follower, which reads no give-away, starts the task. The owner goes on: if it
+    // tells the other cell its row as it is by now, with the give-away that will never be written, that cell starts it
+    // too.
+    flow_world w(
+        {.data_centres = {"a", "b"}, .workers_each = 1, .worker_cpu = 4500, .run_time = [](const flow_task_id& t) {
+             return duration(t.index < 4 ? 1s : 30s);
+         }});
+    w.run_for(3s);
+    w.set_table_latency(1400ms);
+    w.send_submit(0, jobs.front(), chain_spec(1, 5, 1000));
+    BOOST_REQUIRE(w.run_until([&] { return w.logged("task", "given_away") > 0; }, 6s));
+    int owner = -1;
+    for (int i = 0; i < 4; ++i) {
+        for (const auto& [id, cell] : w.entry(i)->cells()) {
+            owner = cell->owns() && cell->find_job(job_id(jobs.front())) != nullptr ? i : owner;
+        }
+    }
+    BOOST_REQUIRE(owner >= 0);
+    w.freeze_entry(owner);
+    w.run_for(1400ms);
+    w.set_table_latency(8ms);
+    w.run_for(12s);
+    BOOST_REQUIRE(w.starts_of(jobs.front()) == 5);
+    w.thaw_entry(owner);
+    w.run_for(8s);
+    BOOST_TEST(w.starts_of(jobs.front()) == 5);
+    check_no_faults(w);
+}
