Merge: starts of lasting tasks are in their job's row before they are sent; a follower waits by what the row names

Conflicts: the groups of rows written together (contended rows apart) now carry the rows as they were sent; giving tasks away asks may_start for each task.

--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -96,34 +96,34 @@
     }
     drop_clean(now, state);
     store_transaction t;
-    std::vector<std::pair<job_id, std::uint64_t>> jobs;
+    std::vector<committed_row> rows;
     for (const job_id& id : pick_rows(state)) {
         const flow_job& job = *jobs_.at(id);
-        jobs.emplace_back(id, job.changes());
+        rows.push_back({id, job.changes(), job.current_row()});
         t.checks.push_back({job_key(id), job.version()});
-        t.puts.push_back({job_key(id), encode_compact(job.current_row())});
+        t.puts.push_back({job_key(id), encode_compact(rows.back().row)});
     }
-    if (jobs.empty()) {
+    if (rows.empty()) {
         return;
     }
     state.committing = true;
     ++stats_.commits;
-    edges_.commit(std::move(t), [this, part, jobs, life = life_](instant then, const store_result& result) {
+    edges_.commit(std::move(t), [this, part, rows, life = life_](instant then, const store_result& result) {
         if (life == life_) {
-            on_committed(then, part, jobs, result);
+            on_committed(then, part, rows, result);
         }
     });
 }
 
-void flow_cell::on_committed(instant now, const std::string& part,
-                             const std::vector<std::pair<job_id, std::uint64_t>>& jobs, const store_result& result)
+void flow_cell::on_committed(instant now, const std::string& part, const std::vector<committed_row>& rows,
+                             const store_result& result)
 {
     part_state& state = parts_[part];
     state.committing = false;
     switch (result.outcome) {
     case table_outcome::applied:
         state.backoff = duration(0);
-        for (const auto& [id, changes] : jobs) {
+        for (const auto& [id, changes, row] : rows) {
             const auto found = jobs_.find(id);
             if (found == jobs_.end()) {
                 continue;
@@ -140,7 +140,8 @@
             if (unclaimed_.erase(id) != 0 || ready_keys_.count(id) != 0) {
                 place_soon();
             }
-            tell_others(now, *found->second);
+            send_noted(now, *found->second);
+            tell_others(now, *found->second, row, result.version);
             after_written(now, *found->second);
         }
         confirm_all(now);
--- a/src/flow_cell_moves.cpp
+++ b/src/flow_cell_moves.cpp
@@ -50,7 +50,7 @@
     const std::set<ready_key> waiting = ready_;
     for (const ready_key& key : waiting) {
         const auto found = jobs_.find(key.job);
-        if (found == jobs_.end() || awaited_.count(key.job) != 0 || unclaimed_.count(key.job) != 0) {
+        if (found == jobs_.end() || unclaimed_.count(key.job) != 0) {
             continue;
         }
         flow_job& job = *found->second;
@@ -61,7 +61,7 @@
             if (!job.step(stage).gang) {
                 left -= give_away_tasks(now, job, stage, left);
             }
-            else if (move_gang(now, job, stage)) {
+            else if (awaited_.count(key.job) == 0 && move_gang(now, job, stage)) {
                 index_ready(job);
                 job_changed(now, job, true);
             }
@@ -79,7 +79,7 @@
     int given = 0;
     for (std::size_t i = 0; i < stage.tasks.size() && given < most; ++i) {
         const flow_task& task = stage.tasks[i];
-        if (task.stage != task_stage::ready || !task.runs.empty() ||
+        if (task.stage != task_stage::ready || !task.runs.empty() || !may_start(job, stage, task) ||
             now - task.ready_since < wait_before_move(step, task)) {
             continue;
         }
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -219,9 +219,11 @@
     void leave_ends(const job_id& job, const std::vector<listed_end>& ends);
     void leave_unwritten_ends();
     void read_unknown_job(const job_id& job);
+    void ask_unknown_job(const job_id& job);
     void take_unknown_ends(instant now, const job_id& job);
     void take_running(instant now, cell_worker& w, const listed_run& run);
     void take_stray(instant now, const cell_worker& w, const listed_run& run);
+    void adopt_strays(instant now, flow_job& job);
     void on_unknown_job(instant now, const job_id& job, const store_page& page);
     void adopt(instant now, cell_worker& w, flow_job& job, const listed_run& run);
     void find_missing(instant now, cell_worker& w, instant sent, const order_answer& answer);
@@ -240,6 +242,13 @@
     void note_accounted(instant now);
     void distrust(instant now, cell_worker& w, double amount);
 
+    // flow_cell_notes.cpp
+    bool may_start(const flow_job& job, const flow_stage& stage, const flow_task& task) const;
+    bool starts_are_noted(instant now) const;
+    void note_then_start(instant now, flow_job& job, const flow_task_id& task, live_run& live);
+    void send_noted(instant now, flow_job& job);
+    void drop_unsent(instant now, const flow_task& task, const flow_task_id& id);
+
     // flow_cell_drain.cpp
     void vacate_draining(instant now);
     void vacate(instant now, cell_worker& w);
@@ -287,12 +296,13 @@
     // `near`: the rack where the rest of a gang is; invalid: none.
     cell_worker* choose(instant now, const flow_job& job, const flow_stage& stage, const flow_task& task,
                         const rack_id& near = rack_id());
+    static bool takes_starts(instant now, const cell_worker& w);
     place_option option_of(instant now, const cell_worker& w) const;
     void index_ready(flow_job& job);
     void drop_ready(const job_id& job);
     void index_ready_again();
     void log_summary(instant now) const;
-    void tell_others(instant now, const flow_job& job);
+    void tell_others(instant now, const flow_job& job, const wire::flow_job_row& row, row_version version);
     void tick_timed(instant now);
 
     // flow_cell_moves.cpp
@@ -315,11 +325,17 @@
     void stop_stranded(instant now, flow_job& job);
 
     // flow_cell_commit.cpp
+    // A job's row as it was sent to the table.
+    struct committed_row {
+        job_id job;
+        std::uint64_t changes = 0; // of the job, that it tells
+        wire::flow_job_row row;
+    };
     void commit_soon(instant now, const std::string& part, duration wait);
     std::vector<job_id> pick_rows(part_state& state) const;
     void drop_clean(instant now, part_state& state);
     void commit_part(instant now, const std::string& part);
-    void on_committed(instant now, const std::string& part, const std::vector<std::pair<job_id, std::uint64_t>>& jobs,
+    void on_committed(instant now, const std::string& part, const std::vector<committed_row>& rows,
                       const store_result& result);
     void after_written(instant now, flow_job& job);
     void confirm_all(instant now);
@@ -394,7 +410,7 @@
     std::set<ready_key> ready_; // jobs with tasks that wait for a worker, the most urgent first
     std::map<job_id, ready_key> ready_keys_;
     std::set<job_id> unclaimed_; // known since the takeover; nothing is decided for them before the claim is in the row
-    std::set<job_id> awaited_;   // known since the takeover; unfound tasks may still run on a worker not accounted for
+    std::set<job_id> awaited_;   // known since the takeover; may_start() tells for which tasks that means a wait
     std::set<job_id> timed_;
     std::map<job_id, instant> put_away_; // ended jobs, until no late page can tell of them any more
     std::map<std::string, part_state> parts_;
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -267,6 +267,7 @@
 
 void flow_cell::stop_task_runs(instant now, flow_task& task, const flow_task_id& id)
 {
+    drop_unsent(now, task, id);
     for (live_run& live : task.runs) {
         stop_run_once(now, live, id);
     }
@@ -300,6 +301,10 @@
         std::remove_if(t->runs.begin(), t->runs.end(),
                        [&](const live_run& live) { return live.worker == w.listing.worker && live.run == run; }),
         t->runs.end());
+    if (notes_starts(job.step(*job.find_stage(task)))) {
+        job.note_gone(task, run);
+        job_changed(now, job, false);
+    }
     if (t->runs.empty() && t->stage == task_stage::placed) {
         requeue(now, job, task);
     }
@@ -433,15 +438,17 @@
         edges_.note(log_level::info, "job", "cancelled", {{"job", job.str()}, {"cell", id_.str()}});
         stop_job_runs(now, known);
         job_changed(now, known, false);
-        tell_others(now, known);
+        tell_others(now, known, row, version);
     }
 }
 
-// A row is told to the other cells that have tasks of its job: that it was cancelled, which of its tasks are done.
-void flow_cell::tell_others(instant now, const flow_job& job)
+// A row is told to the other cells that have tasks of its job: that it was cancelled, which of its tasks are done. Only
+// as it is in the table: what this owner has decided since may never be written, if it has been followed. Told of a
+// task that was given away so, another cell would start it beside the follower.
+void flow_cell::tell_others(instant now, const flow_job& job, const wire::flow_job_row& row, row_version version)
 {
     for (const cell_id& cell : job.other_cells()) {
-        hooks_.tell_cell(now, cell, job.id(), job.current_row(), job.version());
+        hooks_.tell_cell(now, cell, job.id(), row, version);
     }
 }
 
@@ -483,6 +490,7 @@
     if (job->newest_epoch() < epoch_) {
         claim_job(now, *job);
     }
+    adopt_strays(now, *job);
     if (row.cell_epoch < epoch_.value() && !all_accounted(now)) {
         awaited_.insert(id); // the owner before may have heard of it first
     }
