http_server: the listener is closed with the threads stopped

Seen: test_http aborted beside load once in a full test run and once in ten runs of its own: "Failed to remove listen FD from epoll set". Cause: the destructor quiesced the library's daemon while its thread ran; both take the listener out of the set of sockets, and the one that comes second aborts the process (libmicrohttpd 0.9.75). Change: the destructor only marks that answers are the last ones and stops the threads, which closes the listener. Open: stop_accepting, called by a daemon that stops by plan, still quiesces beside the thread.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -268,9 +268,11 @@
     return std::unique_ptr<http_server>(new http_server(std::move(e)));
 }
 
+// The listener is closed with the threads stopped: closed beside them, it may be taken out of a thread's set of sockets
+// twice, and the library aborts the process.
 http_server::~http_server()
 {
-    stop_accepting();
+    engine_->accepting = false;
     engine_->answer_waiting();
     MHD_stop_daemon(engine_->daemon);
 }
