--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -75,11 +75,12 @@
     }
     state.committing = true;
     ++stats_.commits;
-    edges_.commit(std::move(t), [this, part, rows, life = life_](instant then, const store_result& result) {
-        if (life == life_) {
-            on_committed(then, part, rows, result);
-        }
-    });
+    edges_.commit(std::move(t),
+                  [this, part, rows = std::move(rows), life = life_](instant then, const store_result& result) {
+                      if (life == life_) {
+                          on_committed(then, part, rows, result);
+                      }
+                  });
 }
 
 void flow_cell::on_committed(instant now, const std::string& part, const std::vector<committed_row>& rows,
