tests: a cell that waits for a silent worker starts what it is given

The receiver had just changed hands and let every job wait that its owner before could have heard of.

--- a/tests/test_flow_takeover.cpp
+++ b/tests/test_flow_takeover.cpp
@@ -276,6 +276,38 @@
     check_no_faults(w);
 }
 
+BOOST_AUTO_TEST_CASE(a_cell_that_waits_for_a_silent_worker_starts_what_it_is_given)
+{
+    // A task that lasts fails where all workers leave, and is given to another cell. That one has just changed hands
+    // and waits for a worker that cannot be asked: the task, which never ran there, waited along with its own for 10 s.
+    constexpr duration given_most = 2s; // waits for room in its own cell, then the give-away is written and told
+    flow_world w({.data_centres = {"a", "b"}, .entries_each = 3, .workers_each = 3});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, jobs.front(), lasting_spec(1, 4000)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_count() == 1; }, 5s));
+    w.run_for(2s);
+    const int runs_on = busy_workers(w).front();
+    const int first = runs_on < 3 ? 0 : 3; // worker of the task's cell
+    const int first_entry = runs_on < 3 ? 3 : 0;
+    const cell_id other(runs_on < 3 ? "b" : "a");
+    for (int i = first_entry; i < first_entry + 3; ++i) {
+        if (w.entry(i)->cells().at(other)->owns()) {
+            w.kill_entry(i);
+            break;
+        }
+    }
+    w.crash_worker(3 - first, false);
+    for (int i = first; i < first + 3; ++i) {
+        w.worker(i).draining = true;
+    }
+    w.run_for(takeover_most);
+    BOOST_REQUIRE(w.owners_of(other.str()) == 1);
+    w.fail_run(*tasks_on(w, runs_on).begin());
+    w.run_for(given_most + start_most);
+    BOOST_TEST(w.running_count() == 1);
+    check_no_faults(w);
+}
+
 BOOST_AUTO_TEST_CASE(starts_that_an_earlier_release_did_not_note_are_waited_for)
 {
     // Rows written by an earlier release do not tell where tasks were started. Taken for tasks that were never started,
