--- a/models/cell_ownership.pml
+++ b/models/cell_ownership.pml
@@ -3,11 +3,18 @@
  * models/README.md tells which function of the code each part stands for and what is left out. Checked by
  * scripts/model-check; every name that begins with VARIANT_ is a macro that it sets.
  *
- * VARIANT_LASTING     the task lasts: every end of it makes it ready again. Without: it ends as done or fails.
+ * VARIANT_LASTING     the task lasts: every end of it makes it ready again. Without: it ends as done.
  * VARIANT_NOTED       the start of a lasting task is durable before it is sent, and a follower waits for the worker that
  *                     the row names. Without: a follower waits for every worker.
  * VARIANT_RECOVERY    from some moment on nothing fails any more; the task has to run again within a bound.
- * VARIANT_BROKEN_...  one safeguard is left out, which must show as an error.
+ * VARIANT_BROKEN_... one safeguard is left out, which must show as an error:
+ *   NO_WAIT          a follower does not wait for workers that it has not asked
+ *   NO_HOLD          an owner sends however old its last renewal is
+ *   NO_CLAIM         a follower does not write its epoch into the job's row before it decides anything
+ *   EARLY_START      a start is sent before its note is durable
+ *   EARLY_CONFIRM    an end is confirmed before it is durable
+ *   LATE_GIVE_UP     an owner takes a lease for ended although it may have been followed
+ *   LATE_ACCOUNT     the same of the leases that the owner before gave
  */
 
 #define ENTRIES 2
