--- a/tests/support_site.h
+++ b/tests/support_site.h
@@ -3,10 +3,7 @@
 #pragma once
 
 #include <absl/synchronization/mutex.h>
-#include <sys/types.h>
 
-#include <chrono>
-#include <filesystem>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,15 +15,10 @@
 
 #include "http_client_p.h"
 #include "skylarkhub/skylarkhub.h"
+#include "support_child.h"
 
 namespace skylarkhub::tests {
 
-// How long a state is waited for before the test fails. Far above what any of them needs, since machines may be busy.
-inline constexpr std::chrono::seconds state_wait{60};
-
-// Asks every few milliseconds until `reached` says so; false when it never did within state_wait.
-bool wait_for(const std::function<bool()>& reached);
-
 struct site_answer {
     int status = 0; // 0: no whole answer
     std::string outcome;
@@ -34,30 +26,6 @@
     nlohmann::json body; // null when it is not JSON
 };
 
-// One child process with its standard output and error in files of `folder`.
-class child {
-public:
-    child(const std::filesystem::path& folder, std::string name, const std::string& program,
-          const std::vector<std::string>& arguments);
-    ~child(); // kills it and waits for its end
-    child(const child&) = delete;
-    child& operator=(const child&) = delete;
-
-    void signal(int number) const;
-    bool running();
-    // The exit status once it has ended by itself; -1 when it was ended by a signal or did not end within state_wait.
-    int wait_end();
-    std::string output() const;
-    // What it printed after "listening ", one address or two; waits for it.
-    std::vector<std::string> listening();
-
-private:
-    std::filesystem::path out_;
-    std::string name_;
-    pid_t pid_ = -1;
-    int status_ = 0;
-};
-
 struct site_plan {
     std::vector<std::string> entries{"a1", "a2", "a3"};
     int workers = 3;
