--- /dev/null
+++ b/standin/flow_worker_p.h
@@ -0,0 +1,119 @@
+// Stand-in for one life of a worker of the users' platform: runs, leases, fencing tokens, ends. Pure: time is passed
+// in. What a task does is said by its payload: `run MS`, `save MS` (the same with checkpoints), `fail MS`, `last`; more
+// words may follow.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "http_message_p.h"
+#include "skylarkhub/skylarkhub.h"
+
+namespace skylarkhub::standin {
+
+// --- what is seen at a worker; `worker` names its life ---
+
+struct life_began {
+    std::string worker;
+};
+struct run_began {
+    std::string worker;
+    std::string task;
+    std::int64_t run = 0;
+    std::string payload;
+    std::string checkpoint;
+    bool late = false; // the order was carried out long after it was sent
+};
+struct run_over {
+    std::string worker;
+    std::string task;
+    std::int64_t run = 0;
+    std::string how;
+    std::int64_t number = 0; // of the end
+};
+struct ends_confirmed {
+    std::string worker;
+    std::int64_t up_to = 0;
+};
+struct lease_over {
+    std::string worker;
+};
+struct worker_over {
+    std::string worker;
+};
+using worker_sight = std::variant<life_began, run_began, run_over, ends_confirmed, lease_over, worker_over>;
+
+struct flow_worker_traits {
+    std::string id;
+    duration clock_offset{0};
+    double clock_rate = 1; // of the worker's clock; leases last longer where it is slow
+    double slowness = 1;   // of what it starts from now on
+    duration stop_time{0}; // that a stop takes
+};
+
+class flow_worker {
+public:
+    using watcher = std::function<void(instant, const worker_sight&)>;
+    flow_worker(instant now, flow_worker_traits traits, watcher watch);
+
+    const flow_worker_traits& traits() const { return traits_; }
+    void set_slowness(double slowness) { traits_.slowness = slowness; }
+
+    // Lets time pass: ends what is over, and everything when the lease is.
+    void advance(instant now);
+    // Carries an order out; `late` when that is long after it was sent.
+    http_response carry_out(instant now, const std::string& path, const std::string& body, bool late);
+    // The hold has nothing to tell yet and may wait for it.
+    bool hold_waits(instant now, const std::string& body);
+    // Everything on it is gone.
+    void end_life(instant now);
+
+private:
+    struct running {
+        std::int64_t run = 0;
+        std::string payload;
+        instant begun{};
+        instant ends{};
+        instant stops{};
+        duration resumed{0}; // of its work, by the checkpoint it began with
+        bool fails = false;
+        bool saves = false;
+        bool lasts = false;
+    };
+    struct ended {
+        std::int64_t number = 0;
+        std::string task;
+        std::int64_t run = 0;
+        std::string how;
+        std::string checkpoint;
+    };
+
+    http_response start(instant now, const nlohmann::json& order, bool late);
+    http_response stop(instant now, const nlohmann::json& order);
+    http_response hold(instant now, const nlohmann::json& order);
+    void extend_lease(instant now, const nlohmann::json& order);
+    http_response answer(instant now, int status, nlohmann::json body) const;
+    http_response refuse(instant now, const std::string& reason) const;
+    std::int64_t clock_ms(instant now) const;
+    instant when(std::int64_t clock_ms) const;
+    std::string checkpoint_of(const std::string& task, const running& r, instant now) const;
+    void end_run(instant now, const std::string& task, const std::string& how);
+
+    instant born_;
+    flow_worker_traits traits_;
+    watcher watch_;
+    std::int64_t fence_ = 0;
+    instant lease_until_{};
+    std::map<std::string, running> running_;          // by task
+    std::map<std::string, std::int64_t> highest_run_; // stopped or ended here, by task
+    std::vector<ended> ends_;                         // not confirmed yet
+    std::int64_t last_end_ = 0;
+};
+
+} // namespace skylarkhub::standin
--- /dev/null
+++ b/standin/flow_workers_p.h
@@ -0,0 +1,84 @@
+// Workers of the users' platform on sockets: a place each, at which one life follows another, listed in the table.
+#pragma once
+
+#include <absl/synchronization/mutex.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base_random_p.h"
+#include "flow_table_service_p.h"
+#include "flow_worker_p.h"
+
+namespace skylarkhub::standin {
+
+struct flow_worker_place {
+    net_address listens; // where orders arrive
+    net_address listed;  // what the list says: a link that leads there
+    std::string data_centre;
+    std::string rack;
+    resources room;
+};
+
+class flow_workers {
+public:
+    flow_workers(std::uint64_t seed, flow_table_service& table, flow_worker::watcher watch);
+    ~flow_workers();
+
+    // Its number, with a first life begun; throws std::runtime_error when the address cannot be bound.
+    int add(const flow_worker_place& place);
+    // Ends the life at once; its entry stays in the list for a while.
+    void crash(int place);
+    // Says that it leaves, and does so seconds later.
+    void drain(int place);
+    // Another life, unless one is there.
+    void begin_life(int place);
+    // This share of orders gets no answer and is carried out seconds later.
+    void delay_orders(int place, double share);
+    void set_slowness(int place, double slowness);
+    bool has_life(int place) const;
+
+private:
+    struct waiting_hold {
+        std::string life;
+        std::string body;
+        http_reply reply;
+        instant until;
+    };
+    struct slot {
+        flow_worker_place place;
+        std::unique_ptr<http_server> server;
+        std::optional<flow_worker> life; // empty while nobody is there
+        int lives = 0;
+        bool draining = false;
+        instant leaves = instant::max();
+        instant heartbeat{};
+        std::int64_t heartbeats = 0;
+        double late_share = 0;
+        double slowness = 1;
+        std::vector<waiting_hold> holds;
+    };
+    struct listing {
+        std::string life;
+        instant removed_at;
+    };
+    void serve(int at, const http_request& request, const http_reply& reply);
+    void carry_out(slot& s, const std::string& life, const http_request& request, const http_reply& reply, bool late);
+    void begin(slot& s, int number, instant now);
+    void end(slot& s, instant now, duration listed_still);
+    void write_listing(slot& s, instant now);
+    void advance_all(instant now);
+    void look();
+
+    flow_table_service& table_;
+    flow_worker::watcher watch_;
+    mutable absl::Mutex mutex_;
+    random_source random_ ABSL_GUARDED_BY(mutex_);
+    std::vector<slot> slots_ ABSL_GUARDED_BY(mutex_);
+    std::vector<listing> ended_listings_ ABSL_GUARDED_BY(mutex_);
+    platform_timer timer_; // last: what it still runs uses the rest
+};
+
+} // namespace skylarkhub::standin
