--- a/tests/support_soak_faults.cpp
+++ b/tests/support_soak_faults.cpp
@@ -254,17 +254,14 @@
         [](auto& workers, int worker) { workers.set_slowness(worker, 1); });
 }
 
-// Some workers can't be asked, or are gone, when their cell's owner goes: whoever follows must neither take what runs
-// there for gone too early nor wait too long for it.
+// Some workers can't be asked, are gone, or have orders of the owner before them still, when their cell's owner goes:
+// whoever follows must neither take what runs there for gone too early nor wait too long for it.
 void plan_silent_takeover(const planning& p)
 {
     for (int i = absl::Uniform(absl::IntervalClosed, p.random, 1, p.site.worker_count() / 2); i > 0; --i) {
-        if (absl::Bernoulli(p.random, 0.6)) {
-            plan_worker_link(p);
-        }
-        else {
-            plan_crash(p);
-        }
+        constexpr void (*harms[])(const planning&) = {&plan_worker_link, &plan_worker_link, &plan_crash,
+                                                      &plan_late_orders};
+        harms[absl::Uniform<std::size_t>(p.random, 0, std::size(harms))](p);
     }
     planning later = p;
     later.at += p.draw(0ms, 1500ms);
