cell: a run that is being stopped keeps its room until an exchange sent later shows it gone

Cause: a job is cancelled just after its task was started. The stop's answer dated the run back so far that an exchange sent up to a second before it counted; one that the worker had answered before the start came does not list the run, so it passed for gone. Its room was given away while the stop took its time (up to 200 ms). Ruled out: the ledger after a takeover (the owner had its cell for seconds); a late order (none was planned there). Change: only an exchange sent after the stop's answer tells. It holds since the worker has by then carried the stop out and refuses the start if that comes later. A run that never was there is given up by up to a second later than before.

--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -219,11 +219,13 @@
                          }
                          return;
                      }
-                     // It ends within moments, or it was never there and never will be: the next exchange tells.
+                     // It ends within moments, or it was never there and never will be: an exchange sent from now on
+                     // tells. One sent before may have been answered before the start came: taken for gone by it, a run
+                     // that takes its time to stop would leave its room to others, and the worker be overfilled.
                      if (live != nullptr) {
                          live->confirmed = true;
                          live->stopping = true;
-                         live->sent = then - 3 * hold_wait;
+                         live->sent = then - missing_after;
                      }
                  });
 }
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -567,7 +567,7 @@
         const run_number number = run.run;
         const bool settled = std::any_of(t->runs.begin(), t->runs.end(), [&](const live_run& live) {
             return live.worker == w.listing.worker && live.run == number && live.confirmed &&
-                   live.sent < sent - hold_wait * 2;
+                   live.sent + missing_after < sent;
         });
         const bool listed = std::any_of(answer.running.begin(), answer.running.end(),
                                         [&task = task](const listed_run& r) { return r.task == task; });
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -14,6 +14,7 @@
 inline constexpr double clock_drift = 0.03;     // a worker's clock may be 2% slow; ours a little fast
 inline constexpr duration lease_margin = 150ms; // for an exchange's own time
 inline constexpr duration hold_wait = 1000ms;   // an exchange waits this long for an end; measurements are this fresh
+inline constexpr duration missing_after = 2 * hold_wait; // a run that an exchange sent later does not list is gone
 inline constexpr duration hold_gap = 25ms; // least between two exchanges with a worker: ends close together share one
 inline constexpr duration hold_gap_unconfirmed =
     60ms;                                       // while an end waits to become durable: answers come at once then
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -327,51 +327,53 @@
     };
     edges.order = [this, entry, answer](const worker_place& to, const worker_order& order, duration timeout,
                                         std::function<void(instant, order_answer)> done) {
-        later(options_.network_latency + sending_delay(entry), [this, to, order, timeout, answer,
-                                                                done = std::move(done)] {
-            const auto at =
-                std::find_if(workers_.begin(), workers_.end(), [&](const auto& w) { return w->address == to.address; });
-            if (at == workers_.end() || !(*at)->up || !(*at)->reachable) {
-                answer(done, order_answer{}, timeout);
-                return;
-            }
-            flow_fake_worker& w = **at;
-            auto heard = [this, &w, life = w.id, done](instant then, const order_answer& given) {
-                if (options_.heard_counts && w.id == life && w.up) {
-                    note_told(w, given);
-                }
-                done(then, given);
-            };
-            if (w.id != to.worker) {
-                order_answer other;
-                other.result = order_result::other_life;
-                answer(done, other, options_.network_latency);
-                return;
-            }
-            const auto* const hold = std::get_if<hold_worker>(&order);
-            if (hold != nullptr && options_.holds_wait) {
-                hold_until_end(w, w.id, *hold, now_ + hold->wait, [this, &w, life = w.id, order, answer, heard] {
-                    answer(heard, w.id == life ? carry_out(w, order) : order_answer{}, options_.network_latency);
-                });
-                return;
-            }
-            const duration wait = hold != nullptr ? std::min<duration>(hold->wait, 50ms) : duration(0);
-            if (stops_lost_ && std::holds_alternative<stop_run>(order)) {
-                answer(done, order_answer{}, timeout);
-                return;
-            }
-            if (const auto delay = pick_delay(order)) {
-                later(*delay, [this, &w, order, to] {
-                    if (w.id == to.worker) {
-                        carry_out(w, order, true);
-                    }
-                });
-                answer(done, order_answer{}, timeout);
-                return;
-            }
-            later(wait,
-                  [this, &w, order, answer, heard] { answer(heard, carry_out(w, order), options_.network_latency); });
-        });
+        later(options_.network_latency + sending_delay(entry),
+              [this, to, order, timeout, answer, done = std::move(done)] {
+                  const auto at = std::find_if(workers_.begin(), workers_.end(),
+                                               [&](const auto& w) { return w->address == to.address; });
+                  if (at == workers_.end() || !(*at)->up || !(*at)->reachable) {
+                      answer(done, order_answer{}, timeout);
+                      return;
+                  }
+                  flow_fake_worker& w = **at;
+                  auto heard = [this, &w, life = w.id, done](instant then, const order_answer& given) {
+                      if (options_.heard_counts && w.id == life && w.up) {
+                          note_told(w, given);
+                      }
+                      done(then, given);
+                  };
+                  if (w.id != to.worker) {
+                      order_answer other;
+                      other.result = order_result::other_life;
+                      answer(done, other, options_.network_latency);
+                      return;
+                  }
+                  const auto* const hold = std::get_if<hold_worker>(&order);
+                  if (hold != nullptr && options_.holds_wait) {
+                      hold_until_end(w, w.id, *hold, now_ + hold->wait, [this, &w, life = w.id, order, answer, heard] {
+                          answer(heard, w.id == life ? carry_out(w, order) : order_answer{},
+                                 options_.network_latency + options_.hold_answer_delay);
+                      });
+                      return;
+                  }
+                  const duration wait = hold != nullptr ? std::min<duration>(hold->wait, 50ms) : duration(0);
+                  if (stops_lost_ && std::holds_alternative<stop_run>(order)) {
+                      answer(done, order_answer{}, timeout);
+                      return;
+                  }
+                  if (const auto delay = pick_delay(order)) {
+                      later(*delay, [this, &w, order, to] {
+                          if (w.id == to.worker) {
+                              carry_out(w, order, true);
+                          }
+                      });
+                      answer(done, order_answer{}, timeout);
+                      return;
+                  }
+                  const duration back =
+                      options_.network_latency + (hold != nullptr ? options_.hold_answer_delay : duration(0));
+                  later(wait, [this, &w, order, answer, heard, back] { answer(heard, carry_out(w, order), back); });
+              });
     };
     edges.list_workers = [this, entry, answer](std::function<void(instant, std::optional<flow_worker_list>)> done) {
         std::optional<flow_worker_list> list;
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -80,6 +80,8 @@
         // `heard_counts`: only from when the entry has handled that answer.
         bool told_counts = false;
         bool heard_counts = false;
+        duration hold_answer_delay{
+            0};                  // of the answers to exchanges, on top of the latency: other answers overtake them
         bool holds_wait = false; // for an end, as long as the order allows; else 50 ms, which takes less to play
     };
     explicit flow_world(options o);
--- a/tests/test_flow_cancel.cpp
+++ b/tests/test_flow_cancel.cpp
@@ -170,3 +170,30 @@
         }
     }
 }
+
+BOOST_AUTO_TEST_CASE(a_run_that_is_being_stopped_keeps_its_room)
+{
+    // A worker is started over its room. A job is cancelled just after its task was started: the start is accepted, the
+    // stop is accepted and takes its time, and then an answer arrives that the worker gave to an exchange before
+    // either. It does not list the run, which is no sign that the run is gone: its room was given to the next task at
+    // once.
+    const std::string job_b = "00000000000000bb";
+    for (int phase_ms = 0; phase_ms < 200; phase_ms += 10) {
+        BOOST_TEST_CONTEXT("exchanges are in phase " << phase_ms << " ms")
+        {
+            flow_world w({.entries_each = 1,
+                          .workers_each = 1,
+                          .worker_cpu = 1000,
+                          .run_time = [](const flow_task_id&) { return duration(5s); },
+                          .stop_time = 200ms,
+                          .hold_answer_delay = 100ms});
+            w.run_for(3s + std::chrono::milliseconds(phase_ms));
+            BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 1)) == caller_result::accepted);
+            w.send_submit(0, job_b, chain_spec(1, 1));
+            BOOST_TEST((w.cancel(0, job_a) == caller_result::cancelled));
+            BOOST_TEST(w.run_until([&] { return w.running_of(job_b) == 1; }, 5s));
+            BOOST_TEST(w.running_of(job_a) == 0);
+            check_no_faults(w);
+        }
+    }
+}
