--- /dev/null
+++ b/standin/flow_workers.cpp
@@ -0,0 +1,247 @@
+#include "flow_workers_p.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace skylarkhub::standin {
+
+namespace {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr duration look_interval = 5ms;
+constexpr duration heartbeat_interval = 1500ms;
+constexpr duration listed_without_heartbeat = 3 * heartbeat_interval;
+constexpr duration drain_least = 2s;
+constexpr duration drain_most = 3s;
+constexpr duration late_least = 2s; // of an order that is carried out late
+constexpr duration late_most = 8s;
+constexpr duration stop_time_most = 200ms;
+constexpr duration clock_offset_most = 1000s;
+constexpr double slow_clock_rate = 0.98;
+constexpr std::int64_t hold_wait_ms_most = 2000;
+
+duration draw(random_source& random, duration least, duration most)
+{
+    return duration(absl::Uniform(random, least.count(), most.count()));
+}
+
+duration wait_of(const std::string& body)
+{
+    const json order = json::parse(body, nullptr, false);
+    const auto ms = order.is_object() ? order.value("wait-ms", std::int64_t{0}) : 0;
+    return std::chrono::milliseconds(std::clamp<std::int64_t>(ms, 0, hold_wait_ms_most));
+}
+
+const http_response no_answer{http_status_close, {}, {}};
+
+} // namespace
+
+flow_workers::flow_workers(std::uint64_t seed, flow_table& table, flow_worker::watcher watch)
+    : table_(table), watch_(std::move(watch)), random_(make_random(seed))
+{
+    timer_.run_at(read_clock() + look_interval, [this] { look(); });
+}
+
+flow_workers::~flow_workers()
+{
+    std::vector<std::unique_ptr<http_server>> servers; // end first, while calls still find what they use
+    absl::MutexLock lock(&mutex_);
+    closing_ = true;
+    for (const auto& s : slots_) {
+        servers.push_back(std::move(s->server));
+    }
+}
+
+int flow_workers::add(const flow_worker_place& place)
+{
+    absl::MutexLock lock(&mutex_);
+    const int number = static_cast<int>(slots_.size());
+    auto s = std::make_unique<slot>();
+    std::string reason;
+    s->place = place;
+    s->server = http_server::start(
+        {.address = place.listens, .threads = 1, .idle_seconds = 600},
+        [this, number](const http_request& request, const http_reply& reply) { serve(number, request, reply); },
+        &reason);
+    if (!s->server) {
+        throw std::runtime_error(reason);
+    }
+    slots_.push_back(std::move(s));
+    begin(number);
+    return number;
+}
+
+void flow_workers::begin(int place) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+{
+    slot& s = at(place);
+    const instant now = read_clock();
+    flow_worker_traits traits;
+    traits.id = fmt::format("w{}-{}", place, ++s.lives);
+    traits.clock_offset = draw(random_, 0s, clock_offset_most);
+    traits.clock_rate = absl::Bernoulli(random_, 0.5) ? slow_clock_rate : 1;
+    traits.stop_time = draw(random_, 0s, stop_time_most);
+    traits.slowness = s.slowness;
+    s.life.emplace(now, traits, watch_);
+    s.draining = false;
+    s.leaves = instant::max();
+    write_listing(s, now);
+}
+
+void flow_workers::end(slot& s, duration listed_still) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+{
+    if (!s.life) {
+        return;
+    }
+    const instant now = read_clock();
+    s.life->end_life(now);
+    timer_.run_at(now + listed_still, [this, id = s.life->id()] { table_.remove("servers", id); });
+    s.life.reset();
+    for (const waiting_hold& hold : std::exchange(s.holds, {})) {
+        hold.reply(no_answer);
+    }
+}
+
+void flow_workers::write_listing(slot& s, instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+{
+    const resources& room = s.place.room;
+    s.heartbeat = now;
+    const json entry{{"service", "service"},
+                     {"address", s.place.listed.str()},
+                     {"zone", s.place.data_centre},
+                     {"version", "1"},
+                     {"capacity", 8},
+                     {"state", s.draining ? "draining" : "ready"},
+                     {"sequence", ++s.heartbeats},
+                     {"room", {{"cpu", room.cpu_millis}, {"mem-mb", room.memory_mib}, {"gpus", room.accelerators}}},
+                     {"labels", {"kind", s.place.rack}}};
+    table_.put("servers", s.life->id(), entry.dump());
+}
+
+void flow_workers::crash(int place)
+{
+    absl::MutexLock lock(&mutex_);
+    end(at(place), listed_without_heartbeat);
+}
+
+void flow_workers::drain(int place)
+{
+    absl::MutexLock lock(&mutex_);
+    slot& s = at(place);
+    if (s.life && !s.draining) {
+        s.draining = true;
+        write_listing(s, read_clock());
+        s.leaves = read_clock() + draw(random_, drain_least, drain_most);
+    }
+}
+
+void flow_workers::begin_life(int place)
+{
+    absl::MutexLock lock(&mutex_);
+    if (!at(place).life) {
+        begin(place);
+    }
+}
+
+void flow_workers::delay_orders(int place, double share)
+{
+    absl::MutexLock lock(&mutex_);
+    at(place).late_share = share;
+}
+
+void flow_workers::set_slowness(int place, double slowness)
+{
+    absl::MutexLock lock(&mutex_);
+    at(place).slowness = slowness;
+    if (at(place).life) {
+        at(place).life->set_slowness(slowness);
+    }
+}
+
+// --- orders ---
+
+void flow_workers::serve(int place, const http_request& request, const http_reply& reply)
+{
+    absl::MutexLock lock(&mutex_);
+    if (closing_ || !at(place).life) {
+        reply(no_answer);
+        return;
+    }
+    slot& s = at(place);
+    const instant now = read_clock();
+    const std::string life = s.life->id();
+    if (find_field(request.headers, "x-target-instance") != life) {
+        reply({421, {}, "{}"});
+        return;
+    }
+    if (absl::Bernoulli(random_, s.late_share)) {
+        reply(no_answer);
+        timer_.run_at(now + draw(random_, late_least, late_most), [this, place, life, request, reply] {
+            absl::MutexLock later(&mutex_);
+            carry_out(at(place), life, request, reply, true);
+        });
+        return;
+    }
+    const duration wait = request.path == "/hold" ? wait_of(request.body) : duration(0);
+    if (wait == duration(0) || !s.life->hold_waits(now, request.body)) {
+        carry_out(s, life, request, reply, false);
+        return;
+    }
+    s.life->carry_out(now, request.path, request.body, false); // lease and confirmation count from now
+    s.holds.push_back({request.body, reply, now + wait});
+}
+
+void flow_workers::carry_out(slot& s, const std::string& life, const http_request& request, const http_reply& reply,
+                             bool late) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+{
+    const instant now = read_clock();
+    advance_all(now); // what has ended elsewhere by now must not pass for running
+    const bool there = s.life && s.life->id() == life;
+    reply(there ? s.life->carry_out(now, request.path, request.body, late) : no_answer);
+}
+
+void flow_workers::answer_holds(slot& s, instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+{
+    for (waiting_hold& hold : std::exchange(s.holds, {})) {
+        if (now < hold.until && s.life->hold_waits(now, hold.body)) {
+            s.holds.push_back(std::move(hold));
+        }
+        else {
+            hold.reply(s.life->carry_out(now, "/hold", hold.body, false));
+        }
+    }
+}
+
+void flow_workers::advance_all(instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+{
+    for (const auto& s : slots_) {
+        if (s->life) {
+            s->life->advance(now);
+        }
+    }
+}
+
+void flow_workers::look()
+{
+    {
+        absl::MutexLock lock(&mutex_);
+        const instant now = read_clock();
+        advance_all(now);
+        for (const auto& s : slots_) {
+            if (s->life && now >= s->leaves) {
+                end(*s, duration(0));
+            }
+            if (s->life && now >= s->heartbeat + heartbeat_interval) {
+                write_listing(*s, now);
+            }
+            answer_holds(*s, now);
+        }
+    }
+    timer_.run_at(read_clock() + look_interval, [this] { look(); });
+}
+
+} // namespace skylarkhub::standin
