commits: what is waited for goes first, a contended row is tried again at once, and contended rows take turns

Cause: a contended row was tried alone in turn with groups of others, the oldest one first. By its turn what had been read of it was old, and an owner that is slower than the others lost each time; the contended rows behind it were not tried. Change: a contended row is tried again at once, three times at most, then the one that was tried longest ago; rows that a caller or a start waits for go first.

--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -1,5 +1,6 @@
 // Making facts durable: the rows of jobs that are behind, batched by part, and what follows once they are written.
 #include <algorithm>
+#include <tuple>
 
 #include "flow_cell_p.h"
 #include "flow_limits_p.h"
@@ -15,6 +16,9 @@
 {
     const std::string part = job_part(job.id());
     parts_[part].dirty.try_emplace(job.id(), now);
+    if (urgent) {
+        parts_[part].awaited.insert(job.id());
+    }
     commit_soon(now, part, urgent ? duration(0) : commit_gap);
 }
 
@@ -32,33 +36,44 @@
     }
 }
 
-// The rows that go into the next transaction: the oldest ones that are behind, or a single contended one in turn with
-// them. Rows of jobs with tasks in many cells are written by all their owners; put together with one of these, the
-// others would be refused with it for as long as it keeps changing.
+// The rows that go into the next transaction: those that are waited for first, then the oldest ones, in turn with a
+// single contended one. Rows of jobs with tasks in many cells are written by all their owners; put together with one of
+// these, the others would be refused with it for as long as it keeps changing. A contended row is tried again at once
+// while what was read of it is fresh, but not for ever: an owner that is slower than the others would never come to its
+// other rows.
 std::vector<job_id> flow_cell::pick_rows(part_state& state) const
 {
-    std::vector<std::pair<instant, job_id>> oldest;
+    if (state.retried && state.dirty.count(*state.retried) != 0) {
+        return {*state.retried};
+    }
     const bool alone = state.contended_next && !state.contended.empty();
     state.contended_next = !state.contended_next;
+    std::vector<std::tuple<bool, instant, job_id>> order; // not waited for, since when it is behind or was tried last
     for (const auto& [id, since] : state.dirty) {
-        const bool contended = state.contended.count(id) != 0;
-        if (contended == alone) {
-            oldest.emplace_back(since, id);
+        const auto contended = state.contended.find(id);
+        if ((contended != state.contended.end()) == alone) {
+            order.emplace_back(state.awaited.count(id) == 0, alone ? contended->second : since, id);
         }
     }
-    if (oldest.empty()) {
-        for (const auto& [id, since] : state.dirty) {
-            oldest.emplace_back(since, id);
-        }
-    }
-    std::sort(oldest.begin(), oldest.end());
-    const bool single = !oldest.empty() && state.contended.count(oldest.front().second) != 0;
-    oldest.resize(std::min(oldest.size(), single ? std::size_t{1} : commit_rows_most));
+    std::sort(order.begin(), order.end());
+    order.resize(std::min(order.size(), alone ? std::size_t{1} : commit_rows_most));
     std::vector<job_id> rows;
-    std::transform(oldest.begin(), oldest.end(), std::back_inserter(rows), [](const auto& row) { return row.second; });
+    std::transform(order.begin(), order.end(), std::back_inserter(rows),
+                   [](const auto& row) { return std::get<job_id>(row); });
     return rows;
 }
 
+// After a conflict: `changed` are the rows that others had changed.
+void flow_cell::note_contended(instant now, part_state& state, const std::vector<job_id>& changed)
+{
+    for (const job_id& id : changed) {
+        state.contended[id] = now;
+    }
+    const bool again = !changed.empty() && state.retries < contended_retries_most;
+    state.retried = again ? std::optional(changed.front()) : std::nullopt;
+    state.retries = again ? state.retries + 1 : 0;
+}
+
 // Forgets those that turn out to be written already, and ends those of cancelled jobs nothing of which runs.
 void flow_cell::drop_clean(instant now, part_state& state)
 {
@@ -78,8 +93,7 @@
         }
     }
     for (const job_id& id : clean) {
-        state.dirty.erase(id);
-        state.contended.erase(id);
+        state.forget(id);
         const auto found = jobs_.find(id);
         if (found != jobs_.end()) {
             after_written(now, *found->second);
@@ -121,20 +135,20 @@
 {
     part_state& state = parts_[part];
     state.committing = false;
+    std::vector<job_id> changed;
     switch (result.outcome) {
     case table_outcome::applied:
         state.backoff = duration(0);
+        state.retried.reset();
+        state.retries = 0;
         for (const auto& [id, changes, row] : rows) {
             const auto found = jobs_.find(id);
             if (found == jobs_.end()) {
                 continue;
             }
             found->second->mark_written(changes, result.version);
-            state.contended.erase(id);
-            if (!found->second->dirty()) {
-                state.dirty.erase(id);
-            }
-            else {
+            state.forget(id);
+            if (found->second->dirty()) {
                 state.dirty[id] = now; // changed since it was sent
             }
             // Members of a gang that runs over several cells wait until all of them can know its number.
@@ -153,7 +167,7 @@
         for (const store_row& row : result.rows) {
             const auto found = jobs_.find(job_id(row.key.key));
             if (found != jobs_.end() && found->second->version() != row.version) {
-                state.contended.insert(found->first);
+                changed.push_back(found->first);
             }
             const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
             if (decoded) {
@@ -163,6 +177,7 @@
                 }
             }
         }
+        note_contended(now, state, changed);
         // Its rows are known as they are now: the sooner they are written again, the fewer have changed by then.
         state.backoff = duration(0);
         break;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -184,10 +184,20 @@
         bool committing = false;
         bool planned = false;
         instant due{};
-        instant held_until{};            // no try before, after one that failed
-        std::map<job_id, instant> dirty; // and since when
-        std::set<job_id> contended;      // of these, the ones that another owner had changed at the last try
+        instant held_until{};                // no try before, after one that failed
+        std::map<job_id, instant> dirty;     // and since when
+        std::set<job_id> awaited;            // of these, the ones that a caller or a start waits for
+        std::map<job_id, instant> contended; // and the ones that another owner had changed at the last try, and when
         bool contended_next = false;
+        std::optional<job_id> retried; // a contended one that is tried again at once
+        int retries = 0;
+
+        void forget(const job_id& id)
+        {
+            dirty.erase(id);
+            awaited.erase(id);
+            contended.erase(id);
+        }
         duration backoff{0};
     };
 
@@ -335,6 +345,7 @@
     };
     void commit_soon(instant now, const std::string& part, duration wait);
     std::vector<job_id> pick_rows(part_state& state) const;
+    static void note_contended(instant now, part_state& state, const std::vector<job_id>& changed);
     void drop_clean(instant now, part_state& state);
     void commit_part(instant now, const std::string& part);
     void on_committed(instant now, const std::string& part, const std::vector<committed_row>& rows,
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -538,9 +538,7 @@
     unclaimed_.erase(id);
     timed_.erase(id);
     loads_.forget(id);
-    part_state& state = parts_[job_part(id)];
-    state.dirty.erase(id);
-    state.contended.erase(id);
+    parts_[job_part(id)].forget(id);
     jobs_.erase(found);
     put_away_[id] = now;
 }
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -68,6 +68,7 @@
 inline constexpr int job_readers = 2;
 inline constexpr int job_page_rows = 100;
 inline constexpr std::size_t commit_rows_most = 24; // of one transaction; the store's limit is 100 rows and 1 MB
+inline constexpr int contended_retries_most = 3;    // at once, of a row that other owners keep changing
 inline constexpr duration watch_interval = 2s;      // a lost message about a new row costs this much
 
 inline constexpr duration summary_interval = 2s; // of the log line that tells how full a cell is
