--- a/tests/test_job.cpp
+++ b/tests/test_job.cpp
@@ -5,6 +5,7 @@
 
 #include "job_accept_p.h"
 #include "job_json_p.h"
+#include "job_record_p.h"
 #include "job_standing_p.h"
 #include "job_view_p.h"
 #include "row_codec_p.h"
@@ -126,8 +127,6 @@
     BOOST_TEST(errors.at(0).field == "body");
 }
 
-// Nothing ran for 4.5 periods. The watch must not run five times at once: the newest due times up to catch_up are run,
-// the rest are counted as missed, and the next due time lies ahead.
 // A row keeps neighbouring tasks of one phase as a span. Left out of the counts, finished tasks look queued for ever to
 // whoever waits for the job.
 BOOST_AUTO_TEST_CASE(tasks_in_spans_are_counted_and_listed)
@@ -152,6 +151,33 @@
     BOOST_TEST(view.at("tasks").size() == 3u);
 }
 
+// Whoever waits for the job sees two of its four tasks as queued for ever, though all have finished. The workers are
+// heard one after the other, so the ends reach the row in two writes. A row tells a finish by a single task only in the
+// write that first tells it, and by a span in each later one: the count has to take both.
+BOOST_AUTO_TEST_CASE(finishes_told_by_two_writes_are_all_counted)
+{
+    wire::job_row row;
+    row.__set_job("j");
+    row.__set_spec(to_row(make_spec(4)));
+    row.__set_task_total(4);
+    detail::job_record job(row, instant{});
+    const auto finish_two = [&](std::int32_t first) {
+        job.finish(first, attempt_number(1));
+        job.finish(first + 1, attempt_number(1));
+    };
+    finish_two(0);
+    BOOST_TEST(format_job({{"a.r1", job.to_row(), 0}}, false).at("finished") == 2);
+    job.mark_written(job.revision());
+
+    finish_two(2);
+
+    const nlohmann::json view = format_job({{"a.r1", job.to_row(), 0}}, false);
+    BOOST_TEST(view.at("finished") == 4);
+    BOOST_TEST(view.at("queued") == 0);
+}
+
+// Nothing ran for 4.5 periods. The watch must not run five times at once: the newest due times up to catch_up are run,
+// the rest are counted as missed, and the next due time lies ahead.
 BOOST_AUTO_TEST_CASE(due_times_passed_in_an_outage_are_run_once_or_counted)
 {
     const auto step = plan_standing(make_watch(10'000, 2), wall_time(14'500ms));
