flow: comments of models and constants tell units and reasons, not measurements

Comments told what had been tried, measured figures and where constants came from. No change of behaviour.

--- a/src/flow_cells.cpp
+++ b/src/flow_cells.cpp
@@ -204,9 +204,8 @@
 
 // --- changes of jobs ---
 
-// One look for all owned cells: with a look for each, an owner read the rows of all jobs that had changed once a cell.
-// On a site of 21 cells, 42 entries and 19 jobs a second one look an entry, with cells dealt as they should be, takes
-// what the table sends and gets from 0.274 to 0.209 GB in 61 s.
+// One look for all owned cells: with a look for each, an owner would read the rows of all jobs that have changed once a
+// cell, over a link that may be narrow.
 void flow_entry::watch_jobs(instant now)
 {
     std::optional<row_version> known;
--- a/src/flow_demand_p.h
+++ b/src/flow_demand_p.h
@@ -5,10 +5,9 @@
 
 namespace skylarkhub {
 
-// The pattern: lasting jobs come first, find the workers empty, and stay for minutes; the jobs that end come after
-// them, at a rate that nobody has told. With a tenth of the processors left to them, a fifth of the filling jobs was
-// never done on days on which they ask for two fifths. So what they ask for is measured, and lasting jobs leave as
-// much.
+// Lasting jobs come first, find the workers empty, and stay for minutes; the jobs that end come after them, at a rate
+// that nobody has told. With a fixed share of the processors left to them, some filling jobs are never done where they
+// ask for more. So what they ask for is measured, and lasting jobs leave as much.
 class work_demand {
 public:
     // A job accepted `age` ago, all of whose tasks together need `cpu_seconds` (thousandths of a processor x seconds).
--- a/src/flow_load.cpp
+++ b/src/flow_load.cpp
@@ -10,16 +10,16 @@
 constexpr double pi = 3.14159265358979323846;
 constexpr double load_least = 0.05;
 constexpr double load_most = 0.9;
-constexpr double load_start = 0.5;      // of a job that was not looked at; measured ones swing from 0.2 to 0.65
+constexpr double load_start = 0.5;      // of a job that was not looked at
 constexpr double period_least_s = 4;    // a shorter swing is over before an order is in force
-constexpr double period_ratio = 1.06;   // up to 43 s; a period 3% off is a sixth of a radian off in memory_s
+constexpr double period_ratio = 1.06;   // of neighbouring candidates; they stay in step over memory_s
 constexpr double memory_s = 15;         // of a swing's fit: one swing or two
-constexpr double line_memory_s = 0.5;   // of the line: some five looks
+constexpr double line_memory_s = 0.5;   // of the line
 constexpr double line_ahead_most_s = 1; // it leads no further
 constexpr double line_ridge = 0.3;      // weight * s^2: towards a level line while there are few looks
 constexpr double swing_ridge = 0.5;     // weight: towards no swing while there are few looks
 constexpr double level_ridge = 0.2;     // weight: towards load_start
-constexpr double judge_memory = 0.999;  // of a look: some seconds of a cell's looks
+constexpr double judge_memory = 0.999;  // of the errors so far, at each look
 constexpr double judge_least = 150;     // looks before a period is believed
 constexpr double explained_least = 0.5;
 
--- a/src/flow_load_p.h
+++ b/src/flow_load_p.h
@@ -9,12 +9,11 @@
 
 namespace skylarkhub {
 
-// Loads swing by half within seconds, each job's at its own moments. Looks arrive half a second late and what is
-// decided from them holds for up to a second more, so a load that is only smoothed is behind by a third of its swing.
-// Tried on a swing of ten seconds with looks that are 0.05 off: the newest look is 0.09 off a second later, a line
-// through the last half second 0.07, a swing of fitted period, phase and height 0.02. The period is common to the jobs
-// of a cell and found among candidates by how well each foretells the next look; where no swing explains at least half
-// of what loads vary by, the line is used.
+// Loads swing within seconds, each job's at its own moments. Looks arrive late and what is decided from them holds for
+// a while, so a load that is only smoothed is behind, and filling work runs on where the next moment bears none. A
+// swing of fitted period, phase and height is followed instead. The period is common to the jobs of a cell and found
+// among candidates by how well each foretells the next look; where no swing explains at least half of what loads vary
+// by, a line through the recent past is used.
 class load_forecast {
 public:
     // `time` in seconds, rising; `weight` 0 to 1.
--- a/src/flow_press.cpp
+++ b/src/flow_press.cpp
@@ -9,17 +9,17 @@
 namespace {
 
 constexpr int width = interference_model::filling_most;
-constexpr double start_press = 1.5;     // of a pair not measured: a little above the median of measured ones
-constexpr double ridge = 0.02;          // as much as ten looks at a tenth of a worker's processors, load at 0.45
-constexpr double memory = 0.985;        // of a refit, once a second: what is a minute old counts for 0.4
-constexpr int samples_to_tell = 30;     // before others are told
+constexpr double start_press = 1.5;     // busy per load and share, of a pair not looked at
+constexpr double ridge = 0.02;          // (load * share)^2: the weight of the starting point
+constexpr double memory = 0.985;        // kept at each refit of what was learned
+constexpr int samples_to_tell = 30;     // looks before others are told
 constexpr double idle_start = 1 / 4.5;  // of the target: the tail of an idle serving task, before one was seen
-constexpr double idle_of_least = 0.8;   // the lowest load of a day leaves a tail a quarter above the idle one
+constexpr double idle_of_least = 0.8;   // of the least tail seen: no look finds a task quite idle
 constexpr double idle_least = 1 / 12.0; // of the target; tails come in whole milliseconds, so a low one says little
 constexpr double idle_most = 1 / 2.0;   // of the target; else nothing could run beside it
-constexpr double busy_most = 0.95;      // beyond it the tail tells of a backlog, not of the load
-constexpr double tail_wanted = 0.95;    // of the target: looks come in whole milliseconds and half a second late
-constexpr double bearable_most = 2.5;   // even of an idle one: its load comes back within seconds
+constexpr double busy_most = 0.95;      // of its capacity; beyond it the tail tells of a backlog, not of the load
+constexpr double tail_wanted = 0.95;    // of the target: looks are rounded and late
+constexpr double bearable_most = 2.5;   // pressure, even on an idle one: its load comes back within seconds
 constexpr double load_least = 0.05;
 constexpr double load_most = 0.9;
 // Where a fit's moments keep the product of two columns.
--- a/src/flow_press_p.h
+++ b/src/flow_press_p.h
@@ -8,12 +8,10 @@
 namespace skylarkhub {
 
 // How busy a serving task is, from the tail latency it measures: the share of its capacity that its load takes up. A
-// queue whose tail is `idle` with nothing to do has a tail of idle / (1 - busy). Measured over a day with filling work
-// beside: busy = load * (1 + sum over filling images f of press(s, f) * share(f)) explains 0.5 to 0.6 of the variance
-// of single looks, most of the rest is that tails come in whole milliseconds; a fit of ln(tail) explains 0.2, and
-// nothing of what goes beyond the target. `load` is the service's own, the same for all tasks of its job, and swings by
-// half within seconds; share(f) is the part of the worker's processors that tasks of f use. Most pairs press 0.5
-// to 1.5, one to three of nine press 4 to 10, and which these are differs from one serving image to the next.
+// queue whose tail is `idle` with nothing to do has a tail of idle / (1 - busy), and beside filling work
+// busy = load * (1 + sum over filling images f of press(s, f) * share(f)). `load` is the service's own, the same for
+// all tasks of its job; share(f) is the part of the worker's processors that tasks of f use. A few pairs press many
+// times more than the others, and which these are differs from one serving image to the next.
 class interference_model {
 public:
     // Small numbers for image names, given on first sight; filling images beyond filling_most share the last one.
--- a/src/flow_straggle.cpp
+++ b/src/flow_straggle.cpp
@@ -8,14 +8,12 @@
 
 using namespace std::chrono_literals;
 
-// Looks come at least every second; two in a row without any progress are no accident of rounding to whole percents.
+// Longer than looks are apart: two in a row without any progress are no accident of rounding to whole percents.
 constexpr duration stalled_after = 1300ms;
 constexpr duration speed_least = 500ms; // a speed over less is mostly rounding
 constexpr duration speed_window = 750ms;
-// Estimates of short work are off by a fifth, run times on sound workers by a third: a run that looks as if it needed
-// twice its estimate once more has fallen behind. Anew it also waits for its stop and its start.
-constexpr double anew_factor = 2.0;
-constexpr duration anew_extra = 400ms;
+constexpr double anew_factor = 2.0;    // of the estimate: it is rough, and so are run times on sound workers
+constexpr duration anew_extra = 400ms; // for the stop of the old run and the start of the new one
 
 } // namespace
 
--- a/src/flow_straggle_p.h
+++ b/src/flow_straggle_p.h
@@ -24,7 +24,7 @@
     bool begun_ = false;
     instant moved_{}; // the newest look that showed it further, or held back
     look newest_;
-    look recent_; // from half a second to a second and a half ago: speeds count from here
+    look recent_; // one to two speed windows ago: speeds count from here
     look next_recent_;
 };
 
