--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -1,6 +1,5 @@
 // Making facts durable: the rows of jobs that are behind, batched by part, and what follows once they are written.
 #include <algorithm>
-#include <tuple>
 
 #include "flow_cell_p.h"
 #include "flow_limits_p.h"
@@ -36,42 +35,70 @@
     }
 }
 
-// The rows that go into the next transaction: those that are waited for first, then the oldest ones, in turn with a
+// The rows that go into the next transaction: the oldest ones, those that are waited for with a start, in turn with a
 // single contended one. Rows of jobs with tasks in many cells are written by all their owners; put together with one of
 // these, the others would be refused with it for as long as it keeps changing. A contended row is tried again at once
 // while what was read of it is fresh, but not for ever: an owner that is slower than the others would never come to its
 // other rows.
-std::vector<job_id> flow_cell::pick_rows(part_state& state) const
+std::vector<job_id> flow_cell::pick_rows(part_state& state)
 {
     if (state.retried && state.dirty.count(*state.retried) != 0) {
         return {*state.retried};
     }
-    const bool alone = state.contended_next && !state.contended.empty();
-    state.contended_next = !state.contended_next;
-    std::vector<std::tuple<bool, instant, job_id>> order; // not waited for, since when it is behind or was tried last
+    std::vector<std::pair<instant, job_id>> together;
+    std::vector<std::pair<instant, job_id>> alone;
     for (const auto& [id, since] : state.dirty) {
+        const duration head_start = state.awaited.count(id) != 0 ? awaited_head_start : duration(0);
         const auto contended = state.contended.find(id);
-        if ((contended != state.contended.end()) == alone) {
-            order.emplace_back(state.awaited.count(id) == 0, alone ? contended->second : since, id);
+        if (contended == state.contended.end()) {
+            together.emplace_back(since - head_start, id);
+        }
+        else {
+            alone.emplace_back(contended->second.tried - head_start, id);
         }
     }
+    const bool take_alone = together.empty() || (state.contended_next && !alone.empty());
+    state.contended_next = !take_alone;
+    std::vector<std::pair<instant, job_id>>& order = take_alone ? alone : together;
     std::sort(order.begin(), order.end());
-    order.resize(std::min(order.size(), alone ? std::size_t{1} : commit_rows_most));
+    order.resize(std::min(order.size(), take_alone ? std::size_t{1} : commit_rows_most));
     std::vector<job_id> rows;
-    std::transform(order.begin(), order.end(), std::back_inserter(rows),
-                   [](const auto& row) { return std::get<job_id>(row); });
+    std::transform(order.begin(), order.end(), std::back_inserter(rows), [](const auto& row) { return row.second; });
     return rows;
 }
 
-// After a conflict: `changed` are the rows that others had changed.
-void flow_cell::note_contended(instant now, part_state& state, const std::vector<job_id>& changed)
+// Rows that were refused wait on as they did before.
+void flow_cell::note_unwritten(part_state& state, const std::vector<committed_row>& rows)
 {
-    for (const job_id& id : changed) {
-        state.contended[id] = now;
+    for (const committed_row& row : rows) {
+        if (row.awaited && state.dirty.count(row.job) != 0) {
+            state.awaited.insert(row.job);
+        }
+    }
+}
+
+// What the table answered to a conflict is compared with what was sent: another owner may have told of its write
+// meanwhile, and the row looks as fresh as any then.
+void flow_cell::note_contended(instant now, part_state& state, const std::vector<committed_row>& rows,
+                               const std::vector<store_row>& found)
+{
+    state.retried.reset();
+    for (const committed_row& row : rows) {
+        const auto at =
+            std::find_if(found.begin(), found.end(), [&row](const store_row& f) { return f.key == job_key(row.job); });
+        if (at == found.end() || at->version == row.sent_version || state.dirty.count(row.job) == 0) {
+            continue;
+        }
+        state.contended[row.job] = {now, now};
+        if (!state.retried || (row.awaited && state.awaited.count(*state.retried) == 0)) {
+            state.retried = row.job;
+        }
+    }
+    state.retries = state.retried ? state.retries + 1 : 0;
+    if (state.retries > contended_retries_most) {
+        state.retried.reset();
+        state.retries = 0;
     }
-    const bool again = !changed.empty() && state.retries < contended_retries_most;
-    state.retried = again ? std::optional(changed.front()) : std::nullopt;
-    state.retries = again ? state.retries + 1 : 0;
 }
 
 // Forgets those that turn out to be written already, and ends those of cancelled jobs nothing of which runs.
@@ -92,6 +119,7 @@
             clean.push_back(id);
         }
     }
+    std::erase_if(state.contended, [now](const auto& row) { return now - row.second.refused > contended_kept; });
     for (const job_id& id : clean) {
         state.forget(id);
         const auto found = jobs_.find(id);
@@ -113,7 +141,12 @@
     std::vector<committed_row> rows;
     for (const job_id& id : pick_rows(state)) {
         const flow_job& job = *jobs_.at(id);
-        rows.push_back({id, job.changes(), job.current_row()});
+        const bool awaited = state.awaited.erase(id) != 0;
+        rows.push_back({id, job.changes(), job.version(), awaited, job.current_row()});
+        const auto contended = state.contended.find(id);
+        if (contended != state.contended.end()) {
+            contended->second.tried = now;
+        }
         t.checks.push_back({job_key(id), job.version()});
         t.puts.push_back({job_key(id), encode_compact(rows.back().row)});
     }
@@ -135,22 +168,24 @@
 {
     part_state& state = parts_[part];
     state.committing = false;
-    std::vector<job_id> changed;
     switch (result.outcome) {
     case table_outcome::applied:
         state.backoff = duration(0);
         state.retried.reset();
         state.retries = 0;
-        for (const auto& [id, changes, row] : rows) {
+        for (const auto& [id, changes, sent_version, awaited, row] : rows) {
             const auto found = jobs_.find(id);
             if (found == jobs_.end()) {
                 continue;
             }
             found->second->mark_written(changes, result.version);
-            state.forget(id);
             if (found->second->dirty()) {
                 state.dirty[id] = now; // changed since it was sent
             }
+            else {
+                state.dirty.erase(id);
+                state.awaited.erase(id);
+            }
             // Members of a gang that runs over several cells wait until all of them can know its number.
             if (unclaimed_.erase(id) != 0 || ready_keys_.count(id) != 0) {
                 place_soon();
@@ -164,11 +199,9 @@
     case table_outcome::conflict:
         // Another entry has cancelled a job, or an earlier try of ours is in force although its answer was lost.
         ++stats_.commits_conflicted;
+        note_unwritten(state, rows);
+        note_contended(now, state, rows, result.rows);
         for (const store_row& row : result.rows) {
-            const auto found = jobs_.find(job_id(row.key.key));
-            if (found != jobs_.end() && found->second->version() != row.version) {
-                changed.push_back(found->first);
-            }
             const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
             if (decoded) {
                 on_job_row(now, job_id(row.key.key), *decoded, row.version);
@@ -177,12 +210,13 @@
                 }
             }
         }
-        note_contended(now, state, changed);
         // Its rows are known as they are now: the sooner they are written again, the fewer have changed by then.
         state.backoff = duration(0);
         break;
     case table_outcome::refused:
     case table_outcome::unknown:
+        note_unwritten(state, rows);
+        state.retried.reset();
         state.backoff = std::clamp<duration>(state.backoff * 2, commit_retry, commit_retry_most);
         state.held_until = now + state.backoff;
         ++stats_.commits_failed;
--- a/src/flow_cell_drain.cpp
+++ b/src/flow_cell_drain.cpp
@@ -32,6 +32,7 @@
 {
     std::vector<std::pair<cell_worker*, flow_task_id>> promised;
     std::size_t moved = 0; // to other cells
+    kept_in_round_ = 0;
     for (const auto& [id, run] : w.ledger) {
         const auto [worker, job, task, live] = locate(w.listing.worker, id, run.run);
         if (!run.lasting || live == nullptr || !live->confirmed || live->stopping || task->runs.size() != 1) {
@@ -46,11 +47,11 @@
             ledger_add(*place, step, id, run_number());
             promised.emplace_back(place, id);
         }
-        else if ((task->moves_to = find_place_elsewhere(now, *job, step))) {
+        else if ((task->moves_to = find_place_elsewhere(now, *job, stage))) {
             ++moved;
         }
         else {
-            reserve_for(now, *job, step);
+            reserve_for(now, *job, stage);
             continue; // better there for the rest of the worker's time than nowhere
         }
         stop_run_once(now, *live, id);
--- a/src/flow_cell_moves.cpp
+++ b/src/flow_cell_moves.cpp
@@ -46,6 +46,7 @@
         return;
     }
     int left = give_away_most;
+    kept_in_round_ = 0;
     index_ready_again();
     const std::set<ready_key> waiting = ready_;
     for (const ready_key& key : waiting) {
@@ -83,7 +84,7 @@
             now - task.ready_since < wait_before_move(step, task)) {
             continue;
         }
-        const auto to = find_place_elsewhere(now, job, step);
+        const auto to = find_place_elsewhere(now, job, stage);
         if (!to) {
             break;
         }
@@ -97,36 +98,45 @@
 // one place is taken by other short tasks before it is enough. Such a task goes where they can make room for it, unless
 // they can here.
 std::optional<std::pair<cell_id, skylarkhub::epoch>> flow_cell::find_place_elsewhere(instant now, const flow_job& job,
-                                                                                     const flow_step& step)
+                                                                                     const flow_stage& stage)
 {
+    const flow_step& step = job.step(stage);
     const std::string& service = job.row().service_name;
     auto to = hooks_.find_room(now, id_, service, step, room_kind::free);
-    if (!to && step.lasting && !can_make_room(now, job, step)) {
+    if (!to && step.lasting && !can_make_room(job, stage)) {
         to = hooks_.find_room(now, id_, service, step, room_kind::reservable);
     }
     return to;
 }
 
 // Whether the task fits on the worker if only tasks that last stay there.
-bool flow_cell::is_reservable(const cell_worker& w, const flow_job& job, const flow_step& step)
+bool flow_cell::is_reservable(const cell_worker& w, const flow_job& job, const flow_stage& stage)
 {
+    const flow_step& step = job.step(stage);
+    if (step.per_worker_most > 0 && count_beside(w, job, stage) >= step.per_worker_most) {
+        return false;
+    }
     const bool usable = w.listed && w.named && w.fenced && !w.listing.draining && w.silent == 0 &&
                         w.listing.service == job.row().service_name && has_label(w.listing.labels, step.label);
     const resources lasting{w.lasting_cpu, w.lasting_memory, 0};
     return usable && fits(lasting + step.need, w.listing.room);
 }
 
-// Without the workers that are reserved for other tasks already.
-bool flow_cell::can_make_room(instant now, const flow_job& job, const flow_step& step) const
+// Whether one more of the tasks that wait here will have a worker kept free for it. Those that were told so in this
+// round are counted, not those for which workers are reserved already: a task must not leave for its own reservation.
+bool flow_cell::can_make_room(const flow_job& job, const flow_stage& stage)
 {
-    return std::any_of(workers_.begin(), workers_.end(),
-                       [&](const auto& w) { return !w.second.is_reserved(now) && is_reservable(w.second, job, step); });
+    const auto reservable = std::count_if(workers_.begin(), workers_.end(),
+                                          [&](const auto& w) { return is_reservable(w.second, job, stage); });
+    const bool room = reservable > kept_in_round_;
+    kept_in_round_ += room ? 1 : 0;
+    return room;
 }
 
 // Keeps a worker free of new short work until a lasting task fits there. Short tasks come and go several times a second
 // and each takes what one before it gave back: a lasting task, which needs more at once, would wait for ever beside
 // them on a site that is full. Of the workers that will do, the one where least has to end.
-void flow_cell::reserve_for(instant now, const flow_job& job, const flow_step& step)
+void flow_cell::reserve_for(instant now, const flow_job& job, const flow_stage& stage)
 {
     const auto most = static_cast<int>(reserved_share_most * static_cast<double>(workers_.size())) + 1;
     if (reserved_in_pass_ >= most) {
@@ -140,7 +150,8 @@
         return a.listing.room.cpu_millis - a.held.cpu_millis > b.listing.room.cpu_millis - b.held.cpu_millis;
     };
     for (auto& [id, w] : workers_) {
-        if (w.reserved_in != placing_pass_ && is_reservable(w, job, step) && (best == nullptr || preferred(w, *best))) {
+        if (w.reserved_in != placing_pass_ && is_reservable(w, job, stage) &&
+            (best == nullptr || preferred(w, *best))) {
             best = &w;
         }
     }
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -184,10 +184,14 @@
         bool committing = false;
         bool planned = false;
         instant due{};
-        instant held_until{};                // no try before, after one that failed
-        std::map<job_id, instant> dirty;     // and since when
-        std::set<job_id> awaited;            // of these, the ones that a caller or a start waits for
-        std::map<job_id, instant> contended; // and the ones that another owner had changed at the last try, and when
+        instant held_until{};            // no try before, after one that failed
+        std::map<job_id, instant> dirty; // and since when
+        std::set<job_id> awaited;        // of these, the ones that a caller or a start waits for
+        struct contention {
+            instant refused{}; // last, since another owner had changed the row
+            instant tried{};
+        };
+        std::map<job_id, contention> contended; // rows that were refused lately
         bool contended_next = false;
         std::optional<job_id> retried; // a contended one that is tried again at once
         int retries = 0;
@@ -322,10 +326,11 @@
     int give_away_tasks(instant now, flow_job& job, flow_stage& stage, int most);
     void give_to(instant now, flow_job& job, const flow_task_id& task, const std::pair<cell_id, skylarkhub::epoch>& to);
     std::optional<std::pair<cell_id, skylarkhub::epoch>> find_place_elsewhere(instant now, const flow_job& job,
-                                                                              const flow_step& step);
-    static bool is_reservable(const cell_worker& w, const flow_job& job, const flow_step& step);
-    bool can_make_room(instant now, const flow_job& job, const flow_step& step) const;
-    void reserve_for(instant now, const flow_job& job, const flow_step& step);
+                                                                              const flow_stage& stage);
+    static bool is_reservable(const cell_worker& w, const flow_job& job, const flow_stage& stage);
+    static std::int32_t count_beside(const cell_worker& w, const flow_job& job, const flow_stage& stage);
+    bool can_make_room(const flow_job& job, const flow_stage& stage);
+    void reserve_for(instant now, const flow_job& job, const flow_stage& stage);
 
     // flow_cell_gangs.cpp
     bool may_join(const flow_job& job, const flow_stage& stage) const;
@@ -341,11 +346,15 @@
     struct committed_row {
         job_id job;
         std::uint64_t changes = 0; // of the job, that it tells
+        row_version sent_version;  // that it was checked against
+        bool awaited = false;
         wire::flow_job_row row;
     };
     void commit_soon(instant now, const std::string& part, duration wait);
-    std::vector<job_id> pick_rows(part_state& state) const;
-    static void note_contended(instant now, part_state& state, const std::vector<job_id>& changed);
+    static std::vector<job_id> pick_rows(part_state& state);
+    static void note_unwritten(part_state& state, const std::vector<committed_row>& rows);
+    static void note_contended(instant now, part_state& state, const std::vector<committed_row>& rows,
+                               const std::vector<store_row>& found);
     void drop_clean(instant now, part_state& state);
     void commit_part(instant now, const std::string& part);
     void on_committed(instant now, const std::string& part, const std::vector<committed_row>& rows,
@@ -434,6 +443,7 @@
     bool place_planned_ = false;
     std::uint64_t placing_pass_ = 0;
     int reserved_in_pass_ = 0;
+    int kept_in_round_ = 0; // of giving away: tasks that wait for a worker to be kept free
     wire::flow_cell_news told_news_;
     instant told_news_at_{};
     std::uint64_t told_news_life_ = 0; // one more than the ownership it was made in; 0: none was
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -23,7 +23,7 @@
         place_ready(now);
     }
     for (auto& [part, state] : parts_) {
-        if (!state.dirty.empty() && !state.committing && state.due <= now) {
+        if (!state.dirty.empty() && !state.committing && std::max(state.due, state.held_until) <= now) {
             commit_part(now, part);
         }
     }
@@ -123,6 +123,19 @@
     return option;
 }
 
+// Tasks of the stage that run there or are about to.
+std::int32_t flow_cell::count_beside(const cell_worker& w, const flow_job& job, const flow_stage& stage)
+{
+    std::int32_t beside = 0;
+    for (auto at = w.ledger.lower_bound(job.task_id(stage, 0));
+         at != w.ledger.end() && at->first.job == job.id() && at->first.occurrence == stage.occurrence &&
+         at->first.step == stage.step;
+         ++at) {
+        ++beside;
+    }
+    return beside;
+}
+
 flow_cell::cell_worker* flow_cell::choose(instant now, const flow_job& job, const flow_stage& stage,
                                           const flow_task& task, const rack_id& near)
 {
@@ -156,15 +169,7 @@
         else if (serves) {
             interference.excess = excess_for(w, image);
         }
-        const flow_task_id first = job.task_id(stage, 0);
-        std::int32_t beside = 0;
-        for (auto at = w.ledger.lower_bound(first);
-             at != w.ledger.end() && at->first.job == job.id() && at->first.occurrence == stage.occurrence &&
-             at->first.step == stage.step;
-             ++at) {
-            ++beside;
-        }
-        if (step.per_worker_most > 0 && beside >= step.per_worker_most) {
+        if (step.per_worker_most > 0 && count_beside(w, job, stage) >= step.per_worker_most) {
             continue;
         }
         const bool runs_here = std::any_of(task.runs.begin(), task.runs.end(),
@@ -220,7 +225,7 @@
         cell_worker* const w = choose(now, job, stage, task, near);
         if (w == nullptr) {
             for (std::int32_t n = 0; step.lasting && !step.gang && n < waiting_long(now, stage); ++n) {
-                reserve_for(now, job, step);
+                reserve_for(now, job, stage);
             }
             break;
         }
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -745,6 +745,15 @@
             tell_cell(then, cell_id(row.cell), job, row, result.version);
             return;
         }
+        // An owner has written the row meanwhile, and may do so again soon: what the table answers is as fresh as can
+        // be.
+        const auto newer = result.outcome == table_outcome::conflict && !result.rows.empty()
+                               ? read_flow_row<wire::flow_job_row>(edges_, result.rows.front())
+                               : std::nullopt;
+        if (newer && !newer->cancelled && newer->outcome == 0 && then < give_up) {
+            write_cancel(job, *newer, result.rows.front().version, give_up, reply);
+            return;
+        }
         if (then + accept_retry < give_up) {
             edges_.after(accept_retry, [this, job, give_up, reply](instant) { cancel(job, give_up, reply); });
             return;
