commits: contended rows are written beside the groups, a few at a time, each alone

Cause: one transaction of a part at a time; each contended row waited for all others, and for a group between two of them. Rows in different transactions differ, so no write of this owner meets another of its own.

--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -35,38 +35,42 @@
     }
 }
 
-// The rows that go into the next transaction: the oldest ones, those that are waited for with a start, in turn with a
-// single contended one. Rows of jobs with tasks in many cells are written by all their owners; put together with one of
-// these, the others would be refused with it for as long as it keeps changing. A contended row is tried again at once
-// while what was read of it is fresh, but not for ever: an owner that is slower than the others would never come to its
-// other rows.
-std::vector<job_id> flow_cell::pick_rows(part_state& state)
+duration flow_cell::part_state::head_start(const job_id& id) const
 {
-    if (state.retried && state.dirty.count(*state.retried) != 0) {
-        return {*state.retried};
-    }
-    std::vector<std::pair<instant, job_id>> together;
-    std::vector<std::pair<instant, job_id>> alone;
+    return awaited.count(id) != 0 ? awaited_head_start : duration(0);
+}
+
+// The rows that are written together next: the oldest ones, those that are waited for with a start.
+std::vector<job_id> flow_cell::pick_group(const part_state& state)
+{
+    std::vector<std::pair<instant, job_id>> order;
     for (const auto& [id, since] : state.dirty) {
-        const duration head_start = state.awaited.count(id) != 0 ? awaited_head_start : duration(0);
-        const auto contended = state.contended.find(id);
-        if (contended == state.contended.end()) {
-            together.emplace_back(since - head_start, id);
-        }
-        else {
-            alone.emplace_back(contended->second.tried - head_start, id);
+        if (state.contended.count(id) == 0 && state.in_flight.count(id) == 0) {
+            order.emplace_back(since - state.head_start(id), id);
         }
     }
-    const bool take_alone = together.empty() || (state.contended_next && !alone.empty());
-    state.contended_next = !take_alone;
-    std::vector<std::pair<instant, job_id>>& order = take_alone ? alone : together;
     std::sort(order.begin(), order.end());
-    order.resize(std::min(order.size(), take_alone ? std::size_t{1} : commit_rows_most));
+    order.resize(std::min(order.size(), commit_rows_most));
     std::vector<job_id> rows;
     std::transform(order.begin(), order.end(), std::back_inserter(rows), [](const auto& row) { return row.second; });
     return rows;
 }
 
+// The contended row that was tried longest ago. Rows of jobs with tasks in many cells are written by all their owners;
+// put together with one of these, the others would be refused with it for as long as it keeps changing, and one after
+// the other an owner that is slower than the others would not come to them all.
+std::optional<job_id> flow_cell::pick_contended(const part_state& state)
+{
+    std::optional<std::pair<instant, job_id>> first;
+    for (const auto& [id, contention] : state.contended) {
+        const std::pair<instant, job_id> row(contention.tried - state.head_start(id), id);
+        if (state.dirty.count(id) != 0 && state.in_flight.count(id) == 0 && (!first || row < *first)) {
+            first = row;
+        }
+    }
+    return first ? std::optional(first->second) : std::nullopt;
+}
+
 // Rows that were refused wait on as they did before.
 void flow_cell::note_unwritten(part_state& state, const std::vector<committed_row>& rows)
 {
@@ -82,23 +86,13 @@
 void flow_cell::note_contended(instant now, part_state& state, const std::vector<committed_row>& rows,
                                const std::vector<store_row>& found)
 {
-    state.retried.reset();
     for (const committed_row& row : rows) {
         const auto at =
             std::find_if(found.begin(), found.end(), [&row](const store_row& f) { return f.key == job_key(row.job); });
-        if (at == found.end() || at->version == row.sent_version || state.dirty.count(row.job) == 0) {
-            continue;
-        }
-        state.contended[row.job] = {now, now};
-        if (!state.retried || (row.awaited && state.awaited.count(*state.retried) == 0)) {
-            state.retried = row.job;
+        if (at != found.end() && at->version != row.sent_version && state.dirty.count(row.job) != 0) {
+            state.contended[row.job] = {now, now};
         }
     }
-    state.retries = state.retried ? state.retries + 1 : 0;
-    if (state.retries > contended_retries_most) {
-        state.retried.reset();
-        state.retries = 0;
-    }
 }
 
 // Forgets those that turn out to be written already, and ends those of cancelled jobs nothing of which runs.
@@ -137,42 +131,60 @@
         return;
     }
     drop_clean(now, state);
+    if (!state.group_in_flight) {
+        const std::vector<job_id> group = pick_group(state);
+        state.group_in_flight = !group.empty();
+        send_rows(part, group, false);
+    }
+    while (state.contended_in_flight < contended_in_flight_most) {
+        const auto row = pick_contended(state);
+        if (!row) {
+            break;
+        }
+        state.contended[*row].tried = now;
+        ++state.contended_in_flight;
+        send_rows(part, {*row}, true);
+    }
+}
+
+void flow_cell::send_rows(const std::string& part, const std::vector<job_id>& ids, bool contended)
+{
+    if (ids.empty()) {
+        return;
+    }
+    part_state& state = parts_[part];
     store_transaction t;
     std::vector<committed_row> rows;
-    for (const job_id& id : pick_rows(state)) {
+    for (const job_id& id : ids) {
         const flow_job& job = *jobs_.at(id);
         const bool awaited = state.awaited.erase(id) != 0;
         rows.push_back({id, job.changes(), job.version(), awaited, job.current_row()});
-        const auto contended = state.contended.find(id);
-        if (contended != state.contended.end()) {
-            contended->second.tried = now;
-        }
+        state.in_flight.insert(id);
         t.checks.push_back({job_key(id), job.version()});
         t.puts.push_back({job_key(id), encode_compact(rows.back().row)});
     }
-    if (rows.empty()) {
-        return;
-    }
-    state.committing = true;
     ++stats_.commits;
-    edges_.commit(std::move(t),
-                  [this, part, rows = std::move(rows), life = life_](instant then, const store_result& result) {
-                      if (life == life_) {
-                          on_committed(then, part, rows, result);
-                      }
-                  });
+    edges_.commit(std::move(t), [this, part, contended, rows = std::move(rows),
+                                 life = life_](instant then, const store_result& result) {
+        if (life == life_) {
+            part_state& sent = parts_[part];
+            sent.group_in_flight = sent.group_in_flight && contended;
+            sent.contended_in_flight -= contended ? 1 : 0;
+            on_committed(then, part, rows, result);
+        }
+    });
 }
 
 void flow_cell::on_committed(instant now, const std::string& part, const std::vector<committed_row>& rows,
                              const store_result& result)
 {
     part_state& state = parts_[part];
-    state.committing = false;
+    for (const committed_row& row : rows) {
+        state.in_flight.erase(row.job);
+    }
     switch (result.outcome) {
     case table_outcome::applied:
         state.backoff = duration(0);
-        state.retried.reset();
-        state.retries = 0;
         for (const auto& [id, changes, sent_version, awaited, row] : rows) {
             const auto found = jobs_.find(id);
             if (found == jobs_.end()) {
@@ -216,7 +228,6 @@
     case table_outcome::refused:
     case table_outcome::unknown:
         note_unwritten(state, rows);
-        state.retried.reset();
         state.backoff = std::clamp<duration>(state.backoff * 2, commit_retry, commit_retry_most);
         state.held_until = now + state.backoff;
         ++stats_.commits_failed;
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -490,7 +490,7 @@
         return;
     }
     bool settled = std::all_of(parts_.begin(), parts_.end(),
-                               [](const auto& p) { return p.second.dirty.empty() && !p.second.committing; });
+                               [](const auto& p) { return p.second.dirty.empty() && p.second.in_flight.empty(); });
     for (const auto& [id, job] : jobs_) {
         for (const flow_stage& stage : job->stages()) {
             for (const flow_task& task : stage.tasks) {
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -181,7 +181,6 @@
     };
 
     struct part_state {
-        bool committing = false;
         bool planned = false;
         instant due{};
         instant held_until{};            // no try before, after one that failed
@@ -192,10 +191,11 @@
             instant tried{};
         };
         std::map<job_id, contention> contended; // rows that were refused lately
-        bool contended_next = false;
-        std::optional<job_id> retried; // a contended one that is tried again at once
-        int retries = 0;
+        std::set<job_id> in_flight;             // their write is under way
+        bool group_in_flight = false;
+        int contended_in_flight = 0;
 
+        duration head_start(const job_id& id) const;
         void forget(const job_id& id)
         {
             dirty.erase(id);
@@ -351,7 +351,9 @@
         wire::flow_job_row row;
     };
     void commit_soon(instant now, const std::string& part, duration wait);
-    static std::vector<job_id> pick_rows(part_state& state);
+    static std::vector<job_id> pick_group(const part_state& state);
+    static std::optional<job_id> pick_contended(const part_state& state);
+    void send_rows(const std::string& part, const std::vector<job_id>& ids, bool contended);
     static void note_unwritten(part_state& state, const std::vector<committed_row>& rows);
     static void note_contended(instant now, part_state& state, const std::vector<committed_row>& rows,
                                const std::vector<store_row>& found);
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -23,7 +23,7 @@
         place_ready(now);
     }
     for (auto& [part, state] : parts_) {
-        if (!state.dirty.empty() && !state.committing && std::max(state.due, state.held_until) <= now) {
+        if (!state.dirty.empty() && state.planned && std::max(state.due, state.held_until) <= now) {
             commit_part(now, part);
         }
     }
