--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -1,4 +1,4 @@
-// Times and limits of flows' cells, each with its ground.
+// Times and limits of flows' cells.
 #pragma once
 
 #include "skylarkhub/skylarkhub.h"
@@ -8,8 +8,8 @@
 using namespace std::chrono_literals;
 
 // --- leases of workers ---
-// Outlasts a takeover (owner_silence_local, one read, one commit, one exchange: about 3.5 s) with one lost exchange to
-// spare; everything on a worker that nobody can reach waits this long before it is started again elsewhere.
+// Outlasts a takeover (owner_silence_local, one read, one commit, one exchange) with one lost exchange to spare;
+// everything on a worker that nobody can reach waits this long before it is started again elsewhere.
 inline constexpr duration lease = 6s;
 inline constexpr double clock_drift = 0.03;     // a worker's clock may be 2% slow; ours a little fast
 inline constexpr duration lease_margin = 150ms; // for an exchange's own time
@@ -26,8 +26,8 @@
 inline constexpr duration start_retry = 60ms;
 inline constexpr duration gang_start_most =
     1000ms; // of a member whose start is not answered; the others give up at 3 s
-// A worker may leave an order unanswered and carry it out seconds later. A cancelled task has about 3 s to end: this
-// and stop_retry make seven tries in that time, where an answer takes a few milliseconds.
+// A worker may leave an order unanswered and carry it out seconds later: with stop_retry, several tries in the time
+// that a cancelled task has to end.
 inline constexpr duration stop_timeout = 300ms;
 inline constexpr duration stop_retry = 150ms;
 inline constexpr duration pace_timeout = 800ms;
@@ -40,10 +40,10 @@
 inline constexpr duration renew_interval = 1s;
 inline constexpr duration renew_retry = 250ms;
 // An owner that cannot renew goes on this long, counted from sending its last renewal that succeeded: long enough for
-// one renewal whose answer is lost (its interval, 1.5 s until it is given up, a retry). A taker waits for it, and a
-// lease, before it believes that a worker it cannot reach is idle; tasks that may run there stand still that long.
+// one renewal whose answer is lost. A taker waits for it, and a lease, before it believes that a worker it cannot reach
+// is idle; tasks that may run there stand still that long.
 inline constexpr duration owner_hold = 3s;
-// The same while the table answers nobody: the longest outages last about 9 s, and nobody can take the cell meanwhile.
+// The same while the table answers nobody, and nobody can take the cell.
 inline constexpr duration owner_hold_outage = 10s;
 // A peer that the table has answered later than this after the owner's last renewal shows that it is no outage. The
 // interval of renewals and the age of what a peer says of itself.
@@ -63,8 +63,7 @@
 inline constexpr duration commit_gap = 60ms; // ends that do not complete a step wait this long for others
 inline constexpr duration commit_retry = 100ms;
 inline constexpr duration commit_retry_most = 800ms;
-// Of the reading of all jobs: two pages of 100 rows of some 3 KB take half a second over a link of 10 Mbit/s, a third
-// of the time that an answer is waited for.
+// Of the reading of all jobs: so few that they arrive over the narrow link of a small entry before they are given up.
 inline constexpr int job_readers = 2;
 inline constexpr int job_page_rows = 100;
 inline constexpr std::size_t commit_rows_most = 24; // of one transaction; the store's limit is 100 rows and 1 MB
@@ -80,8 +79,7 @@
 // Between hellos that name the entries heard of: most of a hello's bytes on a large site. An entry that starts is named
 // them at once, and the table has them too, so they tell news only while the table is away.
 inline constexpr duration members_interval = 5s;
-// Peers hear each other's news this seldom anyway; making them anew for each of dozens of peers costs an owner more
-// than its workers do.
+// Peers hear each other's news this seldom anyway.
 inline constexpr duration news_kept = 250ms;
 // Presses change over tens of seconds: told for somewhat more than one round of hellos, then left out for the rest.
 inline constexpr duration presses_interval = 3s;
@@ -105,8 +103,7 @@
 inline constexpr duration untold_retry = 300ms; // rows that an owner has not taken note of
 
 // --- cells ---
-// An entry uses 0.02 core on average and 0.04 at most on a cell of 12 or of 22 workers, about what the smallest has
-// besides its callers; at 88 workers it was at its limit all the time.
+// About what the smallest entry bears besides its callers.
 inline constexpr std::int64_t cell_workers_usual = 24;
 // A data centre, or a cell that a rack is added to, is not split for a few workers more.
 inline constexpr std::int64_t cell_workers_most = 30;
@@ -114,9 +111,8 @@
 inline constexpr duration layout_settle = 300ms;        // a list that has not changed this long is whole
 inline constexpr duration layout_settle_most = 2s;      // one that changes all the time is not waited for
 inline constexpr duration layout_wait_remote = 3s;      // before an entry of another data centre lays racks
-// Entries that start together learn of a new layout within moments of each other for this long. An entry that knew it
-// seconds before the others took five cells of seven that were not its turn, and its link of 10 Mbit/s did not bear
-// them.
+// Entries that start together learn of a new layout within moments of each other for this long: one that knew it
+// seconds before the others would take cells that are not its turn.
 inline constexpr duration layouts_start = 6s;
 inline constexpr duration layouts_interval = 10s; // between reads of all layouts; a rack of no cell is one too
 inline constexpr duration deal_interval = 1s;     // between rankings while every cell has a live owner
@@ -131,15 +127,13 @@
 inline constexpr duration answer_margin = 150ms; // before the caller's time is up
 inline constexpr duration accept_retry = 120ms;
 inline constexpr int accept_tries = 3; // while the table refuses; a write in doubt is tried until time is up
-// Lasting jobs leave to work that ends what it is seen to need of a service's processors. At the least this share,
-// twice what brief tasks take on sites with hardly any other such work (5%), since they come in bursts and each needs
-// its room on one worker; at the most this one, beyond which ever fewer lasting jobs make room for ever more work that
-// waits.
+// Lasting jobs leave to work that ends what it is seen to need of a service's processors: at the least this share,
+// since brief tasks come in bursts and each needs its room on one worker, at the most the other.
 inline constexpr double ending_reserve_least = 0.1;
 inline constexpr double ending_reserve_most = 0.4;
 // Until jobs that end were seen: lasting jobs taken on before can't be given up again, those refused can come later.
 inline constexpr double demand_unseen = 0.3;
-inline constexpr duration demand_memory = 20s;    // rates of jobs swing by a sixth within 11 s
+inline constexpr duration demand_memory = 20s;    // longer than rates of jobs swing
 inline constexpr duration full_retry = 4s;        // some lasting job ends within this on a site that is full
 inline constexpr duration unavailable_retry = 1s; // what a caller is told when the table or the cells are away
 inline constexpr duration state_fresh = 1500ms;   // an owner tells each end at once; older than this, the row is read
@@ -154,8 +148,7 @@
 inline constexpr std::int32_t move_doublings_most = 4; // of that wait, for filling work that has moved before
 inline constexpr duration give_away_interval = 250ms;
 // Tasks at a time. Each is taken off the room that its new cell has told of, so many may go at once; a bound all the
-// same, since what was told is up to half a second old. At 6 a cell that had taken on 350 lasting tasks before it heard
-// of the other cells kept some of them waiting for 20 s.
+// same, since what was told may be old.
 inline constexpr int give_away_most = 40;
 // A lasting task that waits this long has a worker kept free for it: brief tasks that end make room sooner otherwise.
 inline constexpr duration reserve_after = 300ms;
