commits: each refusal of a contended row is waited for twice as long as the one before

Cause: tries that fail keep the table busy, answers take longer, and the longer they take the more fail.

--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -58,13 +58,16 @@
 
 // The contended row that was tried longest ago. Rows of jobs with tasks in many cells are written by all their owners;
 // put together with one of these, the others would be refused with it for as long as it keeps changing, and one after
-// the other an owner that is slower than the others would not come to them all.
-std::optional<job_id> flow_cell::pick_contended(const part_state& state)
+// the other an owner that is slower than the others would not come to them all. Each refusal of a row is waited for
+// twice as long as the one before: tries that fail keep a busy table busy, and the longer it takes, the more fail.
+std::optional<job_id> flow_cell::pick_contended(instant now, const part_state& state)
 {
     std::optional<std::pair<instant, job_id>> first;
     for (const auto& [id, contention] : state.contended) {
         const std::pair<instant, job_id> row(contention.tried - state.head_start(id), id);
-        if (state.dirty.count(id) != 0 && state.in_flight.count(id) == 0 && (!first || row < *first)) {
+        const duration pause = contended_pause * (1 << std::min(contention.refusals, contended_doublings_most));
+        const bool free = state.dirty.count(id) != 0 && state.in_flight.count(id) == 0;
+        if (free && (contention.refusals < 2 || now >= contention.tried + pause) && (!first || row < *first)) {
             first = row;
         }
     }
@@ -90,7 +93,8 @@
         const auto at =
             std::find_if(found.begin(), found.end(), [&row](const store_row& f) { return f.key == job_key(row.job); });
         if (at != found.end() && at->version != row.sent_version && state.dirty.count(row.job) != 0) {
-            state.contended[row.job] = {now, now};
+            const std::int32_t before = state.contended[row.job].refusals;
+            state.contended[row.job] = {now, now, before + 1};
         }
     }
 }
@@ -137,7 +141,7 @@
         send_rows(part, group, false);
     }
     while (state.contended_in_flight < contended_in_flight_most) {
-        const auto row = pick_contended(state);
+        const auto row = pick_contended(now, state);
         if (!row) {
             break;
         }
@@ -145,6 +149,12 @@
         ++state.contended_in_flight;
         send_rows(part, {*row}, true);
     }
+    const bool paused = std::any_of(state.contended.begin(), state.contended.end(), [&state](const auto& row) {
+        return state.dirty.count(row.first) != 0 && state.in_flight.count(row.first) == 0;
+    });
+    if (paused) {
+        commit_soon(now, part, contended_pause);
+    }
 }
 
 void flow_cell::send_rows(const std::string& part, const std::vector<job_id>& ids, bool contended)
@@ -191,6 +201,10 @@
                 continue;
             }
             found->second->mark_written(changes, result.version);
+            const auto contended = state.contended.find(id);
+            if (contended != state.contended.end()) {
+                contended->second.refusals = 0;
+            }
             if (found->second->dirty()) {
                 state.dirty[id] = now; // changed since it was sent
             }
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -189,6 +189,7 @@
         struct contention {
             instant refused{}; // last, since another owner had changed the row
             instant tried{};
+            std::int32_t refusals = 0; // in a row
         };
         std::map<job_id, contention> contended; // rows that were refused lately
         std::set<job_id> in_flight;             // their write is under way
@@ -352,7 +353,7 @@
     };
     void commit_soon(instant now, const std::string& part, duration wait);
     static std::vector<job_id> pick_group(const part_state& state);
-    static std::optional<job_id> pick_contended(const part_state& state);
+    static std::optional<job_id> pick_contended(instant now, const part_state& state);
     void send_rows(const std::string& part, const std::vector<job_id>& ids, bool contended);
     static void note_unwritten(part_state& state, const std::vector<committed_row>& rows);
     static void note_contended(instant now, part_state& state, const std::vector<committed_row>& rows,
