flow_cell_placing: tasks that wait long are counted once a stage, not once a reservation

The count stood in the loop's condition, on the path that every event takes. No decision changes; test_flow, test_flow_moves, test_flow_takeover and test_flow_commit pass, formatter and linter are clean.

--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -224,7 +224,8 @@
         const rack_id near = step.same_rack && !chosen.empty() ? chosen.front().second->listing.rack : rack_id();
         cell_worker* const w = choose(now, job, stage, task, near);
         if (w == nullptr) {
-            for (std::int32_t n = 0; step.lasting && !step.gang && n < waiting_long(now, stage); ++n) {
+            const std::int32_t reserving = step.lasting && !step.gang ? waiting_long(now, stage) : 0;
+            for (std::int32_t n = 0; n < reserving; ++n) {
                 reserve_for(now, job, stage);
             }
             break;
