--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -43,6 +43,10 @@
   9: map<i32, flow_start_row> starts  // of a step whose starts are noted
 }
 
+// A job has one row of each entry or owner that tells something of it, all in one part, and each has one writer at a
+// time. The job's own row is inserted by the entry that accepts it, then written by the owner of `cell`. The owner of
+// another cell that has tasks of it writes a row of that cell; a cancelling is a row that is inserted. Those leave out
+// what was asked. Facts are only ever added, so what is known of a job is all its rows together.
 struct flow_job_row {
   1: string queue
   2: string service_name
@@ -64,7 +68,7 @@
   18: i32 priority = 0
   20: map<string, i64> claims // cell -> epoch of the newest owner that has taken the job on
   19: i64 run_base = 0        // numbers of runs start above it; raised when the job moves to another cell
-  21: bool starts_noted = false // by all who have written the row: a task without a note was never started
+  21: bool starts_noted = false // by whoever has written the row: a task without a note was never started
 }
 
 struct flow_worker_name {
@@ -178,6 +182,7 @@
   2: i64 version = 0
   3: binary row
   4: string cell // whose owner is told
+  5: string writer // of the row, as in its key; empty: the job's own row
 }
 
 struct flow_state_news {
--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -15,9 +15,6 @@
 {
     const std::string part = job_part(job.id());
     parts_[part].dirty.try_emplace(job.id(), now);
-    if (urgent) {
-        parts_[part].awaited.insert(job.id());
-    }
     commit_soon(now, part, urgent ? duration(0) : commit_gap);
 }
 
@@ -35,19 +32,13 @@
     }
 }
 
-duration flow_cell::part_state::head_start(const job_id& id) const
-{
-    return awaited.count(id) != 0 ? awaited_head_start : duration(0);
-}
-
-// The rows that are written together next: the oldest ones, those that are waited for with a start.
+// The rows that are written together next: those that have been behind longest.
 std::vector<job_id> flow_cell::pick_group(const part_state& state)
 {
     std::vector<std::pair<instant, job_id>> order;
+    order.reserve(state.dirty.size());
     for (const auto& [id, since] : state.dirty) {
-        if (state.contended.count(id) == 0 && state.in_flight.count(id) == 0) {
-            order.emplace_back(since - state.head_start(id), id);
-        }
+        order.emplace_back(since, id);
     }
     std::sort(order.begin(), order.end());
     order.resize(std::min(order.size(), commit_rows_most));
@@ -56,49 +47,6 @@
     return rows;
 }
 
-// The contended row that was tried longest ago. Rows of jobs with tasks in many cells are written by all their owners;
-// put together with one of these, the others would be refused with it for as long as it keeps changing, and one after
-// the other an owner that is slower than the others would not come to them all. Each refusal of a row is waited for
-// twice as long as the one before: tries that fail keep a busy table busy, and the longer it takes, the more fail.
-std::optional<job_id> flow_cell::pick_contended(instant now, const part_state& state)
-{
-    std::optional<std::pair<instant, job_id>> first;
-    for (const auto& [id, contention] : state.contended) {
-        const std::pair<instant, job_id> row(contention.tried - state.head_start(id), id);
-        const duration pause = contended_pause * (1 << std::min(contention.refusals, contended_doublings_most));
-        const bool free = state.dirty.count(id) != 0 && state.in_flight.count(id) == 0;
-        if (free && (contention.refusals < 2 || now >= contention.tried + pause) && (!first || row < *first)) {
-            first = row;
-        }
-    }
-    return first ? std::optional(first->second) : std::nullopt;
-}
-
-// Rows that were refused wait on as they did before.
-void flow_cell::note_unwritten(part_state& state, const std::vector<committed_row>& rows)
-{
-    for (const committed_row& row : rows) {
-        if (row.awaited && state.dirty.count(row.job) != 0) {
-            state.awaited.insert(row.job);
-        }
-    }
-}
-
-// What the table answered to a conflict is compared with what was sent: another owner may have told of its write
-// meanwhile, and the row looks as fresh as any then.
-void flow_cell::note_contended(instant now, part_state& state, const std::vector<committed_row>& rows,
-                               const std::vector<store_row>& found)
-{
-    for (const committed_row& row : rows) {
-        const auto at =
-            std::find_if(found.begin(), found.end(), [&row](const store_row& f) { return f.key == job_key(row.job); });
-        if (at != found.end() && at->version != row.sent_version && state.dirty.count(row.job) != 0) {
-            const std::int32_t before = state.contended[row.job].refusals;
-            state.contended[row.job] = {now, now, before + 1};
-        }
-    }
-}
-
 // Forgets those that turn out to be written already, and ends those of cancelled jobs nothing of which runs.
 void flow_cell::drop_clean(instant now, part_state& state)
 {
@@ -110,16 +58,15 @@
             continue;
         }
         flow_job& job = *found->second;
-        if (job.cancelled() && !job.ended() && !job.running() && all_accounted(now)) {
+        if (job.bound_here() && job.cancelled() && !job.ended() && !job.running() && all_accounted(now)) {
             job.note_outcome(flow_state::cancelled);
         }
         if (!job.dirty()) {
             clean.push_back(id);
         }
     }
-    std::erase_if(state.contended, [now](const auto& row) { return now - row.second.refused > contended_kept; });
     for (const job_id& id : clean) {
-        state.forget(id);
+        state.dirty.erase(id);
         const auto found = jobs_.find(id);
         if (found != jobs_.end()) {
             after_written(now, *found->second);
@@ -135,120 +82,115 @@
         return;
     }
     drop_clean(now, state);
-    if (!state.group_in_flight) {
-        const std::vector<job_id> group = pick_group(state);
-        state.group_in_flight = !group.empty();
-        send_rows(part, group, false);
+    if (state.in_flight) {
+        return; // its answer brings the next
     }
-    while (state.contended_in_flight < contended_in_flight_most) {
-        const auto row = pick_contended(now, state);
-        if (!row) {
-            break;
-        }
-        state.contended[*row].tried = now;
-        ++state.contended_in_flight;
-        send_rows(part, {*row}, true);
+    const std::vector<job_id> group = pick_group(state);
+    if (!group.empty()) {
+        send_rows(part, group);
     }
-    const bool paused = std::any_of(state.contended.begin(), state.contended.end(), [&state](const auto& row) {
-        return state.dirty.count(row.first) != 0 && state.in_flight.count(row.first) == 0;
-    });
-    if (paused) {
-        commit_soon(now, part, contended_pause);
+    else if (!state.removed.empty()) {
+        send_removals(now, part);
     }
 }
 
-void flow_cell::send_rows(const std::string& part, const std::vector<job_id>& ids, bool contended)
+void flow_cell::send_rows(const std::string& part, const std::vector<job_id>& ids)
 {
-    if (ids.empty()) {
-        return;
-    }
-    part_state& state = parts_[part];
     store_transaction t;
     std::vector<committed_row> rows;
     for (const job_id& id : ids) {
         const flow_job& job = *jobs_.at(id);
-        const bool awaited = state.awaited.erase(id) != 0;
-        rows.push_back({id, job.changes(), job.version(), awaited, job.current_row()});
-        state.in_flight.insert(id);
-        t.checks.push_back({job_key(id), job.version()});
-        t.puts.push_back({job_key(id), encode_compact(rows.back().row)});
+        rows.push_back({id, job.changes(), job.current_row()});
+        const store_key key = job_row_key(job.written_row());
+        t.checks.push_back({key, job.version()});
+        t.puts.push_back({key, encode_compact(rows.back().row)});
     }
     ++stats_.commits;
-    edges_.commit(std::move(t), [this, part, contended, rows = std::move(rows),
-                                 life = life_](instant then, const store_result& result) {
-        if (life == life_) {
-            part_state& sent = parts_[part];
-            sent.group_in_flight = sent.group_in_flight && contended;
-            sent.contended_in_flight -= contended ? 1 : 0;
-            on_committed(then, part, rows, result);
+    parts_[part].in_flight = true;
+    edges_.commit(std::move(t),
+                  [this, part, rows = std::move(rows), life = life_](instant then, const store_result& result) {
+                      if (life == life_) {
+                          parts_[part].in_flight = false;
+                          on_committed(then, part, rows, result);
+                      }
+                  });
+}
+
+// Rows of this cell that tell nothing any more, since the jobs have ended and their own rows say so. One that stays
+// behind is read in vain at a takeover, no more: whether the answer comes is not waited for.
+void flow_cell::send_removals(instant now, const std::string& part)
+{
+    part_state& state = parts_[part];
+    store_transaction t;
+    while (!state.removed.empty() && t.removes.size() < commit_rows_most) {
+        const auto row = state.removed.extract(state.removed.begin());
+        const store_key key = job_row_key({row.key(), id_.str()});
+        t.checks.push_back({key, row.mapped()});
+        t.removes.push_back(key);
+    }
+    edges_.commit(std::move(t), [this, part](instant, const store_result& result) {
+        if (result.outcome != table_outcome::applied) {
+            edges_.note(log_level::info, "table", "rows_not_removed", {{"part", part}, {"reason", result.reason}});
         }
     });
+    if (!state.removed.empty()) {
+        commit_soon(now, part, commit_gap);
+    }
 }
 
 void flow_cell::on_committed(instant now, const std::string& part, const std::vector<committed_row>& rows,
                              const store_result& result)
 {
     part_state& state = parts_[part];
-    for (const committed_row& row : rows) {
-        state.in_flight.erase(row.job);
-    }
     switch (result.outcome) {
     case table_outcome::applied:
         state.backoff = duration(0);
-        for (const auto& [id, changes, sent_version, awaited, row] : rows) {
+        for (const auto& [id, changes, row] : rows) {
             const auto found = jobs_.find(id);
             if (found == jobs_.end()) {
                 continue;
             }
             found->second->mark_written(changes, result.version);
-            const auto contended = state.contended.find(id);
-            if (contended != state.contended.end()) {
-                contended->second.refusals = 0;
-            }
             if (found->second->dirty()) {
                 state.dirty[id] = now; // changed since it was sent
             }
             else {
                 state.dirty.erase(id);
-                state.awaited.erase(id);
             }
             // Members of a gang that runs over several cells wait until all of them can know its number.
             if (unclaimed_.erase(id) != 0 || ready_keys_.count(id) != 0) {
                 place_soon();
             }
             send_noted(now, *found->second);
-            tell_others(now, *found->second, row, result.version);
+            tell_others(now, *found->second, found->second->written_row(), row, result.version);
             after_written(now, *found->second);
         }
         confirm_all(now);
         break;
     case table_outcome::conflict:
-        // Another entry has cancelled a job, or an earlier try of ours is in force although its answer was lost.
+        // A later owner of this cell has written one of them, or an earlier try of ours is in force although its answer
+        // was lost: nobody else writes these rows.
         ++stats_.commits_conflicted;
-        note_unwritten(state, rows);
-        note_contended(now, state, rows, result.rows);
         for (const store_row& row : result.rows) {
             const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
             if (decoded) {
-                on_job_row(now, job_id(row.key.key), *decoded, row.version);
+                on_job_row(now, job_row_of(row.key), *decoded, row.version);
                 if (role_ != role::owning) {
                     return; // a later owner's claim was among them
                 }
             }
         }
-        // Its rows are known as they are now: the sooner they are written again, the fewer have changed by then.
         state.backoff = duration(0);
         break;
     case table_outcome::refused:
     case table_outcome::unknown:
-        note_unwritten(state, rows);
         state.backoff = std::clamp<duration>(state.backoff * 2, commit_retry, commit_retry_most);
         state.held_until = now + state.backoff;
         ++stats_.commits_failed;
         edges_.note(log_level::warning, "table", "commit_failed", {{"part", part}, {"reason", result.reason}});
         break;
     }
-    if (!state.dirty.empty()) {
+    if (!state.dirty.empty() || !state.removed.empty()) {
         commit_soon(now, part, state.backoff);
     }
 }
@@ -256,44 +198,45 @@
 // --- what an owner leaves that has been followed ---
 
 // That a run is done or has failed is a fact, whoever writes it. The worker that told it to this owner may be gone
-// before the next one asks, and the next one would start the task again; so the row is told, and the next owner with
-// it. Only ends are added, to the row as it is now: nothing that this owner had decided.
+// before the next one asks, and the next one would start the task again; so a row of this entry's own tells it, and the
+// next owner is told of it. Only ends are added to what the table has: nothing that this owner had decided.
 void flow_cell::leave_ends(const job_id& job, const std::vector<listed_end>& ends)
 {
-    edges_.read(only_row(job_key(job)), [this, job, ends](instant, const store_page& page) {
+    edges_.read(job_rows(job), [this, job, ends](instant, const store_page& page) {
         const auto again = [this, job, ends](instant) { leave_ends(job, ends); };
         if (!page.reached) {
             edges_.after(commit_retry_most, again);
             return;
         }
-        const auto row =
-            page.rows.empty() ? std::nullopt : read_flow_row<wire::flow_job_row>(edges_, page.rows.front());
-        if (!row || row->outcome != 0) {
+        const std::unique_ptr<flow_job> left = read_job(job, page.rows);
+        if (!left || left->ended()) {
             return;
         }
-        flow_job left(job, id_, *row, page.rows.front().version);
         for (const listed_end& end : ends) {
-            const flow_stage* const stage = left.find_stage(end.task);
-            if (stage != nullptr && !left.step(*stage).lasting) {
-                left.note_end(end);
+            const flow_stage* const stage = left->find_stage(end.task);
+            if (stage != nullptr && !left->step(*stage).lasting) {
+                left->note_end(end);
             }
         }
-        if (!left.dirty()) {
+        if (!left->dirty()) {
             return;
         }
+        const job_row_name name = left_ends_row(job, self_.incarnation);
+        const store_key key = job_row_key(name);
+        const auto before =
+            std::find_if(page.rows.begin(), page.rows.end(), [&key](const store_row& row) { return row.key == key; });
         store_transaction t;
-        t.checks.push_back({job_key(job), left.version()});
-        t.puts.push_back({job_key(job), encode_compact(left.current_row())});
-        edges_.commit(std::move(t),
-                      [this, job, again, told = left.current_row()](instant now, const store_result& result) {
-                          if (result.outcome != table_outcome::applied) {
-                              const bool conflict = result.outcome == table_outcome::conflict;
-                              edges_.after(conflict ? commit_retry : commit_retry_most, again);
-                              return;
-                          }
-                          edges_.note(log_level::info, "job", "ends_left", {{"job", job.str()}, {"cell", id_.str()}});
-                          hooks_.tell_cell(now, id_, job, told, result.version);
-                      });
+        t.checks.push_back({key, before == page.rows.end() ? row_version(0) : before->version});
+        t.puts.push_back({key, encode_compact(left->facts())});
+        edges_.commit(std::move(t), [this, name, again, told = left->facts()](instant now, const store_result& result) {
+            if (result.outcome != table_outcome::applied) {
+                const bool conflict = result.outcome == table_outcome::conflict;
+                edges_.after(conflict ? commit_retry : commit_retry_most, again);
+                return;
+            }
+            edges_.note(log_level::info, "job", "ends_left", {{"job", name.job.str()}, {"cell", id_.str()}});
+            hooks_.tell_cell(now, id_, name, told, result.version);
+        });
     });
 }
 
@@ -327,12 +270,18 @@
     if (job.dirty() || !job.ended()) {
         return;
     }
-    if (job.row().cell == id_.str()) {
+    if (job.bound_here()) {
         hooks_.state_changed(now, job.row(), job.id(), state_of(job.row()));
     }
-    if (!job.running()) {
-        forget_job(now, job.id());
+    if (job.running()) {
+        return;
+    }
+    if (!job.bound_here() && job.version() > row_version(0)) {
+        const std::string part = job_part(job.id());
+        parts_[part].removed.emplace(job.id(), job.version());
+        commit_soon(now, part, commit_gap);
     }
+    forget_job(now, job.id());
 }
 
 } // namespace skylarkhub
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -302,6 +302,23 @@
                 });
 }
 
+namespace {
+
+// Rows in the order of their keys, those of one job together.
+std::vector<std::vector<store_row>> split_by_job(const std::vector<store_row>& rows)
+{
+    std::vector<std::vector<store_row>> jobs;
+    for (const store_row& row : rows) {
+        if (jobs.empty() || job_row_of(jobs.back().front().key).job != job_row_of(row.key).job) {
+            jobs.emplace_back();
+        }
+        jobs.back().push_back(row);
+    }
+    return jobs;
+}
+
+} // namespace
+
 void flow_cell::on_jobs_read(instant now, int part, const std::string& from, const store_page& page)
 {
     if (!page.reached) {
@@ -313,14 +330,25 @@
         return;
     }
     watched_ = std::min(watched_, page.version);
-    for (const store_row& row : page.rows) {
-        const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
-        if (decoded) {
-            on_job_row(now, job_id(row.key.key), *decoded, row.version);
+    std::vector<std::vector<store_row>> jobs = split_by_job(page.rows);
+    if (page.more && !jobs.empty()) {
+        // The last job's rows may go on: they are read again, together, unless they fill the page.
+        const bool fills_page = jobs.size() == 1;
+        read_jobs(part, fills_page ? page.rows.back().key.key + '\0' : jobs.back().front().key.key);
+        if (!fills_page) {
+            jobs.pop_back();
+        }
+    }
+    for (const std::vector<store_row>& rows : jobs) {
+        const job_row_name first = job_row_of(rows.front().key);
+        if (first.writer.empty() || jobs_.count(first.job) != 0) {
+            take_rows(now, first.job, rows);
+        }
+        else {
+            read_unknown_job(first.job);
         }
     }
     if (page.more && !page.rows.empty()) {
-        read_jobs(part, page.rows.back().key.key + '\0');
         return;
     }
     if (next_part_ < job_parts) {
@@ -361,6 +389,7 @@
         }
         job->open_stages(now, edges_.wall());
         index_ready(*job);
+        end_if_decided(now, *job);
     }
     place_soon();
 }
@@ -489,8 +518,7 @@
     if (acting_) {
         return;
     }
-    bool settled = std::all_of(parts_.begin(), parts_.end(),
-                               [](const auto& p) { return p.second.dirty.empty() && p.second.in_flight.empty(); });
+    bool settled = std::all_of(parts_.begin(), parts_.end(), [](const auto& p) { return p.second.is_settled(); });
     for (const auto& [id, job] : jobs_) {
         for (const flow_stage& stage : job->stages()) {
             for (const flow_task& task : stage.tasks) {
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -53,7 +53,7 @@
                                               const flow_step&)>
         list_room;
     // A row that the owner of another cell must know.
-    std::function<void(instant, const cell_id&, const job_id&, const wire::flow_job_row&, row_version)> tell_cell;
+    std::function<void(instant, const cell_id&, const job_row_name&, const wire::flow_job_row&, row_version)> tell_cell;
     // The table has answered nobody that this entry hears from since `since`, and it hears from most entries.
     std::function<bool(instant now, instant since)> table_outage;
     // A state that is durable, for the entry that answers the caller.
@@ -95,8 +95,8 @@
     void on_row_read(instant now, const store_row* row);
     // Some time has passed: renewals, takeovers, lapsed leases. Called every tick_interval.
     void tick(instant now, const cell_candidacy& candidacy);
-    // A row of a job bound to this cell, newly written by some entry.
-    void on_job_row(instant now, const job_id& job, const wire::flow_job_row& row, row_version version);
+    // A row of a job that may concern this cell, as it is in the table.
+    void on_job_row(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version);
     // The version up to which the table of jobs is known here; empty while it is read as a whole, or not owned.
     std::optional<row_version> jobs_known() const;
     // Every row of the table of jobs that changed after the one version and up to the other was given to on_job_row().
@@ -180,30 +180,17 @@
         std::map<flow_task_id, std::int32_t> paced;
     };
 
+    // The rows of one part that this owner writes.
     struct part_state {
         bool planned = false;
         instant due{};
-        instant held_until{};            // no try before, after one that failed
-        std::map<job_id, instant> dirty; // and since when
-        std::set<job_id> awaited;        // of these, the ones that a caller or a start waits for
-        struct contention {
-            instant refused{}; // last, since another owner had changed the row
-            instant tried{};
-            std::int32_t refusals = 0; // in a row
-        };
-        std::map<job_id, contention> contended; // rows that were refused lately
-        std::set<job_id> in_flight;             // their write is under way
-        bool group_in_flight = false;
-        int contended_in_flight = 0;
-
-        duration head_start(const job_id& id) const;
-        void forget(const job_id& id)
-        {
-            dirty.erase(id);
-            awaited.erase(id);
-            contended.erase(id);
-        }
+        instant held_until{};                  // no try before, after one that failed
+        std::map<job_id, instant> dirty;       // and since when
+        std::map<job_id, row_version> removed; // rows of ended jobs, to be removed
+        bool in_flight = false;                // a write is under way
         duration backoff{0};
+
+        bool is_settled() const { return dirty.empty() && !in_flight; }
     };
 
     // flow_cell_own.cpp
@@ -300,7 +287,11 @@
     bool has_spent_task(const flow_job& job) const;
     void end_job(instant now, flow_job& job, flow_state outcome);
     void note_demand(instant now, const flow_job& job);
-    void adopt_job(instant now, const job_id& id, const wire::flow_job_row& row, row_version version);
+    std::unique_ptr<flow_job> read_job(const job_id& id, const std::vector<store_row>& rows) const;
+    void take_rows(instant now, const job_id& id, const std::vector<store_row>& rows);
+    void on_new_row(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version);
+    void adopt_job(instant now, std::unique_ptr<flow_job> made);
+    void end_if_decided(instant now, flow_job& job);
     void job_changed(instant now, flow_job& job, bool urgent);
     void claim_job(instant now, flow_job& job);
     bool deposed_by(instant now, const flow_job& job);
@@ -319,7 +310,8 @@
     void drop_ready(const job_id& job);
     void index_ready_again();
     void log_summary(instant now) const;
-    void tell_others(instant now, const flow_job& job, const wire::flow_job_row& row, row_version version);
+    void tell_others(instant now, const flow_job& job, const job_row_name& name, const wire::flow_job_row& row,
+                     row_version version);
     void tick_timed(instant now);
 
     // flow_cell_moves.cpp
@@ -347,17 +339,12 @@
     struct committed_row {
         job_id job;
         std::uint64_t changes = 0; // of the job, that it tells
-        row_version sent_version;  // that it was checked against
-        bool awaited = false;
         wire::flow_job_row row;
     };
     void commit_soon(instant now, const std::string& part, duration wait);
     static std::vector<job_id> pick_group(const part_state& state);
-    static std::optional<job_id> pick_contended(instant now, const part_state& state);
-    void send_rows(const std::string& part, const std::vector<job_id>& ids, bool contended);
-    static void note_unwritten(part_state& state, const std::vector<committed_row>& rows);
-    static void note_contended(instant now, part_state& state, const std::vector<committed_row>& rows,
-                               const std::vector<store_row>& found);
+    void send_rows(const std::string& part, const std::vector<job_id>& ids);
+    void send_removals(instant now, const std::string& part);
     void drop_clean(instant now, part_state& state);
     void commit_part(instant now, const std::string& part);
     void on_committed(instant now, const std::string& part, const std::vector<committed_row>& rows,
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -3,6 +3,7 @@
 
 #include "flow_cell_p.h"
 #include "flow_limits_p.h"
+#include "flow_row_read_p.h"
 #include "log_line_p.h"
 
 namespace skylarkhub {
@@ -369,7 +370,7 @@
 
 void flow_cell::end_job(instant now, flow_job& job, flow_state outcome)
 {
-    if (job.ended()) {
+    if (job.ended() || !job.bound_here()) {
         return;
     }
     edges_.note(log_level::info, "job", "ended",
@@ -389,29 +390,98 @@
     return found == jobs_.end() ? nullptr : found->second.get();
 }
 
-void flow_cell::on_job_row(instant now, const job_id& job, const wire::flow_job_row& row, row_version version)
+// What the rows of one job tell together; null when its own row is not among them or cannot be read.
+std::unique_ptr<flow_job> flow_cell::read_job(const job_id& id, const std::vector<store_row>& rows) const
+{
+    std::unique_ptr<flow_job> made;
+    for (const store_row& row : rows) {
+        const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
+        const job_row_name name = job_row_of(row.key);
+        if (decoded && name.writer.empty()) {
+            made = std::make_unique<flow_job>(id, id_, *decoded, row_version(0));
+        }
+        else if (decoded && made) {
+            made->merge(instant{}, *decoded);
+        }
+        if (made && name == made->written_row()) {
+            made->note_version(row.version);
+        }
+    }
+    return made;
+}
+
+// Rows of one job, its own first, that were read from the table just now.
+void flow_cell::take_rows(instant now, const job_id& id, const std::vector<store_row>& rows)
+{
+    if (jobs_.count(id) == 0) {
+        std::unique_ptr<flow_job> made = read_job(id, rows);
+        if (made && !made->ended() && put_away_.count(id) == 0) {
+            adopt_job(now, std::move(made));
+        }
+        return;
+    }
+    for (const store_row& row : rows) {
+        const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
+        if (decoded) {
+            on_job_row(now, job_row_of(row.key), *decoded, row.version);
+        }
+    }
+}
+
+namespace {
+
+bool names_cell(const wire::flow_job_row& row, const cell_id& cell)
+{
+    return row.cell == cell.str() ||
+           std::any_of(row.stages.begin(), row.stages.end(), [&cell](const wire::flow_stage_row& stage) {
+               return std::any_of(stage.homes.begin(), stage.homes.end(),
+                                  [&cell](const auto& home) { return home.second.cell == cell.str(); });
+           });
+}
+
+} // namespace
+
+// Of a job that is not known here.
+void flow_cell::on_new_row(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version)
+{
+    // What an entry tells may be older than what was read at the takeover: a job that is not known since has ended.
+    if (version <= scanned_ && role_ == role::owning) {
+        return;
+    }
+    // A page read or a message sent before the job's last write still shows it going on: taken up again it would run
+    // anew, with its runs numbered from the first.
+    if (row.outcome != 0 || put_away_.count(name.job) != 0) {
+        return;
+    }
+    if (name.writer.empty()) {
+        adopt_job(now,
+                  std::make_unique<flow_job>(name.job, id_, row, row.cell == id_.str() ? version : row_version(0)));
+    }
+    else if (names_cell(row, id_)) {
+        // Its writer may not know yet that the job has ended, and does not tell what was asked: the job's own row does.
+        read_unknown_job(name.job);
+    }
+}
+
+void flow_cell::on_job_row(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version)
 {
     if (!owns()) {
         return;
     }
+    const job_id& job = name.job;
     const auto found = jobs_.find(job);
     if (found == jobs_.end()) {
-        // What an entry tells may be older than what was read at the takeover: a job that is not known since has ended.
-        if (version <= scanned_ && role_ == role::owning) {
-            return;
-        }
-        // A page read or a message sent before the job's last write still shows it going on: taken up again it would
-        // run anew, with its runs numbered from the first.
-        if (row.outcome == 0 && put_away_.count(job) == 0) {
-            adopt_job(now, job, row, version);
-        }
+        on_new_row(now, name, row, version);
         return;
     }
     flow_job& known = *found->second;
     const bool was_cancelled = known.cancelled();
     const bool was_ended = known.ended();
     const std::int32_t waited = known.count_ready();
-    known.merge(now, row, version);
+    known.merge(now, row);
+    if (name == known.written_row()) {
+        known.note_version(version);
+    }
     if (known.count_ready() > waited) {
         edges_.note(log_level::info, "task", "arrived",
                     {{"job", job.str()},
@@ -432,32 +502,46 @@
     }
     if (!known.cancelled() && !known.ended()) {
         index_ready(known);
-        if (known.all_done()) {
-            end_job(now, known, flow_state::done);
-        }
+        end_if_decided(now, known);
     }
     if (known.cancelled() && !was_cancelled) {
         edges_.note(log_level::info, "job", "cancelled", {{"job", job.str()}, {"cell", id_.str()}});
         stop_job_runs(now, known);
         job_changed(now, known, false);
-        tell_others(now, known, row, version);
+        tell_others(now, known, name, row, version);
+    }
+}
+
+// Only the owner of the job's cell says what has become of it, from what the owners of all cells have told: two that
+// each know a part could tell callers different ends.
+void flow_cell::end_if_decided(instant now, flow_job& job)
+{
+    if (role_ != role::owning || job.cancelled()) {
+        return;
+    }
+    if (job.all_done()) {
+        end_job(now, job, flow_state::done);
+    }
+    else if (awaited_.count(job.id()) == 0 && has_spent_task(job)) {
+        end_job(now, job, flow_state::failed);
     }
 }
 
 // A row is told to the other cells that have tasks of its job: that it was cancelled, which of its tasks are done. Only
 // as it is in the table: what this owner has decided since may never be written, if it has been followed. Told of a
 // task that was given away so, another cell would start it beside the follower.
-void flow_cell::tell_others(instant now, const flow_job& job, const wire::flow_job_row& row, row_version version)
+void flow_cell::tell_others(instant now, const flow_job& job, const job_row_name& name, const wire::flow_job_row& row,
+                            row_version version)
 {
     for (const cell_id& cell : job.other_cells()) {
-        hooks_.tell_cell(now, cell, job.id(), row, version);
+        hooks_.tell_cell(now, cell, name, row, version);
     }
 }
 
 // Of a job whose tasks run in several cells, the one that it is bound to counts it.
 void flow_cell::note_demand(instant now, const flow_job& job)
 {
-    if (job.row().cell != id_.str()) {
+    if (!job.bound_here()) {
         return;
     }
     const auto accepted = wall_time(std::chrono::milliseconds(job.row().accepted_ms));
@@ -465,14 +549,16 @@
     demand_[job.row().service_name].note(now, age, ending_cpu_seconds(job));
 }
 
-void flow_cell::adopt_job(instant now, const job_id& id, const wire::flow_job_row& row, row_version version)
+// Also one nothing of which is left here to be done, if there is a row of this cell: it is removed with the job's end.
+void flow_cell::adopt_job(instant now, std::unique_ptr<flow_job> made)
 {
-    auto made = std::make_unique<flow_job>(id, id_, row, version);
-    if (!made->concerns_here()) {
+    if (!made->concerns_here() && made->version() == row_version(0)) {
         return;
     }
+    const job_id id = made->id();
     auto& job = jobs_[id];
     job = std::move(made);
+    const wire::flow_job_row& row = job->row();
     note_demand(now, *job);
     if (job->timed()) {
         timed_.insert(id);
@@ -507,7 +593,8 @@
 
 // An owner that has been followed does not know it yet, and what it had decided may still be written: that a waiting
 // task goes to another cell, say, which its follower starts here at the same moment. So the follower first writes its
-// epoch into the row; a write of the owner before it either came into force by then, and is seen, or conflicts.
+// epoch into the cell's row of the job; a write of the owner before it either came into force by then, and is seen, or
+// conflicts.
 void flow_cell::claim_job(instant now, flow_job& job)
 {
     if (job.ended()) {
@@ -538,7 +625,7 @@
     unclaimed_.erase(id);
     timed_.erase(id);
     loads_.forget(id);
-    parts_[job_part(id)].forget(id);
+    parts_[job_part(id)].dirty.erase(id);
     jobs_.erase(found);
     put_away_[id] = now;
 }
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -115,6 +115,9 @@
         if (found != jobs_.end() && found->second->cancelled()) {
             job_changed(now, *found->second, false); // nothing of it runs anywhere: it may be put away
         }
+        else if (found != jobs_.end()) {
+            end_if_decided(now, *found->second);
+        }
     }
     place_soon();
 }
@@ -431,7 +434,7 @@
 
 void flow_cell::ask_unknown_job(const job_id& job)
 {
-    edges_.read(only_row(job_key(job)), [this, job, life = life_](instant then, const store_page& page) {
+    edges_.read(job_rows(job), [this, job, life = life_](instant then, const store_page& page) {
         if (life == life_) {
             on_unknown_job(then, job, page);
         }
@@ -464,12 +467,7 @@
         });
         return;
     }
-    if (!page.rows.empty()) {
-        const auto row = read_flow_row<wire::flow_job_row>(edges_, page.rows.front());
-        if (row) {
-            on_job_row(now, job, *row, page.rows.front().version);
-        }
-    }
+    take_rows(now, job, page.rows);
     take_unknown_ends(now, job);
     const auto strays = reading_jobs_.extract(job);
     if (strays.empty() || jobs_.count(job) != 0) {
--- a/src/flow_cells.cpp
+++ b/src/flow_cells.cpp
@@ -242,7 +242,7 @@
         const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
         for (auto& [id, cell] : cells_) {
             if (decoded && cell->jobs_known()) {
-                cell->on_job_row(now, job_id(row.key.key), *decoded, row.version);
+                cell->on_job_row(now, job_row_of(row.key), *decoded, row.version);
             }
         }
     }
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -57,12 +57,12 @@
     lay_racks(now);
     if (now >= next_untold_ && !untold_.empty()) {
         next_untold_ = now + untold_retry;
-        std::vector<std::pair<cell_id, job_id>> keys;
+        std::vector<std::pair<cell_id, job_row_name>> keys;
         for (const auto& [key, row] : untold_) {
             keys.push_back(key);
         }
-        for (const auto& [cell, job] : keys) {
-            tell_owner(now, cell, job);
+        for (const auto& [cell, name] : keys) {
+            tell_owner(now, cell, name);
         }
     }
     if (now - begun_ >= peers_learned) {
@@ -139,8 +139,8 @@
         return list_room(now, from, service, step);
     };
     hooks.table_outage = [this](instant now, instant since) { return table_outage(now, since); };
-    hooks.tell_cell = [this](instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row,
-                             row_version version) { tell_cell(now, cell, job, row, version); };
+    hooks.tell_cell = [this](instant now, const cell_id& cell, const job_row_name& name, const wire::flow_job_row& row,
+                             row_version version) { tell_cell(now, cell, name, row, version); };
     hooks.state_changed = [this](instant now, const wire::flow_job_row& row, const job_id& job, flow_state state) {
         if (row.accepted_by == self_.address.str()) {
             note_state(now, job, state);
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -415,7 +415,7 @@
                      {"version", std::to_string(result.version.value())},
                      {"config", std::to_string(config_version().value())}});
         answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
-        tell_cell(now, cell_id(row.cell), job, row, result.version);
+        tell_cell(now, cell_id(row.cell), {job, ""}, row, result.version);
         return;
     case table_outcome::conflict: {
         // The job is there: accepted before, by this entry (its answer was lost) or through another one.
@@ -423,7 +423,7 @@
         const auto there =
             result.rows.empty() ? std::nullopt : read_flow_row<wire::flow_job_row>(edges_, result.rows.front());
         if (there && there->accept_token == row.accept_token) {
-            tell_cell(now, cell_id(row.cell), job, row, result.rows.front().version);
+            tell_cell(now, cell_id(row.cell), {job, ""}, row, result.rows.front().version);
         }
         edges_.note(log_level::info, "job", "accepted_before", {{"job", job.str()}});
         answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
@@ -469,20 +469,20 @@
     }
 }
 
-void flow_entry::tell_cell(instant now, const cell_id& cell, const job_id& job, const wire::flow_job_row& row,
+void flow_entry::tell_cell(instant now, const cell_id& cell, const job_row_name& name, const wire::flow_job_row& row,
                            row_version version)
 {
-    untold_row& untold = untold_[{cell, job}];
+    untold_row& untold = untold_[{cell, name}];
     untold.row = row;
     untold.bytes = encode_compact(row);
     untold.version = version;
-    tell_owner(now, cell, job);
+    tell_owner(now, cell, name);
 }
 
 // The owner learns of a new row at once; until it has answered, it is told again.
-void flow_entry::tell_owner(instant now, const cell_id& cell, const job_id& job)
+void flow_entry::tell_owner(instant now, const cell_id& cell, const job_row_name& name)
 {
-    const auto at = untold_.find({cell, job});
+    const auto at = untold_.find({cell, name});
     if (at == untold_.end() || at->second.telling) {
         return;
     }
@@ -490,7 +490,7 @@
     if (own != cells_.end() && own->second->owns()) {
         const untold_row row = std::move(at->second);
         untold_.erase(at);
-        own->second->on_job_row(now, job, row.row, row.version);
+        own->second->on_job_row(now, name, row.row, row.version);
         return;
     }
     const peer* const owner = owner_of(now, cell);
@@ -500,15 +500,16 @@
     at->second.telling = true;
     wire::flow_message message;
     wire::flow_row_news news;
-    news.job = job.str();
+    news.job = name.job.str();
     news.version = at->second.version.value();
     news.row = at->second.bytes;
     news.cell = cell.str();
+    news.writer = name.writer;
     message.rows.push_back(std::move(news));
     edges_.tell(
         owner->identity.address, message,
-        [this, cell, job, version = at->second.version](instant, const std::optional<wire::flow_message>& answer) {
-            const auto row = untold_.find({cell, job});
+        [this, cell, name, version = at->second.version](instant, const std::optional<wire::flow_message>& answer) {
+            const auto row = untold_.find({cell, name});
             if (row == untold_.end()) {
                 return;
             }
@@ -649,7 +650,7 @@
 {
     followed_[job].reading = true;
     ++stats_.state_reads;
-    edges_.read(only_row(job_key(job)), [this, job](instant then, const store_page& page) {
+    edges_.read(job_rows(job), [this, job](instant then, const store_page& page) {
         const auto at = followed_.find(job);
         if (at == followed_.end()) {
             return;
@@ -666,7 +667,7 @@
             }
         }
         else if (page.reached) {
-            const auto row = read_flow_row<wire::flow_job_row>(edges_, page.rows.front());
+            const auto row = read_job_state(edges_, page.rows);
             if (row) {
                 f.accepted = true;
                 f.state = state_of(*row);
@@ -697,8 +698,7 @@
 
 void flow_entry::cancel(const job_id& job, instant give_up, caller_reply reply)
 {
-    edges_.read(only_row(job_key(job)), [this, job, give_up, reply = std::move(reply)](instant then,
-                                                                                       const store_page& page) {
+    edges_.read(job_rows(job), [this, job, give_up, reply = std::move(reply)](instant then, const store_page& page) {
         if (!page.reached) {
             if (then + accept_retry < give_up) {
                 edges_.after(accept_retry, [this, job, give_up, reply](instant) { cancel(job, give_up, reply); });
@@ -711,7 +711,7 @@
             reply({caller_result::unknown_job, flow_state::queued, 0, duration(0), "no such job"});
             return;
         }
-        auto row = read_flow_row<wire::flow_job_row>(edges_, page.rows.front());
+        const auto row = read_job_state(edges_, page.rows);
         if (!row) {
             reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry, "row unreadable"});
             return;
@@ -720,38 +720,33 @@
             reply({caller_result::cancelled, flow_state::cancelled, 0, duration(0), ""});
             return;
         }
-        write_cancel(job, *row, page.rows.front().version, give_up, reply);
+        write_cancel(job, cell_id(row->cell), give_up, reply);
     });
 }
 
-void flow_entry::write_cancel(const job_id& job, const wire::flow_job_row& before, row_version version, instant give_up,
-                              caller_reply reply)
+// A row of its own, so that it waits for no owner's writes and no owner's writes for it.
+void flow_entry::write_cancel(const job_id& job, const cell_id& cell, instant give_up, caller_reply reply)
 {
-    wire::flow_job_row row = before;
+    wire::flow_job_row row;
+    row.cell = cell.str();
     row.cancelled = true;
+    row.starts_noted = true;
     store_transaction t;
-    t.checks.push_back({job_key(job), version});
-    t.puts.push_back({job_key(job), encode_compact(row)});
-    edges_.commit(std::move(t), [this, job, row, give_up, reply = std::move(reply)](instant then,
-                                                                                    const store_result& result) {
-        if (result.outcome == table_outcome::applied) {
+    t.checks.push_back({job_row_key(cancel_row(job)), row_version(0)});
+    t.puts.push_back({job_row_key(cancel_row(job)), encode_compact(row)});
+    edges_.commit(std::move(t), [this, job, cell, row, give_up, reply = std::move(reply)](instant then,
+                                                                                          const store_result& result) {
+        const bool there = result.outcome == table_outcome::conflict && !result.rows.empty();
+        if (result.outcome == table_outcome::applied || there) {
+            const row_version version = there ? result.rows.front().version : result.version;
             edges_.note(log_level::info, "job", "cancel_accepted",
-                        {{"job", job.str()}, {"version", std::to_string(result.version.value())}});
+                        {{"job", job.str()}, {"version", std::to_string(version.value())}});
             const auto at = followed_.find(job);
             if (at != followed_.end()) {
                 at->second.state = flow_state::cancelled;
             }
             reply({caller_result::cancelled, flow_state::cancelled, 0, duration(0), ""});
-            tell_cell(then, cell_id(row.cell), job, row, result.version);
-            return;
-        }
-        // An owner has written the row meanwhile, and may do so again soon: what the table answers is as fresh as can
-        // be.
-        const auto newer = result.outcome == table_outcome::conflict && !result.rows.empty()
-                               ? read_flow_row<wire::flow_job_row>(edges_, result.rows.front())
-                               : std::nullopt;
-        if (newer && !newer->cancelled && newer->outcome == 0 && then < give_up) {
-            write_cancel(job, *newer, result.rows.front().version, give_up, reply);
+            tell_cell(then, cell, cancel_row(job), row, version);
             return;
         }
         if (then + accept_retry < give_up) {
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -354,31 +354,23 @@
     });
 }
 
-void flow_job::merge(instant now, const wire::flow_job_row& newer, row_version version)
+void flow_job::merge(instant now, const wire::flow_job_row& other)
 {
-    if (version <= version_) {
-        return;
-    }
-    version_ = version;
     const bool was_behind = dirty();
-    row_.cancelled = row_.cancelled || newer.cancelled;
-    row_.started = row_.started || newer.started;
+    row_.cancelled = row_.cancelled || other.cancelled;
+    row_.started = row_.started || other.started;
     // A writer that does not know of notes has left out those that were there.
-    row_.starts_noted = row_.starts_noted && newer.starts_noted;
-    row_.accepted_by = newer.accepted_by;
-    row_.cell = newer.cell;
-    row_.cell_epoch = newer.cell_epoch;
-    row_.run_base = std::max(row_.run_base, newer.run_base);
-    for (const auto& [cell, claimed] : newer.claims) {
+    row_.starts_noted = row_.starts_noted && other.starts_noted;
+    for (const auto& [cell, claimed] : other.claims) {
         row_.claims[cell] = std::max(row_.claims[cell], claimed);
     }
     if (row_.outcome == 0) {
-        row_.outcome = newer.outcome;
+        row_.outcome = other.outcome;
     }
-    for (const wire::flow_stage_row& stage : newer.stages) {
+    for (const wire::flow_stage_row& stage : other.stages) {
         load_stage(now, stage);
     }
-    // What came from the row need not be written again; our own facts, if any, still must.
+    // What came from a row need not be written again; our own facts, if any, still must.
     if (!was_behind) {
         written_ = changes_;
     }
@@ -387,12 +379,34 @@
 void flow_job::mark_written(std::uint64_t changes, row_version version)
 {
     written_ = std::max(written_, changes);
-    version_ = std::max(version_, version);
+    note_version(version);
 }
 
 wire::flow_job_row flow_job::current_row() const
 {
+    if (!bound_here()) {
+        return facts();
+    }
     wire::flow_job_row row = row_;
+    row.stages = stage_rows();
+    return row;
+}
+
+wire::flow_job_row flow_job::facts() const
+{
+    wire::flow_job_row row;
+    row.cell = row_.cell;
+    row.cancelled = row_.cancelled;
+    row.started = row_.started;
+    row.starts_noted = row_.starts_noted;
+    row.claims = row_.claims;
+    row.stages = stage_rows();
+    return row;
+}
+
+std::vector<wire::flow_stage_row> flow_job::stage_rows() const
+{
+    std::vector<wire::flow_stage_row> rows;
     for (const flow_stage& stage : stages_) {
         wire::flow_stage_row s;
         s.occurrence = stage.occurrence;
@@ -426,10 +440,10 @@
         }
         if (any) {
             s.done = bits;
-            row.stages.push_back(std::move(s));
+            rows.push_back(std::move(s));
         }
     }
-    return row;
+    return rows;
 }
 
 } // namespace skylarkhub
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -60,7 +60,8 @@
 
 class flow_job {
 public:
-    // A flow as its row tells it, read or written at `version`. `here`: the cell whose owner asks.
+    // A flow as its own row tells it. `here`: the cell whose owner asks; `version`: of the row that this owner writes,
+    // 0 while there is none.
     flow_job(job_id id, cell_id here, const wire::flow_job_row& row, row_version version);
 
     const job_id& id() const { return id_; }
@@ -85,7 +86,12 @@
     bool ended() const { return row_.outcome != 0; }
     bool started() const { return row_.started; }
     bool timed() const { return spec_.occurrences > 0; }
+    // The job is bound to `here`: its owner says what has become of it.
+    bool bound_here() const { return row_.cell == here_.str(); }
+    // The row that the owner of `here` writes, and its version as last seen.
+    job_row_name written_row() const { return {id_, bound_here() ? "" : here_.str()}; }
     row_version version() const { return version_; }
+    void note_version(row_version version) { version_ = std::max(version_, version); }
 
     bool at_home(const flow_task& task) const;
     // Some task is taken care of by `here`.
@@ -123,8 +129,8 @@
     epoch newest_epoch() const;
     void note_outcome(flow_state outcome);
 
-    // Takes over the facts of a newer row, written by another entry; the row stays behind if it lacks any of ours.
-    void merge(instant now, const wire::flow_job_row& newer, row_version version);
+    // Takes over the facts of another row of the job, in whatever order they come; none is ever taken back.
+    void merge(instant now, const wire::flow_job_row& other);
 
     bool all_done() const;
     // Tasks that wait for a worker.
@@ -135,10 +141,13 @@
     std::uint64_t changes() const { return changes_; }
     std::uint64_t written() const { return written_; }
     void mark_written(std::uint64_t changes, row_version version);
-    // The row as it should be now.
+    // The row that the owner of `here` writes, as it should be now.
     wire::flow_job_row current_row() const;
+    // The same without what was asked, which the job's own row tells.
+    wire::flow_job_row facts() const;
 
 private:
+    std::vector<wire::flow_stage_row> stage_rows() const;
     void add_stage(std::int32_t occurrence, std::int32_t step);
     void load_stage(instant now, const wire::flow_stage_row& row);
     void load_home(instant now, flow_stage& stage, flow_task& task, const wire::flow_home_row& home);
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -67,12 +67,7 @@
 inline constexpr int job_readers = 2;
 inline constexpr int job_page_rows = 100;
 inline constexpr std::size_t commit_rows_most = 24; // of one transaction; the store's limit is 100 rows and 1 MB
-inline constexpr duration contended_kept = 2s;      // a row that was refused is written apart from others
-inline constexpr duration awaited_head_start = 1s;  // of rows that a caller or a start waits for, over older ones
-inline constexpr int contended_in_flight_most = 2;  // of a part at a time, each alone
-inline constexpr duration contended_pause = 30ms;   // before a row that was refused twice or more is tried again
-inline constexpr std::int32_t contended_doublings_most = 5; // of that pause
-inline constexpr duration watch_interval = 2s;              // a lost message about a new row costs this much
+inline constexpr duration watch_interval = 2s;      // a lost message about a new row costs this much
 
 inline constexpr duration summary_interval = 2s; // of the log line that tells how full a cell is
 
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -185,7 +185,7 @@
             answer.unknown_jobs.push_back(news.job);
             continue;
         }
-        cell->second->on_job_row(now, job_id(news.job), *row, row_version(news.version));
+        cell->second->on_job_row(now, {job_id(news.job), news.writer}, *row, row_version(news.version));
     }
     for (const wire::flow_state_news& news : message.states) {
         note_state(now, job_id(news.job), static_cast<flow_state>(news.state));
--- a/src/flow_row.cpp
+++ b/src/flow_row.cpp
@@ -61,6 +61,47 @@
 {
     return {jobs_table, job_part(job), job.str()};
 }
+
+namespace {
+
+// Sorts right after the end of a job's id, so that its rows follow each other. In the names of rows that are no cell's
+// the mark keeps them apart from cells.
+constexpr char writer_separator = '/';
+constexpr char after_separator = '/' + 1;
+constexpr char no_cell_mark = '!';
+
+} // namespace
+
+store_key job_row_key(const job_row_name& name)
+{
+    const std::string& job = name.job.str();
+    return {jobs_table, job_part(name.job), name.writer.empty() ? job : job + writer_separator + name.writer};
+}
+
+job_row_name job_row_of(const store_key& key)
+{
+    const std::size_t at = key.key.find(writer_separator);
+    if (at == std::string::npos) {
+        return {job_id(key.key), ""};
+    }
+    return {job_id(key.key.substr(0, at)), key.key.substr(at + 1)};
+}
+
+job_row_name cancel_row(const job_id& job)
+{
+    return {job, std::string(1, no_cell_mark) + "cancelled"};
+}
+
+job_row_name left_ends_row(const job_id& job, const incarnation_id& entry)
+{
+    return {job, std::string(1, no_cell_mark) + "ends-" + entry.str()};
+}
+
+store_range job_rows(const job_id& job)
+{
+    return {jobs_table, job_part(job), job.str(), job.str() + after_separator};
+}
+
 store_key cell_key(const cell_id& cell)
 {
     return {cells_table, shared_part, cell.str()};
--- a/src/flow_row_p.h
+++ b/src/flow_row_p.h
@@ -32,7 +32,24 @@
 const char* name_of(run_end how);
 const char* name_of(order_result result);
 
+// A row of the jobs table: whose job it tells of, and by whom it is written.
+struct job_row_name {
+    job_id job;
+    std::string
+        writer; // empty: the job's own row, which the owner of its cell writes; else a cell or a row inserted once
+
+    friend auto operator<=>(const job_row_name&,
+                            const job_row_name&) = default; // NOLINT(modernize-use-nullptr): wrong in clang-tidy 14
+};
 store_key job_key(const job_id& job);
+store_key job_row_key(const job_row_name& name);
+job_row_name job_row_of(const store_key& key);
+// The row that says that the job is cancelled.
+job_row_name cancel_row(const job_id& job);
+// The row of ends that an entry has heard of after it was followed, and its follower may not.
+job_row_name left_ends_row(const job_id& job, const incarnation_id& entry);
+// All rows of the job, its own first.
+store_range job_rows(const job_id& job);
 store_key cell_key(const cell_id& cell);
 store_key entry_key(const entry_id& entry);
 store_key layout_key(const data_centre_id& data_centre);
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -467,6 +467,7 @@
         }
     }
     if (result.outcome == table_outcome::conflict) {
+        job_writes_refused_ += t.checks.front().key.table == jobs_table ? 1 : 0;
         for (const store_check& check : t.checks) {
             const auto at = rows_.find(check.key);
             if (at != rows_.end()) {
@@ -496,6 +497,10 @@
     for (const auto& [key, row] : rows_) {
         if (key.table == range.table && key.part == range.part && key.key >= range.from &&
             (range.to.empty() || key.key < range.to)) {
+            if (range.rows_most > 0 && page.rows.size() == static_cast<std::size_t>(range.rows_most)) {
+                page.more = true;
+                break;
+            }
             page.rows.push_back({key, row.value, row.version, false});
         }
     }
@@ -824,6 +829,18 @@
     rows_[job_key(job_id(job))] = {encode_compact(row), row_version(++version_)};
 }
 
+void flow_world::put_row(const job_row_name& name, const wire::flow_job_row& row)
+{
+    rows_[job_row_key(name)] = {encode_compact(row), row_version(++version_)};
+}
+
+std::int64_t flow_world::rows_of(const std::string& job) const
+{
+    return std::count_if(rows_.begin(), rows_.end(), [&job](const auto& row) {
+        return row.first.table == jobs_table && job_row_of(row.first).job == job_id(job);
+    });
+}
+
 std::int32_t flow_world::outcome_in_row(const std::string& job) const
 {
     std::string reason;
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -139,8 +139,10 @@
     // A job in the table that no owner has been told of, and an end `done` of one of its tasks, as an earlier owner of
     // the cell leaves them.
     void accept_unheard(const std::string& job, const cell_id& cell, const flow_spec& spec);
-    // Another owner has written the job's row, with nothing new in it.
-    void touch_row(const std::string& job) { rows_.at(job_key(job_id(job))).version = row_version(++version_); }
+    // A row as some entry has written it.
+    void put_row(const job_row_name& name, const wire::flow_job_row& row);
+    // How many rows of the job the table has.
+    std::int64_t rows_of(const std::string& job) const;
     // As the table has it; 0: the job has not ended.
     std::int32_t outcome_in_row(const std::string& job) const;
     void end_unheard(int worker, const flow_task_id& task, run_number run);
@@ -169,6 +171,8 @@
     int owners_of(const std::string& cell) const;
     // Writes to the table that were applied, to rows of jobs.
     std::int64_t job_writes() const { return job_writes_; }
+    // Writes to them that were refused, since a row was not as the writer knew it.
+    std::int64_t job_writes_refused() const { return job_writes_refused_; }
 
 private:
     std::map<int, std::int64_t> looks_at_jobs_;
@@ -246,6 +250,7 @@
     bool stops_lost_ = false;
     flow_worker_list foreign_;
     std::int64_t job_writes_ = 0;
+    std::int64_t job_writes_refused_ = 0;
     std::map<std::string, std::int64_t> logged_;
     std::map<std::string, std::int64_t> starts_;
     std::vector<std::string> faults_;
--- a/tests/test_flow_job.cpp
+++ b/tests/test_flow_job.cpp
@@ -67,7 +67,7 @@
     flow.note_done({job, 0, 0, 1});
     wire::flow_job_row other = two_steps();
     other.cancelled = true;
-    flow.merge(instant{}, other, row_version(2));
+    flow.merge(instant{}, other);
     BOOST_TEST(flow.cancelled());
     BOOST_TEST(flow.dirty());
     flow_job again(job, here, flow.current_row(), row_version(3));
@@ -130,7 +130,7 @@
     follower.claim(epoch(4));
     BOOST_TEST(follower.dirty());
     BOOST_TEST((followed.newest_epoch() == epoch(3)));
-    followed.merge(instant{}, follower.current_row(), row_version(2));
+    followed.merge(instant{}, follower.current_row());
     BOOST_TEST((followed.newest_epoch() == epoch(4)));
 }
 
@@ -143,12 +143,12 @@
     flow_job other(job, here, two_steps(), row_version(1));
     one.note_start(task, worker_id("w1"), run_number(1));
     other.note_start(task, worker_id("w2"), run_number(1001));
-    one.merge(instant{}, other.current_row(), row_version(2));
+    one.merge(instant{}, other.current_row());
     BOOST_TEST(one.find_task(task)->start.worker == "w2");
     one.note_gone(task, run_number(1));
     BOOST_TEST(one.find_task(task)->start.worker == "w2");
     other.note_gone(task, run_number(1001));
-    one.merge(instant{}, other.current_row(), row_version(3));
+    one.merge(instant{}, other.current_row());
     BOOST_TEST(one.find_task(task)->start.worker.empty());
     BOOST_TEST((one.next_run(*one.find_task(task), epoch(3)) == run_number(1002)));
 }
@@ -161,7 +161,7 @@
     BOOST_TEST(flow.row().starts_noted);
     wire::flow_job_row older = flow.current_row();
     older.starts_noted = false;
-    flow.merge(instant{}, older, row_version(2));
+    flow.merge(instant{}, older);
     BOOST_TEST(!flow.current_row().starts_noted);
 }
 
@@ -189,7 +189,7 @@
     BOOST_TEST(one.note_failure(task, run_number(1)) == 1);
     flow_job other(job, here, two_steps(), row_version(1));
     BOOST_TEST(other.note_failure(task, run_number(1001)) == 1);
-    one.merge(instant{}, other.current_row(), row_version(2));
+    one.merge(instant{}, other.current_row());
     BOOST_TEST(one.note_failure(task, run_number(1001)) == 2);
     BOOST_TEST(one.dirty());
 }
