--- a/standin/worker_host.cpp
+++ b/standin/worker_host.cpp
@@ -178,7 +178,8 @@
         events.push_back({{"at_ms", at.count()},
                           {"event", history_names.at(static_cast<std::size_t>(e.kind))},
                           {"task", format_task(e.task)},
-                          {"attempt", e.attempt.value()}});
+                          {"attempt", e.attempt.value()},
+                          {"told", e.told}});
     }
     return json{{"events", std::move(events)}, {"dropped", state_.history_dropped()}}.dump();
 }
--- a/standin/worker_state.cpp
+++ b/standin/worker_state.cpp
@@ -48,6 +48,7 @@
         }
     }
     fill(now, report);
+    note_told();
     return report;
 }
 
@@ -428,6 +429,15 @@
     return sum;
 }
 
+// All that has ended and was not forgotten since is in each report.
+void worker_state::note_told()
+{
+    for (auto event = history_.rbegin();
+         event != history_.rend() && !(event->told && event->kind != history_kind::start); ++event) {
+        event->told = event->kind != history_kind::start;
+    }
+}
+
 void worker_state::record(wall_time at, history_kind kind, const running_task& task)
 {
     history_.push_back({at, kind, task.report.task, task.report.attempt});
--- a/standin/worker_state_p.h
+++ b/standin/worker_state_p.h
@@ -74,6 +74,7 @@
     history_kind kind = history_kind::start;
     task_id task;
     attempt_number attempt;
+    bool told = false; // an answer that lists this end has left for an owner
 };
 
 class worker_state {
@@ -159,6 +160,7 @@
     static double wanted_share(const running_task& task); // of the processors of its true size
     static resources used_by(const running_task& task, double share);
     void record(wall_time at, history_kind kind, const running_task& task);
+    void note_told();
 
     worker_settings settings_;
     worker_faults faults_;
--- a/tests/test_load.cpp
+++ b/tests/test_load.cpp
@@ -96,6 +96,26 @@
     BOOST_TEST(tally.wrong() == 0);
 }
 
+// A sixth of the callers of a site are refused for good once one of its six entries is gone.
+BOOST_AUTO_TEST_CASE(an_entry_that_refuses_connections_costs_no_request)
+{
+    std::string reason;
+    const auto answering = http_server::start(
+        {.address = net_address("127.0.0.1:0")},
+        [](const http_request& request, const http_reply& reply) { reply(done(request.body)); }, &reason);
+    BOOST_REQUIRE_MESSAGE(answering, reason);
+    auto leaving = http_server::start(
+        {.address = net_address("127.0.0.1:0")}, [](const http_request&, const http_reply&) {}, &reason);
+    BOOST_REQUIRE_MESSAGE(leaving, reason);
+    load_options o{.team = team_id("t"), .service = "s", .rate = 500, .seconds = short_run};
+    o.deadline = 10s;
+    o.entries = {leaving->address(), answering->address()};
+    leaving.reset(); // its port refuses connections from now on
+    const load_tally tally = run_load(o);
+    BOOST_TEST(tally.sent > 0);
+    BOOST_TEST(tally.done == tally.sent);
+}
+
 // An entry mixes up two callers: each gets a whole answer, but the other one's. Both count as wrong.
 BOOST_AUTO_TEST_CASE(crossed_answers_are_found)
 {
--- a/tests/test_worker.cpp
+++ b/tests/test_worker.cpp
@@ -292,6 +292,22 @@
     BOOST_TEST(l.history() == "sf");
 }
 
+// A worker is lost with an end that no owner has heard of, and the record takes it for one that was known.
+BOOST_AUTO_TEST_CASE(the_history_tells_which_ends_an_owner_was_told_of)
+{
+    lab l;
+    const task_start first = l.batch(1, 1000, 1s);
+    const task_start second = l.batch(2, 1000, 3s);
+    l.send({first, second});
+    l.wait(2s);
+    BOOST_TEST(!l.state.history().back().told);
+    l.send({});
+    BOOST_TEST(l.state.history().back().told);
+    l.wait(2s);
+    BOOST_TEST(l.state.history().size() == 4);
+    BOOST_TEST(!l.state.history().back().told);
+}
+
 // The table is down and no owner can renew. A service must go on serving: its task outlives the lease, and stops only
 // when it is told to.
 BOOST_AUTO_TEST_CASE(a_persistent_task_outlives_its_lease)
--- a/tools/load_run.cpp
+++ b/tools/load_run.cpp
@@ -50,9 +50,9 @@
     return body;
 }
 
-http_call make_call(const load_options& o, std::int64_t number, const net_address& entry)
+http_call make_call(const load_options& o, std::int64_t number)
 {
-    http_call call{.method = "POST", .address = entry};
+    http_call call{.method = "POST"};
     call.target = "/v1/request/" + encode_url_part(o.team.str()) + "/" + encode_url_part(o.service);
     const auto deadline_ms = std::chrono::duration_cast<std::chrono::milliseconds>(o.deadline).count();
     call.headers = {{"Deadline-Ms", std::to_string(deadline_ms)}, {"Content-Type", "application/octet-stream"}};
@@ -64,15 +64,34 @@
     return call;
 }
 
-void send_one(const load_options& o, http_client& http, shared_tally& tally, http_call call, clock::time_point intended)
+// One request and the entries that it is still to be tried at.
+struct load_request {
+    http_call call;
+    std::size_t entry = 0;
+    std::size_t tries_left = 0;
+    std::size_t step = 1; // from an entry that refused it to the next one
+    clock::time_point intended;
+};
+
+// An entry that is gone refuses the connection: the request has certainly not arrived there, and goes to another one,
+// as a balancer would send it. Which one differs from request to request: one neighbour would get twice its share.
+void send_one(const load_options& o, http_client& http, shared_tally& tally, load_request request)
 {
-    std::string expected = fmt::format("ok {}/{} {}", o.team.str(), o.service, call.body);
-    tally.sent();
-    http.send(std::move(call),
-              [&tally, intended, deadline = o.deadline, expected = std::move(expected)](const http_result& result) {
-                  const auto latency = std::chrono::duration_cast<duration>(clock::now() - intended);
-                  tally.add(judge_answer(result, expected), latency, deadline);
-              });
+    --request.tries_left;
+    request.call.address = o.entries[request.entry % o.entries.size()];
+    http_call call = request.call;
+    http.send(std::move(call), [&o, &http, &tally, request = std::move(request)](const http_result& result) {
+        if (!result.answered && !result.may_have_arrived && request.tries_left > 0) {
+            load_request next = request;
+            next.entry += next.step;
+            next.step = 1;
+            send_one(o, http, tally, std::move(next));
+            return;
+        }
+        const std::string expected = fmt::format("ok {}/{} {}", o.team.str(), o.service, request.call.body);
+        const auto latency = std::chrono::duration_cast<duration>(clock::now() - request.intended);
+        tally.add(judge_answer(result, expected), latency, o.deadline);
+    });
 }
 
 } // namespace
@@ -93,7 +112,10 @@
         const auto entry = absl::Uniform<std::size_t>(random, 0, options.entries.size());
         const auto intended = start + std::chrono::duration_cast<clock::duration>(std::chrono::duration<double>(at));
         std::this_thread::sleep_until(intended);
-        send_one(options, http, tally, make_call(options, number, options.entries[entry]), intended);
+        tally.sent();
+        const std::size_t others = std::max<std::size_t>(1, options.entries.size() - 1);
+        const std::size_t step = 1 + static_cast<std::size_t>(number) % others;
+        send_one(options, http, tally, {make_call(options, number), entry, options.entries.size(), step, intended});
     }
     return tally.wait_for_all();
 }
--- a/tools/load_tally.cpp
+++ b/tools/load_tally.cpp
@@ -62,7 +62,10 @@
 judged_answer judge_answer(const http_result& result, const std::string& expected)
 {
     if (!result.answered) {
-        return {result.may_have_arrived ? load_outcome::unknown : load_outcome::did_not_run, answer_fault::none, {}};
+        return {result.may_have_arrived ? load_outcome::unknown : load_outcome::did_not_run,
+                answer_fault::none,
+                {},
+                "no_connection"};
     }
     const auto outcome = find_field(result.headers, "outcome");
     if (outcome == "done") {
@@ -74,7 +77,9 @@
     if (result.status == status_ok) {
         return malformed(result, "status 200 without being done");
     }
-    return {outcome == "unknown" ? load_outcome::unknown : load_outcome::did_not_run, answer_fault::none, {}};
+    const auto body = nlohmann::json::parse(result.body, nullptr, false);
+    const std::string refusal = body.is_object() ? body.value("error", "unnamed") : "unnamed";
+    return {outcome == "unknown" ? load_outcome::unknown : load_outcome::did_not_run, answer_fault::none, {}, refusal};
 }
 
 void load_tally::add(const judged_answer& answer, duration latency, duration deadline)
@@ -93,6 +98,7 @@
         done_us.push_back(latency.count());
         break;
     case load_outcome::did_not_run:
+        ++refusals[answer.refusal];
         ++did_not_run;
         break;
     case load_outcome::unknown:
@@ -132,6 +138,7 @@
                              {"done", tally.done},
                              {"late", tally.late},
                              {"did_not_run", tally.did_not_run},
+                             {"refusals", tally.refusals},
                              {"unknown", tally.unknown},
                              {"crossed", tally.crossed},
                              {"cut", tally.cut},
--- a/tools/load_tally_p.h
+++ b/tools/load_tally_p.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,8 @@
 struct judged_answer {
     load_outcome outcome = load_outcome::unknown;
     answer_fault fault = answer_fault::none;
-    std::string detail; // of a fault
+    std::string detail;  // of a fault
+    std::string refusal; // why it did not run, as the answer names it
 };
 
 // `expected` is the whole body of a right answer. No whole answer: unknown, or did not run when no byte can have left.
@@ -35,8 +37,9 @@
     std::int64_t cut = 0;
     std::int64_t malformed = 0;
     std::string first_fault;
-    std::vector<std::int64_t> done_us; // from the intended time to the whole answer
-    std::vector<std::int64_t> all_us;  // of every outcome
+    std::map<std::string, std::int64_t> refusals; // by reason, of those that did not run
+    std::vector<std::int64_t> done_us;            // from the intended time to the whole answer
+    std::vector<std::int64_t> all_us;             // of every outcome
 
     std::int64_t wrong() const { return crossed + cut + malformed; }
     void add(const judged_answer& answer, duration latency, duration deadline);
