--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -43,10 +43,11 @@
   9: map<i32, flow_start_row> starts  // of a step whose starts are noted
 }
 
-// A job has one row of each entry or owner that tells something of it, all in one part, and each has one writer at a
-// time. The job's own row is inserted by the entry that accepts it, then written by the owner of `cell`. The owner of
-// another cell that has tasks of it writes a row of that cell; a cancelling is a row that is inserted. Those leave out
-// what was asked. Facts are only ever added, so what is known of a job is all its rows together.
+// What one writer tells of a job. In flow-cell-jobs, CELL/JOB is what the owner of the cell knows and decides; only it writes
+// the row, and the row tells what was asked too. In flow-news, CELL/JOB/WRITER is what another one tells the owner of the
+// cell: the entry that accepted the job, one that cancelled it, or the owner of another cell, which writes it in the same
+// transaction as its own row. In flow-index, JOB is what callers ask: accepted, started, outcome. Facts are only ever
+// added, so what is known of a job in a cell is its row and its news together.
 struct flow_job_row {
   1: string queue
   2: string service_name
@@ -66,11 +67,16 @@
   16: bool started = false
   17: i32 failures_most = 1
   18: i32 priority = 0
-  20: map<string, i64> claims // cell -> epoch of the newest owner that has taken the job on
   19: i64 run_base = 0        // numbers of runs start above it; raised when the job moves to another cell
   21: bool starts_noted = false // by whoever has written the row: a task without a note was never started
 }
 
+// In flow-cell-jobs, CELL/!fence: every write of the cell's owner is checked against it, so that none comes into force once a
+// later owner has written its epoch.
+struct flow_fence_row {
+  1: i64 epoch = 0
+}
+
 struct flow_worker_name {
   1: string worker
   2: string address
@@ -182,7 +188,7 @@
   2: i64 version = 0
   3: binary row
   4: string cell // whose owner is told
-  5: string writer // of the row, as in its key; empty: the job's own row
+  5: string writer // of the row, as in its key
 }
 
 struct flow_state_news {
--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -11,6 +11,12 @@
 
 using namespace flow_limits;
 
+namespace {
+
+constexpr std::size_t own_entries = 3; // of a transaction, for a job: the check, its row, its index
+
+} // namespace
+
 void flow_cell::job_changed(instant now, flow_job& job, bool urgent)
 {
     const std::string part = job_part(job.id());
@@ -82,31 +88,55 @@
         return;
     }
     drop_clean(now, state);
-    if (state.in_flight) {
-        return; // its answer brings the next
+    if (state.in_flight || !state.fence) {
+        return; // the answer brings the next
     }
     const std::vector<job_id> group = pick_group(state);
     if (!group.empty()) {
         send_rows(part, group);
     }
-    else if (!state.removed.empty()) {
+    else if (!state.removable.empty() && state.removals_due <= now) {
         send_removals(now, part);
     }
 }
 
+// The row, the news for other cells and what callers ask are in force together or not at all.
+flow_cell::committed_row flow_cell::add_row(store_transaction& t, const flow_job& job) const
+{
+    committed_row row{job.id(), job.changes(), job.current_row(), job.cells_to_tell()};
+    if (row.told.size() > cells_told_most) {
+        edges_.note(log_level::error, "job", "in_too_many_cells",
+                    {{"job", job.id().str()}, {"cells", std::to_string(row.told.size())}});
+        row.told.resize(cells_told_most);
+    }
+    const store_key own = job_row_key(own_row(id_, job.id()));
+    t.checks.push_back({own, job.version()});
+    t.puts.push_back({own, encode_compact(row.row)});
+    for (const cell_id& cell : row.told) {
+        t.puts.push_back({job_row_key({cell, job.id(), id_.str()}), encode_compact(row.news_for(cell))});
+    }
+    if (job.bound_here() && job.index_changed()) {
+        t.puts.push_back({index_key(job.id()), encode_compact(job.index_row())});
+    }
+    return row;
+}
+
 void flow_cell::send_rows(const std::string& part, const std::vector<job_id>& ids)
 {
+    part_state& state = parts_[part];
     store_transaction t;
+    t.checks.push_back({fence_key(id_, part), *state.fence});
     std::vector<committed_row> rows;
     for (const job_id& id : ids) {
         const flow_job& job = *jobs_.at(id);
-        rows.push_back({id, job.changes(), job.current_row()});
-        const store_key key = job_row_key(job.written_row());
-        t.checks.push_back({key, job.version()});
-        t.puts.push_back({key, encode_compact(rows.back().row)});
+        const std::size_t entries = t.checks.size() + t.puts.size() + job.cells_to_tell().size() + own_entries;
+        if (!rows.empty() && entries > commit_entries_most) {
+            break;
+        }
+        rows.push_back(add_row(t, job));
     }
     ++stats_.commits;
-    parts_[part].in_flight = true;
+    state.in_flight = true;
     edges_.commit(std::move(t),
                   [this, part, rows = std::move(rows), life = life_](instant then, const store_result& result) {
                       if (life == life_) {
@@ -116,25 +146,36 @@
                   });
 }
 
-// Rows of this cell that tell nothing any more, since the jobs have ended and their own rows say so. One that stays
-// behind is read in vain at a takeover, no more: whether the answer comes is not waited for.
+void flow_cell::remove_rows(instant now, const job_id& id, std::vector<store_key> keys)
+{
+    part_state& state = parts_[job_part(id)];
+    if (state.removable.empty()) {
+        state.removals_due = now + removal_gap;
+        edges_.after(removal_gap, [](instant) {}); // settle() runs after it
+    }
+    state.removable[id] = std::move(keys);
+}
+
+// Rows of jobs that have ended, as the index says. One that stays behind is found again at a takeover: whether the
+// answer comes is not waited for.
 void flow_cell::send_removals(instant now, const std::string& part)
 {
     part_state& state = parts_[part];
     store_transaction t;
-    while (!state.removed.empty() && t.removes.size() < commit_rows_most) {
-        const auto row = state.removed.extract(state.removed.begin());
-        const store_key key = job_row_key({row.key(), id_.str()});
-        t.checks.push_back({key, row.mapped()});
-        t.removes.push_back(key);
+    t.checks.push_back({fence_key(id_, part), *state.fence});
+    while (!state.removable.empty() &&
+           (t.removes.empty() || t.removes.size() + state.removable.begin()->second.size() < commit_entries_most)) {
+        const auto job = state.removable.extract(state.removable.begin());
+        t.removes.insert(t.removes.end(), job.mapped().begin(), job.mapped().end());
     }
     edges_.commit(std::move(t), [this, part](instant, const store_result& result) {
         if (result.outcome != table_outcome::applied) {
             edges_.note(log_level::info, "table", "rows_not_removed", {{"part", part}, {"reason", result.reason}});
         }
     });
-    if (!state.removed.empty()) {
-        commit_soon(now, part, commit_gap);
+    state.removals_due = now + commit_gap; // of those that are left
+    if (!state.removable.empty()) {
+        edges_.after(commit_gap, [](instant) {});
     }
 }
 
@@ -145,42 +186,49 @@
     switch (result.outcome) {
     case table_outcome::applied:
         state.backoff = duration(0);
-        for (const auto& [id, changes, row] : rows) {
-            const auto found = jobs_.find(id);
+        for (const committed_row& row : rows) {
+            const auto found = jobs_.find(row.job);
             if (found == jobs_.end()) {
                 continue;
             }
-            found->second->mark_written(changes, result.version);
-            if (found->second->dirty()) {
-                state.dirty[id] = now; // changed since it was sent
+            flow_job& job = *found->second;
+            job.mark_written(row.changes, result.version);
+            if (job.dirty()) {
+                state.dirty[row.job] = now; // changed since it was sent
             }
             else {
-                state.dirty.erase(id);
+                state.dirty.erase(row.job);
             }
-            // Members of a gang that runs over several cells wait until all of them can know its number.
-            if (unclaimed_.erase(id) != 0 || ready_keys_.count(id) != 0) {
-                place_soon();
+            if (ready_keys_.count(row.job) != 0) {
+                place_soon(); // some of its tasks wait for this write
             }
-            send_noted(now, *found->second);
-            tell_others(now, *found->second, found->second->written_row(), row, result.version);
-            after_written(now, *found->second);
+            send_noted(now, job);
+            tell_others(now, row, result.version);
+            after_written(now, job);
         }
         confirm_all(now);
         break;
     case table_outcome::conflict:
-        // A later owner of this cell has written one of them, or an earlier try of ours is in force although its answer
+        // A later owner of this cell has written its epoch, or an earlier try of ours is in force although its answer
         // was lost: nobody else writes these rows.
         ++stats_.commits_conflicted;
         for (const store_row& row : result.rows) {
+            if (is_fence(row.key)) {
+                if (row.version != state.fence) {
+                    lose(now, "a later owner has fenced part " + part);
+                    return;
+                }
+                continue;
+            }
             const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
             if (decoded) {
                 on_job_row(now, job_row_of(row.key), *decoded, row.version);
-                if (role_ != role::owning) {
-                    return; // a later owner's claim was among them
-                }
+            }
+            if (role_ != role::owning) {
+                return;
             }
         }
-        state.backoff = duration(0);
+        state.backoff = commit_retry;
         break;
     case table_outcome::refused:
     case table_outcome::unknown:
@@ -190,7 +238,7 @@
         edges_.note(log_level::warning, "table", "commit_failed", {{"part", part}, {"reason", result.reason}});
         break;
     }
-    if (!state.dirty.empty() || !state.removed.empty()) {
+    if (!state.dirty.empty()) {
         commit_soon(now, part, state.backoff);
     }
 }
@@ -202,40 +250,42 @@
 // next owner is told of it. Only ends are added to what the table has: nothing that this owner had decided.
 void flow_cell::leave_ends(const job_id& job, const std::vector<listed_end>& ends)
 {
-    edges_.read(job_rows(job), [this, job, ends](instant, const store_page& page) {
+    read_rows(job, [this, job, ends](instant, const std::vector<store_row>* rows) {
         const auto again = [this, job, ends](instant) { leave_ends(job, ends); };
-        if (!page.reached) {
+        if (rows == nullptr) {
             edges_.after(commit_retry_most, again);
             return;
         }
-        const std::unique_ptr<flow_job> left = read_job(job, page.rows);
+        const std::unique_ptr<flow_job> left = read_job(job, *rows);
         if (!left || left->ended()) {
             return;
         }
+        const std::uint64_t known = left->changes();
         for (const listed_end& end : ends) {
             const flow_stage* const stage = left->find_stage(end.task);
             if (stage != nullptr && !left->step(*stage).lasting) {
                 left->note_end(end);
             }
         }
-        if (!left->dirty()) {
+        if (left->changes() == known) {
             return;
         }
-        const job_row_name name = left_ends_row(job, self_.incarnation);
+        const wire::flow_job_row told = without_spec(left->current_row());
+        const job_row_name name = left_ends_row(id_, job, self_.incarnation);
         const store_key key = job_row_key(name);
         const auto before =
-            std::find_if(page.rows.begin(), page.rows.end(), [&key](const store_row& row) { return row.key == key; });
+            std::find_if(rows->begin(), rows->end(), [&key](const store_row& row) { return row.key == key; });
         store_transaction t;
-        t.checks.push_back({key, before == page.rows.end() ? row_version(0) : before->version});
-        t.puts.push_back({key, encode_compact(left->facts())});
-        edges_.commit(std::move(t), [this, name, again, told = left->facts()](instant now, const store_result& result) {
+        t.checks.push_back({key, before == rows->end() ? row_version(0) : before->version});
+        t.puts.push_back({key, encode_compact(told)});
+        edges_.commit(std::move(t), [this, name, again, told](instant now, const store_result& result) {
             if (result.outcome != table_outcome::applied) {
                 const bool conflict = result.outcome == table_outcome::conflict;
                 edges_.after(conflict ? commit_retry : commit_retry_most, again);
                 return;
             }
             edges_.note(log_level::info, "job", "ends_left", {{"job", name.job.str()}, {"cell", id_.str()}});
-            hooks_.tell_cell(now, id_, name, told, result.version);
+            hooks_.tell_cell(now, name, told, result.version);
         });
     });
 }
@@ -276,11 +326,15 @@
     if (job.running()) {
         return;
     }
-    if (!job.bound_here() && job.version() > row_version(0)) {
-        const std::string part = job_part(job.id());
-        parts_[part].removed.emplace(job.id(), job.version());
-        commit_soon(now, part, commit_gap);
+    std::vector<store_key> keys{job_row_key(own_row(id_, job.id()))};
+    if (job.bound_here()) {
+        job.note_teller(accepted_row(id_, job.id()).writer);
+        job.note_teller(cancel_row(id_, job.id()).writer);
+    }
+    for (const std::string& teller : job.tellers()) {
+        keys.push_back(job_row_key({id_, job.id(), teller}));
     }
+    remove_rows(now, job.id(), std::move(keys));
     forget_job(now, job.id());
 }
 
--- a/src/flow_cell_drain.cpp
+++ b/src/flow_cell_drain.cpp
@@ -39,7 +39,7 @@
             continue;
         }
         const flow_stage& stage = *job->find_stage(id);
-        if (job->step(stage).gang || !may_start(*job, stage, *task) || unclaimed_.count(id.job) != 0) {
+        if (job->step(stage).gang || !may_start(*job, stage, *task)) {
             continue;
         }
         const flow_step& step = job->step(stage);
--- a/src/flow_cell_moves.cpp
+++ b/src/flow_cell_moves.cpp
@@ -51,7 +51,7 @@
     const std::set<ready_key> waiting = ready_;
     for (const ready_key& key : waiting) {
         const auto found = jobs_.find(key.job);
-        if (found == jobs_.end() || unclaimed_.count(key.job) != 0) {
+        if (found == jobs_.end()) {
             continue;
         }
         flow_job& job = *found->second;
@@ -106,7 +106,7 @@
     if (!to && step.lasting && !can_make_room(job, stage)) {
         to = hooks_.find_room(now, id_, service, step, room_kind::reservable);
     }
-    return to;
+    return to && job.may_be_in(to->first, cells_per_job_most) ? to : std::nullopt;
 }
 
 // Whether the task fits on the worker if only tasks that last stay there.
--- a/src/flow_cell_notes.cpp
+++ b/src/flow_cell_notes.cpp
@@ -3,8 +3,8 @@
 // Failure: an owner is followed while one of its workers cannot be asked. Symptom: its follower cannot tell what runs
 // there, and all tasks that last wait until every lease has ended, on whichever worker they were. With the starts in
 // the row only the tasks whose newest start names that worker wait. That is enough because a start is sent only once
-// the table has applied its note, and because a follower writes its claim into the same row before it decides anything:
-// a note of an owner before it is in force by then, and read, or conflicts, and its start is not sent.
+// the table has applied its note, and because a follower fences the part of the row before it reads: a note of an owner
+// before it is in force by then, and read, or is refused, and its start is not sent.
 #include <algorithm>
 #include <vector>
 
@@ -12,9 +12,13 @@
 
 namespace skylarkhub {
 
-// False while the task may run on a worker that has not told yet what it runs.
+// False while the task may run on a worker that has not told yet what it runs, or may start in another cell or under an
+// earlier owner of this one.
 bool flow_cell::may_start(const flow_job& job, const flow_stage& stage, const flow_task& task) const
 {
+    if (!job.is_received(task)) {
+        return false;
+    }
     if (awaited_.count(job.id()) == 0) {
         return true;
     }
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -280,85 +280,159 @@
     read_all_jobs();
 }
 
-// After a loss of all entries every owner reads all jobs. With all parts asked for at once, each page took longer over
-// the narrow link of a small entry than it is waited for, and was asked for anew: cells had no owner for 17 s. A few
-// small pages at a time arrive, and one that does not is asked for again from where it begins.
+// After a loss of all entries every owner reads its jobs at once. With all parts asked for together, each page took
+// longer over the narrow link of a small entry than it is waited for, and was asked for anew: cells had no owner for
+// 17 s. A few small pages at a time arrive, and one that does not is asked for again from where it begins.
 void flow_cell::read_all_jobs()
 {
     parts_left_ = job_parts;
+    next_part_ = 0;
+    read_rows_.clear();
     watched_ = row_version(std::numeric_limits<std::int64_t>::max());
-    for (next_part_ = 0; next_part_ < job_readers;) {
-        read_jobs(next_part_++, "");
+    for (int i = 0; i < job_readers; ++i) {
+        begin_part();
     }
 }
 
-void flow_cell::read_jobs(int part, const std::string& from)
+// The fence first: what the owner before writes is in force before the rows are read, or never.
+void flow_cell::begin_part()
 {
-    edges_.read({jobs_table, job_part(part), from, "", job_page_rows},
-                [this, part, from, life = life_](instant then, const store_page& page) {
-                    if (life == life_) {
-                        on_jobs_read(then, part, from, page);
-                    }
-                });
+    if (next_part_ == job_parts) {
+        return;
+    }
+    const int part = next_part_++;
+    if (parts_[job_part(part)].fence) {
+        read_part(part, news_table, "");
+    }
+    else {
+        fence_part(part, row_version(0));
+    }
 }
 
-namespace {
-
-// Rows in the order of their keys, those of one job together.
-std::vector<std::vector<store_row>> split_by_job(const std::vector<store_row>& rows)
+void flow_cell::fence_part(int part, row_version known)
 {
-    std::vector<std::vector<store_row>> jobs;
-    for (const store_row& row : rows) {
-        if (jobs.empty() || job_row_of(jobs.back().front().key).job != job_row_of(row.key).job) {
-            jobs.emplace_back();
+    wire::flow_fence_row row;
+    row.epoch = epoch_.value();
+    const store_key key = fence_key(id_, job_part(part));
+    store_transaction t;
+    t.checks.push_back({key, known});
+    t.puts.push_back({key, encode_compact(row)});
+    edges_.commit(std::move(t), [this, part, life = life_](instant then, const store_result& result) {
+        if (life == life_) {
+            on_fenced(then, part, result);
         }
-        jobs.back().push_back(row);
-    }
-    return jobs;
+    });
 }
 
-} // namespace
-
-void flow_cell::on_jobs_read(instant now, int part, const std::string& from, const store_page& page)
+void flow_cell::on_fenced(instant now, int part, const store_result& result)
 {
-    if (!page.reached) {
-        edges_.after(commit_retry, [this, part, from, life = life_](instant) {
+    const auto fenced_at = [this, now, part](row_version version) {
+        parts_[job_part(part)].fence = version;
+        if (fresh_) {
+            watched_ = std::min(watched_, version); // nobody has told a cell anything that had no owner yet
+            end_part(now, part);
+            return;
+        }
+        read_part(part, news_table, "");
+    };
+    if (result.outcome == table_outcome::applied) {
+        fenced_at(result.version);
+        return;
+    }
+    if (result.outcome != table_outcome::conflict) {
+        edges_.after(commit_retry, [this, part, life = life_](instant) {
             if (life == life_) {
-                read_jobs(part, from);
+                fence_part(part, row_version(0));
             }
         });
         return;
     }
-    watched_ = std::min(watched_, page.version);
-    std::vector<std::vector<store_row>> jobs = split_by_job(page.rows);
-    if (page.more && !jobs.empty()) {
-        // The last job's rows may go on: they are read again, together, unless they fill the page.
-        const bool fills_page = jobs.size() == 1;
-        read_jobs(part, fills_page ? page.rows.back().key.key + '\0' : jobs.back().front().key.key);
-        if (!fills_page) {
-            jobs.pop_back();
-        }
+    // It shows the epoch of an owner before, or this owner's own if an answer was lost.
+    const auto there =
+        result.rows.empty() ? std::nullopt : read_flow_row<wire::flow_fence_row>(edges_, result.rows.front());
+    const std::int64_t epoch_there = there ? there->epoch : 0;
+    if (epoch_there > epoch_.value()) {
+        lose(now, "a later owner has fenced part " + job_part(part));
+    }
+    else if (epoch_there == epoch_.value()) {
+        fenced_at(result.rows.front().version);
     }
-    for (const std::vector<store_row>& rows : jobs) {
-        const job_row_name first = job_row_of(rows.front().key);
-        if (first.writer.empty() || jobs_.count(first.job) != 0) {
-            take_rows(now, first.job, rows);
+    else {
+        fence_part(part, result.rows.empty() ? row_version(0) : result.rows.front().version);
+    }
+}
+
+void flow_cell::read_part(int part, const char* table, const std::string& from)
+{
+    store_range range = cell_rows(table, id_, job_part(part));
+    range.from = from.empty() ? range.from : from;
+    range.rows_most = job_page_rows;
+    edges_.read(range, [this, part, table, from, life = life_](instant then, const store_page& page) {
+        if (life != life_) {
+            return;
         }
-        else {
-            read_unknown_job(first.job);
+        if (!page.reached) {
+            edges_.after(commit_retry, [this, part, table, from, life](instant) {
+                if (life == life_) {
+                    read_part(part, table, from);
+                }
+            });
+            return;
+        }
+        on_part_read(then, part, table, page);
+    });
+}
+
+void flow_cell::on_part_read(instant now, int part, const char* table, const store_page& page)
+{
+    watched_ = std::min(watched_, page.version);
+    for (const store_row& row : page.rows) {
+        if (!is_fence(row.key)) {
+            read_rows_[part][job_row_of(row.key).job].push_back(row);
         }
     }
     if (page.more && !page.rows.empty()) {
+        read_part(part, table, page.rows.back().key.key + '\0');
         return;
     }
-    if (next_part_ < job_parts) {
-        read_jobs(next_part_++, "");
+    if (table == std::string_view(news_table)) {
+        read_part(part, jobs_table, "");
+        return;
     }
+    end_part(now, part);
+}
+
+void flow_cell::end_part(instant now, int part)
+{
+    take_part(now, part);
+    begin_part();
     if (--parts_left_ == 0 && role_ == role::reading) {
         become_owner(now);
     }
 }
 
+// Of a job without a row of this cell only that it was accepted shows that it goes on: news of another cell may have
+// come after its end.
+void flow_cell::take_part(instant now, int part)
+{
+    const auto rows = read_rows_.extract(part);
+    if (rows.empty()) {
+        return;
+    }
+    for (const auto& [job, of_job] : rows.mapped()) {
+        const bool goes_on = std::any_of(of_job.begin(), of_job.end(), [this](const store_row& row) {
+            const job_row_name name = job_row_of(row.key);
+            return name.is_own() || name == accepted_row(id_, name.job);
+        });
+        if (goes_on || jobs_.count(job) != 0) {
+            take_rows(now, job, of_job);
+        }
+        else {
+            read_unknown_job(job);
+        }
+    }
+}
+
 void flow_cell::become_owner(instant now)
 {
     role_ = role::owning;
@@ -381,8 +455,8 @@
         hold_soon(now, id, duration(0));
     }
     for (auto& [id, job] : jobs_) {
-        if (!fresh_) {
-            claim_job(now, *job);
+        if (job->dirty()) {
+            job_changed(now, *job, true);
         }
         if (job->cancelled() || job->ended()) {
             continue;
@@ -481,11 +555,11 @@
     ready_.clear();
     ready_keys_.clear();
     awaited_.clear();
-    unclaimed_.clear();
     timed_.clear();
     put_away_.clear();
     parts_.clear();
     reading_jobs_.clear();
+    read_rows_.clear();
     place_planned_ = false;
     for (auto& [id, w] : workers_) {
         const flow_listed_worker listing = w.listing;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -53,7 +53,7 @@
                                               const flow_step&)>
         list_room;
     // A row that the owner of another cell must know.
-    std::function<void(instant, const cell_id&, const job_row_name&, const wire::flow_job_row&, row_version)> tell_cell;
+    std::function<void(instant, const job_row_name&, const wire::flow_job_row&, row_version)> tell_cell;
     // The table has answered nobody that this entry hears from since `since`, and it hears from most entries.
     std::function<bool(instant now, instant since)> table_outage;
     // A state that is durable, for the entry that answers the caller.
@@ -83,6 +83,8 @@
     // Owned, or a take of it is under way.
     bool goes_for_ownership() const { return owns() || role_ == role::taking; }
     bool owns() const { return role_ == role::owning || role_ == role::reading; }
+    // Of jobs. While the rows are read none can be told from one of a job that has ended before they were.
+    bool takes_news() const { return role_ == role::owning; }
     skylarkhub::epoch epoch() const { return epoch_; }
     const wire::flow_cell_row& row() const { return row_; }
     const flow_cell_stats& stats() const { return stats_; }
@@ -182,15 +184,37 @@
 
     // The rows of one part that this owner writes.
     struct part_state {
+        std::optional<row_version> fence; // of this owner's; empty: not written yet
         bool planned = false;
         instant due{};
-        instant held_until{};                  // no try before, after one that failed
-        std::map<job_id, instant> dirty;       // and since when
-        std::map<job_id, row_version> removed; // rows of ended jobs, to be removed
-        bool in_flight = false;                // a write is under way
+        instant held_until{};                               // no try before, after one that failed
+        std::map<job_id, instant> dirty;                    // and since when
+        std::map<job_id, std::vector<store_key>> removable; // rows of jobs that have ended
+        instant removals_due{};
+        bool in_flight = false; // a write is under way
         duration backoff{0};
 
         bool is_settled() const { return dirty.empty() && !in_flight; }
+        bool is_due(instant now) const
+        {
+            const bool rows = planned && !dirty.empty() && due <= now;
+            const bool removals = !removable.empty() && removals_due <= now;
+            return (rows || removals) && held_until <= now && !in_flight;
+        }
+    };
+
+    // A job's row as it was sent to the table.
+    struct committed_row {
+        job_id job;
+        std::uint64_t changes = 0; // of the job, that it tells
+        wire::flow_job_row row;
+        std::vector<cell_id> told; // the cells that the same write has news for
+
+        // The owner of the job's cell knows what was asked; another one may not know the job yet.
+        wire::flow_job_row news_for(const cell_id& cell) const
+        {
+            return cell.str() == row.cell ? without_spec(row) : row;
+        }
     };
 
     // flow_cell_own.cpp
@@ -198,9 +222,14 @@
     void probe_then_take();
     void take(instant now);
     void on_taken(instant now, const wire::flow_cell_row& wanted, const store_result& result);
-    void read_jobs(int part, const std::string& from);
+    void fence_part(int part, row_version known);
+    void on_fenced(instant now, int part, const store_result& result);
     void read_all_jobs();
-    void on_jobs_read(instant now, int part, const std::string& from, const store_page& page);
+    void begin_part();
+    void read_part(int part, const char* table, const std::string& from);
+    void on_part_read(instant now, int part, const char* table, const store_page& page);
+    void end_part(instant now, int part);
+    void take_part(instant now, int part);
     void become_owner(instant now);
     void write_row(const wire::flow_cell_row& wanted, std::function<void(instant, const store_result&)> done);
     void renew(instant now);
@@ -228,7 +257,10 @@
     void take_running(instant now, cell_worker& w, const listed_run& run);
     void take_stray(instant now, const cell_worker& w, const listed_run& run);
     void adopt_strays(instant now, flow_job& job);
-    void on_unknown_job(instant now, const job_id& job, const store_page& page);
+    void tell_ended(instant now, const job_id& job, const wire::flow_job_row& index,
+                    const std::vector<store_row>& rows);
+    void on_unknown_index(instant now, const job_id& job, const store_page& page);
+    void on_unknown_job(instant now, const job_id& job, const std::vector<store_row>& rows);
     void adopt(instant now, cell_worker& w, flow_job& job, const listed_run& run);
     void find_missing(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void confirm_ends(cell_worker& w);
@@ -289,11 +321,12 @@
     void note_demand(instant now, const flow_job& job);
     std::unique_ptr<flow_job> read_job(const job_id& id, const std::vector<store_row>& rows) const;
     void take_rows(instant now, const job_id& id, const std::vector<store_row>& rows);
+    void remove_rows(instant now, const job_id& id, std::vector<store_key> keys);
+    void read_rows(const job_id& job, std::function<void(instant, const std::vector<store_row>*)> done);
     void on_new_row(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version);
     void adopt_job(instant now, std::unique_ptr<flow_job> made);
     void end_if_decided(instant now, flow_job& job);
     void job_changed(instant now, flow_job& job, bool urgent);
-    void claim_job(instant now, flow_job& job);
     bool deposed_by(instant now, const flow_job& job);
     void forget_job(instant now, job_id id);
 
@@ -310,8 +343,7 @@
     void drop_ready(const job_id& job);
     void index_ready_again();
     void log_summary(instant now) const;
-    void tell_others(instant now, const flow_job& job, const job_row_name& name, const wire::flow_job_row& row,
-                     row_version version);
+    void tell_others(instant now, const committed_row& written, row_version version);
     void tick_timed(instant now);
 
     // flow_cell_moves.cpp
@@ -335,15 +367,10 @@
     void stop_stranded(instant now, flow_job& job);
 
     // flow_cell_commit.cpp
-    // A job's row as it was sent to the table.
-    struct committed_row {
-        job_id job;
-        std::uint64_t changes = 0; // of the job, that it tells
-        wire::flow_job_row row;
-    };
     void commit_soon(instant now, const std::string& part, duration wait);
     static std::vector<job_id> pick_group(const part_state& state);
     void send_rows(const std::string& part, const std::vector<job_id>& ids);
+    committed_row add_row(store_transaction& t, const flow_job& job) const;
     void send_removals(instant now, const std::string& part);
     void drop_clean(instant now, part_state& state);
     void commit_part(instant now, const std::string& part);
@@ -414,15 +441,15 @@
     instant next_summary_{};
     instant next_vacating_{};
     int parts_left_ = 0;
-    int next_part_ = 0; // whose reading has not begun
+    int next_part_ = 0;                                                 // whose reading has not begun
+    std::map<int, std::map<job_id, std::vector<store_row>>> read_rows_; // by part, of parts that are being read
     std::map<job_id, std::set<stray_run>> reading_jobs_;
 
     std::map<worker_id, cell_worker> workers_;
     std::map<job_id, std::unique_ptr<flow_job>> jobs_;
     std::set<ready_key> ready_; // jobs with tasks that wait for a worker, the most urgent first
     std::map<job_id, ready_key> ready_keys_;
-    std::set<job_id> unclaimed_; // known since the takeover; nothing is decided for them before the claim is in the row
-    std::set<job_id> awaited_;   // known since the takeover; may_start() tells for which tasks that means a wait
+    std::set<job_id> awaited_; // known since the takeover; may_start() tells for which tasks that means a wait
     std::set<job_id> timed_;
     std::map<job_id, instant> put_away_; // ended jobs, until no late page can tell of them any more
     std::map<std::string, part_state> parts_;
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -23,7 +23,7 @@
         place_ready(now);
     }
     for (auto& [part, state] : parts_) {
-        if (!state.dirty.empty() && state.planned && std::max(state.due, state.held_until) <= now) {
+        if (state.is_due(now)) {
             commit_part(now, part);
         }
     }
@@ -83,9 +83,6 @@
             drop_ready(id);
             continue;
         }
-        if (unclaimed_.count(id) != 0) {
-            continue;
-        }
         flow_job& job = *found->second;
         // What two owners counted may reach the limit only when their rows are merged; no run ends then to show it.
         if (awaited_.count(id) == 0 && has_spent_task(job)) {
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -390,77 +390,94 @@
     return found == jobs_.end() ? nullptr : found->second.get();
 }
 
-// What the rows of one job tell together; null when its own row is not among them or cannot be read.
+// What the rows of one job for this cell tell together; null when none says what was asked.
 std::unique_ptr<flow_job> flow_cell::read_job(const job_id& id, const std::vector<store_row>& rows) const
 {
+    std::vector<std::pair<job_row_name, wire::flow_job_row>> told;
+    const store_row* base = nullptr;
     std::unique_ptr<flow_job> made;
     for (const store_row& row : rows) {
-        const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
+        auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
         const job_row_name name = job_row_of(row.key);
-        if (decoded && name.writer.empty()) {
-            made = std::make_unique<flow_job>(id, id_, *decoded, row_version(0));
+        if (!decoded && name.is_own()) {
+            return nullptr; // what is done would be started again
         }
-        else if (decoded && made) {
-            made->merge(instant{}, *decoded);
+        if (!decoded) {
+            continue;
+        }
+        const bool whole = !decoded->steps.empty();
+        if (whole && (base == nullptr || name.is_own())) {
+            base = &row;
+            made = std::make_unique<flow_job>(id, id_, *decoded, name.is_own() ? row.version : row_version(0));
         }
-        if (made && name == made->written_row()) {
-            made->note_version(row.version);
+        told.emplace_back(name, std::move(*decoded));
+    }
+    for (const auto& [name, row] : told) {
+        if (made && !name.is_own()) {
+            made->merge(instant{}, row, name.teller());
+            made->note_teller(name.writer);
         }
     }
     return made;
 }
 
-// Rows of one job, its own first, that were read from the table just now.
+// All rows of one job for this cell, read from the table just now.
 void flow_cell::take_rows(instant now, const job_id& id, const std::vector<store_row>& rows)
 {
-    if (jobs_.count(id) == 0) {
-        std::unique_ptr<flow_job> made = read_job(id, rows);
-        if (made && !made->ended() && put_away_.count(id) == 0) {
-            adopt_job(now, std::move(made));
+    if (jobs_.count(id) != 0) {
+        for (const store_row& row : rows) {
+            const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
+            if (decoded) {
+                on_job_row(now, job_row_of(row.key), *decoded, row.version);
+            }
         }
         return;
     }
-    for (const store_row& row : rows) {
-        const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
-        if (decoded) {
-            on_job_row(now, job_row_of(row.key), *decoded, row.version);
-        }
+    std::unique_ptr<flow_job> made = read_job(id, rows);
+    if (made && made->ended()) {
+        remove_rows(now, id, keys_of(rows));
+    }
+    else if (made && put_away_.count(id) == 0) {
+        adopt_job(now, std::move(made));
     }
 }
 
-namespace {
-
-bool names_cell(const wire::flow_job_row& row, const cell_id& cell)
+// The rows of one job for this cell; null when the table could not be read.
+void flow_cell::read_rows(const job_id& job, std::function<void(instant, const std::vector<store_row>*)> done)
 {
-    return row.cell == cell.str() ||
-           std::any_of(row.stages.begin(), row.stages.end(), [&cell](const wire::flow_stage_row& stage) {
-               return std::any_of(stage.homes.begin(), stage.homes.end(),
-                                  [&cell](const auto& home) { return home.second.cell == cell.str(); });
-           });
+    edges_.read(news_rows(id_, job), [this, job, done = std::move(done)](instant now, const store_page& news) {
+        if (!news.reached) {
+            done(now, nullptr);
+            return;
+        }
+        edges_.read(only_row(job_row_key(own_row(id_, job))),
+                    [done, rows = news.rows](instant then, const store_page& own) mutable {
+                        rows.insert(rows.end(), own.rows.begin(), own.rows.end());
+                        done(then, own.reached ? &rows : nullptr);
+                    });
+    });
 }
 
-} // namespace
-
 // Of a job that is not known here.
 void flow_cell::on_new_row(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version)
 {
     // What an entry tells may be older than what was read at the takeover: a job that is not known since has ended.
-    if (version <= scanned_ && role_ == role::owning) {
+    if (!takes_news() || version <= scanned_) {
         return;
     }
     // A page read or a message sent before the job's last write still shows it going on: taken up again it would run
     // anew, with its runs numbered from the first.
-    if (row.outcome != 0 || put_away_.count(name.job) != 0) {
+    const bool accepted = name == accepted_row(id_, name.job);
+    if (row.outcome != 0 || (accepted && put_away_.count(name.job) != 0)) {
         return;
     }
-    if (name.writer.empty()) {
-        adopt_job(now,
-                  std::make_unique<flow_job>(name.job, id_, row, row.cell == id_.str() ? version : row_version(0)));
-    }
-    else if (names_cell(row, id_)) {
-        // Its writer may not know yet that the job has ended, and does not tell what was asked: the job's own row does.
-        read_unknown_job(name.job);
+    if (!accepted) {
+        read_unknown_job(name.job); // its writer may not know yet that the job has ended
+        return;
     }
+    auto made = std::make_unique<flow_job>(name.job, id_, row, row_version(0));
+    made->note_teller(name.writer);
+    adopt_job(now, std::move(made));
 }
 
 void flow_cell::on_job_row(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version)
@@ -477,11 +494,15 @@
     flow_job& known = *found->second;
     const bool was_cancelled = known.cancelled();
     const bool was_ended = known.ended();
+    const bool was_dirty = known.dirty();
     const std::int32_t waited = known.count_ready();
-    known.merge(now, row);
-    if (name == known.written_row()) {
+    known.merge(now, row, name.teller());
+    if (name.is_own()) {
         known.note_version(version);
     }
+    else {
+        known.note_teller(name.writer);
+    }
     if (known.count_ready() > waited) {
         edges_.note(log_level::info, "task", "arrived",
                     {{"job", job.str()},
@@ -507,8 +528,10 @@
     if (known.cancelled() && !was_cancelled) {
         edges_.note(log_level::info, "job", "cancelled", {{"job", job.str()}, {"cell", id_.str()}});
         stop_job_runs(now, known);
-        job_changed(now, known, false);
-        tell_others(now, known, name, row, version);
+        job_changed(now, known, true);
+    }
+    else if (known.dirty() && !was_dirty) {
+        job_changed(now, known, true); // a task has come here, or callers are to see that the job has started
     }
 }
 
@@ -527,14 +550,12 @@
     }
 }
 
-// A row is told to the other cells that have tasks of its job: that it was cancelled, which of its tasks are done. Only
-// as it is in the table: what this owner has decided since may never be written, if it has been followed. Told of a
+// Only what is in the table: what this owner has decided since may never be written, if it has been followed. Told of a
 // task that was given away so, another cell would start it beside the follower.
-void flow_cell::tell_others(instant now, const flow_job& job, const job_row_name& name, const wire::flow_job_row& row,
-                            row_version version)
+void flow_cell::tell_others(instant now, const committed_row& written, row_version version)
 {
-    for (const cell_id& cell : job.other_cells()) {
-        hooks_.tell_cell(now, cell, name, row, version);
+    for (const cell_id& cell : written.told) {
+        hooks_.tell_cell(now, {cell, written.job, id_.str()}, written.news_for(cell), version);
     }
 }
 
@@ -549,7 +570,7 @@
     demand_[job.row().service_name].note(now, age, ending_cpu_seconds(job));
 }
 
-// Also one nothing of which is left here to be done, if there is a row of this cell: it is removed with the job's end.
+// Also one nothing of which is left here to be done, if there is a row of this cell: it goes with the job's end.
 void flow_cell::adopt_job(instant now, std::unique_ptr<flow_job> made)
 {
     if (!made->concerns_here() && made->version() == row_version(0)) {
@@ -575,11 +596,8 @@
     if (deposed_by(now, *job)) {
         return;
     }
-    if (job->newest_epoch() < epoch_) {
-        claim_job(now, *job);
-    }
     adopt_strays(now, *job);
-    if (row.cell_epoch < epoch_.value() && !all_accounted(now)) {
+    if (job->newest_epoch() < epoch_ && !all_accounted(now)) {
         awaited_.insert(id); // the owner before may have heard of it first
     }
     if (job->cancelled()) {
@@ -588,21 +606,10 @@
     }
     job->open_stages(now, edges_.wall());
     index_ready(*job);
-    place_soon();
-}
-
-// An owner that has been followed does not know it yet, and what it had decided may still be written: that a waiting
-// task goes to another cell, say, which its follower starts here at the same moment. So the follower first writes its
-// epoch into the cell's row of the job; a write of the owner before it either came into force by then, and is seen, or
-// conflicts.
-void flow_cell::claim_job(instant now, flow_job& job)
-{
-    if (job.ended()) {
-        return;
+    if (job->dirty()) {
+        job_changed(now, *job, true);
     }
-    job.claim(epoch_);
-    unclaimed_.insert(job.id());
-    job_changed(now, job, true);
+    place_soon();
 }
 
 bool flow_cell::deposed_by(instant now, const flow_job& job)
@@ -610,7 +617,7 @@
     if (role_ != role::owning || job.newest_epoch() <= epoch_) {
         return false;
     }
-    lose(now, "a later owner has claimed job " + job.id().str());
+    lose(now, "job " + job.id().str() + " was given to a later owner");
     return true;
 }
 
@@ -622,7 +629,6 @@
     }
     drop_ready(id);
     awaited_.erase(id);
-    unclaimed_.erase(id);
     timed_.erase(id);
     loads_.forget(id);
     parts_[job_part(id)].dirty.erase(id);
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -434,13 +434,67 @@
 
 void flow_cell::ask_unknown_job(const job_id& job)
 {
-    edges_.read(job_rows(job), [this, job, life = life_](instant then, const store_page& page) {
+    edges_.read(index_rows(job), [this, job, life = life_](instant then, const store_page& page) {
         if (life == life_) {
-            on_unknown_job(then, job, page);
+            on_unknown_index(then, job, page);
         }
     });
 }
 
+void flow_cell::on_unknown_index(instant now, const job_id& job, const store_page& page)
+{
+    const auto again = [this, job, life = life_](instant) {
+        if (life == life_) {
+            ask_unknown_job(job);
+        }
+    };
+    if (!page.reached) {
+        edges_.after(commit_retry, again);
+        return;
+    }
+    const auto index = read_index(edges_, page.rows);
+    const bool goes_on = index && index->outcome == 0;
+    read_rows(job, [this, job, again, index, goes_on, life = life_](instant then, const std::vector<store_row>* rows) {
+        if (rows == nullptr) {
+            edges_.after(commit_retry, again);
+            return;
+        }
+        if (life != life_) {
+            return;
+        }
+        if (index && !goes_on && jobs_.count(job) == 0) {
+            tell_ended(then, job, *index, *rows);
+        }
+        on_unknown_job(then, job, goes_on ? *rows : std::vector<store_row>());
+    });
+}
+
+// Its rows are left over. Another cell's owner that told of it after its end, and those that this one gave tasks to,
+// have not heard of the end: what they run of it would run on.
+void flow_cell::tell_ended(instant now, const job_id& job, const wire::flow_job_row& index,
+                           const std::vector<store_row>& rows)
+{
+    if (rows.empty()) {
+        return;
+    }
+    std::set<std::string> cells;
+    row_version newest;
+    for (const store_row& row : rows) {
+        const auto told = read_flow_row<wire::flow_job_row>(edges_, row);
+        const job_row_name name = job_row_of(row.key);
+        newest = std::max(newest, row.version);
+        if (told && name.teller() == row_teller::other_cell) {
+            cells.insert(name.writer);
+            each_home(*told, [&cells](const wire::flow_home_row& home) { cells.insert(home.cell); });
+        }
+    }
+    cells.erase(id_.str());
+    for (const std::string& cell : cells) {
+        hooks_.tell_cell(now, {cell_id(cell), job, id_.str()}, index, newest);
+    }
+    remove_rows(now, job, keys_of(rows));
+}
+
 // Workers may list runs of a job before its row is known. Left to the next exchange, a task whose worker has told what
 // it runs would seem to run nowhere, and start a second time.
 void flow_cell::adopt_strays(instant now, flow_job& job)
@@ -457,17 +511,11 @@
     }
 }
 
-void flow_cell::on_unknown_job(instant now, const job_id& job, const store_page& page)
+void flow_cell::on_unknown_job(instant now, const job_id& job, const std::vector<store_row>& rows)
 {
-    if (!page.reached) {
-        edges_.after(commit_retry, [this, job, life = life_](instant) {
-            if (life == life_) {
-                ask_unknown_job(job);
-            }
-        });
-        return;
+    if (!rows.empty()) {
+        take_rows(now, job, rows);
     }
-    take_rows(now, job, page.rows);
     take_unknown_ends(now, job);
     const auto strays = reading_jobs_.extract(job);
     if (strays.empty() || jobs_.count(job) != 0) {
--- a/src/flow_cells.cpp
+++ b/src/flow_cells.cpp
@@ -204,8 +204,8 @@
 
 // --- changes of jobs ---
 
-// One look for all owned cells: with a look for each, an owner would read the rows of all jobs that have changed once a
-// cell, over a link that may be narrow.
+// One look at the news of jobs for all owned cells: with a look for each, an owner would read the news of the whole
+// site once a cell, over a link that may be narrow.
 void flow_entry::watch_jobs(instant now)
 {
     std::optional<row_version> known;
@@ -220,7 +220,7 @@
     }
     watching_jobs_ = true;
     next_watch_ = now + watch_interval;
-    edges_.watch({jobs_table, *known, duration(0)}, [this, after = *known](instant then, const store_page& page) {
+    edges_.watch({news_table, *known, duration(0)}, [this, after = *known](instant then, const store_page& page) {
         watching_jobs_ = false;
         if (page.history_gone) {
             for (auto& [id, cell] : cells_) {
@@ -236,14 +236,14 @@
 void flow_entry::on_jobs_changed(instant now, row_version after, const store_page& page)
 {
     for (const store_row& row : page.rows) {
-        if (row.removed) {
+        const job_row_name name = job_row_of(row.key);
+        const auto cell = cells_.find(name.cell);
+        if (row.removed || cell == cells_.end() || !cell->second->jobs_known()) {
             continue;
         }
         const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
-        for (auto& [id, cell] : cells_) {
-            if (decoded && cell->jobs_known()) {
-                cell->on_job_row(now, job_row_of(row.key), *decoded, row.version);
-            }
+        if (decoded) {
+            cell->second->on_job_row(now, name, *decoded, row.version);
         }
     }
     for (auto& [id, cell] : cells_) {
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -31,9 +31,34 @@
     watch_operator();
     read_layouts(now);
     list_workers();
+    look_for_earlier_jobs(0);
     edges_.after(tick_interval, [this](instant then) { tick(then); });
 }
 
+// An earlier release kept one row a job, which this one does not read: its jobs would be forgotten in silence.
+void flow_entry::look_for_earlier_jobs(int part)
+{
+    if (part == job_parts) {
+        may_own_ = true;
+        return;
+    }
+    edges_.read({earlier_jobs_table, job_part(part), "", "", 1}, [this, part](instant, const store_page& page) {
+        if (!page.reached) {
+            edges_.after(register_retry, [this, part](instant) { look_for_earlier_jobs(part); });
+            return;
+        }
+        if (page.rows.empty()) {
+            look_for_earlier_jobs(part + 1);
+            return;
+        }
+        edges_.note(log_level::error, "entry", "jobs_of_an_earlier_release",
+                    {{"table", earlier_jobs_table},
+                     {"part", job_part(part)},
+                     {"advice", "let that release finish its jobs, then remove the table's rows"}});
+        edges_.after(earlier_jobs_interval, [this, part](instant) { look_for_earlier_jobs(part); });
+    });
+}
+
 void flow_entry::tick(instant now)
 {
     ticked_at_ = now;
@@ -57,15 +82,15 @@
     lay_racks(now);
     if (now >= next_untold_ && !untold_.empty()) {
         next_untold_ = now + untold_retry;
-        std::vector<std::pair<cell_id, job_row_name>> keys;
-        for (const auto& [key, row] : untold_) {
-            keys.push_back(key);
+        std::vector<job_row_name> names;
+        for (const auto& [name, row] : untold_) {
+            names.push_back(name);
         }
-        for (const auto& [cell, name] : keys) {
-            tell_owner(now, cell, name);
+        for (const job_row_name& name : names) {
+            tell_owner(now, name);
         }
     }
-    if (now - begun_ >= peers_learned) {
+    if (now - begun_ >= peers_learned && may_own_) {
         tick_cells(now);
     }
     if (now >= next_watch_) {
@@ -139,8 +164,8 @@
         return list_room(now, from, service, step);
     };
     hooks.table_outage = [this](instant now, instant since) { return table_outage(now, since); };
-    hooks.tell_cell = [this](instant now, const cell_id& cell, const job_row_name& name, const wire::flow_job_row& row,
-                             row_version version) { tell_cell(now, cell, name, row, version); };
+    hooks.tell_cell = [this](instant now, const job_row_name& name, const wire::flow_job_row& row,
+                             row_version version) { tell_cell(now, name, row, version); };
     hooks.state_changed = [this](instant now, const wire::flow_job_row& row, const job_id& job, flow_state state) {
         if (row.accepted_by == self_.address.str()) {
             note_state(now, job, state);
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -141,9 +141,9 @@
     std::int64_t count_pending(const queue_id& queue) const;
     std::map<std::string, std::int32_t> count_untold() const;
     void note_pending(const wire::flow_cell_news& news);
-    void tell_cell(instant now, const cell_id& cell, const job_row_name& name, const wire::flow_job_row& row,
-                   row_version version);
-    void tell_owner(instant now, const cell_id& cell, const job_row_name& name);
+    void tell_cell(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version);
+    void look_for_earlier_jobs(int part);
+    void tell_owner(instant now, const job_row_name& name);
     std::optional<std::pair<cell_id, epoch>> find_room(instant now, const cell_id& from, const std::string& service,
                                                        const flow_step& step, room_kind kind);
     std::vector<flow_cell_room> list_room(instant now, const cell_id& from, const std::string& service,
@@ -226,7 +226,7 @@
     std::vector<wire::flow_cell_news> own_news_;
     instant own_news_at_{};
     absl::flat_hash_map<job_id, followed_job> followed_;
-    std::map<std::pair<cell_id, job_row_name>, untold_row> untold_;
+    std::map<job_row_name, untold_row> untold_;
     std::map<cell_id, cell_pending> told_pending_;
     std::map<net_address, std::vector<wire::flow_state_news>> state_news_;
     unusable_entries unusable_;
@@ -237,6 +237,7 @@
     instant next_members_{};
     instant next_entries_read_{};
     instant next_untold_{};
+    bool may_own_ = false; // there are no jobs of an earlier release
     std::int64_t accept_count_ = 0;
     flow_entry_stats stats_;
 };
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -376,7 +376,7 @@
 // it will never run.
 void flow_entry::refuse_unless_there(const job_id& job, caller_reply reply)
 {
-    edges_.read(only_row(job_key(job)), [this, job, reply = std::move(reply)](instant, const store_page& page) {
+    edges_.read(index_rows(job), [this, job, reply = std::move(reply)](instant, const store_page& page) {
         if (page.reached && !page.rows.empty()) {
             ++stats_.repeated;
             reply({caller_result::accepted, flow_state::queued, 0, duration(0), ""});
@@ -393,9 +393,14 @@
 void flow_entry::write_job(const job_id& job, const wire::flow_job_row& row, instant give_up, int tries,
                            bool may_be_in_force)
 {
+    wire::flow_job_row index;
+    index.cell = row.cell;
+    index.accepted_by = row.accepted_by;
+    index.accept_token = row.accept_token;
     store_transaction t;
-    t.checks.push_back({job_key(job), row_version(0)});
-    t.puts.push_back({job_key(job), encode_compact(row)});
+    t.checks.push_back({index_key(job), row_version(0)});
+    t.puts.push_back({index_key(job), encode_compact(index)});
+    t.puts.push_back({job_row_key(accepted_row(cell_id(row.cell), job)), encode_compact(row)});
     edges_.commit(std::move(t),
                   [this, job, row, give_up, tries, may_be_in_force](instant then, const store_result& result) {
                       on_job_written(then, job, row, give_up, tries, may_be_in_force, result);
@@ -415,7 +420,7 @@
                      {"version", std::to_string(result.version.value())},
                      {"config", std::to_string(config_version().value())}});
         answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
-        tell_cell(now, cell_id(row.cell), {job, ""}, row, result.version);
+        tell_cell(now, accepted_row(cell_id(row.cell), job), row, result.version);
         return;
     case table_outcome::conflict: {
         // The job is there: accepted before, by this entry (its answer was lost) or through another one.
@@ -423,7 +428,7 @@
         const auto there =
             result.rows.empty() ? std::nullopt : read_flow_row<wire::flow_job_row>(edges_, result.rows.front());
         if (there && there->accept_token == row.accept_token) {
-            tell_cell(now, cell_id(row.cell), {job, ""}, row, result.rows.front().version);
+            tell_cell(now, accepted_row(cell_id(row.cell), job), row, result.rows.front().version);
         }
         edges_.note(log_level::info, "job", "accepted_before", {{"job", job.str()}});
         answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
@@ -469,31 +474,33 @@
     }
 }
 
-void flow_entry::tell_cell(instant now, const cell_id& cell, const job_row_name& name, const wire::flow_job_row& row,
-                           row_version version)
+void flow_entry::tell_cell(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version)
 {
-    untold_row& untold = untold_[{cell, name}];
+    untold_row& untold = untold_[name];
     untold.row = row;
     untold.bytes = encode_compact(row);
     untold.version = version;
-    tell_owner(now, cell, name);
+    tell_owner(now, name);
 }
 
 // The owner learns of a new row at once; until it has answered, it is told again.
-void flow_entry::tell_owner(instant now, const cell_id& cell, const job_row_name& name)
+void flow_entry::tell_owner(instant now, const job_row_name& name)
 {
-    const auto at = untold_.find({cell, name});
+    const auto at = untold_.find(name);
     if (at == untold_.end() || at->second.telling) {
         return;
     }
-    const auto own = cells_.find(cell);
-    if (own != cells_.end() && own->second->owns()) {
+    const auto own = cells_.find(name.cell);
+    if (own != cells_.end() && own->second->owns() && !own->second->takes_news()) {
+        return; // tick() tries again
+    }
+    if (own != cells_.end() && own->second->takes_news()) {
         const untold_row row = std::move(at->second);
         untold_.erase(at);
         own->second->on_job_row(now, name, row.row, row.version);
         return;
     }
-    const peer* const owner = owner_of(now, cell);
+    const peer* const owner = owner_of(now, name.cell);
     if (owner == nullptr) {
         return; // tick() tries again
     }
@@ -503,21 +510,20 @@
     news.job = name.job.str();
     news.version = at->second.version.value();
     news.row = at->second.bytes;
-    news.cell = cell.str();
+    news.cell = name.cell.str();
     news.writer = name.writer;
     message.rows.push_back(std::move(news));
-    edges_.tell(
-        owner->identity.address, message,
-        [this, cell, name, version = at->second.version](instant, const std::optional<wire::flow_message>& answer) {
-            const auto row = untold_.find({cell, name});
-            if (row == untold_.end()) {
-                return;
-            }
-            row->second.telling = false;
-            if (answer && answer->unknown_jobs.empty() && row->second.version == version) {
-                untold_.erase(row);
-            }
-        });
+    edges_.tell(owner->identity.address, message,
+                [this, name, version = at->second.version](instant, const std::optional<wire::flow_message>& answer) {
+                    const auto row = untold_.find(name);
+                    if (row == untold_.end()) {
+                        return;
+                    }
+                    row->second.telling = false;
+                    if (answer && answer->unknown_jobs.empty() && row->second.version == version) {
+                        untold_.erase(row);
+                    }
+                });
 }
 
 // The cell that has most left, or for a lasting task where most of its image serves, with a worker that one more task
@@ -650,7 +656,7 @@
 {
     followed_[job].reading = true;
     ++stats_.state_reads;
-    edges_.read(job_rows(job), [this, job](instant then, const store_page& page) {
+    edges_.read(index_rows(job), [this, job](instant then, const store_page& page) {
         const auto at = followed_.find(job);
         if (at == followed_.end()) {
             return;
@@ -667,7 +673,7 @@
             }
         }
         else if (page.reached) {
-            const auto row = read_job_state(edges_, page.rows);
+            const auto row = read_index(edges_, page.rows);
             if (row) {
                 f.accepted = true;
                 f.state = state_of(*row);
@@ -698,7 +704,7 @@
 
 void flow_entry::cancel(const job_id& job, instant give_up, caller_reply reply)
 {
-    edges_.read(job_rows(job), [this, job, give_up, reply = std::move(reply)](instant then, const store_page& page) {
+    edges_.read(index_rows(job), [this, job, give_up, reply = std::move(reply)](instant then, const store_page& page) {
         if (!page.reached) {
             if (then + accept_retry < give_up) {
                 edges_.after(accept_retry, [this, job, give_up, reply](instant) { cancel(job, give_up, reply); });
@@ -711,7 +717,7 @@
             reply({caller_result::unknown_job, flow_state::queued, 0, duration(0), "no such job"});
             return;
         }
-        const auto row = read_job_state(edges_, page.rows);
+        const auto row = read_index(edges_, page.rows);
         if (!row) {
             reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry, "row unreadable"});
             return;
@@ -724,17 +730,19 @@
     });
 }
 
-// A row of its own, so that it waits for no owner's writes and no owner's writes for it.
+// Rows of its own, so that it waits for no owner's writes and no owner's writes for it.
 void flow_entry::write_cancel(const job_id& job, const cell_id& cell, instant give_up, caller_reply reply)
 {
     wire::flow_job_row row;
     row.cell = cell.str();
     row.cancelled = true;
     row.starts_noted = true;
+    const job_row_name name = cancel_row(cell, job);
     store_transaction t;
-    t.checks.push_back({job_row_key(cancel_row(job)), row_version(0)});
-    t.puts.push_back({job_row_key(cancel_row(job)), encode_compact(row)});
-    edges_.commit(std::move(t), [this, job, cell, row, give_up, reply = std::move(reply)](instant then,
+    t.checks.push_back({index_cancel_key(job), row_version(0)});
+    t.puts.push_back({index_cancel_key(job), encode_compact(row)});
+    t.puts.push_back({job_row_key(name), encode_compact(row)});
+    edges_.commit(std::move(t), [this, job, name, row, give_up, reply = std::move(reply)](instant then,
                                                                                           const store_result& result) {
         const bool there = result.outcome == table_outcome::conflict && !result.rows.empty();
         if (result.outcome == table_outcome::applied || there) {
@@ -746,7 +754,7 @@
                 at->second.state = flow_state::cancelled;
             }
             reply({caller_result::cancelled, flow_state::cancelled, 0, duration(0), ""});
-            tell_cell(then, cell, cancel_row(job), row, version);
+            tell_cell(then, name, row, version);
             return;
         }
         if (then + accept_retry < give_up) {
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -35,10 +35,7 @@
             add_stage(k, static_cast<std::int32_t>(s));
         }
     }
-    for (const wire::flow_stage_row& stage : row.stages) {
-        load_stage(instant{}, stage);
-    }
-    written_ = changes_;
+    merge(instant{}, row, version != row_version(0) ? row_teller::own : row_teller::other_cell);
 }
 
 bool flow_job::at_home(const flow_task& task) const
@@ -53,9 +50,10 @@
            });
 }
 
-std::vector<cell_id> flow_job::other_cells() const
+std::set<std::string> flow_job::concerned_cells() const
 {
     std::set<std::string> cells{row_.cell};
+    std::copy_if(tellers_.begin(), tellers_.end(), std::inserter(cells, cells.end()), is_cell);
     for (const flow_stage& stage : stages_) {
         for (const flow_task& task : stage.tasks) {
             if (!task.home.cell.empty()) {
@@ -63,6 +61,27 @@
             }
         }
     }
+    return cells;
+}
+
+bool flow_job::may_be_in(const cell_id& cell, std::size_t cells_most) const
+{
+    const std::set<std::string> cells = concerned_cells();
+    return cells.size() < cells_most || cells.count(cell.str()) != 0;
+}
+
+std::vector<cell_id> flow_job::cells_to_tell() const
+{
+    std::set<std::string> cells;
+    if (all_told_of_ > written_) {
+        cells = concerned_cells();
+    }
+    for (const auto& [cell, change] : given_to_) {
+        if (change > written_) {
+            cells.insert(cell);
+        }
+    }
+    cells.insert(row_.cell);
     cells.erase(here_.str());
     std::vector<cell_id> out;
     out.reserve(cells.size());
@@ -85,21 +104,31 @@
     t.home.epoch = to_epoch.value();
     ++t.home.moves;
     ++changes_;
+    if (step(*find_stage(task)).gang) {
+        all_told_of_ = changes_;
+    }
     if (at_home(t)) {
         return;
     }
+    given_to_[to.str()] = changes_;
     if (t.stage == task_stage::ready) {
         --find_stage(task)->ready;
     }
     t.stage = task_stage::elsewhere;
 }
 
-void flow_job::load_home(instant now, flow_stage& stage, flow_task& task, const wire::flow_home_row& home)
+void flow_job::load_home(instant now, flow_stage& stage, flow_task& task, const wire::flow_home_row& home, bool own)
 {
     if (home.moves <= task.home.moves) {
         return;
     }
     task.home = home;
+    if (at_home(task)) {
+        newest_home_epoch_ = std::max(newest_home_epoch_, home.epoch);
+    }
+    if (at_home(task) && !own && task.stage != task_stage::done) {
+        task.received = received_ = ++changes_;
+    }
     if (!stage.open || task.stage == task_stage::done) {
         return;
     }
@@ -132,7 +161,7 @@
     stages_.push_back(std::move(stage));
 }
 
-void flow_job::load_stage(instant now, const wire::flow_stage_row& row)
+void flow_job::load_stage(instant now, const wire::flow_stage_row& row, bool own)
 {
     flow_stage* const stage = find_stage({id_, row.occurrence, row.step, 0});
     if (stage == nullptr) {
@@ -146,7 +175,7 @@
         }
         const auto home = row.homes.find(index);
         if (home != row.homes.end()) {
-            load_home(now, *stage, task, home->second);
+            load_home(now, *stage, task, home->second, own);
         }
         const auto start = row.starts.find(index);
         if (start != row.starts.end()) {
@@ -236,7 +265,7 @@
 {
     if (!row_.started) {
         row_.started = true;
-        ++changes_;
+        index_changed_ = ++changes_;
     }
 }
 
@@ -313,17 +342,9 @@
     }
 }
 
-void flow_job::claim(epoch cell_epoch)
-{
-    row_.claims[here_.str()] = cell_epoch.value();
-    ++changes_;
-}
-
 epoch flow_job::newest_epoch() const
 {
-    const auto claimed = row_.claims.find(here_.str());
-    const std::int64_t bound = row_.cell == here_.str() ? row_.cell_epoch : 0;
-    return epoch(std::max(bound, claimed == row_.claims.end() ? 0 : claimed->second));
+    return epoch(std::max(bound_here() ? row_.cell_epoch : 0, newest_home_epoch_));
 }
 
 void flow_job::note_outcome(flow_state outcome)
@@ -332,7 +353,7 @@
         return;
     }
     row_.outcome = outcome == flow_state::done ? 1 : outcome == flow_state::failed ? 2 : 3;
-    ++changes_;
+    all_told_of_ = index_changed_ = ++changes_;
 }
 
 std::int32_t flow_job::count_ready() const
@@ -354,24 +375,44 @@
     });
 }
 
-void flow_job::merge(instant now, const wire::flow_job_row& other)
+void flow_job::merge(instant now, const wire::flow_job_row& other, row_teller teller)
 {
+    // What came from a row need not be written again; our own facts, if any, still must, and what follows from it here.
     const bool was_behind = dirty();
-    row_.cancelled = row_.cancelled || other.cancelled;
-    row_.started = row_.started || other.started;
+    std::uint64_t follows = 0;
+    const bool news = bound_here() && teller != row_teller::own;
+    if (other.cancelled && !row_.cancelled) {
+        row_.cancelled = true;
+        if (news) {
+            all_told_of_ = index_changed_ = follows = ++changes_;
+        }
+    }
+    if (other.started && !row_.started) {
+        row_.started = true;
+        if (news) {
+            index_changed_ = follows = ++changes_;
+        }
+    }
     // A writer that does not know of notes has left out those that were there.
     row_.starts_noted = row_.starts_noted && other.starts_noted;
-    for (const auto& [cell, claimed] : other.claims) {
-        row_.claims[cell] = std::max(row_.claims[cell], claimed);
-    }
     if (row_.outcome == 0) {
         row_.outcome = other.outcome;
     }
+    const std::uint64_t received = received_;
+    const std::uint64_t before = changes_;
+    const bool over = news && (row_.cancelled || row_.outcome != 0);
+    const std::set<std::string> concerned = over ? concerned_cells() : std::set<std::string>();
     for (const wire::flow_stage_row& stage : other.stages) {
-        load_stage(now, stage);
+        load_stage(now, stage, teller == row_teller::own);
     }
-    // What came from a row need not be written again; our own facts, if any, still must.
-    if (!was_behind) {
+    // A task was given to that cell by one that had not heard of the end.
+    const std::set<std::string> now_concerned = over ? concerned_cells() : std::set<std::string>();
+    if (!std::includes(concerned.begin(), concerned.end(), now_concerned.begin(), now_concerned.end())) {
+        all_told_of_ = follows = ++changes_;
+    }
+    // The owner of another cell has told the job's, an entry that was followed has not.
+    const bool pass_on = teller == row_teller::entry && changes_ != before;
+    if (!was_behind && follows == 0 && received == received_ && !pass_on) {
         written_ = changes_;
     }
 }
@@ -384,23 +425,20 @@
 
 wire::flow_job_row flow_job::current_row() const
 {
-    if (!bound_here()) {
-        return facts();
-    }
     wire::flow_job_row row = row_;
     row.stages = stage_rows();
     return row;
 }
 
-wire::flow_job_row flow_job::facts() const
+wire::flow_job_row flow_job::index_row() const
 {
     wire::flow_job_row row;
     row.cell = row_.cell;
+    row.accepted_by = row_.accepted_by;
+    row.accept_token = row_.accept_token;
     row.cancelled = row_.cancelled;
     row.started = row_.started;
-    row.starts_noted = row_.starts_noted;
-    row.claims = row_.claims;
-    row.stages = stage_rows();
+    row.outcome = row_.outcome;
     return row;
 }
 
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -39,6 +39,7 @@
     wire::flow_home_row home;   // the cell that takes care of it; no cell: the job's
     std::optional<std::pair<cell_id, epoch>> moves_to; // the cell that it is given to once its run has ended
     wire::flow_start_row start;                        // the newest that was noted; run 0: none
+    std::uint64_t received = 0; // the change of the job that tells that it came from another cell
 };
 
 // The tasks of one step in one occurrence.
@@ -60,8 +61,8 @@
 
 class flow_job {
 public:
-    // A flow as its own row tells it. `here`: the cell whose owner asks; `version`: of the row that this owner writes,
-    // 0 while there is none.
+    // A flow as a row tells it that says what was asked. `here`: the cell whose owner asks; `version`: of that cell's
+    // own row, 0 if the row is another one.
     flow_job(job_id id, cell_id here, const wire::flow_job_row& row, row_version version);
 
     const job_id& id() const { return id_; }
@@ -88,16 +89,26 @@
     bool timed() const { return spec_.occurrences > 0; }
     // The job is bound to `here`: its owner says what has become of it.
     bool bound_here() const { return row_.cell == here_.str(); }
-    // The row that the owner of `here` writes, and its version as last seen.
-    job_row_name written_row() const { return {id_, bound_here() ? "" : here_.str()}; }
+    // The version of the row of `here`, 0 while there is none.
     row_version version() const { return version_; }
     void note_version(row_version version) { version_ = std::max(version_, version); }
 
+    // It is given to `here` and the row of `here` tells so: before, an earlier owner may be told of it as well.
+    bool is_received(const flow_task& task) const { return task.received <= written_; }
     bool at_home(const flow_task& task) const;
     // Some task is taken care of by `here`.
     bool concerns_here() const;
-    // The other cells that take care of some of its tasks, or of the job.
-    std::vector<cell_id> other_cells() const;
+    // Another cell's owner, or somebody else, has told something of it.
+    void note_teller(const std::string& writer) { tellers_.insert(writer); }
+    // All that have, cells' owners and others.
+    const std::set<std::string>& tellers() const { return tellers_; }
+    // It is in that cell already, or may go to one more.
+    bool may_be_in(const cell_id& cell, std::size_t cells_most) const;
+    // The other cells that the next write has news for: the job's, those that tasks were given to, and all concerned
+    // when members of a gang move or the job has ended.
+    std::vector<cell_id> cells_to_tell() const;
+    // Callers will see a difference once the next write is in force.
+    bool index_changed() const { return index_changed_ > written_; }
     // Gives a task that no run of which lives to another cell; in force once it is written.
     void give_away(const flow_task_id& task, const cell_id& to, epoch to_epoch, epoch own_epoch);
     // The same with its runs numbered above `floor`; `to` may be the cell that has it.
@@ -122,15 +133,12 @@
     void note_start(const flow_task_id& task, const worker_id& worker, run_number run);
     // The run, if it is the one noted, is certainly not going on any more.
     void note_gone(const flow_task_id& task, run_number run);
-    // Says in the row that the owner of `here` of this epoch has taken the job on. From then on no write of an owner
-    // before it can come into force, since that checks the row's version as it was.
-    void claim(epoch cell_epoch);
-    // The newest epoch of `here` that has claimed it or was named when it was bound.
+    // The newest epoch of `here` that anyone has named to bind the job or give a task to it.
     epoch newest_epoch() const;
     void note_outcome(flow_state outcome);
 
     // Takes over the facts of another row of the job, in whatever order they come; none is ever taken back.
-    void merge(instant now, const wire::flow_job_row& other);
+    void merge(instant now, const wire::flow_job_row& other, row_teller teller);
 
     bool all_done() const;
     // Tasks that wait for a worker.
@@ -141,16 +149,17 @@
     std::uint64_t changes() const { return changes_; }
     std::uint64_t written() const { return written_; }
     void mark_written(std::uint64_t changes, row_version version);
-    // The row that the owner of `here` writes, as it should be now.
+    // The row of `here` as it should be now.
     wire::flow_job_row current_row() const;
-    // The same without what was asked, which the job's own row tells.
-    wire::flow_job_row facts() const;
+    // What callers ask.
+    wire::flow_job_row index_row() const;
 
 private:
     std::vector<wire::flow_stage_row> stage_rows() const;
+    std::set<std::string> concerned_cells() const;
     void add_stage(std::int32_t occurrence, std::int32_t step);
-    void load_stage(instant now, const wire::flow_stage_row& row);
-    void load_home(instant now, flow_stage& stage, flow_task& task, const wire::flow_home_row& home);
+    void load_stage(instant now, const wire::flow_stage_row& row, bool own);
+    void load_home(instant now, flow_stage& stage, flow_task& task, const wire::flow_home_row& home, bool own);
     static void load_start(flow_task& task, const wire::flow_start_row& start);
     bool due(std::int32_t occurrence, wall_time wall) const;
 
@@ -162,6 +171,13 @@
     row_version version_;
     std::uint64_t changes_ = 0;
     std::uint64_t written_ = 0;
+    std::set<std::string> tellers_;
+    std::int64_t newest_home_epoch_ = 0; // of `here`, that a task was given to
+    // The changes of which others are to be told.
+    std::map<std::string, std::uint64_t> given_to_; // by cell
+    std::uint64_t all_told_of_ = 0;                 // a cancel, the outcome, or a move of a gang's members
+    std::uint64_t index_changed_ = 0;
+    std::uint64_t received_ = 0; // the last that a task came from another cell with
 };
 
 } // namespace skylarkhub
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -66,8 +66,15 @@
 // Of the reading of all jobs: so few that they arrive over the narrow link of a small entry before they are given up.
 inline constexpr int job_readers = 2;
 inline constexpr int job_page_rows = 100;
-inline constexpr std::size_t commit_rows_most = 24; // of one transaction; the store's limit is 100 rows and 1 MB
-inline constexpr duration watch_interval = 2s;      // a lost message about a new row costs this much
+inline constexpr std::size_t commit_rows_most = 24; // of one transaction
+inline constexpr std::size_t commit_entries_most =
+    96; // checks, writes and removals of one; the store takes 100 and 1 MB
+// A job is in no more cells, so that all of them can be told of its end in one transaction, also where two cells have
+// given tasks to others that the first does not know of.
+inline constexpr std::size_t cells_per_job_most = 40;
+inline constexpr std::size_t cells_told_most = 90;
+inline constexpr duration removal_gap = 2s;    // rows of ended jobs cost nothing but at a takeover
+inline constexpr duration watch_interval = 2s; // a lost message about a new row costs this much
 
 inline constexpr duration summary_interval = 2s; // of the log line that tells how full a cell is
 
@@ -85,6 +92,7 @@
 inline constexpr duration peer_forgotten = 20s;  // a removed entry's address is not tried for ever
 inline constexpr duration peers_learned = 700ms; // after a start, before it looks for cells to own
 inline constexpr duration register_retry = 500ms;
+inline constexpr duration earlier_jobs_interval = 10s; // between looks whether an earlier release's jobs are gone
 inline constexpr duration entries_interval_start = 1s; // entries start within moments of each other
 inline constexpr duration entries_interval = 10s;      // after that they hear of each other
 inline constexpr duration list_interval_owner = 1s;    // a draining worker must get no work within 2 s
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -181,11 +181,12 @@
             continue;
         }
         const auto cell = cells_.find(cell_id(news.cell));
-        if (cell == cells_.end() || !cell->second->owns()) {
+        if (cell == cells_.end() || !cell->second->takes_news()) {
             answer.unknown_jobs.push_back(news.job);
             continue;
         }
-        cell->second->on_job_row(now, {job_id(news.job), news.writer}, *row, row_version(news.version));
+        cell->second->on_job_row(now, {cell_id(news.cell), job_id(news.job), news.writer}, *row,
+                                 row_version(news.version));
     }
     for (const wire::flow_state_news& news : message.states) {
         note_state(now, job_id(news.job), static_cast<flow_state>(news.state));
--- a/src/flow_pending.cpp
+++ b/src/flow_pending.cpp
@@ -26,8 +26,8 @@
 std::map<std::string, std::int32_t> flow_entry::count_untold() const
 {
     std::map<std::string, std::int32_t> counts;
-    for (const auto& [key, untold] : untold_) {
-        if (waits(untold.row) && untold.row.cell == key.first.str()) {
+    for (const auto& [name, untold] : untold_) {
+        if (waits(untold.row) && name == accepted_row(name.cell, name.job)) {
             ++counts[untold.row.queue];
         }
     }
--- a/src/flow_row.cpp
+++ b/src/flow_row.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <array>
 
 namespace skylarkhub {
@@ -57,49 +58,98 @@
     return fmt::format("{}.{}.{}.{}", task.job.str(), task.occurrence, task.step, task.index);
 }
 
-store_key job_key(const job_id& job)
-{
-    return {jobs_table, job_part(job), job.str()};
-}
-
 namespace {
 
-// Sorts right after the end of a job's id, so that its rows follow each other. In the names of rows that are no cell's
-// the mark keeps them apart from cells.
-constexpr char writer_separator = '/';
-constexpr char after_separator = '/' + 1;
-constexpr char no_cell_mark = '!';
+constexpr char separator = '/';           // of the parts of a key; in no cell's name and no job's id
+constexpr char after_separator = '/' + 1; // ends a range of keys
+constexpr char mark = '!';                // begins what is no cell's name and no job's id
+constexpr const char* accepted_mark = "!accepted";
+constexpr const char* cancelled_mark = "!cancelled";
+constexpr const char* ends_mark = "!ends-";
+constexpr const char* fence_mark = "!fence"; // sorts before all jobs
 
 } // namespace
 
+row_teller job_row_name::teller() const
+{
+    return is_own() ? row_teller::own : is_cell(writer) ? row_teller::other_cell : row_teller::entry;
+}
+
+bool is_cell(const std::string& writer)
+{
+    return !writer.empty() && writer.front() != mark;
+}
+
+job_row_name own_row(const cell_id& cell, const job_id& job)
+{
+    return {cell, job, cell.str()};
+}
+job_row_name accepted_row(const cell_id& cell, const job_id& job)
+{
+    return {cell, job, accepted_mark};
+}
+job_row_name cancel_row(const cell_id& cell, const job_id& job)
+{
+    return {cell, job, cancelled_mark};
+}
+job_row_name left_ends_row(const cell_id& cell, const job_id& job, const incarnation_id& entry)
+{
+    return {cell, job, ends_mark + entry.str()};
+}
+
 store_key job_row_key(const job_row_name& name)
 {
-    const std::string& job = name.job.str();
-    return {jobs_table, job_part(name.job), name.writer.empty() ? job : job + writer_separator + name.writer};
+    const std::string key = name.cell.str() + separator + name.job.str();
+    return name.is_own() ? store_key{jobs_table, job_part(name.job), key}
+                         : store_key{news_table, job_part(name.job), key + separator + name.writer};
 }
 
 job_row_name job_row_of(const store_key& key)
 {
-    const std::size_t at = key.key.find(writer_separator);
-    if (at == std::string::npos) {
-        return {job_id(key.key), ""};
+    const std::size_t cell_end = key.key.find(separator);
+    if (cell_end == std::string::npos) {
+        return {};
     }
-    return {job_id(key.key.substr(0, at)), key.key.substr(at + 1)};
+    const cell_id cell(key.key.substr(0, cell_end));
+    const std::size_t job_end = key.key.find(separator, cell_end + 1);
+    if (job_end == std::string::npos) {
+        return own_row(cell, job_id(key.key.substr(cell_end + 1)));
+    }
+    return {cell, job_id(key.key.substr(cell_end + 1, job_end - cell_end - 1)), key.key.substr(job_end + 1)};
 }
 
-job_row_name cancel_row(const job_id& job)
+store_range cell_rows(const char* table, const cell_id& cell, const std::string& part)
 {
-    return {job, std::string(1, no_cell_mark) + "cancelled"};
+    return {table, part, cell.str() + separator, cell.str() + after_separator};
 }
 
-job_row_name left_ends_row(const job_id& job, const incarnation_id& entry)
+store_range news_rows(const cell_id& cell, const job_id& job)
 {
-    return {job, std::string(1, no_cell_mark) + "ends-" + entry.str()};
+    const std::string key = cell.str() + separator + job.str();
+    return {news_table, job_part(job), key + separator, key + after_separator};
 }
 
-store_range job_rows(const job_id& job)
+store_key fence_key(const cell_id& cell, const std::string& part)
+{
+    return {jobs_table, part, cell.str() + separator + fence_mark};
+}
+
+bool is_fence(const store_key& key)
+{
+    return key.table == jobs_table && key.key.ends_with(std::string(1, separator) + fence_mark);
+}
+
+store_key index_key(const job_id& job)
+{
+    return {index_table, job_part(job), job.str()};
+}
+store_key index_cancel_key(const job_id& job)
 {
-    return {jobs_table, job_part(job), job.str(), job.str() + after_separator};
+    return {index_table, job_part(job), job.str() + separator + cancelled_mark};
+}
+store_range index_rows(const job_id& job)
+{
+    return {index_table, job_part(job), job.str(), job.str() + after_separator};
 }
 
 store_key cell_key(const cell_id& cell)
@@ -115,6 +165,14 @@
     return {layouts_table, shared_part, data_centre.str()};
 }
 
+std::vector<store_key> keys_of(const std::vector<store_row>& rows)
+{
+    std::vector<store_key> keys;
+    keys.reserve(rows.size());
+    std::transform(rows.begin(), rows.end(), std::back_inserter(keys), [](const store_row& row) { return row.key; });
+    return keys;
+}
+
 store_range only_row(store_key key)
 {
     std::string end = key.key + '\0';
@@ -175,6 +233,13 @@
     return row;
 }
 
+wire::flow_job_row without_spec(wire::flow_job_row row)
+{
+    row.payload.clear();
+    row.steps.clear();
+    return row;
+}
+
 flow_spec spec_of(const wire::flow_job_row& row)
 {
     flow_spec spec;
--- a/src/flow_row_read_p.h
+++ b/src/flow_row_read_p.h
@@ -27,20 +27,19 @@
     return decoded;
 }
 
-// What all rows of one job tell a caller of its state: its own row, started or cancelled as the others say. Empty when
-// its own row is not among them or cannot be read.
-inline std::optional<wire::flow_job_row> read_job_state(const flow_edges& edges, const std::vector<store_row>& rows)
+// What the rows of a job's index tell of its state. Empty when there are none, or the first cannot be read.
+inline std::optional<wire::flow_job_row> read_index(const flow_edges& edges, const std::vector<store_row>& rows)
 {
     std::optional<wire::flow_job_row> state;
     for (const store_row& row : rows) {
         const auto decoded = read_flow_row<wire::flow_job_row>(edges, row);
-        if (decoded && !state && job_row_of(row.key).writer.empty()) {
-            state = *decoded;
+        if (!decoded) {
+            continue;
         }
-        else if (decoded && state) {
-            state->started = state->started || decoded->started;
-            state->cancelled = state->cancelled || decoded->cancelled;
+        if (!state) {
+            state = *decoded;
         }
+        state->cancelled = state->cancelled || decoded->cancelled;
     }
     return state;
 }
