commits: a write in doubt is made void by a new fence before it is written again

Cause: the answer to the first write of the job's row was lost, and the write came into force seconds later (answers of the table came late from 31.5 to 36.1 s). By then the job had ended and its rows were removed; the late write checks that the row is absent, which it is again. The next owner found a row that goes on and ran it anew.

Ruled out: a late write of the accepting entry (its check of the index, which stays, refuses it).

Change: after a write whose outcome is unknown the owner writes its fence in that part anew before anything else there. Why it holds: every write is checked against the fence as it was when it was sent, so none that is still under way can come into force after. A fence write in doubt itself is settled by its version, never by its epoch alone.

--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -238,6 +238,9 @@
         edges_.note(log_level::warning, "table", "commit_failed", {{"part", part}, {"reason", result.reason}});
         break;
     }
+    if (result.outcome == table_outcome::unknown) {
+        fence_anew(part);
+    }
     if (!state.dirty.empty()) {
         commit_soon(now, part, state.backoff);
     }
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -288,6 +288,9 @@
     parts_left_ = job_parts;
     next_part_ = 0;
     read_rows_.clear();
+    for (auto& [part, state] : parts_) {
+        state.read = false;
+    }
     watched_ = row_version(std::numeric_limits<std::int64_t>::max());
     for (int i = 0; i < job_readers; ++i) {
         begin_part();
@@ -326,21 +329,14 @@
 
 void flow_cell::on_fenced(instant now, int part, const store_result& result)
 {
-    const auto fenced_at = [this, now, part](row_version version) {
-        parts_[job_part(part)].fence = version;
-        if (fresh_) {
-            watched_ = std::min(watched_, version); // nobody has told a cell anything that had no owner yet
-            end_part(now, part);
-            return;
-        }
-        read_part(part, news_table, "");
-    };
+    part_state& state = parts_[job_part(part)];
     if (result.outcome == table_outcome::applied) {
-        fenced_at(result.version);
+        use_fence(now, part, result.version);
         return;
     }
     if (result.outcome != table_outcome::conflict) {
-        edges_.after(commit_retry, [this, part, life = life_](instant) {
+        state.backoff = std::clamp<duration>(state.backoff * 2, commit_retry, commit_retry_most);
+        edges_.after(state.backoff, [this, part, life = life_](instant) {
             if (life == life_) {
                 fence_part(part, row_version(0));
             }
@@ -350,15 +346,48 @@
     // It shows the epoch of an owner before, or this owner's own if an answer was lost.
     const auto there =
         result.rows.empty() ? std::nullopt : read_flow_row<wire::flow_fence_row>(edges_, result.rows.front());
+    const row_version version = result.rows.empty() ? row_version(0) : result.rows.front().version;
     const std::int64_t epoch_there = there ? there->epoch : 0;
     if (epoch_there > epoch_.value()) {
         lose(now, "a later owner has fenced part " + job_part(part));
     }
-    else if (epoch_there == epoch_.value()) {
-        fenced_at(result.rows.front().version);
+    else if (epoch_there == epoch_.value() && version != state.fence_in_doubt) {
+        use_fence(now, part, version);
     }
     else {
-        fence_part(part, result.rows.empty() ? row_version(0) : result.rows.front().version);
+        fence_part(part, version);
+    }
+}
+
+void flow_cell::use_fence(instant now, int part, row_version version)
+{
+    part_state& state = parts_[job_part(part)];
+    state.fence = version;
+    state.backoff = duration(0);
+    if (state.read) {
+        commit_soon(now, job_part(part), duration(0));
+    }
+    else if (fresh_) {
+        watched_ = std::min(watched_, version); // nobody has told a cell anything that had no owner yet
+        end_part(now, part);
+    }
+    else {
+        read_part(part, news_table, "");
+    }
+}
+
+// Failure: the answer to a write is lost, and the write comes into force seconds later. Symptom: a row that was removed
+// with its job's end is there again as it was before, and the next owner runs the job anew. Checked against a fence
+// that is no longer there, it never comes into force.
+void flow_cell::fence_anew(const std::string& part)
+{
+    part_state& state = parts_[part];
+    state.fence_in_doubt = state.fence.value_or(state.fence_in_doubt);
+    state.fence.reset();
+    for (int number = 0; number < job_parts; ++number) {
+        if (job_part(number) == part) {
+            fence_part(number, state.fence_in_doubt);
+        }
     }
 }
 
@@ -404,6 +433,7 @@
 
 void flow_cell::end_part(instant now, int part)
 {
+    parts_[job_part(part)].read = true;
     take_part(now, part);
     begin_part();
     if (--parts_left_ == 0 && role_ == role::reading) {
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -184,7 +184,9 @@
 
     // The rows of one part that this owner writes.
     struct part_state {
-        std::optional<row_version> fence; // of this owner's; empty: not written yet
+        std::optional<row_version> fence; // of this owner's; empty: not written yet, or being written anew
+        row_version fence_in_doubt;       // that a write which may still come into force was checked against
+        bool read = false;                // since the takeover
         bool planned = false;
         instant due{};
         instant held_until{};                               // no try before, after one that failed
@@ -199,7 +201,7 @@
         {
             const bool rows = planned && !dirty.empty() && due <= now;
             const bool removals = !removable.empty() && removals_due <= now;
-            return (rows || removals) && held_until <= now && !in_flight;
+            return (rows || removals) && held_until <= now && !in_flight && fence;
         }
     };
 
@@ -224,6 +226,8 @@
     void on_taken(instant now, const wire::flow_cell_row& wanted, const store_result& result);
     void fence_part(int part, row_version known);
     void on_fenced(instant now, int part, const store_result& result);
+    void use_fence(instant now, int part, row_version version);
+    void fence_anew(const std::string& part);
     void read_all_jobs();
     void begin_part();
     void read_part(int part, const char* table, const std::string& from);
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -284,6 +284,14 @@
             answer(std::move(done), result, 1500ms);
             return;
         }
+        const bool of_row = std::any_of(t.puts.begin(), t.puts.end(), [](const store_put& put) {
+            return put.key.table == jobs_table && !is_fence(put.key);
+        });
+        if (of_row && row_write_delay_ > duration(0)) {
+            later(std::exchange(row_write_delay_, duration(0)), [this, t] { apply(t); });
+            answer(std::move(done), store_result{}, 1500ms);
+            return;
+        }
         later(options_.table_latency, [this, entry, t, answer, done = std::move(done)] {
             store_result result = apply(t);
             if (answers_to_lose_ > 0) {
--- a/tests/test_flow_commit.cpp
+++ b/tests/test_flow_commit.cpp
@@ -255,6 +255,30 @@
     BOOST_TEST(w.rows_of(job_a) == 0);
 }
 
+// A write whose answer was lost brings an ended job's row back, and the next owner runs the job again.
+BOOST_AUTO_TEST_CASE(a_write_that_comes_late_brings_no_removed_row_back)
+{
+    for (duration late = 1s; late <= 9s; late += 500ms) {
+        BOOST_TEST_CONTEXT("in force after " << late.count() / 1000 << " ms")
+        {
+            flow_world w({});
+            w.run_for(2s);
+            w.delay_next_row_write(late);
+            BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 3)) == caller_result::accepted);
+            BOOST_REQUIRE(w.run_until([&] { return w.outcome_in_row(job_a) == 1; }, 20s));
+            w.run_for(10s);
+            BOOST_TEST(w.rows_of(job_a) == 0);
+            for (int i = 0; i < 2; ++i) {
+                w.kill_entry(i);
+                w.start_entry(i);
+            }
+            w.run_for(10s);
+            BOOST_TEST(w.starts_of(job_a) == 3);
+            check_no_faults(w);
+        }
+    }
+}
+
 // A row that cannot be read makes its job's tasks run again, or stops the rest of the cell.
 BOOST_AUTO_TEST_CASE(a_row_that_cannot_be_read_starts_nothing_and_is_kept)
 {
