commits: a fence written twice at the same time is taken once; ended jobs' rows go after 10 s

A part that is read again while its fence is written anew would have been counted as read twice, and the cell's looks at news would have stopped.

They cost nothing but at a takeover.

--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -362,6 +362,10 @@
 void flow_cell::use_fence(instant now, int part, row_version version)
 {
     part_state& state = parts_[job_part(part)];
+    if (state.fence) {
+        state.fence = std::max(*state.fence, version); // it was written twice at the same time
+        return;
+    }
     state.fence = version;
     state.backoff = duration(0);
     if (state.read) {
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -73,7 +73,7 @@
 // given tasks to others that the first does not know of.
 inline constexpr std::size_t cells_per_job_most = 40;
 inline constexpr std::size_t cells_told_most = 90;
-inline constexpr duration removal_gap = 2s;    // rows of ended jobs cost nothing but at a takeover
+inline constexpr duration removal_gap = 10s;   // rows of ended jobs cost nothing but at a takeover
 inline constexpr duration watch_interval = 2s; // a lost message about a new row costs this much
 
 inline constexpr duration summary_interval = 2s; // of the log line that tells how full a cell is
