--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -263,7 +263,7 @@
     void adopt_strays(instant now, flow_job& job);
     void tell_ended(instant now, const job_id& job, const wire::flow_job_row& index,
                     const std::vector<store_row>& rows);
-    void on_unknown_index(instant now, const job_id& job, const store_page& page);
+    void on_unknown_index(const job_id& job, const store_page& page);
     void on_unknown_job(instant now, const job_id& job, const std::vector<store_row>& rows);
     void adopt(instant now, cell_worker& w, flow_job& job, const listed_run& run);
     void find_missing(instant now, cell_worker& w, instant sent, const order_answer& answer);
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -434,14 +434,14 @@
 
 void flow_cell::ask_unknown_job(const job_id& job)
 {
-    edges_.read(index_rows(job), [this, job, life = life_](instant then, const store_page& page) {
+    edges_.read(index_rows(job), [this, job, life = life_](instant, const store_page& page) {
         if (life == life_) {
-            on_unknown_index(then, job, page);
+            on_unknown_index(job, page);
         }
     });
 }
 
-void flow_cell::on_unknown_index(instant now, const job_id& job, const store_page& page)
+void flow_cell::on_unknown_index(const job_id& job, const store_page& page)
 {
     const auto again = [this, job, life = life_](instant) {
         if (life == life_) {
