tests: the check of broken promises and the spec of a lasting step stand once

Seven test programs of flows held the same check_no_faults, four the same lasting_spec. The check moves to support_flow_checks.h, the spec beside chain_spec.

--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -54,6 +54,13 @@
     return spec;
 }
 
+flow_spec lasting_spec(int count, std::int64_t cpu_millis)
+{
+    flow_spec spec = chain_spec(1, count, cpu_millis);
+    spec.steps.front().lasting = true;
+    return spec;
+}
+
 flow_world::flow_world(options o) : options_(std::move(o)), random_(make_random(options_.seed))
 {
     int n = 0;
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -269,5 +269,7 @@
 
 // A flow of `steps` steps, one after the other, of `count` tasks each.
 flow_spec chain_spec(int steps, int count, std::int64_t cpu_millis = 1000);
+// One step that lasts.
+flow_spec lasting_spec(int count, std::int64_t cpu_millis = 1000);
 
 } // namespace skylarkhub::test
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 
+#include "support_flow_checks.h"
 #include "support_flow_world.h"
 
 using namespace skylarkhub;
@@ -20,20 +21,6 @@
     return w.state(entry, job) == flow_state::done;
 }
 
-void check_no_faults(const flow_world& w)
-{
-    for (const std::string& fault : w.faults()) {
-        BOOST_ERROR(fault);
-    }
-}
-
-flow_spec lasting_spec(int count, std::int64_t cpu_millis)
-{
-    flow_spec spec = chain_spec(1, count, cpu_millis);
-    spec.steps.front().lasting = true;
-    return spec;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(steps_run_in_order_and_the_job_is_shown_done_at_every_entry)
--- a/tests/test_flow_cancel.cpp
+++ b/tests/test_flow_cancel.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "base_random_p.h"
+#include "support_flow_checks.h"
 #include "support_flow_world.h"
 
 using namespace skylarkhub;
@@ -13,20 +14,6 @@
 
 const std::string job_a = "00000000000000aa";
 
-void check_no_faults(const flow_world& w)
-{
-    for (const std::string& fault : w.faults()) {
-        BOOST_ERROR(fault);
-    }
-}
-
-flow_spec lasting_spec(int count)
-{
-    flow_spec spec = chain_spec(1, count);
-    spec.steps.front().lasting = true;
-    return spec;
-}
-
 int owner_of(flow_world& w)
 {
     return w.entry(0)->cells().at(cell_id("a"))->owns() ? 0 : 1;
--- a/tests/test_flow_commit.cpp
+++ b/tests/test_flow_commit.cpp
@@ -4,6 +4,7 @@
 
 #include "flow_job_p.h"
 #include "flow_row_p.h"
+#include "support_flow_checks.h"
 #include "support_flow_world.h"
 
 using namespace skylarkhub;
@@ -14,13 +15,6 @@
 
 const std::string job_a = "00000000000000aa";
 
-void check_no_faults(const flow_world& w)
-{
-    for (const std::string& fault : w.faults()) {
-        BOOST_ERROR(fault);
-    }
-}
-
 // Two cells; one job has more tasks than its own has room for, so that many move.
 flow_world::options crowded()
 {
--- a/tests/test_flow_layout.cpp
+++ b/tests/test_flow_layout.cpp
@@ -4,6 +4,7 @@
 
 #include "flow_layout_p.h"
 #include "flow_limits_p.h"
+#include "support_flow_checks.h"
 #include "support_flow_world.h"
 
 using namespace skylarkhub;
@@ -42,13 +43,6 @@
     return owned;
 }
 
-void check_no_faults(const flow_world& w)
-{
-    for (const std::string& fault : w.faults()) {
-        BOOST_ERROR(fault);
-    }
-}
-
 // Eight entries as unequal as those of a large site, and workers for five cells.
 flow_world::options large_site()
 {
--- a/tests/test_flow_list.cpp
+++ b/tests/test_flow_list.cpp
@@ -4,6 +4,7 @@
 
 #include "flow_limits_p.h"
 #include "flow_unusable_p.h"
+#include "support_flow_checks.h"
 #include "support_flow_world.h"
 
 using namespace skylarkhub;
@@ -15,13 +16,6 @@
 const std::string job_a = "00000000000000aa";
 const std::string job_b = "00000000000000bb";
 
-void check_no_faults(const flow_world& w)
-{
-    for (const std::string& fault : w.faults()) {
-        BOOST_ERROR(fault);
-    }
-}
-
 // An entry like that of worker `n`, under another name.
 flow_listed_worker copy_of(const flow_world& w, int n, const std::string& name)
 {
--- a/tests/test_flow_moves.cpp
+++ b/tests/test_flow_moves.cpp
@@ -1,6 +1,7 @@
 // Tasks that move to another cell: because their worker leaves, or because their own cell has no room for them.
 #include <boost/test/unit_test.hpp>
 
+#include "support_flow_checks.h"
 #include "support_flow_world.h"
 
 using namespace skylarkhub;
@@ -13,20 +14,6 @@
 const std::string job_b = "00000000000000bb";
 const std::string job_c = "00000000000000cc";
 
-void check_no_faults(const flow_world& w)
-{
-    for (const std::string& fault : w.faults()) {
-        BOOST_ERROR(fault);
-    }
-}
-
-flow_spec lasting_spec(int count, std::int64_t cpu_millis)
-{
-    flow_spec spec = chain_spec(1, count, cpu_millis);
-    spec.steps.front().lasting = true;
-    return spec;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(what_lasts_leaves_a_full_cell_before_its_worker_goes)
--- a/tests/test_flow_takeover.cpp
+++ b/tests/test_flow_takeover.cpp
@@ -4,6 +4,7 @@
 
 #include <set>
 
+#include "support_flow_checks.h"
 #include "support_flow_world.h"
 
 using namespace skylarkhub;
@@ -23,20 +24,6 @@
 // give a lease, as its follower knows it, a lease with its margin, and the start.
 constexpr duration lapsed_most = 12s;
 
-void check_no_faults(const flow_world& w)
-{
-    for (const std::string& fault : w.faults()) {
-        BOOST_ERROR(fault);
-    }
-}
-
-flow_spec lasting_spec(int count, std::int64_t cpu_millis)
-{
-    flow_spec spec = chain_spec(1, count, cpu_millis);
-    spec.steps.front().lasting = true;
-    return spec;
-}
-
 int owner_of(flow_world& w)
 {
     int owner = 0;
