flow cells: parts by name throughout, what a row tells worked out once, one test of being bound here

A fence written anew looked for its part's number by trying all names; parts are now named by their name from the first read on. A row's cells to tell were worked out twice for each write, once for the bound and once for the row.

--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -100,8 +100,7 @@
     }
 }
 
-// The row, the news for other cells and what callers ask are in force together or not at all.
-flow_cell::committed_row flow_cell::add_row(store_transaction& t, const flow_job& job) const
+flow_cell::committed_row flow_cell::row_of(const flow_job& job) const
 {
     committed_row row{job.id(), job.changes(), job.current_row(), job.cells_to_tell()};
     if (row.told.size() > cells_told_most) {
@@ -109,6 +108,12 @@
                     {{"job", job.id().str()}, {"cells", std::to_string(row.told.size())}});
         row.told.resize(cells_told_most);
     }
+    return row;
+}
+
+// The row, the news for other cells and what callers ask are in force together or not at all.
+void flow_cell::add_row(store_transaction& t, const flow_job& job, const committed_row& row) const
+{
     const store_key own = job_row_key(own_row(id_, job.id()));
     t.checks.push_back({own, job.version()});
     t.puts.push_back({own, encode_compact(row.row)});
@@ -118,7 +123,6 @@
     if (job.bound_here() && job.index_changed()) {
         t.puts.push_back({index_key(job.id()), encode_compact(job.index_row())});
     }
-    return row;
 }
 
 void flow_cell::send_rows(const std::string& part, const std::vector<job_id>& ids)
@@ -129,11 +133,12 @@
     std::vector<committed_row> rows;
     for (const job_id& id : ids) {
         const flow_job& job = *jobs_.at(id);
-        const std::size_t entries = t.checks.size() + t.puts.size() + job.cells_to_tell().size() + own_entries;
-        if (!rows.empty() && entries > commit_entries_most) {
+        committed_row row = row_of(job);
+        if (!rows.empty() && t.checks.size() + t.puts.size() + row.told.size() + own_entries > commit_entries_most) {
             break;
         }
-        rows.push_back(add_row(t, job));
+        add_row(t, job, row);
+        rows.push_back(std::move(row));
     }
     ++stats_.commits;
     state.in_flight = true;
--- a/src/flow_cell_gangs.cpp
+++ b/src/flow_cell_gangs.cpp
@@ -154,7 +154,7 @@
 {
     const std::optional<run_number> run = shared_run(stage);
     const bool joins = may_join(job, stage);
-    const bool job_here = job.row().cell == id_.str();
+    const bool job_here = job.bound_here();
     bool changed = false;
     for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
         const flow_task& task = stage.tasks[i];
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -303,8 +303,8 @@
     if (next_part_ == job_parts) {
         return;
     }
-    const int part = next_part_++;
-    if (parts_[job_part(part)].fence) {
+    const std::string part = job_part(next_part_++);
+    if (parts_[part].fence) {
         read_part(part, news_table, "");
     }
     else {
@@ -312,11 +312,11 @@
     }
 }
 
-void flow_cell::fence_part(int part, row_version known)
+void flow_cell::fence_part(const std::string& part, row_version known)
 {
     wire::flow_fence_row row;
     row.epoch = epoch_.value();
-    const store_key key = fence_key(id_, job_part(part));
+    const store_key key = fence_key(id_, part);
     store_transaction t;
     t.checks.push_back({key, known});
     t.puts.push_back({key, encode_compact(row)});
@@ -327,9 +327,9 @@
     });
 }
 
-void flow_cell::on_fenced(instant now, int part, const store_result& result)
+void flow_cell::on_fenced(instant now, const std::string& part, const store_result& result)
 {
-    part_state& state = parts_[job_part(part)];
+    part_state& state = parts_[part];
     if (result.outcome == table_outcome::applied) {
         use_fence(now, part, result.version);
         return;
@@ -349,7 +349,7 @@
     const row_version version = result.rows.empty() ? row_version(0) : result.rows.front().version;
     const std::int64_t epoch_there = there ? there->epoch : 0;
     if (epoch_there > epoch_.value()) {
-        lose(now, "a later owner has fenced part " + job_part(part));
+        lose(now, "a later owner has fenced part " + part);
     }
     else if (epoch_there == epoch_.value() && version != state.fence_in_doubt) {
         use_fence(now, part, version);
@@ -359,9 +359,9 @@
     }
 }
 
-void flow_cell::use_fence(instant now, int part, row_version version)
+void flow_cell::use_fence(instant now, const std::string& part, row_version version)
 {
-    part_state& state = parts_[job_part(part)];
+    part_state& state = parts_[part];
     if (state.fence) {
         state.fence = std::max(*state.fence, version); // it was written twice at the same time
         return;
@@ -369,7 +369,7 @@
     state.fence = version;
     state.backoff = duration(0);
     if (state.read) {
-        commit_soon(now, job_part(part), duration(0));
+        commit_soon(now, part, duration(0));
     }
     else if (fresh_) {
         watched_ = std::min(watched_, version); // nobody has told a cell anything that had no owner yet
@@ -388,16 +388,12 @@
     part_state& state = parts_[part];
     state.fence_in_doubt = state.fence.value_or(state.fence_in_doubt);
     state.fence.reset();
-    for (int number = 0; number < job_parts; ++number) {
-        if (job_part(number) == part) {
-            fence_part(number, state.fence_in_doubt);
-        }
-    }
+    fence_part(part, state.fence_in_doubt);
 }
 
-void flow_cell::read_part(int part, const char* table, const std::string& from)
+void flow_cell::read_part(const std::string& part, const char* table, const std::string& from)
 {
-    store_range range = cell_rows(table, id_, job_part(part));
+    store_range range = cell_rows(table, id_, part);
     range.from = from.empty() ? range.from : from;
     range.rows_most = job_page_rows;
     edges_.read(range, [this, part, table, from, life = life_](instant then, const store_page& page) {
@@ -416,7 +412,7 @@
     });
 }
 
-void flow_cell::on_part_read(instant now, int part, const char* table, const store_page& page)
+void flow_cell::on_part_read(instant now, const std::string& part, const char* table, const store_page& page)
 {
     watched_ = std::min(watched_, page.version);
     for (const store_row& row : page.rows) {
@@ -435,9 +431,9 @@
     end_part(now, part);
 }
 
-void flow_cell::end_part(instant now, int part)
+void flow_cell::end_part(instant now, const std::string& part)
 {
-    parts_[job_part(part)].read = true;
+    parts_[part].read = true;
     take_part(now, part);
     begin_part();
     if (--parts_left_ == 0 && role_ == role::reading) {
@@ -447,7 +443,7 @@
 
 // Of a job without a row of this cell only that it was accepted shows that it goes on: news of another cell may have
 // come after its end.
-void flow_cell::take_part(instant now, int part)
+void flow_cell::take_part(instant now, const std::string& part)
 {
     const auto rows = read_rows_.extract(part);
     if (rows.empty()) {
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -224,16 +224,16 @@
     void probe_then_take();
     void take(instant now);
     void on_taken(instant now, const wire::flow_cell_row& wanted, const store_result& result);
-    void fence_part(int part, row_version known);
-    void on_fenced(instant now, int part, const store_result& result);
-    void use_fence(instant now, int part, row_version version);
+    void fence_part(const std::string& part, row_version known);
+    void on_fenced(instant now, const std::string& part, const store_result& result);
+    void use_fence(instant now, const std::string& part, row_version version);
     void fence_anew(const std::string& part);
     void read_all_jobs();
     void begin_part();
-    void read_part(int part, const char* table, const std::string& from);
-    void on_part_read(instant now, int part, const char* table, const store_page& page);
-    void end_part(instant now, int part);
-    void take_part(instant now, int part);
+    void read_part(const std::string& part, const char* table, const std::string& from);
+    void on_part_read(instant now, const std::string& part, const char* table, const store_page& page);
+    void end_part(instant now, const std::string& part);
+    void take_part(instant now, const std::string& part);
     void become_owner(instant now);
     void write_row(const wire::flow_cell_row& wanted, std::function<void(instant, const store_result&)> done);
     void renew(instant now);
@@ -374,7 +374,8 @@
     void commit_soon(instant now, const std::string& part, duration wait);
     static std::vector<job_id> pick_group(const part_state& state);
     void send_rows(const std::string& part, const std::vector<job_id>& ids);
-    committed_row add_row(store_transaction& t, const flow_job& job) const;
+    committed_row row_of(const flow_job& job) const;
+    void add_row(store_transaction& t, const flow_job& job, const committed_row& row) const;
     void send_removals(instant now, const std::string& part);
     void drop_clean(instant now, part_state& state);
     void commit_part(instant now, const std::string& part);
@@ -445,8 +446,8 @@
     instant next_summary_{};
     instant next_vacating_{};
     int parts_left_ = 0;
-    int next_part_ = 0;                                                 // whose reading has not begun
-    std::map<int, std::map<job_id, std::vector<store_row>>> read_rows_; // by part, of parts that are being read
+    int next_part_ = 0;                                                         // whose reading has not begun
+    std::map<std::string, std::map<job_id, std::vector<store_row>>> read_rows_; // by part, of parts that are being read
     std::map<job_id, std::set<stray_run>> reading_jobs_;
 
     std::map<worker_id, cell_worker> workers_;
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -394,7 +394,6 @@
 std::unique_ptr<flow_job> flow_cell::read_job(const job_id& id, const std::vector<store_row>& rows) const
 {
     std::vector<std::pair<job_row_name, wire::flow_job_row>> told;
-    const store_row* base = nullptr;
     std::unique_ptr<flow_job> made;
     for (const store_row& row : rows) {
         auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
@@ -406,8 +405,7 @@
             continue;
         }
         const bool whole = !decoded->steps.empty();
-        if (whole && (base == nullptr || name.is_own())) {
-            base = &row;
+        if (whole && (made == nullptr || name.is_own())) {
             made = std::make_unique<flow_job>(id, id_, *decoded, name.is_own() ? row.version : row_version(0));
         }
         told.emplace_back(name, std::move(*decoded));
@@ -639,7 +637,7 @@
 std::int64_t flow_cell::pending(const queue_id& queue) const
 {
     return std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& j) {
-        return j.second->row().queue == queue.str() && j.second->row().cell == id_.str() && !j.second->started() &&
+        return j.second->row().queue == queue.str() && j.second->bound_here() && !j.second->started() &&
                !j.second->cancelled();
     });
 }
@@ -723,7 +721,7 @@
         count_fill_room(w, pool);
     }
     for (const auto& [id, job] : jobs_) {
-        if (!job->started() && !job->cancelled() && job->row().cell == id_.str()) {
+        if (!job->started() && !job->cancelled() && job->bound_here()) {
             ++news.pending[job->row().queue];
         }
         const auto pool = pools.find(job->row().service_name);
