cells: a task that waits says for what

Callers saw a lasting task stand still for ten seconds, and no line told what its owners waited for: cell load tells that one waits, cell accounted that some worker never answered, and neither which, nor since when. Added: task waits, each second and for eight tasks a cell at most, with the reason (may still run on a worker that has not answered, which one and how long it has been silent; not received; owner silent; no worker; no room). With the load it stands in flow_cell_log.cpp. No decision is changed. a_task_that_waits_says_for_what fails without it.

--- /dev/null
+++ b/src/flow_cell_log.cpp
@@ -0,0 +1,173 @@
+// What a cell's owner logs of its load, and of the tasks that wait.
+#include <algorithm>
+
+#include "flow_cell_p.h"
+#include "flow_limits_p.h"
+#include "log_line_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+namespace {
+
+const char* name_of(task_wait_reason reason)
+{
+    switch (reason) {
+    case task_wait_reason::not_received:
+        return "not_received";
+    case task_wait_reason::may_still_run:
+        return "may_still_run";
+    case task_wait_reason::owner_silent:
+        return "owner_silent";
+    case task_wait_reason::workers_not_listed:
+        return "workers_not_listed";
+    case task_wait_reason::no_worker:
+        return "no_worker";
+    case task_wait_reason::no_room:
+        return "no_room";
+    }
+    return "";
+}
+
+} // namespace
+
+flow_cell::task_wait flow_cell::why_waits(instant now, const flow_job& job, const flow_stage& stage,
+                                          const flow_task& task) const
+{
+    if (!may_send(now)) {
+        return {task_wait_reason::owner_silent, worker_id()};
+    }
+    if (!listed_since_taken_ && now - taken_at_ < list_wait_most) {
+        return {task_wait_reason::workers_not_listed, worker_id()};
+    }
+    if (!job.is_received(task)) {
+        return {task_wait_reason::not_received, worker_id()};
+    }
+    if (!may_start(job, stage, task)) {
+        return {task_wait_reason::may_still_run, worker_id(task.start.worker)};
+    }
+    const flow_step& step = job.step(stage);
+    const bool usable = std::any_of(workers_.begin(), workers_.end(), [&](const auto& w) {
+        return takes_starts(now, w.second) && w.second.listing.service == job.row().service_name &&
+               has_label(w.second.listing.labels, step.label);
+    });
+    return {usable ? task_wait_reason::no_room : task_wait_reason::no_worker, worker_id()};
+}
+
+// Those that last first, as they are missed soonest; then those that have waited longest.
+void flow_cell::log_waits(instant now)
+{
+    struct waiting_task {
+        bool lasting = false;
+        instant since{};
+        const flow_job* job = nullptr;
+        const flow_stage* stage = nullptr;
+        std::size_t index = 0;
+    };
+    std::vector<waiting_task> waiting;
+    for (const ready_key& key : ready_) {
+        const auto found = jobs_.find(key.job);
+        if (found == jobs_.end()) {
+            continue;
+        }
+        const flow_job& job = *found->second;
+        for (const flow_stage& stage : job.stages()) {
+            for (std::size_t i = 0; stage.ready > 0 && i < stage.tasks.size(); ++i) {
+                const flow_task& task = stage.tasks[i];
+                if (task.stage == task_stage::ready && now - task.ready_since >= wait_logged_after) {
+                    waiting.push_back({job.step(stage).lasting, task.ready_since, &job, &stage, i});
+                }
+            }
+        }
+    }
+    std::sort(waiting.begin(), waiting.end(), [](const waiting_task& a, const waiting_task& b) {
+        return std::pair(!a.lasting, a.since) < std::pair(!b.lasting, b.since);
+    });
+    waiting.resize(std::min(waiting.size(), waits_logged_most));
+    for (const waiting_task& w : waiting) {
+        const task_wait why = why_waits(now, *w.job, *w.stage, w.stage->tasks[w.index]);
+        const auto on = workers_.find(why.worker);
+        const duration silence = on == workers_.end() ? duration(0) : now - std::max(on->second.last_answer, taken_at_);
+        edges_.note(log_level::info, "task", "waits",
+                    {{"task", text_of(w.job->task_id(*w.stage, w.index))},
+                     {"cell", id_.str()},
+                     {"epoch", std::to_string(epoch_.value())},
+                     {"for_ms", std::to_string((now - w.since).count() / 1000)},
+                     {"reason", name_of(why.reason)},
+                     {"worker", why.worker.valid() ? why.worker.str() : "none"},
+                     {"worker_silent_ms", std::to_string(silence.count() / 1000)}});
+    }
+}
+
+void flow_cell::log_summary(instant now) const
+{
+    resources room;
+    resources held;
+    std::int64_t filling = 0;
+    std::int64_t lasting = 0;
+    std::int64_t largest_free = 0;
+    int usable = 0;
+    int silent = 0;
+    for (const auto& [id, w] : workers_) {
+        silent += w.silent > 0 ? 1 : 0;
+        if (!w.listed || !w.fenced || w.listing.draining || w.silent > 0) {
+            continue;
+        }
+        ++usable;
+        room = room + w.listing.room;
+        held = held + w.held;
+        filling += w.filling_cpu;
+        lasting += w.lasting_cpu;
+        largest_free = std::max(largest_free, w.listing.room.cpu_millis - w.held.cpu_millis);
+    }
+    std::map<std::string, int> ready;
+    duration oldest_lasting{0};
+    std::string oldest;
+    for (const auto& [id, job] : jobs_) {
+        for (const flow_stage& stage : job->stages()) {
+            const flow_step& step = job->step(stage);
+            for (std::size_t i = 0; step.lasting && i < stage.tasks.size(); ++i) {
+                const flow_task& task = stage.tasks[i];
+                if (task.stage == task_stage::ready && now - task.ready_since > oldest_lasting) {
+                    oldest_lasting = now - task.ready_since;
+                    oldest = id.str() + "." + std::to_string(stage.step) + "." + std::to_string(i);
+                }
+            }
+            ready[step.lasting ? "ready_lasting" : step.filling ? "ready_filling" : "ready_plain"] += stage.ready;
+        }
+    }
+    std::size_t unwritten = 0;
+    duration oldest_unwritten{0};
+    for (const auto& [part, state] : parts_) {
+        unwritten += state.dirty.size();
+        for (const auto& [id, since] : state.dirty) {
+            oldest_unwritten = std::max(oldest_unwritten, now - since);
+        }
+    }
+    edges_.note(log_level::info, "cell", "load",
+                {{"cell", id_.str()},
+                 {"epoch", std::to_string(epoch_.value())},
+                 {"jobs", std::to_string(jobs_.size())},
+                 {"awaited", std::to_string(awaited_.size())},
+                 {"workers", std::to_string(usable)},
+                 {"silent", std::to_string(silent)},
+                 {"room_cpu", std::to_string(room.cpu_millis)},
+                 {"held_cpu", std::to_string(held.cpu_millis)},
+                 {"lasting_cpu", std::to_string(lasting)},
+                 {"filling_cpu", std::to_string(filling)},
+                 {"largest_free_cpu", std::to_string(largest_free)},
+                 {"room_memory", std::to_string(room.memory_mib)},
+                 {"held_memory", std::to_string(held.memory_mib)},
+                 {"ready_lasting", std::to_string(ready["ready_lasting"])},
+                 {"ready_filling", std::to_string(ready["ready_filling"])},
+                 {"ready_plain", std::to_string(ready["ready_plain"])},
+                 {"oldest_lasting", oldest.empty() ? "none" : oldest},
+                 {"oldest_lasting_ms", std::to_string(oldest_lasting.count() / 1000)},
+                 {"unwritten", std::to_string(unwritten)},
+                 {"oldest_unwritten_ms", std::to_string(oldest_unwritten.count() / 1000)},
+                 {"commits", std::to_string(stats_.commits)},
+                 {"conflicts", std::to_string(stats_.commits_conflicted)}});
+}
+
+} // namespace skylarkhub
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -121,6 +121,10 @@
         next_summary_ = now + summary_interval;
         log_summary(now);
     }
+    if (now >= next_waits_log_) {
+        next_waits_log_ = now + waits_log_interval;
+        log_waits(now);
+    }
     if (now >= next_give_away_) {
         give_away_waiting(now);
     }
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -60,6 +60,16 @@
     std::function<void(instant, const wire::flow_job_row&, const job_id&, flow_state)> state_changed;
 };
 
+// Why a task that is ready is not placed.
+enum class task_wait_reason : std::uint8_t {
+    not_received,  // this cell's row does not tell yet that it came here
+    may_still_run, // under an owner before, on a worker that has not told what it runs
+    owner_silent,  // the owner has not renewed for long and sends nothing
+    workers_not_listed,
+    no_worker, // none of its service and label takes starts
+    no_room,
+};
+
 // How this entry stands to the cell's owner and to other candidates.
 struct cell_candidacy {
     bool owner_live = false;      // the owner's incarnation answers its peers
@@ -346,10 +356,18 @@
     void index_ready(flow_job& job);
     void drop_ready(const job_id& job);
     void index_ready_again();
-    void log_summary(instant now) const;
     void tell_others(instant now, const committed_row& written, row_version version);
     void tick_timed(instant now);
 
+    // flow_cell_log.cpp
+    struct task_wait {
+        task_wait_reason reason = task_wait_reason::no_room;
+        worker_id worker; // where it may still run; invalid: nowhere
+    };
+    task_wait why_waits(instant now, const flow_job& job, const flow_stage& stage, const flow_task& task) const;
+    void log_waits(instant now);
+    void log_summary(instant now) const;
+
     // flow_cell_moves.cpp
     void give_away_waiting(instant now);
     int give_away_tasks(instant now, flow_job& job, flow_stage& stage, int most);
@@ -444,6 +462,7 @@
     row_version watched_;    // the jobs table is known up to here
     instant next_give_away_{};
     instant next_summary_{};
+    instant next_waits_log_{};
     instant next_vacating_{};
     int parts_left_ = 0;
     int next_part_ = 0;                                                         // whose reading has not begun
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -77,6 +77,10 @@
 inline constexpr duration watch_interval = 2s; // a lost message about a new row costs this much
 
 inline constexpr duration summary_interval = 2s; // of the log line that tells how full a cell is
+// Of the lines that tell why tasks wait. Filling work waits for seconds by design: a few of it show why.
+inline constexpr duration waits_log_interval = 1s;
+inline constexpr duration wait_logged_after = 1s;
+inline constexpr std::size_t waits_logged_most = 8;
 
 // --- entries ---
 inline constexpr duration hello_interval = 500ms;
--- a/tests/test_flow_takeover.cpp
+++ b/tests/test_flow_takeover.cpp
@@ -125,6 +125,18 @@
     }
 }
 
+// A task that waits for a worker which cannot be asked leaves no trace of why.
+BOOST_AUTO_TEST_CASE(a_task_that_waits_says_for_what)
+{
+    flow_world w({.entries_each = 3, .workers_each = 6});
+    start_lasting_jobs(w);
+    BOOST_TEST(w.logged("task", "waits") == 0);
+    w.crash_worker(busy_workers(w).front(), false);
+    w.kill_entry(owner_of(w));
+    w.run_for(takeover_most + 2 * start_most);
+    BOOST_TEST(w.logged("task", "waits") > 0);
+}
+
 BOOST_AUTO_TEST_CASE(an_owner_that_stands_still_around_a_start_leaves_no_task_to_run_twice)
 {
     // An owner stands still at any moment from the choice of a worker to the worker's answer: before the table has the
