tests: a lease that is waited out once for each owner (known red)

Callers see a lasting task stand still for ten seconds and more while entries are restarted in turn. Order: a worker leaves with the task, its owner begins to wait for the end of the lease, the owner is followed by plan or killed, and the next one begins the same wait anew, from its takeover.

--- a/tests/test_flow_takeover.cpp
+++ b/tests/test_flow_takeover.cpp
@@ -20,6 +20,8 @@
 constexpr duration takeover_most = 4s;
 // From then on: the list of workers, the claim of the job, the write that tells of the start, the start.
 constexpr duration start_most = 1s;
+// From a worker's last exchange until every lease that was given to it has certainly ended: a lease with its margin.
+constexpr duration lease_most = 6400ms;
 // From the owner's last word until what runs unseen has ended and started again: the time in which an owner may still
 // give a lease, as its follower knows it, a lease with its margin, and the start.
 constexpr duration lapsed_most = 12s;
@@ -125,6 +127,57 @@
     }
 }
 
+// Tasks of a worker that is gone wait out one lease, not one for each owner that the cell has meanwhile.
+BOOST_AUTO_TEST_CASE(owners_that_are_restarted_in_turn_wait_out_one_lease)
+{
+    for (const int restarts : {1, 2, 3}) {
+        BOOST_TEST_CONTEXT(restarts << " restarts")
+        {
+            flow_world w({.entries_each = 4, .workers_each = 6});
+            start_lasting_jobs(w);
+            const instant gone_at = w.now();
+            w.crash_worker(busy_workers(w).front(), false);
+            for (int i = 0; i < restarts; ++i) {
+                w.run_for(1500ms);
+                const int owner = owner_of(w);
+                w.stop_by_plan(owner);
+                w.start_entry(owner);
+            }
+            w.run_for(gone_at + lease_most + start_most - w.now());
+            BOOST_TEST(running_tasks(w).size() == tasks_all);
+            w.run_for(lapsed_most);
+            BOOST_TEST(running_tasks(w).size() == tasks_all);
+            check_no_faults(w);
+        }
+    }
+}
+
+// The same where the owners are killed: the next one knows only what the row tells.
+BOOST_AUTO_TEST_CASE(an_owner_that_is_killed_leaves_word_of_the_workers_it_cannot_reach)
+{
+    for (const bool starts_again : {false, true}) {
+        BOOST_TEST_CONTEXT((starts_again ? "starts again" : "stays away"))
+        {
+            flow_world w({.entries_each = 3, .workers_each = 6});
+            start_lasting_jobs(w);
+            const instant gone_at = w.now();
+            w.crash_worker(busy_workers(w).front(), false);
+            w.run_for(4s);
+            const int owner = owner_of(w);
+            w.kill_entry(owner);
+            if (starts_again) {
+                w.run_for(500ms);
+                w.start_entry(owner);
+            }
+            w.run_for(gone_at + 4s + takeover_most + start_most - w.now());
+            BOOST_TEST(running_tasks(w).size() == tasks_all);
+            w.run_for(lapsed_most);
+            BOOST_TEST(running_tasks(w).size() == tasks_all);
+            check_no_faults(w);
+        }
+    }
+}
+
 // A task that waits for a worker which cannot be asked leaves no trace of why.
 BOOST_AUTO_TEST_CASE(a_task_that_waits_says_for_what)
 {
