cells: what is left of leases is handed on to the next owner

Callers saw a lasting task stand still for ten seconds and more, with room for it, while entries were restarted in turn and workers replaced. Cause: a follower counted one whole lease from its own takeover for each worker that it could not ask. The owner before knew since when that worker had been silent; nothing told it on. Owners in a row began the same wait anew. Ruled out for it: an end that was heard and not written (the lease was still open when the owner stopped). Change: the cell's row tells how long leases may still last, for all workers when the row is released, and for those that do not answer with each renewal. To these the owner gives no lease, by exchange or start, until a row without that word is in force: so the word holds also when the owner is killed. A follower counts from when it first saw the row. Lasting tasks start at that moment; all others once the worker has been asked in vain as well, since it may list ends. Who is next in line reads the row of an owner that has started again at once, so that it knows early that it was released. Rows of an earlier release do not have the word and are waited for as before.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -80,6 +80,9 @@
 struct flow_worker_name {
   1: string worker
   2: string address
+  // No lease that it has been given lasts longer from when the row was written; -1: not told.
+  3: i64 lease_left_ms = -1
+  4: bool silent = false // it does not answer the owner, which gives it no lease while the row says so
 }
 
 struct flow_cell_row {
--- a/src/flow_cell_notes.cpp
+++ b/src/flow_cell_notes.cpp
@@ -27,7 +27,7 @@
     }
     // A worker that the owner before no longer named ran nothing of this cell any more.
     const auto at = workers_.find(worker_id(task.start.worker));
-    return at == workers_.end() || at->second.fenced || !at->second.inherited;
+    return at == workers_.end() || at->second.fenced || !at->second.inherited || at->second.lapsed;
 }
 
 // An owner of an earlier release starts tasks without a note. Those that it left are noted as they are found; once
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -11,6 +11,15 @@
 
 using namespace flow_limits;
 
+namespace {
+
+std::int64_t whole_ms(duration d)
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(d).count();
+}
+
+} // namespace
+
 flow_cell::flow_cell(cell_id id, entry_identity self, const flow_edges& edges, flow_cell_hooks hooks)
     : id_(std::move(id)), self_(std::move(self)), edges_(edges), hooks_(std::move(hooks))
 {}
@@ -177,6 +186,11 @@
         return;
     }
     if (c.owner_restarted) {
+        // Its earlier life may have released the row: who knows that late counts from then what the row says is left of
+        // leases.
+        if (c.rank <= 1 && read_if_older(leaving_row_interval)) {
+            return;
+        }
         if (unchanged >= restarted_grace + turn && !read_if_older(row_read_interval)) {
             take(now);
         }
@@ -239,7 +253,6 @@
     fresh_ = !row_present_;
     wanted.starts_noted = fresh_ || row_.starts_noted;
     know_named(row_);
-    wanted.workers = worker_names();
     // Whoever owned it before sends nothing any more if it released the row or was an earlier life of this entry. This
     // life's own name there stems from a take whose answer was lost: the owner before that one counts on.
     const bool taken_before = row_present_ && row_.incarnation == self_.incarnation.str();
@@ -247,6 +260,8 @@
     if (!taken_before) {
         old_owner_silent_ = certainly_gone ? now : std::max(now, row_seen_at_ + owner_hold);
     }
+    bound_inherited(row_);
+    wanted.workers = tell_workers(now, false);
     renewed_ = now;
     write_row(wanted, [this, wanted](instant then, const store_result& result) {
         acting_ = false;
@@ -271,6 +286,7 @@
     note_named(wanted);
     row_present_ = true;
     row_version_ = result.version;
+    row_seen_at_ = now;
     row_unchanged_since_ = now;
     epoch_ = skylarkhub::epoch(wanted.epoch);
     role_ = role::reading;
@@ -502,16 +518,27 @@
     place_soon();
 }
 
-std::vector<wire::flow_worker_name> flow_cell::worker_names() const
+// The names of the workers for the cell's row, with what a follower need not find out again.
+//
+// Failure: a worker is gone with its tasks, and its owner is followed before their leases have ended. Symptom: the
+// follower waits for a whole lease from its own takeover, and the next one again: where entries are restarted in turn,
+// tasks that last stand still for ten seconds and more. So the row tells how long leases may still last on a worker
+// that does not answer. That holds because the owner gives it no other one until the row no longer says so.
+std::vector<wire::flow_worker_name> flow_cell::tell_workers(instant now, bool releasing)
 {
     std::vector<wire::flow_worker_name> names;
-    for (const auto& [id, w] : workers_) {
+    for (auto& [id, w] : workers_) {
         if (w.listing.draining && w.fenced && w.ledger.empty()) {
             continue; // nothing runs there, and nothing is started there any more: a follower need not ask it
         }
         wire::flow_worker_name name;
         name.worker = id.str();
         name.address = w.listing.address.str();
+        name.silent = w.silent > 0 || (w.told_silent && !w.fenced);
+        w.told_silent = w.told_silent || name.silent;
+        if (name.silent || releasing) {
+            name.lease_left_ms = whole_ms(std::max(duration(0), w.lapsed_after - now));
+        }
         names.push_back(std::move(name));
     }
     return names;
@@ -521,11 +548,13 @@
 {
     for (auto& [id, w] : workers_) {
         w.named = false;
+        w.told_silent = false;
     }
     for (const wire::flow_worker_name& name : row.workers) {
         const auto at = workers_.find(worker_id(name.worker));
         if (at != workers_.end()) {
             at->second.named = true;
+            at->second.told_silent = name.silent;
         }
     }
 }
@@ -534,9 +563,13 @@
 // from, while they run on; a taker that went by the list alone would start their tasks a second time.
 void flow_cell::know_named(const wire::flow_cell_row& row)
 {
+    for (auto& [id, w] : workers_) {
+        w.told_silent = false;
+    }
     for (const wire::flow_worker_name& name : row.workers) {
         const auto [at, added] = workers_.try_emplace(worker_id(name.worker));
         at->second.inherited = true;
+        at->second.told_silent = name.silent;
         if (added) {
             at->second.listing.worker = worker_id(name.worker);
             at->second.listing.address = net_address(name.address);
@@ -544,12 +577,29 @@
     }
 }
 
+// By when every lease on them has certainly ended: a lease after the owner before sent its last word, or sooner where
+// the row tells so.
+void flow_cell::bound_inherited(const wire::flow_cell_row& row)
+{
+    for (auto& [id, w] : workers_) {
+        if (w.inherited) {
+            w.lapsed_after = old_owner_silent_ + certainly(lease);
+        }
+    }
+    for (const wire::flow_worker_name& name : row.workers) {
+        if (name.lease_left_ms >= 0) {
+            workers_.at(worker_id(name.worker)).lapsed_after =
+                row_seen_at_ + std::chrono::milliseconds(name.lease_left_ms);
+        }
+    }
+}
+
 void flow_cell::renew(instant now)
 {
     acting_ = true;
     wire::flow_cell_row wanted = row_;
     ++wanted.renewals;
-    wanted.workers = worker_names();
+    wanted.workers = tell_workers(now, false);
     wanted.starts_noted = wanted.starts_noted || starts_are_noted(now);
     write_row(wanted, [this, wanted, sent = now, life = life_](instant then, const store_result& result) {
         if (life != life_) {
@@ -560,6 +610,7 @@
             row_ = wanted;
             note_named(wanted);
             row_version_ = result.version;
+            row_seen_at_ = then;
             renewed_ = sent;
             next_renewal_ = then + renew_interval;
             return;
@@ -641,6 +692,7 @@
     acting_ = true;
     wire::flow_cell_row wanted = row_;
     wanted.released = true;
+    wanted.workers = tell_workers(now, true);
     ++life_; // from here on nothing is sent to a worker
     role_ = role::released;
     write_row(wanted, [this](instant, const store_result& result) {
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -149,10 +149,12 @@
     struct cell_worker {
         flow_listed_worker listing;
         bool listed = false;
-        bool over = false;      // another life answers at its address, whatever the list says
-        bool named = false;     // in the cell's row as it stands in the table
-        bool fenced = false;    // accepted this epoch and told what runs
-        bool inherited = false; // the owner before may have started tasks there
+        bool over = false;        // another life answers at its address, whatever the list says
+        bool named = false;       // in the cell's row as it stands in the table
+        bool fenced = false;      // accepted this epoch and told what runs
+        bool inherited = false;   // the owner before may have started tasks there
+        bool lapsed = false;      // not asked yet, and every lease that owners before gave has certainly ended
+        bool told_silent = false; // the cell's row may say so: no lease is given to it
         std::optional<worker_time> reading;
         instant read_at{};
         instant lapsed_after{}; // by then every lease given by this cell's owners has certainly ended
@@ -247,9 +249,10 @@
     void become_owner(instant now);
     void write_row(const wire::flow_cell_row& wanted, std::function<void(instant, const store_result&)> done);
     void renew(instant now);
-    std::vector<wire::flow_worker_name> worker_names() const;
+    std::vector<wire::flow_worker_name> tell_workers(instant now, bool releasing);
     void note_named(const wire::flow_cell_row& row);
     void know_named(const wire::flow_cell_row& row);
+    void bound_inherited(const wire::flow_cell_row& row);
     void lose(instant now, const std::string& reason);
     void release(instant now);
     bool may_send(instant now) const;
@@ -279,6 +282,7 @@
     void find_missing(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void confirm_ends(cell_worker& w);
     void life_ended(instant now, cell_worker& w);
+    void note_lapsed(instant now, cell_worker& w);
     void bury_if_lapsed(instant now, cell_worker& w);
     void worker_died(instant now, cell_worker& w, const std::string& reason);
     bool superseded(instant now, cell_worker& w, order_result result);
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -100,8 +100,8 @@
 
 bool flow_cell::takes_starts(instant now, const cell_worker& w)
 {
-    return w.listed && w.named && w.fenced && !w.listing.draining && w.silent == 0 && w.strangers == 0 &&
-           w.reading.has_value() && now >= w.no_starts_until;
+    return w.listed && w.named && w.fenced && !w.listing.draining && w.silent == 0 && !w.told_silent &&
+           w.strangers == 0 && w.reading.has_value() && now >= w.no_starts_until;
 }
 
 place_option flow_cell::option_of(instant now, const cell_worker& w) const
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -11,16 +11,6 @@
 
 using namespace flow_limits;
 
-namespace {
-
-// The least wait on our clock after which `d` has certainly passed on a worker's.
-duration certainly(duration d)
-{
-    return duration(static_cast<std::int64_t>(static_cast<double>(d.count()) * (1 + clock_drift))) + lease_margin;
-}
-
-} // namespace
-
 void flow_cell::on_workers_listed(instant now, const std::vector<flow_listed_worker>& workers)
 {
     listed_since_taken_ = true;
@@ -87,13 +77,28 @@
     w.lapsed_after = std::max(w.lapsed_after, now + certainly(lease));
 }
 
+// A worker whose leases have ended is asked once all the same: it may list ends that the owner before could not hear.
 bool flow_cell::all_accounted(instant now) const
 {
-    if (now >= old_owner_silent_ + certainly(lease) && may_conclude(now)) {
-        return true;
+    const bool may_be_lapsed = may_conclude(now);
+    return std::all_of(workers_.begin(), workers_.end(), [may_be_lapsed](const auto& named) {
+        const cell_worker& w = named.second;
+        return w.fenced || !w.inherited || (w.lapsed && w.silent > 0 && may_be_lapsed);
+    });
+}
+
+// Tasks that last and were on such a worker may start from now on.
+void flow_cell::note_lapsed(instant now, cell_worker& w)
+{
+    if (!w.inherited || w.fenced || w.lapsed || now < w.lapsed_after || !may_conclude(now)) {
+        return;
     }
-    return std::all_of(workers_.begin(), workers_.end(),
-                       [](const auto& w) { return w.second.fenced || !w.second.inherited; });
+    w.lapsed = true;
+    edges_.note(log_level::info, "worker", "lapsed_unasked",
+                {{"cell", id_.str()},
+                 {"worker", w.listing.worker.str()},
+                 {"after_ms", std::to_string((now - taken_at_).count() / 1000)}});
+    place_soon();
 }
 
 // What could not be found may be started from now on.
@@ -127,6 +132,7 @@
     for (auto at = workers_.begin(); at != workers_.end();) {
         cell_worker& w = at->second;
         bury_if_lapsed(now, w);
+        note_lapsed(now, w);
         // The name of one that is over is kept while the list names it: taken for new it would be asked, and logged,
         // with each reading.
         if (is_idle_and_unlisted(w) && !w.holding && !w.over) {
@@ -254,7 +260,7 @@
     order.confirmed = w.confirmed;
     // A worker that did not answer may still have heard: renewing without end would leave its tasks in doubt without
     // end. The exchanges that follow an unanswered one only ask.
-    const bool renewing = w.fenced && w.silent == 0;
+    const bool renewing = w.fenced && w.silent == 0 && !w.told_silent;
     order.lease_until = renewing ? lease_end(w, now) : std::nullopt;
     order.wait = renewing ? hold_wait : duration(0);
     if (order.lease_until) {
@@ -317,6 +323,11 @@
     if (again == workers_.end()) {
         return;
     }
+    if (again->second.told_silent) {
+        next_renewal_ = now; // it is given leases once the row no longer says that it is silent
+        hold_soon(now, id, hold_retry);
+        return;
+    }
     const bool all_told = again->second.unconfirmed.empty() && again->second.unknown.empty();
     const duration gap = all_told ? hold_gap : hold_gap_unconfirmed;
     hold_soon(now, id, sent + gap - now);
@@ -326,6 +337,9 @@
 {
     const bool first = !w.fenced;
     w.fenced = true;
+    if (first && w.inherited) {
+        w.lapsed_after = std::min(w.lapsed_after, now + certainly(lease)); // it takes none of the owner before any more
+    }
     for (const listed_end& end : answer.ends) {
         if (end.number > w.seen) {
             w.seen = end.number;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -176,6 +176,12 @@
 inline constexpr duration evict_after = 500ms;     // a run is not moved again sooner than it can have settled
 inline constexpr double distrust_half_life_s = 6;  // of the memory that runs failed on a worker
 
+// The least wait on our clock after which `d` has certainly passed on a worker's.
+inline duration certainly(duration d)
+{
+    return duration(static_cast<std::int64_t>(static_cast<double>(d.count()) * (1 + clock_drift))) + lease_margin;
+}
+
 // An entry that starts anew cannot own a cell that its earlier life had taken before whoever was followed by that life
 // has fallen silent: it learns of its peers and sees the row unrenewed for longer.
 static_assert(peers_learned + owner_silence_local > owner_hold);
--- a/tests/test_flow_takeover.cpp
+++ b/tests/test_flow_takeover.cpp
@@ -178,6 +178,59 @@
     }
 }
 
+// A follower goes by the word of a silence that is over, and starts anew what runs on.
+BOOST_AUTO_TEST_CASE(a_worker_that_answers_again_is_waited_for_as_any_other)
+{
+    for (int round = 0; round < 24; ++round) {
+        BOOST_TEST_CONTEXT("round " << round)
+        {
+            flow_world w({.entries_each = 3, .workers_each = 6});
+            start_lasting_jobs(w);
+            const int silent = busy_workers(w).front();
+            w.worker(silent).reachable = false;
+            w.run_for(3500ms);
+            w.worker(silent).reachable = true;
+            w.run_for(100ms * round);
+            const int owner = owner_of(w);
+            if (round % 2 == 0) {
+                w.kill_entry(owner);
+            }
+            else {
+                w.stop_by_plan(owner);
+            }
+            w.worker(silent).reachable = false;
+            w.run_for(lapsed_most + start_most);
+            BOOST_TEST(running_tasks(w).size() == tasks_all);
+            w.worker(silent).reachable = true;
+            w.run_for(lapsed_most);
+            BOOST_TEST(running_tasks(w).size() == tasks_all);
+            check_no_faults(w);
+        }
+    }
+}
+
+// A worker that was out of reach for a moment is given no lease any more, and its runs lapse.
+BOOST_AUTO_TEST_CASE(a_worker_that_answers_again_goes_on_with_what_it_runs)
+{
+    flow_world w({.entries_each = 3, .workers_each = 6});
+    start_lasting_jobs(w);
+    const std::int64_t started = w.starts_of(jobs.at(0)) + w.starts_of(jobs.at(1)) + w.starts_of(jobs.at(2));
+    for (int i = 0; i < w.worker_count(); ++i) {
+        w.worker(i).reachable = false;
+    }
+    w.run_for(3500ms);
+    for (int i = 0; i < w.worker_count(); ++i) {
+        w.worker(i).reachable = true;
+    }
+    w.run_for(2 * lapsed_most);
+    BOOST_TEST(running_tasks(w).size() == tasks_all);
+    BOOST_TEST(w.starts_of(jobs.at(0)) + w.starts_of(jobs.at(1)) + w.starts_of(jobs.at(2)) == started);
+    BOOST_REQUIRE(w.submit(0, "00000000000000dd", lasting_spec(tasks_each, 4000)) == caller_result::accepted);
+    w.run_for(start_most);
+    BOOST_TEST(running_tasks(w).size() == tasks_all + tasks_each);
+    check_no_faults(w);
+}
+
 // A task that waits for a worker which cannot be asked leaves no trace of why.
 BOOST_AUTO_TEST_CASE(a_task_that_waits_says_for_what)
 {
