cells: an owner that is stopped while it reads its jobs hands over at once

Callers saw a lasting task stand still for 12.8 s although its end was known (virtual time). Order: its owner is stopped, the next one takes the cell and is told to stop while it reads the rows; it reads to the end, starts nothing, releases, and the next one begins the same. Cause: a planned stop was looked at only by an owner that had read everything. Change: one that reads releases at its next tick. Its fences are of its own epoch, so the next owner's reading is as safe.

--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -118,6 +118,9 @@
         renew(now);
     }
     if (role_ != role::owning) {
+        if (stopping_) {
+            release(now); // one that reads its jobs to the end first starts nothing all the while
+        }
         return;
     }
     check_lapsed(now);
--- a/tests/test_flow_takeover.cpp
+++ b/tests/test_flow_takeover.cpp
@@ -266,6 +266,70 @@
     }
 }
 
+// Owners that are restarted in turn and take seconds to read their jobs give no leases meanwhile: what runs lapses.
+BOOST_AUTO_TEST_CASE(owners_in_a_row_that_read_slowly_keep_what_runs)
+{
+    for (const duration answer_delay : {0ms, 50ms, 150ms}) {
+        BOOST_TEST_CONTEXT("answers after " << answer_delay.count() / 1000 << " ms")
+        {
+            flow_world w(
+                {.entries_each = 4, .workers_each = 6, .jobs_page_time = 160ms, .hold_answer_delay = answer_delay});
+            w.run_for(6s);
+            start_lasting_jobs(w);
+            const auto starts = [&w] { return w.starts_of(jobs[0]) + w.starts_of(jobs[1]) + w.starts_of(jobs[2]); };
+            const std::int64_t started = starts();
+            for (int i = 0; i < 4; ++i) {
+                const int owner = owner_of(w);
+                w.stop_by_plan(owner);
+                w.start_entry(owner);
+                BOOST_REQUIRE(w.run_until([&w] { return w.owners_of("a") == 1; }, 4s));
+            }
+            BOOST_TEST(running_tasks(w).size() == tasks_all);
+            w.run_for(lapsed_most);
+            BOOST_TEST(running_tasks(w).size() == tasks_all);
+            BOOST_TEST(starts() == started);
+            check_no_faults(w);
+        }
+    }
+}
+
+// An owner that is told to stop while it reads its jobs reads on, and starts nothing: the cell waits for nothing.
+BOOST_AUTO_TEST_CASE(an_owner_that_is_stopped_while_it_reads_hands_over_at_once)
+{
+    flow_world w({.entries_each = 4, .workers_each = 6, .jobs_page_time = 160ms});
+    w.run_for(6s);
+    start_lasting_jobs(w);
+    w.stop_by_plan(owner_of(w));
+    BOOST_REQUIRE(w.run_until([&w] { return w.owners_of("a") == 1; }, 4s));
+    const instant told = w.now();
+    w.stop_by_plan(owner_of(w));
+    BOOST_TEST((w.now() - told).count() / 1000 <= 500);
+    check_no_faults(w);
+}
+
+// A lasting task ends as its owner is stopped, and each owner after it is stopped while it reads. It must run again
+// within 9 s of its end.
+BOOST_AUTO_TEST_CASE(a_task_that_ended_runs_again_though_owners_stop_while_they_read)
+{
+    flow_world w({.entries_each = 4, .workers_each = 6, .jobs_page_time = 160ms});
+    w.run_for(6s);
+    start_lasting_jobs(w);
+    const instant ended_at = w.now();
+    for (int i = 0; i < 4; ++i) {
+        const int owner = owner_of(w);
+        if (i == 0) {
+            w.fail_run(*tasks_on(w, busy_workers(w).front()).begin());
+        }
+        w.stop_by_plan(owner);
+        w.start_entry(owner);
+        BOOST_REQUIRE(w.run_until([&w] { return w.owners_of("a") == 1; }, 4s));
+    }
+    const auto all_run = [&w] { return running_tasks(w).size() == tasks_all; };
+    BOOST_TEST(w.run_until(all_run, ended_at + 9s - w.now()));
+    w.run_until(all_run, 10s);
+    check_no_faults(w);
+}
+
 // A task that waits for a worker which cannot be asked leaves no trace of why.
 BOOST_AUTO_TEST_CASE(a_task_that_waits_says_for_what)
 {
