cells: a worker is called silent only while the table answers

The row said that the worker is silent, and nothing could take that back before the table answered again, so it was given no lease. Change: said only while the last renewal is young, and after two exchanges without an answer rather than one.

--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -538,6 +538,9 @@
 // that does not answer. That holds because the owner gives it no other one until the row no longer says so.
 std::vector<wire::flow_worker_name> flow_cell::tell_workers(instant now, bool releasing)
 {
+    // Said while the table is away it could not be taken back: the worker would be given no lease when it answers
+    // again.
+    const bool table_answers = now - renewed_ < 2 * renew_interval;
     std::vector<wire::flow_worker_name> names;
     for (auto& [id, w] : workers_) {
         if (w.listing.draining && w.fenced && w.ledger.empty()) {
@@ -546,7 +549,7 @@
         wire::flow_worker_name name;
         name.worker = id.str();
         name.address = w.listing.address.str();
-        name.silent = w.silent > 0 || (w.told_silent && !w.is_asked());
+        name.silent = (table_answers && w.silent >= silent_holds_most) || (w.told_silent && !w.is_asked());
         w.told_silent = w.told_silent || name.silent;
         if (name.silent || releasing) {
             name.lease_left_ms = whole_ms(std::max(duration(0), w.lapsed_after - now));
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -417,7 +417,14 @@
             page.config = make_config();
             page.config_text = "config";
         }
-        answer(std::move(done), page, after == row_version(0) ? duration(10ms) : wait);
+        if (after == row_version(0) || !page.reached) {
+            answer(std::move(done), page, after == row_version(0) ? duration(10ms) : wait);
+            return;
+        }
+        later(wait, [this, entry, page, answer, done = std::move(done)]() mutable {
+            page.reached = table_reached(entry); // one that has gone away meanwhile answers nothing
+            answer(done, page, duration(1));
+        });
     };
     edges.parse_config = [](const std::string&) { return std::optional<flow_config>(make_config()); };
     edges.tell = [this, entry, life, answer](const net_address& peer, const wire::flow_message& message,
--- a/tests/test_flow_takeover.cpp
+++ b/tests/test_flow_takeover.cpp
@@ -371,6 +371,58 @@
     check_no_faults(w);
 }
 
+// While the table is away no row can say that a worker answers again: it is given no lease, and what it runs lapses.
+BOOST_AUTO_TEST_CASE(a_worker_that_was_silent_for_a_moment_goes_on_while_the_table_is_away)
+{
+    for (const bool silent : {false, true}) {
+        for (int round = 0; round < 10; ++round) {
+            BOOST_TEST_CONTEXT("round " << round << (silent ? " silent" : " reached"))
+            {
+                flow_world w({.entries_each = 3, .workers_each = 6});
+                start_lasting_jobs(w);
+                w.run_for(100ms * round);
+                const auto starts = [&w] { return w.starts_of(jobs[0]) + w.starts_of(jobs[1]) + w.starts_of(jobs[2]); };
+                const std::int64_t started = starts();
+                const int chosen = busy_workers(w).front();
+                w.set_table_down(true);
+                w.run_for(300ms);
+                w.worker(chosen).reachable = !silent;
+                w.run_for(1500ms);
+                w.worker(chosen).reachable = true;
+                w.run_for(5700ms);
+                w.set_table_down(false);
+                w.run_for(3s);
+                BOOST_TEST(starts() == started);
+                check_no_faults(w);
+            }
+        }
+    }
+}
+
+// A worker misses one exchange, and its owner is killed in the seconds after: its leases outlast the takeover.
+BOOST_AUTO_TEST_CASE(a_worker_that_missed_one_exchange_keeps_its_runs_over_a_takeover)
+{
+    for (int round = 0; round < 16; ++round) {
+        BOOST_TEST_CONTEXT("round " << round)
+        {
+            flow_world w({.entries_each = 3, .workers_each = 6, .table_latency = 120ms});
+            start_lasting_jobs(w);
+            const auto starts = [&w] { return w.starts_of(jobs[0]) + w.starts_of(jobs[1]) + w.starts_of(jobs[2]); };
+            const std::int64_t started = starts();
+            const int silent = busy_workers(w).front();
+            w.worker(silent).reachable = false;
+            w.run_for(60ms);
+            w.worker(silent).reachable = true;
+            w.run_for(1000ms + 100ms * round);
+            w.kill_entry(owner_of(w));
+            w.run_for(lapsed_most);
+            BOOST_TEST(running_tasks(w).size() == tasks_all);
+            BOOST_TEST(starts() == started);
+            check_no_faults(w);
+        }
+    }
+}
+
 // A task that waits for a worker which cannot be asked leaves no trace of why.
 BOOST_AUTO_TEST_CASE(a_task_that_waits_says_for_what)
 {
