cells: an owner that takes its own row again counts the leases it gave

Order: an owner gives its cell up while the row still names it, and takes it again at once. Cause: this life's own name in the row was taken for a take whose answer was lost, so the owner before the last one was counted on, which had been silent for long, and not this one's own leases. Change: that rule holds only while the answer to a take is outstanding.

--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -259,11 +259,11 @@
     fresh_ = !row_present_;
     wanted.starts_noted = fresh_ || row_.starts_noted;
     know_named(row_);
-    // Whoever owned it before sends nothing any more if it released the row or was an earlier life of this entry. This
-    // life's own name there stems from a take whose answer was lost: the owner before that one counts on.
-    const bool taken_before = row_present_ && row_.incarnation == self_.incarnation.str();
+    // Whoever owned it before sends nothing any more if it released the row or was this entry. Where this life's own
+    // name stems from a take whose answer was lost, the owner before that one counts on.
+    const bool own_take = take_in_doubt_ && row_present_ && row_.incarnation == self_.incarnation.str();
     const bool certainly_gone = fresh_ || row_.released || row_.owner == self_.entry.str();
-    if (!taken_before) {
+    if (!own_take) {
         old_owner_silent_ = certainly_gone ? now : std::max(now, row_seen_at_ + owner_hold);
     }
     bound_inherited(row_);
@@ -284,10 +284,12 @@
         }
         else {
             row_known_ = false; // read it again: the write may be in force
+            take_in_doubt_ = true;
         }
         edges_.note(log_level::info, "cell", "take_failed", {{"cell", id_.str()}, {"reason", result.reason}});
         return;
     }
+    take_in_doubt_ = false;
     row_ = wanted;
     note_named(wanted);
     row_present_ = true;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -465,7 +465,8 @@
     instant row_read_at_{};
     instant row_answered_at_{}; // when it was last read with success
     bool reading_row_ = false;
-    bool acting_ = false; // a take, renewal or release is under way
+    bool take_in_doubt_ = false; // the answer to the newest take was lost
+    bool acting_ = false;        // a take, renewal or release is under way
     skylarkhub::epoch epoch_;
     instant renewed_{}; // when the last renewal that succeeded was sent
     instant taken_at_{};
--- a/tests/test_flow_takeover.cpp
+++ b/tests/test_flow_takeover.cpp
@@ -423,6 +423,20 @@
     }
 }
 
+// An owner that gives its cell up while the row is still its own, and takes it again, counts its own leases: the row's
+// name does not stem from a take whose answer was lost.
+BOOST_AUTO_TEST_CASE(an_owner_that_takes_its_own_row_again_waits_for_its_own_leases)
+{
+    flow_world w({.entries_each = 3, .workers_each = 6});
+    start_lasting_jobs(w);
+    w.run_for(10s);
+    const std::vector<int> busy = busy_workers(w);
+    w.worker(busy.at(0)).reachable = false;
+    w.worker(busy.at(1)).fence = epoch(2); // a token that no owner of this row has sent
+    w.run_for(4s);
+    check_no_faults(w);
+}
+
 // A task that waits for a worker which cannot be asked leaves no trace of why.
 BOOST_AUTO_TEST_CASE(a_task_that_waits_says_for_what)
 {
