models: a cell's row that tells what is left of leases

VARIANT_TOLD: a release tells of all workers, a renewal of those that do not answer, a taker's row says a silence on. Such a worker is given no lease until a row without the word is in force; a renewal that takes a word back is under way until then. A follower counts from when the row was as it is.

--- a/models/cell_ownership.pml
+++ b/models/cell_ownership.pml
@@ -6,6 +6,8 @@
  * VARIANT_LASTING     the task lasts: every end of it makes it ready again. Without: it ends as done.
  * VARIANT_NOTED       the start of a lasting task is durable before it is sent, and a follower waits for the worker
  *                     that the row names. Without: a follower waits for every worker.
+ * VARIANT_TOLD        the cell's row tells how long leases may still last: for all workers when an owner releases it,
+ *                     and for those that do not answer with each renewal. Without: no row tells, no owner releases.
  * VARIANT_RECOVERY    from some moment on nothing fails any more; the task has to run again within a bound.
  * VARIANT_BROKEN_... one safeguard is left out, which must show as an error:
  *   NO_WAIT          a follower does not wait for workers that it has not asked
@@ -15,6 +17,10 @@
  *   EARLY_CONFIRM    an end is confirmed before it is durable
  *   LATE_GIVE_UP     an owner takes a lease for ended although it may have been followed
  *   LATE_ACCOUNT     the same of the leases that the owner before gave
+ *   NO_WITHHOLDING   an owner gives leases to a worker that its row calls silent
+ *   EARLY_WORD       it does so once it has sent a row without that word, which may never be in force
+ *   EARLY_COUNT      a follower counts what is left from when it knew the owner, not the row as it is
+ *   UNCHECKED_START  a noted start is sent although its worker has been called silent meanwhile
  */
 
 #define ENTRIES 2
@@ -47,15 +53,16 @@
     byte epoch;
     byte age;     /* since the last renewal that succeeded, while owning; at most OWNER_HOLD + 1 */
     byte seen;    /* since the cell's row has been as it is, while watching; at most OWNER_HOLD */
+    byte known;   /* since it has had this owner; only where VARIANT_BROKEN_EARLY_COUNT needs it */
     bool taken;   /* the row's owner is this life, by a takeover whose answer was lost */
-    byte wait;    /* 0: it waits for no worker; 1: the owner before has fallen silent and the leases that it gave have
-                   * ended, which is still to be concluded; more: ticks until then, and 1 */
     byte grace;   /* until a started entry may take the cell */
     bool claimed;
     mtype:stage stage; /* of the task, as this entry has it */
     byte at;           /* the worker of `noting` and `placed` */
-    bool silent;       /* that worker did not answer the last exchange */
-    byte lapse;        /* 0: it was given no lease; 1: all leases given have ended; more: ticks until then, and 1 */
+    bool silent[WORKERS]; /* it did not answer the last exchange */
+    bool told[WORKERS];   /* the cell's row may say so */
+    byte lapse[WORKERS];  /* ticks until every lease that owners gave there has ended */
+    bool awaits[WORKERS]; /* the owner before may have left a run there: not asked yet, nor concluded from `lapse` */
     bool fenced[WORKERS];
     byte note;         /* the worker that the job's row names */
     bool known_done;
@@ -90,6 +97,11 @@
 /* The table: the cell's row, the job's row, and a write of each entry that is under way. */
 byte row_epoch = 1;
 byte row_owner = 0;
+bool row_released = false;
+bool row_silent[WORKERS]; /* the row says that the worker does not answer */
+byte row_left[WORKERS];   /* 0: it does not tell; more: ticks that leases there last at most, and 1 */
+bool renewal_sent = false; /* a renewal that takes back what the row tells of a worker is under way */
+byte renewal_left[WORKERS];
 byte job_claim = 1;
 byte job_note = NOBODY;
 bool job_done = false;
@@ -112,6 +124,8 @@
 bool calm = false; /* VARIANT_RECOVERY: nothing fails any more */
 byte idle = 0;     /* ticks without a run since then */
 
+byte due = 0;      /* at most so many of them may pass */
+
 bool never_placed = true; /* the task was never placed, nor the cell taken over */
 
 #define OWNS(e) (entry[e].role == owning && !entry[e].gone)
@@ -123,14 +137,12 @@
 #define OTHER(e) (1 - (e))
 #define RUNS_ANYWHERE (worker[0].runs || worker[1].runs || moved_run)
 
-#define ALL_FENCED(e) (entry[e].fenced[0] && entry[e].fenced[1])
-#define NOTED_FENCED(e) (entry[e].note == NOBODY || entry[e].fenced[entry[e].note])
 #if defined(VARIANT_BROKEN_NO_WAIT)
 #define ACCOUNTED(e) true
 #elif defined(VARIANT_NOTED)
-#define ACCOUNTED(e) (entry[e].wait == 0 || NOTED_FENCED(e))
+#define ACCOUNTED(e) (entry[e].note == NOBODY || !entry[e].awaits[entry[e].note])
 #else
-#define ACCOUNTED(e) (entry[e].wait == 0 || ALL_FENCED(e))
+#define ACCOUNTED(e) (!entry[e].awaits[0] && !entry[e].awaits[1])
 #endif
 /* A follower writes its epoch into the job's row before it decides anything: a later write of the owner before then
  * conflicts. */
@@ -143,6 +155,13 @@
 #define REACHED(w) (!worker[w].mute)
 #define PLACED_AT(e, w) (entry[e].stage == placed && entry[e].at == w)
 
+/* Whether it matters what this owner's row tells: whether the search lets another one follow. */
+#ifdef VARIANT_TOLD
+#define TELLS(e) (entry[e].epoch < EPOCHS)
+#else
+#define TELLS(e) false
+#endif
+
 /* --- promises --- */
 
 /* A run begins on a worker, or in the other cell. */
@@ -178,9 +197,13 @@
 
 inline leave_worker(e)
 {
-    entry[e].at = NOBODY;
-    entry[e].silent = false;
-    entry[e].lapse = 0
+    if
+    :: entry[e].at != NOBODY && !TELLS(e) ->
+        entry[e].silent[entry[e].at] = false;
+        entry[e].lapse[entry[e].at] = 0
+    :: else
+    fi;
+    entry[e].at = NOBODY
 }
 
 inline forget_ownership(e)
@@ -190,7 +213,9 @@
     entry[e].age = 0;
     entry[e].claimed = false;
     entry[e].stage = ready;
-    leave_worker(e);
+    entry[e].at = NOBODY;
+    entry[e].silent[0] = false;
+    entry[e].silent[1] = false;
     entry[e].note = NOBODY;
     entry[e].known_done = false;
     entry[e].durable_done = false;
@@ -201,12 +226,21 @@
     entry[e].fenced[1] = false
 }
 
+inline forget_inherited(e, w)
+{
+    entry[e].told[w] = false;
+    entry[e].lapse[w] = 0;
+    entry[e].awaits[w] = false
+}
+
 inline lose(e)
 {
     entry[e].leaving = entry[e].known_done && !entry[e].durable_done;
     forget_ownership(e);
     entry[e].seen = 0;
-    entry[e].wait = 0;
+    entry[e].known = 0;
+    forget_inherited(e, 0);
+    forget_inherited(e, 1);
     entry[e].taken = false
 }
 
@@ -215,11 +249,108 @@
     forget_ownership(e);
     entry[e].seen = 0;
     entry[e].taken = false;
-    entry[e].wait = 0;
+    entry[e].known = 0;
+    forget_inherited(e, 0);
+    forget_inherited(e, 1);
     entry[e].grace = RESTART;
     entry[e].leaving = false
 }
 
+/* By when every lease there has ended: a lease after the owner before fell silent, or sooner where the row tells so. */
+#ifdef VARIANT_BROKEN_EARLY_COUNT
+#define COUNTED(e) entry[e].known
+#else
+#define COUNTED(e) entry[e].seen
+#endif
+inline inherit(e, w)
+{
+    entry[e].awaits[w] = true;
+    if
+    :: row_left[w] == 0 ->
+        entry[e].lapse[w] = LEASE + (row_owner == e || row_released -> 0 : OWNER_HOLD - entry[e].seen)
+    :: row_left[w] > 0 ->
+        entry[e].lapse[w] = (row_left[w] - 1 > COUNTED(e) -> row_left[w] - 1 - COUNTED(e) : 0)
+    fi
+}
+
+/* The taker's row says on of a worker that it is silent. The last owner of the search tells nothing: that nobody
+ * follows it leaves it free to give leases. */
+inline tell_inherited(e, w)
+{
+#ifdef VARIANT_TOLD
+    row_silent[w] = row_silent[w] && row_epoch < EPOCHS;
+    row_left[w] = (row_silent[w] -> 1 + entry[e].lapse[w] : 0);
+    entry[e].told[w] = row_silent[w]
+#else
+    skip
+#endif
+}
+
+/* What a renewal says of a worker. From when it is sent until a row without the word is in force no lease is given. */
+#define SAYS_SILENT(e, w) (entry[e].silent[w] || (entry[e].told[w] && !entry[e].fenced[w]))
+#define RETELLS(e, w) (TELLS(e) && (entry[e].told[w] || SAYS_SILENT(e, w)))
+#define CHANGES_WORD(e, w) (TELLS(e) && SAYS_SILENT(e, w) != entry[e].told[w])
+#define TAKES_BACK(e, w) (entry[e].told[w] && !SAYS_SILENT(e, w))
+
+inline tell_worker(e, w)
+{
+    renewal_left[w] = (SAYS_SILENT(e, w) -> 1 + entry[e].lapse[w] : 0);
+#ifdef VARIANT_BROKEN_EARLY_WORD
+    entry[e].told[w] = SAYS_SILENT(e, w)
+#else
+    entry[e].told[w] = entry[e].told[w] || SAYS_SILENT(e, w)
+#endif
+}
+
+inline row_tells(w)
+{
+    row_silent[w] = (renewal_left[w] > 0);
+    row_left[w] = renewal_left[w]
+}
+
+inline apply_renewal(answered)
+{
+    row_tells(0);
+    row_tells(1);
+    entry[OTHER(row_owner)].seen = 0;
+    if
+    :: entry[row_owner].role == watching -> entry[row_owner].seen = 0
+    :: else
+    fi;
+    if
+    :: answered && OWNS(row_owner) && entry[row_owner].epoch == row_epoch ->
+        entry[row_owner].age = 0;
+        entry[row_owner].told[0] = row_silent[0];
+        entry[row_owner].told[1] = row_silent[1]
+    :: else
+    fi;
+    clear_renewal()
+}
+
+inline clear_renewal()
+{
+    renewal_sent = false;
+    renewal_left[0] = 0;
+    renewal_left[1] = 0
+}
+
+/* A stop by plan: from now on this life sends nothing, and the row tells of all workers. One whose write is lost is a
+ * loss of power. */
+inline release_worker(e, w)
+{
+    row_silent[w] = SAYS_SILENT(e, w);
+    row_left[w] = 1 + entry[e].lapse[w]
+}
+
+inline release(e)
+{
+    row_released = true;
+    release_worker(e, 0);
+    release_worker(e, 1);
+    entry[OTHER(e)].seen = 0;
+    lose_power(e)
+}
+
 /* The cell's row is replaced under the condition that it is as it was read. An entry that finds its own name there
  * from an earlier life knows that this life sends nothing; one whose takeover lost its answer waits on for the owner
  * before that. */
@@ -228,14 +359,22 @@
     never_placed = false;
     if
     :: entry[e].taken && row_owner == e
-    :: else -> entry[e].wait = 1 + LEASE + (row_owner == e -> 0 : OWNER_HOLD - entry[e].seen)
+    :: else ->
+        inherit(e, 0);
+        inherit(e, 1)
     fi;
     row_epoch++;
     row_owner = e;
+    row_released = false;
+    tell_inherited(e, 0);
+    tell_inherited(e, 1);
+    clear_renewal(); /* it would conflict from now on */
     entry[e].taken = true;
     entry[OTHER(e)].taken = false;
     entry[e].seen = 0;
     entry[OTHER(e)].seen = 0;
+    entry[e].known = 0;
+    entry[OTHER(e)].known = 0;
     if
     :: answered ->
         forget_ownership(e);
@@ -307,20 +446,28 @@
 
 /* An exchange with a worker. It fences, renews the leases there unless the last one was not answered, confirms ends
  * whose facts are durable, and lists what runs and what has ended. */
-#define RENEWS(e, w) (entry[e].fenced[w] && !(entry[e].at == w && entry[e].silent))
+#ifdef VARIANT_BROKEN_NO_WITHHOLDING
+#define WITHHELD(e, w) entry[e].silent[w]
+#else
+#define WITHHELD(e, w) (entry[e].silent[w] || entry[e].told[w])
+#endif
+#define RENEWS(e, w) (entry[e].fenced[w] && !WITHHELD(e, w))
 #ifdef VARIANT_BROKEN_EARLY_CONFIRM
 #define MAY_CONFIRM(e) (entry[e].known_done)
 #else
 #define MAY_CONFIRM(e) (entry[e].known_done && entry[e].durable_done)
 #endif
 
+/* Of a worker where nothing was ever started nothing need be told. */
+#define NOTES_SILENCE(e, w) (PLACED_AT(e, w) || (TELLS(e) && !never_placed))
+
 /* The lease of a worker counts on after an end, until that end is confirmed. */
 #define HOLDS_LEASE(w) (worker[w].runs || (worker[w].done && !worker[w].lapsed))
 
 inline note_lease(e, w)
 {
     if
-    :: RENEWS(e, w) && PLACED_AT(e, w) -> entry[e].lapse = LEASE + 1
+    :: RENEWS(e, w) && (PLACED_AT(e, w) || (TELLS(e) && HOLDS_LEASE(w))) -> entry[e].lapse[w] = LEASE
     :: else
     fi
 }
@@ -337,7 +484,7 @@
 inline hold_unheard(e, w)
 {
     note_lease(e, w);
-    entry[e].silent = entry[e].silent || PLACED_AT(e, w)
+    entry[e].silent[w] = entry[e].silent[w] || NOTES_SILENCE(e, w)
 }
 
 inline raise_fence(e, w)
@@ -399,7 +546,8 @@
         if
         :: PLACED_AT(e, w) -> make_ready(e)
         :: else
-        fi
+        fi;
+        entry[e].lapse[w] = 0
     fi
 }
 
@@ -414,9 +562,18 @@
         :: worker[w].done && MAY_CONFIRM(e) -> confirm_end(w)
         :: else
         fi;
+        if
+        :: !entry[e].fenced[w] && entry[e].lapse[w] > LEASE -> entry[e].lapse[w] = LEASE
+        :: else
+        fi;
         entry[e].fenced[w] = true;
-        entry[e].silent = entry[e].silent && entry[e].at != w;
-        take_inventory(e, w)
+        entry[e].awaits[w] = false;
+        entry[e].silent[w] = false;
+        take_inventory(e, w);
+        if
+        :: !PLACED_AT(e, w) && !TELLS(e) -> entry[e].lapse[w] = 0
+        :: else
+        fi
     fi
 }
 
@@ -428,7 +585,7 @@
     :: else ->
         renew_leases(e, w);
         raise_fence(e, w);
-        entry[e].silent = entry[e].silent || PLACED_AT(e, w)
+        entry[e].silent[w] = entry[e].silent[w] || NOTES_SILENCE(e, w)
     fi
 }
 
@@ -439,13 +596,13 @@
     order[e].lease = LEASE;
     entry[e].stage = placed;
     entry[e].at = w;
-    entry[e].lapse = LEASE + 1
+    entry[e].lapse[w] = LEASE
 }
 
 /* The workers are alike until the cell is first taken over: the first start goes to the first one. While nothing
  * fails, a worker out of reach is known to be silent. */
 #define TAKES_STARTS(e, w)                                                                                            \
-    (entry[e].fenced[w] && order[e].epoch == 0 && (w == 0 || !never_placed) && (!calm || REACHED(w)))
+    (entry[e].fenced[w] && !WITHHELD(e, w) && order[e].epoch == 0 && (w == 0 || !never_placed) && (!calm || REACHED(w)))
 
 inline place(e, w)
 {
@@ -459,13 +616,17 @@
 #endif
 }
 
+#ifdef VARIANT_BROKEN_UNCHECKED_START
+#define START_WITHHELD(e, w) false
+#else
+#define START_WITHHELD(e, w) WITHHELD(e, w)
+#endif
+
 /* While nothing fails, an exchange that tells nothing new is left out, so that time goes on. */
 #define HOLD_TELLS(e, w)                                                                                              \
-    (RENEWS(e, w) -> (HOLDS_LEASE(w) && worker[w].lease < LEASE) ||                                                   \
-                         (worker[w].done && (!entry[e].known_done || MAY_CONFIRM(e))) ||                              \
-                         (worker[w].runs && !PLACED_AT(e, w)) ||                                                      \
-                         (!worker[w].runs && PLACED_AT(e, w) && order[e].epoch == 0)                                  \
-                  : true)
+    (!entry[e].fenced[w] || entry[e].silent[w] || (RENEWS(e, w) && HOLDS_LEASE(w) && worker[w].lease < LEASE) ||       \
+     (worker[w].done && (!entry[e].known_done || MAY_CONFIRM(e))) || (worker[w].runs && !PLACED_AT(e, w)) ||          \
+     (!worker[w].runs && PLACED_AT(e, w) && order[e].epoch == 0))
 
 /* --- workers and the table --- */
 
@@ -538,9 +699,12 @@
 {
     entry[e].age = (OWNS(e) || entry[e].role == reading -> MORE(entry[e].age, OWNER_HOLD + 1) : 0);
     entry[e].seen = (entry[e].role == watching -> MORE(entry[e].seen, OWNER_HOLD) : 0);
-    entry[e].wait = (entry[e].wait > 1 -> entry[e].wait - 1 : entry[e].wait);
+#ifdef VARIANT_BROKEN_EARLY_COUNT
+    entry[e].known = (entry[e].role == watching -> MORE(entry[e].known, OWNER_HOLD) : 0);
+#endif
     entry[e].grace = LESS(entry[e].grace);
-    entry[e].lapse = (entry[e].lapse > 1 -> entry[e].lapse - 1 : entry[e].lapse);
+    entry[e].lapse[0] = LESS(entry[e].lapse[0]);
+    entry[e].lapse[1] = LESS(entry[e].lapse[1]);
     order[e].lease = LESS(order[e].lease);
     if
     :: order[e].lease == 0 -> drop_order(e) /* it would come too late */
@@ -560,11 +724,17 @@
     fi
 }
 
-/* The promise of VARIANT_RECOVERY: so many ticks a task stands still once nothing fails any more. With notes it is
- * fewer unless the row names the worker that cannot be asked. */
+/* The promise of VARIANT_RECOVERY: so many ticks a task stands still once nothing fails any more. Where the cell's row
+ * tells of the worker that cannot be asked it is what was left of leases there, or the time until the owner is
+ * followed; a tick of it has passed by then. With notes it is fewer unless the job's row names that worker. */
 #ifndef IDLE_MOST
 #define IDLE_MOST (OWNER_HOLD + LEASE)
 #endif
+#ifndef IDLE_TOLD_LESS
+#define IDLE_TOLD_LESS 0
+#endif
+#define IDLE_TOLD_MOST(left)                                                                                          \
+    ((left) > 1 + OWNER_SILENCE + IDLE_TOLD_LESS -> (left) - 1 - IDLE_TOLD_LESS : OWNER_SILENCE)
 #ifndef IDLE_NOTED_MOST
 #define IDLE_NOTED_MOST OWNER_SILENCE
 #endif
@@ -572,7 +742,7 @@
 inline count_idle()
 {
     idle = (RUNS_ANYWHERE || job_done || job_moved -> 0 : idle + 1);
-    assert(idle <= IDLE_MOST);
+    assert(idle <= due);
 #ifdef VARIANT_NOTED
     assert(idle <= IDLE_NOTED_MOST || (job_note != NOBODY && !REACHED(job_note)))
 #endif
@@ -580,7 +750,8 @@
 
 #define TAKES(e)                                                                                                      \
     (entry[e].role == watching && entry[e].grace == 0 &&                                                              \
-     row_epoch < EPOCHS + (calm -> ENTRIES : 0) && (row_owner == e || entry[e].seen >= OWNER_SILENCE) &&              \
+     row_epoch < EPOCHS + (calm -> ENTRIES : 0) &&                                                                    \
+     (row_owner == e || row_released || entry[e].seen >= OWNER_SILENCE) &&                                            \
      (!calm || row_owner == e || entry[OTHER(e)].role == watching || entry[OTHER(e)].gone) && !entry[e].gone)
 
 /* That a lease has ended is concluded only while nobody can have followed this entry: a follower may have found the run
@@ -615,11 +786,31 @@
         take(e, false)
     }
     :: d_step {
-        OWNS(e) && row_epoch == entry[e].epoch && entry[e].age > 0 ->
+        OWNS(e) && row_epoch == entry[e].epoch && entry[e].age > 0 && !renewal_sent && !RETELLS(e, 0) &&
+            !RETELLS(e, 1) ->
         printf("entry %d renews\n", e);
         entry[e].age = 0;
         entry[OTHER(e)].seen = 0
     }
+#ifdef VARIANT_TOLD
+    :: d_step {
+        OWNS(e) && row_epoch == entry[e].epoch && !renewal_sent &&
+            ((entry[e].age > 0 && (RETELLS(e, 0) || RETELLS(e, 1))) || CHANGES_WORD(e, 0) || CHANGES_WORD(e, 1)) ->
+        printf("entry %d renews and says which workers are silent: %d %d\n", e, SAYS_SILENT(e, 0), SAYS_SILENT(e, 1));
+        renewal_sent = TAKES_BACK(e, 0) || TAKES_BACK(e, 1);
+        tell_worker(e, 0);
+        tell_worker(e, 1);
+        if
+        :: renewal_sent /* it may be carried out or lost, until the next tick */
+        :: else -> apply_renewal(true) /* under way it would only make the owner more careful */
+        fi
+    }
+    :: d_step {
+        !calm && OWNS(e) && row_epoch == entry[e].epoch && !renewal_sent && TELLS(e) ->
+        printf("entry %d releases the cell, leases left: %d %d\n", e, entry[e].lapse[0], entry[e].lapse[1]);
+        release(e)
+    }
+#endif
     :: d_step {
         OWNS(e) && row_epoch != entry[e].epoch ->
         printf("entry %d cannot renew and loses the cell\n", e);
@@ -652,9 +843,11 @@
     }
 #endif
     :: d_step {
-        OWNS(e) && entry[e].wait == 1 && MAY_ACCOUNT(e) ->
-        printf("entry %d waits for no worker any more\n", e);
-        entry[e].wait = 0
+        OWNS(e) && ((entry[e].awaits[0] && entry[e].lapse[0] == 0) || (entry[e].awaits[1] && entry[e].lapse[1] == 0)) &&
+            MAY_ACCOUNT(e) ->
+        entry[e].awaits[0] = entry[e].awaits[0] && entry[e].lapse[0] > 0;
+        entry[e].awaits[1] = entry[e].awaits[1] && entry[e].lapse[1] > 0;
+        printf("entry %d waits for workers no more, or still: %d %d\n", e, entry[e].awaits[0], entry[e].awaits[1])
     }
     od
 }
@@ -663,7 +856,7 @@
 {
     do
     :: d_step {
-        MAY_SEND(e) && PLACED_AT(e, w) && !entry[e].silent && !(calm && REACHED(w)) ->
+        MAY_SEND(e) && NOTES_SILENCE(e, w) && !entry[e].silent[w] && !(calm && REACHED(w)) ->
         printf("entry %d asks worker %d in vain\n", e, w);
         hold_unheard(e, w)
     }
@@ -686,12 +879,12 @@
         OWNS(e) && entry[e].stage == noting && entry[e].at == w && entry[e].durable_note ->
         printf("entry %d has its note for worker %d in the row\n", e, w);
         if
-        :: MAY_SEND(e) && order[e].epoch == 0 -> send_start(e, w)
+        :: MAY_SEND(e) && order[e].epoch == 0 && !START_WITHHELD(e, w) -> send_start(e, w)
         :: else -> make_ready(e)
         fi
     }
     :: d_step {
-        OWNS(e) && PLACED_AT(e, w) && entry[e].silent && entry[e].lapse == 1 && MAY_GIVE_UP(e) ->
+        OWNS(e) && PLACED_AT(e, w) && entry[e].silent[w] && entry[e].lapse[w] == 0 && MAY_GIVE_UP(e) ->
         printf("entry %d gives worker %d up, its lease has ended\n", e, w);
         make_ready(e)
     }
@@ -715,6 +908,23 @@
 proctype table_writes(byte e)
 {
     do
+#ifdef VARIANT_TOLD
+    :: d_step {
+        renewal_sent && row_owner == e ->
+        printf("the renewal of entry %d is carried out\n", e);
+        apply_renewal(true)
+    }
+    :: d_step {
+        !calm && renewal_sent && row_owner == e ->
+        printf("the renewal of entry %d is carried out, the answer is lost\n", e);
+        apply_renewal(false)
+    }
+    :: d_step {
+        !calm && renewal_sent && row_owner == e ->
+        printf("the renewal of entry %d is lost\n", e);
+        clear_renewal()
+    }
+#endif
     :: d_step {
         write[e].sent ->
         printf("the write of entry %d is carried out\n", e);
@@ -783,6 +993,17 @@
     od
 }
 
+/* The row tells of the worker that is out of reach, and its owner has not heard from it since. */
+inline expect_told(w)
+{
+    if
+    :: worker[w].mute && row_left[w] > 0 &&
+       (entry[row_owner].gone || entry[row_owner].role == watching || entry[row_owner].silent[w]) ->
+        due = IDLE_TOLD_MOST(row_left[w] - 1)
+    :: else
+    fi
+}
+
 /* From here on nothing fails. One worker is out of reach for good, and the owner may stand still for good. What can be
  * done is done at once and in a fixed order; time goes on when nothing is left to do. */
 inline begin_calm()
@@ -797,6 +1018,9 @@
     :: entry[row_owner].gone = true
     :: true
     fi;
+    due = IDLE_MOST;
+    expect_told(0);
+    expect_told(1);
     printf("--- from here on nothing fails; worker %d is out of reach, entries that stand still: %d %d\n",
            (worker[1].mute -> 1 : 0), entry[0].gone, entry[1].gone);
     for (step_of : 1 .. 15) {
@@ -812,7 +1036,7 @@
     do
 #ifdef VARIANT_RECOVERY
     :: atomic {
-        !calm ->
+        !calm && !renewal_sent ->
         d_step { pass_tick() }
         if
         :: begin_calm()
@@ -820,7 +1044,7 @@
         fi
     }
 #else
-    :: d_step { pass_tick() }
+    :: d_step { !renewal_sent -> pass_tick() }
 #endif
     :: d_step {
         calm ->
