cells: what is told of a job while its rows are read is not dropped

Order: a task is given to a cell that does not know the job; its owner reads the job's rows. A second task is given to it meanwhile; that message is answered, so the giver drops it, and ends in read_unknown_job, where the read is under way. If the rows had been read before the second give-away was written, nobody holds the task any more. The look at changed news, which is to find a lost message within 2 s, was 19.5 s behind. Change: what comes during the read is kept and taken up after it; where what was read did not concern the cell, it is read again. Open: the look at changed news takes one answer each 2 s, however much is left, and is not made through a peer where the table turns an entry away.

--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -443,6 +443,17 @@
         friend auto operator<=>(const stray_run&,
                                 const stray_run&) = default; // NOLINT(modernize-use-nullptr): wrong in clang-tidy 14
     };
+    // What somebody has told of a job.
+    struct told_row {
+        job_row_name name;
+        wire::flow_job_row row;
+        row_version version;
+    };
+    // A job that is not known here and whose rows are being read.
+    struct job_reading {
+        std::set<stray_run> strays;
+        std::vector<told_row> told; // since the read began
+    };
     struct ready_key {
         flow_urgency urgency;
         job_id job;
@@ -486,7 +497,7 @@
     int parts_left_ = 0;
     int next_part_ = 0;                                                         // whose reading has not begun
     std::map<std::string, std::map<job_id, std::vector<store_row>>> read_rows_; // by part, of parts that are being read
-    std::map<job_id, std::set<stray_run>> reading_jobs_;
+    std::map<job_id, job_reading> reading_jobs_;
 
     std::map<worker_id, cell_worker> workers_;
     std::map<job_id, std::unique_ptr<flow_job>> jobs_;
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -470,7 +470,15 @@
         return;
     }
     if (!accepted) {
-        read_unknown_job(name.job); // its writer may not know yet that the job has ended
+        // Its writer may not know yet that the job has ended. A row that comes while the job's rows are read may have
+        // been written after they were: dropped, a task that it gives to this cell would be looked for by nobody.
+        const auto reading = reading_jobs_.find(name.job);
+        if (reading != reading_jobs_.end()) {
+            reading->second.told.push_back({name, row, version});
+        }
+        else {
+            read_unknown_job(name.job);
+        }
         return;
     }
     auto made = std::make_unique<flow_job>(name.job, id_, row, row_version(0));
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -470,6 +470,7 @@
 
 void flow_cell::ask_unknown_job(const job_id& job)
 {
+    reading_jobs_[job].told.clear();
     edges_.read(index_rows(job), [this, job, life = life_](instant, const store_page& page) {
         if (life == life_) {
             on_unknown_index(job, page);
@@ -539,7 +540,7 @@
     if (strays == reading_jobs_.end()) {
         return;
     }
-    for (const stray_run& stray : std::exchange(strays->second, {})) {
+    for (const stray_run& stray : std::exchange(strays->second.strays, {})) {
         const auto at = workers_.find(stray.worker);
         if (at != workers_.end() && !at->second.over && at->second.ledger.count(stray.task) == 0) {
             adopt(now, at->second, job, {stray.task, stray.run, "", 0, 0});
@@ -552,12 +553,23 @@
     if (!rows.empty()) {
         take_rows(now, job, rows);
     }
+    const bool known = jobs_.count(job) != 0;
+    if (!known && !rows.empty() && !reading_jobs_[job].told.empty()) {
+        ask_unknown_job(job); // what was read does not concern this cell, what was told since may
+        return;
+    }
     take_unknown_ends(now, job);
-    const auto strays = reading_jobs_.extract(job);
-    if (strays.empty() || jobs_.count(job) != 0) {
+    const auto reading = reading_jobs_.extract(job);
+    if (reading.empty()) {
+        return;
+    }
+    if (known) {
+        for (const told_row& told : reading.mapped().told) {
+            on_job_row(now, told.name, told.row, told.version);
+        }
         return;
     }
-    for (const stray_run& stray : strays.mapped()) {
+    for (const stray_run& stray : reading.mapped().strays) {
         send_stop(now, stray.worker, stray.task, stray.run, 0);
     }
 }
@@ -625,7 +637,7 @@
         return;
     }
     read_unknown_job(run.task.job);
-    reading_jobs_[run.task.job].insert({w.listing.worker, run.task, run.run});
+    reading_jobs_[run.task.job].strays.insert({w.listing.worker, run.task, run.run});
 }
 
 // A run that an earlier owner started, or one of ours whose order was carried out late.
--- a/tests/test_flow_moves.cpp
+++ b/tests/test_flow_moves.cpp
@@ -37,6 +37,34 @@
     check_no_faults(w);
 }
 
+// A task that is given away while its new cell still reads the rows of its job is lost sight of.
+BOOST_AUTO_TEST_CASE(news_that_come_while_a_jobs_rows_are_read_are_not_lost)
+{
+    constexpr duration latency = 200ms; // of the table: a new cell reads three times, and writes before it starts
+    constexpr duration given_most = 2500ms;
+    for (duration phase{0}; phase < 2s; phase += 400ms) {
+        for (duration apart{0}; apart <= 1s; apart += 50ms) {
+            BOOST_TEST_CONTEXT("after " << phase.count() / 1000 << " ms, " << apart.count() / 1000 << " ms apart")
+            {
+                flow_world w({.data_centres = {"a", "b"}, .workers_each = 2});
+                w.run_for(2s);
+                w.accept_unheard(job_a, cell_id("a"), lasting_spec(2, 1000));
+                BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_a) == 2; }, 5s));
+                for (int i = 0; i < 2; ++i) {
+                    w.drop_worker_listing(i, true);
+                }
+                w.run_for(2s + phase);
+                w.set_table_latency(latency);
+                w.fail_run({job_id(job_a), 0, 0, 0});
+                w.run_for(apart);
+                w.fail_run({job_id(job_a), 0, 0, 1});
+                BOOST_TEST(w.run_until([&] { return w.running_of(job_a) == 2; }, given_most));
+                check_no_faults(w);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_lasting_task_finds_room_beside_short_work_that_always_waits)
 {
     // Workers have left, and the site is full. A lasting task ends, and nothing runs in its place for as long as short
