cells: a filling job of which nothing runs does not wait out its patience on a half free site

Cause: a filling task waits up to 12 s for a worker whose serving tasks bear it (fill_patience), the first of a step like the last, and from the beginning in each cell that it is given to and after each time it is moved off a worker. With a backlog of filling work nothing more is borne anywhere, so a step that opens then has nothing running for all that time. Tried and given up: the same on a site however full. Change: one task of a job of which nothing runs in the cell waits 1 s, if less than 0.55 of the service's processors, in all cells heard of, are taken by tasks that do not fill. It goes where it presses least, and is paced to what is borne there. Its wait in one cell before it moves is 0.8 s and the next one 1.6 s, so it is placed in the second cell at the latest. A filling gang still waits for all of its members' places.

--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -14,6 +14,7 @@
 #include "flow_demand_p.h"
 #include "flow_edges_p.h"
 #include "flow_job_p.h"
+#include "flow_limits_p.h"
 #include "flow_load_p.h"
 #include "flow_metrics_p.h"
 #include "flow_order_p.h"
@@ -52,6 +53,8 @@
     std::function<std::vector<flow_cell_room>(instant, const cell_id& from, const std::string& service,
                                               const flow_step&)>
         list_room;
+    // The share of the processors of a service, in all cells heard of, that tasks take which do not fill.
+    std::function<double(instant, const std::string& service)> share_in_use;
     // A row that the owner of another cell must know.
     std::function<void(instant, const job_row_name&, const wire::flow_job_row&, row_version)> tell_cell;
     // The table has answered nobody that this entry hears from since `since`, and it hears from most entries.
@@ -366,9 +369,11 @@
     void place_soon() { place_planned_ = true; }
     void place_ready(instant now);
     bool place_stage(instant now, flow_job& job, flow_stage& stage);
-    // `near`: the rack where the rest of a gang is; invalid: none.
+    // `near`: the rack where the rest of a gang is; invalid: none. `patience`: how long filling work waits for a place
+    // that bears it.
     cell_worker* choose(instant now, const flow_job& job, const flow_stage& stage, const flow_task& task,
-                        const rack_id& near = rack_id());
+                        const rack_id& near = rack_id(), duration patience = flow_limits::fill_patience);
+    duration patience_of(instant now, const flow_job& job, const flow_task& task) const;
     static bool takes_starts(instant now, const cell_worker& w);
     place_option option_of(instant now, const cell_worker& w) const;
     void index_ready(flow_job& job);
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -134,7 +134,7 @@
 }
 
 flow_cell::cell_worker* flow_cell::choose(instant now, const flow_job& job, const flow_stage& stage,
-                                          const flow_task& task, const rack_id& near)
+                                          const flow_task& task, const rack_id& near, duration patience)
 {
     const flow_step& step = job.step(stage);
     const bool serves = step.tail_target > duration(0);
@@ -158,7 +158,7 @@
                 left_for_filling(option) - step.need.cpu_millis < -static_cast<std::int64_t>(fill_overcommit * room);
             // Left waiting for a place where it is borne and gets its processors: elsewhere it would be slowed to
             // nothing, or slow down others that were there first.
-            if ((interference.excess > 0 || crowded) && now - task.ready_since < fill_patience &&
+            if ((interference.excess > 0 || crowded) && now - task.ready_since < patience &&
                 !(step.gang && is_spread(stage))) {
                 continue;
             }
@@ -198,6 +198,16 @@
 
 } // namespace
 
+// Failure: serving tasks bear no more filling work anywhere, though much of the site is free. Symptom: a step that
+// opens then has nothing running for all of its patience, and again in each cell that its tasks go to. One task of it
+// gets on at whatever pace is borne.
+duration flow_cell::patience_of(instant now, const flow_job& job, const flow_task& task) const
+{
+    const bool missed = now - task.ready_since >= fill_patience_idle && !job.running() &&
+                        hooks_.share_in_use(now, job.row().service_name) < free_site_use;
+    return missed ? fill_patience_idle : fill_patience;
+}
+
 // True when every ready task of the stage has found a worker.
 bool flow_cell::place_stage(instant now, flow_job& job, flow_stage& stage)
 {
@@ -219,7 +229,8 @@
             continue;
         }
         const rack_id near = step.same_rack && !chosen.empty() ? chosen.front().second->listing.rack : rack_id();
-        cell_worker* const w = choose(now, job, stage, task, near);
+        const duration patience = step.filling && chosen.empty() ? patience_of(now, job, task) : fill_patience;
+        cell_worker* const w = choose(now, job, stage, task, near, patience);
         if (w == nullptr) {
             const std::int32_t reserving = step.lasting && !step.gang ? waiting_long(now, stage) : 0;
             for (std::int32_t n = 0; n < reserving; ++n) {
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -163,6 +163,7 @@
     hooks.list_room = [this](instant now, const cell_id& from, const std::string& service, const flow_step& step) {
         return list_room(now, from, service, step);
     };
+    hooks.share_in_use = [this](instant now, const std::string& service) { return share_in_use(now, service); };
     hooks.table_outage = [this](instant now, instant since) { return table_outage(now, since); };
     hooks.tell_cell = [this](instant now, const job_row_name& name, const wire::flow_job_row& row,
                              row_version version) { tell_cell(now, name, row, version); };
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -146,6 +146,7 @@
     void tell_owner(instant now, const job_row_name& name);
     std::optional<std::pair<cell_id, epoch>> find_room(instant now, const cell_id& from, const std::string& service,
                                                        const flow_step& step, room_kind kind);
+    double share_in_use(instant now, const std::string& service);
     std::vector<flow_cell_room> list_room(instant now, const cell_id& from, const std::string& service,
                                           const flow_step& step);
     void tell_states();
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -616,6 +616,20 @@
     return rooms;
 }
 
+double flow_entry::share_in_use(instant now, const std::string& service)
+{
+    std::int64_t total = 0;
+    std::int64_t free = 0;
+    each_news(now, [&](const wire::flow_cell_news& news, bool) {
+        for (const wire::flow_pool_row& pool : news.pools) {
+            const bool counts = pool.service_name == service;
+            total += counts ? pool.total_cpu_millis : 0;
+            free += counts ? pool.free_cpu_millis : 0;
+        }
+    });
+    return total == 0 ? 1.0 : 1.0 - static_cast<double>(free) / static_cast<double>(total);
+}
+
 void flow_entry::tell_states()
 {
     if (state_news_.empty()) {
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -175,6 +175,10 @@
 inline constexpr double fill_overcommit = 0.25;    // of a worker: filling tasks use four fifths of what they ask for
 inline constexpr duration evict_after = 500ms;     // a run is not moved again sooner than it can have settled
 inline constexpr double distrust_half_life_s = 6;  // of the memory that runs failed on a worker
+// fill_patience for a job of which nothing runs on a site that is half free: with a move to another cell before, under
+// the 3 s after which it is missed there.
+inline constexpr duration fill_patience_idle = 1s;
+inline constexpr double free_site_use = 0.55; // half, and what cells' news are behind
 
 // The least wait on our clock after which `d` has certainly passed on a worker's.
 inline duration certainly(duration d)
--- a/tests/test_flow_moves.cpp
+++ b/tests/test_flow_moves.cpp
@@ -1,6 +1,8 @@
 // Tasks that move to another cell: because their worker leaves, or because their own cell has no room for them.
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 #include "support_flow_checks.h"
 #include "support_flow_world.h"
 
@@ -109,3 +111,43 @@
     BOOST_TEST(w.logged("task", "given_away") <= waiting * moves_most + 2);
     check_no_faults(w);
 }
+
+BOOST_AUTO_TEST_CASE(a_job_of_which_nothing_runs_does_not_wait_for_a_place_that_bears_it)
+{
+    // Filling tasks wait where serving tasks bear no more of them. The first task of a step waited as long as the last,
+    // twelve seconds, and again in each cell that it was given to: with nothing of its job running, and room for it.
+    constexpr duration idle_most = 3s;
+    flow_world w({.data_centres = {"a", "b"}, .workers_each = 2, .run_time = [](const flow_task_id& task) {
+                      return task.job.str() == job_b ? duration(60s) : duration(300ms);
+                  }});
+    w.run_for(2s);
+    flow_spec serving = lasting_spec(4);
+    serving.steps.front().per_worker_most = 1;
+    serving.steps.front().tail_target = 100ms;
+    serving.steps.front().image = "serving";
+    w.accept_unheard(job_c, cell_id("a"), serving);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_of(job_c) == 4; }, 5s));
+    const auto filling = [](int steps, int count) {
+        flow_spec spec = chain_spec(steps, count);
+        for (flow_step& step : spec.steps) {
+            step.filling = true;
+            step.image = "filling";
+        }
+        return spec;
+    };
+    w.accept_unheard(job_b, cell_id("a"), filling(1, 40));
+    w.run_for(2s);
+    BOOST_REQUIRE(w.running_of(job_b) < 40);
+    w.accept_unheard(job_a, cell_id("a"), filling(3, 4));
+    instant ran = w.now();
+    duration idle(0);
+    const instant end = w.now() + 60s;
+    while (w.outcome_in_row(job_a) == 0 && w.now() < end) {
+        w.run_for(20ms);
+        ran = w.running_of(job_a) > 0 ? w.now() : ran;
+        idle = std::max(idle, w.now() - ran);
+    }
+    BOOST_TEST(w.outcome_in_row(job_a) == 1);
+    BOOST_TEST(idle.count() <= idle_most.count());
+    check_no_faults(w);
+}
