--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -14,6 +14,7 @@
 #include "flow_demand_p.h"
 #include "flow_edges_p.h"
 #include "flow_job_p.h"
+#include "flow_limits_p.h"
 #include "flow_load_p.h"
 #include "flow_metrics_p.h"
 #include "flow_order_p.h"
@@ -52,6 +53,8 @@
     std::function<std::vector<flow_cell_room>(instant, const cell_id& from, const std::string& service,
                                               const flow_step&)>
         list_room;
+    // The share of the processors of a service, in all cells heard of, that tasks take which do not fill.
+    std::function<double(instant, const std::string& service)> share_in_use;
     // A row that the owner of another cell must know.
     std::function<void(instant, const job_row_name&, const wire::flow_job_row&, row_version)> tell_cell;
     // The table has answered nobody that this entry hears from since `since`, and it hears from most entries.
@@ -366,9 +369,11 @@
     void place_soon() { place_planned_ = true; }
     void place_ready(instant now);
     bool place_stage(instant now, flow_job& job, flow_stage& stage);
-    // `near`: the rack where the rest of a gang is; invalid: none.
+    // `near`: the rack where the rest of a gang is; invalid: none. `patience`: how long filling work waits for a place
+    // that bears it.
     cell_worker* choose(instant now, const flow_job& job, const flow_stage& stage, const flow_task& task,
-                        const rack_id& near = rack_id());
+                        const rack_id& near = rack_id(), duration patience = flow_limits::fill_patience);
+    duration patience_of(instant now, const flow_job& job, const flow_task& task) const;
     static bool takes_starts(instant now, const cell_worker& w);
     place_option option_of(instant now, const cell_worker& w) const;
     void index_ready(flow_job& job);
@@ -443,6 +448,17 @@
         friend auto operator<=>(const stray_run&,
                                 const stray_run&) = default; // NOLINT(modernize-use-nullptr): wrong in clang-tidy 14
     };
+    // What somebody has told of a job.
+    struct told_row {
+        job_row_name name;
+        wire::flow_job_row row;
+        row_version version;
+    };
+    // A job that is not known here and whose rows are being read.
+    struct job_reading {
+        std::set<stray_run> strays;
+        std::vector<told_row> told; // since the read began
+    };
     struct ready_key {
         flow_urgency urgency;
         job_id job;
@@ -486,7 +502,7 @@
     int parts_left_ = 0;
     int next_part_ = 0;                                                         // whose reading has not begun
     std::map<std::string, std::map<job_id, std::vector<store_row>>> read_rows_; // by part, of parts that are being read
-    std::map<job_id, std::set<stray_run>> reading_jobs_;
+    std::map<job_id, job_reading> reading_jobs_;
 
     std::map<worker_id, cell_worker> workers_;
     std::map<job_id, std::unique_ptr<flow_job>> jobs_;
