--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -119,7 +119,7 @@
     }
     if (role_ != role::owning) {
         if (stopping_) {
-            release(now); // one that reads its jobs to the end first starts nothing all the while
+            release(now); // reading on would keep the cell from an owner that may start tasks
         }
         return;
     }
@@ -192,8 +192,8 @@
         return;
     }
     if (c.owner_restarted) {
-        // Its earlier life may have released the row: who knows that late counts from then what the row says is left of
-        // leases.
+        // Its earlier life may have released the row. What is left of leases counts from when the row was first seen:
+        // the sooner, the shorter the wait.
         if (c.rank <= 1 && read_if_older(leaving_row_interval)) {
             return;
         }
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -317,7 +317,7 @@
         w.read_at = now;
     }
     if (early) {
-        next_renewal_ = w.told_silent ? now : next_renewal_;
+        next_renewal_ = w.told_silent ? now : next_renewal_; // as below
         hold_soon(now, id, hold_wait);
         return;
     }
