--- a/src/flow_cell_log.cpp
+++ b/src/flow_cell_log.cpp
@@ -1,5 +1,6 @@
 // What a cell's owner logs of its load, and of the tasks that wait.
 #include <algorithm>
+#include <array>
 
 #include "flow_cell_p.h"
 #include "flow_limits_p.h"
@@ -13,21 +14,9 @@
 
 const char* name_of(task_wait_reason reason)
 {
-    switch (reason) {
-    case task_wait_reason::not_received:
-        return "not_received";
-    case task_wait_reason::may_still_run:
-        return "may_still_run";
-    case task_wait_reason::owner_silent:
-        return "owner_silent";
-    case task_wait_reason::workers_not_listed:
-        return "workers_not_listed";
-    case task_wait_reason::no_worker:
-        return "no_worker";
-    case task_wait_reason::no_room:
-        return "no_room";
-    }
-    return "";
+    constexpr std::array names{"not_received",       "may_still_run", "owner_silent",
+                               "workers_not_listed", "no_worker",     "no_room"};
+    return names.at(static_cast<std::size_t>(reason));
 }
 
 } // namespace
--- a/tests/test_flow_takeover.cpp
+++ b/tests/test_flow_takeover.cpp
@@ -69,6 +69,13 @@
     return running;
 }
 
+// Of all jobs.
+std::int64_t count_starts(const flow_world& w)
+{
+    return std::accumulate(jobs.begin(), jobs.end(), std::int64_t{0},
+                           [&w](std::int64_t n, const std::string& job) { return n + w.starts_of(job); });
+}
+
 void start_lasting_jobs(flow_world& w)
 {
     w.run_for(2s);
@@ -215,7 +222,7 @@
 {
     flow_world w({.entries_each = 3, .workers_each = 6});
     start_lasting_jobs(w);
-    const std::int64_t started = w.starts_of(jobs.at(0)) + w.starts_of(jobs.at(1)) + w.starts_of(jobs.at(2));
+    const std::int64_t started = count_starts(w);
     for (int i = 0; i < w.worker_count(); ++i) {
         w.worker(i).reachable = false;
     }
@@ -225,7 +232,7 @@
     }
     w.run_for(2 * lapsed_most);
     BOOST_TEST(running_tasks(w).size() == tasks_all);
-    BOOST_TEST(w.starts_of(jobs.at(0)) + w.starts_of(jobs.at(1)) + w.starts_of(jobs.at(2)) == started);
+    BOOST_TEST(count_starts(w) == started);
     BOOST_REQUIRE(w.submit(0, "00000000000000dd", lasting_spec(tasks_each, 4000)) == caller_result::accepted);
     w.run_for(start_most);
     BOOST_TEST(running_tasks(w).size() == tasks_all + tasks_each);
@@ -245,11 +252,7 @@
             }
             BOOST_REQUIRE(w.run_until([&] { return w.running_count() == tasks_all; }, 5s));
             w.run_for(2s);
-            const auto count_starts = [&w] {
-                return std::accumulate(jobs.begin(), jobs.end(), std::int64_t{0},
-                                       [&w](std::int64_t n, const std::string& job) { return n + w.starts_of(job); });
-            };
-            const std::int64_t started = count_starts();
+            const std::int64_t started = count_starts(w);
             const int owner = owner_of(w);
             if (planned) {
                 w.stop_by_plan(owner);
@@ -260,7 +263,7 @@
             w.run_for(2 * lapsed_most);
             BOOST_TEST(w.owners_of("a") == 1);
             BOOST_TEST(running_tasks(w).size() == tasks_all);
-            BOOST_TEST(count_starts() == started);
+            BOOST_TEST(count_starts(w) == started);
             check_no_faults(w);
         }
     }
@@ -276,8 +279,7 @@
                 {.entries_each = 4, .workers_each = 6, .jobs_page_time = 160ms, .hold_answer_delay = answer_delay});
             w.run_for(6s);
             start_lasting_jobs(w);
-            const auto starts = [&w] { return w.starts_of(jobs[0]) + w.starts_of(jobs[1]) + w.starts_of(jobs[2]); };
-            const std::int64_t started = starts();
+            const std::int64_t started = count_starts(w);
             for (int i = 0; i < 4; ++i) {
                 const int owner = owner_of(w);
                 w.stop_by_plan(owner);
@@ -287,7 +289,7 @@
             BOOST_TEST(running_tasks(w).size() == tasks_all);
             w.run_for(lapsed_most);
             BOOST_TEST(running_tasks(w).size() == tasks_all);
-            BOOST_TEST(starts() == started);
+            BOOST_TEST(count_starts(w) == started);
             check_no_faults(w);
         }
     }
@@ -381,8 +383,7 @@
                 flow_world w({.entries_each = 3, .workers_each = 6});
                 start_lasting_jobs(w);
                 w.run_for(100ms * round);
-                const auto starts = [&w] { return w.starts_of(jobs[0]) + w.starts_of(jobs[1]) + w.starts_of(jobs[2]); };
-                const std::int64_t started = starts();
+                const std::int64_t started = count_starts(w);
                 const int chosen = busy_workers(w).front();
                 w.set_table_down(true);
                 w.run_for(300ms);
@@ -392,7 +393,7 @@
                 w.run_for(5700ms);
                 w.set_table_down(false);
                 w.run_for(3s);
-                BOOST_TEST(starts() == started);
+                BOOST_TEST(count_starts(w) == started);
                 check_no_faults(w);
             }
         }
@@ -407,8 +408,7 @@
         {
             flow_world w({.entries_each = 3, .workers_each = 6, .table_latency = 120ms});
             start_lasting_jobs(w);
-            const auto starts = [&w] { return w.starts_of(jobs[0]) + w.starts_of(jobs[1]) + w.starts_of(jobs[2]); };
-            const std::int64_t started = starts();
+            const std::int64_t started = count_starts(w);
             const int silent = busy_workers(w).front();
             w.worker(silent).reachable = false;
             w.run_for(60ms);
@@ -417,7 +417,7 @@
             w.kill_entry(owner_of(w));
             w.run_for(lapsed_most);
             BOOST_TEST(running_tasks(w).size() == tasks_all);
-            BOOST_TEST(starts() == started);
+            BOOST_TEST(count_starts(w) == started);
             check_no_faults(w);
         }
     }
