--- a/src/flow_cell_log.cpp
+++ b/src/flow_cell_log.cpp
@@ -89,6 +89,25 @@
     }
 }
 
+// How long it had run tells a task that crashes its workers from one that was there by chance.
+void flow_cell::log_lost_run(instant now, const cell_worker& w, const flow_task_id& task, run_number run) const
+{
+    const auto found = jobs_.find(task.job);
+    const flow_task* const t = found == jobs_.end() ? nullptr : found->second->find_task(task);
+    instant started{};
+    for (const live_run& live : t == nullptr ? std::vector<live_run>() : t->runs) {
+        started = live.run == run && live.worker == w.listing.worker ? live.started : started;
+    }
+    const instant last = w.unanswered_since == instant{} ? now : w.unanswered_since;
+    const std::int64_t ran_ms = started == instant{} ? -1 : std::max<std::int64_t>(0, (last - started).count() / 1000);
+    edges_.note(log_level::info, "run", "lost",
+                {{"task", text_of(task)},
+                 {"run", std::to_string(run.value())},
+                 {"worker", w.listing.worker.str()},
+                 {"ran_ms", std::to_string(ran_ms)},
+                 {"beside", std::to_string(w.ledger.size() - 1)}});
+}
+
 void flow_cell::log_summary(instant now) const
 {
     resources room;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -172,6 +172,7 @@
         bool hold_planned = false;
         instant last_answer{};
         std::int32_t silent = 0; // holds without an answer in a row
+        instant unanswered_since{}; // when the first of these was given up; instant{}: none was
         end_number seen;
         end_number confirmed;
         std::vector<unconfirmed_end> unconfirmed;
@@ -301,6 +302,7 @@
     void note_lapsed(instant now, cell_worker& w);
     void bury_if_lapsed(instant now, cell_worker& w);
     void worker_died(instant now, cell_worker& w, const std::string& reason);
+    void log_lost_run(instant now, const cell_worker& w, const flow_task_id& task, run_number run) const;
     bool superseded(instant now, cell_worker& w, order_result result);
     // Nothing is left to do there: it is not in use, and nothing is known to run.
     static bool is_idle_and_unlisted(const cell_worker& w);
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -96,6 +96,7 @@
     order.checkpoint = t->checkpoint;
     order.fence = epoch_;
     if (tries == 0) {
+        live->started = now;
         live->lease_until = lease_end(w, now).value_or(worker_time{});
         note_lease(w, now);
     }
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -188,6 +188,9 @@
                      {"runs", std::to_string(w.ledger.size())},
                      {"reason", reason}});
     }
+    for (const auto& [task, run] : w.ledger) {
+        log_lost_run(now, w, task, run.run);
+    }
     while (!w.ledger.empty()) {
         const auto [task, run] = *w.ledger.begin();
         ++stats_.lost;
@@ -300,6 +303,7 @@
         return;
     }
     if (answer.result != order_result::accepted) {
+        w.unanswered_since = w.silent == 0 ? now : w.unanswered_since;
         ++w.silent;
         ++stats_.holds_unanswered;
         if (w.silent == silent_holds_most) {
@@ -311,6 +315,7 @@
         return;
     }
     w.silent = 0;
+    w.unanswered_since = instant{};
     w.last_answer = now;
     if (answer.clock) {
         w.reading = answer.clock;
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -23,6 +23,7 @@
     bool stopping = false;
     worker_time lease_until{}; // that its start carries
     std::uint64_t noted = 0;   // changes of the job that tell its start, which waits for them to be written; 0: sent
+    instant started{};         // when its start was first sent; instant{}: by an owner before, or not yet
 };
 
 struct flow_task {
