test_flow_crash: a task that crashes its workers is started for ever

Callers saw a job that stays running while one of its tasks takes down a worker every few seconds, with all that ran there.

--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -171,7 +171,7 @@
         bool holding = false;   // a hold is under way
         bool hold_planned = false;
         instant last_answer{};
-        std::int32_t silent = 0; // holds without an answer in a row
+        std::int32_t silent = 0;    // holds without an answer in a row
         instant unanswered_since{}; // when the first of these was given up; instant{}: none was
         end_number seen;
         end_number confirmed;
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -14,12 +14,21 @@
 using namespace std::chrono_literals;
 
 constexpr int failures_most = 3;
+constexpr int crashes_most = 3; // under a task; it is not started three times more
+constexpr int starts_after_most = 2;
 constexpr duration page_waited_for = 1500ms;
 // How long a task may go on after its job was cancelled, or after it was started late: time to hear of it, and to stop.
 constexpr duration cancelled_run_most = 3200ms;
 constexpr duration calm_after = 3s; // a removal or a cut, until promises with a time count again
 constexpr duration check_interval = 50ms;
-constexpr duration gang_patience = 3s; // of a member for the others, then it ends alone
+constexpr duration shrunk_room_grace = 4500ms; // for it to be told, and heard
+constexpr duration gang_patience = 3s;         // of a member for the others, then it ends alone
+
+resources larger(const resources& a, const resources& b)
+{
+    return {std::max(a.cpu_millis, b.cpu_millis), std::max(a.memory_mib, b.memory_mib),
+            std::max(a.accelerators, b.accelerators)};
+}
 
 flow_config make_config()
 {
@@ -347,7 +356,8 @@
                   const auto at = std::find_if(workers_.begin(), workers_.end(),
                                                [&](const auto& w) { return w->address == to.address; });
                   if (at == workers_.end() || !(*at)->up || !(*at)->reachable) {
-                      answer(done, order_answer{}, timeout);
+                      const bool refused = options_.crash_refuses && at != workers_.end() && !(*at)->up;
+                      answer(done, order_answer{}, refused ? options_.network_latency : timeout);
                       return;
                   }
                   flow_fake_worker& w = **at;
@@ -769,6 +779,12 @@
     if (waits) {
         begin_gang(order.task, order.run);
     }
+    if (options_.crashes_worker) {
+        if (const auto after = options_.crashes_worker(order.task, order)) {
+            later(*after,
+                  [this, &w, life = w.id, task = order.task, number = order.run] { crash_by(w, life, task, number); });
+        }
+    }
     ++w.starts;
     ++starts_[order.task.job.str()];
     answer.result = order_result::accepted;
@@ -798,8 +814,36 @@
 }
 
 void flow_world::crash_worker(int worker, bool comes_back)
+{
+    crash(*workers_.at(static_cast<std::size_t>(worker)), comes_back ? std::optional<duration>(1s) : std::nullopt);
+}
+
+void flow_world::crash_by(flow_fake_worker& w, const worker_id& life, const flow_task_id& task, run_number run)
+{
+    const auto at = w.running.find(task);
+    if (w.id == life && w.up && at != w.running.end() && at->second.number == run) {
+        ++crashes_under_[task];
+        crash(w, options_.crash_away);
+    }
+}
+
+int flow_world::crashes_under(const flow_task_id& task) const
+{
+    const auto at = crashes_under_.find(task);
+    return at == crashes_under_.end() ? 0 : at->second;
+}
+
+void flow_world::set_room(int worker, resources room, duration told_after)
 {
     flow_fake_worker& w = *workers_.at(static_cast<std::size_t>(worker));
+    w.room_told = w.room_before = w.room;
+    w.room = room;
+    w.room_counts = now_ + shrunk_room_grace;
+    later(told_after, [&w] { w.room_told.reset(); });
+}
+
+void flow_world::crash(flow_fake_worker& w, std::optional<duration> away)
+{
     if (!w.up) {
         return; // it would begin its next life twice, the second time with the runs and ends of the first
     }
@@ -816,8 +860,8 @@
     w.ends.clear();
     w.forgotten.clear();
     w.told.clear();
-    if (comes_back) {
-        later(1s, [this, &w] { start_next_life(w); });
+    if (away) {
+        later(*away, [this, &w] { start_next_life(w); });
     }
 }
 
@@ -978,6 +1022,9 @@
     if (failed_[task] >= failures_most && !step.lasting) {
         fault(text_of(task) + " started after it had failed for the last time");
     }
+    if (crashes_under(task) >= crashes_most && !late && ++starts_after_crashes_[task] > starts_after_most) {
+        fault(text_of(task) + " started three times more after three workers had crashed under it");
+    }
     if (cancelled_.count(task.job.str()) != 0 && !late) {
         fault(text_of(task) + " started after its job was cancelled");
     }
@@ -993,7 +1040,8 @@
     for (const auto& [other, run] : w.running) {
         held = held + run.need;
     }
-    if (!fits(held, w.room)) {
+    const resources room = now_ < w.room_counts ? larger(w.room, w.room_before) : w.room;
+    if (!fits(held, room)) {
         fault(text_of(task) + " goes over the room of " + w.id.str());
     }
 }
@@ -1129,7 +1177,14 @@
 flow_listed_worker flow_world::listing_of(int worker) const
 {
     const flow_fake_worker& w = *workers_.at(static_cast<std::size_t>(worker));
-    return {w.id, w.address, w.data_centre, "service", w.room, w.labels, rack_id(w.labels.back()), w.draining};
+    return {w.id,
+            w.address,
+            w.data_centre,
+            "service",
+            w.room_told.value_or(w.room),
+            w.labels,
+            rack_id(w.labels.back()),
+            w.draining};
 }
 
 std::int64_t flow_world::logged(const std::string& subject, const std::string& event) const
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -21,6 +21,9 @@
     net_address address;
     data_centre_id data_centre;
     resources room{16000, 64000, 0};
+    std::optional<resources> room_told; // by the list, while it is behind
+    instant room_counts{};              // starts are checked against a room that has shrunk from then on
+    resources room_before;
     std::vector<std::string> labels{"a", "rack-1"};
     bool up = true;
     bool listed = true;
@@ -75,6 +78,10 @@
         bool gangs_wait = false;      // for all members of a run, on all workers, and end with the first that ends
         bool gangs_end_alone = false; // a member that waited in vain is no fault: something was impaired
         duration stop_time{0};        // that a stop takes
+        // How long after its start the task crashes its worker, without a trace; empty: it does not.
+        std::function<std::optional<duration>(const flow_task_id&, const start_run&)> crashes_worker;
+        duration crash_away = std::chrono::seconds(1); // until a crashed worker's next life begins
+        bool crash_refuses = false; // connections to a crashed worker fail at once; else nothing answers there
         // An end counts as known for good once an answer that lists it has left, whether or not it is confirmed. The
         // rules hold this against an owner that is just slow; where answers are lost and entries killed, they don't.
         // `heard_counts`: only from when the entry has handled that answer.
@@ -136,6 +143,10 @@
     void list_unusable(flow_unusable_entry entry) { foreign_.unusable.push_back(std::move(entry)); }
     flow_listed_worker listing_of(int worker) const;
     void crash_worker(int worker, bool comes_back);
+    // How often the task has crashed its worker.
+    int crashes_under(const flow_task_id& task) const;
+    // The room changes now; what the list says of it follows `told_after` later.
+    void set_room(int worker, resources room, duration told_after);
     // It says that it leaves, serves for `drain` and exits; `gap` later another life starts at its address.
     void replace_worker(int worker, duration drain, duration gap);
     // A job in the table that no owner has been told of, and an end `done` of one of its tasks, as an earlier owner of
@@ -208,6 +219,8 @@
     void on_entry(int entry, std::uint64_t life, const std::function<void(flow_entry&, instant)>& what,
                   bool timer = false);
     duration sending_delay(int entry);
+    void crash(flow_fake_worker& w, std::optional<duration> away);
+    void crash_by(flow_fake_worker& w, const worker_id& life, const flow_task_id& task, run_number run);
     void start_next_life(flow_fake_worker& w);
     flow_edges make_edges(int entry);
     bool table_reached(int entry) const;
@@ -252,8 +265,10 @@
     std::map<flow_task_id, int> done_; // less those that nobody need know of
     std::set<flow_task_id> ever_done_;
     std::map<flow_task_id, int> failed_;
-    std::map<std::string, instant> cancelled_; // when; known 3 s later, from when on it must be kept to
-    instant impaired_at_{};                    // an instance was removed last
+    std::map<flow_task_id, int> crashes_under_;
+    std::map<flow_task_id, int> starts_after_crashes_; // once the task has crashed as many as it may
+    std::map<std::string, instant> cancelled_;         // when; known 3 s later, from when on it must be kept to
+    instant impaired_at_{};                            // an instance was removed last
     double late_share_ = 0;
     int starts_to_delay_ = 0;
     duration start_delay_{0};
