cells: a start is not sent to a worker whose room has shrunk since it was placed

Callers' tasks would be started over the room of a worker that does not guard it. Cause: room is looked at when a task is placed; a start that waits for its row, or that is sent again since it was not answered, goes out later, when the list may show less room. Evidence: test_flow_room, two of its four cases fail without the check (starts over the room at 104.6 s and 105.7 s of virtual time). The other two guard what held already: what is being stopped counts, and random changes of room over restarts. Change: each try of a start is checked against the room that the list shows now; one that was never sent goes back to wait, one that may have been carried out is stopped.

--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -92,6 +92,11 @@
         send_stop(now, id, task, run, 0);
         return;
     }
+    // Its room may have shrunk while the start waited, for a write or for an answer.
+    if (!fits(w.held, w.listing.room)) {
+        take_back_start(now, w, *job, task, run, tries);
+        return;
+    }
     start_run order;
     order.task = task;
     order.run = run;
