cells of the product's own path: a crash of a worker is charged to the tasks that may have caused it

Callers saw a job that runs on while one of its tasks takes down a worker every few seconds. Cause: the same as on the platform's path (an attempt that ended with its worker was queued again and counted nowhere; blame_book learns from finished and failed attempts only).

Change: a worker that answers under another boot has crashed. Its attempts are charged by the same rules (place_crash, now with crash_watch, one for both paths), the crashes go into the task's row, a task charged twice starts alone and is asked after every 100 ms, and its job is parked with the workers and moments as the reason. An attempt that was taken for lapsed is charged when its worker answers; two such suffice to start the task alone. An operator's resume begins anew. Ruled out: charging at the lapse: a worker that is cut off has not crashed.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -2,6 +2,8 @@
 // milliseconds. Fields are only ever added, with a new number and a default.
 namespace cpp skylarkhub.wire
 
+include "peer.thrift"
+
 struct flow_step_row {
   1: i32 count = 1
   2: i64 cpu_millis = 0
@@ -32,15 +34,6 @@
   2: i64 run = 0
 }
 
-// A worker that crashed under a run, and the run is charged with it.
-struct flow_crash_row {
-  1: i64 run = 0
-  2: string worker
-  3: i64 age_ms = 0 // of the run when the worker no longer answered
-  4: i64 at_ms = 0
-  5: double rate = 0 // crashes a second of each worker by other causes
-}
-
 // What is certain about the tasks of one step in one occurrence. Facts are only ever added.
 struct flow_stage_row {
   1: i32 occurrence = 0
@@ -50,7 +43,7 @@
   6: map<i32, flow_home_row> homes
   8: map<i32, list<i64>> failed_runs // task -> the runs that failed; no more than its attempts
   9: map<i32, flow_start_row> starts  // of a step whose starts are noted, or of a task that is started alone
-  10: map<i32, list<flow_crash_row>> crashes
+  10: map<i32, list<peer.crash_row>> crashes
   11: map<i32, i64> outlived // task -> a run that lived long or ended by itself: crashes up to it no longer count
 }
 
--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -27,6 +27,15 @@
   14: i64 due_ms = 0        // due time of that standing work
 }
 
+// A worker that crashed under a run, and the run is charged with it.
+struct crash_row {
+  1: i64 run = 0 // its number among those of the task
+  2: string worker
+  3: i64 age_ms = 0 // of the run when the worker no longer answered
+  4: i64 at_ms = 0
+  5: double rate = 0 // crashes a second of each worker by other causes
+}
+
 enum task_phase_row { queued = 0, finished = 1, parked = 2, cancelled = 3 }
 
 // Only what must outlast the entries: running is not stored, the workers' inventory tells it.
@@ -38,6 +47,7 @@
   5: optional string last_reason
   6: optional string checkpoint // newest durable one that the row's writer knew of, may be older than the newest
   7: optional double checkpoint_progress = 0
+  8: optional list<crash_row> crashes
 }
 
 // Neighbouring tasks of one phase of which nothing else has to be told.
--- /dev/null
+++ b/src/cell_crashes.cpp
@@ -0,0 +1,231 @@
+// Workers that crash: which tasks are charged with it, and the workers that are kept for a task under suspicion. See
+// place_crash_p.h.
+#include <algorithm>
+
+#include "cell_state_p.h"
+
+namespace skylarkhub::detail {
+
+namespace {
+
+const std::vector<wire::crash_row>& crashes_of(const job_record& job, std::int32_t index)
+{
+    static const std::vector<wire::crash_row> none;
+    const task_past* const past = job.past(index);
+    return past == nullptr ? none : past->crashes;
+}
+
+std::int64_t wall_ms(const cell_state& s)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(s.wall.time_since_epoch()).count();
+}
+
+double rate_of_others(const cell_state& s, const task_id& task, const std::vector<wire::crash_row>& before)
+{
+    const std::int64_t first_ms = before.empty() ? wall_ms(s) : before.front().at_ms;
+    const duration since_first = std::chrono::milliseconds(std::max<std::int64_t>(0, wall_ms(s) - first_ms));
+    const duration owned = s.now - s.taken_at + config::crash_rate_least;
+    const duration over = std::min({since_first + crash_seen_before, crash_seen_over, owned});
+    return s.crashes.rate_of_others(s.now, over, task, s.workers.size());
+}
+
+void charge(cell_state& s, const worker_id& worker, const lost_attempt& lost)
+{
+    job_record* const job = find_job(s, lost.task.job);
+    if (job == nullptr || !job->has(lost.task.index) || job->phase(lost.task.index) == task_phase::finished) {
+        return;
+    }
+    const std::vector<wire::crash_row>& before = crashes_of(*job, lost.task.index);
+    wire::crash_row crash;
+    crash.run = lost.attempt.value();
+    crash.worker = worker.str();
+    crash.age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(*lost.in_crash.age).count();
+    crash.at_ms = wall_ms(s);
+    crash.rate = rate_of_others(s, lost.task, before);
+    job->note_crash(lost.task.index, crash);
+    if (job->crashes_workers(lost.task.index)) {
+        s.crashes.explain_all(lost.task);
+    }
+    else if (static_cast<int>(crashes_of(*job, lost.task.index).size()) > crashes_until_alone) {
+        s.crashes.explain(worker);
+    }
+    note_suspects(s, *job);
+    touch(s, *job);
+}
+
+void charge_lost(cell_state& s, const worker_id& worker, const std::vector<lost_attempt>& lost)
+{
+    std::vector<run_in_crash> runs;
+    runs.reserve(lost.size());
+    std::transform(lost.begin(), lost.end(), std::back_inserter(runs), [](const auto& l) { return l.in_crash; });
+    const std::vector<bool> charged = charge_crash(runs);
+    for (std::size_t i = 0; i < lost.size(); ++i) {
+        if (charged[i]) {
+            charge(s, worker, lost[i]);
+        }
+    }
+}
+
+cell_worker* find_kept(cell_state& s, const task_id& task)
+{
+    const auto kept = std::find_if(s.workers.begin(), s.workers.end(), [&](const auto& named) {
+        return is_kept(s, named.second) && *named.second.kept_for == task;
+    });
+    return kept == s.workers.end() ? nullptr : &kept->second;
+}
+
+// Of the workers that will do, the one where least would be lost.
+cell_worker* choose_to_keep(cell_state& s, const job_record& job)
+{
+    cell_worker* best = nullptr;
+    std::size_t kept = 0;
+    for (auto& [id, worker] : s.workers) {
+        kept += is_kept(s, worker) ? 1 : 0;
+        const bool usable = is_usable(s, id, worker) && !is_kept(s, worker) && has_room(worker, job.spec().declared);
+        if (usable && (best == nullptr || worker.ledger.entries().size() < best->ledger.entries().size())) {
+            best = &worker;
+        }
+    }
+    const double most = kept_share_most * static_cast<double>(s.workers.size()) + 1;
+    return static_cast<double>(kept) < most ? best : nullptr;
+}
+
+} // namespace
+
+void note_unanswered(cell_state& s, cell_worker& worker)
+{
+    if (worker.unanswered_since != instant{}) {
+        return;
+    }
+    worker.unanswered_since = s.now;
+    std::set<task_id> tasks;
+    for (const ledger_entry& entry : worker.ledger.entries()) {
+        tasks.insert(entry.task);
+    }
+    s.crashes.note(s.now, s.now, worker.listing.worker, std::move(tasks));
+}
+
+void note_boot(cell_state& s, cell_worker& worker, const std::string& boot)
+{
+    if (worker.boot == boot) {
+        worker.lost.clear(); // it was cut off and has not crashed
+        return;
+    }
+    if (!worker.boot.empty()) {
+        note_unanswered(s, worker);
+        worker.restarted = true;
+    }
+    worker.boot = boot;
+    worker.usage_learned = worker_time{}; // its clock began anew
+}
+
+std::vector<lost_attempt> list_lost(cell_state& s, const cell_worker& worker)
+{
+    std::vector<lost_attempt> lost;
+    for (const ledger_entry& entry : worker.ledger.entries()) {
+        job_record* const job = find_job(s, entry.task.job);
+        const task_run* const run = job == nullptr ? nullptr : job->run(entry.task.index);
+        if (run == nullptr || run->attempt != entry.attempt || entry.first_sent.value() == 0) {
+            continue;
+        }
+        lost_attempt each{entry.task, entry.attempt, {}};
+        each.in_crash.crashes = static_cast<int>(crashes_of(*job, entry.task.index).size());
+        each.in_crash.alone = run->alone && run->started_at == worker.last_start;
+        each.in_crash.in_a_wave = s.crashes.in_a_wave(worker.unanswered_since, worker.listing.worker, entry.task.job);
+        if (run->started_at != instant{}) {
+            each.in_crash.age = worker.unanswered_since - run->started_at;
+        }
+        lost.push_back(std::move(each));
+    }
+    return lost;
+}
+
+void remember_lost(cell_state& s, cell_worker& worker)
+{
+    if (!worker.leaving) {
+        const std::vector<lost_attempt> lost = list_lost(s, worker);
+        worker.lost.insert(worker.lost.end(), lost.begin(), lost.end());
+    }
+    for (const lost_attempt& lost : worker.lost) {
+        if (is_suspect(s, lost.task)) {
+            s.suspects.insert(lost.task);
+        }
+    }
+}
+
+void charge_restart(cell_state& s, cell_worker& worker)
+{
+    if (!worker.restarted) {
+        return;
+    }
+    worker.restarted = false;
+    if (!worker.leaving) {
+        remember_lost(s, worker);
+        charge_lost(s, worker.listing.worker, worker.lost);
+    }
+    worker.lost.clear();
+}
+
+void note_suspects(cell_state& s, const job_record& job)
+{
+    for (const std::int32_t index : job.suspected()) {
+        s.suspects.insert({job.id(), index});
+    }
+}
+
+bool is_suspect(const cell_state& s, const task_id& task)
+{
+    const auto found = s.jobs.find(task.job);
+    if (found == s.jobs.end() || !found->second.has(task.index)) {
+        return false;
+    }
+    std::size_t crashes = crashes_of(found->second, task.index).size();
+    for (const auto& [id, worker] : s.workers) {
+        crashes += static_cast<std::size_t>(std::count_if(worker.lost.begin(), worker.lost.end(),
+                                                          [&](const lost_attempt& lost) { return lost.task == task; }));
+    }
+    return crashes >= static_cast<std::size_t>(crashes_until_alone);
+}
+
+void park_crashers(cell_state& s)
+{
+    for (const task_id& task : s.suspects) {
+        job_record* const job = find_job(s, task.job);
+        const bool waits = job != nullptr && job->has(task.index) && job->phase(task.index) == task_phase::queued;
+        if (waits && job->crashes_workers(task.index)) {
+            park_job(s, *job,
+                     "task " + std::to_string(task.index) +
+                         " crashes the workers that start it: " + describe_crashes(crashes_of(*job, task.index)));
+        }
+    }
+}
+
+bool is_kept(const cell_state& s, const cell_worker& worker)
+{
+    return worker.kept_for && s.now < worker.kept_until;
+}
+
+// The moment of a crash is known the better the more often the worker is asked.
+bool is_watched(const cell_state& s, const cell_worker& worker)
+{
+    return is_kept(s, worker) && s.now - worker.last_start < alone_settle;
+}
+
+cell_worker* choose_alone(cell_state& s, const job_record& job, const task_id& task)
+{
+    cell_worker* worker = find_kept(s, task);
+    if (worker == nullptr) {
+        worker = choose_to_keep(s, job);
+        if (worker == nullptr) {
+            return nullptr;
+        }
+        worker->kept_for = task;
+        worker->kept_until = s.now + alone_wait_most;
+    }
+    const bool settled = s.now - worker->last_start >= alone_settle;
+    const bool ready =
+        settled && is_usable(s, worker->listing.worker, *worker) && has_room(*worker, job.spec().declared);
+    return ready ? worker : nullptr;
+}
+
+} // namespace skylarkhub::detail
--- a/src/cell_jobs.cpp
+++ b/src/cell_jobs.cpp
@@ -103,6 +103,7 @@
         job_record job(*decoded, s.now);
         const job_id id = job.id();
         s.awaited.insert(id);
+        note_suspects(s, job);
         s.jobs.insert_or_assign(id, std::move(job));
     }
     s.jobs_read = true;
--- a/src/cell_placing.cpp
+++ b/src/cell_placing.cpp
@@ -7,14 +7,6 @@
 
 namespace {
 
-bool is_usable(const cell_state& s, const worker_id& id, const cell_worker& worker)
-{
-    const duration silence = s.now - worker.read_at;
-    const bool answers = worker.fenced && silence < 2 * s.settings.lease_renew_interval + s.settings.drift_margin;
-    return worker.listed && answers && !worker.leaving && s.workers_named.contains(id) &&
-           s.now >= worker.no_starts_until;
-}
-
 void offer_worker(const cell_state& s, const worker_id& id, const cell_worker& worker, std::vector<place_worker>& out)
 {
     place_worker offer;
@@ -22,7 +14,7 @@
     offer.rack = worker.listing.rack;
     offer.capacity = worker.capacity;
     offer.committed = worker.ledger.committed();
-    offer.usable = is_usable(s, id, worker);
+    offer.usable = is_usable(s, id, worker) && !is_kept(s, worker);
     out.push_back(std::move(offer));
 }
 
@@ -51,6 +43,9 @@
     }
     std::size_t offered = 0;
     job.each_queued([&](std::int32_t index) {
+        if (s.suspects.contains(task_id{job.id(), index})) {
+            return true;
+        }
         out.push_back(describe(s, job, index));
         return ++offered < config::place_queued_most;
     });
@@ -79,13 +74,6 @@
     }
 }
 
-// Checked here again, whatever the plan says: no worker is committed beyond what it has.
-bool has_room(const cell_worker& worker, const resources& need)
-{
-    const bool positive = need.cpu_millis >= 0 && need.memory_mib >= 0 && need.accelerators >= 0;
-    return positive && fits(worker.ledger.committed() + need, worker.capacity);
-}
-
 void start_task(cell_state& s, const place_start& start)
 {
     job_record* const job = find_job(s, start.task.job);
@@ -98,7 +86,8 @@
         job->phase(start.task.index) == task_phase::queued && !job->cancelling() && !s.awaited.contains(start.task.job);
     // A worker refuses a task that its inventory still shows from an earlier attempt.
     const bool absent = worker.ledger.find_task(start.task) == nullptr;
-    if (!startable || !absent || !is_usable(s, start.worker, worker) || !has_room(worker, start.committed)) {
+    if (!startable || !absent || !is_usable(s, start.worker, worker) ||
+        (is_kept(s, worker) && worker.kept_for != start.task) || !has_room(worker, start.committed)) {
         return;
     }
     ledger_entry entry;
@@ -112,6 +101,9 @@
     run.worker = start.worker;
     run.bound_at = s.now;
     run.running_since = s.now;
+    run.started_at = s.now;
+    run.alone = worker.kept_for == start.task;
+    worker.last_start = s.now;
     const task_past* const past = job->past(start.task.index);
     s.stats.resumes += past != nullptr && !past->checkpoint.empty() ? 1 : 0;
     ++s.stats.starts;
@@ -120,6 +112,25 @@
     wake_worker(s, start.worker);
 }
 
+// Tasks that may crash their workers: each on a worker to itself.
+void start_suspects(cell_state& s)
+{
+    park_crashers(s);
+    std::erase_if(s.suspects, [&](const task_id& task) { return !is_suspect(s, task); });
+    for (const task_id& task : s.suspects) {
+        const job_record& job = *find_job(s, task.job);
+        if (job.phase(task.index) != task_phase::queued || job.cancelling() || s.awaited.contains(task.job)) {
+            continue;
+        }
+        if (cell_worker* const worker = choose_alone(s, job, task)) {
+            const task_past* const past = job.past(task.index);
+            const duration age = past == nullptr ? duration(0) : longest_age(past->crashes);
+            worker->kept_until = s.now + time_alone(age);
+            start_task(s, {task, worker->listing.worker, job.spec().declared});
+        }
+    }
+}
+
 void throttle_task(cell_state& s, const place_throttle& throttle)
 {
     job_record* const job = find_job(s, throttle.task.job);
@@ -211,6 +222,20 @@
 
 } // namespace
 
+bool is_usable(const cell_state& s, const worker_id& id, const cell_worker& worker)
+{
+    const duration silence = s.now - worker.read_at;
+    const bool answers = worker.fenced && silence < 2 * s.settings.lease_renew_interval + s.settings.drift_margin;
+    return worker.listed && answers && !worker.leaving && s.workers_named.contains(id) &&
+           s.now >= worker.no_starts_until;
+}
+
+bool has_room(const cell_worker& worker, const resources& need)
+{
+    const bool positive = need.cpu_millis >= 0 && need.memory_mib >= 0 && need.accelerators >= 0;
+    return positive && fits(worker.ledger.committed() + need, worker.capacity);
+}
+
 void place_due(cell_state& s)
 {
     const bool may = owns(s) && s.role != cell_role::handing_over && s.held && s.jobs_read && s.inbox_read;
@@ -251,6 +276,7 @@
     for (const place_start& start : plan.starts) {
         start_task(s, start);
     }
+    start_suspects(s);
     // Each pass is offered a part of the queue only.
     s.place_wanted = s.place_wanted || !plan.starts.empty();
 }
--- a/src/cell_report.cpp
+++ b/src/cell_report.cpp
@@ -194,6 +194,10 @@
     run->progress = task.progress;
     run->used = task.used;
     run->running_since = to_entry_time(s, report, task.started);
+    if (s.now - run->bound_at > crash_age_most) {
+        job->forget_crashes(task.task.index);
+        touch(s, *job);
+    }
     const bool newly_taken = report.usage_taken > worker.usage_learned && report.usage_taken >= task.started;
     if (newly_taken && task.used != resources{}) {
         s.placer->learn_usage(to_entry_time(s, report, report.usage_taken), task.task, job->spec(), task.used);
@@ -259,6 +263,7 @@
 void drop_absent(cell_state& s, cell_worker& worker, sequence_number sequence)
 {
     const worker_id& id = worker.listing.worker;
+    charge_restart(s, worker);
     std::vector<ledger_entry> absent;
     for (const ledger_entry& entry : worker.ledger.entries()) {
         const bool told = entry.first_sent.value() > 0 && entry.first_sent <= sequence;
--- a/src/cell_state_p.h
+++ b/src/cell_state_p.h
@@ -16,6 +16,7 @@
 #include "cell_ledger_p.h"
 #include "cell_p.h"
 #include "job_record_p.h"
+#include "place_crash_p.h"
 #include "place_p.h"
 
 namespace skylarkhub::detail {
@@ -70,6 +71,13 @@
     std::size_t rows_last = 1;
 };
 
+// An attempt that ended with its worker, or whose lease is over.
+struct lost_attempt {
+    task_id task;
+    attempt_number attempt;
+    run_in_crash in_crash;
+};
+
 struct cell_worker {
     listed_worker listing;
     bool listed = false;
@@ -86,6 +94,12 @@
     instant next_exchange{};
     instant no_starts_until{};
     worker_ledger ledger;
+    instant last_start{};
+    instant unanswered_since{};      // instant{}: it answers
+    bool restarted = false;          // another boot answers than the one that was told what to run
+    std::vector<lost_attempt> lost;  // taken for lapsed; it may have crashed
+    std::optional<task_id> kept_for; // a task that may crash it: nothing else is started there
+    instant kept_until{};
     std::optional<worker_report> unread; // came before the jobs were read
     sequence_number unread_sequence;
     worker_time usage_learned{}; // measurements up to here have been learned from
@@ -128,6 +142,8 @@
     std::map<job_id, job_record> jobs;
     std::set<job_id> unwritten; // their rows are behind
     std::set<job_id> awaited;   // their tasks may run unseen until `accounted`
+    crash_watch<task_id> crashes;
+    std::set<task_id> suspects; // tasks that are started alone
     bool jobs_read = false;
     bool inbox_read = false;
     bool reading_jobs = false;
@@ -208,6 +224,23 @@
 void take_unread_reports(cell_state& s);
 void release_lapsed(cell_state& s, const worker_id& worker, const ledger_entry& entry);
 
+// --- workers that crash (cell_crashes.cpp) ---
+
+void note_unanswered(cell_state& s, cell_worker& worker);
+void note_boot(cell_state& s, cell_worker& worker, const std::string& boot);
+std::vector<lost_attempt> list_lost(cell_state& s, const cell_worker& worker);
+// What is lost is charged when the worker answers under another boot.
+void remember_lost(cell_state& s, cell_worker& worker);
+void charge_restart(cell_state& s, cell_worker& worker);
+void note_suspects(cell_state& s, const job_record& job);
+// Its crashes, and what may have been some, suffice for it to be started alone.
+bool is_suspect(const cell_state& s, const task_id& task);
+void park_crashers(cell_state& s);
+bool is_kept(const cell_state& s, const cell_worker& worker);
+bool is_watched(const cell_state& s, const cell_worker& worker);
+// A worker to itself, once nothing has been started there for a while; null until then.
+cell_worker* choose_alone(cell_state& s, const job_record& job, const task_id& task);
+
 // --- jobs (cell_jobs.cpp, cell_inbox.cpp) ---
 
 job_record* find_job(cell_state& s, const job_id& job);
@@ -224,6 +257,10 @@
 // --- placement (cell_placing.cpp) ---
 
 void place_due(cell_state& s);
+// Takes starts, but for what it may be kept for.
+bool is_usable(const cell_state& s, const worker_id& id, const cell_worker& worker);
+// No worker is committed beyond what it has.
+bool has_room(const cell_worker& worker, const resources& need);
 
 void notice(cell_state& s, std::string event, std::string detail);
 
--- a/src/cell_takeover.cpp
+++ b/src/cell_takeover.cpp
@@ -73,6 +73,8 @@
     s.jobs.clear();
     s.unwritten.clear();
     s.awaited.clear();
+    s.crashes.clear();
+    s.suspects.clear();
     s.inbox_folded.clear();
     s.inbox_removed.clear();
     s.inbox_removed_before.clear();
--- a/src/cell_workers.cpp
+++ b/src/cell_workers.cpp
@@ -105,7 +105,8 @@
 // When it must be spoken to at the latest: a renewal, or a stop whose grace is over.
 instant next_exchange(const cell_state& s, const cell_worker& worker)
 {
-    instant next = s.now + s.settings.lease_renew_interval;
+    instant next =
+        s.now + (is_watched(s, worker) ? config::watched_exchange_interval : s.settings.lease_renew_interval);
     for (const ledger_entry& entry : worker.ledger.entries()) {
         if (entry.stage == entry_stage::draining) {
             next = std::min(next, std::max(entry.stop_at, s.now));
@@ -154,6 +155,7 @@
             lapsed.push_back(entry);
         }
     }
+    remember_lost(s, worker);
     for (const ledger_entry& entry : lapsed) {
         worker.ledger.remove(entry.task, entry.attempt);
         ++s.stats.lapses;
@@ -164,6 +166,14 @@
 // A service keeps its place on an unreachable worker, and another is started in its stead: it need not be alone.
 void replace_services(cell_state& s, const worker_id& id, cell_worker& worker)
 {
+    const bool any =
+        std::any_of(worker.ledger.entries().begin(), worker.ledger.entries().end(), [&](const auto& entry) {
+            const job_record* const job = find_job(s, entry.task.job);
+            return entry.persistent && job != nullptr && job->phase(entry.task.index) == task_phase::bound;
+        });
+    if (any && worker.lost.empty()) {
+        remember_lost(s, worker);
+    }
     for (ledger_entry& entry : worker.ledger.entries()) {
         if (entry.stage == entry_stage::ended || !entry.persistent) {
             continue;
@@ -251,10 +261,7 @@
     }
     worker.waiting = false;
     s.awake.push_back(event.worker);
-    if (worker.boot != event.report.boot) {
-        worker.boot = event.report.boot;
-        worker.usage_learned = worker_time{}; // its clock began anew
-    }
+    note_boot(s, worker, event.report.boot);
     worker.reading = event.report.now;
     worker.read_at = s.now;
     if (!event.report.accepted) {
@@ -266,6 +273,7 @@
     worker.fenced = true;
     worker.capacity = event.report.capacity;
     take_report(s, worker, event.report, event.sequence);
+    worker.unanswered_since = instant{};
     if (first) {
         worker.next_exchange = s.now;
         s.place_wanted = true;
@@ -280,6 +288,7 @@
         return;
     }
     found->second.waiting = false;
+    note_unanswered(s, found->second);
     found->second.next_exchange = std::max(found->second.next_exchange, s.now + s.settings.lease_renew_interval / 4);
 }
 
--- a/src/config.h
+++ b/src/config.h
@@ -19,6 +19,10 @@
 inline constexpr double clock_drift = 0.01;          // most by which two clocks' rates differ
 inline constexpr duration drift_margin = 500ms;      // added where two clocks are compared across a drift
 
+// --- workers that crash ---
+inline constexpr duration crash_rate_least = 1s;             // that crashes are counted over
+inline constexpr duration watched_exchange_interval = 100ms; // with a worker on which a suspected task has just begun
+
 // --- cell ---
 inline constexpr duration read_patience = 3s;    // a read not answered for this long is sent again
 inline constexpr duration commit_patience = 10s; // a commit not answered for this long has an unknown outcome
--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -20,54 +20,26 @@
     return static_cast<int>(task.crashes.size()) >= crashes_until_alone;
 }
 
-duration longest_age(const flow_task& task)
-{
-    std::int64_t longest = 0;
-    for (const auto& [run, crash] : task.crashes) {
-        longest = std::max(longest, crash.age_ms);
-    }
-    return std::chrono::milliseconds(longest);
-}
-
 } // namespace
 
 // --- who is charged ---
 
-// The moment in which a worker stops answering is as near as can be known to the one in which it crashed.
 void flow_cell::note_silence(instant now, const cell_worker& w)
 {
-    std::erase_if(silences_, [now](const silent_worker& s) { return now - s.since > silence_kept; });
-    silent_worker s{w.unanswered_since, w.listing.worker, {}};
+    std::set<flow_task_id> tasks;
     for (const auto& [task, run] : w.ledger) {
-        s.tasks.insert(task);
+        tasks.insert(task);
     }
-    silences_.push_back(std::move(s));
-}
-
-// A rack, or a seventh of all workers, that goes at once has a cause of its own; but not the workers that tasks of one
-// job have crashed.
-bool flow_cell::is_in_a_wave(const cell_worker& w, const job_id& job) const
-{
-    const auto others = std::count_if(silences_.begin(), silences_.end(), [&](const silent_worker& s) {
-        const duration apart =
-            s.since > w.unanswered_since ? s.since - w.unanswered_since : w.unanswered_since - s.since;
-        const auto of_job = s.tasks.lower_bound({job, 0, 0, 0});
-        const bool had_job = of_job != s.tasks.end() && of_job->job == job;
-        return s.worker != w.listing.worker && apart <= wave_within && !had_job;
-    });
-    return others >= wave_least;
+    crashes_.note(now, w.unanswered_since, w.listing.worker, std::move(tasks));
 }
 
-// Of workers here, by causes other than the task, since it crashed one for the first time and somewhat before.
 double flow_cell::rate_of_others(instant now, const flow_task_id& id, const flow_task& task) const
 {
     const std::int64_t first_ms = task.crashes.empty() ? wall_ms() : task.crashes.begin()->second.at_ms;
     const duration since_first = std::chrono::milliseconds(std::max<std::int64_t>(0, wall_ms() - first_ms));
-    const duration over = std::min({since_first + crash_rate_before, silence_kept, now - taken_at_ + crash_rate_least});
-    const auto others = std::count_if(silences_.begin(), silences_.end(), [&](const silent_worker& s) {
-        return now - s.since <= over && !s.explained && s.tasks.count(id) == 0;
-    });
-    return crash_rate(others, workers_.size(), over);
+    const duration owned = now - taken_at_ + crash_rate_least;
+    return crashes_.rate_of_others(now, std::min({since_first + crash_seen_before, crash_seen_over, owned}), id,
+                                   workers_.size());
 }
 
 std::int64_t flow_cell::wall_ms() const
@@ -91,7 +63,7 @@
         lost_run each{task, run.run, {}};
         each.in_crash.crashes = static_cast<int>(parts.task->crashes.size());
         each.in_crash.alone = parts.live->alone && parts.live->started == newest;
-        each.in_crash.in_a_wave = is_in_a_wave(w, task.job);
+        each.in_crash.in_a_wave = crashes_.in_a_wave(w.unanswered_since, w.listing.worker, task.job);
         if (parts.live->started != instant{}) {
             each.in_crash.age = w.unanswered_since - parts.live->started;
         }
@@ -113,16 +85,6 @@
     }
 }
 
-// What a task has done that crashes its workers says nothing of how often they crash by themselves.
-void flow_cell::explain_silences(const worker_id& worker, const flow_task_id& id, const flow_task& task)
-{
-    const bool beyond_doubt = task.crashes_workers();
-    const bool was_alone = static_cast<int>(task.crashes.size()) > crashes_until_alone;
-    for (silent_worker& s : silences_) {
-        s.explained = s.explained || (beyond_doubt && s.tasks.count(id) != 0) || (was_alone && s.worker == worker);
-    }
-}
-
 void flow_cell::charge(instant now, const worker_id& worker, const flow_task_id& task, run_number run, duration age)
 {
     const auto found = jobs_.find(task.job);
@@ -130,21 +92,27 @@
         return;
     }
     flow_job& job = *found->second;
-    wire::flow_crash_row crash;
+    wire::crash_row crash;
     crash.run = run.value();
     crash.worker = worker.str();
     crash.age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
     crash.at_ms = wall_ms();
     crash.rate = rate_of_others(now, task, *job.find_task(task));
     job.note_crash(task, crash);
-    explain_silences(worker, task, *job.find_task(task));
+    const flow_task& charged = *job.find_task(task);
+    if (charged.crashes_workers()) {
+        crashes_.explain_all(task);
+    }
+    else if (static_cast<int>(charged.crashes.size()) > crashes_until_alone) {
+        crashes_.explain(worker);
+    }
     edges_.note(log_level::info, "run", "crashed_worker",
                 {{"task", text_of(task)},
                  {"run", std::to_string(run.value())},
                  {"worker", worker.str()},
                  {"ran_ms", std::to_string(crash.age_ms)},
                  {"others_per_s", fmt::format("{:.4f}", crash.rate)},
-                 {"crashes", std::to_string(job.find_task(task)->crashes.size())}});
+                 {"crashes", std::to_string(charged.crashes.size())}});
     job_changed(now, job, false);
 }
 
@@ -204,15 +172,10 @@
             if (task.stage == task_stage::done || !task.crashes_workers()) {
                 continue;
             }
-            std::string crashes;
-            for (const auto& [run, crash] : task.crashes) {
-                crashes += (crashes.empty() ? "" : ", ") + crash.worker + " at " + std::to_string(crash.at_ms) +
-                           " after " + std::to_string(crash.age_ms) + " ms";
-            }
             edges_.note(log_level::warning, "task", "given_up",
                         {{"task", text_of(job.task_id(stage, i))},
                          {"reason", "it crashes the workers that start it"},
-                         {"crashed", crashes}});
+                         {"crashed", describe_crashes(task.crash_rows())}});
         }
     }
 }
@@ -326,7 +289,7 @@
 
 void flow_cell::begin_alone(instant now, cell_worker& w, const flow_task& task)
 {
-    w.kept_until = now + time_alone(longest_age(task));
+    w.kept_until = now + time_alone(longest_age(task.crash_rows()));
 }
 
 } // namespace skylarkhub
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -331,22 +331,13 @@
         std::vector<lost_run> runs;
         instant at{};
     };
-    // A worker that stopped answering, and the tasks there.
-    struct silent_worker {
-        instant since{};
-        worker_id worker;
-        std::set<flow_task_id> tasks;
-        bool explained = false; // one of the tasks is to blame
-    };
     void note_silence(instant now, const cell_worker& w);
-    bool is_in_a_wave(const cell_worker& w, const job_id& job) const;
     double rate_of_others(instant now, const flow_task_id& id, const flow_task& task) const;
     std::int64_t wall_ms() const;
     std::int64_t count_charged(const cell_worker& w) const;
     std::vector<lost_run> list_lost_runs(const cell_worker& w);
     void charge_runs(instant now, const worker_id& worker, const std::vector<lost_run>& lost);
     void charge(instant now, const worker_id& worker, const flow_task_id& task, run_number run, duration age);
-    void explain_silences(const worker_id& worker, const flow_task_id& id, const flow_task& task);
     void charge_noted(instant now, const cell_worker& w);
     void charge_crash_of(instant now, const cell_worker& w);
     void remember_lapsed(instant now, const cell_worker& w);
@@ -563,7 +554,7 @@
     std::set<job_id> awaited_; // known since the takeover; may_start() tells for which tasks that means a wait
     std::set<job_id> timed_;
     std::map<job_id, instant> put_away_; // ended jobs, until no late page can tell of them any more
-    std::vector<silent_worker> silences_;
+    crash_watch<flow_task_id> crashes_;
     std::map<net_address, lapsed_life> lapsed_;
     bool alone_waits_ = false; // a task waits for a worker to itself
     std::map<std::string, part_state> parts_;
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -22,13 +22,17 @@
 
 } // namespace
 
+std::vector<wire::crash_row> flow_task::crash_rows() const
+{
+    std::vector<wire::crash_row> rows;
+    rows.reserve(crashes.size());
+    std::transform(crashes.begin(), crashes.end(), std::back_inserter(rows), [](const auto& c) { return c.second; });
+    return rows;
+}
+
 bool flow_task::crashes_workers() const
 {
-    std::vector<charged_crash> charged;
-    std::transform(crashes.begin(), crashes.end(), std::back_inserter(charged), [](const auto& crash) {
-        return charged_crash{std::chrono::milliseconds(crash.second.age_ms), crash.second.rate};
-    });
-    return is_given_up(charged);
+    return is_given_up(charged_of(crash_rows()));
 }
 
 bool notes_starts(const flow_step& step)
@@ -311,7 +315,7 @@
     return static_cast<std::int32_t>(t->failed_runs.size());
 }
 
-void flow_job::note_crash(const flow_task_id& task, const wire::flow_crash_row& crash)
+void flow_job::note_crash(const flow_task_id& task, const wire::crash_row& crash)
 {
     flow_task* const t = find_task(task);
     const run_number run(crash.run);
@@ -340,7 +344,7 @@
 {
     const auto crashes = row.crashes.find(index);
     if (crashes != row.crashes.end()) {
-        for (const wire::flow_crash_row& crash : crashes->second) {
+        for (const wire::crash_row& crash : crashes->second) {
             task.crashes.emplace(run_number(crash.run), crash);
         }
     }
@@ -520,8 +524,8 @@
                 s.failed_runs[index].push_back(run.value());
                 any = true;
             }
-            for (const auto& [run, crash] : task.crashes) {
-                s.crashes[index].push_back(crash);
+            if (!task.crashes.empty()) {
+                s.crashes[index] = task.crash_rows();
                 any = true;
             }
             if (task.outlived > run_number(0)) {
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -33,9 +33,10 @@
     // By number, not by count: ends are heard more than once, by several owners, and in any order. At most as many as
     // the task has attempts.
     std::set<run_number> failed_runs;
-    std::map<run_number, wire::flow_crash_row> crashes; // that it is charged with, by run
-    run_number outlived;                                // crashes up to this run no longer count
-    bool crashes_workers() const;                       // beyond doubt
+    std::map<run_number, wire::crash_row> crashes; // that it is charged with, by run
+    run_number outlived;                           // crashes up to this run no longer count
+    std::vector<wire::crash_row> crash_rows() const;
+    bool crashes_workers() const; // beyond doubt
     std::string checkpoint;
     instant ready_since{};
     std::vector<live_run> runs; // more than one only for speculative steps
@@ -132,7 +133,7 @@
     // The number of failed runs so far. A run counts once, however often its end is listed.
     std::int32_t note_failure(const flow_task_id& task, run_number run);
     // A worker crashed under the run.
-    void note_crash(const flow_task_id& task, const wire::flow_crash_row& crash);
+    void note_crash(const flow_task_id& task, const wire::crash_row& crash);
     // The run has shown that it crashes no worker.
     void note_outlived(const flow_task_id& task, run_number run);
     // What the end of a run of a step that does not last tells of its tasks.
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -151,19 +151,10 @@
     120s; // an ended job is known this long; a message may be as old as a cut is long
 
 // --- workers that crash ---
-// Workers that stop answering within this of each other have crashed in one moment, when there are so many besides.
-inline constexpr duration wave_within = 500ms;
-inline constexpr int wave_least = 2;
-inline constexpr duration silence_kept = 60s;
-inline constexpr duration crash_rate_before =
-    10s; // how often workers crash is counted from so long before a task's first
-inline constexpr duration crash_rate_least = 1s;
-inline constexpr duration answer_time_most = 100ms; // of a worker that is there
-inline constexpr duration lapsed_kept = 60s;        // for a worker's next life
-inline constexpr double kept_share_most = 0.25;     // of a cell's workers, for tasks that may crash theirs
+inline constexpr duration crash_rate_least = 1s; // that crashes are counted over
+inline constexpr duration lapsed_kept = 60s;     // for a worker's next life
 inline constexpr duration alone_hold_gap = 50ms; // between exchanges in the first moments of a task alone on its worker
-inline constexpr duration alone_settle = 1s;     // since the newest start on a worker that is kept for a task
-inline constexpr duration alone_wait_most = 5s;  // for that; then another worker is kept
+inline constexpr duration answer_time_most = 100ms; // of a worker that is there
 
 // --- placement ---
 // A waiting task goes to another cell after this: well before a task that has its turn may be missed, and long enough
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "place_crash_p.h"
+
 namespace skylarkhub::detail {
 
 namespace {
@@ -85,7 +87,7 @@
     if (row.phase == wire::task_phase_row::finished) {
         return;
     }
-    const bool fresh = row.attempts_failed == 0 && row.attempt == 0 && row.checkpoint.empty();
+    const bool fresh = row.attempts_failed == 0 && row.attempt == 0 && row.checkpoint.empty() && row.crashes.empty();
     if (fresh && row.last_reason.empty()) {
         return;
     }
@@ -96,6 +98,7 @@
     past.checkpoint = row.checkpoint;
     past.checkpoint_progress = row.checkpoint_progress;
     past.last_reason = row.last_reason;
+    past.crashes = row.crashes;
     past.queued_since = now;
 }
 
@@ -146,6 +149,9 @@
         task.__set_checkpoint(past.checkpoint);
         task.__set_checkpoint_progress(past.checkpoint_progress);
     }
+    if (!past.crashes.empty()) {
+        task.__set_crashes(past.crashes);
+    }
     return task;
 }
 
@@ -268,6 +274,7 @@
         past.failed_on.push_back(found->second.worker);
     }
     ++past.attempts_failed;
+    past.crashes.clear(); // it came to an end of its own
     past.recorded = past.attempt;
     past.last_reason = reason;
     last_reason_ = reason;
@@ -285,6 +292,38 @@
     changed();
 }
 
+void job_record::note_crash(std::int32_t index, wire::crash_row crash)
+{
+    past_[index].crashes.push_back(std::move(crash));
+    changed();
+}
+
+void job_record::forget_crashes(std::int32_t index)
+{
+    const auto found = past_.find(index);
+    if (found != past_.end() && !found->second.crashes.empty()) {
+        found->second.crashes.clear();
+        changed();
+    }
+}
+
+bool job_record::crashes_workers(std::int32_t index) const
+{
+    const task_past* const known = past(index);
+    return known != nullptr && is_given_up(charged_of(known->crashes));
+}
+
+std::vector<std::int32_t> job_record::suspected() const
+{
+    std::vector<std::int32_t> indexes;
+    for (const auto& [index, past] : past_) {
+        if (static_cast<int>(past.crashes.size()) >= crashes_until_alone) {
+            indexes.push_back(index);
+        }
+    }
+    return indexes;
+}
+
 void job_record::park_queued(const std::string& reason)
 {
     last_reason_ = reason;
@@ -319,6 +358,7 @@
         if (past != past_.end()) {
             past->second.attempts_failed = 0;
             past->second.failed_on.clear();
+            past->second.crashes.clear();
             past->second.queued_since = now;
         }
     }
--- a/src/job_record_p.h
+++ b/src/job_record_p.h
@@ -29,6 +29,7 @@
     double checkpoint_progress = 0;
     std::vector<worker_id> failed_on;
     std::string last_reason;
+    std::vector<wire::crash_row> crashes; // of workers that it is charged with, in the order of its attempts
     instant queued_since{};
 };
 
@@ -42,6 +43,8 @@
     double progress = 0;
     double resumed_from = 0; // progress of the checkpoint it was started from
     bool reported = false;   // the worker's inventory has shown it
+    instant started_at{};    // instant{}: by an owner before
+    bool alone = false;      // on a worker that was kept for it
 };
 
 struct finish_record {
@@ -97,6 +100,14 @@
     std::int32_t fail(std::int32_t index, const std::string& reason, instant now);
     // Evicted, lapsed or stopped: queued again, not counted as a failure. Cancelled when the job is being cancelled.
     void requeue(std::int32_t index, const std::string& reason, instant now);
+    // A worker crashed under an attempt of it.
+    void note_crash(std::int32_t index, wire::crash_row crash);
+    // An attempt has shown that it crashes no worker.
+    void forget_crashes(std::int32_t index);
+    // Beyond doubt.
+    bool crashes_workers(std::int32_t index) const;
+    // Tasks that are started alone.
+    std::vector<std::int32_t> suspected() const;
     void park_queued(const std::string& reason);
     void cancel(); // every task that is not bound; bound ones follow through requeue()
     void resume_parked(instant now);
--- a/src/place_crash.cpp
+++ b/src/place_crash.cpp
@@ -1,5 +1,7 @@
 #include "place_crash_p.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -57,6 +59,26 @@
     return charged;
 }
 
+std::vector<charged_crash> charged_of(const std::vector<wire::crash_row>& rows)
+{
+    std::vector<charged_crash> charged;
+    charged.reserve(rows.size());
+    std::transform(rows.begin(), rows.end(), std::back_inserter(charged), [](const wire::crash_row& row) {
+        return charged_crash{std::chrono::milliseconds(row.age_ms), row.rate};
+    });
+    return charged;
+}
+
+std::string describe_crashes(const std::vector<wire::crash_row>& rows)
+{
+    std::vector<std::string> each;
+    each.reserve(rows.size());
+    std::transform(rows.begin(), rows.end(), std::back_inserter(each), [](const wire::crash_row& row) {
+        return fmt::format("{} at {} after {} ms", row.worker, row.at_ms, row.age_ms);
+    });
+    return fmt::format("{}", fmt::join(each, ", "));
+}
+
 double crash_rate(std::int64_t others, std::size_t workers, duration over)
 {
     const double seconds =
@@ -77,6 +99,15 @@
     return weight >= weights_until_given_up.at(more) && weight_of(crashes.back().age, rate) >= weight_of_last;
 }
 
+duration longest_age(const std::vector<wire::crash_row>& rows)
+{
+    std::int64_t longest = 0;
+    for (const wire::crash_row& row : rows) {
+        longest = std::max(longest, row.age_ms);
+    }
+    return std::chrono::milliseconds(longest);
+}
+
 duration time_alone(duration age)
 {
     return std::clamp(2 * age, alone_least, alone_most);
--- a/src/place_crash_p.h
+++ b/src/place_crash_p.h
@@ -8,11 +8,16 @@
 // once more on a worker kept for it, where nothing else that was started can have been the cause.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
+#include <string>
+#include <utility>
 #include <vector>
 
+#include "peer_types.h"
 #include "skylarkhub/skylarkhub.h"
 
 namespace skylarkhub {
@@ -21,6 +26,18 @@
 // A run that has lived this long crashes no worker: a later crash is not charged to it, those before are forgotten.
 inline constexpr duration crash_age_most = std::chrono::seconds(30);
 
+// Workers that stop answering within this of each other have crashed in one moment, when there are so many besides.
+inline constexpr duration crash_wave_within = std::chrono::milliseconds(500);
+inline constexpr int crash_wave_least = 2;
+inline constexpr duration crash_seen_over = std::chrono::seconds(60);
+// How often workers crash is counted from so long before a task's first crash.
+inline constexpr duration crash_seen_before = std::chrono::seconds(10);
+
+// A worker is kept for a task until its newest start is so old, another one if that takes too long.
+inline constexpr duration alone_settle = std::chrono::seconds(1);
+inline constexpr duration alone_wait_most = std::chrono::seconds(5);
+inline constexpr double kept_share_most = 0.25; // of a cell's workers
+
 // A run that was on a worker when it crashed.
 struct run_in_crash {
     std::optional<duration> age; // from its start until the worker no longer answered; empty: not known
@@ -38,6 +55,10 @@
     double rate = 0; // of other crashes then, see crash_rate()
 };
 
+std::vector<charged_crash> charged_of(const std::vector<wire::crash_row>& rows);
+// For a log line or an operator: which workers, when, and how soon after the start.
+std::string describe_crashes(const std::vector<wire::crash_row>& rows);
+
 // Crashes a second of each of so many workers, when `others` of them have crashed in that time.
 double crash_rate(std::int64_t others, std::size_t workers, duration over);
 
@@ -45,6 +66,67 @@
 // crash, the fewer are needed, and three at least.
 bool is_given_up(const std::vector<charged_crash>& crashes);
 
+// The workers of a cell that stopped answering lately: which of them crashed together, and how often they crash at all.
+// Task: an id of a task with its `job`.
+template <class Task> class crash_watch {
+public:
+    // The moment in which a worker stops answering is as near as can be known to the one in which it crashed.
+    void note(instant now, instant since, const worker_id& worker, std::set<Task> tasks)
+    {
+        std::erase_if(silences_, [now](const silence& s) { return now - s.since > crash_seen_over; });
+        silences_.push_back({since, worker, std::move(tasks)});
+    }
+
+    // A rack, or a seventh of all workers, that goes at once has a cause of its own; but not the workers that tasks of
+    // one job have crashed.
+    bool in_a_wave(instant since, const worker_id& worker, const job_id& job) const
+    {
+        const auto others = std::count_if(silences_.begin(), silences_.end(), [&](const silence& s) {
+            const duration apart = s.since > since ? s.since - since : since - s.since;
+            const bool had_job =
+                std::any_of(s.tasks.begin(), s.tasks.end(), [&](const Task& t) { return t.job == job; });
+            return s.worker != worker && apart <= crash_wave_within && !had_job;
+        });
+        return others >= crash_wave_least;
+    }
+
+    // Of so many workers, by causes other than the task.
+    double rate_of_others(instant now, duration over, const Task& task, std::size_t workers) const
+    {
+        const auto others = std::count_if(silences_.begin(), silences_.end(), [&](const silence& s) {
+            return now - s.since <= over && !s.explained && s.tasks.count(task) == 0;
+        });
+        return crash_rate(others, workers, over);
+    }
+
+    // What a task does that crashes its workers says nothing of how often they crash by themselves.
+    void explain(const worker_id& worker)
+    {
+        for (silence& s : silences_) {
+            s.explained = s.explained || s.worker == worker;
+        }
+    }
+    void explain_all(const Task& task)
+    {
+        for (silence& s : silences_) {
+            s.explained = s.explained || s.tasks.count(task) != 0;
+        }
+    }
+    void clear() { silences_.clear(); }
+
+private:
+    struct silence {
+        instant since{};
+        worker_id worker;
+        std::set<Task> tasks; // that were there
+        bool explained = false;
+    };
+    std::vector<silence> silences_;
+};
+
+// The longest that a task took to crash a worker.
+duration longest_age(const std::vector<wire::crash_row>& rows);
+
 // How long a run that begins alone has its worker to itself; `age`: the longest that its task took to crash a worker.
 duration time_alone(duration age);
 
--- a/tests/test_flow_job.cpp
+++ b/tests/test_flow_job.cpp
@@ -282,7 +282,7 @@
 {
     const flow_task_id task{job, 0, 0, 0};
     const auto crash = [](std::int64_t run) {
-        wire::flow_crash_row row;
+        wire::crash_row row;
         row.run = run;
         row.worker = "w";
         row.age_ms = 10;
