cells: a job that was read as ended is not taken up again while its rows are removed

Callers saw all tasks of a job that had ended run a second time, in one moment, under numbers of the cell's next owner. Cause: a new owner reads a job as ended and removes its rows ten seconds later. Where the table has discarded the history of changes it reads all rows once more, the news of a part first and the cell's own rows after. A removal between the two leaves the news that the job was accepted, without the row that tells its end; jobs that this owner had not ended itself were not remembered as ended, so it was taken for new. Ruled out by reading: a removal in parts (one transaction a job), a removal by the owner before (its fence is gone by then), a late acceptance (checked against the index), an older message (its version is below what was read). Change: a job that is read as ended, or of which the index says so, is remembered as ended for as long as one that ended here.

--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -462,6 +462,8 @@
     }
     std::unique_ptr<flow_job> made = read_job(id, rows);
     if (made && made->ended()) {
+        // Read again while they are removed, its rows may show that it was accepted and no longer that it has ended.
+        put_away_[id] = now;
         remove_rows(now, id, keys_of(rows));
     }
     else if (made && put_away_.count(id) == 0) {
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -554,6 +554,7 @@
     for (const std::string& cell : cells) {
         hooks_.tell_cell(now, {cell_id(cell), job, id_.str()}, index, newest);
     }
+    put_away_[job] = now;
     remove_rows(now, job, keys_of(rows));
 }
 
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -341,6 +341,11 @@
         store_page page;
         page.reached = true;
         page.version = row_version(version_);
+        if (watch.table == news_table && std::exchange(history_seen_[entry], history_) != history_) {
+            page.history_gone = true;
+            answer(std::move(done), page, options_.table_latency);
+            return;
+        }
         for (const auto& [key, row] : rows_) {
             if (key.table == watch.table && row.version > watch.after) {
                 page.rows.push_back({key, row.value, row.version, false});
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -127,6 +127,8 @@
     void cut_entry_from_table(int entry, bool cut) { cut_from_table_[entry] = cut; }
     void cut_entry_from_peers(int entry, bool cut) { cut_from_peers_[entry] = cut; }
     void lose_next_answers(int n) { answers_to_lose_ = n; }
+    // The table discards its history: an entry that asks for changes next has to read the rows anew.
+    void forget_history() { ++history_; }
     // The next write of a job's row by its owner gets no answer and comes into force after `d`.
     void delay_next_row_write(duration d) { row_write_delay_ = d; }
     // From now on this share of the orders to workers gets no answer and is carried out 2 to 12 s later.
@@ -260,7 +262,9 @@
     std::map<int, bool> cut_from_peers_;
     std::map<int, int> pages_on_link_; // of jobs, by entry
     int answers_to_lose_ = 0;
-    duration row_write_delay_{0}; // of the next one; 0: it is not delayed
+    int history_ = 0;                 // how often it was discarded
+    std::map<int, int> history_seen_; // by entry
+    duration row_write_delay_{0};     // of the next one; 0: it is not delayed
     std::map<std::string, flow_spec> specs_;
     std::map<std::string, std::vector<caller_result>> answers_;
     std::map<flow_task_id, int> done_; // less those that nobody need know of
--- a/tests/test_flow_takeover.cpp
+++ b/tests/test_flow_takeover.cpp
@@ -815,3 +815,29 @@
     BOOST_TEST(w.starts_of(jobs.front()) == 5);
     check_no_faults(w);
 }
+
+// A job that had ended before its cell changed owners is run anew, when the rows of all jobs are read again while its
+// own are being removed: the row that tells its end is gone by the time it is read, the one that tells what was asked
+// was not.
+BOOST_AUTO_TEST_CASE(an_ended_job_whose_rows_are_removed_while_they_are_read_is_not_run_again)
+{
+    const std::string& job = jobs.front();
+    // The removal comes ten seconds after the first reading; how long a page takes shifts it against the second one.
+    for (duration page = 100ms; page <= 400ms; page += 10ms) {
+        for (duration since_taken = 6s; since_taken <= 12s; since_taken += 2s) {
+            flow_world w({.jobs_page_time = page});
+            w.run_for(3s);
+            BOOST_REQUIRE(w.submit(0, job, chain_spec(1, 3)) == caller_result::accepted);
+            BOOST_REQUIRE(w.run_until([&] { return w.state(0, job) == flow_state::done; }, 10s));
+            const int owner = w.entry(0)->cells().at(cell_id("a"))->owns() ? 0 : 1;
+            w.stop_by_plan(owner);
+            BOOST_REQUIRE(w.run_until([&] { return w.owners_of("a") == 1; }, 10s));
+            w.run_for(since_taken);
+            w.forget_history();
+            w.run_for(12s);
+            BOOST_TEST(w.starts_of(job) == 3);
+            BOOST_TEST(w.rows_of(job) == 0);
+            check_no_faults(w);
+        }
+    }
+}
