cells: crashes under a task are counted over a change of owner as well

A task whose third crash fell into a change of owners was started three times more. Evidence: crashes_under_a_task_outlast_the_owner_of_its_cell failed (a sixth start at 110.6 s of virtual time) once crashes by others were counted where no exchange had failed before. A worker found under another life while the lapsed one is still remembered is charged at once; a straggler under one crash is still hastened; members of a gang are kept workers side by side; nothing is counted for tasks without a crash.

--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -13,15 +13,6 @@
 
 using namespace flow_limits;
 
-namespace {
-
-bool is_suspect(const flow_task& task)
-{
-    return static_cast<int>(task.crashes.size()) >= crashes_until_alone;
-}
-
-} // namespace
-
 // --- who is charged ---
 
 void flow_cell::note_silence(instant now, const cell_worker& w)
@@ -116,15 +107,16 @@
     job_changed(now, job, false);
 }
 
-// The owner before has started it there alone, and the crash is heard of by this one.
-void flow_cell::charge_noted(instant now, const cell_worker& w)
+// Starts that the owner before has noted, on a worker whose life is over: it crashed before anybody could ask it.
+void flow_cell::charge_noted(instant now, const std::function<bool(const worker_id&)>& is_over)
 {
     for (const auto& [id, job] : jobs_) {
         for (const flow_stage& stage : job->stages()) {
             for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
                 const flow_task& task = stage.tasks[i];
-                if (is_suspect(task) && task.start.worker == w.listing.worker.str()) {
-                    charge(now, w.listing.worker, job->task_id(stage, i), run_number(task.start.run), duration(0));
+                const worker_id worker(task.start.worker);
+                if (task.may_crash_workers() && worker.valid() && is_over(worker)) {
+                    charge(now, worker, job->task_id(stage, i), run_number(task.start.run), noted_age);
                 }
             }
         }
@@ -137,7 +129,7 @@
         return; // it has left as it said
     }
     if (w.inherited && !w.fenced) {
-        charge_noted(now, w);
+        charge_noted(now, [&w](const worker_id& id) { return id == w.listing.worker; });
     }
     charge_runs(now, w.listing.worker, list_lost_runs(w));
 }
@@ -146,8 +138,15 @@
 void flow_cell::remember_lapsed(instant now, const cell_worker& w)
 {
     std::erase_if(lapsed_, [now](const auto& l) { return now - l.second.at > lapsed_kept; });
-    if (!w.ledger.empty() && !w.listing.draining) {
-        lapsed_[w.listing.address] = {w.listing.worker, list_lost_runs(w), now};
+    if (w.ledger.empty() || w.listing.draining) {
+        return;
+    }
+    lapsed_[w.listing.address] = {w.listing.worker, list_lost_runs(w), now};
+    for (const auto& [id, other] : workers_) {
+        if (other.listed && other.listing.address == w.listing.address && id != w.listing.worker) {
+            charge_lapsed(now, other.listing);
+            return;
+        }
     }
 }
 
@@ -185,7 +184,9 @@
 // What it had saved may be what crashes its workers.
 bool flow_cell::starts_anew(const flow_job& job, const flow_stage& stage, const flow_task& task)
 {
-    return job.step(stage).gang ? std::any_of(stage.tasks.begin(), stage.tasks.end(), is_suspect) : is_suspect(task);
+    return job.step(stage).gang ? std::any_of(stage.tasks.begin(), stage.tasks.end(),
+                                              [](const flow_task& t) { return t.may_crash_workers(); })
+                                : task.may_crash_workers();
 }
 
 bool flow_cell::is_kept(instant now, const cell_worker& w)
@@ -257,7 +258,8 @@
 {
     alone_waits_ = true;
     cell_worker* w = find_kept(now, id);
-    if (w == nullptr && (job.step(stage).lasting || !is_one_beginning(now, job))) {
+    const flow_step& step = job.step(stage);
+    if (w == nullptr && (step.lasting || step.gang || !is_one_beginning(now, job))) {
         w = choose_to_keep(now, job, stage);
         if (w == nullptr) {
             return nullptr;
@@ -265,20 +267,21 @@
         w->kept_for = id;
         w->kept_until = now + alone_wait_most;
     }
-    return w != nullptr && takes_starts(now, *w) && is_settled_on(now, *w) &&
-                   has_room(option_of(now, *w), job.step(stage))
-               ? w
-               : nullptr;
+    const bool ready =
+        w != nullptr && takes_starts(now, *w) && is_settled_on(now, *w) && has_room(option_of(now, *w), step);
+    return ready ? w : nullptr;
 }
 
 // Where too many are kept already, a task that lasts is missed the sooner: it starts beside others, and a crash is not
 // charged to it.
 bool flow_cell::starts_alone(instant now, const flow_step& step, const flow_task& task) const
 {
+    if (!task.may_crash_workers() || !step.lasting) {
+        return task.may_crash_workers();
+    }
     const auto kept =
         std::count_if(workers_.begin(), workers_.end(), [now](const auto& w) { return is_kept(now, w.second); });
-    const auto most = static_cast<std::int64_t>(kept_share_most * static_cast<double>(workers_.size())) + 1;
-    return is_suspect(task) && (!step.lasting || kept < most);
+    return kept < static_cast<std::int64_t>(kept_share_most * static_cast<double>(workers_.size())) + 1;
 }
 
 // The moment of a crash is known the better the more often the worker is asked.
--- a/src/flow_cell_moves.cpp
+++ b/src/flow_cell_moves.cpp
@@ -81,7 +81,8 @@
     for (std::size_t i = 0; i < stage.tasks.size() && given < most; ++i) {
         const flow_task& task = stage.tasks[i];
         if (task.stage != task_stage::ready || !task.runs.empty() || !may_start(job, stage, task) ||
-            now - task.ready_since < wait_before_move(step, task) || find_kept(now, job.task_id(stage, i)) != nullptr) {
+            now - task.ready_since < wait_before_move(step, task) ||
+            (task.may_crash_workers() && find_kept(now, job.task_id(stage, i)) != nullptr)) {
             continue;
         }
         const auto to = find_place_elsewhere(now, job, stage);
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -525,6 +525,8 @@
         index_ready(*job);
         end_if_decided(now, *job);
     }
+    // The owner before no longer named such a worker: it had heard of its end.
+    charge_noted(now, [this](const worker_id& id) { return workers_.count(id) == 0; });
     take_early_inventories(now);
     for (auto& [id, w] : workers_) {
         hold_soon(now, id, duration(0));
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -338,7 +338,7 @@
     std::vector<lost_run> list_lost_runs(const cell_worker& w);
     void charge_runs(instant now, const worker_id& worker, const std::vector<lost_run>& lost);
     void charge(instant now, const worker_id& worker, const flow_task_id& task, run_number run, duration age);
-    void charge_noted(instant now, const cell_worker& w);
+    void charge_noted(instant now, const std::function<bool(const worker_id&)>& is_over);
     void charge_crash_of(instant now, const cell_worker& w);
     void remember_lapsed(instant now, const cell_worker& w);
     void charge_lapsed(instant now, const flow_listed_worker& listing);
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -315,7 +315,7 @@
     flow_stage& stage = *job.find_stage(seen.task);
     flow_task& task = *job.find_task(seen.task);
     const flow_step& step = job.step(stage);
-    if (step.lasting || step.gang || !task.crashes.empty()) {
+    if (step.lasting || step.gang || task.may_crash_workers()) {
         return;
     }
     const auto paced = w.paced.find(seen.task);
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -187,6 +187,7 @@
     const bool crashed = how == life_end::crashed;
     if (w.unanswered_since == instant{}) {
         w.unanswered_since = now;
+        note_silence(now, w);
     }
     if (!w.ledger.empty()) {
         edges_.note(
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -30,9 +30,14 @@
     return rows;
 }
 
+bool flow_task::may_crash_workers() const
+{
+    return static_cast<int>(crashes.size()) >= crashes_until_alone;
+}
+
 bool flow_task::crashes_workers() const
 {
-    return is_given_up(charged_of(crash_rows()));
+    return may_crash_workers() && is_given_up(charged_of(crash_rows()));
 }
 
 bool notes_starts(const flow_step& step)
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -36,7 +36,8 @@
     std::map<run_number, wire::crash_row> crashes; // that it is charged with, by run
     run_number outlived;                           // crashes up to this run no longer count
     std::vector<wire::crash_row> crash_rows() const;
-    bool crashes_workers() const; // beyond doubt
+    bool may_crash_workers() const; // it is started alone
+    bool crashes_workers() const;   // beyond doubt
     std::string checkpoint;
     instant ready_since{};
     std::vector<live_run> runs; // more than one only for speculative steps
