--- a/src/cell_crashes.cpp
+++ b/src/cell_crashes.cpp
@@ -26,7 +26,7 @@
     const duration since_first = std::chrono::milliseconds(std::max<std::int64_t>(0, wall_ms(s) - first_ms));
     const duration owned = s.now - s.taken_at + config::crash_rate_least;
     const duration over = std::min({since_first + crash_seen_before, crash_seen_over, owned});
-    return s.crashes.rate_of_others(s.now, over, task, s.workers.size());
+    return s.recent_crashes.rate_of_others(s.now, over, task, s.workers.size());
 }
 
 void charge(cell_state& s, const worker_id& worker, const lost_attempt& lost)
@@ -44,28 +44,15 @@
     crash.rate = rate_of_others(s, lost.task, before);
     job->note_crash(lost.task.index, crash);
     if (job->crashes_workers(lost.task.index)) {
-        s.crashes.explain_all(lost.task);
+        s.recent_crashes.explain_all(lost.task);
     }
     else if (static_cast<int>(crashes_of(*job, lost.task.index).size()) > crashes_until_alone) {
-        s.crashes.explain(worker);
+        s.recent_crashes.explain(worker);
     }
     note_suspects(s, *job);
     touch(s, *job);
 }
 
-void charge_lost(cell_state& s, const worker_id& worker, const std::vector<lost_attempt>& lost)
-{
-    std::vector<run_in_crash> runs;
-    runs.reserve(lost.size());
-    std::transform(lost.begin(), lost.end(), std::back_inserter(runs), [](const auto& l) { return l.in_crash; });
-    const std::vector<bool> charged = charge_crash(runs);
-    for (std::size_t i = 0; i < lost.size(); ++i) {
-        if (charged[i]) {
-            charge(s, worker, lost[i]);
-        }
-    }
-}
-
 cell_worker* find_kept(cell_state& s, const task_id& task)
 {
     const auto kept = std::find_if(s.workers.begin(), s.workers.end(), [&](const auto& named) {
@@ -102,7 +89,7 @@
     for (const ledger_entry& entry : worker.ledger.entries()) {
         tasks.insert(entry.task);
     }
-    s.crashes.note(s.now, s.now, worker.listing.worker, std::move(tasks));
+    s.recent_crashes.note(s.now, s.now, worker.listing.worker, std::move(tasks));
 }
 
 void note_boot(cell_state& s, cell_worker& worker, const std::string& boot)
@@ -131,7 +118,8 @@
         lost_attempt each{entry.task, entry.attempt, {}};
         each.in_crash.crashes = static_cast<int>(crashes_of(*job, entry.task.index).size());
         each.in_crash.alone = run->alone && run->started_at == worker.last_start;
-        each.in_crash.in_a_wave = s.crashes.in_a_wave(worker.unanswered_since, worker.listing.worker, entry.task.job);
+        each.in_crash.in_a_wave =
+            s.recent_crashes.in_a_wave(worker.unanswered_since, worker.listing.worker, entry.task.job);
         if (run->started_at != instant{}) {
             each.in_crash.age = worker.unanswered_since - run->started_at;
         }
@@ -161,7 +149,9 @@
     worker.restarted = false;
     if (!worker.leaving) {
         remember_lost(s, worker);
-        charge_lost(s, worker.listing.worker, worker.lost);
+        for (const lost_attempt& lost : pick_charged(worker.lost)) {
+            charge(s, worker.listing.worker, lost);
+        }
     }
     worker.lost.clear();
 }
--- a/src/cell_state_p.h
+++ b/src/cell_state_p.h
@@ -142,7 +142,7 @@
     std::map<job_id, job_record> jobs;
     std::set<job_id> unwritten; // their rows are behind
     std::set<job_id> awaited;   // their tasks may run unseen until `accounted`
-    crash_watch<task_id> crashes;
+    crash_watch<task_id> recent_crashes;
     std::set<task_id> suspects; // tasks that are started alone
     bool jobs_read = false;
     bool inbox_read = false;
--- a/src/cell_takeover.cpp
+++ b/src/cell_takeover.cpp
@@ -73,7 +73,7 @@
     s.jobs.clear();
     s.unwritten.clear();
     s.awaited.clear();
-    s.crashes.clear();
+    s.recent_crashes.clear();
     s.suspects.clear();
     s.inbox_folded.clear();
     s.inbox_removed.clear();
--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -21,7 +21,7 @@
     for (const auto& [task, run] : w.ledger) {
         tasks.insert(task);
     }
-    crashes_.note(now, w.unanswered_since, w.listing.worker, std::move(tasks));
+    recent_crashes_.note(now, w.unanswered_since, w.listing.worker, std::move(tasks));
 }
 
 double flow_cell::rate_of_others(instant now, const flow_task_id& id, const flow_task& task) const
@@ -29,8 +29,8 @@
     const std::int64_t first_ms = task.crashes.empty() ? wall_ms() : task.crashes.begin()->second.at_ms;
     const duration since_first = std::chrono::milliseconds(std::max<std::int64_t>(0, wall_ms() - first_ms));
     const duration owned = now - taken_at_ + crash_rate_least;
-    return crashes_.rate_of_others(now, std::min({since_first + crash_seen_before, crash_seen_over, owned}), id,
-                                   workers_.size());
+    return recent_crashes_.rate_of_others(now, std::min({since_first + crash_seen_before, crash_seen_over, owned}), id,
+                                          workers_.size());
 }
 
 std::int64_t flow_cell::wall_ms() const
@@ -54,7 +54,7 @@
         lost_run each{task, run.run, {}};
         each.in_crash.crashes = static_cast<int>(parts.task->crashes.size());
         each.in_crash.alone = parts.live->alone && parts.live->started == newest;
-        each.in_crash.in_a_wave = crashes_.in_a_wave(w.unanswered_since, w.listing.worker, task.job);
+        each.in_crash.in_a_wave = recent_crashes_.in_a_wave(w.unanswered_since, w.listing.worker, task.job);
         if (parts.live->started != instant{}) {
             each.in_crash.age = w.unanswered_since - parts.live->started;
         }
@@ -65,14 +65,8 @@
 
 void flow_cell::charge_runs(instant now, const worker_id& worker, const std::vector<lost_run>& lost)
 {
-    std::vector<run_in_crash> runs;
-    runs.reserve(lost.size());
-    std::transform(lost.begin(), lost.end(), std::back_inserter(runs), [](const lost_run& l) { return l.in_crash; });
-    const std::vector<bool> charged = charge_crash(runs);
-    for (std::size_t i = 0; i < lost.size(); ++i) {
-        if (charged[i]) {
-            charge(now, worker, lost[i].task, lost[i].run, *runs[i].age);
-        }
+    for (const lost_run& run : pick_charged(lost)) {
+        charge(now, worker, run.task, run.run, *run.in_crash.age);
     }
 }
 
@@ -92,10 +86,10 @@
     job.note_crash(task, crash);
     const flow_task& charged = *job.find_task(task);
     if (charged.crashes_workers()) {
-        crashes_.explain_all(task);
+        recent_crashes_.explain_all(task);
     }
     else if (static_cast<int>(charged.crashes.size()) > crashes_until_alone) {
-        crashes_.explain(worker);
+        recent_crashes_.explain(worker);
     }
     edges_.note(log_level::info, "run", "crashed_worker",
                 {{"task", text_of(task)},
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -664,7 +664,7 @@
     parts_.clear();
     reading_jobs_.clear();
     read_rows_.clear();
-    crashes_.clear();
+    recent_crashes_.clear();
     lapsed_.clear();
     alone_waits_ = false;
     place_planned_ = false;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -554,7 +554,7 @@
     std::set<job_id> awaited_; // known since the takeover; may_start() tells for which tasks that means a wait
     std::set<job_id> timed_;
     std::map<job_id, instant> put_away_; // ended jobs, until no late page can tell of them any more
-    crash_watch<flow_task_id> crashes_;
+    crash_watch<flow_task_id> recent_crashes_;
     std::map<net_address, lapsed_life> lapsed_;
     bool alone_waits_ = false; // a task waits for a worker to itself
     std::map<std::string, part_state> parts_;
--- a/src/place_crash_p.h
+++ b/src/place_crash_p.h
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <optional>
 #include <set>
 #include <string>
@@ -49,6 +50,22 @@
 // For each run whether its task is charged with the crash.
 std::vector<bool> charge_crash(const std::vector<run_in_crash>& runs);
 
+// Of what was lost in a crash, each with its `in_crash`, what is charged.
+template <class Lost> std::vector<Lost> pick_charged(const std::vector<Lost>& lost)
+{
+    std::vector<run_in_crash> runs;
+    runs.reserve(lost.size());
+    std::transform(lost.begin(), lost.end(), std::back_inserter(runs), [](const Lost& l) { return l.in_crash; });
+    const std::vector<bool> charged = charge_crash(runs);
+    std::vector<Lost> picked;
+    for (std::size_t i = 0; i < lost.size(); ++i) {
+        if (charged[i]) {
+            picked.push_back(lost[i]);
+        }
+    }
+    return picked;
+}
+
 // A crash that a task is charged with.
 struct charged_crash {
     duration age{0}; // of the run
