cells: a lasting task under suspicion keeps its own worker when many are kept

starts_alone counted the worker that is kept for the task itself: from the third such task on in a cell of eight all of them started beside others at the next pass, and no crash was charged to them. Found by reading; test_flow_crash passes before and after.

--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -266,16 +266,19 @@
     return ready ? w : nullptr;
 }
 
-// Where too many are kept already, a task that lasts is missed the sooner: it starts beside others, and a crash is not
-// charged to it.
+// Where too many are kept for others already, a task that lasts is missed the sooner: it starts beside others, and a
+// crash is not charged to it.
 bool flow_cell::starts_alone(instant now, const flow_step& step, const flow_task& task) const
 {
     if (!task.may_crash_workers() || !step.lasting) {
         return task.may_crash_workers();
     }
-    const auto kept =
-        std::count_if(workers_.begin(), workers_.end(), [now](const auto& w) { return is_kept(now, w.second); });
-    return kept < static_cast<std::int64_t>(kept_share_most * static_cast<double>(workers_.size())) + 1;
+    const auto kept_for_others = std::count_if(workers_.begin(), workers_.end(), [&](const auto& named) {
+        const cell_worker& w = named.second;
+        const auto found = is_kept(now, w) ? jobs_.find(w.kept_for->job) : jobs_.end();
+        return found != jobs_.end() && found->second->find_task(*w.kept_for) != &task;
+    });
+    return kept_for_others < static_cast<std::int64_t>(kept_share_most * static_cast<double>(workers_.size())) + 1;
 }
 
 // The moment of a crash is known the better the more often the worker is asked.
