cells of the product's own path: a crash beside a service counts once

What callers would see: a job parked after fewer crashes than it takes. Test first: a_crash_beside_a_service_counts_once failed with two crashes for one, in both cases (worker back after 8 s and after 20 s). Change: an attempt is remembered in release_lapsed, the one place that hands it back, so it cannot be remembered twice; what was called beside it, and the guard against calling it too often, are gone. The platform's path keeps crashes by run number and was not affected.

--- a/src/cell_crashes.cpp
+++ b/src/cell_crashes.cpp
@@ -1,6 +1,7 @@
 // Workers that crash: which tasks are charged with it, and the workers that are kept for a task under suspicion. See
 // place_crash_p.h.
 #include <algorithm>
+#include <utility>
 
 #include "cell_state_p.h"
 
@@ -53,6 +54,25 @@
     touch(s, *job);
 }
 
+// What a crash of the worker means for an attempt there; empty unless its task is bound to it.
+std::optional<lost_attempt> find_lost(cell_state& s, const cell_worker& worker, const ledger_entry& entry)
+{
+    job_record* const job = find_job(s, entry.task.job);
+    const task_run* const run = job == nullptr ? nullptr : job->run(entry.task.index);
+    if (run == nullptr || run->attempt != entry.attempt || entry.first_sent.value() == 0) {
+        return std::nullopt;
+    }
+    lost_attempt lost{entry.task, entry.attempt, {}};
+    lost.in_crash.crashes = static_cast<int>(crashes_of(*job, entry.task.index).size());
+    lost.in_crash.alone = run->alone && run->started_at == worker.last_start;
+    lost.in_crash.in_a_wave =
+        s.recent_crashes.in_a_wave(worker.unanswered_since, worker.listing.worker, entry.task.job);
+    if (run->started_at != instant{}) {
+        lost.in_crash.age = worker.unanswered_since - run->started_at;
+    }
+    return lost;
+}
+
 cell_worker* find_kept(cell_state& s, const task_id& task)
 {
     const auto kept = std::find_if(s.workers.begin(), s.workers.end(), [&](const auto& named) {
@@ -106,38 +126,15 @@
     worker.usage_learned = worker_time{}; // its clock began anew
 }
 
-std::vector<lost_attempt> list_lost(cell_state& s, const cell_worker& worker)
-{
-    std::vector<lost_attempt> lost;
-    for (const ledger_entry& entry : worker.ledger.entries()) {
-        job_record* const job = find_job(s, entry.task.job);
-        const task_run* const run = job == nullptr ? nullptr : job->run(entry.task.index);
-        if (run == nullptr || run->attempt != entry.attempt || entry.first_sent.value() == 0) {
-            continue;
-        }
-        lost_attempt each{entry.task, entry.attempt, {}};
-        each.in_crash.crashes = static_cast<int>(crashes_of(*job, entry.task.index).size());
-        each.in_crash.alone = run->alone && run->started_at == worker.last_start;
-        each.in_crash.in_a_wave =
-            s.recent_crashes.in_a_wave(worker.unanswered_since, worker.listing.worker, entry.task.job);
-        if (run->started_at != instant{}) {
-            each.in_crash.age = worker.unanswered_since - run->started_at;
-        }
-        lost.push_back(std::move(each));
-    }
-    return lost;
-}
-
-void remember_lost(cell_state& s, cell_worker& worker)
+void remember_lost(cell_state& s, cell_worker& worker, const ledger_entry& entry)
 {
-    if (!worker.leaving) {
-        const std::vector<lost_attempt> lost = list_lost(s, worker);
-        worker.lost.insert(worker.lost.end(), lost.begin(), lost.end());
+    const std::optional<lost_attempt> lost = find_lost(s, worker, entry);
+    if (!lost || worker.leaving) {
+        return;
     }
-    for (const lost_attempt& lost : worker.lost) {
-        if (is_suspect(s, lost.task)) {
-            s.suspects.insert(lost.task);
-        }
+    worker.lost.push_back(*lost);
+    if (is_suspect(s, entry.task)) {
+        s.suspects.insert(entry.task);
     }
 }
 
@@ -147,13 +144,18 @@
         return;
     }
     worker.restarted = false;
-    if (!worker.leaving) {
-        remember_lost(s, worker);
-        for (const lost_attempt& lost : pick_charged(worker.lost)) {
-            charge(s, worker.listing.worker, lost);
+    std::vector<lost_attempt> all = std::exchange(worker.lost, {});
+    if (worker.leaving) {
+        return;
+    }
+    for (const ledger_entry& entry : worker.ledger.entries()) {
+        if (const std::optional<lost_attempt> lost = find_lost(s, worker, entry)) {
+            all.push_back(*lost);
         }
     }
-    worker.lost.clear();
+    for (const lost_attempt& lost : pick_charged(all)) {
+        charge(s, worker.listing.worker, lost);
+    }
 }
 
 void note_suspects(cell_state& s, const job_record& job)
--- a/src/cell_report.cpp
+++ b/src/cell_report.cpp
@@ -333,6 +333,7 @@
     if (!is_bound(job, entry.task, worker, entry.attempt)) {
         return;
     }
+    remember_lost(s, s.workers.at(worker), entry);
     add_lost_work(s, *job, entry.task);
     job->requeue(entry.task.index, "its worker cannot be reached", s.now);
     learn_end(s, *job, entry.task, worker, attempt_end::lapsed, "its worker cannot be reached");
--- a/src/cell_state_p.h
+++ b/src/cell_state_p.h
@@ -228,9 +228,8 @@
 
 void note_unanswered(cell_state& s, cell_worker& worker);
 void note_boot(cell_state& s, cell_worker& worker, const std::string& boot);
-std::vector<lost_attempt> list_lost(cell_state& s, const cell_worker& worker);
-// What is lost is charged when the worker answers under another boot.
-void remember_lost(cell_state& s, cell_worker& worker);
+// An attempt that is given up as lapsed: charged if the worker answers under another boot.
+void remember_lost(cell_state& s, cell_worker& worker, const ledger_entry& entry);
 void charge_restart(cell_state& s, cell_worker& worker);
 void note_suspects(cell_state& s, const job_record& job);
 // Its crashes, and what may have been some, suffice for it to be started alone.
--- a/src/cell_workers.cpp
+++ b/src/cell_workers.cpp
@@ -155,7 +155,6 @@
             lapsed.push_back(entry);
         }
     }
-    remember_lost(s, worker);
     for (const ledger_entry& entry : lapsed) {
         worker.ledger.remove(entry.task, entry.attempt);
         ++s.stats.lapses;
@@ -166,14 +165,6 @@
 // A service keeps its place on an unreachable worker, and another is started in its stead: it need not be alone.
 void replace_services(cell_state& s, const worker_id& id, cell_worker& worker)
 {
-    const bool any =
-        std::any_of(worker.ledger.entries().begin(), worker.ledger.entries().end(), [&](const auto& entry) {
-            const job_record* const job = find_job(s, entry.task.job);
-            return entry.persistent && job != nullptr && job->phase(entry.task.index) == task_phase::bound;
-        });
-    if (any && worker.lost.empty()) {
-        remember_lost(s, worker);
-    }
     for (ledger_entry& entry : worker.ledger.entries()) {
         if (entry.stage == entry_stage::ended || !entry.persistent) {
             continue;
--- a/tests/test_cell_crash.cpp
+++ b/tests/test_cell_crash.cpp
@@ -126,6 +126,27 @@
     BOOST_TEST(d.job_written("j").tasks.at(0).crashes.size() == 2U);
 }
 
+// A worker that runs a service and other work crashes once, and is remembered when the service is replaced and again
+// when the other leases are over, or it is back: one crash counts as two.
+BOOST_AUTO_TEST_CASE(a_crash_beside_a_service_counts_once)
+{
+    for (const duration away : {8s, 20s}) {
+        driver d;
+        wire::job_row service = make_job("s", 1);
+        service.spec.__set_is_service(true);
+        d.own({"w1"}, {submit(service), submit(make_job("j", 1))});
+        crasher workers(d, away);
+        for (int i = 0; i < 20; ++i) {
+            workers.step(50ms);
+        }
+        BOOST_REQUIRE(workers.crash_under({job_id("j"), 0}) == 1);
+        for (int i = 0; i < 600; ++i) {
+            workers.step(50ms);
+        }
+        BOOST_TEST(d.job_written("j").tasks.at(0).crashes.size() == 1U);
+    }
+}
+
 // Workers crash one after another by themselves, and jobs are parked for it.
 BOOST_AUTO_TEST_CASE(no_job_is_parked_for_crashes_of_its_workers)
 {
