place_crash: both paths describe and explain a crash with one piece of code

The window and the rate of other crashes, the row of a crash and what a charge explains stood once for each path, and crash_rate_least in two headers. They are in crash_watch now (describe, explain). A comment in on_workers_listed is back above the line it tells of.

--- a/src/cell_crashes.cpp
+++ b/src/cell_crashes.cpp
@@ -16,40 +16,18 @@
     return past == nullptr ? none : past->crashes;
 }
 
-std::int64_t wall_ms(const cell_state& s)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(s.wall.time_since_epoch()).count();
-}
-
-double rate_of_others(const cell_state& s, const task_id& task, const std::vector<wire::crash_row>& before)
-{
-    const std::int64_t first_ms = before.empty() ? wall_ms(s) : before.front().at_ms;
-    const duration since_first = std::chrono::milliseconds(std::max<std::int64_t>(0, wall_ms(s) - first_ms));
-    const duration owned = s.now - s.taken_at + config::crash_rate_least;
-    const duration over = std::min({since_first + crash_seen_before, crash_seen_over, owned});
-    return s.recent_crashes.rate_of_others(s.now, over, task, s.workers.size());
-}
-
 void charge(cell_state& s, const worker_id& worker, const lost_attempt& lost)
 {
     job_record* const job = find_job(s, lost.task.job);
     if (job == nullptr || !job->has(lost.task.index) || job->phase(lost.task.index) == task_phase::finished) {
         return;
     }
-    const std::vector<wire::crash_row>& before = crashes_of(*job, lost.task.index);
-    wire::crash_row crash;
+    const crash_moment moment{s.now, s.wall, s.now - s.taken_at, s.workers.size()};
+    wire::crash_row crash =
+        s.recent_crashes.describe(moment, lost.task, worker, *lost.in_crash.age, crashes_of(*job, lost.task.index));
     crash.run = lost.attempt.value();
-    crash.worker = worker.str();
-    crash.age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(*lost.in_crash.age).count();
-    crash.at_ms = wall_ms(s);
-    crash.rate = rate_of_others(s, lost.task, before);
-    job->note_crash(lost.task.index, crash);
-    if (job->crashes_workers(lost.task.index)) {
-        s.recent_crashes.explain_all(lost.task);
-    }
-    else if (static_cast<int>(crashes_of(*job, lost.task.index).size()) > crashes_until_alone) {
-        s.recent_crashes.explain(worker);
-    }
+    job->note_crash(lost.task.index, std::move(crash));
+    s.recent_crashes.explain(lost.task, worker, crashes_of(*job, lost.task.index));
     note_suspects(s, *job);
     touch(s, *job);
 }
--- a/src/config.h
+++ b/src/config.h
@@ -20,7 +20,6 @@
 inline constexpr duration drift_margin = 500ms;      // added where two clocks are compared across a drift
 
 // --- workers that crash ---
-inline constexpr duration crash_rate_least = 5s;             // that crashes are counted over
 inline constexpr duration watched_exchange_interval = 100ms; // with a worker on which a suspected task has just begun
 
 // --- cell ---
--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -24,20 +24,6 @@
     recent_crashes_.note(now, w.unanswered_since, w.listing.worker, std::move(tasks));
 }
 
-double flow_cell::rate_of_others(instant now, const flow_task_id& id, const flow_task& task) const
-{
-    const std::int64_t first_ms = task.crashes.empty() ? wall_ms() : task.crashes.begin()->second.at_ms;
-    const duration since_first = std::chrono::milliseconds(std::max<std::int64_t>(0, wall_ms() - first_ms));
-    const duration owned = now - taken_at_ + crash_rate_least;
-    return recent_crashes_.rate_of_others(now, std::min({since_first + crash_seen_before, crash_seen_over, owned}), id,
-                                          workers_.size());
-}
-
-std::int64_t flow_cell::wall_ms() const
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(edges_.wall().time_since_epoch()).count();
-}
-
 std::vector<flow_cell::lost_run> flow_cell::list_lost_runs(const cell_worker& w)
 {
     std::vector<lost_run> lost;
@@ -77,27 +63,19 @@
         return;
     }
     flow_job& job = *found->second;
-    wire::crash_row crash;
+    const crash_moment moment{now, edges_.wall(), now - taken_at_, workers_.size()};
+    wire::crash_row crash = recent_crashes_.describe(moment, task, worker, age, job.find_task(task)->crash_rows());
     crash.run = run.value();
-    crash.worker = worker.str();
-    crash.age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
-    crash.at_ms = wall_ms();
-    crash.rate = rate_of_others(now, task, *job.find_task(task));
     job.note_crash(task, crash);
-    const flow_task& charged = *job.find_task(task);
-    if (charged.crashes_workers()) {
-        recent_crashes_.explain_all(task);
-    }
-    else if (static_cast<int>(charged.crashes.size()) > crashes_until_alone) {
-        recent_crashes_.explain(worker);
-    }
+    const std::vector<wire::crash_row> charged = job.find_task(task)->crash_rows();
+    recent_crashes_.explain(task, worker, charged);
     edges_.note(log_level::info, "run", "crashed_worker",
                 {{"task", text_of(task)},
                  {"run", std::to_string(run.value())},
                  {"worker", worker.str()},
                  {"ran_ms", std::to_string(crash.age_ms)},
                  {"others_per_s", fmt::format("{:.4f}", crash.rate)},
-                 {"crashes", std::to_string(charged.crashes.size())}});
+                 {"crashes", std::to_string(charged.size())}});
     job_changed(now, job, false);
 }
 
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -332,8 +332,6 @@
         instant at{};
     };
     void note_silence(instant now, const cell_worker& w);
-    double rate_of_others(instant now, const flow_task_id& id, const flow_task& task) const;
-    std::int64_t wall_ms() const;
     std::int64_t count_charged(const cell_worker& w) const;
     std::vector<lost_run> list_lost_runs(const cell_worker& w);
     void charge_runs(instant now, const worker_id& worker, const std::vector<lost_run>& lost);
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -29,11 +29,11 @@
                          {"address", listing.address.str()},
                          {"draining", listing.draining ? "yes" : "no"}});
         }
-        // The exchanges with a worker that fell out of the list end once nothing runs there: without another one it
-        // would take tasks again and nobody would hear their ends.
         if (added && role_ == role::owning) {
             charge_lapsed(now, listing);
         }
+        // The exchanges with a worker that fell out of the list end once nothing runs there: without another one it
+        // would take tasks again and nobody would hear their ends.
         const bool held = w.listed && !added;
         w.listing = listing;
         w.listed = true;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -151,7 +151,6 @@
     120s; // an ended job is known this long; a message may be as old as a cut is long
 
 // --- workers that crash ---
-inline constexpr duration crash_rate_least = 5s; // that crashes are counted over, by an owner that has just come
 inline constexpr duration noted_age = 1s;        // taken of a run of which only its noted start is known
 inline constexpr duration lapsed_kept = 60s;     // for a worker's next life
 inline constexpr duration alone_hold_gap = 50ms; // between exchanges in the first moments of a task alone on its worker
--- a/src/place_crash_p.h
+++ b/src/place_crash_p.h
@@ -31,8 +31,10 @@
 inline constexpr duration crash_wave_within = std::chrono::milliseconds(500);
 inline constexpr int crash_wave_least = 2;
 inline constexpr duration crash_seen_over = std::chrono::seconds(60);
-// How often workers crash is counted from so long before a task's first crash.
+// How often workers crash is counted from so long before a task's first crash, and by an owner that has just come over
+// so long at the least.
 inline constexpr duration crash_seen_before = std::chrono::seconds(10);
+inline constexpr duration crash_seen_least = std::chrono::seconds(5);
 
 // A worker is kept for a task until its newest start is so old, another one if that takes too long.
 inline constexpr duration alone_settle = std::chrono::seconds(1);
@@ -83,6 +85,14 @@
 // crash, the fewer are needed, and three at least.
 bool is_given_up(const std::vector<charged_crash>& crashes);
 
+// When an owner charges a crash.
+struct crash_moment {
+    instant now{};
+    wall_time wall;
+    duration owned{0}; // since it took the cell over
+    std::size_t workers = 0;
+};
+
 // The workers of a cell that stopped answering lately: which of them crashed together, and how often they crash at all.
 // Task: an id of a task with its `job`.
 template <class Task> class crash_watch {
@@ -107,26 +117,34 @@
         return others >= crash_wave_least;
     }
 
-    // Of so many workers, by causes other than the task.
-    double rate_of_others(instant now, duration over, const Task& task, std::size_t workers) const
+    // The row of one more crash under the task; `before`: those that it is charged with.
+    wire::crash_row describe(const crash_moment& at, const Task& task, const worker_id& worker, duration age,
+                             const std::vector<wire::crash_row>& before) const
     {
+        wire::crash_row row;
+        row.worker = worker.str();
+        row.age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+        row.at_ms = std::chrono::duration_cast<std::chrono::milliseconds>(at.wall.time_since_epoch()).count();
+        const std::int64_t since_first = before.empty() ? 0 : row.at_ms - before.front().at_ms;
+        const duration over =
+            std::min({std::chrono::milliseconds(std::max<std::int64_t>(0, since_first)) + crash_seen_before,
+                      crash_seen_over, at.owned + crash_seen_least});
         const auto others = std::count_if(silences_.begin(), silences_.end(), [&](const silence& s) {
-            return now - s.since <= over && !s.explained && s.tasks.count(task) == 0;
+            return at.now - s.since <= over && !s.explained && s.tasks.count(task) == 0;
         });
-        return crash_rate(others, workers, over);
+        row.rate = crash_rate(others, at.workers, over);
+        return row;
     }
 
-    // What a task does that crashes its workers says nothing of how often they crash by themselves.
-    void explain(const worker_id& worker)
-    {
-        for (silence& s : silences_) {
-            s.explained = s.explained || s.worker == worker;
-        }
-    }
-    void explain_all(const Task& task)
+    // What a task does that crashes its workers says nothing of how often they crash by themselves. `charged`: all
+    // crashes of the task, the newest that of `worker`.
+    void explain(const Task& task, const worker_id& worker, const std::vector<wire::crash_row>& charged)
     {
+        const bool beyond_doubt = is_given_up(charged_of(charged));
+        const bool was_alone = charged.size() > static_cast<std::size_t>(crashes_until_alone);
         for (silence& s : silences_) {
-            s.explained = s.explained || s.tasks.count(task) != 0;
+            s.explained =
+                s.explained || (beyond_doubt && s.tasks.count(task) != 0) || (was_alone && s.worker == worker);
         }
     }
     void clear() { silences_.clear(); }
