--- a/src/cell_crashes.cpp
+++ b/src/cell_crashes.cpp
@@ -26,7 +26,7 @@
     wire::crash_row crash =
         s.recent_crashes.describe(moment, lost.task, worker, *lost.in_crash.age, crashes_of(*job, lost.task.index));
     crash.run = lost.attempt.value();
-    job->note_crash(lost.task.index, std::move(crash));
+    job->note_crash(lost.task.index, crash);
     s.recent_crashes.explain(lost.task, worker, crashes_of(*job, lost.task.index));
     note_suspects(s, *job);
     touch(s, *job);
