config: logs and metrics tell how far an entry is behind, and what was told to peers

What an incident's logs could not tell: how large a configuration is, how many copies were sent and given up, and what an entry that refuses a queue knew to be the newest. No decision changes; watching the operator has a file of its own.

--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -180,37 +180,4 @@
     return hooks;
 }
 
-// --- configuration ---
-
-void flow_entry::watch_operator()
-{
-    edges_.watch_operator(operator_seen_, operator_wait, [this](instant then, const operator_page& page) {
-        if (page.reached) {
-            table_answered_ = then;
-            operator_seen_ = page.history_gone ? row_version(0) : std::max(operator_seen_, page.version);
-            if (page.config) {
-                take_config(then, *page.config, page.config_text, "table");
-            }
-            watch_operator();
-            return;
-        }
-        edges_.after(operator_retry, [this](instant) { watch_operator(); });
-    });
-}
-
-// Versions only rise: a late answer of the table or a peer that is behind must not bring an older one back.
-void flow_entry::take_config(instant now, flow_config config, std::string text, const char* from)
-{
-    if (config_ && config.version <= config_->version) {
-        return;
-    }
-    edges_.note(log_level::info, "config", "in_force",
-                {{"version", std::to_string(config.version.value())},
-                 {"queues", std::to_string(config.queues.size())},
-                 {"from", from}});
-    config_ = std::move(config);
-    config_text_ = std::move(text);
-    tell_peers(now, false);
-}
-
 } // namespace skylarkhub
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -72,6 +72,8 @@
 
     const flow_entry_stats& stats() const { return stats_; }
     settings_version config_version() const { return config_ ? config_->version : settings_version(0); }
+    // The newest version that this entry or a peer it hears has in force.
+    settings_version newest_config(instant now) const;
     const std::map<cell_id, std::unique_ptr<flow_cell>>& cells() const { return cells_; }
     const std::map<rack_id, cell_id>& racks() const { return racks_; }
 
@@ -84,6 +86,7 @@
         bool telling = false;
         bool table_away = false;
         instant table_answered{}; // when the table last answered it
+        settings_version config;  // in force there
         std::vector<wire::flow_cell_news> cells;
         std::map<std::string, std::int32_t> untold; // by queue, jobs whose cell's owner it could not tell yet
     };
@@ -181,9 +184,13 @@
     // flow_entry.cpp
     void tick(instant now);
     void tick_cells(instant now);
+    flow_cell_hooks make_hooks();
+
+    // flow_config.cpp
     void watch_operator();
     void take_config(instant now, flow_config config, std::string text, const char* from);
-    flow_cell_hooks make_hooks();
+    void note_config(instant now, peer& p, settings_version version);
+    void note_unknown_queue(instant now, const caller_request& request);
 
     // flow_relay.cpp
     void commit(store_transaction transaction, std::function<void(instant, store_result)> done);
@@ -210,6 +217,8 @@
     std::optional<flow_config> config_;
     std::string config_text_;
     row_version operator_seen_;
+    std::optional<instant> behind_since_; // a peer has told of a newer configuration than this entry's
+    instant next_unknown_queue_line_{};
     std::map<entry_id, peer> peers_;
     std::map<cell_id, std::unique_ptr<flow_cell>> cells_;
     std::map<cell_id, data_centre_id> cell_places_;
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -59,6 +59,7 @@
     }
     const flow_queue* const queue = match_queue(request.host, request.path);
     if (queue == nullptr) {
+        note_unknown_queue(now, request);
         reply({caller_result::unknown_queue, flow_state::queued, 0, duration(0), "no such queue"});
         return;
     }
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -108,6 +108,7 @@
 inline constexpr duration list_wait_most = 1s;         // of a new owner for the list, before it starts tasks without
 inline constexpr duration operator_wait = 1s; // of one look for changes; a connection that went silent costs this
 inline constexpr duration operator_retry = 200ms;
+inline constexpr duration unknown_queue_log_interval = 1s;
 inline constexpr duration own_news_fresh = 100ms;
 inline constexpr duration untold_retry = 300ms; // rows that an owner has not taken note of
 
--- a/src/flow_metrics.cpp
+++ b/src/flow_metrics.cpp
@@ -57,6 +57,11 @@
     write_value(page, "cancels_total", "", stats.cancels);
     write_value(page, "state_requests_total", "", stats.states);
     write_value(page, "state_reads_total", "", stats.state_reads);
+    write_value(page, "unknown_queue_requests_total", "", stats.unknown_queues);
+    write_value(page, "config_copies_sent_total", "", stats.config_copies);
+    write_value(page, "config_bytes_sent_total", "", stats.config_bytes);
+    write_value(page, "config_looks_unanswered_total", "", stats.config_looks_unanswered);
+    write_value(page, "peer_exchanges_unanswered_total", "", stats.peers_unanswered);
     write_value(page, "worker_entries_unusable", "", stats.unusable_entries);
     write_value(page, "worker_entries_unusable_noticed_total", "", stats.unusable_entries_noticed);
     stats.accept_times.write(page, "accept_seconds", "");
--- a/src/flow_metrics_p.h
+++ b/src/flow_metrics_p.h
@@ -68,6 +68,11 @@
     std::int64_t cancels = 0;
     std::int64_t states = 0;
     std::int64_t state_reads = 0;
+    std::int64_t unknown_queues = 0; // requests
+    std::int64_t config_copies = 0;  // sent to peers
+    std::int64_t config_bytes = 0;
+    std::int64_t config_looks_unanswered = 0;  // at the table
+    std::int64_t peers_unanswered = 0;         // exchanges with peers
     std::int64_t unusable_entries = 0;         // of the list of workers, as read last
     std::int64_t unusable_entries_noticed = 0; // newly unusable, or for another reason than before
     latency_counts accept_times;               // from the caller's request to the answer, refusals included
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -134,9 +134,11 @@
                     }
                     if (answer) {
                         take_message(then, *answer);
+                        return;
                     }
-                    else if (at != peers_.end() && !heard(at->second, then) &&
-                             then - at->second.heard > peer_forgotten && then - begun_ > peer_forgotten) {
+                    ++stats_.peers_unanswered;
+                    if (at != peers_.end() && !heard(at->second, then) && then - at->second.heard > peer_forgotten &&
+                        then - begun_ > peer_forgotten) {
                         peers_.erase(at);
                     }
                 });
@@ -165,6 +167,8 @@
         if (message.hello.config_version < config_version().value()) {
             answer.config_version = config_version().value();
             answer.config = config_text_;
+            ++stats_.config_copies;
+            stats_.config_bytes += static_cast<std::int64_t>(config_text_.size());
         }
     }
     if (!message.config.empty() && message.config_version > config_version().value()) {
@@ -213,6 +217,7 @@
     p.leaving = h.leaving;
     p.table_away = h.table_away;
     p.table_answered = now - std::chrono::milliseconds(h.table_silent_ms);
+    note_config(now, p, settings_version(h.config_version));
     p.cells = h.cells;
     p.untold = h.untold;
     for (const wire::flow_cell_news& cell : h.cells) {
