--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -1,8 +1,10 @@
 #include "support_flow_world.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
+#include <sstream>
 
 #include "flow_row_p.h"
 #include "row_codec_p.h"
@@ -17,6 +19,8 @@
 constexpr int crashes_most = 3; // under a task; it is not started three times more
 constexpr int starts_after_most = 2;
 constexpr duration page_waited_for = 1500ms;
+constexpr duration peer_waited_for = 900ms;
+constexpr duration look_waited_for = 1500ms; // once there is something to tell
 // How long a task may go on after its job was cancelled, or after it was started late: time to hear of it, and to stop.
 constexpr duration cancelled_run_most = 3200ms;
 constexpr duration calm_after = 3s; // a removal or a cut, until promises with a time count again
@@ -29,17 +33,38 @@
             std::max(a.accelerators, b.accelerators)};
 }
 
-flow_config make_config()
+flow_queue make_queue(const std::string& name)
 {
-    flow_config config;
-    config.version = settings_version(1);
     flow_queue queue;
-    queue.name = queue_id("q");
+    queue.name = queue_id(name);
     queue.host = "host";
-    queue.prefix = "/q/";
+    queue.prefix = fmt::format("/{}/", name);
     queue.service = "service";
     queue.failures_most = failures_most;
-    config.queues.push_back(queue);
+    return queue;
+}
+
+// "VERSION QUEUE QUEUE ... ;" and whatever pads it.
+std::string write_config_text(std::int64_t version, const std::vector<std::string>& queues, std::size_t bytes)
+{
+    std::string text = fmt::format("{} {} ;", version, fmt::join(queues, " "));
+    text.resize(std::max(bytes, text.size()), '.');
+    return text;
+}
+
+std::optional<flow_config> read_config_text(const std::string& text)
+{
+    std::istringstream words(text);
+    std::int64_t version = 0;
+    if (!(words >> version)) {
+        return std::nullopt;
+    }
+    flow_config config;
+    config.version = settings_version(version);
+    std::string word;
+    while (words >> word && word.front() != ';') {
+        config.queues.push_back(make_queue(word));
+    }
     config.services.push_back({"service", false, false});
     return config;
 }
@@ -69,7 +94,11 @@
     return spec;
 }
 
-flow_world::flow_world(options o) : options_(std::move(o)), random_(make_random(options_.seed))
+flow_world::flow_world(options o)
+    : options_(std::move(o)),
+      random_(make_random(options_.seed)),
+      links_(options_.link_bytes_per_s, [this](duration d, std::function<void()> what) { later(d, std::move(what)); }),
+      config_text_(write_config_text(1, {"q"}, 0))
 {
     int n = 0;
     for (const std::string& dc : options_.data_centres) {
@@ -422,33 +451,22 @@
         answer(std::move(done), list,
                latency == options_.list_latencies.end() ? options_.list_latency : latency->second);
     };
-    edges.watch_operator = [this, entry, answer](row_version after, duration wait,
-                                                 std::function<void(instant, operator_page)> done) {
-        operator_page page;
-        page.reached = table_reached(entry);
-        page.version = row_version(1);
-        if (page.reached && after == row_version(0)) {
-            page.config = make_config();
-            page.config_text = "config";
-        }
-        if (after == row_version(0) || !page.reached) {
-            answer(std::move(done), page, after == row_version(0) ? duration(10ms) : wait);
-            return;
-        }
-        later(wait, [this, entry, page, answer, done = std::move(done)]() mutable {
-            page.reached = table_reached(entry); // one that has gone away meanwhile answers nothing
-            answer(done, page, duration(1));
-        });
+    edges.watch_operator = [this, entry, life](row_version after, duration wait, const operator_done& done) {
+        look_at_operator(entry, life, after, wait, done);
     };
-    edges.parse_config = [](const std::string&) { return std::optional<flow_config>(make_config()); };
+    edges.parse_config = &read_config_text;
     edges.tell = [this, entry, life, answer](const net_address& peer, const wire::flow_message& message,
                                              std::function<void(instant, std::optional<wire::flow_message>)> done) {
-        later(options_.network_latency, [this, entry, peer, message, answer, done = std::move(done)] {
+        later(options_.network_latency, [this, entry, life, peer, message, answer, done = std::move(done)] {
             for (int i = 0; i < static_cast<int>(entries_.size()); ++i) {
                 entry_slot& slot = entries_[static_cast<std::size_t>(i)];
                 if (slot.identity.address != peer || !slot.decisions || cut_from_peers_[i] || cut_from_peers_[entry]) {
                     continue;
                 }
+                if (options_.link_bytes_per_s > 0) {
+                    tell_over_link(entry, life, i, message, done);
+                    return;
+                }
                 // Answered once, by the peer or by the time limit: it may be killed while it makes a call for the
                 // sender.
                 const auto answered = std::make_shared<bool>(false);
@@ -457,15 +475,14 @@
                         answer(done, std::move(reply), options_.network_latency);
                     }
                 };
-                later(900ms, [answer_once] { answer_once(std::nullopt); });
+                later(peer_waited_for, [answer_once] { answer_once(std::nullopt); });
                 on_entry(i, slot.life, [message, answer_once](flow_entry& e, instant now) {
                     e.on_message(now, message, answer_once);
                 });
                 return;
             }
-            answer(done, std::optional<wire::flow_message>(), 900ms);
+            answer(done, std::optional<wire::flow_message>(), peer_waited_for);
         });
-        static_cast<void>(life);
     };
     edges.after = [this, entry, life](duration wait, std::function<void(instant)> what) {
         later(wait, [this, entry, life, what = std::move(what)] {
@@ -490,6 +507,113 @@
     return edges;
 }
 
+// --- links ---
+
+// Given up whole when the last byte of the answer is not there in time, like all that is carried over links here.
+void flow_world::tell_over_link(int entry, std::uint64_t life, int peer, const wire::flow_message& message,
+                                const tell_done& done)
+{
+    struct exchange {
+        bool over = false;
+        std::int64_t transfer = 0;
+    };
+    const auto under_way = std::make_shared<exchange>();
+    const auto end = [this, entry, life, done, under_way](const std::optional<wire::flow_message>& answer) {
+        if (std::exchange(under_way->over, true)) {
+            return;
+        }
+        links_.give_up(under_way->transfer);
+        on_entry(entry, life, [done, answer](flow_entry&, instant now) { done(now, answer); });
+    };
+    later(peer_waited_for, [end] { end(std::nullopt); });
+    const auto reply = [this, entry, peer, under_way, end](const wire::flow_message& answer) {
+        if (!under_way->over) {
+            under_way->transfer =
+                links_.send(peer, entry, encode_compact(answer).size(), [end, answer] { end(answer); });
+        }
+    };
+    const std::uint64_t peer_life = entries_.at(static_cast<std::size_t>(peer)).life;
+    under_way->transfer =
+        links_.send(entry, peer, encode_compact(message).size(), [this, peer, peer_life, message, reply] {
+            on_entry(peer, peer_life,
+                     [message, reply](flow_entry& e, instant now) { e.on_message(now, message, reply); });
+        });
+}
+
+operator_page flow_world::read_operator(row_version after) const
+{
+    operator_page page;
+    page.reached = true;
+    page.version = config_row_;
+    if (after < config_row_) {
+        page.config = read_config_text(config_text_);
+        page.config_text = config_text_;
+    }
+    return page;
+}
+
+void flow_world::look_at_operator(int entry, std::uint64_t life, row_version after, duration wait,
+                                  const operator_done& done)
+{
+    const bool first = after == row_version(0);
+    const auto over = std::make_shared<bool>(false);
+    const auto end = [this, entry, life, over, done](const operator_page& page) {
+        if (!std::exchange(*over, true)) {
+            on_entry(entry, life, [done, page](flow_entry&, instant now) { done(now, page); });
+        }
+    };
+    if (!table_reached(entry)) {
+        later(first ? duration(10ms) : wait, [end] { end(operator_page{}); });
+        return;
+    }
+    // One that has gone away meanwhile answers nothing.
+    const auto answer = [this, entry, after, over, end] {
+        const operator_page page = table_reached(entry) ? read_operator(after) : operator_page{};
+        if (*over || options_.link_bytes_per_s <= 0 || !page.config) {
+            end(page);
+            return;
+        }
+        const auto transfer =
+            links_.send(shared_links::wide, entry, page.config_text.size(), [end, page] { end(page); });
+        later(look_waited_for, [this, end, transfer] {
+            links_.give_up(transfer);
+            end(operator_page{});
+        });
+    };
+    if (first || after < config_row_) {
+        later(10ms, answer);
+        return;
+    }
+    const std::int64_t look = ++last_look_;
+    operator_looks_.emplace(look, operator_look{entry, answer});
+    later(wait, [this, look] {
+        if (const auto at = operator_looks_.extract(look)) {
+            at.mapped().answer();
+        }
+    });
+}
+
+void flow_world::answer_looks()
+{
+    for (const auto& [id, look] : std::exchange(operator_looks_, {})) {
+        later(options_.network_latency, look.answer);
+    }
+}
+
+void flow_world::write_config(std::vector<std::string> queues, std::size_t bytes)
+{
+    config_row_ = row_version(config_row_.value() + 1);
+    config_text_ = write_config_text(config_row_.value(), queues, bytes);
+    answer_looks();
+}
+
+void flow_world::write_unreadable_config()
+{
+    config_row_ = row_version(config_row_.value() + 1);
+    config_text_ = "unreadable";
+    answer_looks();
+}
+
 // --- the table ---
 
 store_result flow_world::apply(const store_transaction& t)
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -12,6 +12,7 @@
 
 #include "base_random_p.h"
 #include "flow_entry_p.h"
+#include "support_links.h"
 
 namespace skylarkhub::test {
 
@@ -69,6 +70,8 @@
         std::int64_t worker_cpu = 16000;
         duration table_latency = std::chrono::milliseconds(8);
         duration network_latency = std::chrono::milliseconds(2);
+        // Of each entry's link, which messages between entries and configurations share; 0: they take no time.
+        double link_bytes_per_s = 0;
         duration jobs_page_time{0};                             // over the entry's link, for each page at a time
         duration list_latency = std::chrono::milliseconds(100); // of the list of workers
         std::map<int, duration> list_latencies;                 // of entries for which it is another
@@ -169,6 +172,10 @@
     void end_unheard(int worker, const flow_task_id& task, run_number run);
     // A run of such a job that goes on.
     void run_unheard(int worker, const flow_task_id& task, run_number run, duration takes);
+    // The operator writes a configuration with these queues, padded to `bytes`. Versions count from 1, which has `q`.
+    void write_config(std::vector<std::string> queues, std::size_t bytes);
+    // One that no entry can read.
+    void write_unreadable_config();
     // Leaves out of all rows of jobs, and of cells, what an earlier release does not know: where tasks were started.
     void forget_noted_starts();
     // Ends a run by its own fault, wherever it is.
@@ -183,6 +190,8 @@
     // --- what was seen ---
     // Broken promises, in words; empty when none.
     const std::vector<std::string>& faults() const { return faults_; }
+    // Over its link, so far.
+    double bytes_to(int entry) const { return links_.bytes_to(entry); }
     // How often the entry has asked the table for changes of jobs.
     std::int64_t looks_at_jobs(int entry) const;
     std::int64_t logged(const std::string& subject, const std::string& event) const;
@@ -227,6 +236,18 @@
     void start_next_life(flow_fake_worker& w);
     flow_edges make_edges(int entry);
     bool table_reached(int entry) const;
+    // A look for changes that waits for one.
+    struct operator_look {
+        int entry = 0;
+        std::function<void()> answer;
+    };
+    using operator_done = std::function<void(instant, operator_page)>;
+    using tell_done = std::function<void(instant, std::optional<wire::flow_message>)>;
+    void look_at_operator(int entry, std::uint64_t life, row_version after, duration wait, const operator_done& done);
+    void tell_over_link(int entry, std::uint64_t life, int peer, const wire::flow_message& message,
+                        const tell_done& done);
+    operator_page read_operator(row_version after) const;
+    void answer_looks();
     template <class Answer, class Done>
     void read_over_link(int entry, const store_range& range, const Answer& answer, const Done& done);
     store_result apply(const store_transaction& t);
@@ -255,6 +276,11 @@
     std::multimap<instant, std::function<void()>> queue_;
     std::vector<entry_slot> entries_;
     std::vector<std::unique_ptr<flow_fake_worker>> workers_;
+    shared_links links_;
+    std::string config_text_;
+    row_version config_row_{1};
+    std::map<std::int64_t, operator_look> operator_looks_;
+    std::int64_t last_look_ = 0;
     std::map<store_key, stored> rows_;
     std::int64_t version_ = 0;
     bool table_down_ = false;
