http_client: an answer of which bytes arrive is not given up

What callers saw: over a link that bears less than a configuration, a page of jobs' rows or the list of workers in the time of a small answer, that answer never came: given up whole, asked for anew, given up again. Cause: one limit on the whole of an answer, which knows nothing of its size. Now `stall_timeout`: once some of the answer is there, a stretch without a byte ends the call, no longer its whole time. Before: test_http/an_answer_that_goes_on_arriving_is_not_given_up could not be written without the field; with it ignored the answer is given up at 300 ms of 1,200. After: whole; one that stalls still ends. Why it holds: bytes that arrive show that the other side is there, and an answer has a limit on its size.

--- a/src/daemon_flow_app.cpp
+++ b/src/daemon_flow_app.cpp
@@ -15,6 +15,7 @@
 
 constexpr unsigned idle_seconds = 60;
 constexpr duration peer_timeout = std::chrono::milliseconds(900);
+constexpr duration peer_stall_timeout = std::chrono::milliseconds(500); // of pages read for this entry, say
 constexpr duration peer_connect_timeout = std::chrono::milliseconds(400);
 constexpr duration stop_most = std::chrono::milliseconds(4000); // less than the platform waits before it kills
 constexpr duration stop_poll = std::chrono::milliseconds(50);
@@ -87,6 +88,7 @@
         call.target = peer_path;
         call.body = encode_compact(message);
         call.timeout = peer_timeout;
+        call.stall_timeout = peer_stall_timeout;
         call.connect_timeout = peer_connect_timeout;
         http_.send(std::move(call), [this, done = std::move(done)](const http_result& answer) {
             std::optional<wire::flow_message> decoded;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -239,8 +239,9 @@
                 t.due = due.emplace(*t.left + t.call.timeout, &t);
             }
             else if (std::exchange(t.heard, false)) {
-                t.due = due.emplace(looked + duration(1), &t); // ends with the answer's limit at the latest
-                again = true;
+                // Ends with the answer's limit at the latest.
+                t.due = due.emplace(looked + std::max(t.call.stall_timeout, duration(1)), &t);
+                again = again || t.call.stall_timeout == duration(0);
             }
             else {
                 t.due = due.end();
--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -18,6 +18,9 @@
     http_fields headers;
     std::string body;
     duration timeout{std::chrono::seconds(5)};
+    // For an answer that may be large: once some of it is there, `timeout` no longer ends the call, but a stretch of
+    // this length without a byte does. 0: `timeout` ends it.
+    duration stall_timeout{0};
     duration connect_timeout{std::chrono::seconds(1)};
     std::int64_t answer_bytes_most = 16 << 20;
     // A fresh connection for this call alone, so that no leftover of another call's answer can be read as its own.
--- a/tests/support_fake_target.cpp
+++ b/tests/support_fake_target.cpp
@@ -176,7 +176,7 @@
     const fake_answer planned = script_(number);
     if (planned.bytes) {
         const std::string bytes = fill_in(*planned.bytes, find_header(request, "Request-Id"));
-        send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        send_slowly(connection, bytes, planned.body_gap);
     }
     if (planned.after == after_answer::close) {
         shutdown(connection, SHUT_RDWR);
@@ -190,4 +190,14 @@
     return planned.after == after_answer::keep;
 }
 
+void fake_target::send_slowly(int connection, const std::string& bytes, duration gap)
+{
+    const std::size_t head = gap > duration(0) ? bytes.find(head_end) + head_end.size() : bytes.size();
+    send(connection, bytes.data(), head, MSG_NOSIGNAL);
+    for (std::size_t at = head; at < bytes.size(); ++at) {
+        std::this_thread::sleep_for(gap);
+        send(connection, &bytes[at], 1, MSG_NOSIGNAL);
+    }
+}
+
 } // namespace skylarkhub::test
--- a/tests/support_fake_target.h
+++ b/tests/support_fake_target.h
@@ -19,6 +19,7 @@
 struct fake_answer {
     std::optional<std::string> bytes;
     after_answer after = after_answer::keep;
+    duration body_gap{0}; // between any two bytes of the body; 0: all at once
 };
 
 // An answer as docs/PROTOCOLS.md has it; `more_headers` are whole lines.
@@ -44,6 +45,7 @@
     void accept_all();
     void serve(int connection);
     bool answer(int connection, const std::string& request);
+    static void send_slowly(int connection, const std::string& bytes, duration gap);
 
     script script_;
     int listener_ = -1;
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -509,7 +509,7 @@
 
 // --- links ---
 
-// Given up whole when the last byte of the answer is not there in time, like all that is carried over links here.
+// Given up whole when the last byte of the answer is not there in time.
 void flow_world::tell_over_link(int entry, std::uint64_t life, int peer, const wire::flow_message& message,
                                 const tell_done& done)
 {
@@ -575,10 +575,12 @@
         }
         const auto transfer =
             links_.send(shared_links::wide, entry, page.config_text.size(), [end, page] { end(page); });
-        later(look_waited_for, [this, end, transfer] {
-            links_.give_up(transfer);
-            end(operator_page{});
-        });
+        give_up_stalled(
+            entry, [over] { return *over; },
+            [this, end, transfer] {
+                links_.give_up(transfer);
+                end(operator_page{});
+            });
     };
     if (first || after < config_row_) {
         later(10ms, answer);
@@ -593,6 +595,21 @@
     });
 }
 
+// An answer that bytes arrive of is not given up.
+void flow_world::give_up_stalled(int entry, const std::function<bool()>& over, const std::function<void()>& give_up)
+{
+    later(look_waited_for, [this, entry, over, give_up] {
+        if (over()) {
+            return;
+        }
+        if (table_reached(entry)) {
+            give_up_stalled(entry, over, give_up);
+            return;
+        }
+        give_up();
+    });
+}
+
 void flow_world::answer_looks()
 {
     for (const auto& [id, look] : std::exchange(operator_looks_, {})) {
@@ -1201,14 +1218,14 @@
 
 // --- callers ---
 
-void flow_world::send_submit(int entry, const std::string& job, const flow_spec& spec)
+void flow_world::send_submit(int entry, const std::string& job, const flow_spec& spec, const std::string& queue)
 {
     specs_[job] = spec;
     answers_[job];
     caller_request request;
     request.verb = caller_verb::submit;
     request.host = "host";
-    request.path = "/q/" + job;
+    request.path = fmt::format("/{}/{}", queue, job);
     request.spec = spec;
     on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life,
              [this, job, request](flow_entry& e, instant now) {
@@ -1219,9 +1236,8 @@
 
 caller_result flow_world::submit(int entry, const std::string& job, const flow_spec& spec, const std::string& queue)
 {
-    static_cast<void>(queue);
     const std::size_t before = answers_[job].size();
-    send_submit(entry, job, spec);
+    send_submit(entry, job, spec, queue);
     run_until([&] { return answers_[job].size() > before; }, 4s);
     return answers_[job].size() > before ? answers_[job].back() : caller_result::unsettled;
 }
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -109,7 +109,7 @@
     // The number of jobs that wait, as the entry says; -1: it did not answer.
     std::int64_t pending(int entry);
     // Sends and does not wait; the answer is noted in answers().
-    void send_submit(int entry, const std::string& job, const flow_spec& spec);
+    void send_submit(int entry, const std::string& job, const flow_spec& spec, const std::string& queue = "q");
     const std::map<std::string, std::vector<caller_result>>& answers() const { return answers_; }
 
     // --- faults ---
@@ -248,6 +248,7 @@
                         const tell_done& done);
     operator_page read_operator(row_version after) const;
     void answer_looks();
+    void give_up_stalled(int entry, const std::function<bool()>& over, const std::function<void()>& give_up);
     template <class Answer, class Done>
     void read_over_link(int entry, const store_range& range, const Answer& answer, const Done& done);
     store_result apply(const store_transaction& t);
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -9,6 +9,7 @@
 
 #include "http_client_p.h"
 #include "http_server_p.h"
+#include "support_fake_target.h"
 
 using namespace skylarkhub;
 
@@ -208,6 +209,27 @@
     BOOST_TEST(!result.reason.empty());
 }
 
+// A large answer over a narrow link takes longer than a small one may: given up whole and asked for anew, it never
+// ends.
+BOOST_AUTO_TEST_CASE(an_answer_that_goes_on_arriving_is_not_given_up)
+{
+    const std::string body(12, 'y');
+    for (const bool stalls : {false, true}) {
+        test::fake_target server([&](int) {
+            std::string bytes = test::whole_answer(body);
+            bytes.resize(bytes.size() - (stalls ? 9 : 0));
+            return test::fake_answer{bytes, test::after_answer::keep, std::chrono::milliseconds(100)};
+        });
+        http_client client;
+        http_call call{.address = server.address()};
+        call.timeout = std::chrono::milliseconds(300);
+        call.stall_timeout = std::chrono::seconds(2);
+        const http_result result = client.call(call);
+        BOOST_TEST(result.answered == !stalls, result.reason);
+        BOOST_TEST(result.body.size() == (stalls ? 3U : body.size()));
+    }
+}
+
 // A server that is full closes what comes beyond its limit. Left waiting in the backlog, the caller would learn nothing
 // until its time is over, while another server has room.
 BOOST_AUTO_TEST_CASE(a_connection_above_the_limit_is_closed_at_once)
