config: who is behind asks one peer at a time, in pieces

What callers saw: a confirmed change was refused with 404 for many seconds (CONFIG), cancelled jobs ran on, peers fell silent. Cause: each peer answered each hello of an entry that was behind with the whole configuration, up to 41 copies at once over one link, each given up whole after 0.9 s and begun anew; the table's own answer shared the link with them. Metastable: the restarts that set it off were over, the copies kept it up. An entry that started took whatever version it was told first and was ready with it; a queue unknown here was refused for good while a newer version was known of. Change: hellos tell the version alone. Who is behind waits for the table 600 ms (not at all while it does not answer), then asks one peer, a piece of 32 kB at a time, each as long after the last as that took; what has arrived is kept when the peer falls silent. A peer hands pieces to two at a time. An entry that starts is ready with the newest version that the table or a peer it hears tells of, with an older one only while the table is away; one that knows for 1.5 s of a newer version takes no jobs, and a queue unknown to it is "come back", not 404. A version that cannot be read is not asked for again. Why it holds: bytes on a link are bounded by one piece and one answer of the table, whatever the number of peers, and a copy only grows.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -203,14 +203,29 @@
   2: i32 state = 0
 }
 
+// Asks for the next piece of the configuration that the receiver has in force.
+struct flow_config_ask {
+  1: string entry       // who asks
+  2: i64 version = 0    // of which it has the bytes before `offset`
+  3: i64 offset = 0
+}
+struct flow_config_piece {
+  1: i64 version = 0    // in force at the sender; if it is another than asked for, the piece is its first
+  2: i64 offset = 0
+  3: binary bytes       // empty: none is handed out now
+  4: i64 size = 0       // of the whole text, as the operator wrote it
+  5: i64 checksum = 0   // of the whole text
+}
+
+// 4 and 5 were the whole configuration, told to each peer that was behind.
 struct flow_message {
   1: optional flow_hello hello
   2: list<flow_row_news> rows
   3: list<flow_state_news> states
-  4: i64 config_version = 0
-  5: string config            // as the operator wrote it, when the receiver's is older
   6: list<string> unknown_jobs // rows refused: the receiver does not own their cell
   7: optional flow_relayed_commit commit
   8: optional flow_relayed_read lookup
   9: optional flow_relayed_result relayed // in return
+  10: optional flow_config_ask config_ask
+  11: optional flow_config_piece config_piece // in return
 }
--- a/src/flow_config.cpp
+++ b/src/flow_config.cpp
@@ -1,4 +1,4 @@
-// The operator's configuration: how an entry learns of it, and what it knows of newer ones.
+// The operator's configuration: from the table, or from a peer while the table does not give it.
 #include <algorithm>
 
 #include "flow_entry_p.h"
@@ -14,13 +14,17 @@
     edges_.watch_operator(operator_seen_, operator_wait, [this](instant then, const operator_page& page) {
         if (page.reached) {
             table_answered_ = then;
+            operator_answered_ = true;
+            operator_failures_ = 0;
             operator_seen_ = page.history_gone ? row_version(0) : std::max(operator_seen_, page.version);
             if (page.config) {
                 take_config(then, *page.config, page.config_text, "table");
             }
+            judge_config(then);
             watch_operator();
             return;
         }
+        ++operator_failures_;
         ++stats_.config_looks_unanswered;
         edges_.after(operator_retry, [this](instant) { watch_operator(); });
     });
@@ -41,17 +45,19 @@
                  {"from", from}});
     config_ = std::move(config);
     config_text_ = std::move(text);
-    if (newest_config(now) <= config_->version) {
-        behind_since_.reset();
+    config_checksum_ = config_checksum(config_text_);
+    if (copy_.version() <= config_->version) {
+        copy_.clear();
     }
-    tell_peers(now, false);
+    behind_since_.reset();
+    judge_config(now);
 }
 
 settings_version flow_entry::newest_config(instant now) const
 {
     settings_version newest = config_version();
     for (const auto& [id, p] : peers_) {
-        if (heard(p, now)) {
+        if (heard(p, now) && p.config != config_unreadable_) {
             newest = std::max(newest, p.config);
         }
     }
@@ -61,16 +67,127 @@
 void flow_entry::note_config(instant now, peer& p, settings_version version)
 {
     p.config = version;
-    if (version <= config_version() || behind_since_) {
+    judge_config(now);
+    if (!behind_since_ || *behind_since_ != now) {
         return;
     }
-    behind_since_ = now;
     edges_.note(log_level::info, "config", "behind",
                 {{"version", std::to_string(config_version().value())},
                  {"newest", std::to_string(version.value())},
                  {"heard_from", p.identity.entry.str()}});
 }
 
+// An entry that starts is usable with the newest version that the table or a peer tells of: versions must not fall over
+// a restart as callers see it. With an older one only while the table is away and nobody it hears has a newer one.
+void flow_entry::judge_config(instant now)
+{
+    const bool newest = newest_config(now) <= config_version();
+    if (newest) {
+        behind_since_.reset();
+        copy_sources_.clear();
+    }
+    else if (!behind_since_) {
+        behind_since_ = now;
+    }
+    const bool asked_enough = operator_answered_ || now - begun_ >= config_start_patience;
+    config_was_newest_ = config_was_newest_ || (config_ && newest && asked_enough);
+    const bool behind_for_long = behind_since_ && now - *behind_since_ >= config_behind_most;
+    config_usable_ = config_.has_value() && config_was_newest_ && !behind_for_long;
+}
+
+// --- copies from peers ---
+
+// Asks one peer at a time, for one piece at a time. The table comes first: it has the newest version by definition, and
+// a copy beside its answer would share the link with it.
+void flow_entry::follow_config(instant now)
+{
+    judge_config(now);
+    if (!behind_since_ || copying_ || now < next_piece_) {
+        return;
+    }
+    const bool table_gives = operator_failures_ == 0 && !table_away_;
+    if (table_gives && now - *behind_since_ < config_table_first) {
+        return;
+    }
+    std::vector<config_sources::source> sources;
+    for (const auto& [id, p] : peers_) {
+        if (heard(p, now) && p.config > config_version() && p.config != config_unreadable_) {
+            sources.push_back({id, p.config, p.identity.data_centre == self_.data_centre});
+        }
+    }
+    if (const auto source = copy_sources_.pick(self_.entry, sources)) {
+        ask_for_config(now, *source);
+    }
+}
+
+void flow_entry::ask_for_config(instant now, const entry_id& source)
+{
+    copying_ = true;
+    wire::flow_config_ask ask;
+    ask.entry = self_.entry.str();
+    ask.version = copy_.version().value();
+    ask.offset = copy_.offset();
+    wire::flow_message message;
+    message.__set_config_ask(ask);
+    edges_.tell(peers_.at(source).identity.address, message,
+                [this, source, now](instant then, const std::optional<wire::flow_message>& answer) {
+                    copying_ = false;
+                    on_config_piece(then, source, then - now, answer);
+                });
+}
+
+void flow_entry::on_config_piece(instant now, const entry_id& source, duration took,
+                                 const std::optional<wire::flow_message>& answer)
+{
+    const auto result = answer ? copy_.take(answer->config_piece) : config_copy::result::refused;
+    switch (result) {
+    case config_copy::result::whole:
+        take_copy(now);
+        return;
+    case config_copy::result::more:
+        copy_sources_.served(source);
+        // As long as the piece took: a copy uses half of the narrower link at the most.
+        next_piece_ = now + took;
+        break;
+    case config_copy::result::damaged:
+        edges_.note(log_level::error, "config", "copy_damaged", {{"heard_from", source.str()}});
+        [[fallthrough]];
+    case config_copy::result::refused:
+        ++stats_.config_pieces_refused;
+        copy_sources_.not_served(source);
+        next_piece_ = now + config_ask_pause;
+        break;
+    }
+    edges_.after(next_piece_ - now, [this](instant then) { follow_config(then); });
+}
+
+void flow_entry::take_copy(instant now)
+{
+    auto parsed = edges_.parse_config(copy_.text());
+    if (!parsed || parsed->version != copy_.version()) {
+        edges_.note(log_level::error, "config", "copy_unreadable",
+                    {{"version", std::to_string(copy_.version().value())}});
+        config_unreadable_ = copy_.version();
+        copy_.clear();
+        return;
+    }
+    std::string text = copy_.text();
+    take_config(now, std::move(*parsed), std::move(text), "peer");
+}
+
+wire::flow_message flow_entry::serve_config(instant now, const wire::flow_config_ask& ask)
+{
+    wire::flow_message answer;
+    if (!config_ || !copy_readers_.admit(now, entry_id(ask.entry))) {
+        answer.__set_config_piece({});
+        return answer;
+    }
+    answer.__set_config_piece(make_config_piece(ask, config_version(), config_text_, config_checksum_));
+    stats_.config_copies += answer.config_piece.offset == 0 ? 1 : 0;
+    stats_.config_bytes += static_cast<std::int64_t>(answer.config_piece.bytes.size());
+    return answer;
+}
+
 // At most one line a second: callers may ask for such a queue as often as they like.
 void flow_entry::note_unknown_queue(instant now, const caller_request& request)
 {
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -66,6 +66,7 @@
         next_hello_ = now + hello_interval;
         tell_peers(now, false);
     }
+    follow_config(now);
     if (now >= next_entries_read_) {
         read_entries(now);
     }
@@ -124,7 +125,7 @@
 
 bool flow_entry::ready() const
 {
-    return config_.has_value() && !leaving_;
+    return config_usable_ && !leaving_;
 }
 
 void flow_entry::plan_stop(instant now)
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "flow_cell_p.h"
+#include "flow_config_copy_p.h"
 #include "flow_edges_p.h"
 #include "flow_layout_p.h"
 #include "flow_unusable_p.h"
@@ -106,6 +107,11 @@
         std::vector<caller_reply> waiting_state;
         bool reading = false;
     };
+    // What a caller is told whose job is not taken.
+    struct refusal {
+        std::string reason;
+        duration come_back{0};
+    };
     // A row that the owner of its cell has not taken note of yet.
     struct untold_row {
         wire::flow_job_row row;
@@ -129,7 +135,7 @@
                 caller_reply reply);
     std::optional<cell_id> choose_cell(instant now, const flow_queue& queue, const flow_spec& spec);
     bool has_lasting_room(instant now, const job_id& job, const flow_queue& queue, const flow_spec& spec);
-    void refuse_unless_there(const job_id& job, caller_reply reply);
+    void refuse_unless_there(const job_id& job, const refusal& why, caller_reply reply);
     std::vector<wire::flow_cell_news>& own_news(instant now);
     template <class Weigh> void each_news(instant now, Weigh&& weigh);
     void write_job(const job_id& job, const wire::flow_job_row& row, instant give_up, int tries, bool may_be_in_force);
@@ -190,6 +196,13 @@
     void watch_operator();
     void take_config(instant now, flow_config config, std::string text, const char* from);
     void note_config(instant now, peer& p, settings_version version);
+    void judge_config(instant now);
+    void follow_config(instant now);
+    void ask_for_config(instant now, const entry_id& source);
+    void on_config_piece(instant now, const entry_id& source, duration took,
+                         const std::optional<wire::flow_message>& answer);
+    void take_copy(instant now);
+    wire::flow_message serve_config(instant now, const wire::flow_config_ask& ask);
     void note_unknown_queue(instant now, const caller_request& request);
 
     // flow_relay.cpp
@@ -216,8 +229,19 @@
     bool leaving_ = false;
     std::optional<flow_config> config_;
     std::string config_text_;
+    std::int64_t config_checksum_ = 0;
     row_version operator_seen_;
+    bool operator_answered_ = false;      // the table has, in this life
+    int operator_failures_ = 0;           // looks without an answer, in a row
     std::optional<instant> behind_since_; // a peer has told of a newer configuration than this entry's
+    bool config_usable_ = false;          // new enough to take jobs by
+    bool config_was_newest_ = false;      // in this life
+    settings_version config_unreadable_;  // came whole from a peer, and cannot be read here
+    config_copy copy_;
+    config_sources copy_sources_;
+    config_readers copy_readers_;
+    bool copying_ = false; // a piece is asked for
+    instant next_piece_{};
     instant next_unknown_queue_line_{};
     std::map<entry_id, peer> peers_;
     std::map<cell_id, std::unique_ptr<flow_cell>> cells_;
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -60,6 +60,11 @@
     const flow_queue* const queue = match_queue(request.host, request.path);
     if (queue == nullptr) {
         note_unknown_queue(now, request);
+        if (!config_usable_ || newest_config(now) > config_version()) {
+            reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry,
+                   "a newer configuration is on its way"});
+            return;
+        }
         reply({caller_result::unknown_queue, flow_state::queued, 0, duration(0), "no such queue"});
         return;
     }
@@ -110,8 +115,12 @@
         reply({caller_result::invalid, flow_state::queued, 0, duration(0), problem});
         return;
     }
+    if (!config_usable_) {
+        refuse_unless_there(job, {"a newer configuration is on its way", unavailable_retry}, std::move(reply));
+        return;
+    }
     if (!leaving_ && !has_lasting_room(now, job, queue, *request.spec)) {
-        refuse_unless_there(job, std::move(reply));
+        refuse_unless_there(job, {"no room for lasting tasks", full_retry}, std::move(reply));
         return;
     }
     const auto cell = choose_cell(now, queue, *request.spec);
@@ -375,9 +384,9 @@
 
 // A caller that got no answer asks again, at any entry: its job may be there already, and then it must not be told that
 // it will never run.
-void flow_entry::refuse_unless_there(const job_id& job, caller_reply reply)
+void flow_entry::refuse_unless_there(const job_id& job, const refusal& why, caller_reply reply)
 {
-    edges_.read(index_rows(job), [this, job, reply = std::move(reply)](instant, const store_page& page) {
+    edges_.read(index_rows(job), [this, job, why, reply = std::move(reply)](instant, const store_page& page) {
         if (page.reached && !page.rows.empty()) {
             ++stats_.repeated;
             reply({caller_result::accepted, flow_state::queued, 0, duration(0), ""});
@@ -385,9 +394,9 @@
         }
         ++stats_.refused;
         edges_.note(log_level::info, "job", "refused",
-                    {{"job", job.str()}, {"reason", page.reached ? "no room for lasting tasks" : "table not reached"}});
+                    {{"job", job.str()}, {"reason", page.reached ? why.reason : "table not reached"}});
         reply({page.reached ? caller_result::not_accepted : caller_result::unsettled, flow_state::queued, 0,
-               page.reached ? full_retry : unavailable_retry, "no room for lasting tasks now"});
+               page.reached ? why.come_back : unavailable_retry, why.reason});
     });
 }
 
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -109,6 +109,17 @@
 inline constexpr duration operator_wait = 1s; // of one look for changes; a connection that went silent costs this
 inline constexpr duration operator_retry = 200ms;
 inline constexpr duration unknown_queue_log_interval = 1s;
+// A change that peers tell of first: the table is a moment behind, and gives it to each entry once.
+inline constexpr duration config_table_first = 600ms;
+inline constexpr std::size_t config_piece_bytes = 32 << 10; // a seventh of a second over 2 Mbit/s
+inline constexpr std::size_t config_readers_most = 2;       // entries that are handed pieces at a time
+inline constexpr duration config_reader_kept = 1500ms;      // since its last piece: longer than one is waited for
+inline constexpr duration config_ask_pause = 60ms;          // after a peer that handed out nothing
+// An entry that knows for this long of a newer configuration takes no jobs by its own: half a second of the time a
+// change may take is left for those under way.
+inline constexpr duration config_behind_most = 1500ms;
+// Of an entry that starts, for the table to tell which version is the newest.
+inline constexpr duration config_start_patience = 2s;
 inline constexpr duration own_news_fresh = 100ms;
 inline constexpr duration untold_retry = 300ms; // rows that an owner has not taken note of
 
--- a/src/flow_metrics.cpp
+++ b/src/flow_metrics.cpp
@@ -60,6 +60,7 @@
     write_value(page, "unknown_queue_requests_total", "", stats.unknown_queues);
     write_value(page, "config_copies_sent_total", "", stats.config_copies);
     write_value(page, "config_bytes_sent_total", "", stats.config_bytes);
+    write_value(page, "config_pieces_refused_total", "", stats.config_pieces_refused);
     write_value(page, "config_looks_unanswered_total", "", stats.config_looks_unanswered);
     write_value(page, "peer_exchanges_unanswered_total", "", stats.peers_unanswered);
     write_value(page, "worker_entries_unusable", "", stats.unusable_entries);
--- a/src/flow_metrics_p.h
+++ b/src/flow_metrics_p.h
@@ -71,6 +71,7 @@
     std::int64_t unknown_queues = 0; // requests
     std::int64_t config_copies = 0;  // sent to peers
     std::int64_t config_bytes = 0;
+    std::int64_t config_pieces_refused = 0;    // asked of peers in vain
     std::int64_t config_looks_unanswered = 0;  // at the table
     std::int64_t peers_unanswered = 0;         // exchanges with peers
     std::int64_t unusable_entries = 0;         // of the list of workers, as read last
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -111,7 +111,6 @@
     }
     wire::flow_message message;
     message.__set_hello(hello(now, with_members));
-    message.config_version = config_version().value();
     for (auto& [id, p] : peers_) {
         // One exchange tells both sides, so of two that know each other one begins.
         if (everyone || !heard(p, now) || self_.entry < id) {
@@ -153,6 +152,9 @@
     else if (message.__isset.lookup) {
         serve_read(message.lookup, reply);
     }
+    else if (message.__isset.config_ask) {
+        reply(serve_config(now, message.config_ask));
+    }
     else {
         reply(take_message(now, message));
     }
@@ -164,18 +166,6 @@
     if (message.__isset.hello) {
         const bool new_life = on_hello(now, message.hello);
         answer.__set_hello(hello(now, new_life || !message.hello.members.empty()));
-        if (message.hello.config_version < config_version().value()) {
-            answer.config_version = config_version().value();
-            answer.config = config_text_;
-            ++stats_.config_copies;
-            stats_.config_bytes += static_cast<std::int64_t>(config_text_.size());
-        }
-    }
-    if (!message.config.empty() && message.config_version > config_version().value()) {
-        auto parsed = edges_.parse_config(message.config);
-        if (parsed) {
-            take_config(now, std::move(*parsed), message.config, "peer");
-        }
     }
     for (const wire::flow_row_news& news : message.rows) {
         std::string reason;
