test_flow_crash: tasks of several jobs crash workers at once

Twelve jobs, two tasks of each crash any worker 10 ms after their start; workers that stop answering within half a second of each other pass for a wave of its own cause, so nobody is charged and the tasks are started for ever.

--- a/tests/test_flow_crash.cpp
+++ b/tests/test_flow_crash.cpp
@@ -1,6 +1,8 @@
 // Tasks that crash the workers they are started on, and those that were beside them, in virtual time.
 #include <boost/test/unit_test.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "support_flow_checks.h"
@@ -284,3 +286,36 @@
     BOOST_TEST(w.running_of(job_b) == 6);
     check_no_faults(w);
 }
+
+// Tasks of several jobs crash workers within moments of each other: taken for workers that go at once by a cause of
+// their own, no task is charged, and each is started more often than it may be.
+BOOST_AUTO_TEST_CASE(tasks_of_several_jobs_that_crash_workers_at_once_are_each_given_up)
+{
+    constexpr int jobs = 12;
+    constexpr int crashing_each = 2; // of a job's tasks
+    each_seed(8, [](std::uint64_t seed) {
+        flow_world::options options;
+        options.seed = seed;
+        options.workers_each = 24;
+        options.crash_away = 3s;
+        options.run_time = [](const flow_task_id&) { return duration(1s); };
+        options.crashes_worker = [](const flow_task_id& task, const start_run&) {
+            return task.index < crashing_each ? std::optional<duration>(10ms) : std::nullopt;
+        };
+        flow_world w(std::move(options));
+        w.run_for(2s);
+        std::vector<std::string> names;
+        for (int i = 0; i < jobs; ++i) {
+            names.push_back(fmt::format("00000000000000{:02x}", i + 1));
+            BOOST_REQUIRE(w.submit(i % 2, names.back(), chain_spec(1, 10, 2000)) == caller_result::accepted);
+            w.run_for(duration((seed % 4) * 100'000));
+        }
+        BOOST_TEST(w.run_until(
+            [&] {
+                return std::all_of(names.begin(), names.end(),
+                                   [&](const std::string& job) { return has_failed(w, 0, job); });
+            },
+            given_up_within));
+        check_no_faults(w);
+    });
+}
