cells: crashes under a task count whoever is charged with them

Cause: the crashes hid each other. Workers that several tasks crash within half a second pass for a rack that has gone, so nobody was charged; of tasks on one worker only those charged most were. And a task whose worker had lapsed was started elsewhere, beside others, before the worker's next life showed the crash. Change: a crash is noted under every run that was young then, with whether the task is charged; after three notes a task starts alone, whoever is charged; two crashes in a row at once (200 ms) when it was alone and its start was answered are beyond doubt. What lapses is noted until the worker's next answer shows what it was. Notes without a charge go out with the next write of the row. Both paths use the same module.

--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -34,6 +34,8 @@
   3: i64 age_ms = 0 // of the run when the worker no longer answered
   4: i64 at_ms = 0
   5: double rate = 0 // crashes a second of each worker by other causes
+  6: bool beside = false // the task is not charged with it: something else there is the likelier cause
+  7: bool alone = false  // its start was answered, and nothing else had been started there since
 }
 
 enum task_phase_row { queued = 0, finished = 1, parked = 2, cancelled = 3 }
--- a/src/cell_crashes.cpp
+++ b/src/cell_crashes.cpp
@@ -16,18 +16,22 @@
     return past == nullptr ? none : past->crashes;
 }
 
-void charge(cell_state& s, const worker_id& worker, const lost_attempt& lost)
+void note_crash_under(cell_state& s, const worker_id& worker, const lost_attempt& lost)
 {
     job_record* const job = find_job(s, lost.task.job);
     if (job == nullptr || !job->has(lost.task.index) || job->phase(lost.task.index) == task_phase::finished) {
         return;
     }
     const crash_moment moment{s.now, s.wall, s.now - s.taken_at, s.workers.size()};
-    wire::crash_row crash =
-        s.recent_crashes.describe(moment, lost.task, worker, *lost.in_crash.age, crashes_of(*job, lost.task.index));
+    wire::crash_row crash = s.recent_crashes.describe(moment, lost.task, worker, *lost.in_crash.age,
+                                                      charged_rows(crashes_of(*job, lost.task.index)));
     crash.run = lost.attempt.value();
+    crash.beside = !lost.in_crash.charged;
+    crash.alone = lost.in_crash.alone && lost.in_crash.accepted;
     job->note_crash(lost.task.index, crash);
-    s.recent_crashes.explain(lost.task, worker, crashes_of(*job, lost.task.index));
+    if (lost.in_crash.charged) {
+        s.recent_crashes.explain(lost.task, worker, charged_rows(crashes_of(*job, lost.task.index)));
+    }
     note_suspects(s, *job);
     touch(s, *job);
 }
@@ -41,8 +45,9 @@
         return std::nullopt;
     }
     lost_attempt lost{entry.task, entry.attempt, {}};
-    lost.in_crash.crashes = static_cast<int>(crashes_of(*job, entry.task.index).size());
+    lost.in_crash.crashes = static_cast<int>(charged_rows(crashes_of(*job, entry.task.index)).size());
     lost.in_crash.alone = run->alone && run->started_at == worker.last_start;
+    lost.in_crash.accepted = run->reported;
     lost.in_crash.in_a_wave =
         s.recent_crashes.in_a_wave(worker.unanswered_since, worker.listing.worker, entry.task.job);
     if (run->started_at != instant{}) {
@@ -131,8 +136,8 @@
             all.push_back(*lost);
         }
     }
-    for (const lost_attempt& lost : pick_charged(all)) {
-        charge(s, worker.listing.worker, lost);
+    for (const lost_attempt& lost : pick_noted(all)) {
+        note_crash_under(s, worker.listing.worker, lost);
     }
 }
 
@@ -149,12 +154,14 @@
     if (found == s.jobs.end() || !found->second.has(task.index)) {
         return false;
     }
-    std::size_t crashes = crashes_of(found->second, task.index).size();
+    const std::vector<wire::crash_row>& noted = crashes_of(found->second, task.index);
+    std::size_t crashes = 0; // not charged yet
     for (const auto& [id, worker] : s.workers) {
         crashes += static_cast<std::size_t>(std::count_if(worker.lost.begin(), worker.lost.end(),
                                                           [&](const lost_attempt& lost) { return lost.task == task; }));
     }
-    return crashes >= static_cast<std::size_t>(crashes_until_alone);
+    return must_start_alone(noted) ||
+           charged_rows(noted).size() + crashes >= static_cast<std::size_t>(crashes_until_alone);
 }
 
 void park_crashers(cell_state& s)
--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -38,8 +38,9 @@
             continue;
         }
         lost_run each{task, run.run, {}};
-        each.in_crash.crashes = static_cast<int>(parts.task->crashes.size());
+        each.in_crash.crashes = static_cast<int>(charged_rows(parts.task->crash_rows()).size());
         each.in_crash.alone = parts.live->alone && parts.live->started == newest;
+        each.in_crash.accepted = parts.live->confirmed;
         each.in_crash.in_a_wave = recent_crashes_.in_a_wave(w.unanswered_since, w.listing.worker, task.job);
         if (parts.live->started != instant{}) {
             each.in_crash.age = w.unanswered_since - parts.live->started;
@@ -51,31 +52,51 @@
 
 void flow_cell::charge_runs(instant now, const worker_id& worker, const std::vector<lost_run>& lost)
 {
-    for (const lost_run& run : pick_charged(lost)) {
-        charge(now, worker, run.task, run.run, *run.in_crash.age);
+    for (const lost_run& run : pick_noted(lost)) {
+        note_crash_under(now, worker, run);
     }
 }
 
-void flow_cell::charge(instant now, const worker_id& worker, const flow_task_id& task, run_number run, duration age)
+// False when the task is not known any more.
+bool flow_cell::add_crash_row(instant now, const worker_id& worker, const lost_run& lost)
 {
-    const auto found = jobs_.find(task.job);
-    if (found == jobs_.end() || found->second->find_task(task) == nullptr) {
-        return;
+    const auto found = jobs_.find(lost.task.job);
+    if (found == jobs_.end() || found->second->find_task(lost.task) == nullptr) {
+        return false;
     }
     flow_job& job = *found->second;
     const crash_moment moment{now, edges_.wall(), now - taken_at_, workers_.size()};
-    wire::crash_row crash = recent_crashes_.describe(moment, task, worker, age, job.find_task(task)->crash_rows());
-    crash.run = run.value();
-    job.note_crash(task, crash);
-    const std::vector<wire::crash_row> charged = job.find_task(task)->crash_rows();
-    recent_crashes_.explain(task, worker, charged);
+    wire::crash_row crash = recent_crashes_.describe(moment, lost.task, worker, *lost.in_crash.age,
+                                                     charged_rows(job.find_task(lost.task)->crash_rows()));
+    crash.run = lost.run.value();
+    crash.beside = !lost.in_crash.charged;
+    crash.alone = lost.in_crash.alone && lost.in_crash.accepted;
+    job.note_crash(lost.task, crash);
+    return true;
+}
+
+void flow_cell::note_crash_under(instant now, const worker_id& worker, const lost_run& lost)
+{
+    if (!add_crash_row(now, worker, lost)) {
+        return;
+    }
+    flow_job& job = *jobs_.at(lost.task.job);
+    const std::vector<wire::crash_row> rows = job.find_task(lost.task)->crash_rows();
+    if (lost.in_crash.charged) {
+        recent_crashes_.explain(lost.task, worker, charged_rows(rows));
+    }
+    else if (!must_start_alone(rows)) {
+        return; // goes out with the next write of the row: many are beside a crash, and few of them a second time
+    }
+    const std::int64_t ran_ms = *lost.in_crash.age / std::chrono::milliseconds(1);
     edges_.note(log_level::info, "run", "crashed_worker",
-                {{"task", text_of(task)},
-                 {"run", std::to_string(run.value())},
+                {{"task", text_of(lost.task)},
+                 {"run", std::to_string(lost.run.value())},
                  {"worker", worker.str()},
-                 {"ran_ms", std::to_string(crash.age_ms)},
-                 {"others_per_s", fmt::format("{:.4f}", crash.rate)},
-                 {"crashes", std::to_string(charged.size())}});
+                 {"ran_ms", std::to_string(ran_ms)},
+                 {"others_per_s", fmt::format("{:.4f}", rows.back().rate)},
+                 {"charged", lost.in_crash.charged ? "yes" : "no"},
+                 {"crashes", std::to_string(rows.size())}});
     job_changed(now, job, false);
 }
 
@@ -88,7 +109,10 @@
                 const flow_task& task = stage.tasks[i];
                 const worker_id worker(task.start.worker);
                 if (task.may_crash_workers() && worker.valid() && is_over(worker)) {
-                    charge(now, worker, job->task_id(stage, i), run_number(task.start.run), noted_age);
+                    lost_run lost{job->task_id(stage, i), run_number(task.start.run), {}};
+                    lost.in_crash.age = noted_age;
+                    lost.in_crash.charged = true;
+                    note_crash_under(now, worker, lost);
                 }
             }
         }
@@ -113,7 +137,14 @@
     if (w.ledger.empty() || w.listing.draining) {
         return;
     }
-    lapsed_[w.listing.address] = {w.listing.worker, list_lost_runs(w), now};
+    lapsed_life& life = lapsed_[w.listing.address];
+    life = {w.listing.worker, list_lost_runs(w), now};
+    // Its tasks are started elsewhere before its next life is heard of.
+    for (const lost_run& run : life.runs) {
+        if (was_young(run.in_crash)) {
+            add_crash_row(now, w.listing.worker, run);
+        }
+    }
     for (const auto& [id, other] : workers_) {
         if (other.listed && other.listing.address == w.listing.address && id != w.listing.worker) {
             charge_lapsed(now, other.listing);
@@ -132,9 +163,23 @@
         charge_runs(now, at->second.worker, at->second.runs);
         place_soon(); // a job may have to be given up
     }
+    else {
+        forget_lapsed(at->second);
+    }
     lapsed_.erase(at);
 }
 
+// It was cut off and has not crashed.
+void flow_cell::forget_lapsed(const lapsed_life& life)
+{
+    for (const lost_run& run : life.runs) {
+        const auto found = jobs_.find(run.task.job);
+        if (found != jobs_.end()) {
+            found->second->forget_crash(run.task, run.run);
+        }
+    }
+}
+
 void flow_cell::log_given_up(const flow_job& job) const
 {
     for (const flow_stage& stage : job.stages()) {
@@ -182,7 +227,7 @@
     return std::count_if(w.ledger.begin(), w.ledger.end(), [this](const auto& held) {
         const auto found = jobs_.find(held.first.job);
         flow_task* const task = found == jobs_.end() ? nullptr : found->second->find_task(held.first);
-        return task != nullptr && !task->crashes.empty();
+        return task != nullptr && !charged_rows(task->crash_rows()).empty();
     });
 }
 
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -335,10 +335,12 @@
     std::int64_t count_charged(const cell_worker& w) const;
     std::vector<lost_run> list_lost_runs(const cell_worker& w);
     void charge_runs(instant now, const worker_id& worker, const std::vector<lost_run>& lost);
-    void charge(instant now, const worker_id& worker, const flow_task_id& task, run_number run, duration age);
+    bool add_crash_row(instant now, const worker_id& worker, const lost_run& lost);
+    void note_crash_under(instant now, const worker_id& worker, const lost_run& lost);
     void charge_noted(instant now, const std::function<bool(const worker_id&)>& is_over);
     void charge_crash_of(instant now, const cell_worker& w);
     void remember_lapsed(instant now, const cell_worker& w);
+    void forget_lapsed(const lapsed_life& life);
     void charge_lapsed(instant now, const flow_listed_worker& listing);
     void log_given_up(const flow_job& job) const;
     bool starts_alone(instant now, const flow_step& step, const flow_task& task) const;
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -32,12 +32,12 @@
 
 bool flow_task::may_crash_workers() const
 {
-    return static_cast<int>(crashes.size()) >= crashes_until_alone;
+    return crashes.size() >= 2 && must_start_alone(crash_rows());
 }
 
 bool flow_task::crashes_workers() const
 {
-    return may_crash_workers() && is_given_up(charged_of(crash_rows()));
+    return crashes.size() >= crashes_until_sure && crashes_its_workers(crash_rows());
 }
 
 bool notes_starts(const flow_step& step)
@@ -324,7 +324,16 @@
 {
     flow_task* const t = find_task(task);
     const run_number run(crash.run);
-    if (t != nullptr && run > t->outlived && t->crashes.emplace(run, crash).second) {
+    if (t != nullptr && run > t->outlived) {
+        t->crashes.insert_or_assign(run, crash);
+        ++changes_;
+    }
+}
+
+void flow_job::forget_crash(const flow_task_id& task, run_number run)
+{
+    flow_task* const t = find_task(task);
+    if (t != nullptr && t->crashes.erase(run) > 0) {
         ++changes_;
     }
 }
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -33,7 +33,7 @@
     // By number, not by count: ends are heard more than once, by several owners, and in any order. At most as many as
     // the task has attempts.
     std::set<run_number> failed_runs;
-    std::map<run_number, wire::crash_row> crashes; // that it is charged with, by run
+    std::map<run_number, wire::crash_row> crashes; // of workers under it, by run
     run_number outlived;                           // crashes up to this run no longer count
     std::vector<wire::crash_row> crash_rows() const;
     bool may_crash_workers() const; // it is started alone
@@ -135,6 +135,8 @@
     std::int32_t note_failure(const flow_task_id& task, run_number run);
     // A worker crashed under the run.
     void note_crash(const flow_task_id& task, const wire::crash_row& crash);
+    // None did after all.
+    void forget_crash(const flow_task_id& task, run_number run);
     // The run has shown that it crashes no worker.
     void note_outlived(const flow_task_id& task, run_number run);
     // What the end of a run of a step that does not last tells of its tasks.
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -310,14 +310,14 @@
 bool job_record::crashes_workers(std::int32_t index) const
 {
     const task_past* const known = past(index);
-    return known != nullptr && is_given_up(charged_of(known->crashes));
+    return known != nullptr && crashes_its_workers(known->crashes);
 }
 
 std::vector<std::int32_t> job_record::suspected() const
 {
     std::vector<std::int32_t> indexes;
     for (const auto& [index, past] : past_) {
-        if (static_cast<int>(past.crashes.size()) >= crashes_until_alone) {
+        if (must_start_alone(past.crashes)) {
             indexes.push_back(index);
         }
     }
--- a/src/place_crash.cpp
+++ b/src/place_crash.cpp
@@ -13,11 +13,12 @@
 
 // A crash this soon after a start on a kept worker is no chance, whatever else crashes in the same moment.
 constexpr duration at_start = std::chrono::seconds(1);
+// Of a run alone on its worker, which is watched closely then: twice in a row this is no chance.
+constexpr duration at_once = std::chrono::milliseconds(200);
 constexpr duration alone_least = std::chrono::seconds(3);
 constexpr duration alone_most = std::chrono::seconds(10); // a worker that takes no other starts is missed
 constexpr duration age_least = std::chrono::milliseconds(1);
 constexpr double crashes_unseen = 0.5; // added to those seen, which may be none
-constexpr std::size_t crashes_least = 3;
 // A crash weighs the logarithm of how unlikely it is by chance, less this: by chance alone the logarithm is 1 on the
 // average, so that any number of crashes of an innocent task adds up to nothing.
 constexpr double weight_by_chance = 2.0;
@@ -34,7 +35,7 @@
 
 bool may_be_charged(const run_in_crash& run)
 {
-    if (!run.age || *run.age < duration(0) || *run.age > crash_age_most) {
+    if (!was_young(run)) {
         return false;
     }
     if (run.crashes < crashes_until_alone) {
@@ -45,6 +46,11 @@
 
 } // namespace
 
+bool was_young(const run_in_crash& run)
+{
+    return run.age && *run.age >= duration(0) && *run.age <= crash_age_most;
+}
+
 std::vector<bool> charge_crash(const std::vector<run_in_crash>& runs)
 {
     int most = 0;
@@ -59,13 +65,20 @@
     return charged;
 }
 
+std::vector<wire::crash_row> charged_rows(const std::vector<wire::crash_row>& rows)
+{
+    std::vector<wire::crash_row> charged;
+    std::copy_if(rows.begin(), rows.end(), std::back_inserter(charged),
+                 [](const wire::crash_row& row) { return !row.beside; });
+    return charged;
+}
+
 std::vector<charged_crash> charged_of(const std::vector<wire::crash_row>& rows)
 {
     std::vector<charged_crash> charged;
-    charged.reserve(rows.size());
-    std::transform(rows.begin(), rows.end(), std::back_inserter(charged), [](const wire::crash_row& row) {
-        return charged_crash{std::chrono::milliseconds(row.age_ms), row.rate};
-    });
+    for (const wire::crash_row& row : charged_rows(rows)) {
+        charged.push_back({std::chrono::milliseconds(row.age_ms), row.rate});
+    }
     return charged;
 }
 
@@ -88,17 +101,34 @@
 
 bool is_given_up(const std::vector<charged_crash>& crashes)
 {
-    if (crashes.size() < crashes_least) {
+    if (crashes.size() < crashes_until_sure) {
         return false;
     }
     const double rate = crashes.back().rate; // seen over the time of all of them
     const double weight = std::accumulate(crashes.begin(), crashes.end(), 0.0, [rate](double sum, const auto& crash) {
         return sum + weight_of(crash.age, rate);
     });
-    const std::size_t more = std::min(crashes.size() - crashes_least, weights_until_given_up.size() - 1);
+    const std::size_t more = std::min(crashes.size() - crashes_until_sure, weights_until_given_up.size() - 1);
     return weight >= weights_until_given_up.at(more) && weight_of(crashes.back().age, rate) >= weight_of_last;
 }
 
+bool must_start_alone(const std::vector<wire::crash_row>& rows)
+{
+    return rows.size() >= crashes_until_sure ||
+           charged_rows(rows).size() >= static_cast<std::size_t>(crashes_until_alone);
+}
+
+bool crashes_its_workers(const std::vector<wire::crash_row>& rows)
+{
+    if (is_given_up(charged_of(rows))) {
+        return true;
+    }
+    const auto alone_at_once = [](const wire::crash_row& row) {
+        return row.alone && std::chrono::milliseconds(row.age_ms) <= at_once;
+    };
+    return rows.size() >= crashes_until_sure && alone_at_once(rows.back()) && alone_at_once(*(rows.end() - 2));
+}
+
 duration longest_age(const std::vector<wire::crash_row>& rows)
 {
     std::int64_t longest = 0;
--- a/src/place_crash_p.h
+++ b/src/place_crash_p.h
@@ -6,6 +6,11 @@
 // only to runs that were young then, and of these to the tasks under which most workers have crashed before. It weighs
 // the more the less likely the worker would have crashed in that time anyway. A task that is charged twice is started
 // once more on a worker kept for it, where nothing else that was started can have been the cause.
+//
+// Where several tasks crash workers at once, each hides the others: together they pass for a rack that has gone, and
+// the one charged most is charged with all. So crashes are also noted under every run that was young then, and after
+// three of them, whoever is charged, a task starts alone. One that crashes workers does so there too; one that was
+// beside it ends, and is cleared.
 #pragma once
 
 #include <algorithm>
@@ -23,7 +28,9 @@
 
 namespace skylarkhub {
 
-inline constexpr int crashes_until_alone = 2; // from then on a task is started alone
+inline constexpr int crashes_until_alone = 2; // that it is charged with: from then on a task is started alone
+// Noted under a task, charged or not: from then on it is started alone, and given up if that shows it to be the cause.
+inline constexpr std::size_t crashes_until_sure = 3;
 // A run that has lived this long crashes no worker: a later crash is not charged to it, those before are forgotten.
 inline constexpr duration crash_age_most = std::chrono::seconds(30);
 
@@ -46,14 +53,18 @@
     std::optional<duration> age; // from its start until the worker no longer answered; empty: not known
     int crashes = 0;             // that its task is charged with
     bool alone = false;          // nothing else has been started on the worker since
+    bool accepted = false;       // the worker had answered its start
     bool in_a_wave = false;      // others crashed in the same moment, where nothing of its job ran
+    bool charged = false;        // as pick_noted() has found
 };
 
 // For each run whether its task is charged with the crash.
 std::vector<bool> charge_crash(const std::vector<run_in_crash>& runs);
 
-// Of what was lost in a crash, each with its `in_crash`, what is charged.
-template <class Lost> std::vector<Lost> pick_charged(const std::vector<Lost>& lost)
+bool was_young(const run_in_crash& run);
+
+// Of what was lost in a crash, each with its `in_crash`, what was young then; with whether it is charged.
+template <class Lost> std::vector<Lost> pick_noted(const std::vector<Lost>& lost)
 {
     std::vector<run_in_crash> runs;
     runs.reserve(lost.size());
@@ -61,8 +72,9 @@
     const std::vector<bool> charged = charge_crash(runs);
     std::vector<Lost> picked;
     for (std::size_t i = 0; i < lost.size(); ++i) {
-        if (charged[i]) {
+        if (was_young(lost[i].in_crash)) {
             picked.push_back(lost[i]);
+            picked.back().in_crash.charged = charged[i];
         }
     }
     return picked;
@@ -74,6 +86,8 @@
     double rate = 0; // of other crashes then, see crash_rate()
 };
 
+// Without those that other tasks are charged with.
+std::vector<wire::crash_row> charged_rows(const std::vector<wire::crash_row>& rows);
 std::vector<charged_crash> charged_of(const std::vector<wire::crash_row>& rows);
 // For a log line or an operator: which workers, when, and how soon after the start.
 std::string describe_crashes(const std::vector<wire::crash_row>& rows);
@@ -85,6 +99,11 @@
 // crash, the fewer are needed, and three at least.
 bool is_given_up(const std::vector<charged_crash>& crashes);
 
+// Whether a task with these crashes under it is started alone.
+bool must_start_alone(const std::vector<wire::crash_row>& rows);
+// Beyond doubt, by what it is charged with, or since it crashed two workers in a row at once when it was alone there.
+bool crashes_its_workers(const std::vector<wire::crash_row>& rows);
+
 // When an owner charges a crash.
 struct crash_moment {
     instant now{};
