cells: a crash of a run that its task has outlived is not noted

Cause: the task had outlived the run, so no note was kept, and the last of the notes was looked at all the same. note_crash() now tells whether it kept it.

--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -57,7 +57,7 @@
     }
 }
 
-// False when the task is not known any more.
+// False when the task is not known any more, or has outlived the run.
 bool flow_cell::add_crash_row(instant now, const worker_id& worker, const lost_run& lost)
 {
     const auto found = jobs_.find(lost.task.job);
@@ -71,8 +71,7 @@
     crash.run = lost.run.value();
     crash.beside = !lost.in_crash.charged;
     crash.alone = lost.in_crash.alone && lost.in_crash.accepted;
-    job.note_crash(lost.task, crash);
-    return true;
+    return job.note_crash(lost.task, crash);
 }
 
 void flow_cell::note_crash_under(instant now, const worker_id& worker, const lost_run& lost)
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -320,14 +320,16 @@
     return static_cast<std::int32_t>(t->failed_runs.size());
 }
 
-void flow_job::note_crash(const flow_task_id& task, const wire::crash_row& crash)
+bool flow_job::note_crash(const flow_task_id& task, const wire::crash_row& crash)
 {
     flow_task* const t = find_task(task);
     const run_number run(crash.run);
-    if (t != nullptr && run > t->outlived) {
-        t->crashes.insert_or_assign(run, crash);
-        ++changes_;
+    if (t == nullptr || run <= t->outlived) {
+        return false;
     }
+    t->crashes.insert_or_assign(run, crash);
+    ++changes_;
+    return true;
 }
 
 void flow_job::forget_crash(const flow_task_id& task, run_number run)
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -133,8 +133,8 @@
     bool note_done(const flow_task_id& task);
     // The number of failed runs so far. A run counts once, however often its end is listed.
     std::int32_t note_failure(const flow_task_id& task, run_number run);
-    // A worker crashed under the run.
-    void note_crash(const flow_task_id& task, const wire::crash_row& crash);
+    // A worker crashed under the run. False when the task has outlived it.
+    bool note_crash(const flow_task_id& task, const wire::crash_row& crash);
     // None did after all.
     void forget_crash(const flow_task_id& task, run_number run);
     // The run has shown that it crashes no worker.
