--- a/tests/test_flow_config.cpp
+++ b/tests/test_flow_config.cpp
@@ -326,3 +326,17 @@
     w.run_for(in_force_most);
     BOOST_TEST((w.entry(7)->config_version() == settings_version(2)));
 }
+
+// What peers tell each other each half second takes the place of everything else on a narrow link.
+BOOST_AUTO_TEST_CASE(what_peers_tell_each_other_leaves_a_narrow_link_free)
+{
+    flow_world::options o = narrow_site();
+    o.workers_each = 160;
+    o.rack_size = 8;
+    o.cores = {0.5, 0.5, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12, 0.12};
+    flow_world w(std::move(o));
+    w.run_for(15s);
+    const auto before = link_bytes(w);
+    w.run_for(std::chrono::seconds(static_cast<std::int64_t>(link_share_over)));
+    check_link_share(w, before, narrow_link);
+}
