cells: a crash noted beside others waits for the next write of its row

The row then passed for behind for good, and what waits for it with it: a spread gang is not started while its row is behind, and news merged into such a row would not have been written. Now only a note that matters (charged, or the third) is a change, and is planned in the same place. test_flow_job/a_passing_note_of_a_crash_waits_for_the_next_write_of_the_row could not be written before (there was one kind of note, and the job was dirty after it). Also: a copy of a configuration is let go of once it is whole, whatever becomes of it; a crash's line tells its own rate.

--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -57,12 +57,12 @@
     }
 }
 
-// False when the task is not known any more, or has outlived the run.
-bool flow_cell::add_crash_row(instant now, const worker_id& worker, const lost_run& lost)
+// Empty when the task is not known any more, or has outlived the run.
+std::optional<wire::crash_row> flow_cell::add_crash_row(instant now, const worker_id& worker, const lost_run& lost)
 {
     const auto found = jobs_.find(lost.task.job);
     if (found == jobs_.end() || found->second->find_task(lost.task) == nullptr) {
-        return false;
+        return std::nullopt;
     }
     flow_job& job = *found->second;
     const crash_moment moment{now, edges_.wall(), now - taken_at_, workers_.size()};
@@ -71,32 +71,39 @@
     crash.run = lost.run.value();
     crash.beside = !lost.in_crash.charged;
     crash.alone = lost.in_crash.alone && lost.in_crash.accepted;
-    return job.note_crash(lost.task, crash);
+    // Many are beside a crash, and few of them a second time.
+    const bool matters = lost.in_crash.charged || job.find_task(lost.task)->crashes.size() + 1 >= crashes_until_sure;
+    const bool kept = job.note_crash(lost.task, crash, matters ? crash_note::written : crash_note::passing);
+    if (!kept) {
+        return std::nullopt;
+    }
+    if (matters) {
+        job_changed(now, job, false);
+    }
+    return crash;
 }
 
 void flow_cell::note_crash_under(instant now, const worker_id& worker, const lost_run& lost)
 {
-    if (!add_crash_row(now, worker, lost)) {
+    const auto crash = add_crash_row(now, worker, lost);
+    if (!crash) {
         return;
     }
-    flow_job& job = *jobs_.at(lost.task.job);
-    const std::vector<wire::crash_row> rows = job.find_task(lost.task)->crash_rows();
+    const std::vector<wire::crash_row> rows = jobs_.at(lost.task.job)->find_task(lost.task)->crash_rows();
     if (lost.in_crash.charged) {
         recent_crashes_.explain(lost.task, worker, charged_rows(rows));
     }
     else if (!must_start_alone(rows)) {
-        return; // goes out with the next write of the row: many are beside a crash, and few of them a second time
+        return;
     }
-    const std::int64_t ran_ms = *lost.in_crash.age / std::chrono::milliseconds(1);
     edges_.note(log_level::info, "run", "crashed_worker",
                 {{"task", text_of(lost.task)},
                  {"run", std::to_string(lost.run.value())},
                  {"worker", worker.str()},
-                 {"ran_ms", std::to_string(ran_ms)},
-                 {"others_per_s", fmt::format("{:.4f}", rows.back().rate)},
+                 {"ran_ms", std::to_string(crash->age_ms)},
+                 {"others_per_s", fmt::format("{:.4f}", crash->rate)},
                  {"charged", lost.in_crash.charged ? "yes" : "no"},
                  {"crashes", std::to_string(rows.size())}});
-    job_changed(now, job, false);
 }
 
 // Starts that the owner before has noted, on a worker whose life is over: it crashed before anybody could ask it.
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -335,7 +335,7 @@
     std::int64_t count_charged(const cell_worker& w) const;
     std::vector<lost_run> list_lost_runs(const cell_worker& w);
     void charge_runs(instant now, const worker_id& worker, const std::vector<lost_run>& lost);
-    bool add_crash_row(instant now, const worker_id& worker, const lost_run& lost);
+    std::optional<wire::crash_row> add_crash_row(instant now, const worker_id& worker, const lost_run& lost);
     void note_crash_under(instant now, const worker_id& worker, const lost_run& lost);
     void charge_noted(instant now, const std::function<bool(const worker_id&)>& is_over);
     void charge_crash_of(instant now, const cell_worker& w);
--- a/src/flow_config.cpp
+++ b/src/flow_config.cpp
@@ -163,15 +163,15 @@
 
 void flow_entry::take_copy(instant now)
 {
-    auto parsed = edges_.parse_config(copy_.text());
-    if (!parsed || parsed->version != copy_.version()) {
-        edges_.note(log_level::error, "config", "copy_unreadable",
-                    {{"version", std::to_string(copy_.version().value())}});
-        config_unreadable_ = copy_.version();
-        copy_.clear();
+    const settings_version version = copy_.version();
+    std::string text = copy_.text();
+    copy_.clear();
+    auto parsed = edges_.parse_config(text);
+    if (!parsed || parsed->version != version) {
+        edges_.note(log_level::error, "config", "copy_unreadable", {{"version", std::to_string(version.value())}});
+        config_unreadable_ = version;
         return;
     }
-    std::string text = copy_.text();
     take_config(now, std::move(*parsed), std::move(text), "peer");
 }
 
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -320,7 +320,7 @@
     return static_cast<std::int32_t>(t->failed_runs.size());
 }
 
-bool flow_job::note_crash(const flow_task_id& task, const wire::crash_row& crash)
+bool flow_job::note_crash(const flow_task_id& task, const wire::crash_row& crash, crash_note note)
 {
     flow_task* const t = find_task(task);
     const run_number run(crash.run);
@@ -328,15 +328,15 @@
         return false;
     }
     t->crashes.insert_or_assign(run, crash);
-    ++changes_;
+    changes_ += note == crash_note::written ? 1 : 0;
     return true;
 }
 
 void flow_job::forget_crash(const flow_task_id& task, run_number run)
 {
     flow_task* const t = find_task(task);
-    if (t != nullptr && t->crashes.erase(run) > 0) {
-        ++changes_;
+    if (t != nullptr) {
+        t->crashes.erase(run);
     }
 }
 
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -66,6 +66,9 @@
 // Members of a gang are in another cell: it runs over several.
 bool is_spread(const flow_stage& stage);
 
+// Whether a crash is written for its own sake, or goes out with the row's next write.
+enum class crash_note : std::uint8_t { written, passing };
+
 class flow_job {
 public:
     // A flow as a row tells it that says what was asked. `here`: the cell whose owner asks; `version`: of that cell's
@@ -134,7 +137,7 @@
     // The number of failed runs so far. A run counts once, however often its end is listed.
     std::int32_t note_failure(const flow_task_id& task, run_number run);
     // A worker crashed under the run. False when the task has outlived it.
-    bool note_crash(const flow_task_id& task, const wire::crash_row& crash);
+    bool note_crash(const flow_task_id& task, const wire::crash_row& crash, crash_note note);
     // None did after all.
     void forget_crash(const flow_task_id& task, run_number run);
     // The run has shown that it crashes no worker.
--- a/tests/test_flow_job.cpp
+++ b/tests/test_flow_job.cpp
@@ -276,6 +276,22 @@
     BOOST_TEST(next.note_failure({job, 0, 0, 0}, run_number(1001)) == 2);
 }
 
+// A note that nobody writes would leave the row behind for good, and what waits for the row with it.
+BOOST_AUTO_TEST_CASE(a_passing_note_of_a_crash_waits_for_the_next_write_of_the_row)
+{
+    const flow_task_id task{job, 0, 0, 0};
+    wire::crash_row crash;
+    crash.run = 1;
+    crash.beside = true;
+    flow_job one(job, here, two_steps(), row_version(1));
+    BOOST_TEST(one.note_crash(task, crash, crash_note::passing));
+    BOOST_TEST(!one.dirty());
+    BOOST_TEST(one.current_row().stages.front().crashes.at(0).size() == 1U);
+    one.note_outlived(task, run_number(1));
+    BOOST_TEST(!one.note_crash(task, crash, crash_note::passing));
+    BOOST_TEST(one.find_task(task)->crashes.empty());
+}
+
 // Crashes are heard of by several owners, in any order and more than once: counted twice, or brought back after the
 // task has shown itself innocent, they would end its job.
 BOOST_AUTO_TEST_CASE(crashes_under_a_task_join_in_whatever_order_they_come)
@@ -291,10 +307,10 @@
     };
     flow_job one(job, here, two_steps(), row_version(1));
     flow_job other(job, here, two_steps(), row_version(1));
-    one.note_crash(task, crash(1));
-    one.note_crash(task, crash(2));
-    other.note_crash(task, crash(1001));
-    other.note_crash(task, crash(2));
+    one.note_crash(task, crash(1), crash_note::written);
+    one.note_crash(task, crash(2), crash_note::written);
+    other.note_crash(task, crash(1001), crash_note::written);
+    other.note_crash(task, crash(2), crash_note::written);
     const wire::flow_job_row of_one = one.current_row();
     one.merge(instant{}, other.current_row(), row_teller::other_cell);
     other.merge(instant{}, of_one, row_teller::other_cell);
