--- a/tests/test_flow_config.cpp
+++ b/tests/test_flow_config.cpp
@@ -69,6 +69,7 @@
 std::vector<double> link_bytes(const flow_world& w)
 {
     std::vector<double> bytes;
+    bytes.reserve(entries_count);
     for (int i = 0; i < entries_count; ++i) {
         bytes.push_back(w.bytes_to(i));
     }
