--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -617,7 +617,7 @@
     }
 }
 
-void flow_world::write_config(std::vector<std::string> queues, std::size_t bytes)
+void flow_world::write_config(const std::vector<std::string>& queues, std::size_t bytes)
 {
     config_row_ = row_version(config_row_.value() + 1);
     config_text_ = write_config_text(config_row_.value(), queues, bytes);
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -173,7 +173,7 @@
     // A run of such a job that goes on.
     void run_unheard(int worker, const flow_task_id& task, run_number run, duration takes);
     // The operator writes a configuration with these queues, padded to `bytes`. Versions count from 1, which has `q`.
-    void write_config(std::vector<std::string> queues, std::size_t bytes);
+    void write_config(const std::vector<std::string>& queues, std::size_t bytes);
     // One that no entry can read.
     void write_unreadable_config();
     // Leaves out of all rows of jobs, and of cells, what an earlier release does not know: where tasks were started.
