place_crash: the row of a crash is made in one place

Both paths set the same two fields beside describe(), and both filtered the charged rows for it and for explain(). describe() now takes the lost run and all rows, explain() all rows, and each looks at what is charged itself. A bare 2 that meant crashes_until_alone has its name; three loops of test_flow_config that ask whether all entries are ready are one function, with the same assertion. No change of behaviour.

--- a/src/cell_crashes.cpp
+++ b/src/cell_crashes.cpp
@@ -23,14 +23,12 @@
         return;
     }
     const crash_moment moment{s.now, s.wall, s.now - s.taken_at, s.workers.size()};
-    wire::crash_row crash = s.recent_crashes.describe(moment, lost.task, worker, *lost.in_crash.age,
-                                                      charged_rows(crashes_of(*job, lost.task.index)));
+    wire::crash_row crash =
+        s.recent_crashes.describe(moment, lost.task, worker, lost.in_crash, crashes_of(*job, lost.task.index));
     crash.run = lost.attempt.value();
-    crash.beside = !lost.in_crash.charged;
-    crash.alone = lost.in_crash.alone && lost.in_crash.accepted;
     job->note_crash(lost.task.index, crash);
     if (lost.in_crash.charged) {
-        s.recent_crashes.explain(lost.task, worker, charged_rows(crashes_of(*job, lost.task.index)));
+        s.recent_crashes.explain(lost.task, worker, crashes_of(*job, lost.task.index));
     }
     note_suspects(s, *job);
     touch(s, *job);
--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -66,13 +66,11 @@
     }
     flow_job& job = *found->second;
     const crash_moment moment{now, edges_.wall(), now - taken_at_, workers_.size()};
-    wire::crash_row crash = recent_crashes_.describe(moment, lost.task, worker, *lost.in_crash.age,
-                                                     charged_rows(job.find_task(lost.task)->crash_rows()));
+    const std::vector<wire::crash_row> noted = job.find_task(lost.task)->crash_rows();
+    wire::crash_row crash = recent_crashes_.describe(moment, lost.task, worker, lost.in_crash, noted);
     crash.run = lost.run.value();
-    crash.beside = !lost.in_crash.charged;
-    crash.alone = lost.in_crash.alone && lost.in_crash.accepted;
     // Many are beside a crash, and few of them a second time.
-    const bool matters = lost.in_crash.charged || job.find_task(lost.task)->crashes.size() + 1 >= crashes_until_sure;
+    const bool matters = lost.in_crash.charged || noted.size() + 1 >= crashes_until_sure;
     const bool kept = job.note_crash(lost.task, crash, matters ? crash_note::written : crash_note::passing);
     if (!kept) {
         return std::nullopt;
@@ -91,7 +89,7 @@
     }
     const std::vector<wire::crash_row> rows = jobs_.at(lost.task.job)->find_task(lost.task)->crash_rows();
     if (lost.in_crash.charged) {
-        recent_crashes_.explain(lost.task, worker, charged_rows(rows));
+        recent_crashes_.explain(lost.task, worker, rows);
     }
     else if (!must_start_alone(rows)) {
         return;
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -32,7 +32,7 @@
 
 bool flow_task::may_crash_workers() const
 {
-    return crashes.size() >= 2 && must_start_alone(crash_rows());
+    return crashes.size() >= static_cast<std::size_t>(crashes_until_alone) && must_start_alone(crash_rows());
 }
 
 bool flow_task::crashes_workers() const
--- a/src/place_crash_p.h
+++ b/src/place_crash_p.h
@@ -136,14 +136,17 @@
         return others >= crash_wave_least;
     }
 
-    // The row of one more crash under the task; `before`: those that it is charged with.
-    wire::crash_row describe(const crash_moment& at, const Task& task, const worker_id& worker, duration age,
-                             const std::vector<wire::crash_row>& before) const
+    // The row of one more crash under the task, of the run `lost` whose age is known; `noted`: those before.
+    wire::crash_row describe(const crash_moment& at, const Task& task, const worker_id& worker,
+                             const run_in_crash& lost, const std::vector<wire::crash_row>& noted) const
     {
         wire::crash_row row;
         row.worker = worker.str();
-        row.age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+        row.beside = !lost.charged;
+        row.alone = lost.alone && lost.accepted;
+        row.age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(*lost.age).count();
         row.at_ms = std::chrono::duration_cast<std::chrono::milliseconds>(at.wall.time_since_epoch()).count();
+        const std::vector<wire::crash_row> before = charged_rows(noted);
         const std::int64_t since_first = before.empty() ? 0 : row.at_ms - before.front().at_ms;
         const duration over =
             std::min({std::chrono::milliseconds(std::max<std::int64_t>(0, since_first)) + crash_seen_before,
@@ -155,11 +158,12 @@
         return row;
     }
 
-    // What a task does that crashes its workers says nothing of how often they crash by themselves. `charged`: all
-    // crashes of the task, the newest that of `worker`.
-    void explain(const Task& task, const worker_id& worker, const std::vector<wire::crash_row>& charged)
+    // What a task does that crashes its workers says nothing of how often they crash by themselves. `noted`: all
+    // crashes under the task, the newest that of `worker`.
+    void explain(const Task& task, const worker_id& worker, const std::vector<wire::crash_row>& noted)
     {
-        const bool beyond_doubt = is_given_up(charged_of(charged));
+        const std::vector<charged_crash> charged = charged_of(noted);
+        const bool beyond_doubt = is_given_up(charged);
         const bool was_alone = charged.size() > static_cast<std::size_t>(crashes_until_alone);
         for (silence& s : silences_) {
             s.explained =
--- a/tests/test_flow_config.cpp
+++ b/tests/test_flow_config.cpp
@@ -66,6 +66,13 @@
     return ready;
 }
 
+void check_all_ready(flow_world& w)
+{
+    for (int i = 0; i < entries_count; ++i) {
+        BOOST_TEST(w.entry(i)->ready());
+    }
+}
+
 std::vector<double> link_bytes(const flow_world& w)
 {
     std::vector<double> bytes;
@@ -223,9 +230,7 @@
                  [&] { behind_most = std::max(behind_most, count_behind(w, 2, started)); });
     BOOST_TEST(behind_most == 0);
     check_link_share(w, before, narrow_link);
-    for (int i = 0; i < entries_count; ++i) {
-        BOOST_TEST(w.entry(i)->ready());
-    }
+    check_all_ready(w);
 }
 
 // An entry that the table turns away gets the change from a peer, over a link that bears little more than one copy.
@@ -283,9 +288,7 @@
     check_link_share(w, before, narrow_link);
     BOOST_TEST(count_behind(w, 2, {}) == 0);
     BOOST_TEST(count_ready_behind(w, 2) == 0);
-    for (int i = 0; i < entries_count; ++i) {
-        BOOST_TEST(w.entry(i)->ready());
-    }
+    check_all_ready(w);
     w.write_config(queues_with({"added", "again"}), large_config);
     w.run_for(in_force_most);
     BOOST_TEST(count_behind(w, 4, {}) == 0);
@@ -306,9 +309,7 @@
     }
     w.run_for(in_force_most);
     BOOST_TEST(count_behind(w, 2, {}) == 0);
-    for (int i = 0; i < entries_count; ++i) {
-        BOOST_TEST(w.entry(i)->ready());
-    }
+    check_all_ready(w);
 }
 
 // An entry that reaches one peer alone, and not the table, stays without the change.
