pending: the log tells what a count of waiting jobs was made of

Whether a count is short since a cell was not heard of, since what was heard is old, or since a job counts as started too early could not be told apart. Now each answer, once a second, has the number of cells that nobody has told a count of and the age of the oldest one.

--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -95,6 +95,7 @@
     struct cell_pending {
         std::int64_t epoch = 0;
         std::map<std::string, std::int32_t> counts;
+        instant heard{};
     };
     // A job this entry answers callers for.
     struct followed_job {
@@ -149,7 +150,8 @@
     void write_cancel(const job_id& job, const cell_id& cell, instant give_up, caller_reply reply);
     std::int64_t count_pending(const queue_id& queue) const;
     std::map<std::string, std::int32_t> count_untold() const;
-    void note_pending(const wire::flow_cell_news& news);
+    void note_pending(instant now, const wire::flow_cell_news& news);
+    void log_pending(instant now, const queue_id& queue, std::int64_t told);
     void tell_cell(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version);
     void look_for_earlier_jobs(int part);
     void tell_owner(instant now, const job_row_name& name);
@@ -243,6 +245,7 @@
     bool copying_ = false; // a piece is asked for
     instant next_piece_{};
     instant next_unknown_queue_line_{};
+    instant next_pending_line_{};
     std::map<entry_id, peer> peers_;
     std::map<cell_id, std::unique_ptr<flow_cell>> cells_;
     std::map<cell_id, data_centre_id> cell_places_;
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -70,7 +70,9 @@
     }
     const std::string rest = request.path.substr(queue->prefix.size());
     if (rest.empty() && request.verb == caller_verb::state) {
-        reply({caller_result::pending, flow_state::queued, count_pending(queue->name), duration(0), ""});
+        const std::int64_t pending = count_pending(queue->name);
+        log_pending(now, queue->name, pending);
+        reply({caller_result::pending, flow_state::queued, pending, duration(0), ""});
         return;
     }
     if (rest.size() != job_id_length || rest.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos) {
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -109,6 +109,7 @@
 inline constexpr duration operator_wait = 1s; // of one look for changes; a connection that went silent costs this
 inline constexpr duration operator_retry = 200ms;
 inline constexpr duration unknown_queue_log_interval = 1s;
+inline constexpr duration pending_log_interval = 1s;
 // A change that peers tell of first: the table is a moment behind, and gives it to each entry once.
 inline constexpr duration config_table_first = 600ms;
 inline constexpr std::size_t config_piece_bytes = 32 << 10; // a seventh of a second over 2 Mbit/s
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -92,7 +92,7 @@
     for (const auto& [id, cell] : cells_) {
         if (cell->owns()) {
             h.cells.push_back(cell->told_news(now));
-            note_pending(h.cells.back());
+            note_pending(now, h.cells.back());
         }
     }
     for (const auto& [id, p] : peers_) {
@@ -211,7 +211,7 @@
     p.cells = h.cells;
     p.untold = h.untold;
     for (const wire::flow_cell_news& cell : h.cells) {
-        note_pending(cell);
+        note_pending(now, cell);
         assigned_cpu_[cell_id(cell.cell)] = 0;
         for (auto& [id, own] : cells_) {
             own->hint_presses(cell.presses);
