test_flow_pending_restarts, test_flow_pending: waiting jobs that nobody counts

Two shapes of it in virtual time, on the code as it is.

Entries restart in turn, 0.4 s apart, killed or stopped by plan, with rows that take their reader 0.4 s a page, with the table away, twice in a row, over links of 2 Mbit/s. Every ready entry is asked every 100 ms. An answer is short when it tells of less than half of the jobs accepted more than 5 s before (the platform's bound); at most a twentieth may be refused.

--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -1282,16 +1282,20 @@
     return (*result)->state;
 }
 
-std::int64_t flow_world::pending(int entry)
+void flow_world::ask_pending(int entry, std::function<void(const caller_answer&)> told)
 {
-    const auto result = std::make_shared<std::optional<caller_answer>>();
     caller_request request;
     request.verb = caller_verb::state;
     request.host = "host";
     request.path = "/q/";
-    on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life, [request, result](flow_entry& e, instant now) {
-        e.on_request(now, request, [result](const caller_answer& answer) { *result = answer; });
-    });
+    on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life,
+             [request, told = std::move(told)](flow_entry& e, instant now) { e.on_request(now, request, told); });
+}
+
+std::int64_t flow_world::pending(int entry)
+{
+    const auto result = std::make_shared<std::optional<caller_answer>>();
+    ask_pending(entry, [result](const caller_answer& answer) { *result = answer; });
     run_until([&] { return result->has_value(); }, 4s);
     return *result && (*result)->result == caller_result::pending ? (*result)->pending : -1;
 }
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -108,6 +108,8 @@
     std::optional<flow_state> state(int entry, const std::string& job);
     // The number of jobs that wait, as the entry says; -1: it did not answer.
     std::int64_t pending(int entry);
+    // Asks the same and does not wait; an entry that is killed meanwhile tells nothing.
+    void ask_pending(int entry, std::function<void(const caller_answer&)> told);
     // Sends and does not wait; the answer is noted in answers().
     void send_submit(int entry, const std::string& job, const flow_spec& spec, const std::string& queue = "q");
     const std::map<std::string, std::vector<caller_result>>& answers() const { return answers_; }
--- a/tests/test_flow_pending.cpp
+++ b/tests/test_flow_pending.cpp
@@ -65,3 +65,34 @@
         BOOST_TEST(w.pending(0) == 2);
     }
 }
+
+// A job that no worker has taken a task of is left out, since its owner has decided to start one.
+BOOST_AUTO_TEST_CASE(a_job_whose_start_is_refused_is_counted)
+{
+    flow_world w({.workers_each = 2});
+    w.run_for(3s);
+    w.set_room(0, {1000, 64000, 0}, 300ms);
+    w.set_room(1, {1000, 64000, 0}, 300ms);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 1, 10000)) == caller_result::accepted);
+    for (int look = 0; look < 60; ++look) {
+        w.run_for(100ms);
+        BOOST_TEST(w.pending(0) == 1);
+        BOOST_TEST(w.pending(1) == 1);
+    }
+    BOOST_TEST(w.running_of(job_a) == 0);
+    BOOST_TEST((w.state(0, job_a) == flow_state::queued));
+}
+
+// The same while the start is on its way to a worker that does not answer.
+BOOST_AUTO_TEST_CASE(a_job_whose_start_is_not_answered_is_counted)
+{
+    flow_world w({.workers_each = 1});
+    w.run_for(3s);
+    w.worker(0).reachable = false;
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 1, 10000)) == caller_result::accepted);
+    for (int look = 0; look < 50; ++look) {
+        w.run_for(100ms);
+        BOOST_TEST(w.pending(0) == 1);
+        BOOST_TEST(w.pending(1) == 1);
+    }
+}
--- /dev/null
+++ b/tests/test_flow_pending_restarts.cpp
@@ -0,0 +1,258 @@
+// How many jobs of a queue wait, asked at every entry while all entries restart in turn, faster than an owner reads the
+// rows of its cell.
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include "support_flow_checks.h"
+#include "support_flow_world.h"
+
+using namespace skylarkhub;
+using namespace skylarkhub::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int entries_count = 12;
+constexpr duration counted_after = 5s; // an accepted job is in every count from then on
+constexpr double refused_most = 0.05;  // of the questions
+constexpr duration told_most = 3s;     // a caller waits no longer
+constexpr duration step = 100ms;       // each entry is asked this often
+constexpr duration submit_interval = 400ms;
+constexpr duration restart_gap = 400ms;
+constexpr duration first_restart = 8s;
+constexpr duration played = 40s;
+
+enum class restart_kind : std::uint8_t { killed, planned };
+
+struct restart_case {
+    restart_kind kind = restart_kind::killed;
+    int rounds = 1;
+    duration page_time{0};       // of rows of jobs, over the entry's link
+    duration table_away_from{0}; // after the start
+    duration table_away_until{0};
+    double link_bytes_per_s = 0;
+};
+
+struct count_tally {
+    std::int64_t asked = 0;
+    std::int64_t told = 0;
+    std::int64_t refused = 0;
+    std::int64_t late = 0;   // told or refused after `told_most`
+    std::int64_t short_ = 0; // less than half of what waits
+    std::int64_t over = 0;   // more than was ever accepted
+    std::string first_short;
+};
+
+// A site on which all jobs wait, since no worker has room for them, and whose entries restart in turn.
+class waiting_site {
+public:
+    explicit waiting_site(const restart_case& c) : case_(c), world_(make_options(c)), up_since_(entries_count) {}
+
+    count_tally play()
+    {
+        begun_ = world_.now();
+        while (world_.now() - begun_ < played) {
+            const duration t = world_.now() - begun_;
+            world_.set_table_down(t >= case_.table_away_from && t < case_.table_away_until);
+            restart(t);
+            submit(t);
+            note_accepted();
+            ask();
+            world_.run_for(step);
+        }
+        world_.run_for(told_most);
+        check_no_faults(world_);
+        return tally_;
+    }
+
+private:
+    static flow_world::options make_options(const restart_case& c)
+    {
+        flow_world::options o;
+        o.data_centres = {"a", "b"};
+        o.entries_each = entries_count / 2;
+        o.workers_each = 12;
+        o.rack_size = 6;
+        o.jobs_page_time = c.page_time;
+        o.link_bytes_per_s = c.link_bytes_per_s;
+        return o;
+    }
+
+    void restart(duration t)
+    {
+        const int due = static_cast<int>((t - first_restart) / restart_gap) + 1;
+        while (t >= first_restart && restarted_ < due && restarted_ < case_.rounds * entries_count) {
+            take_down(restarted_++ % entries_count);
+        }
+        for (auto at = away_.begin(); at != away_.end();) {
+            flow_entry* const entry = world_.entry(at->first);
+            if (entry != nullptr && entry->stopped()) {
+                world_.kill_entry(at->first);
+            }
+            if (world_.now() < at->second) {
+                ++at;
+                continue;
+            }
+            world_.kill_entry(at->first);
+            world_.start_entry(at->first);
+            up_since_.at(static_cast<std::size_t>(at->first)) = world_.now();
+            at = away_.erase(at);
+        }
+    }
+
+    void take_down(int entry)
+    {
+        if (case_.kind == restart_kind::killed) {
+            world_.kill_entry(entry);
+            away_[entry] = world_.now() + 800ms;
+            return;
+        }
+        world_.entry(entry)->plan_stop(world_.now());
+        world_.entry(entry)->settle(world_.now());
+        away_[entry] = world_.now() + 3s;
+    }
+
+    bool is_asked(int entry)
+    {
+        return away_.count(entry) == 0 && world_.entry(entry) != nullptr && world_.entry(entry)->ready();
+    }
+
+    void submit(duration t)
+    {
+        if (t < 2s || t < submit_interval * submitted_) {
+            return;
+        }
+        const int entry = static_cast<int>(submitted_ % entries_count);
+        ++submitted_;
+        if (is_asked(entry)) {
+            const std::string job = fmt::format("{:016x}", submitted_);
+            world_.send_submit(entry, job, chain_spec(1, 1, 1'000'000));
+            sent_.push_back(job);
+        }
+    }
+
+    void note_accepted()
+    {
+        std::erase_if(sent_, [this](const std::string& job) {
+            const auto at = world_.answers().find(job);
+            const bool answered = at != world_.answers().end() && !at->second.empty();
+            if (answered && at->second.front() == caller_result::accepted) {
+                accepted_.push_back(world_.now());
+            }
+            return answered;
+        });
+    }
+
+    void ask()
+    {
+        const auto due = std::count_if(accepted_.begin(), accepted_.end(),
+                                       [this](instant at) { return world_.now() - at > counted_after; });
+        for (int entry = 0; entry < entries_count; ++entry) {
+            if (!is_asked(entry)) {
+                continue;
+            }
+            ++tally_.asked;
+            world_.ask_pending(entry, [this, entry, due, asked = world_.now()](const caller_answer& answer) {
+                note_told(entry, due, asked, answer);
+            });
+        }
+    }
+
+    void note_told(int entry, std::int64_t due, instant asked, const caller_answer& answer)
+    {
+        tally_.late += world_.now() - asked > told_most ? 1 : 0;
+        if (answer.result == caller_result::try_later) {
+            ++tally_.refused;
+            BOOST_TEST(answer.come_back > duration(0));
+            return;
+        }
+        BOOST_REQUIRE(answer.result == caller_result::pending);
+        ++tally_.told;
+        tally_.over += answer.pending > static_cast<std::int64_t>(submitted_) ? 1 : 0;
+        if (2 * answer.pending < due) {
+            ++tally_.short_;
+            if (tally_.first_short.empty()) {
+                tally_.first_short =
+                    fmt::format("{} of {} at {} ms, entry {} up for {} ms", answer.pending, due, (asked - begun_) / 1ms,
+                                entry, (asked - up_since_.at(static_cast<std::size_t>(entry))) / 1ms);
+            }
+        }
+    }
+
+    restart_case case_;
+    flow_world world_;
+    instant begun_{};
+    int restarted_ = 0;
+    std::map<int, instant> away_; // and when it comes back
+    std::vector<instant> up_since_;
+    std::int64_t submitted_ = 0;
+    std::vector<std::string> sent_; // not answered yet
+    std::vector<instant> accepted_;
+    count_tally tally_;
+};
+
+void check_counts(const restart_case& c)
+{
+    const count_tally tally = waiting_site(c).play();
+    BOOST_TEST_MESSAGE(fmt::format("asked {}, told {}, refused {}, short {} (first: {})", tally.asked, tally.told,
+                                   tally.refused, tally.short_, tally.first_short));
+    BOOST_TEST(tally.asked > 1500);
+    BOOST_TEST(tally.short_ == 0,
+               tally.short_ << " of " << tally.asked << " answers short, first " << tally.first_short);
+    BOOST_TEST(static_cast<double>(tally.refused) <= refused_most * static_cast<double>(tally.asked),
+               tally.refused << " of " << tally.asked << " refused");
+    BOOST_TEST(tally.late == 0);
+    BOOST_TEST(tally.over == 0);
+}
+
+} // namespace
+
+// An entry that has just started counts jobs as not there that it has not heard of.
+BOOST_AUTO_TEST_CASE(jobs_that_wait_are_counted_while_entries_are_killed_in_turn)
+{
+    check_counts({.kind = restart_kind::killed});
+}
+
+// The same with owners that hand over.
+BOOST_AUTO_TEST_CASE(jobs_that_wait_are_counted_while_entries_are_stopped_in_turn)
+{
+    check_counts({.kind = restart_kind::planned});
+}
+
+// Each owner of a cell is killed before it has read the rows, so nobody tells a whole count.
+BOOST_AUTO_TEST_CASE(jobs_that_wait_are_counted_while_owners_are_killed_before_they_have_read)
+{
+    check_counts({.kind = restart_kind::killed, .page_time = 400ms});
+}
+
+// The same with owners that hand over what they have not read.
+BOOST_AUTO_TEST_CASE(jobs_that_wait_are_counted_while_owners_are_stopped_before_they_have_read)
+{
+    check_counts({.kind = restart_kind::planned, .page_time = 400ms});
+}
+
+// An entry that starts while the table is away has nobody to ask but its peers.
+BOOST_AUTO_TEST_CASE(jobs_that_wait_are_counted_while_the_table_is_away_and_entries_are_killed)
+{
+    check_counts({.kind = restart_kind::killed, .table_away_from = 10s, .table_away_until = 14s});
+}
+
+// The same with owners that cannot release their cells.
+BOOST_AUTO_TEST_CASE(jobs_that_wait_are_counted_while_the_table_is_away_and_entries_are_stopped)
+{
+    check_counts({.kind = restart_kind::planned, .table_away_from = 10s, .table_away_until = 14s});
+}
+
+// Entries that restart again before all that follow from the first time is over.
+BOOST_AUTO_TEST_CASE(jobs_that_wait_are_counted_while_entries_restart_twice)
+{
+    check_counts({.kind = restart_kind::planned, .rounds = 2, .page_time = 400ms});
+    check_counts({.kind = restart_kind::killed, .rounds = 2, .page_time = 400ms});
+}
+
+// News of cells come late over a full link.
+BOOST_AUTO_TEST_CASE(jobs_that_wait_are_counted_over_narrow_links)
+{
+    check_counts({.kind = restart_kind::planned, .page_time = 100ms, .link_bytes_per_s = 0.25e6});
+    check_counts({.kind = restart_kind::killed, .page_time = 100ms, .link_bytes_per_s = 0.25e6});
+}
