pending: a count that nobody has told is not known, which is not none

Callers saw "0 jobs wait" while five or six of that queue had waited for five seconds and more; entries were being restarted in turn, 0.4 s apart.

Cause: an entry added up what it had heard. Cells that it had heard nothing of, or heard of before the jobs came, counted as none; while owners followed each other faster than one of them reads its cell's rows, nobody could tell anything else.

Now a count has a stamp (the owner that made it, its number) and says until when it was the newest (pending_counts). Reading it gives the number, or the cells that are missing. Owners keep their newest count in the cell's row; one that still reads hands on what it found, so a count does not depend on how often the cell changes hands. Who misses one reads the rows, once for all who ask; if that fails the caller is told to come back. A job stays with the entry that accepted it until a count is heard that was made after its owner knew it.

Why it holds: the row with the count is written by compare-and-set under the cell's epoch, so what a successor hands on is the last whole count; a count older than three seconds is not used unless the table answers nobody.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -89,6 +89,14 @@
   4: bool silent = false // it does not answer the owner, which gives it no lease while the row says so
 }
 
+// How many jobs of a cell wait, as an owner that had read the rows of all has counted them. The counts of one owner are
+// numbered.
+struct flow_pending_row {
+  1: i64 epoch = 0            // of that owner; 0: nobody has counted them
+  2: i64 number = 0
+  3: map<string, i32> pending // queue -> jobs no task of which has started
+}
+
 struct flow_cell_row {
   1: i64 epoch = 0
   2: string owner             // entry
@@ -98,6 +106,7 @@
   6: bool released = false    // its owner has stopped and sends nothing any more
   7: list<flow_worker_name> workers // only these may run tasks of the cell; the platform's list may have lost some
   8: bool starts_noted = false // by all its owners whose runs may go on
+  9: flow_pending_row pending  // the newest count; an owner that reads the rows hands on the one it found
 }
 
 // Which cell the workers of each rack of one data centre belong to. Racks are only ever added.
@@ -144,9 +153,10 @@
   1: string cell
   2: i64 epoch = 0
   3: list<flow_pool_row> pools
-  4: map<string, i32> pending // queue -> jobs no task of which has started
+  4: map<string, i32> pending // as `newest_pending` has it, for entries of an earlier release
   5: map<string, double> presses // "SERVING|FILLING" -> see interference_model
-  6: bool pending_whole = true // the rows of all jobs have been read
+  6: bool pending_whole = true // the same
+  7: flow_pending_row newest_pending // epoch 0: the sender may have been followed without knowing
 }
 
 struct flow_hello {
@@ -228,4 +238,5 @@
   9: optional flow_relayed_result relayed // in return
   10: optional flow_config_ask config_ask
   11: optional flow_config_piece config_piece // in return
+  12: optional flow_pending_row counted // in return for `rows`: later counts of their cell have their jobs; without jobs itself
 }
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -258,6 +258,12 @@
     wanted.address = self_.address.str();
     fresh_ = !row_present_;
     wanted.starts_noted = fresh_ || row_.starts_noted;
+    if (fresh_) {
+        wanted.pending.epoch = wanted.epoch; // no job has been accepted for a cell that had no owner
+    }
+    else {
+        wanted.pending = row_.pending;
+    }
     know_named(row_);
     // Whoever owned it before sends nothing any more if it released the row or was this entry. Where this life's own
     // name stems from a take whose answer was lost, the owner before that one counts on.
@@ -619,6 +625,7 @@
     wire::flow_cell_row wanted = row_;
     ++wanted.renewals;
     wanted.workers = tell_workers(now, false);
+    wanted.pending = pending_row();
     wanted.starts_noted = wanted.starts_noted || starts_are_noted(now);
     write_row(wanted, [this, wanted, sent = now, life = life_](instant then, const store_result& result) {
         if (life != life_) {
@@ -722,6 +729,7 @@
     wire::flow_cell_row wanted = row_;
     wanted.released = true;
     wanted.workers = tell_workers(now, true);
+    wanted.pending = pending_row();
     ++life_; // from here on nothing is sent to a worker
     role_ = role::released;
     write_release(wanted);
@@ -749,6 +757,35 @@
     edges_.note(log_level::info, "cell", "released", {{"cell", id_.str()}, {"reason", result.reason}});
 }
 
+// --- jobs that wait ---
+
+pending_count flow_cell::count_pending()
+{
+    pending_count count{{epoch_, ++counts_made_}, {}};
+    for (const auto& [id, job] : jobs_) {
+        if (job->bound_here() && !job->started() && !job->cancelled() && !job->ended()) {
+            ++count.jobs[job->row().queue];
+        }
+    }
+    return count;
+}
+
+std::optional<pending_count> flow_cell::newest_pending(instant now)
+{
+    if (!may_hold(now)) {
+        return std::nullopt;
+    }
+    return role_ == role::owning ? count_pending() : from_row(row_.pending);
+}
+
+// Failure: owners of a cell follow each other faster than one of them reads its rows, so that none can count the jobs
+// that wait. Symptom: entries that were not there before say that none wait. So the last count goes from owner to owner
+// with the cell's row.
+wire::flow_pending_row flow_cell::pending_row()
+{
+    return role_ == role::owning ? to_row(count_pending()) : row_.pending;
+}
+
 std::optional<row_version> flow_cell::jobs_known() const
 {
     return role_ == role::owning && parts_left_ == 0 ? std::optional(watched_) : std::nullopt;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -18,6 +18,7 @@
 #include "flow_load_p.h"
 #include "flow_metrics_p.h"
 #include "flow_order_p.h"
+#include "flow_pending_p.h"
 #include "flow_place_p.h"
 #include "flow_press_p.h"
 #include "place_crash_p.h"
@@ -132,7 +133,11 @@
     const wire::flow_cell_news& told_news(instant now);
     // What the owner of another cell has learned of images.
     void hint_presses(const std::map<std::string, double>& presses);
-    std::int64_t pending(const queue_id& queue) const;
+    // The newest count of the jobs that wait here: made now, or while the rows are read the one that the owner before
+    // has left. Empty when there is none, and when this owner may have been followed without knowing.
+    std::optional<pending_count> newest_pending(instant now);
+    // Of the newest count that this owner has made: later ones have the jobs that it knows now.
+    count_stamp last_count() const { return {epoch_, counts_made_}; }
     // Bound to this cell and not ended; null when unknown.
     const flow_job* find_job(const job_id& job) const;
 
@@ -264,6 +269,8 @@
     void write_row(const wire::flow_cell_row& wanted, std::function<void(instant, const store_result&)> done);
     void renew(instant now);
     std::vector<wire::flow_worker_name> tell_workers(instant now, bool releasing);
+    pending_count count_pending();
+    wire::flow_pending_row pending_row();
     void note_named(const wire::flow_cell_row& row);
     void know_named(const wire::flow_cell_row& row);
     void bound_inherited(const wire::flow_cell_row& row);
@@ -569,6 +576,7 @@
     wire::flow_cell_news told_news_;
     instant told_news_at_{};
     std::uint64_t told_news_life_ = 0; // one more than the ownership it was made in; 0: none was
+    std::int64_t counts_made_ = 0;     // of jobs that wait
     instant presses_told_from_{};
     flow_cell_stats stats_;
 };
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -673,14 +673,6 @@
     put_away_[id] = now;
 }
 
-std::int64_t flow_cell::pending(const queue_id& queue) const
-{
-    return std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& j) {
-        return j.second->row().queue == queue.str() && j.second->bound_here() && !j.second->started() &&
-               !j.second->cancelled();
-    });
-}
-
 // What a worker adds to the room for each filling image, and to what its pool serves.
 void flow_cell::count_fill_room(const cell_worker& w, wire::flow_pool_row& pool) const
 {
@@ -722,7 +714,6 @@
     wire::flow_cell_news news;
     news.cell = id_.str();
     news.epoch = epoch_.value();
-    news.pending_whole = role_ == role::owning;
     std::map<std::string, wire::flow_pool_row> pools;
     for (const auto& [id, w] : workers_) {
         if (!w.listed || w.listing.draining) {
@@ -760,9 +751,6 @@
         count_fill_room(w, pool);
     }
     for (const auto& [id, job] : jobs_) {
-        if (!job->started() && !job->cancelled() && job->bound_here()) {
-            ++news.pending[job->row().queue];
-        }
         const auto pool = pools.find(job->row().service_name);
         if (pool == pools.end()) {
             continue;
@@ -794,6 +782,12 @@
 {
     if (told_news_life_ != life_ + 1 || told_news_at_ + news_kept <= now) {
         told_news_ = news(now);
+        const auto pending = newest_pending(now);
+        told_news_.pending_whole = pending.has_value();
+        if (pending) {
+            told_news_.newest_pending = to_row(*pending);
+            told_news_.pending = pending->jobs;
+        }
         told_news_at_ = now;
         told_news_life_ = life_ + 1;
         if (now - presses_told_from_ >= presses_interval) {
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -12,6 +12,7 @@
 #include "flow_config_copy_p.h"
 #include "flow_edges_p.h"
 #include "flow_layout_p.h"
+#include "flow_pending_p.h"
 #include "flow_unusable_p.h"
 
 namespace skylarkhub {
@@ -91,11 +92,15 @@
         std::vector<wire::flow_cell_news> cells;
         std::map<std::string, std::int32_t> untold; // by queue, jobs whose cell's owner it could not tell yet
     };
-    // Jobs of a cell no task of which has started, by queue, as its owner of that epoch told last.
-    struct cell_pending {
-        std::int64_t epoch = 0;
-        std::map<std::string, std::int32_t> counts;
-        instant heard{};
+    // A caller who asks how many jobs of a queue wait.
+    struct pending_question {
+        queue_id queue;
+        caller_reply reply;
+    };
+    // A job that this entry has accepted, until a count of its cell has been heard of that includes it.
+    struct told_job {
+        std::string queue;
+        count_stamp after; // the first such count is a later one
     };
     // A job this entry answers callers for.
     struct followed_job {
@@ -148,10 +153,6 @@
     void note_state(instant now, const job_id& job, flow_state state);
     void cancel(const job_id& job, instant give_up, caller_reply reply);
     void write_cancel(const job_id& job, const cell_id& cell, instant give_up, caller_reply reply);
-    std::int64_t count_pending(const queue_id& queue) const;
-    std::map<std::string, std::int32_t> count_untold() const;
-    void note_pending(instant now, const wire::flow_cell_news& news);
-    void log_pending(instant now, const queue_id& queue, std::int64_t told);
     void tell_cell(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version);
     void look_for_earlier_jobs(int part);
     void tell_owner(instant now, const job_row_name& name);
@@ -162,6 +163,20 @@
                                           const flow_step& step);
     void tell_states();
 
+    // flow_entry_pending.cpp
+    void ask_pending(instant now, const queue_id& queue, caller_reply reply);
+    void read_pending(instant now);
+    void on_pending_read(instant now, instant asked, const store_page& page);
+    std::variant<std::int64_t, counts_missing> count_pending(instant now, const queue_id& queue);
+    void tell_pending(instant now, const pending_question& question, std::int64_t jobs);
+    void refuse_pending(instant now, const pending_question& question, const counts_missing& missing,
+                        const store_page& page);
+    std::map<std::string, std::int32_t> count_uncounted(instant now) const;
+    void note_told(const job_row_name& name, const wire::flow_job_row& row, count_stamp after);
+    void hear_count(const cell_id& cell, const pending_count& count, instant newest_at);
+    void note_pending(instant now, const wire::flow_cell_news& news);
+    bool counts_itself(instant now, const cell_id& cell) const;
+
     // flow_peers.cpp
     void register_self();
     void read_entries(instant now);
@@ -264,7 +279,10 @@
     instant own_news_at_{};
     absl::flat_hash_map<job_id, followed_job> followed_;
     std::map<job_row_name, untold_row> untold_;
-    std::map<cell_id, cell_pending> told_pending_;
+    std::map<job_row_name, told_job> told_;
+    pending_counts pending_;
+    std::vector<pending_question> pending_questions_; // until the cells' rows have been read
+    bool reading_pending_ = false;
     std::map<net_address, std::vector<wire::flow_state_news>> state_news_;
     unusable_entries unusable_;
     instant next_list_{};
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -70,9 +70,7 @@
     }
     const std::string rest = request.path.substr(queue->prefix.size());
     if (rest.empty() && request.verb == caller_verb::state) {
-        const std::int64_t pending = count_pending(queue->name);
-        log_pending(now, queue->name, pending);
-        reply({caller_result::pending, flow_state::queued, pending, duration(0), ""});
+        ask_pending(now, queue->name, std::move(reply));
         return;
     }
     if (rest.size() != job_id_length || rest.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos) {
@@ -509,6 +507,7 @@
     if (own != cells_.end() && own->second->takes_news()) {
         const untold_row row = std::move(at->second);
         untold_.erase(at);
+        note_told(name, row.row, own->second->last_count());
         own->second->on_job_row(now, name, row.row, row.version);
         return;
     }
@@ -533,6 +532,7 @@
                     }
                     row->second.telling = false;
                     if (answer && answer->unknown_jobs.empty() && row->second.version == version) {
+                        note_told(name, row->second.row, {epoch(answer->counted.epoch), answer->counted.number});
                         untold_.erase(row);
                     }
                 });
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -158,7 +158,10 @@
 inline constexpr duration demand_memory = 20s;    // longer than rates of jobs swing
 inline constexpr duration full_retry = 4s;        // some lasting job ends within this on a site that is full
 inline constexpr duration unavailable_retry = 1s; // what a caller is told when the table or the cells are away
-inline constexpr duration state_fresh = 1500ms;   // an owner tells each end at once; older than this, the row is read
+// Of a count of the jobs that wait in a cell: with what it was behind when it was told, less than the five seconds
+// after which an accepted job is to be counted.
+inline constexpr duration pending_fresh = 3s;
+inline constexpr duration state_fresh = 1500ms; // an owner tells each end at once; older than this, the row is read
 
 inline constexpr duration put_away_kept =
     120s; // an ended job is known this long; a message may be as old as a cut is long
--- a/src/flow_metrics.cpp
+++ b/src/flow_metrics.cpp
@@ -57,6 +57,8 @@
     write_value(page, "cancels_total", "", stats.cancels);
     write_value(page, "state_requests_total", "", stats.states);
     write_value(page, "state_reads_total", "", stats.state_reads);
+    write_value(page, "pending_reads_total", "", stats.pending_reads);
+    write_value(page, "pending_refused_total", "", stats.pending_refused);
     write_value(page, "unknown_queue_requests_total", "", stats.unknown_queues);
     write_value(page, "config_copies_sent_total", "", stats.config_copies);
     write_value(page, "config_bytes_sent_total", "", stats.config_bytes);
--- a/src/flow_metrics_p.h
+++ b/src/flow_metrics_p.h
@@ -68,8 +68,10 @@
     std::int64_t cancels = 0;
     std::int64_t states = 0;
     std::int64_t state_reads = 0;
-    std::int64_t unknown_queues = 0; // requests
-    std::int64_t config_copies = 0;  // sent to peers
+    std::int64_t pending_reads = 0;   // of the cells' rows, for counts that were not heard of
+    std::int64_t pending_refused = 0; // questions how many jobs wait
+    std::int64_t unknown_queues = 0;  // requests
+    std::int64_t config_copies = 0;   // sent to peers
     std::int64_t config_bytes = 0;
     std::int64_t config_pieces_refused = 0;    // asked of peers in vain
     std::int64_t config_looks_unanswered = 0;  // at the table
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -87,7 +87,7 @@
     h.leaving = leaving_;
     h.config_version = config_version().value();
     h.table_away = table_away_;
-    h.untold = count_untold();
+    h.untold = count_uncounted(now);
     h.table_silent_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - table_answered_).count();
     for (const auto& [id, cell] : cells_) {
         if (cell->owns()) {
@@ -181,6 +181,7 @@
         }
         cell->second->on_job_row(now, {cell_id(news.cell), job_id(news.job), news.writer}, *row,
                                  row_version(news.version));
+        answer.__set_counted(to_row(pending_count{cell->second->last_count(), {}}));
     }
     for (const wire::flow_state_news& news : message.states) {
         note_state(now, job_id(news.job), static_cast<flow_state>(news.state));
