pending: what the review of the counts found

- Counts of one owner of an earlier release all have the same stamp: the first one stood for ever.
An equal stamp is taken too.
- A count in a cell's row may be a renewal old: taken for new, a question at its end would be answered by one of more than five seconds.
- The jobs of a cell went twice with each hello.
- A question that cannot be answered waited for a read that could not help: while the cells are not known, the table is not reached, or the rows were just read, the caller is told to come back at once.
- A line of an answer silenced the one of a refusal.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -153,10 +153,10 @@
   1: string cell
   2: i64 epoch = 0
   3: list<flow_pool_row> pools
-  4: map<string, i32> pending // as `newest_pending` has it, for entries of an earlier release
+  4: map<string, i32> pending // queue -> jobs no task of which has started
   5: map<string, double> presses // "SERVING|FILLING" -> see interference_model
-  6: bool pending_whole = true // the same
-  7: flow_pending_row newest_pending // epoch 0: the sender may have been followed without knowing
+  6: bool pending_whole = true // `pending` is a count of all jobs
+  7: flow_pending_row counted // the stamp of `pending`, without jobs; epoch 0: told by an earlier release
 }
 
 struct flow_hello {
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -785,7 +785,7 @@
         const auto pending = newest_pending(now);
         told_news_.pending_whole = pending.has_value();
         if (pending) {
-            told_news_.newest_pending = to_row(*pending);
+            told_news_.counted = to_row({pending->stamp, {}});
             told_news_.pending = pending->jobs;
         }
         told_news_at_ = now;
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -170,7 +170,7 @@
     std::variant<std::int64_t, counts_missing> count_pending(instant now, const queue_id& queue);
     void tell_pending(instant now, const pending_question& question, std::int64_t jobs);
     void refuse_pending(instant now, const pending_question& question, const counts_missing& missing,
-                        const store_page& page);
+                        const std::string& table);
     std::map<std::string, std::int32_t> count_uncounted(instant now) const;
     void note_told(const job_row_name& name, const wire::flow_job_row& row, count_stamp after);
     void hear_count(const cell_id& cell, const pending_count& count, instant newest_at);
@@ -261,6 +261,7 @@
     instant next_piece_{};
     instant next_unknown_queue_line_{};
     instant next_pending_line_{};
+    instant next_pending_refusal_line_{};
     std::map<entry_id, peer> peers_;
     std::map<cell_id, std::unique_ptr<flow_cell>> cells_;
     std::map<cell_id, data_centre_id> cell_places_;
@@ -283,6 +284,7 @@
     pending_counts pending_;
     std::vector<pending_question> pending_questions_; // until the cells' rows have been read
     bool reading_pending_ = false;
+    instant next_pending_read_{};
     std::map<net_address, std::vector<wire::flow_state_news>> state_news_;
     unusable_entries unusable_;
     instant next_list_{};
--- a/src/flow_entry_pending.cpp
+++ b/src/flow_entry_pending.cpp
@@ -35,6 +35,12 @@
         tell_pending(now, question, *jobs);
         return;
     }
+    const bool table_reached = !table_away_ || relay_peer();
+    const bool just_read = !reading_pending_ && now < next_pending_read_;
+    if (!layouts_known_ || !table_reached || just_read) {
+        refuse_pending(now, question, std::get<counts_missing>(counted), table_reached ? "just read" : "not reached");
+        return;
+    }
     pending_questions_.push_back(question);
     if (!reading_pending_) {
         read_pending(now);
@@ -48,6 +54,7 @@
     ++stats_.pending_reads;
     edges_.read({cells_table, shared_part, "", ""}, [this, asked = now](instant then, const store_page& page) {
         reading_pending_ = false;
+        next_pending_read_ = then + pending_read_pause;
         on_pending_read(then, asked, page);
     });
 }
@@ -63,7 +70,7 @@
         const auto decoded = read_flow_row<wire::flow_cell_row>(edges_, row);
         const auto count = decoded ? from_row(decoded->pending) : std::nullopt;
         if (count) {
-            hear_count(cell_id(row.key.key), *count, asked);
+            hear_count(cell_id(row.key.key), *count, asked - pending_row_age);
         }
     }
     if (page.reached && !page.more) {
@@ -77,7 +84,7 @@
             tell_pending(now, question, *jobs);
             continue;
         }
-        refuse_pending(now, question, std::get<counts_missing>(counted), page);
+        refuse_pending(now, question, std::get<counts_missing>(counted), page.reached ? "read" : page.reason);
     }
 }
 
@@ -97,19 +104,19 @@
 }
 
 void flow_entry::refuse_pending(instant now, const pending_question& question, const counts_missing& missing,
-                                const store_page& page)
+                                const std::string& table)
 {
     ++stats_.pending_refused;
-    if (now >= next_pending_line_) {
-        next_pending_line_ = now + pending_log_interval;
+    if (now >= next_pending_refusal_line_) {
+        next_pending_refusal_line_ = now + pending_log_interval;
         edges_.note(log_level::warning, "pending", "refused",
                     {{"queue", question.queue.str()},
                      {"cells_missing", std::to_string(missing.cells.size())},
                      {"first", missing.cells.empty() ? "none known yet" : missing.cells.front().str()},
-                     {"table", page.reached ? "read" : page.reason}});
+                     {"table", table}});
     }
-    question.reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry,
-                    page.reached ? "the jobs of a cell are not counted yet" : "the table could not be read"});
+    question.reply(
+        {caller_result::try_later, flow_state::queued, 0, unavailable_retry, "the jobs of a cell are not counted yet"});
 }
 
 // While nobody reaches the table no job is accepted and no cell changes hands.
@@ -148,7 +155,7 @@
     const peer* const owner = owner_of(now, cell);
     return owner != nullptr && !owner->leaving &&
            std::any_of(owner->cells.begin(), owner->cells.end(), [&cell](const wire::flow_cell_news& news) {
-               return news.cell == cell.str() && news.newest_pending.epoch == news.epoch;
+               return news.cell == cell.str() && news.counted.epoch == news.epoch;
            });
 }
 
@@ -187,14 +194,12 @@
 
 void flow_entry::note_pending(instant now, const wire::flow_cell_news& news)
 {
-    auto count = from_row(news.newest_pending);
-    if (!count && news.pending_whole) {
-        count = pending_count{{epoch(news.epoch), 0}, news.pending}; // told by an earlier release
-    }
-    if (!count) {
+    if (!news.pending_whole) {
         return;
     }
-    hear_count(cell_id(news.cell), *count, now);
+    const bool stamped = news.counted.epoch != 0;
+    const count_stamp stamp{epoch(stamped ? news.counted.epoch : news.epoch), news.counted.number};
+    hear_count(cell_id(news.cell), {stamp, news.pending}, now);
 }
 
 } // namespace skylarkhub
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -161,6 +161,8 @@
 // Of a count of the jobs that wait in a cell: with what it was behind when it was told, less than the five seconds
 // after which an accepted job is to be counted.
 inline constexpr duration pending_fresh = 3s;
+inline constexpr duration pending_row_age = renew_interval; // of the count in a cell's row
+inline constexpr duration pending_read_pause = 500ms;       // after a read of the rows that did not have all counts
 inline constexpr duration state_fresh = 1500ms; // an owner tells each end at once; older than this, the row is read
 
 inline constexpr duration put_away_kept =
--- a/src/flow_pending.cpp
+++ b/src/flow_pending.cpp
@@ -28,7 +28,7 @@
     if (!added && count.stamp.owner < known.count.stamp.owner) {
         return; // of an owner that has been followed
     }
-    if (added || count.stamp > known.count.stamp) {
+    if (added || count.stamp >= known.count.stamp) {
         known.count = count;
     }
     known.newest_at = std::max(known.newest_at, newest_at);
