cells: a job has started once a worker has taken a task of it

Callers were told that no job waits while jobs waited: a job counted as started as soon as its owner had decided on a start, for good. A start that a worker refuses, or that is lost, left a job that nobody runs and nobody counts; its state was shown as running.

Now the job is noted as started when a worker has accepted the start, or lists the run. This holds over owners: the row tells it only then, and whoever follows finds the run at the worker.

--- a/src/flow_cell_notes.cpp
+++ b/src/flow_cell_notes.cpp
@@ -43,7 +43,6 @@
 // one write.
 void flow_cell::note_then_start(instant now, flow_job& job, const flow_task_id& task, live_run& live)
 {
-    job.note_started();
     job.note_start(task, live.worker, live.run);
     live.noted = job.changes();
     job_changed(now, job, true);
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -396,6 +396,7 @@
     void ledger_remove(cell_worker& w, const flow_task_id& task, run_number run);
     void hasten(instant now, cell_worker& w, flow_job& job, ledger_run& run, const listed_run& seen);
     void start_on(instant now, flow_job& job, flow_stage& stage, std::size_t index, cell_worker& w, run_number run);
+    void confirm_start(instant now, flow_job& job, live_run& live);
     void take_back_start(instant now, cell_worker& w, flow_job& job, const flow_task_id& task, run_number run,
                          int tries);
     void requeue(instant now, flow_job& job, const flow_task_id& task);
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -266,10 +266,6 @@
         --stage.ready;
         start_on(now, job, stage, i, *w, run);
     }
-    if (!chosen.empty() && !(step.gang && !all) && !job.started()) {
-        job.note_started();
-        job_changed(now, job, false);
-    }
     return all;
 }
 
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -154,7 +154,7 @@
         if (!live->confirmed) {
             stats_.start_times.add(now - live->sent);
         }
-        live->confirmed = true;
+        confirm_start(now, *job, *live);
         live->sent = now;
         if (live->stopping) {
             send_stop(now, id, task, run, 0);
@@ -166,7 +166,7 @@
         return;
     case order_result::stale_run:
         // It ran and has ended, or was stopped: the next exchange lists the end. If it does not, the run is missing.
-        live->confirmed = true;
+        confirm_start(now, *job, *live);
         live->sent = now;
         return;
     case order_result::no_answer:
@@ -195,6 +195,16 @@
     take_back_start(now, w, *job, task, run, tries);
 }
 
+// A worker has taken the run. Only then the job has started: a start that is refused, or lost, leaves it waiting.
+void flow_cell::confirm_start(instant now, flow_job& job, live_run& live)
+{
+    live.confirmed = true;
+    if (!job.started()) {
+        job.note_started();
+        job_changed(now, job, false);
+    }
+}
+
 // A start that was not accepted, or must not be sent any more.
 void flow_cell::take_back_start(instant now, cell_worker& w, flow_job& job, const flow_task_id& task, run_number run,
                                 int tries)
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -642,7 +642,7 @@
         }
         for (live_run& live : task->runs) {
             if (live.worker == w.listing.worker && live.run == run.run) {
-                live.confirmed = true;
+                confirm_start(now, job, live);
             }
         }
         const bool outlived = std::any_of(task->runs.begin(), task->runs.end(), [&](const live_run& live) {
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -896,6 +896,10 @@
         answer.result = order_result::stale_run;
         return answer;
     }
+    if (starts_refused_) {
+        answer.result = order_result::no_room;
+        return answer;
+    }
     check_start(w, order, late);
     w.lease_until = std::max(w.lease_until, lease);
     flow_fake_worker::run run;
--- a/tests/support_flow_world.h
+++ b/tests/support_flow_world.h
@@ -144,6 +144,8 @@
         starts_to_delay_ = n;
         start_delay_ = d;
     }
+    // While set, workers refuse starts for want of room.
+    void refuse_starts(bool refused) { starts_refused_ = refused; }
     // While set, stops get no answer and are not carried out.
     void lose_stops(bool lost) { stops_lost_ = lost; }
     // What another writer has put into the list of workers.
@@ -307,6 +309,7 @@
     int starts_to_delay_ = 0;
     duration start_delay_{0};
     bool stops_lost_ = false;
+    bool starts_refused_ = false;
     flow_worker_list foreign_;
     std::int64_t job_writes_ = 0;
     std::int64_t job_writes_refused_ = 0;
--- a/tests/test_flow_pending.cpp
+++ b/tests/test_flow_pending.cpp
@@ -71,8 +71,7 @@
 {
     flow_world w({.workers_each = 2});
     w.run_for(3s);
-    w.set_room(0, {1000, 64000, 0}, 300ms);
-    w.set_room(1, {1000, 64000, 0}, 300ms);
+    w.refuse_starts(true);
     BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 1, 10000)) == caller_result::accepted);
     for (int look = 0; look < 60; ++look) {
         w.run_for(100ms);
