settings: those that nobody has read are not known, which is not none

Callers of an entry that had not read its settings yet saw: any token cancels a team's jobs (202, with the instruction in the cells' inboxes; 403 once they are read), each kind of job is unknown (422, final), each service without a target is unknown (404, final).

Cause: the keeper starts with an empty tree and handed it out as settings. An empty tree is what a site has that never set any, where there is no token and no kind. Evidence: test_daemon_knows_nothing, which reaches job_api and request_router before the first poll.

Now the tree's version is empty until the tree was whole once, read from the table or pushed by a peer, and settings_keeper::tree() gives the settings or nothing. Without them what needs a token, a kind or a service, and reads and changes of the settings, get 503 with Retry-After-Ms, and nothing is written. A gate that has targets already answers so too: the kind and the limits it had before were guesses, and too_large is final. A service that the settings name and that has no target yet is 503 as well. Reports go by the objective that holds where none is set, as before.

Why it holds: only reach(), with nothing behind the version row, and a push that is complete from what is held sets the version. A push at version 0 does not: so says a peer that has read nothing itself. A version row that the table answered as absent is read, so a site without settings works as it did.

Ruled out: a flag beside the tree, which each reader could pass over; taking version 0 for not read, which would lock out the site without settings.

Not run: the build by cmake, test_processes, the soak.

Tests: the early cancel must get 503, and both early answers the header, where anything but 202 passed; the table's calls have 10 s, so that a slow machine fails no case.

--- a/src/daemon_answers.cpp
+++ b/src/daemon_answers.cpp
@@ -20,6 +20,11 @@
     return response;
 }
 
+http_response answer_without_settings()
+{
+    return answer_not_done(503, "unavailable", "", "this entry has not read the settings yet");
+}
+
 http_response answer_problems(int status, const std::vector<field_error>& errors)
 {
     nlohmann::json list = nlohmann::json::array();
--- a/src/daemon_answers_p.h
+++ b/src/daemon_answers_p.h
@@ -17,6 +17,9 @@
 http_response answer_not_done(int status, const std::string& error, const std::string& field,
                               const std::string& reason);
 
+// To a request that needs the settings, while they were not read.
+http_response answer_without_settings();
+
 // Every mistake at once.
 http_response answer_problems(int status, const std::vector<field_error>& errors);
 
--- a/src/daemon_app.cpp
+++ b/src/daemon_app.cpp
@@ -139,20 +139,24 @@
     std::this_thread::sleep_for(stop_poll);
 }
 
-service_rules daemon_app::rules_of(const service_id& service) const
+std::optional<service_rules> daemon_app::rules_of(const service_id& service) const
 {
     const auto slash = service.str().find('/');
     const team_id team(service.str().substr(0, slash));
-    const settings_tree tree = settings_keeper_->tree();
+    const auto tree = settings_keeper_->tree();
+    if (!tree) {
+        return std::nullopt;
+    }
     service_rules rules;
     // A service that the settings do not know is treated as the strictest kind: sent once, in one place.
     rules.kind.idempotent = false;
     rules.kind.exclusive = true;
-    const auto found = tree.find_service(team, settings_.data_centre, service.str().substr(slash + 1));
+    const auto found = tree->find_service(team, settings_.data_centre, service.str().substr(slash + 1));
     if (found) {
-        rules.kind = tree.find_kind(team, settings_.data_centre, found->kind).value_or(rules.kind);
+        rules.named = true;
+        rules.kind = tree->find_kind(team, settings_.data_centre, found->kind).value_or(rules.kind);
     }
-    const request_settings limits = tree.limits(team, settings_.data_centre);
+    const request_settings limits = tree->limits(team, settings_.data_centre);
     rules.gate = {limits.queue_length, limits.body_bytes, limits.retry_share, limits.hedge_share};
     return rules;
 }
@@ -160,7 +164,10 @@
 cell_settings daemon_app::cell_settings_now() const
 {
     cell_settings out;
-    out.kinds = settings_keeper_->tree().kinds(settings_.data_centre);
+    const auto tree = settings_keeper_->tree();
+    if (tree) {
+        out.kinds = tree->kinds(settings_.data_centre);
+    }
     return out;
 }
 
--- a/src/daemon_app_p.h
+++ b/src/daemon_app_p.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -59,7 +60,7 @@
     request_edges make_request_edges();
     standing_edges make_standing_edges();
     job_edges make_job_edges();
-    service_rules rules_of(const service_id& service) const;
+    std::optional<service_rules> rules_of(const service_id& service) const;
     cell_settings cell_settings_now() const;
 
     // Rhythm, on the ticker's thread.
--- a/src/daemon_jobs.cpp
+++ b/src/daemon_jobs.cpp
@@ -52,7 +52,12 @@
 
 bool job_api::authorise(const team_id& team, const http_request& request, const http_reply& reply) const
 {
-    if (edges_.settings.tree().may_change({settings::team, team.str()}, read_token(request))) {
+    const auto tree = edges_.settings.tree();
+    if (!tree) {
+        reply(answer_without_settings());
+        return false;
+    }
+    if (tree->may_change({settings::team, team.str()}, read_token(request))) {
         return true;
     }
     reply(answer_not_done(403, "not_allowed", "Authorization", "the token is not one of team " + team.str()));
@@ -61,7 +66,12 @@
 
 bool job_api::check_kind(const job_spec& spec, const std::string& path, const http_reply& reply) const
 {
-    if (edges_.settings.tree().find_kind(spec.team, edges_.own, spec.kind)) {
+    const auto tree = edges_.settings.tree();
+    if (!tree) {
+        reply(answer_without_settings());
+        return false;
+    }
+    if (tree->find_kind(spec.team, edges_.own, spec.kind)) {
         return true;
     }
     reply(answer_not_done(422, "bad_request", path, "the settings have no kind " + spec.kind.str()));
--- a/src/daemon_operators.cpp
+++ b/src/daemon_operators.cpp
@@ -137,11 +137,12 @@
 
 burn_report daemon_app::own_report()
 {
-    const settings_tree tree = settings_keeper_->tree();
+    const auto tree = settings_keeper_->tree();
     const auto objective = [&](const service_id& service) {
         const auto slash = service.str().find('/');
-        const auto found = tree.find_service(team_id(service.str().substr(0, slash)), settings_.data_centre,
-                                             service.str().substr(slash + 1));
+        const auto found = tree ? tree->find_service(team_id(service.str().substr(0, slash)), settings_.data_centre,
+                                                     service.str().substr(slash + 1))
+                                : std::nullopt;
         constexpr double objective_unset = 0.99;
         return found ? found->availability_objective : objective_unset;
     };
--- a/src/daemon_requests.cpp
+++ b/src/daemon_requests.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "daemon_answers_p.h"
 #include "daemon_api_p.h"
 
 namespace skylarkhub {
@@ -49,14 +50,24 @@
         }
     }
     if (!gate) {
-        http_response response = make_error(404, "unknown_service", "service", "no service named " + service.str());
-        response.headers.emplace_back("Outcome", "did-not-run");
-        reply(std::move(response));
+        reply(answer_without_gate(service));
         return;
     }
     gate->serve(request_number(next_number_.fetch_add(1)), std::move(request), std::move(reply));
 }
 
+http_response request_router::answer_without_gate(const service_id& service) const
+{
+    const auto rules = edges_.rules(service);
+    if (!rules) {
+        return answer_without_settings();
+    }
+    if (rules->named) {
+        return answer_not_done(503, "unavailable", "", "no target of " + service.str() + " is known yet");
+    }
+    return answer_not_done(404, "unknown_service", "service", "no service named " + service.str());
+}
+
 void request_router::see_targets(target_source source, const std::map<service_id, std::vector<seen_target>>& targets)
 {
     for (const auto& [service, list] : targets) {
--- a/src/daemon_requests_p.h
+++ b/src/daemon_requests_p.h
@@ -26,6 +26,7 @@
 struct service_rules {
     work_kind kind;
     gate_settings gate;
+    bool named = false; // by the settings; others are known by their targets
 };
 
 // One answered request, for the service-level figures.
@@ -40,7 +41,7 @@
 struct request_edges {
     http_client& targets;
     claim_store& claims;
-    std::function<service_rules(const service_id&)> rules;
+    std::function<std::optional<service_rules>(const service_id&)> rules; // empty while no settings were read
     std::function<void(const request_record&)> record;
 };
 
@@ -88,7 +89,7 @@
     const incarnation_id self_;
     const request_edges edges_;
     mutable absl::Mutex mutex_;
-    work_kind kind_ ABSL_GUARDED_BY(mutex_); // as the settings in force have it
+    std::optional<work_kind> kind_ ABSL_GUARDED_BY(mutex_); // as the settings in force have it; empty: not read
     request_gate gate_ ABSL_GUARDED_BY(mutex_);
     open_map open_ ABSL_GUARDED_BY(mutex_);
     std::map<std::pair<request_number, send_number>, std::string> answers_ ABSL_GUARDED_BY(mutex_);
@@ -116,6 +117,7 @@
     std::map<service_id, gate_stats> stats() const;
 
 private:
+    http_response answer_without_gate(const service_id& service) const;
     std::shared_ptr<service_gate> ensure(const service_id& service);
     std::vector<std::shared_ptr<service_gate>> all() const;
 
--- a/src/daemon_service_gate.cpp
+++ b/src/daemon_service_gate.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <charconv>
 
+#include "daemon_answers_p.h"
 #include "daemon_api_p.h"
 #include "daemon_clock_p.h"
 #include "daemon_requests_p.h"
@@ -54,9 +55,10 @@
     : service_(std::move(service)),
       self_(std::move(self)),
       edges_(std::move(edges)),
-      kind_(edges_.rules(service_).kind),
-      gate_(service_, std::move(own), edges_.rules(service_).gate, seed)
-{}
+      gate_(service_, std::move(own), edges_.rules(service_).value_or(service_rules{}).gate, seed)
+{
+    refresh_settings();
+}
 
 void service_gate::serve(request_number number, http_request request, http_reply reply)
 {
@@ -67,10 +69,14 @@
     }
     const std::string fingerprint = fingerprint_body(request.body);
     absl::MutexLock lock(&mutex_);
+    if (!kind_) {
+        reply(answer_without_settings());
+        return;
+    }
     request_arrived event;
     event.request = number;
     event.team = team_id(service_.str().substr(0, service_.str().find('/')));
-    event.kind = kind_;
+    event.kind = *kind_;
     event.idempotency_key = std::string(find_field(request.headers, "idempotency-key"));
     event.fingerprint = fingerprint;
     event.time_left = std::chrono::milliseconds(deadline_ms);
@@ -291,10 +297,13 @@
 
 void service_gate::refresh_settings()
 {
-    const service_rules rules = edges_.rules(service_);
+    const auto rules = edges_.rules(service_);
+    if (!rules) {
+        return;
+    }
     absl::MutexLock lock(&mutex_);
-    kind_ = rules.kind;
-    gate_.change_settings(rules.gate);
+    kind_ = rules->kind;
+    gate_.change_settings(rules->gate);
 }
 
 } // namespace skylarkhub
--- a/src/daemon_settings.cpp
+++ b/src/daemon_settings.cpp
@@ -30,10 +30,10 @@
     : platform_(platform), changed_(std::move(changed))
 {}
 
-settings_tree settings_keeper::tree() const
+std::optional<settings_tree> settings_keeper::tree() const
 {
     absl::MutexLock lock(&mutex_);
-    return tree_;
+    return tree_.was_read() ? std::optional(tree_) : std::nullopt;
 }
 
 settings_version settings_keeper::version() const
@@ -101,8 +101,9 @@
     {
         absl::MutexLock lock(&mutex_);
         const settings_version before = tree_.version();
+        const bool read_before = tree_.was_read();
         tree_.reach(versions);
-        moved = before < tree_.version();
+        moved = before < tree_.version() || read_before != tree_.was_read();
         if (moved) {
             push = tree_.newer_than(before);
         }
@@ -182,8 +183,12 @@
         polling_.store(true);
         read_subtrees(*versions);
     }
-    const settings_tree now = tree();
-    take_step(pending, plan_change(now, pending->rows, pending->change));
+    const auto now = tree();
+    if (!now) {
+        again(pending, {"the settings are not read yet"});
+        return;
+    }
+    take_step(pending, plan_change(*now, pending->rows, pending->change));
 }
 
 void settings_keeper::take_step(const std::shared_ptr<pending_change>& pending, const change_step& step)
--- a/src/daemon_settings_api.cpp
+++ b/src/daemon_settings_api.cpp
@@ -126,7 +126,8 @@
          }},
         {"GET", "/v1/settings",
          [this](const path_parts&, const http_request&, const http_reply& reply) {
-             reply(make_json(200, list_subtrees(settings_keeper_->tree())));
+             const auto tree = settings_keeper_->tree();
+             reply(tree ? make_json(200, list_subtrees(*tree)) : answer_without_settings());
          }},
         {"GET", "/v1/settings/**",
          [this](const path_parts& p, const http_request& r, const http_reply& reply) {
@@ -170,13 +171,17 @@
                        });
         return;
     }
-    const settings_tree tree = settings_keeper_->tree();
+    const auto tree = settings_keeper_->tree();
+    if (!tree) {
+        reply(answer_without_settings());
+        return;
+    }
     if (find_field(request.query, "effective") == "1") {
         const std::string centre(find_field(request.query, "data_centre"));
-        reply(make_json(200, list_effective(tree, *parsed, centre)));
+        reply(make_json(200, list_effective(*tree, *parsed, centre)));
         return;
     }
-    const auto row = tree.row(path);
+    const auto row = tree->row(path);
     reply(row ? make_json(200, format_whole(*row))
               : make_error(404, "not_found", "path", "there is no settings subtree " + path));
 }
@@ -200,7 +205,12 @@
             make_error(400, "bad_request", "version", "must be the version the change is based on, 0 for a new path"));
         return;
     }
-    if (!settings_keeper_->tree().may_change(*parsed, read_token(request))) {
+    const auto tree = settings_keeper_->tree();
+    if (!tree) {
+        reply(answer_without_settings());
+        return;
+    }
+    if (!tree->may_change(*parsed, read_token(request))) {
         reply(make_error(403, "not_allowed", "Authorization", "the token may not change " + path));
         return;
     }
--- a/src/daemon_settings_p.h
+++ b/src/daemon_settings_p.h
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -33,8 +34,9 @@
     // `changed` runs after the tree in force moved, with rows for the peers; not under any lock.
     settings_keeper(platform_client& platform, std::function<void(const wire::settings_push&)> changed);
 
-    // A copy shares the subtrees, so it is cheap.
-    settings_tree tree() const;
+    // Empty until the settings were read whole: an empty tree would pass for a site that has none, where everybody may
+    // do everything and no kind exists. A copy shares the subtrees, so it is cheap.
+    std::optional<settings_tree> tree() const;
     settings_version version() const;
     wire::settings_push newer_than(std::int64_t version) const;
 
--- a/src/settings_tree.cpp
+++ b/src/settings_tree.cpp
@@ -90,7 +90,7 @@
         complete = complete && version_of(row.path).value() >= row.version;
     }
     const settings_version reached(push.version);
-    if (complete && push.newer_than <= version_.value() && reached > version_) {
+    if (complete && push.newer_than <= version().value() && reached > version()) {
         version_ = reached;
         changed = true;
     }
@@ -111,7 +111,7 @@
 void settings_tree::reach(const wire::settings_versions_row& versions)
 {
     if (behind(versions).empty()) {
-        version_ = std::max(version_, settings_version(versions.version));
+        version_ = std::max(version(), settings_version(versions.version));
     }
 }
 
@@ -133,7 +133,7 @@
 wire::settings_push settings_tree::newer_than(settings_version version) const
 {
     wire::settings_push push;
-    push.__set_version(version_.value());
+    push.__set_version(this->version().value());
     push.__set_newer_than(version.value());
     for (const auto& [path, held] : subtrees_) {
         if (held->row.version > version.value()) {
--- a/src/settings_tree_p.h
+++ b/src/settings_tree_p.h
@@ -79,8 +79,11 @@
     // Says that the table's version row was `versions`; the tree's version follows once nothing is behind it.
     void reach(const wire::settings_versions_row& versions);
 
-    // Every subtree change up to here is in force.
-    settings_version version() const { return version_; }
+    // Whether the tree was ever whole, be it as one without any subtree; before that it tells nothing.
+    bool was_read() const { return version_.has_value(); }
+
+    // Every subtree change up to here is in force; 0 also while nothing was read.
+    settings_version version() const { return version_.value_or(settings_version()); }
     settings_version version_of(std::string_view path) const; // 0 when never written
     std::map<std::string, settings_version> versions() const; // removed subtrees included
 
@@ -127,7 +130,7 @@
     std::vector<const settings::subtree*> levels(const team_id& team, const data_centre_id& data_centre) const;
 
     std::map<std::string, std::shared_ptr<const subtree>, std::less<>> subtrees_;
-    settings_version version_;
+    std::optional<settings_version> version_; // empty: not read
 };
 
 // The kind of a job of `team` within the list made by settings_tree::kinds(); null when there is none.
--- a/tests/test_daemon_knows_nothing.cpp
+++ b/tests/test_daemon_knows_nothing.cpp
@@ -50,7 +50,7 @@
         service = standin::platform_service::start({}, &reason);
         BOOST_REQUIRE_MESSAGE(service, reason);
         platform = std::make_unique<platform_client>(
-            http, platform_client::options{.address = service->address(), .timeout = 500ms});
+            http, platform_client::options{.address = service->address(), .timeout = 10s});
         settings = std::make_shared<settings_keeper>(*platform, [](const wire::settings_push&) {});
         cells = std::make_unique<cell_registry>(data_centre_id("b"), self, cell_settings{},
                                                 cell_edges{*platform, http, pool, [](auto, auto, auto) {}});
@@ -99,6 +99,26 @@
         others.push_back({from, std::move(text), ""});
     }
 
+    // Asks until the table has answered, however slow the machine is.
+    void read_settings() const
+    {
+        while (!settings->tree()) {
+            settings->poll();
+            std::this_thread::sleep_for(20ms);
+        }
+    }
+    // The settings of the team, as an operator's change leaves them in the table.
+    void write_settings() const
+    {
+        wire::settings_versions_row versions;
+        versions.__set_version(1);
+        versions.__set_subtrees({{"team/t", 1}});
+        write(
+            {operation_id("set"),
+             {},
+             {{settings_key("team/t"), encode_row(team_settings())}, {settings_versions_key(), encode_row(versions)}}});
+    }
+
     http_response call(const std::string& method, const std::string& path, http_request request = {}) const
     {
         http_response answer;
@@ -245,22 +265,14 @@
 BOOST_AUTO_TEST_CASE(an_entry_without_settings_lets_nobody_cancel)
 {
     const entry_hand asked;
-    wire::settings_versions_row versions;
-    versions.__set_version(1);
-    versions.__set_subtrees({{"team/t", 1}});
-    asked.write(
-        {operation_id("set"),
-         {},
-         {{settings_key("team/t"), encode_row(team_settings())}, {settings_versions_key(), encode_row(versions)}}});
+    asked.write_settings();
     const job_id job = asked.accept(true, 0);
     const std::size_t inbox_before = asked.rows_below(inbox_prefix(cell_id("a.r1")));
     const http_response early = asked.call("DELETE", "/v1/jobs/" + job.str(), with_token("somebody else's"));
-    BOOST_TEST(early.status != 202);
+    BOOST_TEST(early.status == 503);
+    BOOST_TEST(!find_field(early.headers, "Retry-After-Ms").empty());
     BOOST_TEST(asked.rows_below(inbox_prefix(cell_id("a.r1"))) == inbox_before);
-    asked.settings->poll();
-    for (int i = 0; i < 100 && asked.settings->version().value() == 0; ++i) {
-        std::this_thread::sleep_for(20ms);
-    }
+    asked.read_settings();
     BOOST_REQUIRE(asked.settings->version().value() == 1);
     const http_response late = asked.call("DELETE", "/v1/jobs/" + job.str(), with_token("somebody else's"));
     BOOST_TEST(late.status == 403);
@@ -274,8 +286,45 @@
     const std::string body = R"({"team": "t", "name": "n", "kind": "crawl", "task_count": 1,
         "declared": {"cpu_millis": 1000, "memory_mib": 100}})";
     const http_response answer = asked.call("POST", "/v1/jobs", with_token(team_token, body));
-    BOOST_TEST_MESSAGE(answer.status << " " << answer.body);
     BOOST_TEST(answer.status == 503);
+    BOOST_TEST(!find_field(answer.headers, "Retry-After-Ms").empty());
+}
+
+// What a peer holds that has read no settings itself passes for settings.
+BOOST_AUTO_TEST_CASE(an_empty_push_of_a_peer_is_not_the_settings)
+{
+    const entry_hand asked;
+    const entry_hand other("e2@1");
+    asked.settings->take_push(other.settings->newer_than(0));
+    BOOST_TEST(!asked.settings->tree());
+}
+
+// A peer's settings count only when they are whole: those after a version that this entry never had leave others out.
+BOOST_AUTO_TEST_CASE(settings_of_a_peer_count_once_they_are_whole)
+{
+    const entry_hand asked;
+    wire::settings_push push;
+    push.__set_version(3);
+    push.__set_newer_than(2);
+    asked.settings->take_push(push);
+    BOOST_TEST(!asked.settings->tree());
+    push.__set_newer_than(0);
+    push.__set_subtrees({team_settings()});
+    asked.settings->take_push(push);
+    BOOST_TEST(asked.settings->tree().has_value());
+}
+
+// A site before its first settings waits for ever, as a table that was read and has none passes for one not read.
+BOOST_AUTO_TEST_CASE(an_empty_table_that_was_read_is_known)
+{
+    const entry_hand asked;
+    asked.list_two_cells();
+    asked.read_settings();
+    const std::string body = R"({"team": "t", "name": "n", "kind": "crawl", "task_count": 1,
+        "declared": {"cpu_millis": 1000, "memory_mib": 100}})";
+    BOOST_TEST(asked.call("POST", "/v1/jobs", with_token("any", body)).status == 422);
+    const job_id job = asked.accept(true, 0);
+    BOOST_TEST(asked.call("DELETE", "/v1/jobs/" + job.str(), with_token("any")).status == 202);
 }
 
 // Says that there is no standing work before its first look at the table.
@@ -300,6 +349,52 @@
     BOOST_TEST(status != 404);
 }
 
+// Says of a service that it does not exist before the settings were read, or although they name it.
+BOOST_AUTO_TEST_CASE(a_service_is_not_said_to_be_unknown_against_the_settings)
+{
+    entry_hand asked;
+    claim_store claims(*asked.platform, asked.self, [](const incarnation_id&) { return true; });
+    std::optional<service_rules> rules;
+    request_router requests(
+        data_centre_id("b"), asked.self,
+        {asked.http, claims, [&](const service_id&) { return rules; }, [](const request_record&) {}});
+    http_response answer;
+    const auto ask = [&] {
+        requests.serve(service_id("t/pages"), {}, [&](http_response r) { answer = std::move(r); });
+    };
+    ask();
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(!find_field(answer.headers, "Retry-After-Ms").empty());
+    rules = service_rules{.kind = {}, .gate = {}, .named = true};
+    ask();
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(!find_field(answer.headers, "Retry-After-Ms").empty());
+}
+
+// A request to a service that has targets is judged by a kind that nobody has read.
+BOOST_AUTO_TEST_CASE(a_request_waits_for_the_kind_of_its_service)
+{
+    entry_hand asked;
+    claim_store claims(*asked.platform, asked.self, [](const incarnation_id&) { return true; });
+    std::optional<service_rules> rules;
+    request_router requests(
+        data_centre_id("b"), asked.self,
+        {asked.http, claims, [&](const service_id&) { return rules; }, [](const request_record&) {}});
+    requests.see_services({service_id("t/pages")});
+    http_request large;
+    large.body = "more than the settings allow";
+    std::vector<int> statuses;
+    const auto ask = [&] {
+        requests.serve(service_id("t/pages"), large, [&](const http_response& r) { statuses.push_back(r.status); });
+    };
+    ask();
+    rules.emplace();
+    rules->gate.body_bytes_most = 1;
+    requests.refresh_settings();
+    ask();
+    BOOST_TEST((statuses == std::vector<int>{503, 413}));
+}
+
 // A cell that nobody has told anything of is taken for empty, and gets the job before one with room that is known.
 BOOST_AUTO_TEST_CASE(a_cell_not_heard_of_is_not_taken_for_empty)
 {
