cells: an owner that the table turns away looks for news of jobs by reads

What callers saw: a job accepted by an entry that was killed, or stopped, before it could tell the owner of the job's cell started 11.9 s after it was accepted when the table turned the owner away meanwhile, instead of within 5 s. Cause: what a lost message told is found by a look at changed rows each 2 s. Reads and commits go through a peer while the table turns an entry away; the look does not, so it found nothing until the cut ended. Evidence: test_flow_restarts_news (virtual time). Ruled out: that the job waits for the next owner (the owner stays the same in these cases) or for a worker (it starts at once when the look comes). Change: while it is turned away, an entry reads the rows of news of the cells it owns, in their eight parts, two at a time, and hands those newer than its last look to the cell as a look does. One round at a time, at most one each 2 s; a read without an answer is left to the next round. What is known is not moved on: the first look afterwards begins where the last one ended. A row handed twice changes nothing, as with a look after a message.

--- a/src/flow_cells.cpp
+++ b/src/flow_cells.cpp
@@ -215,7 +215,14 @@
             known = of_cell;
         }
     }
-    if (!known || watching_jobs_) {
+    if (!known) {
+        return;
+    }
+    if (table_away_) {
+        read_news(now);
+        return;
+    }
+    if (watching_jobs_) {
         return;
     }
     watching_jobs_ = true;
@@ -235,19 +242,87 @@
 
 void flow_entry::on_jobs_changed(instant now, row_version after, const store_page& page)
 {
-    for (const store_row& row : page.rows) {
+    take_news(now, after, page.rows);
+    for (auto& [id, cell] : cells_) {
+        cell->on_jobs_watched(after, page.version);
+    }
+}
+
+// How many rows were newer than `after`.
+std::int64_t flow_entry::take_news(instant now, row_version after, const std::vector<store_row>& rows)
+{
+    std::int64_t newer = 0;
+    for (const store_row& row : rows) {
         const job_row_name name = job_row_of(row.key);
         const auto cell = cells_.find(name.cell);
-        if (row.removed || cell == cells_.end() || !cell->second->jobs_known()) {
+        if (row.removed || row.version <= after || cell == cells_.end() || !cell->second->jobs_known()) {
             continue;
         }
+        ++newer;
         const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
         if (decoded) {
             cell->second->on_job_row(now, name, *decoded, row.version);
         }
     }
-    for (auto& [id, cell] : cells_) {
-        cell->on_jobs_watched(after, page.version);
+    return newer;
+}
+
+// Failure: the table turns this entry away, and with it its looks. Symptom: a job whose message was lost, or a task
+// given to a cell of this entry, waits until the table takes it back. Reads go through a peer, and show all that a
+// look would. What is known is left as it is: the first look afterwards begins where the last one ended.
+void flow_entry::read_news(instant now)
+{
+    if (news_reading_.under_way > 0) {
+        return;
+    }
+    next_watch_ = now + watch_interval;
+    news_reading_ = {};
+    for (const auto& [id, cell] : cells_) {
+        for (int part = 0; cell->jobs_known() && part < job_parts; ++part) {
+            news_reading_.unread.emplace_back(id, cell_rows(news_table, id, job_part(part)));
+        }
+    }
+    for (int i = 0; i < job_readers; ++i) {
+        read_next_news(now);
+    }
+}
+
+void flow_entry::read_next_news(instant now)
+{
+    if (!table_away_) {
+        news_reading_.unread.clear(); // the next look shows it
+    }
+    if (!news_reading_.unread.empty()) {
+        const auto [id, range] = std::move(news_reading_.unread.back());
+        news_reading_.unread.pop_back();
+        ++news_reading_.under_way;
+        edges_.read(range, [this, id = id, range = range](instant then, const store_page& page) {
+            --news_reading_.under_way;
+            on_news_read(then, id, range, page);
+            read_next_news(then);
+        });
+        return;
+    }
+    if (news_reading_.under_way == 0 && news_reading_.answered > 0 && now >= next_news_line_) {
+        next_news_line_ = now + watch_interval;
+        edges_.note(log_level::info, "table", "news_through_peer",
+                    {{"entry", self_.entry.str()},
+                     {"pages", std::to_string(news_reading_.answered)},
+                     {"rows", std::to_string(news_reading_.rows)}});
+    }
+}
+
+void flow_entry::on_news_read(instant now, const cell_id& id, store_range range, const store_page& page)
+{
+    const auto known = cells_.at(id)->jobs_known();
+    if (!page.reached || !known) {
+        return; // the next round reads it
+    }
+    ++news_reading_.answered;
+    news_reading_.rows += take_news(now, *known, page.rows);
+    if (page.more && !page.rows.empty()) {
+        range.from = page.rows.back().key.key + '\0';
+        news_reading_.unread.emplace_back(id, std::move(range));
     }
 }
 
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -125,6 +125,13 @@
         row_version version;
         bool telling = false;
     };
+    // A look at the news of jobs by reads, which go through a peer where a look does not.
+    struct news_reading {
+        std::vector<std::pair<cell_id, store_range>> unread;
+        int under_way = 0;
+        std::int64_t answered = 0;
+        std::int64_t rows = 0; // newer than what the owner knows by a look
+    };
     // One data centre: which of its racks are in which cell, and what the platform's list showed last.
     struct data_centre_cells {
         cell_layout layout;
@@ -201,6 +208,10 @@
     flow_cell& cell_of(const cell_id& id, const data_centre_id& data_centre);
     void watch_jobs(instant now);
     void on_jobs_changed(instant now, row_version after, const store_page& page);
+    std::int64_t take_news(instant now, row_version after, const std::vector<store_row>& rows);
+    void read_news(instant now);
+    void read_next_news(instant now);
+    void on_news_read(instant now, const cell_id& id, store_range range, const store_page& page);
     void rank_cells(instant now);
     entry_id live_owner(instant now, const cell_id& id, const flow_cell& cell) const;
 
@@ -273,6 +284,8 @@
     instant next_layouts_read_{};
     bool watching_jobs_ = false;
     instant next_watch_{};
+    news_reading news_reading_;
+    instant next_news_line_{};
     std::map<cell_id, int> ranks_; // this entry's, as an owner of each cell
     instant next_ranks_{};
     std::vector<wire::flow_cell_news> own_news_;
