entry: a planned stop waits a while for owners to take note of its rows

What callers saw: nothing worse than a job that starts up to 2 s late, or as late as the owner's next look. Cause: an entry that is stopped by plan went as soon as its cells were released, also while it had rows of jobs that the owner of their cell had not taken note of. Nobody tells those again; they are left to the owner's look. Evidence: the new case of test_flow, whose entry accepts a job while it reaches no peer and is stopped: it said at once that it had stopped, and after it could reach its peers the job was not bound. Ruled out: telling through the followers of its cells, which know nothing of these rows; waiting without a limit, as an entry that reaches nobody would never stop. A leaving entry tells in its tick as before. It writes a line when it gives up.

--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -91,6 +91,13 @@
             tell_owner(now, name);
         }
     }
+    if (leaving_ && !untold_left_ && now - stop_planned_at_ >= stop_settle_most) {
+        untold_left_ = true;
+        if (!untold_.empty()) {
+            edges_.note(log_level::warning, "entry", "leaves_untold",
+                        {{"entry", self_.entry.str()}, {"rows", std::to_string(untold_.size())}});
+        }
+    }
     if (now - begun_ >= peers_learned && may_own_) {
         tick_cells(now);
     }
@@ -134,6 +141,7 @@
         return;
     }
     leaving_ = true;
+    stop_planned_at_ = now;
     edges_.note(log_level::info, "entry", "stop_planned", {{"entry", self_.entry.str()}});
     tell_peers(now, true);
     for (auto& [id, cell] : cells_) {
@@ -141,9 +149,12 @@
     }
 }
 
+// Failure: an entry stops while owners have not taken note of rows it wrote. Symptom: nobody tells them again, and they
+// come upon the rows by their own look. Waited for no longer than a cell's answers are.
 bool flow_entry::stopped() const
 {
-    return std::all_of(cells_.begin(), cells_.end(), [](const auto& c) { return c.second->stopped(); });
+    return (untold_.empty() || untold_left_) &&
+           std::all_of(cells_.begin(), cells_.end(), [](const auto& c) { return c.second->stopped(); });
 }
 
 // --- cells ---
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -255,6 +255,8 @@
     std::size_t relays_ = 0;
     instant begun_{};
     bool leaving_ = false;
+    instant stop_planned_at_{};
+    bool untold_left_ = false; // a planned stop waits no longer for rows that no owner has taken note of
     std::optional<flow_config> config_;
     std::string config_text_;
     std::int64_t config_checksum_ = 0;
--- a/tests/test_flow.cpp
+++ b/tests/test_flow.cpp
@@ -367,6 +367,34 @@
     check_no_faults(w);
 }
 
+// An entry that is stopped while it has rows to tell an owner of leaves them to the owner's look.
+BOOST_AUTO_TEST_CASE(an_entry_that_stops_tells_of_a_job_first_but_does_not_wait_for_ever)
+{
+    for (const bool heard : {true, false}) {
+        BOOST_TEST_CONTEXT("the owner can be told " << heard)
+        {
+            flow_world w({.entries_each = 3});
+            w.run_for(3s);
+            const int other = w.entry(0)->cells().begin()->second->owns() ? 1 : 0;
+            w.cut_entry_from_peers(other, true);
+            w.send_submit(other, job_a, chain_spec(1, 1));
+            BOOST_REQUIRE(w.run_until([&] { return !w.answers().at(job_a).empty(); }, 1s));
+            BOOST_REQUIRE(w.answers().at(job_a).front() == caller_result::accepted);
+            w.entry(other)->plan_stop(w.now());
+            BOOST_TEST(!w.entry(other)->stopped());
+            w.cut_entry_from_peers(other, !heard);
+            BOOST_TEST(w.run_until([&] { return w.entry(other)->stopped(); }, 1600ms));
+            BOOST_TEST(w.logged("entry", "leaves_untold") == (heard ? 0 : 1));
+            if (heard) {
+                BOOST_TEST(w.logged("job", "bound") == 1);
+            }
+            w.kill_entry(other);
+            BOOST_TEST(w.run_until([&] { return w.starts_of(job_a) == 1; }, 3s));
+            check_no_faults(w);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_worker_gets_no_more_tasks)
 {
     flow_world w({.workers_each = 2});
