cells: a new owner gives leases with its second exchange at once

Where owners of a cell follow each other within a second, all that ran there lapsed after six seconds, on workers that answer: up to 36 needless starts.

Cause: the first exchange with a worker cannot give a lease, as the worker's clock is not handed on, and the second one waited a second by plan; an owner that lives shorter gives none. Evidence: test_flow_restarts_leases, lives of 0.3 to 0.9 s lapse in all of 48 plays, of 1.1 s and more in none of 40.

The second exchange follows at once after the first one's answer.

--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -335,13 +335,16 @@
     w.silent = 0;
     w.unanswered_since = instant{};
     w.last_answer = now;
+    const bool first_reading = !w.reading && answer.clock;
     if (answer.clock) {
         w.reading = answer.clock;
         w.read_at = now;
     }
     if (early) {
         next_renewal_ = w.told_silent ? now : next_renewal_; // as below
-        hold_soon(now, id, hold_wait);
+        // Its clock was not known before, so this exchange gave no lease: owners that follow each other within a second
+        // would let all that runs there lapse.
+        hold_soon(now, id, first_reading ? hold_gap : hold_wait);
         return;
     }
     take_inventory(now, w, sent, answer);
