config: 404 only while the table has lately told that nothing is newer

A queue that a confirmed change adds was refused for good by entries that nothing had happened to: while a large change was on its way to all of them, nobody had it whole, nobody told of it, and what nobody has told of passed for not there.

An entry now notes until when the table had no newer configuration than its own. What is not in it, and a path below one of its queues that is no job, is refused for good only while that is less than two seconds ago; else the caller is told to come back.

In the same way a job that is handed in again while no cell's owner is heard, or the entry stops, was told that it was not accepted though it was there: such refusals look at the index first, as the others do, but for when the table is known not to be reached: then the caller is told to come back at once.

--- a/src/flow_config.cpp
+++ b/src/flow_config.cpp
@@ -9,11 +9,13 @@
 
 using namespace flow_limits;
 
-void flow_entry::watch_operator()
+void flow_entry::watch_operator(instant now)
 {
-    edges_.watch_operator(operator_seen_, operator_wait, [this](instant then, const operator_page& page) {
+    edges_.watch_operator(operator_seen_, operator_wait, [this, asked = now](instant then, const operator_page& page) {
         if (page.reached) {
             table_answered_ = then;
+            // What came is the newest as of when it was sent: a large change takes its time over a narrow link.
+            config_newest_at_ = page.config ? asked : then;
             operator_answered_ = true;
             operator_failures_ = 0;
             operator_seen_ = page.history_gone ? row_version(0) : std::max(operator_seen_, page.version);
@@ -21,12 +23,12 @@
                 take_config(then, *page.config, page.config_text, "table");
             }
             judge_config(then);
-            watch_operator();
+            watch_operator(then);
             return;
         }
         ++operator_failures_;
         ++stats_.config_looks_unanswered;
-        edges_.after(operator_retry, [this](instant) { watch_operator(); });
+        edges_.after(operator_retry, [this](instant again) { watch_operator(again); });
     });
 }
 
@@ -64,6 +66,14 @@
     return newest;
 }
 
+// Failure: a change is still on its way to all entries, so that nobody has it and none tells of it. Symptom: a queue
+// that it adds is refused for good. So what is not in the configuration is refused only while the table has lately told
+// that there is no newer one.
+bool flow_entry::knows_newest_config(instant now) const
+{
+    return config_usable_ && newest_config(now) <= config_version() && now - config_newest_at_ < config_told_fresh;
+}
+
 void flow_entry::note_config(instant now, peer& p, settings_version version)
 {
     p.config = version;
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -28,7 +28,7 @@
     next_hello_ = now;
     register_self();
     read_entries(now);
-    watch_operator();
+    watch_operator(now);
     read_layouts(now);
     list_workers();
     look_for_earlier_jobs(0);
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -221,10 +221,11 @@
     flow_cell_hooks make_hooks();
 
     // flow_config.cpp
-    void watch_operator();
+    void watch_operator(instant now);
     void take_config(instant now, flow_config config, std::string text, const char* from);
     void note_config(instant now, peer& p, settings_version version);
     void judge_config(instant now);
+    bool knows_newest_config(instant now) const;
     void follow_config(instant now);
     void ask_for_config(instant now, const entry_id& source);
     void on_config_piece(instant now, const entry_id& source, duration took,
@@ -263,6 +264,7 @@
     row_version operator_seen_;
     bool operator_answered_ = false;      // the table has, in this life
     int operator_failures_ = 0;           // looks without an answer, in a row
+    instant config_newest_at_{};          // until then the table had none that is newer than this entry's
     std::optional<instant> behind_since_; // a peer has told of a newer configuration than this entry's
     bool config_usable_ = false;          // new enough to take jobs by
     bool config_was_newest_ = false;      // in this life
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -60,9 +60,9 @@
     const flow_queue* const queue = match_queue(request.host, request.path);
     if (queue == nullptr) {
         note_unknown_queue(now, request);
-        if (!config_usable_ || newest_config(now) > config_version()) {
+        if (!knows_newest_config(now)) {
             reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry,
-                   "a newer configuration is on its way"});
+                   "a newer configuration may be on its way"});
             return;
         }
         reply({caller_result::unknown_queue, flow_state::queued, 0, duration(0), "no such queue"});
@@ -74,6 +74,11 @@
         return;
     }
     if (rest.size() != job_id_length || rest.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos) {
+        if (!knows_newest_config(now)) { // it may have a queue whose path begins with this one's
+            reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry,
+                   "a newer configuration may be on its way"});
+            return;
+        }
         reply({caller_result::invalid, flow_state::queued, 0, duration(0), "a job's id is 16 hexadecimal digits"});
         return;
     }
@@ -125,10 +130,7 @@
     }
     const auto cell = choose_cell(now, queue, *request.spec);
     if (leaving_ || !cell) {
-        ++stats_.refused;
-        edges_.note(log_level::info, "job", "refused",
-                    {{"job", job.str()}, {"reason", leaving_ ? "stopping" : "no cell"}});
-        reply({caller_result::not_accepted, flow_state::queued, 0, unavailable_retry, "nothing takes jobs here now"});
+        refuse_unless_there(job, {leaving_ ? "stopping" : "no cell", unavailable_retry}, std::move(reply));
         return;
     }
     wire::flow_job_row row = make_job_row(*request.spec);
@@ -386,6 +388,12 @@
 // it will never run.
 void flow_entry::refuse_unless_there(const job_id& job, const refusal& why, caller_reply reply)
 {
+    if (table_away_ && !relay_peer()) {
+        ++stats_.refused;
+        edges_.note(log_level::info, "job", "refused", {{"job", job.str()}, {"reason", "table not reached"}});
+        reply({caller_result::try_later, flow_state::queued, 0, why.come_back, why.reason});
+        return;
+    }
     edges_.read(index_rows(job), [this, job, why, reply = std::move(reply)](instant, const store_page& page) {
         if (page.reached && !page.rows.empty()) {
             ++stats_.repeated;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -108,6 +108,8 @@
 inline constexpr duration list_wait_most = 1s;         // of a new owner for the list, before it starts tasks without
 inline constexpr duration operator_wait = 1s; // of one look for changes; a connection that went silent costs this
 inline constexpr duration operator_retry = 200ms;
+// What the table tells of the newest configuration: a look and a second for its answer, less than a change may take.
+inline constexpr duration config_told_fresh = operator_wait + 1s;
 inline constexpr duration unknown_queue_log_interval = 1s;
 inline constexpr duration pending_log_interval = 1s;
 // A change that peers tell of first: the table is a moment behind, and gives it to each entry once.
