jobs: a lasting job's row tells of its start with the note of it, once more

A job that is noted as started when a worker takes a task costs a lasting one a write of its row more: its start is noted, in the row, before it is sent. Found by test_flow_takeover/all_tasks_of_a_step_are_noted_with_one_write (3 writes of 2). The row says so with the note again; what is counted as waiting goes by whether a worker has taken a task, which the owner knows.

config: after a change the next look only asks whether that was the newest, so that an entry can refuse what is in no configuration milliseconds after a large change instead of a second and more. Found by test_flow_config, a_queue_that_is_unknown_here_is_not_refused_while_a_newer_version_is_known_of, which asks another entry for a queue that is nowhere.

--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -763,7 +763,7 @@
 {
     pending_count count{{epoch_, ++counts_made_}, {}};
     for (const auto& [id, job] : jobs_) {
-        if (job->bound_here() && !job->started() && !job->cancelled() && !job->ended()) {
+        if (job->bound_here() && !job->begun() && !job->cancelled() && !job->ended()) {
             ++count.jobs[job->row().queue];
         }
     }
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -199,8 +199,9 @@
 void flow_cell::confirm_start(instant now, flow_job& job, live_run& live)
 {
     live.confirmed = true;
-    if (!job.started()) {
-        job.note_started();
+    const std::uint64_t before = job.changes();
+    job.note_begun();
+    if (job.changes() != before) {
         job_changed(now, job, false);
     }
 }
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -437,7 +437,7 @@
     const flow_step& step = job.step(*job.find_stage(end.task));
     job.note_checkpoint(end.task, end.checkpoint);
     const std::uint64_t before = job.changes();
-    job.note_started();
+    job.note_begun();
     if (!step.lasting) {
         job.note_end(end);
     }
@@ -698,7 +698,7 @@
         --stage->ready;
     }
     task->stage = task_stage::placed;
-    job.note_started();
+    job.note_begun();
     if (notes_starts(step)) {
         job.note_start(run.task, w.listing.worker, run.run);
     }
--- a/src/flow_config.cpp
+++ b/src/flow_config.cpp
@@ -11,7 +11,10 @@
 
 void flow_entry::watch_operator(instant now)
 {
-    edges_.watch_operator(operator_seen_, operator_wait, [this, asked = now](instant then, const operator_page& page) {
+    // After a change the next look only asks whether that was the newest.
+    const duration wait = operator_seen_ == operator_changed_ ? operator_wait : duration(0);
+    operator_changed_ = operator_seen_;
+    edges_.watch_operator(operator_seen_, wait, [this, asked = now](instant then, const operator_page& page) {
         if (page.reached) {
             table_answered_ = then;
             // What came is the newest as of when it was sent: a large change takes its time over a narrow link.
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -46,7 +46,7 @@
 }
 
 flow_job::flow_job(job_id id, cell_id here, const wire::flow_job_row& row, row_version version)
-    : id_(std::move(id)), here_(std::move(here)), row_(row), spec_(spec_of(row)), version_(version)
+    : id_(std::move(id)), here_(std::move(here)), row_(row), spec_(spec_of(row)), version_(version), begun_(row.started)
 {
     row_.stages.clear();
     const std::int32_t occurrences = std::max(1, spec_.occurrences);
@@ -282,7 +282,13 @@
     return run_number(std::max(task.last_run.value(), base) + 1);
 }
 
-void flow_job::note_started()
+void flow_job::note_begun()
+{
+    begun_ = true;
+    tell_started();
+}
+
+void flow_job::tell_started()
 {
     if (!row_.started) {
         row_.started = true;
@@ -399,6 +405,7 @@
         start.worker = worker.str();
         start.run = run.value();
         ++changes_;
+        tell_started();
     }
 }
 
@@ -456,6 +463,7 @@
             all_told_of_ = index_changed_ = follows = ++changes_;
         }
     }
+    begun_ = begun_ || (other.started && teller != row_teller::own);
     if (other.started && !row_.started) {
         row_.started = true;
         if (news) {
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -95,7 +95,10 @@
 
     bool cancelled() const { return row_.cancelled; }
     bool ended() const { return row_.outcome != 0; }
+    // The row says so to callers. A start that is noted before it is sent is told of with its note.
     bool started() const { return row_.started; }
+    // A worker has taken a task, as far as it is known here.
+    bool begun() const { return begun_; }
     bool timed() const { return spec_.occurrences > 0; }
     // The job is bound to `here`: its owner says what has become of it.
     bool bound_here() const { return row_.cell == here_.str(); }
@@ -131,7 +134,7 @@
     run_number next_run(const flow_task& task, epoch cell_epoch) const;
 
     // --- facts; each makes the row behind ---
-    void note_started();
+    void note_begun();
     // False when it was done already.
     bool note_done(const flow_task_id& task);
     // The number of failed runs so far. A run counts once, however often its end is listed.
@@ -173,6 +176,7 @@
 private:
     std::vector<wire::flow_stage_row> stage_rows() const;
     std::set<std::string> concerned_cells() const;
+    void tell_started();
     void add_stage(std::int32_t occurrence, std::int32_t step);
     void load_stage(instant now, const wire::flow_stage_row& row, bool own);
     void load_home(instant now, flow_stage& stage, flow_task& task, const wire::flow_home_row& home, bool own);
@@ -187,6 +191,7 @@
     flow_spec spec_;
     std::vector<flow_stage> stages_;
     row_version version_;
+    bool begun_ = false;
     std::uint64_t changes_ = 0;
     std::uint64_t written_ = 0;
     std::set<std::string> tellers_;
