config: only a look that brought a change is followed by one that does not wait

The one before went by the version up to which the table was read, which rises with every write to the table: each second look did not wait, twice as many looks as needed. Seen by reading; the fake table numbers the configuration alone, so no test showed it.

--- a/src/flow_config.cpp
+++ b/src/flow_config.cpp
@@ -12,13 +12,14 @@
 void flow_entry::watch_operator(instant now)
 {
     // After a change the next look only asks whether that was the newest.
-    const duration wait = operator_seen_ == operator_changed_ ? operator_wait : duration(0);
-    operator_changed_ = operator_seen_;
+    const duration wait = config_just_came_ ? duration(0) : operator_wait;
+    config_just_came_ = false;
     edges_.watch_operator(operator_seen_, wait, [this, asked = now](instant then, const operator_page& page) {
         if (page.reached) {
             table_answered_ = then;
             // What came is the newest as of when it was sent: a large change takes its time over a narrow link.
             config_newest_at_ = page.config ? asked : then;
+            config_just_came_ = page.config.has_value();
             operator_answered_ = true;
             operator_failures_ = 0;
             operator_seen_ = page.history_gone ? row_version(0) : std::max(operator_seen_, page.version);
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -262,7 +262,7 @@
     std::string config_text_;
     std::int64_t config_checksum_ = 0;
     row_version operator_seen_;
-    row_version operator_changed_;        // operator_seen_ as the look before the one under way began with it
+    bool config_just_came_ = false;       // with the newest answer of the table
     bool operator_answered_ = false;      // the table has, in this life
     int operator_failures_ = 0;           // looks without an answer, in a row
     instant config_newest_at_{};          // until then the table had none that is newer than this entry's
