--- a/tests/test_flow_restarts_news.cpp
+++ b/tests/test_flow_restarts_news.cpp
@@ -93,8 +93,8 @@
             world_.drop_worker_listing(i, true);
         }
         world_.run_for(2s);
-        giver_ = owner_of(world_, "a", entries_);
-        receiver_ = owner_of(world_, "b", entries_);
+        giver_ = owner_of(world_, "a", entries_count);
+        receiver_ = owner_of(world_, "b", entries_count);
         BOOST_REQUIRE(giver_ >= 0);
         BOOST_REQUIRE(receiver_ >= 0);
     }
@@ -124,7 +124,7 @@
     // Those of the data centre one after the other, the first one now.
     void restart_in_turn(int first)
     {
-        for (int i = 0; i < entries_ / 2; ++i) {
+        for (int i = 0; i < entries_count / 2; ++i) {
             restart(first / 3 * 3 + (first + i) % 3);
             go_on(restart_gap);
         }
@@ -156,7 +156,7 @@
     }
 
 private:
-    static constexpr int entries_ = 6;
+    static constexpr int entries_count = 6;
     flow_world world_;
     int giver_ = -1;
     int receiver_ = -1;
