--- a/tests/test_cell_knows_nothing.cpp
+++ b/tests/test_cell_knows_nothing.cpp
@@ -146,7 +146,7 @@
     BOOST_REQUIRE(d.inbox_rows.empty());
     const auto notices = d.all<cell_notice>();
     BOOST_TEST(std::any_of(notices.begin(), notices.end(),
-                           [](const cell_notice& n) { return n.detail.find("j") != std::string::npos; }));
+                           [](const cell_notice& n) { return n.detail.find('j') != std::string::npos; }));
 }
 
 namespace {
--- a/tests/test_daemon_knows_nothing.cpp
+++ b/tests/test_daemon_knows_nothing.cpp
@@ -157,7 +157,7 @@
     // A job of two tasks in each of two cells, accepted; where `taken`, the cell's owner has made its row.
     job_id accept(bool taken_by_both, std::int64_t ended_ms) const
     {
-        const job_id job = derive_job_id(team, operation_id("k"));
+        job_id job = derive_job_id(team, operation_id("k"));
         const std::vector<cell_part> parts{{cell_id("a.r1"), 0, 2}, {cell_id("a.r2"), 2, 2}};
         write(accept_job(job, spec(), parts, read_wall_clock()));
         for (const cell_part& part : parts) {
