flow: an accessor nobody calls goes, one answer is made in one place

Reading the diff again: flow_job::started() has had no caller since counts go by begun(); the answer to what only a newer configuration may have stood twice in on_request. No change of behaviour: same result, pause and words.

--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -17,6 +17,13 @@
 
 constexpr std::size_t job_id_length = 16;
 
+// To what the configuration does not have, while a newer one may have it.
+caller_answer wait_for_config()
+{
+    return {caller_result::try_later, flow_state::queued, 0, unavailable_retry,
+            "a newer configuration may be on its way"};
+}
+
 // Why a specification cannot run anywhere, empty when it can.
 std::string find_problem(const flow_spec& spec)
 {
@@ -61,8 +68,7 @@
     if (queue == nullptr) {
         note_unknown_queue(now, request);
         if (!knows_newest_config(now)) {
-            reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry,
-                   "a newer configuration may be on its way"});
+            reply(wait_for_config());
             return;
         }
         reply({caller_result::unknown_queue, flow_state::queued, 0, duration(0), "no such queue"});
@@ -75,8 +81,7 @@
     }
     if (rest.size() != job_id_length || rest.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos) {
         if (!knows_newest_config(now)) { // it may have a queue whose path begins with this one's
-            reply({caller_result::try_later, flow_state::queued, 0, unavailable_retry,
-                   "a newer configuration may be on its way"});
+            reply(wait_for_config());
             return;
         }
         reply({caller_result::invalid, flow_state::queued, 0, duration(0), "a job's id is 16 hexadecimal digits"});
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -95,9 +95,8 @@
 
     bool cancelled() const { return row_.cancelled; }
     bool ended() const { return row_.outcome != 0; }
-    // The row says so to callers. A start that is noted before it is sent is told of with its note.
-    bool started() const { return row_.started; }
-    // A worker has taken a task, as far as it is known here.
+    // A worker has taken a task, as far as it is known here. Callers may be told sooner that the job has started: of a
+    // start that is noted before it is sent, with its note.
     bool begun() const { return begun_; }
     bool timed() const { return spec_.occurrences > 0; }
     // The job is bound to `here`: its owner says what has become of it.
