pending: the line tells what each cell adds to an answer, and how old that is

What an answer was made of, from memory or after a read of rows, could not be told from the log: the number of cells and the oldest count only. Now each cell's part and its age, and how long the answer took, which a read of rows makes a call to the table longer.

--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -95,6 +95,7 @@
     // A caller who asks how many jobs of a queue wait.
     struct pending_question {
         queue_id queue;
+        instant asked{};
         caller_reply reply;
     };
     // A job that this entry has accepted, until a count of its cell has been heard of that includes it.
--- a/src/flow_entry_pending.cpp
+++ b/src/flow_entry_pending.cpp
@@ -29,7 +29,7 @@
 
 void flow_entry::ask_pending(instant now, const queue_id& queue, caller_reply reply)
 {
-    const pending_question question{queue, std::move(reply)};
+    const pending_question question{queue, now, std::move(reply)};
     const auto counted = count_pending(now, queue);
     if (const auto* const jobs = std::get_if<std::int64_t>(&counted)) {
         tell_pending(now, question, *jobs);
@@ -92,12 +92,12 @@
 {
     if (now >= next_pending_line_) {
         next_pending_line_ = now + pending_log_interval;
-        const duration oldest = cells_.empty() ? duration(0) : now - pending_.oldest();
         edges_.note(log_level::info, "pending", "told",
                     {{"queue", question.queue.str()},
                      {"jobs", std::to_string(jobs)},
+                     {"took_ms", std::to_string((now - question.asked) / std::chrono::milliseconds(1))},
                      {"cells", std::to_string(cells_.size())},
-                     {"oldest_ms", std::to_string(oldest / std::chrono::milliseconds(1))},
+                     {"parts", pending_.parts(question.queue, now)},
                      {"uncounted", std::to_string(count_of(count_uncounted(now), question.queue))}});
     }
     question.reply({caller_result::pending, flow_state::queued, jobs, duration(0), ""});
--- a/src/flow_pending.cpp
+++ b/src/flow_pending.cpp
@@ -1,5 +1,7 @@
 #include "flow_pending_p.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace skylarkhub {
@@ -54,13 +56,16 @@
     return sum;
 }
 
-instant pending_counts::oldest() const
+std::string pending_counts::parts(const queue_id& queue, instant now) const
 {
-    instant oldest = instant::max();
+    std::string parts;
     for (const auto& [cell, heard] : heard_) {
-        oldest = std::min(oldest, heard.newest_at);
+        const auto of_queue = heard.count.jobs.find(queue.str());
+        const std::int32_t jobs = of_queue == heard.count.jobs.end() ? 0 : of_queue->second;
+        parts += fmt::format("{}{}={}/{}", parts.empty() ? "" : ",", cell.str(), jobs,
+                             (now - heard.newest_at) / std::chrono::milliseconds(1));
     }
-    return oldest;
+    return parts;
 }
 
 } // namespace skylarkhub
--- a/src/flow_pending_p.h
+++ b/src/flow_pending_p.h
@@ -45,8 +45,8 @@
     // newest at some time is still taken for it.
     std::variant<std::int64_t, counts_missing> count(const queue_id& queue, std::vector<cell_id> cells,
                                                      const std::function<bool(instant)>& still_newest) const;
-    // The least of them, of all cells heard of.
-    instant oldest() const;
+    // What each cell heard of adds for the queue, and how long ago that was the newest count: `CELL=JOBS/MILLISECONDS`.
+    std::string parts(const queue_id& queue, instant now) const;
 
 private:
     struct heard_count {
