pending: a count says up to which version it is whole, and what was accepted since is added

Cause: a count that is handed on, in a cell's row or by an owner that still reads, was told as new. Known was that no later owner had counted, not that nobody had accepted a job since. What came after it was with the entries that took it, and gone with them.

Ruled out: a cut (it is not needed, and changes little), slow pages (they only make it last longer).

Change: a count goes up to a version of the table, and is whole until the time when its owner asked for what showed that. It is never told as newer than it is. Whoever misses a new one reads the cells' rows and then, with one look, all jobs that were accepted since those counts, whoever took them; an owner that still reads does so for its row. That replaces what entries told each other of jobs that no owner had counted: the stamps of counts, the jobs kept until a count has them, and the counts in hellos. A count that stands while nobody reaches the table stands for ten seconds at the most, as owners do. Where a peer is not heard, the cells are read again too: it may own one that was laid out since.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -89,12 +89,10 @@
   4: bool silent = false // it does not answer the owner, which gives it no lease while the row says so
 }
 
-// How many jobs of a cell wait, as an owner that had read the rows of all has counted them. The counts of one owner are
-// numbered.
+// How many jobs of a cell wait, of those that were accepted up to a version of the table.
 struct flow_pending_row {
-  1: i64 epoch = 0            // of that owner; 0: nobody has counted them
-  2: i64 number = 0
   3: map<string, i32> pending // queue -> jobs no task of which has started
+  4: i64 up_to = 0            // 0: nobody has counted them
 }
 
 struct flow_cell_row {
@@ -155,8 +153,9 @@
   3: list<flow_pool_row> pools
   4: map<string, i32> pending // queue -> jobs no task of which has started
   5: map<string, double> presses // "SERVING|FILLING" -> see interference_model
-  6: bool pending_whole = true // `pending` is a count of all jobs
-  7: flow_pending_row counted // the stamp of `pending`, without jobs; epoch 0: told by an earlier release
+  8: i64 counted_up_to = 0    // the version of the table up to which all accepted jobs are in `pending`; 0: not counted
+  9: i64 counted_ago_ms = 0   // since when others may have been accepted
+  10: map<string, i32> pending_newer // as `pending`, of jobs accepted after that version that are known already
 }
 
 struct flow_hello {
@@ -167,7 +166,6 @@
   5: list<flow_entry_row> members
   6: bool table_away = false // the sender cannot reach the table itself
   7: i64 table_silent_ms = 0 // since the table last answered the sender, whatever it was asked
-  8: map<string, i32> untold // queue -> jobs it has accepted whose cell's owner it could not tell yet
 }
 
 // A call to the table that the sender asks the receiver to make for it.
@@ -238,5 +236,4 @@
   9: optional flow_relayed_result relayed // in return
   10: optional flow_config_ask config_ask
   11: optional flow_config_piece config_piece // in return
-  12: optional flow_pending_row counted // in return for `rows`: later counts of their cell have their jobs; without jobs itself
 }
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -62,6 +62,7 @@
     edges_.read(only_row(cell_key(id_)), [this](instant then, const store_page& page) {
         reading_row_ = false;
         if (page.reached) {
+            row_read_version_ = page.version;
             on_row_read(then, page.rows.empty() ? nullptr : &page.rows.front());
         }
     });
@@ -259,7 +260,7 @@
     fresh_ = !row_present_;
     wanted.starts_noted = fresh_ || row_.starts_noted;
     if (fresh_) {
-        wanted.pending.epoch = wanted.epoch; // no job has been accepted for a cell that had no owner
+        wanted.pending.up_to = row_read_version_.value(); // no job had been accepted for a cell without an owner
     }
     else {
         wanted.pending = row_.pending;
@@ -316,14 +317,15 @@
     for (auto& [id, w] : workers_) {
         hold_soon(now, id, duration(0));
     }
-    read_all_jobs();
+    read_all_jobs(now);
 }
 
 // After a loss of all entries every owner reads its jobs at once. With all parts asked for together, each page took
 // longer over the narrow link of a small entry than it is waited for, and was asked for anew: cells had no owner for
 // 17 s. A few small pages at a time arrive, and one that does not is asked for again from where it begins.
-void flow_cell::read_all_jobs()
+void flow_cell::read_all_jobs(instant now)
 {
+    watched_at_ = now;
     parts_left_ = job_parts;
     next_part_ = 0;
     read_rows_.clear();
@@ -625,7 +627,7 @@
     wire::flow_cell_row wanted = row_;
     ++wanted.renewals;
     wanted.workers = tell_workers(now, false);
-    wanted.pending = pending_row();
+    wanted.pending = pending_row(now);
     wanted.starts_noted = wanted.starts_noted || starts_are_noted(now);
     write_row(wanted, [this, wanted, sent = now, life = life_](instant then, const store_result& result) {
         if (life != life_) {
@@ -729,7 +731,7 @@
     wire::flow_cell_row wanted = row_;
     wanted.released = true;
     wanted.workers = tell_workers(now, true);
-    wanted.pending = pending_row();
+    wanted.pending = pending_row(now);
     ++life_; // from here on nothing is sent to a worker
     role_ = role::released;
     write_release(wanted);
@@ -759,31 +761,27 @@
 
 // --- jobs that wait ---
 
-pending_count flow_cell::count_pending()
+std::optional<dated_count> flow_cell::count_pending(instant now) const
 {
-    pending_count count{{epoch_, ++counts_made_}, {}};
+    if (role_ != role::owning || !may_hold(now)) {
+        return std::nullopt;
+    }
+    dated_count counted{{{}, watched_}, watched_at_, {}};
     for (const auto& [id, job] : jobs_) {
         if (job->bound_here() && !job->begun() && !job->cancelled() && !job->ended()) {
-            ++count.jobs[job->row().queue];
+            ++(job->accepted_at() <= watched_ ? counted.count.jobs : counted.newer)[job->row().queue];
         }
     }
-    return count;
-}
-
-std::optional<pending_count> flow_cell::newest_pending(instant now)
-{
-    if (!may_hold(now)) {
-        return std::nullopt;
-    }
-    return role_ == role::owning ? count_pending() : from_row(row_.pending);
+    return counted;
 }
 
 // Failure: owners of a cell follow each other faster than one of them reads its rows, so that none can count the jobs
-// that wait. Symptom: entries that were not there before say that none wait. So the last count goes from owner to owner
-// with the cell's row.
-wire::flow_pending_row flow_cell::pending_row()
+// that wait. Symptom: nobody knows how many there are. So the last count goes from owner to owner with the cell's row.
+wire::flow_pending_row flow_cell::pending_row(instant now) const
 {
-    return role_ == role::owning ? to_row(count_pending()) : row_.pending;
+    const auto own = count_pending(now);
+    const auto heard = own ? std::optional(own->count) : hooks_.heard_count(id_);
+    return heard && heard->up_to.value() >= row_.pending.up_to ? to_row(*heard) : row_.pending;
 }
 
 std::optional<row_version> flow_cell::jobs_known() const
@@ -791,17 +789,25 @@
     return role_ == role::owning && parts_left_ == 0 ? std::optional(watched_) : std::nullopt;
 }
 
-void flow_cell::on_jobs_watched(row_version after, row_version up_to)
+void flow_cell::on_jobs_watched(row_version after, row_version up_to, std::optional<instant> asked)
 {
     if (jobs_known() && watched_ >= after) {
         watched_ = std::max(watched_, up_to);
+        watched_at_ = std::max(watched_at_, asked.value_or(watched_at_));
+    }
+}
+
+void flow_cell::on_news_read(instant asked)
+{
+    if (jobs_known()) {
+        watched_at_ = std::max(watched_at_, asked);
     }
 }
 
-void flow_cell::on_job_history_gone()
+void flow_cell::on_job_history_gone(instant now)
 {
     if (jobs_known()) {
-        read_all_jobs();
+        read_all_jobs(now);
     }
 }
 
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -59,6 +59,8 @@
     std::function<double(instant, const std::string& service)> share_in_use;
     // A row that the owner of another cell must know.
     std::function<void(instant, const job_row_name&, const wire::flow_job_row&, row_version)> tell_cell;
+    // What is known of the jobs that wait in a cell whose rows are not read yet.
+    std::function<std::optional<pending_count>(const cell_id&)> heard_count;
     // The table has answered nobody that this entry hears from since `since`, and it hears from most entries.
     std::function<bool(instant now, instant since)> table_outage;
     // A state that is durable, for the entry that answers the caller.
@@ -118,9 +120,12 @@
     std::optional<row_version> jobs_known() const;
     // Every row of the table of jobs that changed after the one version and up to the other was given to on_job_row().
     // A cell that was taken while the look was under way may know less than `after`: it is looked for again from there.
-    void on_jobs_watched(row_version after, row_version up_to);
+    // `asked`: when, of a look that showed all there was.
+    void on_jobs_watched(row_version after, row_version up_to, std::optional<instant> asked);
+    // All news that there were when they were asked for were given to on_job_row(), from reads that show no version.
+    void on_news_read(instant asked);
     // The table has discarded changes that were not seen here.
-    void on_job_history_gone();
+    void on_job_history_gone(instant now);
     // Carries out what the events since the last call have made due. Called after every event.
     void settle(instant now);
     // A planned stop: nothing more is started, what is known is written, the row is released.
@@ -133,11 +138,9 @@
     const wire::flow_cell_news& told_news(instant now);
     // What the owner of another cell has learned of images.
     void hint_presses(const std::map<std::string, double>& presses);
-    // The newest count of the jobs that wait here: made now, or while the rows are read the one that the owner before
-    // has left. Empty when there is none, and when this owner may have been followed without knowing.
-    std::optional<pending_count> newest_pending(instant now);
-    // Of the newest count that this owner has made: later ones have the jobs that it knows now.
-    count_stamp last_count() const { return {epoch_, counts_made_}; }
+    // The jobs that wait here. Empty while the rows are read, and when this owner may have been followed without
+    // knowing.
+    std::optional<dated_count> count_pending(instant now) const;
     // Bound to this cell and not ended; null when unknown.
     const flow_job* find_job(const job_id& job) const;
 
@@ -259,7 +262,7 @@
     void on_fenced(instant now, const std::string& part, const store_result& result);
     void use_fence(instant now, const std::string& part, row_version version);
     void fence_anew(const std::string& part);
-    void read_all_jobs();
+    void read_all_jobs(instant now);
     void begin_part();
     void read_part(const std::string& part, const char* table, const std::string& from);
     void on_part_read(instant now, const std::string& part, const char* table, const store_page& page);
@@ -269,8 +272,7 @@
     void write_row(const wire::flow_cell_row& wanted, std::function<void(instant, const store_result&)> done);
     void renew(instant now);
     std::vector<wire::flow_worker_name> tell_workers(instant now, bool releasing);
-    pending_count count_pending();
-    wire::flow_pending_row pending_row();
+    wire::flow_pending_row pending_row(instant now) const;
     void note_named(const wire::flow_cell_row& row);
     void know_named(const wire::flow_cell_row& row);
     void bound_inherited(const wire::flow_cell_row& row);
@@ -527,6 +529,7 @@
     bool row_known_ = false; // read at least once
     bool row_present_ = false;
     row_version row_version_;
+    row_version row_read_version_;  // of the table, when the row was last read
     instant row_unchanged_since_{}; // or its owner was heard of
     instant row_seen_at_{};         // first, as it is now: the renewal that wrote it was sent before
     instant row_read_at_{};
@@ -546,6 +549,7 @@
     std::uint64_t life_ = 0; // of an ownership; callbacks of an earlier one are dropped
     row_version scanned_;    // every job that went on at this version was read at the takeover
     row_version watched_;    // the jobs table is known up to here
+    instant watched_at_{};   // when what showed that was asked for
     instant next_give_away_{};
     instant next_summary_{};
     instant next_waits_log_{};
@@ -577,7 +581,6 @@
     wire::flow_cell_news told_news_;
     instant told_news_at_{};
     std::uint64_t told_news_life_ = 0; // one more than the ownership it was made in; 0: none was
-    std::int64_t counts_made_ = 0;     // of jobs that wait
     instant presses_told_from_{};
     flow_cell_stats stats_;
 };
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -435,6 +435,7 @@
 {
     std::vector<std::pair<job_row_name, wire::flow_job_row>> told;
     std::unique_ptr<flow_job> made;
+    row_version accepted_at;
     for (const store_row& row : rows) {
         auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
         const job_row_name name = job_row_of(row.key);
@@ -448,6 +449,7 @@
         if (whole && (made == nullptr || name.is_own())) {
             made = std::make_unique<flow_job>(id, id_, *decoded, name.is_own() ? row.version : row_version(0));
         }
+        accepted_at = name == accepted_row(id_, id) ? row.version : accepted_at;
         told.emplace_back(name, std::move(*decoded));
     }
     for (const auto& [name, row] : told) {
@@ -456,6 +458,9 @@
             made->note_teller(name.writer);
         }
     }
+    if (made) {
+        made->note_accepted(accepted_at);
+    }
     return made;
 }
 
@@ -525,6 +530,7 @@
     }
     auto made = std::make_unique<flow_job>(name.job, id_, row, row_version(0));
     made->note_teller(name.writer);
+    made->note_accepted(version);
     adopt_job(now, std::move(made));
 }
 
@@ -793,12 +799,6 @@
 {
     if (told_news_life_ != life_ + 1 || told_news_at_ + news_kept <= now) {
         told_news_ = news(now);
-        const auto pending = newest_pending(now);
-        told_news_.pending_whole = pending.has_value();
-        if (pending) {
-            told_news_.counted = to_row({pending->stamp, {}});
-            told_news_.pending = pending->jobs;
-        }
         told_news_at_ = now;
         told_news_life_ = life_ + 1;
         if (now - presses_told_from_ >= presses_interval) {
--- a/src/flow_cells.cpp
+++ b/src/flow_cells.cpp
@@ -227,33 +227,40 @@
     }
     watching_jobs_ = true;
     next_watch_ = now + watch_interval;
-    edges_.watch({news_table, *known, duration(0)}, [this, after = *known](instant then, const store_page& page) {
-        watching_jobs_ = false;
-        if (page.history_gone) {
-            for (auto& [id, cell] : cells_) {
-                cell->on_job_history_gone();
-            }
-        }
-        else if (page.reached) {
-            on_jobs_changed(then, after, page);
-        }
-    });
+    edges_.watch({news_table, *known, duration(0)},
+                 [this, asked = now, after = *known](instant then, const store_page& page) {
+                     watching_jobs_ = false;
+                     if (page.history_gone) {
+                         for (auto& [id, cell] : cells_) {
+                             cell->on_job_history_gone(then);
+                         }
+                     }
+                     else if (page.reached) {
+                         on_jobs_changed(then, asked, after, page);
+                     }
+                 });
 }
 
-void flow_entry::on_jobs_changed(instant now, row_version after, const store_page& page)
+// Up to which version the page of a look at changes after `after` shows all. One that is not the last shows no more
+// than its rows: none that is left out may count as known.
+row_version flow_entry::shown_by(const store_page& page, row_version after)
 {
-    take_news(now, after, page.rows);
-    // A page that is not the last shows no more than its rows: none that is left out may count as known.
-    row_version shown = page.version;
-    if (page.more) {
-        shown = after;
-        for (const store_row& row : page.rows) {
-            shown = std::max(shown, row.version);
-        }
-        shown = std::min(shown, std::max(after, page.version));
+    if (!page.more) {
+        return page.version;
+    }
+    row_version shown = after;
+    for (const store_row& row : page.rows) {
+        shown = std::max(shown, row.version);
     }
+    return std::min(shown, std::max(after, page.version));
+}
+
+void flow_entry::on_jobs_changed(instant now, instant asked, row_version after, const store_page& page)
+{
+    take_news(now, after, page.rows);
+    const row_version shown = shown_by(page, after);
     for (auto& [id, cell] : cells_) {
-        cell->on_jobs_watched(after, shown);
+        cell->on_jobs_watched(after, shown, page.more ? std::nullopt : std::optional(asked));
     }
     if (page.more && shown > after) {
         watch_jobs(now);
@@ -289,7 +296,11 @@
     }
     next_watch_ = now + watch_interval;
     news_reading_ = {};
+    news_reading_.asked = now;
     for (const auto& [id, cell] : cells_) {
+        if (cell->jobs_known()) {
+            news_reading_.cells[id] = cell->epoch();
+        }
         for (int part = 0; cell->jobs_known() && part < job_parts; ++part) {
             news_reading_.unread.emplace_back(id, cell_rows(news_table, id, job_part(part)));
         }
@@ -302,6 +313,7 @@
 void flow_entry::read_next_news(instant now)
 {
     if (!table_away_) {
+        news_reading_.whole = news_reading_.whole && news_reading_.unread.empty();
         news_reading_.unread.clear(); // the next look shows it
     }
     if (!news_reading_.unread.empty()) {
@@ -315,7 +327,17 @@
         });
         return;
     }
-    if (news_reading_.under_way == 0 && news_reading_.answered > 0 && now >= next_news_line_) {
+    if (news_reading_.under_way > 0) {
+        return;
+    }
+    for (const auto& [id, owned] : news_reading_.cells) {
+        flow_cell& cell = *cells_.at(id);
+        if (news_reading_.whole && cell.epoch() == owned) {
+            cell.on_news_read(news_reading_.asked);
+        }
+    }
+    news_reading_.cells.clear();
+    if (news_reading_.answered > 0 && now >= next_news_line_) {
         next_news_line_ = now + watch_interval;
         edges_.note(log_level::info, "table", "news_through_peer",
                     {{"entry", self_.entry.str()},
@@ -328,7 +350,8 @@
 {
     const auto known = cells_.at(id)->jobs_known();
     if (!page.reached || !known) {
-        return; // the next round reads it
+        news_reading_.whole = false; // the next round reads it
+        return;
     }
     ++news_reading_.answered;
     news_reading_.rows += take_news(now, *known, page.rows);
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -100,6 +100,7 @@
     }
     if (now - begun_ >= peers_learned && may_own_) {
         tick_cells(now);
+        keep_pending_counts(now);
     }
     if (now >= next_watch_) {
         watch_jobs(now);
@@ -176,6 +177,10 @@
         return list_room(now, from, service, step);
     };
     hooks.share_in_use = [this](instant now, const std::string& service) { return share_in_use(now, service); };
+    hooks.heard_count = [this](const cell_id& id) -> std::optional<pending_count> {
+        const dated_count* const heard = pending_.find(id);
+        return heard == nullptr ? std::nullopt : std::optional(heard->count);
+    };
     hooks.table_outage = [this](instant now, instant since) { return table_outage(now, since); };
     hooks.tell_cell = [this](instant now, const job_row_name& name, const wire::flow_job_row& row,
                              row_version version) { tell_cell(now, name, row, version); };
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -90,7 +90,6 @@
         instant table_answered{}; // when the table last answered it
         settings_version config;  // in force there
         std::vector<wire::flow_cell_news> cells;
-        std::map<std::string, std::int32_t> untold; // by queue, jobs whose cell's owner it could not tell yet
     };
     // A caller who asks how many jobs of a queue wait.
     struct pending_question {
@@ -98,10 +97,10 @@
         instant asked{};
         caller_reply reply;
     };
-    // A job that this entry has accepted, until a count of its cell has been heard of that includes it.
-    struct told_job {
-        std::string queue;
-        count_stamp after; // the first such count is a later one
+    // Of the counts in the rows of cells, brought up to date with what was accepted since.
+    struct pending_reading {
+        bool under_way = false;
+        std::map<cell_id, pending_count> counts;
     };
     // A job this entry answers callers for.
     struct followed_job {
@@ -129,6 +128,9 @@
     // A look at the news of jobs by reads, which go through a peer where a look does not.
     struct news_reading {
         std::vector<std::pair<cell_id, store_range>> unread;
+        std::map<cell_id, epoch> cells; // whose news are read
+        instant asked{};
+        bool whole = true; // all of it was read
         int under_way = 0;
         std::int64_t answered = 0;
         std::int64_t rows = 0; // newer than what the owner knows by a look
@@ -174,16 +176,20 @@
     // flow_entry_pending.cpp
     void ask_pending(instant now, const queue_id& queue, caller_reply reply);
     void read_pending(instant now);
-    void on_pending_read(instant now, instant asked, const store_page& page);
+    void on_pending_rows(instant now, instant asked, const store_page& page);
+    void look_for_accepted(instant now);
+    void on_accepted_seen(instant now, instant asked, row_version after, const store_page& page);
+    void end_pending_reading(instant now, const std::string& outcome);
+    void keep_pending_counts(instant now);
+    void note_own_counts(instant now);
+    bool counts_all(instant now, instant whole_at) const;
+    bool may_miss_cells(instant now) const;
     std::variant<std::int64_t, counts_missing> count_pending(instant now, const queue_id& queue);
     void tell_pending(instant now, const pending_question& question, std::int64_t jobs);
     void refuse_pending(instant now, const pending_question& question, const counts_missing& missing,
                         const std::string& table);
-    std::map<std::string, std::int32_t> count_uncounted(instant now) const;
-    void note_told(const job_row_name& name, const wire::flow_job_row& row, count_stamp after);
-    void hear_count(const cell_id& cell, const pending_count& count, instant newest_at);
+    void tell_count(instant now, wire::flow_cell_news& news) const;
     void note_pending(instant now, const wire::flow_cell_news& news);
-    bool counts_itself(instant now, const cell_id& cell) const;
 
     // flow_peers.cpp
     void register_self();
@@ -208,7 +214,8 @@
     void write_layout(instant now, const data_centre_id& data_centre);
     flow_cell& cell_of(const cell_id& id, const data_centre_id& data_centre);
     void watch_jobs(instant now);
-    void on_jobs_changed(instant now, row_version after, const store_page& page);
+    static row_version shown_by(const store_page& page, row_version after);
+    void on_jobs_changed(instant now, instant asked, row_version after, const store_page& page);
     std::int64_t take_news(instant now, row_version after, const std::vector<store_row>& rows);
     void read_news(instant now);
     void read_next_news(instant now);
@@ -299,10 +306,11 @@
     instant own_news_at_{};
     absl::flat_hash_map<job_id, followed_job> followed_;
     std::map<job_row_name, untold_row> untold_;
-    std::map<job_row_name, told_job> told_;
     pending_counts pending_;
+    instant own_counts_at_{};
     std::vector<pending_question> pending_questions_; // until the cells' rows have been read
-    bool reading_pending_ = false;
+    pending_reading pending_reading_;
+    instant pending_cells_read_at_{}; // asked for, of all cells
     instant next_pending_read_{};
     std::map<net_address, std::vector<wire::flow_state_news>> state_news_;
     unusable_entries unusable_;
--- a/src/flow_entry_pending.cpp
+++ b/src/flow_entry_pending.cpp
@@ -1,7 +1,6 @@
 // How many accepted jobs of a queue have not started. Any entry is asked, and each cell's owner knows of its own only:
 // owners tell their counts to their peers, and leave them in their cells' rows for who has not heard them.
 #include <algorithm>
-#include <set>
 
 #include "flow_entry_p.h"
 #include "flow_limits_p.h"
@@ -19,12 +18,6 @@
     return !row.started && !row.cancelled && row.outcome == 0;
 }
 
-std::int32_t count_of(const std::map<std::string, std::int32_t>& counts, const queue_id& queue)
-{
-    const auto at = counts.find(queue.str());
-    return at == counts.end() ? 0 : at->second;
-}
-
 } // namespace
 
 void flow_entry::ask_pending(instant now, const queue_id& queue, caller_reply reply)
@@ -35,56 +28,137 @@
         tell_pending(now, question, *jobs);
         return;
     }
-    const bool table_reached = !table_away_ || relay_peer();
-    const bool just_read = !reading_pending_ && now < next_pending_read_;
-    if (!layouts_known_ || !table_reached || just_read) {
-        refuse_pending(now, question, std::get<counts_missing>(counted), table_reached ? "just read" : "not reached");
+    const bool just_read = !pending_reading_.under_way && now < next_pending_read_;
+    if (!layouts_known_ || table_away_ || just_read) {
+        refuse_pending(now, question, std::get<counts_missing>(counted), table_away_ ? "not reached" : "just read");
         return;
     }
     pending_questions_.push_back(question);
-    if (!reading_pending_) {
+    if (!pending_reading_.under_way) {
         read_pending(now);
     }
 }
 
-// One read for all who ask meanwhile.
+// The rows of cells, then all jobs that were accepted since the counts in them. One reading for all who ask meanwhile.
+//
+// Failure: the owner of a cell is gone, with jobs that it took after its last word. Symptom: the count that it left
+// tells none of them, however new whoever reads it takes it for. What the table has since then are just these jobs,
+// whoever took them: nothing starts in a cell without an owner, and one that lives adds what it has started to its row.
 void flow_entry::read_pending(instant now)
 {
-    reading_pending_ = true;
+    pending_reading_ = {};
+    pending_reading_.under_way = true;
     ++stats_.pending_reads;
-    edges_.read({cells_table, shared_part, "", ""}, [this, asked = now](instant then, const store_page& page) {
-        reading_pending_ = false;
-        next_pending_read_ = then + pending_read_pause;
-        on_pending_read(then, asked, page);
-    });
+    edges_.read({cells_table, shared_part, "", ""},
+                [this, asked = now](instant then, const store_page& page) { on_pending_rows(then, asked, page); });
 }
 
-void flow_entry::on_pending_read(instant now, instant asked, const store_page& page)
+void flow_entry::on_pending_rows(instant now, instant asked, const store_page& page)
 {
-    std::set<cell_id> without_row;
-    for (const auto& [id, cell] : cells_) {
-        without_row.insert(id);
+    if (!page.reached) {
+        end_pending_reading(now, page.reason);
+        return;
+    }
+    std::map<cell_id, pending_count>& counts = pending_reading_.counts;
+    if (!page.more) {
+        pending_cells_read_at_ = asked;
+        for (const auto& [id, cell] : cells_) {
+            counts[id] = {{}, page.version}; // without a row it never had an owner, so no job was accepted for it
+        }
     }
     for (const store_row& row : page.rows) {
-        without_row.erase(cell_id(row.key.key));
+        const cell_id id(row.key.key);
         const auto decoded = read_flow_row<wire::flow_cell_row>(edges_, row);
         const auto count = decoded ? from_row(decoded->pending) : std::nullopt;
+        counts.erase(id);
         if (count) {
-            hear_count(cell_id(row.key.key), *count, asked - pending_row_age);
+            counts[id] = *count;
+        }
+    }
+    std::erase_if(counts, [&](const auto& cell) {
+        const dated_count* const heard = pending_.find(cell.first);
+        return heard != nullptr && asked - heard->whole_at < watch_interval;
+    });
+    look_for_accepted(now);
+}
+
+// From the oldest of the counts on.
+void flow_entry::look_for_accepted(instant now)
+{
+    const auto& counts = pending_reading_.counts;
+    if (counts.empty()) {
+        end_pending_reading(now, "read");
+        return;
+    }
+    const auto oldest = std::min_element(counts.begin(), counts.end(),
+                                         [](const auto& a, const auto& b) { return a.second.up_to < b.second.up_to; });
+    edges_.watch({news_table, oldest->second.up_to, duration(0)},
+                 [this, asked = now, after = oldest->second.up_to](instant then, const store_page& page) {
+                     on_accepted_seen(then, asked, after, page);
+                 });
+}
+
+void flow_entry::on_accepted_seen(instant now, instant asked, row_version after, const store_page& page)
+{
+    if (!page.reached || page.history_gone) {
+        end_pending_reading(now, page.history_gone ? "changes discarded" : page.reason);
+        return;
+    }
+    std::map<cell_id, pending_count>& counts = pending_reading_.counts;
+    for (const store_row& row : page.rows) {
+        const job_row_name name = job_row_of(row.key);
+        const auto count = counts.find(name.cell);
+        if (row.removed || count == counts.end() || row.version <= count->second.up_to ||
+            !(name == accepted_row(name.cell, name.job))) {
+            continue;
         }
+        const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
+        if (decoded && waits(*decoded)) {
+            ++count->second.jobs[decoded->queue];
+        }
+    }
+    const row_version shown = shown_by(page, after);
+    for (auto& [cell, count] : counts) {
+        count.up_to = std::max(count.up_to, shown);
+    }
+    if (page.more && shown > after) {
+        look_for_accepted(now);
+        return;
     }
-    if (page.reached && !page.more) {
-        for (const cell_id& cell : without_row) {
-            pending_.hear(cell, {}, asked); // it never had an owner, so no job was accepted for it
+    if (!page.more) {
+        for (const auto& [cell, count] : counts) {
+            pending_.hear(cell, {count, asked, {}});
         }
     }
+    end_pending_reading(now, "read");
+}
+
+void flow_entry::end_pending_reading(instant now, const std::string& outcome)
+{
+    pending_reading_ = {};
+    next_pending_read_ = now + pending_read_pause;
     for (const pending_question& question : std::exchange(pending_questions_, {})) {
         const auto counted = count_pending(now, question.queue);
         if (const auto* const jobs = std::get_if<std::int64_t>(&counted)) {
             tell_pending(now, question, *jobs);
             continue;
         }
-        refuse_pending(now, question, std::get<counts_missing>(counted), page.reached ? "read" : page.reason);
+        refuse_pending(now, question, std::get<counts_missing>(counted), outcome);
+    }
+}
+
+// Failure: owners follow each other faster than one of them reads its rows, so that nobody counts. Symptom: the last
+// count grows older than the changes that the table keeps, and nobody can tell how many jobs wait. So an owner that
+// still reads keeps the count of its cell new, for its row and for its peers.
+void flow_entry::keep_pending_counts(instant now)
+{
+    const bool behind = std::any_of(cells_.begin(), cells_.end(), [this, now](const auto& cell) {
+        const dated_count* const heard = pending_.find(cell.first);
+        return cell.second->current_role() == flow_cell::role::reading &&
+               (heard == nullptr || now - heard->whole_at >= watch_interval);
+    });
+    if (behind && !pending_reading_.under_way && !table_away_ && now >= next_pending_read_) {
+        read_pending(now);
     }
 }
 
@@ -97,8 +171,7 @@
                      {"jobs", std::to_string(jobs)},
                      {"took_ms", std::to_string((now - question.asked) / std::chrono::milliseconds(1))},
                      {"cells", std::to_string(cells_.size())},
-                     {"parts", pending_.parts(question.queue, now)},
-                     {"uncounted", std::to_string(count_of(count_uncounted(now), question.queue))}});
+                     {"parts", pending_.parts(question.queue, now)}});
     }
     question.reply({caller_result::pending, flow_state::queued, jobs, duration(0), ""});
 }
@@ -119,87 +192,68 @@
         {caller_result::try_later, flow_state::queued, 0, unavailable_retry, "the jobs of a cell are not counted yet"});
 }
 
-// While nobody reaches the table no job is accepted and no cell changes hands.
-std::variant<std::int64_t, counts_missing> flow_entry::count_pending(instant now, const queue_id& queue)
+void flow_entry::note_own_counts(instant now)
 {
-    std::vector<cell_id> cells;
+    if (now - own_counts_at_ < own_news_fresh) {
+        return;
+    }
+    own_counts_at_ = now;
     for (const auto& [id, cell] : cells_) {
-        cells.push_back(id);
-        const auto own = cell->newest_pending(now);
+        const auto own = cell->count_pending(now);
         if (own) {
-            hear_count(id, *own, now);
+            pending_.hear(id, *own);
         }
     }
-    auto counted = pending_.count(queue, std::move(cells), [this, now](instant newest_at) {
-        return now - newest_at < pending_fresh || table_outage(now, newest_at);
-    });
-    if (!layouts_known_) {
-        return counts_missing{};
-    }
-    if (auto* const jobs = std::get_if<std::int64_t>(&counted)) {
-        *jobs += count_of(count_uncounted(now), queue);
-        for (const auto& [id, p] : peers_) {
-            *jobs += now - p.heard < pending_fresh ? count_of(p.untold, queue) : 0;
-        }
-    }
-    return counted;
 }
 
-// The cell's owner is heard and counts all its jobs.
-bool flow_entry::counts_itself(instant now, const cell_id& cell) const
+// While nobody reaches the table no job is accepted. Longer than owners go on without the table that is not relied on:
+// others may reach it unheard.
+bool flow_entry::counts_all(instant now, instant whole_at) const
 {
-    const auto own = cells_.find(cell);
-    if (own != cells_.end() && own->second->owns()) {
-        return own->second->takes_news();
-    }
-    const peer* const owner = owner_of(now, cell);
-    return owner != nullptr && !owner->leaving &&
-           std::any_of(owner->cells.begin(), owner->cells.end(), [&cell](const wire::flow_cell_news& news) {
-               return news.cell == cell.str() && news.counted.epoch == news.epoch;
-           });
+    const duration age = now - whole_at;
+    return age < pending_fresh || (age < owner_hold_outage && table_outage(now, whole_at));
 }
 
-// Jobs that this entry has accepted and nobody else counts: their cell's owner could not be told of them, or is gone
-// before it has told others.
-std::map<std::string, std::int32_t> flow_entry::count_uncounted(instant now) const
+// An owner that this entry does not hear may have a cell that was laid out since the cells were last read.
+bool flow_entry::may_miss_cells(instant now) const
 {
-    std::map<std::string, std::int32_t> counts;
-    for (const auto& [name, untold] : untold_) {
-        if (waits(untold.row) && name == accepted_row(name.cell, name.job)) {
-            ++counts[untold.row.queue];
-        }
-    }
-    for (const auto& [name, job] : told_) {
-        const auto followed = followed_.find(name.job);
-        const bool queued = followed == followed_.end() || followed->second.state == flow_state::queued;
-        if (queued && !counts_itself(now, name.cell)) {
-            ++counts[job.queue];
-        }
-    }
-    return counts;
+    const bool all_heard =
+        std::all_of(peers_.begin(), peers_.end(), [&](const auto& p) { return heard(p.second, now); });
+    return !layouts_known_ || (!all_heard && !counts_all(now, std::max(pending_cells_read_at_, layouts_read_at_)));
 }
 
-void flow_entry::note_told(const job_row_name& name, const wire::flow_job_row& row, count_stamp after)
+std::variant<std::int64_t, counts_missing> flow_entry::count_pending(instant now, const queue_id& queue)
 {
-    if (waits(row) && name == accepted_row(name.cell, name.job) && after.owner.value() > 0) {
-        told_[name] = {row.queue, after};
+    note_own_counts(now);
+    if (may_miss_cells(now)) {
+        return counts_missing{};
     }
+    std::vector<cell_id> cells;
+    for (const auto& [id, cell] : cells_) {
+        cells.push_back(id);
+    }
+    return pending_.count(queue, std::move(cells), [this, now](instant whole_at) { return counts_all(now, whole_at); });
 }
 
-void flow_entry::hear_count(const cell_id& cell, const pending_count& count, instant newest_at)
+// For a hello: what this entry knows of a cell that it owns.
+void flow_entry::tell_count(instant now, wire::flow_cell_news& news) const
 {
-    pending_.hear(cell, count, newest_at);
-    std::erase_if(told_, [&](const auto& job) { return job.first.cell == cell && job.second.after < count.stamp; });
+    const dated_count* const known = pending_.find(cell_id(news.cell));
+    if (known != nullptr) {
+        news.pending = known->count.jobs;
+        news.pending_newer = known->newer;
+        news.counted_up_to = known->count.up_to.value();
+        news.counted_ago_ms = std::chrono::ceil<std::chrono::milliseconds>(now - known->whole_at).count();
+    }
 }
 
 void flow_entry::note_pending(instant now, const wire::flow_cell_news& news)
 {
-    if (!news.pending_whole) {
-        return;
+    if (news.counted_up_to > 0) {
+        pending_.hear(cell_id(news.cell), {{news.pending, row_version(news.counted_up_to)},
+                                           now - std::chrono::milliseconds(news.counted_ago_ms),
+                                           news.pending_newer});
     }
-    const bool stamped = news.counted.epoch != 0;
-    const count_stamp stamp{epoch(stamped ? news.counted.epoch : news.epoch), news.counted.number};
-    hear_count(cell_id(news.cell), {stamp, news.pending}, now);
 }
 
 } // namespace skylarkhub
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -520,7 +520,6 @@
     if (own != cells_.end() && own->second->takes_news()) {
         const untold_row row = std::move(at->second);
         untold_.erase(at);
-        note_told(name, row.row, own->second->last_count());
         own->second->on_job_row(now, name, row.row, row.version);
         return;
     }
@@ -545,7 +544,6 @@
                     }
                     row->second.telling = false;
                     if (answer && answer->unknown_jobs.empty() && row->second.version == version) {
-                        note_told(name, row->second.row, {epoch(answer->counted.epoch), answer->counted.number});
                         untold_.erase(row);
                     }
                 });
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -104,6 +104,9 @@
     // The version of the row of `here`, 0 while there is none.
     row_version version() const { return version_; }
     void note_version(row_version version) { version_ = std::max(version_, version); }
+    // Of the row that tells of its acceptance, 0 where that was not read.
+    row_version accepted_at() const { return accepted_at_; }
+    void note_accepted(row_version version) { accepted_at_ = std::max(accepted_at_, version); }
 
     // It is given to `here` and the row of `here` tells so: before, an earlier owner may be told of it as well.
     bool is_received(const flow_task& task) const { return task.received <= written_; }
@@ -190,6 +193,7 @@
     flow_spec spec_;
     std::vector<flow_stage> stages_;
     row_version version_;
+    row_version accepted_at_;
     bool begun_ = false;
     std::uint64_t changes_ = 0;
     std::uint64_t written_ = 0;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -160,11 +160,10 @@
 inline constexpr duration demand_memory = 20s;    // longer than rates of jobs swing
 inline constexpr duration full_retry = 4s;        // some lasting job ends within this on a site that is full
 inline constexpr duration unavailable_retry = 1s; // what a caller is told when the table or the cells are away
-// Of a count of the jobs that wait in a cell: with what it was behind when it was told, less than the five seconds
-// after which an accepted job is to be counted.
-inline constexpr duration pending_fresh = 3s;
-inline constexpr duration pending_row_age = renew_interval; // of the count in a cell's row
-inline constexpr duration pending_read_pause = 500ms;       // after a read of the rows that did not have all counts
+// Of a count of the jobs that wait in a cell: with the time that a hello takes, less than the five seconds after which
+// an accepted job is to be counted.
+inline constexpr duration pending_fresh = 4s;
+inline constexpr duration pending_read_pause = 500ms; // after a read of the rows that did not have all counts
 inline constexpr duration state_fresh = 1500ms; // an owner tells each end at once; older than this, the row is read
 
 inline constexpr duration put_away_kept =
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -87,12 +87,12 @@
     h.leaving = leaving_;
     h.config_version = config_version().value();
     h.table_away = table_away_;
-    h.untold = count_uncounted(now);
+    note_own_counts(now);
     h.table_silent_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - table_answered_).count();
     for (const auto& [id, cell] : cells_) {
         if (cell->owns()) {
             h.cells.push_back(cell->told_news(now));
-            note_pending(now, h.cells.back());
+            tell_count(now, h.cells.back());
         }
     }
     for (const auto& [id, p] : peers_) {
@@ -181,7 +181,6 @@
         }
         cell->second->on_job_row(now, {cell_id(news.cell), job_id(news.job), news.writer}, *row,
                                  row_version(news.version));
-        answer.__set_counted(to_row(pending_count{cell->second->last_count(), {}}));
     }
     for (const wire::flow_state_news& news : message.states) {
         note_state(now, job_id(news.job), static_cast<flow_state>(news.state));
@@ -210,7 +209,6 @@
     p.table_answered = now - std::chrono::milliseconds(h.table_silent_ms);
     note_config(now, p, settings_version(h.config_version));
     p.cells = h.cells;
-    p.untold = h.untold;
     for (const wire::flow_cell_news& cell : h.cells) {
         note_pending(now, cell);
         assigned_cpu_[cell_id(cell.cell)] = 0;
--- a/src/flow_pending.cpp
+++ b/src/flow_pending.cpp
@@ -6,48 +6,62 @@
 
 namespace skylarkhub {
 
+namespace {
+
+std::int32_t jobs_of(const std::map<std::string, std::int32_t>& counts, const queue_id& queue)
+{
+    const auto at = counts.find(queue.str());
+    return at == counts.end() ? 0 : at->second;
+}
+
+std::int32_t jobs_of(const dated_count& heard, const queue_id& queue)
+{
+    return jobs_of(heard.count.jobs, queue) + jobs_of(heard.newer, queue);
+}
+
+} // namespace
+
 wire::flow_pending_row to_row(const pending_count& count)
 {
     wire::flow_pending_row row;
-    row.epoch = count.stamp.owner.value();
-    row.number = count.stamp.number;
     row.pending = count.jobs;
+    row.up_to = count.up_to.value();
     return row;
 }
 
 std::optional<pending_count> from_row(const wire::flow_pending_row& row)
 {
-    if (row.epoch == 0) {
+    if (row.up_to == 0) {
         return std::nullopt;
     }
-    return pending_count{{epoch(row.epoch), row.number}, row.pending};
+    return pending_count{row.pending, row_version(row.up_to)};
 }
 
-void pending_counts::hear(const cell_id& cell, const pending_count& count, instant newest_at)
+void pending_counts::hear(const cell_id& cell, const dated_count& heard)
 {
-    const auto [at, added] = heard_.try_emplace(cell);
-    heard_count& known = at->second;
-    if (!added && count.stamp.owner < known.count.stamp.owner) {
-        return; // of an owner that has been followed
-    }
-    if (added || count.stamp >= known.count.stamp) {
-        known.count = count;
+    const auto [at, added] = heard_.try_emplace(cell, heard);
+    if (!added && heard.whole_at >= at->second.whole_at) {
+        at->second = heard;
     }
-    known.newest_at = std::max(known.newest_at, newest_at);
+}
+
+const dated_count* pending_counts::find(const cell_id& cell) const
+{
+    const auto at = heard_.find(cell);
+    return at == heard_.end() ? nullptr : &at->second;
 }
 
 std::variant<std::int64_t, counts_missing> pending_counts::count(const queue_id& queue, std::vector<cell_id> cells,
-                                                                 const std::function<bool(instant)>& still_newest) const
+                                                                 const std::function<bool(instant)>& new_enough) const
 {
     counts_missing missing;
     std::int64_t sum = 0;
     for (const auto& [cell, heard] : heard_) {
         cells.erase(std::remove(cells.begin(), cells.end(), cell), cells.end());
-        if (!still_newest(heard.newest_at)) {
+        if (!new_enough(heard.whole_at)) {
             missing.cells.push_back(cell);
         }
-        const auto of_queue = heard.count.jobs.find(queue.str());
-        sum += of_queue == heard.count.jobs.end() ? 0 : of_queue->second;
+        sum += jobs_of(heard, queue);
     }
     missing.cells.insert(missing.cells.end(), cells.begin(), cells.end());
     if (!missing.cells.empty()) {
@@ -60,10 +74,8 @@
 {
     std::string parts;
     for (const auto& [cell, heard] : heard_) {
-        const auto of_queue = heard.count.jobs.find(queue.str());
-        const std::int32_t jobs = of_queue == heard.count.jobs.end() ? 0 : of_queue->second;
-        parts += fmt::format("{}{}={}/{}", parts.empty() ? "" : ",", cell.str(), jobs,
-                             (now - heard.newest_at) / std::chrono::milliseconds(1));
+        parts += fmt::format("{}{}={}/{}", parts.empty() ? "" : ",", cell.str(), jobs_of(heard, queue),
+                             (now - heard.whole_at) / std::chrono::milliseconds(1));
     }
     return parts;
 }
--- a/src/flow_pending_p.h
+++ b/src/flow_pending_p.h
@@ -13,23 +13,23 @@
 
 namespace skylarkhub {
 
-// Which of two counts of a cell is the newer: by the owner that made it, then by the order in which that one made them.
-struct count_stamp {
-    epoch owner;
-    std::int64_t number = 0;
-    friend auto operator<=>(const count_stamp&,
-                            const count_stamp&) = default; // NOLINT(modernize-use-nullptr): wrong in clang-tidy 14
-};
-
-// Jobs of one cell no task of which has started, by queue.
+// Jobs of one cell no task of which has started, by queue. Those that were accepted since are not in it: whoever goes
+// by an old count adds them.
 struct pending_count {
-    count_stamp stamp;
     std::map<std::string, std::int32_t> jobs;
+    row_version up_to; // of the table; all jobs accepted until then are counted
 };
 wire::flow_pending_row to_row(const pending_count& count);
-// Empty when nobody has counted them.
+// Empty when nobody has counted them, or not up to a known version.
 std::optional<pending_count> from_row(const wire::flow_pending_row& row);
 
+// A count and the time until when it has all jobs that were accepted, on the clock of who keeps it.
+struct dated_count {
+    pending_count count;
+    instant whole_at{};
+    std::map<std::string, std::int32_t> newer{}; // jobs that were accepted after `count.up_to` and are known already
+};
+
 // The cells of which no count is known that is new enough to answer by.
 struct counts_missing {
     std::vector<cell_id> cells;
@@ -39,21 +39,18 @@
 // the same as none.
 class pending_counts {
 public:
-    // `newest_at`: until then no later owner had counted, as far as whoever tells it knew.
-    void hear(const cell_id& cell, const pending_count& count, instant newest_at);
-    // The jobs of a queue in all `cells`, and in others heard of. `still_newest` says whether a count that was the
-    // newest at some time is still taken for it.
+    void hear(const cell_id& cell, const dated_count& heard);
+    // Null when none was heard of.
+    const dated_count* find(const cell_id& cell) const;
+    // The jobs of a queue in all `cells`, and in others heard of. `new_enough` judges the time until when a count is
+    // whole.
     std::variant<std::int64_t, counts_missing> count(const queue_id& queue, std::vector<cell_id> cells,
-                                                     const std::function<bool(instant)>& still_newest) const;
-    // What each cell heard of adds for the queue, and how long ago that was the newest count: `CELL=JOBS/MILLISECONDS`.
+                                                     const std::function<bool(instant)>& new_enough) const;
+    // What each cell heard of adds for the queue, and how old its count is: `CELL=JOBS/MILLISECONDS`.
     std::string parts(const queue_id& queue, instant now) const;
 
 private:
-    struct heard_count {
-        pending_count count;
-        instant newest_at{};
-    };
-    std::map<cell_id, heard_count> heard_;
+    std::map<cell_id, dated_count> heard_;
 };
 
 } // namespace skylarkhub
