--- a/src/flow_entry_pending.cpp
+++ b/src/flow_entry_pending.cpp
@@ -194,7 +194,7 @@
 
 void flow_entry::note_own_counts(instant now)
 {
-    if (now - own_counts_at_ < own_news_fresh) {
+    if (now - own_counts_at_ < news_kept) {
         return;
     }
     own_counts_at_ = now;
