pending: a start that was only noted or stopped is no begun job

Cause: a job's row says `started` with the note of a lasting task's start, before that is sent. The owner that noted it kept apart whether a worker had taken it, in memory only; the next owner, and the owner of the job's cell, took `started` for it. And `stale_run` is answered to a start whose stop came first, too, and was taken for a run that was.

Ruled out: short work whose starts are refused, come late, or are given to a cell that does not start them; gangs given back; lasting work with the owner that noted it. An end listed as stopped, lapsed or alone is of a run that the worker has taken, so the job has begun.

Change: the row tells apart what callers are shown and whether a worker has taken a task (`begun`). The latter goes out with the next write of the job's cell, as a follower hears it from the workers anyway; another cell writes it to tell. In rows of earlier releases `started` says it for jobs none of whose starts is noted. `stale_run` says nothing of it: the end that is listed does.

After: none short in test_flow_pending_begun (9 cases).

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -68,11 +68,12 @@
   13: i32 outcome = 0             // 0 none, 1 done, 2 failed, 3 cancelled
   14: list<flow_stage_row> stages
   15: i64 accepted_ms = 0
-  16: bool started = false
+  16: bool started = false    // what callers are shown; with a start that is noted, before it is sent
   17: i32 failures_most = 1
   18: i32 priority = 0
   19: i64 run_base = 0        // numbers of runs start above it; raised when the job moves to another cell
   21: bool starts_noted = false // by whoever has written the row: a task without a note was never started
+  22: bool begun = false      // a worker has taken a task
 }
 
 // In flow-cell-jobs, CELL/!fence: every write of the cell's owner is checked against it, so that none comes into force once a
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -165,8 +165,9 @@
         set_paces(now, w);
         return;
     case order_result::stale_run:
-        // It ran and has ended, or was stopped: the next exchange lists the end. If it does not, the run is missing.
-        confirm_start(now, *job, *live);
+        // It ran and has ended, or was stopped, perhaps before it came: the next exchange lists the end, by which the
+        // job has begun. If it does not, the run is missing.
+        live->confirmed = true;
         live->sent = now;
         return;
     case order_result::no_answer:
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -46,9 +46,10 @@
 }
 
 flow_job::flow_job(job_id id, cell_id here, const wire::flow_job_row& row, row_version version)
-    : id_(std::move(id)), here_(std::move(here)), row_(row), spec_(spec_of(row)), version_(version), begun_(row.started)
+    : id_(std::move(id)), here_(std::move(here)), row_(row), spec_(spec_of(row)), version_(version)
 {
     row_.stages.clear();
+    row_.begun = tells_begun(row);
     const std::int32_t occurrences = std::max(1, spec_.occurrences);
     for (std::int32_t k = 0; k < occurrences; ++k) {
         for (std::size_t s = 0; s < spec_.steps.size(); ++s) {
@@ -282,12 +283,24 @@
     return run_number(std::max(task.last_run.value(), base) + 1);
 }
 
+// The owner of the job's cell knows by itself, or hears it from the worker again; that of another cell has to tell it.
 void flow_job::note_begun()
 {
-    begun_ = true;
+    if (!row_.begun) {
+        row_.begun = true;
+        changes_ += bound_here() ? 0 : 1;
+    }
     tell_started();
 }
 
+// Failure: a start is noted, and never comes to a worker. Symptom: the next owner, or the owner of the job's cell where
+// another one noted it, takes the job for begun and leaves it out of those that wait. So only of a job none of whose
+// starts is noted the one says the other.
+bool flow_job::tells_begun(const wire::flow_job_row& row) const
+{
+    return row.begun || (row.started && std::none_of(spec_.steps.begin(), spec_.steps.end(), notes_starts));
+}
+
 void flow_job::tell_started()
 {
     if (!row_.started) {
@@ -463,7 +476,7 @@
             all_told_of_ = index_changed_ = follows = ++changes_;
         }
     }
-    begun_ = begun_ || (other.started && teller != row_teller::own);
+    row_.begun = row_.begun || tells_begun(other);
     if (other.started && !row_.started) {
         row_.started = true;
         if (news) {
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -97,7 +97,7 @@
     bool ended() const { return row_.outcome != 0; }
     // A worker has taken a task, as far as it is known here. Callers may be told sooner that the job has started: of a
     // start that is noted before it is sent, with its note.
-    bool begun() const { return begun_; }
+    bool begun() const { return row_.begun; }
     bool timed() const { return spec_.occurrences > 0; }
     // The job is bound to `here`: its owner says what has become of it.
     bool bound_here() const { return row_.cell == here_.str(); }
@@ -179,6 +179,7 @@
     std::vector<wire::flow_stage_row> stage_rows() const;
     std::set<std::string> concerned_cells() const;
     void tell_started();
+    bool tells_begun(const wire::flow_job_row& row) const;
     void add_stage(std::int32_t occurrence, std::int32_t step);
     void load_stage(instant now, const wire::flow_stage_row& row, bool own);
     void load_home(instant now, flow_stage& stage, flow_task& task, const wire::flow_home_row& home, bool own);
@@ -194,7 +195,6 @@
     std::vector<flow_stage> stages_;
     row_version version_;
     row_version accepted_at_;
-    bool begun_ = false;
     std::uint64_t changes_ = 0;
     std::uint64_t written_ = 0;
     std::set<std::string> tellers_;
--- a/tests/support_flow_world.cpp
+++ b/tests/support_flow_world.cpp
@@ -1130,6 +1130,7 @@
         if ((key.table == jobs_table && !is_fence(key)) || key.table == news_table) {
             auto job = decode_compact<wire::flow_job_row>(row.value).value();
             job.starts_noted = false;
+            job.begun = false;
             for (wire::flow_stage_row& stage : job.stages) {
                 stage.starts.clear();
             }
