--- a/tests/test_flow_pending_begun.cpp
+++ b/tests/test_flow_pending_begun.cpp
@@ -220,3 +220,43 @@
         }
     }
 }
+
+// A task that another cell has begun passes for waiting, as nobody tells the owner of the job's.
+BOOST_AUTO_TEST_CASE(lasting_jobs_begun_in_another_cell_are_not_counted)
+{
+    flow_world w({.data_centres = {"a", "b"}});
+    w.run_for(3s);
+    w.refuse_starts(true);
+    const waiting_jobs jobs = submit_jobs(w, owner_of(w, "a", 4), lasting_spec(1, 8000));
+    const std::string bound_to = holds_job(w, "a", jobs.names.front()) ? "a" : "b";
+    for (int worker = 0; worker < w.worker_count(); ++worker) {
+        if (w.worker(worker).data_centre.str() == bound_to) {
+            w.set_room(worker, {1000, 64000, 0}, 0ms);
+        }
+    }
+    w.run_for(4s);
+    w.refuse_starts(false);
+    BOOST_REQUIRE(w.run_until([&] { return w.running_count() == jobs_sent; }, 5s));
+    BOOST_REQUIRE(w.logged("task", "given_away") > 0);
+    w.run_for(3s);
+    for (int entry = 0; entry < 4; ++entry) {
+        BOOST_TEST(w.pending(entry) == 0);
+    }
+    check_no_faults(w);
+}
+
+// What runs passes for waiting with the owner that follows, as the row only tells of its note.
+BOOST_AUTO_TEST_CASE(lasting_jobs_that_run_are_not_counted_by_the_next_owner)
+{
+    flow_world w({});
+    w.run_for(3s);
+    const int owner = owner_of(w, "a", 2);
+    submit_jobs(w, owner, lasting_spec(1, 1000));
+    BOOST_REQUIRE(w.run_until([&] { return w.running_count() == jobs_sent; }, 3s));
+    w.run_for(1s);
+    w.kill_entry(owner);
+    w.run_for(5s);
+    BOOST_REQUIRE(owner_of(w, "a", 2) == 1 - owner);
+    BOOST_TEST(w.pending(1 - owner) == 0);
+    check_no_faults(w);
+}
