--- a/tests/test_flow_pending_cut.cpp
+++ b/tests/test_flow_pending_cut.cpp
@@ -281,6 +281,63 @@
     check.check(40, check.submitted());
 }
 
+// What the entry tells its peers now.
+wire::flow_message told_now(flow_world& world, int entry, const std::string& name)
+{
+    wire::flow_message asks;
+    wire::flow_hello own; // an entry takes nothing from a hello of its own
+    own.sender.entry = name;
+    asks.__set_hello(own);
+    wire::flow_message told;
+    world.entry(entry)->on_message(world.now(), asks, [&told](const wire::flow_message& answer) { told = answer; });
+    return told;
+}
+
+// A data centre is cut off; a hello that its peers sent as the cut began arrives when it ends, as the network's own
+// repetitions have it. A job is taken outside meanwhile.
+void play_hello_kept_by_cut(std::uint64_t seed)
+{
+    flow_world::options o;
+    o.seed = seed;
+    o.data_centres = {"a", "b", "c", "d"};
+    o.entries_each = entries_each;
+    o.workers_each = 12;
+    o.rack_size = 6;
+    flow_world world(o);
+    world.run_for(begun_after + 331ms * static_cast<int>(seed));
+    const auto cut = [&world](bool on) {
+        for (int entry = entries_count - entries_each; entry < entries_count; ++entry) {
+            world.cut_entry_from_peers(entry, on);
+        }
+    };
+    cut(true);
+    std::vector<wire::flow_message> under_way;
+    for (int entry = 0; entry < entries_count - entries_each; ++entry) {
+        const std::string name = fmt::format(
+            "entry-{}-{}", o.data_centres.at(static_cast<std::size_t>(entry) / entries_each), entry % entries_each);
+        under_way.push_back(told_now(world, entry, name));
+    }
+    pending_check check(world);
+    world.run_for(100ms);
+    check.submit(0);
+    world.run_for(20ms);
+    check.note_accepted();
+    BOOST_REQUIRE(check.accepted() == 1);
+    world.run_for(cut_until - cut_from - 120ms);
+    cut(false);
+    constexpr int asked = entries_count - 1;
+    for (const wire::flow_message& hello : under_way) {
+        world.entry(asked)->on_message(world.now(), hello, [](const wire::flow_message&) {});
+    }
+    for (duration t{0}; t < 5s; t += step / 5) {
+        check.ask(asked);
+        world.run_for(step / 5);
+    }
+    world.run_for(pending_check::told_most);
+    check_no_faults(world);
+    check.check(200, check.submitted());
+}
+
 } // namespace
 
 // Whoever is cut off hears no owner outside, and nobody outside hears those within.
@@ -354,3 +411,11 @@
         play_late_hello(seed);
     }
 }
+
+// A hello that the cut held back is taken for new when the cut ends, and stands before newer ones.
+BOOST_AUTO_TEST_CASE(jobs_are_counted_though_a_cut_held_a_hello_back)
+{
+    for (std::uint64_t seed = 1; seed <= 2 * seeds; ++seed) {
+        play_hello_kept_by_cut(seed);
+    }
+}
