--- a/tests/test_flow_pending_cut.cpp
+++ b/tests/test_flow_pending_cut.cpp
@@ -295,7 +295,7 @@
 
 // A data centre is cut off; a hello that its peers sent as the cut began arrives when it ends, as the network's own
 // repetitions have it. A job is taken outside meanwhile.
-void play_hello_kept_by_cut(std::uint64_t seed)
+void play_hello_kept_by_cut(std::uint64_t seed, bool asked_meanwhile)
 {
     flow_world::options o;
     o.seed = seed;
@@ -323,9 +323,14 @@
     world.run_for(20ms);
     check.note_accepted();
     BOOST_REQUIRE(check.accepted() == 1);
-    world.run_for(cut_until - cut_from - 120ms);
-    cut(false);
     constexpr int asked = entries_count - 1;
+    for (duration t = 120ms; t < cut_until - cut_from; t += step / 5) {
+        if (asked_meanwhile) {
+            check.ask(asked);
+        }
+        world.run_for(step / 5);
+    }
+    cut(false);
     for (const wire::flow_message& hello : under_way) {
         world.entry(asked)->on_message(world.now(), hello, [](const wire::flow_message&) {});
     }
@@ -450,7 +455,7 @@
 BOOST_AUTO_TEST_CASE(jobs_are_counted_though_a_cut_held_a_hello_back)
 {
     for (std::uint64_t seed = 1; seed <= 2 * seeds; ++seed) {
-        play_hello_kept_by_cut(seed);
+        play_hello_kept_by_cut(seed, false);
     }
 }
 
@@ -461,3 +466,11 @@
         play_many_pages(seed);
     }
 }
+
+// The same where newer counts were read from the table meanwhile.
+BOOST_AUTO_TEST_CASE(jobs_are_counted_though_a_cut_held_a_hello_back_and_rows_were_read)
+{
+    for (std::uint64_t seed = 1; seed <= 2 * seeds; ++seed) {
+        play_hello_kept_by_cut(seed, true);
+    }
+}
