--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -167,6 +167,9 @@
   5: list<flow_entry_row> members
   6: bool table_away = false // the sender cannot reach the table itself
   7: i64 table_silent_ms = 0 // since the table last answered the sender, whatever it was asked
+  9: i64 sent_ms = 0         // on the sender's steady clock
+  10: i64 echo_ms = 0        // `sent_ms` of the newest hello that the sender has had of the receiver; 0: of none
+  11: i64 echo_ago_ms = 0    // since it had that
 }
 
 // A call to the table that the sender asks the receiver to make for it.
--- a/src/flow_cell_own.cpp
+++ b/src/flow_cell_own.cpp
@@ -514,6 +514,7 @@
             awaited_.insert(id);
         }
     }
+    fresh_ = false; // a part that is fenced anew from now on is read
     const duration wait = std::max<duration>(duration(0), old_owner_silent_ - now);
     edges_.note(log_level::info, "cell", "owned",
                 {{"cell", id_.str()},
@@ -763,7 +764,7 @@
 
 std::optional<dated_count> flow_cell::count_pending(instant now) const
 {
-    if (role_ != role::owning || !may_hold(now)) {
+    if (!jobs_known() || !may_hold(now)) {
         return std::nullopt;
     }
     dated_count counted{{{}, watched_}, watched_at_, {}};
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -102,6 +102,7 @@
         tick_cells(now);
         keep_pending_counts(now);
     }
+    refuse_late_questions(now);
     if (now >= next_watch_) {
         watch_jobs(now);
     }
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -88,6 +88,7 @@
         bool telling = false;
         bool table_away = false;
         instant table_answered{}; // when the table last answered it
+        std::int64_t sent_ms = 0; // of the hello that was heard last, on its clock
         settings_version config;  // in force there
         std::vector<wire::flow_cell_news> cells;
     };
@@ -189,16 +190,19 @@
     void refuse_pending(instant now, const pending_question& question, const counts_missing& missing,
                         const std::string& table);
     void tell_count(instant now, wire::flow_cell_news& news) const;
-    void note_pending(instant now, const wire::flow_cell_news& news);
+    void note_pending(instant told_at, const wire::flow_cell_news& news);
+    void refuse_late_questions(instant now);
 
     // flow_peers.cpp
     void register_self();
     void read_entries(instant now);
     void learn(const wire::flow_entry_row& row);
     void tell_peers(instant now, bool everyone);
-    void tell(peer& p, const wire::flow_message& message);
+    void tell(instant now, peer& p, const wire::flow_message& message);
     wire::flow_hello hello(instant now, bool with_members);
-    bool on_hello(instant now, const wire::flow_hello& hello);
+    static void echo_to(instant now, const peer& p, wire::flow_hello& hello);
+    std::optional<instant> sent_after(instant now, const wire::flow_hello& hello) const;
+    bool on_hello(instant now, const wire::flow_hello& hello, std::optional<instant> asked);
     bool heard(const peer& p, instant now) const;
     const peer* owner_of(instant now, const cell_id& cell) const;
     cell_candidacy candidacy(instant now, const flow_cell& cell) const;
@@ -252,7 +256,8 @@
     void serve_commit(const wire::flow_relayed_commit& asked, std::function<void(const wire::flow_message&)> reply);
     void serve_read(const wire::flow_relayed_read& asked, std::function<void(const wire::flow_message&)> reply);
 
-    wire::flow_message take_message(instant now, const wire::flow_message& message);
+    // `asked`: when, of an answer.
+    wire::flow_message take_message(instant now, const wire::flow_message& message, std::optional<instant> asked);
 
     entry_identity self_;
     flow_edges direct_; // what this entry reaches itself
--- a/src/flow_entry_pending.cpp
+++ b/src/flow_entry_pending.cpp
@@ -75,6 +75,10 @@
             counts[id] = *count;
         }
     }
+    for (auto& [cell, count] : counts) {
+        const dated_count* const heard = pending_.find(cell);
+        count = heard != nullptr && heard->count.up_to > count.up_to ? heard->count : count;
+    }
     std::erase_if(counts, [&](const auto& cell) {
         const dated_count* const heard = pending_.find(cell.first);
         return heard != nullptr && asked - heard->whole_at < watch_interval;
@@ -162,6 +166,18 @@
     }
 }
 
+// A reading that takes many pages, or gets no answer, goes on for those who ask next.
+void flow_entry::refuse_late_questions(instant now)
+{
+    for (const pending_question& question : pending_questions_) {
+        if (now - question.asked >= pending_answer_most) {
+            refuse_pending(now, question, {}, "still read");
+        }
+    }
+    std::erase_if(pending_questions_,
+                  [now](const pending_question& question) { return now - question.asked >= pending_answer_most; });
+}
+
 void flow_entry::tell_pending(instant now, const pending_question& question, std::int64_t jobs)
 {
     if (now >= next_pending_line_) {
@@ -247,11 +263,12 @@
     }
 }
 
-void flow_entry::note_pending(instant now, const wire::flow_cell_news& news)
+// `told_at`: no later than it was sent.
+void flow_entry::note_pending(instant told_at, const wire::flow_cell_news& news)
 {
     if (news.counted_up_to > 0) {
         pending_.hear(cell_id(news.cell), {{news.pending, row_version(news.counted_up_to)},
-                                           now - std::chrono::milliseconds(news.counted_ago_ms),
+                                           told_at - std::chrono::milliseconds(news.counted_ago_ms),
                                            news.pending_newer});
     }
 }
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -88,6 +88,7 @@
     h.config_version = config_version().value();
     h.table_away = table_away_;
     note_own_counts(now);
+    h.sent_ms = std::chrono::floor<std::chrono::milliseconds>(now.time_since_epoch()).count();
     h.table_silent_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - table_answered_).count();
     for (const auto& [id, cell] : cells_) {
         if (cell->owns()) {
@@ -114,25 +115,44 @@
     for (auto& [id, p] : peers_) {
         // One exchange tells both sides, so of two that know each other one begins.
         if (everyone || !heard(p, now) || self_.entry < id) {
-            tell(p, message);
+            echo_to(now, p, message.hello);
+            tell(now, p, message);
         }
     }
 }
 
-void flow_entry::tell(peer& p, const wire::flow_message& message)
+// Failure: a hello is long under way, held back by a cut or by an entry that stands still. Symptom: what it tells passes
+// for new when it arrives, and stands before newer news. So it says which hello of the receiver its sender had had, and
+// how long ago, and is as old as that at the most.
+void flow_entry::echo_to(instant now, const peer& p, wire::flow_hello& hello)
+{
+    hello.echo_ms = p.sent_ms;
+    hello.echo_ago_ms = std::chrono::floor<std::chrono::milliseconds>(now - p.heard).count();
+}
+
+// Empty when the sender had not heard of this life.
+std::optional<instant> flow_entry::sent_after(instant now, const wire::flow_hello& hello) const
+{
+    const instant sent{std::chrono::milliseconds(hello.echo_ms + hello.echo_ago_ms)};
+    const bool of_this_life = instant{std::chrono::milliseconds(hello.echo_ms + 1)} > begun_ && sent <= now;
+    return of_this_life ? std::optional(sent) : std::nullopt;
+}
+
+void flow_entry::tell(instant now, peer& p, const wire::flow_message& message)
 {
     if (p.telling) {
         return;
     }
     p.telling = true;
     edges_.tell(p.identity.address, message,
-                [this, id = p.identity.entry](instant then, const std::optional<wire::flow_message>& answer) {
+                [this, id = p.identity.entry, asked = now](instant then,
+                                                           const std::optional<wire::flow_message>& answer) {
                     const auto at = peers_.find(id);
                     if (at != peers_.end()) {
                         at->second.telling = false;
                     }
                     if (answer) {
-                        take_message(then, *answer);
+                        take_message(then, *answer, asked);
                         return;
                     }
                     ++stats_.peers_unanswered;
@@ -156,15 +176,16 @@
         reply(serve_config(now, message.config_ask));
     }
     else {
-        reply(take_message(now, message));
+        reply(take_message(now, message, std::nullopt));
     }
 }
 
-wire::flow_message flow_entry::take_message(instant now, const wire::flow_message& message)
+wire::flow_message flow_entry::take_message(instant now, const wire::flow_message& message,
+                                            std::optional<instant> asked)
 {
     wire::flow_message answer;
     if (message.__isset.hello) {
-        const bool new_life = on_hello(now, message.hello);
+        const bool new_life = on_hello(now, message.hello, asked);
         answer.__set_hello(hello(now, new_life || !message.hello.members.empty()));
     }
     for (const wire::flow_row_news& news : message.rows) {
@@ -189,7 +210,7 @@
 }
 
 // Whether the sender is in a life that this entry had not heard of.
-bool flow_entry::on_hello(instant now, const wire::flow_hello& h)
+bool flow_entry::on_hello(instant now, const wire::flow_hello& h, std::optional<instant> asked)
 {
     if (h.sender.entry == self_.entry.str()) {
         return false;
@@ -203,14 +224,18 @@
     }
     p.identity = identity_of(h.sender);
     p.heard = now;
+    p.sent_ms = h.sent_ms;
     p.ever_heard = true;
     p.leaving = h.leaving;
     p.table_away = h.table_away;
     p.table_answered = now - std::chrono::milliseconds(h.table_silent_ms);
     note_config(now, p, settings_version(h.config_version));
     p.cells = h.cells;
+    const std::optional<instant> told_at = asked ? asked : sent_after(now, h);
     for (const wire::flow_cell_news& cell : h.cells) {
-        note_pending(now, cell);
+        if (told_at) {
+            note_pending(*told_at, cell);
+        }
         assigned_cpu_[cell_id(cell.cell)] = 0;
         for (auto& [id, own] : cells_) {
             own->hint_presses(cell.presses);
