pending: only a peer that was heard once makes the list of cells old

The table keeps the rows of entries that are gone: each read of them would have made every entry read the cells' rows each four seconds, for good.

--- a/src/flow_entry_pending.cpp
+++ b/src/flow_entry_pending.cpp
@@ -230,12 +230,13 @@
     return age < pending_fresh || (age < owner_hold_outage && table_outage(now, whole_at));
 }
 
-// An owner that this entry does not hear may have a cell that was laid out since the cells were last read.
+// A peer that has fallen silent may own a cell that was laid out since the cells were last read. Of one that was never
+// heard, the table may keep the row long after it is gone.
 bool flow_entry::may_miss_cells(instant now) const
 {
-    const bool all_heard =
-        std::all_of(peers_.begin(), peers_.end(), [&](const auto& p) { return heard(p.second, now); });
-    return !layouts_known_ || (!all_heard && !counts_all(now, std::max(pending_cells_read_at_, layouts_read_at_)));
+    const bool silent = std::any_of(peers_.begin(), peers_.end(),
+                                    [&](const auto& p) { return p.second.ever_heard && !heard(p.second, now); });
+    return !layouts_known_ || (silent && !counts_all(now, std::max(pending_cells_read_at_, layouts_read_at_)));
 }
 
 std::variant<std::int64_t, counts_missing> flow_entry::count_pending(instant now, const queue_id& queue)
