test_flow_pending_cut: one site and one kill of a data centre for all plays

The options of the site stood five times and the kill of its first data centre three times, all the same.

--- a/tests/test_flow_pending_cut.cpp
+++ b/tests/test_flow_pending_cut.cpp
@@ -34,6 +34,24 @@
 constexpr duration slow_table = 240ms;
 constexpr duration sound_table = 8ms;
 
+flow_world::options site_options(std::uint64_t seed)
+{
+    flow_world::options o;
+    o.seed = seed;
+    o.data_centres = {"a", "b", "c", "d"};
+    o.entries_each = entries_each;
+    o.workers_each = 12;
+    o.rack_size = 6;
+    return o;
+}
+
+void kill_first_data_centre(flow_world& world)
+{
+    for (int entry = 0; entry < entries_each; ++entry) {
+        world.kill_entry(entry);
+    }
+}
+
 enum class fault : std::uint8_t { none, frozen, off_table, slow, stopped, table_slow, history, killed };
 
 enum class takers : std::uint8_t { all, data_centre, owner_before_fault }; // who takes jobs
@@ -91,12 +109,7 @@
 private:
     static flow_world::options make_options(const cut_case& c)
     {
-        flow_world::options o;
-        o.seed = c.seed;
-        o.data_centres = {"a", "b", "c", "d"};
-        o.entries_each = entries_each;
-        o.workers_each = 12;
-        o.rack_size = 6;
+        flow_world::options o = site_options(c.seed);
         o.table_latency = sound_table;
         return o;
     }
@@ -215,12 +228,7 @@
 // has just taken a job; `page_time` is what a page of rows takes.
 void play_forgotten(std::uint64_t seed, duration page_time, duration read_for)
 {
-    flow_world::options o;
-    o.seed = seed;
-    o.data_centres = {"a", "b", "c", "d"};
-    o.entries_each = entries_each;
-    o.workers_each = 12;
-    o.rack_size = 6;
+    flow_world::options o = site_options(seed);
     o.jobs_page_time = page_time;
     flow_world world(o);
     world.run_for(15s + 131ms * static_cast<int>(seed));
@@ -231,9 +239,7 @@
     world.run_for(20ms);
     check.note_accepted();
     BOOST_REQUIRE(check.accepted() == 1);
-    for (int entry = 0; entry < entries_each; ++entry) {
-        world.kill_entry(entry);
-    }
+    kill_first_data_centre(world);
     for (duration t{0}; t < 15s; t += step) {
         for (int entry = entries_each; entry < entries_count; ++entry) {
             check.ask(entry);
@@ -249,12 +255,7 @@
 // owner's data centre is killed, and the entry is cut off from its peers.
 void play_late_hello(std::uint64_t seed)
 {
-    flow_world::options o;
-    o.seed = seed;
-    o.data_centres = {"a", "b", "c", "d"};
-    o.entries_each = entries_each;
-    o.workers_each = 12;
-    o.rack_size = 6;
+    flow_world::options o = site_options(seed);
     flow_world world(o);
     constexpr int asked = entries_count - 1;
     world.run_for(begun_after + 131ms * static_cast<int>(seed));
@@ -266,9 +267,7 @@
     world.run_for(20ms);
     check.note_accepted();
     BOOST_REQUIRE(check.accepted() == 1);
-    for (int entry = 0; entry < entries_each; ++entry) {
-        world.kill_entry(entry);
-    }
+    kill_first_data_centre(world);
     world.run_for(fault_lasts - 600ms - 20ms);
     world.thaw_entry(asked);
     world.run_for(in_touch_after);
@@ -297,12 +296,7 @@
 // repetitions have it. A job is taken outside meanwhile.
 void play_hello_kept_by_cut(std::uint64_t seed, bool asked_meanwhile)
 {
-    flow_world::options o;
-    o.seed = seed;
-    o.data_centres = {"a", "b", "c", "d"};
-    o.entries_each = entries_each;
-    o.workers_each = 12;
-    o.rack_size = 6;
+    flow_world::options o = site_options(seed);
     flow_world world(o);
     world.run_for(begun_after + 331ms * static_cast<int>(seed));
     const auto cut = [&world](bool on) {
@@ -346,12 +340,7 @@
 // Kills all entries of a data centre that has just taken a job, while others take many and a look shows few rows.
 void play_many_pages(std::uint64_t seed)
 {
-    flow_world::options o;
-    o.seed = seed;
-    o.data_centres = {"a", "b", "c", "d"};
-    o.entries_each = entries_each;
-    o.workers_each = 12;
-    o.rack_size = 6;
+    flow_world::options o = site_options(seed);
     o.look_rows = 10;
     o.table_latency = slow_table;
     flow_world world(o);
@@ -361,9 +350,7 @@
     world.run_for(1500ms);
     check.note_accepted();
     BOOST_REQUIRE(check.accepted() == 1);
-    for (int entry = 0; entry < entries_each; ++entry) {
-        world.kill_entry(entry);
-    }
+    kill_first_data_centre(world);
     for (duration t{0}; t < 15s; t += step) {
         for (int entry = entries_each; entry < entries_count; ++entry) {
             check.note_accepted();
