front: a cancel that is found in the table reaches the owner of the cell

Callers saw: a cancel was answered 200, and the tasks of the job ran on, and new ones started, until the owner's watch of the news found the row. With a watch that is behind they ran on for as long as it was.

Cause: the write of a cancel that gets no answer is tried again through cancel(), which reads the index first. The row that the first try had left there was taken for a cancel that somebody had carried out: the caller was answered at once, without a log line and without notify_cell_owner(). The same happened to a caller who repeats the cancel at another entry because the one that wrote it was gone.

The case of a conflict at the write itself was ruled out: there the owner was notified.

Change: confirm_cancel() is the one place that answers a cancel which is in the table, written by this try, an earlier one or another entry. It logs cancel_accepted, with written_before, and notifies the owner with the version of the row, again until the owner acknowledges it. An owner that knows the cancel merges the row without effect. Cancels of unknown and of ended jobs, and those given up, have a log line now. For an ended job nothing is handed on, since its owner wrote the end.

--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -124,6 +124,11 @@
         std::string reason;
         duration retry_delay{0};
     };
+    // A cancel that is in the table.
+    struct stored_cancel {
+        row_version version;
+        bool written_before = false; // by an earlier try or another entry
+    };
     // A written job row that the owner of its cell has not acknowledged yet.
     struct unacknowledged_row {
         wire::flow_job_row row;
@@ -176,6 +181,8 @@
     void update_job_state(instant now, const job_id& job, flow_state state);
     void cancel(const job_id& job, instant give_up, caller_reply reply);
     void write_cancel(const job_id& job, const cell_id& cell, instant give_up, caller_reply reply);
+    void confirm_cancel(instant now, const job_id& job, const cell_id& cell, stored_cancel cancel,
+                        const caller_reply& reply);
     void notify_cell_owner(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version);
     // Checks the parts of the table from `part` on for jobs of an earlier release.
     void check_for_legacy_jobs(int part);
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -23,6 +23,23 @@
     return {caller_result::retry_later, flow_state::queued, 0, unavailable_retry, "a newer configuration may exist"};
 }
 
+// The row with which a cancel is stored, in the index and in the news for the owner of the cell.
+wire::flow_job_row make_cancel_row(const cell_id& cell)
+{
+    wire::flow_job_row row;
+    row.cell = cell.str();
+    row.cancelled = true;
+    row.starts_noted = true;
+    return row;
+}
+
+// Returns the version of the row with this key, or 0 if it is not among the rows.
+row_version version_of(const std::vector<store_row>& rows, const store_key& key)
+{
+    const auto at = std::find_if(rows.begin(), rows.end(), [&key](const store_row& row) { return row.key == key; });
+    return at == rows.end() ? row_version(0) : at->version;
+}
+
 // Returns why a specification can't run, or an empty string if it can.
 std::string find_problem(const flow_spec& spec)
 {
@@ -759,6 +776,7 @@
             return;
         }
         if (page.rows.empty()) {
+            edges_.note(log_level::info, "job", "cancel_of_unknown_job", {{"job", job.str()}});
             reply({caller_result::unknown_job, flow_state::queued, 0, duration(0), "no such job"});
             return;
         }
@@ -767,10 +785,15 @@
             reply({caller_result::retry_later, flow_state::queued, 0, unavailable_retry, "row unreadable"});
             return;
         }
-        if (row->cancelled || row->outcome != 0) {
+        if (row->outcome != 0) {
+            edges_.note(log_level::info, "job", "cancel_of_ended_job", {{"job", job.str()}});
             reply({caller_result::cancelled, flow_state::cancelled, 0, duration(0), ""});
             return;
         }
+        if (row->cancelled) {
+            confirm_cancel(then, job, cell_id(row->cell), {version_of(page.rows, index_cancel_key(job)), true}, reply);
+            return;
+        }
         write_cancel(job, cell_id(row->cell), give_up, reply);
     });
 }
@@ -778,36 +801,47 @@
 // A cancel has rows of its own, so that it does not conflict with writes of the cell's owner.
 void flow_entry::write_cancel(const job_id& job, const cell_id& cell, instant give_up, caller_reply reply)
 {
-    wire::flow_job_row row;
-    row.cell = cell.str();
-    row.cancelled = true;
-    row.starts_noted = true;
-    const job_row_name name = cancel_row(cell, job);
+    const std::string value = encode_compact(make_cancel_row(cell));
     store_transaction t;
     t.checks.push_back({index_cancel_key(job), row_version(0)});
-    t.puts.push_back({index_cancel_key(job), encode_compact(row)});
-    t.puts.push_back({job_row_key(name), encode_compact(row)});
-    edges_.commit(std::move(t), [this, job, name, row, give_up, reply = std::move(reply)](instant then,
-                                                                                          const store_result& result) {
-        const bool there = result.outcome == table_outcome::conflict && !result.rows.empty();
-        if (result.outcome == table_outcome::applied || there) {
-            const row_version version = there ? result.rows.front().version : result.version;
-            edges_.note(log_level::info, "job", "cancel_accepted",
-                        {{"job", job.str()}, {"version", std::to_string(version.value())}});
-            const auto at = tracked_jobs_.find(job);
-            if (at != tracked_jobs_.end()) {
-                at->second.state = flow_state::cancelled;
-            }
-            reply({caller_result::cancelled, flow_state::cancelled, 0, duration(0), ""});
-            notify_cell_owner(then, name, row, version);
+    t.puts.push_back({index_cancel_key(job), value});
+    t.puts.push_back({job_row_key(cancel_row(cell, job)), value});
+    edges_.commit(std::move(t), [this, job, cell, give_up, reply = std::move(reply)](instant then,
+                                                                                     const store_result& result) {
+        if (result.outcome == table_outcome::applied) {
+            confirm_cancel(then, job, cell, {result.version, false}, reply);
+            return;
+        }
+        if (result.outcome == table_outcome::conflict && !result.rows.empty()) {
+            confirm_cancel(then, job, cell, {result.rows.front().version, true}, reply);
             return;
         }
         if (then + accept_retry < give_up) {
             edges_.after(accept_retry, [this, job, give_up, reply](instant) { cancel(job, give_up, reply); });
             return;
         }
+        edges_.note(log_level::warning, "job", "cancel_unsettled", {{"job", job.str()}, {"reason", result.reason}});
         reply({caller_result::retry_later, flow_state::queued, 0, unavailable_retry, "the table could not be written"});
     });
 }
 
+// Answers a cancel that is in the table, and notifies the owner of the job's cell. Failure: the cancel was written by
+// an earlier try whose answer was lost, or by an entry that has stopped since. Symptom: the caller is told that the job
+// is cancelled, but nobody tells the owner, and the tasks run on. So the owner is notified by whoever finds the cancel;
+// for an owner that knows it, the message changes nothing.
+void flow_entry::confirm_cancel(instant now, const job_id& job, const cell_id& cell, stored_cancel cancel,
+                                const caller_reply& reply)
+{
+    edges_.note(log_level::info, "job", "cancel_accepted",
+                {{"job", job.str()},
+                 {"version", std::to_string(cancel.version.value())},
+                 {"written_before", cancel.written_before ? "yes" : "no"}});
+    const auto at = tracked_jobs_.find(job);
+    if (at != tracked_jobs_.end()) {
+        at->second.state = flow_state::cancelled;
+    }
+    reply({caller_result::cancelled, flow_state::cancelled, 0, duration(0), ""});
+    notify_cell_owner(now, cancel_row(cell, job), make_cancel_row(cell), cancel.version);
+}
+
 } // namespace skylarkhub
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -315,6 +315,19 @@
     });
 }
 
+bool flow_simulation::takes_dropped_answer(const store_transaction& t)
+{
+    if (answers_to_drop_ > 0) {
+        --answers_to_drop_;
+        return true;
+    }
+    if (chosen_answers_to_drop_ > 0 && chosen_to_drop_(t)) {
+        --chosen_answers_to_drop_;
+        return true;
+    }
+    return false;
+}
+
 flow_edges flow_simulation::make_edges(int entry)
 {
     const std::uint64_t life = entries_.at(static_cast<std::size_t>(entry)).life;
@@ -342,8 +355,7 @@
         }
         schedule(options_.table_latency, [this, entry, t, answer, done = std::move(done)] {
             store_result result = apply(t);
-            if (answers_to_drop_ > 0) {
-                --answers_to_drop_;
+            if (takes_dropped_answer(t)) {
                 result = {};
                 answer(done, result, 1500ms);
                 return;
@@ -368,7 +380,7 @@
     };
     edges.watch = [this, entry, answer](const store_watch& watch, std::function<void(instant, store_page)> done) {
         job_watch_counts_[entry] += watch.table == news_table ? 1 : 0;
-        if (!table_reached(entry)) {
+        if (!table_reached(entry) || (drop_job_watches_ && watch.table == news_table)) {
             answer(std::move(done), store_page{}, 1500ms);
             return;
         }
@@ -1269,17 +1281,26 @@
     return answers_[job].size() > before ? answers_[job].back() : caller_result::outcome_unknown;
 }
 
-caller_result flow_simulation::cancel(int entry, const std::string& job)
+void flow_simulation::ask_to_cancel(int entry, const std::string& job, const caller_reply& reply)
 {
-    // Shared with the reply, which may come after this function has returned.
-    const auto result = std::make_shared<std::optional<caller_result>>();
     caller_request request;
     request.verb = caller_verb::cancel;
     request.host = "host";
     request.path = "/q/" + job;
-    on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life, [request, result](flow_entry& e, instant now) {
-        e.on_request(now, request, [result](const caller_answer& answer) { *result = answer.result; });
-    });
+    on_entry(entry, entries_.at(static_cast<std::size_t>(entry)).life,
+             [request, reply](flow_entry& e, instant now) { e.on_request(now, request, reply); });
+}
+
+void flow_simulation::send_cancel(int entry, const std::string& job)
+{
+    ask_to_cancel(entry, job, [](const caller_answer&) {});
+}
+
+caller_result flow_simulation::cancel(int entry, const std::string& job)
+{
+    // Shared with the reply, which may come after this function has returned.
+    const auto result = std::make_shared<std::optional<caller_result>>();
+    ask_to_cancel(entry, job, [result](const caller_answer& answer) { *result = answer.result; });
     run_until([&] { return result->has_value(); }, 4s);
     if (*result == caller_result::cancelled) {
         schedule(3s, [this, job] {
--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -123,6 +123,8 @@
     // --- requests of callers, sent to entry number `entry` ---
     caller_result submit(int entry, const std::string& job, const flow_spec& spec, const std::string& queue = "q");
     caller_result cancel(int entry, const std::string& job);
+    // Cancels a job without waiting for the answer.
+    void send_cancel(int entry, const std::string& job);
     std::optional<flow_state> state(int entry, const std::string& job);
     // Returns the entry's count of waiting jobs; -1: no answer with a count within 4 s.
     std::int64_t pending(int entry);
@@ -150,6 +152,14 @@
     void cut_entry_from_table(int entry, bool cut) { cut_from_table_[entry] = cut; }
     void cut_entry_from_peers(int entry, bool cut) { cut_from_peers_[entry] = cut; }
     void drop_next_table_answers(int n) { answers_to_drop_ = n; }
+    // The next `n` transactions that `chosen` selects are applied and get no answer.
+    void drop_next_answers_to(int n, std::function<bool(const store_transaction&)> chosen)
+    {
+        chosen_answers_to_drop_ = n;
+        chosen_to_drop_ = std::move(chosen);
+    }
+    // While set, watches of news rows get no answer, so owners learn of news from messages only.
+    void drop_job_watches(bool lost) { drop_job_watches_ = lost; }
     // The table discards its change history: each entry's next watch of jobs is answered with history_compacted, and
     // the entry has to read all rows again.
     void discard_change_history() { ++history_; }
@@ -259,6 +269,9 @@
                   bool timer = false);
     // Returns a random extra delay for an order of a slowed entry; 0 for other entries.
     duration sending_delay(int entry);
+    // Returns whether the answer to the transaction is to be lost, and counts it.
+    bool takes_dropped_answer(const store_transaction& t);
+    void ask_to_cancel(int entry, const std::string& job, const caller_reply& reply);
     // Ends the worker's life without reporting its runs. `away` is the delay until its next life; empty: none.
     void crash(flow_fake_worker& w, std::optional<duration> away);
     // Crashes the worker on behalf of a task, if that run still runs in that life.
@@ -325,6 +338,9 @@
     std::map<int, bool> cut_from_peers_;
     std::map<int, int> pages_on_link_; // pages of jobs being transferred, by entry
     int answers_to_drop_ = 0;
+    int chosen_answers_to_drop_ = 0;
+    std::function<bool(const store_transaction&)> chosen_to_drop_; // set by drop_next_answers_to()
+    bool drop_job_watches_ = false;
     int history_ = 0;                 // number of discard_change_history() calls
     std::map<int, int> history_seen_; // value of history_ at each entry's last watch of jobs
     duration row_write_delay_{0};     // for the next row write; 0: no delay
