front: a job that is found accepted reaches the owner of its cell

Callers saw: an entry was killed while it wrote a job; the request was repeated at another entry and answered 200, and the job stayed queued until the owner's watch of the news found it, however far that watch was behind.

Cause: three places answer that a job is accepted because the table has it, and notified nobody: a conflict of the write with a row of another request (only a row with the request's own token was handed on), refuse_unless_accepted(), and a request for a job that the entry knows from a query of its state.

Evidence: test_flow_retried_writes, with watches that are not answered: the entry that accepts is killed 50 ms after it has sent the write, whose answer is lost. Before: 0 of 12 tasks run a second after the repeated request was answered, in each of the three places, and a job bound to the cell b that is repeated at the owner of the cell a does not end in 2 s. Ruled out: an answer that is lost at an entry that lives, which hands on its own row (passed before).

Change: hand_on_job() reads the row of the acceptance as the table has it, since it may name another cell than this entry would choose, and notifies that cell's owner with the row's version until it acknowledges. It does nothing once the index says that the job has started or ended, which only the owner writes, and a planned stop waits for it as it waits for rows that are not acknowledged. An owner that knows the job merges the row without effect; one that has ended it drops it.

After: 12 of 12 tasks run in each case, and the job of the cell b ends there. A repeated request costs one read and one message more while the job waits for its first start.

--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -157,7 +157,7 @@
 // answers.
 bool flow_entry::stopped() const
 {
-    return (unacknowledged_rows_.empty() || acknowledgement_wait_ended_) &&
+    return ((unacknowledged_rows_.empty() && handing_on_ == 0) || acknowledgement_wait_ended_) &&
            std::all_of(cells_.begin(), cells_.end(), [](const auto& c) { return c.second->stopped(); });
 }
 
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -111,6 +111,7 @@
     struct tracked_job {
         bool accepted = false; // the job's row is in the table
         bool accepting = false;
+        bool handed_on = false; // this entry has notified the owner of the job's cell
         flow_state state = flow_state::queued;
         instant checked{}; // when `state` was last confirmed
         instant asked{};   // when the pending submit began
@@ -184,6 +185,12 @@
     void confirm_cancel(instant now, const job_id& job, const cell_id& cell, stored_cancel cancel,
                         const caller_reply& reply);
     void notify_cell_owner(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version);
+    // Notifies the owner of a job that was accepted for its cell.
+    void notify_owner_of_job(instant now, const job_row_name& accepted, const wire::flow_job_row& row,
+                             row_version version);
+    // Notifies the owner of a job that another request was accepted with. `index`: its row in the index.
+    void hand_on_job(const job_id& job, const wire::flow_job_row& index);
+    void hand_on_job(const job_id& job);
     // Checks the parts of the table from `part` on for jobs of an earlier release.
     void check_for_legacy_jobs(int part);
     // Sends an unacknowledged row to the cell's owner.
@@ -368,6 +375,7 @@
     instant own_news_at_{};
     absl::flat_hash_map<job_id, tracked_job> tracked_jobs_;
     std::map<job_row_name, unacknowledged_row> unacknowledged_rows_;
+    int handing_on_ = 0; // reads of hand_on_job() under way
     pending_counts pending_;
     instant own_counts_at_{};
     std::vector<pending_request> pending_requests_; // requests that wait for the read of the cells' rows
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -131,6 +131,9 @@
     if (known != tracked_jobs_.end() && known->second.accepted) {
         ++stats_.repeated;
         reply({caller_result::accepted, flow_state::queued, 0, duration(0), ""});
+        if (!known->second.handed_on) {
+            hand_on_job(job);
+        }
         return;
     }
     if (known != tracked_jobs_.end() && known->second.accepting) {
@@ -422,7 +425,11 @@
     edges_.read(index_rows(job), [this, job, why, reply = std::move(reply)](instant, const store_page& page) {
         if (page.reached && !page.rows.empty()) {
             ++stats_.repeated;
+            edges_.note(log_level::info, "job", "accepted_before", {{"job", job.str()}});
             reply({caller_result::accepted, flow_state::queued, 0, duration(0), ""});
+            if (const auto index = read_index(edges_, page.rows)) {
+                hand_on_job(job, *index);
+            }
             return;
         }
         ++stats_.refused;
@@ -463,19 +470,22 @@
                      {"version", std::to_string(result.version.value())},
                      {"config", std::to_string(config_version().value())}});
         answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
-        notify_cell_owner(now, accepted_row(cell_id(row.cell), job), row, result.version);
+        notify_owner_of_job(now, accepted_row(cell_id(row.cell), job), row, result.version);
         return;
     case table_outcome::conflict: {
         // The job is in the table: it was accepted before, by this entry (the table's answer was lost) or by another
         // one.
         ++stats_.repeated;
-        const auto there =
-            result.rows.empty() ? std::nullopt : read_flow_row<wire::flow_job_row>(edges_, result.rows.front());
-        if (there && there->accept_token == row.accept_token) {
-            notify_cell_owner(now, accepted_row(cell_id(row.cell), job), row, result.rows.front().version);
-        }
         edges_.note(log_level::info, "job", "accepted_before", {{"job", job.str()}});
         answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
+        const auto index =
+            result.rows.empty() ? std::nullopt : read_flow_row<wire::flow_job_row>(edges_, result.rows.front());
+        if (index && index->accept_token == row.accept_token) {
+            notify_owner_of_job(now, accepted_row(cell_id(row.cell), job), row, result.rows.front().version);
+        }
+        else if (index) {
+            hand_on_job(job, *index);
+        }
         return;
     }
     case table_outcome::refused:
@@ -518,6 +528,60 @@
     }
 }
 
+void flow_entry::notify_owner_of_job(instant now, const job_row_name& accepted, const wire::flow_job_row& row,
+                                     row_version version)
+{
+    const auto tracked = tracked_jobs_.find(accepted.job);
+    if (tracked != tracked_jobs_.end()) {
+        tracked->second.handed_on = true;
+    }
+    notify_cell_owner(now, accepted, row, version);
+}
+
+// Failure: the entry that accepted a job stops before it has notified the owner of the job's cell. Symptom: the caller
+// repeats the request at this entry and is told that the job is accepted, but no owner knows it, and it waits. So the
+// row is read as the table has it, which may name another cell than this entry would choose, and the owner is notified;
+// for an owner that knows the job, the message changes nothing.
+void flow_entry::hand_on_job(const job_id& job, const wire::flow_job_row& index)
+{
+    if (index.started || index.outcome != 0) {
+        return; // written by the owner
+    }
+    ++handing_on_;
+    const job_row_name name = accepted_row(cell_id(index.cell), job);
+    edges_.read(single_row_range(job_row_key(name)), [this, name, index](instant then, const store_page& page) {
+        --handing_on_;
+        if (!page.reached) {
+            edges_.after(commit_retry_max, [this, name, index](instant) { hand_on_job(name.job, index); });
+            return;
+        }
+        const auto row =
+            page.rows.empty() ? std::nullopt : read_flow_row<wire::flow_job_row>(edges_, page.rows.front());
+        if (row) {
+            edges_.note(log_level::info, "job", "handed_on",
+                        {{"job", name.job.str()},
+                         {"cell", name.cell.str()},
+                         {"version", std::to_string(page.rows.front().version.value())}});
+            notify_owner_of_job(then, name, *row, page.rows.front().version);
+        }
+    });
+}
+
+void flow_entry::hand_on_job(const job_id& job)
+{
+    ++handing_on_;
+    edges_.read(index_rows(job), [this, job](instant, const store_page& page) {
+        --handing_on_;
+        if (!page.reached) {
+            edges_.after(commit_retry_max, [this, job](instant) { hand_on_job(job); });
+            return;
+        }
+        if (const auto index = read_index(edges_, page.rows)) {
+            hand_on_job(job, *index);
+        }
+    });
+}
+
 void flow_entry::notify_cell_owner(instant now, const job_row_name& name, const wire::flow_job_row& row,
                                    row_version version)
 {
--- a/tests/test_flow_retried_writes.cpp
+++ b/tests/test_flow_retried_writes.cpp
@@ -33,24 +33,52 @@
                        [](const store_put& put) { return put.key == index_cancel_key(job_id(job_a)); });
 }
 
-// Three entries, one of which owns the cell and runs twelve tasks of a job. The watches are lost from then on.
-struct running_job {
+bool writes_acceptance(const store_transaction& t)
+{
+    return std::any_of(t.puts.begin(), t.puts.end(), [](const store_put& put) {
+        return put.key == job_row_key(accepted_row(cell_id("a"), job_id(job_a)));
+    });
+}
+
+// Three entries, one of which owns the cell. The watches of news are lost.
+struct three_entries {
     flow_simulation w{{.entries_per_data_centre = 3}};
     int owner = -1;
     int first = -1; // the other entries
     int second = -1;
 
-    running_job()
+    three_entries()
     {
         w.run_for(2s);
         owner = owner_of(w);
         first = (owner + 1) % 3;
         second = (owner + 2) % 3;
-        BOOST_REQUIRE(w.submit(first, job_a, lasting_spec(12)) == caller_result::accepted);
-        BOOST_REQUIRE(w.run_until([&] { return w.count_running_tasks(job_a) == 12; }, 3s));
         w.drop_job_watches(true);
         w.run_for(2s); // a watch that was sent before has been answered
     }
+    // Accepts the job at the first entry and kills it before the answer to its write comes.
+    void lose_entry_that_accepts()
+    {
+        w.drop_next_answers_to(1, writes_acceptance);
+        w.send_submit(first, job_a, lasting_spec(12));
+        w.run_for(50ms);
+        w.kill_entry(first);
+    }
+    // Returns how many of the twelve tasks run after the time that an owner that was told of the job needs at most.
+    std::int64_t tasks_started()
+    {
+        w.run_until([&] { return w.count_running_tasks(job_a) == 12; }, 1s);
+        return w.count_running_tasks(job_a);
+    }
+};
+
+// The same, with a job of twelve tasks that run.
+struct running_job : three_entries {
+    running_job()
+    {
+        BOOST_REQUIRE(w.submit(first, job_a, lasting_spec(12)) == caller_result::accepted);
+        BOOST_REQUIRE(tasks_started() == 12);
+    }
     // Returns how many tasks still run after the time that an owner that was told of the cancel needs at most.
     std::int64_t tasks_left()
     {
@@ -100,3 +128,60 @@
     BOOST_TEST(r.w.count_job_starts(job_a) == starts);
     check_no_violations(r.w);
 }
+
+// The answer to the write of a job is lost, and the entry takes the job that it finds at its next try for bound.
+BOOST_AUTO_TEST_CASE(a_job_whose_answer_is_lost_reaches_the_owner)
+{
+    three_entries r;
+    r.w.drop_next_answers_to(1, writes_acceptance);
+    BOOST_TEST((r.w.submit(r.first, job_a, lasting_spec(12)) == caller_result::accepted));
+    BOOST_TEST(r.tasks_started() == 12);
+    check_no_violations(r.w);
+}
+
+// The entry that wrote a job is killed before the answer comes, and the caller repeats the request at another one.
+BOOST_AUTO_TEST_CASE(a_job_that_is_repeated_at_another_entry_reaches_the_owner)
+{
+    three_entries r;
+    r.lose_entry_that_accepts();
+    BOOST_TEST((r.w.submit(r.second, job_a, lasting_spec(12)) == caller_result::accepted));
+    BOOST_TEST(r.tasks_started() == 12);
+    check_no_violations(r.w);
+}
+
+// The same, where the other entry would refuse the job and finds that it is accepted.
+BOOST_AUTO_TEST_CASE(a_job_that_is_repeated_at_an_entry_that_stops_reaches_the_owner)
+{
+    three_entries r;
+    r.lose_entry_that_accepts();
+    r.w.entry(r.second)->plan_stop(r.w.now());
+    BOOST_TEST((r.w.submit(r.second, job_a, lasting_spec(12)) == caller_result::accepted));
+    BOOST_TEST(r.tasks_started() == 12);
+    check_no_violations(r.w);
+}
+
+// The same, where the other entry knows the job from a query of its state.
+BOOST_AUTO_TEST_CASE(a_job_that_is_repeated_at_an_entry_that_told_its_state_reaches_the_owner)
+{
+    three_entries r;
+    r.lose_entry_that_accepts();
+    BOOST_TEST((r.w.state(r.second, job_a) == flow_state::queued));
+    BOOST_TEST((r.w.submit(r.second, job_a, lasting_spec(12)) == caller_result::accepted));
+    BOOST_TEST(r.tasks_started() == 12);
+    check_no_violations(r.w);
+}
+
+// The entry at which the request is repeated would choose another cell than the one that the job is bound to.
+BOOST_AUTO_TEST_CASE(a_repeated_job_reaches_the_owner_of_the_cell_that_it_is_bound_to)
+{
+    flow_simulation w({.data_centres = {"a", "b"}, .entries_per_data_centre = 1});
+    w.run_for(4s);
+    w.drop_job_watches(true);
+    w.run_for(2s);
+    w.insert_unannounced_job(job_a, cell_id("b"), chain_spec(1, 6));
+    BOOST_REQUIRE(w.entry(0)->cells().at(cell_id("a"))->owns());
+    BOOST_TEST((w.submit(0, job_a, chain_spec(1, 6)) == caller_result::accepted));
+    BOOST_TEST(w.run_until([&] { return w.stored_outcome(job_a) == 1; }, 2s));
+    BOOST_TEST(w.worker(3).starts + w.worker(4).starts + w.worker(5).starts == 6); // the workers of the cell b
+    check_no_violations(w);
+}
