cell: ends that a replaced owner finds written reach the current owner

Callers saw: tasks ran a second time after they had ended as done and an owner had heard of the end.

Cause: an owner that has lost its cell writes the ends that it knows into a row of its own and notifies the current owner. When the write is applied and its answer is lost, the next try reads the rows first, finds that the ends add nothing to them, and returned: no log line, no notice. The current owner, which cannot ask a worker that is gone, starts the tasks again when the leases are over, unless its watch of the news finds the row before.

Evidence: test_flow_retried_writes/late_ends_whose_answer_is_lost_reach_the_owner. An owner is paused while its holds are answered with the ends of 12 runs, one of three workers crashes, another entry takes the cell, and the watches are not answered. Before: 16 starts for 12 tasks, the four of the crashed worker "started after it was done". Ruled out: the follower's own reading, which was over before the row was written, so the row can only come by message or watch.

Change: where the ends are in the table already, the row of this incarnation is handed on as it was read, with its version (notify_late_ends()); an owner that knows the ends merges the row without effect.

--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -263,7 +263,7 @@
 // of it. Only ends are added to what the table has, no decision of this owner.
 void flow_cell::write_late_ends(const job_id& job, const std::vector<reported_end>& ends)
 {
-    read_rows(job, [this, job, ends](instant, const std::vector<store_row>* rows) {
+    read_rows(job, [this, job, ends](instant then, const std::vector<store_row>* rows) {
         const auto retry = [this, job, ends](instant) { write_late_ends(job, ends); };
         if (rows == nullptr) {
             edges_.after(commit_retry_max, retry);
@@ -273,6 +273,10 @@
         if (!stored || stored->ended()) {
             return;
         }
+        const job_row_name name = late_ends_row(id_, job, self_.incarnation);
+        const store_key key = job_row_key(name);
+        const auto existing =
+            std::find_if(rows->begin(), rows->end(), [&key](const store_row& row) { return row.key == key; });
         const std::uint64_t changes_before = stored->changes();
         for (const reported_end& end : ends) {
             const flow_stage* const stage = stored->find_stage(end.task);
@@ -281,13 +285,16 @@
             }
         }
         if (stored->changes() == changes_before) {
+            // The ends may be in the table because of an earlier try whose answer was lost. The current owner has not
+            // been notified of that try, and would start the tasks again.
+            const auto written =
+                existing == rows->end() ? std::nullopt : read_flow_row<wire::flow_job_row>(edges_, *existing);
+            if (written) {
+                notify_late_ends(then, name, *written, existing->version);
+            }
             return;
         }
         const wire::flow_job_row late_ends = without_spec(stored->current_row());
-        const job_row_name name = late_ends_row(id_, job, self_.incarnation);
-        const store_key key = job_row_key(name);
-        const auto existing =
-            std::find_if(rows->begin(), rows->end(), [&key](const store_row& row) { return row.key == key; });
         store_transaction t;
         t.checks.push_back({key, existing == rows->end() ? row_version(0) : existing->version});
         t.puts.push_back({key, encode_compact(late_ends)});
@@ -297,12 +304,20 @@
                 edges_.after(conflict ? commit_retry : commit_retry_max, retry);
                 return;
             }
-            edges_.note(log_level::info, "job", "ends_left", {{"job", name.job.str()}, {"cell", id_.str()}});
-            hooks_.notify_cell_owner(now, name, late_ends, result.version);
+            notify_late_ends(now, name, late_ends, result.version);
         });
     });
 }
 
+// Notifies the current owner of ends that are in the table.
+void flow_cell::notify_late_ends(instant now, const job_row_name& name, const wire::flow_job_row& late_ends,
+                                 row_version version)
+{
+    edges_.note(log_level::info, "job", "ends_left",
+                {{"job", name.job.str()}, {"cell", id_.str()}, {"version", std::to_string(version.value())}});
+    hooks_.notify_cell_owner(now, name, late_ends, version);
+}
+
 // Writes the ends that a worker has listed, since the worker may be gone before the next owner can ask it.
 void flow_cell::persist_listed_ends(const order_answer& answer)
 {
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -333,6 +333,8 @@
     void process_end(instant now, cell_worker& w, const reported_end& end);
     // Write ends known to a superseded owner into rows that the current owner reads.
     void write_late_ends(const job_id& job, const std::vector<reported_end>& ends);
+    void notify_late_ends(instant now, const job_row_name& name, const wire::flow_job_row& late_ends,
+                          row_version version);
     void persist_listed_ends(const order_answer& answer);
     void persist_unwritten_ends();
     // Reads the rows of a job that this owner does not know, to learn whether it has ended or belongs to this cell.
--- a/tests/test_flow_retried_writes.cpp
+++ b/tests/test_flow_retried_writes.cpp
@@ -40,6 +40,12 @@
     });
 }
 
+bool writes_late_ends(const store_transaction& t)
+{
+    return std::any_of(t.puts.begin(), t.puts.end(),
+                       [](const store_put& put) { return parse_job_row_key(put.key).writer.starts_with("!ends-"); });
+}
+
 // Three entries, one of which owns the cell. The watches of news are lost.
 struct three_entries {
     flow_simulation w{{.entries_per_data_centre = 3}};
@@ -185,3 +191,30 @@
     BOOST_TEST(w.worker(3).starts + w.worker(4).starts + w.worker(5).starts == 6); // the workers of the cell b
     check_no_violations(w);
 }
+
+// An owner that was replaced writes the ends of runs that its follower cannot learn, as their worker is gone. The
+// answer is lost, and at the next try the owner takes what it finds for told: the follower starts the tasks again.
+BOOST_AUTO_TEST_CASE(late_ends_whose_answer_is_lost_reach_the_owner)
+{
+    flow_simulation w({.entries_per_data_centre = 3,
+                       .run_time = [](const flow_task_id&) { return duration(700ms); },
+                       .sent_ends_are_known = true,
+                       .holds_wait = true});
+    w.run_for(3s);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 12)) == caller_result::accepted);
+    BOOST_REQUIRE(w.run_until([&] { return w.count_running_tasks(job_a) == 12; }, 1s));
+    w.run_for(200ms);
+    const int replaced = owner_of(w);
+    w.pause_entry(replaced); // the answers to its holds, which list the ends, arrive at a paused process
+    w.run_for(800ms);
+    BOOST_REQUIRE(w.count_running_tasks(job_a) == 0);
+    w.crash_worker(0, false);
+    BOOST_REQUIRE(w.run_until([&] { return w.count_owners("a") == 2; }, 5s)); // the paused one does not know
+    w.run_for(1s);
+    w.drop_job_watches(true);
+    w.drop_next_answers_to(1, writes_late_ends);
+    w.resume_entry(replaced);
+    BOOST_TEST(w.run_until([&] { return w.stored_outcome(job_a) == 1; }, 20s));
+    BOOST_TEST(w.count_job_starts(job_a) == 12);
+    check_no_violations(w);
+}
