flow: stop the runs of cancelled jobs while the rows of the cell are being read

Seen by callers: tasks of a cancelled job run on (UNASKED), up to 18.8 s after the answer to the cancel.

Cause: a new owner of a cell holds the workers, and so renews all leases, from the moment it has taken the cell, but sends no stop before it has read all rows. News of jobs that come meanwhile are turned away and sent again. Where a page of rows takes 250 to 400 ms of the entry's link, or one entry takes two cells, reading lasts five to eight seconds, more than a cancelled task may run.

Change: a cancel or an end of a job is final, and the workers have accepted the reader's epoch. So the reader stops the runs that such workers list of a job that the rows read so far, or a message, show to be over. The message is still turned away, and is processed as before once all rows are read.

Ruled out: faster reading (pages are small and few at a time, as entries' links are narrow); giving no leases while reading (all runs of the cell would lapse).

Before: 27 checks of tasks_of_a_job_cancelled_while_rows_are_read_are_stopped fail (cancelled just before the owner was killed, 1 s and 4 s after it), after: none.

--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -37,8 +37,8 @@
     return role_ == role::owning && is_unfollowed(now, ownership_lease);
 }
 
-// Whether this owner may hold workers and so renew their leases. It may do so while the rows of the jobs are still
-// being read.
+// Whether this owner may hold workers and so renew their leases, and stop runs. It may do so while the rows of the jobs
+// are still being read.
 bool flow_cell::may_renew_leases(instant now) const
 {
     return owns() && is_unfollowed(now, ownership_lease);
@@ -518,6 +518,9 @@
         else {
             read_unknown_job(job);
         }
+        if (is_over(job)) {
+            stop_early_runs_of(now, job);
+        }
     }
 }
 
@@ -531,6 +534,7 @@
             unreconciled_jobs_.insert(id);
         }
     }
+    over_while_reading_.clear();
     never_owned_before_ = false; // a part that is fenced again from now on has rows to read
     const duration wait = std::max<duration>(duration(0), previous_owner_silent_from_ - now);
     edges_.note(log_level::info, "cell", "owned",
@@ -691,6 +695,7 @@
     unreconciled_jobs_.clear();
     timed_jobs_.clear();
     recently_ended_jobs_.clear();
+    over_while_reading_.clear();
     parts_.clear();
     job_reads_in_flight_.clear();
     read_rows_.clear();
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -132,6 +132,8 @@
     void on_row_read(instant now, const store_row* row);
     // Handles renewals, takeovers and lapsed leases. Called every tick_interval.
     void tick(instant now, const cell_candidacy& candidacy);
+    // A row of a job that is received while accepts_job_news() is false. The sender has to send it again later.
+    void on_early_news(instant now, const job_id& job, const wire::flow_job_row& row);
     // A row of a job in the table that may concern this cell.
     void on_job_row(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version);
     // The version up to which this owner knows the table of jobs; empty while the table is read as a whole, or the cell
@@ -451,6 +453,11 @@
     void stop_job_runs(instant now, flow_job& job);
     void stop_task_runs(instant now, flow_task& task, const flow_task_id& id);
     void stop_run_once(instant now, live_run& live, const flow_task_id& id);
+    // Whether the job is known to be cancelled or to have ended.
+    bool is_over(const job_id& job) const;
+    // Stop the runs of jobs that are over, as listed by workers while the job rows are being read.
+    void stop_early_runs(instant now, const cell_worker& w);
+    void stop_early_runs_of(instant now, const job_id& job);
     void drop_run(instant now, cell_worker& w, const flow_task_id& task, run_number run);
     void ledger_add(cell_worker& w, const flow_step& step, const flow_task_id& task, run_number run);
     void adjust_usage(cell_worker& w, const job_id& job, const ledger_run& run, int change);
@@ -645,6 +652,7 @@
     // Jobs left by a previous owner, until all its workers have reported; may_start() says which tasks wait for that.
     std::set<job_id> unreconciled_jobs_;
     std::set<job_id> timed_jobs_;
+    std::set<job_id> over_while_reading_;           // jobs whose cancel or end was received while the rows are read
     std::map<job_id, instant> recently_ended_jobs_; // kept while a late page of the table may still contain them
     crash_watch<flow_task_id> recent_crashes_;
     std::map<net_address, lapsed_worker> lapsed_workers_;
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -242,7 +242,7 @@
     if (at == workers_.end() || !owns()) {
         return;
     }
-    if (!may_send_orders(now)) {
+    if (!may_renew_leases(now)) {
         // An owner that has not renewed its row for long sends no orders, but may renew again before the run's lease
         // ends. If the stop were dropped meanwhile, a cancelled task would go on running.
         stop_again(id, task, run, tries);
@@ -334,6 +334,46 @@
     }
 }
 
+bool flow_cell::is_over(const job_id& job) const
+{
+    const auto found = jobs_.find(job);
+    const bool known_over = found != jobs_.end() && (found->second->cancelled() || found->second->ended());
+    return known_over || recently_ended_jobs_.count(job) != 0 || over_while_reading_.count(job) != 0;
+}
+
+// Reading the rows of a cell may take longer than the time in which a cancelled task has to end. A cancel or an end of
+// a job is final, and this owner has fenced the worker, so the stop need not wait until all rows are read.
+void flow_cell::stop_early_runs(instant now, const cell_worker& w)
+{
+    for (const reported_run& run : w.early->answer.running) {
+        if (is_over(run.task.job)) {
+            send_stop(now, w.listing.worker, run.task, run.run, 0);
+        }
+    }
+}
+
+void flow_cell::stop_early_runs_of(instant now, const job_id& job)
+{
+    for (const auto& [id, w] : workers_) {
+        if (!w.early) {
+            continue;
+        }
+        for (const reported_run& run : w.early->answer.running) {
+            if (run.task.job == job) {
+                send_stop(now, id, run.task, run.run, 0);
+            }
+        }
+    }
+}
+
+void flow_cell::on_early_news(instant now, const job_id& job, const wire::flow_job_row& row)
+{
+    const bool over = row.cancelled || row.outcome != 0;
+    if (role_ == role::reading && over && over_while_reading_.insert(job).second) {
+        stop_early_runs_of(now, job);
+    }
+}
+
 // --- ends of runs, tasks and jobs ---
 
 // Removes a run that has certainly ended from its worker and its task, and requeues the task if it is not done.
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -357,6 +357,7 @@
         w.clock_read_at = now;
     }
     if (early) {
+        stop_early_runs(now, w);
         // The worker is given leases once the cell's row no longer marks it as silent.
         next_renewal_ = w.published_silent ? now : next_renewal_;
         // The worker's clock was unknown before, so this hold renewed no lease and the next one follows soon.
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -601,6 +601,7 @@
     }
     const auto own = cells_.find(name.cell);
     if (own != cells_.end() && own->second->owns() && !own->second->accepts_job_news()) {
+        own->second->on_early_news(now, name.job, at->second.row);
         return; // tick() tries again
     }
     if (own != cells_.end() && own->second->accepts_job_news()) {
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -202,6 +202,9 @@
         const auto cell = cells_.find(cell_id(news.cell));
         if (cell == cells_.end() || !cell->second->accepts_job_news()) {
             answer.unknown_jobs.push_back(news.job);
+            if (cell != cells_.end()) {
+                cell->second->on_early_news(now, job_id(news.job), *row);
+            }
             continue;
         }
         cell->second->on_job_row(now, {cell_id(news.cell), job_id(news.job), news.writer}, *row,
