cell: a job's row that is found as an unanswered write sent it has all its effects

Callers saw: while the table applied writes and lost their answers, lasting tasks whose start was recorded did not start, tasks given to another cell ran nowhere, and tasks of a cancelled job ran on in other cells.

Cause: a conflict of an owner's write with its own earlier try took only the version of the row (note_version). What depends on the write (recorded starts, confirmed ends, news to other cells, the removal of ended jobs) waited for the next write of the same row, and when its answer was lost as well, for the one after. Nothing was lost for good, but nothing happened as long as no try was answered.

Evidence: test_flow_retried_writes, with the answers to the next eight applied writes of the job's row lost, conflicts answered, watches not answered. Ruled out: one lost answer alone, which the next write makes up for.

Change: rows of writes without an answer are kept with what they were sent for (part_state::unanswered). A conflict that shows a newer version of the row with the bytes of such a try counts as that try's answer: on_row_in_force() does what an applied write does, in one place for both. Tries with equal bytes may differ in whom their news were for, so the cells of all of them are notified. A row whose version is not new, or whose bytes no try has sent, is written again as before. A late try cannot be applied any more: its check names an older version of the row or of the fence.

Not covered: a table that answers conflicts neither; then nothing shows the row.

--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -196,24 +196,7 @@
     case table_outcome::applied:
         state.backoff = duration(0);
         for (const committed_row& row : rows) {
-            const auto found = jobs_.find(row.job);
-            if (found == jobs_.end()) {
-                continue;
-            }
-            flow_job& job = *found->second;
-            job.mark_written(row.changes, result.version);
-            if (job.dirty()) {
-                state.dirty[row.job] = now; // changed since it was sent
-            }
-            else {
-                state.dirty.erase(row.job);
-            }
-            if (ready_keys_.count(row.job) != 0) {
-                schedule_placement(); // some of its tasks wait for this write
-            }
-            send_recorded_starts(now, job);
-            notify_other_cells(now, row, result.version);
-            after_written(now, job);
+            on_row_in_force(now, row, result.version);
         }
         confirm_all(now);
         break;
@@ -229,14 +212,21 @@
                 }
                 continue;
             }
+            const job_row_name name = parse_job_row_key(row.key);
+            const flow_job* const job = find_job(name.job);
+            const bool is_new = job != nullptr && row.version > job->version();
             const auto decoded = read_flow_row<wire::flow_job_row>(edges_, row);
             if (decoded) {
-                on_job_row(now, parse_job_row_key(row.key), *decoded, row.version);
+                on_job_row(now, name, *decoded, row.version);
             }
             if (role_ != role::owning) {
                 return;
             }
+            if (is_new) {
+                find_unanswered_row(now, state, row);
+            }
         }
+        confirm_all(now);
         state.backoff = commit_retry;
         break;
     case table_outcome::refused:
@@ -248,6 +238,9 @@
         break;
     }
     if (result.outcome == table_outcome::unknown) {
+        for (const committed_row& row : rows) {
+            state.unanswered[row.job].push_back(row);
+        }
         refence_part(part);
     }
     if (!state.dirty.empty()) {
@@ -255,6 +248,60 @@
     }
 }
 
+// Does what depends on a row of this owner being in the table.
+void flow_cell::on_row_in_force(instant now, const committed_row& row, row_version version)
+{
+    part_state& state = parts_[job_part(row.job)];
+    state.unanswered.erase(row.job);
+    const auto found = jobs_.find(row.job);
+    if (found == jobs_.end()) {
+        return;
+    }
+    flow_job& job = *found->second;
+    job.mark_written(row.changes, version);
+    if (job.dirty()) {
+        state.dirty[row.job] = now; // changed since it was sent
+    }
+    else {
+        state.dirty.erase(row.job);
+    }
+    if (ready_keys_.count(row.job) != 0) {
+        schedule_placement(); // some of its tasks wait for this write
+    }
+    send_recorded_starts(now, job);
+    notify_other_cells(now, row, version);
+    after_written(now, job);
+}
+
+// Failure: the table applies writes and their answers are lost, again and again. Symptom: each try finds the row of the
+// one before and is written anew, and as long as no try is answered, recorded starts are not sent, ends not confirmed,
+// and other cells not notified, although all of it is in the table. So a row that is found as an unanswered try sent it
+// counts as written by that try.
+void flow_cell::find_unanswered_row(instant now, part_state& state, const store_row& found)
+{
+    const job_id job = parse_job_row_key(found.key).job;
+    const auto tries = state.unanswered.find(job);
+    if (tries == state.unanswered.end()) {
+        return;
+    }
+    std::optional<committed_row> written;
+    for (const committed_row& row : tries->second) {
+        if (encode_compact(row.row) == found.value) {
+            written = written.value_or(row);
+            // Any of the equal tries may be the one that was applied, so the cells of all of them are notified.
+            std::set<cell_id> told(written->told.begin(), written->told.end());
+            told.insert(row.told.begin(), row.told.end());
+            written->told.assign(told.begin(), told.end());
+        }
+    }
+    if (!written) {
+        return;
+    }
+    edges_.note(log_level::info, "table", "found_written",
+                {{"job", job.str()}, {"cell", id_.str()}, {"version", std::to_string(found.version.value())}});
+    on_row_in_force(now, *written, found.version);
+}
+
 // --- ends that a superseded owner writes ---
 
 // Writes ends of runs that this entry knows although it no longer owns the cell. That a run is done or has failed is a
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -246,6 +246,20 @@
         std::map<flow_task_id, std::int32_t> paced;
     };
 
+    // A job's row as it was sent to the table.
+    struct committed_row {
+        job_id job;
+        std::uint64_t changes = 0; // change count of the job that the row includes
+        wire::flow_job_row row;
+        std::vector<cell_id> told; // the cells for which the same write has news
+
+        // The owner of the job's home cell knows the specification of the job; other owners may not know the job yet.
+        wire::flow_job_row news_for(const cell_id& cell) const
+        {
+            return cell.str() == row.cell ? without_spec(row) : row;
+        }
+    };
+
     // The state of the rows of one part that this owner writes.
     struct part_state {
         std::optional<row_version> fence;  // version of this owner's fence row; empty: the fence is being written
@@ -257,7 +271,8 @@
         std::map<job_id, instant> dirty;                    // jobs with unwritten changes, and since when
         std::map<job_id, std::vector<store_key>> removable; // rows of jobs that have ended
         instant removals_due{};
-        bool in_flight = false; // a write is under way
+        std::map<job_id, std::vector<committed_row>> unanswered; // rows that may be in the table
+        bool in_flight = false;                                  // a write is under way
         duration backoff{0};
 
         bool is_settled() const { return dirty.empty() && !in_flight; }
@@ -269,20 +284,6 @@
         }
     };
 
-    // A job's row as it was sent to the table.
-    struct committed_row {
-        job_id job;
-        std::uint64_t changes = 0; // change count of the job that the row includes
-        wire::flow_job_row row;
-        std::vector<cell_id> told; // the cells for which the same write has news
-
-        // The owner of the job's home cell knows the specification of the job; other owners may not know the job yet.
-        wire::flow_job_row news_for(const cell_id& cell) const
-        {
-            return cell.str() == row.cell ? without_spec(row) : row;
-        }
-    };
-
     // flow_cell_ownership.cpp
     void consider_takeover(instant now, const cell_candidacy& candidacy);
     // Takes the cell only if one of its workers answers this entry.
@@ -556,6 +557,9 @@
     void commit_part(instant now, const std::string& part);
     void on_committed(instant now, const std::string& part, const std::vector<committed_row>& rows,
                       const store_result& result);
+    void on_row_in_force(instant now, const committed_row& row, row_version version);
+    // Does the same for a row that an unanswered write has left in the table.
+    void find_unanswered_row(instant now, part_state& state, const store_row& found);
     void after_written(instant now, flow_job& job);
     // Confirms to the workers every end that has been written.
     void confirm_all(instant now);
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -760,7 +760,9 @@
     unreconciled_jobs_.erase(id);
     timed_jobs_.erase(id);
     loads_.forget(id);
-    parts_[job_part(id)].dirty.erase(id);
+    part_state& state = parts_[job_part(id)];
+    state.dirty.erase(id);
+    state.unanswered.erase(id);
     jobs_.erase(found);
     recently_ended_jobs_[id] = now;
 }
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -315,13 +315,13 @@
     });
 }
 
-bool flow_simulation::takes_dropped_answer(const store_transaction& t)
+bool flow_simulation::takes_dropped_answer(const store_transaction& t, const store_result& result)
 {
     if (answers_to_drop_ > 0) {
         --answers_to_drop_;
         return true;
     }
-    if (chosen_answers_to_drop_ > 0 && chosen_to_drop_(t)) {
+    if (chosen_answers_to_drop_ > 0 && result.outcome == table_outcome::applied && chosen_to_drop_(t)) {
         --chosen_answers_to_drop_;
         return true;
     }
@@ -355,7 +355,7 @@
         }
         schedule(options_.table_latency, [this, entry, t, answer, done = std::move(done)] {
             store_result result = apply(t);
-            if (takes_dropped_answer(t)) {
+            if (takes_dropped_answer(t, result)) {
                 result = {};
                 answer(done, result, 1500ms);
                 return;
--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -152,7 +152,7 @@
     void cut_entry_from_table(int entry, bool cut) { cut_from_table_[entry] = cut; }
     void cut_entry_from_peers(int entry, bool cut) { cut_from_peers_[entry] = cut; }
     void drop_next_table_answers(int n) { answers_to_drop_ = n; }
-    // The next `n` transactions that `chosen` selects are applied and get no answer.
+    // The next `n` transactions that `chosen` selects and the table applies get no answer.
     void drop_next_answers_to(int n, std::function<bool(const store_transaction&)> chosen)
     {
         chosen_answers_to_drop_ = n;
@@ -270,7 +270,7 @@
     // Returns a random extra delay for an order of a slowed entry; 0 for other entries.
     duration sending_delay(int entry);
     // Returns whether the answer to the transaction is to be lost, and counts it.
-    bool takes_dropped_answer(const store_transaction& t);
+    bool takes_dropped_answer(const store_transaction& t, const store_result& result);
     void ask_to_cancel(int entry, const std::string& job, const caller_reply& reply);
     // Ends the worker's life without reporting its runs. `away` is the delay until its next life; empty: none.
     void crash(flow_fake_worker& w, std::optional<duration> away);
--- a/tests/test_flow_retried_writes.cpp
+++ b/tests/test_flow_retried_writes.cpp
@@ -40,6 +40,13 @@
     });
 }
 
+bool writes_own_row(const store_transaction& t)
+{
+    return std::any_of(t.puts.begin(), t.puts.end(), [](const store_put& put) {
+        return put.key == job_row_key(own_row(cell_id("a"), job_id(job_a)));
+    });
+}
+
 bool writes_late_ends(const store_transaction& t)
 {
     return std::any_of(t.puts.begin(), t.puts.end(),
@@ -218,3 +225,63 @@
     BOOST_TEST(w.count_job_starts(job_a) == 12);
     check_no_violations(w);
 }
+
+// The table applies each write of the owner and loses the answer. The starts of lasting tasks, which follow the write
+// that records them, wait until a write is answered, although the first one is in the table.
+BOOST_AUTO_TEST_CASE(starts_whose_record_is_found_written_are_sent)
+{
+    three_entries r;
+    r.w.drop_next_answers_to(8, writes_own_row);
+    BOOST_TEST((r.w.submit(r.first, job_a, lasting_spec(12)) == caller_result::accepted));
+    r.w.run_until([&] { return r.w.count_running_tasks(job_a) == 12; }, 2s); // one write without an answer and the next
+    BOOST_TEST(r.w.count_running_tasks(job_a) == 12);
+    check_no_violations(r.w);
+}
+
+namespace {
+
+// A job of the cell a, with room for three of its eight tasks there. The watches of news are lost.
+struct two_cells {
+    flow_simulation w{{.data_centres = {"a", "b"}, .entries_per_data_centre = 1, .run_time = [](const flow_task_id&) {
+                           return duration(60s);
+                       }}};
+    two_cells()
+    {
+        w.run_for(4s);
+        w.drop_job_watches(true);
+        w.run_for(2s);
+        for (int i = 0; i < 3; ++i) {
+            w.set_worker_capacity(i, {1000, 64000, 0}, duration(0)); // the workers of the cell a
+        }
+        w.run_for(2s);
+        w.insert_unannounced_job(job_a, cell_id("a"), chain_spec(1, 8));
+        BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 8)) == caller_result::accepted);
+        w.run_for(500ms); // the row that tells that the job has started is written
+    }
+    std::int64_t running() const { return w.count_running_tasks(job_a); }
+};
+
+} // namespace
+
+// The same with tasks that move to another cell, whose owner is notified once the row is written.
+BOOST_AUTO_TEST_CASE(moves_that_are_found_written_reach_the_other_cell)
+{
+    two_cells r;
+    r.w.drop_next_answers_to(8, writes_own_row);
+    BOOST_REQUIRE(r.w.run_until([&] { return r.w.count_log_events("task", "given_away") == 5; }, 1s));
+    r.w.run_until([&] { return r.running() == 8; }, 2s);
+    BOOST_TEST(r.running() == 8);
+    check_no_violations(r.w);
+}
+
+// The same with a cancel, which the owner of the job's cell passes on to the other cell.
+BOOST_AUTO_TEST_CASE(a_cancel_that_is_found_written_reaches_the_other_cell)
+{
+    two_cells r;
+    BOOST_REQUIRE(r.w.run_until([&] { return r.running() == 8; }, 2s));
+    r.w.drop_next_answers_to(8, writes_own_row);
+    BOOST_TEST((r.w.cancel(0, job_a) == caller_result::cancelled));
+    r.w.run_until([&] { return r.running() == 0; }, 2s);
+    BOOST_TEST(r.running() == 0);
+    check_no_violations(r.w);
+}
