cell: the rows of a refused write are read for the fence before anything is done by them

What follows from a row that is found in force (starts, news to other cells) must not be done by an owner that has been followed. The fence row was looked at in its turn among the rows of the answer, whose order the platform's page does not promise. Found by reading; the virtual table shows the fence first, so no test fails without this.

--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -204,12 +204,13 @@
         // Only owners of this cell write these rows, so either a later owner has written its epoch, or an earlier try
         // of this owner was applied although its answer was lost.
         ++stats_.commits_conflicted;
+        if (std::any_of(result.rows.begin(), result.rows.end(),
+                        [&state](const store_row& row) { return is_fence(row.key) && row.version != state.fence; })) {
+            lose_ownership(now, "a later owner has fenced part " + part);
+            return;
+        }
         for (const store_row& row : result.rows) {
             if (is_fence(row.key)) {
-                if (row.version != state.fence) {
-                    lose_ownership(now, "a later owner has fenced part " + part);
-                    return;
-                }
                 continue;
             }
             const job_row_name name = parse_job_row_key(row.key);
