tests: the virtual table and the stand-in show changes as the platform does

What callers saw: on a site that writes more news of jobs than one answer of the table holds in two seconds, a job or a cancel whose message to the owner was lost took effect many seconds later: tasks of cancelled jobs went on.

Cause: the platform's feed of changes holds some 500 rows in an answer and does not say whether more follow. The code waits for a mark (`has-more`) that only reads of a range have, takes the first answer for all changes, and so reads 250 rows a second at most. No test could see it, because the virtual table and the stand-in set the mark in their feeds.

The change: both answer as the platform's page says and no better: 500 rows, the rows of one transaction together, the version of the last row shown where the answer was cut and the newest version otherwise, removed rows shown as such, no mark, and a history of 20 s. The virtual site can lose messages about rows and write the news of cells elsewhere.

--- a/standin/flow_table.cpp
+++ b/standin/flow_table.cpp
@@ -23,6 +23,7 @@
 constexpr duration mute_most = 5s;  // then a connection without an answer is closed
 constexpr duration late_least = 1s; // of a commit that is carried out late
 constexpr duration late_most = 4s;
+constexpr duration feed_history = 20s;
 constexpr std::int64_t feed_wait_ms_most = 30'000;
 
 std::tuple<std::string, std::string, std::string> read_key(const json& entry)
@@ -96,14 +97,14 @@
 void flow_table::put(const std::string& table, const std::string& key, const std::string& value)
 {
     absl::MutexLock lock(&mutex_);
-    write({table, "", key}, {absl::Base64Escape(value), ++version_, false});
+    write({table, "", key}, {absl::Base64Escape(value), next_version(), false});
     answer_feeds();
 }
 
 void flow_table::remove(const std::string& table, const std::string& key)
 {
     absl::MutexLock lock(&mutex_);
-    write({table, "", key}, {"", ++version_, true});
+    write({table, "", key}, {"", next_version(), true});
     answer_feeds();
 }
 
@@ -208,9 +209,28 @@
     by_version_.emplace(at.version, key);
 }
 
-http_response flow_table::make_page(const json& rows, std::int64_t version, bool more) const
+http_response flow_table::make_page(const json& rows, std::int64_t version, std::optional<bool> more) const
 {
-    return {200, {}, json{{"rows", rows}, {"schema-version", version}, {"has-more", more}}.dump()};
+    json page{{"rows", rows}, {"schema-version", version}};
+    if (more) {
+        page["has-more"] = *more;
+    }
+    return {200, {}, page.dump()};
+}
+
+std::int64_t flow_table::next_version() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+{
+    recent_versions_.emplace_back(read_clock(), ++version_);
+    return version_;
+}
+
+void flow_table::drop_old_history() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+{
+    const instant oldest = read_clock() - feed_history;
+    while (!recent_versions_.empty() && recent_versions_.front().first < oldest) {
+        history_from_ = std::max(history_from_, recent_versions_.front().second);
+        recent_versions_.pop_front();
+    }
 }
 
 http_response flow_table::commit(const std::string& body) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
@@ -248,12 +268,12 @@
         conflict.status = 412;
         return conflict;
     }
-    ++version_;
+    const std::int64_t version = next_version();
     for (const json& entry : puts) {
-        write(read_key(entry), {entry.at("value"), version_, false});
+        write(read_key(entry), {entry.at("value"), version, false});
     }
     for (const json& entry : removes) {
-        write(read_key(entry), {"", version_, true});
+        write(read_key(entry), {"", version, true});
     }
     return make_page(json::array(), version_);
 }
@@ -280,7 +300,7 @@
         bytes += at->second.value.size();
         found.push_back(describe(at->first, at->second));
     }
-    return make_page(found, version_);
+    return make_page(found, version_, false);
 }
 
 http_response flow_table::list_parts(const http_fields& query) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
@@ -296,10 +316,11 @@
     return {200, {}, json{{"parts", parts}, {"schema-version", version_}}.dump()};
 }
 
-std::optional<http_response> flow_table::changes(const http_fields& query) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+std::optional<http_response> flow_table::changes(const http_fields& query) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
 {
     const std::string table = read_text(query, "table");
     const std::int64_t after = read_number(query, "after", 0);
+    drop_old_history();
     if (after < history_from_) {
         return http_response{410, {}, "history is gone"};
     }
@@ -311,7 +332,7 @@
         }
         // Rows of one transaction share a version, after which the reader goes on: they aren't parted.
         if (found.size() >= static_cast<std::size_t>(rows_most) && at->first != last) {
-            return make_page(found, last, true);
+            return make_page(found, last); // nothing says that the page was cut
         }
         last = at->first;
         found.push_back(describe(at->second, rows_.at(at->second)));
--- a/standin/flow_table_p.h
+++ b/standin/flow_table_p.h
@@ -4,6 +4,7 @@
 
 #include <absl/synchronization/mutex.h>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -66,8 +67,11 @@
     http_response commit(const std::string& body);
     http_response read(const http_fields& query) const;
     http_response list_parts(const http_fields& query) const;
-    std::optional<http_response> changes(const http_fields& query) const; // empty while there are none
-    http_response make_page(const nlohmann::json& rows, std::int64_t version, bool more = false) const;
+    std::optional<http_response> changes(const http_fields& query); // empty while there are none
+    // `more`: whether further rows follow, which only reads say.
+    http_response make_page(const nlohmann::json& rows, std::int64_t version, std::optional<bool> more = {}) const;
+    std::int64_t next_version();
+    void drop_old_history();
     const row* find(const row_key& key) const;
     void write(const row_key& key, row written);
 
@@ -76,6 +80,7 @@
     std::map<row_key, row> rows_ ABSL_GUARDED_BY(mutex_);
     std::set<std::pair<std::int64_t, row_key>> by_version_ ABSL_GUARDED_BY(mutex_);
     std::int64_t version_ ABSL_GUARDED_BY(mutex_) = 0;
+    std::deque<std::pair<instant, std::int64_t>> recent_versions_ ABSL_GUARDED_BY(mutex_); // that the feed still shows
     std::int64_t history_from_ ABSL_GUARDED_BY(mutex_) = 0;
     std::vector<door> doors_ ABSL_GUARDED_BY(mutex_);
     std::vector<waiting_feed> feeds_ ABSL_GUARDED_BY(mutex_);
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -27,6 +27,7 @@
 constexpr duration max_cancelled_run_time = 3200ms;
 constexpr duration recovery_time = 3s; // after an entry is killed, time limits do not apply for this long
 constexpr duration check_interval = 50ms;
+constexpr duration feed_history = 20s;
 constexpr duration gang_timeout = 3s; // a member whose gang is not complete by then ends as `alone`
 
 resources larger(const resources& a, const resources& b)
@@ -328,6 +329,12 @@
     return false;
 }
 
+duration flow_simulation::news_transfer_time(const std::string& table, const store_page& page) const
+{
+    const bool news = table == news_table;
+    return news ? options_.news_row_transfer_time * static_cast<std::int64_t>(page.rows.size()) : duration(0);
+}
+
 flow_edges flow_simulation::make_edges(int entry)
 {
     const std::uint64_t life = entries_.at(static_cast<std::size_t>(entry)).life;
@@ -375,7 +382,9 @@
                 read_over_link(entry, range, answer, done);
                 return;
             }
-            answer(done, read(range), options_.network_latency);
+            const store_page page = read(range);
+            const duration transfer = news_transfer_time(range.table, page);
+            answer(done, page, options_.network_latency + transfer);
         });
     };
     edges.watch = [this, entry, answer](const store_watch& watch, std::function<void(instant, store_page)> done) {
@@ -384,30 +393,9 @@
             answer(std::move(done), store_page{}, 1500ms);
             return;
         }
-        store_page page;
-        page.reached = true;
-        page.version = row_version(version_);
-        if (watch.table == news_table && std::exchange(history_seen_[entry], history_) != history_) {
-            page.history_compacted = true;
-            answer(std::move(done), page, options_.table_latency);
-            return;
-        }
-        for (const auto& [key, row] : rows_) {
-            if (key.table == watch.table && row.version > watch.after) {
-                page.rows.push_back({key, row.value, row.version, false});
-            }
-        }
-        if (options_.watch_page_rows > 0 && page.rows.size() > options_.watch_page_rows) {
-            std::sort(page.rows.begin(), page.rows.end(),
-                      [](const store_row& a, const store_row& b) { return a.version < b.version; });
-            std::size_t shown = options_.watch_page_rows;
-            while (shown < page.rows.size() && page.rows[shown].version == page.rows[shown - 1].version) {
-                ++shown; // rows of one transaction stay in one answer
-            }
-            page.more = shown < page.rows.size();
-            page.rows.resize(shown);
-        }
-        answer(std::move(done), page, options_.table_latency);
+        const store_page page = read_feed(entry, watch);
+        const duration transfer = news_transfer_time(watch.table, page);
+        answer(std::move(done), page, options_.table_latency + transfer);
     };
     edges.order = [this, entry, answer](const worker_place& to, const worker_order& order, duration timeout,
                                         std::function<void(instant, order_answer)> done) {
@@ -485,6 +473,10 @@
     edges.send_message = [this, entry, life,
                           answer](const net_address& peer, const wire::flow_message& message,
                                   std::function<void(instant, std::optional<wire::flow_message>)> done) {
+        if (drop_row_messages_ && !message.rows.empty()) {
+            answer(done, std::optional<wire::flow_message>(), peer_timeout);
+            return;
+        }
         schedule(options_.network_latency, [this, entry, life, peer, message, answer, done = std::move(done)] {
             for (int i = 0; i < static_cast<int>(entries_.size()); ++i) {
                 entry_slot& slot = entries_[static_cast<std::size_t>(i)];
@@ -683,22 +675,94 @@
         }
         return result;
     }
-    ++version_;
+    const row_version version = next_version();
     const bool of_jobs = std::any_of(t.puts.begin(), t.puts.end(), [](const store_put& put) {
         return put.key.table == index_table || (put.key.table == jobs_table && !is_fence(put.key));
     });
     job_writes_ += of_jobs ? 1 : 0;
     for (const store_put& put : t.puts) {
-        rows_[put.key] = {put.value, row_version(version_)};
+        rows_[put.key] = {put.value, version};
+        removed_rows_.erase(put.key);
     }
     for (const store_key& key : t.removes) {
         rows_.erase(key);
+        removed_rows_[key] = version;
     }
     result.outcome = table_outcome::applied;
-    result.version = row_version(version_);
+    result.version = version;
     return result;
 }
 
+row_version flow_simulation::next_version()
+{
+    ++version_;
+    recent_versions_.emplace_back(now_, row_version(version_));
+    return row_version(version_);
+}
+
+row_version flow_simulation::history_start()
+{
+    while (!recent_versions_.empty() && recent_versions_.front().first < now_ - feed_history) {
+        history_start_ = recent_versions_.front().second;
+        recent_versions_.pop_front();
+    }
+    std::erase_if(removed_rows_, [this](const auto& row) { return row.second <= history_start_; });
+    return history_start_;
+}
+
+store_page flow_simulation::read_feed(int entry, const store_watch& watch)
+{
+    store_page page;
+    page.reached = true;
+    page.version = row_version(version_);
+    const bool discarded = watch.table == news_table && std::exchange(history_seen_[entry], history_) != history_;
+    if (discarded || watch.after < history_start()) {
+        page.history_compacted = true;
+        return page;
+    }
+    for (const auto& [key, row] : rows_) {
+        if (key.table == watch.table && row.version > watch.after) {
+            page.rows.push_back({key, row.value, row.version, false});
+        }
+    }
+    for (const auto& [key, version] : removed_rows_) {
+        if (key.table == watch.table && version > watch.after) {
+            page.rows.push_back({key, "", version, true});
+        }
+    }
+    std::stable_sort(page.rows.begin(), page.rows.end(),
+                     [](const store_row& a, const store_row& b) { return a.version < b.version; });
+    if (page.rows.size() > options_.watch_page_rows) {
+        std::size_t shown = options_.watch_page_rows;
+        while (shown < page.rows.size() && page.rows[shown].version == page.rows[shown - 1].version) {
+            ++shown; // rows of one transaction stay in one answer
+        }
+        if (shown < page.rows.size()) {
+            page.version = page.rows[shown - 1].version;
+            page.rows.resize(shown);
+        }
+    }
+    job_watch_rows_[entry] += watch.table == news_table ? static_cast<std::int64_t>(page.rows.size()) : 0;
+    return page;
+}
+
+void flow_simulation::write_foreign_news(int rows_per_s)
+{
+    foreign_news_per_s_ = rows_per_s;
+    write_next_foreign_news(++foreign_news_spells_);
+}
+
+void flow_simulation::write_next_foreign_news(std::uint64_t spell)
+{
+    if (spell != foreign_news_spells_ || foreign_news_per_s_ <= 0) {
+        return;
+    }
+    const cell_id elsewhere("elsewhere");
+    const job_id job(fmt::format("f{:015x}", ++foreign_news_written_));
+    put_job_row(accepted_row(elsewhere, job), make_job_row(chain_spec(1, 1)));
+    schedule(duration(1s) / foreign_news_per_s_, [this, spell] { write_next_foreign_news(spell); });
+}
+
 store_page flow_simulation::read(const store_range& range)
 {
     store_page page;
@@ -1080,14 +1144,14 @@
     row.cell = cell.str();
     row.cell_epoch = 1;
     row.failures_most = max_failures;
-    ++version_;
-    rows_[index_key(job_id(job))] = {encode_compact(row), row_version(version_)};
-    rows_[job_row_key(accepted_row(cell, job_id(job)))] = {encode_compact(row), row_version(version_)};
+    const row_version version = next_version();
+    rows_[index_key(job_id(job))] = {encode_compact(row), version};
+    rows_[job_row_key(accepted_row(cell, job_id(job)))] = {encode_compact(row), version};
 }
 
 void flow_simulation::put_job_row(const job_row_name& name, const wire::flow_job_row& row)
 {
-    rows_[job_row_key(name)] = {encode_compact(row), row_version(++version_)};
+    rows_[job_row_key(name)] = {encode_compact(row), next_version()};
 }
 
 namespace {
@@ -1101,7 +1165,7 @@
 
 void flow_simulation::put_legacy_job(const std::string& job)
 {
-    rows_[earlier_key(job)] = {encode_compact(make_job_row(chain_spec(1, 1))), row_version(++version_)};
+    rows_[earlier_key(job)] = {encode_compact(make_job_row(chain_spec(1, 1))), next_version()};
 }
 
 void flow_simulation::remove_legacy_job(const std::string& job)
@@ -1111,7 +1175,7 @@
 
 void flow_simulation::corrupt_row(const job_row_name& name)
 {
-    rows_.at(job_row_key(name)) = {"no row", row_version(++version_)};
+    rows_.at(job_row_key(name)) = {"no row", next_version()};
 }
 
 std::int64_t flow_simulation::count_owner_rows(const std::string& job) const
@@ -1156,12 +1220,12 @@
             for (wire::flow_stage_row& stage : job.stages) {
                 stage.starts.clear();
             }
-            row = {encode_compact(job), row_version(++version_)};
+            row = {encode_compact(job), next_version()};
         }
         else if (key.table == cells_table) {
             auto cell = decode_compact<wire::flow_cell_row>(row.value).value();
             cell.starts_noted = false;
-            row = {encode_compact(cell), row_version(++version_)};
+            row = {encode_compact(cell), next_version()};
         }
     }
 }
@@ -1398,6 +1462,12 @@
     return at == job_watch_counts_.end() ? 0 : at->second;
 }
 
+std::int64_t flow_simulation::job_watch_rows(int entry) const
+{
+    const auto at = job_watch_rows_.find(entry);
+    return at == job_watch_rows_.end() ? 0 : at->second;
+}
+
 int flow_simulation::count_owners(const std::string& cell) const
 {
     int n = 0;
--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -9,6 +9,7 @@
 // are the rows that announce jobs to the owners of cells. The room of a worker is its capacity.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -82,8 +83,9 @@
         // Bandwidth of each entry's link for messages between entries and for configurations; 0: unlimited.
         double link_bytes_per_s = 0;
         duration job_page_transfer_time{0}; // of one page of jobs that has the entry's link to itself
-        // Most rows in one answer to a watch: the oldest changes, with the table's newest version. 0: all rows.
-        std::size_t watch_page_rows = 0;
+        // Most rows in one answer to a watch: the oldest changes. Rows of one transaction stay in one answer.
+        std::size_t watch_page_rows = 500;
+        duration news_row_transfer_time{0}; // of one news row over an entry's link, in answers to watches and reads
         duration list_latency = std::chrono::milliseconds(100);         // for reading the worker list
         std::map<int, duration> list_latency_by_entry;                  // for entries, by number, with another latency
         std::function<bool(const flow_task_id&, run_number)> run_fails; // empty: no run fails
@@ -163,6 +165,10 @@
     // The table discards its change history: each entry's next watch of jobs is answered with history_compacted, and
     // the entry has to read all rows again.
     void discard_change_history() { ++history_; }
+    // From now on, owners of cells elsewhere write this many news rows a second; 0 ends it.
+    void write_foreign_news(int rows_per_s);
+    // While set, messages that announce rows to the owners of cells are lost.
+    void drop_row_messages(bool lost) { drop_row_messages_ = lost; }
     // The next write of a job row by an owner gets no answer and is applied after `d`.
     void delay_next_row_write(duration d) { row_write_delay_ = d; }
     // From now on this share of the orders to workers gets no answer and is executed 2 to 12 s later.
@@ -227,6 +233,8 @@
     double bytes_to(int entry) const { return links_.bytes_to(entry); }
     // Number of watches of job changes that the entry has sent to the table.
     std::int64_t job_watch_count(int entry) const;
+    // Number of rows in the answers to these watches.
+    std::int64_t job_watch_rows(int entry) const;
     std::int64_t count_log_events(const std::string& subject, const std::string& event) const;
     std::int64_t count_job_starts(const std::string& job) const;
     std::int64_t count_running_tasks(const std::string& job) const;
@@ -241,6 +249,7 @@
 
 private:
     std::map<int, std::int64_t> job_watch_counts_;
+    std::map<int, std::int64_t> job_watch_rows_;
     struct stored {
         std::string value;
         row_version version;
@@ -298,6 +307,14 @@
     void read_over_link(int entry, const store_range& range, const Answer& answer, const Done& done);
     store_result apply(const store_transaction& t);
     store_page read(const store_range& range);
+    // Returns the changes of a table, as the platform's feed shows them.
+    store_page read_feed(int entry, const store_watch& watch);
+    duration news_transfer_time(const std::string& table, const store_page& page) const;
+    // Returns the version of the next transaction and records its time.
+    row_version next_version();
+    // Returns the newest version that the feed's history no longer holds, and forgets what is older.
+    row_version history_start();
+    void write_next_foreign_news(std::uint64_t spell);
     // Returns the injected delay before an order is executed; empty: none.
     std::optional<duration> pick_delay(const worker_order& order);
     order_answer carry_out(flow_fake_worker& w, const worker_order& order, bool late = false);
@@ -333,6 +350,13 @@
     std::int64_t last_watch_ = 0;
     std::map<store_key, stored> rows_;
     std::int64_t version_ = 0;
+    std::map<store_key, row_version> removed_rows_;               // those that the feed's history still holds
+    std::deque<std::pair<instant, row_version>> recent_versions_; // those that the feed's history holds
+    row_version history_start_;
+    int foreign_news_per_s_ = 0;
+    std::int64_t foreign_news_written_ = 0;
+    std::uint64_t foreign_news_spells_ = 0; // number of write_foreign_news() calls
+    bool drop_row_messages_ = false;
     bool table_down_ = false;
     std::map<int, bool> cut_from_table_;
     std::map<int, bool> cut_from_peers_;
