entry: read the news of jobs until all earlier changes are known

What callers saw: where a message to the owner of a cell was lost, a job started and a cancel took effect only many seconds later on a site that writes more than some 250 news rows a second; jobs that wait were counted too low.

Cause: an answer to a watch holds some 500 rows and does not say whether further changes follow. The code took every answer for the last, so an owner read one answer each two seconds and fell behind until the history of 20 s was over.

A round of the owner's watch goes on call after call, one at a time, until an answer shows no rows or until it is past a version that the table reported during the round. Going on to an empty answer alone would not end on a busy site, where rows are written during each call. The version is asked for when the second answer shows rows or the first is large, so a calm site costs one call a round, a round with some rows two. A round that takes longer than the interval is given up for reads of the owner's own cells, which also move the watch on; so an owner whose link is too narrow for the news of the site is behind by about a round. Cells that the entry gains or loses meanwhile are looked up at each call. The count of waiting jobs goes on up to the version at which the counts were read.

Ruled out: a shorter interval (the same limit, only later), the number of rows as the end (no page states it).

--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -825,9 +825,10 @@
     }
 }
 
-void flow_cell::on_news_read(instant asked)
+void flow_cell::on_news_read(row_version up_to, instant asked)
 {
     if (job_watch_version()) {
+        job_watch_version_ = std::max(job_watch_version_, up_to);
         job_watch_asked_at_ = std::max(job_watch_asked_at_, asked);
     }
 }
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -144,9 +144,8 @@
     // changes are then requested from that version on. `asked`: when the read was requested, if it returned all changes
     // there were.
     void on_job_watch_advanced(row_version after, row_version up_to, std::optional<instant> asked);
-    // All news that existed at the time `asked` were given to on_job_row(). The reads that returned them have no
-    // version.
-    void on_news_read(instant asked);
+    // All news up to the version, which include those that existed at the time `asked`, were given to on_job_row().
+    void on_news_read(row_version up_to, instant asked);
     // The table has discarded changes that this entry had not read, so an owner reads all job rows again.
     void on_job_history_compacted(instant now);
     // Does the work that the events since the last call have made due. Called after every event.
--- a/src/flow_cells.cpp
+++ b/src/flow_cells.cpp
@@ -1,6 +1,7 @@
 // Maintains the cells that an entry knows: their racks, their workers, the changes of their jobs, and this entry's rank
 // as their candidate owner.
 #include <algorithm>
+#include <limits>
 
 #include "flow_entry_p.h"
 #include "flow_limits_p.h"
@@ -207,7 +208,26 @@
 
 // Watches the table of job rows once for all owned cells. With one watch for each cell, an owner would read the changes
 // of the whole site once for each cell, over a possibly narrow link.
+//
+// Failure: an answer holds a limited number of rows and does not say whether further ones follow. Symptom: an owner
+// that takes one answer every watch_interval falls behind on a large site, until lost messages are made up for only
+// after the table has discarded the changes. So a round of calls goes on up to a version that the table reports during
+// the round. It does not go on to an answer without rows: on a busy site some rows are written during each call.
 void flow_entry::watch_jobs(instant now)
+{
+    if (news_watch_.under_way || news_read_.under_way > 0 || !watched_job_version()) {
+        return;
+    }
+    next_watch_ = now + watch_interval;
+    if (table_away_) {
+        read_news(now);
+        return;
+    }
+    news_watch_ = {true, now, 0, std::nullopt};
+    watch_next_jobs(now);
+}
+
+std::optional<row_version> flow_entry::watched_job_version() const
 {
     std::optional<row_version> known;
     for (const auto& [id, cell] : cells_) {
@@ -216,29 +236,28 @@
             known = of_cell;
         }
     }
+    return known;
+}
+
+void flow_entry::watch_next_jobs(instant now)
+{
+    const auto known = watched_job_version();
     if (!known) {
+        news_watch_.under_way = false; // this entry lost its cells during the round
         return;
     }
-    if (table_away_) {
-        read_news(now);
-        return;
-    }
-    if (watching_jobs_) {
-        return;
-    }
-    watching_jobs_ = true;
-    next_watch_ = now + watch_interval;
     edges_.watch({news_table, *known, duration(0)},
                  [this, asked = now, after = *known](instant then, const store_page& page) {
-                     watching_jobs_ = false;
                      if (page.history_compacted) {
                          for (auto& [id, cell] : cells_) {
                              cell->on_job_history_compacted(then);
                          }
                      }
-                     else if (page.reached) {
+                     if (page.reached && !page.history_compacted) {
                          on_jobs_changed(then, asked, after, page);
+                         return;
                      }
+                     news_watch_.under_way = false;
                  });
 }
 
@@ -258,16 +277,44 @@
 
 void flow_entry::on_jobs_changed(instant now, instant asked, row_version after, const store_page& page)
 {
+    ++news_watch_.answers;
     apply_job_rows(now, after, page.rows);
     const row_version shown = last_complete_version(page, after);
+    const std::optional<table_mark>& goal = news_watch_.goal;
+    const bool goal_reached = goal && shown >= goal->version;
+    const std::optional<instant> complete_at = !page.more     ? std::optional(asked)
+                                               : goal_reached ? std::optional(goal->asked)
+                                                              : std::nullopt;
     for (auto& [id, cell] : cells_) {
-        cell->on_job_watch_advanced(after, shown, page.more ? std::nullopt : std::optional(asked));
+        cell->on_job_watch_advanced(after, shown, complete_at);
+    }
+    if (complete_at || shown <= after) {
+        news_watch_.under_way = false;
+    }
+    else if (now - news_watch_.began >= watch_interval) {
+        news_watch_.under_way = false;
+        read_news(now);
+    }
+    else if (!goal && (news_watch_.answers > 1 || page.rows.size() >= many_changes)) {
+        read_watch_goal(now);
     }
-    if (page.more && shown > after) {
-        watch_jobs(now);
+    else {
+        watch_next_jobs(now);
     }
 }
 
+void flow_entry::read_watch_goal(instant now)
+{
+    edges_.read(single_row_range(entry_key(self_.entry)), [this, asked = now](instant then, const store_page& page) {
+        if (!page.reached || page.version == row_version(0)) { // without a version nothing shows what is complete
+            news_watch_.under_way = false;
+            return;
+        }
+        news_watch_.goal = {page.version, asked};
+        watch_next_jobs(then);
+    });
+}
+
 // Passes the rows newer than `after` to their cells, and returns how many there were.
 std::int64_t flow_entry::apply_job_rows(instant now, row_version after, const std::vector<store_row>& rows)
 {
@@ -287,18 +334,19 @@
     return newer;
 }
 
-// Failure: the table does not answer this entry, so its watches fail. Symptom: a job whose notification was lost, or a
-// task handed to a cell of this entry, waits until the table answers again. Reads can be relayed through a peer and
-// return everything that a watch would. The watch version is not changed: the next watch continues where the last one
-// ended.
+// Failure: the table does not answer this entry, so its watches fail, or the changes of the site come in faster than
+// the entry's link carries them. Symptom: a job whose notification was lost, or a task handed to a cell of this entry,
+// waits until the table answers again or discards its history. Reads can be relayed through a peer, and return only the
+// rows of the owned cells but all that a watch would.
 void flow_entry::read_news(instant now)
 {
     if (news_read_.under_way > 0) {
         return;
     }
-    next_watch_ = now + watch_interval;
     news_read_ = {};
     news_read_.asked = now;
+    news_read_.version = row_version(std::numeric_limits<std::int64_t>::max());
+    news_read_.through_peer = table_away_;
     for (const auto& [id, cell] : cells_) {
         if (cell->job_watch_version()) {
             news_read_.cells[id] = cell->epoch();
@@ -314,7 +362,7 @@
 
 void flow_entry::read_next_news(instant now)
 {
-    if (!table_away_) {
+    if (news_read_.through_peer && !table_away_) {
         news_read_.whole = news_read_.whole && news_read_.unread.empty();
         news_read_.unread.clear(); // the next watch returns them
     }
@@ -335,11 +383,11 @@
     for (const auto& [id, owned] : news_read_.cells) {
         flow_cell& cell = *cells_.at(id);
         if (news_read_.whole && cell.epoch() == owned) {
-            cell.on_news_read(news_read_.asked);
+            cell.on_news_read(news_read_.version, news_read_.asked);
         }
     }
     news_read_.cells.clear();
-    if (news_read_.answered > 0 && now >= next_news_line_) {
+    if (news_read_.through_peer && news_read_.answered > 0 && now >= next_news_line_) {
         next_news_line_ = now + watch_interval;
         edges_.note(log_level::info, "table", "news_through_peer",
                     {{"entry", self_.entry.str()},
@@ -356,6 +404,7 @@
         return;
     }
     ++news_read_.answered;
+    news_read_.version = std::min(news_read_.version, page.version);
     news_read_.rows += apply_job_rows(now, *known, page.rows);
     if (page.more && !page.rows.empty()) {
         range.from = page.rows.back().key.key + '\0';
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -102,9 +102,16 @@
         instant asked{};
         caller_reply reply;
     };
+    // The newest version of the table in an answer that was requested at `asked`. Whoever knows all changes up to it
+    // knows all that were made before `asked`.
+    struct table_mark {
+        row_version version;
+        instant asked{};
+    };
     // A read of the counts in the rows of cells, which are then extended by the jobs accepted since.
     struct pending_read {
         bool under_way = false;
+        table_mark goal; // the accepted jobs are read up to here
         std::map<cell_id, pending_count> counts;
     };
     // A job that this entry answers callers about.
@@ -137,12 +144,22 @@
         row_version version;
         bool sending = false;
     };
-    // Progress of reading new job rows by reads of the table, which can be relayed through a peer while a watch can't.
+    // Progress of one round of watching the news of jobs: calls one after another until all changes are read that were
+    // made before the round began.
+    struct news_watch {
+        bool under_way = false;
+        instant began{};
+        int answers = 0;
+        std::optional<table_mark> goal; // requested when the second answer shows changes, or the first many
+    };
+    // Progress of reading the news of the owned cells by reads of the table.
     struct news_read {
         std::vector<std::pair<cell_id, store_range>> unread;
         std::map<cell_id, epoch> cells; // the cells that are read, with the ownership epoch at the start
         instant asked{};
-        bool whole = true; // every read so far succeeded
+        row_version version;       // the lowest of the pages
+        bool through_peer = false; // made in place of watches, which cannot be relayed
+        bool whole = true;         // every read so far succeeded
         int under_way = 0;
         std::int64_t answered = 0;
         std::int64_t rows = 0; // number of rows newer than the version that the watch had reached
@@ -264,11 +281,17 @@
     void write_layout(instant now, const data_centre_id& data_centre);
     // Returns the cell, and creates it if it is unknown.
     flow_cell& find_or_create_cell(const cell_id& id, const data_centre_id& data_centre);
+    // Begins a round of watching the news.
     void watch_jobs(instant now);
+    // Returns the version that all owned cells have reached; empty without owned cells.
+    std::optional<row_version> watched_job_version() const;
+    void watch_next_jobs(instant now);
+    void read_watch_goal(instant now);
     // Returns the version up to which `page`, a watch's answer, contains all changes after `after`.
     static row_version last_complete_version(const store_page& page, row_version after);
     void on_jobs_changed(instant now, instant asked, row_version after, const store_page& page);
     std::int64_t apply_job_rows(instant now, row_version after, const std::vector<store_row>& rows);
+    // Reads the news of the owned cells in place of the changes of the whole site.
     void read_news(instant now);
     void read_next_news(instant now);
     void on_news_read(instant now, const cell_id& id, store_range range, const store_page& page);
@@ -365,7 +388,7 @@
     bool reading_layouts_ = false;
     instant layouts_read_at_{}; // when the last answered read of the layouts was sent
     instant next_layouts_read_{};
-    bool watching_jobs_ = false;
+    news_watch news_watch_;
     instant next_watch_{};
     news_read news_read_;
     instant next_news_line_{};
--- a/src/flow_entry_pending.cpp
+++ b/src/flow_entry_pending.cpp
@@ -61,6 +61,7 @@
         end_pending_read(now, page.reason);
         return;
     }
+    pending_read_.goal = {page.version, asked};
     std::map<cell_id, pending_count>& counts = pending_read_.counts;
     if (!page.more) {
         pending_cells_read_at_ = asked;
@@ -88,7 +89,8 @@
     read_accepted_since(now);
 }
 
-// Watches from the oldest of the counts on, which covers the newer ones as well.
+// Watches from the oldest of the counts on, which covers the newer ones as well. An answer that shows rows does not say
+// whether others follow, so the calls go on up to the version at which the counts were read.
 void flow_entry::read_accepted_since(instant now)
 {
     const auto& counts = pending_read_.counts;
@@ -127,13 +129,15 @@
     for (auto& [cell, count] : counts) {
         count.up_to = std::max(count.up_to, shown);
     }
-    if (page.more && shown > after) {
+    const row_version goal = pending_read_.goal.version;
+    const bool goal_reached = goal > row_version(0) && shown >= goal; // 0: the answer had no version
+    if (page.more && !goal_reached && shown > after) {
         read_accepted_since(now);
         return;
     }
-    if (!page.more) {
+    if (!page.more || goal_reached) {
         for (const auto& [cell, count] : counts) {
-            pending_.hear(cell, {count, asked, {}});
+            pending_.hear(cell, {count, page.more ? pending_read_.goal.asked : asked, {}});
         }
     }
     end_pending_read(now, "read");
--- a/src/flow_types_p.h
+++ b/src/flow_types_p.h
@@ -251,7 +251,7 @@
 struct store_page {
     bool reached = false;           // the table answered
     bool history_compacted = false; // watch only: changes are missing, the whole table has to be read again
-    bool more = false;              // further rows follow in the next page
+    bool more = false;              // further rows follow; after a watch, they may follow whenever it shows any
     row_version version;
     std::vector<store_row> rows;
     std::string reason;
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -393,7 +393,8 @@
             answer(std::move(done), store_page{}, 1500ms);
             return;
         }
-        const store_page page = read_feed(entry, watch);
+        store_page page = read_feed(entry, watch);
+        page.more = !page.rows.empty(); // as the platform's edges decode the answer
         const duration transfer = news_transfer_time(watch.table, page);
         answer(std::move(done), page, options_.table_latency + transfer);
     };
--- a/tests/test_flow_watch.cpp
+++ b/tests/test_flow_watch.cpp
@@ -78,6 +78,27 @@
     }
 }
 
+// Guards against an owner that falls ever further behind because its link carries the news of the site more slowly than
+// they are written.
+BOOST_AUTO_TEST_CASE(a_job_whose_message_is_lost_starts_though_the_link_is_too_narrow_for_the_news)
+{
+    constexpr duration max_start_delay_narrow = 5s; // a round that is given up, its last answer, and the owner's rows
+    for (const duration busy : watched_for) {
+        BOOST_TEST_CONTEXT("busy for " << busy / 1s << " s")
+        {
+            const auto w = busy_site({.news_row_transfer_time = 3ms}, busy);
+            w->drop_row_messages(true);
+            const int other = 1 - owner_of(*w);
+            BOOST_REQUIRE(w->submit(other, job_a, chain_spec(1, 4)) == caller_result::accepted);
+            const instant accepted = w->now();
+            w->run_until([&] { return w->count_job_starts(job_a) == 4; }, 30s);
+            BOOST_TEST(w->count_job_starts(job_a) == 4);
+            BOOST_TEST((w->now() - accepted) / 1ms <= max_start_delay_narrow / 1ms);
+            check_no_violations(*w);
+        }
+    }
+}
+
 // Guards against an owner that reads the news of a busy site without pause, since further rows are written during each
 // read.
 BOOST_AUTO_TEST_CASE(an_owner_reads_a_busy_site_in_few_calls)
