cell: a renewal that is found as an unanswered write sent it counts

Callers saw: while the table applied writes and lost their answers, jobs that were accepted did not start, though the cell had an owner that was alive and nobody else took the cell.

Cause: a renewal that was in force without an answer showed up as a conflict of the next one. The owner took over the version of the row and no more: renewed_ stayed where it was, so after ownership_lease (3 s) it sent no orders and renewed no leases, although the followers saw each of its renewals. The workers that the row names were not noted either.

Evidence: test_flow_retried_writes/an_owner_whose_renewals_are_found_written_sends_orders: the answers to the next 20 applied writes of the cell's row are lost, conflicts and reads are answered. Ruled out: table_outage(), which lets an owner go on for 10 s, since reads are answered; a change of hands, since the owner is the same.

Change: renewals without an answer are kept with the time of their sending. The owner reads the row after each, and a row with the bytes of such a renewal, read or shown by a conflict, counts as renewed at the time when that one was sent, and the next renewal follows at once. It holds because a follower counts ownership_lease from when it first saw the row, which is after the sending, however late the table applied it; of several tries one at most is applied, since all name the version that they replace; a row of another owner or epoch still ends the ownership first.

After: 12 of 12 tasks run and the owner is the same.

--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -106,6 +106,9 @@
     if (owns() && (!owned_by_this_incarnation || row_.epoch != epoch_.value())) {
         lose_ownership(now, "another entry has taken the cell");
     }
+    else if (owns()) {
+        find_unanswered_renewal(now, row->value);
+    }
 }
 
 void flow_cell::tick(instant now, const cell_candidacy& candidacy)
@@ -660,15 +663,17 @@
                   }
                   row_request_in_flight_ = false;
                   if (result.outcome == table_outcome::applied) {
-                      row_ = wanted;
-                      mark_named_workers(wanted);
                       row_version_ = result.version;
                       row_seen_at_ = then;
-                      renewed_ = sent;
                       next_renewal_ = then + renew_interval;
+                      on_renewed(wanted, sent);
                       return;
                   }
                   next_renewal_ = then + renew_retry;
+                  if (result.outcome == table_outcome::unknown) {
+                      unanswered_renewals_.push_back({wanted, sent});
+                      read_row(then);
+                  }
                   if (result.outcome == table_outcome::conflict) {
                       // Either another entry has taken the cell, or an earlier renewal of this owner was applied
                       // although its answer was lost.
@@ -677,6 +682,36 @@
               });
 }
 
+// Does what depends on a renewal being in the table.
+void flow_cell::on_renewed(const wire::flow_cell_row& renewal, instant sent)
+{
+    row_ = renewal;
+    mark_named_workers(renewal);
+    renewed_ = std::max(renewed_, sent);
+    unanswered_renewals_.clear();
+}
+
+// Failure: the table applies renewals and their answers are lost. Symptom: followers see that the owner renews and
+// leave the cell to it, while the owner, which counts answers, stops sending orders after ownership_lease. So a row
+// that is found as an unanswered renewal sent it counts as that renewal. It was sent before any follower can have seen
+// it, which is what ownership_lease is counted from.
+void flow_cell::find_unanswered_renewal(instant now, const std::string& found)
+{
+    const auto at =
+        std::find_if(unanswered_renewals_.begin(), unanswered_renewals_.end(),
+                     [&found](const sent_renewal& renewal) { return encode_compact(renewal.row) == found; });
+    if (at == unanswered_renewals_.end()) {
+        return;
+    }
+    const sent_renewal renewal = *at;
+    edges_.note(log_level::info, "cell", "found_renewed",
+                {{"cell", id_.str()},
+                 {"epoch", std::to_string(epoch_.value())},
+                 {"sent_ms_ago", std::to_string((now - renewal.sent) / std::chrono::milliseconds(1))}});
+    on_renewed(renewal.row, renewal.sent);
+    next_renewal_ = now;
+}
+
 void flow_cell::lose_ownership(instant now, const std::string& reason)
 {
     edges_.note(log_level::warning, "cell", "lost",
@@ -686,6 +721,7 @@
     ++ownership_generation_;
     role_ = role::watching;
     row_request_in_flight_ = false;
+    unanswered_renewals_.clear();
     row_unchanged_since_ = now;
     jobs_.clear();
     loads_.clear();
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -245,6 +245,11 @@
         std::map<flow_task_id, std::int32_t> paced;
     };
 
+    // A renewal of the cell's row as it was sent to the table.
+    struct sent_renewal {
+        wire::flow_cell_row row;
+        instant sent{};
+    };
     // A job's row as it was sent to the table.
     struct committed_row {
         job_id job;
@@ -304,6 +309,9 @@
     void become_owner(instant now);
     void write_row(const wire::flow_cell_row& wanted, std::function<void(instant, const store_result&)> done);
     void renew(instant now);
+    void on_renewed(const wire::flow_cell_row& renewal, instant sent);
+    // Does the same if the row that was found is that of a renewal without an answer.
+    void find_unanswered_renewal(instant now, const std::string& found);
     // The workers for the cell's row, with remaining lease times for a follower.
     std::vector<wire::flow_worker_name> build_worker_names(instant now, bool releasing);
     wire::flow_pending_row pending_row(instant now) const;
@@ -626,7 +634,8 @@
     bool take_outcome_unknown_ = false;  // the answer to the last take was lost
     bool row_request_in_flight_ = false; // a take, renewal or release, or the probe before a take, is under way
     skylarkhub::epoch epoch_;
-    instant renewed_{}; // when the last renewal that succeeded was sent
+    instant renewed_{};                             // when the last renewal that succeeded was sent
+    std::vector<sent_renewal> unanswered_renewals_; // of this ownership, since the last one that succeeded
     instant taken_at_{};
     bool workers_listed_since_takeover_ = false;
     instant stop_planned_at_{};
--- a/tests/test_flow_retried_writes.cpp
+++ b/tests/test_flow_retried_writes.cpp
@@ -47,6 +47,12 @@
     });
 }
 
+bool writes_cell(const store_transaction& t)
+{
+    return std::any_of(t.puts.begin(), t.puts.end(),
+                       [](const store_put& put) { return put.key == cell_key(cell_id("a")); });
+}
+
 bool writes_late_ends(const store_transaction& t)
 {
     return std::any_of(t.puts.begin(), t.puts.end(),
@@ -285,3 +291,16 @@
     BOOST_TEST(r.running() == 0);
     check_no_violations(r.w);
 }
+
+// The table applies the renewals of an owner and loses the answers. No other entry takes the cell, and the owner, which
+// does not know that it has renewed, sends no orders.
+BOOST_AUTO_TEST_CASE(an_owner_whose_renewals_are_found_written_sends_orders)
+{
+    three_entries r;
+    r.w.drop_next_answers_to(20, writes_cell);
+    r.w.run_for(4s);
+    BOOST_TEST((r.w.submit(r.first, job_a, lasting_spec(12)) == caller_result::accepted));
+    BOOST_TEST(r.tasks_started() == 12);
+    BOOST_TEST(owner_of(r.w) == r.owner);
+    check_no_violations(r.w);
+}
