--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -360,6 +360,11 @@
             answer(std::move(done), store_result{}, 1500ms);
             return;
         }
+        if (chosen_to_delay_ && chosen_to_delay_(t)) {
+            schedule(write_delay_, [this, t] { apply(t); });
+            answer(std::move(done), store_result{}, 1500ms);
+            return;
+        }
         schedule(options_.table_latency, [this, entry, t, answer, done = std::move(done)] {
             store_result result = apply(t);
             if (takes_dropped_answer(t, result)) {
--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -160,6 +160,12 @@
         chosen_answers_to_drop_ = n;
         chosen_to_drop_ = std::move(chosen);
     }
+    // The transactions that `chosen` selects get no answer and are applied after `d`, if their checks then hold.
+    void delay_writes(duration d, std::function<bool(const store_transaction&)> chosen)
+    {
+        write_delay_ = d;
+        chosen_to_delay_ = std::move(chosen);
+    }
     // While set, watches of news rows get no answer, so owners learn of news from messages only.
     void drop_job_watches(bool lost) { drop_job_watches_ = lost; }
     // The table discards its change history: each entry's next watch of jobs is answered with history_compacted, and
@@ -364,6 +370,8 @@
     int answers_to_drop_ = 0;
     int chosen_answers_to_drop_ = 0;
     std::function<bool(const store_transaction&)> chosen_to_drop_; // set by drop_next_answers_to()
+    duration write_delay_{0};
+    std::function<bool(const store_transaction&)> chosen_to_delay_; // set by delay_writes()
     bool drop_job_watches_ = false;
     int history_ = 0;                 // number of discard_change_history() calls
     std::map<int, int> history_seen_; // value of history_ at each entry's last watch of jobs
--- a/tests/test_flow_retried_writes.cpp
+++ b/tests/test_flow_retried_writes.cpp
@@ -304,3 +304,17 @@
     BOOST_TEST(owner_of(r.w) == r.owner);
     check_no_violations(r.w);
 }
+
+// The write of a job is applied long after it was sent. A cancel is answered meanwhile that there is no such job, which
+// acknowledges the cancel, and the job runs all the same.
+BOOST_AUTO_TEST_CASE(a_job_that_is_written_after_its_cancel_does_not_run)
+{
+    three_entries r;
+    r.w.drop_job_watches(false);
+    r.w.delay_writes(6s, writes_acceptance);
+    BOOST_TEST((r.w.submit(r.first, job_a, lasting_spec(12)) == caller_result::outcome_unknown));
+    BOOST_TEST((r.w.cancel(r.second, job_a) == caller_result::unknown_job));
+    r.w.run_until([&] { return r.w.count_running_tasks(job_a) > 0; }, 10s);
+    BOOST_TEST(r.w.count_running_tasks(job_a) == 0);
+    check_no_violations(r.w);
+}
