entry: show how far an owner is behind the news of jobs

What operators saw: nothing. An owner that read the news more slowly than the site wrote them looked healthy until jobs were late; neither a metric nor a log line told of it.

The change: the gauge job_news_behind_ms is the age of the oldest knowledge that the entry has of an owned cell's news, and the log line `table news_behind` (at most one each two seconds) tells it once it is a second more than the watch interval, with the versions reached and aimed at, the answers of the round, and whether the table is away or the owner reads its own cells' rows instead.

--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -853,6 +853,11 @@
     return role_ == role::owning && parts_to_read_ == 0 ? std::optional(job_watch_version_) : std::nullopt;
 }
 
+std::optional<instant> flow_cell::job_news_complete_at() const
+{
+    return job_watch_version() ? std::optional(job_watch_asked_at_) : std::nullopt;
+}
+
 void flow_cell::on_job_watch_advanced(row_version after, row_version up_to, std::optional<instant> asked)
 {
     if (job_watch_version() && job_watch_version_ >= after) {
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -139,6 +139,8 @@
     // The version up to which this owner knows the table of jobs; empty while the table is read as a whole, or the cell
     // is not owned.
     std::optional<row_version> job_watch_version() const;
+    // The time up to which this owner knows all changes of the table of jobs; empty as above.
+    std::optional<instant> job_news_complete_at() const;
     // Every row of the table of jobs that changed after the first version and up to the second was given to
     // on_job_row(). Ignored if this owner's own version is older than `after`, as after a takeover during the read; the
     // changes are then requested from that version on. `asked`: when the read was requested, if it returned all changes
--- a/src/flow_cells.cpp
+++ b/src/flow_cells.cpp
@@ -239,6 +239,28 @@
     return known;
 }
 
+void flow_entry::report_news_delay(instant now)
+{
+    duration behind{0};
+    for (const auto& [id, cell] : cells_) {
+        behind = std::max(behind, now - cell->job_news_complete_at().value_or(now));
+    }
+    stats_.news_behind_ms = behind / 1ms;
+    if (behind < news_behind_logged_after || now < next_news_behind_line_) {
+        return;
+    }
+    next_news_behind_line_ = now + watch_interval;
+    const row_version goal = news_watch_.goal ? news_watch_.goal->version : row_version(0);
+    edges_.note(log_level::warning, "table", "news_behind",
+                {{"entry", self_.entry.str()},
+                 {"behind_ms", std::to_string(stats_.news_behind_ms)},
+                 {"version", std::to_string(watched_job_version().value_or(row_version(0)).value())},
+                 {"goal", std::to_string(goal.value())},
+                 {"answers", std::to_string(news_watch_.answers)},
+                 {"table_away", table_away_ ? "yes" : "no"},
+                 {"reads_cells", news_read_.under_way > 0 ? "yes" : "no"}});
+}
+
 void flow_entry::watch_next_jobs(instant now)
 {
     const auto known = watched_job_version();
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -107,6 +107,7 @@
     if (now >= next_watch_) {
         watch_jobs(now);
     }
+    report_news_delay(now);
     edges_.after(tick_interval, [this](instant then) { tick(then); });
 }
 
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -286,6 +286,8 @@
     // Returns the version that all owned cells have reached; empty without owned cells.
     std::optional<row_version> watched_job_version() const;
     void watch_next_jobs(instant now);
+    // Measures how old this entry's knowledge of the news is, and logs it while the entry falls behind.
+    void report_news_delay(instant now);
     void read_watch_goal(instant now);
     // Returns the version up to which `page`, a watch's answer, contains all changes after `after`.
     static row_version last_complete_version(const store_page& page, row_version after);
@@ -392,6 +394,7 @@
     instant next_watch_{};
     news_read news_read_;
     instant next_news_line_{};
+    instant next_news_behind_line_{};
     std::map<cell_id, int> ranks_; // this entry's rank as a candidate owner of each cell
     instant next_ranks_{};
     std::vector<wire::flow_cell_news> own_news_;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -84,6 +84,8 @@
 inline constexpr std::size_t max_cells_notified = 90;
 inline constexpr duration removal_interval = 10s; // rows of ended jobs cost time only at a takeover
 inline constexpr duration watch_interval = 2s;    // bounds the delay that a lost message about a new row causes
+// Age of an owner's knowledge of the news. A round of watching takes well below a second where the owner keeps up.
+inline constexpr duration news_behind_logged_after = watch_interval + 1s;
 // An answer to a watch with this many rows was probably cut. After fewer, the next call probably shows none and ends
 // the round, so that the round does not need to ask for the table's version.
 inline constexpr std::size_t many_changes = 200;
--- a/src/flow_metrics.cpp
+++ b/src/flow_metrics.cpp
@@ -67,6 +67,7 @@
     write_value(page, "peer_exchanges_unanswered_total", "", stats.peers_unanswered);
     write_value(page, "worker_entries_unusable", "", stats.unusable_entries);
     write_value(page, "worker_entries_unusable_noticed_total", "", stats.unusable_entries_noticed);
+    write_value(page, "job_news_behind_ms", "", stats.news_behind_ms);
     stats.accept_times.write(page, "accept_seconds", "");
 }
 
--- a/tests/test_flow_watch.cpp
+++ b/tests/test_flow_watch.cpp
@@ -99,6 +99,19 @@
     }
 }
 
+// Guards against an owner that falls behind unseen.
+BOOST_AUTO_TEST_CASE(an_owner_that_falls_behind_says_so)
+{
+    const auto wide = busy_site({}, 20s);
+    BOOST_TEST(wide->entry(owner_of(*wide))->stats().news_behind_ms < 3000);
+    BOOST_TEST(wide->count_log_events("table", "news_behind") == 0);
+    const auto narrow = busy_site({.news_row_transfer_time = 10ms}, 20s);
+    const flow_entry& owner = *narrow->entry(owner_of(*narrow));
+    BOOST_TEST(narrow->run_until([&] { return owner.stats().news_behind_ms > 4000; }, 10s));
+    BOOST_TEST(narrow->count_log_events("table", "news_behind") >= 1);
+    BOOST_TEST(narrow->count_log_events("table", "news_behind") <= 15); // one each 2 s
+}
+
 // Guards against an owner that reads the news of a busy site without pause, since further rows are written during each
 // read.
 BOOST_AUTO_TEST_CASE(an_owner_reads_a_busy_site_in_few_calls)
