entry: an answer that shows changes of the operator is not the newest state

What callers saw: nothing so far. Found by reading, with the watch of the news: the operator's table is watched by the same feed, whose answers may be cut without a sign. An entry took any answer for proof that its configuration is the newest, also one that showed other rows of the operator and was cut before a new configuration; where many such rows come over a narrow link, it could have refused an added queue for good.

The change: only an answer without changes, or the first read, counts as proof; after any changes the next call does not wait.

Evidence: test_flow_wire/an_answer_that_shows_changes_may_be_followed_by_others shows that such an answer is marked; there is no test of the refusal itself, which needs an answer that takes longer than two seconds. test_flow_config passes with the virtual table marking its answers so. Cost: one call more for each change of the operator's rows and entry.

--- a/src/flow_config.cpp
+++ b/src/flow_config.cpp
@@ -11,16 +11,18 @@
 
 void flow_entry::watch_operator(instant now)
 {
-    // After a change the next call only checks that it was the newest.
+    // After changes the next call only checks whether further ones follow.
     const duration wait = config_just_came_ ? duration(0) : operator_wait;
     config_just_came_ = false;
     edges_.watch_operator(operator_seen_, wait, [this, asked = now](instant then, const operator_update& page) {
         if (page.reached) {
             table_answered_ = then;
-            // The received version was the newest when the request was sent; a large text takes time over a narrow
-            // link.
-            config_newest_at_ = page.config ? asked : then;
-            config_just_came_ = page.config.has_value();
+            // An answer that shows changes may have been cut before the newest configuration. The received version was
+            // the newest when the request was sent; a large text takes time over a narrow link.
+            if (!page.more) {
+                config_newest_at_ = page.config ? asked : then;
+            }
+            config_just_came_ = page.more || page.config.has_value();
             operator_answered_ = true;
             operator_failures_ = 0;
             operator_seen_ = page.history_compacted ? row_version(0) : std::max(operator_seen_, page.version);
--- a/src/flow_edges_p.h
+++ b/src/flow_edges_p.h
@@ -17,6 +17,7 @@
 struct operator_update {
     bool reached = false;
     bool history_compacted = false;
+    bool more = false; // further changes may follow
     row_version version;
     std::optional<flow_config> config; // empty if the configuration has not changed
     std::string config_text;           // the unparsed text of `config`
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -573,6 +573,7 @@
     if (after < config_row_) {
         page.config = read_config_text(config_text_);
         page.config_text = config_text_;
+        page.more = after > row_version(0); // as the platform's edges decode an answer that shows changes
     }
     return page;
 }
--- a/tests/test_flow_wire.cpp
+++ b/tests/test_flow_wire.cpp
@@ -410,6 +410,20 @@
     BOOST_TEST(reader.read({}).workers.empty());
 }
 
+// Guards against taking one answer to a watch for all changes: it does not say whether further ones follow.
+BOOST_AUTO_TEST_CASE(an_answer_that_shows_changes_may_be_followed_by_others)
+{
+    const char* const changed = R"({"rows":[{"table":"op","key":"wave/1","value":"YQ==","schema-version":3}],)"
+                                R"("schema-version":3})";
+    const char* const unchanged = R"({"rows":[],"schema-version":9})";
+    BOOST_TEST(read_feed(answered(200, changed)).more);
+    BOOST_TEST(!read_feed(answered(200, unchanged)).more);
+    BOOST_TEST(!read_feed(answered(410, "")).more);
+    BOOST_TEST(!read_page(answered(200, changed)).more);
+    BOOST_TEST(read_operator_page(read_feed(answered(200, changed))).more);
+    BOOST_TEST(!read_operator_page(read_feed(answered(200, unchanged))).more);
+}
+
 BOOST_AUTO_TEST_CASE(a_page_is_read_completely_or_not_at_all)
 {
     // If the rows of a truncated page were taken for all rows, every worker after the truncation would seem to be gone.
