--- a/tests/test_flow_retried_writes.cpp
+++ b/tests/test_flow_retried_writes.cpp
@@ -1,9 +1,11 @@
 // Tests that a write which an entry finds applied, because its answer was lost or another entry wrote it, has all of
 // its effects. The watches that would make up for a lost message are not answered in these tests.
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 
+#include "base_random_p.h"
 #include "flow_row_p.h"
 #include "support_flow_checks.h"
 #include "support_flow_simulation.h"
@@ -318,3 +320,52 @@
     BOOST_TEST(r.w.count_running_tasks(job_a) == 0);
     check_no_violations(r.w);
 }
+
+// Guards against effects that go missing, or come twice, where lost answers, cancels, moves and restarts meet.
+BOOST_AUTO_TEST_CASE(no_effect_goes_missing_while_answers_are_lost)
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            flow_simulation w({.seed = seed,
+                               .data_centres = {"a", "b"},
+                               .entries_per_data_centre = 2,
+                               .worker_cpu_millis = 6000,
+                               .run_time = [](const flow_task_id& t) { return duration(400ms * (1 + t.index % 5)); }});
+            random_source random = make_random(seed * 31);
+            w.run_for(4s);
+            std::vector<std::string> uncancelled;
+            for (int round = 0; round < 12; ++round) {
+                const std::string job = fmt::format("{:016x}", seed * 100 + static_cast<std::uint64_t>(round));
+                const int entry = absl::Uniform(random, 0, 4);
+                if (w.entry(entry) == nullptr) {
+                    w.start_entry(entry);
+                    w.run_for(800ms);
+                }
+                w.drop_next_answers_to(absl::Uniform(random, 0, 6), [](const store_transaction&) { return true; });
+                const bool accepted = w.submit(entry, job, chain_spec(2, 8)) == caller_result::accepted;
+                w.run_for(std::chrono::milliseconds(absl::Uniform(random, 0, 1500)));
+                w.drop_next_answers_to(absl::Uniform(random, 0, 6), [](const store_transaction&) { return true; });
+                if (accepted && absl::Uniform(random, 0, 2) == 0) {
+                    w.cancel(entry, job);
+                }
+                else if (accepted) {
+                    uncancelled.push_back(job);
+                }
+                if (absl::Uniform(random, 0, 4) == 0) {
+                    w.kill_entry(absl::Uniform(random, 0, 4));
+                }
+            }
+            w.drop_next_answers_to(0, {});
+            for (int i = 0; i < 4; ++i) {
+                if (w.entry(i) == nullptr) {
+                    w.start_entry(i);
+                }
+            }
+            for (const std::string& job : uncancelled) {
+                BOOST_TEST(w.run_until([&] { return w.state(0, job) == flow_state::done; }, 60s));
+            }
+            check_no_violations(w);
+        }
+    }
+}
