flow: tell all cells of a cancel that the job's own cell does not hear

Seen by callers: tasks of a cancelled job run on (UNASKED) in a cell that is not the home of the job.

Cause: the entry that accepts a cancel tells the owner of the job's home cell only, and that owner tells the other cells in which tasks of the job run, with the write of its own row. While the home cell has no owner, or one that still reads its rows, nobody tells them, whoever owns them.

Change: while a cancel is not acknowledged for 300 ms, the entry tells it to the owners of all cells, once a second, with one message for each of them. A cell that does not know the job ignores that; the home cell still tells all that are concerned, in the table as well. In usual times nothing is sent, as the owner acknowledges within milliseconds.

Ruled out: to let the reader of the home cell write the cancel before it has read all rows (it would have to handle conflicts of its rows while it reads); to let the accepting entry read the job's rows for the cells concerned (two more reads over the links that are busy with reading, and it may not see the newest moves).

--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -580,7 +580,9 @@
     // A page or a message from before the job's last write still shows the job as running. If the job were added
     // again, it would run a second time, with run numbers that start from the first.
     const bool accepted = name == accepted_row(id_, name.job);
-    if (row.outcome != 0 || (accepted && recently_ended_jobs_.count(name.job) != 0)) {
+    // An entry tells all cells of a cancel that the job's own cell does not hear.
+    const bool cancelled_elsewhere = name == cancel_row(id_, name.job) && row.cell != id_.str();
+    if (cancelled_elsewhere || row.outcome != 0 || (accepted && recently_ended_jobs_.count(name.job) != 0)) {
         return;
     }
     if (!accepted) {
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -92,6 +92,10 @@
             send_row_to_owner(now, name);
         }
     }
+    if (now >= next_cancel_spread_ && !unacknowledged_rows_.empty()) {
+        next_cancel_spread_ = now + cancel_spread_interval;
+        spread_cancels(now);
+    }
     if (stopping_ && !acknowledgement_wait_ended_ && now - stop_planned_at_ >= stop_drain_timeout) {
         acknowledgement_wait_ended_ = true;
         if (!unacknowledged_rows_.empty()) {
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -142,6 +142,7 @@
         wire::flow_job_row row;
         std::string bytes;
         row_version version;
+        instant since{};
         bool sending = false;
     };
     // Progress of one round of watching the news of jobs: calls one after another until all changes are read that were
@@ -212,6 +213,10 @@
     void check_for_legacy_jobs(int part);
     // Sends an unacknowledged row to the cell's owner.
     void send_row_to_owner(instant now, const job_row_name& name);
+    void spread_cancels(instant now);
+    // Passes a row to a cell of this entry. False if the cell has to receive it again later.
+    static bool pass_row_to_cell(instant now, flow_cell& cell, const job_row_name& name, const wire::flow_job_row& row,
+                                 row_version version);
     std::optional<std::pair<cell_id, epoch>> find_cell_with_room(instant now, const cell_id& from,
                                                                  const std::string& service, const flow_step& step,
                                                                  room_kind kind);
@@ -417,6 +422,7 @@
     instant next_members_{};
     instant next_entries_read_{};
     instant next_row_resend_{};
+    instant next_cancel_spread_{};
     bool legacy_jobs_absent_ = false; // the table holds no jobs of an earlier release, so cells may be owned
     std::int64_t accept_count_ = 0;
     flow_entry_stats stats_;
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -589,9 +589,21 @@
     unacknowledged.row = row;
     unacknowledged.bytes = encode_compact(row);
     unacknowledged.version = version;
+    unacknowledged.since = now;
     send_row_to_owner(now, name);
 }
 
+bool flow_entry::pass_row_to_cell(instant now, flow_cell& cell, const job_row_name& name, const wire::flow_job_row& row,
+                                  row_version version)
+{
+    if (!cell.accepts_job_news()) {
+        cell.on_early_news(now, name.job, row);
+        return false;
+    }
+    cell.on_job_row(now, name, row, version);
+    return true;
+}
+
 // Notifies the owner of a new row at once, and again until the owner acknowledges it.
 void flow_entry::send_row_to_owner(instant now, const job_row_name& name)
 {
@@ -600,14 +612,12 @@
         return;
     }
     const auto own = cells_.find(name.cell);
-    if (own != cells_.end() && own->second->owns() && !own->second->accepts_job_news()) {
-        own->second->on_early_news(now, name.job, at->second.row);
-        return; // tick() tries again
-    }
-    if (own != cells_.end() && own->second->accepts_job_news()) {
-        const unacknowledged_row row = std::move(at->second);
+    if (own != cells_.end() && own->second->owns()) {
+        unacknowledged_row row = std::move(at->second);
         unacknowledged_rows_.erase(at);
-        own->second->on_job_row(now, name, row.row, row.version);
+        if (!pass_row_to_cell(now, *own->second, name, row.row, row.version)) {
+            unacknowledged_rows_.emplace(name, std::move(row)); // tick() tries again
+        }
         return;
     }
     const peer* const owner = find_owner(now, name.cell);
@@ -637,6 +647,41 @@
         });
 }
 
+// Sends cancels that the owner of the job's cell has not acknowledged to the owners of all other cells. Only the owner
+// of the job's cell knows where else tasks of the job run, and tells those cells once it has read its rows; without an
+// owner, or with one that still reads, tasks elsewhere would run on for seconds. The answers do not matter, as the
+// job's cell still tells all that are concerned.
+void flow_entry::spread_cancels(instant now)
+{
+    std::map<net_address, wire::flow_message> messages;
+    for (const auto& [name, unacknowledged] : unacknowledged_rows_) {
+        if (name != cancel_row(name.cell, name.job) || now - unacknowledged.since < row_resend_interval) {
+            continue;
+        }
+        for (const auto& [id, cell] : cells_) {
+            if (id == name.cell) {
+                continue;
+            }
+            const peer* const owner = cell->owns() ? nullptr : find_owner(now, id);
+            if (cell->owns()) {
+                pass_row_to_cell(now, *cell, cancel_row(id, name.job), unacknowledged.row, unacknowledged.version);
+            }
+            else if (owner != nullptr) {
+                wire::flow_row_news news;
+                news.job = name.job.str();
+                news.version = unacknowledged.version.value();
+                news.row = unacknowledged.bytes;
+                news.cell = id.str();
+                news.writer = name.writer;
+                messages[owner->identity.address].rows.push_back(std::move(news));
+            }
+        }
+    }
+    for (const auto& [address, message] : messages) {
+        edges_.send_message(address, message, [](instant, const std::optional<wire::flow_message>&) {});
+    }
+}
+
 // Returns another cell with a worker that one more task of the step fits on: the one with the most room, or for a
 // lasting task the one where its image is served most.
 std::optional<std::pair<cell_id, epoch>> flow_entry::find_cell_with_room(instant now, const cell_id& from,
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -147,6 +147,9 @@
 inline constexpr duration config_start_timeout = 2s;
 inline constexpr duration max_own_news_age = 100ms;
 inline constexpr duration row_resend_interval = 300ms; // for rows that a cell's owner has not acknowledged
+// Between messages about such cancels to the owners of all other cells; a cancelled task has to end within four
+// seconds.
+inline constexpr duration cancel_spread_interval = 1s;
 
 // --- cells ---
 // About the number of workers that the smallest entry can manage besides serving callers.
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -200,15 +200,11 @@
             continue;
         }
         const auto cell = cells_.find(cell_id(news.cell));
-        if (cell == cells_.end() || !cell->second->accepts_job_news()) {
+        if (cell == cells_.end() ||
+            !pass_row_to_cell(now, *cell->second, {cell_id(news.cell), job_id(news.job), news.writer}, *row,
+                              row_version(news.version))) {
             answer.unknown_jobs.push_back(news.job);
-            if (cell != cells_.end()) {
-                cell->second->on_early_news(now, job_id(news.job), *row);
-            }
-            continue;
         }
-        cell->second->on_job_row(now, {cell_id(news.cell), job_id(news.job), news.writer}, *row,
-                                 row_version(news.version));
     }
     for (const wire::flow_state_news& news : message.states) {
         update_job_state(now, job_id(news.job), static_cast<flow_state>(news.state));
--- a/tests/test_flow_cancel_drains.cpp
+++ b/tests/test_flow_cancel_drains.cpp
@@ -489,3 +489,22 @@
         }
     }
 }
+
+// Guards against tasks that run on in another cell because the home cell of their cancelled job has no owner that can
+// pass the cancel on.
+BOOST_AUTO_TEST_CASE(a_cancel_reaches_other_cells_while_the_home_cell_is_read)
+{
+    const cell_id home("a");
+    flow_simulation w({.data_centres = {"a", "b"}, .workers_per_data_centre = 2, .job_page_transfer_time = 400ms});
+    w.run_for(10s);
+    w.insert_unannounced_job(job_a, home, lasting_spec(12, lasting_cpu));
+    BOOST_REQUIRE(w.run_until([&] { return w.count_running_tasks(job_a) == 12; }, 8s));
+    w.run_for(5s);
+    w.kill_entry(w.entry(0)->cells().at(home)->owns() ? 0 : 1);
+    w.run_for(calm_before);
+    BOOST_TEST((w.cancel(2, job_a) == caller_result::cancelled));
+    BOOST_TEST(w.run_until([&] { return w.count_running_tasks(job_a) == 0; }, cancel_bound));
+    w.run_for(10s);
+    BOOST_TEST((w.state(2, job_a) == flow_state::cancelled));
+    check_no_violations(w);
+}
