flow: keep a worker until every end that it reported is stored

Cause: an owner forgets a worker that is not listed, and leaves a worker that drains out of the cell's row, as soon as nothing runs there. The end of the last run may not be in the table yet: its write had no answer, and the next one waits behind it. Then only this owner and the worker know of the end. A follower that the row does not name the worker to does not ask it, or does not wait for its answer, and starts the task again.

Change: a worker counts as idle only when each end that it reported is stored, both where it is forgotten and where the row leaves it out. Until then the owner goes on asking it, as it does for a worker on which something runs.

Ruled out: waiting with the release for the write (it waits 1.5 s already, and a killed owner does not wait at all).

--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -580,8 +580,8 @@
     const bool table_answers = now - renewed_ < 2 * renew_interval;
     std::vector<wire::flow_worker_name> names;
     for (auto& [id, w] : workers_) {
-        if (w.listing.draining && w.fenced && w.ledger.empty()) {
-            continue; // nothing runs or will be started there: a follower need not contact it
+        if (w.listing.draining && is_idle(w)) {
+            continue; // nothing will be started there: a follower need not contact it
         }
         wire::flow_worker_name name;
         name.worker = id.str();
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -375,7 +375,9 @@
     void log_lost_run(instant now, const cell_worker& w, const flow_task_id& task, run_number run) const;
     // Handles an answer that shows a follower of this owner, or the end of the worker's incarnation.
     bool handle_fatal_result(instant now, cell_worker& w, order_result result);
-    // Whether the worker can be forgotten: it is no longer listed, and nothing is known to run there.
+    // Nothing runs there, and every end that the worker reported is stored.
+    static bool is_idle(const cell_worker& w);
+    // Whether the worker can be forgotten.
     static bool is_idle_and_unlisted(const cell_worker& w);
     void check_lapsed(instant now);
     // The end of a lease given now, on the worker's clock; empty if that clock was never read.
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -156,10 +156,16 @@
 }
 
 // Runs that are not in the ledger have to be stopped or adopted first. If holds to an unlisted worker ended before, a
-// task of a cancelled job would run there until its lease ends.
+// task of a cancelled job would run there until its lease ends. Ends that are not stored are known to this owner and
+// the worker only: a follower that is not told of the worker would start their tasks again.
+bool flow_cell::is_idle(const cell_worker& w)
+{
+    return w.fenced && w.ledger.empty() && w.untracked_runs == 0 && w.unconfirmed.empty() && w.unknown_job_ends.empty();
+}
+
 bool flow_cell::is_idle_and_unlisted(const cell_worker& w)
 {
-    return !w.listed && w.fenced && w.ledger.empty() && w.untracked_runs == 0;
+    return !w.listed && is_idle(w);
 }
 
 // Declares the worker lost if its leases have lapsed and it has not answered. The decision waits until the hold in
