flow: an owner that has read its rows keeps the cancels it heard while it read them

Cause: news that come while rows are read are turned away, also where their cancel had the runs stopped. A row that was read before the cancel was written does not tell of it. So the new owner took the stopped run for one that has to run again, until the sender repeated the news, at most 300 ms later.

In the small test, which cancels at seven moments around the takeover and now counts starts: 16 instead of 8 at one of them, after: 8 at all.

Change: the reader keeps the rows that told it of a cancel or an end, and takes them in before it starts anything. They are facts that hold whatever the rows say. The sender still repeats them, which changes nothing.

--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -537,7 +537,6 @@
             unreconciled_jobs_.insert(id);
         }
     }
-    over_while_reading_.clear();
     never_owned_before_ = false; // a part that is fenced again from now on has rows to read
     const duration wait = std::max<duration>(duration(0), previous_owner_silent_from_ - now);
     edges_.note(log_level::info, "cell", "owned",
@@ -558,6 +557,16 @@
         index_ready(*job);
         end_if_decided(now, *job);
     }
+    // The rows may have been read before the cancel was written. Without it, the tasks that were stopped would be
+    // started again until its sender repeats it.
+    for (const auto& [job, told] : std::exchange(over_while_reading_, {})) {
+        if (role_ == role::owning && jobs_.count(job) != 0) {
+            on_job_row(now, told.name, told.row, told.version);
+        }
+    }
+    if (role_ != role::owning) {
+        return;
+    }
     // A worker that the previous owner no longer named in the row is over: that owner knew that it had ended.
     charge_noted(now, [this](const worker_id& id) { return workers_.count(id) == 0; });
     process_buffered_inventories(now);
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -133,7 +133,7 @@
     // Handles renewals, takeovers and lapsed leases. Called every tick_interval.
     void tick(instant now, const cell_candidacy& candidacy);
     // A row of a job that is received while accepts_job_news() is false. The sender has to send it again later.
-    void on_early_news(instant now, const job_id& job, const wire::flow_job_row& row);
+    void on_early_news(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version);
     // A row of a job in the table that may concern this cell.
     void on_job_row(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version);
     // The version up to which this owner knows the table of jobs; empty while the table is read as a whole, or the cell
@@ -660,6 +660,8 @@
     // Job rows by part, for parts that are being read.
     std::map<std::string, std::map<job_id, std::vector<store_row>>> read_rows_;
     std::map<job_id, job_reading> job_reads_in_flight_;
+    // Rows with the cancel or the end of a job that were received while the job rows are being read.
+    std::map<job_id, reported_job_row> over_while_reading_;
 
     std::map<worker_id, cell_worker> workers_;
     std::map<job_id, std::unique_ptr<flow_job>> jobs_;
@@ -668,7 +670,6 @@
     // Jobs left by a previous owner, until all its workers have reported; may_start() says which tasks wait for that.
     std::set<job_id> unreconciled_jobs_;
     std::set<job_id> timed_jobs_;
-    std::set<job_id> over_while_reading_;           // jobs whose cancel or end was received while the rows are read
     std::map<job_id, instant> recently_ended_jobs_; // kept while a late page of the table may still contain them
     crash_watch<flow_task_id> recent_crashes_;
     std::map<net_address, lapsed_worker> lapsed_workers_;
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -366,11 +366,12 @@
     }
 }
 
-void flow_cell::on_early_news(instant now, const job_id& job, const wire::flow_job_row& row)
+void flow_cell::on_early_news(instant now, const job_row_name& name, const wire::flow_job_row& row, row_version version)
 {
     const bool over = row.cancelled || row.outcome != 0;
-    if (role_ == role::reading && over && over_while_reading_.insert(job).second) {
-        stop_early_runs_of(now, job);
+    if (role_ == role::reading && over &&
+        over_while_reading_.try_emplace(name.job, reported_job_row{name, row, version}).second) {
+        stop_early_runs_of(now, name.job);
     }
 }
 
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -597,7 +597,7 @@
                                   row_version version)
 {
     if (!cell.accepts_job_news()) {
-        cell.on_early_news(now, name.job, row);
+        cell.on_early_news(now, name, row, version);
         return false;
     }
     cell.on_job_row(now, name, row, version);
--- a/tests/test_flow_cancel_drains.cpp
+++ b/tests/test_flow_cancel_drains.cpp
@@ -414,7 +414,8 @@
 // Guards against tasks that run on because their job is cancelled while the next owner of their cell reads its rows.
 BOOST_AUTO_TEST_CASE(tasks_of_a_job_cancelled_while_rows_are_read_are_stopped)
 {
-    for (const duration cancelled_after : {duration(-10ms), duration(1s), duration(calm_before)}) {
+    for (const duration cancelled_after :
+         {duration(-10ms), duration(1s), duration(4s), duration(5s), duration(6s), duration(7s), duration(8s)}) {
         BOOST_TEST_CONTEXT("cancelled " << cancelled_after / 1ms << " ms after the owner was killed")
         {
             flow_simulation w({.job_page_transfer_time = 400ms});
@@ -432,10 +433,11 @@
                 w.run_for(cancelled_after);
                 BOOST_TEST((w.cancel(1 - owner, job_a) == caller_result::cancelled));
             }
-            const duration calm_in = calm_before - std::max(cancelled_after, duration(0));
+            const duration calm_in = std::max(duration(0), calm_before - std::max(cancelled_after, duration(0)));
             BOOST_TEST(w.run_until([&] { return w.count_running_tasks(job_a) == 0; }, calm_in + cancel_bound));
             w.run_for(10s);
             BOOST_TEST((w.state(1 - owner, job_a) == flow_state::cancelled));
+            BOOST_TEST(w.count_job_starts(job_a) == 8);
             check_no_violations(w);
         }
     }
