flow: the types, messages and rows carry the birth of a worker's life

A worker may start again under the id that it had, and tells the Unix millisecond of its start in its entry in the list of workers and in its answers to holds; older installations tell none. Nothing read it, so two lives of one id could not be told apart.

worker_birth and worker_life name a life. The entries of the list and the answers to holds are decoded with it: a birth that is absent is not told, one that is there and no whole number above 0 makes the entry unusable and the answer none. Runs, start records, crash rows, lapsed workers and the names in the cell's row carry it; rows written before have 0.

Nothing decides by it yet: the behaviour is unchanged.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -32,6 +32,7 @@
 struct flow_start_row {
   1: string worker // empty: the run has certainly ended
   2: i64 run = 0
+  3: i64 born = 0 // of the worker's life that it was sent to; 0: not told
 }
 
 // What is certain about the tasks of one step in one occurrence. Facts are only ever added.
@@ -88,6 +89,7 @@
   // No lease that it has been given lasts longer from when the row was written; -1: not told.
   3: i64 lease_left_ms = -1
   4: bool silent = false // it does not answer the owner, which gives it no lease while the row says so
+  5: i64 born = 0 // of the life that answered the owner last; 0: none did, or it does not tell
 }
 
 // How many jobs of a cell wait, of those that were accepted up to a version of the table.
--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -53,7 +53,7 @@
 }
 
 // Records the crash for each lost run that pick_noted() selects.
-void flow_cell::charge_runs(instant now, const worker_id& worker, const std::vector<lost_run>& lost)
+void flow_cell::charge_runs(instant now, const worker_life& worker, const std::vector<lost_run>& lost)
 {
     for (const lost_run& run : pick_noted(lost)) {
         record_crash(now, worker, run);
@@ -62,7 +62,7 @@
 
 // Adds a crash row to the task that lost the run. Returns nothing if the task is unknown, or if crashes up to this run
 // no longer count because the task has survived the run.
-std::optional<wire::crash_row> flow_cell::add_crash_row(instant now, const worker_id& worker, const lost_run& lost)
+std::optional<wire::crash_row> flow_cell::add_crash_row(instant now, const worker_life& worker, const lost_run& lost)
 {
     const auto found = jobs_.find(lost.task.job);
     if (found == jobs_.end() || found->second->find_task(lost.task) == nullptr) {
@@ -71,8 +71,9 @@
     flow_job& job = *found->second;
     const crash_moment moment{now, edges_.wall(), now - taken_at_, workers_.size()};
     const std::vector<wire::crash_row> noted = job.find_task(lost.task)->crash_rows();
-    wire::crash_row crash = recent_crashes_.describe(moment, lost.task, worker, lost.in_crash, noted);
+    wire::crash_row crash = recent_crashes_.describe(moment, lost.task, worker.worker, lost.in_crash, noted);
     crash.run = lost.run.value();
+    crash.born = worker.born.value();
     // Many tasks run beside a crash, but few of them a second time. The first row of a task that is not charged is
     // therefore not written at once.
     const bool write_now = lost.in_crash.charged || noted.size() + 1 >= crashes_until_sure;
@@ -88,7 +89,7 @@
 }
 
 // Adds a crash row to the task and logs the crash if the task is charged with it or has to start alone.
-void flow_cell::record_crash(instant now, const worker_id& worker, const lost_run& lost)
+void flow_cell::record_crash(instant now, const worker_life& worker, const lost_run& lost)
 {
     const auto crash = add_crash_row(now, worker, lost);
     if (!crash) {
@@ -96,7 +97,7 @@
     }
     const std::vector<wire::crash_row> rows = jobs_.at(lost.task.job)->find_task(lost.task)->crash_rows();
     if (lost.in_crash.charged) {
-        recent_crashes_.explain(lost.task, worker, rows);
+        recent_crashes_.explain(lost.task, worker.worker, rows);
     }
     else if (!must_start_alone(rows)) {
         return;
@@ -104,7 +105,7 @@
     edges_.note(log_level::info, "run", "crashed_worker",
                 {{"task", text_of(lost.task)},
                  {"run", std::to_string(lost.run.value())},
-                 {"worker", worker.str()},
+                 {"worker", worker.worker.str()},
                  {"ran_ms", std::to_string(crash->age_ms)},
                  {"others_per_s", fmt::format("{:.4f}", crash->rate)},
                  {"charged", lost.in_crash.charged ? "yes" : "no"},
@@ -124,7 +125,7 @@
                     lost_run lost{job->task_id(stage, i), run_number(task.start.run), {}};
                     lost.in_crash.age = start_only_run_age;
                     lost.in_crash.charged = true;
-                    record_crash(now, worker, lost);
+                    record_crash(now, {worker, worker_birth(task.start.born)}, lost);
                 }
             }
         }
@@ -140,7 +141,7 @@
     if (w.inherited && !w.fenced) {
         charge_noted(now, [&w](const worker_id& id) { return id == w.listing.worker; });
     }
-    charge_runs(now, w.listing.worker, list_lost_runs(w));
+    charge_runs(now, w.life(), list_lost_runs(w));
 }
 
 // Records the runs of a worker whose leases have ended without an answer. The worker may have crashed or be
@@ -152,12 +153,12 @@
         return;
     }
     lapsed_worker& record = lapsed_workers_[w.listing.address];
-    record = {w.listing.worker, list_lost_runs(w), now};
+    record = {w.life(), list_lost_runs(w), now};
     // The lost tasks are started elsewhere before a new incarnation of the worker is listed, so young runs get their
     // crash rows now.
     for (const lost_run& run : record.runs) {
         if (was_young(run.in_crash)) {
-            add_crash_row(now, w.listing.worker, run);
+            add_crash_row(now, record.life, run);
         }
     }
     for (const auto& [id, other] : workers_) {
@@ -176,8 +177,8 @@
     if (at == lapsed_workers_.end()) {
         return;
     }
-    if (at->second.worker != listing.worker) {
-        charge_runs(now, at->second.worker, at->second.runs);
+    if (at->second.life.worker != listing.worker) {
+        charge_runs(now, at->second.life, at->second.runs);
         schedule_placement(); // placement ends a job whose task has crashed too many workers
     }
     else {
--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -595,6 +595,7 @@
         wire::flow_worker_name name;
         name.worker = id.str();
         name.address = w.listing.address.str();
+        name.born = w.born.value();
         name.silent =
             (table_answers && w.silent >= max_unanswered_holds) || (w.published_silent && !w.has_accepted_epoch());
         w.published_silent = w.published_silent || name.silent;
@@ -633,6 +634,7 @@
         const auto [at, added] = workers_.try_emplace(worker_id(name.worker));
         at->second.inherited = true;
         at->second.published_silent = name.silent;
+        at->second.born = worker_birth(name.born);
         if (added) {
             at->second.listing.worker = worker_id(name.worker);
             at->second.listing.address = net_address(name.address);
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -194,6 +194,8 @@
     struct cell_worker {
         flow_listed_worker listing;
         bool listed = false;
+        worker_birth born; // of the life that answered last
+        worker_life life() const { return {listing.worker, born}; }
         // A later incarnation answers at its address, even if the list still has this one.
         bool incarnation_ended = false;
         bool named = false;                      // the cell's row in the table names the worker
@@ -400,7 +402,7 @@
     };
     // The runs lost on a worker whose leases have ended, and which may have crashed.
     struct lapsed_worker {
-        worker_id worker;
+        worker_life life;
         std::vector<lost_run> runs;
         instant at{};
     };
@@ -409,9 +411,9 @@
     // The number of runs on the worker whose tasks are charged with a crash.
     std::int64_t count_charged(const cell_worker& w) const;
     std::vector<lost_run> list_lost_runs(const cell_worker& w);
-    void charge_runs(instant now, const worker_id& worker, const std::vector<lost_run>& lost);
-    std::optional<wire::crash_row> add_crash_row(instant now, const worker_id& worker, const lost_run& lost);
-    void record_crash(instant now, const worker_id& worker, const lost_run& lost);
+    void charge_runs(instant now, const worker_life& worker, const std::vector<lost_run>& lost);
+    std::optional<wire::crash_row> add_crash_row(instant now, const worker_life& worker, const lost_run& lost);
+    void record_crash(instant now, const worker_life& worker, const lost_run& lost);
     // Charges a crash to tasks whose start record names a worker whose incarnation is over.
     void charge_noted(instant now, const std::function<bool(const worker_id&)>& is_over);
     void charge_crash_of(instant now, const cell_worker& w);
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -291,6 +291,7 @@
     const flow_task_id id = job.task_id(stage, index);
     task.last_run = run;
     task.runs.push_back({w.listing.worker, run, now});
+    task.runs.back().born = w.born;
     ++stats_.starts;
     const flow_step& step = job.step(stage);
     if (step.lasting) {
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -357,6 +357,7 @@
     w.silent = 0;
     w.unanswered_since = instant{};
     w.last_answer = now;
+    w.born = answer.born;
     const bool first_reading = !w.reading && answer.clock;
     if (answer.clock) {
         w.reading = answer.clock;
@@ -730,6 +731,7 @@
     ledger_add(w, step, run.task, run.run);
     const bool wanted = task->stage != flow_task_state::done && (task->runs.empty() || step.speculative);
     task->runs.push_back({w.listing.worker, run.run, now, true, !wanted});
+    task->runs.back().born = w.born;
     task->last_run = std::max(task->last_run, run.run);
     if (!wanted) {
         send_stop(now, w.listing.worker, run.task, run.run, 0);
@@ -741,7 +743,7 @@
     task->stage = flow_task_state::placed;
     job.note_job_started();
     if (persists_starts(step)) {
-        job.note_start(run.task, w.listing.worker, run.run);
+        job.note_start(run.task, w.life(), run.run);
     }
     mark_job_dirty(now, job, false);
     index_ready(job);
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -412,11 +412,12 @@
     }
 }
 
-void flow_job::note_start(const flow_task_id& task, const worker_id& worker, run_number run)
+void flow_job::note_start(const flow_task_id& task, const worker_life& worker, run_number run)
 {
     wire::flow_start_row& start = find_task(task)->start;
     if (run.value() > start.run) {
-        start.worker = worker.str();
+        start.worker = worker.worker.str();
+        start.born = worker.born.value();
         start.run = run.value();
         ++changes_;
         mark_started();
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -26,6 +26,7 @@
     std::uint64_t noted = 0;   // the start is sent once this change of the job is written; 0: sent
     instant started{};         // time of the first send of its start; instant{}: not sent yet, or by a former owner
     bool alone = false;        // it has a worker of its own, since its task may crash workers
+    worker_birth born;         // the worker's life that its start was sent to, or that listed it
 };
 
 struct flow_task {
@@ -157,7 +158,7 @@
     void note_checkpoint(const flow_task_id& task, const std::string& checkpoint);
     // Records the start of a run that is about to be sent or was found on a worker. No effect if a newer one is
     // recorded.
-    void note_start(const flow_task_id& task, const worker_id& worker, run_number run);
+    void note_start(const flow_task_id& task, const worker_life& worker, run_number run);
     // Records that the run is certainly not active any more. No effect if another run is recorded.
     void note_run_ended(const flow_task_id& task, run_number run);
     // Newest epoch of `here` named by whoever assigned the job or handed a task to it. An epoch above the owner's own
--- a/src/flow_types_p.h
+++ b/src/flow_types_p.h
@@ -95,9 +95,25 @@
 
 // --- workers ---
 
+// When a worker process started, in Unix milliseconds of the worker's clock; 0: not told.
+using worker_birth = detail::counter<struct worker_birth_tag>;
+
+// One life of a worker: a worker that restarts may keep its id, but it runs nothing of before and counts anew.
+struct worker_life {
+    worker_id worker;
+    worker_birth born;
+
+    friend auto operator<=>(const worker_life&,
+                            const worker_life&) = default; // NOLINT(modernize-use-nullptr): wrong in clang-tidy 14
+    template <typename H> friend H AbslHashValue(H state, const worker_life& l)
+    {
+        return H::combine(std::move(state), l.worker, l.born);
+    }
+};
+
 // A worker process in the platform's list of workers.
 struct flow_listed_worker {
-    worker_id worker; // of this process: a restart of the worker changes it
+    worker_id worker; // a restarted worker may have the same one
     net_address address;
     data_centre_id data_centre;
     std::string service;
@@ -105,6 +121,7 @@
     std::vector<std::string> labels;
     rack_id rack;
     bool draining = false;
+    worker_birth born;
 };
 
 // An entry of the platform's list that cannot be parsed as a worker.
@@ -191,6 +208,7 @@
     std::vector<reported_run> running; // only in the answer to a hold
     std::vector<reported_end> ends;    // only in the answer to a hold
     std::string reason;
+    worker_birth born; // of the life that answered; only in the answer to a hold
 };
 
 struct worker_place {
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -1454,7 +1454,8 @@
             w.listed_room.value_or(w.room),
             w.labels,
             rack_id(w.labels.back()),
-            w.draining};
+            w.draining,
+            worker_birth()};
 }
 
 std::int64_t flow_simulation::count_log_events(const std::string& subject, const std::string& event) const
--- a/tests/test_flow_job.cpp
+++ b/tests/test_flow_job.cpp
@@ -211,8 +211,8 @@
     const flow_task_id task{job, 0, 0, 0};
     flow_job one(job, here, two_steps(), row_version(1));
     flow_job other(job, here, two_steps(), row_version(1));
-    one.note_start(task, worker_id("w1"), run_number(1));
-    other.note_start(task, worker_id("w2"), run_number(1001));
+    one.note_start(task, {worker_id("w1"), worker_birth(0)}, run_number(1));
+    other.note_start(task, {worker_id("w2"), worker_birth(7)}, run_number(1001));
     one.merge(instant{}, other.current_row(), row_writer_kind::other_cell);
     BOOST_TEST(one.find_task(task)->start.worker == "w2");
     one.note_run_ended(task, run_number(1));
--- a/tests/test_flow_wire.cpp
+++ b/tests/test_flow_wire.cpp
@@ -2,12 +2,14 @@
 #include <absl/strings/escaping.h>
 #include <boost/test/unit_test.hpp>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "../platform/caller_wire.h"
 #include "../platform/operator_wire.h"
 #include "../platform/table_wire.h"
 #include "../platform/worker_wire.h"
+#include "flow_job_p.h"
 #include "flow_row_p.h"
 #include "row_codec_p.h"
 
@@ -117,6 +119,57 @@
         (read_answer(hold, answered(200, R"({"running":[[1]],"finished":[]})")).result != order_result::accepted));
 }
 
+BOOST_AUTO_TEST_CASE(the_answer_to_a_hold_tells_the_birth_of_the_worker)
+{
+    const worker_order hold = hold_worker{};
+    const auto with_born = [&](const std::string& born) {
+        return read_answer(hold, answered(200, R"({"clock-ms":1,"running":[],"finished":[],"born":)" + born + "}"));
+    };
+    BOOST_TEST(with_born("1796356800123").born.value() == 1796356800123);
+    const order_answer untold = read_answer(hold, answered(200, R"({"clock-ms":1,"running":[],"finished":[]})"));
+    BOOST_TEST((untold.result == order_result::accepted));
+    BOOST_TEST(untold.born.value() == 0);
+}
+
+// Runs are counted to the wrong life of a worker whose answer has a birth that cannot be read.
+BOOST_AUTO_TEST_CASE(an_answer_to_a_hold_with_an_unreadable_birth_is_no_answer)
+{
+    for (const char* born : {"0", "-5", "1.5", "1e300", "18446744073709551615", "\"1796356800123\"", "null", "true",
+                             "[1796356800123]", "{}"}) {
+        const order_answer answer =
+            read_answer(hold_worker{},
+                        answered(200, fmt::format(R"({{"clock-ms":1,"running":[],"finished":[],"born":{}}})", born)));
+        BOOST_TEST_CONTEXT(born)
+        {
+            BOOST_TEST((answer.result == order_result::no_answer));
+            BOOST_TEST(!answer.clock.has_value());
+            BOOST_TEST(answer.reason == "born is no whole number above 0");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(rows_carry_the_birth_of_a_worker_and_rows_without_one_can_be_read)
+{
+    const flow_task_id task{job_id("00000000000000aa"), 0, 0, 0};
+    flow_spec spec;
+    spec.steps.resize(1);
+    wire::flow_job_row accepted = make_job_row(spec);
+    accepted.cell = "a.r1";
+    flow_job one(task.job, cell_id("a.r1"), accepted, row_version(1));
+    one.note_start(task, {worker_id("i-1"), worker_birth(1796356800123)}, run_number(2));
+    const auto row = decode_compact<wire::flow_job_row>(encode_compact(one.current_row()));
+    BOOST_REQUIRE(row.has_value());
+    flow_job read(task.job, cell_id("a.r1"), *row, row_version(2));
+    BOOST_TEST(read.find_task(task)->start.worker == "i-1");
+    BOOST_TEST(read.find_task(task)->start.born == 1796356800123);
+    wire::flow_cell_row cell;
+    cell.workers.emplace_back();
+    cell.workers.back().worker = "i-1";
+    const auto untold = decode_compact<wire::flow_cell_row>(encode_compact(cell));
+    BOOST_REQUIRE(untold.has_value());
+    BOOST_TEST(untold->workers.front().born == 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_submission_is_read_completely_or_refused_with_a_reason)
 {
     http_request request;
@@ -189,9 +242,21 @@
     BOOST_TEST(list.workers.front().draining);
     BOOST_TEST(list.workers.front().rack.str() == "r1-3");
     BOOST_TEST(list.workers.front().room.cpu_millis == 16000);
+    BOOST_TEST(list.workers.front().born.value() == 0);
     BOOST_TEST(list.unusable.size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_in_the_list_of_workers_tells_the_birth)
+{
+    store_row row;
+    row.key.key = "i-1";
+    row.value = R"({"service":"s","address":"10.0.0.1:8","zone":"z","state":"ready","born":1796356800123,
+                    "room":{"cpu":16000,"mem-mb":100},"labels":["a","r1-3"]})";
+    const auto list = worker_list_reader().read({row});
+    BOOST_REQUIRE(list.workers.size() == 1);
+    BOOST_TEST(list.workers.front().born.value() == 1796356800123);
+}
+
 BOOST_AUTO_TEST_CASE(an_invalid_worker_entry_is_reported_and_the_others_are_used)
 {
     // Each invalid entry is between two valid ones in a page of the table: both valid ones are read, and the invalid
@@ -250,6 +315,11 @@
         {"memory beyond 63 bits", with("/room/mem-mb", 18446744073709551615ULL), "room is missing or no amounts"},
         {"accelerators beyond 32 bits", with("/room/gpus", 4294967296), "room is missing or no amounts"},
         {"accelerators a text", with("/room/gpus", "2"), "room is missing or no amounts"},
+        {"birth a text", with("/born", "1796356800123"), "born is no whole number above 0"},
+        {"birth zero", with("/born", 0), "born is no whole number above 0"},
+        {"birth negative", with("/born", -1796356800123), "born is no whole number above 0"},
+        {"birth with a fraction", with("/born", 1796356800123.5), "born is no whole number above 0"},
+        {"birth null", with("/born", nullptr), "born is no whole number above 0"},
         {"labels missing", without("labels"), "labels are missing or no texts"},
         {"labels empty", with("/labels", json::array()), "labels are missing or no texts"},
         {"labels a text", with("/labels", "a"), "labels are missing or no texts"},
