tests: the virtual site restarts workers under their id

The virtual site gave each life of a worker a new id, so no test could see what a second life under the same id meets. With workers_keep_their_id a worker that restarts has its id and stays in the list; its birth is in its entry and in its answers to holds; its clock, the numbers of its ends, its fence and the runs that it refuses begin anew. A worker shortens leases to ten seconds, as orders with a deadline on the clock of the first life need: it changes nothing where leases are six. An end that a cursor forgets counts as known, listed or not, as it did.

--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -28,6 +28,8 @@
 constexpr duration recovery_time = 3s; // after an entry is killed, time limits do not apply for this long
 constexpr duration check_interval = 50ms;
 constexpr duration feed_history = 20s;
+constexpr duration max_lease = 10s;   // a worker shortens longer leases
+constexpr duration first_clock = 3s;  // of a worker when it starts again
 constexpr duration gang_timeout = 3s; // a member whose gang is not complete by then ends as `alone`
 
 resources larger(const resources& a, const resources& b)
@@ -140,6 +142,7 @@
     w->labels.back() = rack;
     w->room.cpu_millis = options_.worker_cpu_millis;
     w->clock_offset = std::chrono::seconds(1000 + 17 * in_data_centre);
+    set_birth(*w);
     workers_.push_back(std::move(w));
     return n;
 }
@@ -415,8 +418,8 @@
                 return;
             }
             flow_fake_worker& w = **at;
-            auto heard = [this, &w, life = w.id, done](instant then, const order_answer& given) {
-                if (options_.handled_ends_are_known && w.id == life && w.up) {
+            auto heard = [this, &w, life = w.life, done](instant then, const order_answer& given) {
+                if (options_.handled_ends_are_known && w.life == life && w.up) {
                     record_reported_ends(w, given);
                 }
                 done(then, given);
@@ -429,8 +432,8 @@
             }
             const auto* const hold = std::get_if<hold_worker>(&order);
             if (hold != nullptr && options_.holds_wait) {
-                hold_until_end(w, w.id, *hold, now_ + hold->wait, [this, &w, life = w.id, order, answer, heard] {
-                    answer(heard, w.id == life ? carry_out(w, order) : order_answer{},
+                hold_until_end(w, w.life, *hold, now_ + hold->wait, [this, &w, life = w.life, order, answer, heard] {
+                    answer(heard, w.life == life ? carry_out(w, order) : order_answer{},
                            options_.network_latency + options_.hold_answer_delay);
                 });
                 return;
@@ -449,9 +452,11 @@
                 answer(done, order_answer{}, timeout);
                 return;
             }
-            const duration back =
-                options_.network_latency + (hold != nullptr ? options_.hold_answer_delay : duration(0));
-            schedule(wait, [this, &w, order, answer, heard, back] { answer(heard, carry_out(w, order), back); });
+            const duration back = options_.network_latency + pick_answer_delay(order);
+            schedule(wait, [this, &w, life = w.life, order, answer, heard, back, timeout] {
+                const order_answer given = w.life == life ? carry_out(w, order) : order_answer{};
+                answer(heard, back < timeout ? given : order_answer{}, std::min(back, timeout));
+            });
         });
     };
     edges.list_workers = [this, entry, answer](std::function<void(instant, std::optional<flow_worker_list>)> done) {
@@ -918,13 +923,28 @@
     return std::nullopt;
 }
 
-void flow_simulation::hold_until_end(flow_fake_worker& w, const worker_id& life, const hold_worker& order,
-                                     instant until, const std::function<void()>& answer)
+duration flow_simulation::pick_answer_delay(const worker_order& order)
+{
+    if (start_answers_to_delay_ > 0 && std::holds_alternative<start_run>(order)) {
+        --start_answers_to_delay_;
+        return start_answer_delay_;
+    }
+    return std::holds_alternative<hold_worker>(order) ? options_.hold_answer_delay : duration(0);
+}
+
+void flow_simulation::extend_lease(flow_fake_worker& w, worker_time until) const
+{
+    w.lease_until =
+        std::max(w.lease_until, std::min(instant(until.time_since_epoch() - w.clock_offset), now_ + max_lease));
+}
+
+void flow_simulation::hold_until_end(flow_fake_worker& w, std::uint64_t life, const hold_worker& order, instant until,
+                                     const std::function<void()>& answer)
 {
     constexpr duration poll_interval = 10ms;
     advance_worker(w);
     const bool ended = !w.ends.empty() && w.ends.back().number > order.confirmed;
-    if (now_ >= until || ended || !w.up || w.id != life || order.fence < w.fence) {
+    if (now_ >= until || ended || !w.up || w.life != life || order.fence < w.fence) {
         answer();
         return;
     }
@@ -1003,7 +1023,7 @@
         return answer;
     }
     check_start(w, order, late);
-    w.lease_until = std::max(w.lease_until, lease);
+    extend_lease(w, order.lease_until);
     flow_fake_worker::run run;
     run.number = order.run;
     run.payload = order.payload;
@@ -1032,7 +1052,7 @@
     }
     if (options_.worker_crash_delay) {
         if (const auto after = options_.worker_crash_delay(order.task, order)) {
-            schedule(*after, [this, &w, life = w.id, task = order.task, number = order.run] {
+            schedule(*after, [this, &w, life = w.life, task = order.task, number = order.run] {
                 crash_by(w, life, task, number);
             });
         }
@@ -1048,7 +1068,7 @@
     order_answer answer;
     answer.result = order_result::accepted;
     if (order.lease_until) {
-        w.lease_until = std::max(w.lease_until, instant(order.lease_until->time_since_epoch() - w.clock_offset));
+        extend_lease(w, *order.lease_until);
     }
     w.ends.erase(std::remove_if(w.ends.begin(), w.ends.end(),
                                 [&](const reported_end& e) { return e.number <= order.confirmed; }),
@@ -1059,6 +1079,7 @@
         answer.running.push_back({task, run.number, "", static_cast<std::int32_t>(done), 0});
     }
     answer.ends = w.ends;
+    answer.born = births_hidden_ ? worker_birth() : w.born;
     if (options_.sent_ends_are_known) {
         record_reported_ends(w, answer);
     }
@@ -1070,10 +1091,15 @@
     crash(*workers_.at(static_cast<std::size_t>(worker)), comes_back ? std::optional<duration>(1s) : std::nullopt);
 }
 
-void flow_simulation::crash_by(flow_fake_worker& w, const worker_id& life, const flow_task_id& task, run_number run)
+void flow_simulation::restart_worker(int worker, duration away)
+{
+    crash(*workers_.at(static_cast<std::size_t>(worker)), away);
+}
+
+void flow_simulation::crash_by(flow_fake_worker& w, std::uint64_t life, const flow_task_id& task, run_number run)
 {
     const auto at = w.running.find(task);
-    if (w.id == life && w.up && at != w.running.end() && at->second.number == run) {
+    if (w.life == life && w.up && at != w.running.end() && at->second.number == run) {
         ++crashes_under_[task];
         crash(w, options_.crash_restart_delay);
     }
@@ -1101,7 +1127,7 @@
     }
     advance_worker(w);
     w.up = false;
-    w.listed = false;
+    w.listed = w.listed && options_.workers_keep_their_id && away.has_value();
     const std::map<flow_task_id, flow_fake_worker::run> died = std::exchange(w.running, {});
     for (const auto& [task, run] : died) {
         if (waiting_step(task) != nullptr && run.waits_until == instant::max()) {
@@ -1117,9 +1143,25 @@
     }
 }
 
+void flow_simulation::set_birth(flow_fake_worker& w) const
+{
+    if (options_.workers_keep_their_id) {
+        const auto wall =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now_.time_since_epoch() + w.wall_offset);
+        w.born = worker_birth(wall.count());
+    }
+}
+
 void flow_simulation::start_next_life(flow_fake_worker& w)
 {
-    w.id = worker_id(w.id.str() + "'");
+    ++w.life;
+    if (options_.workers_keep_their_id) {
+        w.clock_offset = first_clock - now_.time_since_epoch();
+        set_birth(w);
+    }
+    else {
+        w.id = worker_id(w.id.str() + "'");
+    }
     w.up = true;
     w.listed = true;
     w.draining = false;
@@ -1455,7 +1497,7 @@
             w.labels,
             rack_id(w.labels.back()),
             w.draining,
-            worker_birth()};
+            w.born};
 }
 
 std::int64_t flow_simulation::count_log_events(const std::string& subject, const std::string& event) const
--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -27,6 +27,9 @@
 // State of one simulated worker, independent of what the entries know about it.
 struct flow_fake_worker {
     worker_id id;
+    std::uint64_t life = 1;  // number of its process
+    worker_birth born;       // of this life; 0: the site does not tell births
+    duration wall_offset{0}; // of the clock from which the next birth is taken
     net_address address;
     data_centre_id data_centre;
     resources room{16000, 64000, 0};
@@ -98,6 +101,9 @@
         // Delay from a task's start until it crashes its worker, which then reports no end; empty: no crash.
         std::function<std::optional<duration>(const flow_task_id&, const start_run&)> worker_crash_delay;
         duration crash_restart_delay = std::chrono::seconds(1); // from a crash by a task to the next life
+        // A restarted worker keeps its id, tells its birth, and stays in the list; otherwise its next life has a new
+        // id.
+        bool workers_keep_their_id = false;
         // Starts may use the earlier capacity for this long after it shrank: the list has to show the change, and
         // the owner has to read the list.
         duration shrunk_room_grace = std::chrono::milliseconds(4500);
@@ -194,6 +200,16 @@
     void add_unusable_listing(flow_unusable_entry entry) { foreign_.unusable.push_back(std::move(entry)); }
     flow_listed_worker listing_of(int worker) const;
     void crash_worker(int worker, bool comes_back);
+    // Crashes the worker; its next life starts `away` later.
+    void restart_worker(int worker, duration away);
+    // While set, answers to holds do not tell the birth.
+    void hide_births(bool hidden) { births_hidden_ = hidden; }
+    // The answers to the next `n` start orders arrive `d` later, or not at all if the order times out before.
+    void delay_next_start_answers(int n, duration d)
+    {
+        start_answers_to_delay_ = n;
+        start_answer_delay_ = d;
+    }
     // Returns how often the task has crashed its worker.
     int crash_count_of(const flow_task_id& task) const;
     // Changes the worker's capacity now, and its capacity in the worker list after `listed_after`.
@@ -290,7 +306,7 @@
     // Ends the worker's life without reporting its runs. `away` is the delay until its next life; empty: none.
     void crash(flow_fake_worker& w, std::optional<duration> away);
     // Crashes the worker on behalf of a task, if that run still runs in that life.
-    void crash_by(flow_fake_worker& w, const worker_id& life, const flow_task_id& task, run_number run);
+    void crash_by(flow_fake_worker& w, std::uint64_t life, const flow_task_id& task, run_number run);
     void start_next_life(flow_fake_worker& w);
     // Returns the functions through which the entry reaches the table, workers, peers, timers and the log.
     flow_edges make_edges(int entry);
@@ -323,10 +339,15 @@
     void write_next_foreign_news(std::uint64_t spell);
     // Returns the injected delay before an order is executed; empty: none.
     std::optional<duration> pick_delay(const worker_order& order);
+    // Returns how much later than at once the answer to an order arrives.
+    duration pick_answer_delay(const worker_order& order);
+    void set_birth(flow_fake_worker& w) const;
+    // Adds to the worker's lease, as far as its own limit.
+    void extend_lease(flow_fake_worker& w, worker_time until) const;
     order_answer carry_out(flow_fake_worker& w, const worker_order& order, bool late = false);
     order_answer do_start(flow_fake_worker& w, const start_run& order, bool late);
     // Calls `answer` once the worker has an unconfirmed end, or at `until`.
-    void hold_until_end(flow_fake_worker& w, const worker_id& life, const hold_worker& order, instant until,
+    void hold_until_end(flow_fake_worker& w, std::uint64_t life, const hold_worker& order, instant until,
                         const std::function<void()>& answer);
     // Marks the ends in `answer` as reported.
     void record_reported_ends(flow_fake_worker& w, const order_answer& answer);
@@ -389,6 +410,9 @@
     double delayed_order_share_ = 0;
     int starts_to_delay_ = 0;
     duration start_delay_{0};
+    int start_answers_to_delay_ = 0;
+    duration start_answer_delay_{0};
+    bool births_hidden_ = false;
     bool drop_stops_ = false;
     bool starts_refused_ = false;
     flow_worker_list foreign_;
--- /dev/null
+++ b/tests/test_flow_second_life.cpp
@@ -0,0 +1,385 @@
+// Tests, in simulated time, of workers that restart under the id that they had. The second life runs nothing of the
+// first; its clock and the numbers of its ends begin anew.
+#include <boost/test/unit_test.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "support_flow_checks.h"
+#include "support_flow_simulation.h"
+
+using namespace skylarkhub;
+using namespace skylarkhub::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string job_a = "00000000000000aa";
+const std::string job_b = "00000000000000bb";
+constexpr duration settle = 4s; // until the first owner has workers that take tasks
+
+// Workers that keep their id, held as long as the orders allow.
+flow_simulation::options restarting_workers(int workers)
+{
+    flow_simulation::options options;
+    options.workers_keep_their_id = true;
+    options.crash_refuses_connections = true;
+    options.holds_wait = true;
+    options.entries_per_data_centre = 1;
+    options.workers_per_data_centre = workers;
+    return options;
+}
+
+bool is_done(flow_simulation& w, const std::string& job, int entry = 0)
+{
+    return w.state(entry, job) == flow_state::done;
+}
+
+// Runs a job of `count` short tasks to its end, so that ends are confirmed to the workers.
+void run_job(flow_simulation& w, const std::string& job, int count, int entry = 0)
+{
+    BOOST_REQUIRE((w.submit(entry, job, chain_spec(1, count)) == caller_result::accepted));
+    BOOST_REQUIRE(w.run_until([&] { return is_done(w, job, entry); }, 5s));
+    w.run_for(200ms);
+}
+
+bool runs(const flow_simulation& w, const std::string& job, std::int64_t count)
+{
+    return w.count_running_tasks(job) == count;
+}
+
+// The time until `count` tasks of the job run; `most` if they do not by then.
+duration time_until_running(flow_simulation& w, const std::string& job, std::int64_t count, duration most)
+{
+    const instant since = w.now();
+    w.run_until([&] { return runs(w, job, count); }, most);
+    return w.now() - since;
+}
+
+// Calls `run` for the seeds 1 to `last`, or for those given on the command line:
+// test_flow_second_life --run_test=NAME -- FIRST LAST
+void each_seed(std::uint64_t last, const std::function<void(std::uint64_t)>& run)
+{
+    const auto& arguments = boost::unit_test::framework::master_test_suite();
+    const bool from_arguments = arguments.argc == 3;
+    const std::uint64_t first = from_arguments ? std::stoull(arguments.argv[1]) : 1;
+    for (std::uint64_t seed = first; seed <= (from_arguments ? std::stoull(arguments.argv[2]) : last); ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            run(seed);
+        }
+    }
+}
+
+} // namespace
+
+// Ends of the second life, numbered from 1, are taken for ends of the first life that were handled before.
+BOOST_AUTO_TEST_CASE(ends_of_the_second_life_are_not_skipped)
+{
+    flow_simulation w(restarting_workers(1));
+    w.run_for(settle);
+    run_job(w, job_a, 6);
+    w.restart_worker(0, 800ms);
+    w.run_for(1500ms);
+    BOOST_REQUIRE((w.submit(0, job_b, chain_spec(1, 3)) == caller_result::accepted));
+    BOOST_TEST(w.run_until([&] { return is_done(w, job_b); }, 1500ms));
+    w.run_for(5s);
+    BOOST_TEST(w.count_job_starts(job_b) == 3);
+    BOOST_TEST(w.count_log_events("run", "vanished") == 0);
+    check_no_violations(w);
+}
+
+// A worker whose wall clock was set back before it restarted is not heard any more.
+BOOST_AUTO_TEST_CASE(a_second_life_with_an_earlier_birth_is_heard)
+{
+    flow_simulation w(restarting_workers(1));
+    w.run_for(settle);
+    run_job(w, job_a, 6);
+    w.worker(0).wall_offset = -60s;
+    w.restart_worker(0, 800ms);
+    w.run_for(1500ms);
+    BOOST_REQUIRE((w.submit(0, job_b, chain_spec(1, 3)) == caller_result::accepted));
+    BOOST_TEST(w.run_until([&] { return is_done(w, job_b); }, 1500ms));
+    BOOST_TEST(w.count_job_starts(job_b) == 3);
+    check_no_violations(w);
+}
+
+// A start reaches the second life before the owner has heard of it, and the next hold confirms its end unread.
+BOOST_AUTO_TEST_CASE(the_second_life_gets_no_cursor_of_the_first)
+{
+    flow_simulation::options options = restarting_workers(1);
+    options.run_time = [](const flow_task_id&) { return duration(100ms); };
+    flow_simulation w(std::move(options));
+    w.run_for(settle);
+    run_job(w, job_a, 6);
+    for (int i = 0; i < 20; ++i) {
+        const std::string job = fmt::format("{:016x}", 0x100 + i);
+        w.restart_worker(0, 10ms);
+        w.run_for(std::chrono::milliseconds(12 + 2 * i));
+        BOOST_REQUIRE((w.submit(0, job, chain_spec(1, 1)) == caller_result::accepted));
+        BOOST_TEST(w.run_until([&] { return is_done(w, job); }, 3s));
+        w.run_for(1s);
+    }
+    w.run_for(3s);
+    check_no_violations(w);
+}
+
+// Ends are listed again for ever by a worker that gets starts without a pause, as none of them is confirmed.
+BOOST_AUTO_TEST_CASE(ends_are_confirmed_while_starts_are_sent)
+{
+    flow_simulation::options options = restarting_workers(1);
+    options.run_time = [](const flow_task_id&) { return duration(150ms); };
+    flow_simulation w(std::move(options));
+    w.run_for(settle);
+    std::size_t most_listed = 0;
+    for (int i = 0; i < 60; ++i) {
+        w.send_submit(0, fmt::format("{:016x}", 0x100 + i), chain_spec(1, 2));
+        w.run_for(50ms);
+        most_listed = std::max(most_listed, w.worker(0).ends.size());
+    }
+    BOOST_TEST(most_listed < 25U);
+    BOOST_TEST(w.run_until([&] { return w.worker(0).running.empty() && w.worker(0).ends.empty(); }, 3s));
+    check_no_violations(w);
+}
+
+// Runs that began shortly before the crash are missed for two seconds by their owner.
+BOOST_AUTO_TEST_CASE(runs_of_the_first_life_restart_at_once)
+{
+    flow_simulation::options options = restarting_workers(2);
+    options.run_time = [](const flow_task_id&) { return duration(3s); };
+    flow_simulation w(std::move(options));
+    w.run_for(settle);
+    BOOST_REQUIRE((w.submit(0, job_a, chain_spec(1, 2, 12000)) == caller_result::accepted));
+    BOOST_REQUIRE(w.run_until([&] { return runs(w, job_a, 2); }, 2s));
+    w.restart_worker(0, 100ms);
+    BOOST_TEST((time_until_running(w, job_a, 2, 3s) < 700ms));
+    BOOST_TEST(w.run_until([&] { return is_done(w, job_a); }, 6s));
+    BOOST_TEST(w.count_job_starts(job_a) == 3);
+    check_no_violations(w);
+}
+
+// A start is answered by the first life, and the answer arrives after one of the second life.
+BOOST_AUTO_TEST_CASE(an_answer_of_the_first_life_after_one_of_the_second)
+{
+    flow_simulation::options options = restarting_workers(1);
+    options.run_time = [](const flow_task_id&) { return duration(3s); };
+    flow_simulation w(std::move(options));
+    w.run_for(settle);
+    w.delay_next_start_answers(1, 550ms);
+    BOOST_REQUIRE((w.submit(0, job_a, chain_spec(1, 1)) == caller_result::accepted));
+    BOOST_REQUIRE(w.run_until([&] { return runs(w, job_a, 1); }, 2s));
+    w.restart_worker(0, 10ms);
+    BOOST_TEST((time_until_running(w, job_a, 1, 4s) < 900ms));
+    BOOST_TEST(w.run_until([&] { return is_done(w, job_a); }, 5s));
+    BOOST_TEST(w.count_job_starts(job_a) == 2);
+    check_no_violations(w);
+}
+
+// The lease of a run on the second life is computed from the clock of the first, and the run goes on for ten seconds
+// after the last hold, while another one has been started in its place.
+BOOST_AUTO_TEST_CASE(leases_are_not_given_by_the_clock_of_the_first_life)
+{
+    for (int cut_after_ms = 20; cut_after_ms <= 1000; cut_after_ms += 70) {
+        BOOST_TEST_CONTEXT("cut off " << cut_after_ms << " ms after the restart")
+        {
+            flow_simulation w(restarting_workers(3));
+            w.run_for(settle);
+            BOOST_REQUIRE((w.submit(0, job_a, lasting_spec(2, 9000)) == caller_result::accepted));
+            BOOST_REQUIRE(w.run_until([&] { return runs(w, job_a, 2); }, 2s));
+            w.run_for(3s);
+            w.restart_worker(0, 10ms);
+            w.run_for(std::chrono::milliseconds(cut_after_ms));
+            w.worker(0).reachable = false;
+            w.run_for(20s);
+            w.worker(0).reachable = true;
+            w.run_for(5s);
+            BOOST_TEST(w.count_running_tasks(job_a) == 2);
+            check_no_violations(w);
+        }
+    }
+}
+
+// A task that crashes its workers, which come back under their ids, is started for ever.
+BOOST_AUTO_TEST_CASE(a_crash_of_a_worker_that_comes_back_under_its_id_is_charged)
+{
+    flow_simulation::options options = restarting_workers(4);
+    const flow_task_id culprit{job_id(job_a), 0, 0, 0};
+    options.crash_restart_delay = 400ms;
+    options.worker_crash_delay = [culprit](const flow_task_id& task, const start_run&) {
+        return task == culprit ? std::optional<duration>(200ms) : std::nullopt;
+    };
+    flow_simulation w(std::move(options));
+    w.run_for(settle);
+    BOOST_REQUIRE((w.submit(0, job_b, lasting_spec(4)) == caller_result::accepted));
+    BOOST_REQUIRE((w.submit(0, job_a, chain_spec(1, 2)) == caller_result::accepted));
+    BOOST_TEST(w.run_until([&] { return w.state(0, job_a) == flow_state::failed; }, 60s));
+    BOOST_TEST(w.crash_count_of(culprit) >= 2);
+    BOOST_TEST(w.crash_count_of(culprit) <= 5);
+    BOOST_TEST(w.run_until([&] { return runs(w, job_b, 4); }, 9s));
+    check_no_violations(w);
+}
+
+// The crash that ends a lease is taken back when the id is listed again, though it names another life.
+BOOST_AUTO_TEST_CASE(a_crash_is_charged_though_the_worker_is_away_longer_than_its_lease)
+{
+    flow_simulation::options options = restarting_workers(4);
+    const flow_task_id culprit{job_id(job_a), 0, 0, 0};
+    options.crash_restart_delay = 9s;
+    options.worker_crash_delay = [culprit](const flow_task_id& task, const start_run&) {
+        return task == culprit ? std::optional<duration>(200ms) : std::nullopt;
+    };
+    flow_simulation w(std::move(options));
+    w.run_for(settle);
+    BOOST_REQUIRE((w.submit(0, job_a, chain_spec(1, 2)) == caller_result::accepted));
+    BOOST_TEST(w.run_until([&] { return w.state(0, job_a) == flow_state::failed; }, 90s));
+    BOOST_TEST(w.crash_count_of(culprit) >= 2);
+    check_no_violations(w);
+}
+
+// A worker that restarts at another address, while another worker has its former one, is never used again.
+BOOST_AUTO_TEST_CASE(room_of_a_worker_that_restarts_at_another_address_is_used)
+{
+    flow_simulation w(restarting_workers(2));
+    w.run_for(settle);
+    run_job(w, job_a, 4);
+    w.restart_worker(0, 300ms);
+    w.restart_worker(1, 300ms);
+    std::swap(w.worker(0).address, w.worker(1).address);
+    w.run_for(4s);
+    BOOST_REQUIRE((w.submit(0, job_b, chain_spec(1, 2, 12000)) == caller_result::accepted));
+    BOOST_TEST(w.run_until([&] { return is_done(w, job_b); }, 1500ms));
+    check_no_violations(w);
+}
+
+// A start without an answer is on its way when the worker restarts: it was carried out by the first life, is carried
+// out by the second, or by none.
+BOOST_AUTO_TEST_CASE(a_start_is_on_its_way_when_the_worker_restarts)
+{
+    for (int restart_after_ms = 0; restart_after_ms <= 900; restart_after_ms += 50) {
+        for (const duration order_delay : {duration(0), duration(400ms), duration(1500ms), duration(2500ms)}) {
+            BOOST_TEST_CONTEXT("restart after " << restart_after_ms << " ms, order late by "
+                                                << order_delay.count() / 1000 << " ms")
+            {
+                flow_simulation::options options = restarting_workers(2);
+                options.run_time = [](const flow_task_id&) { return duration(700ms); };
+                flow_simulation w(std::move(options));
+                w.run_for(settle);
+                run_job(w, job_b, 6);
+                if (order_delay > duration(0)) {
+                    w.delay_next_starts(1, order_delay);
+                }
+                else {
+                    w.delay_next_start_answers(1, 10s);
+                }
+                w.send_submit(0, job_a, chain_spec(1, 2, 9000));
+                w.run_for(std::chrono::milliseconds(60 + restart_after_ms));
+                w.restart_worker(0, 20ms);
+                w.run_for(std::chrono::milliseconds(100));
+                w.restart_worker(1, 20ms);
+                BOOST_TEST(w.run_until([&] { return is_done(w, job_a); }, 8s));
+                w.run_for(3s);
+                check_no_violations(w);
+            }
+        }
+    }
+}
+
+// A repeated start is accepted by the first life; a copy of it reaches the second life after the task has been started
+// elsewhere.
+BOOST_AUTO_TEST_CASE(a_copy_of_a_start_does_not_run_beside_the_next_run)
+{
+    for (int late_ms = 1200; late_ms <= 3000; late_ms += 100) {
+        BOOST_TEST_CONTEXT("the copy is late by " << late_ms << " ms")
+        {
+            flow_simulation w(restarting_workers(2));
+            w.run_for(settle);
+            run_job(w, job_b, 6);
+            w.delay_next_starts(1, std::chrono::milliseconds(late_ms));
+            w.send_submit(0, job_a, lasting_spec(1, 9000));
+            BOOST_REQUIRE(w.run_until([&] { return runs(w, job_a, 1); }, 3s));
+            const int worker = w.worker(0).running.empty() ? 1 : 0;
+            w.restart_worker(worker, 10ms);
+            w.worker(worker).draining = true; // the next run has to be elsewhere
+            w.run_for(6s);
+            BOOST_TEST(w.count_running_tasks(job_a) == 1);
+            check_no_violations(w);
+        }
+    }
+}
+
+// The owner is killed with the worker, and the next owner waits for what ran on the first life, or charges nobody.
+BOOST_AUTO_TEST_CASE(the_next_owner_learns_of_the_second_life)
+{
+    flow_simulation::options options = restarting_workers(2);
+    options.entries_per_data_centre = 2;
+    flow_simulation w(std::move(options));
+    w.run_for(settle);
+    BOOST_REQUIRE((w.submit(0, job_a, lasting_spec(2, 9000)) == caller_result::accepted));
+    BOOST_REQUIRE(w.run_until([&] { return runs(w, job_a, 2); }, 2s));
+    w.run_for(2s);
+    const int owner = w.entry(0)->cells().begin()->second->owns() ? 0 : 1;
+    w.kill_entry(owner);
+    w.restart_worker(0, 300ms);
+    BOOST_TEST((time_until_running(w, job_a, 2, 12s) < 6s));
+    run_job(w, job_b, 1, 1 - owner);
+    check_no_violations(w);
+}
+
+// The answers of a worker that has told its birth name none for a while: nothing says of which life they are.
+BOOST_AUTO_TEST_CASE(answers_without_a_birth_after_answers_with_one_are_not_used)
+{
+    flow_simulation w(restarting_workers(1));
+    w.run_for(settle);
+    run_job(w, job_a, 6);
+    w.hide_births(true);
+    w.restart_worker(0, 300ms);
+    w.run_for(100ms);
+    w.send_submit(0, job_b, chain_spec(1, 3));
+    w.run_for(2s);
+    w.hide_births(false);
+    BOOST_TEST(w.run_until([&] { return is_done(w, job_b); }, 5s));
+    w.run_for(5s);
+    check_no_violations(w);
+}
+
+// Workers restart under their ids, again and again, while orders are late and entries are slow or killed.
+BOOST_AUTO_TEST_CASE(repeated_restarts_under_random_faults)
+{
+    each_seed(12, [](std::uint64_t seed) {
+        flow_simulation::options options = restarting_workers(4);
+        options.seed = seed;
+        options.entries_per_data_centre = 2;
+        options.run_time = [](const flow_task_id& task) { return duration(80ms + task.index % 5 * 150ms); };
+        flow_simulation w(std::move(options));
+        random_source random = make_random(seed + 1000);
+        w.run_for(settle);
+        BOOST_REQUIRE((w.submit(0, job_a, lasting_spec(3)) == caller_result::accepted));
+        if (seed % 3 == 1) {
+            w.inject_entry_pauses(1, 200ms);
+        }
+        std::vector<std::string> jobs;
+        for (int i = 0; i < 60; ++i) {
+            jobs.push_back(fmt::format("{:016x}", 0x100 + i));
+            w.send_submit(1, jobs.back(), chain_spec(2, 4));
+            if (absl::Bernoulli(random, 0.5)) {
+                w.restart_worker(absl::Uniform(random, 0, 4),
+                                 std::chrono::milliseconds(absl::Uniform(random, 5, 1500)));
+            }
+            if (i % 15 == 7 && seed % 3 == 2) {
+                w.kill_entry(0);
+            }
+            if (i % 15 == 12 && seed % 3 == 2) {
+                w.start_entry(0);
+            }
+            w.run_for(std::chrono::milliseconds(absl::Uniform(random, 20, 400)));
+        }
+        w.inject_entry_pauses(1, duration(0));
+        const auto all_done = [&] {
+            return std::all_of(jobs.begin(), jobs.end(), [&](const std::string& job) { return is_done(w, job, 1); });
+        };
+        BOOST_TEST(w.run_until(all_done, 30s));
+        BOOST_TEST(w.run_until([&] { return runs(w, job_a, 3); }, 9s));
+        check_no_violations(w);
+    });
+}
