flow: a second life of a worker ends the first, and its runs and ends are its own

What callers saw: a task that was done ran again, two seconds after its end (TWICE), when its worker had restarted under its id; tasks that crash their workers were started for ever; tasks of a crashed worker waited two seconds.

Cause: a worker was known by its id alone. Ends of the second life, numbered from 1, were not above the highest number seen of the first and were skipped; the next hold confirmed them unread, and their runs passed for vanished. The crash was charged to nobody, since the same id passed for a worker that had only been unreachable.

An answer to a hold whose birth is another than the known one now begins a later life. The runs of the earlier one that the answer does not list are lost as by a crash, and charged as such; the clock, the numbers of ends, the distrust and the measures start anew. A run whose start was answered after the hold was sent waits for the next answer. A hold is sent only after the one before was answered or had timed out, so another birth is always that of a later life: births are compared for equality, and a wall clock that was set back does no harm. An answer without a birth by a worker that has told one says nothing of which life it is, and is no answer. The second life may have been given the longest lease that workers grant, by deadlines on the clock of the first, so it is waited for that long if it falls silent.

Ruled out: to take the list's word for a new life. Others may write there, and the list is late.

--- /dev/null
+++ b/src/flow_cell_lives.cpp
@@ -0,0 +1,118 @@
+// Lives of workers. A worker may restart under the id that it had: its second life runs nothing of the first, and its
+// clock, the numbers of its ends and the fence begin anew. Only its own answer to a hold shows that an earlier life is
+// over, since other writers may change the list of workers.
+#include <algorithm>
+
+#include "flow_cell_p.h"
+#include "flow_limits_p.h"
+#include "log_line_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+namespace {
+
+bool lists_run(const order_answer& answer, const flow_task_id& task, run_number run)
+{
+    const auto is_run = [&](const auto& r) { return r.task == task && r.run == run; };
+    return std::any_of(answer.running.begin(), answer.running.end(), is_run) ||
+           std::any_of(answer.ends.begin(), answer.ends.end(), is_run);
+}
+
+} // namespace
+
+// Whether nothing says of which life an answer is: it tells no birth, although the worker has told one.
+bool flow_cell::lacks_birth(const cell_worker& w, const order_answer& answer)
+{
+    return answer.result == order_result::accepted && w.born > worker_birth() && answer.born == worker_birth();
+}
+
+// Learns from the answer to a hold which life of the worker is up. A hold is sent only after the one before was
+// answered or has timed out, so another birth is that of a later life, even if the wall clock was set back meanwhile.
+void flow_cell::hear_life(instant now, cell_worker& w, instant sent, const order_answer& answer)
+{
+    const bool known = w.born > worker_birth() || w.has_accepted_epoch();
+    if (known && w.born != answer.born) {
+        begin_life(now, w, sent, answer);
+    }
+    w.born = answer.born;
+}
+
+// Handles the first answer of a later life: all runs of the earlier one are lost as by a crash.
+void flow_cell::begin_life(instant now, cell_worker& w, instant sent, const order_answer& answer)
+{
+    edges_.note(log_level::warning, "worker", "restarted",
+                {{"cell", id_.str()},
+                 {"worker", w.listing.worker.str()},
+                 {"born_ms", std::to_string(answer.born.value())},
+                 {"earlier_born_ms", std::to_string(w.born.value())},
+                 {"runs", std::to_string(w.ledger.size())}});
+    if (w.unanswered_since == instant{}) {
+        w.unanswered_since = now;
+        note_silence(now, w);
+    }
+    if (!w.listing.draining) {
+        std::vector<lost_run> lost = list_lost_runs(w);
+        std::erase_if(lost, [&](const lost_run& run) {
+            const live_run* const live = look_up_run(w.listing.worker, run.task, run.run).live;
+            return lists_run(answer, run.task, run.run) || live == nullptr || !ran_before(*live, answer.born, sent);
+        });
+        charge_runs(now, w.life(), lost);
+    }
+    forget_life(w);
+    w.inherited = false; // previous owners have started nothing there that this answer does not list
+    // An order with a deadline on the clock of the earlier life may have given the longest lease that workers grant.
+    w.lapsed_after = std::max(w.lapsed_after, now + certainly(max_worker_lease));
+}
+
+// Forgets what was learned of the worker's earlier life. Its ledger remains: a start that has not been answered yet may
+// be carried out by the later life. Ends that wait for the rows of their jobs remain facts, but their numbers say
+// nothing to the later life.
+void flow_cell::forget_life(cell_worker& w)
+{
+    w.fenced = false;
+    w.early.reset();
+    w.lapsed = false;
+    w.reading.reset();
+    w.seen = end_number();
+    w.confirmed = end_number();
+    w.unconfirmed.clear();
+    for (reported_end& end : w.unknown_job_ends) {
+        end.number = end_number();
+    }
+    w.untracked_runs = 0;
+    w.no_starts_until = instant{};
+    w.distrust = 0;
+    w.shares.clear();
+    w.paced.clear();
+    w.measured_at = instant{};
+    w.over_target_since = instant{};
+    w.tolerance_margin = 1;
+}
+
+// Whether the run was executed by a life before the one born at `born`, if an answer of that life to a hold sent at
+// `sent` does not list it. A start that was answered after that may have been executed by that life.
+bool flow_cell::ran_before(const live_run& live, worker_birth born, instant sent)
+{
+    return live.born != born && live.noted == 0 && live.confirmed && live.sent <= sent;
+}
+
+// Drops the runs of earlier lives, which the present one does not list.
+void flow_cell::drop_runs_of_earlier_lives(instant now, cell_worker& w, instant sent)
+{
+    std::vector<std::pair<flow_task_id, run_number>> lost;
+    for (const auto& [task, run] : w.ledger) {
+        const live_run* const live = look_up_run(w.listing.worker, task, run.run).live;
+        if (live != nullptr && ran_before(*live, w.born, sent)) {
+            lost.emplace_back(task, run.run);
+        }
+    }
+    for (const auto& [task, run] : lost) {
+        log_lost_run(now, w, task, run);
+        ++stats_.lost;
+        drop_run(now, w, task, run);
+    }
+}
+
+} // namespace skylarkhub
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -394,6 +394,14 @@
     // Adds to the worker's distrust, a score that decays over time.
     void distrust(instant now, cell_worker& w, double amount);
 
+    // flow_cell_lives.cpp
+    static bool lacks_birth(const cell_worker& w, const order_answer& answer);
+    void hear_life(instant now, cell_worker& w, instant sent, const order_answer& answer);
+    void begin_life(instant now, cell_worker& w, instant sent, const order_answer& answer);
+    static void forget_life(cell_worker& w);
+    static bool ran_before(const live_run& live, worker_birth born, instant sent);
+    void drop_runs_of_earlier_lives(instant now, cell_worker& w, instant sent);
+
     // flow_cell_crashes.cpp
     struct lost_run {
         flow_task_id task;
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -322,10 +322,19 @@
         return;
     }
     cell_worker& w = at->second;
+    if (lacks_birth(w, answer)) {
+        order_answer unread;
+        unread.reason = "the answer tells no birth, but earlier ones of the worker did";
+        on_hold_result(now, id, sent, wait, unread);
+        return;
+    }
     w.hold_in_flight = false;
     if (handle_fatal_result(now, w, answer.result)) {
         return;
     }
+    if (answer.result == order_result::accepted) {
+        hear_life(now, w, sent, answer);
+    }
     // While the rows of the cell's jobs are being read, answers are buffered.
     const bool early = role_ == role::reading && answer.result == order_result::accepted;
     if (early) {
@@ -357,7 +366,6 @@
     w.silent = 0;
     w.unanswered_since = instant{};
     w.last_answer = now;
-    w.born = answer.born;
     const bool first_reading = !w.reading && answer.clock;
     if (answer.clock) {
         w.reading = answer.clock;
@@ -426,6 +434,7 @@
     for (const reported_run& run : answer.running) {
         process_running(now, w, run);
     }
+    drop_runs_of_earlier_lives(now, w, sent);
     // The resources of a run that is not in the ledger are unknown, so another start could exceed the worker's
     // capacity. The row of its job is being read, or the run is being stopped.
     w.untracked_runs =
@@ -687,6 +696,7 @@
         for (live_run& live : task->runs) {
             if (live.worker == w.listing.worker && live.run == run.run) {
                 confirm_start(now, job, live);
+                live.born = w.born;
             }
         }
         const bool outlived = std::any_of(task->runs.begin(), task->runs.end(), [&](const live_run& live) {
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -14,6 +14,7 @@
 // Longer than a takeover (owner_silence_local, one read, one commit, one exchange) plus one lost exchange. Work on an
 // unreachable worker is restarted elsewhere only after this time.
 inline constexpr duration lease = 6s;
+inline constexpr duration max_worker_lease = 10s; // workers shorten longer leases
 // Relative; a worker's clock may be 2% slow and the entry's clock slightly fast.
 inline constexpr double clock_drift = 0.03;
 inline constexpr duration lease_margin = 150ms; // for the duration of an exchange
