flow: ends are confirmed only to the life of a worker that listed them

What callers saw: a task that was done ran again (TWICE), though births are told apart.

Cause: an owner that has not heard of the second life sends it starts; the next hold carries the cursor of the first, the second forgets the ends of these starts up to that number, and nobody ever reads them. A hold that waits at the worker has the same effect if the worker applies the cursor when it answers: a run that starts and ends meanwhile is forgotten.

A hold now carries a cursor only if no start to the worker is unanswered and the known life has answered a hold that was sent after the last answer to a start; otherwise it carries none, which does no harm. A cursor is sent once, in a hold that does not wait. Workers that tell no birth are held as before. This costs a hold for each batch of ends that is confirmed, and one more while starts are sent; what that costs a site has not been measured.

The virtual site can leave holds that wait at a crashing worker unanswered until they time out.

--- a/src/flow_cell_lives.cpp
+++ b/src/flow_cell_lives.cpp
@@ -37,6 +37,8 @@
         begin_life(now, w, sent, answer);
     }
     w.born = answer.born;
+    w.heard_sent = sent;
+    w.acknowledged = std::max(w.acknowledged, w.cursor_sent);
 }
 
 // Handles the first answer of a later life: all runs of the earlier one are lost as by a crash.
@@ -77,6 +79,8 @@
     w.reading.reset();
     w.seen = end_number();
     w.confirmed = end_number();
+    w.cursor_sent = end_number();
+    w.acknowledged = end_number();
     w.unconfirmed.clear();
     for (reported_end& end : w.unknown_job_ends) {
         end.number = end_number();
@@ -91,6 +95,23 @@
     w.tolerance_margin = 1;
 }
 
+// The number up to which a hold may confirm ends. A later life, of which this owner has not heard yet, would forget the
+// ends of the starts that reached it, and nobody would ever read them. Ends are therefore confirmed only when the known
+// life has answered a hold that was sent after the answer to the last start: then every run is one of that life. A
+// lower number does no harm, since the worker lists again what it has not forgotten.
+end_number flow_cell::cursor_for(const cell_worker& w)
+{
+    if (w.born == worker_birth()) {
+        return w.confirmed;
+    }
+    const bool start_unanswered = std::any_of(w.ledger.begin(), w.ledger.end(), [&](const auto& item) {
+        const live_run* const live = look_up_run(w.listing.worker, item.first, item.second.run).live;
+        return live != nullptr && live->noted == 0 && !live->confirmed;
+    });
+    const bool proven = !start_unanswered && w.heard_sent > w.start_answered_at;
+    return proven && w.confirmed > w.acknowledged ? w.confirmed : end_number();
+}
+
 // Whether the run was executed by a life before the one born at `born`, if an answer of that life to a hold sent at
 // `sent` does not list it. A start that was answered after that may have been executed by that life.
 bool flow_cell::ran_before(const live_run& live, worker_birth born, instant sent)
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -215,6 +215,10 @@
         instant unanswered_since{}; // when the first of these holds was due; instant{}: there is none
         end_number seen;
         end_number confirmed;
+        end_number cursor_sent;      // in the newest hold
+        end_number acknowledged;     // the highest cursor in a hold that the present life has answered
+        instant heard_sent{};        // when the newest hold was sent that the present life has answered
+        instant start_answered_at{}; // when the newest answer to a start arrived
         std::vector<unconfirmed_end> unconfirmed;
         std::vector<reported_end> unknown_job_ends;       // ends of runs of unknown jobs, whose rows are being read
         absl::btree_map<flow_task_id, ledger_run> ledger; // runs here, with those whose start is not yet sent
@@ -399,6 +403,7 @@
     void hear_life(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void begin_life(instant now, cell_worker& w, instant sent, const order_answer& answer);
     static void forget_life(cell_worker& w);
+    end_number cursor_for(const cell_worker& w);
     static bool ran_before(const live_run& live, worker_birth born, instant sent);
     void drop_runs_of_earlier_lives(instant now, cell_worker& w, instant sent);
 
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -138,6 +138,9 @@
         return;
     }
     cell_worker& w = *worker;
+    if (answer.result != order_result::no_answer) {
+        w.start_answered_at = now;
+    }
     if (answer.clock && (!w.reading || *answer.clock > *w.reading)) {
         w.reading = answer.clock;
         w.clock_read_at = now;
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -293,12 +293,16 @@
     ++stats_.holds;
     hold_worker order;
     order.fence = epoch_;
-    order.confirmed = w.confirmed;
+    order.confirmed = cursor_for(w);
     // A worker that did not answer may have received the hold. If each hold renewed the leases, it would never be
     // certain that its tasks have stopped. Holds after an unanswered one therefore only query the worker.
     const bool renewing = w.has_accepted_epoch() && w.silent == 0 && !w.published_silent;
     order.lease_until = renewing ? lease_end(w, now) : std::nullopt;
-    order.wait = renewing && w.fenced && !needs_frequent_polling(now, w) ? hold_wait : duration(0);
+    // A hold that waits may apply its cursor when it answers. A start that is sent meanwhile could reach a later life,
+    // whose end the cursor would then cover; so a cursor is sent without a wait.
+    const bool confirms = w.born > worker_birth() && order.confirmed > end_number();
+    w.cursor_sent = order.confirmed;
+    order.wait = renewing && w.fenced && !confirms && !needs_frequent_polling(now, w) ? hold_wait : duration(0);
     if (order.lease_until) {
         note_lease(w, now);
     }
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -432,10 +432,13 @@
             }
             const auto* const hold = std::get_if<hold_worker>(&order);
             if (hold != nullptr && options_.holds_wait) {
-                hold_until_end(w, w.life, *hold, now_ + hold->wait, [this, &w, life = w.life, order, answer, heard] {
-                    answer(heard, w.life == life ? carry_out(w, order) : order_answer{},
-                           options_.network_latency + options_.hold_answer_delay);
-                });
+                const instant given_up = now_ + hold->wait + timeout;
+                hold_until_end(
+                    w, w.life, *hold, now_ + hold->wait, [this, &w, life = w.life, order, answer, heard, given_up] {
+                        const bool silent = options_.crash_is_silent && (w.life != life || !w.up);
+                        answer(heard, w.life == life ? carry_out(w, order) : order_answer{},
+                               silent ? given_up - now_ : options_.network_latency + options_.hold_answer_delay);
+                    });
                 return;
             }
             const duration wait = hold != nullptr ? std::min<duration>(hold->wait, 50ms) : duration(0);
--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -109,6 +109,8 @@
         duration shrunk_room_grace = std::chrono::milliseconds(4500);
         // Connections to a crashed worker fail at once; otherwise orders to it time out.
         bool crash_refuses_connections = false;
+        // Holds that wait at a worker when it crashes time out; otherwise they fail at once.
+        bool crash_is_silent = false;
         // Restarting a task after a worker's answer has listed its end is a violation, even if the end was never
         // confirmed. `sent_ends_are_known` applies from when the answer is sent, `handled_ends_are_known` from when the
         // entry handles it. Only for tests with slow owners: where answers are lost or entries killed, such a restart
--- a/tests/test_flow_second_life.cpp
+++ b/tests/test_flow_second_life.cpp
@@ -72,6 +72,50 @@
     }
 }
 
+// Workers restart under their ids, each 400 ms or less with the probability `restarts`, while entries are slow or
+// killed.
+void run_restarts(std::uint64_t seed, int workers, double restarts, bool all_jobs_are_done)
+{
+    flow_simulation::options options = restarting_workers(workers);
+    options.seed = seed;
+    options.entries_per_data_centre = 2;
+    options.run_time = [](const flow_task_id& task) { return duration(80ms + task.index % 5 * 150ms); };
+    options.crash_is_silent = seed % 2 == 0;
+    flow_simulation w(std::move(options));
+    random_source random = make_random(seed + 1000);
+    w.run_for(settle);
+    BOOST_REQUIRE((w.submit(0, job_a, lasting_spec(3)) == caller_result::accepted));
+    if (seed % 3 == 1) {
+        w.inject_entry_pauses(1, 200ms);
+    }
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 60; ++i) {
+        jobs.push_back(fmt::format("{:016x}", 0x100 + i));
+        w.send_submit(1, jobs.back(), chain_spec(2, 4));
+        if (absl::Bernoulli(random, restarts)) {
+            w.restart_worker(absl::Uniform(random, 0, workers),
+                             std::chrono::milliseconds(absl::Uniform(random, 5, 1500)));
+        }
+        if (i % 15 == 7 && seed % 3 == 2) {
+            w.kill_entry(0);
+        }
+        if (i % 15 == 12 && seed % 3 == 2) {
+            w.start_entry(0);
+        }
+        w.run_for(std::chrono::milliseconds(absl::Uniform(random, 20, 400)));
+    }
+    w.inject_entry_pauses(1, duration(0));
+    const auto is_over = [&](const std::string& job) {
+        const auto& told = w.answers().at(job); // a refused job has nothing to do
+        const auto state = w.state(1, job);
+        return told == std::vector{caller_result::rejected} || state == flow_state::done ||
+               (!all_jobs_are_done && state == flow_state::failed);
+    };
+    BOOST_TEST(w.run_until([&] { return std::all_of(jobs.begin(), jobs.end(), is_over); }, 30s));
+    BOOST_TEST((w.run_until([&] { return runs(w, job_a, 3); }, 9s) || !all_jobs_are_done));
+    check_no_violations(w);
+}
+
 } // namespace
 
 // Ends of the second life, numbered from 1, are taken for ends of the first life that were handled before.
@@ -110,6 +154,7 @@
 {
     flow_simulation::options options = restarting_workers(1);
     options.run_time = [](const flow_task_id&) { return duration(100ms); };
+    options.crash_is_silent = true;
     flow_simulation w(std::move(options));
     w.run_for(settle);
     run_job(w, job_a, 6);
@@ -343,43 +388,15 @@
     check_no_violations(w);
 }
 
-// Workers restart under their ids, again and again, while orders are late and entries are slow or killed.
+// Ends are lost, or runs start twice, when workers restart at random while entries are slow or killed.
 BOOST_AUTO_TEST_CASE(repeated_restarts_under_random_faults)
 {
-    each_seed(12, [](std::uint64_t seed) {
-        flow_simulation::options options = restarting_workers(4);
-        options.seed = seed;
-        options.entries_per_data_centre = 2;
-        options.run_time = [](const flow_task_id& task) { return duration(80ms + task.index % 5 * 150ms); };
-        flow_simulation w(std::move(options));
-        random_source random = make_random(seed + 1000);
-        w.run_for(settle);
-        BOOST_REQUIRE((w.submit(0, job_a, lasting_spec(3)) == caller_result::accepted));
-        if (seed % 3 == 1) {
-            w.inject_entry_pauses(1, 200ms);
-        }
-        std::vector<std::string> jobs;
-        for (int i = 0; i < 60; ++i) {
-            jobs.push_back(fmt::format("{:016x}", 0x100 + i));
-            w.send_submit(1, jobs.back(), chain_spec(2, 4));
-            if (absl::Bernoulli(random, 0.5)) {
-                w.restart_worker(absl::Uniform(random, 0, 4),
-                                 std::chrono::milliseconds(absl::Uniform(random, 5, 1500)));
-            }
-            if (i % 15 == 7 && seed % 3 == 2) {
-                w.kill_entry(0);
-            }
-            if (i % 15 == 12 && seed % 3 == 2) {
-                w.start_entry(0);
-            }
-            w.run_for(std::chrono::milliseconds(absl::Uniform(random, 20, 400)));
-        }
-        w.inject_entry_pauses(1, duration(0));
-        const auto all_done = [&] {
-            return std::all_of(jobs.begin(), jobs.end(), [&](const std::string& job) { return is_done(w, job, 1); });
-        };
-        BOOST_TEST(w.run_until(all_done, 30s));
-        BOOST_TEST(w.run_until([&] { return runs(w, job_a, 3); }, 9s));
-        check_no_violations(w);
-    });
+    each_seed(12, [](std::uint64_t seed) { run_restarts(seed, 8, 0.3, true); });
+}
+
+// The same with so many restarts that a task may be taken for one that crashes its workers. In seeds 25 and 31 a hold
+// with the cursor of the first life waits at the second until a run has ended there.
+BOOST_AUTO_TEST_CASE(a_cursor_does_not_wait_at_a_second_life)
+{
+    each_seed(32, [](std::uint64_t seed) { run_restarts(seed, 4, 0.5, false); });
 }
