flow: the answer to a start is not taken for one of another life

What callers saw: a task whose worker had restarted ran again only after two seconds.

Cause: answers to starts tell no birth. One of the first life that arrived after the second had answered a hold confirmed a run that had died, and its clock, the higher one, replaced that of the second life, by which leases are computed.

If the worker has restarted since a start was sent, the answer's clock is not used and the same start is sent again, with a lease on the present clock: the worker answers that it has the run, or starts it.

--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -472,7 +472,8 @@
     };
     run_lookup look_up_run(const worker_id& id, const flow_task_id& task, run_number run);
     void send_start(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries);
-    void on_started(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries,
+    // `sent_to`: the life of the worker that was known when the start was sent.
+    void on_started(instant now, const worker_life& sent_to, const flow_task_id& task, run_number run, int tries,
                     const order_answer& answer);
     void send_stop(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries);
     void stop_gang(instant now, flow_job& job, flow_stage& stage, run_number run);
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -114,25 +114,29 @@
         if (live->alone) {
             begin_dedicated_run(now, w, *t);
         }
+    }
+    // A repeated start carries the lease of the first one, unless the worker has restarted and has another clock.
+    // Otherwise the leases of a worker that does not answer would be extended without end.
+    if (tries == 0 || live->born != w.born) {
+        live->born = w.born;
         live->lease_until = lease_end(w, now).value_or(worker_time{});
         note_lease(w, now);
     }
-    // A repeated start carries the lease of the first one. Otherwise the leases of a worker that does not answer would
-    // be extended without end.
     order.lease_until = live->lease_until;
-    edges_.order(
-        place_of(w), order, start_timeout,
-        [this, id, task, run, tries, generation = ownership_generation_](instant then, const order_answer& answer) {
-            if (generation == ownership_generation_) {
-                on_started(then, id, task, run, tries, answer);
-            }
-        });
+    edges_.order(place_of(w), order, start_timeout,
+                 [this, sent_to = w.life(), task, run, tries,
+                  generation = ownership_generation_](instant then, const order_answer& answer) {
+                     if (generation == ownership_generation_) {
+                         on_started(then, sent_to, task, run, tries, answer);
+                     }
+                 });
 }
 
 // Handles the answer to a start.
-void flow_cell::on_started(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries,
+void flow_cell::on_started(instant now, const worker_life& sent_to, const flow_task_id& task, run_number run, int tries,
                            const order_answer& answer)
 {
+    const worker_id& id = sent_to.worker;
     const auto [worker, job, t, live] = look_up_run(id, task, run);
     if (worker == nullptr || job == nullptr) {
         return;
@@ -141,7 +145,8 @@
     if (answer.result != order_result::no_answer) {
         w.start_answered_at = now;
     }
-    if (answer.clock && (!w.reading || *answer.clock > *w.reading)) {
+    const bool same_life = w.born == sent_to.born;
+    if (same_life && answer.clock && (!w.reading || *answer.clock > *w.reading)) {
         w.reading = answer.clock;
         w.clock_read_at = now;
         w.last_answer = now;
@@ -158,6 +163,12 @@
                      {"tries", std::to_string(tries)},
                      {"reason", answer.reason}});
     }
+    if (!same_life && answer.result != order_result::fenced) {
+        // The answer may be one of the earlier life. The same start, sent again, shows whether the present life has the
+        // run, and starts it there if not.
+        send_start(now, id, task, run, tries + 1);
+        return;
+    }
     if (handle_fatal_result(now, w, answer.result)) {
         return;
     }
