flow: a worker that lapses and comes back as another life has crashed

What callers saw: a task that crashes its workers was started for ever if they came back only after their leases.

Cause: a worker whose lease had ended and that was listed again under its id passed for one that had been unreachable, and the crash was taken back. Where births are told, its own answer now decides: another birth charges the crash.

The virtual site now takes a worker that is silent for 4.5 s off the list, as the platform does.

--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -177,6 +177,9 @@
     if (at == lapsed_workers_.end()) {
         return;
     }
+    if (at->second.life.worker == listing.worker && at->second.life.born > worker_birth()) {
+        return; // its own answer will show whether it is still the same life
+    }
     if (at->second.life.worker != listing.worker) {
         charge_runs(now, at->second.life, at->second.runs);
         schedule_placement(); // placement ends a job whose task has crashed too many workers
@@ -187,6 +190,23 @@
     lapsed_workers_.erase(at);
 }
 
+// Decides about a lapsed worker when it answers under its id: another life shows that it has crashed.
+void flow_cell::charge_lapsed_life(instant now, const cell_worker& w)
+{
+    const auto at = lapsed_workers_.find(w.listing.address);
+    if (at == lapsed_workers_.end() || at->second.life.worker != w.listing.worker) {
+        return;
+    }
+    if (at->second.life.born != w.born) {
+        charge_runs(now, at->second.life, at->second.runs);
+        schedule_placement(); // placement ends a job whose task has crashed too many workers
+    }
+    else {
+        retract_lapsed_crashes(at->second);
+    }
+    lapsed_workers_.erase(at);
+}
+
 // Removes the crash rows of a worker that was unreachable and has not crashed.
 void flow_cell::retract_lapsed_crashes(const lapsed_worker& life)
 {
--- a/src/flow_cell_lives.cpp
+++ b/src/flow_cell_lives.cpp
@@ -38,6 +38,7 @@
     }
     w.born = answer.born;
     w.heard_sent = sent;
+    charge_lapsed_life(now, w);
     w.acknowledged = std::max(w.acknowledged, w.cursor_sent);
 }
 
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -434,6 +434,7 @@
     // Removes the crashes charged for a worker that turned out to have been cut off.
     void retract_lapsed_crashes(const lapsed_worker& life);
     void charge_lapsed_worker(instant now, const flow_listed_worker& listing);
+    void charge_lapsed_life(instant now, const cell_worker& w);
     void log_given_up(const flow_job& job) const;
     bool needs_dedicated_worker(instant now, const flow_step& step, const flow_task& task) const;
     static bool starts_without_checkpoint(const flow_job& job, const flow_stage& stage, const flow_task& task);
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -28,9 +28,10 @@
 constexpr duration recovery_time = 3s; // after an entry is killed, time limits do not apply for this long
 constexpr duration check_interval = 50ms;
 constexpr duration feed_history = 20s;
-constexpr duration max_lease = 10s;   // a worker shortens longer leases
-constexpr duration first_clock = 3s;  // of a worker when it starts again
-constexpr duration gang_timeout = 3s; // a member whose gang is not complete by then ends as `alone`
+constexpr duration max_lease = 10s;         // a worker shortens longer leases
+constexpr duration listing_expiry = 4500ms; // of a worker that is silent
+constexpr duration first_clock = 3s;        // of a worker when it starts again
+constexpr duration gang_timeout = 3s;       // a member whose gang is not complete by then ends as `alone`
 
 resources larger(const resources& a, const resources& b)
 {
@@ -1144,6 +1145,7 @@
     if (away) {
         schedule(*away, [this, &w] { start_next_life(w); });
     }
+    schedule(listing_expiry, [&w, life = w.life] { w.listed = w.listed && (w.up || w.life != life); });
 }
 
 void flow_simulation::set_birth(flow_fake_worker& w) const
