flow: a worker that restarts at another address is asked again

Cause: when another id answers at a worker's address, the id is kept out for as long as it is listed. With the id the same after a restart, that was for good. An entry with another address, or another birth, is now asked again, and its own answer decides; where no births are told, the id is kept out as before.

Before: room_of_a_worker_that_restarts_at_another_address_is_used, the next job is refused (no cell serves the queue).

--- a/src/flow_cell_lives.cpp
+++ b/src/flow_cell_lives.cpp
@@ -42,6 +42,14 @@
     w.acknowledged = std::max(w.acknowledged, w.cursor_sent);
 }
 
+// Whether the list shows an id again whose life is over, at another address or with another birth. Such a worker is
+// asked again, and its answer decides.
+bool flow_cell::may_be_later_life(const cell_worker& w, const flow_listed_worker& listing)
+{
+    const bool changed = listing.address != w.listing.address || listing.born != w.listing.born;
+    return listing.born > worker_birth() && changed && w.ledger.empty() && !w.hold_in_flight;
+}
+
 // Handles the first answer of a later life: all runs of the earlier one are lost as by a crash.
 void flow_cell::begin_life(instant now, cell_worker& w, instant sent, const order_answer& answer)
 {
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -403,6 +403,7 @@
     void hear_life(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void begin_life(instant now, cell_worker& w, instant sent, const order_answer& answer);
     static void forget_life(cell_worker& w);
+    static bool may_be_later_life(const cell_worker& w, const flow_listed_worker& listing);
     end_number cursor_for(const cell_worker& w);
     static bool ran_before(const live_run& live, worker_birth born, instant sent);
     void drop_runs_of_earlier_lives(instant now, cell_worker& w, instant sent);
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -19,8 +19,12 @@
     std::set<worker_id> present;
     for (const flow_listed_worker& listing : workers) {
         present.insert(listing.worker);
-        const auto [at, added] = workers_.try_emplace(listing.worker);
+        auto [at, added] = workers_.try_emplace(listing.worker);
         cell_worker& w = at->second;
+        if (w.incarnation_ended && may_be_later_life(w, listing)) {
+            w = cell_worker{};
+            added = true;
+        }
         if (w.incarnation_ended) {
             continue; // the list may still have an entry of an ended incarnation, or one that never was a worker
         }
