flow: the next owner charges runs of an earlier life

What callers would see: a task that crashes its workers is started once more for each owner that dies with one.

Cause: a new owner charged a recorded start only if the previous owner no longer named its worker. A worker that came back under its id was named, and answered. A start record with a birth is now over, with a crash, if the worker tells another birth and does not list the run.

--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -112,20 +112,21 @@
                  {"crashes", std::to_string(rows.size())}});
 }
 
-// Charges starts that the previous owner recorded on a worker whose incarnation is over. That worker crashed before
-// the new owner could query it.
-void flow_cell::charge_noted(instant now, const std::function<bool(const worker_id&)>& is_over)
+// Charges starts that the previous owner recorded on a life of a worker that is over. That worker crashed before the
+// new owner could query it.
+void flow_cell::charge_noted(instant now, const recorded_start_filter& is_over)
 {
     for (const auto& [id, job] : jobs_) {
         for (const flow_stage& stage : job->stages()) {
             for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
                 const flow_task& task = stage.tasks[i];
-                const worker_id worker(task.start.worker);
-                if (task.may_crash_workers() && worker.valid() && is_over(worker)) {
-                    lost_run lost{job->task_id(stage, i), run_number(task.start.run), {}};
+                const worker_life life{worker_id(task.start.worker), worker_birth(task.start.born)};
+                const run_number run(task.start.run);
+                if (task.may_crash_workers() && life.worker.valid() && is_over(life, job->task_id(stage, i), run)) {
+                    lost_run lost{job->task_id(stage, i), run, {}};
                     lost.in_crash.age = start_only_run_age;
                     lost.in_crash.charged = true;
-                    record_crash(now, {worker, worker_birth(task.start.born)}, lost);
+                    record_crash(now, life, lost);
                 }
             }
         }
@@ -139,7 +140,9 @@
         return; // a draining worker has left on purpose
     }
     if (w.inherited && !w.fenced) {
-        charge_noted(now, [&w](const worker_id& id) { return id == w.listing.worker; });
+        charge_noted(now, [&w](const worker_life& life, const flow_task_id&, run_number) {
+            return life.worker == w.listing.worker;
+        });
     }
     charge_runs(now, w.life(), list_lost_runs(w));
 }
--- a/src/flow_cell_lives.cpp
+++ b/src/flow_cell_lives.cpp
@@ -42,6 +42,20 @@
     w.acknowledged = std::max(w.acknowledged, w.cursor_sent);
 }
 
+// Whether the answer shows that a recorded start ended with an earlier life of the worker.
+bool flow_cell::is_over(const worker_life& life, const flow_task_id& task, run_number run, const order_answer& answer)
+{
+    return life.born > worker_birth() && answer.born != life.born && !lists_run(answer, task, run);
+}
+
+// The same for a new owner, which knows the workers that the row names and the answers that came while it read the
+// jobs.
+bool flow_cell::is_over_at_takeover(const worker_life& life, const flow_task_id& task, run_number run) const
+{
+    const auto at = workers_.find(life.worker);
+    return at == workers_.end() || (at->second.early && is_over(life, task, run, at->second.early->answer));
+}
+
 // Whether the list shows an id again whose life is over, at another address or with another birth. Such a worker is
 // asked again, and its answer decides.
 bool flow_cell::may_be_later_life(const cell_worker& w, const flow_listed_worker& listing)
@@ -70,6 +84,11 @@
             return lists_run(answer, run.task, run.run) || live == nullptr || !ran_before(*live, answer.born, sent);
         });
         charge_runs(now, w.life(), lost);
+        if (role_ == role::owning && w.inherited && !w.fenced) {
+            charge_noted(now, [&](const worker_life& life, const flow_task_id& task, run_number run) {
+                return life.worker == w.listing.worker && is_over(life, task, run, answer);
+            });
+        }
     }
     forget_life(w);
     w.inherited = false; // previous owners have started nothing there that this answer does not list
--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -568,7 +568,9 @@
         return;
     }
     // A worker that the previous owner no longer named in the row is over: that owner knew that it had ended.
-    charge_noted(now, [this](const worker_id& id) { return workers_.count(id) == 0; });
+    charge_noted(now, [this](const worker_life& life, const flow_task_id& task, run_number run) {
+        return is_over_at_takeover(life, task, run);
+    });
     process_buffered_inventories(now);
     for (auto& [id, w] : workers_) {
         schedule_hold(now, id, duration(0));
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -403,6 +403,8 @@
     void hear_life(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void begin_life(instant now, cell_worker& w, instant sent, const order_answer& answer);
     static void forget_life(cell_worker& w);
+    static bool is_over(const worker_life& life, const flow_task_id& task, run_number run, const order_answer& answer);
+    bool is_over_at_takeover(const worker_life& life, const flow_task_id& task, run_number run) const;
     static bool may_be_later_life(const cell_worker& w, const flow_listed_worker& listing);
     end_number cursor_for(const cell_worker& w);
     static bool ran_before(const live_run& live, worker_birth born, instant sent);
@@ -428,8 +430,9 @@
     void charge_runs(instant now, const worker_life& worker, const std::vector<lost_run>& lost);
     std::optional<wire::crash_row> add_crash_row(instant now, const worker_life& worker, const lost_run& lost);
     void record_crash(instant now, const worker_life& worker, const lost_run& lost);
-    // Charges a crash to tasks whose start record names a worker whose incarnation is over.
-    void charge_noted(instant now, const std::function<bool(const worker_id&)>& is_over);
+    // Charges a crash to tasks whose start record names a life of a worker that is over.
+    using recorded_start_filter = std::function<bool(const worker_life&, const flow_task_id&, run_number)>;
+    void charge_noted(instant now, const recorded_start_filter& is_over);
     void charge_crash_of(instant now, const cell_worker& w);
     void record_lapsed_worker(instant now, const cell_worker& w);
     // Removes the crashes charged for a worker that turned out to have been cut off.
--- a/tests/test_flow_second_life.cpp
+++ b/tests/test_flow_second_life.cpp
@@ -377,6 +377,26 @@
     check_no_violations(w);
 }
 
+// The crash of a run that the previous owner had started is charged to nobody.
+BOOST_AUTO_TEST_CASE(the_next_owner_charges_a_crash_of_the_first_life)
+{
+    flow_simulation::options options = restarting_workers(4);
+    options.entries_per_data_centre = 2;
+    const flow_task_id culprit{job_id(job_a), 0, 0, 0};
+    options.crash_restart_delay = 400ms;
+    options.worker_crash_delay = [culprit](const flow_task_id& task, const start_run&) {
+        return task == culprit ? std::optional<duration>(200ms) : std::nullopt;
+    };
+    flow_simulation w(std::move(options));
+    w.run_for(settle);
+    BOOST_REQUIRE((w.submit(0, job_a, chain_spec(1, 2)) == caller_result::accepted));
+    // The first two crashes are charged by the owner that saw them, so that further starts are recorded.
+    BOOST_REQUIRE(w.run_until([&] { return w.crash_count_of(culprit) == 3; }, 20s));
+    w.kill_entry(w.entry(0)->cells().begin()->second->owns() ? 0 : 1);
+    BOOST_TEST(w.run_until([&] { return w.stored_outcome(job_a) != 0; }, 60s));
+    BOOST_TEST(w.count_log_events("run", "crashed_worker") == w.crash_count_of(culprit));
+}
+
 // The answers of a worker that has told its birth name none for a while: nothing says of which life they are.
 BOOST_AUTO_TEST_CASE(answers_without_a_birth_after_answers_with_one_are_not_used)
 {
