standin: a worker of the users' platform may start again under its id

It then holds and knows nothing of before, and its counts and its clock start anew; `born`, the Unix millisecond of its start, stands in its list entry and beside its lists of runs. The stand-ins gave each life a new id, so no test could show what an owner makes of a second life.

Change: each sight names a life, an id and its birth; the list entry and the answer of a hold carry `born`; restart() ends the life that is there and begins another under its id, with a new clock, no runs, ends or fence, and with `sequence` and the numbers of ends from 1. An order names an id and no birth, so a delayed one is carried out by whichever life has the id by then. The late removal of a crashed life's entry spares the entry when a later life under the id has written it. The soak's checks go by life.

--- a/standin/flow_worker.cpp
+++ b/standin/flow_worker.cpp
@@ -23,6 +23,11 @@
     return d / 1ms;
 }
 
+std::int64_t to_unix_ms(wall_time t)
+{
+    return to_ms(t.time_since_epoch());
+}
+
 duration scale(duration d, double by)
 {
     return duration(static_cast<std::int64_t>(static_cast<double>(d.count()) * by));
@@ -40,13 +45,13 @@
 flow_worker::flow_worker(instant now, flow_worker_traits traits, watcher watch)
     : born_(now), traits_(std::move(traits)), watch_(std::move(watch))
 {
-    watch_(now, life_began{traits_.id});
+    watch_(now, life_began{traits_.life});
 }
 
 void flow_worker::end_life(instant now)
 {
     advance(now);
-    watch_(now, life_over{traits_.id});
+    watch_(now, life_over{traits_.life});
 }
 
 std::int64_t flow_worker::clock_ms(instant now) const
@@ -70,7 +75,7 @@
 {
     const auto at = running_.find(task);
     const std::string saved = how == "done" ? "" : checkpoint_of(task, at->second, now);
-    ends_.push_back({traits_.id, ++last_end_, task, at->second.run, how, saved});
+    ends_.push_back({traits_.life, ++last_end_, task, at->second.run, how, saved});
     highest_run_[task] = std::max(highest_run_[task], at->second.run);
     running_.erase(at);
     watch_(now, ends_.back());
@@ -94,7 +99,7 @@
         return;
     }
     const instant lapsed = std::exchange(lease_until_, instant{});
-    watch_(lapsed, lease_over{traits_.id});
+    watch_(lapsed, lease_over{traits_.life});
     while (!running_.empty()) {
         end_run(lapsed, std::string(running_.begin()->first), "lapsed");
     }
@@ -164,7 +169,7 @@
     r.begun = now;
     r.resumed = std::chrono::milliseconds(number_of(checkpoint.substr(checkpoint.find('/') + 1)));
     r.ends = r.lasts ? instant::max() : now + scale(std::max<duration>(work - r.resumed, 1ms), traits_.slowness);
-    watch_(now, run_began{traits_.id, task, r.run, payload, checkpoint, late});
+    watch_(now, run_began{traits_.life, task, r.run, payload, checkpoint, late});
     running_.emplace(task, r);
     return answer(now, 200, json::object());
 }
@@ -196,9 +201,9 @@
     const auto left = std::find_if(ends_.begin(), ends_.end(), [&](const auto& end) { return end.number > known; });
     if (left != ends_.begin()) {
         ends_.erase(ends_.begin(), left);
-        watch_(now, ends_confirmed{traits_.id, known});
+        watch_(now, ends_confirmed{traits_.life, known});
     }
-    json body{{"running", json::array()}, {"finished", json::array()}};
+    json body{{"born", to_unix_ms(traits_.life.born)}, {"running", json::array()}, {"finished", json::array()}};
     for (const auto& [task, r] : running_) {
         const std::int64_t percent =
             r.lasts ? 100 : std::min<std::int64_t>(99, 100 * (now - r.begun) / (r.ends - r.begun));
--- a/standin/flow_worker_p.h
+++ b/standin/flow_worker_p.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -17,19 +18,31 @@
 
 namespace skylarkhub::standin {
 
-// --- what is seen at a worker; `worker` names its life ---
+// A worker may start again under its id; the moment of its birth tells its lives apart.
+struct worker_life {
+    std::string id;
+    wall_time born{}; // in whole milliseconds
+
+    friend bool operator==(const worker_life&, const worker_life&) = default;
+    friend bool operator<(const worker_life& a, const worker_life& b)
+    {
+        return std::tie(a.id, a.born) < std::tie(b.id, b.born);
+    }
+};
+
+// --- what is seen at a worker ---
 
 struct life_began {
-    std::string worker;
+    worker_life worker;
 };
 struct life_over {
-    std::string worker;
+    worker_life worker;
 };
 struct lease_over {
-    std::string worker;
+    worker_life worker;
 };
 struct run_began {
-    std::string worker;
+    worker_life worker;
     std::string task;
     std::int64_t run = 0;
     std::string payload;
@@ -37,7 +50,7 @@
     bool late = false; // the order was carried out long after it was sent
 };
 struct run_over {
-    std::string worker;
+    worker_life worker;
     std::int64_t number = 0; // of the end
     std::string task;
     std::int64_t run = 0;
@@ -45,13 +58,13 @@
     std::string checkpoint;
 };
 struct ends_confirmed {
-    std::string worker;
+    worker_life worker;
     std::int64_t up_to = 0;
 };
 using worker_sight = std::variant<life_began, life_over, lease_over, run_began, run_over, ends_confirmed>;
 
 struct flow_worker_traits {
-    std::string id;
+    worker_life life;
     duration clock_offset{0};
     double clock_rate = 1; // of the worker's clock; leases last longer where it is slow
     double slowness = 1;   // of what it starts from now on
@@ -63,7 +76,7 @@
     using watcher = std::function<void(instant, const worker_sight&)>;
     flow_worker(instant now, flow_worker_traits traits, watcher watch);
 
-    const std::string& id() const { return traits_.id; }
+    const worker_life& life() const { return traits_.life; }
     void set_slowness(double slowness) { traits_.slowness = slowness; }
 
     // Lets time pass: ends what is over, and everything when the lease is.
--- a/standin/flow_workers.cpp
+++ b/standin/flow_workers.cpp
@@ -37,6 +37,17 @@
     return std::chrono::milliseconds(std::clamp<std::int64_t>(ms, 0, hold_wait_ms_most));
 }
 
+std::string make_id(int place, int number)
+{
+    return fmt::format("w{}-{}", place, number);
+}
+
+wall_time read_wall_clock()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return wall_time(std::chrono::duration_cast<std::chrono::milliseconds>(now));
+}
+
 const http_response no_answer{http_status_close, {}, {}};
 
 } // namespace
@@ -72,16 +83,17 @@
         throw std::runtime_error(reason);
     }
     slots_.push_back(std::move(s));
-    begin(number);
+    begin(at(number), make_id(number, ++at(number).ids));
     return number;
 }
 
-void flow_workers::begin(int place) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+void flow_workers::begin(slot& s, const std::string& id) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
 {
-    slot& s = at(place);
     const instant now = read_clock();
+    // Lives of an id differ in the moment of their birth, also when the machine's clock is set back.
+    s.newest = {id, std::max(read_wall_clock(), s.newest.born + 1ms)};
     flow_worker_traits traits;
-    traits.id = fmt::format("w{}-{}", place, ++s.lives);
+    traits.life = s.newest;
     traits.clock_offset = draw(random_, 0s, clock_offset_most);
     traits.clock_rate = absl::Bernoulli(random_, 0.5) ? slow_clock_rate : 1;
     traits.stop_time = draw(random_, 0s, stop_time_most);
@@ -89,6 +101,7 @@
     s.life.emplace(now, traits, watch_);
     s.draining = false;
     s.leaves = instant::max();
+    s.heartbeats = 0;
     write_listing(s, now);
 }
 
@@ -99,18 +112,33 @@
     }
     const instant now = read_clock();
     s.life->end_life(now);
-    timer_.run_at(now + listed_still, [this, id = s.life->id()] { table_.remove("servers", id); });
+    timer_.run_at(now + listed_still, [this, life = s.life->life()] {
+        absl::MutexLock lock(&mutex_);
+        unlist(life);
+    });
     s.life.reset();
     for (const waiting_hold& hold : std::exchange(s.holds, {})) {
         hold.reply(no_answer);
     }
 }
 
+// A later life under the same id has written the entry anew, and keeps it.
+void flow_workers::unlist(const worker_life& life) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+{
+    const auto entry = listed_.find(life.id);
+    if (entry != listed_.end() && entry->second == life) {
+        listed_.erase(entry);
+        table_.remove("servers", life.id);
+    }
+}
+
 void flow_workers::write_listing(slot& s, instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
 {
     const resources& room = s.place.room;
     s.heartbeat = now;
+    const worker_life& life = s.life->life();
     const json entry{{"service", "service"},
+                     {"born", life.born.time_since_epoch() / 1ms},
                      {"address", s.place.listed.str()},
                      {"zone", s.place.data_centre},
                      {"version", "1"},
@@ -119,7 +147,8 @@
                      {"sequence", ++s.heartbeats},
                      {"room", {{"cpu", room.cpu_millis}, {"mem-mb", room.memory_mib}, {"gpus", room.accelerators}}},
                      {"labels", {"kind", s.place.rack}}};
-    table_.put("servers", s.life->id(), entry.dump());
+    listed_[life.id] = life;
+    table_.put("servers", life.id, entry.dump());
 }
 
 void flow_workers::crash(int place)
@@ -142,11 +171,20 @@
 void flow_workers::begin_life(int place)
 {
     absl::MutexLock lock(&mutex_);
-    if (!at(place).life) {
-        begin(place);
+    slot& s = at(place);
+    if (!s.life) {
+        begin(s, make_id(place, ++s.ids));
     }
 }
 
+void flow_workers::restart(int place)
+{
+    absl::MutexLock lock(&mutex_);
+    slot& s = at(place);
+    end(s, listed_without_heartbeat);
+    begin(s, s.newest.id);
+}
+
 void flow_workers::delay_orders(int place, double share)
 {
     absl::MutexLock lock(&mutex_);
@@ -173,34 +211,35 @@
     }
     slot& s = at(place);
     const instant now = read_clock();
-    const std::string life = s.life->id();
-    if (find_field(request.headers, "x-target-instance") != life) {
+    const std::string id = s.life->life().id;
+    if (find_field(request.headers, "x-target-instance") != id) {
         reply({421, {}, "{}"});
         return;
     }
     if (absl::Bernoulli(random_, s.late_share)) {
         reply(no_answer);
-        timer_.run_at(now + draw(random_, late_least, late_most), [this, place, life, request, reply] {
+        timer_.run_at(now + draw(random_, late_least, late_most), [this, place, id, request, reply] {
             absl::MutexLock later(&mutex_);
-            carry_out(at(place), life, request, reply, true);
+            carry_out(at(place), id, request, reply, true);
         });
         return;
     }
     const duration wait = request.path == "/hold" ? wait_of(request.body) : duration(0);
     if (wait == duration(0) || !s.life->hold_waits(now, request.body)) {
-        carry_out(s, life, request, reply, false);
+        carry_out(s, id, request, reply, false);
         return;
     }
     s.life->carry_out(now, request.path, request.body, false); // lease and confirmation count from now
     s.holds.push_back({request.body, reply, now + wait});
 }
 
-void flow_workers::carry_out(slot& s, const std::string& life, const http_request& request, const http_reply& reply,
+// An order names an id and no birth: whichever life has the id by now takes it.
+void flow_workers::carry_out(slot& s, const std::string& id, const http_request& request, const http_reply& reply,
                              bool late) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
 {
     const instant now = read_clock();
     advance_all(now); // what has ended elsewhere by now must not pass for running
-    const bool there = s.life && s.life->id() == life;
+    const bool there = s.life && s.life->life().id == id;
     reply(there ? s.life->carry_out(now, request.path, request.body, late) : no_answer);
 }
 
--- a/standin/flow_workers_p.h
+++ b/standin/flow_workers_p.h
@@ -3,6 +3,7 @@
 
 #include <absl/synchronization/mutex.h>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,8 +33,10 @@
     void crash(int place);
     // Says that it leaves, and does so seconds later.
     void drain(int place);
-    // Another life, unless one is there.
+    // Another life under a new id, unless one is there.
     void begin_life(int place);
+    // Ends the life at once, if one is there, and begins another under its id.
+    void restart(int place);
     // This share of orders gets no answer and is carried out seconds later.
     void delay_orders(int place, double share);
     void set_slowness(int place, double slowness);
@@ -48,19 +51,21 @@
         flow_worker_place place;
         std::unique_ptr<http_server> server;
         std::optional<flow_worker> life; // empty while nobody is there
-        int lives = 0;
+        worker_life newest;              // the life that is there, or was there last
+        int ids = 0;                     // that its lives have had
         bool draining = false;
         instant leaves = instant::max();
         instant heartbeat{};
-        std::int64_t heartbeats = 0;
+        std::int64_t heartbeats = 0; // of this life
         double late_share = 0;
         double slowness = 1;
         std::vector<waiting_hold> holds; // of this life
     };
     void serve(int place, const http_request& request, const http_reply& reply);
-    void carry_out(slot& s, const std::string& life, const http_request& request, const http_reply& reply, bool late);
-    void begin(int place);
+    void carry_out(slot& s, const std::string& id, const http_request& request, const http_reply& reply, bool late);
+    void begin(slot& s, const std::string& id);
     void end(slot& s, duration listed_still);
+    void unlist(const worker_life& life);
     void write_listing(slot& s, instant now);
     void answer_holds(slot& s, instant now);
     void advance_all(instant now);
@@ -72,6 +77,7 @@
     absl::Mutex mutex_;
     random_source random_ ABSL_GUARDED_BY(mutex_);
     std::vector<std::unique_ptr<slot>> slots_ ABSL_GUARDED_BY(mutex_);
+    std::map<std::string, worker_life> listed_ ABSL_GUARDED_BY(mutex_); // who wrote the entry, by id
     bool closing_ ABSL_GUARDED_BY(mutex_) = false;
     platform_timer timer_; // last: what it still runs uses the rest
 };
--- a/tests/support_soak_checks.cpp
+++ b/tests/support_soak_checks.cpp
@@ -38,6 +38,11 @@
     return fmt::format("{}.0.{}.{}", job, step, index);
 }
 
+std::string describe(const worker_life& worker)
+{
+    return fmt::format("{} (born {})", worker.id, worker.born.time_since_epoch() / 1ms);
+}
+
 } // namespace
 
 // --- callers ---
@@ -152,7 +157,7 @@
     forget_unconfirmed(sight.worker);
 }
 
-void soak_checks::forget_unconfirmed(const std::string& worker) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+void soak_checks::forget_unconfirmed(const worker_life& worker) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
 {
     for (auto& [id, job] : jobs_) {
         for (auto& [name, task] : job.tasks) {
@@ -183,14 +188,15 @@
         held = held + need;
     }
     if (!fits(held, soak_worker_room)) {
-        break_promise(now, fmt::format("{} run {} goes over the room of {}", sight.task, sight.run, sight.worker));
+        break_promise(now,
+                      fmt::format("{} run {} goes over the room of {}", sight.task, sight.run, describe(sight.worker)));
     }
 }
 
 void soak_checks::check_start(instant now, const run_began& sight, const job_record& job, const task_record& task)
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
 {
-    const std::string what = fmt::format("{} run {} on {} was started", sight.task, sight.run, sight.worker);
+    const std::string what = fmt::format("{} run {} on {} was started", sight.task, sight.run, describe(sight.worker));
     if (job.job.payload != sight.payload) {
         break_promise(now, what + " with another payload than submitted");
     }
@@ -198,13 +204,13 @@
         break_promise(now, what + " from another task's checkpoint");
     }
     for (const auto& [worker, run] : task.running) {
-        break_promise(now, fmt::format("{} while run {} is on {}", what, run, worker));
+        break_promise(now, fmt::format("{} while run {} is on {}", what, run, describe(worker)));
     }
     int failed = 0;
     for (const noted_end& end : task.ends) {
         failed += end.confirmed && !end.done ? 1 : 0;
         if (end.confirmed && end.done) {
-            break_promise(now, fmt::format("{} after an end as done was confirmed on {}", what, end.worker));
+            break_promise(now, fmt::format("{} after an end as done was confirmed on {}", what, describe(end.worker)));
         }
     }
     if (failed >= soak_attempts_most) {
@@ -264,7 +270,7 @@
                 if (end.done && task.last_begun > end.at) {
                     break_promise(now,
                                   fmt::format("{} was started after an end as done that is confirmed only now, on {}",
-                                              name, end.worker));
+                                              name, describe(end.worker)));
                 }
             }
         }
--- a/tests/support_soak_checks.h
+++ b/tests/support_soak_checks.h
@@ -69,7 +69,7 @@
 
 private:
     struct noted_end {
-        std::string worker;
+        standin::worker_life worker;
         std::int64_t number = 0;
         instant at;
         bool done = false; // or failed
@@ -77,7 +77,7 @@
         bool forgotten = false; // need not be known to anybody
     };
     struct task_record {
-        std::map<std::string, std::int64_t> running; // number of the run, by worker
+        std::map<standin::worker_life, std::int64_t> running; // number of the run
         instant last_begun{};
         instant last_over{};
         bool done = false;
@@ -108,7 +108,7 @@
     void see(instant now, const standin::ends_confirmed& sight);
     void check_start(instant now, const standin::run_began& sight, const job_record& job, const task_record& task);
     void check_order(instant now, const std::string& what, const std::string& task, const job_record& job);
-    void forget_unconfirmed(const std::string& worker);
+    void forget_unconfirmed(const standin::worker_life& worker);
     void break_promise(instant now, const std::string& text);
     task_record* find_task(const std::string& task);
     bool has_room_twice(instant now, const resources& need) const;
@@ -118,7 +118,7 @@
     instant begun_;
     mutable absl::Mutex mutex_;
     std::map<std::string, job_record> jobs_ ABSL_GUARDED_BY(mutex_);
-    std::map<std::string, life> lives_ ABSL_GUARDED_BY(mutex_);
+    std::map<standin::worker_life, life> lives_ ABSL_GUARDED_BY(mutex_);
     instant impaired_at_ ABSL_GUARDED_BY(mutex_) = begun_;
     int starts_ ABSL_GUARDED_BY(mutex_) = 0;
     std::vector<std::string> broken_ ABSL_GUARDED_BY(mutex_);
