soak: workers start again under the ids that they had

A worker of the users' platform may start again under its id. No play of the soak showed what entries make of that: its workers came back under new ids only.

Change: at most moments with faults, workers also start again under their ids, at once or after 0.1 to 6 s, one time and again or many at about the same time; some while all orders to them are carried out seconds late, so that orders of an earlier life arrive at a later one.

Cause: the holds to a second life carry the cursor of the first, so its ends are forgotten before they are listed.

--- a/tests/support_soak_faults.cpp
+++ b/tests/support_soak_faults.cpp
@@ -19,6 +19,8 @@
 constexpr duration calm_least = 12s; // long enough for every promise with a time
 constexpr duration calm_most = 16s;
 constexpr duration pause_most = 2s;
+constexpr double restarts_share = 0.7; // of the moments with faults, at which workers start again under their ids too
+constexpr int restarts_in_series_most = 4;
 
 // Plans one fault: what it is drawn from, and where it goes.
 struct planning {
@@ -236,6 +238,15 @@
     plan_worker(p, "leaves", 4s, 7s, &standin::flow_workers::drain, &standin::flow_workers::begin_life);
 }
 
+void plan_late_orders_of(const planning& p, int worker, duration lasts)
+{
+    auto& workers = p.site.workers();
+    p.add(
+        fmt::format("worker {} carries all of its orders out late", worker), lasts,
+        [&workers, worker] { workers.delay_orders(worker, 1); },
+        [&workers, worker] { workers.delay_orders(worker, 0); });
+}
+
 void plan_late_orders(const planning& p)
 {
     const double share = absl::Uniform(p.random, 0.1, 0.7);
@@ -273,6 +284,39 @@
     }
 }
 
+// A worker that starts again under its id, at once or after seconds.
+void plan_restart(const planning& p, int worker)
+{
+    auto& workers = p.site.workers();
+    const auto restart = [&workers, worker] { workers.restart(worker); };
+    if (absl::Bernoulli(p.random, 0.5)) {
+        p.add(fmt::format("worker {} starts again under its id", worker), restart);
+        return;
+    }
+    p.add(
+        fmt::format("worker {} is gone, to start again under its id,", worker), p.draw(100ms, 6s),
+        [&workers, worker] { workers.crash(worker); }, restart);
+}
+
+// One worker, time and again, or many at about the same time; orders of the lives before may arrive at the next ones.
+void plan_restarts(const planning& p)
+{
+    const bool many = absl::Bernoulli(p.random, 0.5);
+    const int most = many ? p.site.worker_count() : restarts_in_series_most;
+    const bool late = absl::Bernoulli(p.random, 0.4);
+    int worker = p.any_worker();
+    planning one = p;
+    for (int i = absl::Uniform(absl::IntervalClosed, p.random, 1, most); i > 0; --i) {
+        if (late) {
+            plan_late_orders_of(one, worker, p.draw(300ms, 1500ms));
+            one.at += p.draw(50ms, 300ms);
+        }
+        plan_restart(one, worker);
+        one.at += many ? p.draw(0ms, 200ms) : p.draw(100ms, 3s);
+        worker = many ? (worker + 1) % p.site.worker_count() : worker;
+    }
+}
+
 struct fault_kind {
     void (*plan)(const planning&);
     double weight;
@@ -317,7 +361,9 @@
 soak_plan plan_faults(random_source& random, duration length, soak_site& site)
 {
     soak_plan plan;
+    std::vector<duration> moments;
     for (duration at = first_fault; at < length;) {
+        moments.push_back(at);
         planning p{random, site, plan, at};
         for (int i = absl::Uniform(absl::IntervalClosed, random, 1, together_most); i > 0; --i) {
             p.at = at + p.draw(duration(0), close_together);
@@ -328,6 +374,13 @@
             at = std::max(at, plan.rbegin()->first) + p.draw(calm_least, calm_most);
         }
     }
+    // Drawn last, so that the other faults of a seed are the same with them.
+    for (const duration at : moments) {
+        if (absl::Bernoulli(random, restarts_share)) {
+            plan_restarts(
+                {random, site, plan, at + duration(absl::Uniform<std::int64_t>(random, 0, close_together.count()))});
+        }
+    }
     return plan;
 }
 
