cell: a crash is charged though the worker's new life refuses the first request

Symptom: a task that crashes each worker that it starts on is started for ever, where the workers stay away for longer than a lease and come back under their ids.

Cause: a worker refuses the first request that names the boot of its life before, and takes the next one. The refusal told the new boot, so the second answer came from a boot that was known by then: that passed for a worker that had only been cut off, and the runs that had been lost on it were forgotten before they were charged.

Evidence: the worker of the cell's tests carried every request out, whatever boot, epoch or sequence it named, which a real one does not. It refuses now as worker_state does, restarts with another clock and without its fence, and two cases of test_cell_crash fail: a crash that is to count when the worker is back after its leases is not charged, 15 crashes under the task instead of 5 at most (4 checks); a crash beside a service is charged not at all instead of once (1 check).

Ruled out: that the stricter worker hides something else; all other cases of test_cell, test_cell_takeover and test_cell_crash pass on both, and those of test_cell_knows_nothing that are known to be red fail with the same 18 checks.

Change: runs that were lost are forgotten on an answer of the same boot only when no restart waits to be charged. A restart is charged with the first report that the new life accepts, which clears it. Both cases pass.

--- a/src/cell_crashes.cpp
+++ b/src/cell_crashes.cpp
@@ -96,7 +96,9 @@
 void note_boot(cell_state& s, cell_worker& worker, const std::string& boot)
 {
     if (worker.boot == boot) {
-        worker.lost.clear(); // it was cut off and has not crashed
+        if (!worker.restarted) {
+            worker.lost.clear(); // it was cut off and has not crashed
+        }
         return;
     }
     if (!worker.boot.empty()) {
--- a/tests/support_cell_hand.h
+++ b/tests/support_cell_hand.h
@@ -109,6 +109,9 @@
     bool slow = false;       // requests and answers are still on their way
     bool leaving = false;
     std::string boot = "b";
+    duration clock_offset{0}; // of this life
+    skylarkhub::epoch fence;
+    sequence_number newest; // of the requests under this fence
     resources capacity{4000, 8000, 0};
     std::vector<worker_request> requests; // that reached it
     int starts_refused = 0;               // for want of room by its own account
@@ -153,12 +156,31 @@
             std::erase_if(tasks, [&](const task_report& task) { return task.task == forget->task; });
         }
     }
-    void take(const worker_request& request)
+    // Another life under its id: it knows nothing of before, and its clock is another one.
+    void restart(const std::string& another_boot)
     {
+        tasks.clear();
+        leaving = false;
+        boot = another_boot;
+        clock_offset += 300s;
+        fence = {};
+        newest = {};
+    }
+    // As worker_state does; false when it refuses.
+    bool take(const worker_request& request)
+    {
+        const bool other_life = !request.boot.empty() && request.boot != boot;
+        const bool stale = request.epoch == fence && request.sequence <= newest;
+        if (other_life || stale || request.epoch < fence) {
+            return false;
+        }
+        fence = request.epoch;
+        newest = request.sequence;
         requests.push_back(request);
         for (const worker_command& command : request.commands) {
             obey(command);
         }
+        return true;
     }
     // Commands of one type among all that reached it.
     template <class Command> std::vector<Command> told() const
@@ -295,14 +317,15 @@
         if (worker.slow) {
             return;
         }
-        if (!worker.silent) {
-            worker.take(request);
-        }
+        const bool accepted = !worker.silent && worker.take(request);
         if (worker.silent || worker.deaf_owner) {
             give(cell_worker_failed{request.worker, request.sequence, true, "lost"});
             return;
         }
-        give(cell_worker_answered{request.worker, request.sequence, now, report_of(worker, request)});
+        worker_report report = report_of(worker, request);
+        report.accepted = accepted;
+        report.epoch = worker.fence;
+        give(cell_worker_answered{request.worker, request.sequence, now, std::move(report)});
     }
     worker_report report_of(const worker_hand& worker, const worker_request& request) const
     {
@@ -310,7 +333,7 @@
         report.accepted = true;
         report.epoch = request.epoch;
         report.boot = worker.boot;
-        report.now = worker_time(now.time_since_epoch());
+        report.now = worker_time(now.time_since_epoch() + worker.clock_offset);
         report.capacity = worker.capacity;
         report.leaving = worker.leaving;
         report.usage_taken = report.now;
--- a/tests/test_cell.cpp
+++ b/tests/test_cell.cpp
@@ -578,11 +578,13 @@
     d.own({"w1"}, {submit(make_job("j", 1))});
     d.run(1s);
     worker_hand& w = d.workers["w1"];
-    w.tasks.clear();
-    w.boot = "b2";
+    w.restart("b2");
     d.run(4s);
     BOOST_TEST(w.tasks.size() == 1U);
     BOOST_TEST(w.requests.back().boot == "b2");
+    const worker_time clock(d.now.time_since_epoch() + w.clock_offset);
+    BOOST_TEST((w.tasks.at(0).lease_until > clock));
+    BOOST_TEST((w.tasks.at(0).lease_until <= clock + defaults.lease_length));
     BOOST_TEST(d.job_written("j").tasks.at(0).attempts_failed == 0);
 }
 
--- a/tests/test_cell_crash.cpp
+++ b/tests/test_cell_crash.cpp
@@ -22,9 +22,8 @@
     void crash(const std::string& name)
     {
         worker_hand& w = d_.workers[name];
-        w.tasks.clear();
+        w.restart("b" + std::to_string(++boots_));
         w.silent = true;
-        w.boot = "b" + std::to_string(++boots_);
         back_[name] = d_.now + away_;
     }
     void step(duration d)
