cell: a worker that left as planned and is back under its id has not crashed

Symptom: tasks that still ran when a worker ended its planned stop were charged with a crash. Two planned restarts made each of them start alone on a worker kept for it, and more park its job.

Cause: whether a restart was planned was asked when it was charged, with the first report that the new boot accepts. That report says that the new boot is not leaving, and it was taken in first.

Evidence: test_cell_restarts/a_planned_restart_is_charged_to_nothing failed with 5 checks: each of two tasks is charged once after the first planned restart and twice after the second, and then only one of them is started.

Change: it is decided when the new boot is first heard of, from what the boot before said of itself in a report, or what the list said. A report of an earlier boot that is taken in late changes nothing of that.

--- a/src/cell_crashes.cpp
+++ b/src/cell_crashes.cpp
@@ -103,8 +103,11 @@
     }
     if (!worker.boot.empty()) {
         note_unanswered(s, worker);
-        worker.restarted = true;
+        // Asked later, the new boot would say that it isn't leaving, and a planned stop would pass for a crash.
+        const bool planned = worker.leaving || worker.said_leaving;
+        worker.restarted = worker.restarted || !planned;
     }
+    worker.said_leaving = false;
     worker.boot = boot;
     worker.usage_learned = worker_time{}; // its clock began anew
 }
--- a/src/cell_report.cpp
+++ b/src/cell_report.cpp
@@ -344,6 +344,7 @@
 
 void take_report(cell_state& s, cell_worker& worker, const worker_report& report, sequence_number sequence)
 {
+    worker.said_leaving = worker.said_leaving || (report.leaving && report.boot == worker.boot);
     if (report.leaving != worker.leaving) {
         worker.leaving = report.leaving;
         s.place_wanted = true;
--- a/src/cell_state_p.h
+++ b/src/cell_state_p.h
@@ -96,7 +96,8 @@
     worker_ledger ledger;
     instant last_start{};
     instant unanswered_since{};      // instant{}: it answers
-    bool restarted = false;          // another boot answers than the one that was told what to run
+    bool said_leaving = false;       // this boot has, itself; the list may tell of the one before still
+    bool restarted = false;          // another boot answers, unplanned, than the one that was told what to run
     std::vector<lost_attempt> lost;  // taken for lapsed; it may have crashed
     std::optional<task_id> kept_for; // a task that may crash it: nothing else is started there
     instant kept_until{};
--- a/tests/support_cell_hand.h
+++ b/tests/support_cell_hand.h
@@ -205,6 +205,7 @@
     std::vector<cell_action> pending;
     std::vector<cell_action> log; // every action since the test last cleared it
     table_mood mood = table_mood::up;
+    bool jobs_unreadable = false;
     std::optional<table_row> row; // the cell's row
     std::vector<table_row> job_rows;
     std::vector<table_row> inbox_rows;
@@ -255,7 +256,7 @@
                                               [&](const read_cell_row&) {
                                                   give(cell_row_seen{mood == table_mood::up, read()});
                                               },
-                                              [&](const read_cell_jobs&) { give(cell_jobs_read{scan(job_rows)}); },
+                                              [&](const read_cell_jobs&) { give(cell_jobs_read{scan_jobs()}); },
                                               [&](const read_cell_inbox&) { give(cell_inbox_read{scan(inbox_rows)}); },
                                               [](const auto&) {}},
                            action);
@@ -265,6 +266,10 @@
 
     table_row read() const { return row.value_or(table_row{cell_key(the_cell), std::nullopt, row_version(), {}}); }
     table_scan_result scan(const std::vector<table_row>& rows) const { return {"", mood == table_mood::up, rows, ""}; }
+    table_scan_result scan_jobs() const
+    {
+        return jobs_unreadable ? table_scan_result{"", false, {}, ""} : scan(job_rows);
+    }
     wire::cell_row row_now() const { return *decode_row<wire::cell_row>(*row->value); }
     void write_row(const wire::cell_row& r, const std::string& operation)
     {
