cell: an end that was told before the jobs were read outlasts the life that told it

Symptom: a task that has finished, and whose end the owner was told of, runs a second time.

Cause: a new owner keeps the newest report of each worker until it has read its jobs. A report repeats all ends until the owner lets the worker forget them, so the newest was enough, but not where the worker starts again under its id meanwhile: the report of its new life replaced the one with the end.

Evidence: test_cell_restarts/an_end_that_is_told_before_the_jobs_are_read_outlasts_its_worker failed with 2 checks: 0 tasks of 1 finished, and the task was started again on the worker's new life.

Change: when another boot is first heard of, the ends in the kept report are set aside and taken in before the newer report once the jobs are read. What the report told as running goes: it ended with its life. The case passes; the other cases of test_cell_restarts, test_cell, test_cell_crash and test_cell_takeover pass as before, test_cell_knows_nothing fails with the same 18 checks as before.

--- a/src/cell_crashes.cpp
+++ b/src/cell_crashes.cpp
@@ -107,6 +107,7 @@
         const bool planned = worker.leaving || worker.said_leaving;
         worker.restarted = worker.restarted || !planned;
     }
+    keep_unread_ends(worker);
     worker.said_leaving = false;
     worker.boot = boot;
     worker.usage_learned = worker_time{}; // its clock began anew
--- a/src/cell_report.cpp
+++ b/src/cell_report.cpp
@@ -258,6 +258,12 @@
     return worker.ledger.add(std::move(entry));
 }
 
+ledger_entry& find_or_adopt(cell_state& s, cell_worker& worker, const task_report& task)
+{
+    ledger_entry* const entry = worker.ledger.find(task.task, task.attempt);
+    return entry == nullptr ? adopt(s, worker, task) : *entry;
+}
+
 // Ordered by a request the worker has taken in, yet not in its inventory: it does not run, and never will by that
 // request, because the worker refuses lower sequences.
 void drop_absent(cell_state& s, cell_worker& worker, sequence_number sequence)
@@ -357,19 +363,16 @@
         return;
     }
     for (const task_report& task : report.tasks) {
-        ledger_entry* entry = worker.ledger.find(task.task, task.attempt);
-        if (entry == nullptr) {
-            entry = &adopt(s, worker, task);
-        }
-        entry->seen = sequence;
-        if (entry->checkpoint_sent == sequence) {
-            entry->checkpoint_wanted = false;
+        ledger_entry& entry = find_or_adopt(s, worker, task);
+        entry.seen = sequence;
+        if (entry.checkpoint_sent == sequence) {
+            entry.checkpoint_wanted = false;
         }
         if (task.state == task_state::running) {
-            take_running(s, worker, report, *entry, task);
+            take_running(s, worker, report, entry, task);
         }
         else {
-            take_end(s, worker.listing.worker, *entry, task);
+            take_end(s, worker.listing.worker, entry, task);
         }
     }
     drop_absent(s, worker, sequence);
@@ -380,9 +383,27 @@
     tell_soon(s, worker);
 }
 
+// What the boot before ran is gone with it, and no later report tells its ends again: forgotten, those tasks would run
+// a second time.
+void keep_unread_ends(cell_worker& worker)
+{
+    if (!worker.unread) {
+        return;
+    }
+    for (const task_report& task : worker.unread->tasks) {
+        if (task.state != task_state::running) {
+            worker.unread_ends.push_back(task);
+        }
+    }
+    worker.unread.reset();
+}
+
 void take_unread_reports(cell_state& s)
 {
     for (auto& [id, worker] : s.workers) {
+        for (const task_report& task : std::exchange(worker.unread_ends, {})) {
+            take_end(s, id, find_or_adopt(s, worker, task), task);
+        }
         if (worker.unread) {
             const worker_report report = std::move(*worker.unread);
             worker.unread.reset();
--- a/src/cell_state_p.h
+++ b/src/cell_state_p.h
@@ -103,7 +103,8 @@
     instant kept_until{};
     std::optional<worker_report> unread; // came before the jobs were read
     sequence_number unread_sequence;
-    worker_time usage_learned{}; // measurements up to here have been learned from
+    std::vector<task_report> unread_ends; // that earlier boots told of before the jobs were read
+    worker_time usage_learned{};          // measurements up to here have been learned from
 };
 
 struct cell_state {
@@ -223,6 +224,7 @@
 void checkpoint_due(cell_state& s);
 void take_report(cell_state& s, cell_worker& worker, const worker_report& report, sequence_number sequence);
 void take_unread_reports(cell_state& s);
+void keep_unread_ends(cell_worker& worker);
 void release_lapsed(cell_state& s, const worker_id& worker, const ledger_entry& entry);
 
 // --- workers that crash (cell_crashes.cpp) ---
--- a/tests/test_cell_restarts.cpp
+++ b/tests/test_cell_restarts.cpp
@@ -56,6 +56,31 @@
     BOOST_TEST(d.c.jobs().at(0).parked == 0);
 }
 
+// A new owner was told of an end before it had read its jobs; then the worker started again and told of nothing, and
+// the task ran again.
+BOOST_AUTO_TEST_CASE(an_end_that_is_told_before_the_jobs_are_read_outlasts_its_worker)
+{
+    driver d;
+    d.job_rows = {{job_key(the_cell, job_id("j")), encode_row(make_job("j", 1)), row_version(1), operation_id("x")}};
+    d.jobs_unreadable = true;
+    worker_hand& w = d.workers["w1"];
+    task_start ran{{job_id("j"), 0}, attempt_number((7 << 20) + 5), worker_time(), {}, {}, "", false};
+    w.tasks = {report_task(ran, task_state::finished)};
+    d.write_row(make_row(7, other, {self.str()}, {"w1"}), "other.1");
+    d.give(cell_members_seen{{self, other}});
+    d.list({"w1"});
+    while (w.requests.size() < 2) {
+        d.tick(50ms);
+        BOOST_REQUIRE(d.now < instant(1100s));
+    }
+    w.restart("b2");
+    d.run(3s);
+    d.jobs_unreadable = false;
+    d.run(15s);
+    BOOST_TEST(d.c.jobs().at(0).finished == 1);
+    BOOST_TEST(w.told<task_start>().empty());
+}
+
 // An order to the life before arrives at the next one, while its task runs elsewhere.
 BOOST_AUTO_TEST_CASE(late_requests_to_the_life_before_start_nothing)
 {
