tests: workers of the process tests start again under their ids

No process test had a worker come back under its id: kill_worker() leaves it gone. site::restart_worker() ends a worker at once and starts it again under its id and at the address that it had, so that calls to the life before reach the next one.

tasks_of_workers_that_start_again_under_their_ids_finish_once restarts both workers of a site one after the other while all tasks run: each task finishes once, no two of its runs overlap, and as many more runs begin as were ended. Each life of a worker has a log file of its own.

--- a/tests/support_site.cpp
+++ b/tests/support_site.cpp
@@ -98,13 +98,14 @@
     fs::remove_all(folder_, ignored);
 }
 
-void site::start_worker(const std::string& name)
+void site::start_worker(const std::string& name, const std::string& address)
 {
     running_worker& worker = workers_[name];
-    worker.process = std::make_unique<child>(
-        folder_, name, "worker_standin",
-        std::vector<std::string>{"--id", name, "--platform", platform_address_.str(), "--data-centre", "a", "--rack",
-                                 "r1", "--cpu-millis", "16000", "--memory-mib", "64000"});
+    worker.process =
+        std::make_unique<child>(folder_, fmt::format("{}-{}", name, ++workers_started_), "worker_standin",
+                                std::vector<std::string>{"--id", name, "--address", address, "--platform",
+                                                         platform_address_.str(), "--data-centre", "a", "--rack", "r1",
+                                                         "--cpu-millis", "16000", "--memory-mib", "64000"});
     worker.address = net_address(worker.process->listening().front());
 }
 
@@ -150,6 +151,13 @@
     }
 }
 
+void site::restart_worker(const std::string& name)
+{
+    const std::string address = workers_.at(name).address.str();
+    kill_worker(name);
+    start_worker(name, address);
+}
+
 std::vector<std::string> site::worker_names() const
 {
     std::vector<std::string> names;
--- a/tests/support_site.h
+++ b/tests/support_site.h
@@ -55,6 +55,8 @@
     void kill_entry(const std::string& name);
     // Ends a worker at once; what its record says so far is kept, with its runs ended at that time.
     void kill_worker(const std::string& worker);
+    // Ends a worker at once and starts it again under its id, at the address that it had.
+    void restart_worker(const std::string& worker);
     std::vector<std::string> worker_names() const;
 
     site_answer ask(const std::string& entry, const std::string& method, const std::string& target,
@@ -93,13 +95,14 @@
     site_answer call(const net_address& address, const std::string& method, const std::string& target,
                      const std::string& body, const http_fields& headers);
     void read_runs(const std::string& worker, site_runs& into);
-    void start_worker(const std::string& name);
+    void start_worker(const std::string& name, const std::string& address = "127.0.0.1:0");
 
     std::filesystem::path folder_;
     http_client http_;
     std::unique_ptr<child> platform_;
     net_address platform_address_;
     std::map<std::string, running_worker> workers_;
+    int workers_started_ = 0;
     std::map<std::string, running_entry> entries_;
     site_runs runs_of_killed_;
 };
--- a/tests/test_processes.cpp
+++ b/tests/test_processes.cpp
@@ -4,6 +4,7 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <set>
 
 #include "support_site.h"
 
@@ -137,6 +138,32 @@
     BOOST_TEST(find_faults(s.runs(), job, 1) == "");
 }
 
+// A worker that is back under its id and address before its leases are over passes for the life before: its tasks are
+// taken for running, or run twice at a time.
+BOOST_AUTO_TEST_CASE(tasks_of_workers_that_start_again_under_their_ids_finish_once)
+{
+    site s({.entries = three_entries, .workers = 2});
+    s.prepare();
+    const std::string job = s.submit("a1", "k1", batch_job("rebuild-1", 4, run_time_ms));
+    BOOST_REQUIRE(wait_for([&] { return count_starts(s.runs(), job) == 4; }));
+    std::set<std::string> boots;
+    for (const std::string& worker : s.worker_names()) {
+        boots.insert(s.inventory(worker).value("boot", ""));
+        s.restart_worker(worker);
+        boots.insert(s.inventory(worker).value("boot", ""));
+    }
+    BOOST_TEST(boots.size() == 4U);
+    BOOST_REQUIRE(s.wait_tasks("a1", job, "finished", 4));
+    BOOST_TEST(find_faults(s.runs(), job, 4) == "");
+    int killed = 0;
+    for (const auto& [task, runs] : s.runs()) {
+        killed += static_cast<int>(
+            std::count_if(runs.begin(), runs.end(), [](const site_run& run) { return run.end == "killed"; }));
+    }
+    BOOST_TEST(killed >= 4);
+    BOOST_TEST(count_starts(s.runs(), job) == 4 + killed);
+}
+
 BOOST_AUTO_TEST_CASE(a_cancelled_job_ends_and_stays_ended)
 {
     // The caller cancels a running job through an entry that does not own its cell, twice under one key. Instructions
