standin: answers and entries of workers as the platform's page says

Read against the page, the stand-in of a worker was kinder in four places: an order with a fraction or a text in place of a whole number was carried out, or ended in an exception; the refusal of an order for another worker had a body without `clock-ms`; the entry of a draining worker lacked `remaining-ms`; and a crashed worker's entry stayed for three reports' time from the crash on, not from its last report.

Evidence: two new cases of test_standin_flow_worker failed with 8 checks on the stand-in as it was (statuses 200 and 409 where 400 is due, no `clock-ms`, no `remaining-ms`); the third matter has no case of its own.

--- a/standin/flow_worker.cpp
+++ b/standin/flow_worker.cpp
@@ -33,6 +33,14 @@
     return duration(static_cast<std::int64_t>(static_cast<double>(d.count()) * by));
 }
 
+bool has_whole_numbers(const json& order)
+{
+    constexpr const char* names[] = {"run-id", "deadline-ms", "fencing-token", "ack-cursor", "wait-ms", "percent"};
+    return order.is_object() && std::all_of(std::begin(names), std::end(names), [&](const char* name) {
+               return !order.contains(name) || order[name].is_number_integer();
+           });
+}
+
 // 0 where there is no number.
 std::int64_t number_of(const std::string& text)
 {
@@ -111,6 +119,11 @@
     return {status, {}, body.dump()};
 }
 
+http_response flow_worker::refuse_other_life(instant now) const
+{
+    return answer(now, 421, json::object());
+}
+
 // It never gets shorter by an order.
 void flow_worker::extend_lease(instant now, const json& order)
 {
@@ -125,6 +138,9 @@
     advance(now);
     try {
         const json order = json::parse(body);
+        if (!has_whole_numbers(order)) {
+            return answer(now, 400, {{"error", "not whole numbers"}});
+        }
         const std::int64_t fence = order.value("fencing-token", std::int64_t{0});
         if (fence < fence_) {
             return answer(now, 409, {{"reason", "fence"}});
@@ -190,7 +206,7 @@
 {
     advance(now);
     const json order = json::parse(body, nullptr, false);
-    return order.is_object() && order.value("fencing-token", std::int64_t{0}) >= fence_ &&
+    return has_whole_numbers(order) && order.value("fencing-token", std::int64_t{0}) >= fence_ &&
            (ends_.empty() || ends_.back().number <= order.value("ack-cursor", std::int64_t{0}));
 }
 
--- a/standin/flow_worker_p.h
+++ b/standin/flow_worker_p.h
@@ -83,6 +83,8 @@
     void advance(instant now);
     // Carries an order out; `late` when that is long after it was sent.
     http_response carry_out(instant now, const std::string& path, const std::string& body, bool late);
+    // To an order that names another life.
+    http_response refuse_other_life(instant now) const;
     // The hold has nothing to tell yet and may wait for it.
     bool hold_waits(instant now, const std::string& body);
     // Everything on it is gone.
--- a/standin/flow_workers.cpp
+++ b/standin/flow_workers.cpp
@@ -33,7 +33,8 @@
 duration wait_of(const std::string& body)
 {
     const json order = json::parse(body, nullptr, false);
-    const auto ms = order.is_object() ? order.value("wait-ms", std::int64_t{0}) : 0;
+    const bool given = order.is_object() && order.contains("wait-ms") && order["wait-ms"].is_number_integer();
+    const auto ms = given ? order["wait-ms"].get<std::int64_t>() : 0;
     return std::chrono::milliseconds(std::clamp<std::int64_t>(ms, 0, hold_wait_ms_most));
 }
 
@@ -137,24 +138,33 @@
     const resources& room = s.place.room;
     s.heartbeat = now;
     const worker_life& life = s.life->life();
-    const json entry{{"service", "service"},
-                     {"born", life.born.time_since_epoch() / 1ms},
-                     {"address", s.place.listed.str()},
-                     {"zone", s.place.data_centre},
-                     {"version", "1"},
-                     {"capacity", 8},
-                     {"state", s.draining ? "draining" : "ready"},
-                     {"sequence", ++s.heartbeats},
-                     {"room", {{"cpu", room.cpu_millis}, {"mem-mb", room.memory_mib}, {"gpus", room.accelerators}}},
-                     {"labels", {"kind", s.place.rack}}};
+    json entry{{"service", "service"},
+               {"born", life.born.time_since_epoch() / 1ms},
+               {"address", s.place.listed.str()},
+               {"zone", s.place.data_centre},
+               {"version", "1"},
+               {"capacity", 8},
+               {"state", s.draining ? "draining" : "ready"},
+               {"sequence", ++s.heartbeats},
+               {"room", {{"cpu", room.cpu_millis}, {"mem-mb", room.memory_mib}, {"gpus", room.accelerators}}},
+               {"labels", {"kind", s.place.rack}}};
+    if (s.draining) {
+        entry["remaining-ms"] = std::max(duration(0), s.leaves - now) / 1ms;
+    }
     listed_[life.id] = life;
     table_.put("servers", life.id, entry.dump());
 }
 
+// The list counts the silence from the last report.
+duration flow_workers::still_listed(const slot& s)
+{
+    return s.heartbeat + listed_without_heartbeat - read_clock();
+}
+
 void flow_workers::crash(int place)
 {
     absl::MutexLock lock(&mutex_);
-    end(at(place), listed_without_heartbeat);
+    end(at(place), still_listed(at(place)));
 }
 
 void flow_workers::drain(int place)
@@ -163,8 +173,8 @@
     slot& s = at(place);
     if (s.life && !s.draining) {
         s.draining = true;
-        write_listing(s, read_clock());
         s.leaves = read_clock() + draw(random_, drain_least, drain_most);
+        write_listing(s, read_clock());
     }
 }
 
@@ -181,7 +191,7 @@
 {
     absl::MutexLock lock(&mutex_);
     slot& s = at(place);
-    end(s, listed_without_heartbeat);
+    end(s, still_listed(s));
     begin(s, s.newest.id);
 }
 
@@ -213,7 +223,7 @@
     const instant now = read_clock();
     const std::string id = s.life->life().id;
     if (find_field(request.headers, "x-target-instance") != id) {
-        reply({421, {}, "{}"});
+        reply(s.life->refuse_other_life(now));
         return;
     }
     if (absl::Bernoulli(random_, s.late_share)) {
--- a/standin/flow_workers_p.h
+++ b/standin/flow_workers_p.h
@@ -65,6 +65,7 @@
     void carry_out(slot& s, const std::string& id, const http_request& request, const http_reply& reply, bool late);
     void begin(slot& s, const std::string& id);
     void end(slot& s, duration listed_still);
+    static duration still_listed(const slot& s);
     void unlist(const worker_life& life);
     void write_listing(slot& s, instant now);
     void answer_holds(slot& s, instant now);
--- a/tests/test_standin_flow_worker.cpp
+++ b/tests/test_standin_flow_worker.cpp
@@ -69,9 +69,9 @@
         }
         return text.empty() ? json() : json::parse(text);
     }
-    json tell(const std::string& path, const json& body)
+    json tell(const std::string& path, const json& body, const std::string& id = "w0-1")
     {
-        return call("POST", address(), path, {{"X-Target-Instance", "w0-1"}}, body.dump());
+        return call("POST", address(), path, {{"X-Target-Instance", id}}, body.dump());
     }
     std::vector<run_began> starts()
     {
@@ -111,6 +111,24 @@
 
 } // namespace
 
+// An order with a fraction where the page asks for whole numbers was carried out as if it had none.
+BOOST_AUTO_TEST_CASE(numbers_that_are_not_whole_are_refused)
+{
+    flow_worker worker = make_worker(begin, first_birth);
+    for (const char* const name : {"run-id", "deadline-ms", "fencing-token"}) {
+        json start = start_of("a.0.0.0", 1, 7);
+        start[name] = 9000.5;
+        BOOST_TEST(order(worker, begin, "/run-start", start).at("status") == 400);
+    }
+    for (const char* const name : {"ack-cursor", "wait-ms"}) {
+        json hold = hold_of(7, 0);
+        hold[name] = "1";
+        BOOST_TEST(!worker.hold_waits(begin, hold.dump()));
+        BOOST_TEST(order(worker, begin, "/hold", hold).at("status") == 400);
+    }
+    BOOST_TEST(order(worker, begin, "/hold", hold_of(7, 0)).at("running").empty());
+}
+
 // A second life that knew the first one's fence, runs or ends would hide what owners must not take for granted.
 BOOST_AUTO_TEST_CASE(a_second_life_knows_nothing_of_the_first)
 {
@@ -195,3 +213,17 @@
     BOOST_TEST(start_seen.worker.id == "w0-1");
     BOOST_TEST(start_seen.worker.born.time_since_epoch() / 1ms > born);
 }
+
+// Every answer with a body names the worker's clock, also the one to an order for another worker; and a worker that
+// drains says how long it stays at least.
+BOOST_AUTO_TEST_CASE(refusals_tell_the_clock_and_draining_workers_the_time_left)
+{
+    standin_site site;
+    BOOST_TEST(site.tell("/hold", hold_of(7, 0), "w0-2").contains("clock-ms"));
+    BOOST_TEST(!site.entry().contains("remaining-ms"));
+    site.workers().drain(0);
+    const json entry = site.entry();
+    BOOST_TEST(entry.at("state") == "draining");
+    BOOST_TEST(entry.at("remaining-ms").is_number_integer());
+    BOOST_TEST(entry.at("remaining-ms") > 0);
+}
