cell: an end that was told before the jobs were read outlasts its worker's entry in the list

Symptom: a task that has finished, and whose end the owner was told of, runs a second time once its worker is gone.

Cause: a worker that the list no longer names was forgotten as soon as its ledger was empty. Until the owner has read its jobs, the ledger is empty and the ends stand in the report that is kept for then.

Evidence: test_cell_restarts/an_end_that_is_told_before_the_jobs_are_read_outlasts_its_entry_in_the_list failed with 2 checks: 0 tasks of 1 finished, and the task was started on another worker.

Change: a worker with reports or ends that are not taken in yet is kept; taking them in, or losing the cell, clears them, and the next list drops the worker. The case passes; test_cell, test_cell_crash, test_cell_takeover, test_fault_guards, test_fault_matrix and test_history_random pass, test_cell_knows_nothing fails with the same 18 checks as before.

--- a/src/cell_workers.cpp
+++ b/src/cell_workers.cpp
@@ -198,7 +198,8 @@
     }
     const auto gone = [&](const auto& item) {
         const cell_worker& worker = item.second;
-        return !worker.listed && worker.ledger.empty() && !worker.waiting;
+        const bool told_unread = worker.unread || !worker.unread_ends.empty();
+        return !worker.listed && worker.ledger.empty() && !worker.waiting && !told_unread;
     };
     std::erase_if(s.workers, gone);
 }
--- a/tests/test_cell_restarts.cpp
+++ b/tests/test_cell_restarts.cpp
@@ -30,6 +30,23 @@
                        [](const worker_command& command) { return std::holds_alternative<task_start>(command); });
 }
 
+// A new owner that can't read its jobs yet hears from a worker that the task has finished there.
+void tell_end_before_jobs_are_read(driver& d)
+{
+    d.job_rows = {{job_key(the_cell, job_id("j")), encode_row(make_job("j", 1)), row_version(1), operation_id("x")}};
+    d.jobs_unreadable = true;
+    worker_hand& w = d.workers["w1"];
+    task_start ran{{job_id("j"), 0}, attempt_number((7 << 20) + 5), worker_time(), {}, {}, "", false};
+    w.tasks = {report_task(ran, task_state::finished)};
+    d.write_row(make_row(7, other, {self.str()}, {"w1"}), "other.1");
+    d.give(cell_members_seen{{self, other}});
+    d.list({"w1"});
+    while (w.requests.size() < 2) {
+        d.tick(50ms);
+        BOOST_REQUIRE(d.now < instant(1100s));
+    }
+}
+
 } // namespace
 
 // A worker that left as planned and is back under its id passed for one that had crashed, and what had run there to the
@@ -61,18 +78,8 @@
 BOOST_AUTO_TEST_CASE(an_end_that_is_told_before_the_jobs_are_read_outlasts_its_worker)
 {
     driver d;
-    d.job_rows = {{job_key(the_cell, job_id("j")), encode_row(make_job("j", 1)), row_version(1), operation_id("x")}};
-    d.jobs_unreadable = true;
+    tell_end_before_jobs_are_read(d);
     worker_hand& w = d.workers["w1"];
-    task_start ran{{job_id("j"), 0}, attempt_number((7 << 20) + 5), worker_time(), {}, {}, "", false};
-    w.tasks = {report_task(ran, task_state::finished)};
-    d.write_row(make_row(7, other, {self.str()}, {"w1"}), "other.1");
-    d.give(cell_members_seen{{self, other}});
-    d.list({"w1"});
-    while (w.requests.size() < 2) {
-        d.tick(50ms);
-        BOOST_REQUIRE(d.now < instant(1100s));
-    }
     w.restart("b2");
     d.run(3s);
     d.jobs_unreadable = false;
@@ -81,6 +88,21 @@
     BOOST_TEST(w.told<task_start>().empty());
 }
 
+// The same where the worker is gone for good: its entry in the list went, and the end with it.
+BOOST_AUTO_TEST_CASE(an_end_that_is_told_before_the_jobs_are_read_outlasts_its_entry_in_the_list)
+{
+    driver d;
+    tell_end_before_jobs_are_read(d);
+    d.workers["w1"].silent = true;
+    d.list({"w2"});
+    d.run(3s);
+    d.list({"w2"});
+    d.jobs_unreadable = false;
+    d.run(15s);
+    BOOST_TEST(d.c.jobs().at(0).finished == 1);
+    BOOST_TEST(d.workers["w2"].told<task_start>().empty());
+}
+
 // An order to the life before arrives at the next one, while its task runs elsewhere.
 BOOST_AUTO_TEST_CASE(late_requests_to_the_life_before_start_nothing)
 {
