flow: a run that is being stopped is not dropped by a list from before the stop's answer

A start reaches a second life whose first list, slow on its way, does not show it; a stop of that run (of a gang, say) is answered, which dates the run back by missing_after, and the late list then passed for one after the stop. The run's room went to others while it was still stopping. A run that is being stopped counts as settled only missing_after later, as drop_vanished_runs() has it.

--- a/src/flow_cell_lives.cpp
+++ b/src/flow_cell_lives.cpp
@@ -144,7 +144,9 @@
 // `sent` does not list it. A start that was answered after that may have been executed by that life.
 bool flow_cell::ran_before(const live_run& live, worker_birth born, instant sent)
 {
-    return live.born != born && live.noted == 0 && live.confirmed && live.sent <= sent;
+    // The time of a run whose stop was answered lies missing_after before that answer.
+    const instant settled = live.sent + (live.stopping ? missing_after : duration(0));
+    return live.born != born && live.noted == 0 && live.confirmed && settled <= sent;
 }
 
 // Drops the runs of earlier lives, which the present one does not list. A run of whose start a copy was never answered
