flow: ends that wait for the row of their job outlast their worker's entry

A worker whose life has ended was erased with the list, or begun anew as a later life, while ends that it had told still waited for the row of their job; the tasks ran again.

--- a/src/flow_cell_lives.cpp
+++ b/src/flow_cell_lives.cpp
@@ -61,7 +61,8 @@
 bool flow_cell::may_be_later_life(const cell_worker& w, const flow_listed_worker& listing)
 {
     const bool changed = listing.address != w.listing.address || listing.born != w.listing.born;
-    return listing.born > worker_birth() && changed && w.ledger.empty() && !w.hold_in_flight;
+    return listing.born > worker_birth() && changed && w.ledger.empty() && w.unknown_job_ends.empty() &&
+           !w.hold_in_flight;
 }
 
 // Handles the first answer of a later life: all runs of the earlier one are lost as by a crash.
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -57,9 +57,10 @@
                 edges_.note(log_level::info, "worker", "unlisted", {{"cell", id_.str()}, {"worker", at->first.str()}});
             }
             w.listed = false;
-            if (role_ == role::watching || (role_ == role::owning && !w.hold_in_flight &&
-                                            (w.incarnation_ended || is_idle_and_unlisted(w) ||
-                                             (!w.fenced && w.ledger.empty() && all_workers_reconciled(now))))) {
+            if (role_ == role::watching ||
+                (role_ == role::owning && !w.hold_in_flight &&
+                 ((w.incarnation_ended && w.unknown_job_ends.empty()) || is_idle_and_unlisted(w) ||
+                  (!w.fenced && w.ledger.empty() && all_workers_reconciled(now))))) {
                 at = workers_.erase(at);
                 continue;
             }
