entry: a repeated cancel does not put off telling all cells of it

The 300 ms after which an unacknowledged cancel goes to all cells began anew with each repetition by its caller.

--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -589,7 +589,7 @@
     unacknowledged.row = row;
     unacknowledged.bytes = encode_compact(row);
     unacknowledged.version = version;
-    unacknowledged.since = now;
+    unacknowledged.since = unacknowledged.since == instant{} ? now : unacknowledged.since;
     send_row_to_owner(now, name);
 }
 
