flow: no task is started in a data centre that the operator evacuates

What callers saw: an operator's `op/evacuate/ZONE` was not known to the code.

Cause: read_operator_page() passed over every row but the configuration.

The change. platform/ decodes the rows `evacuate/NAME` from the same watch as the configuration; a first reading takes the range from `config` to the end of the evacuations, page after page (the pages of the list of workers are read by the same code now). Beside them any row may stand; a key that names no data centre leaves a log line. - known_evacuations (flow_evacuation) is a state of the table at one version: of two states the higher version is in force, changes alone are no knowledge, a row missing from the whole counts as taken back. Hellos carry it with its age, so an entry that the table turns away knows it from its peers. - Knowledge is valid for 4 s, for longer only while no entry reaches the table. So whoever starts a task later than 4 s after the operator's write knows of it: after a start, a takeover, a pause, a cut. "Not read" is never "none". - flow_cell asks before it places, before it sends a start, sends one again, or sends one that was recorded first. A start without an answer is withdrawn with a stop; while nothing is known it is neither repeated nor stopped. - What waits in such a cell goes to another at once, without the usual wait: to one with room, else to the one with most, since it cannot start here. Gangs go whole. New jobs, hand-offs, reserves and rooms leave these cells out. What runs goes on. - A site that is evacuated whole refuses jobs at once, with a time to come back.

Ruled out: one row a cell (a look for each), a flag in the cells' rows (an owner that is cut off from the table would not hear it).

The simulation's check of room counted the processors of filling tasks, which the platform does not count; it counts memory alone for them now, as strict for all else.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -161,6 +161,13 @@
   10: map<string, i32> pending_newer // as `pending`, of jobs accepted after that version that are known already
 }
 
+// What the sender knows of the operator's evacuations of data centres: the state of the table at one version.
+struct flow_evacuations {
+  1: i64 version = 0 // of the table; 0: nothing is known
+  2: i64 age_ms = 0  // since the state was certainly the present one
+  3: list<string> data_centres
+}
+
 struct flow_hello {
   1: flow_entry_row sender
   2: bool leaving = false
@@ -172,6 +179,7 @@
   9: i64 sent_ms = 0         // on the sender's steady clock
   10: i64 echo_ms = 0        // `sent_ms` of the newest hello that the sender has had of the receiver; 0: of none
   11: i64 echo_ago_ms = 0    // since it had that
+  12: flow_evacuations evacuations
 }
 
 // A call to the table that the sender asks the receiver to make for it.
--- a/src/flow_cell_gangs.cpp
+++ b/src/flow_cell_gangs.cpp
@@ -59,8 +59,10 @@
 
 bool flow_cell::spread_gang(instant now, flow_job& job, flow_stage& stage)
 {
+    const bool evacuated = is_evacuated(now);
     const bool all_wait = std::all_of(stage.tasks.begin(), stage.tasks.end(), [&](const flow_task& task) {
-        return task.stage == flow_task_state::ready && task.runs.empty() && now - task.ready_since >= handoff_after;
+        return task.stage == flow_task_state::ready && task.runs.empty() &&
+               (evacuated || now - task.ready_since >= handoff_after);
     });
     if (!all_wait) {
         return false;
@@ -73,7 +75,7 @@
         const bool waits_for_one_cell = std::any_of(stage.tasks.begin(), stage.tasks.end(), [&](const flow_task& task) {
             return now - task.ready_since < min_wait;
         });
-        if (rooms.empty() || waits_for_one_cell) {
+        if (!evacuated && (rooms.empty() || waits_for_one_cell)) {
             return false;
         }
         rooms.insert(rooms.begin(), {id_, epoch_, count_placeable_members(now, job, stage)});
@@ -83,7 +85,12 @@
         fitting += room.tasks;
     }
     if (fitting < count) {
-        return false;
+        // Here it cannot start at all, so it waits for room in another cell, from where it may be spread.
+        const auto to = evacuated ? find_cell(now, job, stage, room_kind::any) : std::nullopt;
+        if (!to) {
+            return false;
+        }
+        rooms = {{to->first, to->second, count}};
     }
     std::int64_t floor = 0;
     for (const flow_task& task : stage.tasks) {
@@ -156,7 +163,7 @@
 bool flow_cell::give_back_gang(instant now, flow_job& job, flow_stage& stage)
 {
     const std::optional<run_number> run = shared_run(stage);
-    const bool can_join = can_join_gang(job, stage);
+    const bool can_join = can_join_gang(job, stage) && !is_evacuated(now);
     const bool is_home = job.is_home_cell();
     bool changed = false;
     for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
--- a/src/flow_cell_log.cpp
+++ b/src/flow_cell_log.cpp
@@ -14,8 +14,8 @@
 
 const char* name_of(task_wait_reason reason)
 {
-    constexpr std::array names{"not_received",       "may_still_run", "owner_silent",
-                               "workers_not_listed", "no_worker",     "no_room"};
+    constexpr std::array names{"not_received", "may_still_run",      "owner_silent", "workers_not_listed",
+                               "evacuated",    "evacuation_unknown", "no_worker",    "no_room"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -30,6 +30,12 @@
     if (!workers_listed_since_takeover_ && now - taken_at_ < list_wait_timeout) {
         return {task_wait_reason::workers_not_listed, worker_id()};
     }
+    const auto permission = hooks_.start_permission(now);
+    if (permission != start_permission::allowed) {
+        return {permission == start_permission::evacuated ? task_wait_reason::evacuated
+                                                          : task_wait_reason::evacuation_unknown,
+                worker_id()};
+    }
     if (!job.is_transfer_persisted(task)) {
         return {task_wait_reason::not_received, worker_id()};
     }
--- a/src/flow_cell_moves.cpp
+++ b/src/flow_cell_moves.cpp
@@ -47,7 +47,7 @@
     if (stopping_ || !may_send_orders(now)) {
         return;
     }
-    int handoffs_left = max_handoffs;
+    int handoffs_left = is_evacuated(now) ? max_handoffs_evacuated : max_handoffs;
     promised_reservations_ = 0;
     index_ready_again();
     const std::set<ready_key> waiting = ready_;
@@ -75,19 +75,27 @@
     }
 }
 
-// Hands off at most max_tasks tasks of the stage and returns how many were handed off.
+// Hands off at most max_tasks tasks of the stage and returns how many were handed off. In an evacuated data centre a
+// task cannot start, so it does not wait here until some cell has room for it: it waits where room will be.
 int flow_cell::hand_off_stage_tasks(instant now, flow_job& job, flow_stage& stage, int max_tasks)
 {
     const flow_step& step = job.step(stage);
+    const bool evacuated = is_evacuated(now);
     int handed_off = 0;
     for (std::size_t i = 0; i < stage.tasks.size() && handed_off < max_tasks; ++i) {
         const flow_task& task = stage.tasks[i];
-        if (task.stage != flow_task_state::ready || !task.runs.empty() || !may_start(job, stage, task) ||
-            now - task.ready_since < wait_before_move(step, task) ||
-            (task.may_crash_workers() && find_dedicated(now, job.task_id(stage, i)) != nullptr)) {
+        if (task.stage != flow_task_state::ready || !task.runs.empty() || !may_start(job, stage, task)) {
             continue;
         }
-        const auto to = find_cell_for_task(now, job, stage);
+        const bool waits_here = now - task.ready_since < wait_before_move(step, task) ||
+                                (task.may_crash_workers() && find_dedicated(now, job.task_id(stage, i)) != nullptr);
+        if (waits_here && !evacuated) {
+            continue;
+        }
+        auto to = find_cell_for_task(now, job, stage);
+        if (!to && evacuated) {
+            to = find_cell(now, job, stage, room_kind::any);
+        }
         if (!to) {
             break;
         }
@@ -103,12 +111,18 @@
 std::optional<std::pair<cell_id, skylarkhub::epoch>> flow_cell::find_cell_for_task(instant now, const flow_job& job,
                                                                                    const flow_stage& stage)
 {
-    const flow_step& step = job.step(stage);
-    const std::string& service = job.row().service_name;
-    auto to = hooks_.find_cell_with_room(now, id_, service, step, room_kind::free);
-    if (!to && step.lasting && !can_reserve_worker(job, stage)) {
-        to = hooks_.find_cell_with_room(now, id_, service, step, room_kind::reservable);
+    auto to = find_cell(now, job, stage, room_kind::free);
+    if (!to && job.step(stage).lasting && (is_evacuated(now) || !can_reserve_worker(job, stage))) {
+        to = find_cell(now, job, stage, room_kind::reservable);
     }
+    return to;
+}
+
+// Finds another cell with room of this kind, unless the job is spread over too many cells already.
+std::optional<std::pair<cell_id, skylarkhub::epoch>> flow_cell::find_cell(instant now, const flow_job& job,
+                                                                          const flow_stage& stage, room_kind kind)
+{
+    const auto to = hooks_.find_cell_with_room(now, id_, job.row().service_name, job.step(stage), kind);
     return to && job.may_extend_to(to->first, max_cells_per_job) ? to : std::nullopt;
 }
 
@@ -142,6 +156,9 @@
 // which needs more at once, would wait for ever. Of the suitable workers the one is chosen where least has to end.
 void flow_cell::reserve_worker(instant now, const flow_job& job, const flow_stage& stage)
 {
+    if (!may_send_starts(now)) {
+        return;
+    }
     const auto max_tasks = static_cast<int>(max_reserved_share * static_cast<double>(workers_.size())) + 1;
     if (reserved_in_pass_ >= max_tasks) {
         return;
--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -39,6 +39,22 @@
 
 // Whether this owner may hold workers and so renew their leases, and stop runs. It may do so while the rows of the jobs
 // are still being read.
+bool flow_cell::may_send_starts(instant now) const
+{
+    return may_send_orders(now) && hooks_.start_permission(now) == start_permission::allowed;
+}
+
+bool flow_cell::is_evacuated(instant now) const
+{
+    return hooks_.start_permission(now) == start_permission::evacuated;
+}
+
+void flow_cell::on_evacuation_changed(instant now)
+{
+    next_handoff_pass_ = now;
+    schedule_placement();
+}
+
 bool flow_cell::may_renew_leases(instant now) const
 {
     return owns() && is_unfollowed(now, ownership_lease);
@@ -137,7 +153,9 @@
     if (now >= next_drain_pass_) {
         drain_workers(now);
     }
-    if (!workers_listed_since_takeover_ || isolated_task_waits_) {
+    const auto permission = hooks_.start_permission(now);
+    if (!workers_listed_since_takeover_ || isolated_task_waits_ || permission != permission_at_tick_) {
+        permission_at_tick_ = permission;
         schedule_placement();
     }
     std::erase_if(recently_ended_jobs_, [&](const auto& job) { return now - job.second > ended_job_retention; });
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -27,6 +27,7 @@
 
 #include "flow_demand_p.h"
 #include "flow_edges_p.h"
+#include "flow_evacuation_p.h"
 #include "flow_interference_p.h"
 #include "flow_job_p.h"
 #include "flow_limits_p.h"
@@ -56,7 +57,8 @@
 };
 
 // free: a worker has the room now. reservable: a worker has it once the tasks there that are not lasting have ended.
-enum class room_kind : std::uint8_t { free, reservable };
+// any: it may have to wait for room; the cell with the most is chosen.
+enum class room_kind : std::uint8_t { free, reservable, any };
 
 // Functions of the surrounding entry that a cell calls.
 struct flow_cell_hooks {
@@ -76,6 +78,8 @@
     std::function<void(instant, const job_row_name&, const wire::flow_job_row&, row_version)> notify_cell_owner;
     // The newest count of pending jobs that peers reported for a cell; empty if unknown.
     std::function<std::optional<pending_count>(const cell_id&)> reported_pending_count;
+    // Whether tasks may be started in the cell's data centre.
+    std::function<skylarkhub::start_permission(instant)> start_permission;
     // Whether the table has answered none of the entries known to this one since `since`, while most entries can be
     // heard.
     std::function<bool(instant now, instant since)> table_outage;
@@ -89,6 +93,8 @@
     may_still_run,      // started by a previous owner, on a worker that has not reported its runs
     owner_silent,       // the last renewal of the cell is too old, so this owner sends no orders
     workers_not_listed, // no list of workers has arrived since the takeover
+    evacuated,          // the cell's data centre is evacuated
+    evacuation_unknown, // whether it is evacuated is not known
     no_worker,          // no worker with its service and label accepts starts
     no_room,            // no worker has enough free resources
 };
@@ -130,6 +136,8 @@
     void on_workers_listed(instant now, const std::vector<flow_listed_worker>& workers);
     // The cell's row as read now; null if there is none.
     void on_row_read(instant now, const store_row* row);
+    // The evacuation of this cell's data centre has begun or ended.
+    void on_evacuation_changed(instant now);
     // Handles renewals, takeovers and lapsed leases. Called every tick_interval.
     void tick(instant now, const cell_candidacy& candidacy);
     // A row of a job that is received while accepts_job_news() is false. The sender has to send it again later.
@@ -336,6 +344,9 @@
     void write_release(const wire::flow_cell_row& wanted);
     void on_released(instant now, const wire::flow_cell_row& wanted, const store_result& result);
     bool may_send_orders(instant now) const;
+    // Whether a start may be sent now: this owner may send orders, and the data centre is known not to be evacuated.
+    bool may_send_starts(instant now) const;
+    bool is_evacuated(instant now) const;
     bool may_renew_leases(instant now) const;
     bool may_expire_leases(instant now) const;
     // Whether no other entry can have taken the cell: the last renewal is recent enough, or the table is down.
@@ -477,6 +488,7 @@
     };
     run_lookup look_up_run(const worker_id& id, const flow_task_id& task, run_number run);
     void send_start(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries);
+    void repeat_start(const worker_id& id, const flow_task_id& task, run_number run, int tries);
     // `sent_to`: the life of the worker that was known when the start was sent.
     void on_started(instant now, const worker_life& sent_to, const flow_task_id& task, run_number run, int tries,
                     const order_answer& answer);
@@ -559,6 +571,8 @@
     // Another cell with free room, or for a lasting task with a worker that can be reserved.
     std::optional<std::pair<cell_id, skylarkhub::epoch>> find_cell_for_task(instant now, const flow_job& job,
                                                                             const flow_stage& stage);
+    std::optional<std::pair<cell_id, skylarkhub::epoch>> find_cell(instant now, const flow_job& job,
+                                                                   const flow_stage& stage, room_kind kind);
     static bool is_reservable(const cell_worker& w, const flow_job& job, const flow_stage& stage);
     // The number of tasks of the stage that run, or are about to, on the worker.
     static std::int32_t count_stage_runs(const cell_worker& w, const flow_job& job, const flow_stage& stage);
@@ -673,6 +687,7 @@
     row_version job_watch_version_;          // version up to which the table of jobs is known
     instant job_watch_asked_at_{};           // when the read that showed this was requested
     instant next_handoff_pass_{};
+    skylarkhub::start_permission permission_at_tick_ = skylarkhub::start_permission::not_known;
     instant next_summary_{};
     instant next_waits_log_{};
     instant next_drain_pass_{};
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -70,7 +70,7 @@
 // Places the ready tasks of all jobs, the most urgent job first.
 void flow_cell::place_ready(instant now)
 {
-    if (role_ != role::owning || stopping_ || !may_send_orders(now)) {
+    if (role_ != role::owning || stopping_ || !may_send_starts(now)) {
         return;
     }
     // An entry that owns no cell reads the list of workers rarely. Its list may be so old at a takeover that it would
@@ -143,11 +143,15 @@
     return runs;
 }
 
-// Returns the worker with the lowest placement cost for the task; null when none will do. A filling task accepts a
+// Returns the worker with the lowest placement cost for the task; null when none will do, or while no task may be
+// started in the data centre. A filling task accepts a
 // worker with excess interference only after it has waited for `patience`.
 flow_cell::cell_worker* flow_cell::choose_worker(instant now, const flow_job& job, const flow_stage& stage,
                                                  const flow_task& task, const rack_id& near, duration patience)
 {
+    if (!may_send_starts(now)) {
+        return nullptr;
+    }
     const flow_step& step = job.step(stage);
     const bool serves = step.tail_target > duration(0);
     const int image = image_of(step);
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -98,8 +98,14 @@
         send_stop(now, id, task, run, 0);
         return;
     }
-    // The worker's capacity may have shrunk while the start waited for a write or an answer.
-    if (!fits(w.held, w.listing.room)) {
+    const auto permission = hooks_.start_permission(now);
+    if (permission == start_permission::not_known && tries > 0) {
+        repeat_start(id, task, run, tries); // the worker may have the run already
+        return;
+    }
+    // The worker's capacity may have shrunk, or its data centre been evacuated, while the start waited for a write or
+    // an answer.
+    if (!fits(w.held, w.listing.room) || permission != start_permission::allowed) {
         withdraw_start(now, w, *job, task, run, tries);
         return;
     }
@@ -132,6 +138,16 @@
                  });
 }
 
+// Sends a start again after start_retry.
+void flow_cell::repeat_start(const worker_id& id, const flow_task_id& task, run_number run, int tries)
+{
+    edges_.after(start_retry, [this, id, task, run, tries, generation = ownership_generation_](instant then) {
+        if (generation == ownership_generation_) {
+            send_start(then, id, task, run, tries);
+        }
+    });
+}
+
 // Handles the answer to a start.
 void flow_cell::on_started(instant now, const worker_life& sent_to, const flow_task_id& task, run_number run, int tries,
                            const order_answer& answer)
@@ -199,11 +215,7 @@
         if (now - live->sent > gang_start_timeout && job->step(*job->find_stage(task)).gang) {
             stop_gang(now, *job, *job->find_stage(task), run);
         }
-        edges_.after(start_retry, [this, id, task, run, tries, generation = ownership_generation_](instant then) {
-            if (generation == ownership_generation_) {
-                send_start(then, id, task, run, tries + 1);
-            }
-        });
+        repeat_start(id, task, run, tries + 1);
         return;
     case order_result::fenced:
     case order_result::other_life:
--- a/src/flow_cell_start_records.cpp
+++ b/src/flow_cell_start_records.cpp
@@ -50,7 +50,8 @@
 }
 
 // Sends the starts whose records the table has applied. While the write was under way the worker may have begun to
-// drain, or this owner may have lost the right to send orders: the task is then placed again.
+// drain, its data centre may have been evacuated, or this owner may have lost the right to send orders: the task is
+// then placed again.
 void flow_cell::send_recorded_starts(instant now, flow_job& job)
 {
     struct recorded_start {
@@ -73,7 +74,7 @@
         if (run.worker == nullptr || run.live == nullptr) {
             continue;
         }
-        if (!may_send_orders(now) || !is_schedulable(now, *run.worker)) {
+        if (!may_send_starts(now) || !is_schedulable(now, *run.worker)) {
             drop_run(now, *run.worker, start.task, start.run);
             continue;
         }
--- a/src/flow_edges_p.h
+++ b/src/flow_edges_p.h
@@ -21,6 +21,7 @@
     row_version version;
     std::optional<flow_config> config; // empty if the configuration has not changed
     std::string config_text;           // the unparsed text of `config`
+    flow_evacuation_update evacuations;
 };
 
 struct flow_edges {
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -168,7 +168,7 @@
 
 // --- cells ---
 
-flow_cell_hooks flow_entry::make_hooks()
+flow_cell_hooks flow_entry::make_hooks(const data_centre_id& data_centre)
 {
     flow_cell_hooks hooks;
     hooks.queue = [this](const queue_id& name) -> const flow_queue* {
@@ -193,6 +193,7 @@
         const timestamped_count* const reported = pending_.find(id);
         return reported == nullptr ? std::nullopt : std::optional(reported->count);
     };
+    hooks.start_permission = [this, data_centre](instant now) { return permission_in(data_centre, now); };
     hooks.table_outage = [this](instant now, instant since) { return table_outage(now, since); };
     hooks.notify_cell_owner = [this](instant now, const job_row_name& name, const wire::flow_job_row& row,
                                      row_version version) { notify_cell_owner(now, name, row, version); };
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -12,6 +12,7 @@
 #include "flow_cell_p.h"
 #include "flow_config_copy_p.h"
 #include "flow_edges_p.h"
+#include "flow_evacuation_p.h"
 #include "flow_layout_p.h"
 #include "flow_pending_p.h"
 #include "flow_unusable_p.h"
@@ -80,6 +81,7 @@
     // The newest configuration version in force at this entry or at a live peer.
     settings_version newest_config_version(instant now) const;
     const std::map<cell_id, std::unique_ptr<flow_cell>>& cells() const { return cells_; }
+    const known_evacuations& evacuations() const { return evacuations_; }
     const std::map<rack_id, cell_id>& racks() const { return racks_; }
 
 private:
@@ -188,7 +190,8 @@
     void refuse_unless_accepted(const job_id& job, const refusal& why, caller_reply reply);
     // Returns the news of the cells owned here, at most max_own_news_age old.
     std::vector<wire::flow_cell_news>& own_news(instant now);
-    // Calls `consider` with the latest news of each cell with a live owner, and whether this entry owns the cell.
+    // Calls `consider` with the latest news of each cell with a live owner whose data centre is not evacuated, and
+    // whether this entry owns the cell.
     template <class Visitor> void for_each_news(instant now, Visitor&& consider);
     // Writes the row of a new job; on_job_written() retries or answers.
     void write_job(const job_id& job, const wire::flow_job_row& row, instant give_up, int tries, bool may_be_in_force);
@@ -309,7 +312,7 @@
     // flow_entry.cpp
     void tick(instant now);
     void tick_cells(instant now);
-    flow_cell_hooks make_hooks();
+    flow_cell_hooks make_hooks(const data_centre_id& data_centre);
 
     // flow_config.cpp
     void watch_operator(instant now);
@@ -331,6 +334,16 @@
     wire::flow_message serve_config(instant now, const wire::flow_config_ask& ask);
     void log_unknown_queue(instant now, const caller_request& request);
 
+    // flow_entry_evacuations.cpp
+    // Logs what has changed and lets the cells act on it. `from`: the source, for the log.
+    void on_evacuations_changed(instant now, const known_evacuations::changes& changes, const std::string& from);
+    // Whether tasks may be started in the data centre now.
+    start_permission permission_in(const data_centre_id& data_centre, instant now) const;
+    // Whether new work may go to the cell, as far as this entry knows.
+    bool is_evacuated(const cell_id& cell) const;
+    // Whether every data centre that has cells is evacuated.
+    bool is_site_evacuated() const;
+
     // flow_relay.cpp
     // Commits directly, or through a peer while the table does not answer this entry.
     void commit(store_transaction transaction, std::function<void(instant, store_result)> done);
@@ -377,6 +390,7 @@
     bool config_usable_ = false;          // recent enough to accept jobs by
     bool config_was_newest_ = false;      // the configuration was the newest known one at some time since the start
     settings_version config_unreadable_;  // version that was copied completely from a peer but could not be parsed
+    known_evacuations evacuations_;
     config_copy copy_;
     config_sources copy_sources_;
     config_reader_slots copy_readers_;
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -149,6 +149,10 @@
         refuse_unless_accepted(job, {"a newer configuration is being fetched", unavailable_retry}, std::move(reply));
         return;
     }
+    if (is_site_evacuated()) {
+        refuse_unless_accepted(job, {"all data centres are evacuated", full_retry}, std::move(reply));
+        return;
+    }
     if (!stopping_ && !has_lasting_room(now, job, queue, *request.spec)) {
         refuse_unless_accepted(job, {"no room for lasting tasks", full_retry}, std::move(reply));
         return;
@@ -326,15 +330,21 @@
     return own_news_;
 }
 
+// Cells of evacuated data centres take no work, so they are left out.
 template <class Visitor> void flow_entry::for_each_news(instant now, Visitor&& consider)
 {
+    const auto consider_open = [&](wire::flow_cell_news& news, bool own) {
+        if (!is_evacuated(cell_id(news.cell))) {
+            consider(news, own);
+        }
+    };
     for (wire::flow_cell_news& news : own_news(now)) {
-        consider(news, true);
+        consider_open(news, true);
     }
     for (auto& [id, p] : peers_) {
         if (is_live(p, now) && !p.leaving) {
             for (wire::flow_cell_news& news : p.cells) {
-                consider(news, false);
+                consider_open(news, false);
             }
         }
     }
@@ -714,6 +724,15 @@
             // An owner that has just taken over the cell knows of no worker yet.
             const std::int64_t largest_free = pool.each.empty() ? 0 : pool.each.front().free_cpu_millis;
             const auto own_image_cpu = pool.serving_cpu_millis.find(step.image);
+            if (kind == room_kind::any) {
+                if (pool.service_name == service && has_label(pool.labels, step.label) && pool.total_cpu_millis > 0 &&
+                    (best == nullptr || left > best_score)) {
+                    best = &news;
+                    best_score = left;
+                    best_pool = &pool;
+                }
+                continue;
+            }
             if (kind == room_kind::reservable) {
                 const std::int64_t short_work =
                     pool.total_cpu_millis - pool.lasting_cpu_millis - assigned_cpu_[cell_id(news.cell)];
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -131,6 +131,9 @@
 // How long the table's answer about the newest configuration is valid: one watch call and a second for its answer,
 // which is less than a change may take to reach all entries.
 inline constexpr duration config_answer_validity = operator_wait + 1s;
+// How long an entry's knowledge of evacuations is valid. An evacuation has to be obeyed everywhere five seconds after
+// the operator wrote it; a watch call renews the knowledge about every second.
+inline constexpr duration evacuations_validity = 4s;
 inline constexpr duration unknown_queue_log_interval = 1s;
 inline constexpr duration pending_log_interval = 1s;
 // How long the table is preferred after a peer reported a newer version: the table is slightly later than peers, and
@@ -220,6 +223,8 @@
 // Tasks handed off at a time. Each is subtracted from the room that the receiving cell reported, so many may be handed
 // off at once; the number is bounded because that report may be old.
 inline constexpr int max_handoffs = 40;
+// The same in an evacuated data centre, where nothing that waits can start.
+inline constexpr int max_handoffs_evacuated = 400;
 // A lasting task that waits this long has a worker reserved for it. Before that, ending short tasks usually make room
 // sooner.
 inline constexpr duration reserve_after = 300ms;
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -91,6 +91,7 @@
     h.table_away = table_away_;
     refresh_own_counts(now);
     h.sent_ms = std::chrono::floor<std::chrono::milliseconds>(now.time_since_epoch()).count();
+    h.evacuations = evacuations_.report(now);
     h.table_silent_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - table_answered_).count();
     for (const auto& [id, cell] : cells_) {
         if (cell->owns()) {
@@ -236,6 +237,9 @@
     update_peer_config(now, p, settings_version(h.config_version));
     p.cells = h.cells;
     const std::optional<instant> earliest_sent = asked ? asked : earliest_send_time(now, h);
+    if (earliest_sent) {
+        on_evacuations_changed(now, evacuations_.adopt(h.evacuations, *earliest_sent), h.sender.entry);
+    }
     for (const wire::flow_cell_news& cell : h.cells) {
         if (earliest_sent) {
             update_pending_count(*earliest_sent, cell);
--- a/src/flow_types_p.h
+++ b/src/flow_types_p.h
@@ -93,6 +93,18 @@
     std::int64_t body_bytes_most = 1 << 20;
 };
 
+// A data centre in which the operator wants no further tasks to be started, or wants that no longer.
+struct flow_evacuation {
+    data_centre_id data_centre;
+    bool evacuated = true; // false: taken back
+};
+
+// The operator's evacuations, or what has changed of them.
+struct flow_evacuation_update {
+    bool whole = false; // every evacuation in force is named; otherwise only what has changed
+    std::vector<flow_evacuation> evacuations;
+};
+
 // --- workers ---
 
 // When a worker process started, in Unix milliseconds of the worker's clock; 0: not told.
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -27,6 +27,7 @@
 constexpr duration max_cancelled_run_time = 3200ms;
 constexpr duration recovery_time = 3s; // after an entry is killed, time limits do not apply for this long
 constexpr duration check_interval = 50ms;
+constexpr duration evacuation_bound = 5s; // from the operator's write to the last start there
 constexpr duration feed_history = 20s;
 constexpr duration max_lease = 10s;         // a worker shortens longer leases
 constexpr duration listing_expiry = 4500ms; // of a worker that is silent
@@ -39,6 +40,13 @@
             std::max(a.accelerators, b.accelerators)};
 }
 
+// What a task takes of its worker's room: the processors of filling work do not count.
+resources counted_room(resources need, bool filling)
+{
+    need.cpu_millis = filling ? 0 : need.cpu_millis;
+    return need;
+}
+
 flow_queue make_queue(const std::string& name)
 {
     flow_queue queue;
@@ -578,15 +586,44 @@
 {
     operator_update page;
     page.reached = true;
-    page.version = config_row_;
+    page.version = operator_version_;
+    page.evacuations.whole = after == row_version(0);
     if (after < config_row_) {
         page.config = read_config_text(config_text_);
         page.config_text = config_text_;
-        page.more = after > row_version(0); // as the platform's edges decode an answer that shows changes
     }
+    for (const auto& [data_centre, evacuation] : evacuations_) {
+        if (after < evacuation.version && (evacuation.evacuated || !page.evacuations.whole)) {
+            page.evacuations.evacuations.push_back({data_centre, evacuation.evacuated});
+        }
+    }
+    page.more = after > row_version(0) && after < operator_version_; // as the platform's edges decode changes
     return page;
 }
 
+void flow_simulation::write_evacuation(const std::string& data_centre, bool evacuated)
+{
+    operator_version_ = operator_version_.next();
+    evacuations_[data_centre_id(data_centre)] = {evacuated, operator_version_, now_};
+    answer_operator_watches();
+}
+
+void flow_simulation::evacuate(const std::string& data_centre)
+{
+    write_evacuation(data_centre, true);
+}
+
+void flow_simulation::take_back(const std::string& data_centre)
+{
+    write_evacuation(data_centre, false);
+}
+
+bool flow_simulation::is_evacuated_for_long(const data_centre_id& data_centre) const
+{
+    const auto at = evacuations_.find(data_centre);
+    return at != evacuations_.end() && at->second.evacuated && now_ - at->second.since > evacuation_bound;
+}
+
 void flow_simulation::start_operator_watch(int entry, std::uint64_t life, row_version after, duration wait,
                                            const operator_done& done)
 {
@@ -603,7 +640,13 @@
     }
     // An entry that was cut off from the table in the meantime gets an empty update.
     const auto answer = [this, entry, after, over, end] {
-        const operator_update page = table_reached(entry) ? read_operator(after) : operator_update{};
+        operator_update page = table_reached(entry) ? read_operator(after) : operator_update{};
+        if (page.reached && std::exchange(operator_history_seen_[entry], operator_history_) != operator_history_ &&
+            after > row_version(0)) {
+            page = {};
+            page.reached = true;
+            page.history_compacted = true;
+        }
         if (*over || options_.link_bytes_per_s <= 0 || !page.config) {
             end(page);
             return;
@@ -617,7 +660,7 @@
                 end(operator_update{});
             });
     };
-    if (first || after < config_row_) {
+    if (first || after < operator_version_) {
         schedule(10ms, answer);
         return;
     }
@@ -656,14 +699,16 @@
 
 void flow_simulation::write_config(const std::vector<std::string>& queues, std::size_t bytes)
 {
-    config_row_ = row_version(config_row_.value() + 1);
+    operator_version_ = operator_version_.next();
+    config_row_ = operator_version_;
     config_text_ = write_config_text(config_row_.value(), queues, bytes);
     answer_operator_watches();
 }
 
 void flow_simulation::write_unreadable_config()
 {
-    config_row_ = row_version(config_row_.value() + 1);
+    operator_version_ = operator_version_.next();
+    config_row_ = operator_version_;
     config_text_ = "unreadable";
     answer_operator_watches();
 }
@@ -1328,6 +1373,9 @@
     if (cancelled_.count(task.job.str()) != 0 && !late) {
         record_violation(text_of(task) + " started after its job was cancelled");
     }
+    if (is_evacuated_for_long(w.data_centre) && !late) {
+        record_violation(text_of(task) + " started in the evacuated data centre " + w.data_centre.str());
+    }
     for (const std::int32_t earlier : step.after) {
         for (int i = 0; i < spec->second.steps.at(static_cast<std::size_t>(earlier)).count; ++i) {
             if (ever_done_.count({task.job, task.occurrence, earlier, i}) == 0) {
@@ -1336,9 +1384,9 @@
             }
         }
     }
-    resources needed = step.need;
+    resources needed = counted_room(step.need, step.filling);
     for (const auto& [other, run] : w.running) {
-        needed = needed + run.need;
+        needed = needed + counted_room(run.need, run.filling);
     }
     resources room = w.room;
     for (const auto& [until, before] : w.earlier_rooms) {
--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -239,6 +239,11 @@
     void write_config(const std::vector<std::string>& queues, std::size_t bytes);
     // Publishes a configuration that entries cannot parse.
     void write_unreadable_config();
+    // Writes or removes the operator's evacuation of a data centre.
+    void evacuate(const std::string& data_centre);
+    void take_back(const std::string& data_centre);
+    // Each entry's next watch of the operator's rows is answered with history_compacted.
+    void discard_operator_history() { ++operator_history_; }
     // Removes from all job and cell rows the record of where tasks were started, which earlier releases did not write.
     void strip_start_records();
     // Fails the task's run on every worker that has one.
@@ -325,6 +330,9 @@
     void send_over_link(int entry, std::uint64_t life, int peer, const wire::flow_message& message,
                         const message_done& done);
     operator_update read_operator(row_version after) const;
+    void write_evacuation(const std::string& data_centre, bool evacuated);
+    // Whether a start in the data centre comes too long after its evacuation.
+    bool is_evacuated_for_long(const data_centre_id& data_centre) const;
     void answer_operator_watches();
     void give_up_stalled(int entry, const std::function<bool()>& over, const std::function<void()>& give_up);
     template <class Answer, class Done>
@@ -375,6 +383,15 @@
     shared_links links_;
     std::string config_text_;
     row_version config_row_{1};
+    row_version operator_version_{1}; // of the newest of the operator's rows
+    struct operator_evacuation {
+        bool evacuated = true;
+        row_version version;
+        instant since{};
+    };
+    std::map<data_centre_id, operator_evacuation> evacuations_; // those taken back included
+    int operator_history_ = 0;                                  // number of discard_operator_history() calls
+    std::map<int, int> operator_history_seen_;                  // value of operator_history_ at each entry's last watch
     std::map<std::int64_t, pending_operator_watch> operator_watches_;
     std::int64_t last_watch_ = 0;
     std::map<store_key, stored> rows_;
--- a/tests/test_flow_wire.cpp
+++ b/tests/test_flow_wire.cpp
@@ -494,6 +494,50 @@
     BOOST_TEST(!read_operator_page(read_feed(answered(200, unchanged))).more);
 }
 
+namespace {
+
+store_row operator_row(const std::string& key, const std::string& value, std::int64_t version, bool removed = false)
+{
+    return {{operator_table, "", key}, value, row_version(version), removed};
+}
+
+} // namespace
+
+// Guards against evacuations that are missed because of other rows of the operator, whether these can be read or not.
+BOOST_AUTO_TEST_CASE(evacuations_are_read_beside_any_other_row)
+{
+    store_page page;
+    page.reached = true;
+    page.version = row_version(20);
+    page.rows = {operator_row("evacuate", "{}", 2),         operator_row("evacuate/", "{}", 3),
+                 operator_row("evacuate/a", "{}", 4),       operator_row("evacuate/b", "not JSON", 5),
+                 operator_row("evacuate/c", "", 6, true),   operator_row("evacuated/d", "{}", 7),
+                 operator_row("wave/1", R"({"wave":1})", 8)};
+    const operator_update changes = read_operator_page(page);
+    BOOST_TEST(!changes.evacuations.whole);
+    BOOST_REQUIRE_EQUAL(changes.evacuations.evacuations.size(), 3U);
+    BOOST_TEST(changes.evacuations.evacuations[0].data_centre.str() == "a");
+    BOOST_TEST(changes.evacuations.evacuations[1].evacuated);
+    BOOST_TEST(changes.evacuations.evacuations[2].data_centre.str() == "c");
+    BOOST_TEST(!changes.evacuations.evacuations[2].evacuated);
+    BOOST_TEST(read_operator_state(page).evacuations.whole);
+    const store_range range = operator_range();
+    BOOST_TEST((range.from <= "config" && std::string("evacuate/zzz") < range.to));
+}
+
+// Guards against changes that are skipped because an answer that was cut counts as complete up to the newest version.
+BOOST_AUTO_TEST_CASE(an_answer_that_was_cut_is_complete_up_to_its_last_row)
+{
+    store_page page;
+    page.reached = true;
+    page.version = row_version(20);
+    page.more = true;
+    page.rows = {operator_row("evacuate/a", "{}", 4)};
+    BOOST_TEST(read_operator_page(page).version == row_version(4));
+    page.more = false;
+    BOOST_TEST(read_operator_page(page).version == row_version(20));
+}
+
 BOOST_AUTO_TEST_CASE(a_page_is_read_completely_or_not_at_all)
 {
     // If the rows of a truncated page were taken for all rows, every worker after the truncation would seem to be gone.
