cell: an evacuated data centre is a setting, shown and changed by skylarkctl

What operators saw: the product's own path had no way to say that no task is to be started in a data centre.

`data_centre/NAME` has the setting `evacuated`, allowed at that level alone. Entries know settings as before: pushed by peers, read from the table, kept over an outage. A cell whose data centre is evacuated starts nothing, takes back starts that their workers have not confirmed (they would be sent again), and leaves alone what runs; so does one whose entry has not read the settings, but for taking back: "not read" is not "none". New jobs, services and occurrences of recurring work are bound to other data centres; with all of them evacuated a job is refused at once, 503 with a time to come back. `skylarkctl evacuate`, `take-back`, `evacuations` keep what else the subtree holds. start_permission is one type for both paths.

Open: tasks that are bound to a cell of the data centre already wait there, since this path moves no task between cells.

--- a/src/cell_decide.cpp
+++ b/src/cell_decide.cpp
@@ -90,6 +90,10 @@
 void cell::change_settings(cell_settings settings)
 {
     state_->placer->change_settings(detail::placement_settings(settings));
+    if (settings.starts != state_->settings.starts) {
+        state_->place_wanted = true;
+        state_->place_urgent = true;
+    }
     state_->settings = std::move(settings);
 }
 
--- a/src/cell_p.h
+++ b/src/cell_p.h
@@ -10,6 +10,7 @@
 #include "peer_types.h"
 #include "place_p.h"
 #include "skylarkhub/skylarkhub.h"
+#include "start_permission_p.h"
 
 namespace skylarkhub {
 
@@ -26,6 +27,7 @@
     double writes_per_second = config::table_writes_per_second; // this cell's share of the table's budget
     std::vector<work_kind> kinds;
     std::vector<place_settings::team_share> teams;
+    start_permission starts = start_permission::allowed; // in the cell's data centre
 };
 
 enum class cell_role : std::uint8_t { watching, taking, fencing, owning, handing_over };
--- a/src/cell_placing.cpp
+++ b/src/cell_placing.cpp
@@ -208,6 +208,23 @@
     }
 }
 
+// Starts that their workers have not confirmed would be sent again. They are taken back: the tasks wait for the end of
+// the evacuation.
+void withdraw_starts(cell_state& s)
+{
+    std::vector<task_id> starting;
+    for (const auto& [id, worker] : s.workers) {
+        for (const ledger_entry& entry : worker.ledger.entries()) {
+            if (entry.stage == entry_stage::starting) {
+                starting.push_back(entry.task);
+            }
+        }
+    }
+    for (const task_id& task : starting) {
+        evict_task(s, task, "its data centre is evacuated");
+    }
+}
+
 // A pass costs in proportion to the tasks that run, so large cells make fewer: at most about one in a hundred parts of
 // a core goes into them. Urgent work does not wait for that.
 instant next_pass(const cell_state& s)
@@ -226,8 +243,8 @@
 {
     const duration silence = s.now - worker.read_at;
     const bool answers = worker.fenced && silence < 2 * s.settings.lease_renew_interval + s.settings.drift_margin;
-    return worker.listed && answers && !worker.leaving && s.workers_named.contains(id) &&
-           s.now >= worker.no_starts_until;
+    return s.settings.starts == start_permission::allowed && worker.listed && answers && !worker.leaving &&
+           s.workers_named.contains(id) && s.now >= worker.no_starts_until;
 }
 
 bool has_room(const cell_worker& worker, const resources& need)
@@ -248,6 +265,9 @@
     s.placed_at = s.now;
     s.next_idle_place = s.now + config::place_idle_interval;
     drain_leaving(s);
+    if (s.settings.starts == start_permission::evacuated) {
+        withdraw_starts(s);
+    }
     std::vector<place_task> tasks;
     std::vector<place_worker> workers;
     for (const auto& [id, job] : s.jobs) {
--- a/src/cell_workers.cpp
+++ b/src/cell_workers.cpp
@@ -74,7 +74,9 @@
     for (ledger_entry& entry : worker.ledger.entries()) {
         switch (entry.stage) {
         case entry_stage::starting:
-            add_start(s, worker, entry, request);
+            if (s.settings.starts == start_permission::allowed) {
+                add_start(s, worker, entry, request);
+            }
             break;
         case entry_stage::draining:
             if (s.now >= entry.stop_at) {
--- a/src/daemon_app.cpp
+++ b/src/daemon_app.cpp
@@ -165,9 +165,12 @@
 {
     cell_settings out;
     const auto tree = settings_keeper_->tree();
-    if (tree) {
-        out.kinds = tree->kinds(settings_.data_centre);
+    if (!tree) {
+        out.starts = start_permission::not_known;
+        return out;
     }
+    out.kinds = tree->kinds(settings_.data_centre);
+    out.starts = tree->is_evacuated(settings_.data_centre) ? start_permission::evacuated : start_permission::allowed;
     return out;
 }
 
@@ -177,7 +180,8 @@
         return;
     }
     members_->set_settings_version(settings_keeper_->version());
-    cells_->change_settings(cell_settings_now());
+    const auto tree = settings_keeper_->tree();
+    cells_->change_settings(cell_settings_now(), tree ? tree->evacuated_data_centres() : std::vector<data_centre_id>());
     router_->refresh_settings();
     if (push.subtrees.empty()) {
         return;
--- a/src/daemon_cell_registry.cpp
+++ b/src/daemon_cell_registry.cpp
@@ -110,11 +110,12 @@
     return std::all_of(all.begin(), all.end(), [](const auto& host) { return host->handed_over(); });
 }
 
-void cell_registry::change_settings(const cell_settings& settings)
+void cell_registry::change_settings(const cell_settings& settings, std::vector<data_centre_id> evacuated)
 {
     {
         absl::MutexLock lock(&mutex_);
         settings_ = settings;
+        evacuated_ = std::move(evacuated);
     }
     for (const auto& host : hosts()) {
         host->change_settings(settings);
@@ -172,6 +173,7 @@
     std::vector<cell_room> out;
     for (const auto& [cell, known] : known_) {
         cell_room room{cell, known.data_centre, known.largest_worker, known.total, known.total, 0};
+        room.evacuated = std::find(evacuated_.begin(), evacuated_.end(), known.data_centre) != evacuated_.end();
         for (const wire::cell_news& n : news) {
             if (n.summary.cell == cell.str()) {
                 room.free = from_wire(n.summary.free);
--- a/src/daemon_cells_p.h
+++ b/src/daemon_cells_p.h
@@ -87,7 +87,8 @@
     void tick();
     void plan_stop();
     bool handed_over() const;
-    void change_settings(const cell_settings& settings);
+    // `evacuated`: data centres in which no task is to be started.
+    void change_settings(const cell_settings& settings, std::vector<data_centre_id> evacuated);
 
     std::shared_ptr<cell_host> find(const cell_id& cell) const;
     std::vector<std::shared_ptr<cell_host>> hosts() const;
@@ -108,6 +109,7 @@
     const cell_edges edges_;
     mutable absl::Mutex mutex_;
     cell_settings settings_ ABSL_GUARDED_BY(mutex_);
+    std::vector<data_centre_id> evacuated_ ABSL_GUARDED_BY(mutex_);
     std::map<cell_id, known_cell> known_ ABSL_GUARDED_BY(mutex_);
     std::map<cell_id, std::shared_ptr<cell_host>> hosts_ ABSL_GUARDED_BY(mutex_);
     std::map<cell_id, wire::cell_news> news_ ABSL_GUARDED_BY(mutex_);
--- a/src/daemon_jobs.cpp
+++ b/src/daemon_jobs.cpp
@@ -100,6 +100,10 @@
         return;
     }
     const auto parts = split_job(*spec, rooms, XXH3_64bits(key.data(), key.size()), &errors);
+    if (parts.empty() && errors.empty()) {
+        reply(answer_not_done(503, "unavailable", "", "all data centres are evacuated"));
+        return;
+    }
     if (parts.empty()) {
         reply(answer_problems(422, errors));
         return;
--- a/src/flow_evacuation_p.h
+++ b/src/flow_evacuation_p.h
@@ -10,16 +10,10 @@
 
 #include "flow_types.h"
 #include "flow_types_p.h"
+#include "start_permission_p.h"
 
 namespace skylarkhub {
 
-// Whether tasks may be started in a data centre now.
-enum class start_permission : std::uint8_t {
-    allowed,
-    evacuated,
-    not_known, // what this entry knows of evacuations is too old, or it knows nothing
-};
-
 class known_evacuations {
 public:
     // Data centres that one update has changed, for the log and for the cells.
--- a/src/job_accept.cpp
+++ b/src/job_accept.cpp
@@ -172,6 +172,10 @@
 std::vector<cell_part> split_job(const job_spec& spec, std::vector<cell_room> rooms, std::uint64_t pick,
                                  std::vector<field_error>* errors)
 {
+    std::erase_if(rooms, [](const cell_room& room) { return room.evacuated; });
+    if (rooms.empty()) {
+        return {};
+    }
     const std::vector<cell_room> all = rooms;
     std::erase_if(rooms, [&](const cell_room& room) { return !fits(spec.declared, room.largest_worker); });
     if (rooms.empty()) {
--- a/src/job_accept_p.h
+++ b/src/job_accept_p.h
@@ -19,6 +19,7 @@
     resources total;
     resources free;
     std::int64_t queued = 0;
+    bool evacuated = false; // its data centre: no work is bound to it
 };
 
 // One error of a caller's input: which field and why.
@@ -47,7 +48,8 @@
 
 // Splits the tasks over cells: services over data centres first, so that the loss of one takes the fewest; batch tasks
 // by free room, few parts for few tasks. Empty when no cell has a worker large enough, with the error naming the
-// dimension. `pick` decides among equals and spreads small jobs.
+// dimension; and, without an error, when all data centres are evacuated. `pick` decides among equals and spreads small
+// jobs.
 std::vector<cell_part> split_job(const job_spec& spec, std::vector<cell_room> rooms, std::uint64_t pick,
                                  std::vector<field_error>* errors);
 
--- a/src/settings_effective.cpp
+++ b/src/settings_effective.cpp
@@ -144,6 +144,24 @@
     return {{merged.cpu_millis(), merged.memory_mib(), merged.accelerators()}, merged.share(), merged.queued_jobs()};
 }
 
+bool settings_tree::is_evacuated(const data_centre_id& data_centre) const
+{
+    const settings::subtree* const own = find(data_centre_path(data_centre));
+    return own != nullptr && own->evacuated();
+}
+
+std::vector<data_centre_id> settings_tree::evacuated_data_centres() const
+{
+    std::vector<data_centre_id> result;
+    for (const std::string& path : paths_of(settings::data_centre)) {
+        const data_centre_id data_centre(parse_settings_path(path)->name);
+        if (is_evacuated(data_centre)) {
+            result.push_back(data_centre);
+        }
+    }
+    return result;
+}
+
 std::vector<work_kind> settings_tree::kinds(const data_centre_id& data_centre) const
 {
     std::vector<work_kind> result;
--- a/src/settings_tree_p.h
+++ b/src/settings_tree_p.h
@@ -116,6 +116,9 @@
     std::vector<work_kind> kinds(const data_centre_id& data_centre) const;
 
     // Every value that a team (empty: any team) meets in a data centre (empty: any), by path.
+    // Whether no task is to be started in the data centre.
+    bool is_evacuated(const data_centre_id& data_centre) const;
+    std::vector<data_centre_id> evacuated_data_centres() const;
     std::vector<effective_value> effective(const team_id& team, const data_centre_id& data_centre) const;
 
     // Whether the bearer of `token` may change a subtree or the work of a team: the team's own token or the one of the
--- a/tests/test_cell.cpp
+++ b/tests/test_cell.cpp
@@ -190,6 +190,29 @@
     BOOST_TEST(from.tasks.empty());
 }
 
+// Guards against tasks that are started in an evacuated data centre, and against starts that are repeated there.
+BOOST_AUTO_TEST_CASE(nothing_starts_in_an_evacuated_data_centre)
+{
+    for (const start_permission denied : {start_permission::evacuated, start_permission::not_known}) {
+        driver d;
+        d.own({"w1"}, {submit(make_job("j", 1))});
+        BOOST_REQUIRE_EQUAL(d.workers["w1"].told<task_start>().size(), 1U);
+        cell_settings settings;
+        settings.starts = denied;
+        d.c.change_settings(settings);
+        d.inbox_rows.push_back(submit(make_job("k", 2)));
+        d.list({"w1", "w2"});
+        d.run(5s);
+        BOOST_TEST(d.workers["w1"].told<task_start>().size() == 1U);
+        BOOST_TEST(d.workers["w2"].told<task_start>().empty());
+        BOOST_TEST(d.workers["w1"].tasks.size() == 1U); // what runs goes on
+        settings.starts = start_permission::allowed;
+        d.c.change_settings(settings);
+        d.run(1s);
+        BOOST_TEST(d.workers["w1"].told<task_start>().size() + d.workers["w2"].told<task_start>().size() == 3U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(table_outcomes)
--- a/tests/test_ctl.cpp
+++ b/tests/test_ctl.cpp
@@ -294,6 +294,30 @@
     BOOST_TEST(site.subtrees.at("team/a").first == 6);
 }
 
+// Guards against an evacuation that drops what else the data centre's settings hold, or changes what is done already.
+BOOST_AUTO_TEST_CASE(a_data_centre_is_evacuated_shown_and_taken_back)
+{
+    const folder scratch;
+    fake_site site;
+    const auto server = serve_site(site);
+    const std::string entry = server->address().str();
+    site.put("data_centre/a", R"({"requests": {"queue_length": 50}})");
+    const auto document = [&site](const char* path) { return json::parse(site.subtrees.at(path).second); };
+    for (const char* const data_centre : {"a", "b"}) {
+        BOOST_TEST(run_tool(scratch, {"evacuate", data_centre, "--entry", entry}).code == 0);
+    }
+    BOOST_TEST((document("data_centre/a") == json::parse(R"({"requests": {"queue_length": 50}, "evacuated": true})")));
+    const tool_result shown = run_tool(scratch, {"evacuations", "--entry", entry, "--json"});
+    BOOST_TEST(json::parse(shown.out).at("evacuations").size() == 2U);
+    const std::int64_t version = site.version;
+    BOOST_TEST(run_tool(scratch, {"evacuate", "a", "--entry", entry}).code == 0);
+    BOOST_TEST(site.version == version);
+    BOOST_TEST(run_tool(scratch, {"take-back", "a", "--entry", entry}).code == 0);
+    BOOST_TEST((document("data_centre/a") == json::parse(R"({"requests": {"queue_length": 50}})")));
+    const tool_result left = run_tool(scratch, {"evacuations", "--entry", entry, "--json"});
+    BOOST_TEST(json::parse(left.out).at("evacuations").size() == 1U);
+}
+
 // The first entry hands the job in and dies before it answers. The tool asks the next entry with the same operation
 // key, which knows the job already: one job, and the operator hears its name.
 BOOST_AUTO_TEST_CASE(a_lost_answer_is_settled_by_the_next_entry_with_the_same_key)
--- a/tests/test_job.cpp
+++ b/tests/test_job.cpp
@@ -46,6 +46,20 @@
 
 } // namespace
 
+// Guards against new work that is bound to an evacuated data centre, where it would wait.
+BOOST_AUTO_TEST_CASE(no_task_is_dealt_to_an_evacuated_data_centre)
+{
+    std::vector<field_error> errors;
+    std::vector<cell_room> rooms{make_room("a", "a.r1", 60000), make_room("b", "b.r1", 50000)};
+    rooms[0].evacuated = true;
+    for (const cell_part& part : split_job(make_spec(11), rooms, 7, &errors)) {
+        BOOST_TEST(part.cell.str() == "b.r1");
+    }
+    rooms[1].evacuated = true;
+    BOOST_TEST(split_job(make_spec(11), rooms, 7, &errors).empty());
+    BOOST_TEST(errors.empty());
+}
+
 BOOST_AUTO_TEST_CASE(every_task_is_dealt_to_one_cell)
 {
     std::vector<field_error> errors;
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -138,6 +138,7 @@
 {
     BOOST_TEST(has_problem(check_subtree("defaults", R"({"services": {}})"), "services"));
     BOOST_TEST(has_problem(check_subtree("data_centre/a", R"({"token_sha256": ""})"), "token_sha256"));
+    BOOST_TEST(has_problem(check_subtree("team/a", R"({"evacuated": true})"), "evacuated"));
     BOOST_TEST(check_subtree("team/../x", "{}").size() == 1U);
 }
 
@@ -156,7 +157,7 @@
 
 BOOST_AUTO_TEST_CASE(the_nearest_level_wins_and_is_named_as_the_origin)
 {
-    const settings_tree tree = make_tree();
+    settings_tree tree = make_tree();
     const team_id team("news");
     const auto kind = tree.find_kind(team, data_centre_id("a"), kind_id("bulletin"));
     BOOST_REQUIRE(kind.has_value());
@@ -165,6 +166,10 @@
     BOOST_TEST(!kind->idempotent); // nobody said so
     BOOST_TEST(tree.limits(team, data_centre_id("a")).queue_length == 50);
     BOOST_TEST(tree.limits(team, data_centre_id("b")).queue_length == 100);
+    BOOST_TEST(tree.evacuated_data_centres().empty());
+    tree.apply(make_row("data_centre/b", 900, R"({"evacuated": true})"));
+    BOOST_TEST(tree.is_evacuated(data_centre_id("b")));
+    BOOST_TEST(!tree.is_evacuated(data_centre_id("a")));
     BOOST_TEST(tree.find_service(team, data_centre_id("a"), "pages")->slots == 4);
     BOOST_TEST(!tree.find_service(team, data_centre_id("a"), "none").has_value());
 
