flow: an entry's hellos do not grow with the square of the site; gauges of what is known of evacuations

Cause, by counting what an entry handles: a hello with the list of all entries went to all entries at each start of each, and every five seconds to all: 302 x 302 x 302 rows a round. And each pair exchanged hellos twice a second, at any size.

The list of entries goes to one peer a round, each in turn, and in answer to a new entry only where the table has been silent towards it (else it reads the entries in the table). Above 64 entries a pair exchanges hellos less often, so that an entry's hellos a second stay at what they are with 64; the time after which a peer counts as failed follows. Up to 64 entries both are as before.

The gauges evacuated_data_centres and evacuations_age_ms show what an entry knows of evacuations (test_flow_metrics).

--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -64,7 +64,7 @@
 {
     ticked_at_ = now;
     if (now >= next_hello_) {
-        next_hello_ = now + hello_interval;
+        next_hello_ = now + hello_interval_of(peers_.size() + 1);
         send_hellos(now, false);
     }
     fetch_newer_config(now);
@@ -112,6 +112,8 @@
         watch_jobs(now);
     }
     report_news_delay(now);
+    stats_.evacuated_data_centres = static_cast<std::int64_t>(evacuations_.evacuated().size());
+    stats_.evacuations_age_ms = evacuations_.known() ? (now - evacuations_.complete_at()) / 1ms : -1;
     edges_.after(tick_interval, [this](instant then) { tick(then); });
 }
 
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -261,7 +261,8 @@
     void read_entries(instant now);
     // Adds a peer that a table row or another peer's hello names.
     void add_peer(const wire::flow_entry_row& row);
-    // Sends a hello to the peers. `everyone`: also to those that send hellos to this entry themselves.
+    // Sends a hello to the peers, to one of them with the list of entries, to each in turn. `everyone`: also to those
+    // that send hellos to this entry themselves.
     void send_hellos(instant now, bool everyone);
     void send_message(instant now, peer& p, const wire::flow_message& message);
     // Builds a hello. `with_members`: it lists the known live entries.
@@ -269,7 +270,7 @@
     static void set_echo(instant now, const peer& p, wire::flow_hello& hello);
     std::optional<instant> earliest_send_time(instant now, const wire::flow_hello& hello) const;
     bool on_hello(instant now, const wire::flow_hello& hello, std::optional<instant> asked);
-    // Returns whether the peer's last hello is newer than peer_timeout.
+    // Returns whether the peer's last hello is recent enough.
     bool is_live(const peer& p, instant now) const;
     // Returns the live peer that reports owning the cell with the highest epoch, or null.
     const peer* find_owner(instant now, const cell_id& cell) const;
@@ -433,7 +434,7 @@
     bool listing_ = false;
     std::int64_t takeovers_listed_ = 0; // number of takeovers when the worker list was last requested
     instant next_hello_{};
-    instant next_members_{};
+    entry_id members_told_; // the peer that was sent the list of entries last
     instant next_entries_read_{};
     instant next_row_resend_{};
     instant next_cancel_spread_{};
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -4,6 +4,8 @@
 // leave unused; lasting work runs until it is cancelled.
 #pragma once
 
+#include <algorithm>
+
 #include "skylarkhub/skylarkhub.h"
 
 namespace skylarkhub::flow_limits {
@@ -100,16 +102,19 @@
 
 // --- entries ---
 inline constexpr duration hello_interval = 500ms;
-// Between hellos that list the known entries, which are most of a hello's bytes on a large site. An entry that starts
-// receives the list at once and finds it in the table too, so the list matters only while the table is unreachable.
-inline constexpr duration members_interval = 5s;
+// On a larger site each pair of entries exchanges hellos less often, so that an entry's hellos a second do not grow
+// with the site.
+inline constexpr std::size_t max_frequent_hello_entries = 64;
+// An entry that starts and has had no answer of the table for this long learns of the others from the peers that greet
+// it.
+inline constexpr duration members_wanted_after = 2s;
 // Peers exchange news less often than this.
 inline constexpr duration news_cache_ttl = 250ms;
 // A press (measured interference between tasks) changes over tens of seconds. Presses are sent for slightly more than
 // one round of hellos, then omitted for the rest of the interval.
 inline constexpr duration presses_interval = 3s;
 inline constexpr duration presses_report_window = 700ms;
-inline constexpr duration peer_timeout = 1600ms; // three hello intervals; then a peer counts as failed
+inline constexpr duration peer_timeout_margin = 100ms; // in addition to three hello intervals
 // After that a silent peer is removed, so that its address is not tried for ever.
 inline constexpr duration peer_retention = 20s;
 inline constexpr duration peer_discovery_time = 700ms; // after a start, before the entry takes over cells
@@ -249,6 +254,19 @@
 inline constexpr duration fill_interference_wait_idle = 1s;
 inline constexpr double idle_site_use = 0.55; // half, plus the delay of the cells' news
 
+// Returns the time between two hellos of a pair of entries, on a site with this many.
+inline duration hello_interval_of(std::size_t entries)
+{
+    const auto size = static_cast<std::int64_t>(std::max(entries, max_frequent_hello_entries));
+    return hello_interval * size / static_cast<std::int64_t>(max_frequent_hello_entries);
+}
+
+// Returns after how long a silent peer counts as failed.
+inline duration peer_timeout_of(std::size_t entries)
+{
+    return 3 * hello_interval_of(entries) + peer_timeout_margin;
+}
+
 // Returns the shortest wait on this entry's clock after which `d` has certainly passed on a worker's clock.
 inline duration certainly(duration d)
 {
--- a/src/flow_metrics.cpp
+++ b/src/flow_metrics.cpp
@@ -68,6 +68,8 @@
     write_value(page, "worker_entries_unusable", "", stats.unusable_entries);
     write_value(page, "worker_entries_unusable_noticed_total", "", stats.unusable_entries_noticed);
     write_value(page, "job_news_behind_ms", "", stats.news_behind_ms);
+    write_value(page, "evacuated_data_centres", "", stats.evacuated_data_centres);
+    write_value(page, "evacuations_age_ms", "", stats.evacuations_age_ms);
     stats.accept_times.write(page, "accept_seconds", "");
 }
 
--- a/src/flow_metrics_p.h
+++ b/src/flow_metrics_p.h
@@ -81,6 +81,8 @@
     std::int64_t unusable_entries = 0;         // in the last read of the worker list
     std::int64_t unusable_entries_noticed = 0; // entries that became unusable, or whose reason changed
     std::int64_t news_behind_ms = 0;           // age of the oldest knowledge of an owned cell's news
+    std::int64_t evacuated_data_centres = 0;   // as far as this entry knows
+    std::int64_t evacuations_age_ms = 0;       // of that knowledge
     latency_buckets accept_times;              // from the caller's request to the answer, including refusals
 };
 
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -79,7 +79,7 @@
 
 bool flow_entry::is_live(const peer& p, instant now) const
 {
-    return p.hello_received && now - p.last_hello_at < peer_timeout;
+    return p.hello_received && now - p.last_hello_at < peer_timeout_of(peers_.size() + 1);
 }
 
 wire::flow_hello flow_entry::hello(instant now, bool with_members)
@@ -109,18 +109,31 @@
 
 void flow_entry::send_hellos(instant now, bool everyone)
 {
-    const bool with_members = everyone || now >= next_members_;
-    if (with_members) {
-        next_members_ = now + members_interval;
-    }
-    wire::flow_message message;
-    message.__set_hello(hello(now, with_members));
-    for (auto& [id, p] : peers_) {
+    std::vector<entry_id> receivers;
+    for (const auto& [id, p] : peers_) {
         // An exchange informs both sides, so only one of two entries that know each other starts it.
         if (everyone || !is_live(p, now) || self_.entry < id) {
-            set_echo(now, p, message.hello);
-            send_message(now, p, message);
+            receivers.push_back(id);
+        }
+    }
+    if (receivers.empty()) {
+        return;
+    }
+    const auto next = std::upper_bound(receivers.begin(), receivers.end(), members_told_);
+    members_told_ = next == receivers.end() ? receivers.front() : *next;
+    wire::flow_message message;
+    message.__set_hello(hello(now, false));
+    for (const entry_id& id : receivers) {
+        peer& p = peers_.at(id);
+        if (id == members_told_) {
+            wire::flow_message with_members;
+            with_members.__set_hello(hello(now, true));
+            set_echo(now, p, with_members.hello);
+            send_message(now, p, with_members);
+            continue;
         }
+        set_echo(now, p, message.hello);
+        send_message(now, p, message);
     }
 }
 
@@ -191,7 +204,9 @@
     wire::flow_message answer;
     if (message.__isset.hello) {
         const bool new_life = on_hello(now, message.hello, asked);
-        answer.__set_hello(hello(now, new_life || !message.hello.members.empty()));
+        // The list of all entries is most of a hello's bytes on a large site. Entries that start find it in the table.
+        const bool table_silent = std::chrono::milliseconds(message.hello.table_silent_ms) > members_wanted_after;
+        answer.__set_hello(hello(now, (new_life && table_silent) || !message.hello.members.empty()));
     }
     for (const wire::flow_row_news& news : message.rows) {
         std::string reason;
@@ -222,7 +237,7 @@
     }
     peer& p = peers_[entry_id(h.sender.entry)];
     const bool new_life = !p.hello_received || p.identity.incarnation.str() != h.sender.incarnation;
-    if (new_life || p.leaving != h.leaving || now - p.last_hello_at >= peer_timeout) {
+    if (new_life || p.leaving != h.leaving || !is_live(p, now)) {
         edges_.note(
             log_level::info, "peer", "heard",
             {{"entry", h.sender.entry}, {"incarnation", h.sender.incarnation}, {"leaving", h.leaving ? "yes" : "no"}});
--- a/tests/test_flow_metrics.cpp
+++ b/tests/test_flow_metrics.cpp
@@ -41,9 +41,13 @@
     flow_entry_stats stats;
     stats.refused = 2;
     stats.news_behind_ms = 2500;
+    stats.evacuated_data_centres = 2;
+    stats.evacuations_age_ms = 700;
     stats.accept_times.add(10ms);
     write_stats(page, stats);
     BOOST_TEST(has_line(page, "skylarkhub_jobs_refused_total 2"));
+    BOOST_TEST(has_line(page, "skylarkhub_evacuated_data_centres 2"));
+    BOOST_TEST(has_line(page, "skylarkhub_evacuations_age_ms 700"));
     BOOST_TEST(has_line(page, "skylarkhub_job_news_behind_ms 2500"));
     BOOST_TEST(has_line(page, "skylarkhub_accept_seconds_bucket{le=\"0.01\"} 1"));
     BOOST_TEST(has_line(page, "skylarkhub_accept_seconds_count 1"));
