soak: data centres are evacuated and taken back

Promised and checked: no start there later than five seconds after the operator's write, by the same allowances as for a cancelled job (calm for 3 s, and not for an order that a worker carries out late). Without the option the plays of known seeds are as they were.

test_soak plays seed 5 so for 22 s; a case shows that the check objects to a start there and to nothing else.

--- a/tests/soak_main.cpp
+++ b/tests/soak_main.cpp
@@ -48,7 +48,8 @@
     options.add_options()("seed", "Of the faults and the callers", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "seconds", "Time with faults", cxxopts::value<int>()->default_value("30"))(
         "entries", "How many; 0: by the seed", cxxopts::value<int>()->default_value("0"))(
-        "workers", "How many; 0: by the seed", cxxopts::value<int>()->default_value("0"))("help", "Print this text");
+        "workers", "How many; 0: by the seed", cxxopts::value<int>()->default_value("0"))(
+        "evacuations", "Evacuate data centres too")("help", "Print this text");
     signal(SIGPIPE, SIG_IGN);
     signal(SIGINT, &interrupt);
     signal(SIGTERM, &interrupt);
@@ -62,6 +63,7 @@
                      .length = std::chrono::seconds(given["seconds"].as<int>()),
                      .entries = given["entries"].as<int>(),
                      .workers = given["workers"].as<int>(),
+                     .evacuations = given.count("evacuations") > 0,
                      .interrupted = &interrupted});
     }
     catch (const cxxopts::exceptions::exception& error) {
--- a/tests/support_soak.cpp
+++ b/tests/support_soak.cpp
@@ -32,7 +32,8 @@
 
 soak_size draw_size(random_source& random, const soak_options& options)
 {
-    const int data_centres = absl::Uniform(absl::IntervalClosed, random, 1, 2);
+    const int drawn = absl::Uniform(absl::IntervalClosed, random, 1, 2);
+    const int data_centres = options.evacuations ? 2 : drawn;
     const int entries = absl::Uniform(absl::IntervalClosed, random, 2, 4);
     const int workers = absl::Uniform(absl::IntervalClosed, random, 4, 8);
     return {options.entries > 0 ? options.entries : entries, options.workers > 0 ? options.workers : workers,
@@ -49,6 +50,9 @@
           site_(options.seed, draw_size(random_, options), checks_),
           plan_(plan_faults(random_, options.length, site_))
     {
+        if (options.evacuations) {
+            plan_evacuations(random_, options.length, site_, plan_);
+        }
         for (int i = 0; i < caller_count; ++i) {
             callers_.push_back(
                 std::make_unique<soak_caller>(options.seed * 1000 + i, callers_addresses(site_), checks_));
--- a/tests/support_soak.h
+++ b/tests/support_soak.h
@@ -17,6 +17,7 @@
     std::chrono::seconds length{30}; // of the time with faults; starting and settling take some 20 s more
     int entries = 0;                 // 0: the seed decides
     int workers = 0;                 // 0: the seed decides
+    bool evacuations = false;        // of data centres, of which there are two at least
     const std::atomic<bool>* interrupted = nullptr; // set: the soak ends at once, with an exception
 };
 
--- a/tests/support_soak_checks.cpp
+++ b/tests/support_soak_checks.cpp
@@ -18,6 +18,7 @@
 // What the promises grant, and what a busy machine may take on top of each.
 constexpr duration machine_slack = 4s;
 constexpr duration calm_after = 3s;       // the end of a fault, until promises with a time count
+constexpr duration evacuation_bound = 5s; // from the operator's write to the last start there
 constexpr duration cancel_bound = 3s;     // from the confirmation of a cancel, until none of its tasks starts
 constexpr duration stop_bound = 3200ms;   // until none of its tasks runs
 constexpr duration idle_most = 9s;        // of a lasting task, from its last run
@@ -43,6 +44,12 @@
     return fmt::format("{} (born {})", worker.id, worker.born.time_since_epoch() / 1ms);
 }
 
+// The place of a worker, whose id is "wPLACE-LIFE".
+int place_of(const standin::worker_life& worker)
+{
+    return std::stoi(worker.id.substr(1));
+}
+
 } // namespace
 
 // --- callers ---
@@ -223,6 +230,11 @@
         now > std::max(*job.cancelled, impaired_at_ + calm_after) + cancel_bound + machine_slack) {
         break_promise(now, what + " after the cancel of its job was confirmed");
     }
+    const auto evacuated = evacuated_.find(place_of(sight.worker));
+    if (evacuated != evacuated_.end() && !sight.late &&
+        now > std::max(evacuated->second, impaired_at_ + calm_after) + evacuation_bound + machine_slack) {
+        break_promise(now, what + " in an evacuated data centre");
+    }
     check_order(now, what, sight.task, job);
 }
 
@@ -279,6 +291,17 @@
 
 // --- time ---
 
+void soak_checks::note_evacuation(instant now, const std::vector<int>& places, bool evacuated)
+{
+    absl::MutexLock lock(&mutex_);
+    for (const int place : places) {
+        evacuated_.erase(place);
+        if (evacuated) {
+            evacuated_.emplace(place, now);
+        }
+    }
+}
+
 void soak_checks::note_impaired(instant now)
 {
     absl::MutexLock lock(&mutex_);
--- a/tests/support_soak_checks.h
+++ b/tests/support_soak_checks.h
@@ -53,6 +53,8 @@
     // What workers see.
     void note_sight(instant now, const standin::worker_sight& sight);
 
+    // The operator evacuates a data centre with these places of workers, or takes that back.
+    void note_evacuation(instant now, const std::vector<int>& places, bool evacuated);
     // Something is harmed: promises with a time count again only after a while.
     void note_impaired(instant now);
     // Looks at the promises with a time.
@@ -120,6 +122,7 @@
     std::map<std::string, job_record> jobs_ ABSL_GUARDED_BY(mutex_);
     std::map<standin::worker_life, life> lives_ ABSL_GUARDED_BY(mutex_);
     instant impaired_at_ ABSL_GUARDED_BY(mutex_) = begun_;
+    std::map<int, instant> evacuated_ ABSL_GUARDED_BY(mutex_); // by place of a worker, since when
     int starts_ ABSL_GUARDED_BY(mutex_) = 0;
     std::vector<std::string> broken_ ABSL_GUARDED_BY(mutex_);
 };
--- a/tests/support_soak_faults.cpp
+++ b/tests/support_soak_faults.cpp
@@ -19,6 +19,9 @@
 constexpr duration calm_least = 12s; // long enough for every promise with a time
 constexpr duration calm_most = 16s;
 constexpr duration pause_most = 2s;
+constexpr duration evacuation_least = 2s;
+constexpr duration evacuation_most = 16s;
+constexpr double all_evacuated_share = 0.15;
 constexpr double restarts_share = 0.7; // of the moments with faults, at which workers start again under their ids too
 constexpr int restarts_in_series_most = 4;
 
@@ -358,6 +361,24 @@
 
 } // namespace
 
+void plan_evacuations(random_source& random, duration length, soak_site& site, soak_plan& plan)
+{
+    const int data_centres = site.data_centre_count();
+    for (duration at = first_fault; at < length;) {
+        const planning p{random, site, plan, at};
+        const bool all = absl::Bernoulli(random, all_evacuated_share);
+        const int one = absl::Uniform(random, 0, data_centres);
+        const duration lasts = p.draw(evacuation_least, evacuation_most);
+        for (int i = all ? 0 : one; i < (all ? data_centres : one + 1); ++i) {
+            plan.emplace(at, soak_action{fmt::format("data centre {} is evacuated for {} ms", i, lasts / 1ms),
+                                         [&site, i] { site.set_evacuated(i, true); }});
+            plan.emplace(at + lasts, soak_action{fmt::format("data centre {} is taken back", i),
+                                                 [&site, i] { site.set_evacuated(i, false); }});
+        }
+        at += lasts + p.draw(duration(0), pause_most);
+    }
+}
+
 soak_plan plan_faults(random_source& random, duration length, soak_site& site)
 {
     soak_plan plan;
--- a/tests/support_soak_faults.h
+++ b/tests/support_soak_faults.h
@@ -20,5 +20,7 @@
 using soak_plan = std::multimap<duration, soak_action>;
 
 soak_plan plan_faults(random_source& random, duration length, soak_site& site);
+// Adds evacuations of data centres, which are no faults: one after another, at times of all at once.
+void plan_evacuations(random_source& random, duration length, soak_site& site, soak_plan& plan);
 
 } // namespace skylarkhub::tests
--- a/tests/support_soak_site.cpp
+++ b/tests/support_soak_site.cpp
@@ -118,6 +118,22 @@
     return net_address(fmt::format("{}.{}:{}", network_, first_entry_host + entry, port));
 }
 
+void soak_site::set_evacuated(int data_centre, bool evacuated)
+{
+    const std::string key = "evacuate/" + data_centre_of(data_centre, size_.data_centres);
+    if (evacuated) {
+        table_.put("op", key, "{}");
+    }
+    else {
+        table_.remove("op", key);
+    }
+    std::vector<int> places;
+    for (int i = data_centre; i < size_.workers; i += size_.data_centres) {
+        places.push_back(i);
+    }
+    checks_.note_evacuation(read_clock(), places, evacuated);
+}
+
 // Fills the project's own template in, as the platform does at every start.
 std::string soak_site::render_settings(int entry) const
 {
--- a/tests/support_soak_site.h
+++ b/tests/support_soak_site.h
@@ -51,6 +51,10 @@
     int table_link(int entry) const { return entries_.at(static_cast<std::size_t>(entry)).link; }
     int worker_link(int worker) const { return worker_links_.at(static_cast<std::size_t>(worker)); }
 
+    int data_centre_count() const { return size_.data_centres; }
+    // Writes or removes the operator's evacuation of a data centre.
+    void set_evacuated(int data_centre, bool evacuated);
+
     // Starts what is due; to be called every few milliseconds. True while some entry is down or on its way out.
     bool look(instant now);
     const std::filesystem::path& folder() const { return folder_; }
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -102,6 +102,23 @@
     BOOST_TEST(site.checks.broken().size() == 1U);
 }
 
+// Guards against a check that lets starts in an evacuated data centre pass, or objects to others.
+BOOST_AUTO_TEST_CASE(a_start_in_an_evacuated_data_centre_is_told)
+{
+    checked_site site;
+    site.checks.note_evacuation(site.now, {0}, true);
+    site.start_on(first, 1);
+    BOOST_TEST(site.checks.broken().empty()); // it may have been sent before
+    site.end_on(first, 1, 1, "failed");
+    site.now += 20s;
+    site.start_on(first, 2);
+    BOOST_TEST(site.checks.broken().size() == 1U);
+    site.checks.note_evacuation(site.now, {0}, false);
+    site.end_on(first, 2, 2, "failed");
+    site.start_on(first, 3);
+    BOOST_TEST(site.checks.broken().size() == 1U);
+}
+
 // --- a play ---
 
 BOOST_AUTO_TEST_CASE(promises_hold_under_faults_of_a_short_soak)
@@ -118,3 +135,14 @@
     BOOST_TEST(report.broken == std::vector<std::string>{}, boost::test_tools::per_element());
     BOOST_TEST_MESSAGE(report.folder);
 }
+
+// The same with two data centres that are evacuated and taken back all the while.
+BOOST_AUTO_TEST_CASE(nothing_starts_in_evacuated_data_centres_of_a_short_soak)
+{
+    signal(SIGPIPE, SIG_IGN);
+    const soak_report report =
+        run_soak({.seed = 5, .length = std::chrono::seconds(22), .entries = 3, .workers = 6, .evacuations = true});
+    BOOST_TEST(report.counts.starts > 0);
+    BOOST_TEST(report.broken == std::vector<std::string>{}, boost::test_tools::per_element());
+    BOOST_TEST_MESSAGE(report.folder);
+}
