--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -623,11 +623,13 @@
     void update_tolerance(serving_group& group, instant now) const;
     double pressure_on(const cell_worker& w, const serving_group& group) const;
     expected_interference filling_interference(const cell_worker& w, int filling, double share) const;
-    std::string serving_image(const cell_worker& w) const;
-    void add_filling_capacity(const cell_worker& w, wire::flow_pool_row& pool) const;
     // By how much the filling work there exceeds what a serving task of the image would tolerate.
     double compute_excess_pressure(const cell_worker& w, int serving) const;
 
+    // flow_cell_news.cpp
+    std::string serving_image(const cell_worker& w) const;
+    void add_filling_capacity(const cell_worker& w, wire::flow_pool_row& pool) const;
+
     // A run that a worker lists, of a job that this owner does not know.
     struct stray_run {
         worker_id worker;
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -182,17 +182,8 @@
     const flow_queue* match_queue(const std::string& host, const std::string& path) const;
     void submit(instant now, const flow_queue& queue, const job_id& job, const caller_request& request, instant give_up,
                 caller_reply reply);
-    // Chooses the cell for a new job; nothing if no cell serves its queue.
-    std::optional<cell_id> choose_cell(instant now, const flow_queue& queue, const flow_spec& spec);
-    // Returns whether the job is not lasting or all its tasks have room now.
-    bool has_lasting_room(instant now, const job_id& job, const flow_queue& queue, const flow_spec& spec);
     // Refuses the submit unless the table already holds the job.
     void refuse_unless_accepted(const job_id& job, const refusal& why, caller_reply reply);
-    // Returns the news of the cells owned here, at most max_own_news_age old.
-    std::vector<wire::flow_cell_news>& own_news(instant now);
-    // Calls `consider` with the latest news of each cell with a live owner whose data centre is not evacuated, and
-    // whether this entry owns the cell.
-    template <class Visitor> void for_each_news(instant now, Visitor&& consider);
     // Writes the row of a new job; on_job_written() retries or answers.
     void write_job(const job_id& job, const wire::flow_job_row& row, instant give_up, int tries, bool may_be_in_force);
     void on_job_written(instant now, const job_id& job, const wire::flow_job_row& row, instant give_up, int tries,
@@ -220,6 +211,19 @@
     // Passes a row to a cell of this entry. False if the cell has to receive it again later.
     static bool pass_row_to_cell(instant now, flow_cell& cell, const job_row_name& name, const wire::flow_job_row& row,
                                  row_version version);
+    // Sends the collected job states to the entries that accepted the jobs.
+    void send_job_states();
+
+    // flow_entry_rooms.cpp
+    // Chooses the cell for a new job; nothing if no cell serves its queue.
+    std::optional<cell_id> choose_cell(instant now, const flow_queue& queue, const flow_spec& spec);
+    // Returns whether the job is not lasting or all its tasks have room now.
+    bool has_lasting_room(instant now, const job_id& job, const flow_queue& queue, const flow_spec& spec);
+    // Returns the news of the cells owned here, at most max_own_news_age old.
+    std::vector<wire::flow_cell_news>& own_news(instant now);
+    // Calls `consider` with the latest news of each cell with a live owner whose data centre is not evacuated, and
+    // whether this entry owns the cell.
+    template <class Visitor> void for_each_news(instant now, Visitor&& consider);
     std::optional<std::pair<cell_id, epoch>> find_cell_with_room(instant now, const cell_id& from,
                                                                  const std::string& service, const flow_step& step,
                                                                  room_kind kind);
@@ -227,8 +231,6 @@
     double non_filling_cpu_share(instant now, const std::string& service);
     std::vector<flow_cell_room> list_cells_with_room(instant now, const cell_id& from, const std::string& service,
                                                      const flow_step& step);
-    // Sends the collected job states to the entries that accepted the jobs.
-    void send_job_states();
 
     // flow_entry_pending.cpp
     void ask_pending(instant now, const queue_id& queue, caller_reply reply);
