--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -37,8 +37,6 @@
     return role_ == role::owning && is_unfollowed(now, ownership_lease);
 }
 
-// Whether this owner may hold workers and so renew their leases, and stop runs. It may do so while the rows of the jobs
-// are still being read.
 bool flow_cell::may_send_starts(instant now) const
 {
     return may_send_orders(now) && hooks_.start_permission(now) == start_permission::allowed;
@@ -55,6 +53,8 @@
     schedule_placement();
 }
 
+// Whether this owner may hold workers and so renew their leases, and stop runs. It may do so while the rows of the jobs
+// are still being read.
 bool flow_cell::may_renew_leases(instant now) const
 {
     return owns() && is_unfollowed(now, ownership_lease);
--- a/src/flow_entry_rooms.cpp
+++ b/src/flow_entry_rooms.cpp
@@ -285,8 +285,8 @@
 
 } // namespace
 
-// Returns another cell with a worker that one more task of the step fits on: the one with the most room, or for a lasting
-// task the one where its image is served most.
+// Returns another cell with a worker that one more task of the step fits on: the one with the most room, or for a
+// lasting task the one where its image is served most.
 std::optional<std::pair<cell_id, epoch>> flow_entry::find_cell_with_room(instant now, const cell_id& from,
                                                                          const std::string& service,
                                                                          const flow_step& step, room_kind kind)
