--- a/src/cell_placing.cpp
+++ b/src/cell_placing.cpp
@@ -191,38 +191,36 @@
     stop_run(s, task, *run, job->spec().is_service ? config::service_grace : config::evict_grace);
 }
 
-// A leaving worker is emptied: what runs there resumes elsewhere instead of being lost with it.
-void drain_leaving(cell_state& s)
+// Evicts the tasks whose entries in the workers' ledgers `chosen` selects.
+template <class Chosen> void evict_entries(cell_state& s, const std::string& reason, Chosen&& chosen)
 {
-    std::vector<task_id> leaving;
+    std::vector<task_id> tasks;
     for (const auto& [id, worker] : s.workers) {
         for (const ledger_entry& entry : worker.ledger.entries()) {
-            const bool runs = entry.stage == entry_stage::running || entry.stage == entry_stage::starting;
-            if (worker.leaving && runs) {
-                leaving.push_back(entry.task);
+            if (chosen(worker, entry)) {
+                tasks.push_back(entry.task);
             }
         }
     }
-    for (const task_id& task : leaving) {
-        evict_task(s, task, "its worker is leaving");
+    for (const task_id& task : tasks) {
+        evict_task(s, task, reason);
     }
 }
 
+// A leaving worker is emptied: what runs there resumes elsewhere instead of being lost with it.
+void drain_leaving(cell_state& s)
+{
+    evict_entries(s, "its worker is leaving", [](const cell_worker& worker, const ledger_entry& entry) {
+        return worker.leaving && (entry.stage == entry_stage::running || entry.stage == entry_stage::starting);
+    });
+}
+
 // Starts that their workers have not confirmed would be sent again. They are taken back: the tasks wait for the end of
 // the evacuation.
 void withdraw_starts(cell_state& s)
 {
-    std::vector<task_id> starting;
-    for (const auto& [id, worker] : s.workers) {
-        for (const ledger_entry& entry : worker.ledger.entries()) {
-            if (entry.stage == entry_stage::starting) {
-                starting.push_back(entry.task);
-            }
-        }
-    }
-    for (const task_id& task : starting) {
-        evict_task(s, task, "its data centre is evacuated");
-    }
+    evict_entries(s, "its data centre is evacuated",
+                  [](const cell_worker&, const ledger_entry& entry) { return entry.stage == entry_stage::starting; });
 }
 
 // A pass costs in proportion to the tasks that run, so large cells make fewer: at most about one in a hundred parts of
--- a/src/flow_config.cpp
+++ b/src/flow_config.cpp
@@ -17,15 +17,7 @@
     edges_.watch_operator(operator_seen_, wait, [this, wait, asked = now](instant then, const operator_update& page) {
         if (page.reached) {
             table_answered_ = then;
-            if (!page.history_compacted) {
-                // A call that shows no change has lasted for its whole wait, unless it was answered early.
-                const bool waited = !page.evacuations.whole && then - asked >= wait;
-                const instant certain = waited ? asked + wait : asked;
-                on_evacuations_changed(then,
-                                       evacuations_.apply(page.evacuations, page.version,
-                                                          page.more ? std::nullopt : std::optional(certain)),
-                                       "table");
-            }
+            apply_evacuations(then, page, asked, wait);
             // An answer that shows changes may have been cut before the newest configuration. The received version was
             // the newest when the request was sent; a large text takes time over a narrow link.
             if (!page.more) {
--- a/src/flow_entry_evacuations.cpp
+++ b/src/flow_entry_evacuations.cpp
@@ -25,9 +25,6 @@
 
 bool flow_entry::is_evacuated(const cell_id& cell) const
 {
-    if (evacuations_.evacuated().empty()) {
-        return false;
-    }
     const auto place = cell_places_.find(cell);
     return place != cell_places_.end() && evacuations_.includes(place->second);
 }
@@ -39,6 +36,18 @@
     });
 }
 
+void flow_entry::apply_evacuations(instant now, const operator_update& page, instant asked, duration wait)
+{
+    if (page.history_compacted) {
+        return;
+    }
+    // A call that shows no change has lasted for its whole wait, unless it was answered early.
+    const bool waited = !page.evacuations.whole && now - asked >= wait;
+    const instant certain = waited ? asked + wait : asked;
+    const auto complete_at = page.more ? std::nullopt : std::optional(certain);
+    on_evacuations_changed(now, evacuations_.apply(page.evacuations, page.version, complete_at), "table");
+}
+
 void flow_entry::on_evacuations_changed(instant now, const known_evacuations::changes& changes, const std::string& from)
 {
     if (changes.empty()) {
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -81,7 +81,6 @@
     // The newest configuration version in force at this entry or at a live peer.
     settings_version newest_config_version(instant now) const;
     const std::map<cell_id, std::unique_ptr<flow_cell>>& cells() const { return cells_; }
-    const known_evacuations& evacuations() const { return evacuations_; }
     const std::map<rack_id, cell_id>& racks() const { return racks_; }
 
 private:
@@ -269,6 +268,7 @@
     void send_message(instant now, peer& p, const wire::flow_message& message);
     // Builds a hello. `with_members`: it lists the known live entries.
     wire::flow_hello hello(instant now, bool with_members);
+    std::vector<wire::flow_entry_row> live_members(instant now) const;
     static void set_echo(instant now, const peer& p, wire::flow_hello& hello);
     std::optional<instant> earliest_send_time(instant now, const wire::flow_hello& hello) const;
     bool on_hello(instant now, const wire::flow_hello& hello, std::optional<instant> asked);
@@ -338,6 +338,8 @@
     void log_unknown_queue(instant now, const caller_request& request);
 
     // flow_entry_evacuations.cpp
+    // Takes in the answer to a watch of the operator's rows, requested at `asked`, which may have lasted for `wait`.
+    void apply_evacuations(instant now, const operator_update& page, instant asked, duration wait);
     // Logs what has changed and lets the cells act on it. `from`: the source, for the log.
     void on_evacuations_changed(instant now, const known_evacuations::changes& changes, const std::string& from);
     // Whether tasks may be started in the data centre now.
--- a/src/flow_entry_rooms.cpp
+++ b/src/flow_entry_rooms.cpp
@@ -155,8 +155,9 @@
 // Cells of evacuated data centres take no work, so they are left out.
 template <class Visitor> void flow_entry::for_each_news(instant now, Visitor&& consider)
 {
+    const bool any_evacuated = !evacuations_.evacuated().empty();
     const auto consider_open = [&](wire::flow_cell_news& news, bool own) {
-        if (!is_evacuated(cell_id(news.cell))) {
+        if (!any_evacuated || !is_evacuated(cell_id(news.cell))) {
             consider(news, own);
         }
     };
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -99,12 +99,21 @@
             add_pending_count(now, h.cells.back());
         }
     }
+    if (with_members) {
+        h.members = live_members(now);
+    }
+    return h;
+}
+
+std::vector<wire::flow_entry_row> flow_entry::live_members(instant now) const
+{
+    std::vector<wire::flow_entry_row> members;
     for (const auto& [id, p] : peers_) {
-        if (with_members && is_live(p, now)) {
-            h.members.push_back(row_of(p.identity));
+        if (is_live(p, now)) {
+            members.push_back(row_of(p.identity));
         }
     }
-    return h;
+    return members;
 }
 
 void flow_entry::send_hellos(instant now, bool everyone)
@@ -125,13 +134,7 @@
     message.__set_hello(hello(now, false));
     for (const entry_id& id : receivers) {
         peer& p = peers_.at(id);
-        if (id == members_told_) {
-            wire::flow_message with_members;
-            with_members.__set_hello(hello(now, true));
-            set_echo(now, p, with_members.hello);
-            send_message(now, p, with_members);
-            continue;
-        }
+        message.hello.members = id == members_told_ ? live_members(now) : std::vector<wire::flow_entry_row>();
         set_echo(now, p, message.hello);
         send_message(now, p, message);
     }
