tests: each_seed stands once; two cases of the watch share their steps

each_seed() stood in test_flow_crash and test_flow_second_life to the letter but for the program's name; it is in support_flow_checks. Two cases of test_flow_watch differed in the site's options and the bound alone and call one check now, with the same bounds.

--- a/tests/support_flow_checks.h
+++ b/tests/support_flow_checks.h
@@ -1,8 +1,10 @@
-// The check that ends every test with a flow_simulation.
+// What tests with a flow_simulation share: the check that ends each of them, and plays of one test for many seeds.
 #pragma once
 
 #include <boost/test/unit_test.hpp>
 
+#include <cstdint>
+#include <functional>
 #include <string>
 
 #include "support_flow_simulation.h"
@@ -17,4 +19,19 @@
     }
 }
 
+// Calls `run` for the seeds 1 to `last`, or for those given on the command line:
+// PROGRAM --run_test=NAME -- FIRST LAST
+inline void each_seed(std::uint64_t last, const std::function<void(std::uint64_t)>& run)
+{
+    const auto& arguments = boost::unit_test::framework::master_test_suite();
+    const bool from_arguments = arguments.argc == 3;
+    const std::uint64_t first = from_arguments ? std::stoull(arguments.argv[1]) : 1;
+    for (std::uint64_t seed = first; seed <= (from_arguments ? std::stoull(arguments.argv[2]) : last); ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            run(seed);
+        }
+    }
+}
+
 } // namespace skylarkhub::test
--- a/tests/test_flow_crash.cpp
+++ b/tests/test_flow_crash.cpp
@@ -22,21 +22,6 @@
 constexpr duration give_up_limit = 60s;
 constexpr int min_crashes = 2; // that a task must have caused before it is given up
 
-// Calls `run` for the seeds 1 to `last`, or for those given on the command line:
-// test_flow_crash --run_test=NAME -- FIRST LAST
-void each_seed(std::uint64_t last, const std::function<void(std::uint64_t)>& run)
-{
-    const auto& arguments = boost::unit_test::framework::master_test_suite();
-    const bool from_arguments = arguments.argc == 3;
-    const std::uint64_t first = from_arguments ? std::stoull(arguments.argv[1]) : 1;
-    for (std::uint64_t seed = first; seed <= (from_arguments ? std::stoull(arguments.argv[2]) : last); ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            run(seed);
-        }
-    }
-}
-
 // Returns after which time a started run crashes its worker, or nothing if it does not.
 using crash_rule = std::function<std::optional<duration>(const flow_task_id&, const start_run&)>;
 
--- a/tests/test_flow_second_life.cpp
+++ b/tests/test_flow_second_life.cpp
@@ -57,21 +57,6 @@
     return w.now() - since;
 }
 
-// Calls `run` for the seeds 1 to `last`, or for those given on the command line:
-// test_flow_second_life --run_test=NAME -- FIRST LAST
-void each_seed(std::uint64_t last, const std::function<void(std::uint64_t)>& run)
-{
-    const auto& arguments = boost::unit_test::framework::master_test_suite();
-    const bool from_arguments = arguments.argc == 3;
-    const std::uint64_t first = from_arguments ? std::stoull(arguments.argv[1]) : 1;
-    for (std::uint64_t seed = first; seed <= (from_arguments ? std::stoull(arguments.argv[2]) : last); ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            run(seed);
-        }
-    }
-}
-
 // Workers restart under their ids, each 400 ms or less with the probability `restarts`, while entries are slow or
 // killed.
 void run_restarts(std::uint64_t seed, int workers, double restarts, bool all_jobs_are_done)
--- a/tests/test_flow_watch.cpp
+++ b/tests/test_flow_watch.cpp
@@ -34,28 +34,34 @@
     return w;
 }
 
-} // namespace
-
-// Guards against a job that starts only after many seconds because its message is lost and the owner reads the news
-// more slowly than the site writes them.
-BOOST_AUTO_TEST_CASE(a_job_whose_message_is_lost_starts_soon_on_a_busy_site)
+// Checks that a job whose message is lost starts within `max_delay` of its acceptance, however long the site was busy.
+void check_lost_message_start(const flow_simulation::options& options, duration max_delay)
 {
     for (const duration busy : watched_for) {
         BOOST_TEST_CONTEXT("busy for " << busy / 1s << " s")
         {
-            const auto w = busy_site({}, busy);
+            const auto w = busy_site(options, busy);
             w->drop_row_messages(true);
             const int other = 1 - owner_of(*w);
             BOOST_REQUIRE(w->submit(other, job_a, chain_spec(1, 4)) == caller_result::accepted);
             const instant accepted = w->now();
             w->run_until([&] { return w->count_job_starts(job_a) == 4; }, 30s);
             BOOST_TEST(w->count_job_starts(job_a) == 4);
-            BOOST_TEST((w->now() - accepted) / 1ms <= max_start_delay / 1ms);
+            BOOST_TEST((w->now() - accepted) / 1ms <= max_delay / 1ms);
             check_no_violations(*w);
         }
     }
 }
 
+} // namespace
+
+// Guards against a job that starts only after many seconds because its message is lost and the owner reads the news
+// more slowly than the site writes them.
+BOOST_AUTO_TEST_CASE(a_job_whose_message_is_lost_starts_soon_on_a_busy_site)
+{
+    check_lost_message_start({}, max_start_delay);
+}
+
 // Guards against tasks that run on after the cancel of their job because its message is lost and the owner reads the
 // news more slowly than the site writes them.
 BOOST_AUTO_TEST_CASE(a_cancel_whose_message_is_lost_stops_its_tasks_on_a_busy_site)
@@ -83,20 +89,7 @@
 BOOST_AUTO_TEST_CASE(a_job_whose_message_is_lost_starts_though_the_link_is_too_narrow_for_the_news)
 {
     constexpr duration max_start_delay_narrow = 5s; // a round that is given up, its last answer, and the owner's rows
-    for (const duration busy : watched_for) {
-        BOOST_TEST_CONTEXT("busy for " << busy / 1s << " s")
-        {
-            const auto w = busy_site({.news_row_transfer_time = 3ms}, busy);
-            w->drop_row_messages(true);
-            const int other = 1 - owner_of(*w);
-            BOOST_REQUIRE(w->submit(other, job_a, chain_spec(1, 4)) == caller_result::accepted);
-            const instant accepted = w->now();
-            w->run_until([&] { return w->count_job_starts(job_a) == 4; }, 30s);
-            BOOST_TEST(w->count_job_starts(job_a) == 4);
-            BOOST_TEST((w->now() - accepted) / 1ms <= max_start_delay_narrow / 1ms);
-            check_no_violations(*w);
-        }
-    }
+    check_lost_message_start({.news_row_transfer_time = 3ms}, max_start_delay_narrow);
 }
 
 // Guards against an owner that falls behind unseen.
