flow: a lasting task moves only to a place that its receiver has promised

Cause: an owner stopped the run on the strength of another cell's last report of room. The report is up to a second old, several owners read the same one, and it tells neither how many tasks of the step each worker has already nor whether processors and memory are free on one worker. The receiver had no place, waited 0.8 s and sent the task on by the next such report.

Change: the owner asks the other cell for a place. The receiver chooses the worker by what it knows, holds the room for three seconds, or keeps a worker free of short work and is asked again. A run is stopped, and a waiting task handed off, only for a promise; a task whose worker has drained for a second also goes to a worker that is kept for it. A place on another worker of the same cell is held in the same way. It holds because one owner decides about a worker's room, and counts what it has promised.

Weighed: reports that tell of spread and memory by worker (still old, still read by several); a bound on moves (a task may be bound to a cell without room); both leave the stop before the place.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -239,6 +239,22 @@
   5: i64 checksum = 0   // of the whole text
 }
 
+// Asks the owner of a cell for a place on a worker, for a lasting task that another cell has.
+struct flow_place_ask {
+  1: string cell // that is asked
+  2: string job
+  3: i32 occurrence = 0
+  4: i32 step_number = 0
+  5: i32 index = 0
+  6: string service_name
+  7: flow_step_row step
+  8: bool reserve = false // if none has room now, keep a worker free of short work for the task
+}
+struct flow_place_answer {
+  1: i32 outcome = 0 // place_outcome
+  2: i64 epoch = 0   // of the cell's owner
+}
+
 // 4 and 5 were the whole configuration, told to each peer that was behind.
 struct flow_message {
   1: optional flow_hello hello
@@ -250,4 +266,6 @@
   9: optional flow_relayed_result relayed // in return
   10: optional flow_config_ask config_ask
   11: optional flow_config_piece config_piece // in return
+  12: optional flow_place_ask place_ask
+  13: optional flow_place_answer place_answer // in return
 }
--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -311,7 +311,7 @@
         const bool usable = is_schedulable(now, w) && !is_dedicated(now, w) &&
                             w.listing.service == job.row().service_name && has_label(w.listing.labels, step.label) &&
                             has_room(option_of(now, w), step) &&
-                            (step.per_worker_most == 0 || count_stage_runs(w, job, stage) < step.per_worker_most);
+                            !is_spread_limit_reached(w, step, job.task_id(stage, 0));
         if (usable && (best == nullptr || eviction_cost(w) < eviction_cost(*best))) {
             best = &w;
         }
--- a/src/flow_cell_drain.cpp
+++ b/src/flow_cell_drain.cpp
@@ -1,7 +1,4 @@
 // Moves lasting tasks off draining workers before those workers leave.
-#include <utility>
-#include <vector>
-
 #include "flow_cell_p.h"
 #include "flow_limits_p.h"
 #include "log_line_p.h"
@@ -27,13 +24,11 @@
     }
 }
 
-// Stops the lasting tasks on one draining worker for which another place exists. The place of each stopped task is
-// entered in the ledgers until the pass ends, so that no two tasks count on the same free resources.
+// Stops the lasting tasks on one draining worker for which a place on another worker here is promised, and seeks places
+// in other cells for the rest, which run on until one is promised or the worker leaves.
 void flow_cell::move_lasting_tasks_off(instant now, cell_worker& w)
 {
-    std::vector<std::pair<cell_worker*, flow_task_id>> new_places;
-    std::size_t moved = 0; // to other cells
-    promised_reservations_ = 0;
+    std::size_t moved = 0;
     for (const auto& [id, run] : w.ledger) {
         const auto [worker, job, task, live] = look_up_run(w.listing.worker, id, run.run);
         if (!run.lasting || live == nullptr || !live->confirmed || live->stopping || task->runs.size() != 1) {
@@ -43,29 +38,18 @@
         if (job->step(stage).gang || !may_start(*job, stage, *task)) {
             continue;
         }
-        const flow_step& step = job->step(stage);
-        if (cell_worker* const place = choose_worker(now, *job, stage, *task)) {
-            ledger_add(*place, step, id, run_number());
-            new_places.emplace_back(place, id);
-        }
-        else if ((task->moves_to = find_cell_for_task(now, *job, stage))) {
+        const place_need need = need_of(*job, id);
+        const place_answer here = promise_place(now, need, true);
+        if (here.outcome == place_outcome::promised) {
+            stop_run_once(now, *live, id);
             ++moved;
+            continue;
         }
-        else {
-            reserve_worker(now, *job, stage);
-            continue; // the task goes on until the worker leaves or a place is free
-        }
-        stop_run_once(now, *live, id);
-    }
-    for (const auto& [place, id] : new_places) {
-        ledger_remove(*place, id, run_number());
+        seek_place(now, *job, id, here.outcome == place_outcome::refused);
     }
-    if (!new_places.empty() || moved > 0) {
+    if (moved > 0) {
         edges_.note(log_level::info, "worker", "vacated",
-                    {{"cell", id_.str()},
-                     {"worker", w.listing.worker.str()},
-                     {"lasting", std::to_string(new_places.size() + moved)},
-                     {"to_other_cells", std::to_string(moved)}});
+                    {{"cell", id_.str()}, {"worker", w.listing.worker.str()}, {"lasting", std::to_string(moved)}});
     }
 }
 
--- a/src/flow_cell_moves.cpp
+++ b/src/flow_cell_moves.cpp
@@ -20,6 +20,12 @@
     return handoff_after * (1 << doublings);
 }
 
+// Returns the number of workers that may be reserved at a time; the others go on taking short work.
+std::int64_t max_reserved(std::size_t workers)
+{
+    return static_cast<std::int64_t>(max_reserved_share * static_cast<double>(workers)) + 1;
+}
+
 } // namespace
 
 // Hands the task off to another cell. The hand-off takes effect once the job's row is written.
@@ -47,6 +53,8 @@
     if (stopping_ || !may_send_orders(now)) {
         return;
     }
+    places_asked_in_pass_ = 0;
+    forget_old_searches(now);
     int handoffs_left = is_evacuated(now) ? max_handoffs_evacuated : max_handoffs;
     promised_reservations_ = 0;
     index_ready_again();
@@ -92,6 +100,11 @@
         if (waits_here && !evacuated) {
             continue;
         }
+        if (step.lasting && !evacuated) {
+            const flow_task_id id = job.task_id(stage, i);
+            seek_place(now, job, id, !can_reserve_worker(need_of(job, id)));
+            continue;
+        }
         auto to = find_cell_for_task(now, job, stage);
         if (!to && evacuated) {
             to = find_cell(now, job, stage, room_kind::any);
@@ -105,14 +118,14 @@
     return handed_off;
 }
 
-// Finds another cell for a task. When workers have left a full site, no cell has free room for a lasting task, and
-// short tasks take up what other short tasks release before it is enough. A lasting task then goes to a cell where a
-// worker can be reserved for it, unless one can be reserved here.
+// Finds another cell for a task by the reports of room. In an evacuated data centre a lasting task goes to a cell where
+// a worker can be reserved for it if no cell has free room. Elsewhere it goes only to a place that was promised, see
+// flow_cell_places.cpp.
 std::optional<std::pair<cell_id, skylarkhub::epoch>> flow_cell::find_cell_for_task(instant now, const flow_job& job,
                                                                                    const flow_stage& stage)
 {
     auto to = find_cell(now, job, stage, room_kind::free);
-    if (!to && job.step(stage).lasting && (is_evacuated(now) || !can_reserve_worker(job, stage))) {
+    if (!to && job.step(stage).lasting) {
         to = find_cell(now, job, stage, room_kind::reservable);
     }
     return to;
@@ -127,42 +140,34 @@
 }
 
 // Whether the task fits on the worker beside the lasting tasks there, once all other tasks have ended.
-bool flow_cell::is_reservable(const cell_worker& w, const flow_job& job, const flow_stage& stage)
+bool flow_cell::is_reservable(const cell_worker& w, const place_need& need) const
 {
-    const flow_step& step = job.step(stage);
-    if (step.per_worker_most > 0 && count_stage_runs(w, job, stage) >= step.per_worker_most) {
+    const flow_step& step = need.step;
+    if (is_spread_limit_reached(w, step, need.task)) {
         return false;
     }
     const bool usable = w.listed && w.named && w.fenced && !w.listing.draining && w.silent == 0 && !w.dedicated_to &&
-                        w.listing.service == job.row().service_name && has_label(w.listing.labels, step.label);
+                        w.listing.service == need.service && has_label(w.listing.labels, step.label);
     const resources lasting_resources{w.lasting_cpu, w.lasting_memory, 0};
-    return usable && fits(lasting_resources + step.need, w.listing.room);
+    return usable && fits(lasting_resources + promised_on(w, &need.task) + step.need, w.listing.room);
 }
 
 // Whether a worker here can be reserved for one more of the waiting tasks. Reservations promised in this round are
 // counted, not workers reserved earlier: one of those may be reserved for this very task, which must not leave because
 // of it.
-bool flow_cell::can_reserve_worker(const flow_job& job, const flow_stage& stage)
+bool flow_cell::can_reserve_worker(const place_need& need)
 {
-    const auto reservable = std::count_if(workers_.begin(), workers_.end(),
-                                          [&](const auto& w) { return is_reservable(w.second, job, stage); });
+    const auto reservable =
+        std::count_if(workers_.begin(), workers_.end(), [&](const auto& w) { return is_reservable(w.second, need); });
     const bool can_reserve = reservable > promised_reservations_;
     promised_reservations_ += can_reserve ? 1 : 0;
     return can_reserve;
 }
 
-// Reserves a worker for a lasting task: no new short work is started there until the task fits. Short tasks start and
-// end several times a second and each takes the room that an earlier one released, so on a full site a lasting task,
-// which needs more at once, would wait for ever. Of the suitable workers the one is chosen where least has to end.
-void flow_cell::reserve_worker(instant now, const flow_job& job, const flow_stage& stage)
+// Returns the worker to reserve for the task: of the suitable ones that no task waiting here reserves in this pass, the
+// one where least has to end. `reserved_only`: one that is reserved already.
+flow_cell::cell_worker* flow_cell::choose_to_reserve(instant now, const place_need& need, bool reserved_only)
 {
-    if (!may_send_starts(now)) {
-        return;
-    }
-    const auto max_tasks = static_cast<int>(max_reserved_share * static_cast<double>(workers_.size())) + 1;
-    if (reserved_in_pass_ >= max_tasks) {
-        return;
-    }
     cell_worker* best = nullptr;
     const auto preferred = [now](const cell_worker& a, const cell_worker& b) {
         if (a.is_reserved(now) != b.is_reserved(now)) {
@@ -171,16 +176,45 @@
         return a.listing.room.cpu_millis - a.held.cpu_millis > b.listing.room.cpu_millis - b.held.cpu_millis;
     };
     for (auto& [id, w] : workers_) {
-        if (w.reserved_in != placing_pass_ && is_reservable(w, job, stage) &&
+        if (w.reserved_in != placing_pass_ && (w.is_reserved(now) || !reserved_only) && is_reservable(w, need) &&
             (best == nullptr || preferred(w, *best))) {
             best = &w;
         }
     }
-    if (best != nullptr) {
-        best->reserved_in = placing_pass_;
-        best->reserved_until = now + reservation_timeout;
-        ++reserved_in_pass_;
+    return best;
+}
+
+// Reserves a worker for a lasting task: no new short work is started there until the task fits. Short tasks start and
+// end several times a second and each takes the room that an earlier one released, so on a full site a lasting task,
+// which needs more at once, would wait for ever.
+void flow_cell::reserve_worker(instant now, const place_need& need)
+{
+    if (!may_send_starts(now) || reserved_in_pass_ >= max_reserved(workers_.size())) {
+        return;
+    }
+    cell_worker* const worker = choose_to_reserve(now, need, false);
+    if (worker == nullptr) {
+        return;
+    }
+    worker->reserved_in = placing_pass_;
+    worker->reserved_until = now + reservation_timeout;
+    ++reserved_in_pass_;
+}
+
+// Reserves a worker for a task that is about to come from another worker or cell, which asks again before the
+// reservation ends.
+flow_cell::cell_worker* flow_cell::reserve_place(instant now, const place_need& need)
+{
+    if (!may_send_starts(now)) {
+        return nullptr;
+    }
+    const auto reserved =
+        std::count_if(workers_.begin(), workers_.end(), [now](const auto& w) { return w.second.is_reserved(now); });
+    cell_worker* const worker = choose_to_reserve(now, need, reserved >= max_reserved(workers_.size()));
+    if (worker != nullptr) {
+        worker->reserved_until = now + reservation_timeout;
     }
+    return worker;
 }
 
 } // namespace skylarkhub
--- a/src/flow_cell_news.cpp
+++ b/src/flow_cell_news.cpp
@@ -66,7 +66,8 @@
         if (!w.fenced || w.silent >= max_unanswered_holds) {
             continue;
         }
-        const std::int64_t free = w.listing.room.cpu_millis - w.held.cpu_millis;
+        const resources promised = promised_on(w);
+        const std::int64_t free = w.listing.room.cpu_millis - w.held.cpu_millis - promised.cpu_millis;
         pool.total_cpu_millis += w.listing.room.cpu_millis;
         pool.free_cpu_millis += free;
         pool.unused_cpu_millis += available_for_filling(option_of(w.clock_read_at, w));
@@ -83,11 +84,11 @@
         }
         pool.each.push_back(worker_room);
         pool.largest_free_memory_mib =
-            std::max(pool.largest_free_memory_mib, w.listing.room.memory_mib - w.held.memory_mib);
+            std::max(pool.largest_free_memory_mib, w.listing.room.memory_mib - w.held.memory_mib - promised.memory_mib);
         pool.lasting_cpu_millis += w.lasting_cpu;
         if (!w.is_reserved(now)) {
-            pool.largest_reservable_cpu_millis =
-                std::max(pool.largest_reservable_cpu_millis, w.listing.room.cpu_millis - w.lasting_cpu);
+            pool.largest_reservable_cpu_millis = std::max(
+                pool.largest_reservable_cpu_millis, w.listing.room.cpu_millis - w.lasting_cpu - promised.cpu_millis);
         }
         ++pool.workers;
         add_filling_capacity(w, pool);
--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -150,6 +150,7 @@
         return;
     }
     check_lapsed(now);
+    drop_expired_promises(now);
     if (now >= next_drain_pass_) {
         drain_workers(now);
     }
@@ -770,6 +771,9 @@
     lapsed_workers_.clear();
     isolated_task_waits_ = false;
     placement_scheduled_ = false;
+    promises_.clear();
+    place_searches_.clear();
+    place_refusals_.clear();
     for (auto& [id, w] : workers_) {
         const flow_listed_worker listing = w.listing;
         const bool listed = w.listed;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -67,6 +67,15 @@
     std::function<std::optional<std::pair<cell_id, epoch>>(instant, const cell_id& from, const std::string& service,
                                                            const flow_step&, room_kind)>
         find_cell_with_room;
+    // The other cells that, by their last reports, have room of this kind for one more task of the step, the best
+    // first.
+    std::function<std::vector<cell_id>(instant, const cell_id& from, const std::string& service, const flow_step&,
+                                       room_kind)>
+        list_cells_for_task;
+    // Asks the owner of another cell for a place. The callback runs later, with a refusal if no owner answers.
+    std::function<void(instant, const cell_id& to, const place_need&, bool reserve,
+                       std::function<void(instant, place_answer)>)>
+        ask_for_place;
     // The other cells with room for tasks of the step, the one with the most room first.
     std::function<std::vector<flow_cell_room>(instant, const cell_id& from, const std::string& service,
                                               const flow_step&)>
@@ -162,6 +171,9 @@
     void run_deferred_work(instant now);
     // Begins a planned stop: no more tasks are started, unwritten changes are written, the row is released.
     void plan_stop(instant now);
+    // Promises a place here to a lasting task, which another cell may have. With `reserve` a worker is kept free of
+    // short work for the task if none has room now.
+    place_answer promise_place(instant now, const place_need& need, bool reserve);
     bool stopped() const { return (role_ == role::released && !row_request_in_flight_) || role_ == role::watching; }
 
     // The news that peers receive of this cell; only valid for an owner.
@@ -259,6 +271,20 @@
         std::optional<flow_task_id> dedicated_to; // the worker runs only this task, which may crash it
         instant dedicated_until{};
         std::map<flow_task_id, std::int32_t> paced;
+        instant draining_since{};
+    };
+    // Room on a worker that is held for a task that is about to come there, if need be once short work there has ended.
+    struct promised_place {
+        worker_id worker;
+        resources need;
+        instant until{};
+    };
+    // A lasting task here for which a place in another cell is sought.
+    struct place_search {
+        instant wanted_at{};             // when a pass last sought a place for it
+        bool asked = false;              // a request waits for its answer
+        bool reserve = false;            // of the last request
+        std::optional<cell_id> reserved; // the cell that last answered that it reserves a worker
     };
 
     // A renewal of the cell's row as it was sent to the table.
@@ -546,6 +572,8 @@
                                duration patience = flow_limits::fill_interference_wait);
     duration patience_of(instant now, const flow_job& job, const flow_task& task) const;
     static bool is_schedulable(instant now, const cell_worker& w);
+    bool can_take(instant now, const cell_worker& w, const std::string& service, const flow_step& step) const;
+    bool is_spread_limit_reached(const cell_worker& w, const flow_step& step, const flow_task_id& task) const;
     placement_candidate option_of(instant now, const cell_worker& w) const;
     void index_ready(flow_job& job);
     void drop_ready(const job_id& job);
@@ -573,12 +601,31 @@
                                                                             const flow_stage& stage);
     std::optional<std::pair<cell_id, skylarkhub::epoch>> find_cell(instant now, const flow_job& job,
                                                                    const flow_stage& stage, room_kind kind);
-    static bool is_reservable(const cell_worker& w, const flow_job& job, const flow_stage& stage);
-    // The number of tasks of the stage that run, or are about to, on the worker.
-    static std::int32_t count_stage_runs(const cell_worker& w, const flow_job& job, const flow_stage& stage);
+    bool is_reservable(const cell_worker& w, const place_need& need) const;
     // Counts one promised reservation if it returns true.
-    bool can_reserve_worker(const flow_job& job, const flow_stage& stage);
-    void reserve_worker(instant now, const flow_job& job, const flow_stage& stage);
+    bool can_reserve_worker(const place_need& need);
+    void reserve_worker(instant now, const place_need& need);
+    cell_worker* reserve_place(instant now, const place_need& need);
+    cell_worker* choose_to_reserve(instant now, const place_need& need, bool reserved_only);
+
+    // flow_cell_places.cpp
+    static place_need need_of(const flow_job& job, const flow_task_id& task);
+    cell_worker* choose_place(instant now, const place_need& need);
+    // Returns the worker that a place was promised on, if it can still take the task. Ends the promise.
+    cell_worker* redeem_promise(instant now, const flow_job& job, const flow_task_id& task);
+    bool has_promises(const flow_job& job, const flow_stage& stage) const;
+    // Returns the room on the worker that is held for tasks, but for `except`.
+    resources promised_on(const cell_worker& w, const flow_task_id* except = nullptr) const;
+    void drop_expired_promises(instant now);
+    // Asks the next cell that may have a place for the task, unless a request is under way.
+    void seek_place(instant now, const flow_job& job, const flow_task_id& task, bool reserve);
+    std::optional<cell_id> next_cell_to_ask(instant now, const flow_job& job, const flow_task_id& task,
+                                            const place_search& search) const;
+    void on_place_answer(instant now, const flow_task_id& task, const cell_id& cell, const place_answer& answer);
+    // Moves a waiting task to the cell, or stops the task's run on a draining worker so that it moves.
+    void move_to_place(instant now, flow_job& job, const flow_task_id& task, const cell_id& cell,
+                       const place_answer& answer);
+    void forget_old_searches(instant now);
 
     // flow_cell_gangs.cpp
     bool can_join_gang(const flow_job& job, const flow_stage& stage) const;
@@ -720,6 +767,11 @@
     bool placement_scheduled_ = false;
     std::uint64_t placing_pass_ = 0;
     int reserved_in_pass_ = 0;
+    std::map<flow_task_id, promised_place> promises_; // here, to tasks that are about to start
+    std::map<flow_task_id, place_search> place_searches_;
+    int places_asked_in_pass_ = 0; // since the last hand-off pass
+    // Refusals of other cells by the first task of the stage, each with the time until which it counts.
+    std::map<flow_task_id, std::map<cell_id, instant>> place_refusals_;
     int promised_reservations_ = 0; // in this hand-off or drain pass: tasks for which a worker here can be reserved
     wire::flow_cell_news cached_news_;
     instant cached_news_at_{};
--- /dev/null
+++ b/src/flow_cell_places.cpp
@@ -0,0 +1,248 @@
+// Places for lasting tasks that move between cells. A lasting task is stopped, or handed off, only for a place that the
+// owner of the receiving cell has promised: reports of room are up to a second old, several owners read the same one,
+// and they tell neither of tasks that must be apart nor of processors and memory on the same worker.
+#include <algorithm>
+
+#include "flow_cell_p.h"
+#include "flow_limits_p.h"
+#include "log_line_p.h"
+
+namespace skylarkhub {
+
+using namespace flow_limits;
+
+namespace {
+
+// The first task of the stage, which stands for the stage.
+flow_task_id stage_key(flow_task_id task)
+{
+    task.index = 0;
+    return task;
+}
+
+} // namespace
+
+place_need flow_cell::need_of(const flow_job& job, const flow_task_id& task)
+{
+    return {task, job.row().service_name, job.spec().steps.at(static_cast<std::size_t>(task.step))};
+}
+
+// --- places here ---
+
+place_answer flow_cell::promise_place(instant now, const place_need& need, bool reserve)
+{
+    place_answer answer;
+    answer.epoch = epoch_;
+    if (role_ != role::owning || stopping_) {
+        return answer;
+    }
+    drop_expired_promises(now);
+    promises_.erase(need.task);
+    if (const cell_worker* const place = choose_place(now, need)) {
+        promises_[need.task] = {place->listing.worker, need.step.need, now + place_promise_timeout};
+        ++stats_.places_promised;
+        answer.outcome = place_outcome::promised;
+    }
+    else if (const cell_worker* const later = reserve ? reserve_place(now, need) : nullptr) {
+        promises_[need.task] = {later->listing.worker, need.step.need, now + reservation_timeout};
+        answer.outcome = place_outcome::reserved;
+    }
+    stats_.places_refused += answer.outcome == place_outcome::refused ? 1 : 0;
+    return answer;
+}
+
+// Returns the worker with the lowest placement cost for the task; null when none has room.
+flow_cell::cell_worker* flow_cell::choose_place(instant now, const place_need& need)
+{
+    if (!may_send_starts(now)) {
+        return nullptr;
+    }
+    cell_worker* best = nullptr;
+    double best_cost = 0;
+    for (auto& [id, w] : workers_) {
+        if (!can_take(now, w, need.service, need.step) || is_spread_limit_reached(w, need.step, need.task)) {
+            continue;
+        }
+        expected_interference interference;
+        if (need.step.tail_target > duration(0)) {
+            interference.excess_pressure = compute_excess_pressure(w, image_of(need.step));
+        }
+        const double cost = placement_cost(option_of(now, w), need.step, interference);
+        if (best == nullptr || cost < best_cost) {
+            best = &w;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+flow_cell::cell_worker* flow_cell::redeem_promise(instant now, const flow_job& job, const flow_task_id& task)
+{
+    const auto at = promises_.find(task);
+    if (at == promises_.end() || !may_send_starts(now)) {
+        return nullptr;
+    }
+    const auto worker = workers_.find(at->second.worker);
+    promises_.erase(at);
+    if (worker == workers_.end()) {
+        return nullptr;
+    }
+    cell_worker& w = worker->second;
+    const place_need need = need_of(job, task);
+    return can_take(now, w, need.service, need.step) && !is_spread_limit_reached(w, need.step, task) ? &w : nullptr;
+}
+
+bool flow_cell::has_promises(const flow_job& job, const flow_stage& stage) const
+{
+    const flow_task_id first = job.task_id(stage, 0);
+    const auto at = promises_.lower_bound(first);
+    return at != promises_.end() && stage_key(at->first) == first;
+}
+
+resources flow_cell::promised_on(const cell_worker& w, const flow_task_id* except) const
+{
+    resources sum;
+    for (const auto& [task, place] : promises_) {
+        if (place.worker == w.listing.worker && (except == nullptr || task != *except)) {
+            sum = sum + place.need;
+        }
+    }
+    return sum;
+}
+
+void flow_cell::drop_expired_promises(instant now)
+{
+    if (std::erase_if(promises_, [now](const auto& promise) { return now >= promise.second.until; }) > 0) {
+        schedule_placement();
+    }
+}
+
+// --- places in other cells ---
+
+void flow_cell::seek_place(instant now, const flow_job& job, const flow_task_id& task, bool reserve)
+{
+    place_search& search = place_searches_[task];
+    search.wanted_at = now;
+    if (search.asked || places_asked_in_pass_ >= max_places_asked) {
+        return;
+    }
+    search.reserve = reserve;
+    const std::optional<cell_id> cell = next_cell_to_ask(now, job, task, search);
+    if (!cell) {
+        return;
+    }
+    search.asked = true;
+    ++places_asked_in_pass_;
+    ++stats_.places_asked;
+    hooks_.ask_for_place(
+        now, *cell, need_of(job, task), reserve,
+        [this, task, cell = *cell, generation = ownership_generation_](instant then, const place_answer& answer) {
+            if (generation == ownership_generation_) {
+                on_place_answer(then, task, cell, answer);
+            }
+        });
+}
+
+// Cells that report free room come first, then the one that keeps a worker for the task, then those that report that
+// they could.
+std::optional<cell_id> flow_cell::next_cell_to_ask(instant now, const flow_job& job, const flow_task_id& task,
+                                                   const place_search& search) const
+{
+    const flow_step& step = job.spec().steps.at(static_cast<std::size_t>(task.step));
+    const auto refusals = place_refusals_.find(stage_key(task));
+    const auto may_ask = [&](const cell_id& cell) {
+        if (!job.may_extend_to(cell, max_cells_per_job)) {
+            return false;
+        }
+        const bool any = refusals != place_refusals_.end();
+        const auto refusal = any ? refusals->second.find(cell) : std::map<cell_id, instant>::const_iterator{};
+        return !any || refusal == refusals->second.end() || now >= refusal->second;
+    };
+    const auto first_of = [&](room_kind kind) -> std::optional<cell_id> {
+        const std::vector<cell_id> cells = hooks_.list_cells_for_task(now, id_, job.row().service_name, step, kind);
+        const auto at = std::find_if(cells.begin(), cells.end(), may_ask);
+        return at == cells.end() ? std::nullopt : std::optional(*at);
+    };
+    std::optional<cell_id> cell = first_of(room_kind::free);
+    if (!cell && search.reserve) {
+        cell = search.reserved ? search.reserved : first_of(room_kind::reservable);
+    }
+    return cell;
+}
+
+void flow_cell::on_place_answer(instant now, const flow_task_id& task, const cell_id& cell, const place_answer& answer)
+{
+    const auto searched = place_searches_.find(task);
+    const auto found = jobs_.find(task.job);
+    if (searched == place_searches_.end() || found == jobs_.end()) {
+        return;
+    }
+    place_search& search = searched->second;
+    search.asked = false;
+    switch (answer.outcome) {
+    case place_outcome::promised:
+        move_to_place(now, *found->second, task, cell, answer);
+        return;
+    case place_outcome::reserved:
+        search.reserved = cell; // asked again in the next pass
+        move_to_place(now, *found->second, task, cell, answer);
+        return;
+    case place_outcome::refused:
+        if (search.reserved == cell) {
+            search.reserved.reset();
+        }
+        place_refusals_[stage_key(task)][cell] = now + place_refusal_retention;
+        seek_place(now, *found->second, task, search.reserve);
+        return;
+    }
+}
+
+void flow_cell::move_to_place(instant now, flow_job& job, const flow_task_id& task, const cell_id& cell,
+                              const place_answer& answer)
+{
+    flow_task* const t = job.find_task(task);
+    const flow_stage* const stage = job.find_stage(task);
+    if (t == nullptr || job.cancelled() || job.ended() || stopping_ || !may_send_orders(now) ||
+        !may_start(job, *stage, *t)) {
+        return;
+    }
+    const bool promised = answer.outcome == place_outcome::promised;
+    if (t->stage == flow_task_state::ready && t->runs.empty()) {
+        if (promised) {
+            place_searches_.erase(task);
+            move_task_to_cell(now, job, task, {cell, answer.epoch});
+        }
+        return;
+    }
+    if (t->runs.size() != 1 || t->runs.front().stopping || !t->runs.front().confirmed) {
+        return;
+    }
+    live_run& run = t->runs.front();
+    const auto at = workers_.find(run.worker);
+    if (at == workers_.end() || !at->second.listing.draining ||
+        (!promised && now - at->second.draining_since < drain_patience)) {
+        return;
+    }
+    edges_.note(log_level::info, "worker", "vacated",
+                {{"cell", id_.str()},
+                 {"worker", run.worker.str()},
+                 {"task", text_of(task)},
+                 {"to", cell.str()},
+                 {"place", promised ? "promised" : "reserved"}});
+    place_searches_.erase(task);
+    t->moves_to = {cell, answer.epoch};
+    stop_run_once(now, run, task);
+}
+
+void flow_cell::forget_old_searches(instant now)
+{
+    std::erase_if(place_searches_, [now](const auto& search) {
+        return !search.second.asked && now - search.second.wanted_at > place_search_retention;
+    });
+    for (auto& [stage, refusals] : place_refusals_) {
+        std::erase_if(refusals, [now](const auto& refusal) { return now >= refusal.second; });
+    }
+    std::erase_if(place_refusals_, [](const auto& stage) { return stage.second.empty(); });
+}
+
+} // namespace skylarkhub
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -120,7 +120,7 @@
     option.worker = w.listing.worker;
     option.rack = w.listing.rack;
     option.room = w.listing.room;
-    option.held = w.held;
+    option.held = w.held + promised_on(w);
     option.filling_cpu = w.filling_cpu;
     option.serving = w.serving;
     option.filling_task_count = w.filling_task_count;
@@ -130,17 +130,33 @@
     return option;
 }
 
-// Counts the tasks of the stage in the worker's ledger: those that run there and those whose start is pending.
-std::int32_t flow_cell::count_stage_runs(const cell_worker& w, const flow_job& job, const flow_stage& stage)
+// Whether as many tasks of the task's stage as the step allows are on the worker: tasks that run there, whose start is
+// pending, or that were promised a place there.
+bool flow_cell::is_spread_limit_reached(const cell_worker& w, const flow_step& step, const flow_task_id& task) const
 {
-    std::int32_t runs = 0;
-    for (auto at = w.ledger.lower_bound(job.task_id(stage, 0));
-         at != w.ledger.end() && at->first.job == job.id() && at->first.occurrence == stage.occurrence &&
-         at->first.step == stage.step;
-         ++at) {
-        ++runs;
+    if (step.per_worker_most <= 0) {
+        return false;
+    }
+    flow_task_id first = task;
+    first.index = 0;
+    const auto same_stage = [&](const flow_task_id& other) {
+        return other.job == task.job && other.occurrence == task.occurrence && other.step == task.step;
+    };
+    std::int32_t tasks = 0;
+    for (auto at = w.ledger.lower_bound(first); at != w.ledger.end() && same_stage(at->first); ++at) {
+        ++tasks;
     }
-    return runs;
+    for (auto at = promises_.lower_bound(first); at != promises_.end() && same_stage(at->first); ++at) {
+        tasks += at->second.worker == w.listing.worker && at->first != task ? 1 : 0;
+    }
+    return tasks >= step.per_worker_most;
+}
+
+// Whether the worker takes starts of the step and has room for one more task of it.
+bool flow_cell::can_take(instant now, const cell_worker& w, const std::string& service, const flow_step& step) const
+{
+    return is_schedulable(now, w) && w.listing.service == service && has_label(w.listing.labels, step.label) &&
+           (step.lasting || !w.is_reserved(now)) && !is_dedicated(now, w) && has_room(option_of(now, w), step);
 }
 
 // Returns the worker with the lowest placement cost for the task; null when none will do, or while no task may be
@@ -158,14 +174,10 @@
     cell_worker* best = nullptr;
     double best_cost = 0;
     for (auto& [id, w] : workers_) {
-        if (!is_schedulable(now, w) || w.listing.service != job.row().service_name ||
-            !has_label(w.listing.labels, step.label) || (w.is_reserved(now) && !step.lasting) || is_dedicated(now, w)) {
+        if (!can_take(now, w, job.row().service_name, step)) {
             continue;
         }
         const placement_candidate option = option_of(now, w);
-        if (!has_room(option, step)) {
-            continue;
-        }
         expected_interference interference;
         if (step.filling) {
             const double room = static_cast<double>(std::max<std::int64_t>(1, w.listing.room.cpu_millis));
@@ -182,7 +194,7 @@
         else if (serves) {
             interference.excess_pressure = compute_excess_pressure(w, image);
         }
-        if (step.per_worker_most > 0 && count_stage_runs(w, job, stage) >= step.per_worker_most) {
+        if (is_spread_limit_reached(w, step, job.task_id(stage, 0))) {
             continue;
         }
         const bool runs_here = std::any_of(task.runs.begin(), task.runs.end(),
@@ -242,6 +254,7 @@
     if (step.gang && spans_cells(stage) && (job.dirty() || !can_join_gang(job, stage))) {
         return false;
     }
+    bool full = false; // no worker has room for one more task of the step, except where it was promised
     for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
         flow_task& task = stage.tasks[i];
         if (task.stage != flow_task_state::ready || !may_start(job, stage, task)) {
@@ -250,19 +263,25 @@
         const rack_id near = step.same_rack && !chosen.empty() ? chosen.front().second->listing.rack : rack_id();
         const duration patience = step.filling && chosen.empty() ? patience_of(now, job, task) : fill_interference_wait;
         const bool dedicated = needs_dedicated_worker(now, step, task);
-        cell_worker* const w = dedicated ? choose_dedicated(now, job, stage, job.task_id(stage, i))
-                                         : choose_worker(now, job, stage, task, near, patience);
+        const flow_task_id id = job.task_id(stage, i);
+        cell_worker* w = dedicated ? choose_dedicated(now, job, stage, id) : redeem_promise(now, job, id);
         if (w == nullptr && dedicated && !step.gang) {
             continue;
         }
+        if (w == nullptr && !dedicated && !full) {
+            w = choose_worker(now, job, stage, task, near, patience);
+        }
         if (w == nullptr) {
-            const std::int32_t reserving = step.lasting && !step.gang ? count_long_waiting(now, stage) : 0;
-            for (std::int32_t n = 0; n < reserving; ++n) {
-                reserve_worker(now, job, stage);
+            const bool reserves = step.lasting && !step.gang && !full;
+            for (std::int32_t n = reserves ? count_long_waiting(now, stage) : 0; n > 0; --n) {
+                reserve_worker(now, need_of(job, id));
             }
-            break;
+            full = true;
+            if (step.gang || !has_promises(job, stage)) {
+                break;
+            }
+            continue;
         }
-        const flow_task_id id = job.task_id(stage, i);
         const run_number run = job.next_run(task, epoch_);
         gang_run = std::max(gang_run, run);
         ledger_add(*w, step, id, run);
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -41,6 +41,7 @@
         // Holds to a worker that left the list stop once nothing runs there. When the worker is listed again, they
         // have to be started again; otherwise the worker would run tasks whose ends are never received.
         const bool holds_active = w.listed && !added;
+        w.draining_since = listing.draining && !w.listing.draining ? now : w.draining_since;
         w.listing = listing;
         w.listed = true;
         if (role_ == role::owning && !holds_active) {
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -184,6 +184,13 @@
     hooks.find_cell_with_room = [this](instant now, const cell_id& from, const std::string& service,
                                        const flow_step& step,
                                        room_kind kind) { return find_cell_with_room(now, from, service, step, kind); };
+    hooks.list_cells_for_task = [this](instant now, const cell_id& from, const std::string& service,
+                                       const flow_step& step,
+                                       room_kind kind) { return list_cells_for_task(now, from, service, step, kind); };
+    hooks.ask_for_place = [this](instant now, const cell_id& to, const place_need& need, bool reserve,
+                                 std::function<void(instant, place_answer)> done) {
+        ask_for_place(now, to, need, reserve, std::move(done));
+    };
     hooks.list_cells_with_room = [this](instant now, const cell_id& from, const std::string& service,
                                         const flow_step& step) {
         return list_cells_with_room(now, from, service, step);
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -226,11 +226,21 @@
     std::optional<std::pair<cell_id, epoch>> find_cell_with_room(instant now, const cell_id& from,
                                                                  const std::string& service, const flow_step& step,
                                                                  room_kind kind);
+    // Returns the other cells that report room of this kind for one more task of the step, the best first.
+    std::vector<cell_id> list_cells_for_task(instant now, const cell_id& from, const std::string& service,
+                                             const flow_step& step, room_kind kind);
     // Returns the share of a service's processors that tasks other than filling ones use.
     double non_filling_cpu_share(instant now, const std::string& service);
     std::vector<flow_cell_room> list_cells_with_room(instant now, const cell_id& from, const std::string& service,
                                                      const flow_step& step);
 
+    // flow_entry_places.cpp
+    // Asks the owner of the cell for a place for a lasting task. `done` is called later.
+    void ask_for_place(instant now, const cell_id& to, const place_need& need, bool reserve,
+                       std::function<void(instant, place_answer)> done);
+    // Answers a peer that asks for a place in a cell of this entry.
+    wire::flow_message serve_place(instant now, const wire::flow_place_ask& ask);
+
     // flow_entry_pending.cpp
     void ask_pending(instant now, const queue_id& queue, caller_reply reply);
     void read_pending(instant now);
--- a/src/flow_entry_rooms.cpp
+++ b/src/flow_entry_rooms.cpp
@@ -284,6 +284,19 @@
     return rating > 0 ? std::make_optional(rating) : std::nullopt;
 }
 
+// Returns the needs of one more task of the step.
+job_needs needs_of_one(const flow_step& step)
+{
+    job_needs needs;
+    needs.tasks = 1;
+    needs.cpu = step.need.cpu_millis;
+    needs.task_cpu = step.need.cpu_millis;
+    needs.lasting = step.lasting;
+    needs.image = step.image;
+    needs.task_label = step.label;
+    return needs;
+}
+
 } // namespace
 
 // Returns another cell with a worker that one more task of the step fits on: the one with the most room, or for a
@@ -295,13 +308,7 @@
     const wire::flow_cell_news* best = nullptr;
     std::int64_t best_rating = 0;
     wire::flow_pool_row* best_pool = nullptr;
-    job_needs needs;
-    needs.tasks = 1;
-    needs.cpu = step.need.cpu_millis;
-    needs.task_cpu = step.need.cpu_millis;
-    needs.lasting = step.lasting;
-    needs.image = step.image;
-    needs.task_label = step.label;
+    const job_needs needs = needs_of_one(step);
     const auto consider = [&](wire::flow_cell_news& news, bool) {
         if (news.cell == from.str()) {
             return;
@@ -329,6 +336,28 @@
     return std::make_pair(cell_id(best->cell), epoch(best->epoch));
 }
 
+std::vector<cell_id> flow_entry::list_cells_for_task(instant now, const cell_id& from, const std::string& service,
+                                                     const flow_step& step, room_kind kind)
+{
+    const job_needs needs = needs_of_one(step);
+    std::vector<std::pair<std::int64_t, cell_id>> rated;
+    for_each_news(now, [&](const wire::flow_cell_news& news, bool) {
+        for (const wire::flow_pool_row& pool : news.pools) {
+            const bool suits =
+                news.cell != from.str() && pool.service_name == service && has_label(pool.labels, step.label);
+            const auto rating = suits ? rate_pool(pool, step, needs, kind, 0) : std::nullopt;
+            if (rating) {
+                rated.emplace_back(-*rating, cell_id(news.cell));
+            }
+        }
+    });
+    std::sort(rated.begin(), rated.end());
+    std::vector<cell_id> cells;
+    cells.reserve(rated.size());
+    std::transform(rated.begin(), rated.end(), std::back_inserter(cells), [](const auto& r) { return r.second; });
+    return cells;
+}
+
 // A cell reports only the largest free memory of one worker, so its owner may find room for fewer tasks.
 std::vector<flow_cell_room> flow_entry::list_cells_with_room(instant now, const cell_id& from,
                                                              const std::string& service, const flow_step& step)
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -235,6 +235,16 @@
 inline constexpr duration reserve_after = 300ms;
 inline constexpr duration reservation_timeout = 1s; // a reservation ends after this time, unless the task still waits
 inline constexpr double max_reserved_share = 0.125; // of a cell's workers; the others continue to take short work
+// How long a place that is promised to a task of another cell is held for it: its run there is stopped meanwhile, and a
+// row is written.
+inline constexpr duration place_promise_timeout = 3s;
+// Before a cell that refused a place to a task of a step is asked again for that step; its next report may say more.
+inline constexpr duration place_refusal_retention = 1s;
+inline constexpr duration place_search_retention = 2s; // of what is known for a task that no longer wants a place
+inline constexpr int max_places_asked = 16;            // requests of one cell's owner in a handoff_interval
+// A task leaves a worker that has drained for this long for a place that is only reserved, since it would otherwise be
+// down for a lease after the worker's exit.
+inline constexpr duration drain_patience = 1s;
 // A gang that its cell is too small for is spread over several cells after this: twice handoff_after, so that a larger
 // cell can take it whole first.
 inline constexpr duration gang_spread_after = 1600ms;
--- a/src/flow_metrics.cpp
+++ b/src/flow_metrics.cpp
@@ -88,6 +88,9 @@
     write_value(page, "runs_behind_total", labels, stats.behind);
     write_value(page, "runs_moved_total", labels, stats.moved);
     write_value(page, "tasks_given_away_total", labels, stats.handed_off);
+    write_value(page, "places_asked_total", labels, stats.places_asked);
+    write_value(page, "places_promised_total", labels, stats.places_promised);
+    write_value(page, "places_refused_total", labels, stats.places_refused);
     write_value(page, "commits_total", labels, stats.commits);
     write_value(page, "commits_failed_total", labels, stats.commits_failed);
     write_value(page, "commits_conflicted_total", labels, stats.commits_conflicted);
--- a/src/flow_metrics_p.h
+++ b/src/flow_metrics_p.h
@@ -50,6 +50,9 @@
     std::int64_t behind = 0; // slow runs that were restarted or copied
     std::int64_t moved = 0;  // filling runs moved because they disturbed other tasks
     std::int64_t handed_off = 0;
+    std::int64_t places_asked = 0;    // of other cells, for lasting tasks here
+    std::int64_t places_promised = 0; // here, to lasting tasks of this cell and of others
+    std::int64_t places_refused = 0;  // here
     std::int64_t commits = 0;
     std::int64_t commits_failed = 0;
     std::int64_t commits_conflicted = 0;
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -196,6 +196,9 @@
     else if (message.__isset.config_ask) {
         reply(serve_config(now, message.config_ask));
     }
+    else if (message.__isset.place_ask) {
+        reply(serve_place(now, message.place_ask));
+    }
     else {
         reply(process_message(now, message, std::nullopt));
     }
--- a/src/flow_place_p.h
+++ b/src/flow_place_p.h
@@ -27,6 +27,23 @@
     bool behind = false; // it fell behind, and the distrust of its worker already includes that
 };
 
+// A lasting task that wants a place on a worker, and what it needs there.
+struct place_need {
+    flow_task_id task;
+    std::string service;
+    flow_step step;
+};
+
+// What the owner of a cell answers to a request for a place.
+// refused: no worker can take the task. reserved: a worker is kept free of short work for a moment, until it has room.
+// promised: the room is held for the task for place_promise_timeout.
+enum class place_outcome : std::uint8_t { refused, reserved, promised };
+
+struct place_answer {
+    place_outcome outcome = place_outcome::refused;
+    skylarkhub::epoch epoch; // of the cell's owner
+};
+
 // A worker as an option for placement.
 struct placement_candidate {
     worker_id worker;
