--- a/src/flow_cell_log.cpp
+++ b/src/flow_cell_log.cpp
@@ -50,6 +50,37 @@
     return {schedulable ? task_wait_reason::no_room : task_wait_reason::no_worker, worker_id()};
 }
 
+// Counts the workers of the cell by the first thing that keeps the task from starting there.
+std::string flow_cell::describe_obstacles(instant now, const flow_job& job, const flow_task_id& task) const
+{
+    const place_need need = need_of(job, task);
+    int closed = 0;
+    int spread = 0;
+    int cpu = 0;
+    int memory = 0;
+    for (const auto& [id, w] : workers_) {
+        const placement_candidate option = option_of(now, w);
+        const resources free{option.room.cpu_millis - option.held.cpu_millis,
+                             option.room.memory_mib - option.held.memory_mib, 0};
+        if (!is_schedulable(now, w) || w.listing.service != need.service ||
+            !has_label(w.listing.labels, need.step.label) || is_dedicated(now, w) ||
+            (w.is_reserved(now) && !need.step.lasting)) {
+            ++closed;
+        }
+        else if (is_spread_limit_reached(w, need.step, task)) {
+            ++spread;
+        }
+        else if (!need.step.filling && free.cpu_millis < need.step.need.cpu_millis) {
+            ++cpu;
+        }
+        else if (free.memory_mib < need.step.need.memory_mib) {
+            ++memory;
+        }
+    }
+    return "closed:" + std::to_string(closed) + " spread:" + std::to_string(spread) + " cpu:" + std::to_string(cpu) +
+           " memory:" + std::to_string(memory);
+}
+
 // Lasting tasks are logged first, since their absence matters soonest, then the tasks that have waited for longest.
 void flow_cell::log_waiting_tasks(instant now)
 {
@@ -82,15 +113,20 @@
     waiting.resize(std::min(waiting.size(), max_waits_logged));
     for (const waiting_task& w : waiting) {
         const task_wait wait = find_wait_reason(now, *w.job, *w.stage, w.stage->tasks[w.index]);
+        const flow_task_id task = w.job->task_id(*w.stage, w.index);
+        const auto refusals = place_refusals_.find(w.job->task_id(*w.stage, 0));
+        const std::size_t refused_by = refusals == place_refusals_.end() ? 0 : refusals->second.size();
         const auto worker_at = workers_.find(wait.worker);
         const duration silence =
             worker_at == workers_.end() ? duration(0) : now - std::max(worker_at->second.last_answer, taken_at_);
         edges_.note(log_level::info, "task", "waits",
-                    {{"task", text_of(w.job->task_id(*w.stage, w.index))},
+                    {{"task", text_of(task)},
                      {"cell", id_.str()},
                      {"epoch", std::to_string(epoch_.value())},
                      {"for_ms", std::to_string((now - w.since).count() / 1000)},
                      {"reason", name_of(wait.reason)},
+                     {"obstacles", describe_obstacles(now, *w.job, task)},
+                     {"refused_by", std::to_string(refused_by)},
                      {"worker", wait.worker.valid() ? wait.worker.str() : "none"},
                      {"worker_silent_ms", std::to_string(silence.count() / 1000)}});
     }
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -588,6 +588,7 @@
         worker_id worker; // where the task may still run; invalid: nowhere
     };
     task_wait find_wait_reason(instant now, const flow_job& job, const flow_stage& stage, const flow_task& task) const;
+    std::string describe_obstacles(instant now, const flow_job& job, const flow_task_id& task) const;
     void log_waiting_tasks(instant now);
     void log_summary(instant now) const;
 
