test_flow_drain: tasks that wait use up the requests for places (red)

What callers see: a lasting task on a leaving worker gets no place and is down for as long as 16 others wait in its cell, though another cell could take it. Tasks that wait are not given to the cell that could take them all, behind eight cells that tell of room in vain.

Cause, from reading: an owner makes 16 requests a pass, and asks the first cell that has not refused within a second. 16 tasks of one step spend a pass on one cell, so cells beyond the fourth or fifth are seldom or never asked, and nothing is left for the pass over draining workers, which comes before the count begins anew.

--- a/tests/test_flow_drain.cpp
+++ b/tests/test_flow_drain.cpp
@@ -151,3 +151,98 @@
     BOOST_TEST(w.count_log_events("task", "given_away") == 2);
     check_no_violations(w);
 }
+
+namespace {
+
+// A first cell without room, `decoys` cells that have processors free on one worker and memory on the other, and a last
+// cell with room on one worker.
+class site_of_decoys {
+public:
+    site_of_decoys(int decoys, resources first, resources last)
+        : world_({.data_centres = names(decoys + 2), .workers_per_data_centre = 2}), last_worker_(2 * (decoys + 1))
+    {
+        for (const int i : {0, 1, last_worker_, last_worker_ + 1}) {
+            world_.set_worker_capacity(i, {100, 100, 0}, 0ms);
+        }
+        world_.run_for(3s);
+        fill(decoys, 15500, 100, 1);
+        fill(decoys, 1000, 63000, 2);
+        for (int i = 2; i < last_worker_; ++i) {
+            BOOST_REQUIRE(world_.worker(i).running.size() == 1);
+        }
+        world_.set_worker_capacity(0, first, 0ms);
+        world_.run_for(3s);
+        last_ = last;
+    }
+
+    void open_last_cell()
+    {
+        world_.set_worker_capacity(last_worker_, last_, 0ms);
+        world_.run_for(3s);
+    }
+
+    flow_simulation& world() { return world_; }
+
+private:
+    static std::vector<std::string> names(int cells)
+    {
+        std::vector<std::string> names;
+        for (int i = 0; i < cells; ++i) {
+            names.emplace_back(1, static_cast<char>('a' + i));
+        }
+        return names;
+    }
+
+    void fill(int decoys, std::int64_t cpu_millis, std::int64_t memory_mib, int jobs_of_cell)
+    {
+        flow_spec spec = lasting_spec(1, cpu_millis);
+        spec.steps.front().need.memory_mib = memory_mib;
+        for (int i = 0; i < decoys; ++i) {
+            world_.insert_unannounced_job(fmt::format("{:014x}{:02x}", jobs_of_cell, i),
+                                          cell_id(std::string(1, static_cast<char>('b' + i))), spec);
+        }
+        BOOST_REQUIRE(world_.run_until([&] { return world_.count_all_running_tasks() == jobs_of_cell * decoys; }, 6s));
+    }
+
+    flow_simulation world_;
+    int last_worker_;
+    resources last_;
+};
+
+flow_spec decoyed_spec(std::int32_t tasks, std::int64_t cpu_millis)
+{
+    flow_spec spec = lasting_spec(tasks, cpu_millis);
+    spec.steps.front().need.memory_mib = 2000;
+    return spec;
+}
+
+} // namespace
+
+// Many tasks wait for a place, and more cells tell of room that no worker of theirs has than are asked in a second.
+BOOST_AUTO_TEST_CASE(lasting_tasks_find_the_last_of_many_cells_that_tell_of_room)
+{
+    constexpr std::int32_t waiting = 16;
+    site_of_decoys s(8, {100, 100, 0}, {14000, 64000, 0});
+    flow_simulation& w = s.world();
+    s.open_last_cell();
+    w.insert_unannounced_job(job_a, cell_id("a"), decoyed_spec(waiting, 800));
+    w.run_until([&] { return w.count_running_tasks(job_a) == waiting; }, away_most);
+    BOOST_TEST(w.count_running_tasks(job_a) == waiting);
+    check_no_violations(w);
+}
+
+// Tasks that wait in a cell use up its requests for places, so that none is asked for a task on a draining worker.
+BOOST_AUTO_TEST_CASE(a_lasting_task_leaves_a_draining_worker_while_many_others_wait_for_a_place)
+{
+    site_of_decoys s(8, {1000, 4000, 0}, {4000, 64000, 0});
+    flow_simulation& w = s.world();
+    w.insert_unannounced_job(job_a, cell_id("a"), decoyed_spec(1, 800));
+    BOOST_REQUIRE(w.run_until([&] { return w.count_running_tasks(job_a) == 1; }, 6s));
+    BOOST_REQUIRE(w.worker(0).running.size() == 1);
+    s.open_last_cell();
+    w.insert_unannounced_job(job_b, cell_id("a"), decoyed_spec(16, 8000));
+    w.run_for(3s);
+    BOOST_TEST(drain_worker(w, 0, job_a, 1, 30s) <= away_most);
+    BOOST_TEST(w.count_running_tasks(job_a) == 1);
+    check_no_violations(w);
+}
