--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -298,7 +298,8 @@
 
 // Returns the worker to dedicate: of those that can run the task, the one with the fewest lasting runs, and then with
 // the fewest runs.
-flow_cell::cell_worker* flow_cell::choose_to_dedicate(instant now, const flow_job& job, const flow_stage& stage)
+flow_cell::cell_worker* flow_cell::choose_to_dedicate(instant now, const flow_job& job, const flow_stage& stage,
+                                                      const flow_task_id& task)
 {
     const auto eviction_cost = [](const cell_worker& w) {
         const auto lasting =
@@ -310,8 +311,7 @@
     for (auto& [id, w] : workers_) {
         const bool usable = is_schedulable(now, w) && !is_dedicated(now, w) &&
                             w.listing.service == job.row().service_name && has_label(w.listing.labels, step.label) &&
-                            has_room(option_of(now, w), step) &&
-                            !is_spread_limit_reached(w, step, job.task_id(stage, 0));
+                            has_room(option_of(now, w), step) && !is_spread_limit_reached(w, step, task);
         if (usable && (best == nullptr || eviction_cost(w) < eviction_cost(*best))) {
             best = &w;
         }
@@ -328,7 +328,7 @@
     cell_worker* w = find_dedicated(now, id);
     const flow_step& step = job.step(stage);
     if (w == nullptr && (step.lasting || step.gang || !has_unsettled_dedicated_run(now, job))) {
-        w = choose_to_dedicate(now, job, stage);
+        w = choose_to_dedicate(now, job, stage, id);
         if (w == nullptr) {
             return nullptr;
         }
--- a/src/flow_cell_drain.cpp
+++ b/src/flow_cell_drain.cpp
@@ -14,6 +14,7 @@
 void flow_cell::drain_workers(instant now)
 {
     next_drain_pass_ = now + drain_interval;
+    places_asked_running_ = 0;
     if (!may_send_orders(now) || stopping_) {
         return;
     }
@@ -40,7 +41,8 @@
         }
         const place_need need = need_of(*job, id);
         const place_answer here = promise_place(now, need, true);
-        if (here.outcome == place_outcome::promised) {
+        const bool reserved = here.outcome == place_outcome::reserved && now - w.draining_since >= drain_patience;
+        if (here.outcome == place_outcome::promised || reserved) {
             stop_run_once(now, *live, id);
             ++moved;
             continue;
--- a/src/flow_cell_log.cpp
+++ b/src/flow_cell_log.cpp
@@ -114,8 +114,11 @@
     for (const waiting_task& w : waiting) {
         const task_wait wait = find_wait_reason(now, *w.job, *w.stage, w.stage->tasks[w.index]);
         const flow_task_id task = w.job->task_id(*w.stage, w.index);
-        const auto refusals = place_refusals_.find(w.job->task_id(*w.stage, 0));
-        const std::size_t refused_by = refusals == place_refusals_.end() ? 0 : refusals->second.size();
+        const auto answers = place_answers_.find(w.job->task_id(*w.stage, 0));
+        const auto refused_by = answers == place_answers_.end()
+                                    ? 0
+                                    : std::count_if(answers->second.begin(), answers->second.end(),
+                                                    [now](const auto& a) { return now < a.second.refused_until; });
         const auto worker_at = workers_.find(wait.worker);
         const duration silence =
             worker_at == workers_.end() ? duration(0) : now - std::max(worker_at->second.last_answer, taken_at_);
--- a/src/flow_cell_moves.cpp
+++ b/src/flow_cell_moves.cpp
@@ -53,7 +53,7 @@
     if (stopping_ || !may_send_orders(now)) {
         return;
     }
-    places_asked_in_pass_ = 0;
+    places_asked_waiting_ = 0;
     forget_old_searches(now);
     int handoffs_left = is_evacuated(now) ? max_handoffs_evacuated : max_handoffs;
     promised_reservations_ = 0;
--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -773,7 +773,7 @@
     placement_scheduled_ = false;
     promises_.clear();
     place_searches_.clear();
-    place_refusals_.clear();
+    place_answers_.clear();
     for (auto& [id, w] : workers_) {
         const flow_listed_worker listing = w.listing;
         const bool listed = w.listed;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -279,11 +279,19 @@
         resources need;
         instant until{};
     };
+    // What another cell has answered to requests for places for the tasks of one stage, which are alike.
+    struct place_answers {
+        int awaited = 0; // requests without an answer
+        instant refused_until{};
+        instant promised_at{};
+    };
     // A lasting task here for which a place in another cell is sought.
     struct place_search {
-        instant wanted_at{};             // when a pass last sought a place for it
-        bool asked = false;              // a request waits for its answer
+        instant wanted_at{}; // when a pass last sought a place for it
+        bool asked = false;  // a request waits for its answer
+        instant asked_at{};
         bool reserve = false;            // of the last request
+        bool running = false;            // on a draining worker
         std::optional<cell_id> reserved; // the cell that last answered that it reserves a worker
     };
 
@@ -485,7 +493,8 @@
     bool needs_frequent_polling(instant now, const cell_worker& w);
     bool has_unsettled_dedicated_run(instant now, const flow_job& job);
     cell_worker* find_dedicated(instant now, const flow_task_id& task);
-    cell_worker* choose_to_dedicate(instant now, const flow_job& job, const flow_stage& stage);
+    cell_worker* choose_to_dedicate(instant now, const flow_job& job, const flow_stage& stage,
+                                    const flow_task_id& task);
     cell_worker* choose_dedicated(instant now, const flow_job& job, const flow_stage& stage, const flow_task_id& id);
     static void begin_dedicated_run(instant now, cell_worker& w, const flow_task& task);
 
@@ -612,14 +621,16 @@
     // flow_cell_places.cpp
     static place_need need_of(const flow_job& job, const flow_task_id& task);
     cell_worker* choose_place(instant now, const place_need& need);
-    // Returns the worker that a place was promised on, if it can still take the task. Ends the promise.
+    // Returns the worker that a place was promised on, if it can take the task now.
     cell_worker* redeem_promise(instant now, const flow_job& job, const flow_task_id& task);
     bool has_promises(const flow_job& job, const flow_stage& stage) const;
     // Returns the room on the worker that is held for tasks, but for `except`.
     resources promised_on(const cell_worker& w, const flow_task_id* except = nullptr) const;
     void drop_expired_promises(instant now);
     // Asks the next cell that may have a place for the task, unless a request is under way.
-    void seek_place(instant now, const flow_job& job, const flow_task_id& task, bool reserve);
+    void seek_place(instant now, flow_job& job, const flow_task_id& task, bool reserve);
+    // Does so for the other tasks of the stage that seek a place.
+    void seek_places_of_stage(instant now, flow_job& job, const flow_task_id& task);
     std::optional<cell_id> next_cell_to_ask(instant now, const flow_job& job, const flow_task_id& task,
                                             const place_search& search) const;
     void on_place_answer(instant now, const flow_task_id& task, const cell_id& cell, const place_answer& answer);
@@ -770,9 +781,11 @@
     int reserved_in_pass_ = 0;
     std::map<flow_task_id, promised_place> promises_; // here, to tasks that are about to start
     std::map<flow_task_id, place_search> place_searches_;
-    int places_asked_in_pass_ = 0; // since the last hand-off pass
-    // Refusals of other cells by the first task of the stage, each with the time until which it counts.
-    std::map<flow_task_id, std::map<cell_id, instant>> place_refusals_;
+    // Requests for places since the last hand-off pass, for waiting tasks, and since the last drain pass, for tasks
+    // that run: the latter must not be kept from asking by the former.
+    int places_asked_waiting_ = 0;
+    int places_asked_running_ = 0;
+    std::map<flow_task_id, std::map<cell_id, place_answers>> place_answers_; // by the first task of the stage
     int promised_reservations_ = 0; // in this hand-off or drain pass: tasks for which a worker here can be reserved
     wire::flow_cell_news cached_news_;
     instant cached_news_at_{};
--- a/src/flow_cell_places.cpp
+++ b/src/flow_cell_places.cpp
@@ -83,13 +83,19 @@
         return nullptr;
     }
     const auto worker = workers_.find(at->second.worker);
-    promises_.erase(at);
     if (worker == workers_.end()) {
+        promises_.erase(at);
         return nullptr;
     }
     cell_worker& w = worker->second;
     const place_need need = need_of(job, task);
-    return can_take(now, w, need.service, need.step) && !is_spread_limit_reached(w, need.step, task) ? &w : nullptr;
+    const promised_place held = at->second;
+    promises_.erase(at); // its own promise does not count against the task
+    if (can_take(now, w, need.service, need.step) && !is_spread_limit_reached(w, need.step, task)) {
+        return &w;
+    }
+    promises_.emplace(task, held); // short work there may still end
+    return nullptr;
 }
 
 bool flow_cell::has_promises(const flow_job& job, const flow_stage& stage) const
@@ -119,20 +125,25 @@
 
 // --- places in other cells ---
 
-void flow_cell::seek_place(instant now, const flow_job& job, const flow_task_id& task, bool reserve)
+void flow_cell::seek_place(instant now, flow_job& job, const flow_task_id& task, bool reserve)
 {
     place_search& search = place_searches_[task];
     search.wanted_at = now;
-    if (search.asked || places_asked_in_pass_ >= max_places_asked) {
+    search.reserve = reserve;
+    search.running = !job.find_task(task)->runs.empty();
+    int& asked_in_pass = search.running ? places_asked_running_ : places_asked_waiting_;
+    const bool awaited = search.asked && now - search.asked_at < place_answer_timeout;
+    if (awaited || asked_in_pass >= max_places_asked) {
         return;
     }
-    search.reserve = reserve;
     const std::optional<cell_id> cell = next_cell_to_ask(now, job, task, search);
     if (!cell) {
         return;
     }
     search.asked = true;
-    ++places_asked_in_pass_;
+    search.asked_at = now;
+    ++asked_in_pass;
+    ++place_answers_[stage_key(task)][*cell].awaited;
     ++stats_.places_asked;
     hooks_.ask_for_place(
         now, *cell, need_of(job, task), reserve,
@@ -143,20 +154,32 @@
         });
 }
 
+void flow_cell::seek_places_of_stage(instant now, flow_job& job, const flow_task_id& task)
+{
+    const flow_task_id first = stage_key(task);
+    for (auto at = place_searches_.lower_bound(first); at != place_searches_.end() && stage_key(at->first) == first;
+         ++at) {
+        if (!at->second.asked && now - at->second.wanted_at <= handoff_interval) {
+            seek_place(now, job, at->first, at->second.reserve);
+        }
+    }
+}
+
 // Cells that report free room come first, then the one that keeps a worker for the task, then those that report that
 // they could.
 std::optional<cell_id> flow_cell::next_cell_to_ask(instant now, const flow_job& job, const flow_task_id& task,
                                                    const place_search& search) const
 {
     const flow_step& step = job.spec().steps.at(static_cast<std::size_t>(task.step));
-    const auto refusals = place_refusals_.find(stage_key(task));
+    const auto answers = place_answers_.find(stage_key(task));
+    // One request finds out whether a cell has a place for the step; further ones go there once it has promised one.
     const auto may_ask = [&](const cell_id& cell) {
         if (!job.may_extend_to(cell, max_cells_per_job)) {
             return false;
         }
-        const bool any = refusals != place_refusals_.end();
-        const auto refusal = any ? refusals->second.find(cell) : std::map<cell_id, instant>::const_iterator{};
-        return !any || refusal == refusals->second.end() || now >= refusal->second;
+        const bool any = answers != place_answers_.end() && answers->second.count(cell) != 0;
+        const place_answers known = any ? answers->second.at(cell) : place_answers{};
+        return now >= known.refused_until && (known.awaited == 0 || now - known.promised_at < place_refusal_retention);
     };
     const auto first_of = [&](room_kind kind) -> std::optional<cell_id> {
         const std::vector<cell_id> cells = hooks_.list_cells_for_task(now, id_, job.row().service_name, step, kind);
@@ -172,6 +195,8 @@
 
 void flow_cell::on_place_answer(instant now, const flow_task_id& task, const cell_id& cell, const place_answer& answer)
 {
+    place_answers& answers = place_answers_[stage_key(task)][cell];
+    --answers.awaited;
     const auto searched = place_searches_.find(task);
     const auto found = jobs_.find(task.job);
     if (searched == place_searches_.end() || found == jobs_.end()) {
@@ -181,7 +206,9 @@
     search.asked = false;
     switch (answer.outcome) {
     case place_outcome::promised:
+        answers.promised_at = now;
         move_to_place(now, *found->second, task, cell, answer);
+        seek_places_of_stage(now, *found->second, task);
         return;
     case place_outcome::reserved:
         search.reserved = cell; // asked again in the next pass
@@ -191,7 +218,7 @@
         if (search.reserved == cell) {
             search.reserved.reset();
         }
-        place_refusals_[stage_key(task)][cell] = now + place_refusal_retention;
+        answers.refused_until = now + place_refusal_retention;
         seek_place(now, *found->second, task, search.reserve);
         return;
     }
@@ -231,6 +258,7 @@
                  {"place", promised ? "promised" : "reserved"}});
     place_searches_.erase(task);
     t->moves_to = {cell, answer.epoch};
+    t->moves_until = now + place_promise_timeout;
     stop_run_once(now, run, task);
 }
 
@@ -239,10 +267,14 @@
     std::erase_if(place_searches_, [now](const auto& search) {
         return !search.second.asked && now - search.second.wanted_at > place_search_retention;
     });
-    for (auto& [stage, refusals] : place_refusals_) {
-        std::erase_if(refusals, [now](const auto& refusal) { return now >= refusal.second; });
+    for (auto& [stage, cells] : place_answers_) {
+        std::erase_if(cells, [now](const auto& cell) {
+            const place_answers& known = cell.second;
+            return known.awaited == 0 && now >= known.refused_until &&
+                   now - known.promised_at >= place_refusal_retention;
+        });
     }
-    std::erase_if(place_refusals_, [](const auto& stage) { return stage.second.empty(); });
+    std::erase_if(place_answers_, [](const auto& stage) { return stage.second.empty(); });
 }
 
 } // namespace skylarkhub
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -171,6 +171,7 @@
     const flow_step& step = job.step(stage);
     const bool serves = step.tail_target > duration(0);
     const int image = image_of(step);
+    const flow_task_id id_of_task = job.task_id(stage, static_cast<std::size_t>(&task - stage.tasks.data()));
     cell_worker* best = nullptr;
     double best_cost = 0;
     for (auto& [id, w] : workers_) {
@@ -194,7 +195,7 @@
         else if (serves) {
             interference.excess_pressure = compute_excess_pressure(w, image);
         }
-        if (is_spread_limit_reached(w, step, job.task_id(stage, 0))) {
+        if (is_spread_limit_reached(w, step, id_of_task)) {
             continue;
         }
         const bool runs_here = std::any_of(task.runs.begin(), task.runs.end(),
@@ -312,6 +313,7 @@
 {
     flow_task& task = stage.tasks[index];
     const flow_task_id id = job.task_id(stage, index);
+    promises_.erase(id);
     task.last_run = run;
     task.runs.push_back({w.listing.worker, run, now});
     task.runs.back().born = w.born;
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -448,7 +448,8 @@
     t->stage = flow_task_state::ready;
     t->ready_since = now;
     ++stage->ready;
-    if (const auto to = std::exchange(t->moves_to, std::nullopt)) {
+    const auto to = std::exchange(t->moves_to, std::nullopt);
+    if (to && now < t->moves_until) {
         move_task_to_cell(now, job, task, *to);
         return;
     }
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -48,6 +48,7 @@
     std::int32_t restarts = 0;  // restarts by this owner after the task fell behind
     wire::flow_home_row home;   // the cell that is responsible for it; no cell: the cell of the job
     std::optional<std::pair<cell_id, epoch>> moves_to; // cell that it is handed to when its run has ended
+    instant moves_until{};                             // when the place there is no longer held
     wire::flow_start_row start;                        // newest start recorded in the row; run 0: none
     std::uint64_t received = 0;                        // change of the job that records its arrival from another cell
 };
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -238,10 +238,13 @@
 // How long a place that is promised to a task of another cell is held for it: its run there is stopped meanwhile, and a
 // row is written.
 inline constexpr duration place_promise_timeout = 3s;
+// A task asks another cell for a place after this, since a draining worker remains for two to three seconds only.
+inline constexpr duration place_answer_timeout = 300ms;
 // Before a cell that refused a place to a task of a step is asked again for that step; its next report may say more.
 inline constexpr duration place_refusal_retention = 1s;
 inline constexpr duration place_search_retention = 2s; // of what is known for a task that no longer wants a place
-inline constexpr int max_places_asked = 16;            // requests of one cell's owner in a handoff_interval
+inline constexpr int max_places_asked =
+    16; // requests of one owner in a pass over waiting tasks, or over draining workers
 // A task leaves a worker that has drained for this long for a place that is only reserved, since it would otherwise be
 // down for a lease after the worker's exit.
 inline constexpr duration drain_patience = 1s;
