cell: a service leaves its worker only for a place that is held for it

Cause: drain_leaving() evicted without asking placement, and a service in its grace neither waits nor counts, so nothing held a place for it.

Change: placement is told of services on leaving workers. It looks for a place after urgent work and waiting services, before other work; holds it as it holds room that is being made; and evicts only then. Where short work has to go first, the service runs on meanwhile. What runs does not grow into a place for which a run was ended. A service that its quota or its record of failures would keep from starting, or that may only start alone, stays. In an evacuated data centre leaving workers are emptied as before; batch work leaves with its checkpoint as before.

Evidence: test_cell_drain.

--- a/src/cell_placing.cpp
+++ b/src/cell_placing.cpp
@@ -64,6 +64,9 @@
         place_task task = describe(s, job, index);
         task.attempt = run.attempt;
         task.running = true;
+        // One that could not be started again now, or only on a worker to itself, stays as long as its worker.
+        const bool startable = !s.awaited.contains(job.id()) && !s.suspects.contains(task.task);
+        task.leaves = worker->second.leaving && entry->persistent && entry->stage == entry_stage::running && startable;
         task.worker = run.worker;
         task.committed = entry->committed;
         task.used = run.used;
@@ -207,11 +210,15 @@
     }
 }
 
-// A leaving worker is emptied: what runs there resumes elsewhere instead of being lost with it.
+// A leaving worker is emptied: what runs there resumes elsewhere instead of being lost with it. A service that runs is
+// left to placement, which holds a place for it first; in an evacuated data centre there is none to wait for.
 void drain_leaving(cell_state& s)
 {
-    evict_entries(s, "its worker is leaving", [](const cell_worker& worker, const ledger_entry& entry) {
-        return worker.leaving && (entry.stage == entry_stage::running || entry.stage == entry_stage::starting);
+    const bool evacuated = s.settings.starts == start_permission::evacuated;
+    evict_entries(s, "its worker is leaving", [&](const cell_worker& worker, const ledger_entry& entry) {
+        const bool stays = entry.persistent && !evacuated;
+        return worker.leaving &&
+               (entry.stage == entry_stage::starting || (entry.stage == entry_stage::running && !stays));
     });
 }
 
--- a/src/place_memory_p.h
+++ b/src/place_memory_p.h
@@ -43,12 +43,13 @@
     instant until{};
 };
 
-// Room that is being made on a worker for a task that found none.
+// Room on a worker that is kept for a task, or being made for it.
 struct reservation {
     worker_id worker;
     resources need;
     instant until{};
-    bool drains = false; // nobody is evicted for it: it waits for tasks to end
+    bool drains = false;   // nobody is evicted for it: it waits for tasks to end
+    bool promised = false; // the task's run was ended for it
 };
 
 struct seen_capacity {
--- a/src/place_p.h
+++ b/src/place_p.h
@@ -17,6 +17,7 @@
     bool latency_critical = false;
     instant queued_since{};
     bool running = false;
+    bool leaves = false; // runs on, and moves once a place elsewhere is held for it
     worker_id worker;    // where it runs
     resources committed; // what the ledger holds for it; never above the worker's capacity in sum
     resources used;      // newest measurement
--- a/src/place_pass_p.h
+++ b/src/place_pass_p.h
@@ -132,7 +132,11 @@
     void park(const job_id& job, const std::string& reason);
     void drop_unfit(spec_view& spec);
     void queue_groups();
+    void hold_promised();
     void hold_reservations();
+    void move_leaving();
+    bool may_start_anew(std::uint32_t index);
+    bool hold_place(std::uint32_t index);
     void start_probes();
     void start_probe(std::uint32_t worker);
     bool risks_nothing(const job_spec& spec) const;
--- a/src/place_plan.cpp
+++ b/src/place_plan.cpp
@@ -93,6 +93,7 @@
 {
     searches_left_ = std::max(64, static_cast<int>(workers_.size() / 8));
     refill_budget();
+    hold_promised();
     resize_running();
     for (std::uint32_t worker = 0; worker < workers_.size(); ++worker) {
         relieve_memory(worker);
@@ -102,9 +103,10 @@
     queue_groups();
     hold_reservations();
     start_probes();
-    for (const queue_rank rank : {queue_rank::first, queue_rank::normal, queue_rank::patient}) {
-        start_rank(rank);
-    }
+    start_rank(queue_rank::first);
+    move_leaving();
+    start_rank(queue_rank::normal);
+    start_rank(queue_rank::patient);
     tell_throttles();
     forget_parked();
     return std::move(plan_);
--- a/src/place_queue.cpp
+++ b/src/place_queue.cpp
@@ -173,10 +173,21 @@
     }
 }
 
+// What runs does not grow into room for which a run was ended.
+void placement_pass::hold_promised()
+{
+    absl::erase_if(memory_.reserved, [&](const auto& entry) { return entry.second.until <= now_; });
+    for (const auto& [task, held] : memory_.reserved) {
+        const auto where = worker_index_.find(held.worker);
+        if (held.promised && where != worker_index_.end()) {
+            workers_[where->second].room = workers_[where->second].room - held.need;
+        }
+    }
+}
+
 // Room that is being made for a task is nobody else's meanwhile.
 void placement_pass::hold_reservations()
 {
-    absl::erase_if(memory_.reserved, [&](const auto& entry) { return entry.second.until <= now_; });
     for (const auto& [task, held] : memory_.reserved) {
         const auto where = worker_index_.find(held.worker);
         if (where != worker_index_.end()) {
@@ -185,6 +196,63 @@
     }
 }
 
+// A task on a leaving worker is evicted only when a place elsewhere is held for it: until then it runs on.
+void placement_pass::move_leaving()
+{
+    for (std::uint32_t index = 0; index < tasks_.size(); ++index) {
+        const place_task& task = *tasks_[index].task;
+        if (task.running && task.leaves && !evicting(task) && may_start_anew(index) && hold_place(index)) {
+            evict(index, "its worker is leaving");
+        }
+    }
+}
+
+// False when the task, once stopped, would wait or be parked whatever room there is.
+bool placement_pass::may_start_anew(std::uint32_t index)
+{
+    const place_task& task = *tasks_[index].task;
+    spec_view& spec = specs_[tasks_[index].spec];
+    if (limit_need(spec) || !within_quota(teams_[spec.team], spec.need - task.committed)) {
+        return false;
+    }
+    const blame_book& blame = memory_.blame;
+    return !blame.on_record(task.task.job) ||
+           (!blame.job_reason(task.task.job) && blame.not_before(task.task) <= now_ &&
+            !blame.task_reason(task.task, spec.spec->attempt_limit));
+}
+
+// True when room for the task is free on another worker, and held for it.
+bool placement_pass::hold_place(std::uint32_t index)
+{
+    const place_task& task = *tasks_[index].task;
+    const resources need = specs_[tasks_[index].spec].need;
+    const instant until = now_ + config::eviction_wait;
+    if (const auto held = memory_.reserved.find(task.task); held != memory_.reserved.end()) {
+        const auto where = worker_index_.find(held->second.worker);
+        if (where != worker_index_.end() && workers_[where->second].worker->usable) {
+            const resources with_held = rooms_.room(where->second) + held->second.need;
+            if (fits(need, with_held)) {
+                rooms_.set_room(where->second, with_held - need);
+                held->second = {held->second.worker, need, until, false, true};
+                return true;
+            }
+            if (fits(need, with_held + workers_[where->second].leaving)) {
+                return false;
+            }
+            rooms_.set_room(where->second, with_held);
+        }
+        memory_.reserved.erase(held);
+    }
+    const std::optional<std::uint32_t> worker = choose(index, no_bound);
+    if (!worker) {
+        make_room(index);
+        return false;
+    }
+    rooms_.set_room(*worker, rooms_.room(*worker) - need);
+    memory_.reserved[task.task] = {workers_[*worker].worker->worker, need, until, false, true};
+    return true;
+}
+
 // A worker comes back from quarantine only after one task, of work that may fail without harm, has shown that it can.
 void placement_pass::start_probes()
 {
@@ -297,7 +365,7 @@
         return false;
     }
     rooms_.set_room(best, rooms_.room(best) - need);
-    memory_.reserved[task.task] = {workers_[best].worker->worker, need, now_ + config::draining_for, true};
+    memory_.reserved[task.task] = {workers_[best].worker->worker, need, now_ + config::draining_for, true, false};
     return true;
 }
 
--- a/src/place_react.cpp
+++ b/src/place_react.cpp
@@ -360,7 +360,7 @@
     }
     rooms_.set_room(best_worker, rooms_.room(best_worker) - need);
     memory_.reserved[tasks_[task].task->task] = {workers_[best_worker].worker->worker, need,
-                                                 now_ + config::eviction_wait, false};
+                                                 now_ + config::eviction_wait, false, false};
     return true;
 }
 
--- a/tests/test_cell_drain.cpp
+++ b/tests/test_cell_drain.cpp
@@ -127,3 +127,47 @@
     BOOST_TEST(longest_down(d, "news", 20s) <= down_most);
     BOOST_TEST(home_of(d, "news") == "w2");
 }
+
+// Work beside it grew into the place for which a service was stopped.
+BOOST_AUTO_TEST_CASE(nothing_grows_into_the_place_of_a_service_that_moves)
+{
+    driver d;
+    d.own({"w1"}, {submit_service("news", 3000)});
+    d.workers["w2"].capacity = {5000, 8000, 0};
+    d.list({"w1", "w2"});
+    d.run(1s);
+    d.hand_in({submit_service("mail", 2000)});
+    BOOST_REQUIRE(home_of(d, "mail") == "w2");
+    d.workers["w1"].leaving = true;
+    d.run(1s);
+    d.workers["w2"].tasks.at(0).used = {5000, 100, 0};
+    BOOST_TEST(longest_down(d, "news", 20s) <= down_most);
+    BOOST_TEST(home_of(d, "news") == "w2");
+}
+
+// A service was stopped where its team's quota, lowered since, let it start nowhere.
+BOOST_AUTO_TEST_CASE(a_service_beyond_its_quota_stays_on_its_leaving_worker)
+{
+    driver d;
+    d.own({"w1"}, {submit_service("news")});
+    cell_settings settings;
+    settings.teams = {{team_id("t"), 1, {whole_worker - 1, 0, 0}}};
+    d.c.change_settings(settings);
+    d.list({"w1", "w2"});
+    d.run(1s);
+    d.workers["w1"].leaving = true;
+    BOOST_TEST(longest_down(d, "news", 20s) == duration(0));
+}
+
+// A service on a leaving worker was kept there in an evacuated data centre.
+BOOST_AUTO_TEST_CASE(an_evacuated_data_centre_empties_its_leaving_workers)
+{
+    driver d;
+    d.own({"w1"}, {submit_service("news")});
+    cell_settings settings;
+    settings.starts = start_permission::evacuated;
+    d.c.change_settings(settings);
+    d.workers["w1"].leaving = true;
+    d.run(config::service_grace + 4s);
+    BOOST_TEST(home_of(d, "news").empty());
+}
