cell: a service that stays on a leaving worker is not taken out of use

What callers saw: requests found no target for a service on a leaving worker, though it ran on.

Cause: its target was told as leaving as soon as its worker was, not when the service was to be stopped. Entries take such a target out at once.

Evidence: test_cell_drain/a_service_that_stays_on_its_leaving_worker_is_used, red before.

--- a/src/cell_view.cpp
+++ b/src/cell_view.cpp
@@ -19,7 +19,8 @@
     target.__set_address(entry.address.str());
     target.__set_slots(spec.slots);
     target.__set_connections(spec.connections);
-    target.__set_leaving(worker.leaving || entry.stage != detail::entry_stage::running);
+    // One that stays on a leaving worker, for want of another place, serves on.
+    target.__set_leaving(entry.stage != detail::entry_stage::running);
     return target;
 }
 
