--- a/tests/test_flow_full_site.cpp
+++ b/tests/test_flow_full_site.cpp
@@ -89,6 +89,7 @@
     }
 
     duration longest_away() const { return longest_; }
+    std::size_t count_tasks() const { return tasks_.size(); }
 
 private:
     struct lasting_task {
@@ -353,21 +354,24 @@
     duration longest_{0};
 };
 
+void play_seed(std::uint64_t seed)
+{
+    full_site site(seed);
+    const std::int64_t moved = site.world().count_log_events("task", "given_away");
+    const std::int64_t vacated = site.world().count_log_events("worker", "vacated");
+    site.play();
+    BOOST_TEST_MESSAGE(fmt::format(
+        "seed {}: {} tasks, longest {} ms, given away {}, vacated {}, violations {}", seed, site.count_tasks(),
+        site.longest_away() / 1ms, site.world().count_log_events("task", "given_away") - moved,
+        site.world().count_log_events("worker", "vacated") - vacated, site.world().invariant_violations().size()));
+    BOOST_TEST(site.longest_away() <= away_most);
+    check_no_violations(site.world());
+}
+
 } // namespace
 
 // A lasting task of a full site stays down although two workers or more each have room for it.
 BOOST_AUTO_TEST_CASE(lasting_tasks_of_a_full_site_run_again_when_pairs_of_workers_leave)
 {
-    each_seed(default_seeds, [](std::uint64_t seed) {
-        full_site site(seed);
-        const std::int64_t moved = site.world().count_log_events("task", "given_away");
-        const std::int64_t vacated = site.world().count_log_events("worker", "vacated");
-        site.play();
-        BOOST_TEST_MESSAGE(fmt::format(
-            "seed {}: longest {} ms, given away {}, vacated {}, violations {}", seed, site.longest_away() / 1ms,
-            site.world().count_log_events("task", "given_away") - moved,
-            site.world().count_log_events("worker", "vacated") - vacated, site.world().invariant_violations().size()));
-        BOOST_TEST(site.longest_away() <= away_most);
-        check_no_violations(site.world());
-    });
+    each_seed(default_seeds, play_seed);
 }
