test_flow_full_site: pairs of workers leave a full site beside one other disturbance (red)

What callers see: lasting tasks of a worker that exits before they could move run again after 9,050 to 10,200 ms although two other workers have room for each of them.

--- a/tests/test_flow_full_site.cpp
+++ b/tests/test_flow_full_site.cpp
@@ -375,3 +375,14 @@
 {
     each_seed(default_seeds, play_seed);
 }
+
+// The end of a lost worker's lease is noticed late, and its tasks then wait before they ask other cells for a place.
+BOOST_AUTO_TEST_CASE(lasting_tasks_of_a_full_site_run_again_soon_after_a_lease)
+{
+    for (const std::uint64_t seed : {8, 23, 43, 50, 78, 85, 93, 99}) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            play_seed(seed);
+        }
+    }
+}
