--- a/tests/test_flow_drain.cpp
+++ b/tests/test_flow_drain.cpp
@@ -187,6 +187,7 @@
     static std::vector<std::string> names(int cells)
     {
         std::vector<std::string> names;
+        names.reserve(static_cast<std::size_t>(cells));
         for (int i = 0; i < cells; ++i) {
             names.emplace_back(1, static_cast<char>('a' + i));
         }
