flow: one rule says which worker takes a task, one loop reads the reports of room

Read again, the search for places had written things twice. choose_worker, choose_place, the redemption of a promise and the log each listed what a worker must meet; takes_starts_of and can_take say it once, with the limit of tasks a worker. choose_worker takes the task's id in place of working the index out of a pointer. A promise that cannot be used yet is no longer erased and entered again: its own room does not count against the task. find_cell_with_room and list_cells_for_task share for_each_pool, and same_stage stands once.

Less work on the path of each placement: the worker's description, with its copies of names, is built once a worker again, not twice; the image is looked up once for all workers. Dropped state: place_search::running, and the flag beside asked_at.

--- a/src/flow_cell_gangs.cpp
+++ b/src/flow_cell_gangs.cpp
@@ -143,7 +143,7 @@
 {
     std::vector<std::pair<std::size_t, cell_worker*>> chosen;
     for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
-        cell_worker* const w = choose_worker(now, job, stage, stage.tasks[i]);
+        cell_worker* const w = choose_worker(now, job, stage, job.task_id(stage, i));
         if (w == nullptr) {
             break;
         }
--- a/src/flow_cell_log.cpp
+++ b/src/flow_cell_log.cpp
@@ -59,12 +59,8 @@
     int cpu = 0;
     int memory = 0;
     for (const auto& [id, w] : workers_) {
-        const placement_candidate option = option_of(now, w);
-        const resources free{option.room.cpu_millis - option.held.cpu_millis,
-                             option.room.memory_mib - option.held.memory_mib, 0};
-        if (!is_schedulable(now, w) || w.listing.service != need.service ||
-            !has_label(w.listing.labels, need.step.label) || is_dedicated(now, w) ||
-            (w.is_reserved(now) && !need.step.lasting)) {
+        const resources free = w.listing.room - w.held - promised_on(w);
+        if (!takes_starts_of(now, w, need.service, need.step)) {
             ++closed;
         }
         else if (is_spread_limit_reached(w, need.step, task)) {
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -287,11 +287,9 @@
     };
     // A lasting task here for which a place in another cell is sought.
     struct place_search {
-        instant wanted_at{}; // when a pass last sought a place for it
-        bool asked = false;  // a request waits for its answer
-        instant asked_at{};
+        instant wanted_at{};             // when a pass last sought a place for it
+        std::optional<instant> asked_at; // of a request that waits for its answer
         bool reserve = false;            // of the last request
-        bool running = false;            // on a draining worker
         std::optional<cell_id> reserved; // the cell that last answered that it reserves a worker
     };
 
@@ -576,12 +574,14 @@
     bool place_stage(instant now, flow_job& job, flow_stage& stage);
     // `near`: the rack where the rest of a gang is; invalid: none. `patience`: how long filling work waits for a worker
     // whose serving tasks tolerate it.
-    cell_worker* choose_worker(instant now, const flow_job& job, const flow_stage& stage, const flow_task& task,
+    cell_worker* choose_worker(instant now, const flow_job& job, const flow_stage& stage, const flow_task_id& id,
                                const rack_id& near = rack_id(),
                                duration patience = flow_limits::fill_interference_wait);
     duration patience_of(instant now, const flow_job& job, const flow_task& task) const;
     static bool is_schedulable(instant now, const cell_worker& w);
-    bool can_take(instant now, const cell_worker& w, const std::string& service, const flow_step& step) const;
+    bool takes_starts_of(instant now, const cell_worker& w, const std::string& service, const flow_step& step) const;
+    bool can_take(instant now, const cell_worker& w, const std::string& service, const flow_step& step,
+                  const flow_task_id& task) const;
     bool is_spread_limit_reached(const cell_worker& w, const flow_step& step, const flow_task_id& task) const;
     placement_candidate option_of(instant now, const cell_worker& w) const;
     void index_ready(flow_job& job);
--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -325,7 +325,7 @@
         const flow_stage& stage = *found->second->find_stage(task);
         const flow_step& step = found->second->step(stage);
         const cell_worker* const destination =
-            step.checkpointing ? choose_worker(now, *found->second, stage, *t) : nullptr;
+            step.checkpointing ? choose_worker(now, *found->second, stage, task) : nullptr;
         if (destination == nullptr ||
             filling_interference(*destination, run.image_index,
                                  static_cast<double>(run.need.cpu_millis) / cpu_room_millis(destination->listing))
--- a/src/flow_cell_places.cpp
+++ b/src/flow_cell_places.cpp
@@ -57,15 +57,16 @@
     if (!may_send_starts(now)) {
         return nullptr;
     }
+    const int image = image_of(need.step);
     cell_worker* best = nullptr;
     double best_cost = 0;
     for (auto& [id, w] : workers_) {
-        if (!can_take(now, w, need.service, need.step) || is_spread_limit_reached(w, need.step, need.task)) {
+        if (!can_take(now, w, need.service, need.step, need.task)) {
             continue;
         }
         expected_interference interference;
         if (need.step.tail_target > duration(0)) {
-            interference.excess_pressure = compute_excess_pressure(w, image_of(need.step));
+            interference.excess_pressure = compute_excess_pressure(w, image);
         }
         const double cost = placement_cost(option_of(now, w), need.step, interference);
         if (best == nullptr || cost < best_cost) {
@@ -87,22 +88,19 @@
         promises_.erase(at);
         return nullptr;
     }
-    cell_worker& w = worker->second;
     const place_need need = need_of(job, task);
-    const promised_place held = at->second;
-    promises_.erase(at); // its own promise does not count against the task
-    if (can_take(now, w, need.service, need.step) && !is_spread_limit_reached(w, need.step, task)) {
-        return &w;
+    if (!can_take(now, worker->second, need.service, need.step, task)) {
+        return nullptr; // short work there may still end
     }
-    promises_.emplace(task, held); // short work there may still end
-    return nullptr;
+    promises_.erase(at);
+    return &worker->second;
 }
 
 bool flow_cell::has_promises(const flow_job& job, const flow_stage& stage) const
 {
     const flow_task_id first = job.task_id(stage, 0);
     const auto at = promises_.lower_bound(first);
-    return at != promises_.end() && stage_key(at->first) == first;
+    return at != promises_.end() && same_stage(at->first, first);
 }
 
 resources flow_cell::promised_on(const cell_worker& w, const flow_task_id* except) const
@@ -130,9 +128,9 @@
     place_search& search = place_searches_[task];
     search.wanted_at = now;
     search.reserve = reserve;
-    search.running = !job.find_task(task)->runs.empty();
-    int& asked_in_pass = search.running ? places_asked_running_ : places_asked_waiting_;
-    const bool awaited = search.asked && now - search.asked_at < place_answer_timeout;
+    const bool running = !job.find_task(task)->runs.empty();
+    int& asked_in_pass = running ? places_asked_running_ : places_asked_waiting_;
+    const bool awaited = search.asked_at && now - *search.asked_at < place_answer_timeout;
     if (awaited || asked_in_pass >= max_places_asked) {
         return;
     }
@@ -140,7 +138,6 @@
     if (!cell) {
         return;
     }
-    search.asked = true;
     search.asked_at = now;
     ++asked_in_pass;
     ++place_answers_[stage_key(task)][*cell].awaited;
@@ -156,10 +153,9 @@
 
 void flow_cell::seek_places_of_stage(instant now, flow_job& job, const flow_task_id& task)
 {
-    const flow_task_id first = stage_key(task);
-    for (auto at = place_searches_.lower_bound(first); at != place_searches_.end() && stage_key(at->first) == first;
-         ++at) {
-        if (!at->second.asked && now - at->second.wanted_at <= handoff_interval) {
+    for (auto at = place_searches_.lower_bound(stage_key(task));
+         at != place_searches_.end() && same_stage(at->first, task); ++at) {
+        if (!at->second.asked_at && now - at->second.wanted_at <= handoff_interval) {
             seek_place(now, job, at->first, at->second.reserve);
         }
     }
@@ -177,9 +173,13 @@
         if (!job.may_extend_to(cell, max_cells_per_job)) {
             return false;
         }
-        const bool any = answers != place_answers_.end() && answers->second.count(cell) != 0;
-        const place_answers known = any ? answers->second.at(cell) : place_answers{};
-        return now >= known.refused_until && (known.awaited == 0 || now - known.promised_at < place_refusal_retention);
+        if (answers == place_answers_.end()) {
+            return true;
+        }
+        const auto known = answers->second.find(cell);
+        return known == answers->second.end() ||
+               (now >= known->second.refused_until &&
+                (known->second.awaited == 0 || now - known->second.promised_at < place_refusal_retention));
     };
     const auto first_of = [&](room_kind kind) -> std::optional<cell_id> {
         const std::vector<cell_id> cells = hooks_.list_cells_for_task(now, id_, job.row().service_name, step, kind);
@@ -203,7 +203,7 @@
         return;
     }
     place_search& search = searched->second;
-    search.asked = false;
+    search.asked_at.reset();
     switch (answer.outcome) {
     case place_outcome::promised:
         answers.promised_at = now;
@@ -265,7 +265,7 @@
 void flow_cell::forget_old_searches(instant now)
 {
     std::erase_if(place_searches_, [now](const auto& search) {
-        return !search.second.asked && now - search.second.wanted_at > place_search_retention;
+        return !search.second.asked_at && now - search.second.wanted_at > place_search_retention;
     });
     for (auto& [stage, cells] : place_answers_) {
         std::erase_if(cells, [now](const auto& cell) {
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -139,31 +139,37 @@
     }
     flow_task_id first = task;
     first.index = 0;
-    const auto same_stage = [&](const flow_task_id& other) {
-        return other.job == task.job && other.occurrence == task.occurrence && other.step == task.step;
-    };
     std::int32_t tasks = 0;
-    for (auto at = w.ledger.lower_bound(first); at != w.ledger.end() && same_stage(at->first); ++at) {
+    for (auto at = w.ledger.lower_bound(first); at != w.ledger.end() && same_stage(at->first, task); ++at) {
         ++tasks;
     }
-    for (auto at = promises_.lower_bound(first); at != promises_.end() && same_stage(at->first); ++at) {
+    for (auto at = promises_.lower_bound(first); at != promises_.end() && same_stage(at->first, task); ++at) {
         tasks += at->second.worker == w.listing.worker && at->first != task ? 1 : 0;
     }
     return tasks >= step.per_worker_most;
 }
 
-// Whether the worker takes starts of the step and has room for one more task of it.
-bool flow_cell::can_take(instant now, const cell_worker& w, const std::string& service, const flow_step& step) const
+// Whether tasks of the step may be started on the worker at present, whatever room it has.
+bool flow_cell::takes_starts_of(instant now, const cell_worker& w, const std::string& service,
+                                const flow_step& step) const
 {
     return is_schedulable(now, w) && w.listing.service == service && has_label(w.listing.labels, step.label) &&
-           (step.lasting || !w.is_reserved(now)) && !is_dedicated(now, w) && has_room(option_of(now, w), step);
+           (step.lasting || !w.is_reserved(now)) && !is_dedicated(now, w);
+}
+
+// Whether the task may be started on the worker now. A place that it was promised there does not count against it.
+bool flow_cell::can_take(instant now, const cell_worker& w, const std::string& service, const flow_step& step,
+                         const flow_task_id& task) const
+{
+    return takes_starts_of(now, w, service, step) && has_room(w.held + promised_on(w, &task), w.listing.room, step) &&
+           !is_spread_limit_reached(w, step, task);
 }
 
 // Returns the worker with the lowest placement cost for the task; null when none will do, or while no task may be
 // started in the data centre. A filling task accepts a
 // worker with excess interference only after it has waited for `patience`.
 flow_cell::cell_worker* flow_cell::choose_worker(instant now, const flow_job& job, const flow_stage& stage,
-                                                 const flow_task& task, const rack_id& near, duration patience)
+                                                 const flow_task_id& id, const rack_id& near, duration patience)
 {
     if (!may_send_starts(now)) {
         return nullptr;
@@ -171,11 +177,11 @@
     const flow_step& step = job.step(stage);
     const bool serves = step.tail_target > duration(0);
     const int image = image_of(step);
-    const flow_task_id id_of_task = job.task_id(stage, static_cast<std::size_t>(&task - stage.tasks.data()));
+    const flow_task& task = stage.tasks.at(static_cast<std::size_t>(id.index));
     cell_worker* best = nullptr;
     double best_cost = 0;
-    for (auto& [id, w] : workers_) {
-        if (!can_take(now, w, job.row().service_name, step)) {
+    for (auto& [worker, w] : workers_) {
+        if (!can_take(now, w, job.row().service_name, step, id)) {
             continue;
         }
         const placement_candidate option = option_of(now, w);
@@ -195,17 +201,14 @@
         else if (serves) {
             interference.excess_pressure = compute_excess_pressure(w, image);
         }
-        if (is_spread_limit_reached(w, step, id_of_task)) {
-            continue;
-        }
         const bool runs_here = std::any_of(task.runs.begin(), task.runs.end(),
-                                           [&id = id](const live_run& live) { return live.worker == id; });
+                                           [&worker = worker](const live_run& live) { return live.worker == worker; });
         if (runs_here) {
             continue;
         }
         double cost = placement_cost(option, step, interference);
         cost += near.valid() && near != w.listing.rack ? other_rack_cost : 0.0;
-        cost += task.avoided_worker == id ? 2.0 : 0.0; // the cost of a run that takes three times as long
+        cost += task.avoided_worker == worker ? 2.0 : 0.0; // the cost of a run that takes three times as long
         cost += task.crashes.empty() ? 0.0 : 2.0 * static_cast<double>(count_charged(w));
         if (best == nullptr || cost < best_cost) {
             best = &w;
@@ -270,7 +273,7 @@
             continue;
         }
         if (w == nullptr && !dedicated && !full) {
-            w = choose_worker(now, job, stage, task, near, patience);
+            w = choose_worker(now, job, stage, id, near, patience);
         }
         if (w == nullptr) {
             const bool reserves = step.lasting && !step.gang && !full;
@@ -372,7 +375,7 @@
         distrust(now, w, 1);
     }
     task.avoided_worker = w.listing.worker;
-    cell_worker* const destination = choose_worker(now, job, stage, task);
+    cell_worker* const destination = choose_worker(now, job, stage, seen.task);
     if (destination == nullptr || destination == &w) {
         return;
     }
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -223,6 +223,10 @@
     // Calls `consider` with the latest news of each cell with a live owner whose data centre is not evacuated, and
     // whether this entry owns the cell.
     template <class Visitor> void for_each_news(instant now, Visitor&& consider);
+    // Calls `consider` with the pools of other cells whose workers may run the step.
+    template <class Visitor>
+    void for_each_pool(instant now, const cell_id& from, const std::string& service, const flow_step& step,
+                       Visitor&& consider);
     std::optional<std::pair<cell_id, epoch>> find_cell_with_room(instant now, const cell_id& from,
                                                                  const std::string& service, const flow_step& step,
                                                                  room_kind kind);
--- a/src/flow_entry_rooms.cpp
+++ b/src/flow_entry_rooms.cpp
@@ -173,6 +173,23 @@
     }
 }
 
+// Calls `consider` with the pools of other cells whose workers may run the step, and the news that they are in.
+template <class Visitor>
+void flow_entry::for_each_pool(instant now, const cell_id& from, const std::string& service, const flow_step& step,
+                               Visitor&& consider)
+{
+    for_each_news(now, [&](wire::flow_cell_news& news, bool) {
+        if (news.cell == from.str()) {
+            return;
+        }
+        for (wire::flow_pool_row& pool : news.pools) {
+            if (pool.service_name == service && has_label(pool.labels, step.label)) {
+                consider(news, pool);
+            }
+        }
+    });
+}
+
 // Chooses the cell with the highest score, taking into account the work sent there since its last news.
 std::optional<cell_id> flow_entry::choose_cell(instant now, const flow_queue& queue, const flow_spec& spec)
 {
@@ -309,23 +326,14 @@
     std::int64_t best_rating = 0;
     wire::flow_pool_row* best_pool = nullptr;
     const job_needs needs = needs_of_one(step);
-    const auto consider = [&](wire::flow_cell_news& news, bool) {
-        if (news.cell == from.str()) {
-            return;
+    for_each_pool(now, from, service, step, [&](wire::flow_cell_news& news, wire::flow_pool_row& pool) {
+        const auto rating = rate_pool(pool, step, needs, kind, assigned_cpu_[cell_id(news.cell)]);
+        if (rating && (best == nullptr || *rating > best_rating)) {
+            best = &news;
+            best_rating = *rating;
+            best_pool = &pool;
         }
-        for (wire::flow_pool_row& pool : news.pools) {
-            if (pool.service_name != service || !has_label(pool.labels, step.label)) {
-                continue;
-            }
-            const auto rating = rate_pool(pool, step, needs, kind, assigned_cpu_[cell_id(news.cell)]);
-            if (rating && (best == nullptr || *rating > best_rating)) {
-                best = &news;
-                best_rating = *rating;
-                best_pool = &pool;
-            }
-        }
-    };
-    for_each_news(now, consider);
+    });
     if (best == nullptr) {
         return std::nullopt;
     }
@@ -341,14 +349,9 @@
 {
     const job_needs needs = needs_of_one(step);
     std::vector<std::pair<std::int64_t, cell_id>> rated;
-    for_each_news(now, [&](const wire::flow_cell_news& news, bool) {
-        for (const wire::flow_pool_row& pool : news.pools) {
-            const bool suits =
-                news.cell != from.str() && pool.service_name == service && has_label(pool.labels, step.label);
-            const auto rating = suits ? rate_pool(pool, step, needs, kind, 0) : std::nullopt;
-            if (rating) {
-                rated.emplace_back(-*rating, cell_id(news.cell));
-            }
+    for_each_pool(now, from, service, step, [&](const wire::flow_cell_news& news, const wire::flow_pool_row& pool) {
+        if (const auto rating = rate_pool(pool, step, needs, kind, 0)) {
+            rated.emplace_back(-*rating, cell_id(news.cell));
         }
     });
     std::sort(rated.begin(), rated.end());
--- a/src/flow_place.cpp
+++ b/src/flow_place.cpp
@@ -33,12 +33,17 @@
 }
 
 bool has_room(const placement_candidate& option, const flow_step& step)
+{
+    return has_room(option.held, option.room, step);
+}
+
+bool has_room(const resources& held, const resources& room, const flow_step& step)
 {
     resources need = step.need;
     if (step.filling) {
         need.cpu_millis = 0;
     }
-    return fits(option.held + need, option.room);
+    return fits(held + need, room);
 }
 
 double placement_cost(const placement_candidate& option, const flow_step& step,
--- a/src/flow_place_p.h
+++ b/src/flow_place_p.h
@@ -69,6 +69,7 @@
 
 // True if the task fits into the resources that no task has reserved; a filling task needs no free processors.
 bool has_room(const placement_candidate& option, const flow_step& step);
+bool has_room(const resources& held, const resources& room, const flow_step& step);
 
 // Prediction of the interference model for the task on a worker.
 struct expected_interference {
--- a/src/flow_types_p.h
+++ b/src/flow_types_p.h
@@ -63,6 +63,12 @@
     }
 };
 
+// Whether two tasks are of the same step and occurrence of a job.
+inline bool same_stage(const flow_task_id& a, const flow_task_id& b)
+{
+    return a.job == b.job && a.occurrence == b.occurrence && a.step == b.step;
+}
+
 enum class flow_state : std::uint8_t { queued, running, done, failed, cancelled };
 
 // --- the operator's configuration ---
