place: a reservation is looked at by one piece of code

hold_place and start_reserved each went through the same cases: the worker is gone, the task fits now, tasks that leave still make room, or neither. take_back_reserved answers for both. Only what is queued waits for tasks to end, as before.

No behaviour changes: test_place, test_place_crash, test_cell, test_cell_crash, test_cell_drain, test_cell_restarts, test_cell_takeover, test_fault_matrix and test_job pass.

--- a/src/place_pass_p.h
+++ b/src/place_pass_p.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "place_memory_p.h"
@@ -137,6 +138,9 @@
     void move_leaving();
     bool may_start_anew(std::uint32_t index);
     bool hold_place(std::uint32_t index);
+    // none: nothing is reserved. waits: room is being made. fits: the task fits on the worker now.
+    enum class reserved_room : std::uint8_t { none, waits, fits };
+    std::pair<reserved_room, std::uint32_t> take_back_reserved(std::uint32_t index);
     void start_probes();
     void start_probe(std::uint32_t worker);
     bool risks_nothing(const job_spec& spec) const;
--- a/src/place_queue.cpp
+++ b/src/place_queue.cpp
@@ -224,32 +224,20 @@
 // True when room for the task is free on another worker, and held for it.
 bool placement_pass::hold_place(std::uint32_t index)
 {
-    const place_task& task = *tasks_[index].task;
-    const resources need = specs_[tasks_[index].spec].need;
-    const instant until = now_ + config::eviction_wait;
-    if (const auto held = memory_.reserved.find(task.task); held != memory_.reserved.end()) {
-        const auto where = worker_index_.find(held->second.worker);
-        if (where != worker_index_.end() && workers_[where->second].worker->usable) {
-            const resources with_held = rooms_.room(where->second) + held->second.need;
-            if (fits(need, with_held)) {
-                rooms_.set_room(where->second, with_held - need);
-                held->second = {held->second.worker, need, until, false, true};
-                return true;
-            }
-            if (fits(need, with_held + workers_[where->second].leaving)) {
-                return false;
-            }
-            rooms_.set_room(where->second, with_held);
-        }
-        memory_.reserved.erase(held);
+    const auto [state, reserved_on] = take_back_reserved(index);
+    if (state == reserved_room::waits) {
+        return false;
     }
-    const std::optional<std::uint32_t> worker = choose(index, no_bound);
+    const std::optional<std::uint32_t> worker =
+        state == reserved_room::fits ? std::make_optional(reserved_on) : choose(index, no_bound);
     if (!worker) {
         make_room(index);
         return false;
     }
+    const resources need = specs_[tasks_[index].spec].need;
     rooms_.set_room(*worker, rooms_.room(*worker) - need);
-    memory_.reserved[task.task] = {workers_[*worker].worker->worker, need, until, false, true};
+    memory_.reserved[tasks_[index].task->task] = {workers_[*worker].worker->worker, need, now_ + config::eviction_wait,
+                                                  false, true};
     return true;
 }
 
@@ -369,32 +357,42 @@
     return true;
 }
 
-// True when room is held for the task: it starts there as soon as it fits, and waits while tasks that leave can still
-// make it fit. What else grew into the room meanwhile would let it wait in vain.
-bool placement_pass::start_reserved(std::uint32_t task)
+// Ends the reservation of the task and returns its room to its worker, unless tasks that leave can still make the task
+// fit there.
+std::pair<placement_pass::reserved_room, std::uint32_t> placement_pass::take_back_reserved(std::uint32_t index)
 {
-    const auto held = memory_.reserved.find(tasks_[task].task->task);
+    const auto held = memory_.reserved.find(tasks_[index].task->task);
     if (held == memory_.reserved.end()) {
-        return false;
+        return {reserved_room::none, no_index};
     }
     const auto where = worker_index_.find(held->second.worker);
     if (where == worker_index_.end() || !workers_[where->second].worker->usable) {
         memory_.reserved.erase(held);
-        return false;
+        return {reserved_room::none, no_index};
     }
-    const resources with_held = rooms_.room(where->second) + held->second.need;
-    if (fits(specs_[tasks_[task].spec].need, with_held)) {
-        rooms_.set_room(where->second, with_held);
-        memory_.reserved.erase(held);
-        start_on(task, where->second);
-        return true;
-    }
-    if (held->second.drains || fits(specs_[tasks_[task].spec].need, with_held + workers_[where->second].leaving)) {
-        return true;
+    const std::uint32_t worker = where->second;
+    const resources need = specs_[tasks_[index].spec].need;
+    const resources with_held = rooms_.room(worker) + held->second.need;
+    const bool fits_now = fits(need, with_held);
+    // Only what is queued waits for tasks to end.
+    const bool waits_for_ends = held->second.drains && !tasks_[index].task->running;
+    if (!fits_now && (waits_for_ends || fits(need, with_held + workers_[worker].leaving))) {
+        return {reserved_room::waits, worker};
     }
-    rooms_.set_room(where->second, with_held);
+    rooms_.set_room(worker, with_held);
     memory_.reserved.erase(held);
-    return false;
+    return {fits_now ? reserved_room::fits : reserved_room::none, worker};
+}
+
+// True when room is held for the task: it starts there as soon as it fits, and waits while tasks that leave can still
+// make it fit. What else grew into the room meanwhile would let it wait in vain.
+bool placement_pass::start_reserved(std::uint32_t task)
+{
+    const auto [state, worker] = take_back_reserved(task);
+    if (state == reserved_room::fits) {
+        start_on(task, worker);
+    }
+    return state != reserved_room::none;
 }
 
 void placement_pass::start_on(std::uint32_t index, std::uint32_t worker)
