--- a/tests/support_flow_checks.h
+++ b/tests/support_flow_checks.h
@@ -1,4 +1,5 @@
-// What tests with a flow_simulation share: the check that ends each of them, and plays of one test for many seeds.
+// What tests with a flow_simulation share: the check that ends each of them, the owner of a cell, and
+// plays of one test for many seeds.
 #pragma once
 
 #include <boost/test/unit_test.hpp>
@@ -19,6 +20,21 @@
     }
 }
 
+// Returns the number of the running entry, of the first `entries`, that owns the cell, or -1.
+inline int owner_of(flow_simulation& simulation, const std::string& cell, int entries)
+{
+    for (int i = 0; i < entries; ++i) {
+        if (simulation.entry(i) == nullptr) {
+            continue;
+        }
+        const auto at = simulation.entry(i)->cells().find(cell_id(cell));
+        if (at != simulation.entry(i)->cells().end() && at->second->owns()) {
+            return i;
+        }
+    }
+    return -1;
+}
+
 // Calls `run` for the seeds 1 to `last`, or for those given on the command line:
 // PROGRAM --run_test=NAME -- FIRST LAST
 inline void each_seed(std::uint64_t last, const std::function<void(std::uint64_t)>& run)
--- a/tests/test_flow_pending.cpp
+++ b/tests/test_flow_pending.cpp
@@ -1,6 +1,7 @@
 // Tests the pending count of a queue at entries that the owner of the jobs' cell cannot reach.
 #include <boost/test/unit_test.hpp>
 
+#include "support_flow_checks.h"
 #include "support_flow_simulation.h"
 
 using namespace skylarkhub;
@@ -19,16 +20,6 @@
 }
 
 // Returns the index of the entry that owns the cell, or -1.
-int owner_of(flow_simulation& w, const std::string& cell, int entries)
-{
-    for (int entry = 0; entry < entries; ++entry) {
-        if (w.entry(entry) != nullptr && w.entry(entry)->cells().at(cell_id(cell))->owns()) {
-            return entry;
-        }
-    }
-    return -1;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(jobs_accepted_for_a_cell_whose_owner_is_cut_off_are_counted_everywhere)
--- a/tests/test_flow_pending_begun.cpp
+++ b/tests/test_flow_pending_begun.cpp
@@ -20,16 +20,6 @@
 constexpr int jobs_sent = 4;
 
 // Returns the index of the entry that owns the cell, or -1.
-int owner_of(flow_simulation& w, const std::string& cell, int entries)
-{
-    for (int entry = 0; entry < entries; ++entry) {
-        if (w.entry(entry) != nullptr && w.entry(entry)->cells().at(cell_id(cell))->owns()) {
-            return entry;
-        }
-    }
-    return -1;
-}
-
 flow_spec gang_spec(int count, std::int64_t cpu_millis)
 {
     flow_spec spec = chain_spec(1, count, cpu_millis);
--- a/tests/test_flow_places.cpp
+++ b/tests/test_flow_places.cpp
@@ -30,19 +30,6 @@
 constexpr resources much_room{16000, 64000, 0};
 constexpr resources less_room{12000, 64000, 0};
 
-int owner_of(flow_simulation& w, const std::string& cell, int entries)
-{
-    for (int i = 0; i < entries; ++i) {
-        if (w.entry(i) != nullptr) {
-            const auto at = w.entry(i)->cells().find(cell_id(cell));
-            if (at != w.entry(i)->cells().end() && at->second->owns()) {
-                return i;
-            }
-        }
-    }
-    return -1;
-}
-
 flow_spec apart_spec(int count, std::int64_t cpu_millis)
 {
     flow_spec spec = lasting_spec(count, cpu_millis);
@@ -388,18 +375,29 @@
     check_no_violations(w);
 }
 
-// A task on a draining worker of an evacuated data centre is stopped for a place there, where it may not start.
-BOOST_AUTO_TEST_CASE(a_task_leaves_a_draining_worker_of_an_evacuated_data_centre_for_another_one)
+namespace {
+
+// Starts a task of job_a on the first worker, gives the second worker much room after that, and evacuates the data
+// centre.
+void start_and_evacuate(flow_simulation& w, const std::string& data_centre)
 {
-    flow_simulation w({.data_centres = {"a", "b"}, .workers_per_data_centre = 2});
     w.set_worker_capacity(1, no_room, 0ms);
     w.run_for(3s);
     w.insert_unannounced_job(job_a, cell_id("a"), lasting_spec(1, 9000));
     BOOST_REQUIRE(w.run_until([&] { return w.worker(0).running.size() == 1; }, 6s));
     w.set_worker_capacity(1, much_room, 0ms);
     w.run_for(3s);
-    w.evacuate("a");
+    w.evacuate(data_centre);
     w.run_for(2s);
+}
+
+} // namespace
+
+// A task on a draining worker of an evacuated data centre is stopped for a place there, where it may not start.
+BOOST_AUTO_TEST_CASE(a_task_leaves_a_draining_worker_of_an_evacuated_data_centre_for_another_one)
+{
+    flow_simulation w({.data_centres = {"a", "b"}, .workers_per_data_centre = 2});
+    start_and_evacuate(w, "a");
     const std::int64_t starts = w.worker(1).starts;
     w.worker(0).draining = true;
     w.run_for(drain_time);
@@ -414,14 +412,7 @@
 BOOST_AUTO_TEST_CASE(a_task_does_not_leave_a_draining_worker_for_an_evacuated_data_centre)
 {
     flow_simulation w({.data_centres = {"a", "b"}, .workers_per_data_centre = 1});
-    w.set_worker_capacity(1, no_room, 0ms);
-    w.run_for(3s);
-    w.insert_unannounced_job(job_a, cell_id("a"), lasting_spec(1, 9000));
-    BOOST_REQUIRE(w.run_until([&] { return w.worker(0).running.size() == 1; }, 6s));
-    w.set_worker_capacity(1, much_room, 0ms);
-    w.run_for(3s);
-    w.evacuate("b");
-    w.run_for(2s);
+    start_and_evacuate(w, "b");
     w.worker(0).draining = true;
     w.run_for(drain_time);
     BOOST_TEST(w.worker(0).running.size() == 1U);
--- a/tests/test_flow_restarts_news.cpp
+++ b/tests/test_flow_restarts_news.cpp
@@ -25,19 +25,6 @@
 constexpr duration restart_gap = 400ms;
 constexpr duration restart_takes = 800ms;
 
-int owner_of(flow_simulation& w, const std::string& cell, int entries)
-{
-    for (int i = 0; i < entries; ++i) {
-        if (w.entry(i) != nullptr) {
-            const auto at = w.entry(i)->cells().find(cell_id(cell));
-            if (at != w.entry(i)->cells().end() && at->second->owns()) {
-                return i;
-            }
-        }
-    }
-    return -1;
-}
-
 enum class stop_kind : std::uint8_t { killed, planned };
 
 // Accepted by an entry that reaches no peer, and that is gone before it does. Whether the job was accepted.
