standin: the state of a worker does not go back in time

Cause: the thread of the worker's process reads its clocks, and then waits for the lock. A control call that takes the lock first reads a later time and may start a task. The first thread then advanced the state with its earlier time: the step was negative, a task that had just been started had negative progress, and the next step counted the time twice.

Change: advance() does nothing for a time that has been passed. The next look, with a later time, does all of it. Calls from answers of the object store, which read the clocks before the lock as well, are covered by the same line.

Ruled out: the product's parsing (a negative number is rightly refused), and the stand-in of the platform's workers, which reads its clock under its lock.

Evidence: test_worker/a_time_that_has_passed_changes_no_progress, without the line -0.01, 0.01 and 0.01 where 0, 0.02 and 0.03 are due; with it 21 of 21 cases pass, test_worker_host three times of three.

--- a/standin/worker_state.cpp
+++ b/standin/worker_state.cpp
@@ -188,6 +188,10 @@
 
 void worker_state::advance(worker_now now)
 {
+    // A thread that read its clock and then waited for the lock comes with a time that another one has passed.
+    if (now.clock < advanced_) {
+        return;
+    }
     // Leases first: a process that was frozen past the end of a lease must find the task stopped, not finished.
     lapse(now);
     const duration step = now.clock - advanced_;
--- a/tests/test_worker.cpp
+++ b/tests/test_worker.cpp
@@ -390,6 +390,23 @@
     BOOST_TEST(report_of(report, 1).checkpoint_progress == 0.4, boost::test_tools::tolerance(0.01));
 }
 
+// Two threads of the worker's process read the clock and take the state in the other order: a task that the later one
+// started must not lose progress to the earlier time, nor gain it twice.
+BOOST_AUTO_TEST_CASE(a_time_that_has_passed_changes_no_progress)
+{
+    lab l;
+    const worker_now early = l.now;
+    l.wait(1s);
+    l.send({l.batch(1)});
+    l.state.advance(early);
+    BOOST_TEST(report_of(l.send({}), 1).progress == 0.0);
+    l.wait(2s);
+    BOOST_TEST(report_of(l.send({}), 1).progress == 0.02, boost::test_tools::tolerance(0.01));
+    l.state.advance(early);
+    l.wait(1s);
+    BOOST_TEST(report_of(l.send({}), 1).progress == 0.03, boost::test_tools::tolerance(0.01));
+}
+
 // The object store is down when an evicted task is started again: the task waits without progress and asks again, and
 // goes on from its checkpoint. Were the object gone for good, it would fail with that reason.
 BOOST_AUTO_TEST_CASE(a_resumed_task_waits_for_its_checkpoint)
