--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -166,8 +166,8 @@
 }
 
 // Returns the worker with the lowest placement cost for the task; null when none will do, or while no task may be
-// started in the data centre. A filling task accepts a
-// worker with excess interference only after it has waited for `patience`.
+// started in the data centre. A filling task accepts a worker with excess interference only after it has waited for
+// `patience`.
 flow_cell::cell_worker* flow_cell::choose_worker(instant now, const flow_job& job, const flow_stage& stage,
                                                  const flow_task_id& id, const rack_id& near, duration patience)
 {
--- a/tests/test_flow_places.cpp
+++ b/tests/test_flow_places.cpp
@@ -68,14 +68,10 @@
         exit_ = world_.now() + drain;
     }
 
+    void wait_for_request() { wait_for_more(world_.entry(giver_)->cells().at(cell_id("a"))->stats().places_asked); }
     void wait_for_promise()
     {
-        const auto& cell = *world_.entry(receiver_)->cells().at(cell_id("b"));
-        const std::int64_t before = cell.stats().places_promised;
-        while (cell.stats().places_promised == before && world_.now() < exit_) {
-            go_on(1ms, 1ms);
-        }
-        BOOST_REQUIRE(cell.stats().places_promised > before);
+        wait_for_more(world_.entry(receiver_)->cells().at(cell_id("b"))->stats().places_promised);
     }
 
     void go_on(duration d, duration step = check_step)
@@ -104,6 +100,15 @@
     duration longest() const { return longest_; }
 
 private:
+    void wait_for_more(const std::int64_t& count)
+    {
+        const std::int64_t before = count;
+        while (count == before && world_.now() < exit_) {
+            go_on(1ms, 1ms);
+        }
+        BOOST_REQUIRE(count > before);
+    }
+
     static constexpr int entries = 6;
     flow_simulation world_;
     int giver_ = -1;
@@ -346,6 +351,44 @@
     check_no_violations(w);
 }
 
+// Two tasks of a job that must be apart are both promised the only worker of another cell, and the second is stopped.
+BOOST_AUTO_TEST_CASE(one_of_two_tasks_bound_to_one_a_worker_leaves_for_a_cell_of_one_worker)
+{
+    flow_simulation w({.data_centres = {"a", "b"}, .workers_per_data_centre = 2});
+    for (const int i : {1, 2, 3}) {
+        w.set_worker_capacity(i, no_room, 0ms);
+    }
+    w.run_for(3s);
+    w.insert_unannounced_job(job_a, cell_id("a"), apart_spec(2, 4000));
+    BOOST_REQUIRE(w.run_until([&] { return w.count_running_tasks(job_a) == 1; }, 9s));
+    BOOST_REQUIRE(w.worker(0).running.begin()->first.index == 0); // leaves first
+    w.set_worker_capacity(1, much_room, 0ms);
+    BOOST_REQUIRE(w.run_until([&] { return w.count_running_tasks(job_a) == 2; }, 9s));
+    w.set_worker_capacity(2, much_room, 0ms);
+    w.run_for(3s);
+    const std::int64_t given = w.count_log_events("task", "given_away");
+    w.worker(0).draining = true;
+    w.worker(1).draining = true;
+    w.run_for(drain_time);
+    BOOST_TEST(w.worker(1).running.size() == 1U);
+    BOOST_TEST(w.worker(2).running.size() == 1U);
+    BOOST_TEST(w.count_log_events("task", "given_away") - given == 1);
+    check_no_violations(w);
+}
+
+// A task on a draining worker waits for the answer of an owner that has none to give, while another cell has room.
+BOOST_AUTO_TEST_CASE(a_task_leaves_a_draining_worker_though_the_owner_asked_first_does_not_answer)
+{
+    leaving_task t;
+    t.drain(drain_time);
+    t.wait_for_request();
+    t.world().pause_entry(t.receiver());
+    t.go_on(flow_limits::place_answer_timeout + 2 * flow_limits::drain_interval);
+    BOOST_TEST(t.world().worker(2).running.size() == 1U);
+    t.world().resume_entry(t.receiver());
+    t.check_runs_again();
+}
+
 // An owner floods the others with requests for places that nobody has.
 BOOST_AUTO_TEST_CASE(an_owner_asks_for_a_bounded_number_of_places_where_no_cell_has_one)
 {
