flow: a place is sought before the lease of a silent worker ends

Cause: nothing was prepared while the lease ran out. Only when the task was ready did its cell look for room, waited 0.8 s before it asked another cell, and the cell that was asked then began to let short work end, for up to two seconds more. All of this can be done during the six seconds in which it is certain that the task cannot start.

Change: for the last two seconds before the leases of a worker that does not answer end, and until the worker is declared lost, the owner holds a place here for each lasting task of it, or asks the other cells to (seek_places_before_lapse). A follower, which knows no runs of the worker, does so for the starts that the rows record there. A task for which another cell holds a place asks it as soon as it may start, without the wait of 0.8 s. Nothing is stopped or moved before the lease has ended: a task on a silent worker is no longer stopped for a promise that arrives late.

Cost: where the worker answers after all, short work has been kept off the reserved workers for up to three seconds; at most an eighth of a cell's workers are reserved at a time, as before.

Ruled out: asking other cells at once when no worker here can be reserved.

--- a/src/flow_cell_drain.cpp
+++ b/src/flow_cell_drain.cpp
@@ -1,4 +1,4 @@
-// Moves lasting tasks off draining workers before those workers leave.
+// Moves lasting tasks off draining workers before those workers leave, and seeks places for those of silent workers.
 #include "flow_cell_p.h"
 #include "flow_limits_p.h"
 #include "log_line_p.h"
@@ -23,6 +23,7 @@
             move_lasting_tasks_off(now, w);
         }
     }
+    seek_places_before_lapse(now);
 }
 
 // Stops the lasting tasks on one draining worker for which a place on another worker here is promised, and seeks places
@@ -55,4 +56,55 @@
     }
 }
 
+bool flow_cell::lapses_soon(instant now, const cell_worker& w)
+{
+    return w.silent > 0 && !w.lapsed && w.lapsed_after != instant{} && w.lapsed_after - now <= lapse_preparation;
+}
+
+// Seeks places for the lasting tasks of workers that have not answered and whose leases are about to end. The tasks may
+// start elsewhere from then on: by that time short work has made room for them.
+void flow_cell::seek_places_before_lapse(instant now)
+{
+    for (const auto& [worker, w] : workers_) {
+        if (!lapses_soon(now, w)) {
+            continue;
+        }
+        for (const auto& [id, run] : w.ledger) {
+            const auto [of, job, task, live] = look_up_run(worker, id, run.run);
+            if (run.lasting && live != nullptr && !job->step(*job->find_stage(id)).gang) {
+                seek_place_before_lapse(now, *job, id);
+            }
+        }
+    }
+    // Of workers that never answered this owner, only the recorded starts are known.
+    for (const job_id& id : unreconciled_jobs_) {
+        const auto found = jobs_.find(id);
+        if (found == jobs_.end()) {
+            continue;
+        }
+        flow_job& job = *found->second;
+        for (const flow_stage& stage : job.stages()) {
+            const flow_step& step = job.step(stage);
+            if (!step.lasting || step.gang || stage.ready == 0) {
+                continue;
+            }
+            for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
+                const flow_task& task = stage.tasks[i];
+                const auto at = workers_.find(worker_id(task.start.worker));
+                if (task.stage == flow_task_state::ready && task.runs.empty() && at != workers_.end() &&
+                    lapses_soon(now, at->second)) {
+                    seek_place_before_lapse(now, job, job.task_id(stage, i));
+                }
+            }
+        }
+    }
+}
+
+void flow_cell::seek_place_before_lapse(instant now, flow_job& job, const flow_task_id& task)
+{
+    if (promise_place(now, need_of(job, task), true).outcome == place_outcome::refused) {
+        seek_place(now, job, task, true);
+    }
+}
+
 } // namespace skylarkhub
--- a/src/flow_cell_moves.cpp
+++ b/src/flow_cell_moves.cpp
@@ -95,14 +95,15 @@
         if (task.stage != flow_task_state::ready || !task.runs.empty() || !may_start(job, stage, task)) {
             continue;
         }
-        const bool waits_here = now - task.ready_since < wait_before_move(step, task) ||
-                                (task.may_crash_workers() && find_dedicated(now, job.task_id(stage, i)) != nullptr);
+        const flow_task_id id = job.task_id(stage, i);
+        const bool held_elsewhere = is_held_elsewhere(id);
+        const bool waits_here = (now - task.ready_since < wait_before_move(step, task) && !held_elsewhere) ||
+                                (task.may_crash_workers() && find_dedicated(now, id) != nullptr);
         if (waits_here && !evacuated) {
             continue;
         }
         if (step.lasting && !evacuated) {
-            const flow_task_id id = job.task_id(stage, i);
-            seek_place(now, job, id, !can_reserve_worker(need_of(job, id)));
+            seek_place(now, job, id, !can_reserve_worker(need_of(job, id)) || held_elsewhere);
             continue;
         }
         auto to = find_cell_for_task(now, job, stage);
@@ -112,7 +113,7 @@
         if (!to) {
             break;
         }
-        move_task_to_cell(now, job, job.task_id(stage, i), *to);
+        move_task_to_cell(now, job, id, *to);
         ++handed_off;
     }
     return handed_off;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -290,7 +290,7 @@
         instant wanted_at{};             // when a pass last sought a place for it
         std::optional<instant> asked_at; // of a request that waits for its answer
         bool reserve = false;            // of the last request
-        std::optional<cell_id> reserved; // the cell that last answered that it reserves a worker
+        std::optional<cell_id> held_in;  // the cell that last promised a place or reserved a worker
     };
 
     // A renewal of the cell's row as it was sent to the table.
@@ -509,6 +509,9 @@
 
     // flow_cell_drain.cpp
     void drain_workers(instant now);
+    static bool lapses_soon(instant now, const cell_worker& w);
+    void seek_places_before_lapse(instant now);
+    void seek_place_before_lapse(instant now, flow_job& job, const flow_task_id& task);
     void move_lasting_tasks_off(instant now, cell_worker& w);
 
     // flow_cell_runs.cpp
@@ -634,6 +637,8 @@
     std::optional<cell_id> next_cell_to_ask(instant now, const flow_job& job, const flow_task_id& task,
                                             const place_search& search) const;
     void on_place_answer(instant now, const flow_task_id& task, const cell_id& cell, const place_answer& answer);
+    // Whether another cell has held a place for the task that was sought lately.
+    bool is_held_elsewhere(const flow_task_id& task) const;
     // Moves a waiting task to the cell, or stops the task's run on a draining worker so that it moves.
     void move_to_place(instant now, flow_job& job, const flow_task_id& task, const cell_id& cell,
                        const place_answer& answer);
--- a/src/flow_cell_places.cpp
+++ b/src/flow_cell_places.cpp
@@ -188,7 +188,7 @@
     };
     std::optional<cell_id> cell = first_of(room_kind::free);
     if (!cell && search.reserve) {
-        cell = search.reserved ? search.reserved : first_of(room_kind::reservable);
+        cell = search.held_in ? search.held_in : first_of(room_kind::reservable);
     }
     return cell;
 }
@@ -207,16 +207,17 @@
     switch (answer.outcome) {
     case place_outcome::promised:
         answers.promised_at = now;
+        search.held_in = cell;
         move_to_place(now, *found->second, task, cell, answer);
         seek_places_of_stage(now, *found->second, task);
         return;
     case place_outcome::reserved:
-        search.reserved = cell; // asked again in the next pass
+        search.held_in = cell; // asked again in the next pass
         move_to_place(now, *found->second, task, cell, answer);
         return;
     case place_outcome::refused:
-        if (search.reserved == cell) {
-            search.reserved.reset();
+        if (search.held_in == cell) {
+            search.held_in.reset();
         }
         answers.refused_until = now + place_refusal_retention;
         seek_place(now, *found->second, task, search.reserve);
@@ -224,6 +225,12 @@
     }
 }
 
+bool flow_cell::is_held_elsewhere(const flow_task_id& task) const
+{
+    const auto search = place_searches_.find(task);
+    return search != place_searches_.end() && search->second.held_in;
+}
+
 void flow_cell::move_to_place(instant now, flow_job& job, const flow_task_id& task, const cell_id& cell,
                               const place_answer& answer)
 {
@@ -246,7 +253,7 @@
     }
     live_run& run = t->runs.front();
     const auto at = workers_.find(run.worker);
-    if (at == workers_.end() || !at->second.listing.draining ||
+    if (at == workers_.end() || !at->second.listing.draining || at->second.silent > 0 ||
         (!promised && now - at->second.draining_since < drain_patience)) {
         return;
     }
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -248,6 +248,9 @@
 // A task leaves a worker that has drained for this long for a place that is only reserved, since it would otherwise be
 // down for a lease after the worker's exit.
 inline constexpr duration drain_patience = 1s;
+// Before the lease of a silent worker ends, places are sought for its lasting tasks for this long: most short work ends
+// within it.
+inline constexpr duration lapse_preparation = 2s;
 // A gang that its cell is too small for is spread over several cells after this: twice handoff_after, so that a larger
 // cell can take it whole first.
 inline constexpr duration gang_spread_after = 1600ms;
