flow: the room promised on a worker is kept as a sum; one rule says which workers a step may run on

Read once more: whoever looked at a worker, for each task and each worker of the cell, went over all promises of the cell to sum up those on that worker, and the search for a worker did so twice. Before leases end there is a promise for each lasting task of the silent workers, so the cost grew with the square of their number.

Change: flow_promises holds the promises and the sum on each worker, which add and remove keep; the loops over promises of a stage moved there. The first task of a stage, which stands for it, is computed in one place.

choose_to_dedicate(), find_wait_reason() and takes_starts_of() each asked whether a worker can be used now and has the service and the label of the step: is_open_to() does so for the three.

No behaviour changes.

--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -309,8 +309,7 @@
     const flow_step& step = job.step(stage);
     cell_worker* best = nullptr;
     for (auto& [id, w] : workers_) {
-        const bool usable = is_schedulable(now, w) && !is_dedicated(now, w) &&
-                            w.listing.service == job.row().service_name && has_label(w.listing.labels, step.label) &&
+        const bool usable = is_open_to(now, w, job.row().service_name, step) && !is_dedicated(now, w) &&
                             has_room(option_of(now, w), step) && !is_spread_limit_reached(w, step, task);
         if (usable && (best == nullptr || eviction_cost(w) < eviction_cost(*best))) {
             best = &w;
--- a/src/flow_cell_log.cpp
+++ b/src/flow_cell_log.cpp
@@ -44,8 +44,7 @@
     }
     const flow_step& step = job.step(stage);
     const bool schedulable = std::any_of(workers_.begin(), workers_.end(), [&](const auto& w) {
-        return is_schedulable(now, w.second) && w.second.listing.service == job.row().service_name &&
-               has_label(w.second.listing.labels, step.label);
+        return is_open_to(now, w.second, job.row().service_name, step);
     });
     return {schedulable ? task_wait_reason::no_room : task_wait_reason::no_worker, worker_id()};
 }
@@ -59,7 +58,7 @@
     int cpu = 0;
     int memory = 0;
     for (const auto& [id, w] : workers_) {
-        const resources free = w.listing.room - w.held - promised_on(w);
+        const resources free = w.listing.room - w.held - promises_.room_on(w.listing.worker);
         if (!takes_starts_of(now, w, need.service, need.step)) {
             ++closed;
         }
--- a/src/flow_cell_moves.cpp
+++ b/src/flow_cell_moves.cpp
@@ -150,7 +150,8 @@
     const bool usable = w.listed && w.named && w.fenced && !w.listing.draining && w.silent == 0 && !w.dedicated_to &&
                         w.listing.service == need.service && has_label(w.listing.labels, step.label);
     const resources lasting_resources{w.lasting_cpu, w.lasting_memory, 0};
-    return usable && fits(lasting_resources + promised_on(w, &need.task) + step.need, w.listing.room);
+    return usable &&
+           fits(lasting_resources + promises_.room_on(w.listing.worker, &need.task) + step.need, w.listing.room);
 }
 
 // Whether a worker here can be reserved for one more of the waiting tasks. Reservations promised in this round are
--- a/src/flow_cell_news.cpp
+++ b/src/flow_cell_news.cpp
@@ -66,7 +66,7 @@
         if (!w.fenced || w.silent >= max_unanswered_holds) {
             continue;
         }
-        const resources promised = promised_on(w);
+        const resources promised = promises_.room_on(w.listing.worker);
         const std::int64_t free = w.listing.room.cpu_millis - w.held.cpu_millis - promised.cpu_millis;
         pool.total_cpu_millis += w.listing.room.cpu_millis;
         pool.free_cpu_millis += free;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -35,6 +35,7 @@
 #include "flow_metrics_p.h"
 #include "flow_pending_p.h"
 #include "flow_place_p.h"
+#include "flow_promises_p.h"
 #include "flow_urgency_p.h"
 #include "place_crash_p.h"
 
@@ -284,12 +285,6 @@
         std::map<flow_task_id, std::int32_t> paced;
         instant draining_since{};
     };
-    // Room on a worker that is held for a task that is about to come there, if need be once short work there has ended.
-    struct promised_place {
-        worker_id worker;
-        resources need;
-        instant until{};
-    };
     // What another cell has answered to requests for places for the tasks of one stage, which are alike.
     struct place_answers {
         int awaited = 0; // requests without an answer
@@ -593,6 +588,7 @@
                                duration patience = flow_limits::fill_interference_wait);
     duration patience_of(instant now, const flow_job& job, const flow_task& task) const;
     static bool is_schedulable(instant now, const cell_worker& w);
+    static bool is_open_to(instant now, const cell_worker& w, const std::string& service, const flow_step& step);
     bool takes_starts_of(instant now, const cell_worker& w, const std::string& service, const flow_step& step) const;
     bool can_take(instant now, const cell_worker& w, const std::string& service, const flow_step& step,
                   const flow_task_id& task) const;
@@ -637,9 +633,6 @@
     cell_worker* choose_place(instant now, const place_need& need);
     // Returns the worker that a place was promised on, if it can take the task now.
     cell_worker* redeem_promise(instant now, const flow_job& job, const flow_task_id& task);
-    bool has_promises(const flow_job& job, const flow_stage& stage) const;
-    // Returns the room on the worker that is held for tasks, but for `except`.
-    resources promised_on(const cell_worker& w, const flow_task_id* except = nullptr) const;
     void drop_expired_promises(instant now);
     // Asks the next cell that may have a place for the task, unless a request is under way.
     void seek_place(instant now, flow_job& job, const flow_task_id& task, bool reserve);
@@ -795,7 +788,7 @@
     bool placement_scheduled_ = false;
     std::uint64_t placing_pass_ = 0;
     int reserved_in_pass_ = 0;
-    std::map<flow_task_id, promised_place> promises_; // here, to tasks that are about to start
+    flow_promises promises_;
     std::map<flow_task_id, place_search> place_searches_;
     // Requests for places since the last hand-off pass, for waiting tasks, and since the last drain pass, for tasks
     // that run: the latter must not be kept from asking by the former.
--- a/src/flow_cell_places.cpp
+++ b/src/flow_cell_places.cpp
@@ -11,17 +11,6 @@
 
 using namespace flow_limits;
 
-namespace {
-
-// The first task of the stage, which stands for the stage.
-flow_task_id stage_key(flow_task_id task)
-{
-    task.index = 0;
-    return task;
-}
-
-} // namespace
-
 place_need flow_cell::need_of(const flow_job& job, const flow_task_id& task)
 {
     return {task, job.row().service_name, job.spec().steps.at(static_cast<std::size_t>(task.step))};
@@ -37,14 +26,14 @@
         return answer;
     }
     drop_expired_promises(now);
-    promises_.erase(need.task);
+    promises_.remove(need.task);
     if (const cell_worker* const place = choose_place(now, need)) {
-        promises_[need.task] = {place->listing.worker, need.step.need, now + place_promise_timeout};
+        promises_.add(need.task, {place->listing.worker, need.step.need, now + place_promise_timeout});
         ++stats_.places_promised;
         answer.outcome = place_outcome::promised;
     }
     else if (const cell_worker* const later = reserve ? reserve_place(now, need) : nullptr) {
-        promises_[need.task] = {later->listing.worker, need.step.need, now + reservation_timeout};
+        promises_.add(need.task, {later->listing.worker, need.step.need, now + reservation_timeout});
         answer.outcome = place_outcome::reserved;
     }
     stats_.places_refused += answer.outcome == place_outcome::refused ? 1 : 0;
@@ -79,44 +68,26 @@
 
 flow_cell::cell_worker* flow_cell::redeem_promise(instant now, const flow_job& job, const flow_task_id& task)
 {
-    const auto at = promises_.find(task);
-    if (at == promises_.end() || !may_send_starts(now)) {
+    const promised_place* const place = promises_.find(task);
+    if (place == nullptr || !may_send_starts(now)) {
         return nullptr;
     }
-    const auto worker = workers_.find(at->second.worker);
+    const auto worker = workers_.find(place->worker);
     if (worker == workers_.end()) {
-        promises_.erase(at);
+        promises_.remove(task);
         return nullptr;
     }
     const place_need need = need_of(job, task);
     if (!can_take(now, worker->second, need.service, need.step, task)) {
         return nullptr; // short work there may still end
     }
-    promises_.erase(at);
+    promises_.remove(task);
     return &worker->second;
 }
 
-bool flow_cell::has_promises(const flow_job& job, const flow_stage& stage) const
-{
-    const flow_task_id first = job.task_id(stage, 0);
-    const auto at = promises_.lower_bound(first);
-    return at != promises_.end() && same_stage(at->first, first);
-}
-
-resources flow_cell::promised_on(const cell_worker& w, const flow_task_id* except) const
-{
-    resources sum;
-    for (const auto& [task, place] : promises_) {
-        if (place.worker == w.listing.worker && (except == nullptr || task != *except)) {
-            sum = sum + place.need;
-        }
-    }
-    return sum;
-}
-
 void flow_cell::drop_expired_promises(instant now)
 {
-    if (std::erase_if(promises_, [now](const auto& promise) { return now >= promise.second.until; }) > 0) {
+    if (promises_.remove_expired(now)) {
         schedule_placement();
     }
 }
@@ -140,7 +111,7 @@
     }
     search.asked_at = now;
     ++asked_in_pass;
-    ++place_answers_[stage_key(task)][*cell].awaited;
+    ++place_answers_[first_of_stage(task)][*cell].awaited;
     ++stats_.places_asked;
     hooks_.ask_for_place(
         now, *cell, need_of(job, task), reserve,
@@ -153,7 +124,7 @@
 
 void flow_cell::seek_places_of_stage(instant now, flow_job& job, const flow_task_id& task)
 {
-    for (auto at = place_searches_.lower_bound(stage_key(task));
+    for (auto at = place_searches_.lower_bound(first_of_stage(task));
          at != place_searches_.end() && same_stage(at->first, task); ++at) {
         if (!at->second.asked_at && now - at->second.wanted_at <= handoff_interval) {
             seek_place(now, job, at->first, at->second.reserve);
@@ -167,7 +138,7 @@
                                                    const place_search& search) const
 {
     const flow_step& step = job.spec().steps.at(static_cast<std::size_t>(task.step));
-    const auto answers = place_answers_.find(stage_key(task));
+    const auto answers = place_answers_.find(first_of_stage(task));
     // One request finds out whether a cell has a place for the step; further ones go there once it has promised one.
     const auto may_ask = [&](const cell_id& cell) {
         if (!job.may_extend_to(cell, max_cells_per_job)) {
@@ -195,7 +166,7 @@
 
 void flow_cell::on_place_answer(instant now, const flow_task_id& task, const cell_id& cell, const place_answer& answer)
 {
-    place_answers& answers = place_answers_[stage_key(task)][cell];
+    place_answers& answers = place_answers_[first_of_stage(task)][cell];
     --answers.awaited;
     const auto searched = place_searches_.find(task);
     const auto found = jobs_.find(task.job);
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -120,7 +120,7 @@
     option.worker = w.listing.worker;
     option.rack = w.listing.rack;
     option.room = w.listing.room;
-    option.held = w.held + promised_on(w);
+    option.held = w.held + promises_.room_on(w.listing.worker);
     option.filling_cpu = w.filling_cpu;
     option.serving = w.serving;
     option.filling_task_count = w.filling_task_count;
@@ -137,31 +137,34 @@
     if (step.per_worker_most <= 0) {
         return false;
     }
-    flow_task_id first = task;
-    first.index = 0;
-    std::int32_t tasks = 0;
-    for (auto at = w.ledger.lower_bound(first); at != w.ledger.end() && same_stage(at->first, task); ++at) {
+    std::int32_t tasks = promises_.count_others_of_stage(task, w.listing.worker);
+    for (auto at = w.ledger.lower_bound(first_of_stage(task)); at != w.ledger.end() && same_stage(at->first, task);
+         ++at) {
         ++tasks;
     }
-    for (auto at = promises_.lower_bound(first); at != promises_.end() && same_stage(at->first, task); ++at) {
-        tasks += at->second.worker == w.listing.worker && at->first != task ? 1 : 0;
-    }
     return tasks >= step.per_worker_most;
 }
 
+// Whether the worker can be used now and is one of those that the step may run on.
+bool flow_cell::is_open_to(instant now, const cell_worker& w, const std::string& service, const flow_step& step)
+{
+    return is_schedulable(now, w) && w.listing.service == service && has_label(w.listing.labels, step.label);
+}
+
 // Whether tasks of the step may be started on the worker at present, whatever room it has.
 bool flow_cell::takes_starts_of(instant now, const cell_worker& w, const std::string& service,
                                 const flow_step& step) const
 {
-    return is_schedulable(now, w) && w.listing.service == service && has_label(w.listing.labels, step.label) &&
-           (step.lasting || (!w.is_reserved(now) && !w.may_forget_ends(now))) && !is_dedicated(now, w);
+    return is_open_to(now, w, service, step) && (step.lasting || (!w.is_reserved(now) && !w.may_forget_ends(now))) &&
+           !is_dedicated(now, w);
 }
 
 // Whether the task may be started on the worker now. A place that it was promised there does not count against it.
 bool flow_cell::can_take(instant now, const cell_worker& w, const std::string& service, const flow_step& step,
                          const flow_task_id& task) const
 {
-    return takes_starts_of(now, w, service, step) && has_room(w.held + promised_on(w, &task), w.listing.room, step) &&
+    return takes_starts_of(now, w, service, step) &&
+           has_room(w.held + promises_.room_on(w.listing.worker, &task), w.listing.room, step) &&
            !is_spread_limit_reached(w, step, task);
 }
 
@@ -281,7 +284,7 @@
                 reserve_worker(now, need_of(job, id));
             }
             full = true;
-            if (step.gang || !has_promises(job, stage)) {
+            if (step.gang || !promises_.has_any_of_stage(id)) {
                 break;
             }
             continue;
@@ -316,7 +319,7 @@
 {
     flow_task& task = stage.tasks[index];
     const flow_task_id id = job.task_id(stage, index);
-    promises_.erase(id);
+    promises_.remove(id);
     task.last_run = run;
     task.runs.push_back({w.listing.worker, run, now});
     task.runs.back().born = w.born;
--- a/src/flow_types_p.h
+++ b/src/flow_types_p.h
@@ -63,6 +63,13 @@
     }
 };
 
+// The first task of the stage, which stands for the stage.
+inline flow_task_id first_of_stage(flow_task_id task)
+{
+    task.index = 0;
+    return task;
+}
+
 // Whether two tasks are of the same step and occurrence of a job.
 inline bool same_stage(const flow_task_id& a, const flow_task_id& b)
 {
