flow_cell_drain: recorded starts on silent workers have a function of their own

seek_places_before_lapse() went five levels deep, through the runs that are known and the starts that only rows record. The latter are now sought by seek_places_of_recorded_starts().

--- a/src/flow_cell_drain.cpp
+++ b/src/flow_cell_drain.cpp
@@ -76,25 +76,28 @@
             }
         }
     }
-    // Of workers that never answered this owner, only the recorded starts are known.
     for (const job_id& id : unreconciled_jobs_) {
         const auto found = jobs_.find(id);
-        if (found == jobs_.end()) {
+        if (found != jobs_.end()) {
+            seek_places_of_recorded_starts(now, *found->second);
+        }
+    }
+}
+
+// Does so for the tasks of which only the recorded start is known, on workers that never answered this owner.
+void flow_cell::seek_places_of_recorded_starts(instant now, flow_job& job)
+{
+    for (const flow_stage& stage : job.stages()) {
+        const flow_step& step = job.step(stage);
+        if (!step.lasting || step.gang || stage.ready == 0) {
             continue;
         }
-        flow_job& job = *found->second;
-        for (const flow_stage& stage : job.stages()) {
-            const flow_step& step = job.step(stage);
-            if (!step.lasting || step.gang || stage.ready == 0) {
-                continue;
-            }
-            for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
-                const flow_task& task = stage.tasks[i];
-                const auto at = workers_.find(worker_id(task.start.worker));
-                if (task.stage == flow_task_state::ready && task.runs.empty() && at != workers_.end() &&
-                    lapses_soon(now, at->second)) {
-                    seek_place_before_lapse(now, job, job.task_id(stage, i));
-                }
+        for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
+            const flow_task& task = stage.tasks[i];
+            const auto worker = workers_.find(worker_id(task.start.worker));
+            const bool waits = task.stage == flow_task_state::ready && task.runs.empty();
+            if (waits && worker != workers_.end() && lapses_soon(now, worker->second)) {
+                seek_place_before_lapse(now, job, job.task_id(stage, i));
             }
         }
     }
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -517,6 +517,7 @@
     void drain_workers(instant now);
     static bool lapses_soon(instant now, const cell_worker& w);
     void seek_places_before_lapse(instant now);
+    void seek_places_of_recorded_starts(instant now, flow_job& job);
     void seek_place_before_lapse(instant now, flow_job& job, const flow_task_id& task);
     void move_lasting_tasks_off(instant now, cell_worker& w);
 
