--- a/tests/test_flow_lapse.cpp
+++ b/tests/test_flow_lapse.cpp
@@ -24,13 +24,12 @@
 constexpr duration short_interval = 250ms;
 constexpr resources room_of_one{9000, 64000, 0};
 
-// The only worker of cell a runs a lasting task and has no room for more. Cell b has a worker that could run it.
+// The only worker of cell a runs a lasting task and has no room for more. Cell b has a worker that could run it, and
+// that is kept full of short work.
 class silent_worker {
 public:
-    // `short_work`: the worker of cell b is kept full of it.
-    explicit silent_worker(bool short_work)
-        : short_work_(short_work),
-          world_({.data_centres = {"a", "b"}, .workers_per_data_centre = 1, .run_time = [](const flow_task_id&) {
+    silent_worker()
+        : world_({.data_centres = {"a", "b"}, .workers_per_data_centre = 1, .run_time = [](const flow_task_id&) {
                       return short_run_time;
                   }})
     {
@@ -68,25 +67,24 @@
 private:
     void step()
     {
-        if (short_work_ && world_.now() >= next_short_) {
+        if (world_.now() >= next_short_) {
             next_short_ = world_.now() + short_interval;
             world_.send_submit(2, fmt::format("{:016x}", 0xb0000 + short_jobs_++), chain_spec(1, 2, 2000));
         }
         world_.run_for(check_step);
     }
 
-    bool short_work_;
     flow_simulation world_;
     instant next_short_{};
     int short_jobs_ = 0;
 };
 
 // Returns the longest time that the task is away, for crashes at all phases of the exchanges with the worker.
-duration longest_away(bool short_work, bool kill_owner)
+duration longest_away(bool kill_owner)
 {
     duration longest{0};
     for (duration phase{0}; phase < phase_end; phase += phase_step) {
-        silent_worker site(short_work);
+        silent_worker site;
         site.run_for(phase);
         longest = std::max(longest, site.crash(kill_owner));
     }
@@ -99,11 +97,11 @@
 // The room for a task of a silent worker is sought only once its lease has ended, and short work still runs there.
 BOOST_AUTO_TEST_CASE(a_task_of_a_silent_worker_finds_its_place_free_when_the_lease_ends)
 {
-    BOOST_TEST(longest_away(true, false) <= away_most);
+    BOOST_TEST(longest_away(false) <= away_most);
 }
 
 // The same for a follower, which knows the task's start from its row only.
 BOOST_AUTO_TEST_CASE(a_task_of_a_silent_worker_finds_its_place_free_though_its_owner_is_killed)
 {
-    BOOST_TEST(longest_away(true, true) <= away_most);
+    BOOST_TEST(longest_away(true) <= away_most);
 }
