flow: a follower suspects tasks that it finds nowhere after a crash

A worker crashes, and its owner is killed before it has heard of it (a worker is away for about three seconds). The runs there were short, so no row names them: the follower finds the tasks nowhere and starts them as if nothing had happened, one crash too many.

Change: if a worker that the row names turns out to have crashed before the new owner had heard of it, each task that no worker lists once all have answered may have been under that crash. It is therefore started alone after two crashes seen instead of three. Nothing is charged or written, the suspicion ends with a run that does no harm or with the owner, and a task is given up for crashes that were seen only.

--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -132,6 +132,20 @@
     }
 }
 
+// Suspects the tasks that no worker lists if a worker crashed before this owner had heard of it: the previous owner may
+// have started them there. As that is not known, they are only started alone one crash sooner.
+void flow_cell::suspect_tasks_not_found(flow_job& job)
+{
+    if (!inherited_worker_crashed_) {
+        return;
+    }
+    for (flow_stage& stage : job.stages()) {
+        for (flow_task& task : stage.tasks) {
+            task.may_have_crashed = task.stage == flow_task_state::ready && task.runs.empty();
+        }
+    }
+}
+
 // Charges the tasks of a worker that has crashed.
 void flow_cell::charge_crash_of(instant now, const cell_worker& w)
 {
@@ -139,6 +153,7 @@
         return; // a draining worker has left on purpose
     }
     if (w.inherited && !w.fenced) {
+        inherited_worker_crashed_ = true;
         charge_noted(now, [&w](const worker_life& life, const flow_task_id&, run_number) {
             return life.worker == w.listing.worker;
         });
--- a/src/flow_cell_lives.cpp
+++ b/src/flow_cell_lives.cpp
@@ -85,6 +85,7 @@
             return lists_run(answer, run.task, run.run) || live == nullptr || !ran_before(*live, answer.born, sent);
         });
         charge_runs(now, w.life(), lost);
+        inherited_worker_crashed_ = inherited_worker_crashed_ || (w.inherited && !w.fenced);
         if (role_ == role::owning && w.inherited && !w.fenced) {
             charge_noted(now, [&](const worker_life& life, const flow_task_id& task, run_number run) {
                 return life.worker == w.listing.worker && is_over(life, task, run, answer);
--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -769,6 +769,7 @@
     read_rows_.clear();
     recent_crashes_.clear();
     lapsed_workers_.clear();
+    inherited_worker_crashed_ = false;
     isolated_task_waits_ = false;
     placement_scheduled_ = false;
     promises_.clear();
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -483,6 +483,7 @@
     // Charges a crash to tasks whose start record names a life of a worker that is over.
     using recorded_start_filter = std::function<bool(const worker_life&, const flow_task_id&, run_number)>;
     void charge_noted(instant now, const recorded_start_filter& is_over);
+    void suspect_tasks_not_found(flow_job& job);
     void charge_crash_of(instant now, const cell_worker& w);
     void record_lapsed_worker(instant now, const cell_worker& w);
     // Removes the crashes charged for a worker that turned out to have been cut off.
@@ -781,7 +782,8 @@
     std::map<job_id, instant> recently_ended_jobs_; // kept while a late page of the table may still contain them
     crash_watch<flow_task_id> recent_crashes_;
     std::map<net_address, lapsed_worker> lapsed_workers_;
-    bool isolated_task_waits_ = false; // a task waits for a dedicated worker
+    bool inherited_worker_crashed_ = false; // before this owner had read what ran there
+    bool isolated_task_waits_ = false;      // a task waits for a dedicated worker
     std::map<std::string, part_state> parts_;
     interference_model interference_;
     load_forecast loads_;                        // of serving jobs
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -137,6 +137,7 @@
             mark_job_dirty(now, *found->second, false); // no run of the job is left, so its rows may be removed
         }
         else if (found != jobs_.end()) {
+            suspect_tasks_not_found(*found->second);
             end_if_decided(now, *found->second);
         }
     }
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -32,7 +32,8 @@
 
 bool flow_task::may_crash_workers() const
 {
-    return crashes.size() >= static_cast<std::size_t>(crashes_until_alone) && must_start_alone(crash_rows());
+    return crashes.size() >= static_cast<std::size_t>(crashes_until_alone) &&
+           must_start_alone(crash_rows(), may_have_crashed ? 1 : 0);
 }
 
 bool flow_task::crashes_workers() const
@@ -372,6 +373,7 @@
 void flow_job::discard_crashes(flow_task& task, run_number run)
 {
     task.outlived = std::max(task.outlived, run);
+    task.may_have_crashed = false;
     task.crashes.erase(task.crashes.begin(), task.crashes.upper_bound(task.outlived));
 }
 
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -37,7 +37,8 @@
     // Bounded by the number of attempts of the task.
     std::set<run_number> failed_runs;
     std::map<run_number, wire::crash_row> crashes; // crashes of workers while they ran the task, by run
-    run_number outlived; // crashes of runs up to this one no longer count, since a later run proved harmless
+    run_number outlived;           // crashes of runs up to this one no longer count, since a later run proved harmless
+    bool may_have_crashed = false; // a worker that the previous owner started it on may have crashed unnoticed
     std::vector<wire::crash_row> crash_rows() const;
     bool may_crash_workers() const; // so it is started on a worker without other tasks
     bool crashes_workers() const;   // certain, so its job is given up
--- a/src/place_crash.cpp
+++ b/src/place_crash.cpp
@@ -112,9 +112,9 @@
     return weight >= weights_until_given_up.at(more) && weight_of(crashes.back().age, rate) >= weight_of_last;
 }
 
-bool must_start_alone(const std::vector<wire::crash_row>& rows)
+bool must_start_alone(const std::vector<wire::crash_row>& rows, std::size_t unheard)
 {
-    return rows.size() >= crashes_until_sure ||
+    return rows.size() + unheard >= crashes_until_sure ||
            charged_rows(rows).size() >= static_cast<std::size_t>(crashes_until_alone);
 }
 
--- a/src/place_crash_p.h
+++ b/src/place_crash_p.h
@@ -99,8 +99,8 @@
 // crash, the fewer are needed, and three at least.
 bool is_given_up(const std::vector<charged_crash>& crashes);
 
-// Whether a task with these crashes under it is started alone.
-bool must_start_alone(const std::vector<wire::crash_row>& rows);
+// Whether a task with these crashes under it is started alone. `unheard`: further crashes that may have been under it.
+bool must_start_alone(const std::vector<wire::crash_row>& rows, std::size_t unheard = 0);
 // Beyond doubt, by what it is charged with, or since it crashed two workers in a row at once when it was alone there.
 bool crashes_its_workers(const std::vector<wire::crash_row>& rows);
 
