--- a/tests/test_flow_crash.cpp
+++ b/tests/test_flow_crash.cpp
@@ -132,12 +132,9 @@
     BOOST_REQUIRE(w.submit(0, job_a, chain_spec(1, 24)) == caller_result::accepted);
     for (int round = 0; round < 8 && !has_failed(w, (round + 1) % 3, job_a); ++round) {
         w.run_for(4s);
-        for (int i = 0; i < 3; ++i) {
-            if (w.entry(i)->cells().at(cell_id("a"))->owns()) {
-                w.kill_entry(i);
-                w.start_entry(i);
-                break;
-            }
+        if (const int owner = owner_of(w, "a", 3); owner >= 0) {
+            w.kill_entry(owner);
+            w.start_entry(owner);
         }
         w.run_for(8s);
     }
--- a/tests/test_flow_pending.cpp
+++ b/tests/test_flow_pending.cpp
@@ -19,7 +19,6 @@
     return chain_spec(1, 1, 1000000);
 }
 
-// Returns the index of the entry that owns the cell, or -1.
 } // namespace
 
 BOOST_AUTO_TEST_CASE(jobs_accepted_for_a_cell_whose_owner_is_cut_off_are_counted_everywhere)
--- a/tests/test_flow_pending_begun.cpp
+++ b/tests/test_flow_pending_begun.cpp
@@ -19,7 +19,6 @@
 constexpr duration poll_duration = 10s;
 constexpr int jobs_sent = 4;
 
-// Returns the index of the entry that owns the cell, or -1.
 flow_spec gang_spec(int count, std::int64_t cpu_millis)
 {
     flow_spec spec = chain_spec(1, count, cpu_millis);
