config: the line of an unknown queue tells the answer, and how old what it goes by is

What operators saw: a line 'config unknown_queue' beside a 404 that should not have been, with nothing that tells why it was given. The line was written before the decision. It tells now whether the caller got 404 or was asked to come back, how long ago the table showed that no newer configuration exists, and how long ago a peer was heard. No decision is changed.

--- a/src/flow_config.cpp
+++ b/src/flow_config.cpp
@@ -9,6 +9,16 @@
 
 using namespace flow_limits;
 
+namespace {
+
+// Returns how long ago `at` was, for the log.
+std::string age_ms(instant now, instant at)
+{
+    return at == instant{} ? "never" : std::to_string((now - at) / 1ms);
+}
+
+} // namespace
+
 void flow_entry::watch_operator(instant now)
 {
     // After changes the next call only checks whether further ones follow.
@@ -209,18 +219,25 @@
 }
 
 // Logs at most one line a second, since callers may request unknown queues at any rate.
-void flow_entry::log_unknown_queue(instant now, const caller_request& request)
+void flow_entry::log_unknown_queue(instant now, const caller_request& request, bool refused)
 {
     ++stats_.unknown_queues;
     if (now < next_unknown_queue_line_) {
         return;
     }
     next_unknown_queue_line_ = now + unknown_queue_log_interval;
+    instant last_hello_at{};
+    for (const auto& [id, p] : peers_) {
+        last_hello_at = std::max(last_hello_at, p.last_hello_at);
+    }
     edges_.note(log_level::info, "config", "unknown_queue",
                 {{"host", request.host},
                  {"path", request.path},
                  {"version", std::to_string(config_version().value())},
-                 {"newest", std::to_string(newest_config_version(now).value())}});
+                 {"newest", std::to_string(newest_config_version(now).value())},
+                 {"answer", refused ? "unknown" : "retry_later"},
+                 {"newest_at_ago_ms", age_ms(now, config_newest_at_)},
+                 {"peer_heard_ago_ms", age_ms(now, last_hello_at)}});
 }
 
 } // namespace skylarkhub
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -349,7 +349,8 @@
     void apply_copied_config(instant now);
     // Answers a peer's request for a piece of the configuration.
     wire::flow_message serve_config(instant now, const wire::flow_config_ask& ask);
-    void log_unknown_queue(instant now, const caller_request& request);
+    // `refused`: the caller is told that the queue does not exist.
+    void log_unknown_queue(instant now, const caller_request& request, bool refused);
 
     // flow_entry_evacuations.cpp
     // Takes in the answer to a watch of the operator's rows, requested at `asked`, which may have lasted for `wait`.
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -82,12 +82,10 @@
     }
     const flow_queue* const queue = match_queue(request.host, request.path);
     if (queue == nullptr) {
-        log_unknown_queue(now, request);
-        if (!knows_newest_config(now)) {
-            reply(retry_for_newer_config());
-            return;
-        }
-        reply({caller_result::unknown_queue, flow_state::queued, 0, duration(0), "no such queue"});
+        const bool refused = knows_newest_config(now);
+        log_unknown_queue(now, request, refused);
+        reply(refused ? caller_answer{caller_result::unknown_queue, flow_state::queued, 0, duration(0), "no such queue"}
+                      : retry_for_newer_config());
         return;
     }
     const std::string rest = request.path.substr(queue->prefix.size());
