config: an answer that the history is gone proves nothing about the newest configuration

What callers saw: a queue that a confirmed change has added is refused with 404.

Cause: the entry took each answer of the table without a configuration for 'nothing is newer', also the one that says that its history is gone and shows nothing. For two seconds from then on it refused unknown queues, while it read the whole configuration over a narrow link.

Evidence: test_flow_config_age/a_discarded_history_does_not_prove_that_a_queue_is_unknown, 12 entries, the asked one away from table and peers while a change is made and the history is discarded: 6 of 80 looks refused over 10 Mbit/s, 29 of 80 over 2 Mbit/s; none now. Ruled out as the cause in that test: peers (none is heard), the answers' delay (the first answer after the cut is the 410).

Change: operator_feed keeps what the table's answers prove, in one place: up to which version changes are known, and at which time there were no others. After a 410 both are not known until the whole state has been read; a watch is silent while its history goes, so what answers before the 410 told is not certain either. The configuration reads the time from there, and evacuations are not given an answer that shows none.

--- a/src/flow_config.cpp
+++ b/src/flow_config.cpp
@@ -12,41 +12,34 @@
 namespace {
 
 // Returns how long ago `at` was, for the log.
-std::string age_ms(instant now, instant at)
+std::string age_ms(instant now, std::optional<instant> at)
 {
-    return at == instant{} ? "never" : std::to_string((now - at) / 1ms);
+    return at ? std::to_string((now - *at) / 1ms) : "not_known";
 }
 
 } // namespace
 
 void flow_entry::watch_operator(instant now)
 {
-    // After changes the next call only checks whether further ones follow.
-    const duration wait = config_just_came_ ? duration(0) : operator_wait;
-    config_just_came_ = false;
-    edges_.watch_operator(operator_seen_, wait, [this, wait, asked = now](instant then, const operator_update& page) {
-        if (page.reached) {
-            table_answered_ = then;
-            apply_evacuations(then, page, asked, wait);
-            // An answer that shows changes may have been cut before the newest configuration. The received version was
-            // the newest when the request was sent; a large text takes time over a narrow link.
-            if (!page.more) {
-                config_newest_at_ = page.config ? asked : then;
-            }
-            config_just_came_ = page.more || page.config.has_value();
-            operator_answered_ = true;
-            operator_failures_ = 0;
-            operator_seen_ = page.history_compacted ? row_version(0) : std::max(operator_seen_, page.version);
-            if (page.config) {
-                apply_config(then, *page.config, page.config_text, "table");
-            }
-            update_config_usable(then);
-            watch_operator(then);
+    const operator_feed::call call = operator_feed_.next_call(now);
+    edges_.watch_operator(call.after, call.wait, [this, call](instant then, const operator_update& page) {
+        if (!page.reached) {
+            ++operator_failures_;
+            ++stats_.config_looks_unanswered;
+            edges_.after(operator_retry, [this](instant again) { watch_operator(again); });
             return;
         }
-        ++operator_failures_;
-        ++stats_.config_looks_unanswered;
-        edges_.after(operator_retry, [this](instant again) { watch_operator(again); });
+        operator_failures_ = 0;
+        table_answered_ = then;
+        operator_feed_.take(call, then, page);
+        if (!page.history_compacted) {
+            apply_evacuations(then, page, call.asked, call.wait);
+        }
+        if (page.config) {
+            apply_config(then, *page.config, page.config_text, "table");
+        }
+        update_config_usable(then);
+        watch_operator(then);
     });
 }
 
@@ -89,8 +82,9 @@
 // newer version.
 bool flow_entry::knows_newest_config(instant now) const
 {
-    return config_usable_ && newest_config_version(now) <= config_version() &&
-           now - config_newest_at_ < config_answer_validity;
+    const std::optional<instant> complete_at = operator_feed_.complete_at();
+    return config_usable_ && newest_config_version(now) <= config_version() && complete_at &&
+           now - *complete_at < config_answer_validity;
 }
 
 void flow_entry::update_peer_config(instant now, peer& p, settings_version version)
@@ -119,7 +113,7 @@
     else if (!behind_since_) {
         behind_since_ = now;
     }
-    const bool asked_enough = operator_answered_ || now - started_at_ >= config_start_timeout;
+    const bool asked_enough = operator_feed_.complete_at() || now - started_at_ >= config_start_timeout;
     config_was_newest_ = config_was_newest_ || (config_ && newest && asked_enough);
     const bool behind_for_long = behind_since_ && now - *behind_since_ >= max_config_behind;
     config_usable_ = config_.has_value() && config_was_newest_ && !behind_for_long;
@@ -226,9 +220,11 @@
         return;
     }
     next_unknown_queue_line_ = now + unknown_queue_log_interval;
-    instant last_hello_at{};
+    std::optional<instant> last_hello_at;
     for (const auto& [id, p] : peers_) {
-        last_hello_at = std::max(last_hello_at, p.last_hello_at);
+        if (p.hello_received) {
+            last_hello_at = std::max(last_hello_at.value_or(p.last_hello_at), p.last_hello_at);
+        }
     }
     edges_.note(log_level::info, "config", "unknown_queue",
                 {{"host", request.host},
@@ -236,7 +232,7 @@
                  {"version", std::to_string(config_version().value())},
                  {"newest", std::to_string(newest_config_version(now).value())},
                  {"answer", refused ? "unknown" : "retry_later"},
-                 {"newest_at_ago_ms", age_ms(now, config_newest_at_)},
+                 {"newest_at_ago_ms", age_ms(now, operator_feed_.complete_at())},
                  {"peer_heard_ago_ms", age_ms(now, last_hello_at)}});
 }
 
--- a/src/flow_entry_evacuations.cpp
+++ b/src/flow_entry_evacuations.cpp
@@ -38,9 +38,6 @@
 
 void flow_entry::apply_evacuations(instant now, const operator_update& page, instant asked, duration wait)
 {
-    if (page.history_compacted) {
-        return;
-    }
     // A call that shows no change has lasted for its whole wait, unless it was answered early.
     const bool waited = !page.evacuations.whole && now - asked >= wait;
     const instant certain = waited ? asked + wait : asked;
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -14,6 +14,7 @@
 #include "flow_edges_p.h"
 #include "flow_evacuation_p.h"
 #include "flow_layout_p.h"
+#include "flow_operator_feed_p.h"
 #include "flow_pending_p.h"
 #include "flow_unusable_p.h"
 
@@ -401,11 +402,8 @@
     std::optional<flow_config> config_;
     std::string config_text_;
     std::int64_t config_checksum_ = 0;
-    row_version operator_seen_;
-    bool config_just_came_ = false;       // the table's last answer contained a new configuration
-    bool operator_answered_ = false;      // the table has answered a watch since the start
+    operator_feed operator_feed_;
     int operator_failures_ = 0;           // consecutive watch calls without an answer
-    instant config_newest_at_{};          // the last time at which the table had no newer configuration than this entry
     std::optional<instant> behind_since_; // since when a live peer has a newer configuration than this entry
     bool config_usable_ = false;          // recent enough to accept jobs by
     bool config_was_newest_ = false;      // the configuration was the newest known one at some time since the start
