config: an answer of the table is dated by when it was certainly true, not by when it is handled

What callers saw: a queue that a confirmed change has added is refused with 404.

Cause: an answer that shows no change counted as true in the moment in which the entry handled it. On a full link, or in a process that is short of processor time, that is seconds after the table wrote it, and 404 was given for two seconds from then on. Evacuations, from the same answer, were dated by its asking plus the wait that the table held it back: one feed, two rules.

Change: operator_feed dates answers by one rule, that of evacuations, and both read it. Why it holds: the table cannot have written an answer without changes before it was asked, nor before the wait was over. An answer that the table cuts short and that is handled after the wait is dated up to the wait too late; nothing in the answer tells.

The virtual table sent empty answers at once, whatever the link bore; they go over the link like others now.

--- a/src/flow_config.cpp
+++ b/src/flow_config.cpp
@@ -31,9 +31,9 @@
         }
         operator_failures_ = 0;
         table_answered_ = then;
-        operator_feed_.take(call, then, page);
+        const std::optional<instant> complete_at = operator_feed_.take(call, then, page);
         if (!page.history_compacted) {
-            apply_evacuations(then, page, call.asked, call.wait);
+            apply_evacuations(then, page, complete_at);
         }
         if (page.config) {
             apply_config(then, *page.config, page.config_text, "table");
--- a/src/flow_entry_evacuations.cpp
+++ b/src/flow_entry_evacuations.cpp
@@ -36,12 +36,8 @@
     });
 }
 
-void flow_entry::apply_evacuations(instant now, const operator_update& page, instant asked, duration wait)
+void flow_entry::apply_evacuations(instant now, const operator_update& page, std::optional<instant> complete_at)
 {
-    // A call that shows no change has lasted for its whole wait, unless it was answered early.
-    const bool waited = !page.evacuations.whole && now - asked >= wait;
-    const instant certain = waited ? asked + wait : asked;
-    const auto complete_at = page.more ? std::nullopt : std::optional(certain);
     on_evacuations_changed(now, evacuations_.apply(page.evacuations, page.version, complete_at), "table");
 }
 
--- a/src/flow_operator_feed.cpp
+++ b/src/flow_operator_feed.cpp
@@ -8,6 +8,19 @@
 
 using namespace flow_limits;
 
+namespace {
+
+// Returns the latest time at which an answer was certainly true. It may have been on its way for long, or have waited
+// for this process to handle it, so the time at which it is handled proves nothing. An answer that shows no change was
+// held back by the table for the whole wait; one that comes sooner was not.
+instant time_of_truth(const operator_feed::call& sent, instant now, const operator_update& answer)
+{
+    const bool held_back = !answer.evacuations.whole && now - sent.asked >= sent.wait;
+    return held_back ? sent.asked + sent.wait : sent.asked;
+}
+
+} // namespace
+
 operator_feed::call operator_feed::next_call(instant now) const
 {
     // After changes the next call only checks whether further ones follow.
@@ -26,8 +39,7 @@
     if (answer.more) {
         return std::nullopt; // the answer may have been cut before the newest change
     }
-    // An answer with a configuration was true when it was asked for; a large text takes time over a narrow link.
-    complete_at_ = answer.config ? sent.asked : now;
+    complete_at_ = time_of_truth(sent, now, answer);
     return complete_at_;
 }
 
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -21,7 +21,8 @@
 constexpr int max_starts_after_crashes = 2;
 constexpr duration page_timeout = 1500ms;
 constexpr duration peer_timeout = 900ms;
-constexpr duration watch_timeout = 1500ms; // for the rest of an answer that has begun
+constexpr std::size_t empty_answer_bytes = 300; // of an answer to a watch that shows no change
+constexpr duration watch_timeout = 1500ms;      // for the rest of an answer that has begun
 // How long a task may run on after its job was cancelled, or after a delayed start: the time until the owner learns of
 // it and the worker has stopped the task.
 constexpr duration max_cancelled_run_time = 3200ms;
@@ -647,12 +648,12 @@
             page.reached = true;
             page.history_compacted = true;
         }
-        if (*over || options_.link_bytes_per_s <= 0 || !page.config) {
+        if (*over || options_.link_bytes_per_s <= 0) {
             end(page);
             return;
         }
-        const auto transfer =
-            links_.send(shared_links::wide, entry, page.config_text.size(), [end, page] { end(page); });
+        const auto transfer = links_.send(shared_links::wide, entry, empty_answer_bytes + page.config_text.size(),
+                                          [end, page] { end(page); });
         give_up_stalled(
             entry, [over] { return *over; },
             [this, end, transfer] {
