config: a newer version that a peer has reported is not forgotten with the peer

What callers saw: an entry that is behind is ready again with its old configuration, and takes jobs by it, or refuses a queue that the newer one adds.

Cause: the newest version was worked out from the peers that are live. When those who told of it fell silent (a data centre cut off, entries that restart, a full link), the entry took its own for the newest, and the time that it had been behind began anew when they were heard again.

Change: the newest version reported is kept. Versions only increase, so it needs no lease. An entry that cannot get the version from anybody stays not ready until the table or a peer gives it: callers go elsewhere meanwhile. A version that cannot be read here still leaves the one before in force.

test_flow_knows_nothing/an_entry_that_hears_peers_now_and_then_takes_no_jobs_by_the_old_version stays red: in it the text is on its way to all for the whole test, so nobody tells of the version.

--- a/src/daemon_flow_app.cpp
+++ b/src/daemon_flow_app.cpp
@@ -172,7 +172,7 @@
         write_value(out, "jobs_waiting", labels, static_cast<std::int64_t>(cell->waiting_count()));
     }
     write_value(out, "config_version", "", entry_->config_version().value());
-    write_value(out, "config_newest_version", "", entry_->newest_config_version(read_clock()).value());
+    write_value(out, "config_newest_version", "", entry_->newest_config_version().value());
     write_value(out, "log_lines_dropped_total", "", log_lines_dropped());
     write_value(out, "log_bytes_total", "", log_bytes_written());
     return out;
--- a/src/flow_config.cpp
+++ b/src/flow_config.cpp
@@ -66,15 +66,10 @@
     update_config_usable(now);
 }
 
-settings_version flow_entry::newest_config_version(instant now) const
+// Versions only increase, so what a peer has reported remains true when the peer is no longer heard.
+settings_version flow_entry::newest_config_version() const
 {
-    settings_version newest = config_version();
-    for (const auto& [id, p] : peers_) {
-        if (is_live(p, now) && p.config != config_unreadable_) {
-            newest = std::max(newest, p.config);
-        }
-    }
-    return newest;
+    return std::max(config_version(), newest_reported_);
 }
 
 // Failure: a change has not reached any entry yet, so that no peer reports it. Symptom: a queue that it adds is refused
@@ -83,13 +78,16 @@
 bool flow_entry::knows_newest_config(instant now) const
 {
     const std::optional<instant> complete_at = operator_feed_.complete_at();
-    return config_usable_ && newest_config_version(now) <= config_version() && complete_at &&
+    return config_usable_ && newest_config_version() <= config_version() && complete_at &&
            now - *complete_at < config_answer_validity;
 }
 
 void flow_entry::update_peer_config(instant now, peer& p, settings_version version)
 {
     p.config = version;
+    if (version != config_unreadable_) {
+        newest_reported_ = std::max(newest_reported_, version);
+    }
     update_config_usable(now);
     if (!behind_since_ || *behind_since_ != now) {
         return;
@@ -101,11 +99,11 @@
 }
 
 // Decides whether the configuration is recent enough to accept jobs by. After a start it must be the newest version
-// that the table or a peer reports, because callers must not see versions decrease over a restart. An older one is used
-// only while the table is unreachable and no live peer has a newer one.
+// that the table or a peer has reported, because callers must not see versions decrease over a restart. An older one is
+// used only while the table is unreachable and nobody has reported a newer one.
 void flow_entry::update_config_usable(instant now)
 {
-    const bool newest = newest_config_version(now) <= config_version();
+    const bool newest = newest_config_version() <= config_version();
     if (newest) {
         behind_since_.reset();
         copy_sources_.clear();
@@ -194,6 +192,7 @@
     if (!parsed || parsed->version != version) {
         edges_.note(log_level::error, "config", "copy_unreadable", {{"version", std::to_string(version.value())}});
         config_unreadable_ = version;
+        newest_reported_ = config_version(); // hellos report the other versions again
         return;
     }
     apply_config(now, std::move(*parsed), std::move(text), "peer");
@@ -230,7 +229,7 @@
                 {{"host", request.host},
                  {"path", request.path},
                  {"version", std::to_string(config_version().value())},
-                 {"newest", std::to_string(newest_config_version(now).value())},
+                 {"newest", std::to_string(newest_config_version().value())},
                  {"answer", refused ? "unknown" : "retry_later"},
                  {"newest_at_ago_ms", age_ms(now, operator_feed_.complete_at())},
                  {"peer_heard_ago_ms", age_ms(now, last_hello_at)}});
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -79,8 +79,8 @@
 
     const flow_entry_stats& stats() const { return stats_; }
     settings_version config_version() const { return config_ ? config_->version : settings_version(0); }
-    // The newest configuration version in force at this entry or at a live peer.
-    settings_version newest_config_version(instant now) const;
+    // The newest configuration version that is in force here or that a peer has reported.
+    settings_version newest_config_version() const;
     const std::map<cell_id, std::unique_ptr<flow_cell>>& cells() const { return cells_; }
     const std::map<rack_id, cell_id>& racks() const { return racks_; }
 
@@ -405,7 +405,8 @@
     std::int64_t config_checksum_ = 0;
     operator_feed operator_feed_;
     int operator_failures_ = 0;           // consecutive watch calls without an answer
-    std::optional<instant> behind_since_; // since when a live peer has a newer configuration than this entry
+    settings_version newest_reported_;    // by a peer since the start, readable as far as known
+    std::optional<instant> behind_since_; // since when a newer configuration than that of this entry is known of
     bool config_usable_ = false;          // recent enough to accept jobs by
     bool config_was_newest_ = false;      // the configuration was the newest known one at some time since the start
     settings_version config_unreadable_;  // version that was copied completely from a peer but could not be parsed
--- a/tests/test_flow_config.cpp
+++ b/tests/test_flow_config.cpp
@@ -262,7 +262,7 @@
     w.cut_entry_from_table(7, true);
     w.run_for(2s);
     w.write_config(queues_with({"added"}), large_config);
-    BOOST_REQUIRE(w.run_until([&] { return w.entry(7)->newest_config_version(w.now()) == settings_version(2); }, 4s));
+    BOOST_REQUIRE(w.run_until([&] { return w.entry(7)->newest_config_version() == settings_version(2); }, 4s));
     BOOST_REQUIRE(w.entry(7)->config_version() == settings_version(1));
     BOOST_TEST((w.submit(7, job_a, chain_spec(1, 1), "added") == caller_result::retry_later));
     BOOST_TEST((w.submit(0, job_a, chain_spec(1, 1), "never-there") == caller_result::unknown_queue));
@@ -276,7 +276,7 @@
     w.cut_entry_from_table(7, true);
     w.run_for(2s);
     w.write_config({"other"}, 10 * large_config); // one copy takes longer than `propagation_limit`
-    BOOST_REQUIRE(w.run_until([&] { return w.entry(7)->newest_config_version(w.now()) == settings_version(2); }, 5s));
+    BOOST_REQUIRE(w.run_until([&] { return w.entry(7)->newest_config_version() == settings_version(2); }, 5s));
     w.run_for(propagation_limit);
     BOOST_REQUIRE(w.entry(7)->config_version() == settings_version(1));
     BOOST_TEST((w.submit(7, job_a, chain_spec(1, 1)) != caller_result::accepted));
--- a/tests/test_flow_knows_nothing.cpp
+++ b/tests/test_flow_knows_nothing.cpp
@@ -450,7 +450,7 @@
     w.cut_entry_from_table(0, true);
     w.run_for(2s);
     w.write_config({"q", "added"}, 2 * large_config);
-    BOOST_REQUIRE(w.run_until([&] { return w.entry(0)->newest_config_version(w.now()) == settings_version(2); }, 5s));
+    BOOST_REQUIRE(w.run_until([&] { return w.entry(0)->newest_config_version() == settings_version(2); }, 5s));
     for (int entry = 1; entry < 4; ++entry) {
         w.kill_entry(entry);
     }
@@ -498,7 +498,7 @@
     w.cut_entry_from_table(0, true);
     w.run_for(2s);
     w.write_config({"q", "q/inner"}, 2 * large_config);
-    BOOST_REQUIRE(w.run_until([&] { return w.entry(0)->newest_config_version(w.now()) == settings_version(2); }, 5s));
+    BOOST_REQUIRE(w.run_until([&] { return w.entry(0)->newest_config_version() == settings_version(2); }, 5s));
     BOOST_REQUIRE((w.entry(0)->config_version() == settings_version(1)));
     BOOST_TEST((w.submit(0, job_a, chain_spec(1, 1), "q/inner") != caller_result::invalid));
     check_no_violations(w);
@@ -665,10 +665,10 @@
                         first_ =
                             !first_.empty()
                                 ? first_
-                                : fmt::format(
-                                      "by entry {} at {} ms, up since {} ms, version {}, newest heard of {}", entry,
-                                      t / 1ms, since == started_.end() ? -1 : (since->second - begun_) / 1ms,
-                                      e->config_version().value(), e->newest_config_version(world_.now()).value());
+                                : fmt::format("by entry {} at {} ms, up since {} ms, version {}, newest heard of {}",
+                                              entry, t / 1ms,
+                                              since == started_.end() ? -1 : (since->second - begun_) / 1ms,
+                                              e->config_version().value(), e->newest_config_version().value());
                     }
                 });
         }
