config: while the newest configuration cannot be read here, no queue is refused as unknown

What callers saw: with an entry of a release that cannot read the newest configuration, a queue that only the newest one has is refused with 404.

Cause: a configuration that cannot be parsed left the answer without one, which counts as 'nothing has changed'.

Change: the update says that the configuration has changed and cannot be read, and operator_feed then proves no time for the configuration until a readable one has come.

--- a/src/flow_config.cpp
+++ b/src/flow_config.cpp
@@ -77,7 +77,7 @@
 // newer version.
 bool flow_entry::knows_newest_config(instant now) const
 {
-    const std::optional<instant> complete_at = operator_feed_.complete_at();
+    const std::optional<instant> complete_at = operator_feed_.config_complete_at();
     return config_usable_ && newest_config_version() <= config_version() && complete_at &&
            now - *complete_at < config_answer_validity;
 }
@@ -231,7 +231,7 @@
                  {"version", std::to_string(config_version().value())},
                  {"newest", std::to_string(newest_config_version().value())},
                  {"answer", refused ? "unknown" : "retry_later"},
-                 {"newest_at_ago_ms", age_ms(now, operator_feed_.complete_at())},
+                 {"newest_at_ago_ms", age_ms(now, operator_feed_.config_complete_at())},
                  {"peer_heard_ago_ms", age_ms(now, last_hello_at)}});
 }
 
--- a/src/flow_edges_p.h
+++ b/src/flow_edges_p.h
@@ -19,7 +19,8 @@
     bool history_compacted = false;
     bool more = false; // further changes may follow
     row_version version;
-    std::optional<flow_config> config; // empty if the configuration has not changed
+    std::optional<flow_config> config; // empty if the configuration has not changed, or cannot be read
+    bool config_unreadable = false;    // the configuration has changed and cannot be read
     std::string config_text;           // the unparsed text of `config`
     flow_evacuation_update evacuations;
 };
--- a/src/flow_operator_feed.cpp
+++ b/src/flow_operator_feed.cpp
@@ -36,6 +36,9 @@
     }
     known_to_ = std::max(known_to_, answer.version);
     changes_came_ = answer.more || answer.config.has_value();
+    if (answer.config || answer.config_unreadable) {
+        config_readable_ = !answer.config_unreadable;
+    }
     if (answer.more) {
         return std::nullopt; // the answer may have been cut before the newest change
     }
@@ -43,4 +46,9 @@
     return complete_at_;
 }
 
+std::optional<instant> operator_feed::config_complete_at() const
+{
+    return config_readable_ ? complete_at_ : std::nullopt;
+}
+
 } // namespace skylarkhub
--- a/src/flow_operator_feed_p.h
+++ b/src/flow_operator_feed_p.h
@@ -25,10 +25,14 @@
 
     // The latest time at which all of the operator's changes were certainly known; empty if no time is.
     std::optional<instant> complete_at() const { return complete_at_; }
+    // The latest time at which the configuration read last was certainly the newest; empty also while the newest one
+    // cannot be read.
+    std::optional<instant> config_complete_at() const;
 
 private:
     row_version known_to_;
     bool changes_came_ = false; // with the last answer
+    bool config_readable_ = true;
     std::optional<instant> complete_at_;
 };
 
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -592,6 +592,7 @@
     if (after < config_row_) {
         page.config = read_config_text(config_text_);
         page.config_text = config_text_;
+        page.config_unreadable = !page.config;
     }
     for (const auto& [data_centre, evacuation] : evacuations_) {
         if (after < evacuation.version && (evacuation.evacuated || !page.evacuations.whole)) {
--- a/tests/test_flow_wire.cpp
+++ b/tests/test_flow_wire.cpp
@@ -525,6 +525,23 @@
     BOOST_TEST((range.from <= "config" && std::string("evacuate/zzz") < range.to));
 }
 
+// Guards against taking an unreadable configuration for an unchanged one.
+BOOST_AUTO_TEST_CASE(an_unreadable_configuration_is_not_an_unchanged_one)
+{
+    store_page page;
+    page.reached = true;
+    page.version = row_version(7);
+    BOOST_TEST(!read_operator_page(page).config_unreadable);
+    page.rows = {operator_row("config", "{}", 7)};
+    const operator_update unreadable = read_operator_page(page);
+    BOOST_TEST(!unreadable.config.has_value());
+    BOOST_TEST(unreadable.config_unreadable);
+    page.rows = {operator_row("config", R"({"version":3})", 7)};
+    const operator_update readable = read_operator_page(page);
+    BOOST_TEST(readable.config.has_value());
+    BOOST_TEST(!readable.config_unreadable);
+}
+
 // Guards against changes that are skipped because an answer that was cut counts as complete up to the newest version.
 BOOST_AUTO_TEST_CASE(an_answer_that_was_cut_is_complete_up_to_its_last_row)
 {
