test_flow_config_age: a late answer has somewhere to go

The count of a known queue may be answered after the look has returned, into a variable that was gone.

--- a/tests/test_flow_config_age.cpp
+++ b/tests/test_flow_config_age.cpp
@@ -2,6 +2,9 @@
 // queue may be refused as unknown only while an answer proves that there is no newer configuration.
 #include <boost/test/unit_test.hpp>
 
+#include <memory>
+#include <string>
+
 #include "support_flow_checks.h"
 #include "support_flow_simulation.h"
 
@@ -26,16 +29,17 @@
     return o;
 }
 
+// Returns the entry's answer, `pending` for a known queue, whose count may come later.
 caller_result ask_for_queue(flow_simulation& w, const std::string& queue)
 {
     caller_request request;
     request.host = "host";
     request.path = "/" + queue + "/";
-    std::optional<caller_result> result;
-    w.entry(asked_entry)->on_request(w.now(), request, [&result](const caller_answer& answer) {
-        result = answer.result;
+    const auto result = std::make_shared<caller_result>(caller_result::pending);
+    w.entry(asked_entry)->on_request(w.now(), request, [result](const caller_answer& answer) {
+        *result = answer.result;
     });
-    return result.value_or(caller_result::pending); // the count of a known queue comes later
+    return *result;
 }
 
 // Asks for the queue in each step for `total`. Returns how often it is refused as unknown.
