--- a/src/flow_config.cpp
+++ b/src/flow_config.cpp
@@ -33,7 +33,7 @@
         table_answered_ = then;
         const std::optional<instant> complete_at = operator_feed_.take(call, then, page);
         if (!page.history_compacted) {
-            apply_evacuations(then, page, complete_at);
+            on_evacuations_changed(then, evacuations_.apply(page.evacuations, page.version, complete_at), "table");
         }
         if (page.config) {
             apply_config(then, *page.config, page.config_text, "table");
--- a/src/flow_entry_evacuations.cpp
+++ b/src/flow_entry_evacuations.cpp
@@ -36,11 +36,6 @@
     });
 }
 
-void flow_entry::apply_evacuations(instant now, const operator_update& page, std::optional<instant> complete_at)
-{
-    on_evacuations_changed(now, evacuations_.apply(page.evacuations, page.version, complete_at), "table");
-}
-
 void flow_entry::on_evacuations_changed(instant now, const known_evacuations::changes& changes, const std::string& from)
 {
     if (changes.empty()) {
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -354,9 +354,6 @@
     void log_unknown_queue(instant now, const caller_request& request, bool refused);
 
     // flow_entry_evacuations.cpp
-    // Takes in the table's answer about the operator's rows. `complete_at`: a time at which there were no other
-    // changes.
-    void apply_evacuations(instant now, const operator_update& page, std::optional<instant> complete_at);
     // Logs what has changed and lets the cells act on it. `from`: the source, for the log.
     void on_evacuations_changed(instant now, const known_evacuations::changes& changes, const std::string& from);
     // Whether tasks may be started in the data centre now.
