--- a/review/standin/small_site.py
+++ b/review/standin/small_site.py
@@ -1,7 +1,8 @@
 """A small site on loopback: the platform's store, runners, clients, and entries as processes of their own.
 
 The stand-ins follow PROTOCOL.md and DEPLOY.md. Everything but the entries runs in one event loop, so that the record
-has one clock. What a task does is said by its `spec`: `run MS [MOST]` ends `done` after MS to MOST, `last` runs until it is stopped.
+has one clock. What a task does is said by its `spec`: `run MS [MOST]` ends `done` after MS to MOST, `last` runs until it is
+stopped, `gang N MS` is one of N members that work MS together, with checkpoints.
 """
 import asyncio
 import base64
@@ -32,6 +33,7 @@
 RETENTION_S = 20
 MAX_HOLD_S = 10.0
 STOP_S = 0.1  # stop-timeout-ms is 200
+CHECKPOINT_S, RESTORE_S, GANG_TIMEOUT_S = 0.5, 0.1, 3.0
 GRACE_S = 6.0
 MEMORY_MB = 260
 HEARTBEAT_S = 1.5
@@ -66,8 +68,18 @@
     def __init__(self, handler):
         self.handler, self.buffer, self.busy = handler, b"", False
 
+    of = None  # the runner that listens, if it is one
+
     def connection_made(self, transport):
         self.transport = transport
+        if self.of is not None:
+            self.of.transports.add(transport)
+            if not self.of.alive:
+                transport.abort()
+
+    def connection_lost(self, error):
+        if self.of is not None:
+            self.of.transports.discard(self.transport)
 
     def data_received(self, data):
         self.buffer += data
@@ -312,12 +324,15 @@
 class Runner:
     def __init__(self, site, number, address, cpu, memory):
         self.site, self.address = site, address
-        self.id, self.rack = "i-%08x" % (0x7f3a9100 + number), "r1-%d" % (1 + number // 6)
+        self.number, self.rack, self.alive = number, "r1-%d" % (1 + number // 6), True
+        self.id = "i-%08x" % (0x7f3a9100 + number)
         self.cpu, self.memory = cpu, memory
         self.clock_offset = 100.0 + 13.7 * number
         self.fence, self.cursor, self.count, self.sequence = 0, 0, 0, 0
         self.lease_until, self.lease_timer = None, None
         self.running, self.finished, self.highest, self.holds = {}, [], {}, []
+        self.transports = set()
+        self.listed = {}  # the checkpoint that was listed last, by task
         self.peak_unread = 0
 
     def clock_ms(self):
@@ -331,7 +346,32 @@
             "room": {"cpu": self.cpu, "mem-mb": self.memory, "gpus": 0}, "labels": ["a", self.rack],
             "clock-ms": self.clock_ms(), "sequence": self.sequence}))
 
+    def crash(self, down_s, listed_s=3 * HEARTBEAT_S):
+        """What runs here is gone. Another incarnation with a new ID comes at the address after `down_s`."""
+        self.site.record.say("%s crashes" % self.id)
+        loop = asyncio.get_running_loop()
+        self.alive = False
+        for task, run in list(self.running.items()):
+            self.site.note_gone(self, task, run["run"])
+            self.site.gangs.leave(self, task, run)
+        if self.lease_timer:
+            self.lease_timer.cancel()
+        for transport in self.transports:
+            transport.abort()
+        loop.call_later(listed_s, self.site.store.remove, "servers", self.id)
+        loop.call_later(down_s, self.come_back)
+
+    def come_back(self):
+        again = Runner(self.site, self.number, self.address, self.cpu, self.memory)
+        again.id = "i-%08x" % (int(self.id[2:], 16) + 0x1000)
+        self.site.runners[self.site.runners.index(self)] = again
+        self.site.record.say("%s comes at the address of %s" % (again.id, self.id))
+        again.report()
+
     def handle(self, method, target, headers, body, reply):
+        if not self.alive:
+            reply(None)
+            return
         if target == "/health":
             reply(200)
             return
@@ -392,7 +432,9 @@
                 entry["work"] += zlib.crc32(task.encode()) % 1000 / 1000 * (int(words[2]) - int(words[1])) / 1000
             entry["timer"] = loop.call_later(entry["work"], self.end, task, "done")
         self.running[task] = entry
-        self.site.note_start(self, task, run, order["spec"])
+        self.site.note_start(self, task, run, order["spec"], order.get("checkpoint", ""))
+        if words[0] == "gang":
+            self.site.gangs.join(self, task, entry, int(words[1]), int(words[2]) / 1000, order.get("checkpoint", ""))
         self.answer(reply, 200)
 
     def stop(self, order, reply):
@@ -405,19 +447,21 @@
 
     def end(self, task, how, run=None):
         there = self.running.get(task)
-        if there is None or (run is not None and there["run"] != run):
+        if there is None or not self.alive or (run is not None and there["run"] != run):
             return
+        saved = self.site.gangs.checkpoint(task, there) if how != "done" else ""
         del self.running[task]
         if there["timer"]:
             there["timer"].cancel()
         self.highest[task] = max(self.highest.get(task, 0), there["run"])
         self.count += 1
-        self.finished.append([self.count, task, there["run"], how, ""])
+        self.finished.append([self.count, task, there["run"], how, saved])
         self.peak_unread = max(self.peak_unread, len(self.finished))
         self.site.note_end(self, self.count, task, there["run"], how)
         waiting, self.holds = self.holds, []
         for answer in waiting:
             answer()
+        self.site.gangs.leave(self, task, there)
 
     def hold(self, order, reply):
         self.extend(order)
@@ -430,7 +474,9 @@
 
         def answer():
             now = asyncio.get_running_loop().time()
-            running = [[task, r["run"], "", self.percent(r, now), 20] for task, r in self.running.items()]
+            running = [[task, r["run"], self.site.gangs.checkpoint(task, r), self.percent(r, now), 20]
+                       for task, r in self.running.items()]
+            self.listed.update({row[0]: row[2] for row in running})
             self.answer(reply, 200, running=running, finished=self.finished[:ENDS_LISTED])
         wait = min(2000, order.get("wait-ms", 0)) / 1000
         if wait and not self.finished:
@@ -439,8 +485,9 @@
         else:
             answer()
 
-    @staticmethod
-    def percent(run, now):
+    def percent(self, run, now):
+        if "gang" in run:
+            return self.site.gangs.percent(run)
         return 100 if run["timer"] is None else min(99, int(100 * (now - run["began"]) / run["work"]))
 
     def forget(self, answer):
@@ -450,6 +497,65 @@
         return False
 
 
+class Gangs:
+    """Members of one run of a gang: they work from the moment when all are there, and end together."""
+
+    def __init__(self, site):
+        self.site, self.runs = site, {}
+
+    def join(self, runner, task, entry, count, work, checkpoint):
+        loop = asyncio.get_running_loop()
+        key = (task.rsplit(".", 1)[0], entry["run"])
+        gang = self.runs.setdefault(key, {"members": {}, "began": None, "over": False, "work": work, "resumed": 0.0})
+        gang["members"][task] = (runner, entry)
+        entry["gang"] = gang
+        entry["timer"] = loop.call_later(GANG_TIMEOUT_S, self.alone, runner, task, entry)
+        if checkpoint:
+            gang["resumed"] = max(gang["resumed"], int(checkpoint[:8], 16) / 1000)
+        if len(gang["members"]) == count:
+            gang["began"] = loop.time() + (RESTORE_S if gang["resumed"] else 0)
+            for _, member in gang["members"].values():
+                member["timer"].cancel()
+            gang["timer"] = loop.call_later(work - gang["resumed"], self.done, gang)
+            self.site.record.say("gang %s run %d works, all %d members are there" % (key + (count,)))
+
+    def alone(self, runner, task, entry):
+        runner.end(task, "alone", entry["run"])
+
+    def done(self, gang):
+        gang["over"] = True
+        for task, (runner, entry) in list(gang["members"].items()):
+            runner.end(task, "done", entry["run"])
+
+    def leave(self, runner, task, entry):
+        gang = entry.get("gang")
+        if gang is None or gang["over"] or gang["began"] is None:
+            return
+        gang["saved"] = self.value(task, gang)
+        gang["over"] = True
+        gang["timer"].cancel()
+        for other, (there, member) in list(gang["members"].items()):
+            if other != task:
+                there.end(other, "broken", member["run"])
+
+    def worked(self, gang):
+        spent = max(0, asyncio.get_running_loop().time() - gang["began"]) if gang["began"] is not None else 0
+        return min(gang["work"], gang["resumed"] + spent)
+
+    def percent(self, entry):
+        return min(99, int(100 * self.worked(entry["gang"]) / entry["gang"]["work"]))
+
+    def value(self, task, gang):
+        saved = int(self.worked(gang) / CHECKPOINT_S) * CHECKPOINT_S
+        return "%08x%s" % (int(saved * 1000), task[:8]) if saved else ""
+
+    def checkpoint(self, task, entry):
+        gang = entry.get("gang")
+        if gang is None:
+            return ""
+        return gang["saved"] if "saved" in gang else self.value(task, gang)
+
+
 # --- entries ---
 
 class Entry:
@@ -515,14 +621,20 @@
         self.runners = [Runner(self, i, ("%s.%d" % (self.net, 100 + i), RUNNER_PORT), cpu, memory)
                         for i in range(runners)]
         self.starts, self.ends, self.cursors, self.tasks = [], [], {}, []
+        self.gangs = Gangs(self)
         self.running_now = {}
 
     # What is seen at the runners.
-    def note_start(self, runner, task, run, spec):
+    def note_start(self, runner, task, run, spec, checkpoint):
         now = time.monotonic()
-        self.starts.append((now, runner, task, run, spec))
+        self.starts.append((now, runner, task, run, spec, checkpoint))
         self.running_now[task] = self.running_now.get(task, 0) + 1
-        self.record.note("%s starts %s run %d" % (runner.id, task, run))
+        self.record.note("%s starts %s run %d%s" % (runner.id, task, run, checkpoint and " from checkpoint " + checkpoint))
+
+    def note_gone(self, runner, task, run):
+        self.ends.append((time.monotonic(), runner, 0, task, run, "gone"))
+        self.running_now[task] -= 1
+        self.record.note("%s is gone with %s run %d" % (runner.id, task, run))
 
     def note_end(self, runner, number, task, run, how):
         self.ends.append((time.monotonic(), runner, number, task, run, how))
@@ -551,7 +663,7 @@
         try:
             await loop.create_server(lambda: Server(self.store.handle), *self.store_address, backlog=512)
             for runner in self.runners:
-                await loop.create_server(lambda r=runner: Server(r.handle), *runner.address, backlog=512)
+                await loop.create_server(lambda i=runner.number: self.connect(i), *runner.address, backlog=512)
         except OSError as error:
             raise Unrunnable("address in use: %s" % error)
         self.store.put("op", "config", json.dumps(self.config()))
@@ -562,10 +674,18 @@
             await self.wait_for(lambda e=entry: self.is_ready(e), 15, "%s ready" % entry.name)
         await self.wait_for(self.owner, 15, "an owner of the cell")
 
+    def connect(self, number):
+        """A connection to whichever incarnation is at the address."""
+        runner = self.runners[number]
+        server = Server(runner.handle)
+        server.of = runner
+        return server
+
     async def heartbeats(self):
         while True:
             for runner in self.runners:
-                runner.report()
+                if runner.alive:
+                    runner.report()
             await asyncio.sleep(HEARTBEAT_S)
 
     async def is_ready(self, entry):
@@ -625,7 +745,7 @@
     # TWICE: two runs of one task at a time, or a start after a run of it has ended `done`, if that end is taken note of
     # by ack-cursor then or later. No runner crashes and no lease may have lapsed between the two.
     def runs_twice(self):
-        events = [(t, 1, r, task, run, None, None) for t, r, task, run, _ in self.starts]
+        events = [(t, 1, r, task, run, None, None) for t, r, task, run, _, _ in self.starts]
         events += [(t, 0, r, task, run, how, n) for t, r, n, task, run, how in self.ends]
         events.sort(key=lambda e: e[:2])
         running, done, faults = {}, {}, []
