--- a/review/1/case.py
+++ b/review/1/case.py
@@ -25,7 +25,9 @@
     first = site.starts[0][0]
     site.record.say("all tasks run, started within %.2f s" % (site.starts[-1][0] - first))
     await asyncio.sleep(max(0, first + TASK_MS / 1000 - 0.3 - time.monotonic()))
-    if trouble:
+    if os.environ.get("TROUBLE") == "store":
+        site.store.be_silent(4.5)
+    elif trouble:
         owner = await site.owner()
         owner.send(signal.SIGKILL)
         asyncio.get_running_loop().call_later(3.5, owner.start)
--- a/review/standin/small_site.py
+++ b/review/standin/small_site.py
@@ -154,15 +154,19 @@
         self.recent = []                    # (time, version), for the history that the feed still shows
         self.feeds, self.part_free = [], {}
         self.calls = {"write": [], "read": []}
-        self.silent = False                 # calls get no answer and are not carried out
+        self.silent = False                 # calls get no answer; the first write of each row is carried out afterwards
+        self.late = {}
         self.refused_rows = 0
 
     def handle(self, method, target, headers, body, reply):
         loop = asyncio.get_running_loop()
+        path, _, query = target.partition("?")
         if self.silent:
+            if path == "/rows-tx":
+                asked = json.loads(body)
+                self.late.setdefault(json.dumps(asked.get("expected-revision")), asked)
             loop.call_later(10, reply, None)
             return
-        path, _, query = target.partition("?")
         args = dict(pair.partition("=")[::2] for pair in query.split("&") if pair)
         args = {k: unquote(v) for k, v in args.items()}
         now = loop.time()
@@ -185,6 +189,19 @@
         else:
             reply(404)
 
+    def be_silent(self, seconds):
+        """Down without a sign; a call that gets no answer may be performed seconds later if its condition holds."""
+        self.record.say("the store is silent for %.1f s" % seconds)
+        self.silent = True
+        asyncio.get_running_loop().call_later(seconds, self.speak)
+
+    def speak(self):
+        self.record.say("the store answers again")
+        self.silent = False
+        for asked in self.late.values():
+            self.transact(asked, lambda status, body=None: None)
+        self.late = {}
+
     def page(self, **more):
         return dict(more, **{"schema-version": self.version, "now-ms": int(time.monotonic() * 1000)})
 
