--- a/review/standin/small_site.py
+++ b/review/standin/small_site.py
@@ -9,6 +9,7 @@
 import bisect
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -157,6 +158,7 @@
         self.silent = False                 # calls get no answer; the first write of each row is carried out afterwards
         self.late = {}
         self.refused_rows = 0
+        self.lost_share, self.random = 0, random.Random(0)
 
     def handle(self, method, target, headers, body, reply):
         loop = asyncio.get_running_loop()
@@ -202,6 +204,15 @@
             self.transact(asked, lambda status, body=None: None)
         self.late = {}
 
+    def lose(self, share, seconds, seed):
+        self.record.say("the answers to %d%% of the writes are lost for %.1f s" % (100 * share, seconds))
+        self.lost_share, self.random = share, random.Random(seed)
+        asyncio.get_running_loop().call_later(seconds, self.lose_none)
+
+    def lose_none(self):
+        self.record.say("no further answer is lost")
+        self.lost_share = 0
+
     def page(self, **more):
         return dict(more, **{"schema-version": self.version, "now-ms": int(time.monotonic() * 1000)})
 
@@ -238,6 +249,14 @@
             reply(429)
             return
         self.part_free[part] = start + 1 / PART_WRITES_PER_S
+        if self.random.random() < self.lost_share:
+            # Nothing further comes on the connection; the write is done 1 to 6 s later if its condition still holds.
+            late = self.random.uniform(1, 6)
+            for put in asked.get("put", []):
+                self.record.note("store: write of %s/%s gets no answer, done in %.1f s" % (put["table"], put["key"], late))
+            loop.call_later(late, self.transact, asked, lambda status, body=None: None)
+            loop.call_later(10, reply, None)
+            return
         loop.call_later(start - now + TRANSACTION_S, self.transact, asked, reply)
 
     def transact(self, asked, reply):
