--- a/review/standin/small_site.py
+++ b/review/standin/small_site.py
@@ -809,9 +809,9 @@
     async def run():
         site = None
         try:
-            def make(**how):
+            def make(of=Site, **how):
                 nonlocal site
-                site = Site(folder, **how)
+                site = of(folder, **how)
                 return site
             faults = await asyncio.wait_for(case(make, trouble), 110)
             for line in faults[:10]:
