--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,60 +1,49 @@
-"""Tasks that need a GPU, after the only runner with one in their zone is lost; another zone has six GPUs that are free."""
+"""The owner of a cell is killed while many tasks of one step run; they all end before another entry owns the cell."""
 import asyncio
 import os
+import signal
 import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin"))
-import small_site
-from zoned_site import ZonedSite
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "standin"))
+from small_site import main  # noqa: E402
 
-FINISH_S, IDLE_S = 14.0, 3.0  # of LOST
-PLAIN = {"cpu": 32000, "mem-mb": 125000, "gpus": 0}
-ONE_GPU = {"cpu": 32000, "mem-mb": 125000, "gpus": 1}
-TWO_GPUS = {"cpu": 16000, "mem-mb": 64000, "gpus": 2}
-ZONES = [("nbo-westlands", 1, [("b", ONE_GPU), ("a", PLAIN), ("a", PLAIN)]),
-         ("nbo-upperhill", 1, [("a", PLAIN)] * 3),
-         ("nbo-embakasi", 1, [("c", TWO_GPUS)] * 3)]
-JOB = {"spec": "run 1000", "steps": [{"count": 1, "cpu": 2000, "mem-mb": 4000, "gpus": 1, "estimated-ms": 1000}]}
+TASKS, TASK_MS, TASK_MS_MOST = 1400, 5000, 7500
+JOB = "5c0e7a21d94b36f8"
 
 
-async def case(make, trouble):
-    site = make(of=ZonedSite, zones=ZONES)
+async def case(make_site, trouble):
+    site = make_site(entries=3, runners=2)
     await site.begin()
-    site.record.say("nine runners: one GPU in nbo-westlands, six in nbo-embakasi")
-    async def accepted():  # the entries have just started: 503 until the room of the cells is known
-        return await site.submit("%016x" % 0xa1, JOB) == 200
-    await site.wait_for(accepted, 10, "acceptance of the first job")
-    await site.wait_for(lambda: any(end[3].startswith("%016x" % 0xa1) and end[5] == "done" for end in site.ends), 15,
-                        "end of the first job")
-    if trouble:
-        site.runners[0].lose()
-        await asyncio.sleep(6)
-    jobs = []
-    for i in range(4):
-        job = "%016x" % (0xb0 + i)
-        if await site.submit(job, JOB) == 200:
-            jobs.append(job)
-        await asyncio.sleep(0.5)
-    site.record.say("%d jobs accepted, the last request but for states" % len(jobs))
-    if not jobs:
-        raise small_site.Unrunnable("no job was accepted")
-    await asyncio.sleep(FINISH_S)
-    since = {job: None for job in jobs}
-    faults, until = {}, time.monotonic() + 30
-    while time.monotonic() < until:
-        for job in jobs:
-            done = any(end[3].startswith(job) and end[5] == "done" for end in site.ends)
-            idle = not done and not any(task.startswith(job) and n for task, n in site.running_now.items())
-            since[job] = (since[job] or time.monotonic()) if idle else None
-            if idle and time.monotonic() - since[job] > IDLE_S:
-                faults[job] = "%s: accepted, nothing of it runs for %.1f s, six GPUs are free and no other work runs" \
-                    % (job, time.monotonic() - since[job])
-        await asyncio.sleep(0.1)
-    for job in jobs:
-        _, text = await site.request(site.entries[0], "GET", job)
-        site.record.say("%s: %d starts, state %s" % (job, sum(s[2].startswith(job) for s in site.starts), text))
-    return list(faults.values())
+    await asyncio.sleep(2)
+    body = {"spec": "run %d %d" % (TASK_MS, TASK_MS_MOST),
+            "steps": [{"count": TASKS, "cpu": 20, "mem-mb": 40, "estimated-ms": TASK_MS}]}
+    status = await site.submit(JOB, body)
+    site.record.say("job of %d tasks handed in: %s" % (TASKS, status))
+    await site.wait_for(lambda: len(site.starts) >= TASKS, 15, "start of all tasks")
+    first = site.starts[0][0]
+    site.record.say("all tasks run, started within %.2f s" % (site.starts[-1][0] - first))
+    await asyncio.sleep(max(0, first + TASK_MS / 1000 - 0.3 - time.monotonic()))
+    if os.environ.get("TROUBLE") == "store":
+        site.store.be_silent(4.5)
+    elif trouble:
+        owner = await site.owner()
+        owner.send(signal.SIGKILL)
+        asyncio.get_running_loop().call_later(3.5, owner.start)
+    await site.wait_for(lambda: len(site.ends) >= TASKS, 20, "end of all tasks")
+    site.record.say("all tasks have ended, %s" % ", ".join(
+        "%s holds %d ends" % (r.id, len(r.finished)) for r in site.runners))
 
+    async def done():
+        alive = [e for e in site.entries if e.alive()][-1]
+        return (await site.request(alive, "GET", JOB))[1] == '{"state":"done"}'
+    shown = await site.wait_for(done, 25, "done", fatal=False)
+    await asyncio.sleep(3)
+    site.record.say("job shown as done: %s; %d starts of %d tasks; ends: %s" % (
+        bool(shown), len(site.starts), TASKS,
+        {how: sum(1 for e in site.ends if e[5] == how) for how in {e[5] for e in site.ends}}))
+    return site.runs_twice()
 
-small_site.main(os.path.dirname(os.path.abspath(__file__)), case)
+
+main(HERE, case)
