test_flow_config_age: a refusal that nobody was asked about; three cases, known red

What callers see: a queue that a confirmed change has added is refused with 404. In all three the entry decides by a word that is older than the request.

Checks, bounds and turns are as they were.

--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -589,6 +589,10 @@
     page.reached = true;
     page.version = operator_version_;
     page.evacuations.whole = after == row_version(0);
+    if (after > row_version(0) && operator_watch_ != operator_watch::shows_changes) {
+        page.version = operator_watch_ == operator_watch::passes_over ? operator_version_ : after;
+        return page;
+    }
     if (after < config_row_) {
         page.config = read_config_text(config_text_);
         page.config_text = config_text_;
@@ -662,7 +666,7 @@
                 end(operator_update{});
             });
     };
-    if (first || after < operator_version_) {
+    if (first || (after < operator_version_ && operator_watch_ == operator_watch::shows_changes)) {
         schedule(10ms, answer);
         return;
     }
@@ -694,6 +698,9 @@
 
 void flow_simulation::answer_operator_watches()
 {
+    if (operator_watch_ != operator_watch::shows_changes) {
+        return;
+    }
     for (const auto& [id, look] : std::exchange(operator_watches_, {})) {
         schedule(options_.network_latency, look.answer);
     }
--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -242,6 +242,13 @@
     // Writes or removes the operator's evacuation of a data centre.
     void evacuate(const std::string& data_centre);
     void take_back(const std::string& data_centre);
+    // What watches of the operator's rows tell of changes that are made meanwhile.
+    enum class operator_watch : std::uint8_t {
+        shows_changes,
+        hears_nothing, // answered as if nothing had changed
+        passes_over    // the same, with the version of the newest change, so that no later watch shows it either
+    };
+    void set_operator_watch(operator_watch kind) { operator_watch_ = kind; }
     // Each entry's next watch of the operator's rows is answered with history_compacted.
     void discard_operator_history() { ++operator_history_; }
     // Removes from all job and cell rows the record of where tasks were started, which earlier releases did not write.
@@ -392,6 +399,7 @@
     std::map<data_centre_id, operator_evacuation> evacuations_; // those taken back included
     int operator_history_ = 0;                                  // number of discard_operator_history() calls
     std::map<int, int> operator_history_seen_;                  // value of operator_history_ at each entry's last watch
+    operator_watch operator_watch_ = operator_watch::shows_changes;
     std::map<std::int64_t, pending_operator_watch> operator_watches_;
     std::int64_t last_watch_ = 0;
     std::map<store_key, stored> rows_;
--- a/tests/test_flow_config_age.cpp
+++ b/tests/test_flow_config_age.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "support_flow_checks.h"
@@ -19,6 +20,7 @@
 constexpr double narrow_link = 1.25e6;        // bytes per second
 constexpr double very_narrow_link = 0.25e6;   // bytes per second
 constexpr duration step = 50ms;
+constexpr duration longest_answer = 2s;
 
 flow_simulation::options small_site(double link)
 {
@@ -29,28 +31,35 @@
     return o;
 }
 
-// Returns the entry's answer, `pending` for a known queue, whose count may come later.
-caller_result ask_for_queue(flow_simulation& w, const std::string& queue)
+void send_count_request(flow_simulation& w, const std::string& queue, caller_reply reply)
 {
     caller_request request;
     request.host = "host";
     request.path = "/" + queue + "/";
-    const auto result = std::make_shared<caller_result>(caller_result::pending);
-    w.entry(asked_entry)->on_request(w.now(), request, [result](const caller_answer& answer) {
-        *result = answer.result;
-    });
-    return *result;
+    w.entry(asked_entry)->on_request(w.now(), request, std::move(reply));
+}
+
+// Returns the entry's answer, or `outcome_unknown` if none comes.
+caller_result ask_for_queue(flow_simulation& w, const std::string& queue)
+{
+    const auto result = std::make_shared<std::optional<caller_result>>();
+    send_count_request(w, queue, [result](const caller_answer& answer) { *result = answer.result; });
+    w.run_until([&] { return result->has_value(); }, longest_answer);
+    return result->value_or(caller_result::outcome_unknown);
 }
 
 // Asks for the queue in each step for `total`. Returns how often it is refused as unknown.
 int count_refusals(flow_simulation& w, const std::string& queue, duration total)
 {
-    int refusals = 0;
+    const auto refusals = std::make_shared<int>(0);
     for (duration t{0}; t < total; t += step) {
         w.run_for(step);
-        refusals += ask_for_queue(w, queue) == caller_result::unknown_queue ? 1 : 0;
+        send_count_request(w, queue, [refusals](const caller_answer& answer) {
+            *refusals += answer.result == caller_result::unknown_queue ? 1 : 0;
+        });
     }
-    return refusals;
+    w.run_for(longest_answer);
+    return *refusals;
 }
 
 } // namespace
@@ -133,3 +142,56 @@
     BOOST_TEST(w.run_until([&] { return w.entry(asked_entry)->ready(); }, 25s));
     BOOST_TEST((w.entry(asked_entry)->config_version() == settings_version(2)));
 }
+
+// Guards against refusing a new queue as unknown because the table's watch tells of no change, although there is one.
+BOOST_AUTO_TEST_CASE(a_watch_that_hears_nothing_does_not_prove_that_a_queue_is_unknown)
+{
+    flow_simulation w(small_site(narrow_link));
+    w.run_for(10s);
+    w.set_operator_watch(flow_simulation::operator_watch::hears_nothing);
+    w.write_config({"q", "added"}, large_config);
+    BOOST_TEST(count_refusals(w, "added", 4s) == 0);
+    BOOST_TEST((ask_for_queue(w, "added") == caller_result::pending));
+    BOOST_TEST((ask_for_queue(w, "never-there") == caller_result::unknown_queue));
+}
+
+// Guards against refusing a new queue for good because the table's watch has passed over the change that adds it.
+BOOST_AUTO_TEST_CASE(a_change_that_the_watch_passes_over_is_found_by_those_who_ask_for_its_queue)
+{
+    flow_simulation w(small_site(narrow_link));
+    w.run_for(10s);
+    w.set_operator_watch(flow_simulation::operator_watch::passes_over);
+    w.write_config({"q", "added"}, large_config);
+    w.run_for(3s);
+    w.set_operator_watch(flow_simulation::operator_watch::shows_changes);
+    BOOST_TEST(count_refusals(w, "added", 4s) == 0);
+    BOOST_TEST((ask_for_queue(w, "added") == caller_result::pending));
+    for (int entry = 0; entry < 12; ++entry) {
+        BOOST_TEST((w.entry(entry)->config_version() == settings_version(2)), "entry " << entry);
+    }
+}
+
+// Guards against refusing a new queue, after the process has stood still, by what it knew before.
+BOOST_AUTO_TEST_CASE(a_request_after_a_standstill_is_not_refused_by_what_was_known_before)
+{
+    flow_simulation w(small_site(0));
+    w.run_for(10s);
+    for (int turn = 0; turn < 8; ++turn) { // the watch is at another point in each turn
+        w.pause_entry(asked_entry);
+        w.run_for(100ms);
+        const std::string added = "added-" + std::to_string(turn);
+        w.write_config({"q", added}, 0);
+        w.run_for(500ms);
+        w.cut_entry_from_peers(asked_entry, true);
+        w.run_for(100ms);
+        const auto refused = std::make_shared<bool>(false);
+        send_count_request(w, added, [refused](const caller_answer& answer) {
+            *refused = answer.result == caller_result::unknown_queue;
+        });
+        w.resume_entry(asked_entry);
+        w.run_for(longest_answer);
+        BOOST_TEST(!*refused, "refused in turn " << turn);
+        w.cut_entry_from_peers(asked_entry, false);
+        w.run_for(1s + 130ms);
+    }
+}
