config: a queue is refused as unknown only after the table has been asked since the request came

Cause: the refusal went by what the entry happened to know: versions that peers had told, and a word of the table's watch up to two seconds old. Whatever makes the knowledge wrong (a watch that tells nothing while changes are made, a version that passed over a change, a standstill after which the caller's request is handled first), nothing showed it. Ruled out: a read of the row (460 kB a look over a narrow link), a second watch (shares the fault of the first). The change: a request that the configuration does not allow waits for one call to the table, sent after it came: a transaction that only checks the version of the configuration's row. The table answers with the newer row if there is one, which is taken up, and the request is served by it. One call answers all that waited, one at a time, 100 ms apart; after a call that confirmed nothing callers are told to come back at once for half a second. It goes through a peer while the table turns the entry away. Why it holds: the table is linearizable, so a row that is unchanged after the request came was the newest then, whatever came late before.

--- a/src/flow_config.cpp
+++ b/src/flow_config.cpp
@@ -36,7 +36,7 @@
             on_evacuations_changed(then, evacuations_.apply(page.evacuations, page.version, complete_at), "table");
         }
         if (page.config) {
-            apply_config(then, *page.config, page.config_text, "table");
+            apply_config(then, *page.config, page.config_text, page.config_row, "table");
         }
         update_config_usable(then);
         watch_operator(then);
@@ -44,8 +44,11 @@
 }
 
 // Versions only increase: a late answer of the table or an outdated peer must not restore an older one.
-void flow_entry::apply_config(instant now, flow_config config, std::string text, const char* from)
+void flow_entry::apply_config(instant now, flow_config config, std::string text, row_version row, const char* from)
 {
+    if (config_ && config.version == config_->version) {
+        config_row_ = std::max(config_row_, row);
+    }
     if (config_ && config.version <= config_->version) {
         return;
     }
@@ -58,6 +61,7 @@
                  {"from", from}});
     config_ = std::move(config);
     config_text_ = std::move(text);
+    config_row_ = row;
     config_checksum_ = config_checksum(config_text_);
     if (copy_.version() <= config_->version) {
         copy_.clear();
@@ -72,16 +76,6 @@
     return std::max(config_version(), newest_reported_);
 }
 
-// Failure: a change has not reached any entry yet, so that no peer reports it. Symptom: a queue that it adds is refused
-// permanently. So requests for unknown names are refused only while the table has recently confirmed that there is no
-// newer version.
-bool flow_entry::knows_newest_config(instant now) const
-{
-    const std::optional<instant> complete_at = operator_feed_.config_complete_at();
-    return config_usable_ && newest_config_version() <= config_version() && complete_at &&
-           now - *complete_at < config_answer_validity;
-}
-
 void flow_entry::update_peer_config(instant now, peer& p, settings_version version)
 {
     p.config = version;
@@ -195,7 +189,63 @@
         newest_reported_ = config_version(); // hellos report the other versions again
         return;
     }
-    apply_config(now, std::move(*parsed), std::move(text), "peer");
+    apply_config(now, std::move(*parsed), std::move(text), row_version(0), "peer");
+}
+
+// --- the table's word on request ---
+
+void flow_entry::confirm_config(instant now, instant give_up, config_checks::answer done)
+{
+    const bool asked =
+        (!table_away_ || relay_peer()) && config_checks_.add(now, std::min(give_up, now + config_check_timeout), done);
+    if (!asked) {
+        done(now, false);
+        return;
+    }
+    send_config_check(now);
+}
+
+// A transaction that only checks the row's version: the table answers with the row if it has another version. Unlike
+// the watch it needs no history, and unlike a read it returns the text only if it is new.
+void flow_entry::send_config_check(instant now)
+{
+    if (!config_checks_.begin(now)) {
+        return;
+    }
+    ++stats_.config_checks;
+    store_transaction t;
+    t.checks.push_back({edges_.config_key, config_row_});
+    edges_.commit(std::move(t), [this](instant then, const store_result& result) { on_config_checked(then, result); });
+}
+
+void flow_entry::on_config_checked(instant now, const store_result& result)
+{
+    const bool changed = result.outcome == table_outcome::conflict && !result.rows.empty();
+    const bool confirmed =
+        changed ? take_config_row(now, result.rows.front()) : result.outcome == table_outcome::applied;
+    for (const config_checks::answer& done : config_checks_.end(now, confirmed)) {
+        done(now, confirmed);
+    }
+    send_config_check(now);
+}
+
+bool flow_entry::take_config_row(instant now, const store_row& row)
+{
+    auto parsed = edges_.parse_config(row.value);
+    if (!parsed) {
+        edges_.note(log_level::error, "config", "row_unreadable", {{"row", std::to_string(row.version.value())}});
+        return false;
+    }
+    const settings_version version = parsed->version;
+    apply_config(now, std::move(*parsed), row.value, row.version, "check");
+    return version >= config_version();
+}
+
+void flow_entry::give_up_config_checks(instant now)
+{
+    for (const config_checks::answer& done : config_checks_.give_up(now)) {
+        done(now, false);
+    }
 }
 
 wire::flow_message flow_entry::serve_config(instant now, const wire::flow_config_ask& ask)
@@ -212,7 +262,7 @@
 }
 
 // Logs at most one line a second, since callers may request unknown queues at any rate.
-void flow_entry::log_unknown_queue(instant now, const caller_request& request, bool refused)
+void flow_entry::log_unknown_queue(instant now, const caller_request& request, bool refused, duration waited)
 {
     ++stats_.unknown_queues;
     if (now < next_unknown_queue_line_) {
@@ -231,6 +281,7 @@
                  {"version", std::to_string(config_version().value())},
                  {"newest", std::to_string(newest_config_version().value())},
                  {"answer", refused ? "unknown" : "retry_later"},
+                 {"asked_ms", std::to_string(waited / 1ms)},
                  {"newest_at_ago_ms", age_ms(now, operator_feed_.config_complete_at())},
                  {"peer_heard_ago_ms", age_ms(now, last_hello_at)}});
 }
--- a/src/flow_edges_p.h
+++ b/src/flow_edges_p.h
@@ -20,6 +20,7 @@
     bool more = false; // further changes may follow
     row_version version;
     std::optional<flow_config> config; // empty if the configuration has not changed, or cannot be read
+    row_version config_row;            // version of the row that `config` was read from
     bool config_unreadable = false;    // the configuration has changed and cannot be read
     std::string config_text;           // the unparsed text of `config`
     flow_evacuation_update evacuations;
@@ -45,6 +46,8 @@
     std::function<void(std::function<void(instant, std::optional<flow_worker_list>)>)> list_workers;
     // With `after` 0 the current state is returned at once; otherwise the call waits up to `wait` for a change.
     std::function<void(row_version after, duration wait, std::function<void(instant, operator_update)>)> watch_operator;
+    // The row of the table whose value parse_config() reads.
+    store_key config_key;
     std::function<std::optional<flow_config>(const std::string& text)> parse_config;
 };
 
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -108,6 +108,8 @@
         refresh_pending_counts(now);
     }
     refuse_late_requests(now);
+    give_up_config_checks(now);
+    send_config_check(now);
     if (now >= next_watch_) {
         watch_jobs(now);
     }
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "flow_cell_p.h"
+#include "flow_config_check_p.h"
 #include "flow_config_copy_p.h"
 #include "flow_edges_p.h"
 #include "flow_evacuation_p.h"
@@ -129,6 +130,12 @@
         // A read of the job's state is under way.
         bool reading = false;
     };
+    // What the configuration makes of a request.
+    struct matched_request {
+        const flow_queue* queue = nullptr;
+        std::string job;                      // the path after the queue's prefix; empty for a count of waiting jobs
+        std::optional<caller_answer> refusal; // if the configuration does not allow the request
+    };
     // The answer to a caller whose job is not accepted.
     struct refusal {
         std::string reason;
@@ -180,6 +187,13 @@
     // flow_front.cpp
     // Returns the queue with the longest path prefix that matches, or null. Requires a configuration.
     const flow_queue* match_queue(const std::string& host, const std::string& path) const;
+    // Finds out what the configuration makes of a request. Requires a configuration.
+    matched_request match_request(const caller_request& request) const;
+    // Serves a request that the configuration allows.
+    void serve_request(instant now, const caller_request& request, const matched_request& matched, instant give_up,
+                       caller_reply reply);
+    // Refuses the request if the configuration is the newest and does not allow it.
+    void refuse_by_newest_config(instant now, const caller_request& request, instant give_up, caller_reply reply);
     void submit(instant now, const flow_queue& queue, const job_id& job, const caller_request& request, instant give_up,
                 caller_reply reply);
     // Refuses the submit unless the table already holds the job.
@@ -334,13 +348,22 @@
 
     // flow_config.cpp
     void watch_operator(instant now);
-    // Puts a configuration in force if it is newer. `from`: its source, for the log.
-    void apply_config(instant now, flow_config config, std::string text, const char* from);
+    // Puts a configuration in force if it is newer. `row`: version of the row of the table that it was read from; 0:
+    // not known. `from`: its source, for the log.
+    void apply_config(instant now, flow_config config, std::string text, row_version row, const char* from);
     // Records the configuration version in force at a peer.
     void update_peer_config(instant now, peer& p, settings_version version);
     // Decides whether the configuration is recent enough to accept jobs by.
     void update_config_usable(instant now);
-    bool knows_newest_config(instant now) const;
+    // Asks the table whether the configuration in force is the newest, and takes up a newer one. `done` is called once,
+    // at once if it is already known that the table cannot be asked.
+    void confirm_config(instant now, instant give_up, config_checks::answer done);
+    // Sends the next call to the table that a request waits for.
+    void send_config_check(instant now);
+    void on_config_checked(instant now, const store_result& result);
+    // Takes up the newest configuration from its row. Returns whether it is in force.
+    bool take_config_row(instant now, const store_row& row);
+    void give_up_config_checks(instant now);
     // Requests a piece of a newer configuration from a peer if one is needed.
     void fetch_newer_config(instant now);
     void ask_for_config(instant now, const entry_id& source);
@@ -350,8 +373,8 @@
     void apply_copied_config(instant now);
     // Answers a peer's request for a piece of the configuration.
     wire::flow_message serve_config(instant now, const wire::flow_config_ask& ask);
-    // `refused`: the caller is told that the queue does not exist.
-    void log_unknown_queue(instant now, const caller_request& request, bool refused);
+    // `refused`: the caller is told that the queue does not exist. `waited`: how long the table was asked.
+    void log_unknown_queue(instant now, const caller_request& request, bool refused, duration waited);
 
     // flow_entry_evacuations.cpp
     // Logs what has changed and lets the cells act on it. `from`: the source, for the log.
@@ -400,6 +423,8 @@
     std::optional<flow_config> config_;
     std::string config_text_;
     std::int64_t config_checksum_ = 0;
+    row_version config_row_; // version of the row that config_ was read from; 0: not known
+    config_checks config_checks_;
     operator_feed operator_feed_;
     int operator_failures_ = 0;           // consecutive watch calls without an answer
     settings_version newest_reported_;    // by a peer since the start, readable as far as known
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -17,6 +17,11 @@
 
 constexpr std::size_t job_id_length = 16;
 
+bool is_job_id(const std::string& text)
+{
+    return text.size() == job_id_length && text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+
 // The answer to requests for unknown names while a newer configuration may contain them.
 caller_answer retry_for_newer_config()
 {
@@ -74,40 +79,73 @@
     return best;
 }
 
+flow_entry::matched_request flow_entry::match_request(const caller_request& request) const
+{
+    matched_request matched;
+    matched.queue = match_queue(request.host, request.path);
+    if (matched.queue == nullptr) {
+        matched.refusal = {caller_result::unknown_queue, flow_state::queued, 0, duration(0), "no such queue"};
+        return matched;
+    }
+    matched.job = request.path.substr(matched.queue->prefix.size());
+    const bool counts = matched.job.empty() && request.verb == caller_verb::state;
+    if (!counts && !is_job_id(matched.job)) {
+        matched.refusal = {caller_result::invalid, flow_state::queued, 0, duration(0),
+                           "a job's id is 16 hexadecimal digits"};
+    }
+    return matched;
+}
+
 void flow_entry::on_request(instant now, const caller_request& request, caller_reply reply)
 {
     if (!config_) {
         reply({caller_result::retry_later, flow_state::queued, 0, unavailable_retry, "no configuration yet"});
         return;
     }
-    const flow_queue* const queue = match_queue(request.host, request.path);
-    if (queue == nullptr) {
-        const bool refused = knows_newest_config(now);
-        log_unknown_queue(now, request, refused);
-        reply(refused ? caller_answer{caller_result::unknown_queue, flow_state::queued, 0, duration(0), "no such queue"}
-                      : retry_for_newer_config());
+    const duration request_timeout =
+        request.request_timeout > duration(0) ? request.request_timeout : default_request_timeout;
+    const instant give_up = now + request_timeout - answer_margin;
+    const matched_request matched = match_request(request);
+    if (matched.refusal) {
+        refuse_by_newest_config(now, request, give_up, std::move(reply));
         return;
     }
-    const std::string rest = request.path.substr(queue->prefix.size());
-    if (rest.empty() && request.verb == caller_verb::state) {
-        ask_pending(now, queue->name, std::move(reply));
+    serve_request(now, request, matched, give_up, std::move(reply));
+}
+
+// Failure: what this entry knows of the newest configuration is older than the request, or the watch that told it has
+// passed over a change. Symptom: a queue that a confirmed change has added is refused permanently. So the table is
+// asked after the request has come. A newer configuration without the queue, taken up meanwhile, refuses it as well.
+void flow_entry::refuse_by_newest_config(instant now, const caller_request& request, instant give_up,
+                                         caller_reply reply)
+{
+    if (!config_usable_ || newest_config_version() > config_version()) {
+        log_unknown_queue(now, request, false, duration(0));
+        reply(retry_for_newer_config());
         return;
     }
-    if (rest.size() != job_id_length || rest.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos) {
-        if (!knows_newest_config(now)) { // a newer one may have a queue whose path begins with this queue's path
-            reply(retry_for_newer_config());
+    confirm_config(now, give_up, [this, request, asked = now, give_up, reply](instant then, bool confirmed) {
+        const matched_request matched = match_request(request);
+        if (!matched.refusal) {
+            serve_request(then, request, matched, give_up, reply);
             return;
         }
-        reply({caller_result::invalid, flow_state::queued, 0, duration(0), "a job's id is 16 hexadecimal digits"});
+        log_unknown_queue(then, request, confirmed, then - asked);
+        reply(confirmed ? *matched.refusal : retry_for_newer_config());
+    });
+}
+
+void flow_entry::serve_request(instant now, const caller_request& request, const matched_request& matched,
+                               instant give_up, caller_reply reply)
+{
+    if (matched.job.empty()) {
+        ask_pending(now, matched.queue->name, std::move(reply));
         return;
     }
-    const job_id job(rest);
-    const duration request_timeout =
-        request.request_timeout > duration(0) ? request.request_timeout : default_request_timeout;
-    const instant give_up = now + request_timeout - answer_margin;
+    const job_id job(matched.job);
     switch (request.verb) {
     case caller_verb::submit:
-        submit(now, *queue, job, request, give_up, std::move(reply));
+        submit(now, *matched.queue, job, request, give_up, std::move(reply));
         return;
     case caller_verb::state:
         ++stats_.states;
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -134,9 +134,12 @@
 // Of one watch call; also the delay caused by a connection that fails silently.
 inline constexpr duration operator_wait = 1s;
 inline constexpr duration operator_retry = 200ms;
-// How long the table's answer about the newest configuration is valid: one watch call and a second for its answer,
-// which is less than a change may take to reach all entries.
-inline constexpr duration config_answer_validity = operator_wait + 1s;
+// For requests that the configuration in force does not allow, which wait until the table confirms that it is the
+// newest.
+inline constexpr duration config_check_timeout = 1500ms; // after that the caller is told to retry
+inline constexpr duration config_check_pause = 100ms;    // between two calls
+inline constexpr duration config_check_retry = 500ms;    // after a call that confirmed nothing
+inline constexpr std::size_t max_config_check_requests = 256;
 // How long an entry's knowledge of evacuations is valid. An evacuation has to be obeyed everywhere five seconds after
 // the operator wrote it; a watch call renews the knowledge about every second.
 inline constexpr duration evacuations_validity = 4s;
--- a/src/flow_metrics.cpp
+++ b/src/flow_metrics.cpp
@@ -60,6 +60,7 @@
     write_value(page, "pending_reads_total", "", stats.pending_reads);
     write_value(page, "pending_refused_total", "", stats.pending_refused);
     write_value(page, "unknown_queue_requests_total", "", stats.unknown_queues);
+    write_value(page, "config_checks_total", "", stats.config_checks);
     write_value(page, "config_copies_sent_total", "", stats.config_copies);
     write_value(page, "config_bytes_sent_total", "", stats.config_bytes);
     write_value(page, "config_pieces_refused_total", "", stats.config_pieces_refused);
--- a/src/flow_metrics_p.h
+++ b/src/flow_metrics_p.h
@@ -76,6 +76,7 @@
     std::int64_t pending_reads = 0;   // reads of the cells' rows, for counts that no peer reported
     std::int64_t pending_refused = 0; // refused requests for the number of waiting jobs
     std::int64_t unknown_queues = 0;  // requests for queues that the configuration lacks
+    std::int64_t config_checks = 0;   // calls that ask the table whether the configuration is the newest
     std::int64_t config_copies = 0;   // copies sent to peers
     std::int64_t config_bytes = 0;
     std::int64_t config_pieces_refused = 0;    // pieces requested from peers and not received
--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -337,6 +337,8 @@
     void send_over_link(int entry, std::uint64_t life, int peer, const wire::flow_message& message,
                         const message_done& done);
     operator_update read_operator(row_version after) const;
+    // Writes the row of the newest of the operator's versions.
+    void put_config(std::string text);
     void write_evacuation(const std::string& data_centre, bool evacuated);
     // Whether a start in the data centre comes too long after its evacuation.
     bool is_evacuated_for_long(const data_centre_id& data_centre) const;
