wire: deeply nested fields of a caller or of the configuration do not end the process

What callers saw: nothing any more; one POST whose step has deeply nested brackets in `after` ended the entry that read it (the servers' threads have stacks of 256 KiB; a body may be 1 MiB). Cause: json::value() returns a copy, and the library copies a value level by level on the stack. Parsing and destroying it are iterative.

--- a/tests/test_flow_wire.cpp
+++ b/tests/test_flow_wire.cpp
@@ -28,6 +28,17 @@
     return result;
 }
 
+// Returns the text many times over, for a value nested as deeply as a body of the longest length can be.
+std::string nested(const std::string& text)
+{
+    constexpr int depth = 150'000;
+    std::string out;
+    for (int i = 0; i < depth; ++i) {
+        out += text;
+    }
+    return out;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_transaction_contains_its_conditions)
@@ -353,6 +364,26 @@
     BOOST_TEST(list.unusable.size() == 4);
 }
 
+// Guards against a process that ends, or loses the list, because one entry of the list of workers is deeply nested.
+BOOST_AUTO_TEST_CASE(a_deeply_nested_worker_entry_does_not_harm_the_others)
+{
+    const std::string deep = nested("[") + nested("]");
+    const std::string good = R"("service":"s","address":"10.0.0.1:8","zone":"z","state":"ready","labels":["a","r1-3"])";
+    store_row row;
+    row.key.key = "i-1";
+    row.value = fmt::format(R"({{{},"room":{{"cpu":16000,"mem-mb":100}}}})", good);
+    for (const char* name : {"room", "labels", "address", "born", "state"}) {
+        store_row odd;
+        odd.key.key = "i-2";
+        odd.value = fmt::format(R"({{{},"{}":{}}})", good, name, deep);
+        const auto list = worker_list_reader().read({odd, row});
+        BOOST_TEST(list.workers.size() == 1);
+        BOOST_TEST(list.unusable.size() == 1);
+    }
+    row.value = fmt::format(R"({{{},"room":{{"cpu":16000,"mem-mb":100}},"unread":{}}})", good, deep);
+    BOOST_TEST(worker_list_reader().read({row}).workers.size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(an_unreadable_page_is_not_an_empty_page)
 {
     // If an unreadable page were taken for an empty one, all jobs and workers would seem to be gone.
@@ -419,6 +450,38 @@
     }
 }
 
+// Guards against a process that ends because a caller sends deeply nested brackets, which overflow the stack.
+BOOST_AUTO_TEST_CASE(a_deeply_nested_submission_is_refused)
+{
+    http_request request;
+    request.method = "POST";
+    request.path = "/q/00000000000000aa";
+    const auto send = [&request](const std::string& field, const std::string& open, const std::string& close) {
+        request.body = fmt::format(R"({{"steps":[{{"{}":{}1{}}}]}})", field, nested(open), nested(close));
+        return read_request(request);
+    };
+    for (const auto& [open, close] : {std::pair("[", "]"), std::pair("{\"a\":", "}")}) {
+        for (const char* field : {"after", "count", "cpu", "estimated-ms", "gang", "requirements"}) {
+            const auto refused = send(field, open, close);
+            BOOST_REQUIRE(refused.has_value());
+            BOOST_TEST(!refused->spec.has_value());
+            BOOST_TEST(!refused->problem.empty());
+        }
+        BOOST_TEST(send("unread", open, close)->spec.has_value());
+    }
+}
+
+// Guards against a process that ends because the operator's configuration has a deeply nested field.
+BOOST_AUTO_TEST_CASE(a_configuration_with_a_deeply_nested_field_is_read)
+{
+    const auto config = read_config(fmt::format(
+        R"({{"version":7,"routes":[{{"name":"q","host":"h","path-prefix":"/q/","service":"s","unread":{}1{}}}]}})",
+        nested("["), nested("]")));
+    BOOST_REQUIRE(config.has_value());
+    BOOST_TEST(config->queues.size() == 1);
+    BOOST_TEST(!read_config(R"({"version":7,"routes":7})").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_body_that_is_not_utf8_is_refused_with_an_answer)
 {
     // The reason quotes the body. If the quote made it impossible to encode the answer, the process would terminate.
