daemon: deeply nested standing work does not end the process

What operators saw: one PUT of standing work whose job has deeply nested brackets ended the entry, before its token was looked at. The change: the field is moved out of the body, which is not used for it again.

--- a/src/daemon_standing_api.cpp
+++ b/src/daemon_standing_api.cpp
@@ -28,7 +28,7 @@
 {
     constexpr std::int64_t period_least_ms = 1000;
     constexpr std::int64_t period_most_ms = 366LL * 24 * 3600 * 1000;
-    const json body = json::parse(text, nullptr, false);
+    json body = json::parse(text, nullptr, false);
     if (!body.is_object()) {
         errors->push_back({"body", "is not a JSON object"});
         return std::nullopt;
@@ -41,7 +41,8 @@
             errors->push_back({field, "must be a whole number"});
         }
     }
-    json job = body.value("job", json::object());
+    // Moved: the library copies a value level by level on the stack, which nested brackets of a caller overflow.
+    json job = body.contains("job") ? std::move(body["job"]) : json::object();
     if (job.is_object()) {
         job["team"] = team.str();
         job["name"] = name;
--- a/tests/test_daemon_knows_nothing.cpp
+++ b/tests/test_daemon_knows_nothing.cpp
@@ -336,6 +336,16 @@
     BOOST_TEST(!none);
 }
 
+// Guards against a process that ends because anybody sends standing work with deeply nested brackets.
+BOOST_AUTO_TEST_CASE(deeply_nested_standing_work_is_refused)
+{
+    constexpr std::size_t depth = 400'000;
+    const entry_hand asked;
+    const std::string body =
+        R"({"period_ms":60000,"job":{"kind":)" + std::string(depth, '[') + std::string(depth, ']') + "}}";
+    BOOST_TEST(asked.call("PUT", "/v1/standing/t/n", with_token("any", body)).status == 400);
+}
+
 // Says of a service that it does not exist before any owner has told what it runs.
 BOOST_AUTO_TEST_CASE(a_service_not_heard_of_is_not_said_to_be_unknown)
 {
