--- a/src/flow_settings.cpp
+++ b/src/flow_settings.cpp
@@ -36,12 +36,6 @@
     {"cpu_share", &flow_entry_settings::cpu_share},
 }};
 
-// Port 0 would bind to an arbitrary free port, but the platform expects the entry at the configured port.
-bool is_fixed_address(std::string_view text)
-{
-    return is_net_address(text) && text.find_first_not_of('0', text.rfind(':') + 1) != std::string_view::npos;
-}
-
 std::string read_text(const json& j, const char* name, bool required, std::vector<settings_problem>& problems)
 {
     const auto at = j.find(name);
@@ -89,7 +83,7 @@
     for (const address_field& field : address_fields) {
         known.insert(field.name);
         const std::string address = read_text(j, field.name, field.required, problems);
-        if (!address.empty() && !is_fixed_address(address)) {
+        if (!address.empty() && !is_reachable_address(address)) {
             problems.push_back({field.name, "must be IP:port, is " + address});
         }
         settings.*field.field = net_address(address);
--- a/src/settings_parse.cpp
+++ b/src/settings_parse.cpp
@@ -350,6 +350,11 @@
     return error == std::errc() && stop == end;
 }
 
+bool is_reachable_address(std::string_view text)
+{
+    return is_net_address(text) && text.find_first_not_of('0', text.rfind(':') + 1) != std::string_view::npos;
+}
+
 void list_settings(const Message& message, const std::string& path, std::vector<std::pair<std::string, json>>& values)
 {
     std::vector<const FieldDescriptor*> fields;
--- a/src/settings_parse_p.h
+++ b/src/settings_parse_p.h
@@ -37,6 +37,8 @@
 
 // True for "IP:port" with an IPv4 address; port 0 is allowed.
 bool is_net_address(std::string_view text);
+// The same without port 0, which nobody can be reached at.
+bool is_reachable_address(std::string_view text);
 
 // The fields that are set, by dotted path, for operators.
 void list_settings(const google::protobuf::Message& message, const std::string& path,
