workers: a room beyond any machine's is refused

Of the report on odd entries, "a number too large": an entry with thousandths of a core or MiB was taken for a worker of that room. Under the name of a live worker it would be added to its pool's totals (signed overflow) and cut to 32 bits where peers are told. Sums over a cell's workers then stay within 32 bits. `born` has no bound: it is compared only.

--- a/src/config.h
+++ b/src/config.h
@@ -22,6 +22,11 @@
 // --- workers that crash ---
 inline constexpr duration watched_exchange_interval = 100ms; // with a worker on which a suspected task has just begun
 
+// --- workers ---
+// The most that a worker is believed to hold: far above any machine, and the sums over a cell's workers stay within 32
+// bits for processors and accelerators.
+inline constexpr resources worker_room_most{10'000'000, std::int64_t{1} << 30, 100'000};
+
 // --- cell ---
 inline constexpr duration read_patience = 3s;    // a read not answered for this long is sent again
 inline constexpr duration commit_patience = 10s; // a commit not answered for this long has an unknown outcome
--- a/src/worker_message.cpp
+++ b/src/worker_message.cpp
@@ -6,6 +6,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "config.h"
 #include "row_keys_p.h"
 #include "worker_client_p.h"
 
@@ -343,6 +344,9 @@
     report.boot = read_text(object, "boot");
     report.now = read_time(object, "now");
     report.capacity = read_resources(member_of(object, "capacity"));
+    if (!fits(report.capacity, config::worker_room_most)) {
+        throw bad_message("\"capacity\" is more than a worker can hold");
+    }
     report.leaving = read_bool(object, "leaving");
     report.usage_taken = read_time(object, "usage_taken");
     for (const json& task : read_list(object, "tasks")) {
--- a/tests/test_worker.cpp
+++ b/tests/test_worker.cpp
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 #include <string>
 
@@ -104,6 +105,17 @@
     BOOST_TEST(format_worker_report(*read) == format_worker_report(report));
 }
 
+namespace {
+
+std::string with_capacity(const resources& capacity)
+{
+    worker_report report = sample_report();
+    report.capacity = capacity;
+    return format_worker_report(report);
+}
+
+} // namespace
+
 // A worker answers with something else than a report, whole as HTTP but wrong inside. The owner must take none of it:
 // half a report would release or keep the wrong tasks.
 BOOST_AUTO_TEST_CASE(a_malformed_report_is_refused_with_its_reason)
@@ -120,7 +132,11 @@
                                        replaced(good, "\"progress\":0.5", "\"progress\":1.5"),
                                        replaced(good, "\"throttle\":50", "\"throttle\":101"),
                                        replaced(good, "\"accepted\":true", "\"accepted\":1"),
-                                       replaced(good, "\"boot\"", "\"boat\"")};
+                                       replaced(good, "\"boot\"", "\"boat\""),
+                                       with_capacity({10'000'001, 125'000, 0}),
+                                       with_capacity({std::numeric_limits<std::int64_t>::max(), 125'000, 0}),
+                                       with_capacity({32'000, std::numeric_limits<std::int64_t>::max(), 0}),
+                                       with_capacity({32'000, 125'000, std::numeric_limits<std::int32_t>::max()})};
     for (const std::string& text : bad) {
         std::string reason;
         BOOST_TEST(!parse_worker_report(text, &reason).has_value());
