flow: a list of ends that was cut proves nothing about the runs that it does not list

Cause: a worker lists 500 ends at a time. A run that is neither among those that go on nor among the listed ends was taken for gone: by the next owner of a cell at its first exchange, and by the same owner two seconds after the start. The change: an answer with as many ends as one can hold says that it may be cut. Its ends are processed and confirmed as before, but the worker counts as reconciled, and runs as vanished, only by an answer that lists all. Meanwhile the worker's leases are renewed, as it has accepted the owner's epoch. What it costs: a worker with more than 500 unconfirmed ends takes no starts of a new owner until these are confirmed, an exchange and a write for each 500.

--- a/src/flow_cell_lives.cpp
+++ b/src/flow_cell_lives.cpp
@@ -106,6 +106,7 @@
 {
     w.fenced = false;
     w.early.reset();
+    w.reported_in_part = false;
     w.lapsed = false;
     w.reading.reset();
     w.seen = end_number();
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -223,7 +223,8 @@
         bool fenced = false;                     // it has accepted this epoch and reported its runs
         bool inherited = false;                  // the previous owner may have started tasks there
         std::optional<buffered_inventory> early; // set while the rows are read, once it has accepted this epoch
-        bool has_accepted_epoch() const { return fenced || early; }
+        bool reported_in_part = false;           // it has accepted this epoch; of its ends, more are to come
+        bool has_accepted_epoch() const { return fenced || early || reported_in_part; }
         bool lapsed = false;           // inherited, not fenced by the time every lease of previous owners had ended
         bool published_silent = false; // the cell's row may mark it as silent: it is given no lease
         std::optional<worker_time> reading;
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -436,11 +436,16 @@
 }
 
 // Processes the ends, runs and measurements that a worker listed in its answer to a hold.
+//
+// Failure: more runs have ended than one answer lists. Symptom: those that it lists neither as running nor as ended are
+// taken for gone and start again, although they have ended done. So nothing is concluded from what such an answer does
+// not list, and the worker counts as reconciled once an answer lists all of its ends.
 void flow_cell::process_inventory(instant now, cell_worker& w, instant sent, const order_answer& answer)
 {
-    const bool first = !w.fenced;
+    const bool first = !w.fenced && !answer.ends_cut;
     note_epoch_accepted(w, now);
-    w.fenced = true;
+    w.reported_in_part = answer.ends_cut;
+    w.fenced = w.fenced || !answer.ends_cut;
     for (const reported_end& end : answer.ends) {
         if (end.number > w.seen) {
             w.seen = end.number;
@@ -456,7 +461,7 @@
     w.untracked_runs =
         static_cast<std::int32_t>(std::count_if(answer.running.begin(), answer.running.end(),
                                                 [&w](const reported_run& r) { return w.ledger.count(r.task) == 0; }));
-    if (!first) {
+    if (!first && !answer.ends_cut) {
         drop_vanished_runs(now, w, sent, answer);
     }
     confirm_ends(w);
--- a/src/flow_types_p.h
+++ b/src/flow_types_p.h
@@ -232,6 +232,7 @@
     std::optional<worker_time> clock;  // of the worker when it answered
     std::vector<reported_run> running; // only in the answer to a hold
     std::vector<reported_end> ends;    // only in the answer to a hold
+    bool ends_cut = false; // the worker may have more ends than these, which it lists once these are confirmed
     std::string reason;
     worker_birth born; // of the life that answered; only in the answer to a hold
 };
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -1154,7 +1154,10 @@
         const auto done = lasts ? 100 : 100 * (now_ - run.begun) / (run.ends - run.begun);
         answer.running.push_back({task, run.number, "", static_cast<std::int32_t>(done), 0});
     }
-    answer.ends = w.ends;
+    const std::size_t listed =
+        options_.ends_per_answer > 0 ? std::min(options_.ends_per_answer, w.ends.size()) : w.ends.size();
+    answer.ends.assign(w.ends.begin(), w.ends.begin() + static_cast<std::ptrdiff_t>(listed));
+    answer.ends_cut = options_.ends_per_answer > 0 && listed == options_.ends_per_answer;
     answer.born = births_hidden_ ? worker_birth() : w.born;
     if (options_.sent_ends_are_known) {
         record_reported_ends(w, answer);
--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -83,6 +83,8 @@
         std::int64_t worker_cpu_millis = 16000;
         duration table_latency = std::chrono::milliseconds(8);
         duration network_latency = std::chrono::milliseconds(2);
+        // The most ends that a worker lists in one answer; 0: all.
+        std::size_t ends_per_answer = 0;
         // Bandwidth of each entry's link for messages between entries and for configurations; 0: unlimited.
         double link_bytes_per_s = 0;
         duration job_page_transfer_time{0}; // of one page of jobs that has the entry's link to itself
--- a/tests/test_flow_wire.cpp
+++ b/tests/test_flow_wire.cpp
@@ -121,6 +121,21 @@
     BOOST_TEST(answer.ends.back().number.value() == 59);
 }
 
+// Guards against taking a list of ends that was cut for all ends of the worker.
+BOOST_AUTO_TEST_CASE(an_answer_with_as_many_ends_as_one_can_hold_may_lack_others)
+{
+    const auto ends = [](int count) {
+        json body{{"running", json::array()}, {"finished", json::array()}};
+        for (int i = 1; i <= count; ++i) {
+            body["finished"].push_back({i, fmt::format("00000000000000aa.0.0.{}", i), 1, "done", ""});
+        }
+        return read_answer(hold_worker{}, answered(200, body.dump()));
+    };
+    BOOST_TEST(!ends(499).ends_cut);
+    BOOST_TEST(ends(499).ends.size() == 499);
+    BOOST_TEST(ends(500).ends_cut);
+}
+
 BOOST_AUTO_TEST_CASE(a_malformed_answer_to_a_hold_is_not_accepted)
 {
     const worker_order hold = hold_worker{};
