flow: a cell has room for a task only on a worker that has all the task needs

Cause: owners told peers the free processors of each worker, and of memory the largest free amount of any one. Two cells whose workers with free processors lack the memory, or that have no accelerators, hand a task to and fro and never to a third. Evidence: test_flow_cell_choice, both cases fail before (not done after 10 s) and pass now. The change: each worker's free memory and accelerators are told beside its processors, and room is counted by all three. The fields are optional: of an entry of an earlier release only processors are known, as before.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -131,6 +131,8 @@
   1: i32 free_cpu_millis = 0
   2: string serving // the image that serves there; empty: none, "*": several
   3: list<i32> labels // places in the pool's `labels`
+  4: optional i64 free_memory_mib // not told by earlier releases
+  5: optional i32 free_accelerators
 }
 
 // The room of one service's workers in a cell.
--- a/src/flow_cell_news.cpp
+++ b/src/flow_cell_news.cpp
@@ -67,12 +67,15 @@
             continue;
         }
         const resources promised = promises_.room_on(w.listing.worker);
-        const std::int64_t free = w.listing.room.cpu_millis - w.held.cpu_millis - promised.cpu_millis;
+        const resources unused = w.listing.room - w.held - promised;
+        const std::int64_t free = unused.cpu_millis;
         pool.total_cpu_millis += w.listing.room.cpu_millis;
         pool.free_cpu_millis += free;
         pool.unused_cpu_millis += available_for_filling(option_of(w.clock_read_at, w));
         wire::flow_worker_room worker_room;
         worker_room.free_cpu_millis = static_cast<std::int32_t>(free);
+        worker_room.__set_free_memory_mib(unused.memory_mib);
+        worker_room.__set_free_accelerators(unused.accelerators);
         worker_room.serving = serving_image(w);
         std::vector<std::string>& known = pool.labels;
         for (const std::string& label : w.listing.labels) {
@@ -83,8 +86,7 @@
             }
         }
         pool.each.push_back(worker_room);
-        pool.largest_free_memory_mib =
-            std::max(pool.largest_free_memory_mib, w.listing.room.memory_mib - w.held.memory_mib - promised.memory_mib);
+        pool.largest_free_memory_mib = std::max(pool.largest_free_memory_mib, unused.memory_mib);
         pool.lasting_cpu_millis += w.lasting_cpu;
         if (!w.is_reserved(now)) {
             pool.largest_reservable_cpu_millis = std::max(
--- a/src/flow_entry_rooms.cpp
+++ b/src/flow_entry_rooms.cpp
@@ -17,9 +17,9 @@
 
 // The properties of a job that its cell is chosen by.
 struct job_needs {
-    std::int64_t cpu = 0;   // processor time of the widest step, in millicores
-    std::int32_t tasks = 0; // number of tasks of the widest step
-    std::int64_t task_cpu = 0;
+    std::int64_t cpu = 0;             // processor time of the widest step, in millicores
+    std::int32_t tasks = 0;           // number of tasks of the widest step
+    resources task;                   // needs of one task of the widest step
     std::int32_t per_worker_most = 0; // 0: no limit
     std::string label;
     rack_id rack;
@@ -36,7 +36,7 @@
         if (step.need.cpu_millis * step.count >= needs.cpu) {
             needs.cpu = step.need.cpu_millis * step.count;
             needs.tasks = step.count;
-            needs.task_cpu = step.need.cpu_millis;
+            needs.task = step.need;
             needs.per_worker_most = step.per_worker_most;
             needs.image = step.image;
         }
@@ -53,10 +53,25 @@
     return room.serving.empty() || room.serving == image;
 }
 
+// Failure: a cell's worker with free processors lacks the memory or the accelerators. Symptom: the cell is taken for
+// one with room, two such cells hand a task to and fro, and a third one with room for it is never tried. So room is
+// counted worker by worker, by all that a task needs.
 std::int32_t tasks_that_fit(const wire::flow_worker_room& room, const job_needs& needs)
 {
-    const auto here = static_cast<std::int32_t>(room.free_cpu_millis / std::max<std::int64_t>(1, needs.task_cpu));
-    return std::max(0, needs.per_worker_most > 0 ? std::min(here, needs.per_worker_most) : here);
+    std::int64_t here = needs.tasks;
+    if (needs.task.cpu_millis > 0) {
+        here = std::min(here, room.free_cpu_millis / needs.task.cpu_millis);
+    }
+    if (room.__isset.free_memory_mib && needs.task.memory_mib > 0) {
+        here = std::min(here, room.free_memory_mib / needs.task.memory_mib);
+    }
+    if (room.__isset.free_accelerators && needs.task.accelerators > 0) {
+        here = std::min<std::int64_t>(here, room.free_accelerators / needs.task.accelerators);
+    }
+    if (needs.per_worker_most > 0) {
+        here = std::min<std::int64_t>(here, needs.per_worker_most);
+    }
+    return static_cast<std::int32_t>(std::max<std::int64_t>(0, here));
 }
 
 // Returns the number of tasks that the workers of a pool have room for now.
@@ -83,7 +98,9 @@
                 continue;
             }
             const std::int32_t here = std::min(left, tasks_that_fit(room, needs));
-            room.free_cpu_millis -= static_cast<std::int32_t>(here * needs.task_cpu);
+            room.free_cpu_millis -= static_cast<std::int32_t>(here * needs.task.cpu_millis);
+            room.free_memory_mib -= here * needs.task.memory_mib;
+            room.free_accelerators -= here * needs.task.accelerators;
             left -= here;
             if (needs.lasting && here > 0) {
                 room.serving = serves_only(room, needs.image) ? needs.image : several_images;
@@ -288,8 +305,7 @@
         const bool reservable = pool.largest_reservable_cpu_millis >= step.need.cpu_millis && short_work > 0;
         return reservable ? std::make_optional(short_work) : std::nullopt;
     }
-    const bool fits_worker =
-        pool.largest_free_memory_mib >= step.need.memory_mib && (step.filling || tasks_that_fit(pool, needs) > 0);
+    const bool fits_worker = pool.largest_free_memory_mib >= step.need.memory_mib && tasks_that_fit(pool, needs) > 0;
     if (!fits_worker || (!step.lasting && left < step.need.cpu_millis)) {
         return std::nullopt;
     }
@@ -307,7 +323,8 @@
     job_needs needs;
     needs.tasks = 1;
     needs.cpu = step.need.cpu_millis;
-    needs.task_cpu = step.need.cpu_millis;
+    needs.task = step.need;
+    needs.task.cpu_millis = step.filling ? 0 : step.need.cpu_millis;
     needs.lasting = step.lasting;
     needs.image = step.image;
     needs.task_label = step.label;
@@ -361,13 +378,13 @@
     return cells;
 }
 
-// A cell reports only the largest free memory of one worker, so its owner may find room for fewer tasks.
 std::vector<flow_cell_room> flow_entry::list_cells_with_room(instant now, const cell_id& from,
                                                              const std::string& service, const flow_step& step)
 {
     job_needs needs;
     needs.tasks = step.count;
-    needs.task_cpu = step.filling ? 0 : step.need.cpu_millis;
+    needs.task = step.need;
+    needs.task.cpu_millis = step.filling ? 0 : step.need.cpu_millis;
     needs.per_worker_most = step.per_worker_most;
     needs.task_label = step.label;
     std::vector<flow_cell_room> rooms;
