test_flow: the gang that another cell cannot complete is told of by processors only

The case guards what happens when a cell has less room than was told. Entries of an earlier release still tell processors only; the simulation does so on request, and the case plays that. Its checks and times are as they were.

--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -97,6 +97,8 @@
         std::function<duration(const flow_task_id&)> run_time;          // empty: 300 ms
         // The members of a gang begin to work together, on all workers, and end with the first member that ends.
         bool gang_start_barrier = false;
+        // Entries are told of each worker's free processors only, as by entries of an earlier release.
+        bool rooms_tell_processors_only = false;
         // A member may time out waiting for its gang; set by tests that inject faults during the wait.
         bool gang_timeouts_allowed = false;
         duration stop_time{0}; // from a stop order to the end of the run
@@ -336,6 +338,8 @@
     using message_done = std::function<void(instant, std::optional<wire::flow_message>)>;
     void start_operator_watch(int entry, std::uint64_t life, row_version after, duration wait,
                               const operator_done& done);
+    // The message as its receiver reads it.
+    wire::flow_message as_received(wire::flow_message message) const;
     void send_over_link(int entry, std::uint64_t life, int peer, const wire::flow_message& message,
                         const message_done& done);
     operator_update read_operator(row_version after) const;
