config: what waits for the table's word is passed by reference

The linter's finding in two functions (a value copied at each call and only read); no behaviour changes.

--- a/src/flow_config.cpp
+++ b/src/flow_config.cpp
@@ -194,7 +194,7 @@
 
 // --- the table's word on request ---
 
-void flow_entry::confirm_config(instant now, instant give_up, config_checks::answer done)
+void flow_entry::confirm_config(instant now, instant give_up, const config_checks::answer& done)
 {
     const bool asked =
         (!table_away_ || relay_peer()) && config_checks_.add(now, std::min(give_up, now + config_check_timeout), done);
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -193,7 +193,8 @@
     void serve_request(instant now, const caller_request& request, const matched_request& matched, instant give_up,
                        caller_reply reply);
     // Refuses the request if the configuration is the newest and does not allow it.
-    void refuse_by_newest_config(instant now, const caller_request& request, instant give_up, caller_reply reply);
+    void refuse_by_newest_config(instant now, const caller_request& request, instant give_up,
+                                 const caller_reply& reply);
     void submit(instant now, const flow_queue& queue, const job_id& job, const caller_request& request, instant give_up,
                 caller_reply reply);
     // Refuses the submit unless the table already holds the job.
@@ -357,7 +358,7 @@
     void update_config_usable(instant now);
     // Asks the table whether the configuration in force is the newest, and takes up a newer one. `done` is called once,
     // at once if it is already known that the table cannot be asked.
-    void confirm_config(instant now, instant give_up, config_checks::answer done);
+    void confirm_config(instant now, instant give_up, const config_checks::answer& done);
     // Sends the next call to the table that a request waits for.
     void send_config_check(instant now);
     void on_config_checked(instant now, const store_result& result);
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -107,7 +107,7 @@
     const instant give_up = now + request_timeout - answer_margin;
     const matched_request matched = match_request(request);
     if (matched.refusal) {
-        refuse_by_newest_config(now, request, give_up, std::move(reply));
+        refuse_by_newest_config(now, request, give_up, reply);
         return;
     }
     serve_request(now, request, matched, give_up, std::move(reply));
@@ -117,7 +117,7 @@
 // passed over a change. Symptom: a queue that a confirmed change has added is refused permanently. So the table is
 // asked after the request has come. A newer configuration without the queue, taken up meanwhile, refuses it as well.
 void flow_entry::refuse_by_newest_config(instant now, const caller_request& request, instant give_up,
-                                         caller_reply reply)
+                                         const caller_reply& reply)
 {
     if (!config_usable_ || newest_config_version() > config_version()) {
         log_unknown_queue(now, request, false, duration(0));
