--- a/src/flow_config.cpp
+++ b/src/flow_config.cpp
@@ -46,10 +46,8 @@
 // Versions only increase: a late answer of the table or an outdated peer must not restore an older one.
 void flow_entry::apply_config(instant now, flow_config config, std::string text, row_version row, const char* from)
 {
-    if (config_ && config.version == config_->version) {
-        config_row_ = std::max(config_row_, row);
-    }
     if (config_ && config.version <= config_->version) {
+        config_row_ = config.version == config_->version ? std::max(config_row_, row) : config_row_;
         return;
     }
     const duration behind = behind_since_ ? now - *behind_since_ : duration(0);
--- a/tests/test_flow_many_ends.cpp
+++ b/tests/test_flow_many_ends.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 const std::string job = "00000000000000aa";
+constexpr int entries = 3;
 constexpr int tasks = 120;
 constexpr duration run_time = 3s;
 constexpr duration time_to_end = 20s; // several exchanges with each worker, and the writes between them
@@ -19,22 +20,13 @@
 {
     flow_simulation::options o;
     o.data_centres = {"a"};
-    o.entries_per_data_centre = 3;
+    o.entries_per_data_centre = entries;
     o.workers_per_data_centre = 2;
     o.ends_per_answer = 10;
     o.run_time = [](const flow_task_id&) { return run_time; };
     return o;
 }
 
-int owner_of(flow_simulation& w)
-{
-    int owner = 0;
-    while (w.entry(owner) == nullptr || !w.entry(owner)->cells().at(cell_id("a"))->owns()) {
-        ++owner;
-    }
-    return owner;
-}
-
 void start_all(flow_simulation& w)
 {
     w.run_for(4s);
@@ -57,7 +49,7 @@
     flow_simulation w(site_with_short_lists());
     start_all(w);
     w.run_for(run_time - 1s);
-    w.kill_entry(owner_of(w));
+    w.kill_entry(owner_of(w, "a", entries));
     check_each_ran_once(w);
 }
 
