flow: the first answer of a worker's next life proves nothing about the ends that it does not list

What callers saw: tasks that had ended done started again (TWICE), and were charged with a crash that they had no part in, where a worker restarted under its id, was given tasks before its owner had heard of the restart, and had more ends than one answer lists by the time of its first answer.

Cause: the conclusion from a list that was cut, mended for the inventory of one life, stood in the code of lives as well: begin_life() and is_over() took a run that the first answer does not list for one that died with the life before; drop_runs_of_earlier_lives() requeued it; and begin_life() declared that no earlier owner had started anything else there, so a new owner counted as reconciled.

With one worker nothing starts twice, since that worker takes no starts before it has listed all ends; with a second one the tasks start there at once.

Ruled out: the inventory itself (it leaves such an answer alone), and starts that were not answered (they are not taken for runs of a life before).

Change: whether an answer may list a run is asked in one place, which says yes of an answer that was cut; runs of earlier lives are dropped, and the worker stops counting as inherited, only by an answer that lists all ends. It holds since such an answer follows once the listed ends are confirmed, and a worker takes no starts until then. The price: a crash of the earlier life is not charged to its runs when the first answer was cut; they still run again.

--- a/src/flow_cell_lives.cpp
+++ b/src/flow_cell_lives.cpp
@@ -13,10 +13,11 @@
 
 namespace {
 
-bool lists_run(const order_answer& answer, const flow_task_id& task, run_number run)
+// Whether the answer lists the run, or may lack it since the worker had more ends than one answer lists.
+bool may_list_run(const order_answer& answer, const flow_task_id& task, run_number run)
 {
     const auto is_run = [&](const auto& r) { return r.task == task && r.run == run; };
-    return std::any_of(answer.running.begin(), answer.running.end(), is_run) ||
+    return answer.ends_cut || std::any_of(answer.running.begin(), answer.running.end(), is_run) ||
            std::any_of(answer.ends.begin(), answer.ends.end(), is_run);
 }
 
@@ -45,7 +46,7 @@
 // Whether the answer shows that a recorded start ended with an earlier life of the worker.
 bool flow_cell::is_over(const worker_life& life, const flow_task_id& task, run_number run, const order_answer& answer)
 {
-    return life.born > worker_birth() && answer.born != life.born && !lists_run(answer, task, run);
+    return life.born > worker_birth() && answer.born != life.born && !may_list_run(answer, task, run);
 }
 
 // The same for a new owner, which knows the workers that the row names and the answers that came while it read the
@@ -82,7 +83,7 @@
         std::vector<lost_run> lost = list_lost_runs(w);
         std::erase_if(lost, [&](const lost_run& run) {
             const live_run* const live = look_up_run(w.listing.worker, run.task, run.run).live;
-            return lists_run(answer, run.task, run.run) || live == nullptr || !ran_before(*live, answer.born, sent);
+            return may_list_run(answer, run.task, run.run) || live == nullptr || !ran_before(*live, answer.born, sent);
         });
         charge_runs(now, w.life(), lost);
         inherited_worker_crashed_ = inherited_worker_crashed_ || (w.inherited && !w.fenced);
@@ -93,7 +94,8 @@
         }
     }
     forget_life(w);
-    w.inherited = false; // previous owners have started nothing there that this answer does not list
+    // Previous owners have started nothing there that an answer with all ends does not list.
+    w.inherited = w.inherited && answer.ends_cut;
     // An order with a deadline on the clock of the earlier life may have given the longest lease that workers grant.
     w.lapsed_after = std::max(w.lapsed_after, now + certainly(max_worker_lease));
 }
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -455,7 +455,9 @@
     for (const reported_run& run : answer.running) {
         process_running(now, w, run);
     }
-    drop_runs_of_earlier_lives(now, w, sent);
+    if (!answer.ends_cut) {
+        drop_runs_of_earlier_lives(now, w, sent);
+    }
     // The resources of a run that is not in the ledger are unknown, so another start could exceed the worker's
     // capacity. The row of its job is being read, or the run is being stopped.
     w.untracked_runs =
--- a/tests/test_flow_many_ends.cpp
+++ b/tests/test_flow_many_ends.cpp
@@ -64,3 +64,21 @@
     w.set_table_down(false);
     check_each_ran_once(w);
 }
+
+// Guards against starting ended tasks again when the first answer of a worker's next life lists some of its ends only.
+BOOST_AUTO_TEST_CASE(tasks_that_end_in_the_next_life_of_a_worker_run_once)
+{
+    flow_simulation::options o = site_with_short_lists();
+    o.entries_per_data_centre = 1;
+    o.workers_keep_their_id = true;
+    o.crash_is_silent = true;
+    o.holds_wait = true;
+    o.run_time = [](const flow_task_id&) { return 100ms; };
+    flow_simulation w(o);
+    w.run_for(4s);
+    w.restart_worker(0, 50ms);
+    w.run_for(100ms);
+    BOOST_REQUIRE((w.submit(0, job, chain_spec(1, tasks, 100)) == caller_result::accepted));
+    check_each_ran_once(w);
+    BOOST_TEST(w.count_log_events("run", "crashed_worker") == 0);
+}
