flow: a recurring job holds the occurrences that are due and not finished

What callers saw: a job that is to run each minute for a year was accepted with 200. Within half a second the owner of its cell exceeded 260 MB and was ended; so was each next owner that read the row, some 20 times in 35 s.

Cause: flow_job made every stage, with every task, of every occurrence when it was built, at acceptance and at each takeover, and open_stages, all_done, running and others walked all of them. Beside it, a row kept the bits of each stage that was ever done, so that a job of this kind would have exceeded row-bytes after some 3,000 occurrences.

Ruled out: a limit for repeat-count at the door.

Change: the home cell holds an occurrence from when it is due until all its tasks are done and have no runs, the oldest first; beyond 512 unfinished tasks no further one is held beside them, but one is held always, and with lasting tasks, which never end, no occurrence waits for another. Another cell holds what a row tells of. What is finished stands in the row as spans (flow_occurrence_span), merged as a union, so progress is never reverted; a copy of the spans reaches other cells with the row of each task that is handed to them, and they drop what is finished too. Why it holds: - an occurrence that a worker reports runs or ends of is held from then on, also by an owner whose clock is behind, and by an entry that writes late ends; one that is finished is over, so a late run of it is stopped, an end confirmed; - old rows, which have bits and no spans, are read as before; for jobs of up to 512 stages the bits of finished occurrences stay in the row, so that an entry of an earlier release does not run them again. Beyond that an earlier release that takes over a cell in a rolling restart would run finished occurrences again: such jobs went beyond its memory or its row before. At rest a job costs one comparison a tick. Whether an occurrence is due is a division, not a product that overflows.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -48,6 +48,12 @@
   11: map<i32, i64> outlived // task -> a run that lived long or ended by itself: crashes up to it no longer count
 }
 
+// Occurrences of a job all of whose tasks are done.
+struct flow_occurrence_span {
+  1: i32 first = 0
+  2: i32 past_last = 0
+}
+
 // What one writer tells of a job. In flow-cell-jobs, CELL/JOB is what the owner of the cell knows and decides; only it writes
 // the row, and the row tells what was asked too. In flow-news, CELL/JOB/WRITER is what another one tells the owner of the
 // cell: the entry that accepted the job, one that cancelled it, or the owner of another cell, which writes it in the same
@@ -75,6 +81,7 @@
   19: i64 run_base = 0        // numbers of runs start above it; raised when the job moves to another cell
   21: bool starts_noted = false // by whoever has written the row: a task without a note was never started
   22: bool begun = false      // a worker has taken a task
+  23: list<flow_occurrence_span> finished // ascending; `stages` need not tell of them
 }
 
 // In flow-cell-jobs, CELL/!fence: every write of the cell's owner is checked against it, so that none comes into force once a
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -14,12 +14,26 @@
 // No task reaches 1000 runs under one owner.
 constexpr std::int64_t runs_per_epoch = 1000;
 
+// Unfinished tasks of a recurring job in its home cell from which on no further occurrence is held beside them: all may
+// be due at once. Bounds the memory of the job and the size of its row.
+constexpr std::int64_t tasks_held_most = 512;
+
+// Earlier releases read bits of each stage that is done. They hold all occurrences of a job in memory, so larger jobs
+// could not run under them.
+constexpr std::int64_t stages_for_earlier_releases = 512;
+
 bool bit_at(const std::string& bits, std::int32_t index)
 {
     const auto byte = static_cast<std::size_t>(index / 8);
     return byte < bits.size() && (static_cast<unsigned char>(bits[byte]) >> (index % 8) & 1) != 0;
 }
 
+void set_bit(std::string& bits, std::int32_t index)
+{
+    char& byte = bits[static_cast<std::size_t>(index / 8)];
+    byte = static_cast<char>(static_cast<unsigned char>(byte) | (1U << (index % 8)));
+}
+
 } // namespace
 
 std::vector<wire::crash_row> flow_task::crash_rows() const
@@ -50,14 +64,13 @@
     : id_(std::move(id)), here_(std::move(here)), row_(row), spec_(spec_of(row)), version_(version)
 {
     row_.stages.clear();
+    row_.finished.clear();
     row_.begun = implies_begun(row);
-    const std::int32_t occurrences = std::max(1, spec_.occurrences);
-    for (std::int32_t k = 0; k < occurrences; ++k) {
-        for (std::size_t s = 0; s < spec_.steps.size(); ++s) {
-            add_stage(k, static_cast<std::int32_t>(s));
-        }
+    if (!timed()) {
+        hold_occurrence(0);
     }
     merge(instant{}, row, version != row_version(0) ? row_writer_kind::own : row_writer_kind::other_cell);
+    drop_finished_occurrences();
 }
 
 bool flow_job::at_home(const flow_task& task) const
@@ -174,20 +187,109 @@
     task.last_run = std::max(task.last_run, run_number(start.run));
 }
 
-void flow_job::add_stage(std::int32_t occurrence, std::int32_t step)
+flow_stages::iterator flow_job::stages_from(std::int32_t occurrence)
+{
+    return std::lower_bound(stages_.begin(), stages_.end(), occurrence,
+                            [](const flow_stage& stage, std::int32_t k) { return stage.occurrence < k; });
+}
+
+void flow_job::hold_occurrence(std::int32_t occurrence)
+{
+    const auto at = stages_from(occurrence);
+    if (at != stages_.end() && at->occurrence == occurrence) {
+        return;
+    }
+    for (std::size_t s = 0; s < spec_.steps.size(); ++s) {
+        flow_stage stage;
+        stage.occurrence = occurrence;
+        stage.step = static_cast<std::int32_t>(s);
+        stage.tasks.resize(static_cast<std::size_t>(std::max(0, spec_.steps[s].count)));
+        stages_.insert(at, std::move(stage));
+    }
+}
+
+// An occurrence with lasting tasks never ends, so later ones do not wait for it.
+bool flow_job::may_hold_another() const
 {
-    flow_stage stage;
-    stage.occurrence = occurrence;
-    stage.step = step;
-    stage.tasks.resize(static_cast<std::size_t>(std::max(0, spec_.steps.at(static_cast<std::size_t>(step)).count)));
-    stages_.push_back(std::move(stage));
+    const auto& steps = spec_.steps;
+    if (std::any_of(steps.begin(), steps.end(), [](const flow_step& s) { return s.lasting; })) {
+        return true;
+    }
+    const auto add_tasks = [](std::int64_t sum, const flow_step& s) { return sum + s.count; };
+    const auto add_unfinished = [](std::int64_t sum, const flow_stage& s) {
+        return sum + static_cast<std::int64_t>(s.tasks.size()) - s.done;
+    };
+    const std::int64_t held = std::accumulate(stages_.begin(), stages_.end(), std::int64_t{0}, add_unfinished);
+    const std::int64_t added = std::accumulate(steps.begin(), steps.end(), std::int64_t{0}, add_tasks);
+    return held == 0 || held + added <= tasks_held_most;
+}
+
+void flow_job::hold_due_occurrences(wall_time wall)
+{
+    if (!timed() || !is_home_cell()) {
+        return;
+    }
+    while (true) {
+        next_held_ = finished_.next_absent(next_held_);
+        if (next_held_ >= occurrences() || !due(next_held_, wall) || !may_hold_another()) {
+            return;
+        }
+        hold_occurrence(next_held_);
+        ++next_held_;
+    }
+}
+
+// Whether all tasks of these stages of one occurrence are done and have no runs left, such as copies being stopped.
+bool flow_job::is_finished(flow_stages::const_iterator first, flow_stages::const_iterator end) const
+{
+    return std::all_of(first, end, [](const flow_stage& stage) {
+        return stage.done == static_cast<std::int32_t>(stage.tasks.size()) &&
+               std::all_of(stage.tasks.begin(), stage.tasks.end(),
+                           [](const flow_task& task) { return task.runs.empty(); });
+    });
+}
+
+void flow_job::drop_finished_occurrences()
+{
+    if (!timed()) {
+        return;
+    }
+    for (auto first = stages_.begin(); first != stages_.end();) {
+        const std::int32_t occurrence = first->occurrence;
+        const auto end = first + static_cast<std::ptrdiff_t>(spec_.steps.size());
+        if (is_finished(first, end)) {
+            finished_.add(occurrence, occurrence + 1);
+            first = stages_.erase(first, end);
+        }
+        else {
+            first = end;
+        }
+    }
+}
+
+// Another owner has found that these occurrences are done. Those that are held are dropped once they have no runs.
+void flow_job::load_finished(const wire::flow_occurrence_span& span)
+{
+    const std::int32_t first = std::max(0, span.first);
+    const std::int32_t end = std::min(span.past_last, occurrences());
+    if (!timed() || first >= end) {
+        return;
+    }
+    for (auto stage = stages_from(first); stage != stages_.end() && stage->occurrence < end; ++stage) {
+        for (std::size_t i = 0; i < stage->tasks.size(); ++i) {
+            note_done(task_id(*stage, i));
+        }
+    }
+    const std::int64_t before = finished_.size();
+    finished_.add(first, end);
+    changes_ += finished_.size() != before ? 1 : 0;
 }
 
 void flow_job::load_stage(instant now, const wire::flow_stage_row& row, bool own)
 {
     flow_stage* const stage = find_stage({id_, row.occurrence, row.step, 0});
     if (stage == nullptr) {
-        return;
+        return; // the occurrence is finished
     }
     for (std::size_t i = 0; i < stage->tasks.size(); ++i) {
         flow_task& task = stage->tasks[i];
@@ -219,12 +321,20 @@
 
 flow_stage* flow_job::find_stage(const flow_task_id& task)
 {
-    const auto steps = static_cast<std::int64_t>(spec_.steps.size());
-    const std::int64_t at = task.occurrence * steps + task.step;
-    if (task.occurrence < 0 || task.step < 0 || task.step >= steps || at >= static_cast<std::int64_t>(stages_.size())) {
+    const auto steps = static_cast<std::int32_t>(spec_.steps.size());
+    const bool exists = task.occurrence >= 0 && task.occurrence < occurrences() && task.step >= 0 && task.step < steps;
+    if (!exists) {
         return nullptr;
     }
-    return &stages_[static_cast<std::size_t>(at)];
+    auto at = stages_from(task.occurrence);
+    if (at == stages_.end() || at->occurrence != task.occurrence) {
+        if (finished_.contains(task.occurrence)) {
+            return nullptr;
+        }
+        hold_occurrence(task.occurrence);
+        at = stages_from(task.occurrence);
+    }
+    return &*(at + task.step);
 }
 
 flow_task* flow_job::find_task(const flow_task_id& task)
@@ -238,7 +348,11 @@
 
 bool flow_job::due(std::int32_t occurrence, wall_time wall) const
 {
-    return !timed() || wall >= spec_.first_due + spec_.interval * occurrence;
+    if (!timed() || (occurrence == 0 && wall >= spec_.first_due)) {
+        return true;
+    }
+    // Not a product, since the time of a late occurrence may exceed what a clock can tell.
+    return wall >= spec_.first_due && occurrence > 0 && spec_.interval <= (wall - spec_.first_due) / occurrence;
 }
 
 bool flow_job::open_stages(instant now, wall_time wall)
@@ -246,6 +360,8 @@
     if (cancelled() || ended()) {
         return false;
     }
+    drop_finished_occurrences();
+    hold_due_occurrences(wall);
     bool opened = false;
     for (flow_stage& stage : stages_) {
         if (stage.open || !due(stage.occurrence, wall)) {
@@ -457,8 +573,11 @@
 
 bool flow_job::all_done() const
 {
-    return std::all_of(stages_.begin(), stages_.end(),
-                       [](const flow_stage& s) { return s.done == static_cast<std::int32_t>(s.tasks.size()); });
+    const auto steps = static_cast<std::int64_t>(spec_.steps.size());
+    const std::int64_t held_done = std::count_if(stages_.begin(), stages_.end(), [this](const flow_stage& s) {
+        return !finished_.contains(s.occurrence) && s.done == static_cast<std::int32_t>(s.tasks.size());
+    });
+    return held_done + finished_.size() * steps == occurrences() * steps;
 }
 
 bool flow_job::running() const
@@ -497,6 +616,9 @@
     const std::uint64_t before = changes_;
     const bool job_over = from_other && (row_.cancelled || row_.outcome != 0);
     const std::set<std::string> concerned = job_over ? concerned_cells() : std::set<std::string>();
+    for (const wire::flow_occurrence_span& span : other.finished) {
+        load_finished(span);
+    }
     for (const wire::flow_stage_row& stage : other.stages) {
         load_stage(now, stage, writer_kind == row_writer_kind::own);
     }
@@ -522,6 +644,12 @@
 {
     wire::flow_job_row row = row_;
     row.stages = stage_rows();
+    for (const auto& [first, end] : finished_.spans()) {
+        wire::flow_occurrence_span span;
+        span.first = first;
+        span.past_last = end;
+        row.finished.push_back(span);
+    }
     return row;
 }
 
@@ -537,9 +665,32 @@
     return row;
 }
 
+// Adds the bits of finished occurrences, for entries of an earlier release: they would run them again.
+void flow_job::add_finished_stages(std::vector<wire::flow_stage_row>& rows) const
+{
+    const auto steps = static_cast<std::int64_t>(spec_.steps.size());
+    if (occurrences() * steps > stages_for_earlier_releases) {
+        return;
+    }
+    for (const auto& [first, end] : finished_.spans()) {
+        for (std::int64_t at = first * steps; at < end * steps; ++at) {
+            wire::flow_stage_row s;
+            s.occurrence = static_cast<std::int32_t>(at / steps);
+            s.step = static_cast<std::int32_t>(at % steps);
+            const std::int32_t count = spec_.steps[static_cast<std::size_t>(s.step)].count;
+            s.done.assign(static_cast<std::size_t>((count + 7) / 8), '\0');
+            for (std::int32_t i = 0; i < count; ++i) {
+                set_bit(s.done, i);
+            }
+            rows.push_back(std::move(s));
+        }
+    }
+}
+
 std::vector<wire::flow_stage_row> flow_job::stage_rows() const
 {
     std::vector<wire::flow_stage_row> rows;
+    add_finished_stages(rows);
     for (const flow_stage& stage : stages_) {
         wire::flow_stage_row s;
         s.occurrence = stage.occurrence;
@@ -550,7 +701,7 @@
             const flow_task& task = stage.tasks[i];
             const auto index = static_cast<std::int32_t>(i);
             if (task.stage == flow_task_state::done) {
-                bits[i / 8] = static_cast<char>(static_cast<unsigned char>(bits[i / 8]) | (1U << (i % 8)));
+                set_bit(bits, index);
                 any = true;
                 continue;
             }
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -2,12 +2,15 @@
 // to be written to the table.
 #pragma once
 
+#include <algorithm>
+#include <boost/container/stable_vector.hpp>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "flow_occurrences_p.h"
 #include "flow_row_p.h"
 
 namespace skylarkhub {
@@ -64,6 +67,10 @@
     bool open = false;      // its tasks may start
 };
 
+// The stages that are held of a job, by occurrence and step. References to them stay valid while others are added or
+// removed.
+using flow_stages = boost::container::stable_vector<flow_stage>;
+
 // Whether each start of a task is written to the job's row before it is sent, so that the next owner of the cell knows
 // where each task may run. Short tasks skip this, since each of them would have to wait for the table.
 bool persists_starts(const flow_step& step);
@@ -74,6 +81,9 @@
 // Whether recording a crash causes a write of the row, or is included in the next write for another reason.
 enum class crash_persistence : std::uint8_t { written, deferred };
 
+// A job may have far more occurrences than fit into memory. Its home cell holds those that are due and not finished,
+// the oldest first and up to a limit; another cell holds those that a row or a worker tells of. An occurrence that is
+// finished is dropped from memory, and the row names it in a span.
 class flow_job {
 public:
     // Builds the job from a row that contains the specification. `here`: the cell of this owner; `version`: of the row
@@ -87,14 +97,15 @@
     {
         return spec_.steps.at(static_cast<std::size_t>(stage.step));
     }
-    std::vector<flow_stage>& stages() { return stages_; }
-    const std::vector<flow_stage>& stages() const { return stages_; }
+    flow_stages& stages() { return stages_; }
+    const flow_stages& stages() const { return stages_; }
 
     flow_task_id task_id(const flow_stage& stage, std::size_t index) const
     {
         return {id_, stage.occurrence, stage.step, static_cast<std::int32_t>(index)};
     }
-    // Null when the flow has no such task.
+    // Null when the flow has no such task, or its occurrence is finished. An occurrence that is asked for is held from
+    // then on, since a worker may report runs of one that is not due yet by the clock of this owner.
     flow_stage* find_stage(const flow_task_id& task);
     flow_task* find_task(const flow_task_id& task);
 
@@ -136,7 +147,8 @@
     // As hand_off_task, with later runs numbered above `floor`; `to` may be the cell that is responsible already.
     void move(const flow_task_id& task, const cell_id& to, epoch to_epoch, std::int64_t floor);
 
-    // Opens every stage whose preceding steps are done and whose occurrence is due; true if any was opened.
+    // Opens every stage whose preceding steps are done and whose occurrence is due; true if any was opened. Drops the
+    // stages of occurrences that are finished.
     bool open_stages(instant now, wall_time wall);
 
     // Number for a new run: higher than all runs of the task, those started by former owners of the cell included.
@@ -190,11 +202,20 @@
 
 private:
     std::vector<wire::flow_stage_row> stage_rows() const;
+    void add_finished_stages(std::vector<wire::flow_stage_row>& rows) const;
     std::set<std::string> concerned_cells() const;
     // Shows the job as started to callers.
     void mark_started();
     bool implies_begun(const wire::flow_job_row& row) const;
-    void add_stage(std::int32_t occurrence, std::int32_t step);
+    std::int32_t occurrences() const { return std::max(1, spec_.occurrences); }
+    // The first stage that is held of the occurrence or a later one.
+    flow_stages::iterator stages_from(std::int32_t occurrence);
+    void hold_occurrence(std::int32_t occurrence);
+    void hold_due_occurrences(wall_time wall);
+    bool may_hold_another() const;
+    void drop_finished_occurrences();
+    bool is_finished(flow_stages::const_iterator first, flow_stages::const_iterator end) const;
+    void load_finished(const wire::flow_occurrence_span& span);
     void load_stage(instant now, const wire::flow_stage_row& row, bool own);
     void load_home(instant now, flow_stage& stage, flow_task& task, const wire::flow_home_row& home, bool own);
     static void load_start(flow_task& task, const wire::flow_start_row& start);
@@ -206,7 +227,9 @@
     cell_id here_;
     wire::flow_job_row row_; // with its `stages` empty: these are kept in stages_
     flow_spec spec_;
-    std::vector<flow_stage> stages_;
+    flow_stages stages_;         // all steps of each occurrence that is held, in ascending order
+    occurrence_set finished_;    // occurrences that are not held any more, as all their tasks are done
+    std::int32_t next_held_ = 0; // each due occurrence before it is held or finished
     row_version version_;
     row_version accepted_at_;
     std::uint64_t changes_ = 0;
