flow: a cancel that finds no job keeps it from being accepted later

What callers saw: a client whose POST got no answer cancelled the job at another entry and was told 410, no such job.

Cause: cancel() answered from a read of the index, and left nothing behind. The write of the acceptance, sent before and applied up to six seconds later by the store, or sent again by its entry while the caller may wait, checked only that the job has no index row, and found none.

Ruled out: waiting with the 410 until no late write can be applied (six seconds, longer than callers wait); a row among the index rows of the job, since each reader takes one for the job's acceptance, those of an earlier release too.

Change: the cancel of a job without an index row writes a row of its own, under the check that there is no index row; an acceptance checks that this row is absent. Of the two writes one wins, whatever the order. The 410 is answered once the row is in the table; a cancel whose write gets no answer is tried again while its caller waits, then 503; if the job was accepted meanwhile, the cancel goes its ordinary way. A POST that arrives after such a cancel is rejected: it may be the one that was cancelled, and never runs. A conflict that shows neither row is retried as in doubt.

Cost: a write for each cancel of a job that is not there. The rows stay, as index rows do: nobody removes either yet. Entries of an earlier release neither write nor check the row, and read past it.

Four more cases in test_flow_retried_writes hold the design: a repeated POST, a cancel whose write is late, a cancel beside its POST at distances of 0 to 20 ms, and 100 seeds of late writes of both. They were not run on the code before, which has no such row.

--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -203,11 +203,16 @@
     void write_job(const job_id& job, const wire::flow_job_row& row, instant give_up, int tries, bool may_be_in_force);
     void on_job_written(instant now, const job_id& job, const wire::flow_job_row& row, instant give_up, int tries,
                         bool may_be_in_force, const store_result& result);
+    bool settle_accept_conflict(instant now, const job_id& job, const wire::flow_job_row& row,
+                                const std::vector<store_row>& rows);
     void answer_accept(instant now, const job_id& job, const caller_answer& answer);
     void ask_state(instant now, const job_id& job, caller_reply reply);
     void read_state(const job_id& job);
     void update_job_state(instant now, const job_id& job, flow_state state);
     void cancel(const job_id& job, instant give_up, caller_reply reply);
+    void withdraw_job(const job_id& job, instant give_up, const caller_reply& reply);
+    void retry_cancel(instant now, const job_id& job, instant give_up, const std::string& reason,
+                      const caller_reply& reply);
     void write_cancel(const job_id& job, const cell_id& cell, instant give_up, caller_reply reply);
     void confirm_cancel(instant now, const job_id& job, const cell_id& cell, stored_cancel cancel,
                         const caller_reply& reply);
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -38,11 +38,16 @@
     return row;
 }
 
-// Returns the version of the row with this key, or 0 if it is not among the rows.
-row_version version_of(const std::vector<store_row>& rows, const store_key& key)
+// Returns the row with this key, or null if it is not among the rows.
+const store_row* find_row(const std::vector<store_row>& rows, const store_key& key)
 {
     const auto at = std::find_if(rows.begin(), rows.end(), [&key](const store_row& row) { return row.key == key; });
-    return at == rows.end() ? row_version(0) : at->version;
+    return at == rows.end() ? nullptr : &*at;
+}
+
+row_version version_of(const store_row* row)
+{
+    return row == nullptr ? row_version(0) : row->version;
 }
 
 // Returns why a specification can't run, or an empty string if it can.
@@ -264,6 +269,7 @@
     index.accept_token = row.accept_token;
     store_transaction t;
     t.checks.push_back({index_key(job), row_version(0)});
+    t.checks.push_back({withdrawn_key(job), row_version(0)});
     t.puts.push_back({index_key(job), encode_compact(index)});
     t.puts.push_back({job_row_key(accepted_row(cell_id(row.cell), job)), encode_compact(row)});
     edges_.commit(std::move(t),
@@ -287,27 +293,16 @@
         answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
         notify_owner_of_job(now, accepted_row(cell_id(row.cell), job), row, result.version);
         return;
-    case table_outcome::conflict: {
-        // The job is in the table: it was accepted before, by this entry (the table's answer was lost) or by another
-        // one.
-        ++stats_.repeated;
-        edges_.note(log_level::info, "job", "accepted_before", {{"job", job.str()}});
-        answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
-        const auto index =
-            result.rows.empty() ? std::nullopt : read_flow_row<wire::flow_job_row>(edges_, result.rows.front());
-        if (index && index->accept_token == row.accept_token) {
-            notify_owner_of_job(now, accepted_row(cell_id(row.cell), job), row, result.rows.front().version);
-        }
-        else if (index) {
-            hand_on_job(job, *index);
+    case table_outcome::conflict:
+        if (settle_accept_conflict(now, job, row, result.rows)) {
+            return;
         }
-        return;
-    }
+        break;
     case table_outcome::refused:
     case table_outcome::unknown:
         break;
     }
-    const bool in_doubt = may_be_in_force || result.outcome == table_outcome::unknown;
+    const bool in_doubt = may_be_in_force || result.outcome != table_outcome::refused;
     if (now + accept_retry < give_up && (in_doubt || tries < max_accept_attempts)) {
         edges_.after(accept_retry, [this, job, row, give_up, tries, in_doubt](instant) {
             write_job(job, row, give_up, tries + 1, in_doubt);
@@ -322,6 +317,35 @@
                    unavailable_retry, "the table could not be written"});
 }
 
+// Answers the caller by the row that stands in the way of the acceptance. False if the table did not show one.
+bool flow_entry::settle_accept_conflict(instant now, const job_id& job, const wire::flow_job_row& row,
+                                        const std::vector<store_row>& rows)
+{
+    if (const store_row* const found = find_row(rows, index_key(job))) {
+        // The job is in the table: it was accepted before, by this entry (the table's answer was lost) or by another
+        // one.
+        ++stats_.repeated;
+        edges_.note(log_level::info, "job", "accepted_before", {{"job", job.str()}});
+        answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
+        const auto index = read_flow_row<wire::flow_job_row>(edges_, *found);
+        if (index && index->accept_token == row.accept_token) {
+            notify_owner_of_job(now, accepted_row(cell_id(row.cell), job), row, found->version);
+        }
+        else if (index) {
+            hand_on_job(job, *index);
+        }
+        return true;
+    }
+    if (find_row(rows, withdrawn_key(job)) == nullptr) {
+        return false;
+    }
+    ++stats_.refused;
+    const std::string reason = "the job was cancelled before it was accepted";
+    edges_.note(log_level::info, "job", "refused", {{"job", job.str()}, {"reason", reason}});
+    answer_accept(now, job, {caller_result::rejected, flow_state::queued, 0, duration(0), reason});
+    return true;
+}
+
 void flow_entry::answer_accept(instant now, const job_id& job, const caller_answer& answer)
 {
     const auto at = tracked_jobs_.find(job);
@@ -596,8 +620,7 @@
             return;
         }
         if (page.rows.empty()) {
-            edges_.note(log_level::info, "job", "cancel_of_unknown_job", {{"job", job.str()}});
-            reply({caller_result::unknown_job, flow_state::queued, 0, duration(0), "no such job"});
+            withdraw_job(job, give_up, reply);
             return;
         }
         const auto row = read_index(edges_, page.rows);
@@ -611,13 +634,46 @@
             return;
         }
         if (row->cancelled) {
-            confirm_cancel(then, job, cell_id(row->cell), {version_of(page.rows, index_cancel_key(job)), true}, reply);
+            confirm_cancel(then, job, cell_id(row->cell),
+                           {version_of(find_row(page.rows, index_cancel_key(job))), true}, reply);
             return;
         }
         write_cancel(job, cell_id(row->cell), give_up, reply);
     });
 }
 
+// Failure: the write of the job's acceptance is applied seconds after it was sent, and the cancel comes before.
+// Symptom: the caller is told that there is no such job, and the whole job runs later. So a row is written that an
+// acceptance must not find, under the check that the job is not accepted: one of the two writes wins, in whatever order
+// they are applied.
+void flow_entry::withdraw_job(const job_id& job, instant give_up, const caller_reply& reply)
+{
+    store_transaction t;
+    t.checks.push_back({index_key(job), row_version(0)});
+    t.puts.push_back({withdrawn_key(job), encode_compact(make_cancel_row(cell_id()))});
+    edges_.commit(std::move(t), [this, job, give_up, reply](instant then, const store_result& result) {
+        if (result.outcome == table_outcome::applied) {
+            edges_.note(log_level::info, "job", "cancel_of_unknown_job",
+                        {{"job", job.str()}, {"version", std::to_string(result.version.value())}});
+            reply({caller_result::unknown_job, flow_state::queued, 0, duration(0), "no such job"});
+            return;
+        }
+        retry_cancel(then, job, give_up, result.reason, reply); // with a conflict, the job has been accepted meanwhile
+    });
+}
+
+// Starts the cancel anew, while its caller waits.
+void flow_entry::retry_cancel(instant now, const job_id& job, instant give_up, const std::string& reason,
+                              const caller_reply& reply)
+{
+    if (now + accept_retry < give_up) {
+        edges_.after(accept_retry, [this, job, give_up, reply](instant) { cancel(job, give_up, reply); });
+        return;
+    }
+    edges_.note(log_level::warning, "job", "cancel_unsettled", {{"job", job.str()}, {"reason", reason}});
+    reply({caller_result::retry_later, flow_state::queued, 0, unavailable_retry, "the table could not be written"});
+}
+
 // A cancel has rows of its own, so that it does not conflict with writes of the cell's owner.
 void flow_entry::write_cancel(const job_id& job, const cell_id& cell, instant give_up, caller_reply reply)
 {
@@ -626,23 +682,18 @@
     t.checks.push_back({index_cancel_key(job), row_version(0)});
     t.puts.push_back({index_cancel_key(job), value});
     t.puts.push_back({job_row_key(cancel_row(cell, job)), value});
-    edges_.commit(std::move(t), [this, job, cell, give_up, reply = std::move(reply)](instant then,
-                                                                                     const store_result& result) {
-        if (result.outcome == table_outcome::applied) {
-            confirm_cancel(then, job, cell, {result.version, false}, reply);
-            return;
-        }
-        if (result.outcome == table_outcome::conflict && !result.rows.empty()) {
-            confirm_cancel(then, job, cell, {result.rows.front().version, true}, reply);
-            return;
-        }
-        if (then + accept_retry < give_up) {
-            edges_.after(accept_retry, [this, job, give_up, reply](instant) { cancel(job, give_up, reply); });
-            return;
-        }
-        edges_.note(log_level::warning, "job", "cancel_unsettled", {{"job", job.str()}, {"reason", result.reason}});
-        reply({caller_result::retry_later, flow_state::queued, 0, unavailable_retry, "the table could not be written"});
-    });
+    edges_.commit(std::move(t),
+                  [this, job, cell, give_up, reply = std::move(reply)](instant then, const store_result& result) {
+                      if (result.outcome == table_outcome::applied) {
+                          confirm_cancel(then, job, cell, {result.version, false}, reply);
+                          return;
+                      }
+                      if (result.outcome == table_outcome::conflict && !result.rows.empty()) {
+                          confirm_cancel(then, job, cell, {result.rows.front().version, true}, reply);
+                          return;
+                      }
+                      retry_cancel(then, job, give_up, result.reason, reply);
+                  });
 }
 
 // Answers a cancel that is in the table, and notifies the owner of the job's cell. Failure: the cancel was written by
--- a/src/flow_row.cpp
+++ b/src/flow_row.cpp
@@ -67,6 +67,7 @@
 constexpr const char* cancelled_mark = "!cancelled";
 constexpr const char* ends_mark = "!ends-";
 constexpr const char* fence_mark = "!fence"; // sorts before the keys of all jobs
+constexpr const char* withdrawn_mark = "!withdrawn";
 
 } // namespace
 
@@ -147,6 +148,10 @@
 {
     return {index_table, job_part(job), job.str() + separator + cancelled_mark};
 }
+store_key withdrawn_key(const job_id& job)
+{
+    return {index_table, job_part(job), withdrawn_mark + (separator + job.str())};
+}
 store_range index_rows(const job_id& job)
 {
     return {index_table, job_part(job), job.str(), job.str() + after_separator};
--- a/tests/test_flow_retried_writes.cpp
+++ b/tests/test_flow_retried_writes.cpp
@@ -42,6 +42,12 @@
     });
 }
 
+bool writes_withdrawal(const store_transaction& t)
+{
+    return std::any_of(t.puts.begin(), t.puts.end(),
+                       [](const store_put& put) { return put.key == withdrawn_key(job_id(job_a)); });
+}
+
 bool writes_own_row(const store_transaction& t)
 {
     return std::any_of(t.puts.begin(), t.puts.end(), [](const store_put& put) {
@@ -321,6 +327,98 @@
     check_no_violations(r.w);
 }
 
+// Guards against a job that runs although its cancel was answered "no such job", when its caller's request arrives
+// again at another entry.
+BOOST_AUTO_TEST_CASE(a_job_that_is_handed_in_again_after_its_cancel_does_not_run)
+{
+    three_entries r;
+    BOOST_TEST((r.w.cancel(r.second, job_a) == caller_result::unknown_job));
+    BOOST_TEST((r.w.submit(r.first, job_a, lasting_spec(12)) == caller_result::rejected));
+    BOOST_TEST((r.w.submit(r.owner, job_a, lasting_spec(12)) == caller_result::rejected));
+    BOOST_TEST((r.w.cancel(r.first, job_a) == caller_result::unknown_job));
+    BOOST_TEST(!r.w.state(r.first, job_a).has_value());
+    BOOST_TEST(r.tasks_started() == 0);
+    check_no_violations(r.w);
+}
+
+// Guards against "no such job" while nothing in the table keeps the job from running yet.
+BOOST_AUTO_TEST_CASE(a_cancel_whose_write_gets_no_answer_is_not_answered_with_no_such_job)
+{
+    three_entries r;
+    r.w.delay_writes(6s, writes_withdrawal);
+    BOOST_TEST((r.w.cancel(r.second, job_a) == caller_result::retry_later));
+    BOOST_TEST((r.w.submit(r.first, job_a, lasting_spec(12)) == caller_result::accepted));
+    BOOST_TEST(r.tasks_started() == 12);
+    r.w.run_for(8s);
+    BOOST_TEST(r.w.count_running_tasks(job_a) == 12);
+    BOOST_TEST((r.w.cancel(r.second, job_a) == caller_result::cancelled));
+    r.w.run_until([&] { return r.w.count_running_tasks(job_a) == 0; }, 3s);
+    BOOST_TEST(r.w.count_running_tasks(job_a) == 0);
+    check_no_violations(r.w);
+}
+
+// Guards against a cancel that is lost, or answered with "no such job", because its job is accepted as it is written.
+BOOST_AUTO_TEST_CASE(a_cancel_that_finds_its_job_accepted_meanwhile_cancels_it)
+{
+    for (const duration apart : {0ms, 2ms, 4ms, 6ms, 8ms, 10ms, 12ms, 14ms, 16ms, 18ms, 20ms}) {
+        BOOST_TEST_CONTEXT("cancel " << apart.count() / 1000 << " ms after the submit")
+        {
+            three_entries r;
+            r.w.drop_job_watches(false);
+            r.w.send_submit(r.first, job_a, lasting_spec(12));
+            r.w.run_for(apart);
+            const caller_result answer = r.w.cancel(r.second, job_a);
+            r.w.run_for(6s);
+            const bool accepted = r.w.answers().at(job_a).front() == caller_result::accepted;
+            BOOST_TEST((answer == (accepted ? caller_result::cancelled : caller_result::unknown_job)));
+            BOOST_TEST(r.w.count_running_tasks(job_a) == 0);
+            check_no_violations(r.w);
+        }
+    }
+}
+
+// Guards against jobs that run although they were cancelled, or do not run although they were accepted, while writes of
+// both are applied late or get no answer.
+BOOST_AUTO_TEST_CASE(a_cancel_and_an_acceptance_agree_while_writes_are_applied_late)
+{
+    each_seed(100, [](std::uint64_t seed) {
+        flow_simulation w({.seed = seed, .entries_per_data_centre = 3});
+        random_source random = make_random(seed * 17);
+        w.run_for(4s);
+        const auto of_callers = [](const store_transaction& t) {
+            return std::any_of(t.puts.begin(), t.puts.end(),
+                               [](const store_put& put) { return put.key.table == index_table; });
+        };
+        w.delay_writes(duration(absl::Uniform<std::int64_t>(random, 1'000'000, 6'000'000)),
+                       [&](const auto& t) { return of_callers(t) && absl::Bernoulli(random, 0.35); });
+        std::map<std::string, caller_result> cancels;
+        for (int i = 0; i < 20; ++i) {
+            const std::string job = fmt::format("{:016x}", 0xa0 + i);
+            w.send_submit(i % 3, job, lasting_spec(2, 100));
+            w.run_for(duration(absl::Uniform<std::int64_t>(random, 0, 400'000)));
+            if (i % 2 == 0) {
+                cancels[job] = w.cancel((i + 1) % 3, job);
+            }
+        }
+        w.delay_writes(0s, [](const store_transaction&) { return false; });
+        w.run_for(12s);
+        for (int i = 0; i < 20; ++i) {
+            const std::string job = fmt::format("{:016x}", 0xa0 + i);
+            const auto cancel = cancels.find(job);
+            const bool acknowledged = cancel != cancels.end() && cancel->second != caller_result::retry_later;
+            const auto& answers = w.answers();
+            const bool accepted = answers.count(job) != 0 && answers.at(job).front() == caller_result::accepted;
+            if (acknowledged) {
+                BOOST_TEST(w.count_running_tasks(job) == 0, job << " runs after its cancel");
+            }
+            if (accepted && cancel == cancels.end()) {
+                BOOST_TEST(w.count_running_tasks(job) == 2, job << " was accepted and does not run");
+            }
+        }
+        check_no_violations(w);
+    });
+}
+
 // Guards against effects that go missing, or come twice, where lost answers, cancels, moves and restarts meet.
 BOOST_AUTO_TEST_CASE(no_effect_goes_missing_while_answers_are_lost)
 {
