flow: a refused job is kept from being accepted by an earlier write

What callers saw: a POST without an answer is sent again to another entry, which refuses it with 503 (it stops, has no room for lasting tasks, or all data centres are evacuated): "was not accepted and never runs". The write of the first request is applied seconds later, and the job runs.

Ruled out: the row that a cancel writes, as it is. It is final, and a refused caller comes again with the same id.

Change: the refusal writes that row too, not final, under the check that there is no index row. An acceptance expects the row at the version that it finds: the first write of a request that came after the refusal meets it, and is sent again with its version. A write that was sent before, or that had been tried before the refusal, conflicts and is told so. A refusal never replaces a cancel's row. The row takes the place of the read, so a refusal costs one write and no read; when it cannot be written, the caller is told that the outcome is unknown (504) in place of 503.

The tries of an acceptance were five parameters; they are one struct now.

--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -141,6 +141,15 @@
         std::string reason;
         duration retry_delay{0};
     };
+    // The write that accepts a job, over all its tries.
+    struct acceptance {
+        job_id job;
+        wire::flow_job_row row;
+        instant give_up{};
+        int tries = 0;
+        bool may_be_in_force = false; // an earlier try got no answer
+        row_version withdrawn;        // of the refusal that came before this request; 0: there was none
+    };
     // A cancel that is in the table.
     struct stored_cancel {
         row_version version;
@@ -199,12 +208,11 @@
                 caller_reply reply);
     // Refuses the submit unless the table already holds the job.
     void refuse_unless_accepted(const job_id& job, const refusal& why, caller_reply reply);
+    void write_refusal(const job_id& job, const refusal& why, row_version withdrawn, const caller_reply& reply);
     // Writes the row of a new job; on_job_written() retries or answers.
-    void write_job(const job_id& job, const wire::flow_job_row& row, instant give_up, int tries, bool may_be_in_force);
-    void on_job_written(instant now, const job_id& job, const wire::flow_job_row& row, instant give_up, int tries,
-                        bool may_be_in_force, const store_result& result);
-    bool settle_accept_conflict(instant now, const job_id& job, const wire::flow_job_row& row,
-                                const std::vector<store_row>& rows);
+    void write_job(const acceptance& accepting);
+    void on_job_written(instant now, const acceptance& accepting, const store_result& result);
+    bool settle_accept_conflict(instant now, const acceptance& accepting, const std::vector<store_row>& rows);
     void answer_accept(instant now, const job_id& job, const caller_answer& answer);
     void ask_state(instant now, const job_id& job, caller_reply reply);
     void read_state(const job_id& job);
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -50,6 +50,14 @@
     return row == nullptr ? row_version(0) : row->version;
 }
 
+// Whether the row keeps the job from being accepted for good, as a cancel does. A refusal does so for requests before
+// it.
+bool is_final_withdrawal(const flow_edges& edges, const store_row& row)
+{
+    const auto withdrawal = read_flow_row<wire::flow_job_row>(edges, row);
+    return !withdrawal || withdrawal->cancelled;
+}
+
 // Returns why a specification can't run, or an empty string if it can.
 std::string find_problem(const flow_spec& spec)
 {
@@ -229,7 +237,7 @@
     f.accepting = true;
     f.asked = now;
     f.waiting_accept.push_back(std::move(reply));
-    write_job(job, row, give_up, 0, false);
+    write_job({job, row, give_up});
 }
 
 // A caller without an answer may repeat its request at any entry. Its job may already be in the table, and then the
@@ -242,45 +250,64 @@
         reply({caller_result::retry_later, flow_state::queued, 0, why.retry_delay, why.reason});
         return;
     }
-    edges_.read(index_rows(job), [this, job, why, reply = std::move(reply)](instant, const store_page& page) {
-        if (page.reached && !page.rows.empty()) {
+    write_refusal(job, why, row_version(0), reply);
+}
+
+// Failure: the write of an earlier request for the job is applied after the refusal. Symptom: the caller is told that
+// the job never runs, and it does. So the refusal is a row that such a write does not expect; a request that comes
+// after it expects the row at this version. `withdrawn`: the version of an earlier such row, which is replaced.
+void flow_entry::write_refusal(const job_id& job, const refusal& why, row_version withdrawn, const caller_reply& reply)
+{
+    store_transaction t;
+    t.checks.push_back({index_key(job), row_version(0)});
+    t.checks.push_back({withdrawn_key(job), withdrawn});
+    t.puts.push_back({withdrawn_key(job), encode_compact(wire::flow_job_row())});
+    edges_.commit(std::move(t), [this, job, why, withdrawn, reply](instant, const store_result& result) {
+        const store_row* const accepted = find_row(result.rows, index_key(job));
+        const store_row* const before = find_row(result.rows, withdrawn_key(job));
+        if (accepted != nullptr) {
             ++stats_.repeated;
             edges_.note(log_level::info, "job", "accepted_before", {{"job", job.str()}});
             reply({caller_result::accepted, flow_state::queued, 0, duration(0), ""});
-            if (const auto index = read_index(edges_, page.rows)) {
+            if (const auto index = read_flow_row<wire::flow_job_row>(edges_, *accepted)) {
                 hand_on_job(job, *index);
             }
             return;
         }
+        if (before != nullptr && withdrawn == row_version(0) && !is_final_withdrawal(edges_, *before)) {
+            write_refusal(job, why, before->version, reply);
+            return;
+        }
         ++stats_.refused;
+        const bool stored = result.outcome == table_outcome::applied || before != nullptr;
         edges_.note(log_level::info, "job", "refused",
-                    {{"job", job.str()}, {"reason", page.reached ? why.reason : "table not reached"}});
-        reply({page.reached ? caller_result::rejected : caller_result::outcome_unknown, flow_state::queued, 0,
-               page.reached ? why.retry_delay : unavailable_retry, why.reason});
+                    {{"job", job.str()}, {"reason", stored ? why.reason : "the refusal could not be written"}});
+        reply({stored ? caller_result::rejected : caller_result::outcome_unknown, flow_state::queued, 0,
+               stored ? why.retry_delay : unavailable_retry, why.reason});
     });
 }
 
-void flow_entry::write_job(const job_id& job, const wire::flow_job_row& row, instant give_up, int tries,
-                           bool may_be_in_force)
+void flow_entry::write_job(const acceptance& accepting)
 {
+    const wire::flow_job_row& row = accepting.row;
     wire::flow_job_row index;
     index.cell = row.cell;
     index.accepted_by = row.accepted_by;
     index.accept_token = row.accept_token;
     store_transaction t;
-    t.checks.push_back({index_key(job), row_version(0)});
-    t.checks.push_back({withdrawn_key(job), row_version(0)});
-    t.puts.push_back({index_key(job), encode_compact(index)});
-    t.puts.push_back({job_row_key(accepted_row(cell_id(row.cell), job)), encode_compact(row)});
-    edges_.commit(std::move(t),
-                  [this, job, row, give_up, tries, may_be_in_force](instant then, const store_result& result) {
-                      on_job_written(then, job, row, give_up, tries, may_be_in_force, result);
-                  });
+    t.checks.push_back({index_key(accepting.job), row_version(0)});
+    t.checks.push_back({withdrawn_key(accepting.job), accepting.withdrawn});
+    t.puts.push_back({index_key(accepting.job), encode_compact(index)});
+    t.puts.push_back({job_row_key(accepted_row(cell_id(row.cell), accepting.job)), encode_compact(row)});
+    edges_.commit(std::move(t), [this, accepting](instant then, const store_result& result) {
+        on_job_written(then, accepting, result);
+    });
 }
 
-void flow_entry::on_job_written(instant now, const job_id& job, const wire::flow_job_row& row, instant give_up,
-                                int tries, bool may_be_in_force, const store_result& result)
+void flow_entry::on_job_written(instant now, const acceptance& accepting, const store_result& result)
 {
+    const job_id& job = accepting.job;
+    const wire::flow_job_row& row = accepting.row;
     switch (result.outcome) {
     case table_outcome::applied:
         ++stats_.accepted;
@@ -294,7 +321,7 @@
         notify_owner_of_job(now, accepted_row(cell_id(row.cell), job), row, result.version);
         return;
     case table_outcome::conflict:
-        if (settle_accept_conflict(now, job, row, result.rows)) {
+        if (settle_accept_conflict(now, accepting, result.rows)) {
             return;
         }
         break;
@@ -302,25 +329,26 @@
     case table_outcome::unknown:
         break;
     }
-    const bool in_doubt = may_be_in_force || result.outcome != table_outcome::refused;
-    if (now + accept_retry < give_up && (in_doubt || tries < max_accept_attempts)) {
-        edges_.after(accept_retry, [this, job, row, give_up, tries, in_doubt](instant) {
-            write_job(job, row, give_up, tries + 1, in_doubt);
-        });
+    acceptance next = accepting;
+    next.may_be_in_force = accepting.may_be_in_force || result.outcome != table_outcome::refused;
+    ++next.tries;
+    if (now + accept_retry < next.give_up && (next.may_be_in_force || accepting.tries < max_accept_attempts)) {
+        edges_.after(accept_retry, [this, next](instant) { write_job(next); });
         return;
     }
+    const bool in_doubt = next.may_be_in_force;
     edges_.note(log_level::warning, "job", in_doubt ? "accept_unsettled" : "refused",
-                {{"job", job.str()}, {"reason", result.reason}, {"tries", std::to_string(tries + 1)}});
+                {{"job", job.str()}, {"reason", result.reason}, {"tries", std::to_string(next.tries)}});
     ++(in_doubt ? stats_.outcome_unknown : stats_.refused);
     answer_accept(now, job,
                   {in_doubt ? caller_result::outcome_unknown : caller_result::rejected, flow_state::queued, 0,
                    unavailable_retry, "the table could not be written"});
 }
 
-// Answers the caller by the row that stands in the way of the acceptance. False if the table did not show one.
-bool flow_entry::settle_accept_conflict(instant now, const job_id& job, const wire::flow_job_row& row,
-                                        const std::vector<store_row>& rows)
+// Settles the request by the row that stands in the way of the acceptance. False if the table did not show one.
+bool flow_entry::settle_accept_conflict(instant now, const acceptance& accepting, const std::vector<store_row>& rows)
 {
+    const job_id& job = accepting.job;
     if (const store_row* const found = find_row(rows, index_key(job))) {
         // The job is in the table: it was accepted before, by this entry (the table's answer was lost) or by another
         // one.
@@ -328,21 +356,31 @@
         edges_.note(log_level::info, "job", "accepted_before", {{"job", job.str()}});
         answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
         const auto index = read_flow_row<wire::flow_job_row>(edges_, *found);
-        if (index && index->accept_token == row.accept_token) {
-            notify_owner_of_job(now, accepted_row(cell_id(row.cell), job), row, found->version);
+        if (index && index->accept_token == accepting.row.accept_token) {
+            notify_owner_of_job(now, accepted_row(cell_id(accepting.row.cell), job), accepting.row, found->version);
         }
         else if (index) {
             hand_on_job(job, *index);
         }
         return true;
     }
-    if (find_row(rows, withdrawn_key(job)) == nullptr) {
+    const store_row* const withdrawn = find_row(rows, withdrawn_key(job));
+    if (withdrawn == nullptr) {
         return false;
     }
+    const bool final = is_final_withdrawal(edges_, *withdrawn);
+    if (!final && accepting.tries == 0) {
+        acceptance next = accepting; // the refusal came before this request, or at the same time
+        next.withdrawn = withdrawn->version;
+        ++next.tries;
+        write_job(next);
+        return true;
+    }
     ++stats_.refused;
-    const std::string reason = "the job was cancelled before it was accepted";
+    const std::string reason = final ? "the job was cancelled before it was accepted" : "the job was refused meanwhile";
     edges_.note(log_level::info, "job", "refused", {{"job", job.str()}, {"reason", reason}});
-    answer_accept(now, job, {caller_result::rejected, flow_state::queued, 0, duration(0), reason});
+    answer_accept(now, job,
+                  {caller_result::rejected, flow_state::queued, 0, final ? duration(0) : unavailable_retry, reason});
     return true;
 }
 
--- a/src/flow_row_p.h
+++ b/src/flow_row_p.h
@@ -90,8 +90,9 @@
 store_key index_key(const job_id& job);
 store_key index_cancel_key(const job_id& job);
 store_range index_rows(const job_id& job);
-// A row that exists once a cancel was answered that there is no such job: the job is not accepted any more. Not among
-// the index rows, whose presence says that the job was accepted.
+// A row that keeps writes from accepting the job, if they were sent before its version: of a request that was refused,
+// or for good of a cancel that found no such job. Not among the index rows, whose presence says that the job was
+// accepted.
 store_key withdrawn_key(const job_id& job);
 store_key cell_key(const cell_id& cell);
 store_key entry_key(const entry_id& entry);
--- a/tests/test_flow_retried_writes.cpp
+++ b/tests/test_flow_retried_writes.cpp
@@ -341,6 +341,48 @@
     check_no_violations(r.w);
 }
 
+// Guards against a job that runs although its caller was told at the second try that it never does: the write of the
+// first try is applied later.
+BOOST_AUTO_TEST_CASE(a_job_that_is_refused_while_an_earlier_write_of_it_is_late_does_not_run)
+{
+    three_entries r;
+    r.w.drop_job_watches(false);
+    r.w.delay_writes(6s, writes_acceptance);
+    BOOST_TEST((r.w.submit(r.first, job_a, lasting_spec(12)) == caller_result::outcome_unknown));
+    r.w.entry(r.second)->plan_stop(r.w.now());
+    BOOST_TEST((r.w.submit(r.second, job_a, lasting_spec(12)) == caller_result::rejected));
+    r.w.run_until([&] { return r.w.count_running_tasks(job_a) > 0; }, 10s);
+    BOOST_TEST(r.w.count_running_tasks(job_a) == 0);
+    check_no_violations(r.w);
+}
+
+// Guards against a job that no entry takes any more, since one of them refused it before.
+BOOST_AUTO_TEST_CASE(a_job_that_was_refused_is_accepted_later)
+{
+    three_entries r;
+    r.w.drop_job_watches(false);
+    r.w.entry(r.second)->plan_stop(r.w.now());
+    for (int i = 0; i < 2; ++i) {
+        BOOST_TEST((r.w.submit(r.second, job_a, lasting_spec(12)) == caller_result::rejected));
+    }
+    BOOST_TEST((r.w.submit(r.first, job_a, lasting_spec(12)) == caller_result::accepted));
+    BOOST_TEST((r.w.submit(r.second, job_a, lasting_spec(12)) == caller_result::accepted));
+    BOOST_TEST(r.tasks_started() == 12);
+    check_no_violations(r.w);
+}
+
+// Guards against a cancel that is undone by a refusal that comes after it.
+BOOST_AUTO_TEST_CASE(a_job_that_was_cancelled_and_then_refused_is_not_accepted)
+{
+    three_entries r;
+    BOOST_TEST((r.w.cancel(r.first, job_a) == caller_result::unknown_job));
+    r.w.entry(r.second)->plan_stop(r.w.now());
+    BOOST_TEST((r.w.submit(r.second, job_a, lasting_spec(12)) == caller_result::rejected));
+    BOOST_TEST((r.w.submit(r.first, job_a, lasting_spec(12)) == caller_result::rejected));
+    BOOST_TEST(r.tasks_started() == 0);
+    check_no_violations(r.w);
+}
+
 // Guards against "no such job" while nothing in the table keeps the job from running yet.
 BOOST_AUTO_TEST_CASE(a_cancel_whose_write_gets_no_answer_is_not_answered_with_no_such_job)
 {
