flow: an occurrence is held until its ends are written

An owner that lost the cell before its next write leaves the ends that it knows to its follower (persist_unwritten_ends), from the stages that it holds; those of the occurrence were not among them, and the follower would have started the tasks again if the workers that had listed the ends were gone.

--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -62,9 +62,10 @@
     std::int32_t occurrence = 0;
     std::int32_t step = 0;
     std::vector<flow_task> tasks;
-    std::int32_t done = 0;  // tasks that are done
-    std::int32_t ready = 0; // tasks that wait for a worker
-    bool open = false;      // its tasks may start
+    std::int32_t done = 0;   // tasks that are done
+    std::int32_t ready = 0;  // tasks that wait for a worker
+    bool open = false;       // its tasks may start
+    std::uint64_t ended = 0; // change of the job that recorded the newest of its ends
 };
 
 // The stages that are held of a job, by occurrence and step. References to them stay valid while others are added or
@@ -83,7 +84,7 @@
 
 // A job may have far more occurrences than fit into memory. Its home cell holds those that are due and not finished,
 // the oldest first and up to a limit; another cell holds those that a row or a worker tells of. An occurrence that is
-// finished is dropped from memory, and the row names it in a span.
+// finished is dropped from memory once that is written, and the row names it in a span.
 class flow_job {
 public:
     // Builds the job from a row that contains the specification. `here`: the cell of this owner; `version`: of the row
--- a/tests/test_flow_recurring.cpp
+++ b/tests/test_flow_recurring.cpp
@@ -63,13 +63,19 @@
     return occurrences;
 }
 
-// Ends all tasks of the occurrence, in the order of its steps.
+void write_row(flow_job& flow)
+{
+    flow.mark_written(flow.changes(), row_version(flow.version().value() + 1));
+}
+
+// Ends all tasks of the occurrence, in the order of its steps, and writes each step.
 void finish(flow_job& flow, std::int32_t occurrence, wall_time wall)
 {
     for (std::size_t step = 0; step < flow.spec().steps.size(); ++step) {
         for (std::int32_t i = 0; i < flow.spec().steps[step].count; ++i) {
             flow.note_done({job, occurrence, static_cast<std::int32_t>(step), i});
         }
+        write_row(flow);
         flow.open_stages(instant{}, wall);
     }
 }
@@ -192,6 +198,24 @@
     BOOST_TEST(flow.find_task({job, -1, 0, 0}) == nullptr);
 }
 
+// Guards against ends that a former owner does not leave to the next one, since it held their occurrence no more when
+// it lost the cell, and had not written them.
+BOOST_AUTO_TEST_CASE(ends_that_are_not_written_are_held)
+{
+    flow_job flow(job, here, row_of(recurring_spec(minutes_of_a_year, 1min)), row_version(1));
+    flow.open_stages(instant{}, first_due);
+    flow.note_done({job, 0, 0, 0});
+    const std::uint64_t first_end = flow.changes();
+    flow.note_done({job, 0, 0, 1});
+    flow.mark_written(first_end, row_version(2));
+    flow.open_stages(instant{}, first_due);
+    BOOST_TEST(tasks_held(flow) == 2);
+    write_row(flow);
+    flow.open_stages(instant{}, first_due);
+    BOOST_TEST(tasks_held(flow) == 0);
+    BOOST_TEST(flow.find_task({job, 0, 0, 1}) == nullptr);
+}
+
 // Guards against an occurrence that is done and is started again, since a row that was written before it ended is read
 // later.
 BOOST_AUTO_TEST_CASE(an_older_row_does_not_reopen_what_is_done)
@@ -225,8 +249,10 @@
         BOOST_REQUIRE(other.count_ready() == 1);
         BOOST_REQUIRE(tasks_held(other) <= 4);
         other.note_done({job, k, 0, 1});
+        write_row(other);
         home.note_done({job, k, 0, 0});
         home.merge(instant{}, other.current_row(), row_writer_kind::other_cell);
+        write_row(home);
     }
     BOOST_TEST(encode_compact(other.current_row()).size() <= row_bytes_most / 10);
     home.open_stages(instant{}, first_due + ended * 1min);
