--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -207,7 +207,7 @@
     void submit(instant now, const flow_queue& queue, const job_id& job, const caller_request& request, instant give_up,
                 caller_reply reply);
     // Refuses the submit unless the table already holds the job.
-    void refuse_unless_accepted(const job_id& job, const refusal& why, caller_reply reply);
+    void refuse_unless_accepted(const job_id& job, const refusal& why, const caller_reply& reply);
     void write_refusal(const job_id& job, const refusal& why, row_version withdrawn, const caller_reply& reply);
     // Writes the row of a new job; on_job_written() retries or answers.
     void write_job(const acceptance& accepting);
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -195,21 +195,20 @@
         return;
     }
     if (!config_usable_) {
-        refuse_unless_accepted(job, {"a newer configuration is being fetched", unavailable_retry}, std::move(reply));
+        refuse_unless_accepted(job, {"a newer configuration is being fetched", unavailable_retry}, reply);
         return;
     }
     if (is_site_evacuated()) {
-        refuse_unless_accepted(job, {"all data centres are evacuated", full_retry}, std::move(reply));
+        refuse_unless_accepted(job, {"all data centres are evacuated", full_retry}, reply);
         return;
     }
     if (!stopping_ && !has_lasting_room(now, job, queue, *request.spec)) {
-        refuse_unless_accepted(job, {"no room for lasting tasks", full_retry}, std::move(reply));
+        refuse_unless_accepted(job, {"no room for lasting tasks", full_retry}, reply);
         return;
     }
     const auto cell = choose_cell(now, queue, *request.spec);
     if (stopping_ || !cell) {
-        refuse_unless_accepted(job, {stopping_ ? "stopping" : "no cell serves the queue", unavailable_retry},
-                               std::move(reply));
+        refuse_unless_accepted(job, {stopping_ ? "stopping" : "no cell serves the queue", unavailable_retry}, reply);
         return;
     }
     wire::flow_job_row row = make_job_row(*request.spec);
@@ -242,7 +241,7 @@
 
 // A caller without an answer may repeat its request at any entry. Its job may already be in the table, and then the
 // caller must not be told that the job will never run.
-void flow_entry::refuse_unless_accepted(const job_id& job, const refusal& why, caller_reply reply)
+void flow_entry::refuse_unless_accepted(const job_id& job, const refusal& why, const caller_reply& reply)
 {
     if (table_away_ && !relay_peer()) {
         ++stats_.refused;
--- a/tests/test_flow_recurring.cpp
+++ b/tests/test_flow_recurring.cpp
@@ -303,9 +303,10 @@
             BOOST_REQUIRE(w.submit(1, neighbour, lasting_spec(4)) == caller_result::accepted);
             for (int round = 0; round < 3; ++round) {
                 w.run_for(6s + seed * 137ms);
-                for (const std::string cell : {"a", "b"}) {
+                for (const bool first : {true, false}) {
+                    const std::string cell = first ? "a" : "b";
                     const int owner = owner_of(w, cell, 2 * entries);
-                    if (owner >= 0 && (seed + static_cast<std::uint64_t>(round)) % 2 == (cell == "a" ? 0 : 1)) {
+                    if (owner >= 0 && (seed + static_cast<std::uint64_t>(round)) % 2 == (first ? 0 : 1)) {
                         w.kill_entry(owner);
                         w.run_for(3s);
                         w.start_entry(owner);
