--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -242,7 +242,7 @@
 // Whether all tasks of these stages of one occurrence are done and have no runs left, such as copies being stopped.
 // Ends that are not written are kept: an owner that loses the cell leaves them to the next one, and the workers that
 // listed them may be gone.
-bool flow_job::is_finished(flow_stages::const_iterator first, flow_stages::const_iterator end) const
+bool flow_job::is_finished(const flow_stages::const_iterator& first, const flow_stages::const_iterator& end) const
 {
     return std::all_of(first, end, [this](const flow_stage& stage) {
         return stage.done == static_cast<std::int32_t>(stage.tasks.size()) && stage.ended <= written_ &&
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -215,7 +215,7 @@
     void hold_due_occurrences(wall_time wall);
     bool may_hold_another() const;
     void drop_finished_occurrences();
-    bool is_finished(flow_stages::const_iterator first, flow_stages::const_iterator end) const;
+    bool is_finished(const flow_stages::const_iterator& first, const flow_stages::const_iterator& end) const;
     void load_finished(const wire::flow_occurrence_span& span);
     void load_stage(instant now, const wire::flow_stage_row& row, bool own);
     void load_home(instant now, flow_stage& stage, flow_task& task, const wire::flow_home_row& home, bool own);
