flow: a stage says itself whether it is done; due occurrences are counted once; twins of the change are joined

A reading of the whole change. No behaviour is changed, and no check: - whether all tasks of a stage are done was written out in five places, one of them new: flow_stage::is_done(). - hold_due_occurrences() counted the unfinished tasks of all held stages anew for each occurrence that it added, so a job with many due at once cost the square of their number; they are counted once, and what is added is added. The search for an occurrence was made twice where it was not held (find_stage, then hold_occurrence); the stages are inserted where the first search ended. - due() nested its cases; they are three lines in order. - what a step takes of a worker's room, processors left out for filling work, stood twice in flow_entry_rooms. - two tests of a late acceptance had the same beginning and end; a fixture has them, with the same assertions. - an include of test_worker stood beside another group.

--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -462,7 +462,7 @@
     flow_stage* const stage = job.find_stage(task);
     flow_task* const t = job.find_task(task);
     stop_task_runs(now, *t, task);
-    const bool stage_done = stage->done == static_cast<std::int32_t>(stage->tasks.size());
+    const bool stage_done = stage->is_done();
     if (stage_done && job.all_done()) {
         end_job(now, job, flow_state::done);
     }
--- a/src/flow_entry_rooms.cpp
+++ b/src/flow_entry_rooms.cpp
@@ -29,6 +29,14 @@
     std::string task_label; // label that a worker needs to count as room for the tasks; empty: none
 };
 
+// What one task of the step takes of a worker's room. Filling work uses processors that others leave unused.
+resources room_needed(const flow_step& step)
+{
+    resources need = step.need;
+    need.cpu_millis = step.filling ? 0 : need.cpu_millis;
+    return need;
+}
+
 job_needs needs_of(const flow_spec& spec)
 {
     job_needs needs;
@@ -323,8 +331,7 @@
     job_needs needs;
     needs.tasks = 1;
     needs.cpu = step.need.cpu_millis;
-    needs.task = step.need;
-    needs.task.cpu_millis = step.filling ? 0 : step.need.cpu_millis;
+    needs.task = room_needed(step);
     needs.lasting = step.lasting;
     needs.image = step.image;
     needs.task_label = step.label;
@@ -383,8 +390,7 @@
 {
     job_needs needs;
     needs.tasks = step.count;
-    needs.task = step.need;
-    needs.task.cpu_millis = step.filling ? 0 : step.need.cpu_millis;
+    needs.task = room_needed(step);
     needs.per_worker_most = step.per_worker_most;
     needs.task_label = step.label;
     std::vector<flow_cell_room> rooms;
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -67,7 +67,7 @@
     row_.finished.clear();
     row_.begun = implies_begun(row);
     if (!timed()) {
-        hold_occurrence(0);
+        insert_occurrence(stages_.end(), 0);
     }
     merge(instant{}, row, version != row_version(0) ? row_writer_kind::own : row_writer_kind::other_cell);
     drop_finished_occurrences();
@@ -193,35 +193,16 @@
                             [](const flow_stage& stage, std::int32_t k) { return stage.occurrence < k; });
 }
 
-void flow_job::hold_occurrence(std::int32_t occurrence)
+flow_stages::iterator flow_job::insert_occurrence(flow_stages::iterator at, std::int32_t occurrence)
 {
-    const auto at = stages_from(occurrence);
-    if (at != stages_.end() && at->occurrence == occurrence) {
-        return;
-    }
     for (std::size_t s = 0; s < spec_.steps.size(); ++s) {
         flow_stage stage;
         stage.occurrence = occurrence;
         stage.step = static_cast<std::int32_t>(s);
         stage.tasks.resize(static_cast<std::size_t>(std::max(0, spec_.steps[s].count)));
-        stages_.insert(at, std::move(stage));
-    }
-}
-
-// An occurrence with lasting tasks never ends, so later ones do not wait for it.
-bool flow_job::may_hold_another() const
-{
-    const auto& steps = spec_.steps;
-    if (std::any_of(steps.begin(), steps.end(), [](const flow_step& s) { return s.lasting; })) {
-        return true;
+        at = std::next(stages_.insert(at, std::move(stage)));
     }
-    const auto add_tasks = [](std::int64_t sum, const flow_step& s) { return sum + s.count; };
-    const auto add_unfinished = [](std::int64_t sum, const flow_stage& s) {
-        return sum + static_cast<std::int64_t>(s.tasks.size()) - s.done;
-    };
-    const std::int64_t held = std::accumulate(stages_.begin(), stages_.end(), std::int64_t{0}, add_unfinished);
-    const std::int64_t added = std::accumulate(steps.begin(), steps.end(), std::int64_t{0}, add_tasks);
-    return held == 0 || held + added <= tasks_held_most;
+    return at - static_cast<std::ptrdiff_t>(spec_.steps.size());
 }
 
 void flow_job::hold_due_occurrences(wall_time wall)
@@ -229,13 +210,26 @@
     if (!timed() || !is_home_cell()) {
         return;
     }
-    while (true) {
-        next_held_ = finished_.next_absent(next_held_);
-        if (next_held_ >= occurrences() || !due(next_held_, wall) || !may_hold_another()) {
+    const auto& steps = spec_.steps;
+    // An occurrence with lasting tasks never ends, so later ones do not wait for it.
+    const bool bounded = std::none_of(steps.begin(), steps.end(), [](const flow_step& s) { return s.lasting; });
+    const std::int64_t added = std::accumulate(steps.begin(), steps.end(), std::int64_t{0},
+                                               [](std::int64_t sum, const flow_step& s) { return sum + s.count; });
+    std::int64_t held =
+        std::accumulate(stages_.begin(), stages_.end(), std::int64_t{0}, [](std::int64_t sum, const flow_stage& s) {
+            return sum + static_cast<std::int64_t>(s.tasks.size()) - s.done;
+        });
+    next_held_ = finished_.next_absent(next_held_);
+    while (next_held_ < occurrences() && due(next_held_, wall)) {
+        if (bounded && held > 0 && held + added > tasks_held_most) {
             return;
         }
-        hold_occurrence(next_held_);
-        ++next_held_;
+        const auto at = stages_from(next_held_);
+        if (at == stages_.end() || at->occurrence != next_held_) {
+            insert_occurrence(at, next_held_);
+            held += added;
+        }
+        next_held_ = finished_.next_absent(next_held_ + 1);
     }
 }
 
@@ -245,7 +239,7 @@
 bool flow_job::is_finished(const flow_stages::const_iterator& first, const flow_stages::const_iterator& end) const
 {
     return std::all_of(first, end, [this](const flow_stage& stage) {
-        return stage.done == static_cast<std::int32_t>(stage.tasks.size()) && stage.ended <= written_ &&
+        return stage.is_done() && stage.ended <= written_ &&
                std::all_of(stage.tasks.begin(), stage.tasks.end(),
                            [](const flow_task& task) { return task.runs.empty(); });
     });
@@ -333,8 +327,7 @@
         if (finished_.contains(task.occurrence)) {
             return nullptr;
         }
-        hold_occurrence(task.occurrence);
-        at = stages_from(task.occurrence);
+        at = insert_occurrence(at, task.occurrence);
     }
     return &*(at + task.step);
 }
@@ -350,11 +343,14 @@
 
 bool flow_job::due(std::int32_t occurrence, wall_time wall) const
 {
-    if (!timed() || (occurrence == 0 && wall >= spec_.first_due)) {
+    if (!timed()) {
         return true;
     }
+    if (wall < spec_.first_due) {
+        return false;
+    }
     // Not a product, since the time of a late occurrence may exceed what a clock can tell.
-    return wall >= spec_.first_due && occurrence > 0 && spec_.interval <= (wall - spec_.first_due) / occurrence;
+    return occurrence == 0 || spec_.interval <= (wall - spec_.first_due) / occurrence;
 }
 
 bool flow_job::open_stages(instant now, wall_time wall)
@@ -372,7 +368,7 @@
         const auto& after = step(stage).after;
         const bool free = std::all_of(after.begin(), after.end(), [&](std::int32_t earlier) {
             const flow_stage* const s = find_stage({id_, stage.occurrence, earlier, 0});
-            return s == nullptr || s->done == static_cast<std::int32_t>(s->tasks.size());
+            return s == nullptr || s->is_done();
         });
         if (!free) {
             continue;
@@ -577,7 +573,7 @@
 {
     const auto steps = static_cast<std::int64_t>(spec_.steps.size());
     const std::int64_t held_done = std::count_if(stages_.begin(), stages_.end(), [this](const flow_stage& s) {
-        return !finished_.contains(s.occurrence) && s.done == static_cast<std::int32_t>(s.tasks.size());
+        return !finished_.contains(s.occurrence) && s.is_done();
     });
     return held_done + finished_.size() * steps == occurrences() * steps;
 }
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -66,6 +66,7 @@
     std::int32_t ready = 0;  // tasks that wait for a worker
     bool open = false;       // its tasks may start
     std::uint64_t ended = 0; // change of the job that recorded the newest of its ends
+    bool is_done() const { return done == static_cast<std::int32_t>(tasks.size()); }
 };
 
 // The stages that are held of a job, by occurrence and step. References to them stay valid while others are added or
@@ -211,9 +212,9 @@
     std::int32_t occurrences() const { return std::max(1, spec_.occurrences); }
     // The first stage that is held of the occurrence or a later one.
     flow_stages::iterator stages_from(std::int32_t occurrence);
-    void hold_occurrence(std::int32_t occurrence);
+    // Adds the stages of an occurrence that is not held before `at`, and returns the first of them.
+    flow_stages::iterator insert_occurrence(flow_stages::iterator at, std::int32_t occurrence);
     void hold_due_occurrences(wall_time wall);
-    bool may_hold_another() const;
     void drop_finished_occurrences();
     bool is_finished(const flow_stages::const_iterator& first, const flow_stages::const_iterator& end) const;
     void load_finished(const wire::flow_occurrence_span& span);
@@ -226,7 +227,7 @@
 
     job_id id_;
     cell_id here_;
-    wire::flow_job_row row_; // with its `stages` empty: these are kept in stages_
+    wire::flow_job_row row_; // with `stages` and `finished` empty: these are kept in stages_ and finished_
     flow_spec spec_;
     flow_stages stages_;         // all steps of each occurrence that is held, in ascending order
     occurrence_set finished_;    // occurrences that are not held any more, as all their tasks are done
--- a/src/flow_urgency.cpp
+++ b/src/flow_urgency.cpp
@@ -23,8 +23,7 @@
             ends[s] = std::max(ends[s], ends[static_cast<std::size_t>(earlier)]);
         }
         const flow_stage& stage = job.stages()[s];
-        const bool done = stage.done == static_cast<std::int32_t>(stage.tasks.size());
-        ends[s] += unfinished_only && done ? duration(0) : steps[s].estimate;
+        ends[s] += unfinished_only && stage.is_done() ? duration(0) : steps[s].estimate;
         longest = std::max(longest, ends[s]);
     }
     return longest;
--- a/tests/test_flow_retried_writes.cpp
+++ b/tests/test_flow_retried_writes.cpp
@@ -114,6 +114,22 @@
     }
 };
 
+// Three entries, and a job whose acceptance is applied six seconds after it was sent, and whose caller got no answer.
+struct late_acceptance : three_entries {
+    late_acceptance()
+    {
+        w.drop_job_watches(false);
+        w.delay_writes(6s, writes_acceptance);
+        BOOST_TEST((w.submit(first, job_a, lasting_spec(12)) == caller_result::outcome_unknown));
+    }
+    void check_never_runs()
+    {
+        w.run_until([&] { return w.count_running_tasks(job_a) > 0; }, 10s);
+        BOOST_TEST(w.count_running_tasks(job_a) == 0);
+        check_no_violations(w);
+    }
+};
+
 } // namespace
 
 // The answer to the write of a cancel is lost, and the entry takes the cancel that it finds at its next try for done.
@@ -317,14 +333,9 @@
 // acknowledges the cancel, and the job runs all the same.
 BOOST_AUTO_TEST_CASE(a_job_that_is_written_after_its_cancel_does_not_run)
 {
-    three_entries r;
-    r.w.drop_job_watches(false);
-    r.w.delay_writes(6s, writes_acceptance);
-    BOOST_TEST((r.w.submit(r.first, job_a, lasting_spec(12)) == caller_result::outcome_unknown));
+    late_acceptance r;
     BOOST_TEST((r.w.cancel(r.second, job_a) == caller_result::unknown_job));
-    r.w.run_until([&] { return r.w.count_running_tasks(job_a) > 0; }, 10s);
-    BOOST_TEST(r.w.count_running_tasks(job_a) == 0);
-    check_no_violations(r.w);
+    r.check_never_runs();
 }
 
 // Guards against a job that runs although its cancel was answered "no such job", when its caller's request arrives
@@ -345,15 +356,10 @@
 // first try is applied later.
 BOOST_AUTO_TEST_CASE(a_job_that_is_refused_while_an_earlier_write_of_it_is_late_does_not_run)
 {
-    three_entries r;
-    r.w.drop_job_watches(false);
-    r.w.delay_writes(6s, writes_acceptance);
-    BOOST_TEST((r.w.submit(r.first, job_a, lasting_spec(12)) == caller_result::outcome_unknown));
+    late_acceptance r;
     r.w.entry(r.second)->plan_stop(r.w.now());
     BOOST_TEST((r.w.submit(r.second, job_a, lasting_spec(12)) == caller_result::rejected));
-    r.w.run_until([&] { return r.w.count_running_tasks(job_a) > 0; }, 10s);
-    BOOST_TEST(r.w.count_running_tasks(job_a) == 0);
-    check_no_violations(r.w);
+    r.check_never_runs();
 }
 
 // Guards against a job that no entry takes any more, since one of them refused it before.
--- a/tests/test_worker.cpp
+++ b/tests/test_worker.cpp
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
-#include <limits>
 
+#include <limits>
 #include <string>
 
 #include "worker_client_p.h"
