http: what all callers of a listener hold stays within the machine's share

What callers saw: clients that send bodies and stop short of their end, or go on without end, and stay open, ended an entry: it ran out of memory. Ordinary callers then had a connection reset, and their entry was gone.

Cause: a body had a limit (1 MB), all bodies together had none, nor had connections: 4,096 of 1 MB for each of four listeners against 260 MB and 4,100 descriptors. A body over its limit was read to its end before it was refused, and its string kept what it had taken. Nothing told the entry what its machine holds.

Change: the settings pass memory and descriptors (left out or not filled in: 160 MiB and 4,096), base_shares divides them among the listeners, and http_intake keeps the sums. For a body that has no room, the ones end that have been held most for longest, or the one that asks; for a connection, the one ends that has stood still longest. A request that is being served goes for nobody, so no answer is cut. An announced body over the limit is answered 413 before it is read; one that is just sent ends there. Nothing has run in either case.

First seen by a unit test: an assignment of an empty string keeps the memory of the string that it is assigned to, so a body that was given up was still held.

--- a/src/daemon_flow_app.cpp
+++ b/src/daemon_flow_app.cpp
@@ -22,10 +22,24 @@
 constexpr long connections_kept = 400; // two for each of up to 150 workers, one for each peer, some for the table
 constexpr const char* peer_path = "/flow";
 
+machine_limits machine_of(const flow_entry_settings& settings)
+{
+    constexpr double bytes_per_mib = 1 << 20;
+    machine_limits machine;
+    if (settings.memory_mib > 0) {
+        machine.memory_bytes = static_cast<std::int64_t>(settings.memory_mib * bytes_per_mib);
+    }
+    if (settings.descriptors > 0) {
+        machine.descriptors = static_cast<std::int64_t>(settings.descriptors);
+    }
+    return machine;
+}
+
 } // namespace
 
 flow_app::flow_app(const flow_entry_settings& settings)
     : settings_(settings),
+      shares_(divide_machine(machine_of(settings))),
       table_address_(settings.table_address),
       http_({.connections_per_host = 0, .connections_kept = connections_kept})
 {
@@ -108,23 +122,28 @@
 
 bool flow_app::listen(std::string* last_reason)
 {
-    const auto serve = [&](const net_address& address, http_handler handler) {
+    const auto serve = [&](const net_address& address, const listener_share& share, http_handler handler) {
         http_server::options options;
         options.address = address;
         options.threads = 1;
         options.idle_seconds = idle_seconds;
+        options.connections_most = share.connections;
+        options.held_bytes_most = share.body_bytes;
+        options.body_bytes_most = std::min(options.body_bytes_most, share.body_bytes);
+        options.socket_buffer_bytes = share.socket_buffer_bytes;
         return http_server::start(options, std::move(handler), last_reason);
     };
-    callers_ = serve(settings_.callers_address, [this](const http_request& request, http_reply reply) {
+    callers_ = serve(settings_.callers_address, shares_.callers, [this](const http_request& request, http_reply reply) {
         serve_caller(request, std::move(reply));
     });
-    readiness_ = serve(settings_.readiness_address, [this](const http_request&, const http_reply& reply) {
-        absl::MutexLock lock(&mutex_);
-        reply({entry_->ready() ? 200 : 503, {}, ""});
-    });
-    peers_ = serve(settings_.peers_address,
+    readiness_ =
+        serve(settings_.readiness_address, shares_.probes, [this](const http_request&, const http_reply& reply) {
+            absl::MutexLock lock(&mutex_);
+            reply({entry_->ready() ? 200 : 503, {}, ""});
+        });
+    peers_ = serve(settings_.peers_address, shares_.peers,
                    [this](const http_request& request, const http_reply& reply) { serve_peer(request, reply); });
-    metrics_ = serve(settings_.metrics_address, [this](const http_request&, const http_reply& reply) {
+    metrics_ = serve(settings_.metrics_address, shares_.probes, [this](const http_request&, const http_reply& reply) {
         reply({200, {{"Content-Type", "text/plain; version=0.0.4"}}, format_metrics()});
     });
     return callers_ && readiness_ && peers_ && metrics_;
--- a/src/daemon_flow_app_p.h
+++ b/src/daemon_flow_app_p.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "base_shares_p.h"
 #include "flow_entry_p.h"
 #include "flow_settings_p.h"
 #include "http_client_p.h"
@@ -36,6 +37,7 @@
     std::string format_metrics();
 
     flow_entry_settings settings_;
+    machine_shares shares_;
     entry_identity self_;
     absl::Mutex settings_mutex_;
     net_address table_address_ ABSL_GUARDED_BY(settings_mutex_);
--- a/src/flow_settings.cpp
+++ b/src/flow_settings.cpp
@@ -1,5 +1,7 @@
 #include "flow_settings_p.h"
 
+#include <absl/strings/numbers.h>
+
 #include <array>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -36,6 +38,14 @@
     {"cpu_share", &flow_entry_settings::cpu_share},
 }};
 
+// Limits that an installation may not tell. They stand in quotes in the template, so that the settings can be read all
+// the same.
+constexpr std::array<amount_field, 3> limit_fields{{
+    {"memory_mib", &flow_entry_settings::memory_mib},
+    {"descriptors", &flow_entry_settings::descriptors},
+    {"row_bytes", &flow_entry_settings::row_bytes},
+}};
+
 std::string read_text(const json& j, const char* name, bool required, std::vector<settings_problem>& problems)
 {
     const auto at = j.find(name);
@@ -66,6 +76,28 @@
     amount = at->get<double>();
 }
 
+bool is_filled_in(const std::string& text)
+{
+    return !text.empty() && text.find("{{") == std::string::npos;
+}
+
+// As read_amount, for an amount that may be a text, or a placeholder that nobody has filled in.
+void read_limit(const json& j, const char* name, double& amount, std::vector<settings_problem>& problems)
+{
+    const auto at = j.find(name);
+    if (at == j.end() || !at->is_string()) {
+        read_amount(j, name, amount, problems);
+        return;
+    }
+    const auto& text = at->get_ref<const std::string&>();
+    double read = 0;
+    if (is_filled_in(text) && (!absl::SimpleAtod(text, &read) || !(read > 0))) {
+        problems.push_back({name, "must be a number above 0"});
+        return;
+    }
+    amount = read;
+}
+
 } // namespace
 
 std::optional<flow_entry_settings> parse_flow_settings(std::string_view text, std::vector<settings_problem>& problems)
@@ -92,6 +124,10 @@
         known.insert(field.name);
         read_amount(j, field.name, settings.*field.field, problems);
     }
+    for (const amount_field& field : limit_fields) {
+        known.insert(field.name);
+        read_limit(j, field.name, settings.*field.field, problems);
+    }
     for (const auto& [name, value] : j.items()) {
         if (known.count(name) == 0) {
             problems.push_back({name, "is not a setting"});
--- a/src/flow_settings_p.h
+++ b/src/flow_settings_p.h
@@ -23,6 +23,9 @@
     net_address instances_address; // may be empty: the entry moves no instances
     double cores = 1;              // number of processor cores of the machine
     double cpu_share = 1;          // share of each core that the entry may use
+    double memory_mib = 0;         // of the machine; 0: not told
+    double descriptors = 0;        // that the entry may have open; 0: not told
+    double row_bytes = 0;          // that the table takes in the value of one row; 0: not told
 };
 
 // Returns nothing if the settings are invalid, and adds one problem for each invalid field. Unknown fields are
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,6 +1,7 @@
 #include "http_server_p.h"
 
 #include <absl/container/flat_hash_set.h>
+#include <absl/strings/numbers.h>
 #include <absl/synchronization/mutex.h>
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -16,12 +17,16 @@
 #include <optional>
 
 #include "config.h"
+#include "http_intake_p.h"
+#include "log_line_p.h"
+#include "platform_timer_p.h"
 
 namespace skylarkhub {
 
 namespace {
 
-constexpr unsigned connections_spare = 16; // of the library's own limit, which is never to be reached
+constexpr std::size_t connections_spare = 64; // of the library's own limit, which is never to be reached
+constexpr duration full_logged_interval = std::chrono::seconds(1);
 
 std::optional<sockaddr_in> parse_address(const std::string& text)
 {
@@ -78,9 +83,10 @@
 // is still in the handler: only a connection that was really suspended is resumed.
 struct exchange {
     http_request request;
-    bool too_large = false;
     bool handed_over = false; // of the connection's thread
     MHD_Connection* connection = nullptr;
+    http_link* link = nullptr;
+    std::int64_t body_bytes_most = 0;
     std::atomic<std::int64_t>* in_flight = nullptr;
 
     absl::Mutex mutex;
@@ -107,14 +113,20 @@
 } // namespace
 
 struct http_server::engine {
+    explicit engine(const options& given)
+        : o(given), body_bytes_most(given.body_bytes_most), intake({given.connections_most, given.held_bytes_most})
+    {}
+
     options o;
     http_handler handler;
     MHD_Daemon* daemon = nullptr;
     net_address bound;
+    std::atomic<std::int64_t> body_bytes_most;
     std::atomic<std::int64_t> in_flight{0};
-    std::atomic<std::int64_t> connections{0};
     std::atomic<bool> accepting{true};
-    absl::Mutex mutex;
+    mutable absl::Mutex mutex;
+    http_intake intake ABSL_GUARDED_BY(mutex);
+    instant full_logged ABSL_GUARDED_BY(mutex){};
     absl::flat_hash_set<std::shared_ptr<exchange>> open ABSL_GUARDED_BY(mutex);
 
     // libmicrohttpd's own limit leaves what is above it waiting unanswered in the backlog, and splits it over the
@@ -123,16 +135,47 @@
     {
         static_cast<void>(address);
         static_cast<void>(size);
-        const auto& self = *static_cast<engine*>(context);
-        return self.connections.load() < static_cast<std::int64_t>(self.o.connections_most) ? MHD_YES : MHD_NO;
+        auto& self = *static_cast<engine*>(context);
+        const instant now = read_clock();
+        absl::MutexLock lock(&self.mutex);
+        const http_intake::admission admission = self.intake.admit(now);
+        if (admission.to_end != nullptr) {
+            self.end_link(*admission.to_end, now, "connections");
+        }
+        return admission.granted ? MHD_YES : MHD_NO;
     }
 
     static void on_connection(void* context, MHD_Connection* connection, void** slot,
                               MHD_ConnectionNotificationCode code)
     {
-        static_cast<void>(connection);
-        static_cast<void>(slot);
-        static_cast<engine*>(context)->connections.fetch_add(code == MHD_CONNECTION_NOTIFY_STARTED ? 1 : -1);
+        auto& self = *static_cast<engine*>(context);
+        absl::MutexLock lock(&self.mutex);
+        if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+            auto* const link = new http_link;
+            link->socket = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+            self.intake.open(*link, read_clock());
+            *slot = link;
+            return;
+        }
+        auto* const link = static_cast<http_link*>(*slot);
+        self.intake.close(*link);
+        delete link;
+        *slot = nullptr;
+    }
+
+    // The connection's own thread finds its socket closed, and ends it. The socket is open until the library has told
+    // that the connection is closed.
+    void end_link(const http_link& link, instant now, const char* what) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    {
+        shutdown(link.socket, SHUT_RDWR);
+        if (now - full_logged >= full_logged_interval) {
+            full_logged = now;
+            write_log(log_level::warning, "http", "full",
+                      {{"address", bound.str()},
+                       {"of", what},
+                       {"connections", std::to_string(intake.connections())},
+                       {"held_bytes", std::to_string(intake.held_bytes())}});
+        }
     }
 
     static MHD_Result on_access(void* context, MHD_Connection* connection, const char* url, const char* method,
@@ -142,13 +185,13 @@
         auto& self = *static_cast<engine*>(context);
         if (*slot == nullptr) {
             *slot = self.open_exchange(connection, url, method);
-            return MHD_YES;
+            return self.announces_too_much(connection) ? self.refuse_body(connection) : MHD_YES;
         }
         auto& e = *static_cast<std::shared_ptr<exchange>*>(*slot);
         if (*size > 0) {
-            self.take_upload(*e, data, *size);
+            const bool taken = self.take_upload(*e, data, *size);
             *size = 0;
-            return MHD_YES;
+            return taken ? MHD_YES : MHD_NO;
         }
         return self.serve(e);
     }
@@ -168,6 +211,7 @@
         }
         {
             absl::MutexLock lock(&self.mutex);
+            self.intake.end_request(*(*e)->link, read_clock());
             self.open.erase(*e);
         }
         self.in_flight.fetch_sub(1);
@@ -179,37 +223,71 @@
     {
         auto e = std::make_shared<exchange>();
         e->connection = connection;
+        e->link = static_cast<http_link*>(
+            MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context);
         e->request.method = method;
         e->request.path = url;
+        e->body_bytes_most = body_bytes_most.load();
         in_flight.fetch_add(1);
         {
             absl::MutexLock lock(&mutex);
+            intake.begin_request(*e->link, read_clock());
             open.insert(e);
         }
         return new std::shared_ptr<exchange>(std::move(e));
     }
 
-    void take_upload(exchange& e, const char* data, std::size_t size) const
+    bool announces_too_much(MHD_Connection* connection) const
     {
-        if (static_cast<std::int64_t>(e.request.body.size() + size) > o.body_bytes_most) {
-            e.too_large = true;
-            e.request.body.clear();
-            return;
-        }
-        if (!e.too_large) {
-            e.request.body.append(data, size);
+        const char* const announced =
+            MHD_lookup_connection_value(connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+        std::uint64_t bytes = 0;
+        return announced != nullptr && absl::SimpleAtoi(announced, &bytes) &&
+               bytes > static_cast<std::uint64_t>(body_bytes_most.load());
+    }
+
+    // Nothing has run. The library closes the connection after an answer that comes before the body.
+    static MHD_Result refuse_body(MHD_Connection* connection)
+    {
+        return queue_response(connection, {413, {}, "{\"error\":\"too_large\",\"reason\":\"body is too large\"}"},
+                              true);
+    }
+
+    // False when the connection is to end: an answer before the end of a body that is under way cannot be sent.
+    bool take_upload(const exchange& e, const char* data, std::size_t size)
+    {
+        const instant now = read_clock();
+        absl::MutexLock lock(&mutex);
+        for (const http_link* const link : intake.append(*e.link, {data, size}, e.body_bytes_most, now)) {
+            if (link != e.link) {
+                end_link(*link, now, "bodies");
+            }
         }
+        return !e.link->ending;
+    }
+
+    // False when the connection was told to end.
+    bool take_request(exchange& e)
+    {
+        absl::MutexLock lock(&mutex);
+        std::optional<std::string> body = intake.take_request(*e.link, read_clock());
+        e.request.body = std::move(body).value_or("");
+        return body.has_value();
+    }
+
+    void begin_answer(const exchange& e)
+    {
+        absl::MutexLock lock(&mutex);
+        intake.begin_answer(*e.link, read_clock());
     }
 
     MHD_Result serve(const std::shared_ptr<exchange>& e)
     {
-        if (e->too_large) {
-            return queue_response(e->connection,
-                                  {413, {}, "{\"error\":\"too_large\",\"reason\":\"body is too large\"}"},
-                                  !accepting.load());
-        }
         if (!e->handed_over) {
             e->handed_over = true;
+            if (!take_request(*e)) {
+                return MHD_NO;
+            }
             MHD_get_connection_values_n(e->connection, MHD_HEADER_KIND, &take_value, &e->request.headers);
             MHD_get_connection_values_n(e->connection, MHD_GET_ARGUMENT_KIND, &take_value, &e->request.query);
             handler(std::move(e->request), [e](http_response response) { e->reply(std::move(response)); });
@@ -219,6 +297,7 @@
             return MHD_NO;
         }
         if (e->answer) {
+            begin_answer(*e);
             return queue_response(e->connection, *e->answer, !accepting.load());
         }
         e->suspended = true;
@@ -249,10 +328,9 @@
         *last_reason = "not an address of the form IP:port: " + o.address.str();
         return nullptr;
     }
-    auto e = std::make_unique<engine>();
-    e->o = o;
+    auto e = std::make_unique<engine>(o);
     e->handler = std::move(handler);
-    const unsigned library_limit = (o.connections_most + connections_spare) * o.threads;
+    const auto library_limit = static_cast<unsigned>(o.connections_most + connections_spare) * o.threads;
     const unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
     e->daemon = MHD_start_daemon(
         flags, 0, &engine::on_accept, e.get(), &engine::on_access, e.get(), MHD_OPTION_SOCK_ADDR, &*address,
@@ -265,6 +343,11 @@
         return nullptr;
     }
     const MHD_DaemonInfo* const info = MHD_get_daemon_info(e->daemon, MHD_DAEMON_INFO_BIND_PORT);
+    if (o.socket_buffer_bytes > 0) { // the sockets of connections take it over from the listener
+        const int listener = MHD_get_daemon_info(e->daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
+        setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &o.socket_buffer_bytes, sizeof o.socket_buffer_bytes);
+        setsockopt(listener, SOL_SOCKET, SO_SNDBUF, &o.socket_buffer_bytes, sizeof o.socket_buffer_bytes);
+    }
     const std::string ip = o.address.str().substr(0, o.address.str().rfind(':'));
     e->bound = net_address(ip + ":" + std::to_string(info->port));
     return std::unique_ptr<http_server>(new http_server(std::move(e)));
@@ -291,7 +374,13 @@
 
 std::int64_t http_server::connections() const
 {
-    return engine_->connections.load();
+    absl::MutexLock lock(&engine_->mutex);
+    return static_cast<std::int64_t>(engine_->intake.connections());
+}
+
+void http_server::limit_bodies(std::int64_t bytes_most)
+{
+    engine_->body_bytes_most = std::min(bytes_most, engine_->o.body_bytes_most);
 }
 
 void http_server::stop_accepting()
--- a/src/http_server_p.h
+++ b/src/http_server_p.h
@@ -20,8 +20,14 @@
     struct options {
         net_address address; // "IP:port"; port 0 takes a free one
         unsigned threads = 2;
-        std::int64_t body_bytes_most = 1 << 20; // a larger body is answered 413
-        unsigned connections_most = 4096;       // more are closed at accept
+        std::int64_t body_bytes_most = 1 << 20; // of one body; a larger one is answered 413 or closed, unread
+        // For one connection more, the one ends that has stood still longest; it is closed at accept when none has.
+        std::size_t connections_most = 4096;
+        // Of all bodies until their requests are answered. For one more, connections end that have held much for long.
+        std::int64_t held_bytes_most = std::int64_t{64} << 20;
+        // Of what has arrived in the socket of a connection and is not read, and of what is to be sent; 0: the
+        // kernel's.
+        int socket_buffer_bytes = 0;
         unsigned idle_seconds = 60;
     };
 
@@ -41,6 +47,9 @@
     // Connections open now, idle ones included.
     std::int64_t connections() const;
 
+    // Of each body that begins from now on; never more than at the start.
+    void limit_bodies(std::int64_t bytes_most);
+
     // Takes no new connections from now on; those open are served on, each until its next answer, which says that it is
     // the last. A request sent over a connection that is kept and then closed would be of unknown outcome.
     void stop_accepting();
--- a/tests/support_child.h
+++ b/tests/support_child.h
@@ -32,6 +32,8 @@
 
     void signal(int number) const;
     bool running();
+    // -1 once it has ended.
+    pid_t id() const { return pid_; }
     // The exit status once it has ended by itself; -1 when it was ended by a signal or did not end within state_wait.
     int wait_end();
     std::string output() const;
--- a/tests/support_soak_site.cpp
+++ b/tests/support_soak_site.cpp
@@ -24,11 +24,11 @@
 constexpr int table_host = 1;
 constexpr int first_entry_host = 10;
 constexpr int first_worker_host = 100;
-constexpr int readiness_port = 8167;
-constexpr int peers_port = 7720;
 constexpr int table_port = 8200;  // the first entry's door; its link stands at the entry's address
 constexpr int worker_port = 8300; // a worker's own; its link has the next one
 
+constexpr int row_bytes = 65'536; // of one value in the table
+
 constexpr duration stop_most = 6s; // what a planned stop may take
 
 // Two soaks at a time have process ids, and so networks, of their own. 127.0.x is left to everything else.
@@ -143,13 +143,16 @@
         {"zone", data_centre_of(entry, size_.data_centres)},
         {"ip", ip},
         {"listen-addrs.front", callers_address(entry).str()},
-        {"listen-addrs.ready-addr", address_of(entry, readiness_port).str()},
+        {"listen-addrs.ready-addr", readiness_address(entry).str()},
         {"port-range.0", peers_port},
         {"platform.address", address_of(entry, table_port).str()},
         {"recommendation", nullptr},
         {"cloud-api.address", nullptr},
         {"limits.cores", 1},
         {"limits.cpu-share", 1},
+        {"limits.memory-mb", size_.machine.memory_mib},
+        {"limits.max-fds", size_.machine.descriptors},
+        {"platform.row-bytes", row_bytes},
     };
     std::string text = read_template();
     for (const auto& [name, value] : values) {
--- a/tests/support_soak_site.h
+++ b/tests/support_soak_site.h
@@ -18,10 +18,17 @@
 inline constexpr const char* soak_host = "soak.example";
 inline constexpr const char* soak_prefix = "/jobs/";
 
+// What the machine of an entry holds, as its settings say.
+struct soak_machine {
+    int memory_mib = 260;
+    int descriptors = 4100;
+};
+
 struct soak_size {
     int entries = 3;
     int workers = 6;
     int data_centres = 1;
+    soak_machine machine = {};
 };
 
 class soak_site {
@@ -34,6 +41,11 @@
     int entry_count() const { return static_cast<int>(entries_.size()); }
     int worker_count() const { return size_.workers; }
     net_address callers_address(int entry) const { return address_of(entry, callers_port); }
+    net_address readiness_address(int entry) const { return address_of(entry, readiness_port); }
+    net_address peers_address(int entry) const { return address_of(entry, peers_port); }
+    net_address metrics_address(int entry) const { return address_of(entry, metrics_port); }
+    // Null while the entry is down.
+    child* process(int entry) { return entries_.at(static_cast<std::size_t>(entry)).process.get(); }
 
     // --- entries ---
     void freeze(int entry);
@@ -62,6 +74,9 @@
 
 private:
     static constexpr int callers_port = 8161;
+    static constexpr int readiness_port = 8167;
+    static constexpr int peers_port = 7720;
+    static constexpr int metrics_port = 9464; // as the template of the settings says
     struct entry_slot {
         std::unique_ptr<child> process; // empty while it is down
         int lives = 0;
--- a/tests/test_flow_job.cpp
+++ b/tests/test_flow_job.cpp
@@ -119,6 +119,31 @@
     BOOST_TEST(settings->peers_address.str() == "10.0.0.1:3");
     BOOST_TEST(settings->cores == 2);
     BOOST_TEST(settings->cpu_share == 0.07);
+    BOOST_TEST(settings->memory_mib == 0);
+}
+
+// Guards against an installation that does not tell its limits, whose entries could not read their settings.
+BOOST_AUTO_TEST_CASE(limits_that_are_not_told_are_left_out)
+{
+    const auto parse = [](const std::string& limits, std::vector<settings_problem>& problems) {
+        return parse_flow_settings(
+            R"({"entry":"e","data_centre":"d","callers_address":"10.0.0.1:1","readiness_address":"10.0.0.1:2",
+                "peers_address":"10.0.0.1:3","metrics_address":"10.0.0.1:4","table_address":"10.0.0.2:5",)" +
+                limits + "}",
+            problems);
+    };
+    std::vector<settings_problem> problems;
+    auto settings = parse(R"("memory_mib":"{{limits.memory-mb}}","descriptors":"","row_bytes":"65536")", problems);
+    BOOST_TEST(problems.empty());
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings->memory_mib == 0);
+    BOOST_TEST(settings->descriptors == 0);
+    BOOST_TEST(settings->row_bytes == 65536);
+    settings = parse(R"("memory_mib":160,"descriptors":null)", problems);
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings->memory_mib == 160);
+    BOOST_TEST(!parse(R"("memory_mib":"much","row_bytes":-1)", problems));
+    BOOST_TEST(problems.size() == 2U);
 }
 
 // Guards against a replaced owner that starts a task which another cell has handed to the new owner.
