flow: a request costs the entry no more than is counted for it, and a job that no row holds is refused for good

What callers saw: jobs of many small steps at once ended an entry, or held up its one thread for callers for seconds; a job of 4,000 steps was answered "come again" each time, after four writes that the table refused for their size.

Cause: three bytes of a body become a step of 400 bytes, in the tree that is parsed, in the specification, in the row, and in a copy of the row for each try; nobody counted what waits for the table. What a row may hold was in no setting.

Change: the parser gives up at the first step that no row could hold, row_bytes by the 27 bytes that the shortest step takes there; a job whose row is larger than row_bytes is answered 400 before it is written. The tries share one row. Each request counts by what it takes in memory (waiting_requests) until the last copy of its reply has gone; one that the share of the machine has no room for ends unanswered, since a 503 promises that the job never runs, which would take a write for each. The operator's limit of a body is in force.

Cases in virtual time: test_flow_bounds.

--- a/src/daemon_flow_app.cpp
+++ b/src/daemon_flow_app.cpp
@@ -35,6 +35,16 @@
     return machine;
 }
 
+caller_bounds bounds_of(const machine_shares& shares, const flow_entry_settings& settings)
+{
+    caller_bounds bounds;
+    bounds.shares = shares;
+    if (settings.row_bytes > 0) {
+        bounds.row_bytes = static_cast<std::int64_t>(settings.row_bytes);
+    }
+    return bounds;
+}
+
 } // namespace
 
 flow_app::flow_app(const flow_entry_settings& settings)
@@ -53,7 +63,7 @@
 std::unique_ptr<flow_app> flow_app::start(const flow_entry_settings& settings, std::string* last_reason)
 {
     auto app = std::unique_ptr<flow_app>(new flow_app(settings));
-    app->entry_ = std::make_unique<flow_entry>(app->self_, app->make_edges());
+    app->entry_ = std::make_unique<flow_entry>(app->self_, app->make_edges(), bounds_of(app->shares_, settings));
     if (!app->listen(last_reason)) {
         return nullptr;
     }
@@ -151,7 +161,7 @@
 
 void flow_app::serve_caller(const http_request& request, http_reply reply)
 {
-    const auto decoded = platform::read_request(request);
+    const auto decoded = platform::read_request(request, entry_->steps_most());
     if (!decoded) {
         reply({405, {{"Allow", "GET, POST, DELETE"}}, ""});
         return;
@@ -160,6 +170,9 @@
         entry_->on_request(now, *decoded, [reply = std::move(reply)](const caller_answer& answer) {
             reply(platform::make_response(answer));
         });
+        if (const auto most = entry_->body_bytes_most()) {
+            callers_->limit_bodies(*most);
+        }
     });
 }
 
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -11,8 +11,12 @@
 
 using namespace flow_limits;
 
-flow_entry::flow_entry(entry_identity self, flow_edges edges)
-    : self_(std::move(self)), direct_(std::move(edges)), edges_(direct_)
+flow_entry::flow_entry(entry_identity self, flow_edges edges, const caller_bounds& bounds)
+    : self_(std::move(self)),
+      bounds_(bounds),
+      waiting_(bounds.shares.waiting_bytes),
+      direct_(std::move(edges)),
+      edges_(direct_)
 {
     edges_.commit = [this](store_transaction transaction, std::function<void(instant, store_result)> done) {
         commit(std::move(transaction), std::move(done));
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "base_shares_p.h"
 #include "flow_cell_p.h"
 #include "flow_config_check_p.h"
 #include "flow_config_copy_p.h"
@@ -18,6 +19,7 @@
 #include "flow_operator_feed_p.h"
 #include "flow_pending_p.h"
 #include "flow_unusable_p.h"
+#include "flow_waiting_p.h"
 
 namespace skylarkhub {
 
@@ -42,9 +44,10 @@
     unknown_queue, // the configuration has no such queue
     unknown_job,
     invalid,
-    rejected,       // the job does not run and will not run because of this request
-    retry_later,    // the answer is not known now; nothing was changed
-    outcome_unknown // the write may or may not have been applied
+    rejected,        // the job does not run and will not run because of this request
+    retry_later,     // the answer is not known now; nothing was changed
+    outcome_unknown, // the write may or may not have been applied
+    dropped          // nothing was done, and the connection ends without an answer
 };
 struct caller_answer {
     caller_result result = caller_result::retry_later;
@@ -55,9 +58,15 @@
 };
 using caller_reply = std::function<void(caller_answer)>;
 
+// What callers may cost the entry, and what a row of the table may hold.
+struct caller_bounds {
+    machine_shares shares = divide_machine({});
+    std::int64_t row_bytes = 65'536;
+};
+
 class flow_entry {
 public:
-    flow_entry(entry_identity self, flow_edges edges);
+    flow_entry(entry_identity self, flow_edges edges, const caller_bounds& bounds = {});
     flow_entry(const flow_entry&) = delete;
     flow_entry& operator=(const flow_entry&) = delete;
 
@@ -79,6 +88,9 @@
                     const std::function<void(const wire::flow_message&)>& reply);
 
     const flow_entry_stats& stats() const { return stats_; }
+    // Of the body of one request, by the configuration in force; empty while there is none.
+    std::optional<std::int64_t> body_bytes_most() const;
+    std::size_t steps_most() const { return count_steps_most(bounds_.row_bytes); }
     settings_version config_version() const { return config_ ? config_->version : settings_version(0); }
     // The newest configuration version that is in force here or that a peer has reported.
     settings_version newest_config_version() const;
@@ -144,7 +156,8 @@
     // The write that accepts a job, over all its tries.
     struct acceptance {
         job_id job;
-        wire::flow_job_row row;
+        std::shared_ptr<const wire::flow_job_row> row;
+        std::string row_bytes; // the row as it is written
         instant give_up{};
         int tries = 0;
         bool may_be_in_force = false; // an earlier try got no answer
@@ -196,6 +209,7 @@
     // flow_front.cpp
     // Returns the queue with the longest path prefix that matches, or null. Requires a configuration.
     const flow_queue* match_queue(const std::string& host, const std::string& path) const;
+    void answer_request(instant now, const caller_request& request, caller_reply reply);
     // Finds out what the configuration makes of a request. Requires a configuration.
     matched_request match_request(const caller_request& request) const;
     // Serves a request that the configuration allows.
@@ -423,6 +437,8 @@
     wire::flow_message process_message(instant now, const wire::flow_message& message, std::optional<instant> asked);
 
     entry_identity self_;
+    caller_bounds bounds_;
+    waiting_requests waiting_;
     flow_edges direct_; // calls made without a relay
     flow_edges edges_;  // as direct_, but table calls go through a peer while table_away_ is set
     instant ticked_at_{};
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -109,7 +109,27 @@
     return matched;
 }
 
+std::optional<std::int64_t> flow_entry::body_bytes_most() const
+{
+    return config_ ? std::optional(config_->body_bytes_most) : std::nullopt;
+}
+
+// Failure: many requests wait for the table at once, each larger in memory than it was as a text. Symptom: the machine
+// ends the process. So a request that the bound has no room for ends unanswered: a refusal would promise that its job
+// never runs, and an earlier request for the same job may have been accepted.
 void flow_entry::on_request(instant now, const caller_request& request, caller_reply reply)
+{
+    const auto charge =
+        waiting_.take(waiting_request_bytes + (request.spec ? estimate_waiting_bytes(*request.spec) : std::int64_t{0}));
+    if (!charge) {
+        ++stats_.dropped;
+        reply({caller_result::dropped, flow_state::queued, 0, duration(0), ""});
+        return;
+    }
+    answer_request(now, request, [charge, reply = std::move(reply)](const caller_answer& answer) { reply(answer); });
+}
+
+void flow_entry::answer_request(instant now, const caller_request& request, caller_reply reply)
 {
     if (!config_) {
         reply({caller_result::retry_later, flow_state::queued, 0, unavailable_retry, "no configuration yet"});
@@ -232,11 +252,17 @@
             row.cell_epoch = owner->cells[i].cell == cell->str() ? owner->cells[i].epoch : row.cell_epoch;
         }
     }
+    std::string row_bytes = encode_compact(row);
+    if (static_cast<std::int64_t>(row_bytes.size()) > bounds_.row_bytes) {
+        reply(
+            {caller_result::invalid, flow_state::queued, 0, duration(0), "the job is larger than a row of the table"});
+        return;
+    }
     tracked_job& f = tracked_jobs_[job];
     f.accepting = true;
     f.asked = now;
     f.waiting_accept.push_back(std::move(reply));
-    write_job({job, row, give_up});
+    write_job({job, std::make_shared<const wire::flow_job_row>(std::move(row)), std::move(row_bytes), give_up});
 }
 
 // A caller without an answer may repeat its request at any entry. Its job may already be in the table, and then the
@@ -288,7 +314,7 @@
 
 void flow_entry::write_job(const acceptance& accepting)
 {
-    const wire::flow_job_row& row = accepting.row;
+    const wire::flow_job_row& row = *accepting.row;
     wire::flow_job_row index;
     index.cell = row.cell;
     index.accepted_by = row.accepted_by;
@@ -297,7 +323,7 @@
     t.checks.push_back({index_key(accepting.job), row_version(0)});
     t.checks.push_back({withdrawn_key(accepting.job), accepting.withdrawn});
     t.puts.push_back({index_key(accepting.job), encode_compact(index)});
-    t.puts.push_back({job_row_key(accepted_row(cell_id(row.cell), accepting.job)), encode_compact(row)});
+    t.puts.push_back({job_row_key(accepted_row(cell_id(row.cell), accepting.job)), accepting.row_bytes});
     edges_.commit(std::move(t), [this, accepting](instant then, const store_result& result) {
         on_job_written(then, accepting, result);
     });
@@ -306,7 +332,7 @@
 void flow_entry::on_job_written(instant now, const acceptance& accepting, const store_result& result)
 {
     const job_id& job = accepting.job;
-    const wire::flow_job_row& row = accepting.row;
+    const wire::flow_job_row& row = *accepting.row;
     switch (result.outcome) {
     case table_outcome::applied:
         ++stats_.accepted;
@@ -355,8 +381,8 @@
         edges_.note(log_level::info, "job", "accepted_before", {{"job", job.str()}});
         answer_accept(now, job, {caller_result::accepted, flow_state::queued, 0, duration(0), ""});
         const auto index = read_flow_row<wire::flow_job_row>(edges_, *found);
-        if (index && index->accept_token == accepting.row.accept_token) {
-            notify_owner_of_job(now, accepted_row(cell_id(accepting.row.cell), job), accepting.row, found->version);
+        if (index && index->accept_token == accepting.row->accept_token) {
+            notify_owner_of_job(now, accepted_row(cell_id(accepting.row->cell), job), *accepting.row, found->version);
         }
         else if (index) {
             hand_on_job(job, *index);
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -191,6 +191,8 @@
 inline constexpr duration default_request_timeout = 3s; // for a caller that states no time-out
 inline constexpr duration answer_margin = 150ms;        // the answer is sent this long before the caller's time-out
 inline constexpr duration accept_retry = 120ms;
+// Of a waiting request whatever it asks: the call to the table, the answer, what its path and fields take.
+inline constexpr std::int64_t waiting_request_bytes = 32 << 10;
 // While the table refuses the write; a write with an unknown outcome is retried until the caller's time-out.
 inline constexpr int max_accept_attempts = 3;
 // Lasting jobs leave a share of a service's processors to jobs that end by themselves, as much as the observed demand
--- a/src/flow_metrics.cpp
+++ b/src/flow_metrics.cpp
@@ -54,6 +54,7 @@
     write_value(page, "jobs_repeated_total", "", stats.repeated);
     write_value(page, "jobs_refused_total", "", stats.refused);
     write_value(page, "jobs_unsettled_total", "", stats.outcome_unknown);
+    write_value(page, "requests_dropped_total", "", stats.dropped);
     write_value(page, "cancels_total", "", stats.cancels);
     write_value(page, "state_requests_total", "", stats.states);
     write_value(page, "state_reads_total", "", stats.state_reads);
--- a/src/flow_metrics_p.h
+++ b/src/flow_metrics_p.h
@@ -70,6 +70,7 @@
     std::int64_t repeated = 0;
     std::int64_t refused = 0;
     std::int64_t outcome_unknown = 0;
+    std::int64_t dropped = 0; // requests whose connection ended unanswered, for want of memory
     std::int64_t cancels = 0;
     std::int64_t states = 0;
     std::int64_t state_reads = 0;
--- a/standin/flow_table.cpp
+++ b/standin/flow_table.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t page_bytes_most = 1 << 20;
 constexpr std::size_t entries_most = 100; // of one transaction
 constexpr std::size_t parts_most = 1000;  // of one answer
+constexpr std::size_t row_bytes_most = 65'536;
+constexpr std::size_t value_text_most = (row_bytes_most + 2) / 3 * 4; // in base64
 constexpr duration read_time = 4ms;
 constexpr duration commit_time = 8ms;
 constexpr duration mute_most = 5s;  // then a connection without an answer is closed
@@ -251,6 +253,11 @@
             }
         }
     }
+    const bool too_long = std::any_of(puts.begin(), puts.end(),
+                                      [](const json& put) { return put.value("value", "").size() > value_text_most; });
+    if (too_long) {
+        return {400, {}, "a value is too long"};
+    }
     if (checks.size() + puts.size() + removes.size() > entries_most || parts.size() > 1) {
         return {400, {}, "too many entries or parts"};
     }
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -219,7 +219,7 @@
     ++slot.life;
     ++slot.starts;
     slot.identity.incarnation = incarnation_id(fmt::format("{}@{}", slot.identity.entry.str(), slot.starts));
-    slot.decisions = std::make_unique<flow_entry>(slot.identity, make_edges(entry));
+    slot.decisions = std::make_unique<flow_entry>(slot.identity, make_edges(entry), options_.bounds);
     schedule(1ms, [this, entry, life = slot.life] {
         on_entry(entry, life, [](flow_entry& e, instant now) { e.begin(now); });
     });
--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -81,6 +81,7 @@
         int rack_size = 0;         // workers per rack; 0: one rack per data centre
         std::vector<double> cores; // per entry of a data centre, repeated; empty: 1 each
         std::int64_t worker_cpu_millis = 16000;
+        caller_bounds bounds;
         duration table_latency = std::chrono::milliseconds(8);
         duration network_latency = std::chrono::milliseconds(2);
         // The most ends that a worker lists in one answer; 0: all.
--- a/tests/test_crowds.cpp
+++ b/tests/test_crowds.cpp
@@ -185,6 +185,21 @@
 
 // --- callers: whole bodies of legal size ---
 
+BOOST_AUTO_TEST_CASE(jobs_with_thousands_of_steps)
+{
+    const std::string step = R"({"count":1,"cpu":100,"mem-mb":10,"estimated-ms":900})";
+    const std::string body = R"({"spec":"run 100","steps":[)" + repeat(step + ",", 4000) + step + "]}";
+    calm_site s;
+    s.bear(plan_for(s.site().callers_address(0), make_head(crowd_job, announce(body.size())) + body));
+}
+
+BOOST_AUTO_TEST_CASE(jobs_of_empty_steps)
+{
+    const std::string body = R"({"spec":"run 100","steps":[)" + repeat("{},", 87'000) + "{}]}";
+    calm_site s;
+    s.bear(plan_for(s.site().callers_address(0), make_head(crowd_job, announce(body.size())) + body));
+}
+
 BOOST_AUTO_TEST_CASE(bodies_of_deep_and_many_values)
 {
     const std::string body = R"({"spec":"run 100","more":[)" + repeat("[[]],", 52'000) + R"([]],"steps":[{}]})";
@@ -242,3 +257,11 @@
     BOOST_TEST(s.hand_in(body) == 200);
     BOOST_TEST(s.hand_in(ordinary_job) == 200);
 }
+
+// Guards against "come again" for a job whose row the table never takes.
+BOOST_AUTO_TEST_CASE(a_job_that_no_row_holds_is_refused_for_good)
+{
+    const std::string step = R"({"count":1,"cpu":100,"mem-mb":10,"estimated-ms":900})";
+    calm_site s;
+    BOOST_TEST(s.hand_in(R"({"spec":"run 100","steps":[)" + repeat(step + ",", 4000) + step + "]}") == 400);
+}
--- /dev/null
+++ b/tests/test_flow_bounds.cpp
@@ -0,0 +1,62 @@
+// Bounds on what callers may cost an entry and the owners of cells.
+#include <boost/test/unit_test.hpp>
+
+#include <fmt/format.h>
+
+#include "support_flow_checks.h"
+#include "support_flow_simulation.h"
+
+using namespace skylarkhub;
+using namespace skylarkhub::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string number_job(int number)
+{
+    return fmt::format("{:016x}", number);
+}
+
+} // namespace
+
+// Guards against requests that wait for a slow table and together take all memory: one more ends unanswered.
+BOOST_AUTO_TEST_CASE(requests_that_wait_for_the_table_stay_within_their_room)
+{
+    caller_bounds bounds;
+    bounds.shares.waiting_bytes = 10 * 64 * 1024;
+    flow_simulation w({.entries_per_data_centre = 1, .bounds = bounds});
+    w.run_for(3s);
+    w.set_table_latency(500ms);
+    for (int i = 0; i < 40; ++i) {
+        w.send_submit(0, number_job(i), chain_spec(1, 1, 1000));
+    }
+    w.run_for(5s);
+    int accepted = 0;
+    int dropped = 0;
+    for (const auto& [job, answers] : w.answers()) {
+        BOOST_REQUIRE(answers.size() == 1U);
+        accepted += answers.front() == caller_result::accepted ? 1 : 0;
+        dropped += answers.front() == caller_result::dropped ? 1 : 0;
+    }
+    BOOST_TEST(accepted >= 10);
+    BOOST_TEST(accepted + dropped == 40);
+    BOOST_TEST(dropped >= 10);
+    w.set_table_latency(8ms);
+    w.run_for(2s);
+    BOOST_TEST((w.submit(0, number_job(100), chain_spec(1, 1, 1000)) == caller_result::accepted));
+    check_no_violations(w);
+}
+
+// Guards against "come again" for a job whose row the table never takes.
+BOOST_AUTO_TEST_CASE(a_job_that_no_row_holds_is_refused_before_it_is_written)
+{
+    caller_bounds bounds;
+    bounds.row_bytes = 2000;
+    flow_simulation w({.entries_per_data_centre = 1, .bounds = bounds});
+    w.run_for(3s);
+    flow_spec spec = chain_spec(1, 1, 1000);
+    spec.payload = std::string(2000, 'x');
+    BOOST_TEST((w.submit(0, number_job(1), spec) == caller_result::invalid));
+    spec.payload.resize(1000);
+    BOOST_TEST((w.submit(0, number_job(1), spec) == caller_result::accepted));
+}
--- a/tests/test_flow_wire.cpp
+++ b/tests/test_flow_wire.cpp
@@ -19,6 +19,8 @@
 
 namespace {
 
+constexpr std::size_t steps_most = 1000;
+
 http_result answered(int status, const std::string& body)
 {
     http_result result;
@@ -205,7 +207,7 @@
     request.body = R"({"spec":"p","steps":[{"count":4,"cpu":500,"mem-mb":256,"estimated-ms":900,"affinity":"r1-3"},
         {"count":2,"cpu":100,"after":[0],"checkpointing":true,"long-running":true,"image":"i","target-ms":18,
          "fill-count":true,"anti-affinity":1,"max-unavailable":2,"requirements":"gpu"}]})";
-    const auto read = read_request(request);
+    const auto read = read_request(request, steps_most);
     BOOST_REQUIRE(read.has_value());
     BOOST_REQUIRE(read->spec.has_value());
     BOOST_TEST(read->host == "h.example");
@@ -219,7 +221,7 @@
     BOOST_TEST(second.tail_target.count() == 18000);
     for (const char* bad : {"", "[]", "{}", R"({"steps":[{"count":"x"}]})", R"({"steps":3})"}) {
         request.body = bad;
-        const auto refused = read_request(request);
+        const auto refused = read_request(request, steps_most);
         BOOST_REQUIRE(refused.has_value());
         BOOST_TEST(!refused->spec.has_value());
         BOOST_TEST(!refused->problem.empty());
@@ -466,7 +468,7 @@
         BOOST_TEST_CONTEXT(bad)
         {
             request.body = bad;
-            const auto refused = read_request(request);
+            const auto refused = read_request(request, steps_most);
             BOOST_REQUIRE(refused.has_value());
             BOOST_TEST(!refused->spec.has_value());
             BOOST_TEST(!refused->problem.empty());
@@ -482,7 +484,7 @@
     request.path = "/q/00000000000000aa";
     const auto send = [&request](const std::string& field, const std::string& open, const std::string& close) {
         request.body = fmt::format(R"({{"steps":[{{"{}":{}1{}}}]}})", field, nested(open), nested(close));
-        return read_request(request);
+        return read_request(request, steps_most);
     };
     for (const auto& [open, close] : {std::pair("[", "]"), std::pair("{\"a\":", "}")}) {
         for (const char* field : {"after", "count", "cpu", "estimated-ms", "gang", "requirements"}) {
@@ -495,6 +497,25 @@
     }
 }
 
+// Guards against a job that is a hundred times as large in memory as its body.
+BOOST_AUTO_TEST_CASE(a_submission_of_too_many_steps_is_refused_before_it_is_read)
+{
+    http_request request;
+    request.method = "POST";
+    request.path = "/q/00000000000000aa";
+    const auto send = [&request](std::size_t steps) {
+        request.body = R"({"more":[{},{}],"steps":[)";
+        for (std::size_t i = 1; i < steps; ++i) {
+            request.body += R"({"unread":{}},)";
+        }
+        request.body += "{}]}";
+        return read_request(request, steps_most);
+    };
+    BOOST_TEST(send(steps_most)->spec.has_value());
+    BOOST_TEST(!send(steps_most + 1)->spec.has_value());
+    BOOST_TEST(send(steps_most + 1)->problem == "a job has 1000 steps at most");
+}
+
 // Guards against a process that ends because the operator's configuration has a deeply nested field.
 BOOST_AUTO_TEST_CASE(a_configuration_with_a_deeply_nested_field_is_read)
 {
@@ -513,7 +534,7 @@
     request.method = "POST";
     request.path = "/q/00000000000000aa";
     request.body = "{\"spec\":\"\xff\xfe\"}";
-    const auto refused = read_request(request);
+    const auto refused = read_request(request, steps_most);
     BOOST_REQUIRE(refused.has_value());
     BOOST_TEST(!refused->spec.has_value());
     caller_answer answer;
--- a/tests/test_http_intake.cpp
+++ b/tests/test_http_intake.cpp
@@ -4,6 +4,7 @@
 #include <deque>
 
 #include "base_shares_p.h"
+#include "flow_waiting_p.h"
 #include "http_intake_p.h"
 
 using namespace skylarkhub;
@@ -159,3 +160,27 @@
         }
     }
 }
+
+// Guards against requests that wait for a slow table and together take all memory.
+BOOST_AUTO_TEST_CASE(waiting_requests_count_until_the_last_copy_has_gone)
+{
+    waiting_requests waiting(100);
+    waiting_requests::charge first = waiting.take(60);
+    const waiting_requests::charge copy = first;
+    BOOST_TEST((waiting.take(50) == nullptr));
+    first.reset();
+    BOOST_TEST((waiting.take(50) == nullptr));
+    BOOST_TEST(waiting.bytes() == 60);
+    BOOST_TEST((waiting.take(40) != nullptr));
+    BOOST_TEST(waiting.bytes() == 60);
+}
+
+// Guards against a job of many short steps that is counted by the length of its text.
+BOOST_AUTO_TEST_CASE(a_job_of_many_steps_counts_by_what_it_takes_in_memory)
+{
+    flow_spec spec;
+    spec.steps.resize(1000);
+    BOOST_TEST(estimate_waiting_bytes(spec) >= static_cast<std::int64_t>(1000 * sizeof(flow_step)));
+    spec.steps.front().after.resize(1000);
+    BOOST_TEST(estimate_waiting_bytes(spec) >= static_cast<std::int64_t>(1000 * (sizeof(flow_step) + 4)));
+}
