--- a/tests/test_crowds.cpp
+++ b/tests/test_crowds.cpp
@@ -216,6 +216,15 @@
     s.bear(plan_for(s.site().callers_address(0), request, repeat(request, 100), 20));
 }
 
+// The parser's word on a body quotes what it could not read, here nearly all of it.
+BOOST_AUTO_TEST_CASE(refusals_of_unreadable_bodies_that_nobody_reads)
+{
+    const std::string body = R"({"spec":")" + std::string(legal_bytes - 100, 'x') + "\xff";
+    const std::string request = make_head(crowd_job, announce(body.size())) + body;
+    calm_site s;
+    s.bear(plan_for(s.site().callers_address(0), request, request, 4));
+}
+
 // --- the other listeners ---
 
 BOOST_AUTO_TEST_CASE(bodies_to_the_listener_of_peers_that_never_end)
--- a/tests/test_flow_wire.cpp
+++ b/tests/test_flow_wire.cpp
@@ -516,6 +516,16 @@
     BOOST_TEST(send(steps_most + 1)->problem == "a job has 1000 steps at most");
 }
 
+// Guards against answers as long as the body that they quote.
+BOOST_AUTO_TEST_CASE(the_reason_of_a_refusal_is_short)
+{
+    http_request request;
+    request.method = "POST";
+    request.path = "/q/00000000000000aa";
+    request.body = R"({"spec":")" + std::string(200'000, 'x') + "\xff";
+    BOOST_TEST(read_request(request, steps_most)->problem.size() <= 200U);
+}
+
 // Guards against a process that ends because the operator's configuration has a deeply nested field.
 BOOST_AUTO_TEST_CASE(a_configuration_with_a_deeply_nested_field_is_read)
 {
