--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -135,8 +135,9 @@
         reply({caller_result::retry_later, flow_state::queued, 0, unavailable_retry, "no configuration yet"});
         return;
     }
-    const duration request_timeout =
-        request.request_timeout > duration(0) ? request.request_timeout : default_request_timeout;
+    const duration request_timeout = request.request_timeout > duration(0)
+                                         ? std::min(request.request_timeout, max_request_timeout)
+                                         : default_request_timeout;
     const instant give_up = now + request_timeout - answer_margin;
     const matched_request matched = match_request(request);
     if (matched.refusal) {
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -189,6 +189,7 @@
 // --- callers ---
 inline constexpr std::int32_t max_tasks_per_step = 4096;
 inline constexpr duration default_request_timeout = 3s; // for a caller that states no time-out
+inline constexpr duration max_request_timeout = 60s;    // a longer one that a caller states counts as this
 inline constexpr duration answer_margin = 150ms;        // the answer is sent this long before the caller's time-out
 inline constexpr duration accept_retry = 120ms;
 // Of a waiting request whatever it asks: the call to the table, the answer, what its path and fields take.
--- a/tests/test_flow_wire.cpp
+++ b/tests/test_flow_wire.cpp
@@ -526,6 +526,15 @@
     BOOST_TEST(read_request(request, steps_most)->problem.size() <= 200U);
 }
 
+// Guards against a time that overflows.
+BOOST_AUTO_TEST_CASE(a_caller_that_waits_for_ever_is_understood)
+{
+    http_request request;
+    request.method = "GET";
+    request.headers = {{"x-deadline", "9223372036854775807"}};
+    BOOST_TEST((read_request(request, steps_most)->request_timeout > std::chrono::hours(1)));
+}
+
 // Guards against a process that ends because the operator's configuration has a deeply nested field.
 BOOST_AUTO_TEST_CASE(a_configuration_with_a_deeply_nested_field_is_read)
 {
