flow: an entry forgets jobs that callers have long not asked about

Change: the last ones stay, by a share of the machine (1/64: 10,000 jobs at 160 MiB); another one is read from the table when it is asked for, as by any entry that has not heard of it. A job that is being accepted or read is not forgotten.

--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -5,6 +5,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <deque>
 #include <memory>
 #include <string>
 #include <vector>
@@ -141,6 +142,7 @@
         std::vector<caller_reply> waiting_state;
         // A read of the job's state is under way.
         bool reading = false;
+        bool remembered = false; // it is among remembered_jobs_
     };
     // What the configuration makes of a request.
     struct matched_request {
@@ -228,6 +230,7 @@
     void on_job_written(instant now, const acceptance& accepting, const store_result& result);
     bool settle_accept_conflict(instant now, const acceptance& accepting, const std::vector<store_row>& rows);
     void answer_accept(instant now, const job_id& job, const caller_answer& answer);
+    void remember_job(const job_id& job, tracked_job& tracked);
     void ask_state(instant now, const job_id& job, caller_reply reply);
     void read_state(const job_id& job);
     void update_job_state(instant now, const job_id& job, flow_state state);
@@ -491,6 +494,7 @@
     std::vector<wire::flow_cell_news> own_news_;
     instant own_news_at_{};
     absl::flat_hash_map<job_id, tracked_job> tracked_jobs_;
+    std::deque<job_id> remembered_jobs_; // accepted and tracked, the one that has been so longest first
     std::map<job_row_name, unacknowledged_row> unacknowledged_rows_;
     int handing_on_ = 0; // reads of hand_on_job() under way
     pending_counts pending_;
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -426,11 +426,37 @@
     if (!f.accepted) {
         tracked_jobs_.erase(at);
     }
+    else {
+        remember_job(job, f);
+    }
     for (const caller_reply& reply : waiting) {
         reply(answer);
     }
 }
 
+// Failure: each accepted job that a caller has asked about is kept in memory. Symptom: the entry grows by a few hundred
+// bytes with each, for as long as it lives. What is forgotten is read from the table when the next caller asks.
+void flow_entry::remember_job(const job_id& job, tracked_job& tracked)
+{
+    if (tracked.remembered) {
+        return;
+    }
+    tracked.remembered = true;
+    remembered_jobs_.push_back(job);
+    while (remembered_jobs_.size() > bounds_.shares.remembered_jobs) {
+        const job_id oldest = std::move(remembered_jobs_.front());
+        remembered_jobs_.pop_front();
+        const auto at = tracked_jobs_.find(oldest);
+        if (at == tracked_jobs_.end() || oldest == job) {
+            continue;
+        }
+        at->second.remembered = false;
+        if (!at->second.accepting && !at->second.reading) {
+            tracked_jobs_.erase(at);
+        }
+    }
+}
+
 void flow_entry::notify_owner_of_job(instant now, const job_row_name& accepted, const wire::flow_job_row& row,
                                      row_version version)
 {
@@ -647,6 +673,7 @@
                 f.accepted = true;
                 f.state = state_of(*row);
                 f.checked = then;
+                remember_job(job, f);
                 answer = {caller_result::state, f.state, 0, duration(0), ""};
             }
         }
--- a/tests/test_flow_bounds.cpp
+++ b/tests/test_flow_bounds.cpp
@@ -47,6 +47,27 @@
     check_no_violations(w);
 }
 
+// Guards against an entry that grows with every job that it has accepted; what it forgot is read again.
+BOOST_AUTO_TEST_CASE(a_job_that_was_forgotten_is_read_when_it_is_asked_for)
+{
+    caller_bounds bounds;
+    bounds.shares.remembered_jobs = 4;
+    flow_simulation w({.entries_per_data_centre = 1, .bounds = bounds});
+    w.run_for(3s);
+    for (int i = 0; i < 20; ++i) {
+        BOOST_REQUIRE((w.submit(0, number_job(i), chain_spec(1, 1, 1000)) == caller_result::accepted));
+    }
+    w.run_for(10s);
+    const std::int64_t reads = w.entry(0)->stats().state_reads;
+    for (int i = 0; i < 20; ++i) {
+        BOOST_TEST((w.state(0, number_job(i)) == flow_state::done));
+    }
+    BOOST_TEST(w.entry(0)->stats().state_reads - reads >= 16);
+    BOOST_TEST((w.submit(0, number_job(0), chain_spec(1, 1, 1000)) == caller_result::accepted));
+    BOOST_TEST(w.entry(0)->stats().repeated == 1);
+    check_no_violations(w);
+}
+
 // Guards against "come again" for a job whose row the table never takes.
 BOOST_AUTO_TEST_CASE(a_job_that_no_row_holds_is_refused_before_it_is_written)
 {
