flow: owners hold no more jobs than their machines have memory for

What callers saw: nothing; a client's short request ended the owner of a cell, and then whoever followed it. A body of 1 KB with 40 steps of 4,096 tasks is accepted, and the owner makes 164,000 tasks of half a kilobyte.

Cause: a step's tasks had a limit, a job's and an owner's had none. The entry that accepts a job pays nothing for its tasks.

Change: a job that no owner of a machine like this one could hold is answered 400. Where none has enough the job is refused with 503, by a write, as any refusal. An entry of an earlier release tells nothing and is taken as before.

Not closed: several entries that send jobs between two hellos of one owner, and an owner that takes the cells of others over, may together go beyond the share.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -189,6 +189,7 @@
   10: i64 echo_ms = 0        // `sent_ms` of the newest hello that the sender has had of the receiver; 0: of none
   11: i64 echo_ago_ms = 0    // since it had that
   12: flow_evacuations evacuations
+  13: i64 job_bytes_left = -1 // that the sender's machine has for further jobs of its cells; -1: not told
 }
 
 // A call to the table that the sender asks the receiver to make for it.
--- a/src/flow_cell_news.cpp
+++ b/src/flow_cell_news.cpp
@@ -123,6 +123,15 @@
     return news;
 }
 
+std::int64_t flow_cell::job_bytes() const
+{
+    std::int64_t bytes = 0;
+    for (const auto& [id, job] : jobs_) {
+        bytes += job->held_bytes();
+    }
+    return bytes;
+}
+
 // Returns the news, rebuilt at most every news_cache_ttl. The learned interference coefficients are included only
 // during the first presses_report_window of each presses_interval.
 const wire::flow_cell_news& flow_cell::cached_news(instant now)
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -140,6 +140,8 @@
     const wire::flow_cell_row& row() const { return row_; }
     const flow_cell_stats& stats() const { return stats_; }
     std::size_t job_count() const { return jobs_.size(); }
+    // Memory that the jobs take, as an estimate.
+    std::int64_t job_bytes() const;
     std::size_t waiting_count() const { return ready_.size(); } // jobs with ready tasks
 
     // --- events ---
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <deque>
 #include <memory>
@@ -111,6 +112,7 @@
         std::int64_t sent_ms = 0; // send time of the peer's last hello, on the peer's clock
         settings_version config;  // in force at the peer
         std::vector<wire::flow_cell_news> cells;
+        std::int64_t job_bytes_left = -1; // for jobs of its cells, less what was sent there since; below 0: not told
     };
     // A caller's request for the number of waiting jobs of a queue.
     struct pending_request {
@@ -262,6 +264,11 @@
     // flow_entry_rooms.cpp
     // Chooses the cell for a new job; nothing if no cell serves its queue.
     std::optional<cell_id> choose_cell(instant now, const flow_queue& queue, const flow_spec& spec);
+    // What this entry has for further jobs of its cells, less what was sent there since it was last counted.
+    std::int64_t& own_job_bytes_left(instant now);
+    // Returns the cells whose owners have no memory for a job of this size.
+    absl::flat_hash_set<std::string> cells_without_memory(instant now, std::int64_t job_bytes);
+    void charge_owner(instant now, const cell_id& cell, std::int64_t job_bytes);
     // Returns whether the job is not lasting or all its tasks have room now.
     bool has_lasting_room(instant now, const job_id& job, const flow_queue& queue, const flow_spec& spec);
     // Returns the news of the cells owned here, at most max_own_news_age old.
@@ -493,6 +500,8 @@
     instant next_ranks_{};
     std::vector<wire::flow_cell_news> own_news_;
     instant own_news_at_{};
+    std::int64_t own_job_bytes_left_ = 0;
+    instant own_job_bytes_at_{};
     absl::flat_hash_map<job_id, tracked_job> tracked_jobs_;
     std::deque<job_id> remembered_jobs_; // accepted and tracked, the one that has been so longest first
     std::map<job_row_name, unacknowledged_row> unacknowledged_rows_;
--- a/src/flow_entry_rooms.cpp
+++ b/src/flow_entry_rooms.cpp
@@ -215,14 +215,67 @@
     });
 }
 
+std::int64_t& flow_entry::own_job_bytes_left(instant now)
+{
+    if (now - own_job_bytes_at_ >= max_own_news_age) {
+        own_job_bytes_at_ = now;
+        own_job_bytes_left_ = bounds_.shares.job_bytes;
+        for (const auto& [id, cell] : cells_) {
+            own_job_bytes_left_ -= cell->job_bytes();
+        }
+    }
+    return own_job_bytes_left_;
+}
+
+// Failure: jobs are accepted that their owners cannot hold, as each task takes memory there and none in the request.
+// Symptom: the machine ends the owner, then whoever follows it. So owners tell what they have left.
+absl::flat_hash_set<std::string> flow_entry::cells_without_memory(instant now, std::int64_t job_bytes)
+{
+    absl::flat_hash_set<std::string> cells;
+    if (own_job_bytes_left(now) < job_bytes) {
+        for (const auto& [id, cell] : cells_) {
+            if (cell->owns()) {
+                cells.insert(id.str());
+            }
+        }
+    }
+    for (const auto& [id, p] : peers_) {
+        if (is_live(p, now) && p.job_bytes_left >= 0 && p.job_bytes_left < job_bytes) {
+            for (const wire::flow_cell_news& news : p.cells) {
+                cells.insert(news.cell);
+            }
+        }
+    }
+    return cells;
+}
+
+void flow_entry::charge_owner(instant now, const cell_id& cell, std::int64_t job_bytes)
+{
+    const auto own = cells_.find(cell);
+    if (own != cells_.end() && own->second->owns()) {
+        own_job_bytes_left(now) -= job_bytes;
+        return;
+    }
+    const peer* const owner = find_owner(now, cell);
+    if (owner != nullptr && owner->job_bytes_left >= 0) {
+        peer& told = peers_.at(owner->identity.entry);
+        told.job_bytes_left = std::max<std::int64_t>(told.job_bytes_left - job_bytes, 0);
+    }
+}
+
 // Chooses the cell with the highest score, taking into account the work sent there since its last news.
 std::optional<cell_id> flow_entry::choose_cell(instant now, const flow_queue& queue, const flow_spec& spec)
 {
     const job_needs needs = needs_of(spec);
+    const std::int64_t job_bytes = estimate_job_bytes(spec);
+    const auto without_memory = cells_without_memory(now, job_bytes);
     std::optional<cell_id> best;
     double best_score = 0;
     wire::flow_pool_row* best_pool = nullptr;
     const auto consider = [&](wire::flow_cell_news& news, bool own) {
+        if (without_memory.contains(news.cell)) {
+            return;
+        }
         for (wire::flow_pool_row& pool : news.pools) {
             if (pool.service_name != queue.service || pool.total_cpu_millis <= 0) {
                 continue;
@@ -245,6 +298,7 @@
     if (best) {
         assigned_cpu_[*best] += needs.cpu;
         take_room(*best_pool, needs);
+        charge_owner(now, *best, job_bytes);
     }
     return best;
 }
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -59,7 +59,7 @@
 }
 
 // Returns why a specification can't run, or an empty string if it can.
-std::string find_problem(const flow_spec& spec)
+std::string find_problem(const flow_spec& spec, const machine_shares& shares)
 {
     if (spec.steps.empty()) {
         return "a job needs at least one step";
@@ -75,6 +75,9 @@
             }
         }
     }
+    if (estimate_job_bytes(spec) > shares.job_bytes) {
+        return "a job has too many tasks";
+    }
     return "";
 }
 
@@ -210,7 +213,7 @@
         known->second.waiting_accept.push_back(std::move(reply));
         return;
     }
-    const std::string problem = request.spec ? find_problem(*request.spec) : request.problem;
+    const std::string problem = request.spec ? find_problem(*request.spec, bounds_.shares) : request.problem;
     if (!problem.empty()) {
         reply({caller_result::invalid, flow_state::queued, 0, duration(0), problem});
         return;
@@ -229,7 +232,9 @@
     }
     const auto cell = choose_cell(now, queue, *request.spec);
     if (stopping_ || !cell) {
-        refuse_unless_accepted(job, {stopping_ ? "stopping" : "no cell serves the queue", unavailable_retry}, reply);
+        refuse_unless_accepted(
+            job, {stopping_ ? "stopping" : "no cell serves the queue and has memory for the job", unavailable_retry},
+            reply);
         return;
     }
     wire::flow_job_row row = make_job_row(*request.spec);
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -34,6 +34,19 @@
     byte = static_cast<char>(static_cast<unsigned char>(byte) | (1U << (index % 8)));
 }
 
+std::int64_t count_stage_bytes(std::int64_t tasks)
+{
+    constexpr std::int64_t task_bytes = sizeof(flow_task) + sizeof(live_run);
+    return static_cast<std::int64_t>(sizeof(flow_stage)) + tasks * task_bytes;
+}
+
+std::int64_t count_spec_bytes(const flow_spec& spec)
+{
+    constexpr std::int64_t step_bytes = sizeof(flow_step) + sizeof(wire::flow_step_row);
+    return static_cast<std::int64_t>(sizeof(flow_job) + spec.payload.size()) +
+           step_bytes * static_cast<std::int64_t>(spec.steps.size());
+}
+
 } // namespace
 
 std::vector<wire::crash_row> flow_task::crash_rows() const
@@ -60,6 +73,18 @@
     return step.lasting && !step.gang && !step.speculative;
 }
 
+std::int64_t estimate_job_bytes(const flow_spec& spec)
+{
+    std::int64_t occurrence = 0;
+    std::int64_t tasks = 0;
+    for (const flow_step& step : spec.steps) {
+        occurrence += count_stage_bytes(step.count);
+        tasks += step.count;
+    }
+    const std::int64_t held_most = 1 + tasks_held_most / std::max<std::int64_t>(tasks, 1);
+    return count_spec_bytes(spec) + occurrence * std::clamp<std::int64_t>(spec.occurrences, 1, held_most);
+}
+
 flow_job::flow_job(job_id id, cell_id here, const wire::flow_job_row& row, row_version version)
     : id_(std::move(id)), here_(std::move(here)), row_(row), spec_(spec_of(row)), version_(version)
 {
@@ -569,6 +594,15 @@
                            [](std::int32_t sum, const flow_stage& s) { return sum + s.ready; });
 }
 
+std::int64_t flow_job::held_bytes() const
+{
+    std::int64_t bytes = count_spec_bytes(spec_);
+    for (const flow_stage& stage : stages_) {
+        bytes += count_stage_bytes(static_cast<std::int64_t>(stage.tasks.size()));
+    }
+    return bytes;
+}
+
 bool flow_job::all_done() const
 {
     const auto steps = static_cast<std::int64_t>(spec_.steps.size());
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -80,6 +80,9 @@
 // Whether tasks of the stage belong to another cell, as with a gang that runs across several cells.
 bool spans_cells(const flow_stage& stage);
 
+// Memory that the owner of its cell takes for such a job at a time, as an estimate.
+std::int64_t estimate_job_bytes(const flow_spec& spec);
+
 // Whether recording a crash causes a write of the row, or is included in the next write for another reason.
 enum class crash_persistence : std::uint8_t { written, deferred };
 
@@ -187,6 +190,8 @@
     void merge(instant now, const wire::flow_job_row& other, row_writer_kind writer_kind);
 
     bool all_done() const;
+    // Memory that the job takes, as an estimate.
+    std::int64_t held_bytes() const;
     // Tasks that wait for a worker.
     std::int32_t count_ready() const;
     // At least one run may be active.
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -99,6 +99,7 @@
             add_pending_count(now, h.cells.back());
         }
     }
+    h.job_bytes_left = std::max<std::int64_t>(own_job_bytes_left(now), 0);
     if (with_members) {
         h.members = live_members(now);
     }
@@ -257,6 +258,7 @@
     p.table_answered = now - std::chrono::milliseconds(h.table_silent_ms);
     update_peer_config(now, p, settings_version(h.config_version));
     p.cells = h.cells;
+    p.job_bytes_left = h.job_bytes_left;
     const std::optional<instant> earliest_sent = asked ? asked : earliest_send_time(now, h);
     if (earliest_sent) {
         on_evacuations_changed(now, evacuations_.adopt(h.evacuations, *earliest_sent), h.sender.entry);
--- a/tests/test_crowds.cpp
+++ b/tests/test_crowds.cpp
@@ -207,6 +207,36 @@
     s.bear(plan_for(s.site().callers_address(0), make_head(crowd_job, announce(body.size())) + body));
 }
 
+// Each client's jobs have ids of their own.
+BOOST_AUTO_TEST_CASE(jobs_with_millions_of_tasks)
+{
+    const std::string body =
+        R"({"spec":"run 100","steps":[)" + repeat(R"({"count":4096,"cpu":100},)", 39) + R"({"count":4096,"cpu":100}]})";
+    calm_site s;
+    std::string requests;
+    for (int i = 0; i < 20; ++i) {
+        requests += make_head(fmt::format("{:016x}", 0xc000 + i), announce(body.size())) + body;
+    }
+    crowd_plan plan = plan_for(s.site().callers_address(0), requests);
+    plan.clients = 1;
+    s.bear(plan);
+}
+
+// Jobs that the table takes, each of many tasks, one after the other.
+BOOST_AUTO_TEST_CASE(many_jobs_of_thousands_of_tasks)
+{
+    const std::string body = R"({"spec":"run 100","steps":[)" + repeat(R"({"count":1000,"cpu":4000},)", 3) +
+                             R"({"count":1000,"cpu":4000}]})";
+    calm_site s;
+    std::string requests;
+    for (int i = 0; i < 200; ++i) {
+        requests += make_head(fmt::format("{:016x}", 0xc000 + i), announce(body.size())) + body;
+    }
+    crowd_plan plan = plan_for(s.site().callers_address(0), requests);
+    plan.clients = 1;
+    s.bear(plan);
+}
+
 // --- callers: answers that nobody reads ---
 
 BOOST_AUTO_TEST_CASE(answers_that_nobody_reads)
--- a/tests/test_flow_bounds.cpp
+++ b/tests/test_flow_bounds.cpp
@@ -68,6 +68,40 @@
     check_no_violations(w);
 }
 
+// Guards against a short request whose tasks take more memory than any owner has.
+BOOST_AUTO_TEST_CASE(a_job_of_too_many_tasks_is_refused_for_good)
+{
+    flow_simulation w({.entries_per_data_centre = 1});
+    w.run_for(3s);
+    BOOST_TEST((w.submit(0, number_job(1), chain_spec(40, 4096, 100)) == caller_result::invalid));
+    BOOST_TEST((w.submit(0, number_job(2), chain_spec(1, 4096, 100)) == caller_result::accepted));
+}
+
+// Guards against jobs that are accepted beyond what their owner can hold, also by an entry that is not the owner. Each
+// entry knows what it has sent itself since the owner's last hello.
+BOOST_AUTO_TEST_CASE(jobs_that_no_owner_can_hold_are_refused_until_others_have_ended)
+{
+    caller_bounds bounds;
+    constexpr int jobs_most = 5; // of 400 tasks each
+    bounds.shares.job_bytes = 1 << 20;
+    flow_simulation w({.entries_per_data_centre = 2, .bounds = bounds});
+    w.run_for(3s);
+    const int owner = w.entry(0)->cells().at(cell_id("a"))->owns() ? 0 : 1;
+    const int other = 1 - owner;
+    int accepted = 0;
+    for (int i = 0; i < 20; ++i) {
+        accepted +=
+            w.submit(i % 2 == 0 ? other : owner, number_job(i), chain_spec(1, 400, 1000)) == caller_result::accepted
+                ? 1
+                : 0;
+    }
+    BOOST_TEST(accepted >= jobs_most - 1);
+    BOOST_TEST(accepted <= 2 * jobs_most);
+    w.run_for(60s);
+    BOOST_TEST((w.submit(other, number_job(101), chain_spec(1, 400, 1000)) == caller_result::accepted));
+    check_no_violations(w);
+}
+
 // Guards against "come again" for a job whose row the table never takes.
 BOOST_AUTO_TEST_CASE(a_job_that_no_row_holds_is_refused_before_it_is_written)
 {
