flow: rows that wait for their owner count among what waits

Cause: an entry keeps the row of each job that it has accepted until the owner of the job's cell has taken note of it, for seconds where the owner stands still. The request has been answered by then and counts no more, so jobs of 64 KB each could be accepted meanwhile without a bound.

Change: the row counts until it is handed on. It cannot be refused any more, so it may go over the share; further requests then wait for room, or end unanswered. Found by reading. test_flow_bounds/rows_that_wait_for_their_owner_leave_less_room_for_requests (on the code before, none is dropped: not run).

--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -179,6 +179,7 @@
         row_version version;
         instant since{};
         bool sending = false;
+        waiting_requests::charge charge;
     };
     // Progress of one round of watching the news of jobs: calls one after another until all changes are read that were
     // made before the round began.
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -522,6 +522,7 @@
     unacknowledged_row& unacknowledged = unacknowledged_rows_[name];
     unacknowledged.row = row;
     unacknowledged.bytes = encode_compact(row);
+    unacknowledged.charge = waiting_.add(estimate_waiting_bytes(row, unacknowledged.bytes.size()));
     unacknowledged.version = version;
     unacknowledged.since = unacknowledged.since == instant{} ? now : unacknowledged.since;
     send_row_to_owner(now, name);
--- a/src/flow_waiting.cpp
+++ b/src/flow_waiting.cpp
@@ -1,7 +1,5 @@
 #include "flow_waiting_p.h"
 
-#include "flow_types.h"
-
 namespace skylarkhub {
 
 namespace {
@@ -24,10 +22,13 @@
 
 waiting_requests::charge waiting_requests::take(std::int64_t bytes)
 {
-    if (bytes_->fetch_add(bytes) + bytes > bytes_most_) {
-        bytes_->fetch_sub(bytes);
-        return nullptr;
-    }
+    charge taken = add(bytes);
+    return bytes_->load() > bytes_most_ ? nullptr : taken;
+}
+
+waiting_requests::charge waiting_requests::add(std::int64_t bytes)
+{
+    bytes_->fetch_add(bytes);
     return {bytes_.get(), [bytes, sum = bytes_](const void*) { sum->fetch_sub(bytes); }};
 }
 
@@ -36,6 +37,11 @@
     return static_cast<std::size_t>(row_bytes / step_row_bytes_least);
 }
 
+std::int64_t estimate_waiting_bytes(const wire::flow_job_row& row, std::size_t encoded_bytes)
+{
+    return static_cast<std::int64_t>(row.steps.size() * sizeof(wire::flow_step_row) + 2 * encoded_bytes);
+}
+
 std::int64_t estimate_waiting_bytes(const flow_spec& spec)
 {
     constexpr std::int64_t step_bytes =
--- a/src/flow_waiting_p.h
+++ b/src/flow_waiting_p.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 
+#include "flow_types.h"
 #include "flow_types_p.h"
 
 namespace skylarkhub {
@@ -20,6 +21,8 @@
 
     // Null when there is no room.
     charge take(std::int64_t bytes);
+    // For what cannot be refused any more; leaves less room, or none, for others.
+    charge add(std::int64_t bytes);
     std::int64_t bytes() const { return bytes_->load(); }
 
 private:
@@ -30,6 +33,9 @@
 // The most steps that a job can have whose row is to fit into `row_bytes`.
 std::size_t count_steps_most(std::int64_t row_bytes);
 
+// Of a row that waits to be handed on, by the bytes of its encoding.
+std::int64_t estimate_waiting_bytes(const wire::flow_job_row& row, std::size_t encoded_bytes);
+
 // Of a request with this specification, from its arrival until its answer.
 std::int64_t estimate_waiting_bytes(const flow_spec& spec);
 
--- a/tests/test_flow_bounds.cpp
+++ b/tests/test_flow_bounds.cpp
@@ -47,6 +47,31 @@
     check_no_violations(w);
 }
 
+// Guards against accepted jobs that nobody owns for seconds and that together take all memory of the entry which keeps
+// their rows for their owner.
+BOOST_AUTO_TEST_CASE(rows_that_wait_for_their_owner_leave_less_room_for_requests)
+{
+    caller_bounds bounds;
+    bounds.shares.waiting_bytes = 1 << 20;
+    flow_simulation w({.entries_per_data_centre = 2, .bounds = bounds});
+    w.run_for(3s);
+    const int owner = w.entry(0)->cells().at(cell_id("a"))->owns() ? 0 : 1;
+    const int other = 1 - owner;
+    flow_spec spec = chain_spec(1, 1, 1000);
+    spec.payload = std::string(4000, 'x');
+    w.drop_row_messages(true);
+    int dropped = 0;
+    for (int i = 0; i < 200; ++i) {
+        dropped += w.submit(other, number_job(i), spec) == caller_result::dropped ? 1 : 0;
+    }
+    BOOST_TEST(dropped > 0);
+    BOOST_TEST(dropped < 150);
+    w.drop_row_messages(false);
+    w.run_for(5s);
+    BOOST_TEST((w.submit(other, number_job(1000), spec) == caller_result::accepted));
+    check_no_violations(w);
+}
+
 // Guards against an entry that grows with every job that it has accepted; what it forgot is read again.
 BOOST_AUTO_TEST_CASE(a_job_that_was_forgotten_is_read_when_it_is_asked_for)
 {
