daemon: what all callers and peers hold stays within the machine's share on the project's own interface too

What callers saw: the same crowds ended an entry that serves the project's own interface, and unfinished messages to its Thrift listener did.

A body of many short values takes thirty times its size once it is parsed, on each of four threads, and the allocator keeps what each thread has freed. The Thrift server bounds one message (1 MB) and the connections (256), not their product.

Large bodies are parsed one at a time, those of more than 100,000 values are answered 413, and the memory goes back afterwards; bodies for services are not parsed. Sockets of the Thrift listener count what they have read of a message; above the share, one that goes on with a long message is closed, short ones pass, and buffers shrink after each call.

Not closed: connections of the Thrift listener that stand still keep its places, and long messages are refused as long as they stay.

--- a/src/daemon_app.cpp
+++ b/src/daemon_app.cpp
@@ -1,5 +1,7 @@
 #include "daemon_app_p.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <map>
 
@@ -11,6 +13,9 @@
 
 namespace {
 
+constexpr std::size_t large_body_bytes = 64 << 10;
+constexpr std::int64_t parsed_values_most = 100'000; // of one body
+constexpr std::string_view requests_path = "/v1/request/";
 constexpr int pool_threads = 4;
 constexpr duration balancer_notice = std::chrono::seconds(1); // between turning unready and refusing requests
 constexpr duration drain_most = std::chrono::seconds(30);
@@ -56,7 +61,12 @@
     api_ = std::make_unique<api_router>(make_routes());
 
     // Handlers reach members_ only after begin(): until then both servers answer that the entry is starting.
-    peer_server_ = peer_server::start({.address = settings_.peer_address}, make_peer_handlers(), last_reason);
+    const machine_shares shares = divide_machine(settings_.machine);
+    peer_server::options peers;
+    peers.address = settings_.peer_address;
+    peers.connections_most = std::min(peers.connections_most, shares.peers.connections);
+    peers.held_bytes_most = shares.peers.body_bytes;
+    peer_server_ = peer_server::start(peers, make_peer_handlers(), last_reason);
     if (!peer_server_) {
         return false;
     }
@@ -64,6 +74,9 @@
     options.address = settings_.http_address;
     options.threads = static_cast<unsigned>(settings_.http_threads);
     options.body_bytes_most = config::body_bytes_most;
+    options.connections_most = shares.callers.connections;
+    options.held_bytes_most = shares.callers.body_bytes;
+    options.socket_buffer_bytes = shares.callers.socket_buffer_bytes;
     http_server_ = http_server::start(
         options,
         [this](http_request request, http_reply reply) {
@@ -71,12 +84,31 @@
                 reply(make_error(503, "starting", "", "this entry has not read the platform's list yet"));
                 return;
             }
-            api_->serve(std::move(request), std::move(reply));
+            serve_call(std::move(request), std::move(reply));
         },
         last_reason);
     return http_server_ != nullptr;
 }
 
+// A value that was parsed takes up to thirty times as much as its text, and the allocator keeps that for each thread
+// that has parsed any. So large bodies are parsed one at a time, those of very many values not at all, and what they
+// took goes back. Bodies for services are not parsed.
+void daemon_app::serve_call(http_request request, http_reply reply)
+{
+    if (request.body.size() <= large_body_bytes || request.path.starts_with(requests_path)) {
+        api_->serve(std::move(request), std::move(reply));
+        return;
+    }
+    const auto begins_value = [](char c) { return c == ',' || c == '{' || c == '['; };
+    if (std::count_if(request.body.begin(), request.body.end(), begins_value) > parsed_values_most) {
+        reply(make_error(413, "too_large", "", "the body has too many values"));
+        return;
+    }
+    absl::MutexLock one_at_a_time(&large_body_mutex_);
+    api_->serve(std::move(request), std::move(reply));
+    malloc_trim(0);
+}
+
 void daemon_app::begin()
 {
     member self;
--- a/src/daemon_app_p.h
+++ b/src/daemon_app_p.h
@@ -48,6 +48,7 @@
 
 private:
     explicit daemon_app(const entry_settings& settings);
+    void serve_call(http_request request, http_reply reply);
     bool listen(std::string* last_reason);
     void begin();
 
@@ -96,6 +97,7 @@
     peer_client peers_;
     std::shared_ptr<settings_keeper> settings_keeper_;
     std::unique_ptr<peer_server> peer_server_;
+    absl::Mutex large_body_mutex_; // held while a large body is parsed
     std::unique_ptr<http_server> http_server_;
     std::unique_ptr<member_host> members_;
     std::unique_ptr<cell_registry> cells_;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -16,6 +16,7 @@
 #include <cstring>
 #include <optional>
 
+#include "base_shares_p.h"
 #include "config.h"
 #include "http_intake_p.h"
 #include "log_line_p.h"
@@ -336,6 +337,7 @@
         flags, 0, &engine::on_accept, e.get(), &engine::on_access, e.get(), MHD_OPTION_SOCK_ADDR, &*address,
         MHD_OPTION_THREAD_POOL_SIZE, o.threads, MHD_OPTION_CONNECTION_LIMIT, library_limit,
         MHD_OPTION_NOTIFY_CONNECTION, &engine::on_connection, e.get(), MHD_OPTION_CONNECTION_TIMEOUT, o.idle_seconds,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::size_t>(connection_buffer_bytes),
         MHD_OPTION_THREAD_STACK_SIZE, config::thread_stack_bytes, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
         MHD_OPTION_NOTIFY_COMPLETED, &engine::on_completed, e.get(), MHD_OPTION_END);
     if (e->daemon == nullptr) {
--- a/src/peer_server.cpp
+++ b/src/peer_server.cpp
@@ -11,7 +11,10 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/server/TNonblockingServer.h>
 #include <thrift/transport/TNonblockingServerSocket.h>
+#include <thrift/transport/TSocket.h>
 
+#include <algorithm>
+#include <atomic>
 #include <charconv>
 #include <stdexcept>
 #include <thread>
@@ -77,6 +80,91 @@
     std::uint16_t port = 0;
 };
 
+// What the connections of one server hold of messages.
+struct held_messages {
+    std::int64_t bytes_most = 0;
+    std::atomic<std::int64_t> bytes{0};
+};
+
+// Counts what it reads of each message, until the next message begins. Failure: many connections each send most of a
+// large message and stay open. Symptom: the machine ends the process. Once the connections together hold too much, one
+// that goes on sending a large message is closed; short messages still pass.
+class metered_socket : public transport::TSocket {
+public:
+    metered_socket(THRIFT_SOCKET socket, std::shared_ptr<held_messages> held) : TSocket(socket), held_(std::move(held))
+    {}
+    ~metered_socket() override { release(); }
+    metered_socket(const metered_socket&) = delete;
+    metered_socket& operator=(const metered_socket&) = delete;
+
+    // The server reads the four bytes of a message's length and the message apart.
+    std::uint32_t read(std::uint8_t* buffer, std::uint32_t size) override
+    {
+        const std::uint32_t got = TSocket::read(buffer, size);
+        if (message_left_ == 0) {
+            read_length(buffer, got);
+        }
+        else {
+            message_left_ -= std::min<std::int64_t>(got, message_left_);
+            hold(got);
+        }
+        return got;
+    }
+
+private:
+    void read_length(const std::uint8_t* buffer, std::uint32_t got)
+    {
+        constexpr int bits_per_byte = 8;
+        release();
+        for (std::uint32_t i = 0; i < got; ++i) {
+            length_ = (length_ << bits_per_byte) | buffer[i];
+            if (++length_bytes_ == sizeof length_) {
+                message_left_ = length_;
+                length_ = 0;
+                length_bytes_ = 0;
+            }
+        }
+    }
+
+    void hold(std::uint32_t bytes)
+    {
+        own_ += bytes;
+        if (held_->bytes.fetch_add(bytes) + bytes > held_->bytes_most && own_ > config::peer_short_message_bytes) {
+            throw transport::TTransportException(transport::TTransportException::INTERRUPTED,
+                                                 "the messages of all connections take too much memory");
+        }
+    }
+
+    void release()
+    {
+        held_->bytes.fetch_sub(own_);
+        own_ = 0;
+    }
+
+    std::shared_ptr<held_messages> held_;
+    std::int64_t own_ = 0;
+    std::uint32_t length_ = 0;
+    std::size_t length_bytes_ = 0; // read of it
+    std::int64_t message_left_ = 0;
+};
+
+class metered_listener : public transport::TNonblockingServerSocket {
+public:
+    metered_listener(const host_port& at, std::int64_t held_bytes_most) : TNonblockingServerSocket(at.host, at.port)
+    {
+        held_->bytes_most = held_bytes_most;
+    }
+
+protected:
+    std::shared_ptr<transport::TSocket> createSocket(THRIFT_SOCKET socket) override
+    {
+        return std::make_shared<metered_socket>(socket, held_);
+    }
+
+private:
+    std::shared_ptr<held_messages> held_ = std::make_shared<held_messages>();
+};
+
 std::optional<host_port> split_address(const std::string& text)
 {
     const auto colon = text.rfind(':');
@@ -116,7 +204,7 @@
 
     void prepare(const options& o, const host_port& at, peer_handlers handlers)
     {
-        auto listener = std::make_shared<transport::TNonblockingServerSocket>(at.host, at.port);
+        auto listener = std::make_shared<metered_listener>(at, o.held_bytes_most);
         listener->setAcceptCallback(&watch_connection);
         auto processor = std::make_shared<wire::entry_peerProcessor>(std::make_shared<dispatcher>(std::move(handlers)));
         // Without limits a short message can announce a list or string that takes all memory.
@@ -130,6 +218,7 @@
         server->setMaxConnections(o.connections_most);
         server->setOverloadAction(serving::T_OVERLOAD_CLOSE_ON_ACCEPT);
         server->setConnectionStackLimit(o.threads);
+        server->setResizeBufferEveryN(1); // a connection that waits keeps no large buffer
         base.reset(event_base_new());
     }
 
--- a/src/peer_server_p.h
+++ b/src/peer_server_p.h
@@ -31,6 +31,7 @@
         std::size_t threads = config::peer_server_threads;
         std::size_t connections_most = config::peer_server_connections;
         std::int64_t message_bytes_most = config::peer_message_bytes_most;
+        std::int64_t held_bytes_most = std::int64_t{64} << 20; // of the messages of all connections
     };
 
     // Empty when the address cannot be bound, with the reason in `last_reason`. Calls without a handler are answered
--- a/src/settings_file_p.h
+++ b/src/settings_file_p.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base_shares_p.h"
 #include "settings_parse_p.h"
 #include "skylarkhub/skylarkhub.h"
 
@@ -19,6 +20,7 @@
     net_address peer_address;
     net_address platform_address;
     std::int32_t http_threads = 0;      // never 0 after parsing
+    machine_limits machine;             // what it holds
     std::vector<net_address> peers;     // hints for a start while the platform's list is down
     double table_writes_per_second = 0; // never 0 after parsing
     double table_reads_per_second = 0;  // never 0 after parsing
--- a/tests/support_site.cpp
+++ b/tests/support_site.cpp
@@ -72,7 +72,7 @@
 
 } // namespace
 
-site::site(const site_plan& plan) : folder_(make_folder())
+site::site(const site_plan& plan) : entry_settings_(plan.entry_settings), folder_(make_folder())
 {
     platform_ = std::make_unique<child>(folder_, "platform", "platform_standin",
                                         std::vector<std::string>{"--address", "127.0.0.1:0", "--list-lag-ms", "500"});
@@ -112,16 +112,19 @@
 void site::start_entry(const std::string& name)
 {
     const fs::path settings = folder_ / (name + ".json");
-    const json document{{"name", name},
-                        {"data_centre", "a"},
-                        {"http_address", "127.0.0.1:0"},
-                        {"peer_address", "127.0.0.1:0"},
-                        {"platform_address", platform_address_.str()}};
+    json document{{"name", name},
+                  {"data_centre", "a"},
+                  {"http_address", "127.0.0.1:0"},
+                  {"peer_address", "127.0.0.1:0"},
+                  {"platform_address", platform_address_.str()}};
+    document.update(entry_settings_);
     std::ofstream(settings) << document.dump();
     running_entry& entry = entries_[name];
     entry.process = std::make_unique<child>(folder_, name, "skylarkhubd",
                                             std::vector<std::string>{"--settings", settings.string()});
-    entry.address = net_address(entry.process->listening().front());
+    const std::vector<std::string> addresses = entry.process->listening();
+    entry.address = net_address(addresses.at(0));
+    entry.peer_address = net_address(addresses.at(1));
 }
 
 void site::kill_entry(const std::string& name)
--- a/tests/support_site.h
+++ b/tests/support_site.h
@@ -29,6 +29,7 @@
 struct site_plan {
     std::vector<std::string> entries{"a1", "a2", "a3"};
     int workers = 3;
+    nlohmann::json entry_settings = nlohmann::json::object(); // of every entry, beside its names and addresses
 };
 
 // What a worker's own record says of one run of a task; `ended_ms` is empty while it runs.
@@ -51,6 +52,7 @@
     void start_entry(const std::string& name);
     child& entry(const std::string& name) { return *entries_.at(name).process; }
     net_address entry_address(const std::string& name) const { return entries_.at(name).address; }
+    net_address peer_address(const std::string& name) const { return entries_.at(name).peer_address; }
     // Ends an entry at once, as a power cut would.
     void kill_entry(const std::string& name);
     // Ends a worker at once; what its record says so far is kept, with its runs ended at that time.
@@ -87,6 +89,7 @@
     struct running_entry {
         std::unique_ptr<child> process;
         net_address address;
+        net_address peer_address;
     };
     struct running_worker {
         std::unique_ptr<child> process;
@@ -97,6 +100,7 @@
     void read_runs(const std::string& worker, site_runs& into);
     void start_worker(const std::string& name, const std::string& address = "127.0.0.1:0");
 
+    nlohmann::json entry_settings_;
     std::filesystem::path folder_;
     http_client http_;
     std::unique_ptr<child> platform_;
