row: a list in a message or a row has 65,536 elements at most

Cause: a decoder makes room for as many elements as a list says it has. For lists of structures Thrift's own check knows no least size of an element, so a few bytes to the listener of peers could announce 2^31. Change: the decoder's limit, as the peer protocol of the other path has it. No list of ours comes near: a row is 64 KB, a message 1 MB. Found by reading.

--- a/src/row_codec_p.h
+++ b/src/row_codec_p.h
@@ -5,6 +5,7 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -23,12 +24,16 @@
     return buffer->getBufferAsString();
 }
 
+inline constexpr std::size_t decoded_list_most = 65'536; // elements
+
 // Empty when `bytes` is not such a struct, with the reason in `last_reason`.
 template <class Row> std::optional<Row> decode_compact(const std::string& bytes, std::string* last_reason = nullptr)
 {
     auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>(
         reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data())), static_cast<std::uint32_t>(bytes.size()));
-    apache::thrift::protocol::TCompactProtocolT<apache::thrift::transport::TMemoryBuffer> protocol(buffer);
+    // Without a limit a few bytes can announce a list that takes all memory.
+    const auto size = static_cast<std::int32_t>(std::min<std::size_t>(bytes.size() + 1, decoded_list_most));
+    apache::thrift::protocol::TCompactProtocolT<apache::thrift::transport::TMemoryBuffer> protocol(buffer, 0, size);
     Row row;
     try {
         row.read(&protocol);
