http: an answer that is leaving is cut for another connection only once it has stood still

Cause: a connection whose answer had just been handed to the library went before requests that had just begun to arrive, so a crowd of new connections could cut the answer of an ordinary caller. Change: it ends for others after three seconds, as a request that has been arriving for as long. An operator's limit of a body that is no number above 0 is left out. Found by reading the change once more. test_http_intake/a_request_that_is_served_is_not_ended holds it.

--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -114,7 +114,7 @@
 
 std::optional<std::int64_t> flow_entry::body_bytes_most() const
 {
-    return config_ ? std::optional(config_->body_bytes_most) : std::nullopt;
+    return config_ && config_->body_bytes_most > 0 ? std::optional(config_->body_bytes_most) : std::nullopt;
 }
 
 // Failure: many requests wait for the table at once, each larger in memory than it was as a text. Symptom: the machine
--- a/src/http_intake.cpp
+++ b/src/http_intake.cpp
@@ -8,32 +8,25 @@
 
 namespace {
 
-// A request that has been arriving for longer no longer goes before connections that are idle.
-constexpr duration request_grace = std::chrono::seconds(3);
+// A request that has been arriving, or an answer that has been leaving, for longer stands still.
+constexpr duration grace = std::chrono::seconds(3);
 // Connections that were told to end take their places a moment longer.
 constexpr std::size_t ending_most = 16;
 // Keeps what has just begun comparable by its size.
 constexpr duration age_least = std::chrono::milliseconds(1);
 constexpr std::int64_t body_bytes_first = 1024; // room for a body that begins
 
-// The lower, the sooner the connection ends for another one. Those served are not asked.
-int rank(const http_link& link, instant now)
+// The lower, the sooner the connection ends for another one. Empty: it does not, since its answer would be lost.
+std::optional<int> rank(const http_link& link, instant now)
 {
-    switch (link.phase) {
-    case http_phase::receiving:
-        return now - link.since > request_grace ? 0 : 3;
-    case http_phase::idle:
-        return 1;
-    case http_phase::answering:
-    case http_phase::served:
-        return 2;
+    const bool stands_still = now - link.since > grace;
+    if (link.ending || link.phase == http_phase::served || (link.phase == http_phase::answering && !stands_still)) {
+        return std::nullopt;
     }
-    return 2;
-}
-
-bool may_end(const http_link& link)
-{
-    return !link.ending && link.phase != http_phase::served;
+    if (link.phase == http_phase::receiving) {
+        return stands_still ? 0 : 3;
+    }
+    return link.phase == http_phase::idle ? 1 : 2;
 }
 
 // How much the connection has held for how long.
@@ -93,8 +86,8 @@
     }
     http_link* first = nullptr;
     for (http_link* const link : links_) {
-        if (may_end(*link) && (first == nullptr || std::tuple(rank(*link, now), link->since) <
-                                                       std::tuple(rank(*first, now), first->since))) {
+        const std::optional<int> own = rank(*link, now);
+        if (own && (first == nullptr || std::tuple(*own, link->since) < std::tuple(*rank(*first, now), first->since))) {
             first = link;
         }
     }
@@ -156,7 +149,7 @@
     http_link* found = nullptr;
     double weight = weigh(asked, asking.since, now);
     for (http_link* const link : links_) {
-        if (link == &asking || !may_end(*link) || link->held_bytes == 0) {
+        if (link == &asking || link->held_bytes == 0 || !rank(*link, now)) {
             continue;
         }
         const double other = weigh(link->held_bytes, link->since, now);
--- a/tests/test_http_intake.cpp
+++ b/tests/test_http_intake.cpp
@@ -97,8 +97,12 @@
     BOOST_TEST(!s.intake.admit(s.now).granted);
     const http_link& third = s.send(900);
     BOOST_TEST(third.ending);
+    s.intake.begin_answer(other, s.now);
+    BOOST_TEST(!s.intake.admit(s.now).granted);
+    s.now += 10s;
+    BOOST_TEST(s.intake.admit(s.now).to_end == &other);
     s.intake.end_request(served, s.now);
-    BOOST_TEST(s.intake.held_bytes() == 1000);
+    BOOST_TEST(s.intake.held_bytes() == 0);
 }
 
 // Guards against a body over the limit that goes on being held or read.
