--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -272,8 +272,11 @@
     {
         absl::MutexLock lock(&mutex);
         std::optional<std::string> body = intake.take_request(*e.link, read_clock());
-        e.request.body = std::move(body).value_or("");
-        return body.has_value();
+        if (!body) {
+            return false;
+        }
+        e.request.body = std::move(*body);
+        return true;
     }
 
     void begin_answer(const exchange& e)
