tests, row, settings: twins of the change are joined

The two crowd programs share one loop (support_crowd_checks) with the checks as they were; two cases of many jobs share what they send. A list's bound in a message of peers and in a row is one constant, the limit of a row in the stand-in another, and the default for descriptors stands in machine_limits only. No behaviour, crowd or bound changes.

--- a/src/config.h
+++ b/src/config.h
@@ -83,7 +83,7 @@
 // --- between entries ---
 inline constexpr std::int64_t peer_message_bytes_most = 1 << 20;   // both ways; a larger one is refused unread
 inline constexpr std::int64_t peer_short_message_bytes = 64 << 10; // passes whatever others hold
-inline constexpr std::int32_t peer_list_most = 65'536;             // elements of one list within a message
+inline constexpr std::int32_t peer_list_most = 65'536;             // elements of one list within a message or a row
 inline constexpr std::size_t peer_server_threads = 4;              // handlers that may wait at the same time
 inline constexpr std::size_t peer_server_connections = 256;        // more are closed at accept
 inline constexpr std::size_t peer_connections_each = 2;            // to one peer
@@ -163,7 +163,6 @@
 
 // --- daemon ---
 inline constexpr int memory_mib_default = 512;
-inline constexpr int descriptors_default = 4096;
 inline constexpr int http_threads_default = 4;
 inline constexpr std::size_t thread_stack_bytes = 256 * 1024;
 
--- a/src/row_codec_p.h
+++ b/src/row_codec_p.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 
+#include "config.h"
 #include "peer_types.h"
 
 namespace skylarkhub {
@@ -24,16 +25,15 @@
     return buffer->getBufferAsString();
 }
 
-inline constexpr std::size_t decoded_list_most = 65'536; // elements
-
 // Empty when `bytes` is not such a struct, with the reason in `last_reason`.
 template <class Row> std::optional<Row> decode_compact(const std::string& bytes, std::string* last_reason = nullptr)
 {
     auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>(
         reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data())), static_cast<std::uint32_t>(bytes.size()));
     // Without a limit a few bytes can announce a list that takes all memory.
-    const auto size = static_cast<std::int32_t>(std::min<std::size_t>(bytes.size() + 1, decoded_list_most));
-    apache::thrift::protocol::TCompactProtocolT<apache::thrift::transport::TMemoryBuffer> protocol(buffer, 0, size);
+    const auto list_most = static_cast<std::int32_t>(std::min<std::size_t>(bytes.size() + 1, config::peer_list_most));
+    apache::thrift::protocol::TCompactProtocolT<apache::thrift::transport::TMemoryBuffer> protocol(buffer, 0,
+                                                                                                   list_most);
     Row row;
     try {
         row.read(&protocol);
--- a/src/settings_file.cpp
+++ b/src/settings_file.cpp
@@ -23,7 +23,9 @@
     result.http_threads = file.http_threads() > 0 ? file.http_threads() : config::http_threads_default;
     result.machine.memory_bytes = std::int64_t{file.memory_mib() > 0 ? file.memory_mib() : config::memory_mib_default}
                                   << 20;
-    result.machine.descriptors = file.descriptors() > 0 ? file.descriptors() : config::descriptors_default;
+    if (file.descriptors() > 0) {
+        result.machine.descriptors = file.descriptors();
+    }
     for (const std::string& peer : file.peers()) {
         result.peers.emplace_back(peer);
     }
--- a/standin/flow_table.cpp
+++ b/standin/flow_table.cpp
@@ -16,9 +16,8 @@
 
 constexpr std::int64_t rows_most = 500; // of one answer
 constexpr std::size_t page_bytes_most = 1 << 20;
-constexpr std::size_t entries_most = 100; // of one transaction
-constexpr std::size_t parts_most = 1000;  // of one answer
-constexpr std::size_t row_bytes_most = 65'536;
+constexpr std::size_t entries_most = 100;                             // of one transaction
+constexpr std::size_t parts_most = 1000;                              // of one answer
 constexpr std::size_t value_text_most = (row_bytes_most + 2) / 3 * 4; // in base64
 constexpr duration read_time = 4ms;
 constexpr duration commit_time = 8ms;
--- a/standin/flow_table_p.h
+++ b/standin/flow_table_p.h
@@ -21,6 +21,8 @@
 
 namespace skylarkhub::standin {
 
+inline constexpr std::size_t row_bytes_most = 65'536; // of the value of one row
+
 // What the table does to the calls of one entry.
 struct table_faults {
     bool refuses = false;  // 503, or 429, or the connection ends; nothing is done
--- a/tests/support_soak_site.cpp
+++ b/tests/support_soak_site.cpp
@@ -27,8 +27,6 @@
 constexpr int table_port = 8200;  // the first entry's door; its link stands at the entry's address
 constexpr int worker_port = 8300; // a worker's own; its link has the next one
 
-constexpr int row_bytes = 65'536; // of one value in the table
-
 constexpr duration stop_most = 6s; // what a planned stop may take
 
 // Two soaks at a time have process ids, and so networks, of their own. 127.0.x is left to everything else.
@@ -152,7 +150,7 @@
         {"limits.cpu-share", 1},
         {"limits.memory-mb", size_.machine.memory_mib},
         {"limits.max-fds", size_.machine.descriptors},
-        {"platform.row-bytes", row_bytes},
+        {"platform.row-bytes", standin::row_bytes_most},
     };
     std::string text = read_template();
     for (const auto& [name, value] : values) {
--- a/tests/test_crowds.cpp
+++ b/tests/test_crowds.cpp
@@ -5,12 +5,9 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <csignal>
-
 #include "http_client_p.h"
 #include "platform_timer_p.h"
-#include "support_crowd.h"
+#include "support_crowd_checks.h"
 #include "support_soak_site.h"
 
 using namespace skylarkhub;
@@ -84,23 +81,10 @@
 
     soak_site& site() { return site_; }
 
-    // Two crowds, one after the other, so that what the first one has left behind counts as well.
-    void bear(crowd_plan plan)
+    void bear(const crowd_plan& plan)
     {
-        child& entry = *site_.process(0);
-        process_use use;
-        plan.clients = plan.clients == 0 ? crowd_clients : plan.clients;
-        for (int i = 0; i < 2; ++i) {
-            crowd clients(plan);
-            clients.send_all(entry.id(), use);
-            BOOST_REQUIRE(entry.running());
-            BOOST_TEST(wait_for([this] { return hand_in(ordinary_job) == 200; }));
-        }
-        BOOST_REQUIRE(entry.running());
-        use.memory_mib = std::max(use.memory_mib, read_use(entry.id()).memory_mib);
-        BOOST_TEST_MESSAGE(fmt::format("at most {} MiB and {} sockets", use.memory_mib, use.sockets));
-        BOOST_TEST(use.memory_mib <= machine.memory_mib);
-        BOOST_TEST(use.sockets <= sockets_most);
+        check_crowds(*site_.process(0), plan, {machine.memory_mib, sockets_most},
+                     [this] { return hand_in(ordinary_job) == 200; });
     }
 
 private:
@@ -113,13 +97,20 @@
 crowd_plan plan_for(const net_address& to, std::string head, std::string piece = "", int pieces = 0,
                     std::string tail = "")
 {
-    return {to, 0, std::move(head), std::move(piece), pieces, std::move(tail)};
+    return {to, crowd_clients, std::move(head), std::move(piece), pieces, std::move(tail)};
 }
 
-struct ignored_pipes {
-    ignored_pipes() { std::signal(SIGPIPE, SIG_IGN); }
-};
-BOOST_TEST_GLOBAL_FIXTURE(ignored_pipes);
+// One client that sends the same job again and again, each time under another id.
+crowd_plan plan_jobs(const net_address& to, const std::string& body, int jobs)
+{
+    std::string requests;
+    for (int i = 0; i < jobs; ++i) {
+        requests += make_head(fmt::format("{:016x}", 0xc000 + i), announce(body.size())) + body;
+    }
+    crowd_plan plan = plan_for(to, std::move(requests));
+    plan.clients = 1;
+    return plan;
+}
 
 } // namespace
 
@@ -207,19 +198,12 @@
     s.bear(plan_for(s.site().callers_address(0), make_head(crowd_job, announce(body.size())) + body));
 }
 
-// Each client's jobs have ids of their own.
 BOOST_AUTO_TEST_CASE(jobs_with_millions_of_tasks)
 {
     const std::string body =
         R"({"spec":"run 100","steps":[)" + repeat(R"({"count":4096,"cpu":100},)", 39) + R"({"count":4096,"cpu":100}]})";
     calm_site s;
-    std::string requests;
-    for (int i = 0; i < 20; ++i) {
-        requests += make_head(fmt::format("{:016x}", 0xc000 + i), announce(body.size())) + body;
-    }
-    crowd_plan plan = plan_for(s.site().callers_address(0), requests);
-    plan.clients = 1;
-    s.bear(plan);
+    s.bear(plan_jobs(s.site().callers_address(0), body, 20));
 }
 
 // Jobs that the table takes, each of many tasks, one after the other.
@@ -228,13 +212,7 @@
     const std::string body = R"({"spec":"run 100","steps":[)" + repeat(R"({"count":1000,"cpu":4000},)", 3) +
                              R"({"count":1000,"cpu":4000}]})";
     calm_site s;
-    std::string requests;
-    for (int i = 0; i < 200; ++i) {
-        requests += make_head(fmt::format("{:016x}", 0xc000 + i), announce(body.size())) + body;
-    }
-    crowd_plan plan = plan_for(s.site().callers_address(0), requests);
-    plan.clients = 1;
-    s.bear(plan);
+    s.bear(plan_jobs(s.site().callers_address(0), body, 200));
 }
 
 // --- callers: answers that nobody reads ---
--- a/tests/test_crowds_daemon.cpp
+++ b/tests/test_crowds_daemon.cpp
@@ -3,10 +3,7 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <csignal>
-
-#include "support_crowd.h"
+#include "support_crowd_checks.h"
 #include "support_site.h"
 
 using namespace skylarkhub;
@@ -21,23 +18,11 @@
 constexpr std::size_t legal_bytes = 1 << 20;
 constexpr std::size_t short_by = 100;
 
-// Bears the same crowd twice, so that what the first one has left behind counts as well.
 void bear(site& s, crowd_plan plan)
 {
-    child& entry = s.entry("a1");
-    process_use use;
     plan.clients = crowd_clients;
-    for (int i = 0; i < 2; ++i) {
-        crowd clients(plan);
-        clients.send_all(entry.id(), use);
-        BOOST_REQUIRE(entry.running());
-        BOOST_TEST(wait_for([&] { return request_bulletin(s, "a1", "ordinary").outcome == "done"; }));
-    }
-    BOOST_REQUIRE(entry.running());
-    use.memory_mib = std::max(use.memory_mib, read_use(entry.id()).memory_mib);
-    BOOST_TEST_MESSAGE(fmt::format("at most {} MiB and {} sockets", use.memory_mib, use.sockets));
-    BOOST_TEST(use.memory_mib <= memory_mib);
-    BOOST_TEST(use.sockets <= sockets_most);
+    check_crowds(s.entry("a1"), plan, {memory_mib, sockets_most},
+                 [&s] { return request_bulletin(s, "a1", "ordinary").outcome == "done"; });
 }
 
 struct calm_site {
@@ -52,11 +37,6 @@
             .entry_settings = {{"memory_mib", memory_mib}, {"descriptors", descriptors}}}};
 };
 
-struct ignored_pipes {
-    ignored_pipes() { std::signal(SIGPIPE, SIG_IGN); }
-};
-BOOST_TEST_GLOBAL_FIXTURE(ignored_pipes);
-
 std::string make_head(const std::string& length_field)
 {
     return fmt::format("POST /v1/jobs HTTP/1.1\r\nHost: x\r\nOperation-Key: crowd\r\n{}\r\n\r\n", length_field);
