--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 root=$(cd "$(dirname "$0")/../.." && pwd)
 program=$root/target/review-2/review_2_site
 [ -x "$program" ] && [ -x "$root/target/skylarkhubd" ] || exit 2
-exec timeout --kill-after=5 115 "$program" large "$root" "$(dirname "$0")/record.txt"
+exec timeout --kill-after=5 115 "$program" recurring "$root" "$(dirname "$0")/record.txt"
--- a/review/standin-2/review_children.cpp
+++ b/review/standin-2/review_children.cpp
@@ -14,6 +14,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <stdexcept>
+#include <thread>
 
 namespace skylarkhub::review {
 
@@ -73,13 +74,37 @@
 }
 
 int entries::start(const entry_place& place)
+{
+    processes_.push_back(spawn(place));
+    places_.push_back(place);
+    return count() - 1;
+}
+
+void entries::restart(int number, duration down)
+{
+    pid_t& process = processes_.at(static_cast<std::size_t>(number));
+    kill(process, SIGKILL);
+    waitpid(process, nullptr, 0);
+    std::this_thread::sleep_for(down);
+    process = spawn(place(number));
+}
+
+std::int64_t entries::memory_bytes(int number) const
+{
+    std::ifstream file(fmt::format("/proc/{}/statm", processes_.at(static_cast<std::size_t>(number))));
+    std::int64_t size = 0;
+    std::int64_t resident = 0;
+    return file >> size >> resident ? resident * sysconf(_SC_PAGESIZE) : 0;
+}
+
+pid_t entries::spawn(const entry_place& place) const
 {
     const std::string settings = fmt::format("{}/{}.json", folder_, place.name);
     const std::string log = fmt::format("{}/{}.log", folder_, place.name);
     std::ofstream(settings) << render(place);
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
-    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
     std::string argument = "--platform";
     std::string variable = "SKYLARKHUB_NODE_FILE=" + settings;
@@ -93,9 +118,7 @@
     if (failed != 0) {
         throw std::runtime_error("cannot start " + program_);
     }
-    places_.push_back(place);
-    processes_.push_back(pid);
-    return count() - 1;
+    return pid;
 }
 
 void entries::signal(int number, int signal_number) const
--- a/review/standin-2/review_children.h
+++ b/review/standin-2/review_children.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -31,11 +32,16 @@
     const entry_place& place(int number) const { return places_.at(static_cast<std::size_t>(number)); }
     int count() const { return static_cast<int>(places_.size()); }
     void signal(int number, int signal_number) const;
+    // Kills the process and starts it again with the settings that it had.
+    void restart(int number, duration down);
+    // What the process holds in memory; 0 when it has gone.
+    std::int64_t memory_bytes(int number) const;
     // Whether the process is still there.
     bool lives(int number) const;
 
 private:
     std::string render(const entry_place& place) const;
+    pid_t spawn(const entry_place& place) const;
 
     std::string folder_;
     std::string program_;
--- a/review/standin-2/review_site_main.cpp
+++ b/review/standin-2/review_site_main.cpp
@@ -1,4 +1,4 @@
-// A small site for the scripts of the second review: three entries as processes of their own, the table, eight runners
+// A small site for the scripts of the second review: four entries as processes of their own, the table, eight runners
 // and the clients as stand-ins here, all on loopback. Exit codes: 0 the rule held, 1 it was broken, 2 not run.
 #include <fmt/format.h>
 #include <signal.h>
@@ -9,9 +9,9 @@
 #include <exception>
 #include <filesystem>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <stdexcept>
 #include <thread>
+#include <vector>
 
 #include "http_client_p.h"
 #include "review_children.h"
@@ -28,7 +28,7 @@
 constexpr int broken = 1;
 constexpr int not_run = 2;
 
-constexpr int entry_count = 3;
+constexpr int entry_count = 4;
 constexpr int worker_count = 8;
 constexpr int table_port = 8169;
 constexpr int worker_port = 8300;
@@ -179,48 +179,64 @@
            s.wait_for_state(probe, "done", ready_most);
 }
 
-// A job whose tasks last and whose row outgrows what the table takes in a row, beside short jobs of one task each.
-int run_large(site& s, bool trouble)
+// A recurring job whose tasks last, and the machines' limit of memory.
+int run_recurring(site& s, bool trouble)
 {
-    constexpr int tasks_large = 2000;
-    constexpr int tasks_small = 100;
-    constexpr int short_jobs = 80;
-    const int tasks = trouble ? tasks_large : tasks_small;
-    const std::string large = job_name(1);
-    s.log().note(fmt::format("job {} has {} tasks that last", large, tasks));
-    if (!s.submit(large, one_step("last", {{"count", tasks}, {"cpu", 10}, {"mem-mb", 10}, {"long-running", true}}))) {
+    constexpr int occurrences_many = 500'000;
+    constexpr int occurrences_few = 20;
+    constexpr std::int64_t memory_most = std::int64_t{260} << 20; // limits.memory-mb
+    constexpr duration watched = 60s;
+    constexpr duration down = 500ms;
+    constexpr int ends_most = 3;      // of a machine's process, and then
+    constexpr int machines_least = 2; // on so many machines: a fault
+    constexpr int neighbours = 4;
+    const int occurrences = trouble ? occurrences_many : occurrences_few;
+    const std::string job = job_name(1);
+    for (int i = 0; i < neighbours; ++i) {
+        if (!s.submit(job_name(10 + i), one_step("last", {{"count", 2}, {"cpu", 8000}, {"long-running", true}}))) {
+            return not_run;
+        }
+    }
+    std::this_thread::sleep_for(contact);
+    json body = one_step("last", {{"count", 1}, {"cpu", 10}, {"mem-mb", 10}, {"long-running", true}});
+    body["repeat-count"] = occurrences;
+    body["interval-ms"] = 1000;
+    s.log().note(fmt::format("job {} has {} occurrences of one task that lasts", job, occurrences));
+    if (!s.submit(job, body)) {
         return not_run;
     }
-    const instant accepted = read_clock();
-    std::set<std::string> accepted_jobs;
-    for (int i = 0; i < short_jobs; ++i) {
-        const std::string job = job_name(100 + i);
-        if (s.submit(job, one_step("run 3000", {{"count", 1}, {"cpu", 8000}, {"estimated-ms", 3000}}))) {
-            accepted_jobs.insert(job);
+    std::vector<int> ends(entry_count, 0);
+    std::vector<std::int64_t> most(entry_count, 0);
+    const instant until = read_clock() + watched;
+    while (read_clock() < until) {
+        for (int i = 0; i < entry_count; ++i) {
+            const std::int64_t bytes = s.processes().memory_bytes(i);
+            const auto at = static_cast<std::size_t>(i);
+            most[at] = std::max(most[at], bytes);
+            if (bytes > memory_most) {
+                s.log().note(fmt::format("entry-{} holds {} MB of 260 and is killed", i, bytes >> 20));
+                ++ends[at];
+                s.processes().restart(i, down);
+            }
         }
-        std::this_thread::sleep_for(250ms);
+        std::this_thread::sleep_for(50ms);
     }
-    std::this_thread::sleep_until(std::chrono::steady_clock::now() + finish);
-    int never_done = 0;
-    int shown_late = 0;
-    for (const std::string& job : accepted_jobs) {
-        const std::string state = s.state_of(job);
-        never_done += s.runners().has_done(job) ? 0 : 1;
-        if (state != "done") {
-            ++shown_late;
-            s.log().note(fmt::format("job {} is shown as {} 14 s after the last job came; its task {}", job, state,
-                                     s.runners().has_done(job) ? "has ended done" : "hasn't ended"));
-        }
+    for (int i = 0; i < neighbours; ++i) {
+        const std::string neighbour = job_name(10 + i);
+        s.log().note(fmt::format("job {}: {} of 2 tasks that last run, {} were started", neighbour,
+                                 s.runners().running_of(neighbour), s.runners().starts_of(neighbour)));
+    }
+    const std::string other = job_name(2);
+    const bool accepted = s.submit(other, one_step("run 200", {{"count", 1}, {"cpu", 500}}));
+    const bool served = accepted && s.wait_for_state(other, "done", finish);
+    for (int i = 0; i < entry_count; ++i) {
+        const auto at = static_cast<std::size_t>(i);
+        s.log().note(fmt::format("entry-{} ended {} times, and held {} MB at most", i, ends[at], most[at] >> 20));
     }
-    const int running = s.runners().running_of(large);
-    s.log().note(
-        fmt::format("job {}: {} of {} tasks run, {} were ever started, {:.1f} s after it was accepted; state {}", large,
-                    running, tasks, s.runners().starts_of(large),
-                    std::chrono::duration<double>(read_clock() - accepted).count(), s.state_of(large)));
-    s.log().note(fmt::format("of {} short jobs {} aren't shown as done, {} have no end done", accepted_jobs.size(),
-                             shown_late, never_done));
-    // LOST: it is due since it was accepted, the runners have room for it many times over, and hardly any is in use.
-    return running == 0 ? broken : held;
+    s.log().note(fmt::format("job {}: {} tasks run, {} were started; a job of another client is {}", job,
+                             s.runners().running_of(job), s.runners().starts_of(job), served ? "done" : "not done"));
+    const auto machines = std::count_if(ends.begin(), ends.end(), [](int n) { return n >= ends_most; });
+    return machines >= machines_least ? broken : held;
 }
 
 // A gang that saves its work, and a runner of one of its members that crashes.
@@ -268,7 +284,7 @@
     {
         site s(folder, root, log);
         if (begin(s)) {
-            verdict = name == "large" ? run_large(s, trouble) : name == "gang" ? run_gang(s, trouble) : not_run;
+            verdict = name == "recurring" ? run_recurring(s, trouble) : name == "gang" ? run_gang(s, trouble) : not_run;
         }
         for (int i = 0; i < s.processes().count(); ++i) {
             s.processes().signal(i, SIGTERM);
