--- a/review/standin-2/review_workers.h
+++ b/review/standin-2/review_workers.h
@@ -2,9 +2,9 @@
 // `run MS` ends done after so long, `last` runs until it is stopped, `gang COUNT MS` works together with the other
 // COUNT - 1 members of its run.
 //
-// A gang of a run is made of members that carry the same checkpoint. It begins to work when all members are present;
-// a member that has waited for three seconds ends `alone`. The checkpoint is one value for the whole gang, a new one
-// with every half second of its work.
+// A gang begins to work when all members of its run are present, whatever checkpoints they carry; a member that has
+// waited for three seconds ends `alone`. The checkpoint is one value for the whole gang, a new one with every half
+// second of its work. No script here uses gangs any more.
 #pragma once
 
 #include <absl/synchronization/mutex.h>
