flow: orders for one life of a worker go only over connections of that life

Callers saw tasks run twice (TWICE) and workers beyond their room (LIMIT) after workers had started again under their ids and were cut off soon after.

Cause: a start that is sent again, or a hold that renews, goes over a new connection once the machine of the new life has reset the kept one. The new life takes the deadline, a time on the clock of the former, for far ahead, and holds all that runs there for the longest lease of ten seconds. The owner, which has heard no hold of that life, counts six; so does the follower of a killed owner.

Change: the HTTP client numbers its connections. Starts, and holds with a lease or a cursor, go only over a kept one that was opened no later than the newest over which the known life has answered; else the worker is asked first, without a lease and a cursor. Why it holds: a connection ends with the life that accepted it, so no later life reads what is sent there. A worker that keeps no connection, or tells no birth, is spoken to as before.

--- a/src/flow_cell_lives.cpp
+++ b/src/flow_cell_lives.cpp
@@ -38,11 +38,45 @@
         begin_life(now, w, sent, answer);
     }
     w.born = answer.born;
+    w.newest_connection = std::max(w.newest_connection, answer.connection);
     w.heard_sent = sent;
     charge_lapsed_life(now, w);
     w.acknowledged = std::max(w.acknowledged, w.cursor_sent);
 }
 
+// A worker without births has a new id in each life, which orders name. Where a worker, or what is between, closes each
+// connection after an answer, orders that wait for a kept one would never be sent, and all leases there would lapse.
+worker_place flow_cell::place_of_life(const cell_worker& w)
+{
+    worker_place place{w.listing.worker, w.listing.address, std::nullopt};
+    if (w.born > worker_birth() && w.looks_in_a_row < max_looks_in_a_row) {
+        place.newest_connection = w.newest_connection;
+    }
+    return place;
+}
+
+// Learns from the answer to a hold that was sent beside the one in flight. An answer of a later life takes the place of
+// the answer to that one, whose connection has ended with the earlier life. Returns whether the worker has answered.
+bool flow_cell::hear_look(instant now, cell_worker& w, instant sent, const order_answer& answer)
+{
+    if (answer.result != order_result::accepted || lacks_birth(w, answer)) {
+        return false;
+    }
+    if (answer.born == w.born) {
+        w.newest_connection = std::max(w.newest_connection, answer.connection);
+        return true;
+    }
+    if (sent <= w.heard_sent) {
+        return false; // overtaken by an answer of a later life
+    }
+    if (w.cursor_sent_at != instant{}) {
+        w.cursor_may_come_until = w.cursor_sent_at + late_order_most;
+    }
+    ++w.hold_exchange;
+    on_hold_result(now, w.listing.worker, sent, duration(0), answer);
+    return true;
+}
+
 // Whether the answer shows that a recorded start ended with an earlier life of the worker.
 bool flow_cell::is_over(const worker_life& life, const flow_task_id& task, run_number run, const order_answer& answer)
 {
@@ -106,6 +140,7 @@
 // ends that nobody has read; until that is over, only tasks without an end of their own are started there.
 void flow_cell::forget_life(cell_worker& w)
 {
+    w.newest_connection = connection_number();
     w.fenced = false;
     w.early.reset();
     w.reported_in_part = false;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -217,7 +217,8 @@
     struct cell_worker {
         flow_listed_worker listing;
         bool listed = false;
-        worker_birth born; // of the life that answered last
+        worker_birth born;                   // of the life that answered last
+        connection_number newest_connection; // of those over which that life has answered; 0: none
         worker_life life() const { return {listing.worker, born}; }
         // A later incarnation answers at its address, even if the list still has this one.
         bool incarnation_ended = false;
@@ -233,6 +234,9 @@
         instant clock_read_at{};
         instant lapsed_after{}; // when every lease given by owners of this cell has certainly ended
         bool hold_in_flight = false;
+        std::uint64_t hold_exchange = 0; // number of the hold in flight; the answer to one before is dropped
+        bool hold_looks = false;         // the next hold only asks, and so may go over any connection
+        int looks_in_a_row = 0;          // that were answered, and left no connection for the next hold
         bool hold_planned = false;
         instant last_answer{};
         std::int32_t silent = 0;    // consecutive holds without an answer
@@ -395,6 +399,7 @@
     void read_row(instant now);
 
     // flow_cell_workers.cpp
+    void look_at_worker(instant now, cell_worker& w);
     void schedule_hold(instant now, const worker_id& id, duration wait);
     void send_hold(instant now, const worker_id& id);
     void on_hold_result(instant now, const worker_id& id, instant sent, duration wait, const order_answer& answer);
@@ -442,7 +447,9 @@
     std::optional<worker_time> lease_end(const cell_worker& w, instant now) const;
     void note_lease(cell_worker& w, instant now) const;
     static void note_epoch_accepted(cell_worker& w, instant now);
-    worker_place place_of(const cell_worker& w) const { return {w.listing.worker, w.listing.address}; }
+    worker_place place_of(const cell_worker& w) const { return {w.listing.worker, w.listing.address, std::nullopt}; }
+    // The same for an order that no later life of the worker may execute.
+    static worker_place place_of_life(const cell_worker& w);
     // Whether every inherited worker is fenced, or has lapsed without an answer.
     bool all_workers_reconciled(instant now) const;
     // Once all workers are reconciled, tasks that none of them lists may be started.
@@ -453,6 +460,7 @@
     // flow_cell_lives.cpp
     static bool lacks_birth(const cell_worker& w, const order_answer& answer);
     void hear_life(instant now, cell_worker& w, instant sent, const order_answer& answer);
+    bool hear_look(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void begin_life(instant now, cell_worker& w, instant sent, const order_answer& answer);
     static void forget_life(cell_worker& w);
     static bool is_over(const worker_life& life, const flow_task_id& task, run_number run, const order_answer& answer);
@@ -537,6 +545,11 @@
     run_lookup look_up_run(const worker_id& id, const flow_task_id& task, run_number run);
     void send_start(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries);
     void repeat_start(const worker_id& id, const flow_task_id& task, run_number run, int tries);
+    void on_start_not_sent(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries);
+    void look_before_start(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries);
+    void on_look_failed(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries,
+                        const order_answer& answer);
+    void stop_late_gang(instant now, flow_job& job, const flow_task_id& task, const live_run& live);
     // `sent_to`: the life of the worker that was known when the start was sent.
     void on_started(instant now, const worker_life& sent_to, const flow_task_id& task, run_number run, int tries,
                     const order_answer& answer);
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -124,20 +124,96 @@
     // A repeated start carries the lease of the first one, unless the worker has restarted and has another clock.
     // Otherwise the leases of a worker that does not answer would be extended without end.
     if (tries == 0 || live->born != w.born) {
+        if (w.published_silent) {
+            repeat_start(id, task, run, tries); // the row tells a follower that the worker gets no lease
+            return;
+        }
         live->born = w.born;
         live->lease_until = lease_end(w, now).value_or(worker_time{});
         note_lease(w, now);
     }
     order.lease_until = live->lease_until;
-    edges_.order(place_of(w), order, start_timeout,
+    edges_.order(place_of_life(w), order, start_timeout,
                  [this, sent_to = w.life(), task, run, tries,
                   generation = ownership_generation_](instant then, const order_answer& answer) {
-                     if (generation == ownership_generation_) {
-                         on_started(then, sent_to, task, run, tries, answer);
+                     if (generation != ownership_generation_) {
+                         return;
+                     }
+                     if (answer.result == order_result::no_connection) {
+                         on_start_not_sent(then, sent_to.worker, task, run, tries);
+                         return;
+                     }
+                     on_started(then, sent_to, task, run, tries, answer);
+                 });
+}
+
+// Handles a start that no connection to the known life was free for.
+void flow_cell::on_start_not_sent(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries)
+{
+    live_run* const live = look_up_run(id, task, run).live;
+    if (live == nullptr) {
+        return;
+    }
+    // Other orders may take each connection that a look leaves free.
+    if (std::exchange(live->looked, !live->looked)) {
+        repeat_start(id, task, run, tries);
+        return;
+    }
+    look_before_start(now, id, task, run, tries);
+}
+
+// Asks the worker over a new connection which life is up, and sends the start over it if it is the known one.
+void flow_cell::look_before_start(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries)
+{
+    const auto at = workers_.find(id);
+    if (at == workers_.end()) {
+        return;
+    }
+    hold_worker look;
+    look.fence = epoch_;
+    edges_.order(place_of(at->second), look, start_timeout,
+                 [this, id, task, run, tries, sent = now,
+                  generation = ownership_generation_](instant then, const order_answer& answer) {
+                     const auto to = workers_.find(id);
+                     if (generation != ownership_generation_ || to == workers_.end() ||
+                         handle_fatal_result(then, to->second, answer.result)) {
+                         return;
                      }
+                     if (hear_look(then, to->second, sent, answer)) {
+                         send_start(then, id, task, run, tries);
+                         return;
+                     }
+                     on_look_failed(then, id, task, run, tries, answer);
                  });
 }
 
+// Handles a look before a start that showed no life. A start that has not left the entry is withdrawn, so that the task
+// can go elsewhere; one of which the worker may have a copy is sent again.
+void flow_cell::on_look_failed(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries,
+                               const order_answer& answer)
+{
+    const auto [worker, job, t, live] = look_up_run(id, task, run);
+    if (worker == nullptr || job == nullptr || live == nullptr) {
+        return;
+    }
+    if (tries == 0 || answer.result == order_result::unhealthy) {
+        worker->no_starts_until = now + start_backoff;
+        withdraw_start(now, *worker, *job, task, run, tries);
+        return;
+    }
+    stop_late_gang(now, *job, task, *live);
+    repeat_start(id, task, run, tries + 1);
+}
+
+// Stops a gang one of whose members has waited too long for the answer to its start.
+void flow_cell::stop_late_gang(instant now, flow_job& job, const flow_task_id& task, const live_run& live)
+{
+    flow_stage& stage = *job.find_stage(task);
+    if (now - live.sent > gang_start_timeout && job.step(stage).gang) {
+        stop_gang(now, job, stage, live.run);
+    }
+}
+
 // Sends a start again after start_retry.
 void flow_cell::repeat_start(const worker_id& id, const flow_task_id& task, run_number run, int tries)
 {
@@ -212,9 +288,7 @@
         return;
     case order_result::no_answer:
         live->copy_unanswered = true;
-        if (now - live->sent > gang_start_timeout && job->step(*job->find_stage(task)).gang) {
-            stop_gang(now, *job, *job->find_stage(task), run);
-        }
+        stop_late_gang(now, *job, task, *live);
         repeat_start(id, task, run, tries + 1);
         return;
     case order_result::fenced:
@@ -222,6 +296,7 @@
     case order_result::expired:
     case order_result::no_room:
     case order_result::no_ticket:
+    case order_result::no_connection:
     case order_result::unhealthy:
     case order_result::invalid:
         break;
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -42,6 +42,9 @@
         // have to be started again; otherwise the worker would run tasks whose ends are never received.
         const bool holds_active = w.listed && !added;
         w.draining_since = listing.draining && !w.listing.draining ? now : w.draining_since;
+        if (listing.address != w.listing.address) {
+            w.newest_connection = connection_number();
+        }
         w.listing = listing;
         w.listed = true;
         if (role_ == role::owning && !holds_active) {
@@ -167,7 +170,8 @@
 // the worker only: a follower that is not told of the worker would start their tasks again.
 bool flow_cell::is_idle(const cell_worker& w)
 {
-    return w.fenced && w.ledger.empty() && w.untracked_runs == 0 && w.unconfirmed.empty() && w.unknown_job_ends.empty();
+    return w.fenced && w.ledger.empty() && w.untracked_runs == 0 && w.unconfirmed.empty() &&
+           w.unknown_job_ends.empty();
 }
 
 bool flow_cell::is_idle_and_unlisted(const cell_worker& w)
@@ -297,13 +301,15 @@
         return;
     }
     w.hold_in_flight = true;
+    ++w.hold_exchange;
     ++stats_.holds;
+    const bool looks = std::exchange(w.hold_looks, false);
     hold_worker order;
     order.fence = epoch_;
-    order.confirmed = cursor_for(w);
+    order.confirmed = looks ? end_number() : cursor_for(w);
     // A worker that did not answer may have received the hold. If each hold renewed the leases, it would never be
     // certain that its tasks have stopped. Holds after an unanswered one therefore only query the worker.
-    const bool renewing = w.has_accepted_epoch() && w.silent == 0 && !w.published_silent;
+    const bool renewing = w.has_accepted_epoch() && w.silent == 0 && !w.published_silent && !looks;
     order.lease_until = renewing ? lease_end(w, now) : std::nullopt;
     // A hold that waits may apply its cursor when it answers. A start that is sent meanwhile could reach a later life,
     // whose end the cursor would then cover; so a cursor is sent without a wait.
@@ -314,17 +320,45 @@
     if (order.lease_until) {
         note_lease(w, now);
     }
-    edges_.order(place_of(w), order, hold_timeout,
-                 [this, id, sent = now, wait = order.wait,
+    const bool concerns_life = order.lease_until || order.confirmed > end_number();
+    edges_.order(concerns_life ? place_of_life(w) : place_of(w), order, hold_timeout,
+                 [this, id, sent = now, wait = order.wait, concerns_life, exchange = w.hold_exchange,
                   generation = ownership_generation_](instant then, const order_answer& answer) {
-                     if (generation == ownership_generation_) {
-                         on_hold_result(then, id, sent, wait, answer);
+                     if (generation != ownership_generation_) {
+                         persist_listed_ends(answer); // this entry has lost the cell since it sent the hold
+                         return;
+                     }
+                     const auto to = workers_.find(id);
+                     if (to == workers_.end() || to->second.hold_exchange != exchange) {
+                         return;
+                     }
+                     if (answer.result == order_result::no_connection) {
+                         look_at_worker(then, to->second);
                          return;
                      }
-                     persist_listed_ends(answer); // this entry has lost the cell since it sent the hold
+                     if (concerns_life && answer.result == order_result::accepted &&
+                         answer.connection <= to->second.newest_connection) {
+                         to->second.looks_in_a_row = 0;
+                     }
+                     on_hold_result(then, id, sent, wait, answer);
                  });
 }
 
+// Sends a hold that only asks in place of one that was not sent, for want of a connection to the known life. Its answer
+// shows which life is up, over the connection that later orders use.
+void flow_cell::look_at_worker(instant now, cell_worker& w)
+{
+    w.hold_in_flight = false;
+    w.hold_looks = true;
+    if (++w.looks_in_a_row == max_looks_in_a_row) {
+        edges_.note(log_level::warning, "worker", "keeps_no_connection",
+                    {{"cell", id_.str()}, {"worker", w.listing.worker.str()}});
+    }
+    w.cursor_sent = w.acknowledged;
+    w.cursor_sent_at = instant{};
+    send_hold(now, w.listing.worker);
+}
+
 // Handles the answer to a hold, or its absence, and schedules the next one.
 void flow_cell::on_hold_result(instant now, const worker_id& id, instant sent, duration wait,
                                const order_answer& answer)
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -30,6 +30,7 @@
     instant started{};            // time of the first send of its start; instant{}: not sent yet, or by a former owner
     bool alone = false;           // it has a worker of its own, since its task may crash workers
     bool copy_unanswered = false; // a copy of its start may be executed late
+    bool looked = false;          // its start was not sent at the last attempt, and the worker was asked first
     worker_birth born;            // the worker's life that its start was sent to, or that listed it
 };
 
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -29,6 +29,9 @@
     60ms; // while an end is not yet durable, since the worker then answers holds at once
 inline constexpr duration hold_retry = 300ms;   // after a hold without an answer
 inline constexpr duration hold_timeout = 900ms; // in addition to hold_wait
+// Holds without a lease, each sent because the last one had left no connection that is kept; then a worker counts as
+// one that keeps none.
+inline constexpr int max_looks_in_a_row = 5;
 
 // --- orders ---
 inline constexpr duration start_timeout = 600ms;
--- a/src/flow_row.cpp
+++ b/src/flow_row.cpp
@@ -48,8 +48,8 @@
 
 const char* name_of(order_result result)
 {
-    constexpr std::array names{"accepted",  "fenced",     "stale_run", "expired", "no_room",
-                               "no_ticket", "other_life", "unhealthy", "invalid", "no_answer"};
+    constexpr std::array names{"accepted",   "fenced",        "stale_run", "expired", "no_room",  "no_ticket",
+                               "other_life", "no_connection", "unhealthy", "invalid", "no_answer"};
     return names.at(static_cast<std::size_t>(result));
 }
 
--- a/src/flow_types_p.h
+++ b/src/flow_types_p.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "connection_number_p.h"
 #include "skylarkhub/skylarkhub.h"
 
 namespace skylarkhub {
@@ -203,8 +204,9 @@
     expired,   // the lease in the order was already over
     no_room,
     no_ticket,
-    other_life, // a restarted worker process now has the address
-    unhealthy,  // the worker is unhealthy and did not carry out the order
+    other_life,    // a restarted worker process now has the address
+    no_connection, // not sent: no connection to the life that the order is meant for is free
+    unhealthy,     // the worker is unhealthy and did not carry out the order
     invalid,
     no_answer // the order may have been carried out, or may be carried out later
 };
@@ -234,12 +236,16 @@
     std::vector<reported_end> ends;    // only in the answer to a hold
     bool ends_cut = false; // the worker may have more ends than these, which it lists once these are confirmed
     std::string reason;
-    worker_birth born; // of the life that answered; only in the answer to a hold
+    worker_birth born;            // of the life that answered; only in the answer to a hold
+    connection_number connection; // on which the answer came; 0: there is no answer
 };
 
+// Where an order goes. A connection ends with the life of the worker that has accepted it, so an order that goes over
+// one opened before a later life began never reaches that life.
 struct worker_place {
     worker_id worker;
     net_address address;
+    std::optional<connection_number> newest_connection; // the newest one that the order may go over; empty: any
 };
 
 // --- the table: rows are addressed by table, part and key; a transaction changes rows of one part only ---
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -2,8 +2,11 @@
 
 #include <absl/synchronization/mutex.h>
 #include <absl/synchronization/notification.h>
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <pthread.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cctype>
@@ -14,6 +17,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "http_connections_p.h"
 #include "platform_timer_p.h"
 
 namespace skylarkhub {
@@ -37,6 +41,8 @@
     http_result result;
     curl_slist* headers = nullptr;
     CURL* handle = nullptr;
+    detail::http_connections* connections = nullptr;
+    int opened_socket = -1; // for this call; -1: it uses a kept connection
     std::int64_t header_bytes = 0;
     due_times::iterator due;     // when its time is over
     std::optional<instant> left; // when its request began to leave
@@ -100,23 +106,78 @@
     return size * count;
 }
 
+// Whether libcurl has sent the request over a kept connection, which closed without an answer.
+bool was_sent(const transfer& t)
+{
+    long sent_bytes = 0;
+    curl_easy_getinfo(t.handle, CURLINFO_REQUEST_SIZE, &sent_bytes);
+    return sent_bytes != 0;
+}
+
+constexpr const char* closed_after_request = "connection closed after the request was sent";
+
+// Notes that the call ends here, since the connection for it is none of those that it may go over.
+void refuse_connection(transfer& t)
+{
+    t.result.connection_too_new = !was_sent(t);
+    t.result.reason =
+        t.result.connection_too_new ? "no connection that the call may go over was free" : closed_after_request;
+}
+
+curl_socket_t open_socket(void* context, curlsocktype purpose, curl_sockaddr* address)
+{
+    static_cast<void>(purpose);
+    auto& t = *static_cast<transfer*>(context);
+    if (t.call.newest_connection) {
+        refuse_connection(t);
+        return CURL_SOCKET_BAD;
+    }
+    t.opened_socket = socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    if (t.opened_socket >= 0) {
+        t.connections->add(t.opened_socket);
+    }
+    return t.opened_socket;
+}
+
+int close_socket(void* context, curl_socket_t socket)
+{
+    static_cast<detail::http_connections*>(context)->remove(socket);
+    return close(socket);
+}
+
+// The number of the connection over which the call is about to go; 0: not known.
+connection_number find_connection(const transfer& t, const char* remote_ip, int remote_port, int local_port)
+{
+    in_addr remote{};
+    if (inet_pton(AF_INET, remote_ip, &remote) != 1) {
+        return connection_number();
+    }
+    const detail::connection_ends ends{remote.s_addr, static_cast<std::uint16_t>(remote_port),
+                                       static_cast<std::uint16_t>(local_port)};
+    if (t.opened_socket >= 0) {
+        t.connections->establish(t.opened_socket, ends);
+    }
+    return t.connections->number_of(ends);
+}
+
 // libcurl sends a request again by itself when a kept connection closes without an answer. The first copy may have run:
 // the second one would run the work twice, and a refusal of the second would pass for a refusal of both.
 int before_request(void* context, char* remote_ip, char* local_ip, int remote_port, int local_port)
 {
-    static_cast<void>(remote_ip);
     static_cast<void>(local_ip);
-    static_cast<void>(remote_port);
-    static_cast<void>(local_port);
     auto& t = *static_cast<transfer*>(context);
-    long sent_bytes = 0;
-    curl_easy_getinfo(t.handle, CURLINFO_REQUEST_SIZE, &sent_bytes);
-    if (sent_bytes == 0) {
-        t.left = read_clock();
-        return CURL_PREREQFUNC_OK;
+    if (was_sent(t)) {
+        t.result.reason = closed_after_request;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    t.result.connection = find_connection(t, remote_ip, remote_port, local_port);
+    const auto& newest = t.call.newest_connection;
+    if (newest && (t.result.connection == connection_number() || t.result.connection > *newest)) {
+        refuse_connection(t);
+        return CURL_PREREQFUNC_ABORT;
     }
-    t.result.reason = "connection closed after the request was sent";
-    return CURL_PREREQFUNC_ABORT;
+    t.left = read_clock();
+    return CURL_PREREQFUNC_OK;
 }
 
 void add_header(transfer& t, const std::string& line)
@@ -143,6 +204,10 @@
     curl_easy_setopt(h, CURLOPT_HEADERDATA, &t);
     curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, &before_request);
     curl_easy_setopt(h, CURLOPT_PREREQDATA, &t);
+    curl_easy_setopt(h, CURLOPT_OPENSOCKETFUNCTION, &open_socket);
+    curl_easy_setopt(h, CURLOPT_OPENSOCKETDATA, &t);
+    curl_easy_setopt(h, CURLOPT_CLOSESOCKETFUNCTION, &close_socket);
+    curl_easy_setopt(h, CURLOPT_CLOSESOCKETDATA, t.connections);
     if (t.call.send_once) {
         curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(h, CURLOPT_FORBID_REUSE, 1L);
@@ -263,6 +328,7 @@
             taken.swap(waiting);
         }
         for (auto& t : taken) {
+            t->connections = &connections;
             prepare(*t);
             CURL* const handle = t->handle;
             curl_multi_add_handle(multi, handle);
@@ -318,6 +384,7 @@
     }
 
     CURLM* multi;
+    detail::http_connections connections;                        // of the client's thread only
     std::unordered_map<CURL*, std::unique_ptr<transfer>> active; // of the client's thread only
     due_times due;                                               // of `active`; of the client's thread only
     absl::Mutex mutex;
--- a/src/http_client_p.h
+++ b/src/http_client_p.h
@@ -4,8 +4,10 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "connection_number_p.h"
 #include "http_message_p.h"
 #include "skylarkhub/skylarkhub.h"
 
@@ -25,12 +27,17 @@
     std::int64_t answer_bytes_most = 16 << 20;
     // A fresh connection for this call alone, so that no leftover of another call's answer can be read as its own.
     bool send_once = false;
+    // The call goes only over a kept connection that the client opened no later than this one; empty: over any. When
+    // none is free, it is not sent.
+    std::optional<connection_number> newest_connection;
 };
 
 struct http_result {
-    bool answered = false;        // the whole answer arrived
-    bool may_have_arrived = true; // false only when no byte of the request can have left
-    bool kept_connection = false; // it went over a connection that had carried other calls
+    bool answered = false;           // the whole answer arrived
+    bool may_have_arrived = true;    // false only when no byte of the request can have left
+    bool kept_connection = false;    // it went over a connection that had carried other calls
+    connection_number connection;    // over which it went; 0: none was established
+    bool connection_too_new = false; // it was not sent, since `newest_connection` excludes the one that was free
     int status = 0;
     http_fields headers;
     std::string body;
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -233,6 +233,7 @@
     slot.decisions.reset();
     slot.frozen = false;
     slot.deferred.clear();
+    connections_.forget(entry);
 }
 
 void flow_simulation::pause_entry(int entry)
@@ -428,38 +429,66 @@
         const duration transfer = news_transfer_time(watch.table, page);
         answer(std::move(done), page, options_.table_latency + transfer);
     };
-    edges.order = [this, entry, answer](const worker_place& to, const worker_order& order, duration timeout,
-                                        std::function<void(instant, order_answer)> done) {
-        schedule(options_.network_latency + sending_delay(entry), [this, to, order, timeout, answer,
-                                                                   done = std::move(done)] {
+    edges.order = [this, entry, life, answer](const worker_place& to, const worker_order& order, duration timeout,
+                                              std::function<void(instant, order_answer)> done) {
+        schedule(options_.network_latency + sending_delay(entry), [this, entry, entry_life = life, to, order, timeout,
+                                                                   answer, done = std::move(done)] {
+            const flow_connections::ends between{entry, to.address};
             const auto at =
                 std::find_if(workers_.begin(), workers_.end(), [&](const auto& w) { return w->address == to.address; });
             if (at == workers_.end() || !(*at)->up || !(*at)->reachable) {
+                connections_.lose_one(between);
                 const bool refused = options_.crash_refuses_connections && at != workers_.end() && !(*at)->up;
                 answer(done, order_answer{}, refused ? options_.network_latency : timeout);
                 return;
             }
             flow_fake_worker& w = **at;
-            auto heard = [this, &w, life = w.life, done](instant then, const order_answer& given) {
+            if (!options_.crash_is_silent) {
+                connections_.close_others(between, w.life);
+            }
+            const flow_connection connection = connections_.take(between, w.life);
+            if (connection.life != w.life) {
+                answer(done, order_answer{}, options_.network_latency);
+                return;
+            }
+            if (to.newest_connection && connection.number > *to.newest_connection) {
+                order_answer not_sent;
+                not_sent.result = order_result::no_connection;
+                answer(done, not_sent, options_.network_latency);
+                return;
+            }
+            auto heard = [this, &w, life = w.life, connection, done](instant then, order_answer given) {
                 if (options_.handled_ends_are_known && w.life == life && w.up) {
                     record_reported_ends(w, given);
                 }
+                given.connection = given.result == order_result::no_answer ? connection_number() : connection.number;
                 done(then, given);
             };
+            const auto respond = [this, entry, entry_life, between, connection, answer,
+                                  heard](const order_answer& given, duration after) {
+                if (given.result != order_result::no_answer) {
+                    schedule(after, [this, entry, entry_life, between, connection] {
+                        if (entries_.at(static_cast<std::size_t>(entry)).life == entry_life) {
+                            connections_.keep(between, connection);
+                        }
+                    });
+                }
+                answer(heard, given, after);
+            };
             if (w.id != to.worker) {
                 order_answer other;
                 other.result = order_result::other_life;
-                answer(done, other, options_.network_latency);
+                respond(other, options_.network_latency);
                 return;
             }
             const auto* const hold = std::get_if<hold_worker>(&order);
             if (hold != nullptr && options_.holds_wait) {
                 const instant given_up = now_ + hold->wait + timeout;
                 hold_until_end(
-                    w, w.life, *hold, now_ + hold->wait, [this, &w, life = w.life, order, answer, heard, given_up] {
+                    w, w.life, *hold, now_ + hold->wait, [this, &w, life = w.life, order, respond, given_up] {
                         const bool silent = options_.crash_is_silent && (w.life != life || !w.up);
-                        answer(heard, w.life == life ? carry_out(w, order) : order_answer{},
-                               silent ? given_up - now_ : options_.network_latency + options_.hold_answer_delay);
+                        respond(w.life == life ? carry_out(w, order) : order_answer{},
+                                silent ? given_up - now_ : options_.network_latency + options_.hold_answer_delay);
                     });
                 return;
             }
@@ -478,9 +507,9 @@
                 return;
             }
             const duration back = options_.network_latency + pick_answer_delay(order);
-            schedule(wait, [this, &w, life = w.life, order, answer, heard, back, timeout] {
+            schedule(wait, [this, &w, life = w.life, order, respond, back, timeout] {
                 const order_answer given = w.life == life ? carry_out(w, order) : order_answer{};
-                answer(heard, back < timeout ? given : order_answer{}, std::min(back, timeout));
+                respond(back < timeout ? given : order_answer{}, std::min(back, timeout));
             });
         });
     };
--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -20,6 +20,7 @@
 
 #include "base_random_p.h"
 #include "flow_entry_p.h"
+#include "support_flow_connections.h"
 #include "support_links.h"
 
 namespace skylarkhub::test {
@@ -397,6 +398,7 @@
     std::vector<entry_slot> entries_;
     std::vector<std::unique_ptr<flow_fake_worker>> workers_;
     shared_links links_;
+    flow_connections connections_; // of entries to workers
     std::string config_text_;
     row_version config_row_{1};
     row_version operator_version_{1}; // of the newest of the operator's rows
--- a/tests/test_flow_second_life.cpp
+++ b/tests/test_flow_second_life.cpp
@@ -102,6 +102,52 @@
     check_no_violations(w);
 }
 
+// Workers that crash without a word, so that what is under way to them times out, and run tasks of one to twelve
+// seconds.
+flow_simulation::options silently_restarting_workers(int entries)
+{
+    flow_simulation::options options = restarting_workers(6);
+    options.entries_per_data_centre = entries;
+    options.crash_refuses_connections = false;
+    options.crash_is_silent = true;
+    options.run_time = [](const flow_task_id& task) { return duration(1s + task.index % 4 * 3700ms); };
+    return options;
+}
+
+// Half of the workers are dark for 400 ms, come back while jobs are handed in, and are cut off for nine seconds,
+// `cut_after` after their crash.
+void cut_off_after_restarts(flow_simulation& w, duration cut_after, bool kills_owner)
+{
+    constexpr duration job_interval = 80ms;
+    auto submit_one = [&w, number = 0x100]() mutable {
+        w.send_submit(0, fmt::format("{:016x}", number++), chain_spec(1, 4, 500));
+    };
+    w.run_for(settle);
+    BOOST_REQUIRE((w.submit(0, job_a, lasting_spec(6)) == caller_result::accepted));
+    for (int i = 0; i < 15; ++i) {
+        submit_one();
+        w.run_for(100ms);
+    }
+    for (int worker = 0; worker < 3; ++worker) {
+        w.restart_worker(worker, 400ms);
+    }
+    for (duration passed{0}; passed < cut_after; passed += job_interval) {
+        submit_one();
+        w.run_for(job_interval);
+    }
+    if (kills_owner) {
+        w.kill_entry(owner_of(w, "a", 2));
+    }
+    for (int worker = 0; worker < 3; ++worker) {
+        w.worker(worker).reachable = false;
+    }
+    w.run_for(9s);
+    for (int worker = 0; worker < 3; ++worker) {
+        w.worker(worker).reachable = true;
+    }
+    w.run_for(20s);
+}
+
 } // namespace
 
 // Ends of the second life, numbered from 1, are taken for ends of the first life that were handled before.
@@ -260,6 +306,34 @@
     }
 }
 
+// What is sent to the former life reaches the next one, which the owner has not heard of when the worker is cut off: by
+// the clock of the former life, the next one holds its lease for ten seconds, and tasks that run there start elsewhere
+// after six.
+BOOST_AUTO_TEST_CASE(no_lease_by_the_clock_of_the_first_life_when_the_second_is_cut_off)
+{
+    for (duration cut_after = 480ms; cut_after <= 2400ms; cut_after += 80ms) {
+        BOOST_TEST_CONTEXT("cut off " << cut_after.count() / 1000 << " ms after the crash")
+        {
+            flow_simulation w(silently_restarting_workers(1));
+            cut_off_after_restarts(w, cut_after, false);
+            check_no_violations(w);
+        }
+    }
+}
+
+// The same, and the owner is killed before the cut: its follower counts six seconds as well.
+BOOST_AUTO_TEST_CASE(no_lease_by_the_clock_of_the_first_life_when_the_owner_is_killed)
+{
+    for (duration cut_after = 480ms; cut_after <= 2400ms; cut_after += 80ms) {
+        BOOST_TEST_CONTEXT("cut off " << cut_after.count() / 1000 << " ms after the crash")
+        {
+            flow_simulation w(silently_restarting_workers(2));
+            cut_off_after_restarts(w, cut_after, true);
+            check_no_violations(w);
+        }
+    }
+}
+
 // A task that crashes its workers, which come back under their ids, is started for ever.
 BOOST_AUTO_TEST_CASE(a_crash_of_a_worker_that_comes_back_under_its_id_is_charged)
 {
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -262,3 +262,40 @@
     }
     left.Wait();
 }
+
+// A call that is meant for one process reaches the next one at the same address, over a connection opened after the
+// former has gone.
+BOOST_AUTO_TEST_CASE(a_call_for_older_connections_never_goes_over_a_newer_one)
+{
+    std::atomic<int> served{0};
+    const auto serve = [&served](const http_request&, const http_reply& reply) {
+        ++served;
+        reply({200, {}, ""});
+    };
+    auto server = start_server(serve);
+    const net_address address = server->address();
+    http_client client;
+    const http_result first = client.call(post(*server, "a"));
+    BOOST_REQUIRE(first.answered);
+    BOOST_TEST((first.connection > connection_number()));
+    http_call bound = post(*server, "b");
+    bound.newest_connection = first.connection;
+    const http_result kept = client.call(bound);
+    BOOST_TEST(kept.answered);
+    BOOST_TEST((kept.connection == first.connection));
+    server.reset();
+    std::string reason;
+    server = http_server::start({.address = address}, serve, &reason);
+    BOOST_REQUIRE_MESSAGE(server, reason);
+    served = 0;
+    const auto is_not_sent = [&] {
+        const http_result result = client.call(bound);
+        return !result.answered && result.connection_too_new && !result.may_have_arrived;
+    };
+    BOOST_TEST(is_not_sent());
+    const http_result unbound = client.call(post(*server, "c"));
+    BOOST_TEST(unbound.answered);
+    BOOST_TEST((unbound.connection > first.connection));
+    BOOST_TEST(is_not_sent()); // although a newer connection is kept
+    BOOST_TEST(served.load() == 1);
+}
