flow: starts without an answer are stopped when their worker answers after it was given up

Callers could see a task run twice, and a worker beyond its room, when a start that had no answer is executed by a later life of its worker after the worker was given up and the task started elsewhere.

Cause: giving a worker up dropped its runs, and with them the knowledge that copies of their starts may still come.

Change: these starts are kept for as long as an order may come late; when the worker answers again it is told to stop each, before anything is started there. It rejects a start of a run that it was told to stop.

--- a/src/flow_cell_lives.cpp
+++ b/src/flow_cell_lives.cpp
@@ -222,4 +222,40 @@
     }
 }
 
+// --- late starts ---
+
+void flow_cell::note_late_start(instant now, cell_worker& w, const flow_task_id& task, const live_run& live)
+{
+    const bool never_sent = live.noted != 0;
+    if (!never_sent && (live.copy_unanswered || !live.confirmed)) {
+        w.late_starts.push_back({task, live.run, now + late_order_most, instant{}});
+    }
+}
+
+// Failure: a worker is given up, and after its task was started elsewhere a later life of it executes the former start.
+// Symptom: two runs of one task, and more than the worker has room for. So that life is told to stop the run as soon as
+// it answers, since it rejects a start of a run that it was told to stop; until then nothing is started there.
+void flow_cell::stop_late_starts(instant now, cell_worker& w)
+{
+    for (late_start& start : w.late_starts) {
+        if (start.stop_sent != instant{} && now - start.stop_sent < stop_timeout) {
+            continue;
+        }
+        start.stop_sent = now;
+        edges_.order(place_of(w), stop_run{start.task, start.run, epoch_}, stop_timeout,
+                     [this, id = w.listing.worker, task = start.task, run = start.run,
+                      generation = ownership_generation_](instant then, const order_answer& answer) {
+                         const auto at = workers_.find(id);
+                         if (generation != ownership_generation_ || at == workers_.end() ||
+                             answer.result == order_result::no_answer || answer.result == order_result::unhealthy ||
+                             handle_fatal_result(then, at->second, answer.result)) {
+                             return;
+                         }
+                         std::erase_if(at->second.late_starts,
+                                       [&](const late_start& s) { return s.task == task && s.run == run; });
+                         schedule_placement();
+                     });
+    }
+}
+
 } // namespace skylarkhub
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -214,6 +214,13 @@
         instant sent{};
         order_answer answer;
     };
+    // A start without an answer on a worker that was given up: a later life may still execute it.
+    struct late_start {
+        flow_task_id task;
+        run_number run;
+        instant comes_until{};
+        instant stop_sent{}; // instant{}: none was sent since the worker answered last
+    };
     struct cell_worker {
         flow_listed_worker listing;
         bool listed = false;
@@ -291,6 +298,7 @@
         instant dedicated_until{};
         std::map<flow_task_id, std::int32_t> paced;
         instant draining_since{};
+        std::vector<late_start> late_starts; // those that the worker has not been told to stop yet
     };
     // What another cell has answered to requests for places for the tasks of one stage, which are alike.
     struct place_answers {
@@ -458,6 +466,9 @@
     void distrust(instant now, cell_worker& w, double amount);
 
     // flow_cell_lives.cpp
+    static void note_late_start(instant now, cell_worker& w, const flow_task_id& task, const live_run& live);
+    // Stops the late starts of earlier lives, and forgets each once the worker has answered.
+    void stop_late_starts(instant now, cell_worker& w);
     static bool lacks_birth(const cell_worker& w, const order_answer& answer);
     void hear_life(instant now, cell_worker& w, instant sent, const order_answer& answer);
     bool hear_look(instant now, cell_worker& w, instant sent, const order_answer& answer);
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -110,7 +110,7 @@
 bool flow_cell::is_schedulable(instant now, const cell_worker& w)
 {
     return w.listed && w.named && w.fenced && !w.listing.draining && w.silent == 0 && !w.published_silent &&
-           w.untracked_runs == 0 && w.reading.has_value() && now >= w.no_starts_until;
+           w.untracked_runs == 0 && w.late_starts.empty() && w.reading.has_value() && now >= w.no_starts_until;
 }
 
 // Describes the worker to the cost functions of placement.
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -154,6 +154,7 @@
         cell_worker& w = at->second;
         declare_lost_if_lapsed(now, w);
         note_lapsed(now, w);
+        std::erase_if(w.late_starts, [now](const late_start& s) { return now >= s.comes_until; });
         // The entry of a worker whose incarnation has ended remains while the worker is listed. If it were erased,
         // each reading of the list would add, query and log the worker again.
         if (is_idle_and_unlisted(w) && !w.hold_in_flight && !w.incarnation_ended) {
@@ -171,7 +172,7 @@
 bool flow_cell::is_idle(const cell_worker& w)
 {
     return w.fenced && w.ledger.empty() && w.untracked_runs == 0 && w.unconfirmed.empty() &&
-           w.unknown_job_ends.empty();
+           w.unknown_job_ends.empty() && w.late_starts.empty();
 }
 
 bool flow_cell::is_idle_and_unlisted(const cell_worker& w)
@@ -234,6 +235,10 @@
     }
     while (!w.ledger.empty()) {
         const auto [task, run] = *w.ledger.begin();
+        const live_run* const live = look_up_run(w.listing.worker, task, run.run).live;
+        if (live != nullptr && !crashed) {
+            note_late_start(now, w, task, *live);
+        }
         ++stats_.lost;
         drop_run(now, w, task, run.run);
     }
@@ -435,6 +440,7 @@
     if (current == workers_.end()) {
         return;
     }
+    stop_late_starts(now, current->second);
     if (current->second.published_silent) {
         next_renewal_ = now; // leases are renewed once the cell's row no longer marks the worker as silent
         schedule_hold(now, id, hold_retry);
--- a/tests/test_flow_second_life.cpp
+++ b/tests/test_flow_second_life.cpp
@@ -334,6 +334,34 @@
     }
 }
 
+// A start that had no answer is executed by the next life after its worker has been given up, beside the next run.
+BOOST_AUTO_TEST_CASE(a_start_that_is_executed_after_its_worker_was_given_up_does_not_run)
+{
+    for (duration late = 8500ms; late <= 11500ms; late += 250ms) {
+        BOOST_TEST_CONTEXT("the start is late by " << late.count() / 1000 << " ms")
+        {
+            flow_simulation::options options = restarting_workers(3);
+            options.crash_is_silent = true;
+            options.run_time = [](const flow_task_id&) { return duration(12s); };
+            flow_simulation w(std::move(options));
+            w.run_for(settle);
+            w.delay_next_starts(1, late);
+            BOOST_REQUIRE((w.submit(0, job_a, chain_spec(1, 3, 9000)) == caller_result::accepted));
+            BOOST_REQUIRE(w.run_until([&] { return runs(w, job_a, 2); }, 500ms));
+            int worker = 0;
+            while (!w.worker(worker).running.empty()) {
+                ++worker;
+            }
+            w.restart_worker(worker, 400ms);
+            w.worker(worker).reachable = false;
+            w.run_for(7500ms);
+            w.worker(worker).reachable = true;
+            BOOST_TEST(w.run_until([&] { return is_done(w, job_a); }, 40s));
+            check_no_violations(w);
+        }
+    }
+}
+
 // A task that crashes its workers, which come back under their ids, is started for ever.
 BOOST_AUTO_TEST_CASE(a_crash_of_a_worker_that_comes_back_under_its_id_is_charged)
 {
