flow: a pace goes only to a run that its worker has confirmed

Cause: as soon as one start was accepted, paces went to all filling runs in the ledger, also to those whose start was still under way. The worker ignores the pace of a run that it does not have; the run then began at full pace, and the owner took it for paced. It showed once starts could be sent later than the first of their batch.

Change: a pace is sent once the run is confirmed. Test: test_flow_pace, on a virtual site whose workers keep the pace of the runs that they have.

--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -713,6 +713,7 @@
     // Updates the interference model with what a worker measured.
     void learn(cell_worker& w, const order_answer& answer);
     void set_paces(instant now, cell_worker& w);
+    bool is_confirmed(const cell_worker& w, const flow_task_id& task, run_number run);
     void send_paces(instant now, cell_worker& w);
     // Moves filling work that is slowed almost to a stop to a worker where it can run.
     void evict_throttled_filling(instant now, cell_worker& w);
--- a/src/flow_cell_pace.cpp
+++ b/src/flow_cell_pace.cpp
@@ -267,6 +267,14 @@
     send_paces(now, w);
 }
 
+// Whether the worker has told that it has the run. It ignores the pace of a run that it does not have yet, which then
+// starts at full pace.
+bool flow_cell::is_confirmed(const cell_worker& w, const flow_task_id& task, run_number run)
+{
+    const live_run* const live = look_up_run(w.listing.worker, task, run).live;
+    return live != nullptr && live->confirmed;
+}
+
 // Sends the chosen pace to each filling run whose last sent pace differs enough.
 void flow_cell::send_paces(instant now, cell_worker& w)
 {
@@ -284,7 +292,7 @@
         // always sent.
         const bool worth_sending =
             wanted < current || (wanted > current && (wanted == 100 || current <= 0 || wanted >= current + 20));
-        if (!worth_sending || current == wanted) {
+        if (!worth_sending || current == wanted || !is_confirmed(w, task, run.run)) {
             continue;
         }
         w.paced[task] = wanted;
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -1117,7 +1117,11 @@
         w.highest[stop->task] = std::max(w.highest[stop->task], stop->run);
         answer.result = order_result::accepted;
     }
-    else {
+    else if (const auto* const pace = std::get_if<pace_run>(&order)) {
+        const auto at = w.running.find(pace->task);
+        if (at != w.running.end() && at->second.number == pace->run) {
+            at->second.percent = pace->percent;
+        }
         answer.result = order_result::accepted;
     }
     return answer;
@@ -1198,7 +1202,8 @@
     for (const auto& [task, run] : w.running) {
         const bool lasts = run.ends == instant::max();
         const auto done = lasts ? 100 : 100 * (now_ - run.begun) / (run.ends - run.begun);
-        answer.running.push_back({task, run.number, "", static_cast<std::int32_t>(done), 0});
+        const std::int64_t measure = options_.measure ? options_.measure(task) : 0;
+        answer.running.push_back({task, run.number, "", static_cast<std::int32_t>(done), measure});
     }
     const std::size_t listed =
         options_.ends_per_answer > 0 ? std::min(options_.ends_per_answer, w.ends.size()) : w.ends.size();
--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -97,6 +97,7 @@
         std::map<int, duration> list_latency_by_entry;                  // for entries, by number, with another latency
         std::function<bool(const flow_task_id&, run_number)> run_fails; // empty: no run fails
         std::function<duration(const flow_task_id&)> run_time;          // empty: 300 ms
+        std::function<std::int64_t(const flow_task_id&)> measure;       // as in reported_run; empty: 0
         // The members of a gang begin to work together, on all workers, and end with the first member that ends.
         bool gang_start_barrier = false;
         // Entries are told of each worker's free processors only, as by entries of an earlier release.
