--- a/standin/flow_workers.cpp
+++ b/standin/flow_workers.cpp
@@ -73,19 +73,31 @@
 {
     absl::MutexLock lock(&mutex_);
     const int number = static_cast<int>(slots_.size());
-    auto s = std::make_unique<slot>();
+    slots_.push_back(std::make_unique<slot>());
+    at(number).place = place;
+    listen(number);
+    begin(at(number), make_id(number, ++at(number).ids));
+    return number;
+}
+
+void flow_workers::listen(int place) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+{
     std::string reason;
-    s->place = place;
-    s->server = http_server::start(
-        {.address = place.listens, .threads = 1, .idle_seconds = 600},
-        [this, number](const http_request& request, const http_reply& reply) { serve(number, request, reply); },
-        &reason);
-    if (!s->server) {
+    slot& s = at(place);
+    s.server = http_server::start(
+        {.address = s.place.listens, .threads = 1, .idle_seconds = 600},
+        [this, place](const http_request& request, const http_reply& reply) { serve(place, request, reply); }, &reason);
+    if (!s.server) {
         throw std::runtime_error(reason);
     }
-    slots_.push_back(std::move(s));
-    begin(at(number), make_id(number, ++at(number).ids));
-    return number;
+}
+
+// The connections of a life end with it. Not under the lock, which what the server still handles needs.
+void flow_workers::close_connections(int place)
+{
+    std::unique_ptr<http_server> server; // ends after the lock
+    absl::MutexLock lock(&mutex_);
+    server.swap(at(place).server);
 }
 
 void flow_workers::begin(slot& s, const std::string& id) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
@@ -163,8 +175,11 @@
 
 void flow_workers::crash(int place)
 {
-    absl::MutexLock lock(&mutex_);
-    end(at(place), still_listed(at(place)));
+    {
+        absl::MutexLock lock(&mutex_);
+        end(at(place), still_listed(at(place)));
+    }
+    close_connections(place);
 }
 
 void flow_workers::drain(int place)
@@ -183,16 +198,17 @@
     absl::MutexLock lock(&mutex_);
     slot& s = at(place);
     if (!s.life) {
+        listen(place);
         begin(s, make_id(place, ++s.ids));
     }
 }
 
 void flow_workers::restart(int place)
 {
+    crash(place);
     absl::MutexLock lock(&mutex_);
-    slot& s = at(place);
-    end(s, still_listed(s));
-    begin(s, s.newest.id);
+    listen(place);
+    begin(at(place), at(place).newest.id);
 }
 
 void flow_workers::delay_orders(int place, double share)
@@ -276,6 +292,7 @@
 
 void flow_workers::look()
 {
+    std::vector<std::unique_ptr<http_server>> left;
     {
         absl::MutexLock lock(&mutex_);
         const instant now = read_clock();
@@ -283,6 +300,7 @@
         for (const auto& s : slots_) {
             if (s->life && now >= s->leaves) {
                 end(*s, duration(0));
+                left.push_back(std::move(s->server));
             }
             if (s->life && now >= s->heartbeat + heartbeat_interval) {
                 write_listing(*s, now);
@@ -290,6 +308,7 @@
             answer_holds(*s, now);
         }
     }
+    left.clear();
     timer_.run_at(read_clock() + look_interval, [this] { look(); });
 }
 
--- a/standin/flow_workers_p.h
+++ b/standin/flow_workers_p.h
@@ -63,6 +63,8 @@
     };
     void serve(int place, const http_request& request, const http_reply& reply);
     void carry_out(slot& s, const std::string& id, const http_request& request, const http_reply& reply, bool late);
+    void listen(int place);
+    void close_connections(int place);
     void begin(slot& s, const std::string& id);
     void end(slot& s, duration listed_still);
     static duration still_listed(const slot& s);
