--- a/tests/test_flow_pace.cpp
+++ b/tests/test_flow_pace.cpp
@@ -44,6 +44,7 @@
     flow_simulation::options options;
     options.entries_per_data_centre = 1;
     options.workers_per_data_centre = 1;
+    options.workers_keep_their_id = true; // so that starts wait for a connection to the known life
     options.run_time = [](const flow_task_id&) { return duration(60s); };
     options.measure = [](const flow_task_id& task) {
         return task.job == job_id(serving_job) ? tail_over_target_ms : std::int64_t{0};
--- a/tests/test_flow_second_life.cpp
+++ b/tests/test_flow_second_life.cpp
@@ -346,7 +346,7 @@
             flow_simulation w(std::move(options));
             w.run_for(settle);
             w.delay_next_starts(1, late);
-            BOOST_REQUIRE((w.submit(0, job_a, chain_spec(1, 3, 9000)) == caller_result::accepted));
+            BOOST_REQUIRE((w.submit(0, job_a, chain_spec(1, 3, 6000)) == caller_result::accepted));
             BOOST_REQUIRE(w.run_until([&] { return runs(w, job_a, 2); }, 500ms));
             int worker = 0;
             while (!w.worker(worker).running.empty()) {
