--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -214,10 +214,18 @@
         instant sent{};
         order_answer answer;
     };
+    // A start without an answer on a worker that was given up: a later life may still execute it.
+    struct late_start {
+        flow_task_id task;
+        run_number run;
+        instant comes_until{};
+        instant stop_sent{}; // instant{}: none was sent since the worker answered last
+    };
     struct cell_worker {
         flow_listed_worker listing;
         bool listed = false;
-        worker_birth born; // of the life that answered last
+        worker_birth born;                   // of the life that answered last
+        connection_number newest_connection; // of those over which that life has answered; 0: none
         worker_life life() const { return {listing.worker, born}; }
         // A later incarnation answers at its address, even if the list still has this one.
         bool incarnation_ended = false;
@@ -233,6 +241,9 @@
         instant clock_read_at{};
         instant lapsed_after{}; // when every lease given by owners of this cell has certainly ended
         bool hold_in_flight = false;
+        std::uint64_t hold_exchange = 0; // number of the hold in flight; the answer to one before is dropped
+        bool hold_looks = false;         // the next hold only asks, and so may go over any connection
+        int looks_in_a_row = 0;          // that were answered, and left no connection for the next hold
         bool hold_planned = false;
         instant last_answer{};
         std::int32_t silent = 0;    // consecutive holds without an answer
@@ -287,6 +298,7 @@
         instant dedicated_until{};
         std::map<flow_task_id, std::int32_t> paced;
         instant draining_since{};
+        std::vector<late_start> late_starts; // those that the worker has not been told to stop yet
     };
     // What another cell has answered to requests for places for the tasks of one stage, which are alike.
     struct place_answers {
@@ -395,6 +407,7 @@
     void read_row(instant now);
 
     // flow_cell_workers.cpp
+    void look_at_worker(instant now, cell_worker& w);
     void schedule_hold(instant now, const worker_id& id, duration wait);
     void send_hold(instant now, const worker_id& id);
     void on_hold_result(instant now, const worker_id& id, instant sent, duration wait, const order_answer& answer);
@@ -442,7 +455,9 @@
     std::optional<worker_time> lease_end(const cell_worker& w, instant now) const;
     void note_lease(cell_worker& w, instant now) const;
     static void note_epoch_accepted(cell_worker& w, instant now);
-    worker_place place_of(const cell_worker& w) const { return {w.listing.worker, w.listing.address}; }
+    worker_place place_of(const cell_worker& w) const { return {w.listing.worker, w.listing.address, std::nullopt}; }
+    // The same for an order that no later life of the worker may execute.
+    static worker_place place_of_life(const cell_worker& w);
     // Whether every inherited worker is fenced, or has lapsed without an answer.
     bool all_workers_reconciled(instant now) const;
     // Once all workers are reconciled, tasks that none of them lists may be started.
@@ -451,8 +466,12 @@
     void distrust(instant now, cell_worker& w, double amount);
 
     // flow_cell_lives.cpp
+    static void note_late_start(instant now, cell_worker& w, const flow_task_id& task, const live_run& live);
+    // Stops the late starts of earlier lives, and forgets each once the worker has answered.
+    void stop_late_starts(instant now, cell_worker& w);
     static bool lacks_birth(const cell_worker& w, const order_answer& answer);
     void hear_life(instant now, cell_worker& w, instant sent, const order_answer& answer);
+    bool hear_look(instant now, cell_worker& w, instant sent, const order_answer& answer);
     void begin_life(instant now, cell_worker& w, instant sent, const order_answer& answer);
     static void forget_life(cell_worker& w);
     static bool is_over(const worker_life& life, const flow_task_id& task, run_number run, const order_answer& answer);
@@ -537,6 +556,11 @@
     run_lookup look_up_run(const worker_id& id, const flow_task_id& task, run_number run);
     void send_start(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries);
     void repeat_start(const worker_id& id, const flow_task_id& task, run_number run, int tries);
+    void on_start_not_sent(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries);
+    void look_before_start(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries);
+    void on_look_failed(instant now, const worker_id& id, const flow_task_id& task, run_number run, int tries,
+                        const order_answer& answer);
+    void stop_late_gang(instant now, flow_job& job, const flow_task_id& task, const live_run& live);
     // `sent_to`: the life of the worker that was known when the start was sent.
     void on_started(instant now, const worker_life& sent_to, const flow_task_id& task, run_number run, int tries,
                     const order_answer& answer);
@@ -689,6 +713,7 @@
     // Updates the interference model with what a worker measured.
     void learn(cell_worker& w, const order_answer& answer);
     void set_paces(instant now, cell_worker& w);
+    bool is_confirmed(const cell_worker& w, const flow_task_id& task, run_number run);
     void send_paces(instant now, cell_worker& w);
     // Moves filling work that is slowed almost to a stop to a worker where it can run.
     void evict_throttled_filling(instant now, cell_worker& w);
--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -20,6 +20,7 @@
 
 #include "base_random_p.h"
 #include "flow_entry_p.h"
+#include "support_flow_connections.h"
 #include "support_links.h"
 
 namespace skylarkhub::test {
@@ -96,6 +97,7 @@
         std::map<int, duration> list_latency_by_entry;                  // for entries, by number, with another latency
         std::function<bool(const flow_task_id&, run_number)> run_fails; // empty: no run fails
         std::function<duration(const flow_task_id&)> run_time;          // empty: 300 ms
+        std::function<std::int64_t(const flow_task_id&)> measure;       // as in reported_run; empty: 0
         // The members of a gang begin to work together, on all workers, and end with the first member that ends.
         bool gang_start_barrier = false;
         // Entries are told of each worker's free processors only, as by entries of an earlier release.
@@ -397,6 +399,7 @@
     std::vector<entry_slot> entries_;
     std::vector<std::unique_ptr<flow_fake_worker>> workers_;
     shared_links links_;
+    flow_connections connections_; // of entries to workers
     std::string config_text_;
     row_version config_row_{1};
     row_version operator_version_{1}; // of the newest of the operator's rows
