flow: a recurring job whose tasks last is held as far as the owner's memory goes

What callers saw: a job of 500,000 occurrences that are all due, each with one task that lasts, gets 200.

Cause: hold_due_occurrences() bounded unfinished tasks to 512 only where no step lasts. Occurrences with a step that lasts never end, so later ones must not wait for earlier ones; but no other bound took the place of that one, so all that were due were held at once.

Evidence: on the code before, occurrences_with_lasting_tasks_are_held_as_far_as_memory_goes fails (548,001,159 bytes held by the owner's own count, 20,971,520 allowed then) and owners_hold_of_an_accepted_job_that_lasts_what_they_have_memory_for fails with both of two owners in turn (11,524,454 bytes of 1,048,576).

Change: such a job's home cell holds occurrences, the oldest first, up to half of the owner's share for jobs, so that others find room. The owner's machine tells the share, as for all bounds on callers. It holds for a row that an earlier release has accepted, too. What ends is held as before: 512 unfinished tasks.

Why it holds: each occurrence that is held by the clock is counted before it is added. Occurrences that a row or a worker tells of are held as before; a row has row-bytes at most, and workers have room.

--- a/src/base_shares_p.h
+++ b/src/base_shares_p.h
@@ -22,9 +22,11 @@
 struct machine_shares {
     listener_share callers;
     listener_share peers;
-    listener_share probes;           // of readiness or of metrics: each has its own
-    std::int64_t waiting_bytes = 0;  // of callers' requests that wait for their answer
-    std::int64_t job_bytes = 0;      // of the jobs that the owner of a cell holds
+    listener_share probes;          // of readiness or of metrics: each has its own
+    std::int64_t waiting_bytes = 0; // of callers' requests that wait for their answer
+    std::int64_t job_bytes = 0;     // of the jobs that the owner of a cell holds
+    // Of the occurrences that the owner holds of one recurring job. Leaves room for other jobs.
+    std::int64_t recurring_job_bytes() const { return job_bytes / 2; }
     std::size_t remembered_jobs = 0; // that callers have asked about
 };
 
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -95,6 +95,8 @@
     std::function<bool(instant now, instant since)> table_outage;
     // Publishes a job's state that the table has applied, for the entry that answers the caller.
     std::function<void(instant, const wire::flow_job_row&, const job_id&, flow_state)> publish_job_state;
+    // Memory for the occurrences of one recurring job.
+    std::function<std::int64_t()> recurring_job_bytes;
 };
 
 // Why a ready task is not placed.
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -542,7 +542,8 @@
         }
         const bool has_spec = !decoded->steps.empty();
         if (has_spec && (new_job == nullptr || name.is_own())) {
-            new_job = std::make_unique<flow_job>(id, id_, *decoded, name.is_own() ? row.version : row_version(0));
+            new_job = std::make_unique<flow_job>(id, id_, *decoded, name.is_own() ? row.version : row_version(0),
+                                                 hooks_.recurring_job_bytes());
         }
         accepted_at = name == accepted_row(id_, id) ? row.version : accepted_at;
         rows_by_writer.emplace_back(name, std::move(*decoded));
@@ -628,7 +629,7 @@
         }
         return;
     }
-    auto new_job = std::make_unique<flow_job>(name.job, id_, row, row_version(0));
+    auto new_job = std::make_unique<flow_job>(name.job, id_, row, row_version(0), hooks_.recurring_job_bytes());
     new_job->note_writer(name.writer);
     new_job->note_accepted(version);
     adopt_job(now, std::move(new_job));
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -179,6 +179,7 @@
 flow_cell_hooks flow_entry::make_hooks(const data_centre_id& data_centre)
 {
     flow_cell_hooks hooks;
+    hooks.recurring_job_bytes = [this] { return bounds_.shares.recurring_job_bytes(); };
     hooks.queue = [this](const queue_id& name) -> const flow_queue* {
         if (!config_) {
             return nullptr;
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -15,7 +15,8 @@
 constexpr std::int64_t runs_per_epoch = 1000;
 
 // Unfinished tasks of a recurring job in its home cell from which on no further occurrence is held beside them: all may
-// be due at once. Bounds the memory of the job and the size of its row.
+// be due at once. Bounds the memory of the job and the size of its row. Not where a step lasts: its occurrences never
+// end, so later ones would wait for good.
 constexpr std::int64_t tasks_held_most = 512;
 
 // Earlier releases read bits of each stage that is done. They hold all occurrences of a job in memory, so larger jobs
@@ -47,6 +48,21 @@
            step_bytes * static_cast<std::int64_t>(spec.steps.size());
 }
 
+struct occurrence_size {
+    std::int64_t tasks = 0;
+    std::int64_t bytes = 0;
+};
+
+occurrence_size size_of_occurrence(const flow_spec& spec)
+{
+    occurrence_size size;
+    for (const flow_step& step : spec.steps) {
+        size.tasks += step.count;
+        size.bytes += count_stage_bytes(step.count);
+    }
+    return size;
+}
+
 } // namespace
 
 std::vector<wire::crash_row> flow_task::crash_rows() const
@@ -73,20 +89,26 @@
     return step.lasting && !step.gang && !step.speculative;
 }
 
+bool keeps_occurrences(const flow_spec& spec)
+{
+    return spec.occurrences > 1 &&
+           std::any_of(spec.steps.begin(), spec.steps.end(), [](const flow_step& s) { return s.lasting; });
+}
+
 std::int64_t estimate_job_bytes(const flow_spec& spec)
 {
-    std::int64_t occurrence = 0;
-    std::int64_t tasks = 0;
-    for (const flow_step& step : spec.steps) {
-        occurrence += count_stage_bytes(step.count);
-        tasks += step.count;
-    }
-    const std::int64_t held_most = 1 + tasks_held_most / std::max<std::int64_t>(tasks, 1);
-    return count_spec_bytes(spec) + occurrence * std::clamp<std::int64_t>(spec.occurrences, 1, held_most);
+    const occurrence_size one = size_of_occurrence(spec);
+    const std::int64_t held_most = 1 + tasks_held_most / std::max<std::int64_t>(one.tasks, 1);
+    return count_spec_bytes(spec) + one.bytes * std::clamp<std::int64_t>(spec.occurrences, 1, held_most);
 }
 
-flow_job::flow_job(job_id id, cell_id here, const wire::flow_job_row& row, row_version version)
-    : id_(std::move(id)), here_(std::move(here)), row_(row), spec_(spec_of(row)), version_(version)
+flow_job::flow_job(job_id id, cell_id here, const wire::flow_job_row& row, row_version version, std::int64_t bytes_most)
+    : id_(std::move(id)),
+      here_(std::move(here)),
+      bytes_most_(bytes_most),
+      row_(row),
+      spec_(spec_of(row)),
+      version_(version)
 {
     row_.stages.clear();
     row_.finished.clear();
@@ -235,24 +257,26 @@
     if (!timed() || !is_home_cell()) {
         return;
     }
-    const auto& steps = spec_.steps;
-    // An occurrence with lasting tasks never ends, so later ones do not wait for it.
-    const bool bounded = std::none_of(steps.begin(), steps.end(), [](const flow_step& s) { return s.lasting; });
-    const std::int64_t added = std::accumulate(steps.begin(), steps.end(), std::int64_t{0},
-                                               [](std::int64_t sum, const flow_step& s) { return sum + s.count; });
-    std::int64_t held =
+    const bool keeps = keeps_occurrences(spec_);
+    const occurrence_size added = size_of_occurrence(spec_);
+    std::int64_t unfinished =
         std::accumulate(stages_.begin(), stages_.end(), std::int64_t{0}, [](std::int64_t sum, const flow_stage& s) {
             return sum + static_cast<std::int64_t>(s.tasks.size()) - s.done;
         });
+    std::int64_t bytes = held_bytes();
+    const auto is_full = [&] {
+        return keeps ? bytes + added.bytes > bytes_most_ : unfinished > 0 && unfinished + added.tasks > tasks_held_most;
+    };
     next_held_ = finished_.next_absent(next_held_);
     while (next_held_ < occurrences() && due(next_held_, wall)) {
-        if (bounded && held > 0 && held + added > tasks_held_most) {
+        if (!stages_.empty() && is_full()) {
             return;
         }
         const auto at = stages_from(next_held_);
         if (at == stages_.end() || at->occurrence != next_held_) {
             insert_occurrence(at, next_held_);
-            held += added;
+            unfinished += added.tasks;
+            bytes += added.bytes;
         }
         next_held_ = finished_.next_absent(next_held_ + 1);
     }
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "base_shares_p.h"
 #include "flow_occurrences_p.h"
 #include "flow_row_p.h"
 
@@ -80,6 +81,9 @@
 // Whether tasks of the stage belong to another cell, as with a gang that runs across several cells.
 bool spans_cells(const flow_stage& stage);
 
+// Whether the job recurs and none of its occurrences ever ends, since a step of each lasts.
+bool keeps_occurrences(const flow_spec& spec);
+
 // Memory that the owner of its cell takes for such a job at a time, as an estimate.
 std::int64_t estimate_job_bytes(const flow_spec& spec);
 
@@ -87,13 +91,15 @@
 enum class crash_persistence : std::uint8_t { written, deferred };
 
 // A job may have far more occurrences than fit into memory. Its home cell holds those that are due and not finished,
-// the oldest first and up to a limit; another cell holds those that a row or a worker tells of. An occurrence that is
-// finished is dropped from memory once that is written, and the row names it in a span.
+// the oldest first and as far as its memory goes; another cell holds those that a row or a worker tells of. An
+// occurrence that is finished is dropped from memory once that is written, and the row names it in a span.
 class flow_job {
 public:
     // Builds the job from a row that contains the specification. `here`: the cell of this owner; `version`: of the row
-    // if it is the one that `here` writes, 0 if another writer wrote it.
-    flow_job(job_id id, cell_id here, const wire::flow_job_row& row, row_version version);
+    // if it is the one that `here` writes, 0 if another writer wrote it; `bytes_most`: memory for its occurrences, if
+    // there are several.
+    flow_job(job_id id, cell_id here, const wire::flow_job_row& row, row_version version,
+             std::int64_t bytes_most = divide_machine({}).recurring_job_bytes());
 
     const job_id& id() const { return id_; }
     const flow_spec& spec() const { return spec_; }
@@ -232,6 +238,7 @@
 
     job_id id_;
     cell_id here_;
+    std::int64_t bytes_most_;
     wire::flow_job_row row_; // with `stages` and `finished` empty: these are kept in stages_ and finished_
     flow_spec spec_;
     flow_stages stages_;         // all steps of each occurrence that is held, in ascending order
--- a/tests/test_flow_recurring.cpp
+++ b/tests/test_flow_recurring.cpp
@@ -23,6 +23,7 @@
 constexpr std::int32_t minutes_of_a_year = 365 * 24 * 60;
 constexpr std::size_t row_bytes_most = 65536; // the platform's limit for a row
 constexpr std::size_t tasks_held_most = 1000; // of one job with small steps, however many of its occurrences are due
+constexpr std::int32_t occurrences_beyond_memory = 500000;
 constexpr wall_time first_due{1h};
 
 flow_spec recurring_spec(std::int32_t occurrences, duration interval, int steps = 1, int tasks = 2)
@@ -135,6 +136,25 @@
     BOOST_TEST(flow.count_ready() == 4000);
 }
 
+// Guards against an owner that runs out of memory over occurrences of tasks that last, all of which are due.
+BOOST_AUTO_TEST_CASE(occurrences_with_lasting_tasks_are_held_as_far_as_memory_goes)
+{
+    flow_spec spec = recurring_spec(occurrences_beyond_memory, 0ms);
+    spec.steps.front().lasting = true;
+    const std::int64_t bytes_most = divide_machine({}).recurring_job_bytes();
+    flow_job flow(job, here, row_of(spec), row_version(1));
+    flow.open_stages(instant{}, first_due);
+    BOOST_TEST(*ready_occurrences(flow).begin() == 0);
+    BOOST_TEST(flow.held_bytes() <= bytes_most);
+    const std::size_t held = tasks_held(flow);
+    BOOST_TEST(held >= tasks_held_most);
+    flow.open_stages(instant{}, first_due + 24h);
+    BOOST_TEST(tasks_held(flow) == held);
+    flow_job next(job, here, flow.current_row(), row_version(2));
+    next.open_stages(instant{}, first_due + 24h);
+    BOOST_TEST(tasks_held(next) == held);
+}
+
 // Guards against a row that grows with each occurrence that is done, until the table refuses it for its size.
 BOOST_AUTO_TEST_CASE(the_row_does_not_grow_with_occurrences_that_are_done)
 {
@@ -340,3 +360,32 @@
     BOOST_TEST(w.count_running_tasks(neighbour) == 4);
     check_no_violations(w);
 }
+
+// Guards against each owner in turn that runs out of memory over a row which an earlier release has accepted.
+BOOST_AUTO_TEST_CASE(owners_hold_of_an_accepted_job_that_lasts_what_they_have_memory_for)
+{
+    constexpr int entries = 2;
+    caller_bounds bounds;
+    bounds.shares.job_bytes = 1 << 20;
+    flow_simulation w({.entries_per_data_centre = entries, .bounds = bounds});
+    w.run_for(3s);
+    BOOST_REQUIRE(w.submit(1, neighbour, lasting_spec(4)) == caller_result::accepted);
+    w.run_for(2s);
+    flow_spec spec = lasting_spec(1, 10);
+    spec.occurrences = 20000;
+    w.insert_unannounced_job(job.str(), here, spec);
+    for (int round = 0; round < 2; ++round) {
+        const int owner = owner_of(w, here.str(), entries);
+        BOOST_REQUIRE(owner >= 0);
+        w.kill_entry(owner);
+        w.run_for(12s);
+        w.start_entry(owner);
+        const int next = owner_of(w, here.str(), entries);
+        BOOST_REQUIRE(next >= 0);
+        BOOST_TEST(w.entry(next)->cells().at(here)->job_bytes() <= bounds.shares.job_bytes);
+        BOOST_TEST(w.count_running_tasks(neighbour) == 4);
+        w.run_for(3s);
+    }
+    BOOST_TEST(w.count_job_starts(job.str()) > 0);
+    check_no_violations(w);
+}
