flow: done tasks of occurrences that go on count in what an owner holds

What callers would see: a recurring job whose occurrences have many short tasks and a long one. An occurrence is held whole until its last task is done, but only unfinished tasks were counted before a further one was held beside it. With 250 tasks and one that goes on some 260 occurrences are held, 65,000 tasks, though the owner counts on 512.

Change: occurrences of any recurring job are held beside others as far as half of the owner's share for jobs goes, beside the bound of 512 unfinished tasks. One that is larger is held alone, as before.

--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -265,7 +265,8 @@
         });
     std::int64_t bytes = held_bytes();
     const auto is_full = [&] {
-        return keeps ? bytes + added.bytes > bytes_most_ : unfinished > 0 && unfinished + added.tasks > tasks_held_most;
+        return bytes + added.bytes > bytes_most_ ||
+               (!keeps && unfinished > 0 && unfinished + added.tasks > tasks_held_most);
     };
     next_held_ = finished_.next_absent(next_held_);
     while (next_held_ < occurrences() && due(next_held_, wall)) {
--- a/tests/test_flow_recurring.cpp
+++ b/tests/test_flow_recurring.cpp
@@ -114,6 +114,32 @@
     BOOST_TEST(flow.all_done());
 }
 
+// Guards against an owner that runs out of memory over occurrences most of whose tasks are done: all of them are held
+// until the last one is.
+BOOST_AUTO_TEST_CASE(done_tasks_of_occurrences_that_go_on_count_in_memory)
+{
+    flow_spec spec = recurring_spec(5000, 0ms, 2, 250);
+    spec.steps.back().count = 1;
+    const std::int64_t bytes_most = divide_machine({}).recurring_job_bytes();
+    flow_job flow(job, here, row_of(spec), row_version(1));
+    std::int32_t last = 0;
+    std::int32_t next = 0;
+    for (std::size_t held = 1; held != flow.stages().size();) {
+        held = flow.stages().size();
+        flow.open_stages(instant{}, first_due);
+        last = flow.stages().back().occurrence;
+        for (; next <= last; ++next) {
+            for (std::int32_t i = 0; i < spec.steps.front().count; ++i) {
+                flow.note_done({job, next, 0, i});
+            }
+        }
+        BOOST_REQUIRE(flow.held_bytes() <= bytes_most);
+    }
+    BOOST_TEST(last > 2);
+    finish(flow, 0, first_due);
+    BOOST_TEST(flow.stages().back().occurrence == last + 1);
+}
+
 // Guards against an occurrence that is too large to be held beside others, and is never made.
 BOOST_AUTO_TEST_CASE(an_occurrence_of_many_tasks_is_held_alone)
 {
