flow: a job that lasts more often than an owner can hold is refused before it is accepted

What callers saw: 200 for a job of 500,000 occurrences with a task that lasts. No owner holds them all, none of them ever ends, and those beyond the bound would wait for good beside free room, after the job was accepted.

Cause: estimate_job_bytes() took the bound on unfinished tasks for granted, by which any recurring job is a small one. And an owner told only what it held of such a job, not what occurrences to come would keep.

Change: occurrences with a step that lasts count in full in the estimate, and in what an owner tells it has left, up to what it holds of one job. A job that exceeds that is refused with 503 by a write, after a look at the index: an earlier release may have accepted it, and then its caller gets 200.

Evidence: a_job_that_lasts_more_often_than_owners_hold_is_refused (3 checks) and occurrences_to_come_that_will_last_count_when_a_job_is_accepted (6 accepted, 2 can be held) fail on the code before; an_accepted_job_that_lasts_too_often_is_not_refused_later passed before and guards the refusal. All 20 cases of test_flow_recurring, 6 of test_flow_bounds and 19 of test_flow_job pass.

--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -19,6 +19,9 @@
 // end, so later ones would wait for good.
 constexpr std::int64_t tasks_held_most = 512;
 
+// More than any machine has. Occurrences times their bytes may exceed what a number can tell.
+constexpr std::int64_t bytes_unbounded = std::int64_t{1} << 50;
+
 // Earlier releases read bits of each stage that is done. They hold all occurrences of a job in memory, so larger jobs
 // could not run under them.
 constexpr std::int64_t stages_for_earlier_releases = 512;
@@ -48,6 +51,14 @@
            step_bytes * static_cast<std::int64_t>(spec.steps.size());
 }
 
+std::int64_t count_job_bytes(const flow_spec& spec, const flow_stages& stages)
+{
+    return std::accumulate(stages.begin(), stages.end(), count_spec_bytes(spec),
+                           [](std::int64_t sum, const flow_stage& s) {
+                               return sum + count_stage_bytes(static_cast<std::int64_t>(s.tasks.size()));
+                           });
+}
+
 struct occurrence_size {
     std::int64_t tasks = 0;
     std::int64_t bytes = 0;
@@ -98,6 +109,10 @@
 std::int64_t estimate_job_bytes(const flow_spec& spec)
 {
     const occurrence_size one = size_of_occurrence(spec);
+    if (keeps_occurrences(spec)) {
+        return count_spec_bytes(spec) +
+               one.bytes * std::min<std::int64_t>(spec.occurrences, bytes_unbounded / one.bytes);
+    }
     const std::int64_t held_most = 1 + tasks_held_most / std::max<std::int64_t>(one.tasks, 1);
     return count_spec_bytes(spec) + one.bytes * std::clamp<std::int64_t>(spec.occurrences, 1, held_most);
 }
@@ -263,7 +278,7 @@
         std::accumulate(stages_.begin(), stages_.end(), std::int64_t{0}, [](std::int64_t sum, const flow_stage& s) {
             return sum + static_cast<std::int64_t>(s.tasks.size()) - s.done;
         });
-    std::int64_t bytes = held_bytes();
+    std::int64_t bytes = count_job_bytes(spec_, stages_);
     const auto is_full = [&] {
         return bytes + added.bytes > bytes_most_ ||
                (!keeps && unfinished > 0 && unfinished + added.tasks > tasks_held_most);
@@ -621,11 +636,11 @@
 
 std::int64_t flow_job::held_bytes() const
 {
-    std::int64_t bytes = count_spec_bytes(spec_);
-    for (const flow_stage& stage : stages_) {
-        bytes += count_stage_bytes(static_cast<std::int64_t>(stage.tasks.size()));
+    const std::int64_t held = count_job_bytes(spec_, stages_);
+    if (!is_home_cell() || !keeps_occurrences(spec_)) {
+        return held;
     }
-    return bytes;
+    return std::max(held, std::min(estimate_job_bytes(spec_), bytes_most_));
 }
 
 bool flow_job::all_done() const
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -84,7 +84,7 @@
 // Whether the job recurs and none of its occurrences ever ends, since a step of each lasts.
 bool keeps_occurrences(const flow_spec& spec);
 
-// Memory that the owner of its cell takes for such a job at a time, as an estimate.
+// Memory that the owner of its cell takes for such a job at a time, with all occurrences that it keeps; an estimate.
 std::int64_t estimate_job_bytes(const flow_spec& spec);
 
 // Whether recording a crash causes a write of the row, or is included in the next write for another reason.
@@ -196,7 +196,7 @@
     void merge(instant now, const wire::flow_job_row& other, row_writer_kind writer_kind);
 
     bool all_done() const;
-    // Memory that the job takes, as an estimate.
+    // Memory that the job takes, with occurrences that are not due yet and will be kept; an estimate.
     std::int64_t held_bytes() const;
     // Tasks that wait for a worker.
     std::int32_t count_ready() const;
--- a/tests/test_flow_recurring.cpp
+++ b/tests/test_flow_recurring.cpp
@@ -2,7 +2,10 @@
 // runs once.
 #include <boost/test/unit_test.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <limits>
 #include <set>
 
 #include "flow_job_p.h"
@@ -415,3 +418,61 @@
     BOOST_TEST(w.count_job_starts(job.str()) > 0);
     check_no_violations(w);
 }
+
+// Guards against a job that is accepted though no owner holds all its occurrences, which never end: the later ones
+// would never run.
+BOOST_AUTO_TEST_CASE(a_job_that_lasts_more_often_than_owners_hold_is_refused)
+{
+    caller_bounds bounds;
+    bounds.shares.job_bytes = 1 << 20;
+    flow_simulation w({.entries_per_data_centre = 1, .bounds = bounds});
+    w.run_for(3s);
+    flow_spec spec = lasting_spec(1, 10);
+    spec.interval = 1h;
+    for (const std::int32_t occurrences : {5000, std::numeric_limits<std::int32_t>::max()}) {
+        spec.occurrences = occurrences;
+        BOOST_TEST((w.submit(0, job.str(), spec) == caller_result::rejected));
+    }
+    w.run_for(5s);
+    BOOST_TEST(w.count_job_starts(job.str()) == 0);
+    spec.occurrences = 300;
+    BOOST_TEST((w.submit(0, neighbour, spec) == caller_result::accepted));
+    flow_spec ends = recurring_spec(std::numeric_limits<std::int32_t>::max(), 1h);
+    BOOST_TEST((w.submit(0, "00000000000000cc", ends) == caller_result::accepted));
+    check_no_violations(w);
+}
+
+// Guards against a caller who is told that a job never runs which an earlier release has accepted.
+BOOST_AUTO_TEST_CASE(an_accepted_job_that_lasts_too_often_is_not_refused_later)
+{
+    caller_bounds bounds;
+    bounds.shares.job_bytes = 1 << 20;
+    flow_simulation w({.entries_per_data_centre = 1, .bounds = bounds});
+    w.run_for(3s);
+    flow_spec spec = lasting_spec(1, 10);
+    spec.occurrences = 5000;
+    w.insert_unannounced_job(job.str(), here, spec);
+    BOOST_TEST((w.submit(0, job.str(), spec) == caller_result::accepted));
+}
+
+// Guards against jobs that owners can hold when they are accepted, and not once all their occurrences are due.
+BOOST_AUTO_TEST_CASE(occurrences_to_come_that_will_last_count_when_a_job_is_accepted)
+{
+    caller_bounds bounds;
+    bounds.shares.job_bytes = 1 << 20;
+    flow_simulation w({.entries_per_data_centre = 2, .bounds = bounds});
+    w.run_for(3s);
+    flow_spec spec = lasting_spec(1, 10);
+    spec.occurrences = 700;
+    spec.interval = 1h;
+    int accepted = 0;
+    for (int i = 0; i < 6; ++i) {
+        accepted += w.submit(i % 2, fmt::format("{:016x}", i), spec) == caller_result::accepted ? 1 : 0;
+        w.run_for(3s);
+    }
+    BOOST_TEST(accepted == 2);
+    BOOST_TEST((w.cancel(0, fmt::format("{:016x}", 0)) == caller_result::cancelled));
+    w.run_for(10s);
+    BOOST_TEST((w.submit(1, job.str(), spec) == caller_result::accepted));
+    check_no_violations(w);
+}
