flow: a row that is too large no longer stops the other rows of its part

Cause: a transaction was bounded in rows (24) and entries, not in bytes. The row of the large job was beyond row-bytes, so the store refused each transaction with it; as the row that had waited longest it was in each of them; and a refusal for size was taken for a passing one.

Change: the owner of a cell knows row-bytes. A row beyond it, or one that with its news is more than a transaction takes, is left out of all transactions until its job changes (or 10 s have passed), which is logged as job/row_too_large. Starts that wait for such a row are given up, so that their room is free for others. Lasting tasks are only started while the job's row has room for the records of their starts; the others wait, with the reason row_full. A transaction has at most 900,000 bytes with base64 and the names of fields, as the store takes 1 MB. A refusal with status 400 or 413 is told apart from a passing one (also when a peer relays the call): the rows of that transaction are then sent one at a time, and the one that is refused by itself is left out. Ends that a superseded owner leaves are no longer tried for ever after such a refusal.

Why it holds: a row that cannot be written is in no transaction with others, whether its owner knows the limit or not. A start that is given up was not sent, and its record is forgotten only if no write with it was sent to the table.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -219,6 +219,7 @@
   4: bool reached = false // of a read
   5: bool more = false
   6: string reason
+  7: bool invalid = false // of a commit that is refused: the table never takes it
 }
 
 // A row that an entry has written and the job's owner must know.
--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -1,5 +1,7 @@
 // Writes changed jobs to the table: the rows are batched by part of the cell, and what depends on a write (starts,
 // confirmations to workers, news to other cells) follows once the table has applied it.
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "flow_cell_p.h"
@@ -14,7 +16,38 @@
 
 namespace {
 
-constexpr std::size_t own_entries = 3; // of a transaction, for each job: the check, its row, its index row
+// What a transaction takes of the table's limits.
+struct transaction_size {
+    std::size_t entries = 0;
+    std::size_t bytes = 0;
+
+    friend transaction_size operator+(const transaction_size& a, const transaction_size& b)
+    {
+        return {a.entries + b.entries, a.bytes + b.bytes};
+    }
+};
+
+bool fits(const transaction_size& size)
+{
+    return size.entries <= max_commit_entries && size.bytes <= max_commit_bytes;
+}
+
+transaction_size size_of(const store_transaction& t)
+{
+    transaction_size size;
+    const auto add = [&size](const store_key& key, std::size_t value_bytes) {
+        const std::size_t in_base64 = (value_bytes + 2) / 3 * 4;
+        const std::size_t key_bytes = key.table.size() + key.part.size() + key.key.size();
+        size = size + transaction_size{1, entry_names_bytes + key_bytes + in_base64};
+    };
+    for (const store_check& check : t.checks) {
+        add(check.key, 0);
+    }
+    for (const store_put& put : t.puts) {
+        add(put.key, put.value.size());
+    }
+    return size;
+}
 
 } // namespace
 
@@ -39,17 +72,19 @@
     }
 }
 
-// Returns the jobs whose rows are written in the next transaction: those that have had unwritten changes for longest.
-std::vector<job_id> flow_cell::pick_rows_to_commit(const part_state& state)
+// Returns the jobs whose rows are to be written, those that have had unwritten changes for longest first.
+std::vector<job_id> flow_cell::pick_rows_to_commit(instant now, const part_state& state) const
 {
     std::vector<std::pair<instant, job_id>> oldest_first;
     oldest_first.reserve(state.dirty.size());
     for (const auto& [id, since] : state.dirty) {
-        oldest_first.emplace_back(since, id);
+        if (!jobs_.at(id)->is_unwritable(now)) {
+            oldest_first.emplace_back(since, id);
+        }
     }
     std::sort(oldest_first.begin(), oldest_first.end());
-    oldest_first.resize(std::min(oldest_first.size(), max_commit_rows));
     std::vector<job_id> rows;
+    rows.reserve(oldest_first.size());
     std::transform(oldest_first.begin(), oldest_first.end(), std::back_inserter(rows),
                    [](const auto& row) { return row.second; });
     return rows;
@@ -94,18 +129,22 @@
     if (state.in_flight || !state.fence) {
         return; // the next commit follows when the pending answer arrives
     }
-    const std::vector<job_id> jobs = pick_rows_to_commit(state);
-    if (!jobs.empty()) {
-        send_rows(part, jobs);
+    if (send_rows(now, part)) {
+        return;
     }
-    else if (!state.removable.empty() && state.removals_due <= now) {
+    if (!state.removable.empty() && state.removals_due <= now) {
         send_removals(now, part);
     }
+    if (!state.dirty.empty()) {
+        commit_soon(now, part, unwritable_retry);
+    }
 }
 
-flow_cell::committed_row flow_cell::row_of(const flow_job& job) const
+flow_cell::committed_row flow_cell::row_of(flow_job& job) const
 {
-    committed_row row{job.id(), job.changes(), job.current_row(), job.cells_to_notify()};
+    committed_row row{job.id(), job.changes(), job.current_row(), job.cells_to_notify(), ""};
+    row.bytes = encode_compact(row.row);
+    job.note_row_bytes(row.bytes.size());
     if (row.told.size() > max_cells_notified) {
         edges_.note(log_level::error, "job", "in_too_many_cells",
                     {{"job", job.id().str()}, {"cells", std::to_string(row.told.size())}});
@@ -114,35 +153,55 @@
     return row;
 }
 
-// Adds the job's row, the news for other cells and the index row that callers read. All are applied in one transaction
-// or not at all.
-void flow_cell::add_row(store_transaction& t, const flow_job& job, const committed_row& row) const
+// The job's row, the news for other cells and the index row that callers read. All are applied in one transaction or
+// not at all.
+store_transaction flow_cell::entries_of(const flow_job& job, const committed_row& row) const
 {
+    store_transaction t;
     const store_key own = job_row_key(own_row(id_, job.id()));
     t.checks.push_back({own, job.version()});
-    t.puts.push_back({own, encode_compact(row.row)});
+    t.puts.push_back({own, row.bytes});
     for (const cell_id& cell : row.told) {
         t.puts.push_back({job_row_key({cell, job.id(), id_.str()}), encode_compact(row.news_for(cell))});
     }
     if (job.is_home_cell() && job.index_changed()) {
         t.puts.push_back({index_key(job.id()), encode_compact(job.index_row())});
     }
+    return t;
 }
 
-void flow_cell::send_rows(const std::string& part, const std::vector<job_id>& ids)
+// Sends the rows of the jobs that have waited longest, as many as one transaction takes.
+bool flow_cell::send_rows(instant now, const std::string& part)
 {
     part_state& state = parts_[part];
     store_transaction t;
     t.checks.push_back({fence_key(id_, part), *state.fence});
+    transaction_size size = size_of(t);
     std::vector<committed_row> rows;
-    for (const job_id& id : ids) {
-        const flow_job& job = *jobs_.at(id);
+    for (const job_id& id : pick_rows_to_commit(now, state)) {
+        flow_job& job = *jobs_.at(id);
         committed_row row = row_of(job);
-        if (!rows.empty() && t.checks.size() + t.puts.size() + row.told.size() + own_entries > max_commit_entries) {
+        store_transaction entries = entries_of(job, row);
+        const transaction_size added = size_of(entries);
+        if (row.bytes.size() > row_bytes_most_ || added.bytes > max_commit_bytes) {
+            leave_unwritten(now, job, fmt::format("row of {} bytes, {} with news", row.bytes.size(), added.bytes));
+            continue;
+        }
+        const bool alone = state.sent_alone.count(id) != 0;
+        if (!rows.empty() && (alone || !fits(size + added))) {
             break;
         }
-        add_row(t, job, row);
+        size = size + added;
+        std::move(entries.checks.begin(), entries.checks.end(), std::back_inserter(t.checks));
+        std::move(entries.puts.begin(), entries.puts.end(), std::back_inserter(t.puts));
+        job.note_sent(row.changes);
         rows.push_back(std::move(row));
+        if (alone || rows.size() == max_commit_rows) {
+            break;
+        }
+    }
+    if (rows.empty()) {
+        return false;
     }
     ++stats_.commits;
     state.in_flight = true;
@@ -153,6 +212,36 @@
             on_committed(then, part, rows, result);
         }
     });
+    return true;
+}
+
+// Failure: a job's row is larger than the table takes. Symptom: the table refuses each transaction with it, and since
+// the row is the one that has waited longest, no other job of the part is written any more. So such a row is in no
+// transaction before it has become smaller, and starts that wait for it are given up.
+void flow_cell::leave_unwritten(instant now, flow_job& job, const std::string& reason)
+{
+    if (!job.lacks_row_room()) {
+        edges_.note(log_level::error, "job", "row_too_large",
+                    {{"job", job.id().str()},
+                     {"cell", id_.str()},
+                     {"reason", reason},
+                     {"bytes_most", std::to_string(row_bytes_most_)}});
+    }
+    job.note_unwritable(now);
+    withdraw_unsent_starts(now, job);
+}
+
+// The limits of the table may be lower than those that are known here.
+void flow_cell::isolate_refused_rows(instant now, part_state& state, const std::vector<committed_row>& rows,
+                                     const std::string& reason)
+{
+    for (const committed_row& row : rows) {
+        state.sent_alone.insert(row.job);
+    }
+    const auto found = jobs_.find(rows.front().job);
+    if (rows.size() == 1 && found != jobs_.end()) {
+        leave_unwritten(now, *found->second, reason);
+    }
 }
 
 void flow_cell::schedule_row_removal(instant now, const job_id& id, std::vector<store_key> keys)
@@ -196,6 +285,7 @@
     case table_outcome::applied:
         state.backoff = duration(0);
         for (const committed_row& row : rows) {
+            state.sent_alone.erase(row.job);
             on_row_in_force(now, row, result.version);
         }
         confirm_all(now);
@@ -236,6 +326,9 @@
         state.no_commit_before = now + state.backoff;
         ++stats_.commits_failed;
         edges_.note(log_level::warning, "table", "commit_failed", {{"part", part}, {"reason", result.reason}});
+        if (result.invalid) {
+            isolate_refused_rows(now, state, rows, result.reason);
+        }
         break;
     }
     if (result.outcome == table_outcome::unknown) {
@@ -259,6 +352,9 @@
         return;
     }
     flow_job& job = *found->second;
+    if (job.lacks_row_room()) {
+        edges_.note(log_level::info, "job", "row_fits_again", {{"job", row.job.str()}, {"cell", id_.str()}});
+    }
     job.mark_written(row.changes, version);
     if (job.dirty()) {
         state.dirty[row.job] = now; // changed since it was sent
@@ -287,7 +383,7 @@
     }
     std::optional<committed_row> written;
     for (const committed_row& row : tries->second) {
-        if (encode_compact(row.row) == found.value) {
+        if (row.bytes == found.value) {
             written = written.value_or(row);
             // Any of the equal tries may be the one that was applied, so the cells of all of them are notified.
             std::set<cell_id> told(written->told.begin(), written->told.end());
@@ -347,6 +443,11 @@
         t.checks.push_back({key, existing == rows->end() ? row_version(0) : existing->version});
         t.puts.push_back({key, encode_compact(late_ends)});
         edges_.commit(std::move(t), [this, name, retry, late_ends](instant now, const store_result& result) {
+            if (result.invalid) {
+                edges_.note(log_level::error, "job", "ends_too_large",
+                            {{"job", name.job.str()}, {"cell", id_.str()}, {"reason", result.reason}});
+                return;
+            }
             if (result.outcome != table_outcome::applied) {
                 const bool conflict = result.outcome == table_outcome::conflict;
                 edges_.after(conflict ? commit_retry : commit_retry_max, retry);
--- a/src/flow_cell_log.cpp
+++ b/src/flow_cell_log.cpp
@@ -14,8 +14,9 @@
 
 const char* name_of(task_wait_reason reason)
 {
-    constexpr std::array names{"not_received", "may_still_run",      "owner_silent", "workers_not_listed",
-                               "evacuated",    "evacuation_unknown", "no_worker",    "no_room"};
+    constexpr std::array names{"not_received",       "may_still_run", "owner_silent",
+                               "workers_not_listed", "evacuated",     "evacuation_unknown",
+                               "no_worker",          "no_room",       "row_full"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -43,6 +44,9 @@
         return {task_wait_reason::may_still_run, worker_id(task.start.worker)};
     }
     const flow_step& step = job.step(stage);
+    if (persists_starts(step) && !has_room_for_start(job, 0)) {
+        return {task_wait_reason::row_full, worker_id()};
+    }
     const bool schedulable = std::any_of(workers_.begin(), workers_.end(), [&](const auto& w) {
         return is_open_to(now, w.second, job.row().service_name, step);
     });
--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -23,8 +23,13 @@
 
 } // namespace
 
-flow_cell::flow_cell(cell_id id, entry_identity self, const flow_edges& edges, flow_cell_hooks hooks)
-    : id_(std::move(id)), self_(std::move(self)), edges_(edges), hooks_(std::move(hooks))
+flow_cell::flow_cell(cell_id id, entry_identity self, const flow_edges& edges, flow_cell_hooks hooks,
+                     std::size_t row_bytes_most)
+    : id_(std::move(id)),
+      self_(std::move(self)),
+      edges_(edges),
+      hooks_(std::move(hooks)),
+      row_bytes_most_(row_bytes_most)
 {}
 
 // Whether this owner may send commands to workers. An owner that was suspended, or whose renewals the table refuses,
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -107,6 +107,7 @@
     evacuation_unknown, // whether it is evacuated is not known
     no_worker,          // no worker with its service and label accepts starts
     no_room,            // no worker has enough free resources
+    row_full,           // its start cannot be recorded, as the job's row has no room for it
 };
 
 // This entry as a candidate for taking the cell over, and what is known of the current owner.
@@ -124,7 +125,9 @@
     // taking: a takeover is being written. reading: owned, the job rows are being read. released: given up on a stop.
     enum class role : std::uint8_t { watching, taking, reading, owning, released };
 
-    flow_cell(cell_id id, entry_identity self, const flow_edges& edges, flow_cell_hooks hooks);
+    // `row_bytes_most`: what the table takes as the value of one row.
+    flow_cell(cell_id id, entry_identity self, const flow_edges& edges, flow_cell_hooks hooks,
+              std::size_t row_bytes_most);
     flow_cell(const flow_cell&) = delete;
     flow_cell& operator=(const flow_cell&) = delete;
 
@@ -313,6 +316,7 @@
         std::uint64_t changes = 0; // change count of the job that the row includes
         wire::flow_job_row row;
         std::vector<cell_id> told; // the cells for which the same write has news
+        std::string bytes;         // of the row
 
         // The owner of the job's home cell knows the specification of the job; other owners may not know the job yet.
         wire::flow_job_row news_for(const cell_id& cell) const
@@ -333,7 +337,8 @@
         std::map<job_id, std::vector<store_key>> removable; // rows of jobs that have ended
         instant removals_due{};
         std::map<job_id, std::vector<committed_row>> unanswered; // rows that may be in the table
-        bool in_flight = false;                                  // a write is under way
+        std::set<job_id> sent_alone; // jobs of a write that the table never takes, until their rows are written
+        bool in_flight = false;      // a write is under way
         duration backoff{0};
 
         bool is_settled() const { return dirty.empty() && !in_flight; }
@@ -515,6 +520,8 @@
     // Writes a start record; send_recorded_starts() sends the start once the record is written.
     void record_then_start(instant now, flow_job& job, const flow_task_id& task, live_run& live);
     void send_recorded_starts(instant now, flow_job& job);
+    bool has_room_for_start(const flow_job& job, std::size_t chosen) const;
+    void withdraw_unsent_starts(instant now, flow_job& job);
     // Drops runs whose start was recorded but not sent.
     void drop_unsent(instant now, const flow_task& task, const flow_task_id& id);
 
@@ -667,10 +674,16 @@
     // flow_cell_commit.cpp
     // Schedules a commit of the part's changes after `wait`.
     void commit_soon(instant now, const std::string& part, duration wait);
-    static std::vector<job_id> pick_rows_to_commit(const part_state& state);
-    void send_rows(const std::string& part, const std::vector<job_id>& ids);
-    committed_row row_of(const flow_job& job) const;
-    void add_row(store_transaction& t, const flow_job& job, const committed_row& row) const;
+    std::vector<job_id> pick_rows_to_commit(instant now, const part_state& state) const;
+    // Returns false if there was no row to send.
+    bool send_rows(instant now, const std::string& part);
+    committed_row row_of(flow_job& job) const;
+    store_transaction entries_of(const flow_job& job, const committed_row& row) const;
+    // Leaves a row that the table does not take out of the writes, so that it does not stop those of other jobs.
+    void leave_unwritten(instant now, flow_job& job, const std::string& reason);
+    // Finds out which of the rows makes the table refuse them all.
+    void isolate_refused_rows(instant now, part_state& state, const std::vector<committed_row>& rows,
+                              const std::string& reason);
     void send_removals(instant now, const std::string& part);
     // Removes jobs without unwritten changes from state.dirty.
     void drop_written_jobs(instant now, part_state& state);
@@ -734,6 +747,7 @@
     entry_identity self_;
     const flow_edges& edges_;
     flow_cell_hooks hooks_;
+    std::size_t row_bytes_most_;
 
     role role_ = role::watching;
     wire::flow_cell_row row_;
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -270,6 +270,10 @@
         const rack_id near = step.same_rack && !chosen.empty() ? chosen.front().second->listing.rack : rack_id();
         const duration patience = step.filling && chosen.empty() ? patience_of(now, job, task) : fill_interference_wait;
         const bool dedicated = needs_dedicated_worker(now, step, task);
+        const bool recorded = persists_starts(step) || (dedicated && !step.gang);
+        if (recorded && !has_room_for_start(job, chosen.size())) {
+            continue;
+        }
         const flow_task_id id = job.task_id(stage, i);
         cell_worker* w = dedicated ? choose_dedicated(now, job, stage, id) : redeem_promise(now, job, id);
         if (w == nullptr && dedicated && !step.gang) {
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -795,6 +795,7 @@
     part_state& state = parts_[job_part(id)];
     state.dirty.erase(id);
     state.unanswered.erase(id);
+    state.sent_alone.erase(id);
     jobs_.erase(found);
     recently_ended_jobs_[id] = now;
 }
--- a/src/flow_cell_start_records.cpp
+++ b/src/flow_cell_start_records.cpp
@@ -49,6 +49,36 @@
     mark_job_dirty(now, job, true);
 }
 
+// Whether the job's row has room for the records of one more start and of `chosen` others, which are about to be made.
+// Without room the task waits until the row is written and its size known, or another task of the job is done.
+bool flow_cell::has_room_for_start(const flow_job& job, std::size_t chosen) const
+{
+    return !job.lacks_row_room() && job.row_bytes() + (chosen + 1) * flow_limits::start_record_bytes <= row_bytes_most_;
+}
+
+// Gives up the starts whose records cannot be written, so that their resources are free for other jobs. Their tasks
+// wait until the row has room.
+void flow_cell::withdraw_unsent_starts(instant now, flow_job& job)
+{
+    std::vector<std::pair<flow_task_id, live_run>> unsent;
+    for (const flow_stage& stage : job.stages()) {
+        for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
+            for (const live_run& live : stage.tasks[i].runs) {
+                if (live.noted != 0) {
+                    unsent.emplace_back(job.task_id(stage, i), live);
+                }
+            }
+        }
+    }
+    for (const auto& [task, live] : unsent) {
+        const run_lookup run = look_up_run(live.worker, task, live.run);
+        if (run.worker != nullptr) {
+            drop_run(now, *run.worker, task, live.run);
+            job.withdraw_start(task, live);
+        }
+    }
+}
+
 // Sends the starts whose records the table has applied. While the write was under way the worker may have begun to
 // drain, its data centre may have been evacuated, or this owner may have lost the right to send orders: the task is
 // then placed again.
--- a/src/flow_cells.cpp
+++ b/src/flow_cells.cpp
@@ -91,7 +91,8 @@
 {
     auto& cell = cells_[id];
     if (!cell) {
-        cell = std::make_unique<flow_cell>(id, self_, edges_, make_hooks(data_centre));
+        cell = std::make_unique<flow_cell>(id, self_, edges_, make_hooks(data_centre),
+                                           static_cast<std::size_t>(bounds_.row_bytes));
         cell_places_[id] = data_centre;
         next_ranks_ = instant{};
     }
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -561,10 +561,21 @@
         start.born = worker.born.value();
         start.run = run.value();
         ++changes_;
+        ++starts_since_;
         mark_started();
     }
 }
 
+// An earlier run of the task has certainly ended, or the start would not have been recorded.
+void flow_job::withdraw_start(const flow_task_id& task, const live_run& live)
+{
+    wire::flow_start_row& start = find_task(task)->start;
+    if (live.noted > sent_ && start.run == live.run.value()) {
+        start = {};
+        ++changes_;
+    }
+}
+
 void flow_job::note_run_ended(const flow_task_id& task, run_number run)
 {
     wire::flow_start_row& start = find_task(task)->start;
@@ -670,6 +681,18 @@
 {
     written_ = std::max(written_, changes);
     note_version(version);
+    unwritable_.reset();
+}
+
+void flow_job::note_row_bytes(std::size_t bytes)
+{
+    row_bytes_ = bytes;
+    starts_since_ = 0;
+}
+
+bool flow_job::is_unwritable(instant now) const
+{
+    return unwritable_ && unwritable_->changes == changes_ && now - unwritable_->found < flow_limits::unwritable_retry;
 }
 
 wire::flow_job_row flow_job::current_row() const
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "flow_limits_p.h"
 #include "flow_occurrences_p.h"
 #include "flow_row_p.h"
 
@@ -202,8 +203,22 @@
     std::uint64_t changes() const { return changes_; }
     std::uint64_t written() const { return written_; }
     void mark_written(std::uint64_t changes, row_version version);
+    // A write with the changes up to this one was sent to the table.
+    void note_sent(std::uint64_t changes) { sent_ = std::max(sent_, changes); }
+    // Forgets the record of a start that was not sent, unless a write with it may be in the table.
+    void withdraw_start(const flow_task_id& task, const live_run& live);
     // The row to be written for `here`.
     wire::flow_job_row current_row() const;
+
+    // --- size of the row ---
+    // Size of the row as it was last encoded, with what the starts recorded since may add.
+    std::size_t row_bytes() const { return row_bytes_ + starts_since_ * flow_limits::start_record_bytes; }
+    void note_row_bytes(std::size_t bytes);
+    // The row is larger than the table takes. It is not written before the job changes or some time has passed.
+    void note_unwritable(instant now) { unwritable_ = unwritable_row{changes_, now}; }
+    bool is_unwritable(instant now) const;
+    // The row was last found to be larger than the table takes.
+    bool lacks_row_room() const { return unwritable_.has_value(); }
     // The state that is shown to callers.
     wire::flow_job_row index_row() const;
 
@@ -248,6 +263,14 @@
     std::uint64_t notify_all_change_ = 0;                  // a cancel, the outcome, or a move of gang members
     std::uint64_t index_changed_ = 0;
     std::uint64_t received_ = 0; // value of changes_ when a task last arrived from another cell
+    std::uint64_t sent_ = 0;     // changes in the newest write that was sent
+    std::size_t row_bytes_ = 0;
+    std::size_t starts_since_ = 0; // recorded since row_bytes_ was found
+    struct unwritable_row {
+        std::uint64_t changes = 0;
+        instant found{};
+    };
+    std::optional<unwritable_row> unwritable_;
 };
 
 } // namespace skylarkhub
--- a/src/flow_relay.cpp
+++ b/src/flow_relay.cpp
@@ -103,6 +103,7 @@
     out.version = result.version.value();
     out.rows = wire_rows(result.rows);
     out.reason = result.reason;
+    out.invalid = result.invalid;
     wire::flow_message message;
     message.__set_relayed(out);
     return message;
@@ -215,6 +216,7 @@
                                  result.version = row_version(answer->relayed.version);
                                  result.rows = rows_of(answer->relayed.rows);
                                  result.reason = answer->relayed.reason;
+                                 result.invalid = answer->relayed.invalid;
                              }
                              done(then, result);
                          });
--- a/src/flow_types_p.h
+++ b/src/flow_types_p.h
@@ -277,6 +277,7 @@
     row_version version;         // of the rows that the transaction wrote
     std::vector<store_row> rows; // after a conflict: current values of the checked rows
     std::string reason;
+    bool invalid = false; // refused for what it holds: the table never takes it as it is
 };
 struct store_range {
     std::string table;
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -759,9 +759,44 @@
 
 // --- the table ---
 
+std::string flow_simulation::find_excess(const store_transaction& t) const
+{
+    constexpr std::size_t transaction_bytes_most = 1'000'000;
+    constexpr std::size_t transaction_entries_most = 100;
+    constexpr std::size_t field_names_bytes = 64; // of one entry in JSON
+    std::size_t bytes = 0;
+    const auto add_entry = [&bytes](const store_key& key) {
+        bytes += field_names_bytes + key.table.size() + key.part.size() + key.key.size();
+    };
+    for (const store_check& check : t.checks) {
+        add_entry(check.key);
+    }
+    for (const store_put& put : t.puts) {
+        if (put.value.size() > options_.table_row_bytes) {
+            return fmt::format("row {} has {} bytes", put.key.key, put.value.size());
+        }
+        add_entry(put.key);
+        bytes += (put.value.size() + 2) / 3 * 4; // in base64
+    }
+    for (const store_key& key : t.removes) {
+        add_entry(key);
+    }
+    const std::size_t entries = t.checks.size() + t.puts.size() + t.removes.size();
+    return bytes > transaction_bytes_most || entries > transaction_entries_most
+               ? fmt::format("{} entries with {} bytes", entries, bytes)
+               : "";
+}
+
 store_result flow_simulation::apply(const store_transaction& t)
 {
     store_result result;
+    result.reason = find_excess(t);
+    if (!result.reason.empty()) {
+        result.outcome = table_outcome::refused;
+        result.invalid = true;
+        ++writes_too_large_;
+        return result;
+    }
     for (const store_check& check : t.checks) {
         const auto at = rows_.find(check.key);
         const row_version there = at == rows_.end() ? row_version(0) : at->second.version;
@@ -870,16 +905,20 @@
 
 store_page flow_simulation::read(const store_range& range)
 {
+    constexpr std::size_t page_bytes_most = 700'000; // 1 MB in base64 less the last row
+    std::size_t bytes = 0;
     store_page page;
     page.reached = true;
     page.version = row_version(version_);
     for (const auto& [key, row] : rows_) {
         if (key.table == range.table && key.part == range.part && key.key >= range.from &&
             (range.to.empty() || key.key < range.to)) {
-            if (range.rows_most > 0 && page.rows.size() == static_cast<std::size_t>(range.rows_most)) {
+            const bool full = range.rows_most > 0 && page.rows.size() == static_cast<std::size_t>(range.rows_most);
+            if (full || bytes > page_bytes_most) {
                 page.more = true;
                 break;
             }
+            bytes += row.value.size();
             page.rows.push_back({key, row.value, row.version, false});
         }
     }
--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -82,6 +82,7 @@
         std::vector<double> cores; // per entry of a data centre, repeated; empty: 1 each
         std::int64_t worker_cpu_millis = 16000;
         caller_bounds bounds;
+        std::size_t table_row_bytes = 65'536; // the table refuses transactions with a larger row
         duration table_latency = std::chrono::milliseconds(8);
         duration network_latency = std::chrono::milliseconds(2);
         // The most ends that a worker lists in one answer; 0: all.
@@ -285,6 +286,8 @@
     std::int64_t job_writes() const { return job_writes_; }
     // Number of owners' job transactions that the table refused because a row had another version than expected.
     std::int64_t job_write_conflicts() const { return job_writes_refused_; }
+    // Number of transactions that the table refused as too large, as a whole or for one of their rows.
+    std::int64_t writes_too_large() const { return writes_too_large_; }
     // Number of job and news rows that entries have read, except by watches.
     std::int64_t job_rows_read() const { return job_rows_read_; }
 
@@ -353,6 +356,8 @@
     void give_up_stalled(int entry, const std::function<bool()>& over, const std::function<void()>& give_up);
     template <class Answer, class Done>
     void read_over_link(int entry, const store_range& range, const Answer& answer, const Done& done);
+    // Returns what of the transaction is more than the table takes; empty: nothing.
+    std::string find_excess(const store_transaction& t) const;
     store_result apply(const store_transaction& t);
     store_page read(const store_range& range);
     // Returns the changes of a table, as the platform's feed shows them.
@@ -454,6 +459,7 @@
     flow_worker_list foreign_;
     std::int64_t job_writes_ = 0;
     std::int64_t job_writes_refused_ = 0;
+    std::int64_t writes_too_large_ = 0;
     std::int64_t job_rows_read_ = 0;
     std::map<std::string, std::int64_t> logged_;
     std::map<std::string, std::int64_t> starts_;
