flow: the row of a job with thousands of tasks is packed, so that it fits into a row of the table

Cause: the row told each start with the name of the worker and some 20 bytes more, and each checkpoint in full, so that it outgrew row-bytes with the number of tasks.

Change (flow_row_pack): a row of up to half of row-bytes stays as it is. Beyond that, until it is so small, starts are packed, then failed and outlived runs, then homes: which tasks have one, and for each its place in a table of the values that there are, in as many bits as the table needs. Checkpoints are left out last and only if the row would still be beyond row-bytes; those of a gang all at once, as its members resume from one checkpoint. Both forms are read. A packed row tells an earlier release that its starts are not noted, so such an owner waits for the reports of its workers. News for other cells and ends that a superseded owner leaves go through the same function.

An owner of an earlier release may start a task again that a packed row says is in another cell; rows beyond half of row-bytes only.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -35,6 +35,37 @@
   3: i64 born = 0 // of the worker's life that it was sent to; 0: not told
 }
 
+// Packed fields hold what the plain ones of the same name do, in rows that would otherwise be larger than the table takes;
+// of the two, a row has one. They are written and read in flow_row_pack.cpp.
+
+// A sequence of numbers: for each its place in `values`, in as many bits as the last place takes.
+struct flow_packed_column {
+  1: list<i64> values // ascending
+  2: binary places
+}
+
+struct flow_packed_starts {
+  1: binary tasks // bit per task
+  2: flow_packed_column lives // places in flow_job_row::lives
+  3: flow_packed_column runs
+}
+
+struct flow_packed_homes {
+  1: binary tasks // bit per task
+  2: flow_packed_column homes // places in flow_job_row::homes
+}
+
+struct flow_packed_runs {
+  1: binary tasks // bit per task
+  2: flow_packed_column counts // of the task's runs
+  3: flow_packed_column runs // of all tasks in turn
+}
+
+struct flow_worker_life {
+  1: string worker
+  2: i64 born = 0
+}
+
 // What is certain about the tasks of one step in one occurrence. Facts are only ever added.
 struct flow_stage_row {
   1: i32 occurrence = 0
@@ -46,6 +77,10 @@
   9: map<i32, flow_start_row> starts  // of a step whose starts are noted, or of a task that is started alone
   10: map<i32, list<peer.crash_row>> crashes
   11: map<i32, i64> outlived // task -> a run that lived long or ended by itself: crashes up to it no longer count
+  12: optional flow_packed_starts packed_starts
+  13: optional flow_packed_homes packed_homes
+  14: optional flow_packed_runs packed_failed_runs
+  15: optional flow_packed_runs packed_outlived
 }
 
 // Occurrences of a job all of whose tasks are done.
@@ -82,6 +117,10 @@
   21: bool starts_noted = false // by whoever has written the row: a task without a note was never started
   22: bool begun = false      // a worker has taken a task
   23: list<flow_occurrence_span> finished // ascending; `stages` need not tell of them
+  24: list<flow_worker_life> lives // in packed starts
+  25: list<flow_home_row> homes    // in packed homes
+  // `starts_noted` of a row with packed starts, which earlier releases do not read: to them it says false.
+  26: bool packed_starts_noted = false
 }
 
 // In flow-cell-jobs, CELL/!fence: every write of the cell's owner is checked against it, so that none comes into force once a
--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -6,6 +6,7 @@
 
 #include "flow_cell_p.h"
 #include "flow_limits_p.h"
+#include "flow_row_pack_p.h"
 #include "flow_row_read_p.h"
 #include "log_line_p.h"
 #include "row_codec_p.h"
@@ -143,7 +144,7 @@
 flow_cell::committed_row flow_cell::row_of(flow_job& job) const
 {
     committed_row row{job.id(), job.changes(), job.current_row(), job.cells_to_notify(), ""};
-    row.bytes = encode_compact(row.row);
+    row.bytes = encode_job_row(row.row, row_bytes_most_);
     job.note_row_bytes(row.bytes.size());
     if (row.told.size() > max_cells_notified) {
         edges_.note(log_level::error, "job", "in_too_many_cells",
@@ -162,7 +163,8 @@
     t.checks.push_back({own, job.version()});
     t.puts.push_back({own, row.bytes});
     for (const cell_id& cell : row.told) {
-        t.puts.push_back({job_row_key({cell, job.id(), id_.str()}), encode_compact(row.news_for(cell))});
+        t.puts.push_back(
+            {job_row_key({cell, job.id(), id_.str()}), encode_job_row(row.news_for(cell), row_bytes_most_)});
     }
     if (job.is_home_cell() && job.index_changed()) {
         t.puts.push_back({index_key(job.id()), encode_compact(job.index_row())});
@@ -441,7 +443,7 @@
         const wire::flow_job_row late_ends = without_spec(stored->current_row());
         store_transaction t;
         t.checks.push_back({key, existing == rows->end() ? row_version(0) : existing->version});
-        t.puts.push_back({key, encode_compact(late_ends)});
+        t.puts.push_back({key, encode_job_row(late_ends, row_bytes_most_)});
         edges_.commit(std::move(t), [this, name, retry, late_ends](instant now, const store_result& result) {
             if (result.invalid) {
                 edges_.note(log_level::error, "job", "ends_too_large",
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -84,9 +84,9 @@
     96; // checks, writes and removals per transaction; the store accepts 100 and 1 MB
 // Of a transaction as JSON, with its values in base64; the store accepts 1 MB.
 inline constexpr std::size_t max_commit_bytes = 900'000;
-inline constexpr std::size_t entry_names_bytes = 96;  // of the names of the fields of one entry
-inline constexpr std::size_t start_record_bytes = 48; // that the record of one start adds to a row, as an estimate
-inline constexpr duration unwritable_retry = 10s;     // of a row that the store does not take
+inline constexpr std::size_t entry_names_bytes = 96; // of the names of the fields of one entry
+inline constexpr std::size_t start_record_bytes = 4; // that the record of one start adds to a packed row at most
+inline constexpr duration unwritable_retry = 10s;    // of a row that the store does not take
 // Bounds the cells of one job so that one transaction can notify all of them of its end, even if two cells have handed
 // tasks to cells that the first one does not know of.
 inline constexpr std::size_t max_cells_per_job = 40;
--- a/src/flow_row_read_p.h
+++ b/src/flow_row_read_p.h
@@ -3,10 +3,12 @@
 
 #include <optional>
 #include <string>
+#include <type_traits>
 #include <vector>
 
 #include "flow_edges_p.h"
 #include "flow_row_p.h"
+#include "flow_row_pack_p.h"
 #include "row_codec_p.h"
 
 namespace skylarkhub {
@@ -17,6 +19,12 @@
 {
     std::string reason;
     auto decoded = decode_compact<Row>(row.value, &reason);
+    if constexpr (std::is_same_v<Row, wire::flow_job_row>) {
+        if (decoded && !unpack_job_row(*decoded)) {
+            decoded.reset();
+            reason = "packed fields contradict each other";
+        }
+    }
     if (!decoded) {
         edges.note(log_level::error, "row", "unreadable",
                    {{"table", row.key.table},
