flow: tests of a job that runs in part, and of a refusal that is for good

A job that has no room in its row for all starts is taken over by another owner and cancelled; a status 400 or 413 of the table is told apart from 429.

--- a/tests/test_flow_large_jobs.cpp
+++ b/tests/test_flow_large_jobs.cpp
@@ -254,6 +254,31 @@
     BOOST_TEST(w.count_running_tasks(large) > 0);
 }
 
+// Guards against a job that runs in part, since its row has no room for more, and that cannot be cancelled or is run
+// twice by the owner that follows.
+BOOST_AUTO_TEST_CASE(a_job_that_runs_in_part_is_taken_over_and_cancelled)
+{
+    flow_simulation::options site = wide_site();
+    site.table_row_bytes = site.bounds.row_bytes = 1'000;
+    flow_simulation w(site);
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, large, small_tasks(lasting_spec(2'000))) == caller_result::accepted);
+    w.run_for(3s);
+    const std::int64_t running = w.count_running_tasks(large);
+    BOOST_TEST(running > 0);
+    const int owner = owner_of(w, "a", 2);
+    w.kill_entry(owner);
+    w.run_for(1s);
+    w.start_entry(owner);
+    w.run_for(20s);
+    BOOST_TEST(w.count_running_tasks(large) >= running);
+    BOOST_TEST((w.cancel(1 - owner, large) == caller_result::cancelled));
+    BOOST_TEST(w.run_until([&] { return w.stored_outcome(large) == 3; }, 20s));
+    BOOST_TEST(w.count_all_running_tasks() == 0);
+    BOOST_TEST(w.writes_too_large() == 0);
+    check_no_violations(w);
+}
+
 // Guards against the same where the table takes less than the entries were told.
 BOOST_AUTO_TEST_CASE(a_row_that_the_table_refuses_for_its_size_does_not_stop_the_others_of_its_part)
 {
--- a/tests/test_flow_wire.cpp
+++ b/tests/test_flow_wire.cpp
@@ -62,6 +62,11 @@
     BOOST_TEST((read_commit(lost).outcome == table_outcome::refused));
     BOOST_TEST((read_commit(answered(503, "")).outcome == table_outcome::refused));
     BOOST_TEST((read_commit(answered(429, "")).outcome == table_outcome::refused));
+    BOOST_TEST(!read_commit(answered(429, "")).invalid);
+    for (const int too_large : {400, 413}) {
+        BOOST_TEST((read_commit(answered(too_large, "")).outcome == table_outcome::refused));
+        BOOST_TEST(read_commit(answered(too_large, "")).invalid);
+    }
     const store_result applied = read_commit(answered(200, R"({"schema-version":412,"now-ms":1})"));
     BOOST_TEST((applied.outcome == table_outcome::applied));
     BOOST_TEST(applied.version.value() == 412);
