flow: an owner's list of workers has an age, and a peer tells it a younger one

What callers saw: of an entry that is cut off from the table, nothing; it goes on through a peer.

Cause: rows go through a peer while the table does not answer (flow_entry::read and commit); the list of workers was read by a call of its own that knows only the table. A read that failed left the list as it was, and nothing told its age.

The change: the newest list is kept with the time at which it was certainly the present one (known_workers). An owner whose list is older than 2 s, whatever keeps its own reads from being answered, asks a peer, owners first, and is told the peer's list with its age if that is younger. Without one younger than 4 s it starts nothing and promises no place, as for evacuations that are not known, unless no entry has had an answer of the table for 2.5 s; then work goes on by the newest list. Decisions that are no starts go by the newest list (docs/design-platform.md, 15). After a read without an answer an owner reads again after 0.5 s instead of 1 s. list_workers and its neighbours moved from flow_cells.cpp to flow_entry_workers.cpp.

Why it holds: a list is dated by when it was asked for, less the age that the peer tells, so it is never taken for newer than it is; of two lists the one that was read later is in force; and every start asks for the permission that the age is part of.

Elsewhere: configuration and evacuations come with hellos and pieces, news by reads of the cells, cells' rows, layouts and entries by the relay. Of the calls that only the table answers, the list was the last without a way through peers. Open: relayed reads lose rows_most, so pages of a cell's rows that come through a peer hold up to 500 rows instead of 100.

Ruled out: the raw rows through the relay. They are larger, and each relayed read makes the peer read the list anew.

The simulation's reads of the list that are not answered now take the time-out of other reads, 1.5 s instead of 0.1 s.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -265,6 +265,28 @@
   2: i64 epoch = 0   // of the cell's owner
 }
 
+// Asks for the platform's list of workers, if the receiver has a newer one than the sender.
+struct flow_worker_list_ask {
+  1: i64 age_ms = 0 // of the sender's list
+}
+struct flow_listed_worker_row {
+  1: string worker
+  2: string address
+  3: string data_centre
+  4: string service_name
+  5: i64 cpu_millis = 0
+  6: i64 memory_mib = 0
+  7: i32 accelerators = 0
+  8: list<string> labels
+  9: string rack
+  10: bool draining = false
+  11: i64 born = 0
+}
+struct flow_worker_list_row {
+  1: i64 age_ms = 0 // since the list was certainly the present one
+  2: list<flow_listed_worker_row> workers
+}
+
 // 4 and 5 were the whole configuration, told to each peer that was behind.
 struct flow_message {
   1: optional flow_hello hello
@@ -278,4 +300,6 @@
   11: optional flow_config_piece config_piece // in return
   12: optional flow_place_ask place_ask
   13: optional flow_place_answer place_answer // in return
+  14: optional flow_worker_list_ask worker_list_ask
+  15: optional flow_worker_list_row worker_list // in return
 }
--- a/src/flow_cell_log.cpp
+++ b/src/flow_cell_log.cpp
@@ -27,7 +27,8 @@
     if (!may_send_orders(now)) {
         return {task_wait_reason::owner_silent, worker_id()};
     }
-    if (!workers_listed_since_takeover_ && now - taken_at_ < list_wait_timeout) {
+    if ((!workers_listed_since_takeover_ && now - taken_at_ < list_wait_timeout) ||
+        !hooks_.has_recent_worker_list(now)) {
         return {task_wait_reason::workers_not_listed, worker_id()};
     }
     const auto permission = hooks_.start_permission(now);
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -90,6 +90,8 @@
     std::function<std::optional<pending_count>(const cell_id&)> reported_pending_count;
     // Whether tasks may be started in the cell's data centre.
     std::function<skylarkhub::start_permission(instant)> start_permission;
+    // Whether the list of workers is recent enough to start tasks by.
+    std::function<bool(instant)> has_recent_worker_list;
     // Whether the table has answered none of the entries known to this one since `since`, while most entries can be
     // heard.
     std::function<bool(instant now, instant since)> table_outage;
@@ -102,7 +104,7 @@
     not_received,       // the hand-off to this cell is not yet in this cell's row of the job
     may_still_run,      // started by a previous owner, on a worker that has not reported its runs
     owner_silent,       // the last renewal of the cell is too old, so this owner sends no orders
-    workers_not_listed, // no list of workers has arrived since the takeover
+    workers_not_listed, // no list of workers has arrived since the takeover, or the last one is too old
     evacuated,          // the cell's data centre is evacuated
     evacuation_unknown, // whether it is evacuated is not known
     no_worker,          // no worker with its service and label accepts starts
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -34,7 +34,7 @@
     read_entries(now);
     watch_operator(now);
     read_layouts(now);
-    list_workers();
+    list_workers(now);
     check_for_legacy_jobs(0);
     edges_.after(tick_interval, [this](instant then) { tick(then); });
 }
@@ -80,8 +80,9 @@
                         [](std::int64_t sum, const auto& cell) { return sum + cell.second->stats().takeovers; });
     if ((now >= next_list_ || takeovers != takeovers_listed_) && !listing_) {
         takeovers_listed_ = takeovers;
-        list_workers();
+        list_workers(now);
     }
+    ask_for_worker_list(now);
     if (now >= next_layouts_read_) {
         read_layouts(now);
     }
@@ -120,6 +121,7 @@
     report_news_delay(now);
     stats_.evacuated_data_centres = static_cast<std::int64_t>(evacuations_.evacuated().size());
     stats_.evacuations_age_ms = evacuations_.known() ? (now - evacuations_.complete_at()) / 1ms : -1;
+    stats_.worker_list_age_ms = workers_.as_of() ? (now - *workers_.as_of()) / 1ms : -1;
     edges_.after(tick_interval, [this](instant then) { tick(then); });
 }
 
@@ -209,6 +211,7 @@
         return reported == nullptr ? std::nullopt : std::optional(reported->count);
     };
     hooks.start_permission = [this, data_centre](instant now) { return permission_in(data_centre, now); };
+    hooks.has_recent_worker_list = [this](instant now) { return has_recent_worker_list(now); };
     hooks.table_outage = [this](instant now, instant since) { return table_outage(now, since); };
     hooks.notify_cell_owner = [this](instant now, const job_row_name& name, const wire::flow_job_row& row,
                                      row_version version) { notify_cell_owner(now, name, row, version); };
--- a/src/flow_entry_evacuations.cpp
+++ b/src/flow_entry_evacuations.cpp
@@ -20,7 +20,7 @@
     const instant complete_at = evacuations_.complete_at();
     const bool valid =
         evacuations_.known() && (now - complete_at < evacuations_validity || table_outage(now, complete_at));
-    return valid ? start_permission::allowed : start_permission::not_known;
+    return valid && has_recent_worker_list(now) ? start_permission::allowed : start_permission::not_known;
 }
 
 bool flow_entry::is_evacuated(const cell_id& cell) const
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -22,6 +22,7 @@
 #include "flow_pending_p.h"
 #include "flow_unusable_p.h"
 #include "flow_waiting_p.h"
+#include "flow_worker_list_p.h"
 
 namespace skylarkhub {
 
@@ -347,12 +348,20 @@
     // Describes this entry as a candidate owner of the cell.
     cell_candidacy candidacy(instant now, const flow_cell& cell) const;
 
-    // flow_cells.cpp
-    void list_workers();
-    void on_workers(instant now, flow_worker_list list);
+    // flow_entry_workers.cpp
+    bool owns_cells() const;
+    void list_workers(instant now);
+    // Asks a peer for the list of workers if that of this entry grows old and it owns cells.
+    void ask_for_worker_list(instant now);
+    void on_worker_list_told(instant now, instant asked, const wire::flow_worker_list_row& told);
+    wire::flow_message serve_worker_list(instant now, const wire::flow_worker_list_ask& ask);
+    bool has_recent_worker_list(instant now) const;
+    void on_workers(instant now, std::vector<flow_listed_worker> workers);
     // Marks workers of services that the configuration does not name as unusable.
     void refuse_unknown_services(flow_worker_list& list) const;
     void report_unusable(instant now, const std::vector<flow_unusable_entry>& entries);
+
+    // flow_cells.cpp
     void read_layouts(instant now);
     void apply_layout(instant now, const store_row& row);
     // Assigns listed racks without a cell to cells.
@@ -418,7 +427,7 @@
     // flow_entry_evacuations.cpp
     // Logs what has changed and lets the cells act on it. `from`: the source, for the log.
     void on_evacuations_changed(instant now, const known_evacuations::changes& changes, const std::string& from);
-    // Whether tasks may be started in the data centre now.
+    // Whether tasks may be started in the data centre now, by what is known of evacuations and workers.
     start_permission permission_in(const data_centre_id& data_centre, instant now) const;
     // Whether new work may go to the cell, as far as this entry knows.
     bool is_evacuated(const cell_id& cell) const;
@@ -438,6 +447,10 @@
     void probe_table();
     // Returns the next peer that can relay table calls, or nothing.
     std::optional<net_address> relay_peer();
+    // Returns the next peer that the table answers, of those that own cells if there are any.
+    std::optional<net_address> list_peer();
+    // Selects the peers in turn, so that no single one serves all calls of an entry.
+    std::optional<net_address> next_in_turn(const std::vector<net_address>& able);
     // Executes a commit on behalf of a peer.
     void serve_commit(const wire::flow_relayed_commit& asked, std::function<void(const wire::flow_message&)> reply);
     // Executes a read on behalf of a peer.
@@ -515,8 +528,11 @@
     instant next_pending_read_{};
     std::map<net_address, std::vector<wire::flow_state_news>> state_news_;
     unusable_entries unusable_;
+    known_workers workers_;
     instant next_list_{};
     bool listing_ = false;
+    bool asking_for_list_ = false;
+    instant next_list_ask_{};
     std::int64_t takeovers_listed_ = 0; // number of takeovers when the worker list was last requested
     instant next_hello_{};
     entry_id members_told_; // the peer that was sent the list of entries last
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -125,6 +125,13 @@
 inline constexpr duration entries_interval = 10s;           // later, when hellos report new entries
 inline constexpr duration list_interval_owner = 1s;         // a draining worker must receive no work after 2 s
 inline constexpr duration list_interval_other = 3s;
+inline constexpr duration list_retry = 500ms; // after a read of the list without an answer; between requests to peers
+// An owner whose list is older asks its peers for a newer one.
+inline constexpr duration list_patience = 2s;
+// No task is started by an older list while the table answers any entry. Allows two requests without an answer.
+inline constexpr duration worker_list_validity = 4s;
+// Between two lists told to peers, for each worker of the list: told lists take an eighth of a link of 10 Mbit/s.
+inline constexpr duration told_worker_time = 600us;
 // An unusable entry of the worker list is reported again only after being absent this long. Otherwise two writers that
 // alternately write an entry would cause a report at every read of the list.
 inline constexpr duration unusable_retention = 60s;
--- a/src/flow_metrics.cpp
+++ b/src/flow_metrics.cpp
@@ -68,6 +68,8 @@
     write_value(page, "config_looks_unanswered_total", "", stats.config_looks_unanswered);
     write_value(page, "peer_exchanges_unanswered_total", "", stats.peers_unanswered);
     write_value(page, "worker_entries_unusable", "", stats.unusable_entries);
+    write_value(page, "worker_lists_from_peers_total", "", stats.worker_lists_from_peers);
+    write_value(page, "worker_list_age_ms", "", stats.worker_list_age_ms);
     write_value(page, "worker_entries_unusable_noticed_total", "", stats.unusable_entries_noticed);
     write_value(page, "job_news_behind_ms", "", stats.news_behind_ms);
     write_value(page, "evacuated_data_centres", "", stats.evacuated_data_centres);
--- a/src/flow_metrics_p.h
+++ b/src/flow_metrics_p.h
@@ -80,10 +80,12 @@
     std::int64_t config_checks = 0;   // calls that ask the table whether the configuration is the newest
     std::int64_t config_copies = 0;   // copies sent to peers
     std::int64_t config_bytes = 0;
-    std::int64_t config_pieces_refused = 0;    // pieces requested from peers and not received
-    std::int64_t config_looks_unanswered = 0;  // watch calls of the table without an answer
-    std::int64_t peers_unanswered = 0;         // messages to peers without an answer
-    std::int64_t unusable_entries = 0;         // in the last read of the worker list
+    std::int64_t config_pieces_refused = 0;   // pieces requested from peers and not received
+    std::int64_t config_looks_unanswered = 0; // watch calls of the table without an answer
+    std::int64_t peers_unanswered = 0;        // messages to peers without an answer
+    std::int64_t unusable_entries = 0;        // in the last read of the worker list
+    std::int64_t worker_lists_from_peers = 0;
+    std::int64_t worker_list_age_ms = -1;      // -1: none is known
     std::int64_t unusable_entries_noticed = 0; // entries that became unusable, or whose reason changed
     std::int64_t news_behind_ms = 0;           // age of the oldest knowledge of an owned cell's news
     std::int64_t evacuated_data_centres = 0;   // as far as this entry knows
--- a/src/flow_peers.cpp
+++ b/src/flow_peers.cpp
@@ -200,6 +200,9 @@
     else if (message.__isset.place_ask) {
         reply(serve_place(now, message.place_ask));
     }
+    else if (message.__isset.worker_list_ask) {
+        reply(serve_worker_list(now, message.worker_list_ask));
+    }
     else {
         reply(process_message(now, message, std::nullopt));
     }
--- a/src/flow_relay.cpp
+++ b/src/flow_relay.cpp
@@ -178,7 +178,6 @@
     });
 }
 
-// Selects the peers in turn, so that no single one relays all calls of an entry.
 std::optional<net_address> flow_entry::relay_peer()
 {
     std::vector<net_address> able;
@@ -187,10 +186,24 @@
             able.push_back(p.identity.address);
         }
     }
-    if (able.empty()) {
-        return std::nullopt;
+    return next_in_turn(able);
+}
+
+// Owners read the list of workers more often than others.
+std::optional<net_address> flow_entry::list_peer()
+{
+    std::vector<net_address> owners;
+    for (const auto& [id, p] : peers_) {
+        if (is_live(p, ticked_at_) && !p.leaving && !p.table_away && !p.cells.empty()) {
+            owners.push_back(p.identity.address);
+        }
     }
-    return able[relays_++ % able.size()];
+    return owners.empty() ? relay_peer() : next_in_turn(owners);
+}
+
+std::optional<net_address> flow_entry::next_in_turn(const std::vector<net_address>& able)
+{
+    return able.empty() ? std::nullopt : std::optional(able[relays_++ % able.size()]);
 }
 
 void flow_entry::commit(store_transaction transaction, std::function<void(instant, store_result)> done)
--- a/src/start_permission_p.h
+++ b/src/start_permission_p.h
@@ -8,7 +8,7 @@
 enum class start_permission : std::uint8_t {
     allowed,
     evacuated,
-    not_known, // the entry knows nothing of evacuations, or what it knows is too old
+    not_known, // the entry knows nothing of evacuations or workers, or what it knows is too old
 };
 
 } // namespace skylarkhub
--- a/tests/support_flow_simulation.cpp
+++ b/tests/support_flow_simulation.cpp
@@ -485,21 +485,22 @@
         });
     };
     edges.list_workers = [this, entry, answer](std::function<void(instant, std::optional<flow_worker_list>)> done) {
-        std::optional<flow_worker_list> list;
-        if (table_reached(entry)) {
-            list = foreign_;
-            for (int i = 0; i < worker_count(); ++i) {
-                const flow_fake_worker& w = *workers_.at(static_cast<std::size_t>(i));
-                if (w.listed && w.listing_malformed) {
-                    list->unusable.push_back({w.id, "not a JSON object"});
-                }
-                else if (w.listed) {
-                    list->workers.push_back(listing_of(i));
-                }
+        if (!table_reached(entry) || worker_lists_dropped_[entry]) {
+            answer(std::move(done), std::optional<flow_worker_list>(), 1500ms);
+            return;
+        }
+        flow_worker_list list = foreign_;
+        for (int i = 0; i < worker_count(); ++i) {
+            const flow_fake_worker& w = *workers_.at(static_cast<std::size_t>(i));
+            if (w.listed && w.listing_malformed) {
+                list.unusable.push_back({w.id, "not a JSON object"});
+            }
+            else if (w.listed) {
+                list.workers.push_back(listing_of(i));
             }
         }
         const auto latency = options_.list_latency_by_entry.find(entry);
-        answer(std::move(done), list,
+        answer(std::move(done), std::optional(std::move(list)),
                latency == options_.list_latency_by_entry.end() ? options_.list_latency : latency->second);
     };
     edges.watch_operator = [this, entry, life](row_version after, duration wait, const operator_done& done) {
--- a/tests/support_flow_simulation.h
+++ b/tests/support_flow_simulation.h
@@ -165,6 +165,8 @@
     void set_table_down(bool down) { table_down_ = down; }
     void set_table_latency(duration latency) { options_.table_latency = latency; }
     void cut_entry_from_table(int entry, bool cut) { cut_from_table_[entry] = cut; }
+    // While set, the entry's reads of the worker list get no answer.
+    void drop_worker_lists(int entry, bool lost) { worker_lists_dropped_[entry] = lost; }
     void cut_entry_from_peers(int entry, bool cut) { cut_from_peers_[entry] = cut; }
     void drop_next_table_answers(int n) { answers_to_drop_ = n; }
     // The next `n` transactions that `chosen` selects and the table applies get no answer.
@@ -423,6 +425,7 @@
     bool table_down_ = false;
     std::map<int, bool> cut_from_table_;
     std::map<int, bool> cut_from_peers_;
+    std::map<int, bool> worker_lists_dropped_;
     std::map<int, int> pages_on_link_; // pages of jobs being transferred, by entry
     int answers_to_drop_ = 0;
     int chosen_answers_to_drop_ = 0;
--- a/tests/test_flow_metrics.cpp
+++ b/tests/test_flow_metrics.cpp
@@ -43,11 +43,15 @@
     stats.news_behind_ms = 2500;
     stats.evacuated_data_centres = 2;
     stats.evacuations_age_ms = 700;
+    stats.worker_list_age_ms = 800;
+    stats.worker_lists_from_peers = 9;
     stats.accept_times.add(10ms);
     write_stats(page, stats);
     BOOST_TEST(has_line(page, "skylarkhub_jobs_refused_total 2"));
     BOOST_TEST(has_line(page, "skylarkhub_evacuated_data_centres 2"));
     BOOST_TEST(has_line(page, "skylarkhub_evacuations_age_ms 700"));
+    BOOST_TEST(has_line(page, "skylarkhub_worker_list_age_ms 800"));
+    BOOST_TEST(has_line(page, "skylarkhub_worker_lists_from_peers_total 9"));
     BOOST_TEST(has_line(page, "skylarkhub_job_news_behind_ms 2500"));
     BOOST_TEST(has_line(page, "skylarkhub_accept_seconds_bucket{le=\"0.01\"} 1"));
     BOOST_TEST(has_line(page, "skylarkhub_accept_seconds_count 1"));
