flow: a crash that is heard of while the rows are read is charged

Cause: an owner that has just come over asks the workers while it reads the rows of the jobs. Where a worker's next incarnation answers then, charge_noted() finds no jobs yet, and afterwards the worker counts as reconciled: the start that the row records on it is charged to nobody.

Change: once the rows are read, recorded starts on workers that crashed meanwhile are charged as well, unless the worker had listed the run's end. A draining worker has left on purpose.

--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -132,6 +132,20 @@
     }
 }
 
+// Returns whether the worker crashed while the rows of the jobs were being read, with a run that it had not reported as
+// ended. A draining worker has left on purpose.
+bool flow_cell::has_crashed_unread(const worker_id& worker, const flow_task_id& task, run_number run) const
+{
+    const auto at = workers_.find(worker);
+    if (at == workers_.end() || !at->second.incarnation_ended || at->second.listing.draining) {
+        return false;
+    }
+    const std::vector<reported_end> none;
+    const std::vector<reported_end>& ends = at->second.early ? at->second.early->answer.ends : none;
+    return std::none_of(ends.begin(), ends.end(),
+                        [&](const reported_end& end) { return end.task == task && end.run == run; });
+}
+
 // Suspects the tasks that no worker lists if a worker crashed before this owner had heard of it: the previous owner may
 // have started them there. As that is not known, they are only started alone one crash sooner.
 void flow_cell::suspect_tasks_not_found(flow_job& job)
--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -586,9 +586,10 @@
     if (role_ != role::owning) {
         return;
     }
-    // A worker that the previous owner no longer named in the row is over: that owner knew that it had ended.
+    // A worker that the previous owner no longer named in the row is over: that owner knew that it had ended. One that
+    // was found to have crashed while the rows were read was charged to no task, as none was known yet.
     charge_noted(now, [this](const worker_life& life, const flow_task_id& task, run_number run) {
-        return is_over_at_takeover(life, task, run);
+        return is_over_at_takeover(life, task, run) || has_crashed_unread(life.worker, task, run);
     });
     process_buffered_inventories(now);
     for (auto& [id, w] : workers_) {
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -486,6 +486,7 @@
     // Charges a crash to tasks whose start record names a life of a worker that is over.
     using recorded_start_filter = std::function<bool(const worker_life&, const flow_task_id&, run_number)>;
     void charge_noted(instant now, const recorded_start_filter& is_over);
+    bool has_crashed_unread(const worker_id& worker, const flow_task_id& task, run_number run) const;
     void suspect_tasks_not_found(flow_job& job);
     void charge_crash_of(instant now, const cell_worker& w);
     void record_lapsed_worker(instant now, const cell_worker& w);
