flow: a run on a dedicated worker is watched from its start on

Two crashes within 200 ms of a start on a dedicated worker are beyond doubt; just after a takeover, crashes 10 ms after the start passed for crashes after 300 to 800 ms.

Cause: an owner that reads the rows plans each worker's next hold a second ahead, and a planned hold was not moved when a dedicated run began, so the 50 ms between holds applied only after it.

Change: a planned hold has a time and can be advanced; it is when a dedicated run begins. No other hold is sent earlier.

--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -395,6 +395,7 @@
 void flow_cell::begin_dedicated_run(instant now, cell_worker& w, const flow_task& task)
 {
     w.dedicated_until = now + time_alone(longest_age(task.crash_rows()));
+    advance_hold(now, w, solo_hold_interval); // one planned for later would tell too late how soon the worker crashed
 }
 
 } // namespace skylarkhub
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -233,7 +233,7 @@
         instant clock_read_at{};
         instant lapsed_after{}; // when every lease given by owners of this cell has certainly ended
         bool hold_in_flight = false;
-        bool hold_planned = false;
+        instant hold_planned_at{}; // when the next hold is sent; instant{}: none is planned
         instant last_answer{};
         std::int32_t silent = 0;    // consecutive holds without an answer
         instant unanswered_since{}; // when the first of these holds was due; instant{}: there is none
@@ -506,7 +506,8 @@
     cell_worker* choose_to_dedicate(instant now, const flow_job& job, const flow_stage& stage,
                                     const flow_task_id& task);
     cell_worker* choose_dedicated(instant now, const flow_job& job, const flow_stage& stage, const flow_task_id& id);
-    static void begin_dedicated_run(instant now, cell_worker& w, const flow_task& task);
+    void advance_hold(instant now, cell_worker& w, duration wait);
+    void begin_dedicated_run(instant now, cell_worker& w, const flow_task& task);
 
     // flow_cell_start_records.cpp
     // Whether it is certain that the task runs nowhere and may be started here.
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -260,24 +260,33 @@
 void flow_cell::schedule_hold(instant now, const worker_id& id, duration wait)
 {
     const auto at = workers_.find(id);
-    if (at == workers_.end() || at->second.hold_planned || at->second.hold_in_flight) {
+    if (at == workers_.end() || at->second.hold_planned_at != instant{} || at->second.hold_in_flight) {
         return;
     }
     if (wait <= duration(0)) {
         send_hold(now, id);
         return;
     }
-    at->second.hold_planned = true;
-    edges_.after(wait, [this, id, generation = ownership_generation_](instant then) {
+    at->second.hold_planned_at = now + wait;
+    edges_.after(wait, [this, id, planned = now + wait, generation = ownership_generation_](instant then) {
         const auto w = workers_.find(id);
-        if (generation != ownership_generation_ || w == workers_.end()) {
+        if (generation != ownership_generation_ || w == workers_.end() || w->second.hold_planned_at != planned) {
             return;
         }
-        w->second.hold_planned = false;
+        w->second.hold_planned_at = instant{};
         send_hold(then, id);
     });
 }
 
+// Sends the next hold after `wait`, if it is planned for later.
+void flow_cell::advance_hold(instant now, cell_worker& w, duration wait)
+{
+    if (w.hold_planned_at > now + wait) {
+        w.hold_planned_at = instant{};
+        schedule_hold(now, w.listing.worker, wait);
+    }
+}
+
 // Sends a hold, which fences the worker with this epoch, confirms ends, renews leases if permitted, and queries runs
 // and ends.
 void flow_cell::send_hold(instant now, const worker_id& id)
