flow: a follower is told what its predecessor saw of crashed workers

Cause: a crash is known for one when the worker's next life answers, seconds later. What the owner knew by then (which runs were on the silent worker, how old, whether alone, and which others crashed lately) was in no row. A follower took a recorded start for one second old and not alone, an adopted run for one of no known age, and counted other crashes from its takeover on.

Change: the cell's row tells the silences of the last minute (64) and the young runs on workers of which it is not known whether they have crashed (128); it is written when it was before. The follower charges these runs as its predecessor would have. The record of a start tells when it was made and whether it is alone; an adopted run has its age and keeps its worker. A crash that only a record tells of is "unseen", its run as old as its record; one of the last two crashes alone may be unseen from five crashes on, if all others came within a second of the start. The rate of other crashes goes by listed workers. Rows without the new fields read as before.

Why it holds: stopped owners have told all they saw; a killed one has since its last renewal told the starts of suspected tasks at least.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -33,6 +33,8 @@
   1: string worker // empty: the run has certainly ended
   2: i64 run = 0
   3: i64 born = 0 // of the worker's life that it was sent to; 0: not told
+  4: i64 at_ms = 0      // when it was recorded; 0: not told
+  5: bool alone = false // on a worker that takes no other starts meanwhile, as its task may crash workers
 }
 
 // What is certain about the tasks of one step in one occurrence. Facts are only ever added.
@@ -105,6 +107,28 @@
   4: i64 up_to = 0            // 0: nobody has counted them
 }
 
+// A young run on a worker that does not answer: if the worker has crashed, a possible cause.
+struct flow_lost_run_row {
+  1: string job
+  2: i32 occurrence = 0
+  3: i32 step = 0
+  4: i32 index = 0
+  5: i64 run = 0
+  6: i64 age_ms = 0 // when the worker no longer answered
+  7: bool alone = false
+  8: bool accepted = false
+  9: bool in_a_wave = false // others stopped answering in the same moment
+}
+
+// A worker that stopped answering lately.
+struct flow_silence_row {
+  1: string worker
+  2: i64 born = 0 // of its life; 0: not told
+  3: i64 since_ms = 0
+  4: bool explained = false         // a task is known to have caused it
+  5: list<flow_lost_run_row> runs   // while it is not known whether the worker has crashed
+}
+
 struct flow_cell_row {
   1: i64 epoch = 0
   2: string owner             // entry
@@ -115,6 +139,8 @@
   7: list<flow_worker_name> workers // only these may run tasks of the cell; the platform's list may have lost some
   8: bool starts_noted = false // by all its owners whose runs may go on
   9: flow_pending_row pending  // the newest count; an owner that reads the rows hands on the one it found
+  10: list<flow_silence_row> silences // of the last minute, the newest of them
+  11: i64 silences_from_ms = 0        // since when owners have told them; 0: they have not
 }
 
 // Which cell the workers of each rack of one data centre belong to. Racks are only ever added.
--- a/schema/peer.thrift
+++ b/schema/peer.thrift
@@ -35,8 +35,9 @@
   4: i64 at_ms = 0
   5: double rate = 0 // crashes a second of each worker by other causes
   6: bool beside = false // the task is not charged with it: something else there is the likelier cause
-  7: bool alone = false  // its start was answered, and nothing else had been started there since
+  7: bool alone = false  // its start was answered or is `unseen`, and nothing else had been started there since
   8: i64 born = 0        // of the worker's life that crashed; 0: not told
+  9: bool unseen = false // no owner saw when the worker stopped answering, so that its age is assumed
 }
 
 enum task_phase_row { queued = 0, finished = 1, parked = 2, cancelled = 3 }
--- a/src/flow_cell_crashes.cpp
+++ b/src/flow_cell_crashes.cpp
@@ -22,7 +22,7 @@
     for (const auto& [task, run] : w.ledger) {
         tasks.insert(task);
     }
-    recent_crashes_.note(now, w.unanswered_since, w.listing.worker, std::move(tasks));
+    recent_crashes_.note(now, w.unanswered_since, w.listing.worker, std::move(tasks), w.born.value());
 }
 
 // Lists the runs in the ledger of a lost worker with what is needed to decide which of them caused the crash.
@@ -70,7 +70,9 @@
         return std::nullopt;
     }
     flow_job& job = *found->second;
-    const crash_moment moment{now, edges_.wall(), now - taken_at_, workers_.size()};
+    const auto workers =
+        std::count_if(workers_.begin(), workers_.end(), [](const auto& item) { return item.second.listed; });
+    const crash_moment moment{now, edges_.wall(), now - silences_from_, static_cast<std::size_t>(workers)};
     const std::vector<wire::crash_row> noted = job.find_task(lost.task)->crash_rows();
     wire::crash_row crash = recent_crashes_.describe(moment, lost.task, worker.worker, lost.in_crash, noted);
     crash.run = lost.run.value();
@@ -111,21 +113,163 @@
                  {"crashes", std::to_string(rows.size())}});
 }
 
+// Takes over which workers stopped answering the owners before, and what ran on those of which it is not known whether
+// they have crashed. Without it a new owner would take each crash for one of few or of many, and would not know that a
+// run had its worker to itself.
+void flow_cell::inherit_silences(instant now, const wire::flow_cell_row& row)
+{
+    const auto instant_of = [&](std::int64_t wall_ms) {
+        const duration ago = edges_.wall().time_since_epoch() - std::chrono::milliseconds(wall_ms);
+        return now - std::clamp(ago, duration(0), duration(crash_seen_over));
+    };
+    silences_from_ = row.silences_from_ms > 0 ? instant_of(row.silences_from_ms) : now;
+    for (const wire::flow_silence_row& silence : row.silences) {
+        const worker_id worker(silence.worker);
+        recent_crashes_.inherit({instant_of(silence.since_ms), worker, silence.born, silence.explained});
+        if (!silence.runs.empty()) {
+            inherited_silences_[worker] = silence;
+        }
+    }
+}
+
+// Tells a follower in the cell's row which workers stopped answering lately.
+void flow_cell::tell_silences(instant now, wire::flow_cell_row& row)
+{
+    const auto wall_ms = [&](instant then) {
+        const auto at = edges_.wall().time_since_epoch() - (now - then);
+        return std::chrono::duration_cast<std::chrono::milliseconds>(at).count();
+    };
+    row.silences_from_ms = wall_ms(std::max(silences_from_, now - crash_seen_over));
+    row.silences.clear();
+    std::size_t runs = 0;
+    for (const worker_silence& silence : recent_crashes_.newest(told_silences_most)) {
+        wire::flow_silence_row told;
+        told.worker = silence.worker.str();
+        told.born = silence.born;
+        told.since_ms = wall_ms(silence.since);
+        told.explained = silence.explained;
+        told.runs = undecided_runs(silence);
+        told.runs.resize(std::min(told.runs.size(), told_lost_runs_most - runs));
+        runs += told.runs.size();
+        row.silences.push_back(std::move(told));
+    }
+}
+
+// Lists the young runs on a worker that does not answer now: those that this owner started, or while the worker has not
+// answered it yet, those that the previous owner told of.
+std::vector<wire::flow_lost_run_row> flow_cell::undecided_runs(const worker_silence& silence)
+{
+    const auto at = workers_.find(silence.worker);
+    if (at == workers_.end() || at->second.born.value() != silence.born || at->second.listing.draining) {
+        return {};
+    }
+    const auto inherited = inherited_silences_.find(silence.worker);
+    if (!at->second.fenced && inherited != inherited_silences_.end() && inherited->second.born == silence.born) {
+        return inherited->second.runs;
+    }
+    if (at->second.unanswered_since != silence.since) {
+        return {};
+    }
+    std::vector<wire::flow_lost_run_row> told;
+    for (const lost_run& lost : list_lost_runs(at->second)) {
+        if (!was_young(lost.in_crash)) {
+            continue;
+        }
+        wire::flow_lost_run_row run;
+        run.job = lost.task.job.str();
+        run.occurrence = lost.task.occurrence;
+        run.step = lost.task.step;
+        run.index = lost.task.index;
+        run.run = lost.run.value();
+        run.age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(*lost.in_crash.age).count();
+        run.alone = lost.in_crash.alone;
+        run.accepted = lost.in_crash.accepted;
+        run.in_a_wave = lost.in_crash.in_a_wave;
+        told.push_back(std::move(run));
+    }
+    return told;
+}
+
+// Reads what the previous owner told of a run; nothing if its task has ended, or is charged with the run already.
+std::optional<flow_cell::lost_run> flow_cell::inherited_run(const wire::flow_lost_run_row& run)
+{
+    lost_run lost{{job_id(run.job), run.occurrence, run.step, run.index}, run_number(run.run), {}};
+    const auto found = jobs_.find(lost.task.job);
+    const flow_task* const task = found == jobs_.end() ? nullptr : found->second->find_task(lost.task);
+    if (task == nullptr || task->stage == flow_task_state::done || task->crashes.count(lost.run) != 0) {
+        return std::nullopt;
+    }
+    lost.in_crash.age = std::chrono::milliseconds(run.age_ms);
+    lost.in_crash.crashes = static_cast<int>(charged_rows(task->crash_rows()).size());
+    lost.in_crash.alone = run.alone;
+    lost.in_crash.accepted = run.accepted;
+    lost.in_crash.in_a_wave = run.in_a_wave;
+    return lost;
+}
+
+// Charges the runs that the previous owner told of, on lives of workers that are over.
+void flow_cell::charge_inherited(instant now, const recorded_start_filter& is_over)
+{
+    for (auto at = inherited_silences_.begin(); at != inherited_silences_.end();) {
+        const worker_life life{at->first, worker_birth(at->second.born)};
+        std::vector<lost_run> lost;
+        for (const wire::flow_lost_run_row& told : at->second.runs) {
+            const auto run = inherited_run(told);
+            if (run && is_over(life, run->task, run->run)) {
+                lost.push_back(*run);
+            }
+        }
+        charge_runs(now, life, lost);
+        at = lost.empty() ? std::next(at) : inherited_silences_.erase(at);
+    }
+}
+
+// Learns from the record of an adopted run's start how old the run is, and that it has its worker to itself.
+void flow_cell::take_over_start(instant now, cell_worker& w, const flow_task_id& id, const flow_task& task,
+                                live_run& live)
+{
+    if (task.start.run != live.run.value() || task.start.at_ms == 0) {
+        return;
+    }
+    live.started = now - longest_age_of(task.start);
+    live.alone = task.start.alone;
+    const instant until = live.started + time_alone(longest_age(task.crash_rows()));
+    if (live.alone && !live.stopping && now < until && !is_dedicated(now, w)) {
+        w.dedicated_to = id;
+        w.dedicated_until = until;
+        advance_hold(now, w, solo_hold_interval);
+    }
+}
+
+// The age that a run can have reached at the most, of which only its recorded start is known.
+duration flow_cell::longest_age_of(const wire::flow_start_row& start)
+{
+    const duration ago = edges_.wall().time_since_epoch() - std::chrono::milliseconds(start.at_ms);
+    return start.at_ms == 0 ? start_only_run_age : std::max(ago, duration(0));
+}
+
 // Charges starts that the previous owner recorded on a life of a worker that is over. That worker crashed before the
 // new owner could query it.
 void flow_cell::charge_noted(instant now, const recorded_start_filter& is_over)
 {
+    charge_inherited(now, is_over);
     for (const auto& [id, job] : jobs_) {
         for (const flow_stage& stage : job->stages()) {
             for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
                 const flow_task& task = stage.tasks[i];
                 const worker_life life{worker_id(task.start.worker), worker_birth(task.start.born)};
                 const run_number run(task.start.run);
-                if (task.may_crash_workers() && life.worker.valid() && is_over(life, job->task_id(stage, i), run)) {
+                const bool noted = task.crashes.count(run) != 0;
+                if (task.may_crash_workers() && !noted && life.worker.valid() &&
+                    is_over(life, job->task_id(stage, i), run)) {
                     lost_run lost{job->task_id(stage, i), run, {}};
-                    lost.in_crash.age = start_only_run_age;
+                    lost.in_crash.age = longest_age_of(task.start);
+                    lost.in_crash.alone = task.start.alone;
+                    lost.in_crash.unseen = true;
                     lost.in_crash.charged = true;
-                    record_crash(now, life, lost);
+                    if (was_young(lost.in_crash)) {
+                        record_crash(now, life, lost);
+                    }
                 }
             }
         }
--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -295,6 +295,8 @@
     else {
         wanted.pending = row_.pending;
     }
+    wanted.silences = row_.silences;
+    wanted.silences_from_ms = row_.silences_from_ms;
     inherit_named_workers(row_);
     // The previous owner certainly sends nothing any more if it released the row or was this entry. If the row names
     // this incarnation because of a take whose answer was lost, the time computed for the owner before that take still
@@ -337,6 +339,7 @@
     epoch_ = skylarkhub::epoch(wanted.epoch);
     role_ = role::reading;
     taken_at_ = now;
+    inherit_silences(now, wanted);
     workers_listed_since_takeover_ = false;
     next_renewal_ = now + renew_interval;
     ++ownership_generation_;
@@ -687,6 +690,7 @@
     wire::flow_cell_row wanted = row_;
     ++wanted.renewals;
     wanted.workers = build_worker_names(now, false);
+    tell_silences(now, wanted);
     wanted.pending = pending_row(now);
     wanted.starts_noted = wanted.starts_noted || are_all_starts_recorded(now);
     write_row(wanted,
@@ -770,6 +774,7 @@
     read_rows_.clear();
     recent_crashes_.clear();
     lapsed_workers_.clear();
+    inherited_silences_.clear();
     inherited_worker_crashed_ = false;
     isolated_task_waits_ = false;
     placement_scheduled_ = false;
@@ -831,6 +836,7 @@
     wire::flow_cell_row wanted = row_;
     wanted.released = true;
     wanted.workers = build_worker_names(now, true);
+    tell_silences(now, wanted);
     wanted.pending = pending_row(now);
     ++ownership_generation_; // callbacks of this ownership are dropped from now on
     role_ = role::released;
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -486,6 +486,15 @@
     // Charges a crash to tasks whose start record names a life of a worker that is over.
     using recorded_start_filter = std::function<bool(const worker_life&, const flow_task_id&, run_number)>;
     void charge_noted(instant now, const recorded_start_filter& is_over);
+    // What the previous owner told of workers that did not answer it, for as long as it is not known what became of
+    // them.
+    duration longest_age_of(const wire::flow_start_row& start);
+    void inherit_silences(instant now, const wire::flow_cell_row& row);
+    void tell_silences(instant now, wire::flow_cell_row& row);
+    std::vector<wire::flow_lost_run_row> undecided_runs(const worker_silence& silence);
+    void charge_inherited(instant now, const recorded_start_filter& is_over);
+    std::optional<lost_run> inherited_run(const wire::flow_lost_run_row& run);
+    void take_over_start(instant now, cell_worker& w, const flow_task_id& id, const flow_task& task, live_run& live);
     bool has_crashed_unread(const worker_id& worker, const flow_task_id& task, run_number run) const;
     void suspect_tasks_not_found(flow_job& job);
     void charge_crash_of(instant now, const cell_worker& w);
@@ -787,6 +796,9 @@
     std::map<job_id, instant> recently_ended_jobs_; // kept while a late page of the table may still contain them
     crash_watch<flow_task_id> recent_crashes_;
     std::map<net_address, lapsed_worker> lapsed_workers_;
+    // Of workers that had not answered the previous owner: what ran there.
+    std::map<worker_id, wire::flow_silence_row> inherited_silences_;
+    instant silences_from_{};               // since when the owners of the cell have told of silences
     bool inherited_worker_crashed_ = false; // before this owner had read what ran there
     bool isolated_task_waits_ = false;      // a task waits for a dedicated worker
     std::map<std::string, part_state> parts_;
--- a/src/flow_cell_start_records.cpp
+++ b/src/flow_cell_start_records.cpp
@@ -44,7 +44,7 @@
 // worker's ledger meanwhile, which reserves its resources. All starts of one placement pass share one write.
 void flow_cell::record_then_start(instant now, flow_job& job, const flow_task_id& task, live_run& live)
 {
-    job.note_start(task, {live.worker, live.born}, live.run);
+    job.note_start(task, {live.worker, live.born}, live.run, {edges_.wall(), live.alone});
     live.noted = job.changes();
     mark_job_dirty(now, job, true);
 }
--- a/src/flow_cell_workers.cpp
+++ b/src/flow_cell_workers.cpp
@@ -775,6 +775,7 @@
     task->runs.push_back({w.listing.worker, run.run, now, true, !wanted});
     task->runs.back().born = w.born;
     task->last_run = std::max(task->last_run, run.run);
+    take_over_start(now, w, run.task, *task, task->runs.back());
     if (!wanted) {
         send_stop(now, w.listing.worker, run.task, run.run, 0);
         return;
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -553,13 +553,17 @@
     }
 }
 
-void flow_job::note_start(const flow_task_id& task, const worker_life& worker, run_number run)
+void flow_job::note_start(const flow_task_id& task, const worker_life& worker, run_number run,
+                          const start_circumstances& how)
 {
     wire::flow_start_row& start = find_task(task)->start;
     if (run.value() > start.run) {
         start.worker = worker.worker.str();
         start.born = worker.born.value();
         start.run = run.value();
+        start.at_ms =
+            how.at ? std::chrono::duration_cast<std::chrono::milliseconds>(how.at->time_since_epoch()).count() : 0;
+        start.alone = how.alone;
         ++changes_;
         mark_started();
     }
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -84,6 +84,12 @@
 std::int64_t estimate_job_bytes(const flow_spec& spec);
 
 // Whether recording a crash causes a write of the row, or is included in the next write for another reason.
+// What the record of a start tells beside its run; nothing of a run that was found on a worker.
+struct start_circumstances {
+    std::optional<wall_time> at;
+    bool alone = false; // its worker takes no other starts meanwhile
+};
+
 enum class crash_persistence : std::uint8_t { written, deferred };
 
 // A job may have far more occurrences than fit into memory. Its home cell holds those that are due and not finished,
@@ -178,7 +184,8 @@
     void note_checkpoint(const flow_task_id& task, const std::string& checkpoint);
     // Records the start of a run that is about to be sent or was found on a worker. No effect if a newer one is
     // recorded.
-    void note_start(const flow_task_id& task, const worker_life& worker, run_number run);
+    void note_start(const flow_task_id& task, const worker_life& worker, run_number run,
+                    const start_circumstances& how = {});
     // Records that the run is certainly not active any more. No effect if another run is recorded.
     void note_run_ended(const flow_task_id& task, run_number run);
     // Newest epoch of `here` named by whoever assigned the job or handed a task to it. An epoch above the owner's own
--- a/src/flow_limits_p.h
+++ b/src/flow_limits_p.h
@@ -219,6 +219,9 @@
 inline constexpr duration ended_job_retention = 120s;
 
 // --- workers that crash ---
+// What the cell's row tells of workers that stopped answering, and of runs there.
+inline constexpr std::size_t told_silences_most = 64;
+inline constexpr std::size_t told_lost_runs_most = 128;
 inline constexpr duration start_only_run_age = 1s; // the assumed age of a run of which only the recorded start is known
 inline constexpr duration lapsed_retention = 60s;  // how long lapsed runs are remembered in case their worker restarts
 inline constexpr duration solo_hold_interval =
--- a/src/place_crash.cpp
+++ b/src/place_crash.cpp
@@ -15,6 +15,8 @@
 constexpr duration at_start = std::chrono::seconds(1);
 // Of a run alone on its worker, which is watched closely then: twice in a row this is no chance.
 constexpr duration at_once = std::chrono::milliseconds(200);
+// With one of the two unseen, which says little by itself, after so many crashes, all others of them at the start.
+constexpr std::size_t crashes_with_unseen = 5;
 constexpr duration alone_least = std::chrono::seconds(3);
 constexpr duration alone_most = std::chrono::seconds(10); // a worker that takes no other starts is missed
 constexpr duration age_least = std::chrono::milliseconds(1);
@@ -123,17 +125,29 @@
     if (is_given_up(charged_of(rows))) {
         return true;
     }
+    if (rows.size() < crashes_until_sure) {
+        return false;
+    }
     const auto alone_at_once = [](const wire::crash_row& row) {
-        return row.alone && std::chrono::milliseconds(row.age_ms) <= at_once;
+        return row.alone && !row.unseen && std::chrono::milliseconds(row.age_ms) <= at_once;
     };
-    return rows.size() >= crashes_until_sure && alone_at_once(rows.back()) && alone_at_once(*(rows.end() - 2));
+    const auto alone_unseen = [](const wire::crash_row& row) { return row.alone && row.unseen; };
+    const wire::crash_row& last = rows.back();
+    const wire::crash_row& before = *(rows.end() - 2);
+    const bool one_unseen =
+        (alone_at_once(last) && alone_unseen(before)) || (alone_unseen(last) && alone_at_once(before));
+    const bool others_at_start = std::all_of(rows.begin(), rows.end(), [](const wire::crash_row& row) {
+        return row.unseen || std::chrono::milliseconds(row.age_ms) <= at_start;
+    });
+    return (alone_at_once(last) && alone_at_once(before)) ||
+           (one_unseen && others_at_start && rows.size() >= crashes_with_unseen);
 }
 
 duration longest_age(const std::vector<wire::crash_row>& rows)
 {
     std::int64_t longest = 0;
     for (const wire::crash_row& row : rows) {
-        longest = std::max(longest, row.age_ms);
+        longest = row.unseen ? longest : std::max(longest, row.age_ms);
     }
     return std::chrono::milliseconds(longest);
 }
--- a/src/place_crash_p.h
+++ b/src/place_crash_p.h
@@ -55,6 +55,7 @@
     bool alone = false;          // nothing else has been started on the worker since
     bool accepted = false;       // the worker had answered its start
     bool in_a_wave = false;      // others crashed in the same moment, where nothing of its job ran
+    bool unseen = false;         // only the record of its start tells of it: its age is assumed
     bool charged = false;        // as pick_noted() has found
 };
 
@@ -102,25 +103,55 @@
 // Whether a task with these crashes under it is started alone. `unheard`: further crashes that may have been under it.
 bool must_start_alone(const std::vector<wire::crash_row>& rows, std::size_t unheard = 0);
 // Beyond doubt, by what it is charged with, or since it crashed two workers in a row at once when it was alone there.
+// One of the two may be unseen, after five crashes, all others of them at the start.
 bool crashes_its_workers(const std::vector<wire::crash_row>& rows);
 
 // When an owner charges a crash.
 struct crash_moment {
     instant now{};
     wall_time wall;
-    duration owned{0}; // since it took the cell over
+    duration owned{0}; // since it took the cell over, or since the owners before it told of crashes
     std::size_t workers = 0;
 };
 
+// A life of a worker that stopped answering.
+struct worker_silence {
+    instant since{};
+    worker_id worker;
+    std::int64_t born = 0; // 0: not told
+    bool explained = false;
+};
+
 // The workers of a cell that stopped answering lately: which of them crashed together, and how often they crash at all.
 // Task: an id of a task with its `job`.
 template <class Task> class crash_watch {
 public:
     // The moment in which a worker stops answering is as near as can be known to the one in which it crashed.
-    void note(instant now, instant since, const worker_id& worker, std::set<Task> tasks)
+    void note(instant now, instant since, const worker_id& worker, std::set<Task> tasks, std::int64_t born = 0)
+    {
+        std::erase_if(silences_, [now](const silence& s) { return now - s.seen.since > crash_seen_over; });
+        const bool known = std::any_of(silences_.begin(), silences_.end(), [&](const silence& s) {
+            return s.inherited && s.seen.worker == worker && s.seen.born == born;
+        });
+        if (!known) {
+            silences_.push_back({{since, worker, born}, std::move(tasks)});
+        }
+    }
+
+    // What the owner before has told, without the tasks that were there.
+    void inherit(const worker_silence& seen) { silences_.push_back({seen, {}, true}); }
+
+    // The newest, `most` of them.
+    std::vector<worker_silence> newest(std::size_t most) const
     {
-        std::erase_if(silences_, [now](const silence& s) { return now - s.since > crash_seen_over; });
-        silences_.push_back({since, worker, std::move(tasks)});
+        std::vector<worker_silence> newest;
+        newest.reserve(silences_.size());
+        std::transform(silences_.begin(), silences_.end(), std::back_inserter(newest),
+                       [](const silence& s) { return s.seen; });
+        std::stable_sort(newest.begin(), newest.end(),
+                         [](const worker_silence& a, const worker_silence& b) { return a.since > b.since; });
+        newest.resize(std::min(newest.size(), most));
+        return newest;
     }
 
     // A rack, or a seventh of all workers, that goes at once has a cause of its own; but not the workers that tasks of
@@ -128,10 +159,10 @@
     bool in_a_wave(instant since, const worker_id& worker, const job_id& job) const
     {
         const auto others = std::count_if(silences_.begin(), silences_.end(), [&](const silence& s) {
-            const duration apart = s.since > since ? s.since - since : since - s.since;
+            const duration apart = s.seen.since > since ? s.seen.since - since : since - s.seen.since;
             const bool had_job =
                 std::any_of(s.tasks.begin(), s.tasks.end(), [&](const Task& t) { return t.job == job; });
-            return s.worker != worker && apart <= crash_wave_within && !had_job;
+            return s.seen.worker != worker && !s.inherited && apart <= crash_wave_within && !had_job;
         });
         return others >= crash_wave_least;
     }
@@ -143,7 +174,8 @@
         wire::crash_row row;
         row.worker = worker.str();
         row.beside = !lost.charged;
-        row.alone = lost.alone && lost.accepted;
+        row.alone = lost.alone && (lost.accepted || lost.unseen);
+        row.unseen = lost.unseen;
         row.age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(*lost.age).count();
         row.at_ms = std::chrono::duration_cast<std::chrono::milliseconds>(at.wall.time_since_epoch()).count();
         const std::vector<wire::crash_row> before = charged_rows(noted);
@@ -152,7 +184,7 @@
             std::min({std::chrono::milliseconds(std::max<std::int64_t>(0, since_first)) + crash_seen_before,
                       crash_seen_over, at.owned + crash_seen_least});
         const auto others = std::count_if(silences_.begin(), silences_.end(), [&](const silence& s) {
-            return at.now - s.since <= over && !s.explained && s.tasks.count(task) == 0;
+            return at.now - s.seen.since <= over && !s.seen.explained && !had_task(s, task, noted);
         });
         row.rate = crash_rate(others, at.workers, over);
         return row;
@@ -166,19 +198,26 @@
         const bool beyond_doubt = is_given_up(charged);
         const bool was_alone = charged.size() > static_cast<std::size_t>(crashes_until_alone);
         for (silence& s : silences_) {
-            s.explained =
-                s.explained || (beyond_doubt && s.tasks.count(task) != 0) || (was_alone && s.worker == worker);
+            s.seen.explained = s.seen.explained || (beyond_doubt && had_task(s, task, noted)) ||
+                               (was_alone && s.seen.worker == worker);
         }
     }
     void clear() { silences_.clear(); }
 
 private:
     struct silence {
-        instant since{};
-        worker_id worker;
+        worker_silence seen;
         std::set<Task> tasks; // that were there
-        bool explained = false;
+        bool inherited = false;
     };
+    // Of a silence that the owner before has told, the crashes noted under the task say whether it was there.
+    static bool had_task(const silence& s, const Task& task, const std::vector<wire::crash_row>& noted)
+    {
+        return s.tasks.count(task) != 0 ||
+               (s.inherited && std::any_of(noted.begin(), noted.end(), [&](const wire::crash_row& row) {
+                    return row.worker == s.seen.worker.str() && row.born == s.seen.born;
+                }));
+    }
     std::vector<silence> silences_;
 };
 
--- a/tests/test_flow_crash.cpp
+++ b/tests/test_flow_crash.cpp
@@ -66,17 +66,48 @@
     return options;
 }
 
-// Runs twelve jobs of which two tasks each crash their workers, and kills the owner of the cell `owner_killed_after`
-// the last was accepted, if given. Checks that each job fails.
-void check_culprits_fail(std::uint64_t seed, std::optional<duration> owner_killed_after)
+// Changes the owner of the cell.
+using owner_change = std::function<void(flow_simulation&, int owner)>;
+
+void stop_by_plan(flow_simulation& w, int owner)
+{
+    w.shut_down_entry(owner);
+    w.start_entry(owner);
+}
+
+void kill_and_restart(flow_simulation& w, int owner)
+{
+    w.kill_entry(owner);
+    w.start_entry(owner);
+}
+
+// Changes the owner of the cell so many times, each `gap` after the last.
+void change_owners(flow_simulation& w, int entries, int times, duration gap, const owner_change& change)
+{
+    for (int i = 0; i < times; ++i) {
+        w.run_for(gap);
+        if (const int owner = owner_of(w, "a", entries); owner >= 0) {
+            change(w, owner);
+        }
+    }
+}
+
+// What becomes of orders to a worker that has crashed: its machine refuses them at once, or they time out.
+enum class dead_worker { refuses_connections, is_silent };
+
+// Runs twelve jobs of which two tasks each crash their workers, lets `disturb` change owners, if given, and returns
+// which entry to ask then. Checks that each job fails.
+void check_culprits_fail(std::uint64_t seed, dead_worker dead,
+                         const std::function<int(flow_simulation&, int entries)>& disturb)
 {
     constexpr int jobs = 12;
     constexpr int crashing_tasks = 2; // tasks of each job
     flow_simulation::options options;
     options.seed = seed;
-    options.entries_per_data_centre = owner_killed_after ? 3 : 2;
+    options.entries_per_data_centre = disturb ? 3 : 2;
     options.workers_per_data_centre = 24;
     options.crash_restart_delay = 3s;
+    options.crash_refuses_connections = dead == dead_worker::refuses_connections;
     options.run_time = [](const flow_task_id&) { return duration(1s); };
     options.worker_crash_delay = [](const flow_task_id& task, const start_run&) {
         return task.index < crashing_tasks ? std::optional<duration>(10ms) : std::nullopt;
@@ -90,13 +121,7 @@
         BOOST_REQUIRE(w.submit(i % entries, names.back(), chain_spec(1, 10, 2000)) == caller_result::accepted);
         w.run_for(duration((seed % 4) * 100'000));
     }
-    int asked = 0;
-    if (owner_killed_after) {
-        w.run_for(*owner_killed_after);
-        const int owner = owner_of(w, "a", entries);
-        w.kill_entry(owner);
-        asked = (owner + 1) % entries;
-    }
+    const int asked = disturb ? disturb(w, entries) : 0;
     BOOST_TEST(w.run_until(
         [&] {
             return std::all_of(names.begin(), names.end(),
@@ -106,6 +131,54 @@
     check_no_violations(w);
 }
 
+// The same, and kills the owner of the cell so long after the last job was accepted.
+void check_culprits_fail_without_owner(std::uint64_t seed, dead_worker dead, duration killed_after)
+{
+    check_culprits_fail(seed, dead, [&](flow_simulation& w, int entries) {
+        w.run_for(killed_after);
+        const int owner = owner_of(w, "a", entries);
+        w.kill_entry(owner);
+        return (owner + 1) % entries;
+    });
+}
+
+// The same, and stops the owner of the cell by plan eight times, about every 2 s.
+void check_culprits_fail_while_owners_stop(std::uint64_t seed, dead_worker dead)
+{
+    check_culprits_fail(seed, dead, [&](flow_simulation& w, int entries) {
+        change_owners(w, entries, 8, 1500ms + 250ms * (seed % 8), stop_by_plan);
+        return 0;
+    });
+}
+
+// Crashes one worker of eight each 1.5 s on the average, while the owner of the cell changes about every 3 s. Checks
+// that no job fails.
+void check_innocents_run(std::uint64_t seed, const owner_change& change)
+{
+    constexpr int entries = 3;
+    random_source random = make_random(seed);
+    flow_simulation w({.seed = seed,
+                       .entries_per_data_centre = entries,
+                       .workers_per_data_centre = 8,
+                       .run_time = [](const flow_task_id&) { return duration(2s); },
+                       .crash_refuses_connections = seed % 2 == 0});
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_b, lasting_spec(12, 2000)) == caller_result::accepted);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(30, 8)) == caller_result::accepted);
+    for (int crash = 0; crash < 60; ++crash) {
+        w.run_for(duration(absl::Uniform(random, 0, 1'500'000)));
+        w.crash_worker(absl::Uniform(random, 0, w.worker_count()), true);
+        w.run_for(duration(absl::Uniform(random, 0, 1'500'000)));
+        if (const int owner = owner_of(w, "a", entries); owner >= 0 && crash % 2 == 0) {
+            change(w, owner);
+        }
+    }
+    w.run_for(10s);
+    BOOST_TEST(!has_failed(w, 0, job_a));
+    BOOST_TEST(!has_failed(w, 0, job_b));
+    check_no_violations(w);
+}
+
 } // namespace
 
 // Guards against starting a task again without end when it crashes each worker it runs on.
@@ -319,19 +392,55 @@
 // workers, no task's crash count rises and each task is started more often than allowed.
 BOOST_AUTO_TEST_CASE(tasks_of_several_jobs_that_crash_workers_at_once_are_each_given_up)
 {
-    each_seed(8, [](std::uint64_t seed) { check_culprits_fail(seed, std::nullopt); });
+    each_seed(8, [](std::uint64_t seed) { check_culprits_fail(seed, dead_worker::is_silent, nullptr); });
 }
 
 // Guards against more starts than allowed of such tasks when the owner of their cell is killed: crashes that it has
 // noted and not written, or not heard of yet, are lost to its follower.
 BOOST_AUTO_TEST_CASE(tasks_that_crash_workers_at_once_are_given_up_though_their_owner_is_killed)
 {
-    each_seed(16, [](std::uint64_t seed) { check_culprits_fail(seed, 500ms + 500ms * seed); });
+    each_seed(16, [](std::uint64_t seed) {
+        check_culprits_fail_without_owner(seed, dead_worker::is_silent, 500ms + 500ms * seed);
+    });
 }
 
 // Guards against more starts than allowed of such tasks when the owner is killed once they run on dedicated workers:
 // its follower knows neither how soon the workers crashed nor that nothing else ran there.
 BOOST_AUTO_TEST_CASE(tasks_on_dedicated_workers_are_given_up_though_their_owner_is_killed)
 {
-    each_seed(4, [](std::uint64_t seed) { check_culprits_fail(seed, 13s + 500ms * seed); });
+    each_seed(4, [](std::uint64_t seed) {
+        check_culprits_fail_without_owner(seed, dead_worker::is_silent, 13s + 500ms * seed);
+    });
+}
+
+// The same where a crashed worker's machine refuses connections, so that its owner notices the crash at once.
+BOOST_AUTO_TEST_CASE(tasks_whose_crashes_are_noticed_at_once_are_given_up_though_their_owner_is_killed)
+{
+    each_seed(30, [](std::uint64_t seed) {
+        check_culprits_fail_without_owner(seed, dead_worker::refuses_connections, 500ms * seed);
+    });
+}
+
+// Guards against more starts than allowed of such tasks when entries are restarted in turn: each owner is followed
+// before it has heard whether a worker that does not answer has crashed, and its follower knows of no run there.
+BOOST_AUTO_TEST_CASE(tasks_that_crash_workers_at_once_are_given_up_though_entries_are_stopped_in_turn)
+{
+    each_seed(
+        8, [](std::uint64_t seed) { check_culprits_fail_while_owners_stop(seed, dead_worker::refuses_connections); });
+}
+
+// The same where orders to a crashed worker time out, so that its owner is often followed before it has noticed.
+BOOST_AUTO_TEST_CASE(tasks_whose_workers_fall_silent_are_given_up_though_entries_are_stopped_in_turn)
+{
+    each_seed(8, [](std::uint64_t seed) { check_culprits_fail_while_owners_stop(seed, dead_worker::is_silent); });
+}
+
+// Guards against giving up tasks whose workers crash for reasons of their own, since each new owner learns late what
+// ran there: owners stopped by plan tell of the crashes, killed ones only of starts on dedicated workers.
+BOOST_AUTO_TEST_CASE(no_task_is_given_up_for_crashes_of_its_workers_while_owners_change)
+{
+    each_seed(4, [](std::uint64_t seed) {
+        check_innocents_run(seed, stop_by_plan);
+        check_innocents_run(seed, kill_and_restart);
+    });
 }
