--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -300,6 +300,8 @@
     else {
         wanted.pending = row_.pending;
     }
+    wanted.silences = row_.silences;
+    wanted.silences_from_ms = row_.silences_from_ms;
     inherit_named_workers(row_);
     // The previous owner certainly sends nothing any more if it released the row or was this entry. If the row names
     // this incarnation because of a take whose answer was lost, the time computed for the owner before that take still
@@ -342,6 +344,7 @@
     epoch_ = skylarkhub::epoch(wanted.epoch);
     role_ = role::reading;
     taken_at_ = now;
+    inherit_silences(now, wanted);
     workers_listed_since_takeover_ = false;
     next_renewal_ = now + renew_interval;
     ++ownership_generation_;
@@ -591,9 +594,10 @@
     if (role_ != role::owning) {
         return;
     }
-    // A worker that the previous owner no longer named in the row is over: that owner knew that it had ended.
+    // A worker that the previous owner no longer named in the row is over: that owner knew that it had ended. One that
+    // was found to have crashed while the rows were read was charged to no task, as none was known yet.
     charge_noted(now, [this](const worker_life& life, const flow_task_id& task, run_number run) {
-        return is_over_at_takeover(life, task, run);
+        return is_over_at_takeover(life, task, run) || has_crashed_unread(life.worker, task, run);
     });
     process_buffered_inventories(now);
     for (auto& [id, w] : workers_) {
@@ -691,6 +695,7 @@
     wire::flow_cell_row wanted = row_;
     ++wanted.renewals;
     wanted.workers = build_worker_names(now, false);
+    tell_silences(now, wanted);
     wanted.pending = pending_row(now);
     wanted.starts_noted = wanted.starts_noted || are_all_starts_recorded(now);
     write_row(wanted,
@@ -774,6 +779,7 @@
     read_rows_.clear();
     recent_crashes_.clear();
     lapsed_workers_.clear();
+    inherited_silences_.clear();
     inherited_worker_crashed_ = false;
     isolated_task_waits_ = false;
     placement_scheduled_ = false;
@@ -835,6 +841,7 @@
     wire::flow_cell_row wanted = row_;
     wanted.released = true;
     wanted.workers = build_worker_names(now, true);
+    tell_silences(now, wanted);
     wanted.pending = pending_row(now);
     ++ownership_generation_; // callbacks of this ownership are dropped from now on
     role_ = role::released;
