--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -251,7 +251,7 @@
         std::uint64_t hold_exchange = 0; // number of the hold in flight; the answer to one before is dropped
         bool hold_looks = false;         // the next hold only asks, and so may go over any connection
         int looks_in_a_row = 0;          // that were answered, and left no connection for the next hold
-        instant hold_planned_at{}; // when the next hold is sent; instant{}: none is planned
+        instant hold_planned_at{};       // when the next hold is sent; instant{}: none is planned
         instant last_answer{};
         std::int32_t silent = 0;    // consecutive holds without an answer
         instant unanswered_since{}; // when the first of these holds was due; instant{}: there is none
