--- a/tests/test_flow_second_life.cpp
+++ b/tests/test_flow_second_life.cpp
@@ -148,6 +148,18 @@
     w.run_for(20s);
 }
 
+void cut_off_at_each_moment(int entries, bool kills_owner)
+{
+    for (duration cut_after = 480ms; cut_after <= 2400ms; cut_after += 80ms) {
+        BOOST_TEST_CONTEXT("cut off " << cut_after.count() / 1000 << " ms after the crash")
+        {
+            flow_simulation w(silently_restarting_workers(entries));
+            cut_off_after_restarts(w, cut_after, kills_owner);
+            check_no_violations(w);
+        }
+    }
+}
+
 } // namespace
 
 // Ends of the second life, numbered from 1, are taken for ends of the first life that were handled before.
@@ -311,27 +323,13 @@
 // after six.
 BOOST_AUTO_TEST_CASE(no_lease_by_the_clock_of_the_first_life_when_the_second_is_cut_off)
 {
-    for (duration cut_after = 480ms; cut_after <= 2400ms; cut_after += 80ms) {
-        BOOST_TEST_CONTEXT("cut off " << cut_after.count() / 1000 << " ms after the crash")
-        {
-            flow_simulation w(silently_restarting_workers(1));
-            cut_off_after_restarts(w, cut_after, false);
-            check_no_violations(w);
-        }
-    }
+    cut_off_at_each_moment(1, false);
 }
 
 // The same, and the owner is killed before the cut: its follower counts six seconds as well.
 BOOST_AUTO_TEST_CASE(no_lease_by_the_clock_of_the_first_life_when_the_owner_is_killed)
 {
-    for (duration cut_after = 480ms; cut_after <= 2400ms; cut_after += 80ms) {
-        BOOST_TEST_CONTEXT("cut off " << cut_after.count() / 1000 << " ms after the crash")
-        {
-            flow_simulation w(silently_restarting_workers(2));
-            cut_off_after_restarts(w, cut_after, true);
-            check_no_violations(w);
-        }
-    }
+    cut_off_at_each_moment(2, true);
 }
 
 // A start that had no answer is executed by the next life after its worker has been given up, beside the next run.
