flow: a job whose occurrences last runs as far as there is room

Cause: four bounds of such a job were told apart from what they bound. - An owner held each occurrence that is due, so what waits cost as much as what runs. The door then refused what the owner would have held, without an end. - A row was packed by stage. A start of an occurrence with a task or two took some 60 bytes, while has_room_for_start() counted four, so thousands of starts were placed whose row the table doesn't take, withdrawn, and placed again, ten times a second. - News for another cell lack the job's steps and were compared with no limit. One that was too large kept the job's row from being written, for good. - Each recurring job could take half of an owner's memory for jobs, however many there were; jobs that were just read at a takeover were not counted at all.

Change: - An owner holds the occurrences that run, and of the others that are due 512 tasks at a time, for steps that last as for others: one bound without an exception. Rows for steps of one occurrence stay as they are. Earlier releases refuse a joined row (they leave the job alone) rather than take its tasks for new ones. - After a row that was too large, half as many starts are recorded before the next write, at last one each ten seconds. News are compared with the limit as well. - Where no worker has room for a task of a step, the step's other occurrences are not tried again in the same pass.

--- a/schema/flow.thrift
+++ b/schema/flow.thrift
@@ -83,6 +83,7 @@
   13: optional flow_packed_homes packed_homes
   14: optional flow_packed_runs packed_failed_runs
   15: optional flow_packed_runs packed_outlived
+  16: i32 joined_tasks = 0 // of each occurrence, in joined stages
 }
 
 // Occurrences of a job all of whose tasks are done.
@@ -123,6 +124,11 @@
   25: list<flow_home_row> homes    // in packed homes
   // `starts_noted` of a row with packed starts, which earlier releases do not read: to them it says false.
   26: bool packed_starts_noted = false
+  // The stages of several occurrences as one stage for each step. The tasks of an occurrence follow those of the one
+  // before it in `joined`. `stages` then holds only what earlier releases refuse to read, as they would take tasks that
+  // are done, or that another cell has, for new ones.
+  27: list<flow_stage_row> joined_stages
+  28: list<flow_occurrence_span> joined
 }
 
 // In flow-cell-jobs, CELL/!fence: every write of the cell's owner is checked against it, so that none comes into force once a
--- a/src/flow_cell_commit.cpp
+++ b/src/flow_cell_commit.cpp
@@ -50,6 +50,15 @@
     return size;
 }
 
+std::size_t largest_value(const store_transaction& t)
+{
+    std::size_t largest = 0;
+    for (const store_put& put : t.puts) {
+        largest = std::max(largest, put.value.size());
+    }
+    return largest;
+}
+
 } // namespace
 
 void flow_cell::mark_job_dirty(instant now, flow_job& job, bool urgent)
@@ -185,8 +194,9 @@
         committed_row row = row_of(job);
         store_transaction entries = entries_of(job, row);
         const transaction_size added = size_of(entries);
-        if (row.bytes.size() > row_bytes_most_ || added.bytes > max_commit_bytes) {
-            leave_unwritten(now, job, fmt::format("row of {} bytes, {} with news", row.bytes.size(), added.bytes));
+        const std::size_t largest = largest_value(entries);
+        if (largest > row_bytes_most_ || added.bytes > max_commit_bytes) {
+            leave_unwritten(now, job, fmt::format("row of {} bytes, {} with news", largest, added.bytes));
             continue;
         }
         const bool alone = state.sent_alone.count(id) != 0;
--- a/src/flow_cell_log.cpp
+++ b/src/flow_cell_log.cpp
@@ -45,7 +45,7 @@
         return {task_wait_reason::may_still_run, worker_id(task.start.worker)};
     }
     const flow_step& step = job.step(stage);
-    if (persists_starts(step) && !has_room_for_start(job, 0)) {
+    if (persists_starts(step) && !has_room_for_start(now, job, 0)) {
         return {task_wait_reason::row_full, worker_id()};
     }
     const bool schedulable = std::any_of(workers_.begin(), workers_.end(), [&](const auto& w) {
--- a/src/flow_cell_ownership.cpp
+++ b/src/flow_cell_ownership.cpp
@@ -573,6 +573,7 @@
                  {"workers", std::to_string(workers_.size())},
                  {"awaited", std::to_string(unreconciled_jobs_.size())},
                  {"owner_before_silent_in_ms", std::to_string(wait.count() / 1000)}});
+    hooks_.recurring_job_bytes_left(now) -= job_bytes(); // the entry may not have counted the jobs that were read
     for (auto& [id, job] : jobs_) {
         if (job->dirty()) {
             mark_job_dirty(now, *job, true);
@@ -580,7 +581,7 @@
         if (job->cancelled() || job->ended()) {
             continue;
         }
-        job->open_stages(now, edges_.wall());
+        open_stages(now, *job);
         index_ready(*job);
         end_if_decided(now, *job);
     }
--- a/src/flow_cell_p.h
+++ b/src/flow_cell_p.h
@@ -99,6 +99,8 @@
     std::function<void(instant, const wire::flow_job_row&, const job_id&, flow_state)> publish_job_state;
     // Memory for the occurrences of one recurring job.
     std::function<std::int64_t()> recurring_job_bytes;
+    // The same that is left for the further occurrences of all recurring jobs; what is taken is subtracted from it.
+    std::function<std::int64_t&(instant)> recurring_job_bytes_left;
 };
 
 // Why a ready task is not placed.
@@ -554,7 +556,7 @@
     // Writes a start record; send_recorded_starts() sends the start once the record is written.
     void record_then_start(instant now, flow_job& job, const flow_task_id& task, live_run& live);
     void send_recorded_starts(instant now, flow_job& job);
-    bool has_room_for_start(const flow_job& job, std::size_t chosen) const;
+    bool has_room_for_start(instant now, const flow_job& job, std::size_t chosen) const;
     void withdraw_unsent_starts(instant now, flow_job& job);
     // Drops runs whose start was recorded but not sent.
     void drop_unsent(instant now, const flow_task& task, const flow_task_id& id);
@@ -632,7 +634,10 @@
     // flow_cell_placing.cpp
     void schedule_placement() { placement_scheduled_ = true; }
     void place_ready(instant now);
+    void place_stages(instant now, flow_job& job);
     bool place_stage(instant now, flow_job& job, flow_stage& stage);
+    void reserve_for_waiting(instant now, const flow_job& job, const flow_stage& stage, std::size_t index);
+    bool open_stages(instant now, flow_job& job);
     // `near`: the rack where the rest of a gang is; invalid: none. `patience`: how long filling work waits for a worker
     // whose serving tasks tolerate it.
     cell_worker* choose_worker(instant now, const flow_job& job, const flow_stage& stage, const flow_task_id& id,
--- a/src/flow_cell_placing.cpp
+++ b/src/flow_cell_placing.cpp
@@ -15,6 +15,21 @@
 
 constexpr double other_rack_cost = 3.0; // a gang that spans two racks takes two to three times as long
 
+// Counts the ready tasks that have waited for reserve_after, after which a worker is reserved.
+std::int32_t count_long_waiting(instant now, const flow_stage& stage)
+{
+    return static_cast<std::int32_t>(
+        std::count_if(stage.tasks.begin(), stage.tasks.end(), [now](const flow_task& task) {
+            return task.stage == flow_task_state::ready && now - task.ready_since >= reserve_after;
+        }));
+}
+
+bool may_crash_workers(const flow_stage& stage)
+{
+    return std::any_of(stage.tasks.begin(), stage.tasks.end(),
+                       [](const flow_task& task) { return task.may_crash_workers(); });
+}
+
 } // namespace
 
 // Places ready tasks if an event has requested it, and commits the job rows that are due.
@@ -97,15 +112,32 @@
             end_job(now, job, flow_state::failed);
             continue;
         }
-        for (flow_stage& stage : job.stages()) {
-            if (stage.ready > 0) {
-                place_stage(now, job, stage);
-            }
-        }
+        place_stages(now, job);
         index_ready(job);
     }
 }
 
+// Where no worker has room for a task of a step, none has room for those of the step's other occurrences, unless they
+// differ in where they may run.
+void flow_cell::place_stages(instant now, flow_job& job)
+{
+    std::set<std::int32_t> full_steps;
+    for (flow_stage& stage : job.stages()) {
+        if (stage.ready == 0) {
+            continue;
+        }
+        const flow_step& step = job.step(stage);
+        const bool alike = !step.gang && !step.filling && step.per_worker_most <= 0;
+        if (alike && full_steps.count(stage.step) != 0 && !promises_.has_any_of_stage(job.task_id(stage, 0)) &&
+            !may_crash_workers(stage)) {
+            reserve_for_waiting(now, job, stage, 0);
+        }
+        else if (place_stage(now, job, stage)) {
+            full_steps.insert(stage.step);
+        }
+    }
+}
+
 // Returns whether tasks may be started on the worker at all, whatever room it has.
 bool flow_cell::is_schedulable(instant now, const cell_worker& w)
 {
@@ -221,19 +253,6 @@
     return best;
 }
 
-namespace {
-
-// Counts the ready tasks that have waited for reserve_after, after which a worker is reserved.
-std::int32_t count_long_waiting(instant now, const flow_stage& stage)
-{
-    return static_cast<std::int32_t>(
-        std::count_if(stage.tasks.begin(), stage.tasks.end(), [now](const flow_task& task) {
-            return task.stage == flow_task_state::ready && now - task.ready_since >= reserve_after;
-        }));
-}
-
-} // namespace
-
 // Returns how long a filling task waits for a worker without excess interference. If serving tasks tolerate no more
 // filling work on any worker although much of the data centre is unused, a step would run nothing for the whole wait,
 // and again in each cell that its tasks move to. In that case the first task of the step waits only
@@ -245,8 +264,20 @@
     return use_idle_limit ? fill_interference_wait_idle : fill_interference_wait;
 }
 
-// Places the ready tasks of the stage, and the members of a gang only all at once. Returns whether every ready task
-// has got a worker.
+// Reserves workers for tasks that have waited long for one.
+void flow_cell::reserve_for_waiting(instant now, const flow_job& job, const flow_stage& stage, std::size_t index)
+{
+    const flow_step& step = job.step(stage);
+    if (!step.lasting || step.gang) {
+        return;
+    }
+    for (std::int32_t n = count_long_waiting(now, stage); n > 0; --n) {
+        reserve_worker(now, need_of(job, job.task_id(stage, index)));
+    }
+}
+
+// Places the ready tasks of the stage, and the members of a gang only all at once. Returns whether a task waits since
+// no worker has room for it.
 bool flow_cell::place_stage(instant now, flow_job& job, flow_stage& stage)
 {
     const flow_step& step = job.step(stage);
@@ -271,7 +302,7 @@
         const duration patience = step.filling && chosen.empty() ? patience_of(now, job, task) : fill_interference_wait;
         const bool dedicated = needs_dedicated_worker(now, step, task);
         const bool recorded = persists_starts(step) || (dedicated && !step.gang);
-        if (recorded && !has_room_for_start(job, chosen.size())) {
+        if (recorded && !has_room_for_start(now, job, chosen.size())) {
             continue;
         }
         const flow_task_id id = job.task_id(stage, i);
@@ -283,9 +314,8 @@
             w = choose_worker(now, job, stage, id, near, patience);
         }
         if (w == nullptr) {
-            const bool reserves = step.lasting && !step.gang && !full;
-            for (std::int32_t n = reserves ? count_long_waiting(now, stage) : 0; n > 0; --n) {
-                reserve_worker(now, need_of(job, id));
+            if (!full) {
+                reserve_for_waiting(now, job, stage, i);
             }
             full = true;
             if (step.gang || !promises_.has_any_of_stage(id)) {
@@ -313,7 +343,7 @@
         --stage.ready;
         start_on(now, job, stage, i, *w, run);
     }
-    return all;
+    return full;
 }
 
 // Starts a run that is already in the worker's ledger. If starts of the step are persisted, or the task has the worker
@@ -409,14 +439,26 @@
 // Opens the stages of timed jobs whose time has come.
 void flow_cell::open_due_stages(instant now)
 {
-    const wall_time wall = edges_.wall();
     for (const job_id& id : timed_jobs_) {
         const auto found = jobs_.find(id);
-        if (found != jobs_.end() && found->second->open_stages(now, wall)) {
+        if (found != jobs_.end() && open_stages(now, *found->second)) {
             index_ready(*found->second);
             schedule_placement();
         }
     }
 }
 
+// Opens the stages of the job whose time has come, in the memory that the entry has left for recurring jobs.
+bool flow_cell::open_stages(instant now, flow_job& job)
+{
+    if (!job.timed()) {
+        return job.open_stages(now, edges_.wall());
+    }
+    std::int64_t& left = hooks_.recurring_job_bytes_left(now);
+    const std::int64_t before = job.held_bytes();
+    const bool opened = job.open_stages(now, edges_.wall(), left);
+    left -= job.held_bytes() - before;
+    return opened;
+}
+
 } // namespace skylarkhub
--- a/src/flow_cell_runs.cpp
+++ b/src/flow_cell_runs.cpp
@@ -541,7 +541,7 @@
     if (stage_done && job.all_done()) {
         end_job(now, job, flow_state::done);
     }
-    else if (stage_done && job.open_stages(now, edges_.wall())) {
+    else if (stage_done && open_stages(now, job)) {
         index_ready(job);
         schedule_placement();
     }
@@ -749,7 +749,7 @@
         stop_job_runs(now, known);
         mark_job_dirty(now, known, true);
     }
-    else if (!known.cancelled() && role_ == role::owning && known.open_stages(now, edges_.wall())) {
+    else if (!known.cancelled() && role_ == role::owning && open_stages(now, known)) {
         schedule_placement(); // another cell has completed the last task of a step
     }
     if (!known.cancelled() && !known.ended()) {
@@ -839,7 +839,7 @@
         mark_job_dirty(now, *job, false);
         return;
     }
-    job->open_stages(now, edges_.wall());
+    open_stages(now, *job);
     index_ready(*job);
     if (job->dirty()) {
         mark_job_dirty(now, *job, true);
--- a/src/flow_cell_start_records.cpp
+++ b/src/flow_cell_start_records.cpp
@@ -51,9 +51,9 @@
 
 // Whether the job's row has room for the records of one more start and of `chosen` others, which are about to be made.
 // Without room the task waits until the row is written and its size known, or another task of the job is done.
-bool flow_cell::has_room_for_start(const flow_job& job, std::size_t chosen) const
+bool flow_cell::has_room_for_start(instant now, const flow_job& job, std::size_t chosen) const
 {
-    return !job.lacks_row_room() && job.row_bytes() + (chosen + 1) * flow_limits::start_record_bytes <= row_bytes_most_;
+    return job.has_room_for_starts(now, chosen + 1, row_bytes_most_);
 }
 
 // Gives up the starts whose records cannot be written, so that their resources are free for other jobs. Their tasks
--- a/src/flow_entry.cpp
+++ b/src/flow_entry.cpp
@@ -182,6 +182,7 @@
 {
     flow_cell_hooks hooks;
     hooks.recurring_job_bytes = [this] { return bounds_.shares.recurring_job_bytes(); };
+    hooks.recurring_job_bytes_left = [this](instant now) -> std::int64_t& { return recurring_job_bytes_left(now); };
     hooks.queue = [this](const queue_id& name) -> const flow_queue* {
         if (!config_) {
             return nullptr;
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -268,6 +268,8 @@
     std::optional<cell_id> choose_cell(instant now, const flow_queue& queue, const flow_spec& spec);
     // What this entry has for further jobs of its cells, less what was sent there since it was last counted.
     std::int64_t& own_job_bytes_left(instant now);
+    // The same for further occurrences of recurring jobs, which leave the rest to jobs that are yet to come.
+    std::int64_t& recurring_job_bytes_left(instant now);
     // Returns the cells whose owners have no memory for a job of this size.
     absl::flat_hash_set<std::string> cells_without_memory(instant now, std::int64_t job_bytes);
     void charge_owner(instant now, const cell_id& cell, std::int64_t job_bytes);
@@ -515,6 +517,7 @@
     std::vector<wire::flow_cell_news> own_news_;
     instant own_news_at_{};
     std::int64_t own_job_bytes_left_ = 0;
+    std::int64_t recurring_job_bytes_left_ = 0;
     instant own_job_bytes_at_{};
     absl::flat_hash_map<job_id, tracked_job> tracked_jobs_;
     std::deque<job_id> remembered_jobs_; // accepted and tracked, the one that has been so longest first
--- a/src/flow_entry_rooms.cpp
+++ b/src/flow_entry_rooms.cpp
@@ -223,10 +223,18 @@
         for (const auto& [id, cell] : cells_) {
             own_job_bytes_left_ -= cell->job_bytes();
         }
+        const machine_shares& shares = bounds_.shares;
+        recurring_job_bytes_left_ = own_job_bytes_left_ - (shares.job_bytes - shares.recurring_job_bytes());
     }
     return own_job_bytes_left_;
 }
 
+std::int64_t& flow_entry::recurring_job_bytes_left(instant now)
+{
+    own_job_bytes_left(now); // reads both anew, if they are old
+    return recurring_job_bytes_left_;
+}
+
 // Failure: jobs are accepted that their owners cannot hold, as each task takes memory there and none in the request.
 // Symptom: the machine ends the owner, then whoever follows it. So owners tell what they have left.
 absl::flat_hash_set<std::string> flow_entry::cells_without_memory(instant now, std::int64_t job_bytes)
--- a/src/flow_front.cpp
+++ b/src/flow_front.cpp
@@ -75,19 +75,12 @@
             }
         }
     }
-    if (!keeps_occurrences(spec) && estimate_job_bytes(spec) > shares.job_bytes) {
+    if (estimate_job_bytes(spec) > shares.job_bytes) {
         return "a job has too many tasks";
     }
     return "";
 }
 
-// Failure: a job is accepted whose occurrences never end, and of which no owner holds all. Symptom: the later ones
-// never run. Its bytes are compared with what an owner holds of such a job.
-bool exceeds_owners(const flow_spec& spec, const machine_shares& shares)
-{
-    return keeps_occurrences(spec) && estimate_job_bytes(spec) > shares.recurring_job_bytes();
-}
-
 } // namespace
 
 const flow_queue* flow_entry::match_queue(const std::string& host, const std::string& path) const
@@ -225,12 +218,6 @@
         reply({caller_result::invalid, flow_state::queued, 0, duration(0), problem});
         return;
     }
-    if (exceeds_owners(*request.spec, bounds_.shares)) {
-        // Not as a malformed job: an earlier release may have accepted it, and then its caller asks again.
-        refuse_unless_accepted(job, {"no owner holds all occurrences of the job, as none of them ends", duration(0)},
-                               reply);
-        return;
-    }
     if (!config_usable_) {
         refuse_unless_accepted(job, {"a newer configuration is being fetched", unavailable_retry}, reply);
         return;
--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <numeric>
 #include <set>
+#include <utility>
 
+#include "flow_row_join_p.h"
 #include "place_crash_p.h"
 
 namespace skylarkhub {
@@ -14,18 +16,18 @@
 // No task reaches 1000 runs under one owner.
 constexpr std::int64_t runs_per_epoch = 1000;
 
-// Unfinished tasks of a recurring job in its home cell from which on no further occurrence is held beside them: all may
-// be due at once. Bounds the memory of the job and the size of its row. Not where a step lasts: its occurrences never
-// end, so later ones would wait for good.
-constexpr std::int64_t tasks_held_most = 512;
-
-// More than any machine has. Occurrences times their bytes may exceed what a number can tell.
-constexpr std::int64_t bytes_unbounded = std::int64_t{1} << 50;
+// Tasks of a recurring job that wait in its home cell, from which on no further occurrence is held beside them: all may
+// be due at once. Tasks that run don't count, since those of a step that lasts never end.
+constexpr std::int64_t tasks_waiting_most = 512;
 
 // Earlier releases read bits of each stage that is done. They hold all occurrences of a job in memory, so larger jobs
 // could not run under them.
 constexpr std::int64_t stages_for_earlier_releases = 512;
 
+// Stages that a row tells of one by one; of more, those of all occurrences of a step are joined.
+constexpr std::size_t stages_told_apart_most = 512;
+static_assert(stages_told_apart_most >= stages_for_earlier_releases); // no finished ones are joined
+
 bool bit_at(const std::string& bits, std::int32_t index)
 {
     const auto byte = static_cast<std::size_t>(index / 8);
@@ -59,6 +61,14 @@
                            });
 }
 
+// Tasks that have not been started, or are to be started again.
+std::int64_t count_waiting(const flow_stage& stage)
+{
+    return std::count_if(stage.tasks.begin(), stage.tasks.end(), [](const flow_task& task) {
+        return task.stage == flow_task_state::blocked || task.stage == flow_task_state::ready;
+    });
+}
+
 struct occurrence_size {
     std::int64_t tasks = 0;
     std::int64_t bytes = 0;
@@ -74,6 +84,15 @@
     return size;
 }
 
+std::vector<std::int32_t> count_tasks_of_steps(const flow_spec& spec)
+{
+    std::vector<std::int32_t> counts;
+    counts.reserve(spec.steps.size());
+    std::transform(spec.steps.begin(), spec.steps.end(), std::back_inserter(counts),
+                   [](const flow_step& step) { return step.count; });
+    return counts;
+}
+
 } // namespace
 
 std::vector<wire::crash_row> flow_task::crash_rows() const
@@ -100,20 +119,10 @@
     return step.lasting && !step.gang && !step.speculative;
 }
 
-bool keeps_occurrences(const flow_spec& spec)
-{
-    return spec.occurrences > 1 &&
-           std::any_of(spec.steps.begin(), spec.steps.end(), [](const flow_step& s) { return s.lasting; });
-}
-
 std::int64_t estimate_job_bytes(const flow_spec& spec)
 {
     const occurrence_size one = size_of_occurrence(spec);
-    if (keeps_occurrences(spec)) {
-        return count_spec_bytes(spec) +
-               one.bytes * std::min<std::int64_t>(spec.occurrences, bytes_unbounded / one.bytes);
-    }
-    const std::int64_t held_most = 1 + tasks_held_most / std::max<std::int64_t>(one.tasks, 1);
+    const std::int64_t held_most = 1 + tasks_waiting_most / std::max<std::int64_t>(one.tasks, 1);
     return count_spec_bytes(spec) + one.bytes * std::clamp<std::int64_t>(spec.occurrences, 1, held_most);
 }
 
@@ -126,6 +135,8 @@
       version_(version)
 {
     row_.stages.clear();
+    row_.joined.clear();
+    row_.joined_stages.clear();
     row_.finished.clear();
     row_.begun = implies_begun(row);
     if (!timed()) {
@@ -267,21 +278,19 @@
     return at - static_cast<std::ptrdiff_t>(spec_.steps.size());
 }
 
-void flow_job::hold_due_occurrences(wall_time wall)
+void flow_job::hold_due_occurrences(wall_time wall, std::int64_t bytes_more)
 {
     if (!timed() || !is_home_cell()) {
         return;
     }
-    const bool keeps = keeps_occurrences(spec_);
     const occurrence_size added = size_of_occurrence(spec_);
-    std::int64_t unfinished =
-        std::accumulate(stages_.begin(), stages_.end(), std::int64_t{0}, [](std::int64_t sum, const flow_stage& s) {
-            return sum + static_cast<std::int64_t>(s.tasks.size()) - s.done;
-        });
+    std::int64_t waiting =
+        std::accumulate(stages_.begin(), stages_.end(), std::int64_t{0},
+                        [](std::int64_t sum, const flow_stage& s) { return sum + count_waiting(s); });
     std::int64_t bytes = count_job_bytes(spec_, stages_);
+    const std::int64_t bytes_most = std::min(bytes_most_, bytes + std::max<std::int64_t>(bytes_more, 0));
     const auto is_full = [&] {
-        return bytes + added.bytes > bytes_most_ ||
-               (!keeps && unfinished > 0 && unfinished + added.tasks > tasks_held_most);
+        return bytes + added.bytes > bytes_most || (waiting > 0 && waiting + added.tasks > tasks_waiting_most);
     };
     next_held_ = finished_.next_absent(next_held_);
     while (next_held_ < occurrences() && due(next_held_, wall)) {
@@ -291,7 +300,7 @@
         const auto at = stages_from(next_held_);
         if (at == stages_.end() || at->occurrence != next_held_) {
             insert_occurrence(at, next_held_);
-            unfinished += added.tasks;
+            waiting += added.tasks;
             bytes += added.bytes;
         }
         next_held_ = finished_.next_absent(next_held_ + 1);
@@ -418,13 +427,13 @@
     return occurrence == 0 || spec_.interval <= (wall - spec_.first_due) / occurrence;
 }
 
-bool flow_job::open_stages(instant now, wall_time wall)
+bool flow_job::open_stages(instant now, wall_time wall, std::int64_t bytes_more)
 {
     if (cancelled() || ended()) {
         return false;
     }
     drop_finished_occurrences();
-    hold_due_occurrences(wall);
+    hold_due_occurrences(wall, bytes_more);
     bool opened = false;
     for (flow_stage& stage : stages_) {
         if (stage.open || !due(stage.occurrence, wall)) {
@@ -651,11 +660,7 @@
 
 std::int64_t flow_job::held_bytes() const
 {
-    const std::int64_t held = count_job_bytes(spec_, stages_);
-    if (!is_home_cell() || !keeps_occurrences(spec_)) {
-        return held;
-    }
-    return std::max(held, std::min(estimate_job_bytes(spec_), bytes_most_));
+    return count_job_bytes(spec_, stages_);
 }
 
 bool flow_job::all_done() const
@@ -706,9 +711,8 @@
     for (const wire::flow_occurrence_span& span : other.finished) {
         load_finished(span);
     }
-    for (const wire::flow_stage_row& stage : other.stages) {
-        load_stage(now, stage, writer_kind == row_writer_kind::own);
-    }
+    for_each_stage(
+        other, [&](const wire::flow_stage_row& stage) { load_stage(now, stage, writer_kind == row_writer_kind::own); });
     // A cell that did not know of the end yet has handed a task to a cell that now has to be notified.
     const std::set<std::string> concerned_now = job_over ? concerned_cells() : std::set<std::string>();
     if (!std::includes(concerned.begin(), concerned.end(), concerned_now.begin(), concerned_now.end())) {
@@ -725,13 +729,34 @@
 {
     written_ = std::max(written_, changes);
     note_version(version);
-    unwritable_.reset();
+    if (unwritable_) {
+        row_full_since_ = unwritable_->found;
+        unwritable_.reset();
+    }
+    else if (starts_in_row_ > 0 && starts_most_ <= unlimited_starts / 2) {
+        starts_most_ = 2 * std::max(starts_most_, starts_in_row_);
+    }
 }
 
 void flow_job::note_row_bytes(std::size_t bytes)
 {
     row_bytes_ = bytes;
-    starts_since_ = 0;
+    starts_in_row_ = std::exchange(starts_since_, 0);
+}
+
+void flow_job::note_unwritable(instant now)
+{
+    unwritable_ = unwritable_row{changes_, now};
+    starts_most_ = starts_in_row_ / 2;
+}
+
+// One start is tried again now and then, since the row may have become smaller.
+bool flow_job::has_room_for_starts(instant now, std::size_t starts, std::size_t bytes_most) const
+{
+    const std::size_t most =
+        starts_most_ == 0 && now - row_full_since_ >= flow_limits::unwritable_retry ? 1 : starts_most_;
+    const std::size_t since = starts_since_ + starts;
+    return !unwritable_ && since <= most && row_bytes_ + since * flow_limits::start_record_bytes <= bytes_most;
 }
 
 bool flow_job::is_unwritable(instant now) const
@@ -742,13 +767,9 @@
 wire::flow_job_row flow_job::current_row() const
 {
     wire::flow_job_row row = row_;
-    row.stages = stage_rows();
-    for (const auto& [first, end] : finished_.spans()) {
-        wire::flow_occurrence_span span;
-        span.first = first;
-        span.past_last = end;
-        row.finished.push_back(span);
-    }
+    row.finished = to_rows(finished_);
+    add_finished_stages(row.stages);
+    add_held_stages(row);
     return row;
 }
 
@@ -786,55 +807,73 @@
     }
 }
 
-std::vector<wire::flow_stage_row> flow_job::stage_rows() const
+// Beyond a number of stages no row for each of them is made, as these would take far more memory than the job.
+void flow_job::add_held_stages(wire::flow_job_row& row) const
 {
-    std::vector<wire::flow_stage_row> rows;
-    add_finished_stages(rows);
+    std::optional<stage_joiner> joiner;
     for (const flow_stage& stage : stages_) {
-        wire::flow_stage_row s;
-        s.occurrence = stage.occurrence;
-        s.step = stage.step;
-        bool any = false;
-        std::string bits((stage.tasks.size() + 7) / 8, '\0');
-        for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
-            const flow_task& task = stage.tasks[i];
-            const auto index = static_cast<std::int32_t>(i);
-            if (task.stage == flow_task_state::done) {
-                set_bit(bits, index);
-                any = true;
-                continue;
-            }
-            if (task.home.moves > 0) {
-                s.homes[index] = task.home;
-                any = true;
-            }
-            if (task.start.run > 0) {
-                s.starts[index] = task.start;
-                any = true;
-            }
-            for (const run_number run : task.failed_runs) {
-                s.failed_runs[index].push_back(run.value());
-                any = true;
-            }
-            if (!task.crashes.empty()) {
-                s.crashes[index] = task.crash_rows();
-                any = true;
-            }
-            if (task.outlived > run_number(0)) {
-                s.outlived[index] = task.outlived.value();
-                any = true;
-            }
-            if (!task.checkpoint.empty()) {
-                s.checkpoints[index] = task.checkpoint;
-                any = true;
+        auto told = stage_row(stage);
+        if (told && !joiner && row.stages.size() == stages_told_apart_most) {
+            joiner.emplace(count_tasks_of_steps(spec_));
+            for (const wire::flow_stage_row& earlier : row.stages) {
+                joiner->add(earlier);
             }
         }
-        if (any) {
-            s.done = bits;
-            rows.push_back(std::move(s));
+        if (told && joiner) {
+            joiner->add(*told);
+        }
+        else if (told) {
+            row.stages.push_back(std::move(*told));
         }
     }
-    return rows;
+    if (joiner) {
+        joiner->move_into(row);
+    }
+}
+
+// What is certain about the tasks of the stage; nothing if that is what any new stage would tell.
+std::optional<wire::flow_stage_row> flow_job::stage_row(const flow_stage& stage)
+{
+    wire::flow_stage_row s;
+    s.occurrence = stage.occurrence;
+    s.step = stage.step;
+    bool any = false;
+    std::string bits((stage.tasks.size() + 7) / 8, '\0');
+    for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
+        const flow_task& task = stage.tasks[i];
+        const auto index = static_cast<std::int32_t>(i);
+        if (task.stage == flow_task_state::done) {
+            set_bit(bits, index);
+            any = true;
+            continue;
+        }
+        if (task.home.moves > 0) {
+            s.homes[index] = task.home;
+            any = true;
+        }
+        if (task.start.run > 0) {
+            s.starts[index] = task.start;
+            any = true;
+        }
+        for (const run_number run : task.failed_runs) {
+            s.failed_runs[index].push_back(run.value());
+            any = true;
+        }
+        if (!task.crashes.empty()) {
+            s.crashes[index] = task.crash_rows();
+            any = true;
+        }
+        if (task.outlived > run_number(0)) {
+            s.outlived[index] = task.outlived.value();
+            any = true;
+        }
+        if (!task.checkpoint.empty()) {
+            s.checkpoints[index] = task.checkpoint;
+            any = true;
+        }
+    }
+    s.done = bits;
+    return any ? std::optional(std::move(s)) : std::nullopt;
 }
 
 } // namespace skylarkhub
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/container/stable_vector.hpp>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -83,24 +84,22 @@
 // Whether tasks of the stage belong to another cell, as with a gang that runs across several cells.
 bool spans_cells(const flow_stage& stage);
 
-// Whether the job recurs and none of its occurrences ever ends, since a step of each lasts.
-bool keeps_occurrences(const flow_spec& spec);
-
-// Memory that the owner of its cell takes for such a job at a time, with all occurrences that it keeps; an estimate.
+// Memory that the owner of its cell takes for such a job before any of its tasks runs; an estimate.
 std::int64_t estimate_job_bytes(const flow_spec& spec);
 
-// Whether recording a crash causes a write of the row, or is included in the next write for another reason.
 // What the record of a start tells beside its run; nothing of a run that was found on a worker.
 struct start_circumstances {
     std::optional<wall_time> at;
     bool alone = false; // its worker takes no other starts meanwhile
 };
 
+// Whether recording a crash causes a write of the row, or is included in the next write for another reason.
 enum class crash_persistence : std::uint8_t { written, deferred };
 
-// A job may have far more occurrences than fit into memory. Its home cell holds those that are due and not finished,
-// the oldest first and as far as its memory goes; another cell holds those that a row or a worker tells of. An
-// occurrence that is finished is dropped from memory once that is written, and the row names it in a span.
+// A job may have far more occurrences than fit into memory. Its home cell holds those with tasks that run, and of the
+// others that are due a few at a time, the oldest first and as far as its memory goes. Another cell holds those that a
+// row or a worker tells of. An occurrence that is finished is dropped from memory once that is written, and the row
+// names it in a span.
 class flow_job {
 public:
     // Builds the job from a row that contains the specification. `here`: the cell of this owner; `version`: of the row
@@ -167,8 +166,8 @@
     void move(const flow_task_id& task, const cell_id& to, epoch to_epoch, std::int64_t floor);
 
     // Opens every stage whose preceding steps are done and whose occurrence is due; true if any was opened. Drops the
-    // stages of occurrences that are finished.
-    bool open_stages(instant now, wall_time wall);
+    // stages of occurrences that are finished, and holds further ones in up to `bytes_more` of memory.
+    bool open_stages(instant now, wall_time wall, std::int64_t bytes_more = std::numeric_limits<std::int32_t>::max());
 
     // Number for a new run: higher than all runs of the task, those started by former owners of the cell included.
     run_number next_run(const flow_task& task, epoch cell_epoch) const;
@@ -205,7 +204,7 @@
     void merge(instant now, const wire::flow_job_row& other, row_writer_kind writer_kind);
 
     bool all_done() const;
-    // Memory that the job takes, with occurrences that are not due yet and will be kept; an estimate.
+    // Memory that the job takes; an estimate.
     std::int64_t held_bytes() const;
     // Tasks that wait for a worker.
     std::int32_t count_ready() const;
@@ -225,11 +224,14 @@
     wire::flow_job_row current_row() const;
 
     // --- size of the row ---
-    // Size of the row as it was last encoded, with what the starts recorded since may add.
-    std::size_t row_bytes() const { return row_bytes_ + starts_since_ * flow_limits::start_record_bytes; }
+    // The row was encoded to be written.
     void note_row_bytes(std::size_t bytes);
+    // Whether the row, with the starts recorded since it was last encoded and with further ones, will not be larger
+    // than `bytes_most`. An estimate: after a row that was too large, half as many starts are recorded before the next
+    // write.
+    bool has_room_for_starts(instant now, std::size_t starts, std::size_t bytes_most) const;
     // The row is larger than the table takes. It is not written before the job changes or some time has passed.
-    void note_unwritable(instant now) { unwritable_ = unwritable_row{changes_, now}; }
+    void note_unwritable(instant now);
     bool is_unwritable(instant now) const;
     // The row was last found to be larger than the table takes.
     bool lacks_row_room() const { return unwritable_.has_value(); }
@@ -237,7 +239,8 @@
     wire::flow_job_row index_row() const;
 
 private:
-    std::vector<wire::flow_stage_row> stage_rows() const;
+    void add_held_stages(wire::flow_job_row& row) const;
+    static std::optional<wire::flow_stage_row> stage_row(const flow_stage& stage);
     void add_finished_stages(std::vector<wire::flow_stage_row>& rows) const;
     std::set<std::string> concerned_cells() const;
     // Shows the job as started to callers.
@@ -248,7 +251,7 @@
     flow_stages::iterator stages_from(std::int32_t occurrence);
     // Adds the stages of an occurrence that is not held before `at`, and returns the first of them.
     flow_stages::iterator insert_occurrence(flow_stages::iterator at, std::int32_t occurrence);
-    void hold_due_occurrences(wall_time wall);
+    void hold_due_occurrences(wall_time wall, std::int64_t bytes_more);
     void drop_finished_occurrences();
     bool is_finished(const flow_stages::const_iterator& first, const flow_stages::const_iterator& end) const;
     void load_finished(const wire::flow_occurrence_span& span);
@@ -280,7 +283,11 @@
     std::uint64_t received_ = 0; // value of changes_ when a task last arrived from another cell
     std::uint64_t sent_ = 0;     // changes in the newest write that was sent
     std::size_t row_bytes_ = 0;
-    std::size_t starts_since_ = 0; // recorded since row_bytes_ was found
+    std::size_t starts_since_ = 0;  // recorded since row_bytes_ was found
+    std::size_t starts_in_row_ = 0; // recorded between the last two times that the row was encoded
+    static constexpr std::size_t unlimited_starts = std::numeric_limits<std::int32_t>::max();
+    std::size_t starts_most_ = unlimited_starts; // to be recorded before the next write
+    instant row_full_since_{};                   // when the row was last too large
     struct unwritable_row {
         std::uint64_t changes = 0;
         instant found{};
--- a/src/flow_row.cpp
+++ b/src/flow_row.cpp
@@ -34,6 +34,17 @@
 {
     return job_part(static_cast<int>(XXH64(job.str().data(), job.str().size(), 0) % job_parts));
 }
+std::vector<wire::flow_occurrence_span> to_rows(const occurrence_set& occurrences)
+{
+    std::vector<wire::flow_occurrence_span> rows;
+    for (const auto& [first, past_last] : occurrences.spans()) {
+        wire::flow_occurrence_span& row = rows.emplace_back();
+        row.first = first;
+        row.past_last = past_last;
+    }
+    return rows;
+}
+
 const char* name_of(flow_state state)
 {
     constexpr std::array names{"queued", "running", "done", "failed", "cancelled"};
--- a/src/flow_row_p.h
+++ b/src/flow_row_p.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "flow_occurrences_p.h"
 #include "flow_types.h"
 #include "flow_types_p.h"
 
@@ -39,13 +40,17 @@
 // Calls `use` with the home (the cell that is responsible for a task) of every task that was moved to a cell.
 template <class Use> void for_each_task_home(const wire::flow_job_row& row, Use&& use)
 {
-    for (const wire::flow_stage_row& stage : row.stages) {
-        for (const auto& [task, home] : stage.homes) {
-            use(home);
+    for (const auto* stages : {&row.stages, &row.joined_stages}) {
+        for (const wire::flow_stage_row& stage : *stages) {
+            for (const auto& [task, home] : stage.homes) {
+                use(home);
+            }
         }
     }
 }
 
+std::vector<wire::flow_occurrence_span> to_rows(const occurrence_set& occurrences);
+
 // Names of enum values, for logs.
 const char* name_of(flow_state state);
 const char* name_of(run_end how);
--- a/src/flow_row_pack.cpp
+++ b/src/flow_row_pack.cpp
@@ -8,6 +8,7 @@
 #include <tuple>
 #include <vector>
 
+#include "flow_row_join_p.h"
 #include "flow_row_p.h"
 #include "row_codec_p.h"
 
@@ -153,7 +154,7 @@
 void pack_starts(wire::flow_job_row& row)
 {
     value_table<wire::flow_worker_life> lives(row.lives);
-    for (wire::flow_stage_row& stage : row.stages) {
+    for (wire::flow_stage_row& stage : told_stages(row)) {
         if (stage.starts.empty()) {
             continue;
         }
@@ -252,7 +253,7 @@
 
 void pack_ended_runs(wire::flow_job_row& row)
 {
-    for (wire::flow_stage_row& stage : row.stages) {
+    for (wire::flow_stage_row& stage : told_stages(row)) {
         if (!stage.failed_runs.empty()) {
             stage.__set_packed_failed_runs(pack_runs(stage.failed_runs));
             stage.failed_runs.clear();
@@ -308,7 +309,7 @@
 void pack_homes(wire::flow_job_row& row)
 {
     value_table<wire::flow_home_row> homes(row.homes);
-    for (wire::flow_stage_row& stage : row.stages) {
+    for (wire::flow_stage_row& stage : told_stages(row)) {
         if (stage.homes.empty()) {
             continue;
         }
@@ -376,7 +377,8 @@
 void leave_out_checkpoints(wire::flow_job_row& row, std::size_t excess)
 {
     std::size_t freed = 0;
-    for (auto stage = row.stages.rbegin(); stage != row.stages.rend() && freed < excess; ++stage) {
+    auto& stages = told_stages(row);
+    for (auto stage = stages.rbegin(); stage != stages.rend() && freed < excess; ++stage) {
         const bool whole = has_whole_checkpoints(row, *stage);
         auto& checkpoints = stage->checkpoints;
         while (!checkpoints.empty() && (whole || freed < excess)) {
@@ -391,11 +393,15 @@
 
 std::string encode_job_row(const wire::flow_job_row& row, std::size_t bytes_most)
 {
-    std::string bytes = encode_compact(row);
-    if (bytes.size() <= bytes_most / 2) {
-        return bytes;
+    std::string bytes;
+    if (!is_joined(row)) {
+        bytes = encode_compact(row);
+        if (bytes.size() <= bytes_most / 2) {
+            return bytes;
+        }
     }
     wire::flow_job_row packed = row;
+    join_occurrences(packed);
     for (const auto& pack : std::array{pack_starts, pack_ended_runs, pack_homes}) {
         pack(packed);
         bytes = encode_compact(packed);
@@ -412,7 +418,7 @@
 
 bool unpack_job_row(wire::flow_job_row& row)
 {
-    for (wire::flow_stage_row& stage : row.stages) {
+    for (wire::flow_stage_row& stage : told_stages(row)) {
         if (!unpack_starts(row, stage) || !unpack_homes(row, stage) || !unpack_failed_runs(stage) ||
             !unpack_outlived(stage)) {
             return false;
@@ -422,7 +428,7 @@
     row.homes.clear();
     row.starts_noted = row.starts_noted || row.packed_starts_noted;
     row.packed_starts_noted = false;
-    return true;
+    return is_joined_well(row);
 }
 
 } // namespace skylarkhub
