--- a/src/flow_cell_start_records.cpp
+++ b/src/flow_cell_start_records.cpp
@@ -6,12 +6,34 @@
 // record, and because a follower fences the part before it reads the rows: a record of the previous owner has then
 // either been applied, and is read, or is refused, and its start is never sent.
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 #include "flow_cell_p.h"
 
 namespace skylarkhub {
 
+namespace {
+
+// Lists the runs whose start has not been sent, as its record may not be written yet. Copies, since what is done about
+// one of them may remove it from its task.
+std::vector<std::pair<flow_task_id, live_run>> list_unsent_starts(const flow_job& job)
+{
+    std::vector<std::pair<flow_task_id, live_run>> unsent;
+    for (const flow_stage& stage : job.stages()) {
+        for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
+            for (const live_run& live : stage.tasks[i].runs) {
+                if (live.noted != 0) {
+                    unsent.emplace_back(job.task_id(stage, i), live);
+                }
+            }
+        }
+    }
+    return unsent;
+}
+
+} // namespace
+
 // Whether the task may be started now. False while it may run on a worker that has not reported its runs yet, or may be
 // started in another cell or by an earlier owner of this cell.
 bool flow_cell::may_start(const flow_job& job, const flow_stage& stage, const flow_task& task) const
@@ -60,17 +82,7 @@
 // wait until the row has room.
 void flow_cell::withdraw_unsent_starts(instant now, flow_job& job)
 {
-    std::vector<std::pair<flow_task_id, live_run>> unsent;
-    for (const flow_stage& stage : job.stages()) {
-        for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
-            for (const live_run& live : stage.tasks[i].runs) {
-                if (live.noted != 0) {
-                    unsent.emplace_back(job.task_id(stage, i), live);
-                }
-            }
-        }
-    }
-    for (const auto& [task, live] : unsent) {
+    for (const auto& [task, live] : list_unsent_starts(job)) {
         const run_lookup run = look_up_run(live.worker, task, live.run);
         if (run.worker != nullptr) {
             drop_run(now, *run.worker, task, live.run);
@@ -84,33 +96,20 @@
 // then placed again.
 void flow_cell::send_recorded_starts(instant now, flow_job& job)
 {
-    struct recorded_start {
-        worker_id worker;
-        flow_task_id task;
-        run_number run;
-    };
-    std::vector<recorded_start> starts;
-    for (const flow_stage& stage : job.stages()) {
-        for (std::size_t i = 0; i < stage.tasks.size(); ++i) {
-            for (const live_run& live : stage.tasks[i].runs) {
-                if (live.noted != 0 && live.noted <= job.written()) {
-                    starts.push_back({live.worker, job.task_id(stage, i), live.run});
-                }
-            }
-        }
-    }
-    for (const recorded_start& start : starts) {
-        const run_lookup run = look_up_run(start.worker, start.task, start.run);
+    auto starts = list_unsent_starts(job);
+    std::erase_if(starts, [&job](const auto& start) { return start.second.noted > job.written(); });
+    for (const auto& [task, start] : starts) {
+        const run_lookup run = look_up_run(start.worker, task, start.run);
         if (run.worker == nullptr || run.live == nullptr) {
             continue;
         }
         if (!may_send_starts(now) || !is_schedulable(now, *run.worker)) {
-            drop_run(now, *run.worker, start.task, start.run);
+            drop_run(now, *run.worker, task, start.run);
             continue;
         }
         run.live->noted = 0;
         run.live->sent = now;
-        send_start(now, start.worker, start.task, start.run, 0);
+        send_start(now, start.worker, task, start.run, 0);
     }
 }
 
--- a/src/flow_entry_p.h
+++ b/src/flow_entry_p.h
@@ -359,8 +359,8 @@
     wire::flow_message serve_worker_list(instant now, const wire::flow_worker_list_ask& ask);
     bool has_recent_worker_list(instant now) const;
     void on_workers(instant now, std::vector<flow_listed_worker> workers);
-    // Marks workers of services that the configuration does not name as unusable.
-    void refuse_unknown_services(flow_worker_list& list) const;
+    // The known list, with workers of services that the configuration does not name among the unusable entries.
+    flow_worker_list usable_list() const;
     void report_unusable(instant now, const std::vector<flow_unusable_entry>& entries);
 
     // flow_cells.cpp
@@ -451,8 +451,8 @@
     std::optional<net_address> relay_peer();
     // Returns the next peer that the table answers, of those that own cells if there are any.
     std::optional<net_address> list_peer();
-    // Selects the peers in turn, so that no single one serves all calls of an entry.
-    std::optional<net_address> next_in_turn(const std::vector<net_address>& able);
+    // Selects the peers that the table answers in turn, so that no single one serves all calls of an entry.
+    std::optional<net_address> next_peer_with_table(bool owners_only);
     // Executes a commit on behalf of a peer.
     void serve_commit(const wire::flow_relayed_commit& asked, std::function<void(const wire::flow_message&)> reply);
     // Executes a read on behalf of a peer.
--- a/src/flow_entry_workers.cpp
+++ b/src/flow_entry_workers.cpp
@@ -26,8 +26,7 @@
         }
         table_answered_ = then;
         if (workers_.take(std::move(*list), asked)) {
-            flow_worker_list usable = workers_.list();
-            refuse_unknown_services(usable);
+            flow_worker_list usable = usable_list();
             report_unusable(then, usable.unusable);
             on_workers(then, std::move(usable.workers));
         }
@@ -69,9 +68,7 @@
     }
     if (workers_.take(std::move(list), asked - std::chrono::milliseconds(told.age_ms))) {
         ++stats_.worker_lists_from_peers;
-        flow_worker_list usable = workers_.list();
-        refuse_unknown_services(usable);
-        on_workers(now, std::move(usable.workers));
+        on_workers(now, usable_list().workers);
     }
 }
 
@@ -96,10 +93,11 @@
 }
 
 // A worker of a service that the configuration lacks is not used until a later configuration names the service.
-void flow_entry::refuse_unknown_services(flow_worker_list& list) const
+flow_worker_list flow_entry::usable_list() const
 {
+    flow_worker_list list = workers_.list();
     if (!config_) {
-        return;
+        return list;
     }
     std::set<std::string> known;
     for (const flow_service& service : config_->services) {
@@ -112,6 +110,7 @@
         list.unusable.push_back({at->worker, "service is not in the configuration"});
     }
     list.workers.erase(unknown, list.workers.end());
+    return list;
 }
 
 void flow_entry::report_unusable(instant now, const std::vector<flow_unusable_entry>& entries)
--- a/src/flow_relay.cpp
+++ b/src/flow_relay.cpp
@@ -181,29 +181,25 @@
 
 std::optional<net_address> flow_entry::relay_peer()
 {
-    std::vector<net_address> able;
-    for (const auto& [id, p] : peers_) {
-        if (is_live(p, ticked_at_) && !p.leaving && !p.table_away) {
-            able.push_back(p.identity.address);
-        }
-    }
-    return next_in_turn(able);
+    return next_peer_with_table(false);
 }
 
 // Owners read the list of workers more often than others.
 std::optional<net_address> flow_entry::list_peer()
 {
-    std::vector<net_address> owners;
-    for (const auto& [id, p] : peers_) {
-        if (is_live(p, ticked_at_) && !p.leaving && !p.table_away && !p.cells.empty()) {
-            owners.push_back(p.identity.address);
-        }
-    }
-    return owners.empty() ? relay_peer() : next_in_turn(owners);
+    const auto owner = next_peer_with_table(true);
+    return owner ? owner : relay_peer();
 }
 
-std::optional<net_address> flow_entry::next_in_turn(const std::vector<net_address>& able)
+std::optional<net_address> flow_entry::next_peer_with_table(bool owners_only)
 {
+    std::vector<net_address> able;
+    for (const auto& [id, p] : peers_) {
+        const bool reaches_table = is_live(p, ticked_at_) && !p.leaving && !p.table_away;
+        if (reaches_table && (!owners_only || !p.cells.empty())) {
+            able.push_back(p.identity.address);
+        }
+    }
     return able.empty() ? std::nullopt : std::optional(able[relays_++ % able.size()]);
 }
 
--- a/tests/test_flow_crash.cpp
+++ b/tests/test_flow_crash.cpp
@@ -151,20 +151,39 @@
     });
 }
 
+// A site whose workers crash for reasons of their own.
+flow_simulation::options innocent_options(std::uint64_t seed, int workers)
+{
+    return {.seed = seed,
+            .workers_per_data_centre = workers,
+            .run_time = [](const flow_task_id&) { return duration(2s); },
+            .crash_refuses_connections = seed % 2 == 0};
+}
+
+void submit_innocents(flow_simulation& w, int lasting_tasks, int steps, int tasks)
+{
+    w.run_for(2s);
+    BOOST_REQUIRE(w.submit(0, job_b, lasting_spec(lasting_tasks, 2000)) == caller_result::accepted);
+    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(steps, tasks)) == caller_result::accepted);
+}
+
+void check_innocents(flow_simulation& w)
+{
+    BOOST_TEST(!has_failed(w, 0, job_a));
+    BOOST_TEST(!has_failed(w, 0, job_b));
+    check_no_violations(w);
+}
+
 // Crashes one worker of eight each 1.5 s on the average, while the owner of the cell changes about every 3 s. Checks
 // that no job fails.
 void check_innocents_run(std::uint64_t seed, const owner_change& change)
 {
     constexpr int entries = 3;
     random_source random = make_random(seed);
-    flow_simulation w({.seed = seed,
-                       .entries_per_data_centre = entries,
-                       .workers_per_data_centre = 8,
-                       .run_time = [](const flow_task_id&) { return duration(2s); },
-                       .crash_refuses_connections = seed % 2 == 0});
-    w.run_for(2s);
-    BOOST_REQUIRE(w.submit(0, job_b, lasting_spec(12, 2000)) == caller_result::accepted);
-    BOOST_REQUIRE(w.submit(0, job_a, chain_spec(30, 8)) == caller_result::accepted);
+    flow_simulation::options options = innocent_options(seed, 8);
+    options.entries_per_data_centre = entries;
+    flow_simulation w(std::move(options));
+    submit_innocents(w, 12, 30, 8);
     for (int crash = 0; crash < 60; ++crash) {
         w.run_for(duration(absl::Uniform(random, 0, 1'500'000)));
         w.crash_worker(absl::Uniform(random, 0, w.worker_count()), true);
@@ -174,9 +193,7 @@
         }
     }
     w.run_for(10s);
-    BOOST_TEST(!has_failed(w, 0, job_a));
-    BOOST_TEST(!has_failed(w, 0, job_b));
-    check_no_violations(w);
+    check_innocents(w);
 }
 
 } // namespace
@@ -322,20 +339,13 @@
 {
     each_seed(6, [](std::uint64_t seed) {
         random_source random = make_random(seed);
-        flow_simulation w({.seed = seed,
-                           .workers_per_data_centre = 8,
-                           .run_time = [](const flow_task_id&) { return duration(2s); },
-                           .crash_refuses_connections = seed % 2 == 0});
-        w.run_for(2s);
-        BOOST_REQUIRE(w.submit(0, job_b, lasting_spec(12, 2000)) == caller_result::accepted);
-        BOOST_REQUIRE(w.submit(0, job_a, chain_spec(30, 8)) == caller_result::accepted);
+        flow_simulation w(innocent_options(seed, 8));
+        submit_innocents(w, 12, 30, 8);
         for (int crash = 0; crash < 60; ++crash) {
             w.run_for(1500ms);
             w.crash_worker(absl::Uniform(random, 0, w.worker_count()), true);
         }
-        BOOST_TEST(!has_failed(w, 0, job_a));
-        BOOST_TEST(!has_failed(w, 0, job_b));
-        check_no_violations(w);
+        check_innocents(w);
     });
 }
 
@@ -344,22 +354,15 @@
 {
     each_seed(4, [](std::uint64_t seed) {
         random_source random = make_random(seed);
-        flow_simulation w({.seed = seed,
-                           .workers_per_data_centre = 21,
-                           .run_time = [](const flow_task_id&) { return duration(2s); },
-                           .crash_refuses_connections = seed % 2 == 0});
-        w.run_for(2s);
-        BOOST_REQUIRE(w.submit(0, job_b, lasting_spec(30, 2000)) == caller_result::accepted);
-        BOOST_REQUIRE(w.submit(0, job_a, chain_spec(40, 20)) == caller_result::accepted);
+        flow_simulation w(innocent_options(seed, 21));
+        submit_innocents(w, 30, 40, 20);
         for (int round = 0; round < 15; ++round) {
             w.run_for(4s);
             for (int i = 0; i < 3; ++i) {
                 w.crash_worker(absl::Uniform(random, 0, w.worker_count()), true);
             }
         }
-        BOOST_TEST(!has_failed(w, 0, job_a));
-        BOOST_TEST(!has_failed(w, 0, job_b));
-        check_no_violations(w);
+        check_innocents(w);
     });
 }
 
--- a/tests/test_flow_list_age.cpp
+++ b/tests/test_flow_list_age.cpp
@@ -31,6 +31,22 @@
     w.send_submit(entry, job, chain_spec(1, 300, 3000));
 }
 
+// Lets the site start, and returns the owner of its cell.
+int wait_for_owner(flow_simulation& w, int entries)
+{
+    w.run_for(3s);
+    const int owner = owner_of(w, "a", entries);
+    BOOST_REQUIRE(owner >= 0);
+    return owner;
+}
+
+void reduce_capacities(flow_simulation& w)
+{
+    for (int i = 0; i < w.worker_count(); ++i) {
+        w.set_worker_capacity(i, reduced_capacity, duration(0));
+    }
+}
+
 // A list as long as given, with names and addresses of the usual length.
 flow_worker_list list_of(int workers)
 {
@@ -56,14 +72,10 @@
 BOOST_AUTO_TEST_CASE(an_owner_that_the_table_turns_away_sees_a_room_shrink)
 {
     flow_simulation w(short_tasks(2));
-    w.run_for(3s);
-    const int owner = owner_of(w, "a", 2);
-    BOOST_REQUIRE(owner >= 0);
+    const int owner = wait_for_owner(w, 2);
     w.cut_entry_from_table(owner, true);
     w.run_for(500ms);
-    for (int i = 0; i < w.worker_count(); ++i) {
-        w.set_worker_capacity(i, reduced_capacity, duration(0));
-    }
+    reduce_capacities(w);
     w.run_for(2s);
     submit_long_queue(w, owner, job_a);
     w.run_for(8s);
@@ -76,9 +88,7 @@
 BOOST_AUTO_TEST_CASE(an_owner_that_the_table_turns_away_sees_a_worker_drain)
 {
     flow_simulation w(short_tasks(2));
-    w.run_for(3s);
-    const int owner = owner_of(w, "a", 2);
-    BOOST_REQUIRE(owner >= 0);
+    const int owner = wait_for_owner(w, 2);
     w.cut_entry_from_table(owner, true);
     w.run_for(500ms);
     w.worker(0).draining = true;
@@ -101,14 +111,10 @@
         BOOST_TEST_CONTEXT("entries " << entries)
         {
             flow_simulation w(short_tasks(entries));
-            w.run_for(3s);
-            const int owner = owner_of(w, "a", entries);
-            BOOST_REQUIRE(owner >= 0);
+            const int owner = wait_for_owner(w, entries);
             w.drop_worker_lists(owner, true);
             w.run_for(500ms);
-            for (int i = 0; i < w.worker_count(); ++i) {
-                w.set_worker_capacity(i, reduced_capacity, duration(0));
-            }
+            reduce_capacities(w);
             submit_long_queue(w, owner, job_a);
             w.run_for(list_known_after);
             const std::int64_t starts = w.count_job_starts(job_a);
