--- a/tests/test_flow_recurring_lasting.cpp
+++ b/tests/test_flow_recurring_lasting.cpp
@@ -339,6 +339,30 @@
     check_no_violations(w);
 }
 
+// Guards against occurrences that never start because of what else their tasks ask for.
+BOOST_AUTO_TEST_CASE(lasting_occurrences_of_other_forms_run)
+{
+    constexpr std::int32_t occurrences = 1'500;
+    flow_spec second_step = lasting_occurrences(occurrences);
+    second_step.steps.push_back(second_step.steps.front());
+    second_step.steps.front().lasting = false;
+    second_step.steps.back().after = {0};
+    flow_spec gang = lasting_occurrences(occurrences, 3);
+    gang.steps.front().gang = true;
+    flow_spec apart = lasting_occurrences(occurrences, 3);
+    apart.steps.front().per_worker_most = 1;
+    for (const auto& [spec, tasks] : {std::pair(second_step, 1), std::pair(gang, 3), std::pair(apart, 3)}) {
+        flow_simulation w(wide_site());
+        w.run_for(3s);
+        BOOST_REQUIRE(w.submit(0, job, spec) == caller_result::accepted);
+        BOOST_TEST(w.run_until([&] { return w.count_running_tasks(job) == occurrences * tasks; }, 60s));
+        w.kill_entry(owner_of(w, here.str(), 2));
+        w.run_for(15s);
+        BOOST_TEST(w.count_running_tasks(job) == occurrences * tasks);
+        check_no_violations(w);
+    }
+}
+
 // Guards against a data centre that stays free while occurrences wait in another one that is full.
 BOOST_AUTO_TEST_CASE(lasting_occurrences_run_in_all_data_centres_with_room)
 {
