http: a server that stops answers what still arrives

Callers saw: an entry that is stopped by plan is aborted by a signal as it ends, and its connections break.

Cause: the server answers what waits, then stops its threads. A thread that is in a slow handler meanwhile goes through all connections that are ready before it looks at the stop, and a request that it finds there was suspended, with nobody to resume it.

Change: from the moment in which the server answers what waits, no request is suspended; it is answered 503 and its connection closed. A request is listed before its handler is called, so one that is not listed when the waiting ones are answered finds the flag set.

Evidence: test_http, a_server_stops_while_requests_arrive: aborted in three of three runs on the code before, passes in three of three. With four clients and a handler that takes no time it had passed on the code before, three of three: the batch needs a slow handler.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -111,6 +111,11 @@
     }
 };
 
+http_response stopping_answer()
+{
+    return {503, {}, "{\"error\":\"stopping\"}"};
+}
+
 } // namespace
 
 struct http_server::engine {
@@ -123,6 +128,7 @@
     MHD_Daemon* daemon = nullptr;
     net_address bound;
     std::atomic<std::int64_t> body_bytes_most;
+    std::atomic<bool> stopping = false; // no request waits any more
     std::atomic<std::int64_t> in_flight{0};
     std::atomic<bool> accepting{true};
     mutable absl::Mutex mutex;
@@ -304,21 +310,28 @@
             begin_answer(*e);
             return queue_response(e->connection, *e->answer, !accepting.load());
         }
+        if (stopping.load()) {
+            e->answered = true;
+            begin_answer(*e);
+            return queue_response(e->connection, stopping_answer(), true);
+        }
         e->suspended = true;
         MHD_suspend_connection(e->connection);
         return MHD_YES;
     }
 
-    // Answers whatever is still waiting, so that no suspended connection keeps the server from stopping.
+    // Answers whatever is still waiting, and what comes from now on. The library aborts a process that stops a server
+    // with suspended connections.
     void answer_waiting()
     {
+        stopping = true;
         std::vector<std::shared_ptr<exchange>> waiting;
         {
             absl::MutexLock lock(&mutex);
             waiting.assign(open.begin(), open.end());
         }
         for (const auto& e : waiting) {
-            e->reply({503, {}, "{\"error\":\"stopping\"}"});
+            e->reply(stopping_answer());
         }
     }
 };
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -12,6 +12,7 @@
 #include "support_fake_target.h"
 
 using namespace skylarkhub;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -299,3 +300,36 @@
     BOOST_TEST(is_not_sent()); // although a newer connection is kept
     BOOST_TEST(served.load() == 1);
 }
+
+// Guards against a process that is aborted as it stops, since a client goes on sending requests over its connection.
+BOOST_AUTO_TEST_CASE(a_server_stops_while_requests_arrive)
+{
+    constexpr int rounds = 10;
+    constexpr int clients = 16;
+    for (int round = 0; round < rounds; ++round) {
+        std::atomic<int> held{0};
+        auto server = start_server([&](const http_request&, const http_reply&) {
+            std::this_thread::sleep_for(2ms);
+            ++held;
+        });
+        const http_call call = post(*server, "waits for good");
+        std::atomic<bool> over{false};
+        std::vector<std::thread> senders;
+        for (int i = 0; i < clients; ++i) {
+            senders.emplace_back([&] {
+                http_client client;
+                while (!over) {
+                    client.call(call);
+                }
+            });
+        }
+        while (held < clients / 4) {
+            std::this_thread::yield();
+        }
+        server.reset();
+        over = true;
+        for (auto& sender : senders) {
+            sender.join();
+        }
+    }
+}
