flow: only starts that a row was too large for are held back

A row that was too large without any new start, as after a refusal by a table whose limit is lower than known, would have kept the job's tasks from being placed for ten seconds after it was written; and starts that were counted before a transaction was full were counted again as none. Starts are now counted from the last write on. test_flow_recurring_lasting, four of its cases, passes as before.

--- a/src/flow_job.cpp
+++ b/src/flow_job.cpp
@@ -729,25 +729,27 @@
 {
     written_ = std::max(written_, changes);
     note_version(version);
-    if (unwritable_) {
-        row_full_since_ = unwritable_->found;
-        unwritable_.reset();
-    }
-    else if (starts_in_row_ > 0 && starts_most_ <= unlimited_starts / 2) {
-        starts_most_ = 2 * std::max(starts_most_, starts_in_row_);
+    unwritable_.reset();
+    const std::size_t starts = std::exchange(starts_in_row_, 0);
+    if (starts > 0 && starts_most_ <= unlimited_starts / 2) {
+        starts_most_ = 2 * std::max(starts_most_, starts);
     }
 }
 
 void flow_job::note_row_bytes(std::size_t bytes)
 {
     row_bytes_ = bytes;
-    starts_in_row_ = std::exchange(starts_since_, 0);
+    starts_in_row_ += std::exchange(starts_since_, 0);
 }
 
 void flow_job::note_unwritable(instant now)
 {
     unwritable_ = unwritable_row{changes_, now};
-    starts_most_ = starts_in_row_ / 2;
+    const std::size_t starts = std::exchange(starts_in_row_, 0);
+    if (starts > 0) {
+        starts_most_ = starts / 2;
+        row_full_since_ = now;
+    }
 }
 
 // One start is tried again now and then, since the row may have become smaller.
--- a/src/flow_job_p.h
+++ b/src/flow_job_p.h
@@ -284,10 +284,10 @@
     std::uint64_t sent_ = 0;     // changes in the newest write that was sent
     std::size_t row_bytes_ = 0;
     std::size_t starts_since_ = 0;  // recorded since row_bytes_ was found
-    std::size_t starts_in_row_ = 0; // recorded between the last two times that the row was encoded
+    std::size_t starts_in_row_ = 0; // recorded since the row was last written, or found to be too large, and encoded
     static constexpr std::size_t unlimited_starts = std::numeric_limits<std::int32_t>::max();
     std::size_t starts_most_ = unlimited_starts; // to be recorded before the next write
-    instant row_full_since_{};                   // when the row was last too large
+    instant row_full_since_{};                   // when the row was last too large for its new starts
     struct unwritable_row {
         std::uint64_t changes = 0;
         instant found{};
