--- a/review/standin-3/refused_at_stop.cpp
+++ b/review/standin-3/refused_at_stop.cpp
@@ -1,5 +1,6 @@
-// A site of three entries. Callers hand jobs in at one entry while the table is silent, and that entry is told to
-// stop. The table carries the calls out when the silence is over. A job whose only hand-in was rejected must never run.
+// A site of three entries, which are stopped in turn. Callers hand jobs in at an entry while the table is silent, and
+// that entry is told to stop. The table carries the calls out when the silence is over. A job whose only hand-in was
+// rejected must never run.
 //
 // Usage: refused_at_stop RECORD. Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 #include <fmt/format.h>
@@ -10,10 +11,8 @@
 #include <fstream>
 #include <map>
 #include <mutex>
-#include <set>
 #include <string>
 #include <thread>
-#include <vector>
 
 #include "http_client_p.h"
 #include "platform_timer_p.h"
@@ -25,12 +24,13 @@
 using namespace skylarkhub::tests;
 using namespace std::chrono_literals;
 
-constexpr int callers = 300;
+constexpr int entry_count = 3;
+constexpr int callers = 200;             // at each entry
 constexpr int request_timeout_ms = 8000; // X-Deadline
 constexpr duration silent_for = 4500ms;  // the table
 constexpr duration stop_after = 200ms;   // from the begin of the silence
+constexpr duration round_time = 12s;     // an entry is back by then, and has its cells again
 constexpr duration settle_time = 15s;
-constexpr int stopped_entry = 0;
 
 class record {
 public:
@@ -87,101 +87,142 @@
     return job;
 }
 
-int play(record& out, bool trouble)
+bool is_rejected(const http_result& answer)
 {
-    soak_checks checks(read_clock());
-    soak_site site(7, {.entries = 3, .workers = 6, .data_centres = 1}, checks);
-    std::map<std::string, http_result> answers;
-    std::mutex mutex;
-    http_client http; // ends before what its answers are written to
-    const net_address entry = site.callers_address(stopped_entry);
-    const soak_job first = described(job_id_of(9999));
-    checks.note_job(first);
-    const instant ready_by = read_clock() + 30s;
-    bool ready = false;
-    while (!ready && read_clock() < ready_by) {
-        site.look(read_clock());
-        ready = http.call(make_hand_in(entry, first.id)).status / 100 == 2;
-        std::this_thread::sleep_for(200ms);
+    return answer.answered && (answer.status == 503 || answer.status == 429);
+}
+
+hand_in outcome_of(const http_result& answer)
+{
+    if (is_rejected(answer)) {
+        return hand_in::refused;
     }
-    if (!ready) {
-        out.write("no entry accepts a job");
-        return 2;
+    return answer.answered && answer.status / 100 == 2 ? hand_in::accepted : hand_in::in_doubt;
+}
+
+class refused_at_stop {
+public:
+    refused_at_stop(record& out, bool trouble)
+        : out_(out),
+          trouble_(trouble),
+          checks_(read_clock()),
+          site_(7, {.entries = entry_count, .workers = 6, .data_centres = 1}, checks_)
+    {}
+
+    int play()
+    {
+        if (!wait_for_service()) {
+            out_.write("no entry accepts a job");
+            return 2;
+        }
+        for (int entry = 0; entry < entry_count; ++entry) {
+            play_round(entry);
+        }
+        look_until(read_clock() + settle_time);
+        return judge();
     }
+
+private:
+    void look_until(instant end)
+    {
+        while (read_clock() < end) {
+            site_.look(read_clock());
+            std::this_thread::sleep_for(10ms);
+        }
+    }
+
+    bool wait_for_service()
+    {
+        const soak_job first = described(job_id_of(entry_count * callers));
+        checks_.note_job(first);
+        const instant end = read_clock() + 30s;
+        while (read_clock() < end) {
+            if (http_.call(make_hand_in(site_.callers_address(0), first.id)).status / 100 == 2) {
+                return true;
+            }
+            look_until(read_clock() + 200ms);
+        }
+        return false;
+    }
+
     // Calls wait on their way to the table until the silence is over.
-    const auto set_silent = [&](bool silent) {
-        for (int i = 0; i < site.entry_count(); ++i) {
+    void set_silent(bool silent)
+    {
+        for (int i = 0; i < entry_count; ++i) {
             standin::link_faults faults;
             faults.to_server_held = silent;
-            site.links().set_faults(site.table_link(i), faults);
+            site_.links().set_faults(site_.table_link(i), faults);
         }
-    };
-    for (int i = 0; i < callers; ++i) {
-        checks.note_job(described(job_id_of(i)));
-    }
-    if (trouble) {
-        out.write(fmt::format("the table is silent for {} ms", silent_for / 1ms));
-        set_silent(true);
     }
-    const instant begun = read_clock();
-    for (int i = 0; i < callers; ++i) {
-        const std::string id = job_id_of(i);
-        out.write("POST " + id);
-        http.send(make_hand_in(entry, id), [&, id](http_result answer) {
-            out.write(fmt::format("{} is answered {} {}", id, answer.answered ? answer.status : 0,
-                                  answer.answered ? answer.body : answer.reason));
-            const std::lock_guard lock(mutex);
-            answers.emplace(id, std::move(answer));
+
+    void send(int entry, const std::string& id)
+    {
+        checks_.note_job(described(id));
+        out_.write(fmt::format("POST {} at entry {}", id, entry));
+        http_.send(make_hand_in(site_.callers_address(entry), id), [this, id](http_result answer) {
+            out_.write(fmt::format("{} is answered {} {}", id, answer.answered ? answer.status : 0,
+                                   answer.answered ? answer.body : answer.reason));
+            checks_.note_hand_in(id, outcome_of(answer));
+            const std::lock_guard lock(mutex_);
+            answers_.emplace(id, std::move(answer));
         });
     }
-    std::this_thread::sleep_for(stop_after);
-    if (trouble) {
-        out.write("SIGTERM to the entry");
-        site.stop(stopped_entry, 1s);
-    }
-    while (read_clock() < begun + silent_for) {
-        site.look(read_clock());
-        std::this_thread::sleep_for(10ms);
-    }
-    set_silent(false);
-    out.write("the table answers");
-    const auto all_answered = [&] {
-        const std::lock_guard lock(mutex);
-        return answers.size() == callers;
-    };
-    while (!all_answered()) {
-        std::this_thread::sleep_for(10ms);
-    }
-    for (const auto& [id, answer] : answers) {
-        const bool rejected = answer.answered && (answer.status == 503 || answer.status == 429);
-        const bool accepted = answer.answered && answer.status / 100 == 2;
-        checks.note_hand_in(id, accepted ? hand_in::accepted : rejected ? hand_in::refused : hand_in::in_doubt);
-    }
-    const instant end = read_clock() + settle_time;
-    while (read_clock() < end) {
-        site.look(read_clock());
-        std::this_thread::sleep_for(10ms);
-    }
-    for (const auto& [id, answer] : answers) {
-        if (answer.status == 503 || answer.status == 429) {
-            const http_result state = ask(http, site.callers_address(stopped_entry + 1), id);
-            out.write(fmt::format("GET {} at another entry: {} {}", id, state.status, state.body));
+
+    void play_round(int entry)
+    {
+        const instant begun = read_clock();
+        if (trouble_) {
+            out_.write(fmt::format("the table is silent for {} ms", silent_for / 1ms));
+            set_silent(true);
         }
+        for (int i = 0; i < callers; ++i) {
+            send(entry, job_id_of(entry * callers + i));
+        }
+        look_until(begun + stop_after);
+        if (trouble_) {
+            out_.write(fmt::format("SIGTERM to entry {}", entry));
+            site_.stop(entry, 1s);
+        }
+        look_until(begun + silent_for);
+        if (trouble_) {
+            set_silent(false);
+            out_.write("the table answers");
+        }
+        look_until(begun + round_time);
     }
-    const soak_counts counts = checks.counts();
-    out.write(fmt::format("tasks started by workers: {}", counts.starts));
-    for (const auto& [outcome, count] : counts.jobs) {
-        constexpr const char* names[] = {"open", "accepted", "rejected", "in doubt"};
-        out.write(fmt::format("{}: {}", names[static_cast<int>(outcome)], count));
-    }
-    bool broken = false;
-    for (const std::string& text : checks.broken()) {
-        out.write(text);
-        broken = broken || text.find("every try to hand its job in was refused") != std::string::npos;
+
+    int judge()
+    {
+        const std::lock_guard lock(mutex_);
+        for (const auto& [id, answer] : answers_) {
+            if (is_rejected(answer)) {
+                const http_result state = ask(http_, site_.callers_address(0), id);
+                out_.write(fmt::format("GET {}: {} {}", id, state.status, state.body));
+            }
+        }
+        const soak_counts counts = checks_.counts();
+        out_.write(fmt::format("tasks started by workers: {}", counts.starts));
+        for (const auto& [outcome, count] : counts.jobs) {
+            constexpr const char* names[] = {"open", "accepted", "rejected", "in doubt"};
+            out_.write(fmt::format("{}: {}", names[static_cast<int>(outcome)], count));
+        }
+        bool broken = false;
+        for (const std::string& text : checks_.broken()) {
+            out_.write(text);
+            broken = broken || text.find("every try to hand its job in was refused") != std::string::npos;
+        }
+        site_.remove_folder();
+        return broken ? 1 : 0;
     }
-    site.remove_folder();
-    return broken ? 1 : 0;
-}
+
+    record& out_;
+    bool trouble_;
+    soak_checks checks_;
+    soak_site site_;
+    std::mutex mutex_;
+    std::map<std::string, http_result> answers_;
+    http_client http_; // last: what it still answers uses the rest
+};
 
 } // namespace
 
@@ -194,7 +235,7 @@
     record out(argv[1]);
     const char* const trouble = std::getenv("TROUBLE");
     try {
-        return play(out, trouble == nullptr || std::string(trouble) != "0");
+        return refused_at_stop(out, trouble == nullptr || std::string(trouble) != "0").play();
     }
     catch (const std::exception& error) {
         out.write(error.what());
